--- /dev/null
+++ b/crates/callers/src/lib.rs
@@ -0,0 +1,1 @@
+//! The callers' side: address answers, requests and their outcomes.
--- /dev/null
+++ b/crates/endpoints/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls to endpoints: plain and streamed, with resume and cancel.
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Between routers: messages, streams and heartbeats.
--- /dev/null
+++ b/crates/policy/src/ids.rs
@@ -0,0 +1,138 @@
+//! Names of the things the fleet deals with, each a type of its own.
+
+use {
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::{
+        fmt,
+        str::FromStr,
+        sync::Arc, //
+    },
+    thiserror::Error, //
+};
+
+/// Longest name accepted, in bytes.
+const NAME_MAX: usize = 64;
+
+/// Why a name was not accepted.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum IdError {
+    /// The name is empty.
+    #[error("the name is empty; give 1 to {NAME_MAX} letters, digits or any of `-_.:`")]
+    Empty,
+    /// The name is too long.
+    #[error("the name has {0} bytes; shorten it to at most {NAME_MAX}")]
+    Long(usize),
+    /// The name holds a character that is not allowed.
+    #[error("the name holds `{0}`; use letters, digits and `-_.:` only")]
+    Character(char),
+}
+
+fn check(s: &str) -> Result<(), IdError> {
+    if s.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if s.len() > NAME_MAX {
+        return Err(IdError::Long(s.len()));
+    }
+    match s
+        .chars()
+        .find(|c| !(c.is_ascii_alphanumeric() || "-_.:".contains(*c)))
+    {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $type:ident) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $type(Arc<str>);
+
+        impl $type {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl FromStr for $type {
+            type Err = IdError;
+
+            fn from_str(s: &str) -> Result<Self, IdError> {
+                check(s)?;
+                Ok(Self(Arc::from(s)))
+            }
+        }
+
+        impl TryFrom<String> for $type {
+            type Error = IdError;
+
+            fn try_from(s: String) -> Result<Self, IdError> {
+                s.parse()
+            }
+        }
+
+        impl From<$type> for String {
+            fn from(id: $type) -> String {
+                id.0.as_ref().to_owned()
+            }
+        }
+    };
+}
+
+name! {
+    /// Name of a router, unique in the fleet, from its settings.
+    RouterId
+}
+name! {
+    /// Name of a workspace, whose callers share its part of the capacity.
+    WorkspaceId
+}
+name! {
+    /// Name of a service that endpoints offer, such as `drafting-llm`.
+    ServiceId
+}
+name! {
+    /// Name of a profile that operators define.
+    ProfileName
+}
+name! {
+    /// Name of one endpoint (a replica of a service): its address `IP:PORT`.
+    ReplicaId
+}
+name! {
+    /// Name of an availability zone.
+    Zone
+}
+
+/// One start of a router: a later start has a higher number.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl FromStr for Incarnation {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(s, 16).map(Self)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,39 @@
+//! Every decision of the routers, as pure state machines.
+//!
+//! Nothing here does I/O, reads a clock or draws a random number of its own: the
+//! caller passes the time and a seed. That is what lets each decision be fuzzed against
+//! an oracle, replayed from a golden file and measured without a network.
+
+mod ids;
+mod outcome;
+mod time;
+mod units;
+
+pub use self::{
+    ids::{
+        IdError,
+        Incarnation,
+        ProfileName,
+        ReplicaId,
+        RouterId,
+        ServiceId,
+        WorkspaceId,
+        Zone, //
+    },
+    outcome::{
+        Outcome,
+        OutcomeError,
+        Refusal, //
+    },
+    time::{
+        Span,
+        SpanError,
+        Time, //
+    },
+    units::{
+        Share,
+        Slots,
+        Units,
+        UnitsError, //
+    },
+};
--- /dev/null
+++ b/crates/policy/src/time.rs
@@ -0,0 +1,140 @@
+//! Moments on the monotonic clock, and spans between them.
+
+use {
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::{
+        fmt,
+        ops::{
+            Add,
+            AddAssign,
+            Sub, //
+        },
+        str::FromStr,
+        time::Duration, //
+    },
+    thiserror::Error, //
+};
+
+/// A moment on this process's monotonic clock, in microseconds since it started.
+///
+/// It means nothing to another process: what goes over the wire is a [`Span`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Time(pub u64);
+
+/// A length of time, in microseconds.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Span(pub u64);
+
+impl Span {
+    /// No time at all.
+    pub const ZERO: Span = Span(0);
+
+    /// Makes a span from milliseconds.
+    pub const fn millis(n: u64) -> Span {
+        Span(n * 1_000)
+    }
+
+    /// Makes a span from seconds.
+    pub const fn secs(n: u64) -> Span {
+        Span(n * 1_000_000)
+    }
+
+    /// Returns the span in seconds, with its fraction.
+    pub fn as_secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+
+    /// Returns the span in whole milliseconds, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+}
+
+impl Time {
+    /// Returns the span from `earlier` to this moment, or none where it is later.
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+
+    fn add(self, s: Span) -> Time {
+        Time(self.0.saturating_add(s.0))
+    }
+}
+
+impl AddAssign<Span> for Time {
+    fn add_assign(&mut self, s: Span) {
+        *self = *self + s;
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+
+    fn sub(self, s: Span) -> Time {
+        Time(self.0.saturating_sub(s.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+
+    fn add(self, s: Span) -> Span {
+        Span(self.0.saturating_add(s.0))
+    }
+}
+
+impl From<Duration> for Span {
+    fn from(d: Duration) -> Span {
+        Span(d.as_micros() as u64)
+    }
+}
+
+impl From<Span> for Duration {
+    fn from(s: Span) -> Duration {
+        Duration::from_micros(s.0)
+    }
+}
+
+/// Why a length of time was not accepted.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("`{0}` is not a length of time; write a whole number and a unit: `250ms`, `3s` or `2m`")]
+pub struct SpanError(String);
+
+impl FromStr for Span {
+    type Err = SpanError;
+
+    fn from_str(s: &str) -> Result<Span, SpanError> {
+        let err = || SpanError(s.to_owned());
+        let split = s.find(|c: char| !c.is_ascii_digit()).ok_or_else(err)?;
+        let (n, unit) = s.split_at(split);
+        let n: u64 = n.parse().map_err(|_| err())?;
+        let micros = match unit {
+            "us" => 1,
+            "ms" => 1_000,
+            "s" => 1_000_000,
+            "m" => 60_000_000,
+            _ => return Err(err()),
+        };
+        n.checked_mul(micros).map(Span).ok_or_else(err)
+    }
+}
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            n if n >= 1_000_000 => write!(f, "{:.1}s", self.as_secs()),
+            n if n >= 1_000 => write!(f, "{}ms", n / 1_000),
+            n => write!(f, "{n}us"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, model engines and plain services, with faults on request.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `chervilwind` program: starts what the command line asks for.
+
+fn main() {}
