--- /dev/null
+++ b/crates/policy/src/dispatch/core.rs
@@ -0,0 +1,396 @@
+//! The state of this part and its events.
+
+use {
+    super::dump::{
+        QueueDump,
+        ReplicaDump,
+        ServiceDump, //
+    },
+    crate::{
+        entry::{
+            Entry,
+            Live, //
+        },
+        shares::Writer,
+        Action,
+        DispatchDump,
+        Finish,
+        Incarnation,
+        Job,
+        JobId,
+        Message,
+        OwnerView,
+        Peer,
+        PeerState,
+        Refusal,
+        Replica,
+        ReplicaId,
+        RouterId,
+        Rules,
+        ServiceId,
+        Slots,
+        Span,
+        Time,
+        Units, //
+    },
+    slotmap::SlotMap,
+    std::collections::BTreeMap,
+};
+
+/// When a caller of a router that is leaving, or of an unknown service, may come back.
+const AFTER_NONE: Span = Span::secs(1);
+
+/// Decides which request starts where and when.
+#[derive(Debug)]
+pub struct Dispatch {
+    me: Peer,
+    rules: Rules,
+    lives: SlotMap<JobId, Live>,
+    services: BTreeMap<ServiceId, Entry>,
+    routers: BTreeMap<RouterId, Peer>,
+    leaving: bool,
+    actions: Vec<Action>,
+}
+
+impl Dispatch {
+    /// Makes the state of a router that knows nothing yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use policy::{Dispatch, Incarnation, Peer, PeerState};
+    ///
+    /// let me = Peer {
+    ///     id: "r1".parse()?,
+    ///     incarnation: Incarnation(1),
+    ///     zone: "hall-a".parse()?,
+    ///     state: PeerState::Live,
+    /// };
+    /// let mut dispatch = Dispatch::new(me, 7);
+    /// assert!(dispatch.take_actions().is_empty());
+    /// # Ok::<(), policy::IdError>(())
+    /// ```
+    pub fn new(me: Peer, _seed: u64) -> Dispatch {
+        Dispatch {
+            me,
+            rules: Rules::default(),
+            lives: SlotMap::with_key(),
+            services: BTreeMap::new(),
+            routers: BTreeMap::new(),
+            leaving: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Puts rules in force. Requests of a service that is gone are refused.
+    pub fn configure(&mut self, rules: Rules, now: Time) {
+        let writer = Writer::of(&self.me.id, self.me.incarnation);
+        for r in &rules.services {
+            match self.services.get_mut(&r.service) {
+                Some(entry) => entry.configure(r.clone()),
+                None => {
+                    let entry = Entry::new(r.clone(), writer);
+                    self.services.insert(r.service.clone(), entry);
+                }
+            }
+        }
+        let gone: Vec<ServiceId> = self
+            .services
+            .keys()
+            .filter(|s| !rules.services.iter().any(|r| &r.service == *s))
+            .cloned()
+            .collect();
+        for service in gone {
+            self.refuse_queued(&service, Refusal::NoEndpoint, now);
+            self.services.remove(&service);
+        }
+        self.rules = rules;
+        self.allot(now);
+    }
+
+    /// Takes over the list of a service's replicas.
+    pub fn replicas(&mut self, service: &ServiceId, list: Vec<Replica>, now: Time) {
+        if let Some(entry) = self.services.get_mut(service) {
+            entry.seats.replace(list);
+        }
+        self.allot(now);
+    }
+
+    /// Takes over the list of the other routers.
+    pub fn routers(&mut self, list: Vec<Peer>, now: Time) {
+        self.routers = list.into_iter().map(|p| (p.id.clone(), p)).collect();
+        self.allot(now);
+    }
+
+    /// Takes a request in. Its start or refusal is an action.
+    pub fn submit(&mut self, job: Job, now: Time) -> JobId {
+        let service = job.service.clone();
+        let known = self.services.contains_key(&service);
+        if self.leaving || !known {
+            let why = if self.leaving {
+                Refusal::Leaving
+            } else {
+                Refusal::NoEndpoint
+            };
+            return self.turn_away(job, why);
+        }
+        let entry = self
+            .services
+            .get_mut(&service)
+            .expect("the service is known");
+        let (id, refused) = entry.submit(job, self.rules.mode, &mut self.lives, now);
+        match refused {
+            Some((job, why, after)) => self.actions.push(Action::Refuse { job, why, after }),
+            None => self.pump(&service, now),
+        }
+        id
+    }
+
+    /// Queues a started request again, away from a replica.
+    ///
+    /// The caller knows that it surely did not run there, or that it is idempotent.
+    pub fn requeue(&mut self, id: JobId, avoid: &ReplicaId, now: Time) {
+        let Some(live) = self.lives.get_mut(id) else {
+            return;
+        };
+        let service = live.job.service.clone();
+        let Some(entry) = self.services.get_mut(&service) else {
+            return;
+        };
+        entry.end(live, Some(Units::default()), now);
+        live.avoid = Some(avoid.clone());
+        entry.enqueue(id, live, now);
+        self.pump(&service, now);
+    }
+
+    /// Forgets a request that its caller gave up, queued or running.
+    ///
+    /// What a running one has received stays charged.
+    pub fn cancel(&mut self, id: JobId, now: Time) {
+        let Some(mut live) = self.lives.remove(id) else {
+            return;
+        };
+        let service = live.job.service.clone();
+        if let Some(entry) = self.services.get_mut(&service) {
+            match live.run {
+                Some(_) => entry.end(&mut live, None, now),
+                None => entry.unqueue(id, &live, now),
+            }
+        }
+        self.pump(&service, now);
+    }
+
+    /// Notes how much a running request has received so far.
+    pub fn progress(&mut self, id: JobId, served: Units, now: Time) {
+        let Some(live) = self.lives.get_mut(id) else {
+            return;
+        };
+        if let Some(entry) = self.services.get_mut(&live.job.service) {
+            entry.progress(live, served, now);
+        }
+    }
+
+    /// Ends a started request.
+    pub fn finish(&mut self, id: JobId, f: Finish, now: Time) {
+        let Some(mut live) = self.lives.remove(id) else {
+            return;
+        };
+        let service = live.job.service.clone();
+        if let Some(entry) = self.services.get_mut(&service) {
+            let units = if f.refund { Units::default() } else { f.units };
+            entry.end(&mut live, Some(units), now);
+        }
+        self.pump(&service, now);
+    }
+
+    /// Stops new work on a replica that was seen to leave.
+    pub fn withdraw(&mut self, replica: &ReplicaId, now: Time) {
+        for entry in self.services.values_mut() {
+            if let Some(seat) = entry.seats.all.get_mut(replica) {
+                seat.withdrawn = true;
+            }
+        }
+        self.allot(now);
+    }
+
+    /// Takes in a message of another router.
+    pub fn deliver(
+        &mut self,
+        _from: &RouterId,
+        _incarnation: Incarnation,
+        msg: Message,
+        _now: Time,
+    ) {
+        match msg {
+            Message::Hello => {}
+        }
+    }
+
+    /// Does what has become due. Call it every 10 ms or so.
+    pub fn tick(&mut self, now: Time) {
+        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
+        for service in services {
+            let entry = self.services.get_mut(&service).expect("listed above");
+            entry.forget_idle(now);
+            for refused in entry.overdue(&self.lives, now) {
+                self.refuse(refused.0, refused.1, refused.2, now);
+            }
+            self.pump(&service, now);
+        }
+    }
+
+    /// Begins the shutdown of this router: nothing new is taken in.
+    ///
+    /// What is queued is refused as not run; what runs goes on.
+    pub fn leave(&mut self, now: Time) {
+        self.leaving = true;
+        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
+        for service in services {
+            self.refuse_queued(&service, Refusal::Leaving, now);
+        }
+    }
+
+    /// Returns what is to be done, in order.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns which routers hold how many slots of a service.
+    pub fn owners(&self, service: &ServiceId) -> Vec<OwnerView> {
+        let Some(entry) = self.services.get(service) else {
+            return Vec::new();
+        };
+        let live = self.live();
+        let open = entry.seats.all.values().filter(|s| s.open()).count() as u32;
+        let slots = Slots((open * entry.rules.start.0).div_ceil(live.len().max(1) as u32));
+        live.into_iter()
+            .map(|router| OwnerView { router, slots })
+            .collect()
+    }
+
+    /// Returns the state of this part, as operators read it.
+    pub fn dump(&self) -> DispatchDump {
+        DispatchDump {
+            mode: self.rules.mode,
+            leaving: self.leaving,
+            queued: self.services.values().map(Entry::queued).sum(),
+            running: self.lives.values().filter(|l| l.run.is_some()).count(),
+            services: self.services.values().map(dump_service).collect(),
+        }
+    }
+
+    /// Returns the routers that take work, in order of name, with this one.
+    fn live(&self) -> Vec<RouterId> {
+        let mut live: Vec<RouterId> = self
+            .routers
+            .values()
+            .filter(|p| p.state == PeerState::Live)
+            .map(|p| p.id.clone())
+            .collect();
+        if !self.leaving {
+            live.push(self.me.id.clone());
+        }
+        live.sort();
+        live
+    }
+
+    /// Gives this router its static fraction of each replica.
+    fn allot(&mut self, now: Time) {
+        let live = self.live();
+        let n = live.len().max(1) as u32;
+        let rank = live.iter().position(|id| id == &self.me.id).unwrap_or(0) as u32;
+        for entry in self.services.values_mut() {
+            let limit = entry.rules.start.0;
+            for (at, seat) in entry.seats.all.values_mut().enumerate() {
+                let extra = (rank + at as u32) % n < limit % n;
+                seat.allowed = (limit / n + u32::from(extra)).max(1);
+            }
+        }
+        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
+        for service in services {
+            self.pump(&service, now);
+        }
+    }
+
+    /// Starts what may start at a service.
+    fn pump(&mut self, service: &ServiceId, now: Time) {
+        let Some(entry) = self.services.get_mut(service) else {
+            return;
+        };
+        while let Some((id, replica)) = entry.next(self.rules.mode, &self.lives, &self.me.zone) {
+            entry.start(id, &mut self.lives[id], &replica, now);
+            self.actions.push(Action::Start { job: id, replica });
+        }
+    }
+
+    /// Refuses a queued request.
+    fn refuse(&mut self, id: JobId, why: Refusal, after: Span, now: Time) {
+        let Some(live) = self.lives.remove(id) else {
+            return;
+        };
+        if let Some(entry) = self.services.get_mut(&live.job.service) {
+            entry.unqueue(id, &live, now);
+        }
+        self.actions.push(Action::Refuse {
+            job: id,
+            why,
+            after,
+        });
+    }
+
+    /// Refuses all that is queued at a service.
+    fn refuse_queued(&mut self, service: &ServiceId, why: Refusal, now: Time) {
+        let queued: Vec<JobId> = self
+            .lives
+            .iter()
+            .filter(|(_, l)| &l.job.service == service && l.run.is_none())
+            .map(|(id, _)| id)
+            .collect();
+        for id in queued {
+            self.refuse(id, why, AFTER_NONE, now);
+        }
+    }
+
+    /// Refuses a request that no queue takes.
+    fn turn_away(&mut self, job: Job, why: Refusal) -> JobId {
+        let live = Live::unqueued(job);
+        let id = self.lives.insert(live);
+        self.lives.remove(id);
+        self.actions.push(Action::Refuse {
+            job: id,
+            why,
+            after: AFTER_NONE,
+        });
+        id
+    }
+}
+
+fn dump_service(entry: &Entry) -> ServiceDump {
+    ServiceDump {
+        service: entry.rules.service.clone(),
+        owner: None,
+        pressed: false,
+        queues: entry
+            .queues
+            .iter()
+            .filter(|(_, q)| !q.is_empty())
+            .map(|(key, q)| QueueDump {
+                workspace: q.workspace.clone(),
+                queued: q.len(),
+                service: Units(entry.ledger.level(*key) as f64 / 1000.0),
+            })
+            .collect(),
+        replicas: entry
+            .seats
+            .all
+            .values()
+            .map(|s| ReplicaDump {
+                replica: s.replica.id.clone(),
+                leaving: !s.open(),
+                allowed: Slots(s.allowed),
+                running: Slots(s.running),
+                limit: None,
+            })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/dump.rs
@@ -0,0 +1,82 @@
+//! The state of this part, as operators read it.
+
+use {
+    crate::{
+        Mode,
+        ReplicaId,
+        RouterId,
+        ServiceId,
+        Slots,
+        Units,
+        WorkspaceId, //
+    },
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+};
+
+/// All of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DispatchDump {
+    /// How capacity is shared.
+    pub mode: Mode,
+    /// Whether this router is shutting down.
+    pub leaving: bool,
+    /// Requests queued here.
+    pub queued: usize,
+    /// Requests running from here.
+    pub running: usize,
+    /// Each service.
+    pub services: Vec<ServiceDump>,
+}
+
+/// One service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceDump {
+    /// Its name.
+    pub service: ServiceId,
+    /// The router that lends its slots, where one is known.
+    pub owner: Option<RouterId>,
+    /// Whether work is known to wait at some router.
+    pub pressed: bool,
+    /// Workspaces with queued requests here.
+    pub queues: Vec<QueueDump>,
+    /// Its replicas.
+    pub replicas: Vec<ReplicaDump>,
+}
+
+/// The queue of one workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QueueDump {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// Requests that wait.
+    pub queued: usize,
+    /// Normalised service received across the fleet, as known here.
+    pub service: Units,
+}
+
+/// One replica.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReplicaDump {
+    /// Its name.
+    pub replica: ReplicaId,
+    /// Whether it gets no new work.
+    pub leaving: bool,
+    /// Requests that this router may run on it at once.
+    pub allowed: Slots,
+    /// Requests that this router runs on it.
+    pub running: Slots,
+    /// Its learnt limit, where this router owns it.
+    pub limit: Option<Slots>,
+}
+
+/// A router that holds slots of a service.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct OwnerView {
+    /// The router.
+    pub router: RouterId,
+    /// How many slots callers may expect there.
+    pub slots: Slots,
+}
--- /dev/null
+++ b/crates/policy/src/entry/core.rs
@@ -0,0 +1,328 @@
+//! Entry of one service: its queues, seats and accounts at this router.
+
+use {
+    super::{
+        Live,
+        Queue,
+        Run,
+        Seats, //
+    },
+    crate::{
+        shares::{
+            Key,
+            Ledger,
+            Writer,
+            MILLI, //
+        },
+        Job,
+        JobId,
+        Mode,
+        Refusal,
+        ReplicaId,
+        ServiceRules,
+        Share,
+        Span,
+        Time,
+        Units,
+        Zone, //
+    },
+    slotmap::SlotMap,
+    std::collections::BTreeMap,
+};
+
+/// How much of a new measurement goes into a mean.
+const MEAN_STEP: f64 = 0.05;
+/// Shortest and longest time that a refused caller is told to wait.
+const AFTER: (Span, Span) = (Span::millis(50), Span::secs(60));
+/// Time to come back after when nothing is known of the queue.
+const AFTER_UNKNOWN: Span = Span::secs(1);
+/// How many requests at the head are tried when a retry must avoid a replica.
+const HEAD: usize = 8;
+/// An idle queue is forgotten after this time.
+const IDLE: Span = Span::secs(300);
+
+/// The requests that are queued or run.
+pub(crate) type Lives = SlotMap<JobId, Live>;
+
+/// What is refused, why, and when to come back.
+pub(crate) type Refused = (JobId, Refusal, Span);
+
+/// One service at this router.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) rules: ServiceRules,
+    pub(crate) queues: BTreeMap<Key, Queue>,
+    pub(crate) seats: Seats,
+    pub(crate) ledger: Ledger,
+    /// Mean time that a request runs, in seconds.
+    pub(crate) run_time: f64,
+    /// Mean cost of a request, in units.
+    pub(crate) cost: f64,
+    numbers: u64,
+}
+
+impl Entry {
+    pub(crate) fn new(rules: ServiceRules, me: Writer) -> Entry {
+        let mut entry = Entry {
+            ledger: Ledger::new(me),
+            rules: rules.clone(),
+            queues: BTreeMap::new(),
+            seats: Seats::default(),
+            run_time: 0.0,
+            cost: 0.0,
+            numbers: 0,
+        };
+        entry.configure(rules);
+        entry
+    }
+
+    pub(crate) fn configure(&mut self, rules: ServiceRules) {
+        let shares = rules
+            .shares
+            .iter()
+            .map(|s| (Key::of(&s.workspace), s.share))
+            .collect();
+        self.ledger.set_shares(shares);
+        self.rules = rules;
+    }
+
+    /// Returns how many requests are queued.
+    pub(crate) fn queued(&self) -> usize {
+        self.queues.values().map(Queue::len).sum()
+    }
+
+    /// Queues a request or says why not.
+    pub(crate) fn submit(
+        &mut self,
+        job: Job,
+        mode: Mode,
+        lives: &mut Lives,
+        now: Time,
+    ) -> (JobId, Option<Refused>) {
+        self.numbers += 1;
+        let mut live = Live::unqueued(job);
+        live.number = self.numbers;
+        if mode == Mode::Static {
+            live.due = live.job.arrived;
+        }
+        let id = lives.insert(live);
+        let live = &lives[id];
+        if let Some((why, after)) = self.objection(live, id, now) {
+            lives.remove(id);
+            return (id, Some((id, why, after)));
+        }
+        self.enqueue(id, live, now);
+        (id, None)
+    }
+
+    /// Puts a request into its queue.
+    pub(crate) fn enqueue(&mut self, id: JobId, live: &Live, now: Time) {
+        let queue = self
+            .queues
+            .entry(live.key)
+            .or_insert_with(|| Queue::new(live.job.workspace.clone(), now));
+        queue.pass(now);
+        queue.used = now;
+        queue.places.insert((live.due, live.number, id));
+    }
+
+    /// Takes a queued request out of its queue.
+    pub(crate) fn unqueue(&mut self, id: JobId, live: &Live, now: Time) {
+        if let Some(queue) = self.queues.get_mut(&live.key) {
+            queue.pass(now);
+            queue.places.remove(&(live.due, live.number, id));
+        }
+    }
+
+    /// Returns why a request cannot be taken, and when to come back.
+    fn objection(&mut self, live: &Live, id: JobId, now: Time) -> Option<(Refusal, Span)> {
+        if !self.seats.any_open() {
+            return Some((Refusal::NoEndpoint, AFTER_UNKNOWN));
+        }
+        let left = live.job.deadline.since(now);
+        let expect = self.expect(&live.job);
+        let Some(queue) = self.queues.get_mut(&live.key) else {
+            return (left <= expect).then_some((Refusal::Late, AFTER_UNKNOWN));
+        };
+        queue.pass(now);
+        if queue.len() >= self.rules.queue {
+            let after = queue.drain.wait(queue.len().div_ceil(2));
+            return Some((Refusal::QueueFull, clamp(after)));
+        }
+        let ahead = queue.before(&(live.due, live.number, id));
+        let wait = match ahead {
+            0 => Span::ZERO,
+            n => queue.drain.wait(n).unwrap_or(Span::ZERO),
+        };
+        let need = wait + expect;
+        if need < left {
+            return None;
+        }
+        Some((Refusal::Late, clamp(Some(Span(need.0 - left.0)))))
+    }
+
+    /// Returns how long a request is thought to run.
+    fn expect(&self, job: &Job) -> Span {
+        job.expect
+    }
+
+    /// Returns the requests that can no longer be answered in time.
+    pub(crate) fn overdue(&mut self, lives: &Lives, now: Time) -> Vec<Refused> {
+        let mut out = Vec::new();
+        for queue in self.queues.values_mut() {
+            queue.pass(now);
+            let after = clamp(queue.drain.wait(queue.len()));
+            for (_, _, id) in &queue.places {
+                let job = &lives[*id].job;
+                if job.deadline <= now {
+                    out.push((*id, Refusal::Expired, after));
+                } else if job.deadline.since(now) < job.expect {
+                    out.push((*id, Refusal::Late, after));
+                }
+            }
+        }
+        out
+    }
+
+    /// Forgets queues that were idle for long.
+    pub(crate) fn forget_idle(&mut self, now: Time) {
+        self.queues
+            .retain(|_, q| !q.is_empty() || q.running > 0 || now.since(q.used) < IDLE);
+    }
+
+    /// Chooses the next request to start and its replica.
+    pub(crate) fn next(
+        &self,
+        mode: Mode,
+        lives: &Lives,
+        zone: &Zone,
+    ) -> Option<(JobId, ReplicaId)> {
+        if self.seats.free() == 0 {
+            return None;
+        }
+        let keys = match mode {
+            Mode::Static => self.by_arrival(),
+            _ => self.by_level(lives),
+        };
+        keys.iter()
+            .find_map(|key| self.placeable(&self.queues[key], lives, zone))
+    }
+
+    /// Returns the first request of a queue that has a replica to go to.
+    fn placeable(&self, queue: &Queue, lives: &Lives, zone: &Zone) -> Option<(JobId, ReplicaId)> {
+        queue.places.iter().take(HEAD).find_map(|(_, _, id)| {
+            let avoid = lives[*id].avoid.as_ref();
+            Some((*id, self.seats.choose(zone, avoid)?))
+        })
+    }
+
+    /// Returns the backlogged workspaces, first come first served.
+    fn by_arrival(&self) -> Vec<Key> {
+        let mut heads: Vec<_> = self
+            .queues
+            .iter()
+            .filter_map(|(k, q)| Some((q.places.first()?, *k)))
+            .collect();
+        heads.sort();
+        heads.into_iter().map(|h| h.1).collect()
+    }
+
+    /// Returns the backlogged workspaces, the one that is due first.
+    ///
+    /// That is the one with the least normalised service; but within the window of
+    /// it, the one with the most urgent head.
+    fn by_level(&self, lives: &Lives) -> Vec<Key> {
+        let window = (self.rules.window.0 * MILLI) as i64;
+        let mut heads: Vec<_> = self
+            .queues
+            .iter()
+            .filter_map(|(k, q)| {
+                Some((
+                    self.ledger.level(*k),
+                    lives[q.places.first()?.2].job.urgency,
+                    *k,
+                ))
+            })
+            .collect();
+        let least = heads.iter().map(|h| h.0).min().unwrap_or(0);
+        heads.sort_by_key(|&(level, urgency, key)| {
+            let within = level <= least + window;
+            let rank = if within { 9 - urgency.min(9) } else { 10 };
+            (rank, level, key)
+        });
+        heads.into_iter().map(|h| h.2).collect()
+    }
+
+    /// Starts a request: charges its hint and takes a seat.
+    pub(crate) fn start(&mut self, id: JobId, live: &mut Live, replica: &ReplicaId, now: Time) {
+        self.unqueue(id, live, now);
+        let hint = match live.job.hint {
+            Units(n) if n > 0.0 => n,
+            _ if self.cost > 0.0 => self.cost,
+            _ => 1.0,
+        };
+        let charged = milli(hint, live.job.share);
+        self.ledger.charge(live.key, charged, now);
+        if let Some(queue) = self.queues.get_mut(&live.key) {
+            queue.running += 1;
+            queue.drain.left();
+            queue.used = now;
+        }
+        if let Some(seat) = self.seats.all.get_mut(replica) {
+            seat.running += 1;
+        }
+        live.run = Some(Run {
+            replica: replica.clone(),
+            started: now,
+            charged,
+        });
+    }
+
+    /// Charges what a running request has received beyond what was charged.
+    pub(crate) fn progress(&mut self, live: &mut Live, served: Units, now: Time) {
+        let Some(run) = &mut live.run else { return };
+        let total = milli(served.0, live.job.share);
+        if total > run.charged {
+            self.ledger.charge(live.key, total - run.charged, now);
+            run.charged = total;
+        }
+    }
+
+    /// Ends the run of a request: corrects its charge and frees its seat.
+    pub(crate) fn end(&mut self, live: &mut Live, units: Option<Units>, now: Time) {
+        let Some(run) = live.run.take() else { return };
+        if let Some(Units(n)) = units {
+            let total = milli(n, live.job.share);
+            self.ledger.charge(live.key, total - run.charged, now);
+            if n > 0.0 {
+                step(&mut self.run_time, now.since(run.started).as_secs());
+                step(&mut self.cost, n);
+            }
+        }
+        if let Some(queue) = self.queues.get_mut(&live.key) {
+            queue.running = queue.running.saturating_sub(1);
+            queue.used = now;
+        }
+        if let Some(seat) = self.seats.all.get_mut(&run.replica) {
+            seat.running = seat.running.saturating_sub(1);
+        }
+    }
+}
+
+/// Returns an amount in thousandths, divided by the share of its profile.
+fn milli(units: f64, share: Share) -> i64 {
+    (units * MILLI / share.get()).round() as i64
+}
+
+/// Moves a mean towards a new value.
+fn step(mean: &mut f64, value: f64) {
+    if *mean == 0.0 {
+        *mean = value;
+    } else {
+        *mean += (value - *mean) * MEAN_STEP;
+    }
+}
+
+fn clamp(after: Option<Span>) -> Span {
+    after.unwrap_or(AFTER_UNKNOWN).clamp(AFTER.0, AFTER.1)
+}
--- /dev/null
+++ b/crates/policy/src/entry/seats.rs
@@ -0,0 +1,96 @@
+//! The replicas of one service and how many requests this router may run on each.
+
+use {
+    crate::{
+        Replica,
+        ReplicaId,
+        Zone, //
+    },
+    std::collections::BTreeMap,
+};
+
+/// One replica.
+#[derive(Debug)]
+pub(crate) struct Seat {
+    pub(crate) replica: Replica,
+    /// Requests that this router may run on it at once.
+    pub(crate) allowed: u32,
+    pub(crate) running: u32,
+    /// Set when it was seen to leave before the list said so.
+    pub(crate) withdrawn: bool,
+}
+
+/// All replicas of one service.
+#[derive(Debug, Default)]
+pub(crate) struct Seats {
+    pub(crate) all: BTreeMap<ReplicaId, Seat>,
+}
+
+impl Seat {
+    /// Returns whether it takes new work.
+    pub(crate) fn open(&self) -> bool {
+        !self.replica.leaving && !self.withdrawn
+    }
+
+    /// Returns how many more requests may start on it.
+    pub(crate) fn free(&self) -> u32 {
+        if self.open() {
+            self.allowed.saturating_sub(self.running)
+        } else {
+            0
+        }
+    }
+}
+
+impl Seats {
+    /// Takes over a new list; counts of replicas that stay are kept.
+    pub(crate) fn replace(&mut self, list: Vec<Replica>) {
+        let mut old = std::mem::take(&mut self.all);
+        for replica in list {
+            let id = replica.id.clone();
+            let seat = match old.remove(&id) {
+                Some(s) => Seat { replica, ..s },
+                None => Seat {
+                    replica,
+                    allowed: 0,
+                    running: 0,
+                    withdrawn: false,
+                },
+            };
+            self.all.insert(id, seat);
+        }
+        // A replica that is gone from the list still runs what it has.
+        for (id, mut seat) in old {
+            if seat.running > 0 {
+                seat.replica.leaving = true;
+                self.all.insert(id, seat);
+            }
+        }
+    }
+
+    /// Returns how many more requests may start.
+    pub(crate) fn free(&self) -> u32 {
+        self.all.values().map(Seat::free).sum()
+    }
+
+    /// Returns whether any replica takes new work.
+    pub(crate) fn any_open(&self) -> bool {
+        self.all.values().any(Seat::open)
+    }
+
+    /// Chooses a replica with room: in this zone first, then the idlest.
+    ///
+    /// `avoid` is chosen only when no other replica takes new work at all.
+    pub(crate) fn choose(&self, zone: &Zone, avoid: Option<&ReplicaId>) -> Option<ReplicaId> {
+        let others = self
+            .all
+            .values()
+            .any(|s| s.open() && Some(&s.replica.id) != avoid);
+        self.all
+            .values()
+            .filter(|s| s.free() > 0)
+            .filter(|s| !others || Some(&s.replica.id) != avoid)
+            .max_by_key(|s| (&s.replica.zone == zone, s.free()))
+            .map(|s| s.replica.id.clone())
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,12 +4,36 @@
 //! caller passes the time and a seed. That is what lets each decision be fuzzed against
 //! an oracle, replayed from a golden file and measured without a network.
 
+mod dispatch;
+mod entry;
 mod ids;
 mod outcome;
+mod shares;
 mod time;
 mod units;
 
 pub use self::{
+    dispatch::{
+        Action,
+        Dispatch,
+        DispatchDump,
+        Finish,
+        Job,
+        JobId,
+        Message,
+        Mode,
+        OwnerView,
+        Peer,
+        PeerState,
+        QueueDump,
+        Replica,
+        ReplicaDump,
+        Rules,
+        ServiceDump,
+        ServiceRules,
+        Unit,
+        WorkspaceShare, //
+    },
     ids::{
         IdError,
         Incarnation,
@@ -25,6 +49,10 @@
         OutcomeError,
         Refusal, //
     },
+    shares::{
+        gap_bound,
+        GapTerms, //
+    },
     time::{
         Span,
         SpanError,
--- /dev/null
+++ b/crates/policy/src/shares/mod.rs
@@ -0,0 +1,22 @@
+//! How much service each workspace has received, across the fleet.
+
+mod account;
+mod bound;
+mod key;
+mod ledger;
+
+pub use self::bound::{
+    gap_bound,
+    GapTerms, //
+};
+pub(crate) use self::{
+    account::Account,
+    key::{
+        Key,
+        Writer, //
+    },
+    ledger::{
+        Ledger,
+        MILLI, //
+    },
+};
