--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod ids;
 mod outcome;
+pub mod rendezvous;
 mod time;
 mod units;
 
