--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 mod ids;
 mod outcome;
 pub mod rendezvous;
+pub mod tickets;
 mod time;
 mod units;
 
--- /dev/null
+++ b/crates/policy/src/tickets/mod.rs
@@ -0,0 +1,34 @@
+//! At most once for requests that are not idempotent.
+//!
+//! A ticket is held by one start of one router at any moment: first by the one that issued
+//! it. Only its holder may start the request. Another router that gets the request asks the
+//! holder, which gives the ticket away if it is unused. Nothing here depends on clocks
+//! agreeing, or on messages arriving once, in order or at all.
+
+mod answers;
+mod floors;
+mod issued;
+mod messages;
+mod table;
+mod ticket;
+
+pub use self::{
+    messages::{
+        Answer,
+        Ask,
+        Claim,
+        Grant,
+        Record,
+        Reply, //
+    },
+    table::{
+        Counts,
+        Keep,
+        Tickets, //
+    },
+    ticket::{
+        Holder,
+        Ticket,
+        TicketError, //
+    },
+};
