--- /dev/null
+++ b/crates/operators/src/document.rs
@@ -0,0 +1,290 @@
+//! The operators' configuration, checked before it is written.
+
+use {
+    crate::{
+        problem::CheckError,
+        section::{
+            parse,
+            Section, //
+        },
+        source::Source,
+        values::{
+            choice,
+            flag,
+            integer,
+            number,
+            span, //
+        },
+    },
+    policy::{
+        ProfileName,
+        ServiceId,
+        Share,
+        Slots,
+        Span,
+        Units,
+        WorkspaceId, //
+    },
+    std::{
+        collections::BTreeMap,
+        str::FromStr, //
+    },
+};
+
+/// Most requests that one workspace may be allowed to queue at a router.
+const QUEUE_MAX: u64 = 100_000;
+/// Most slots that a replica may be started with.
+const START_MAX: u64 = 10_000;
+/// Queued requests allowed for each workspace at a router where nothing is said.
+const QUEUE: u32 = 200;
+/// Slots that a new replica starts with where nothing is said.
+const START: u32 = 8;
+/// Time that a caller has where neither it nor the profile says.
+const DEADLINE: Span = Span::secs(20);
+/// Rough cost of a request in tokens where the profile says nothing.
+const HINT: f64 = 300.0;
+
+/// The whole configuration of a fleet.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Document {
+    /// How the fleet shares out its capacity.
+    pub policy: Policy,
+    /// The services that endpoints offer.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// The classes of work.
+    pub profiles: BTreeMap<ProfileName, Profile>,
+    /// Those that share the capacity.
+    pub workspaces: BTreeMap<WorkspaceId, Workspace>,
+}
+
+/// How the fleet shares out its capacity.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Policy {
+    /// Who decides which request runs next.
+    pub mode: Mode,
+}
+
+/// Who decides which request runs next. Only `Fleet` is meant for use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Mode {
+    /// The fleet as a whole.
+    #[default]
+    Fleet,
+    /// Every router for itself. Kept to measure against.
+    Alone,
+    /// Every router, each with a fixed part of the capacity. Kept to measure against.
+    Static,
+}
+
+/// A service and how its capacity is shared.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// What its endpoints speak.
+    pub kind: Kind,
+    /// What counts as service received.
+    pub unit: Unit,
+    /// How far an urgent request may go ahead of a workspace that got less, in units.
+    pub window: Units,
+    /// How much an idle workspace may save up, in units.
+    pub credit: Units,
+    /// How many requests one workspace may queue at one router.
+    pub queue: u32,
+    /// How many requests a new replica starts with at once.
+    pub start: Slots,
+}
+
+/// What the endpoints of a service speak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Streamed chat completions.
+    Model,
+    /// Any HTTP, passed through.
+    Plain,
+}
+
+/// What counts as service received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unit {
+    /// Tokens.
+    Tokens,
+    /// Answered requests, weighted by their profile.
+    Requests,
+}
+
+/// How a class of work is treated.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Profile {
+    /// Its part of the service relative to other work of its workspace.
+    pub share: Share,
+    /// From 0 to 9; the highest goes first, within the service's window.
+    pub urgency: u8,
+    /// A request may be run again.
+    pub idempotent: bool,
+    /// Service counted for one answered request.
+    pub weight: Units,
+    /// Time that a caller has if it doesn't say.
+    pub deadline: Span,
+    /// Rough cost of a request, in units.
+    pub hint: Units,
+}
+
+/// One of those that share the capacity.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Workspace {
+    /// Its part of the service relative to other workspaces.
+    pub share: Share,
+    /// How many requests it may queue at one router, where it differs from the service's.
+    pub queue: Option<u32>,
+}
+
+impl Document {
+    /// Checks a document.
+    ///
+    /// # Errors
+    ///
+    /// Every problem that was found, each with its line and remedy.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use operators::{Document, Source};
+    ///
+    /// let text = "
+    ///     [service.drafting-llm]
+    ///     kind = 'model'
+    ///     [profile.renewal]
+    ///     share = 0
+    ///     [workspace.bristol]
+    /// ";
+    /// let error = Document::parse(&Source::from_text("fleet.toml", text)).unwrap_err();
+    /// assert_eq!(
+    ///     error.to_string(),
+    ///     "fleet.toml:5: profile \"renewal\" has share 0; \
+    ///      give a share above 0, or remove the profile"
+    /// );
+    /// ```
+    pub fn parse(source: &Source) -> Result<Document, CheckError> {
+        parse(source, "document", |root| {
+            let document = Document {
+                policy: read_policy(root.section("policy")),
+                services: read_named(root, "service", read_service),
+                profiles: read_named(root, "profile", |s| Some(read_profile(s))),
+                workspaces: read_named(root, "workspace", |s| Some(read_workspace(s))),
+            };
+            root.finish_missing();
+            Some(document)
+        })
+    }
+}
+
+impl Section<'_> {
+    fn finish_missing(&mut self) {
+        let examples = [
+            ("service", "[service.NAME]` with `kind = \"model\""),
+            ("profile", "[profile.NAME]"),
+            ("workspace", "[workspace.NAME]"),
+        ];
+        for (key, example) in examples {
+            if self.place_of(key).is_none() {
+                self.missing(key, example);
+            }
+        }
+    }
+}
+
+fn read_named<K, V>(
+    root: &mut Section<'_>,
+    key: &'static str,
+    read: impl Fn(&mut Section<'_>) -> Option<V>,
+) -> BTreeMap<K, V>
+where
+    K: FromStr<Err = policy::IdError> + Ord,
+{
+    let mut map = BTreeMap::new();
+    for (name, mut section) in root.sections(key) {
+        let id = name
+            .parse()
+            .map_err(|e: policy::IdError| section.wrong("can't be used", &e.to_string()));
+        let value = read(&mut section);
+        section.finish();
+        if let (Ok(id), Some(value)) = (id, value) {
+            map.insert(id, value);
+        }
+    }
+    map
+}
+
+fn read_policy(mut s: Section<'_>) -> Policy {
+    let modes = [
+        ("fleet", Mode::Fleet),
+        ("alone", Mode::Alone),
+        ("static", Mode::Static),
+    ];
+    let mode = s.take_or("mode", Mode::Fleet, choice(&modes));
+    s.finish();
+    Policy { mode }
+}
+
+fn read_service(s: &mut Section<'_>) -> Option<Service> {
+    let kinds = [("model", Kind::Model), ("plain", Kind::Plain)];
+    let kind = s.need(
+        "kind",
+        "kind = \"model\"` or `kind = \"plain\"",
+        choice(&kinds),
+    );
+    let units = [("tokens", Unit::Tokens), ("requests", Unit::Requests)];
+    let usual = match kind {
+        Some(Kind::Plain) => Unit::Requests,
+        _ => Unit::Tokens,
+    };
+    let unit = s.take_or("unit", usual, choice(&units));
+    let (window, credit) = match unit {
+        Unit::Tokens => (200.0, 50.0),
+        Unit::Requests => (2.0, 1.0),
+    };
+    let service = Service {
+        kind: kind.unwrap_or(Kind::Model),
+        unit,
+        window: Units(s.take_or("window", window, number(0.0, false))),
+        credit: Units(s.take_or("credit", credit, number(0.0, false))),
+        queue: read_queue(s).unwrap_or(QUEUE),
+        start: Slots(s.take_or("start", START.into(), integer(1..=START_MAX)) as u32),
+    };
+    if service.kind == Kind::Plain && service.unit == Unit::Tokens {
+        s.wrong_at(
+            "unit",
+            "is plain and counts tokens, which only a model's answers have",
+            "write `unit = \"requests\"`, or `kind = \"model\"`",
+        );
+    }
+    kind.map(|_| service)
+}
+
+fn read_profile(s: &mut Section<'_>) -> Profile {
+    Profile {
+        share: read_share(s, "profile"),
+        urgency: s.take_or("urgency", 0, integer(0..=9)) as u8,
+        idempotent: s.take_or("idempotent", false, flag),
+        weight: Units(s.take_or("weight", 1.0, number(0.0, true))),
+        deadline: s.take_or("deadline", DEADLINE, span),
+        hint: Units(s.take_or("hint", HINT, number(0.0, true))),
+    }
+}
+
+fn read_workspace(s: &mut Section<'_>) -> Workspace {
+    Workspace {
+        share: read_share(s, "workspace"),
+        queue: read_queue(s),
+    }
+}
+
+fn read_queue(s: &mut Section<'_>) -> Option<u32> {
+    s.take("queue", integer(1..=QUEUE_MAX)).map(|n| n as u32)
+}
+
+fn read_share(s: &mut Section<'_>, what: &str) -> Share {
+    s.take_or("share", Share::ONE, |v| {
+        let n = number(f64::NEG_INFINITY, false)(v)?;
+        Share::try_from(n).map_err(|_| format!("give a share above 0, or remove the {what}"))
+    })
+}
--- /dev/null
+++ b/crates/operators/src/section.rs
@@ -0,0 +1,262 @@
+//! Reading a TOML file table by table, so that every problem is found in one go.
+
+use {
+    crate::{
+        nearest::nearest,
+        problem::{
+            CheckError,
+            Problem, //
+        },
+        source::Source, //
+    },
+    std::{
+        cell::RefCell,
+        ops::Range, //
+    },
+    toml::de::{
+        DeTable,
+        DeValue, //
+    },
+};
+
+/// One table of a file, and what was wrong in it so far.
+///
+/// Each key is taken once; [`Section::finish`] reports the keys that nobody took.
+#[derive(Debug)]
+pub struct Section<'t> {
+    name: String,
+    place: Range<usize>,
+    table: Option<&'t DeTable<'t>>,
+    taken: Vec<&'static str>,
+    findings: &'t Findings<'t>,
+}
+
+#[derive(Debug)]
+struct Findings<'t> {
+    source: &'t Source,
+    problems: RefCell<Vec<Problem>>,
+    /// The file is no valid TOML: what is missing may just not have been understood.
+    broken: bool,
+}
+
+/// Parses a file and hands its root table to `read`.
+///
+/// # Errors
+///
+/// All problems that TOML's parser and `read` found.
+///
+/// # Examples
+///
+/// ```
+/// use operators::{parse, text, Source};
+///
+/// let source = Source::from_text("a.toml", "name = \"x\"\nsize = 3\n");
+/// let error = parse(&source, "file", |root| {
+///     let name = root.need::<String>("name", "name = \"NAME\"", text("a name"));
+///     name
+/// });
+/// assert_eq!(
+///     error.unwrap_err().to_string(),
+///     "a.toml:2: the file has the unknown key `size`; remove it; known keys: `name`"
+/// );
+/// ```
+pub fn parse<T>(
+    source: &Source,
+    what: &str,
+    read: impl FnOnce(&mut Section<'_>) -> Option<T>,
+) -> Result<T, CheckError> {
+    let (root, errors) = DeTable::parse_recoverable(source.text());
+    let syntax: Vec<Problem> = errors.iter().map(|e| syntax_problem(source, e)).collect();
+    let findings = Findings {
+        source,
+        broken: !syntax.is_empty(),
+        problems: RefCell::new(syntax),
+    };
+    let mut section = Section {
+        name: format!("the {what}"),
+        place: 0..0,
+        table: Some(root.get_ref()),
+        taken: Vec::new(),
+        findings: &findings,
+    };
+    let value = read(&mut section);
+    section.finish();
+    let problems = findings.problems.into_inner();
+    match value {
+        Some(value) if problems.is_empty() => Ok(value),
+        _ => Err(CheckError::new(source, problems)),
+    }
+}
+
+impl<'t> Section<'t> {
+    /// Takes a value; `read` gives it or the remedy.
+    pub fn take<T>(
+        &mut self,
+        key: &'static str,
+        read: impl Fn(&DeValue<'_>) -> Result<T, String>,
+    ) -> Option<T> {
+        self.taken.push(key);
+        let value = self.table?.get(key)?;
+        match read(value.get_ref()) {
+            Ok(value) => Some(value),
+            Err(remedy) => {
+                let written = &self.findings.source.text()[value.span()];
+                let message = format!("{} has {key} {written}", self.name);
+                self.report(value.span(), message, remedy);
+                None
+            }
+        }
+    }
+
+    /// Takes a value, or the default where the key is missing or wrong.
+    ///
+    /// A wrong value was reported, so that the default is never used for long.
+    pub fn take_or<T>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        read: impl Fn(&DeValue<'_>) -> Result<T, String>,
+    ) -> T {
+        self.take(key, read).unwrap_or(default)
+    }
+
+    /// Takes a value that has no default; `example` shows how to write it.
+    pub fn need<T>(
+        &mut self,
+        key: &'static str,
+        example: &str,
+        read: impl Fn(&DeValue<'_>) -> Result<T, String>,
+    ) -> Option<T> {
+        let missing = self.table.is_some_and(|t| t.get(key).is_none());
+        if missing {
+            self.missing(key, example);
+        }
+        self.take(key, read)
+    }
+
+    /// Takes a table of this table. A missing one reads like an empty one.
+    pub fn section(&mut self, key: &'static str) -> Section<'t> {
+        self.taken.push(key);
+        let found = self.table.and_then(|t| t.get_key_value(key));
+        let mut section = Section {
+            name: format!("[{key}]"),
+            place: self.place.clone(),
+            table: None,
+            taken: Vec::new(),
+            findings: self.findings,
+        };
+        if let Some((key, value)) = found {
+            section.place = key.span();
+            section.table = value.get_ref().as_table();
+            if section.table.is_none() {
+                section.not_table(value.span());
+            }
+        }
+        section
+    }
+
+    /// Takes a table of named tables, such as `[profile.NAME]`, in the order of their names.
+    pub fn sections(&mut self, key: &'static str) -> Vec<(&'t str, Section<'t>)> {
+        let outer = self.section(key);
+        let Some(table) = outer.table else {
+            return Vec::new();
+        };
+        let named = table.iter().map(|(name, value)| {
+            let section = Section {
+                name: format!("{key} \"{}\"", name.get_ref()),
+                place: name.span(),
+                table: value.get_ref().as_table(),
+                taken: Vec::new(),
+                findings: self.findings,
+            };
+            if section.table.is_none() {
+                section.not_table(value.span());
+            }
+            (name.get_ref().as_ref(), section)
+        });
+        named.collect()
+    }
+
+    /// Says whether the file has this table.
+    pub fn exists(&self) -> bool {
+        self.table.is_some()
+    }
+
+    /// Returns where this table's name stands in the file.
+    pub fn place(&self) -> Range<usize> {
+        self.place.clone()
+    }
+
+    /// Returns where a value stands in the file.
+    pub fn place_of(&self, key: &str) -> Option<Range<usize>> {
+        Some(self.table?.get(key)?.span())
+    }
+
+    /// Returns the line where a value stands in the file, counted from 1.
+    pub fn line_of(&self, key: &str) -> Option<usize> {
+        let place = self.place_of(key)?;
+        Some(self.findings.source.line(place.start))
+    }
+
+    /// Reports a problem of the whole table; `says` follows its name.
+    pub fn wrong(&self, says: &str, remedy: &str) {
+        let message = format!("{} {says}", self.name);
+        self.report(self.place.clone(), message, remedy.to_owned());
+    }
+
+    /// Reports a problem of one value; `says` follows the table's name.
+    pub fn wrong_at(&self, key: &str, says: &str, remedy: &str) {
+        let place = self.place_of(key).unwrap_or(self.place.clone());
+        let message = format!("{} {says}", self.name);
+        self.report(place, message, remedy.to_owned());
+    }
+
+    /// Reports what is missing, unless the file could not be understood anyway.
+    pub fn missing(&self, what: &str, example: &str) {
+        if !self.findings.broken {
+            self.wrong(&format!("has no {what}"), &format!("add `{example}`"));
+        }
+    }
+
+    /// Reports the keys that nobody took.
+    pub fn finish(&self) {
+        for (key, _) in self.table.into_iter().flatten() {
+            let name = key.get_ref().as_ref();
+            if self.taken.contains(&name) {
+                continue;
+            }
+            let message = format!("{} has the unknown key `{name}`", self.name);
+            let advice = match nearest(name, &self.taken) {
+                Some(k) => format!("did you mean `{k}`?"),
+                None => "remove it".to_owned(),
+            };
+            let known: Vec<String> = self.taken.iter().map(|k| format!("`{k}`")).collect();
+            let remedy = format!("{advice}; known keys: {}", known.join(", "));
+            self.report(key.span(), message, remedy);
+        }
+    }
+
+    fn not_table(&self, place: Range<usize>) {
+        let message = format!("{} is not a table", self.name);
+        let remedy = "write a header in brackets and one `key = value` a line under it".to_owned();
+        self.report(place, message, remedy);
+    }
+
+    fn report(&self, place: Range<usize>, message: String, remedy: String) {
+        let problem = Problem::new(self.findings.source, place, message, remedy);
+        self.findings.problems.borrow_mut().push(problem);
+    }
+}
+
+fn syntax_problem(source: &Source, error: &toml::de::Error) -> Problem {
+    let place = error.span().unwrap_or(0..0);
+    if error.message().contains("duplicate key") {
+        let name = source.text().get(place.clone()).unwrap_or_default();
+        let message = format!("`{name}` is given twice");
+        let remedy = "keep one of the two, or give the other its own name".to_owned();
+        return Problem::new(source, place, message, remedy);
+    }
+    let message = format!("this is not valid TOML: {}", error.message());
+    let remedy = "mend this line; text values need quotes, tables a header in brackets".to_owned();
+    Problem::new(source, place, message, remedy)
+}
