--- a/crates/policy/src/tickets/table.rs
+++ b/crates/policy/src/tickets/table.rs
@@ -147,6 +147,7 @@
     /// the request is dispatched, not when it is queued.
     pub fn claim(&mut self, t: &Ticket, now: Time) -> Claim {
         let now = self.clock(now);
+        let me = self.me.clone();
         let Some(e) = self.entry(t) else {
             return self.unknown(t);
         };
@@ -164,7 +165,7 @@
             State::Done(record) => Claim::Done(record.clone()),
             State::Moved(to) => Claim::Ask(Ask {
                 ticket: t.clone(),
-                by: self.me.clone(),
+                by: me,
                 of: to.clone(),
                 hop: e.hop,
             }),
