--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,8 @@
 
 mod ids;
 mod outcome;
+pub mod rendezvous;
+pub mod tickets;
 mod time;
 mod units;
 
