--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,9 @@
 mod entry;
 mod ids;
 mod outcome;
+pub mod rendezvous;
 mod shares;
+pub mod tickets;
 mod time;
 mod units;
 
