Lend slots to the routers where work waits

With a static fraction for each router, slots stand idle at one router while work waits at another, and a workspace gets what its routers have, not its share. The owner of a service (by rendezvous hash) now lends slots: water-filling over workspaces by normalised service, then over the routers where they wait. Routers exchange their counters; a count belongs to one start of one router, so order, loss and doubling do not matter.

--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -1,10 +1,13 @@
 //! The state of this part and its events.
 
 use {
-    super::dump::{
-        QueueDump,
-        ReplicaDump,
-        ServiceDump, //
+    super::{
+        dump::{
+            QueueDump,
+            ReplicaDump,
+            ServiceDump, //
+        },
+        exchange::Pacer, //
     },
     crate::{
         entry::{
@@ -15,10 +18,9 @@
         Action,
         DispatchDump,
         Finish,
-        Incarnation,
         Job,
         JobId,
-        Message,
+        Mode,
         OwnerView,
         Peer,
         PeerState,
@@ -43,13 +45,17 @@
 /// Decides which request starts where and when.
 #[derive(Debug)]
 pub struct Dispatch {
-    me: Peer,
-    rules: Rules,
+    pub(super) me: Peer,
+    pub(super) rules: Rules,
     lives: SlotMap<JobId, Live>,
-    services: BTreeMap<ServiceId, Entry>,
-    routers: BTreeMap<RouterId, Peer>,
-    leaving: bool,
-    actions: Vec<Action>,
+    pub(super) services: BTreeMap<ServiceId, Entry>,
+    /// The other routers.
+    pub(super) routers: BTreeMap<RouterId, Peer>,
+    /// Whether the list of routers was given at least once.
+    pub(super) listed: bool,
+    pub(super) leaving: bool,
+    pub(super) actions: Vec<Action>,
+    pub(super) pacer: Pacer,
 }
 
 impl Dispatch {
@@ -77,8 +83,10 @@
             lives: SlotMap::with_key(),
             services: BTreeMap::new(),
             routers: BTreeMap::new(),
+            listed: false,
             leaving: false,
             actions: Vec::new(),
+            pacer: Pacer::default(),
         }
     }
 
@@ -105,7 +113,7 @@
             self.services.remove(&service);
         }
         self.rules = rules;
-        self.allot(now);
+        self.rank(now);
     }
 
     /// Takes over the list of a service's replicas.
@@ -113,13 +121,17 @@
         if let Some(entry) = self.services.get_mut(service) {
             entry.seats.replace(list);
         }
-        self.allot(now);
+        self.rank(now);
     }
 
-    /// Takes over the list of the other routers.
+    /// Takes over the list of the other routers, which may be empty.
+    ///
+    /// Until it was called once, this router owns nothing and waits for slots: one that
+    /// has just started and knows of nobody yet would take all slots for its own.
     pub fn routers(&mut self, list: Vec<Peer>, now: Time) {
+        self.listed = true;
         self.routers = list.into_iter().map(|p| (p.id.clone(), p)).collect();
-        self.allot(now);
+        self.rank(now);
     }
 
     /// Takes a request in. Its start or refusal is an action.
@@ -181,12 +193,12 @@
     }
 
     /// Notes how much a running request has received so far.
-    pub fn progress(&mut self, id: JobId, served: Units, now: Time) {
+    pub fn progress(&mut self, id: JobId, served: Units, _now: Time) {
         let Some(live) = self.lives.get_mut(id) else {
             return;
         };
         if let Some(entry) = self.services.get_mut(&live.job.service) {
-            entry.progress(live, served, now);
+            entry.progress(live, served);
         }
     }
 
@@ -210,20 +222,7 @@
                 seat.withdrawn = true;
             }
         }
-        self.allot(now);
-    }
-
-    /// Takes in a message of another router.
-    pub fn deliver(
-        &mut self,
-        _from: &RouterId,
-        _incarnation: Incarnation,
-        msg: Message,
-        _now: Time,
-    ) {
-        match msg {
-            Message::Hello => {}
-        }
+        self.rank(now);
     }
 
     /// Does what has become due. Call it every 10 ms or so.
@@ -237,6 +236,7 @@
             }
             self.pump(&service, now);
         }
+        self.exchange(now);
     }
 
     /// Begins the shutdown of this router: nothing new is taken in.
@@ -248,6 +248,7 @@
         for service in services {
             self.refuse_queued(&service, Refusal::Leaving, now);
         }
+        self.rank(now);
     }
 
     /// Returns what is to be done, in order.
@@ -261,8 +262,7 @@
             return Vec::new();
         };
         let live = self.live();
-        let open = entry.seats.all.values().filter(|s| s.open()).count() as u32;
-        let slots = Slots((open * entry.rules.start.0).div_ceil(live.len().max(1) as u32));
+        let slots = Slots(entry.capacity().div_ceil(live.len().max(1) as u32));
         live.into_iter()
             .map(|router| OwnerView { router, slots })
             .collect()
@@ -280,7 +280,7 @@
     }
 
     /// Returns the routers that take work, in order of name, with this one.
-    fn live(&self) -> Vec<RouterId> {
+    pub(super) fn live(&self) -> Vec<RouterId> {
         let mut live: Vec<RouterId> = self
             .routers
             .values()
@@ -294,26 +294,15 @@
         live
     }
 
-    /// Gives this router its static fraction of each replica.
-    fn allot(&mut self, now: Time) {
-        let live = self.live();
-        let n = live.len().max(1) as u32;
-        let rank = live.iter().position(|id| id == &self.me.id).unwrap_or(0) as u32;
-        for entry in self.services.values_mut() {
-            let limit = entry.rules.start.0;
-            for (at, seat) in entry.seats.all.values_mut().enumerate() {
-                let extra = (rank + at as u32) % n < limit % n;
-                seat.allowed = (limit / n + u32::from(extra)).max(1);
-            }
-        }
-        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
-        for service in services {
-            self.pump(&service, now);
+    /// Starts what may start at a service.
+    pub(super) fn pump(&mut self, service: &ServiceId, now: Time) {
+        self.start(service, now);
+        if self.rules.mode == Mode::Fleet {
+            self.flush(service, now);
         }
     }
 
-    /// Starts what may start at a service.
-    fn pump(&mut self, service: &ServiceId, now: Time) {
+    pub(super) fn start(&mut self, service: &ServiceId, now: Time) {
         let Some(entry) = self.services.get_mut(service) else {
             return;
         };
@@ -368,8 +357,8 @@
 fn dump_service(entry: &Entry) -> ServiceDump {
     ServiceDump {
         service: entry.rules.service.clone(),
-        owner: None,
-        pressed: false,
+        owner: entry.hold.owner.as_ref().map(|o| o.0.clone()),
+        pressed: entry.hold.pressed,
         queues: entry
             .queues
             .iter()
@@ -389,7 +378,7 @@
                 leaving: !s.open(),
                 allowed: Slots(s.allowed),
                 running: Slots(s.running),
-                limit: None,
+                limit: entry.pool.as_ref().and_then(|p| p.limit(s.key)),
             })
             .collect(),
     }
--- /dev/null
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -0,0 +1,338 @@
+//! What goes between routers: reports, lends and notes.
+
+use {
+    super::message::service_key,
+    crate::{
+        entry::Entry,
+        pool::{
+            Pace,
+            Pool, //
+        },
+        rendezvous,
+        shares::Writer,
+        Action,
+        Dispatch,
+        Incarnation,
+        Message,
+        Mode,
+        Peer,
+        PeerState,
+        RouterId,
+        ServiceId,
+        Span,
+        Time, //
+    },
+    std::collections::BTreeMap,
+};
+
+/// Bytes a second that one router may send as notes.
+const BUDGET: f64 = 6_000.0;
+/// Most bytes that may be saved up.
+const BURST: f64 = 3_000.0;
+/// Shortest time between two notes about one service to one router.
+const NOTES: Span = Span::millis(200);
+/// The owner splits the slots, so it is told sooner.
+const NOTES_OWNER: Span = Span::millis(100);
+/// Times that a lend to itself may lead to another.
+const ROUNDS: usize = 4;
+/// Cost and run time assumed before any request has ended.
+const GUESS: (f64, f64) = (1.0, 0.5);
+/// The plan looks this many run times ahead, and at least this many seconds.
+const HORIZON: (f64, f64) = (2.0, 0.25);
+
+/// Spends the bytes that notes may take.
+#[derive(Debug, Default)]
+pub(super) struct Pacer {
+    bytes: f64,
+    last: Time,
+    sent: BTreeMap<(ServiceId, RouterId), Time>,
+}
+
+impl Dispatch {
+    /// Takes in a message of another router.
+    pub fn deliver(&mut self, from: &RouterId, incarnation: Incarnation, msg: Message, now: Time) {
+        if self.rules.mode != Mode::Fleet {
+            return;
+        }
+        let key = msg.service();
+        let service = self.services.keys().find(|s| service_key(s) == key);
+        let Some(service) = service.cloned() else {
+            return;
+        };
+        let Some(entry) = self.services.get_mut(&service) else {
+            return;
+        };
+        match msg {
+            Message::Report(r) => {
+                if let Some(pool) = &mut entry.pool {
+                    pool.report(from, incarnation, r);
+                }
+            }
+            Message::Lend(l) => {
+                entry.hold.lend(from, incarnation, &l, &mut entry.seats);
+            }
+            Message::Notes(n) => entry.ledger.merge(Writer::of(from, incarnation), n),
+        }
+        self.pump(&service, now);
+    }
+
+    /// Finds out who owns what after a change of routers, replicas or rules.
+    pub(super) fn rank(&mut self, now: Time) {
+        let live = self.live();
+        let friends: BTreeMap<Writer, bool> = self
+            .routers
+            .values()
+            .map(|p| {
+                (
+                    Writer::of(&p.id, p.incarnation),
+                    p.state != PeerState::Suspect,
+                )
+            })
+            .collect();
+        let mut me = self.me.clone();
+        if self.leaving {
+            me.state = PeerState::Leaving;
+        }
+        for (service, entry) in &mut self.services {
+            entry.ledger.set_friends(&friends);
+            if self.rules.mode != Mode::Fleet {
+                let place = Place::of(&live, &me.id);
+                entry
+                    .seats
+                    .allot(entry.rules.start.0, place.rank, place.routers);
+                continue;
+            }
+            let owner = rendezvous::best(service.as_str(), &live, |id| id.as_str());
+            let owner = owner
+                .filter(|_| self.listed)
+                .map(|id| match self.routers.get(id) {
+                    Some(p) => (id.clone(), p.incarnation),
+                    None => (me.id.clone(), me.incarnation),
+                });
+            let mine = owner.as_ref().is_some_and(|o| o.0 == me.id);
+            entry.hold.follow(owner, now);
+            entry.own(service, mine, &me, &self.routers, now);
+        }
+        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
+        for service in services {
+            self.pump(&service, now);
+        }
+    }
+
+    /// Sends the reports and lends of a service that are due.
+    pub(super) fn flush(&mut self, service: &ServiceId, now: Time) {
+        for _ in 0..ROUNDS {
+            let Some(entry) = self.services.get_mut(service) else {
+                return;
+            };
+            let out = entry.speak(service, &self.me, self.leaving, now);
+            self.actions.extend(out.sends);
+            if !out.lent {
+                return;
+            }
+            self.start(service, now);
+        }
+    }
+
+    /// Sends the notes that are due, and uses the static fraction where no owner answers.
+    pub(super) fn exchange(&mut self, now: Time) {
+        if self.rules.mode != Mode::Fleet {
+            return;
+        }
+        let live = self.live();
+        let place = Place::of(&live, &self.me.id);
+        for entry in self.services.values_mut() {
+            entry.tend(&place, now);
+        }
+        self.pacer.refill(now);
+        let mut due = self.due_notes(now);
+        due.sort();
+        for (_, service, to) in due {
+            if self.pacer.bytes <= 0.0 {
+                return;
+            }
+            self.note(service, to, now);
+        }
+    }
+
+    /// Returns which notes may be sent, the longest unsent first.
+    fn due_notes(&self, now: Time) -> Vec<(Time, ServiceId, RouterId)> {
+        let mut due = Vec::new();
+        for (service, entry) in &self.services {
+            for p in self.routers.values() {
+                if p.state == PeerState::Suspect {
+                    continue;
+                }
+                let owner = entry.hold.owner.as_ref().is_some_and(|o| o.0 == p.id);
+                let interval = if owner { NOTES_OWNER } else { NOTES };
+                let sent = self.pacer.sent.get(&(service.clone(), p.id.clone()));
+                if sent.is_none_or(|t| now.since(*t) >= interval) {
+                    let sent = sent.copied().unwrap_or_default();
+                    due.push((sent, service.clone(), p.id.clone()));
+                }
+            }
+        }
+        due
+    }
+
+    /// Sends the notes about one service to one router, if there are any.
+    fn note(&mut self, service: ServiceId, to: RouterId, now: Time) {
+        let relay = self.relays_to(&to);
+        let (Some(entry), Some(peer)) = (self.services.get_mut(&service), self.routers.get(&to))
+        else {
+            return;
+        };
+        let writer = Writer::of(&to, peer.incarnation);
+        let Some(n) = entry.ledger.notes(service_key(&service), writer, relay) else {
+            return;
+        };
+        self.pacer.bytes -= n.size() as f64;
+        self.pacer.sent.insert((service, to.clone()), now);
+        self.actions.push(Action::Send {
+            to,
+            msg: Message::Notes(n),
+        });
+    }
+
+    /// Returns whether this router tells a new one what it knows of all others.
+    fn relays_to(&self, to: &RouterId) -> bool {
+        let rest: Vec<RouterId> = self.live().into_iter().filter(|id| id != to).collect();
+        let first = rendezvous::top(to.as_str(), &rest, RELAYS, |id| id.as_str());
+        first.contains(&&self.me.id)
+    }
+}
+
+/// How many routers tell a new one what they know of all others.
+const RELAYS: usize = 2;
+
+/// The place of this router among the live ones.
+#[derive(Debug)]
+struct Place {
+    rank: u32,
+    routers: u32,
+}
+
+impl Place {
+    fn of(live: &[RouterId], me: &RouterId) -> Place {
+        Place {
+            rank: live.iter().position(|id| id == me).unwrap_or(0) as u32,
+            routers: live.len().max(1) as u32,
+        }
+    }
+}
+
+impl Pacer {
+    fn refill(&mut self, now: Time) {
+        let dt = now.since(self.last).as_secs();
+        self.last = now;
+        self.bytes = (self.bytes + dt * BUDGET).min(BURST);
+    }
+}
+
+/// What one service has to say.
+struct Out {
+    sends: Vec<Action>,
+    /// Whether this router lent itself something new.
+    lent: bool,
+}
+
+impl Entry {
+    /// Takes the pool over, keeps it or lets it go.
+    fn own(
+        &mut self,
+        service: &ServiceId,
+        mine: bool,
+        me: &Peer,
+        routers: &BTreeMap<RouterId, Peer>,
+        now: Time,
+    ) {
+        if !mine {
+            self.pool = None;
+            return;
+        }
+        let pool = self
+            .pool
+            .get_or_insert_with(|| Pool::new(service_key(service), now));
+        pool.set_seats(&self.seats, self.rules.start.0);
+        pool.set_routers(routers.values().chain([me]), now);
+    }
+
+    /// Returns what is to be told to whom about slots.
+    fn speak(&mut self, service: &ServiceId, me: &Peer, leaving: bool, now: Time) -> Out {
+        let mut out = Out {
+            sends: Vec::new(),
+            lent: false,
+        };
+        if leaving {
+            self.seats.close();
+        }
+        self.hold.give_back(&self.queues, &mut self.seats);
+        let report = self
+            .hold
+            .report(service_key(service), &self.queues, &self.seats, now);
+        if let (Some(r), Some((to, _))) = (report, self.hold.owner.clone()) {
+            match &mut self.pool {
+                Some(pool) => pool.report(&me.id, me.incarnation, r),
+                None => out.sends.push(Action::Send {
+                    to,
+                    msg: Message::Report(r),
+                }),
+            }
+        }
+        let pace = self.pace();
+        let Some(pool) = &mut self.pool else {
+            return out;
+        };
+        pool.plan(&self.ledger, pace, now);
+        for (to, lend) in pool.lends(now) {
+            if to == me.id {
+                out.lent |= self.hold.lend(&to, me.incarnation, &lend, &mut self.seats);
+            } else {
+                let msg = Message::Lend(lend);
+                out.sends.push(Action::Send { to, msg });
+            }
+        }
+        out
+    }
+
+    /// Does what is due now and then.
+    fn tend(&mut self, place: &Place, now: Time) {
+        let debt = self.debt();
+        self.ledger.watch();
+        if self.pool.is_some() {
+            self.ledger.forgive(debt);
+        }
+        if self.hold.deaf(now) {
+            self.seats
+                .allot(self.rules.start.0, place.rank, place.routers);
+        }
+    }
+
+    /// Returns what the owner assumes about the cost of requests.
+    fn pace(&self) -> Pace {
+        let cost = if self.cost > 0.0 { self.cost } else { GUESS.0 };
+        let run = if self.run_time > 0.0 {
+            self.run_time
+        } else {
+            GUESS.1
+        };
+        Pace {
+            rate: cost * crate::shares::MILLI / run,
+            horizon: (HORIZON.0 * run).max(HORIZON.1),
+        }
+    }
+
+    /// Returns how far ahead of the others a backlogged workspace may be.
+    ///
+    /// It is well above what happens without faults: all slots in the hands of one
+    /// workspace twice over.
+    fn debt(&self) -> i64 {
+        let cost = if self.cost > 0.0 { self.cost } else { GUESS.0 };
+        let all = f64::from(self.capacity()) * cost;
+        let units = DEBT * all + self.rules.window.0 + self.rules.credit.0;
+        (units * crate::shares::MILLI) as i64
+    }
+}
+
+/// How many times all slots one workspace may be ahead.
+const DEBT: f64 = 2.0;
--- a/crates/policy/src/dispatch/message.rs
+++ b/crates/policy/src/dispatch/message.rs
@@ -1,13 +1,93 @@
 //! What routers tell each other about shares and capacity.
 
-use serde::{
-    Deserialize,
-    Serialize, //
+use {
+    crate::{
+        entry::ReplicaKey,
+        shares::Notes, //
+    },
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
 };
 
-/// A message between two routers.
+/// A service, by a short hash of its name.
+pub(crate) type ServiceKey = u32;
+
+/// A message between two routers about one service.
+///
+/// Each is absolute and numbered, so that a lost, doubled, late or overtaken one does no
+/// harm. Names are sent as hashes; both ends know the names from elsewhere.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
-    /// Nothing but a sign of life.
-    Hello,
+    /// From a router to the owner of a pool.
+    Report(Report),
+    /// From the owner of a pool to a router.
+    Lend(Lend),
+    /// Between any two routers: how much service workspaces received.
+    Notes(Notes),
+}
+
+/// What a router holds and what waits at it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    pub(crate) service: ServiceKey,
+    /// Number of this report; a later one replaces it.
+    pub(crate) seq: u64,
+    /// The last lend of this owner that was seen.
+    pub(crate) seen: u64,
+    pub(crate) body: Body,
+}
+
+/// The part of a report that is compared with the last one.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub(crate) struct Body {
+    /// Slots kept on each replica: allowed, or running where that is more.
+    pub(crate) kept: Vec<(ReplicaKey, u32)>,
+    /// Requests running in all.
+    pub(crate) running: u32,
+    /// The backlogged workspaces.
+    pub(crate) waits: Vec<Wait>,
+}
+
+/// The demand of one backlogged workspace at one router.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Wait {
+    pub(crate) key: crate::shares::Key,
+    /// Requests queued; rounded where there are many.
+    pub(crate) queued: u32,
+    /// Requests running.
+    pub(crate) running: u32,
+}
+
+/// How many requests a router may run on each replica.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lend {
+    pub(crate) service: ServiceKey,
+    /// Number of this lend; a later one replaces it.
+    pub(crate) seq: u64,
+    /// The last report of this router that was seen.
+    pub(crate) seen: u64,
+    /// Whether work waits at some router.
+    pub(crate) pressed: bool,
+    /// Slots of the whole pool.
+    pub(crate) capacity: u32,
+    /// Slots on each replica; those not named have none.
+    pub(crate) slots: Vec<(ReplicaKey, u32)>,
+}
+
+impl Message {
+    /// Returns the service that it is about.
+    pub(crate) fn service(&self) -> ServiceKey {
+        match self {
+            Message::Report(m) => m.service,
+            Message::Lend(m) => m.service,
+            Message::Notes(m) => m.service,
+        }
+    }
+}
+
+/// Returns the short hash of a service's name.
+pub(crate) fn service_key(id: &crate::ServiceId) -> ServiceKey {
+    xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes()) as ServiceKey
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -3,11 +3,17 @@
 mod action;
 mod core;
 mod dump;
+mod exchange;
 mod job;
 mod member;
 mod message;
 mod rules;
 
+pub(crate) use self::message::{
+    Body,
+    ServiceKey,
+    Wait, //
+};
 pub use self::{
     action::Action,
     core::Dispatch,
@@ -28,7 +34,11 @@
         PeerState,
         Replica, //
     },
-    message::Message,
+    message::{
+        Lend,
+        Message,
+        Report, //
+    },
     rules::{
         Mode,
         Rules,
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -8,6 +8,10 @@
         Seats, //
     },
     crate::{
+        pool::{
+            Hold,
+            Pool, //
+        },
         shares::{
             Key,
             Ledger,
@@ -38,6 +42,11 @@
 const AFTER_UNKNOWN: Span = Span::secs(1);
 /// How many requests at the head are tried when a retry must avoid a replica.
 const HEAD: usize = 8;
+/// A workspace counts as backlogged until its queue was empty for this time.
+///
+/// A queue that empties and fills many times a second would otherwise count as new each
+/// time, and be moved near the others each time.
+const CALM: Span = Span::millis(250);
 /// An idle queue is forgotten after this time.
 const IDLE: Span = Span::secs(300);
 
@@ -54,6 +63,10 @@
     pub(crate) queues: BTreeMap<Key, Queue>,
     pub(crate) seats: Seats,
     pub(crate) ledger: Ledger,
+    /// What this router was lent.
+    pub(crate) hold: Hold,
+    /// The pool, where this router owns it.
+    pub(crate) pool: Option<Pool>,
     /// Mean time that a request runs, in seconds.
     pub(crate) run_time: f64,
     /// Mean cost of a request, in units.
@@ -68,6 +81,8 @@
             rules: rules.clone(),
             queues: BTreeMap::new(),
             seats: Seats::default(),
+            hold: Hold::default(),
+            pool: None,
             run_time: 0.0,
             cost: 0.0,
             numbers: 0,
@@ -91,6 +106,15 @@
         self.queues.values().map(Queue::len).sum()
     }
 
+    /// Returns the slots of the whole service, as far as they are known.
+    pub(crate) fn capacity(&self) -> u32 {
+        if self.hold.capacity > 0 {
+            return self.hold.capacity;
+        }
+        let open = self.seats.all.values().filter(|s| s.open()).count() as u32;
+        open * self.rules.start.0
+    }
+
     /// Queues a request or says why not.
     pub(crate) fn submit(
         &mut self,
@@ -117,6 +141,9 @@
 
     /// Puts a request into its queue.
     pub(crate) fn enqueue(&mut self, id: JobId, live: &Live, now: Time) {
+        let credit = (self.rules.credit.0 * MILLI) as i64;
+        self.ledger.activate(live.key, credit);
+        self.ledger.set_waits(live.key, true);
         let queue = self
             .queues
             .entry(live.key)
@@ -184,8 +211,14 @@
         out
     }
 
-    /// Forgets queues that were idle for long.
+    /// Notes which queues have been empty for a while, and forgets those idle for long.
     pub(crate) fn forget_idle(&mut self, now: Time) {
+        for (key, q) in &self.queues {
+            let calm = q.waited.is_none_or(|t| now.since(t) >= CALM);
+            if q.is_empty() && calm {
+                self.ledger.set_waits(*key, false);
+            }
+        }
         self.queues
             .retain(|_, q| !q.is_empty() || q.running > 0 || now.since(q.used) < IDLE);
     }
@@ -262,7 +295,7 @@
             _ => 1.0,
         };
         let charged = milli(hint, live.job.share);
-        self.ledger.charge(live.key, charged, now);
+        self.ledger.charge(live.key, charged);
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.running += 1;
             queue.drain.left();
@@ -279,11 +312,11 @@
     }
 
     /// Charges what a running request has received beyond what was charged.
-    pub(crate) fn progress(&mut self, live: &mut Live, served: Units, now: Time) {
+    pub(crate) fn progress(&mut self, live: &mut Live, served: Units) {
         let Some(run) = &mut live.run else { return };
         let total = milli(served.0, live.job.share);
         if total > run.charged {
-            self.ledger.charge(live.key, total - run.charged, now);
+            self.ledger.charge(live.key, total - run.charged);
             run.charged = total;
         }
     }
@@ -293,7 +326,7 @@
         let Some(run) = live.run.take() else { return };
         if let Some(Units(n)) = units {
             let total = milli(n, live.job.share);
-            self.ledger.charge(live.key, total - run.charged, now);
+            self.ledger.charge(live.key, total - run.charged);
             if n > 0.0 {
                 step(&mut self.run_time, now.since(run.started).as_secs());
                 step(&mut self.cost, n);
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -13,5 +13,8 @@
         Run, //
     },
     queue::Queue,
-    seats::Seats,
+    seats::{
+        ReplicaKey,
+        Seats, //
+    },
 };
--- a/crates/policy/src/entry/seats.rs
+++ b/crates/policy/src/entry/seats.rs
@@ -7,12 +7,17 @@
         Zone, //
     },
     std::collections::BTreeMap,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
+/// A replica, by a short hash of its name, on the wire.
+pub(crate) type ReplicaKey = u32;
+
 /// One replica.
 #[derive(Debug)]
 pub(crate) struct Seat {
     pub(crate) replica: Replica,
+    pub(crate) key: ReplicaKey,
     /// Requests that this router may run on it at once.
     pub(crate) allowed: u32,
     pub(crate) running: u32,
@@ -51,6 +56,7 @@
             let seat = match old.remove(&id) {
                 Some(s) => Seat { replica, ..s },
                 None => Seat {
+                    key: key_of(&id),
                     replica,
                     allowed: 0,
                     running: 0,
@@ -73,11 +79,31 @@
         self.all.values().map(Seat::free).sum()
     }
 
+    /// Returns how many requests run.
+    pub(crate) fn running(&self) -> u32 {
+        self.all.values().map(|s| s.running).sum()
+    }
+
     /// Returns whether any replica takes new work.
     pub(crate) fn any_open(&self) -> bool {
         self.all.values().any(Seat::open)
     }
 
+    /// Gives this router its static fraction of each replica.
+    pub(crate) fn allot(&mut self, limit: u32, rank: u32, routers: u32) {
+        for (at, seat) in self.all.values_mut().enumerate() {
+            let extra = (rank + at as u32) % routers < limit % routers;
+            seat.allowed = (limit / routers + u32::from(extra)).max(1);
+        }
+    }
+
+    /// Keeps no more than what runs.
+    pub(crate) fn close(&mut self) {
+        for seat in self.all.values_mut() {
+            seat.allowed = seat.allowed.min(seat.running);
+        }
+    }
+
     /// Chooses a replica with room: in this zone first, then the idlest.
     ///
     /// `avoid` is chosen only when no other replica takes new work at all.
@@ -94,3 +120,8 @@
             .map(|s| s.replica.id.clone())
     }
 }
+
+/// Returns the short hash of a replica's name.
+pub(crate) fn key_of(id: &ReplicaId) -> ReplicaKey {
+    xxh3_64(id.as_str().as_bytes()) as ReplicaKey
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry;
 mod ids;
 mod outcome;
+mod pool;
 pub mod rendezvous;
 mod shares;
 pub mod tickets;
@@ -22,6 +23,7 @@
         Finish,
         Job,
         JobId,
+        Lend,
         Message,
         Mode,
         OwnerView,
@@ -30,6 +32,7 @@
         QueueDump,
         Replica,
         ReplicaDump,
+        Report,
         Rules,
         ServiceDump,
         ServiceRules,
@@ -53,7 +56,8 @@
     },
     shares::{
         gap_bound,
-        GapTerms, //
+        GapTerms,
+        Notes, //
     },
     time::{
         Span,
--- /dev/null
+++ b/crates/policy/src/pool/hold.rs
@@ -0,0 +1,194 @@
+//! A router's side of a pool: what it was lent and what it reports.
+
+use {
+    crate::{
+        dispatch::{
+            Body,
+            Lend,
+            Report,
+            ServiceKey,
+            Wait, //
+        },
+        entry::{
+            Queue,
+            Seats, //
+        },
+        shares::Key,
+        Incarnation,
+        RouterId,
+        Span,
+        Time, //
+    },
+    std::collections::BTreeMap,
+};
+
+/// Shortest time between two reports.
+const URGENT: Span = Span::millis(10);
+/// Time between two reports while work waits.
+const WAITING: Span = Span::millis(100);
+/// Time between two reports while nothing waits.
+const IDLE: Span = Span::millis(250);
+/// A report that was not acknowledged is sent again after this time.
+const AGAIN: Span = Span::millis(400);
+/// After this time without a word from the owner, the static fraction is used.
+const DEAF: Span = Span::secs(1);
+/// Queues up to this length are reported exactly.
+const EXACT: u32 = 8;
+
+/// What this router holds of a pool that another router, or itself, owns.
+#[derive(Debug, Default)]
+pub(crate) struct Hold {
+    pub(crate) owner: Option<(RouterId, Incarnation)>,
+    since: Time,
+    /// Number of the last lend that was taken in.
+    lend: u64,
+    pub(crate) pressed: bool,
+    pub(crate) capacity: u32,
+    seq: u64,
+    sent: Option<(Time, Body)>,
+    acked: u64,
+    /// Since when a report waits for its acknowledgement.
+    unheard: Option<Time>,
+}
+
+impl Hold {
+    /// Takes note of who owns the pool. What is held stays.
+    pub(crate) fn follow(&mut self, owner: Option<(RouterId, Incarnation)>, now: Time) {
+        if self.owner == owner {
+            return;
+        }
+        self.owner = owner;
+        self.since = now;
+        self.lend = 0;
+        self.sent = None;
+        self.unheard = None;
+    }
+
+    /// Returns whether the owner has not answered for long.
+    ///
+    /// A router that is cut off from an owner that it still believes to be live would
+    /// wait for slots forever. It then uses its static fraction.
+    pub(crate) fn deaf(&self, now: Time) -> bool {
+        let since = match self.owner {
+            None => Some(self.since),
+            Some(_) => self.unheard,
+        };
+        since.is_some_and(|t| now.since(t) >= DEAF)
+    }
+
+    /// Takes in a lend; returns whether it is news.
+    pub(crate) fn lend(
+        &mut self,
+        from: &RouterId,
+        inc: Incarnation,
+        l: &Lend,
+        seats: &mut Seats,
+    ) -> bool {
+        if self.owner.as_ref() != Some(&(from.clone(), inc)) || l.seq < self.lend {
+            return false;
+        }
+        self.acked = self.acked.max(l.seen);
+        if self.acked == self.seq {
+            self.unheard = None;
+        }
+        self.capacity = l.capacity;
+        if l.seq == self.lend {
+            return false;
+        }
+        self.lend = l.seq;
+        self.pressed = l.pressed;
+        let slots: BTreeMap<_, _> = l.slots.iter().copied().collect();
+        for seat in seats.all.values_mut() {
+            seat.allowed = slots.get(&seat.key).copied().unwrap_or(0);
+        }
+        true
+    }
+
+    /// Gives back what is idle while work waits elsewhere.
+    pub(crate) fn give_back(&self, queues: &BTreeMap<Key, Queue>, seats: &mut Seats) {
+        if !self.pressed || self.lend == 0 || queues.values().any(|q| !q.is_empty()) {
+            return;
+        }
+        seats.close();
+    }
+
+    /// Returns the report that is due, if any.
+    pub(crate) fn report(
+        &mut self,
+        service: ServiceKey,
+        queues: &BTreeMap<Key, Queue>,
+        seats: &Seats,
+        now: Time,
+    ) -> Option<Report> {
+        let body = body(queues, seats);
+        if !self.due(&body, now) {
+            return None;
+        }
+        self.seq += 1;
+        self.unheard.get_or_insert(now);
+        self.sent = Some((now, body.clone()));
+        Some(Report {
+            service,
+            seq: self.seq,
+            seen: self.lend,
+            body,
+        })
+    }
+
+    fn due(&self, body: &Body, now: Time) -> bool {
+        let Some((at, last)) = &self.sent else {
+            return true;
+        };
+        let passed = now.since(*at);
+        if body == last {
+            return self.acked < self.seq && passed >= AGAIN;
+        }
+        let fewer = body.total() < last.total();
+        let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
+        let interval = if fewer || body.waits.iter().any(newly) {
+            URGENT
+        } else if self.pressed || !body.waits.is_empty() {
+            WAITING
+        } else {
+            IDLE
+        };
+        passed >= interval
+    }
+}
+
+impl Body {
+    /// Returns all slots kept.
+    fn total(&self) -> u32 {
+        self.kept.iter().map(|k| k.1).sum()
+    }
+}
+
+fn body(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
+    Body {
+        kept: seats
+            .all
+            .values()
+            .map(|s| (s.key, s.allowed.max(s.running)))
+            .filter(|k| k.1 > 0)
+            .collect(),
+        running: seats.running(),
+        waits: queues
+            .iter()
+            .filter(|(_, q)| !q.is_empty())
+            .map(|(key, q)| Wait {
+                key: *key,
+                queued: coarse(q.len() as u32),
+                running: q.running,
+            })
+            .collect(),
+    }
+}
+
+/// Rounds a large number to its three highest bits, so that it seldom changes.
+fn coarse(n: u32) -> u32 {
+    if n <= EXACT {
+        return n;
+    }
+    let low = n.ilog2() - 2;
+    n >> low << low
+}
--- a/crates/policy/src/shares/account.rs
+++ b/crates/policy/src/shares/account.rs
@@ -1,21 +1,19 @@
 //! The service of one workspace, as counted by each router.
 
-use {
-    super::Writer,
-    crate::{
-        Share,
-        Time, //
-    },
-    std::collections::BTreeMap,
-};
+use {super::Writer, crate::Share, std::collections::BTreeMap};
 
 /// What one start of a router counted.
+///
+/// Only its writer changes it, so that the latest revision is the truth, and the order
+/// and number of messages do not matter.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Part {
     /// The writer's revision of this count; a later one replaces it.
     pub(crate) rev: u64,
     /// Service charged so far, in thousandths of a unit. Corrections may lower it.
     pub(crate) charged: i64,
+    /// Whether requests of the workspace wait there.
+    pub(crate) waits: bool,
 }
 
 /// The account of one workspace at one service.
@@ -29,8 +27,6 @@
     pub(crate) lift: i64,
     /// Normalised service forgiven; it only grows.
     pub(crate) forgiven: i64,
-    /// When it last changed.
-    pub(crate) touched: Time,
     /// Revision of this router's last change here.
     pub(crate) rev: u64,
 }
@@ -49,4 +45,22 @@
         self.sum += milli;
         self.rev = rev;
     }
+
+    /// Notes whether requests wait at this router.
+    pub(crate) fn set_waits(&mut self, me: Writer, rev: u64, waits: bool) {
+        let part = self.parts.entry(me).or_default();
+        part.waits = waits;
+        part.rev = rev;
+        self.rev = rev;
+    }
+
+    /// Takes in another router's count unless a later one is known.
+    pub(crate) fn merge(&mut self, writer: Writer, p: Part) {
+        let part = self.parts.entry(writer).or_default();
+        if p.rev <= part.rev {
+            return;
+        }
+        self.sum += p.charged - part.charged;
+        *part = p;
+    }
 }
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -2,19 +2,37 @@
 
 use {
     super::{
+        account::Part,
+        notes::{
+            Note,
+            Notes,
+            Relay, //
+        },
         Account,
         Key,
         Writer, //
     },
-    crate::{
-        Share,
-        Time, //
-    },
+    crate::Share,
     std::collections::BTreeMap,
 };
 
 /// Thousandths in one unit.
 pub(crate) const MILLI: f64 = 1000.0;
+/// Most counts in one message.
+const NOTES: usize = 128;
+
+/// What another router has seen of this one's counts, and the other way round.
+#[derive(Debug, Default)]
+struct Friend {
+    /// Revision of this router that it has seen.
+    acked: u64,
+    /// Its revision that was seen here.
+    seen: u64,
+    /// What it was last told to be seen.
+    told: u64,
+    /// Whether it is heard from.
+    live: bool,
+}
 
 /// The accounts of all workspaces at one service, as one router knows them.
 #[derive(Debug)]
@@ -22,18 +40,24 @@
     /// This start of this router.
     me: Writer,
     /// Counts this router's changes.
-    pub(crate) rev: u64,
+    rev: u64,
     accounts: BTreeMap<Key, Account>,
     shares: BTreeMap<Key, Share>,
+    /// The other live routers.
+    friends: BTreeMap<Writer, Friend>,
+    /// Level of the least backlogged workspace when there last was any.
+    floor: i64,
 }
 
 impl Ledger {
     pub(crate) fn new(me: Writer) -> Ledger {
         Ledger {
             me,
-            rev: 0,
+            rev: 1,
             accounts: BTreeMap::new(),
             shares: BTreeMap::new(),
+            friends: BTreeMap::new(),
+            floor: 0,
         }
     }
 
@@ -42,6 +66,14 @@
         self.shares = shares;
     }
 
+    /// Sets which other routers there are, and which are heard from.
+    pub(crate) fn set_friends(&mut self, live: &BTreeMap<Writer, bool>) {
+        self.friends.retain(|w, _| live.contains_key(w));
+        for (w, live) in live {
+            self.friends.entry(*w).or_default().live = *live;
+        }
+    }
+
     /// Returns the share of a workspace.
     pub(crate) fn share(&self, key: Key) -> Share {
         self.shares.get(&key).copied().unwrap_or(Share::ONE)
@@ -56,13 +88,203 @@
     }
 
     /// Charges an amount, which may be below zero.
-    pub(crate) fn charge(&mut self, key: Key, milli: i64, now: Time) {
+    pub(crate) fn charge(&mut self, key: Key, milli: i64) {
         if milli == 0 {
             return;
         }
         self.rev += 1;
         let account = self.accounts.entry(key).or_default();
         account.charge(self.me, self.rev, milli);
-        account.touched = now;
+    }
+
+    /// Notes whether requests of a workspace wait here.
+    pub(crate) fn set_waits(&mut self, key: Key, waits: bool) {
+        let account = self.accounts.entry(key).or_default();
+        let now = account.parts.get(&self.me).is_some_and(|p| p.waits);
+        if now != waits {
+            self.rev += 1;
+            account.set_waits(self.me, self.rev, waits);
+        }
+    }
+
+    /// Returns whether requests of a workspace wait at any live router.
+    fn waits(&self, account: &Account) -> bool {
+        account
+            .parts
+            .iter()
+            .any(|(w, p)| p.waits && (*w == self.me || self.friends.get(w).is_some_and(|f| f.live)))
+    }
+
+    /// Returns the least level of the backlogged workspaces but one.
+    fn least(&self, but: Option<Key>) -> Option<i64> {
+        self.accounts
+            .iter()
+            .filter(|(key, a)| Some(**key) != but && self.waits(a))
+            .map(|(key, a)| a.level(self.share(*key)))
+            .min()
+    }
+
+    /// Brings a workspace that becomes backlogged near the others.
+    ///
+    /// What it saved up by idling is lost but for the credit; and what it had while
+    /// nobody else waited is not held against it.
+    pub(crate) fn activate(&mut self, key: Key, credit: i64) {
+        if self.accounts.get(&key).is_some_and(|a| self.waits(a)) {
+            return;
+        }
+        let level = self.level(key);
+        let least = self.least(Some(key));
+        let low = least.unwrap_or(self.floor) - credit;
+        if level < low {
+            self.shift(key, low - level);
+        }
+        if let Some(high) = least.map(|l| l + credit) {
+            if level > high {
+                self.shift(key, high - level);
+            }
+        }
+    }
+
+    /// Notes how far the least backlogged workspace is.
+    pub(crate) fn watch(&mut self) {
+        if let Some(least) = self.least(None) {
+            self.floor = self.floor.max(least);
+        }
+    }
+
+    /// Keeps what any backlogged workspace owes the others below `debt`.
+    ///
+    /// After a partition heals, one workspace may be far ahead of the rest. Without
+    /// this it would get nothing until all had caught up, which shows as starvation.
+    pub(crate) fn forgive(&mut self, debt: i64) {
+        let Some(least) = self.least(None) else {
+            return;
+        };
+        let ahead: Vec<(Key, i64)> = self
+            .accounts
+            .iter()
+            .filter(|(_, a)| self.waits(a))
+            .map(|(key, a)| (*key, a.level(self.share(*key)) - least - debt))
+            .filter(|(_, over)| *over > 0)
+            .collect();
+        for (key, over) in ahead {
+            self.shift(key, -over);
+        }
+    }
+
+    /// Moves the level of a workspace.
+    fn shift(&mut self, key: Key, by: i64) {
+        self.rev += 1;
+        let account = self.accounts.entry(key).or_default();
+        if by > 0 {
+            account.lift += by;
+        } else {
+            account.forgiven -= by;
+        }
+        account.charge(self.me, self.rev, 0);
+    }
+
+    /// Returns what a router should be told, if there is anything.
+    ///
+    /// `relay` says whether this router is the one to tell a new one of all others.
+    pub(crate) fn notes(&mut self, service: u32, to: Writer, relay: bool) -> Option<Notes> {
+        let f = self.friends.get(&to)?;
+        let acked = f.acked;
+        let mut changed: Vec<(&Key, &Account)> = self
+            .accounts
+            .iter()
+            .filter(|(_, a)| a.rev > acked)
+            .collect();
+        changed.sort_by_key(|(_, a)| a.rev);
+        let whole = changed.len() <= NOTES;
+        changed.truncate(NOTES);
+        let rev = match changed.last() {
+            Some((_, a)) if !whole => a.rev,
+            _ => self.rev,
+        };
+        let notes: Vec<Note> = changed
+            .into_iter()
+            .map(|(key, a)| {
+                let part = a.parts.get(&self.me).copied().unwrap_or_default();
+                Note {
+                    key: *key,
+                    charged: part.charged,
+                    waits: part.waits,
+                    lift: a.lift,
+                    forgiven: a.forgiven,
+                }
+            })
+            .collect();
+        let others = match relay && f.acked == 0 {
+            true => self.others(to),
+            false => Vec::new(),
+        };
+        if notes.is_empty() && f.told == f.seen && f.acked == self.rev {
+            return None;
+        }
+        let f = self.friends.get_mut(&to)?;
+        f.told = f.seen;
+        Some(Notes {
+            service,
+            to: to.0 as u32,
+            seen: f.seen,
+            rev,
+            floor: self.floor,
+            notes,
+            others,
+        })
+    }
+
+    /// Returns the counts of all routers but this one and the receiver.
+    fn others(&self, to: Writer) -> Vec<(Writer, Vec<Relay>)> {
+        let mut out: BTreeMap<Writer, Vec<Relay>> = BTreeMap::new();
+        for (key, a) in &self.accounts {
+            for (w, p) in &a.parts {
+                if *w != self.me && *w != to {
+                    out.entry(*w).or_default().push(Relay {
+                        key: *key,
+                        rev: p.rev,
+                        charged: p.charged,
+                    });
+                }
+            }
+        }
+        out.into_iter().collect()
+    }
+
+    /// Takes in what another router tells.
+    pub(crate) fn merge(&mut self, from: Writer, n: Notes) {
+        let Some(f) = self.friends.get_mut(&from) else {
+            return;
+        };
+        if n.to == self.me.0 as u32 {
+            f.acked = f.acked.max(n.seen);
+        }
+        f.seen = f.seen.max(n.rev);
+        self.floor = self.floor.max(n.floor);
+        for note in n.notes {
+            let account = self.accounts.entry(note.key).or_default();
+            account.lift = account.lift.max(note.lift);
+            account.forgiven = account.forgiven.max(note.forgiven);
+            let part = Part {
+                rev: n.rev,
+                charged: note.charged,
+                waits: note.waits,
+            };
+            account.merge(from, part);
+        }
+        for (writer, list) in n.others {
+            if writer == self.me {
+                continue;
+            }
+            for r in list {
+                let part = Part {
+                    rev: r.rev,
+                    charged: r.charged,
+                    waits: false,
+                };
+                self.accounts.entry(r.key).or_default().merge(writer, part);
+            }
+        }
     }
 }
--- a/crates/policy/src/shares/mod.rs
+++ b/crates/policy/src/shares/mod.rs
@@ -4,11 +4,8 @@
 mod bound;
 mod key;
 mod ledger;
+mod notes;
 
-pub use self::bound::{
-    gap_bound,
-    GapTerms, //
-};
 pub(crate) use self::{
     account::Account,
     key::{
@@ -20,3 +17,10 @@
         MILLI, //
     },
 };
+pub use self::{
+    bound::{
+        gap_bound,
+        GapTerms, //
+    },
+    notes::Notes, //
+};
--- /dev/null
+++ b/crates/policy/src/shares/notes.rs
@@ -0,0 +1,58 @@
+//! What routers tell each other about service received.
+
+use {
+    super::{
+        Key,
+        Writer, //
+    },
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+};
+
+/// Counts that changed since the receiver last said what it has seen.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notes {
+    pub(crate) service: u32,
+    /// The receiver's start that `seen` is about.
+    pub(crate) to: u32,
+    /// Revision of the receiver up to which all was seen.
+    pub(crate) seen: u64,
+    /// Revision of the sender up to which this tells all.
+    pub(crate) rev: u64,
+    /// Level of the least backlogged workspace when there last was any.
+    pub(crate) floor: i64,
+    pub(crate) notes: Vec<Note>,
+    /// Counts of other routers, for a receiver that is new.
+    pub(crate) others: Vec<(Writer, Vec<Relay>)>,
+}
+
+/// Rough bytes of a message, of each count in it, and of each that is relayed.
+const SIZES: (usize, usize, usize) = (24, 22, 20);
+
+impl Notes {
+    /// Returns roughly how many bytes it takes on the wire.
+    pub(crate) fn size(&self) -> usize {
+        let relays: usize = self.others.iter().map(|o| o.1.len()).sum();
+        SIZES.0 + SIZES.1 * self.notes.len() + SIZES.2 * relays
+    }
+}
+
+/// The sender's count of one workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Note {
+    pub(crate) key: Key,
+    pub(crate) charged: i64,
+    pub(crate) waits: bool,
+    pub(crate) lift: i64,
+    pub(crate) forgiven: i64,
+}
+
+/// Another router's count of one workspace.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Relay {
+    pub(crate) key: Key,
+    pub(crate) rev: u64,
+    pub(crate) charged: i64,
+}
