Serve callers over HTTP/1.1, and a client of that interface

Cause: the HTTP library's server has no end that spares running requests, loses bytes sent early, panics at a header that is not ASCII and notices a hang-up only on writing. Change: connections are accepted here; the library reads one request's bytes at a time through our buffer and encodes the answers. The socket is read while a request runs, so a hang-up is told to its handler. Streams pass chunk by chunk; only an explicit end ends one cleanly. The client keeps address answers and tickets and never takes a new ticket after a lost answer.

--- /dev/null
+++ b/crates/callers/src/client/settings.rs
@@ -0,0 +1,47 @@
+//! Settings of the client.
+
+use {
+    policy::{
+        WorkspaceId,
+        Zone, //
+    },
+    std::{
+        net::SocketAddr,
+        time::Duration, //
+    },
+};
+
+/// Settings of a [`Client`](super::Client).
+#[derive(Debug, Clone)]
+pub struct ClientSettings {
+    /// Routers to ask for addresses, tried in this order.
+    pub routers: Vec<SocketAddr>,
+    /// The caller's availability zone.
+    pub zone: Option<Zone>,
+    /// The workspace named when asking for addresses.
+    pub workspace: Option<WorkspaceId>,
+    /// How many tickets are asked for at a time.
+    pub tickets: u32,
+    /// Most tries of one call, the first included.
+    pub tries: usize,
+    /// Time for a call without a deadline.
+    pub timeout: Duration,
+    /// Longest time without a byte before an answer counts as lost. A call with a deadline
+    /// waits half the time left at most, so that there is time to ask again.
+    pub silence: Duration,
+}
+
+impl ClientSettings {
+    /// Makes the usual settings.
+    pub fn new(routers: Vec<SocketAddr>) -> ClientSettings {
+        ClientSettings {
+            routers,
+            zone: None,
+            workspace: None,
+            tickets: 8,
+            tries: 3,
+            timeout: Duration::from_secs(60),
+            silence: Duration::from_secs(30),
+        }
+    }
+}
--- /dev/null
+++ b/crates/callers/src/client/steps.rs
@@ -0,0 +1,334 @@
+//! The client: which router next, and what may be sent again.
+
+use {
+    super::{
+        exchange::{
+            plain,
+            request_of,
+            Exchange,
+            Tried, //
+        },
+        known::Known,
+        pool::Pool,
+        Answer,
+        Call,
+        ClientSettings, //
+    },
+    crate::{
+        Refused,
+        Where,
+        Why,
+        WHERE_PATH, //
+    },
+    policy::{
+        Outcome,
+        ServiceId, //
+    },
+    std::{
+        fmt::Write,
+        net::SocketAddr,
+        sync::Arc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Time for a question which address to use.
+const ASK_TIME: Duration = Duration::from_secs(3);
+
+/// A client of a fleet of routers. Cheap to clone; clones share what is kept.
+#[derive(Debug, Clone)]
+pub struct Client(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    settings: ClientSettings,
+    known: Known,
+    pool: Pool,
+}
+
+/// How far a call has come.
+struct Progress {
+    until: Instant,
+    ticket: Option<String>,
+    /// An answer was lost, so it may have run.
+    lost: bool,
+    last: Answer,
+}
+
+impl Client {
+    /// Makes a client.
+    pub fn new(settings: ClientSettings) -> Client {
+        Client(Arc::new(Inner {
+            settings,
+            known: Known::default(),
+            pool: Pool::default(),
+        }))
+    }
+
+    /// Returns the addresses to use for a service, asking only where the last answer is too old.
+    ///
+    /// # Errors
+    ///
+    /// The last refusal, or that no router could be reached.
+    pub async fn addresses(&self, service: &ServiceId) -> Result<Where, Refused> {
+        let known = &self.0.known;
+        if let Some(answer) = known.answer(service) {
+            return Ok(answer);
+        }
+        let mut last = Refused::new(Why::NoEndpoint, "no router is known; give an address");
+        let mut asked = known.stale(service);
+        asked.extend(&self.0.settings.routers);
+        for router in asked {
+            match self.ask(service, router, 0).await {
+                Ok(answer) if !answer.addresses.is_empty() => {
+                    known.keep(service, &answer);
+                    return Ok(answer);
+                }
+                Ok(_) => {}
+                Err(refused) => last = refused,
+            }
+        }
+        Err(last)
+    }
+
+    /// Calls a service. Each piece of the body is passed to `on_chunk` as it comes.
+    pub async fn call_streamed(
+        &self,
+        call: &Call,
+        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+    ) -> Answer {
+        let route = match self.route(&call.service).await {
+            Ok(route) => route,
+            Err(refused) => return Answer::refused(refused),
+        };
+        let time = call.deadline.unwrap_or(self.0.settings.timeout);
+        let mut progress = Progress {
+            until: Instant::now() + time,
+            ticket: None,
+            lost: false,
+            last: Answer::lost(),
+        };
+        let tries = self.0.settings.tries;
+        for (n, router) in route.iter().cycle().take(tries).enumerate() {
+            if n > 0 && Instant::now() >= progress.until {
+                break;
+            }
+            let done = self.step(call, *router, &mut progress, on_chunk).await;
+            progress.last.tries = n + 1;
+            if done {
+                break;
+            }
+            self.0.known.forget(&call.service);
+        }
+        progress.finish()
+    }
+
+    /// Calls a service and returns the whole answer.
+    pub async fn call(&self, call: &Call) -> Answer {
+        self.call_streamed(call, &mut |_| {}).await
+    }
+
+    /// Tries one router. Returns whether the call ended.
+    async fn step(
+        &self,
+        call: &Call,
+        router: SocketAddr,
+        progress: &mut Progress,
+        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+    ) -> bool {
+        if call.once && progress.ticket.is_none() {
+            match self.ticket(&call.service, router).await {
+                Ok(ticket) => progress.ticket = Some(ticket),
+                Err(refused) => {
+                    progress.last = Answer::refused(refused);
+                    return false;
+                }
+            }
+        }
+        let tried = self.try_once(call, router, progress, on_chunk).await;
+        let ended = progress.take(tried, router);
+        progress.last.ticket.clone_from(&progress.ticket);
+        // After a lost answer a `not-run` speaks of the last try only, not of the one before:
+        // a new ticket could run the request twice.
+        if !ended && (!progress.lost || progress.of_ticket()) {
+            progress.ticket = None;
+            progress.lost = false;
+        }
+        ended
+    }
+
+    async fn try_once(
+        &self,
+        call: &Call,
+        router: SocketAddr,
+        progress: &Progress,
+        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+    ) -> Tried {
+        let deadline = call.deadline.map(|_| progress.until);
+        let Some(http) = request_of(call, router, deadline, progress.ticket.as_deref()) else {
+            let bad = "the method, path or a header can't be sent; use printable ASCII";
+            return Tried::Whole(Answer::refused(Refused::new(Why::BadRequest, bad)));
+        };
+        let left = progress.until.saturating_duration_since(Instant::now());
+        let silence = match call.deadline {
+            Some(_) => self.0.settings.silence.min(left / 2),
+            None => self.0.settings.silence,
+        };
+        let exchange = Exchange {
+            pool: &self.0.pool,
+            router,
+            http,
+            silence,
+            until: progress.until,
+        };
+        exchange.run(on_chunk).await
+    }
+
+    /// Returns the addresses in the order in which they are tried.
+    async fn route(&self, service: &ServiceId) -> Result<Vec<SocketAddr>, Refused> {
+        let answer = self.addresses(service).await?;
+        let weights: Vec<f64> = answer.addresses.iter().map(|a| a.weight.max(0.0)).collect();
+        let mut pick = fastrand::f64() * weights.iter().sum::<f64>();
+        let first = weights.iter().position(|w| {
+            pick -= w;
+            pick < 0.0
+        });
+        let mut route: Vec<_> = answer.addresses.iter().map(|a| a.address).collect();
+        route[..=first.unwrap_or(0)].rotate_right(1);
+        Ok(route)
+    }
+
+    async fn ticket(&self, service: &ServiceId, router: SocketAddr) -> Result<String, Refused> {
+        let known = &self.0.known;
+        if let Some(ticket) = known.ticket(service, router) {
+            return Ok(ticket);
+        }
+        let answer = self.ask(service, router, self.0.settings.tickets).await?;
+        known.keep_tickets(service, router, &answer);
+        known.ticket(service, router).ok_or_else(|| {
+            Refused::new(
+                Why::TicketNeeded,
+                "the router gave no ticket; ask another one",
+            )
+        })
+    }
+
+    /// Asks one router which address to use, and for tickets.
+    async fn ask(
+        &self,
+        service: &ServiceId,
+        router: SocketAddr,
+        tickets: u32,
+    ) -> Result<Where, Refused> {
+        let unreachable = || {
+            Refused::new(
+                Why::NoEndpoint,
+                format!("no router answers at {router}; check the address"),
+            )
+        };
+        let target = self.question(service, tickets);
+        let exchange = Exchange {
+            pool: &self.0.pool,
+            router,
+            http: plain("GET", router, &target).ok_or_else(unreachable)?,
+            silence: ASK_TIME,
+            until: Instant::now() + ASK_TIME,
+        };
+        let answer = match exchange.run(&mut |_| {}).await {
+            Tried::Whole(answer) => answer,
+            _ => return Err(unreachable()),
+        };
+        match answer.refused {
+            Some(refused) => Err(refused),
+            None => serde_json::from_slice(&answer.body).map_err(|e| {
+                Refused::new(
+                    Why::BadRequest,
+                    format!("{router} is no router of the fleet ({e}); check the address"),
+                )
+            }),
+        }
+    }
+
+    fn question(&self, service: &ServiceId, tickets: u32) -> String {
+        let mut target = format!("{WHERE_PATH}?service={service}&tickets={tickets}");
+        if let Some(zone) = &self.0.settings.zone {
+            let _ = write!(target, "&zone={zone}");
+        }
+        if let Some(workspace) = &self.0.settings.workspace {
+            let _ = write!(target, "&workspace={workspace}");
+        }
+        target
+    }
+}
+
+impl Progress {
+    /// Takes in what came of a try. Returns whether the call ended.
+    fn take(&mut self, tried: Tried, router: SocketAddr) -> bool {
+        match tried {
+            Tried::Whole(answer) => {
+                self.last = answer;
+                !self.follows()
+            }
+            Tried::Cut(answer) => {
+                // Pieces were passed on already, so another answer can't be joined to them.
+                if answer.refused.is_none() {
+                    self.last = Answer {
+                        refused: Answer::lost().refused,
+                        ..answer
+                    };
+                } else {
+                    self.last = answer;
+                }
+                true
+            }
+            Tried::Unsent => {
+                self.last = Answer::unreachable(router);
+                false
+            }
+            Tried::Lost => {
+                self.lost = true;
+                self.last = Answer::lost();
+                false
+            }
+        }
+    }
+
+    /// Returns the last answer, unless it claims more than is known of all tries together.
+    fn finish(self) -> Answer {
+        let settled = self.last.outcome != Outcome::NotRun || self.of_ticket();
+        if !self.lost || settled {
+            return self.last;
+        }
+        Answer {
+            router: self.last.router,
+            ticket: self.ticket,
+            tries: self.last.tries,
+            ..Answer::lost()
+        }
+    }
+
+    /// Returns whether the last outcome is that of the ticket, not of the last try only.
+    fn of_ticket(&self) -> bool {
+        let why = self.last.refused.as_ref().map(|r| r.why);
+        matches!(why, Some(Why::TicketUsed | Why::TicketUnknown))
+    }
+
+    /// Returns whether the last refusal may be followed by a try at another router.
+    fn follows(&self) -> bool {
+        let elsewhere = matches!(
+            self.last.refused.as_ref().map(|r| r.why),
+            Some(
+                Why::QueueFull
+                    | Why::TooManyConnections
+                    | Why::NoEndpoint
+                    | Why::Leaving
+                    | Why::NotReady
+                    | Why::TicketUnknown
+            )
+        );
+        elsewhere && self.last.outcome == Outcome::NotRun
+    }
+}
--- /dev/null
+++ b/crates/callers/src/connection.rs
@@ -0,0 +1,324 @@
+//! One caller's connection: request after request, until either side closes it.
+
+use {
+    crate::{
+        parse::{
+            self,
+            Framing,
+            Parsed, //
+        },
+        server::Shared,
+        wire::Wire,
+        Ask,
+        Body,
+        Gone,
+        Refused,
+        Request,
+        RequestId,
+        Response,
+        Why, //
+    },
+    async_h1::server::Encoder,
+    async_std::{
+        channel::Receiver,
+        future::timeout, //
+    },
+    futures_lite::{
+        future::{
+            or,
+            poll_once, //
+        },
+        AsyncReadExt,
+        FutureExt, //
+    },
+    http_types::Method,
+    std::{
+        io,
+        net::SocketAddr,
+        panic::AssertUnwindSafe,
+        sync::Arc,
+        time::Instant, //
+    },
+};
+
+const WRITE_BYTES: usize = 8 * 1024;
+
+/// A connection that is being served.
+pub(crate) struct Connection {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) wire: Wire,
+    pub(crate) peer: SocketAddr,
+    /// Closed when the server stops.
+    pub(crate) stop: Receiver<()>,
+}
+
+/// A request in the HTTP library's form, its body not read yet.
+struct Head {
+    http: http_types::Request,
+    framing: Framing,
+    since: Instant,
+}
+
+/// Why no further request is read.
+enum Stop {
+    /// The caller closed, or was idle too long, or the server stops.
+    Closed,
+    /// The caller is told why, then the connection is closed.
+    Refused(Refused),
+}
+
+impl From<Refused> for Stop {
+    fn from(refused: Refused) -> Stop {
+        Stop::Refused(refused)
+    }
+}
+
+impl Connection {
+    /// Serves requests until the connection ends.
+    pub(crate) async fn run(self) {
+        loop {
+            match self.one().await {
+                Ok(true) => {}
+                Ok(false) => return self.wire.linger().await,
+                Err(Stop::Closed) => return,
+                Err(Stop::Refused(refused)) => return self.refuse(refused).await,
+            }
+        }
+    }
+
+    /// Serves one request. Returns whether the connection is kept.
+    async fn one(&self) -> Result<bool, Stop> {
+        self.first_byte().await?;
+        let since = Instant::now();
+        let len = self.head_bytes().await?;
+        let head = self.head(len, since).await?;
+        let keep = keeps(&head);
+        let method = head.http.method();
+        let (ask, id) = self.ask(head).await?;
+        let response = self.handle(ask, id.as_ref()).await?;
+        self.send(response, method, id, keep).await
+    }
+
+    /// Waits for the next request's first byte.
+    async fn first_byte(&self) -> Result<(), Stop> {
+        if self.wire.held() > 0 {
+            return Ok(());
+        }
+        let stopped = async {
+            let _ = self.stop.recv().await;
+            // What arrived before the stop is still answered: the caller could not know.
+            match poll_once(self.wire.fill()).await {
+                Some(Ok(n)) => Ok(n),
+                _ => Ok(0),
+            }
+        };
+        let idle = self.shared.limits.idle;
+        match timeout(idle, or(self.wire.fill(), stopped)).await {
+            Ok(Ok(n)) if n > 0 => Ok(()),
+            _ => Err(Stop::Closed),
+        }
+    }
+
+    /// Waits for the end of the head. Returns its length.
+    async fn head_bytes(&self) -> Result<usize, Stop> {
+        let limits = &self.shared.limits;
+        let read = async {
+            loop {
+                match self.wire.head_len() {
+                    Some(len) if len <= limits.head_bytes => return Ok(len),
+                    None if self.wire.held() < limits.head_bytes => {}
+                    _ => return Err(head_too_large(limits.head_bytes).into()),
+                }
+                match self.wire.fill().await {
+                    Ok(n) if n > 0 => {}
+                    _ => return Err(Stop::Closed),
+                }
+            }
+        };
+        timeout(limits.head_time, read).await.unwrap_or_else(|_| {
+            Err(Refused::new(
+                Why::HeadTimeout,
+                "the head did not come in time; send it in one go",
+            )
+            .into())
+        })
+    }
+
+    /// Has the HTTP library read the head.
+    async fn head(&self, len: usize, since: Instant) -> Result<Head, Stop> {
+        let limits = &self.shared.limits;
+        self.wire
+            .look(len, |bytes| parse::check_head(bytes, limits))?;
+        self.wire.allow(len as u64);
+        let http = match async_h1::server::decode(self.wire.clone()).await {
+            Ok(Some((http, _))) => http,
+            Ok(None) => return Err(Stop::Closed),
+            Err(e) => {
+                return Err(Refused::new(
+                    Why::BadRequest,
+                    format!("this is no HTTP/1.1 request ({e}); check what is sent"),
+                )
+                .into())
+            }
+        };
+        let framing = parse::framing(&http, limits)?;
+        self.wire.allow(match framing {
+            Framing::Empty => 0,
+            Framing::Fixed(n) => n,
+            Framing::Chunked => u64::MAX,
+        });
+        Ok(Head {
+            http,
+            framing,
+            since,
+        })
+    }
+
+    /// Checks the head and reads the body.
+    async fn ask(&self, mut head: Head) -> Result<(Ask, Option<RequestId>), Stop> {
+        let parsed = parse::parse(&head.http, self.peer)?;
+        let body = self.body(&mut head).await?;
+        match parsed {
+            Parsed::Where(query) => {
+                let peer = self.peer;
+                Ok((Ask::Where { query, peer }, None))
+            }
+            Parsed::Request(mut request) => {
+                request.body = body;
+                shorten(&mut request, head.since)?;
+                let id = request.id.clone();
+                let gone = Gone::new();
+                Ok((Ask::Request { request, gone }, Some(id)))
+            }
+        }
+    }
+
+    async fn body(&self, head: &mut Head) -> Result<Vec<u8>, Stop> {
+        let limits = &self.shared.limits;
+        let most = limits.body_bytes as u64;
+        let mut body = Vec::new();
+        let mut reader = head.http.take_body().into_reader().take(most + 1);
+        let read = timeout(limits.body_time, reader.read_to_end(&mut body)).await;
+        match (read, head.framing) {
+            (Err(_), _) => Err(Refused::new(
+                Why::BodyTimeout,
+                "the body did not come in time; send it in one go",
+            )
+            .into()),
+            (Ok(Err(e)), _) if e.kind() == io::ErrorKind::InvalidData => Err(Refused::new(
+                Why::BadRequest,
+                "the body's chunks are malformed; check what is sent",
+            )
+            .into()),
+            (Ok(Err(_)), _) => Err(Stop::Closed),
+            (Ok(Ok(n)), _) if n as u64 > most => Err(parse::too_large(limits).into()),
+            // The library takes a body that ends early for a whole one.
+            (Ok(Ok(n)), Framing::Fixed(len)) if (n as u64) < len => Err(Stop::Closed),
+            _ => Ok(body),
+        }
+    }
+
+    /// Has the handler answer, and tells it when the caller hangs up.
+    async fn handle(&self, ask: Ask, id: Option<&RequestId>) -> Result<Response, Stop> {
+        let gone = match &ask {
+            Ask::Request { gone, .. } => gone.clone(),
+            Ask::Where { .. } => Gone::new(),
+        };
+        let answer = AssertUnwindSafe((self.shared.handler)(ask)).catch_unwind();
+        let watch = async { match self.wire.watch(&gone).await {} };
+        let response = or(answer, watch).await.unwrap_or_else(|_| {
+            // One request's fault must not end the connection without an answer.
+            log::error!("callers: the handler of request {id:?} panicked");
+            let fault = "a fault in the router; its log names this request";
+            Refused::new(Why::Internal, fault).into()
+        });
+        if gone.is_gone() {
+            return Err(Stop::Closed);
+        }
+        Ok(response)
+    }
+
+    /// Writes the answer. Returns whether the connection is kept.
+    async fn send(
+        &self,
+        response: Response,
+        method: Method,
+        id: Option<RequestId>,
+        keep: bool,
+    ) -> Result<bool, Stop> {
+        let keep = keep && !self.stop.is_closed();
+        let whole = matches!(response.body, Body::Whole(_));
+        let mut http = response.into_http(id.as_ref());
+        if !keep {
+            http.insert_header("connection", "close");
+        }
+        let gone = Gone::new();
+        let hung_up = async {
+            let watch = async { match self.wire.watch(&gone).await {} };
+            or(gone.wait(), watch).await;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        };
+        let copy = self.copy(Encoder::new(http, method), whole);
+        match or(copy, hung_up).await {
+            Ok(()) => Ok(keep),
+            Err(e) => {
+                log::debug!("callers: answer {id:?} to {} was cut: {e}", self.peer);
+                Err(Stop::Closed)
+            }
+        }
+    }
+
+    async fn copy(&self, mut encoder: Encoder, whole: bool) -> io::Result<()> {
+        let mut buf = vec![0; WRITE_BYTES];
+        let mut len = 0;
+        loop {
+            let n = encoder.read(&mut buf[len..]).await?;
+            len += n;
+            // A streamed chunk goes out at once, a whole answer in as few writes as it takes.
+            if n == 0 || !whole || len == buf.len() {
+                self.wire
+                    .write(&buf[..len], self.shared.limits.stall)
+                    .await?;
+                len = 0;
+            }
+            if n == 0 {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Tells the caller why, and closes.
+    async fn refuse(&self, refused: Refused) {
+        log::debug!("callers: refused {}: {refused}", self.peer);
+        let sent = self.send(refused.into(), Method::Get, None, false).await;
+        if sent.is_ok() {
+            self.wire.linger().await;
+        }
+    }
+}
+
+fn head_too_large(most: usize) -> Refused {
+    Refused::new(
+        Why::HeadTooLarge,
+        format!("the head is too long; send at most {most} bytes"),
+    )
+}
+
+/// Takes the time that reading took off the deadline.
+fn shorten(request: &mut Request, since: Instant) -> Result<(), Refused> {
+    if let Some(deadline) = request.deadline {
+        let left = deadline.checked_sub(since.elapsed());
+        request.deadline = Some(left.filter(|d| !d.is_zero()).ok_or_else(parse::expired)?);
+    }
+    Ok(())
+}
+
+/// Returns whether the connection can be kept after this request.
+fn keeps(head: &Head) -> bool {
+    let close = head
+        .http
+        .header("connection")
+        .is_some_and(|v| v.as_str().to_ascii_lowercase().contains("close"));
+    // The library may have read beyond the last chunk, and drops what it read.
+    !close && head.framing != Framing::Chunked
+}
--- /dev/null
+++ b/crates/callers/src/gone.rs
@@ -0,0 +1,53 @@
+//! The signal that a caller hung up.
+
+use {
+    async_std::channel::{
+        bounded,
+        Receiver,
+        Sender, //
+    },
+    std::sync::Arc, //
+};
+
+/// Tells a request's handler that nobody waits for the answer any more.
+///
+/// It resolves at most once, when the caller closed its side of the connection or the
+/// connection broke. It never resolves because the request ended.
+#[derive(Debug, Clone)]
+pub struct Gone(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl Gone {
+    /// Makes a signal that has not fired.
+    pub fn new() -> Gone {
+        let (sender, receiver) = bounded(1);
+        Gone(Arc::new(Inner { sender, receiver }))
+    }
+
+    /// Waits until the caller hangs up.
+    pub async fn wait(&self) {
+        // Nothing is ever sent, so this ends only when the channel is closed.
+        let _ = self.0.receiver.recv().await;
+    }
+
+    /// Returns whether the caller has hung up.
+    pub fn is_gone(&self) -> bool {
+        self.0.sender.is_closed()
+    }
+
+    /// Wakes all that wait. A test or another entry to the router may call it too.
+    pub fn fire(&self) {
+        self.0.sender.close();
+    }
+}
+
+impl Default for Gone {
+    fn default() -> Gone {
+        Gone::new()
+    }
+}
--- /dev/null
+++ b/crates/callers/src/limits.rs
@@ -0,0 +1,42 @@
+//! What a caller may use of a router's memory and time.
+
+use std::time::Duration;
+
+/// Bounds on callers. One caller at a bound has no effect on the others.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Longest head, in bytes. The HTTP library allows 8 KiB at most.
+    pub head_bytes: usize,
+    /// Most headers in a head. The HTTP library allows 128 at most.
+    pub head_count: usize,
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+    /// Time from the first byte of a head to its last.
+    pub head_time: Duration,
+    /// Time from the end of the head to the end of the body.
+    pub body_time: Duration,
+    /// How long a kept connection may stay idle.
+    pub idle: Duration,
+    /// How long a caller may take to read the next few kilobytes of its answer.
+    pub stall: Duration,
+    /// Most connections at once.
+    pub connections: usize,
+    /// Most connections at once from one IP address.
+    pub per_peer: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            head_bytes: 8 * 1024 - 1,
+            head_count: 100,
+            body_bytes: 4 * 1024 * 1024,
+            head_time: Duration::from_secs(5),
+            body_time: Duration::from_secs(30),
+            idle: Duration::from_secs(75),
+            stall: Duration::from_secs(15),
+            connections: 10_000,
+            per_peer: 2_000,
+        }
+    }
+}
--- /dev/null
+++ b/crates/callers/src/parse.rs
@@ -0,0 +1,253 @@
+//! From the HTTP library's request to ours, and every check on the way.
+
+use {
+    crate::{
+        headers::{
+            passes,
+            DEADLINE_MS,
+            OWN_PATHS,
+            PROFILE,
+            REQUEST_ID,
+            SERVICE,
+            TICKET,
+            WHERE_PATH,
+            WORKSPACE, //
+        },
+        Limits,
+        Refused,
+        Request,
+        RequestId,
+        WhereQuery,
+        Why, //
+    },
+    std::{
+        fmt,
+        net::SocketAddr,
+        str::FromStr,
+        time::Duration, //
+    },
+};
+
+/// What a head asks, before its body is read.
+pub(crate) enum Parsed {
+    Where(WhereQuery),
+    Request(Box<Request>),
+}
+
+/// How long the body is.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    Empty,
+    Fixed(u64),
+    Chunked,
+}
+
+/// Checks a whole head before the HTTP library sees it.
+///
+/// # Errors
+///
+/// A refusal where the head has too many lines or holds bytes that are not text.
+pub(crate) fn check_head(head: &[u8], limits: &Limits) -> Result<(), Refused> {
+    // The library panics at a header value that is not ASCII, so such a head must not reach it.
+    let text = |b: &u8| matches!(b, b' '..=b'~' | b'\t' | b'\r' | b'\n');
+    if !head.iter().all(text) {
+        return Err(Refused::new(
+            Why::BadHeader,
+            "the head holds bytes that are not text; use printable ASCII in headers",
+        ));
+    }
+    // The request line and the empty line at the end are no headers.
+    let count = head.split(|b| *b == b'\n').count().saturating_sub(3);
+    if count > limits.head_count {
+        return Err(Refused::new(
+            Why::HeadTooLarge,
+            format!(
+                "the head has {count} headers; send at most {}",
+                limits.head_count
+            ),
+        ));
+    }
+    Ok(())
+}
+
+/// Finds out how long the body is.
+///
+/// # Errors
+///
+/// A refusal where the body is too long, or where its end could be read in two ways.
+pub(crate) fn framing(http: &http_types::Request, limits: &Limits) -> Result<Framing, Refused> {
+    let lengths = http.header("content-length");
+    let coding = http.header("transfer-encoding");
+    let bad = |what: &str| Refused::new(Why::BadRequest, what);
+    match (lengths, coding) {
+        (None, None) => Ok(Framing::Empty),
+        (Some(_), Some(_)) => Err(bad(
+            "give either `content-length` or `transfer-encoding`, not both",
+        )),
+        (None, Some(coding)) => {
+            let one = coding.iter().count() == 1;
+            if one && coding.as_str().eq_ignore_ascii_case("chunked") {
+                Ok(Framing::Chunked)
+            } else {
+                Err(bad(
+                    "the body's coding is not known; use `chunked` or `content-length`",
+                ))
+            }
+        }
+        (Some(lengths), None) => {
+            let digits = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_digit());
+            let len: u64 = match lengths.as_str() {
+                s if lengths.iter().count() == 1 && digits(s) => s.parse().unwrap_or(u64::MAX),
+                _ => return Err(bad("`content-length` must be one whole number")),
+            };
+            if len > limits.body_bytes as u64 {
+                return Err(too_large(limits));
+            }
+            Ok(Framing::Fixed(len))
+        }
+    }
+}
+
+pub(crate) fn too_large(limits: &Limits) -> Refused {
+    Refused::new(
+        Why::BodyTooLarge,
+        format!(
+            "the body is too long; send at most {} bytes",
+            limits.body_bytes
+        ),
+    )
+}
+
+/// Reads what is asked from a head.
+///
+/// # Errors
+///
+/// A refusal that names the header which is missing or malformed.
+pub(crate) fn parse(http: &http_types::Request, peer: SocketAddr) -> Result<Parsed, Refused> {
+    let path = http.url().path();
+    if path == WHERE_PATH {
+        return where_query(http).map(Parsed::Where);
+    }
+    if path.starts_with(OWN_PATHS) {
+        return Err(Refused::new(
+            Why::UnknownPath,
+            format!("no such path; ask for addresses at `{WHERE_PATH}?service=NAME`"),
+        ));
+    }
+    let id = match optional::<RequestId>(http, REQUEST_ID)? {
+        Some(id) => id,
+        None => RequestId::random(),
+    };
+    Ok(Parsed::Request(Box::new(Request {
+        service: needed(http, SERVICE)?,
+        workspace: needed(http, WORKSPACE)?,
+        profile: needed(http, PROFILE)?,
+        deadline: deadline(http)?,
+        ticket: optional(http, TICKET)?,
+        id,
+        method: http.method().to_string(),
+        target: target(http),
+        headers: passed(http),
+        body: Vec::new(),
+        peer,
+    })))
+}
+
+fn where_query(http: &http_types::Request) -> Result<WhereQuery, Refused> {
+    if http.method() != http_types::Method::Get {
+        return Err(Refused::new(
+            Why::BadRequest,
+            format!("ask for addresses with `GET {WHERE_PATH}`"),
+        ));
+    }
+    let pairs: Vec<_> = http.url().query_pairs().collect();
+    WhereQuery::from_pairs(pairs.iter().map(|(n, v)| (n.as_ref(), v.as_ref())))
+}
+
+fn target(http: &http_types::Request) -> String {
+    match http.url().query() {
+        Some(query) => format!("{}?{query}", http.url().path()),
+        None => http.url().path().to_owned(),
+    }
+}
+
+fn passed(http: &http_types::Request) -> Vec<(String, String)> {
+    let dropped: Vec<String> = http
+        .header("connection")
+        .map(|v| v.as_str().split(',').map(lower).collect())
+        .unwrap_or_default();
+    let mut headers = Vec::new();
+    for (name, values) in http.iter() {
+        let name = name.as_str();
+        if passes(name) && !dropped.iter().any(|d| d == name) {
+            headers.extend(values.iter().map(|v| (name.to_owned(), v.to_string())));
+        }
+    }
+    headers
+}
+
+fn lower(s: &str) -> String {
+    s.trim().to_ascii_lowercase()
+}
+
+fn deadline(http: &http_types::Request) -> Result<Option<Duration>, Refused> {
+    let Some(text) = one(http, DEADLINE_MS)? else {
+        return Ok(None);
+    };
+    let ms: i64 = text.parse().map_err(|_| {
+        Refused::new(
+            Why::BadDeadline,
+            format!("`{DEADLINE_MS}: {text}` is no whole number; give the milliseconds left"),
+        )
+    })?;
+    match u64::try_from(ms) {
+        Ok(ms) if ms > 0 => Ok(Some(Duration::from_millis(ms))),
+        _ => Err(expired()),
+    }
+}
+
+/// The refusal of a request whose deadline passed before any endpoint saw it.
+pub(crate) fn expired() -> Refused {
+    Refused::new(
+        Why::Expired,
+        format!("the deadline has passed; give the milliseconds left in `{DEADLINE_MS}`"),
+    )
+}
+
+fn needed<T: FromStr>(http: &http_types::Request, name: &str) -> Result<T, Refused>
+where
+    T::Err: fmt::Display,
+{
+    optional(http, name)?.ok_or_else(|| {
+        Refused::new(
+            Why::BadHeader,
+            format!("the header `{name}` is missing; add it"),
+        )
+    })
+}
+
+fn optional<T: FromStr>(http: &http_types::Request, name: &str) -> Result<Option<T>, Refused>
+where
+    T::Err: fmt::Display,
+{
+    let Some(text) = one(http, name)? else {
+        return Ok(None);
+    };
+    text.parse().map(Some).map_err(|e: T::Err| {
+        Refused::new(
+            Why::BadHeader,
+            format!("the header `{name}` is not usable: {e}"),
+        )
+    })
+}
+
+fn one<'a>(http: &'a http_types::Request, name: &str) -> Result<Option<&'a str>, Refused> {
+    match http.header(name) {
+        None => Ok(None),
+        Some(values) if values.iter().count() == 1 => Ok(Some(values.as_str().trim())),
+        Some(_) => Err(Refused::new(
+            Why::BadHeader,
+            format!("the header `{name}` stands twice; send it once"),
+        )),
+    }
+}
