Read settings, bind all addresses or none, and start the command line

Cause: a router must not start half-configured, and every command needs one entry. Change: settings are checked in one go; the root package is a library with a thin main.

--- a/crates/operators/src/section.rs
+++ b/crates/operators/src/section.rs
@@ -27,6 +27,8 @@
     name: String,
     place: Range<usize>,
     table: Option<&'t DeTable<'t>>,
+    /// Something other than a table stands here, which was reported.
+    wrong: bool,
     taken: Vec<&'static str>,
     findings: &'t Findings<'t>,
 }
@@ -76,6 +78,7 @@
         name: format!("the {what}"),
         place: 0..0,
         table: Some(root.get_ref()),
+        wrong: false,
         taken: Vec::new(),
         findings: &findings,
     };
@@ -127,8 +130,8 @@
         example: &str,
         read: impl Fn(&DeValue<'_>) -> Result<T, String>,
     ) -> Option<T> {
-        let missing = self.table.is_some_and(|t| t.get(key).is_none());
-        if missing {
+        let missing = self.table.is_none_or(|t| t.get(key).is_none());
+        if missing && !self.wrong {
             self.missing(key, example);
         }
         self.take(key, read)
@@ -142,15 +145,14 @@
             name: format!("[{key}]"),
             place: self.place.clone(),
             table: None,
+            wrong: false,
             taken: Vec::new(),
             findings: self.findings,
         };
         if let Some((key, value)) = found {
             section.place = key.span();
             section.table = value.get_ref().as_table();
-            if section.table.is_none() {
-                section.not_table(value.span());
-            }
+            section.check_table(value.span());
         }
         section
     }
@@ -162,31 +164,20 @@
             return Vec::new();
         };
         let named = table.iter().map(|(name, value)| {
-            let section = Section {
+            let mut section = Section {
                 name: format!("{key} \"{}\"", name.get_ref()),
                 place: name.span(),
                 table: value.get_ref().as_table(),
+                wrong: false,
                 taken: Vec::new(),
                 findings: self.findings,
             };
-            if section.table.is_none() {
-                section.not_table(value.span());
-            }
+            section.check_table(value.span());
             (name.get_ref().as_ref(), section)
         });
         named.collect()
     }
 
-    /// Says whether the file has this table.
-    pub fn exists(&self) -> bool {
-        self.table.is_some()
-    }
-
-    /// Returns where this table's name stands in the file.
-    pub fn place(&self) -> Range<usize> {
-        self.place.clone()
-    }
-
     /// Returns where a value stands in the file.
     pub fn place_of(&self, key: &str) -> Option<Range<usize>> {
         Some(self.table?.get(key)?.span())
@@ -236,7 +227,11 @@
         }
     }
 
-    fn not_table(&self, place: Range<usize>) {
+    fn check_table(&mut self, place: Range<usize>) {
+        if self.table.is_some() {
+            return;
+        }
+        self.wrong = true;
         let message = format!("{} is not a table", self.name);
         let remedy = "write a header in brackets and one `key = value` a line under it".to_owned();
         self.report(place, message, remedy);
--- /dev/null
+++ b/src/conf/bytes.rs
@@ -0,0 +1,59 @@
+//! Sizes in bytes.
+
+use {
+    std::{
+        fmt,
+        str::FromStr, //
+    },
+    thiserror::Error, //
+};
+
+const KIB: u64 = 1 << 10;
+const MIB: u64 = 1 << 20;
+
+/// A size in bytes.
+///
+/// # Examples
+///
+/// ```
+/// use chervilwind::Bytes;
+///
+/// assert_eq!("16KiB".parse(), Ok(Bytes(16_384)));
+/// assert_eq!(Bytes(16_384).to_string(), "16KiB");
+/// assert!("16".parse::<Bytes>().is_err());
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Bytes(pub u64);
+
+/// Why a size was not accepted.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("`{0}` is not a size; write a whole number and a unit: `512B`, `16KiB` or `8MiB`")]
+pub struct BytesError(String);
+
+impl FromStr for Bytes {
+    type Err = BytesError;
+
+    fn from_str(s: &str) -> Result<Bytes, BytesError> {
+        let err = || BytesError(s.to_owned());
+        let split = s.find(|c: char| !c.is_ascii_digit()).ok_or_else(err)?;
+        let (n, unit) = s.split_at(split);
+        let n: u64 = n.parse().map_err(|_| err())?;
+        let size = match unit {
+            "B" => 1,
+            "KiB" => KIB,
+            "MiB" => MIB,
+            _ => return Err(err()),
+        };
+        n.checked_mul(size).map(Bytes).ok_or_else(err)
+    }
+}
+
+impl fmt::Display for Bytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            n if n > 0 && n % MIB == 0 => write!(f, "{}MiB", n / MIB),
+            n if n > 0 && n % KIB == 0 => write!(f, "{}KiB", n / KIB),
+            n => write!(f, "{n}B"),
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! A router fleet that shares model capacity fairly among workspaces.
+
+mod cli;
+mod conf;
+mod demo;
+mod errors;
+mod router;
+
+pub use self::{
+    cli::run,
+    conf::{
+        Address,
+        Bytes,
+        BytesError,
+        Limits,
+        ListenError,
+        Listeners,
+        Settings,
+        SettingsError,
+        DEFAULT_SETTINGS, //
+    },
+};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `chervilwind` program: starts what the command line asks for.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chervilwind::run()
+}
