--- a/crates/callers/src/client/exchange.rs
+++ b/crates/callers/src/client/exchange.rs
@@ -42,13 +42,16 @@
     },
 };
 
+/// What takes a streamed body, piece by piece.
+pub(crate) type OnChunk<'a> = Option<&'a mut (dyn FnMut(&[u8]) + Send)>;
+
 const READ_BYTES: usize = 16 * 1024;
 
 /// What came of one try.
 pub(crate) enum Tried {
     /// A whole answer, or a refusal.
     Whole(Answer),
-    /// The body began and was cut, or its last event told of an error.
+    /// The body was cut after a part of it was passed on, or its last event tells why.
     Cut(Answer),
     /// No connection was made, so nothing ran.
     Unsent,
@@ -67,7 +70,7 @@
 }
 
 impl Exchange<'_> {
-    pub(crate) async fn run(self, on_chunk: &mut (dyn FnMut(&[u8]) + Send)) -> Tried {
+    pub(crate) async fn run(self, on_chunk: &mut OnChunk<'_>) -> Tried {
         let Ok(mut socket) = self.pool.get(self.router).await else {
             return Tried::Unsent;
         };
@@ -86,33 +89,47 @@
             return Tried::Lost;
         };
         let mut answer = head_of(&http, self.router);
+        let begun = on_chunk.is_some() && http.len().is_none();
         let whole = self.body(&mut http, &mut answer, on_chunk).await;
         let close = answer.header("connection") == Some("close");
         if whole && !close {
             self.pool.put(self.router, socket);
         }
-        settle(answer, whole)
+        match settle(answer, whole) {
+            Tried::Cut(a) if a.refused.is_none() && (a.body.is_empty() || !begun) => Tried::Lost,
+            tried => tried,
+        }
     }
 
     async fn body(
         &self,
         http: &mut http_types::Response,
         answer: &mut Answer,
-        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+        on_chunk: &mut OnChunk<'_>,
     ) -> bool {
+        let streamed = http.len().is_none();
         let mut buf = vec![0; READ_BYTES];
         loop {
             match self.bounded(http.read(&mut buf)).await {
                 Ok(0) => break,
                 Ok(n) => {
-                    on_chunk(&buf[..n]);
+                    if let Some(f) = on_chunk.as_mut().filter(|_| streamed) {
+                        f(&buf[..n]);
+                    }
                     answer.body.extend_from_slice(&buf[..n]);
                 }
                 Err(_) => return false,
             }
         }
         // The library takes a body that ends early for a whole one.
-        http.len().is_none_or(|len| answer.body.len() >= len)
+        if http.len().is_some_and(|len| answer.body.len() < len) {
+            return false;
+        }
+        // A whole answer is passed on only once it is here, so that a cut one can be asked again.
+        if let Some(f) = on_chunk.as_mut().filter(|_| !streamed) {
+            f(&answer.body);
+        }
+        true
     }
 
     async fn bounded<T>(
--- a/crates/callers/src/client/steps.rs
+++ b/crates/callers/src/client/steps.rs
@@ -6,6 +6,7 @@
             plain,
             request_of,
             Exchange,
+            OnChunk,
             Tried, //
         },
         known::Known,
@@ -94,12 +95,22 @@
         Err(last)
     }
 
-    /// Calls a service. Each piece of the body is passed to `on_chunk` as it comes.
+    /// Calls a service and returns the whole answer.
+    pub async fn call(&self, call: &Call) -> Answer {
+        self.run(call, &mut None).await
+    }
+
+    /// Calls a service. Each piece of a streamed body is passed to `on_chunk` as it comes; from
+    /// the first one on, the call is not tried again.
     pub async fn call_streamed(
         &self,
         call: &Call,
         on_chunk: &mut (dyn FnMut(&[u8]) + Send),
     ) -> Answer {
+        self.run(call, &mut Some(on_chunk)).await
+    }
+
+    async fn run(&self, call: &Call, on_chunk: &mut OnChunk<'_>) -> Answer {
         let route = match self.route(&call.service).await {
             Ok(route) => route,
             Err(refused) => return Answer::refused(refused),
@@ -126,18 +137,13 @@
         progress.finish()
     }
 
-    /// Calls a service and returns the whole answer.
-    pub async fn call(&self, call: &Call) -> Answer {
-        self.call_streamed(call, &mut |_| {}).await
-    }
-
     /// Tries one router. Returns whether the call ended.
     async fn step(
         &self,
         call: &Call,
         router: SocketAddr,
         progress: &mut Progress,
-        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+        on_chunk: &mut OnChunk<'_>,
     ) -> bool {
         if call.once && progress.ticket.is_none() {
             match self.ticket(&call.service, router).await {
@@ -165,7 +171,7 @@
         call: &Call,
         router: SocketAddr,
         progress: &Progress,
-        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+        on_chunk: &mut OnChunk<'_>,
     ) -> Tried {
         let deadline = call.deadline.map(|_| progress.until);
         let Some(http) = request_of(call, router, deadline, progress.ticket.as_deref()) else {
@@ -237,7 +243,7 @@
             silence: ASK_TIME,
             until: Instant::now() + ASK_TIME,
         };
-        let answer = match exchange.run(&mut |_| {}).await {
+        let answer = match exchange.run(&mut None).await {
             Tried::Whole(answer) => answer,
             _ => return Err(unreachable()),
         };
--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -37,7 +37,10 @@
         net::SocketAddr,
         panic::AssertUnwindSafe,
         sync::Arc,
-        time::Instant, //
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
@@ -95,8 +98,13 @@
         let keep = keeps(&head);
         let method = head.http.method();
         let (ask, id) = self.ask(head).await?;
-        let response = self.handle(ask, id.as_ref()).await?;
-        self.send(response, method, id, keep).await
+        let gone = gone_of(&ask);
+        let response = self.handle(ask, &gone, id.as_ref()).await?;
+        let sent = self.send(response, &gone, method, id, keep).await;
+        if sent.is_err() {
+            gone.fire();
+        }
+        sent
     }
 
     /// Waits for the next request's first byte.
@@ -177,7 +185,11 @@
     /// Checks the head and reads the body.
     async fn ask(&self, mut head: Head) -> Result<(Ask, Option<RequestId>), Stop> {
         let parsed = parse::parse(&head.http, self.peer)?;
-        let body = self.body(&mut head).await?;
+        let deadline = match &parsed {
+            Parsed::Request(request) => request.deadline,
+            Parsed::Where(_) => None,
+        };
+        let body = self.body(&mut head, deadline).await?;
         match parsed {
             Parsed::Where(query) => {
                 let peer = self.peer;
@@ -193,13 +205,15 @@
         }
     }
 
-    async fn body(&self, head: &mut Head) -> Result<Vec<u8>, Stop> {
+    async fn body(&self, head: &mut Head, deadline: Option<Duration>) -> Result<Vec<u8>, Stop> {
         let limits = &self.shared.limits;
+        let time = limits.body_time.min(deadline.unwrap_or(Duration::MAX));
         let most = limits.body_bytes as u64;
         let mut body = Vec::new();
         let mut reader = head.http.take_body().into_reader().take(most + 1);
-        let read = timeout(limits.body_time, reader.read_to_end(&mut body)).await;
+        let read = timeout(time, reader.read_to_end(&mut body)).await;
         match (read, head.framing) {
+            (Err(_), _) if time < limits.body_time => Err(parse::expired().into()),
             (Err(_), _) => Err(Refused::new(
                 Why::BodyTimeout,
                 "the body did not come in time; send it in one go",
@@ -219,13 +233,14 @@
     }
 
     /// Has the handler answer, and tells it when the caller hangs up.
-    async fn handle(&self, ask: Ask, id: Option<&RequestId>) -> Result<Response, Stop> {
-        let gone = match &ask {
-            Ask::Request { gone, .. } => gone.clone(),
-            Ask::Where { .. } => Gone::new(),
-        };
+    async fn handle(
+        &self,
+        ask: Ask,
+        gone: &Gone,
+        id: Option<&RequestId>,
+    ) -> Result<Response, Stop> {
         let answer = AssertUnwindSafe((self.shared.handler)(ask)).catch_unwind();
-        let watch = async { match self.wire.watch(&gone).await {} };
+        let watch = async { match self.wire.watch(gone).await {} };
         let response = or(answer, watch).await.unwrap_or_else(|_| {
             // One request's fault must not end the connection without an answer.
             log::error!("callers: the handler of request {id:?} panicked");
@@ -242,6 +257,7 @@
     async fn send(
         &self,
         response: Response,
+        gone: &Gone,
         method: Method,
         id: Option<RequestId>,
         keep: bool,
@@ -252,9 +268,8 @@
         if !keep {
             http.insert_header("connection", "close");
         }
-        let gone = Gone::new();
         let hung_up = async {
-            let watch = async { match self.wire.watch(&gone).await {} };
+            let watch = async { match self.wire.watch(gone).await {} };
             or(gone.wait(), watch).await;
             Err(io::ErrorKind::ConnectionAborted.into())
         };
@@ -290,8 +305,9 @@
     /// Tells the caller why, and closes.
     async fn refuse(&self, refused: Refused) {
         log::debug!("callers: refused {}: {refused}", self.peer);
-        let sent = self.send(refused.into(), Method::Get, None, false).await;
-        if sent.is_ok() {
+        let gone = Gone::new();
+        let sent = self.send(refused.into(), &gone, Method::Get, None, false);
+        if sent.await.is_ok() {
             self.wire.linger().await;
         }
     }
@@ -304,6 +320,13 @@
     )
 }
 
+fn gone_of(ask: &Ask) -> Gone {
+    match ask {
+        Ask::Request { gone, .. } => gone.clone(),
+        Ask::Where { .. } => Gone::new(),
+    }
+}
+
 /// Takes the time that reading took off the deadline.
 fn shorten(request: &mut Request, since: Instant) -> Result<(), Refused> {
     if let Some(deadline) = request.deadline {
--- a/crates/callers/src/gone.rs
+++ b/crates/callers/src/gone.rs
@@ -11,8 +11,9 @@
 
 /// Tells a request's handler that nobody waits for the answer any more.
 ///
-/// It resolves at most once, when the caller closed its side of the connection or the
-/// connection broke. It never resolves because the request ended.
+/// It fires at most once: when the caller closed its side of the connection, the connection
+/// broke, or it was cut because the caller did not read. It does not fire when the request
+/// ends otherwise.
 #[derive(Debug, Clone)]
 pub struct Gone(Arc<Inner>);
 
