Answer operators at their address: status, profiles, dump, readiness, metrics

Cause: operators need to see a router's state. Change: tide answers over sockets with TCP_NODELAY; the newest 64 connections are kept. With the newest giving way instead, serve_silent_connections fails, as it should.

--- a/crates/operators/src/document.rs
+++ b/crates/operators/src/document.rs
@@ -29,6 +29,7 @@
         collections::BTreeMap,
         str::FromStr, //
     },
+    toml::de::DeValue, //
 };
 
 /// Most requests that one workspace may be allowed to queue at a router.
@@ -284,7 +285,14 @@
 
 fn read_share(s: &mut Section<'_>, what: &str) -> Share {
     s.take_or("share", Share::ONE, |v| {
-        let n = number(f64::NEG_INFINITY, false)(v)?;
-        Share::try_from(n).map_err(|_| format!("give a share above 0, or remove the {what}"))
+        let remedy = |e| match v {
+            DeValue::Integer(_) | DeValue::Float(_) => {
+                format!("give a share above 0, or remove the {what}")
+            }
+            _ => e,
+        };
+        number(0.0, true)(v)
+            .map_err(remedy)
+            .and_then(|n| Share::try_from(n).map_err(|e| e.to_string()))
     })
 }
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,15 +1,24 @@
 //! The operators' side: configuration documents and their checks, dumps and metrics.
 
+mod ask;
 mod defaults;
 mod document;
 mod fleet;
+mod metrics;
 mod nearest;
 mod problem;
 mod section;
+mod server;
 mod source;
 mod values;
+mod views;
 
 pub use self::{
+    ask::{
+        ask,
+        read_view,
+        AskError, //
+    },
     defaults::FLEET,
     document::{
         Document,
@@ -25,6 +34,10 @@
         Fleet,
         UnknownName, //
     },
+    metrics::{
+        metrics_text,
+        start_metrics, //
+    },
     problem::{
         render,
         CheckError,
@@ -34,6 +47,10 @@
         parse,
         Section, //
     },
+    server::{
+        serve,
+        Views, //
+    },
     source::{
         FileError,
         Source,
@@ -47,4 +64,14 @@
         span,
         text, //
     },
+    views::{
+        Member,
+        MemberState,
+        ProfileView,
+        Profiles,
+        ServiceStatus,
+        State,
+        Status,
+        WorkspaceStatus, //
+    },
 };
--- a/crates/operators/src/section.rs
+++ b/crates/operators/src/section.rs
@@ -19,6 +19,9 @@
     },
 };
 
+/// Most problems reported of one file.
+const PROBLEMS_MAX: usize = 100;
+
 /// One table of a file, and what was wrong in it so far.
 ///
 /// Each key is taken once; [`Section::finish`] reports the keys that nobody took.
@@ -68,7 +71,7 @@
     read: impl FnOnce(&mut Section<'_>) -> Option<T>,
 ) -> Result<T, CheckError> {
     let (root, errors) = DeTable::parse_recoverable(source.text());
-    let syntax: Vec<Problem> = errors.iter().map(|e| syntax_problem(source, e)).collect();
+    let syntax = syntax_problems(source, &errors);
     let findings = Findings {
         source,
         broken: !syntax.is_empty(),
@@ -219,10 +222,10 @@
             let message = format!("{} has the unknown key `{name}`", self.name);
             let advice = match nearest(name, &self.taken) {
                 Some(k) => format!("did you mean `{k}`?"),
-                None => "remove it".to_owned(),
+                None => "remove it;".to_owned(),
             };
             let known: Vec<String> = self.taken.iter().map(|k| format!("`{k}`")).collect();
-            let remedy = format!("{advice}; known keys: {}", known.join(", "));
+            let remedy = format!("{advice} known keys: {}", known.join(", "));
             self.report(key.span(), message, remedy);
         }
     }
@@ -239,19 +242,69 @@
 
     fn report(&self, place: Range<usize>, message: String, remedy: String) {
         let problem = Problem::new(self.findings.source, place, message, remedy);
-        self.findings.problems.borrow_mut().push(problem);
+        let mut problems = self.findings.problems.borrow_mut();
+        if problems.len() < PROBLEMS_MAX {
+            problems.push(problem);
+        }
     }
 }
 
-fn syntax_problem(source: &Source, error: &toml::de::Error) -> Problem {
-    let place = error.span().unwrap_or(0..0);
-    if error.message().contains("duplicate key") {
-        let name = source.text().get(place.clone()).unwrap_or_default();
-        let message = format!("`{name}` is given twice");
-        let remedy = "keep one of the two, or give the other its own name".to_owned();
-        return Problem::new(source, place, message, remedy);
+/// Turns the parser's errors into problems.
+///
+/// After a table that is given twice, its keys are reported by the parser as given twice
+/// too; the table's own problem says enough.
+fn syntax_problems(source: &Source, errors: &[toml::de::Error]) -> Vec<Problem> {
+    let mut problems: Vec<Problem> = Vec::new();
+    let mut twice = None;
+    for error in errors.iter().take(PROBLEMS_MAX) {
+        let place = error.span().unwrap_or(0..0);
+        if !error.message().contains("duplicate key") {
+            problems.push(syntax_problem(source, place, error.message()));
+            continue;
+        }
+        let table = header_before(source.text(), place.start);
+        if twice.is_some() && table == twice {
+            continue;
+        }
+        let on_header = table.as_ref().is_some_and(|h| h.contains(&place.start));
+        if on_header {
+            twice = table;
+        }
+        problems.push(duplicate_problem(source, place, on_header));
     }
-    let message = format!("this is not valid TOML: {}", error.message());
+    problems
+}
+
+fn syntax_problem(source: &Source, place: Range<usize>, says: &str) -> Problem {
+    let message = format!("this is not valid TOML: {says}");
     let remedy = "mend this line; text values need quotes, tables a header in brackets".to_owned();
     Problem::new(source, place, message, remedy)
 }
+
+fn duplicate_problem(source: &Source, place: Range<usize>, table: bool) -> Problem {
+    let key = source.text().get(place.clone()).unwrap_or_default();
+    let name = match header_before(source.text(), place.start) {
+        Some(header) if table => source.text()[header].trim_end(),
+        _ => key,
+    };
+    let message = format!("`{name}` is given twice");
+    let remedy = "keep one of the two, or give the other its own name".to_owned();
+    Problem::new(source, place, message, remedy)
+}
+
+/// Returns the place of the last line up to a byte that is a table's header.
+fn header_before(text: &str, byte: usize) -> Option<Range<usize>> {
+    let mut start = 0;
+    let mut last = None;
+    for line in text.split_inclusive('\n') {
+        if start > byte {
+            break;
+        }
+        let end = start + line.len();
+        if line.trim_start().starts_with('[') {
+            last = Some(start..end);
+        }
+        start = end;
+    }
+    last
+}
--- /dev/null
+++ b/crates/operators/src/server.rs
@@ -0,0 +1,135 @@
+//! Answers operators' questions over HTTP.
+
+use {
+    crate::{
+        metrics::metrics_text,
+        views::{
+            Profiles,
+            Status, //
+        },
+    },
+    async_std::{
+        future::timeout,
+        net::{
+            TcpListener,
+            TcpStream, //
+        },
+        task, //
+    },
+    serde::Serialize,
+    std::{
+        collections::VecDeque,
+        io,
+        net,
+        sync::Arc,
+        time::Duration, //
+    },
+    tide::{
+        Request,
+        Response,
+        Server,
+        StatusCode, //
+    },
+};
+
+/// Connections open at once.
+const CONNECTIONS_MAX: usize = 64;
+/// A connection is closed after this time, whatever it does.
+const CONNECTION_TIME: Duration = Duration::from_secs(30);
+/// Pause after a failed accept, so that a lack of file descriptors costs no processor time.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+/// Content type of the metrics, as their readers expect it.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
+
+/// Where the answers come from. Each is called once a question.
+pub struct Views {
+    /// How the router is doing.
+    pub status: Box<dyn Fn() -> Status + Send + Sync>,
+    /// The profiles in force.
+    pub profiles: Box<dyn Fn() -> Profiles + Send + Sync>,
+    /// All that the router knows.
+    pub dump: Box<dyn Fn() -> serde_json::Value + Send + Sync>,
+    /// Whether it takes requests.
+    pub ready: Box<dyn Fn() -> bool + Send + Sync>,
+}
+
+/// Answers `/status`, `/profiles`, `/dump`, `/ready` and `/metrics` until the task is cancelled.
+///
+/// # Errors
+///
+/// When the listener can't be used.
+pub async fn serve(listener: net::TcpListener, views: Views) -> io::Result<()> {
+    let app = app(views);
+    let listener = TcpListener::from(listener);
+    let mut open = VecDeque::new();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("router: operators' address can't accept ({error}), going on");
+                task::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        open.push_back(task::spawn(talk(stream, app.clone())));
+        // Connections that never say a word could hold all places. It shows as a status that
+        // can't be asked for. The oldest gives way, so that a new one always finds a place.
+        if open.len() > CONNECTIONS_MAX {
+            if let Some(oldest) = open.pop_front() {
+                oldest.cancel().await;
+            }
+        }
+    }
+}
+
+async fn talk(stream: TcpStream, app: Server<Arc<Views>>) {
+    if timeout(CONNECTION_TIME, answer(stream, app)).await.is_err() {
+        log::debug!("router: closed an operators' connection after {CONNECTION_TIME:?}");
+    }
+}
+
+async fn answer(stream: TcpStream, app: Server<Arc<Views>>) {
+    let talked = match stream.set_nodelay(true) {
+        Ok(()) => async_h1::accept(stream, |request| app.respond(request)).await,
+        Err(error) => Err(error.into()),
+    };
+    if let Err(error) = talked {
+        log::debug!("router: an operators' connection ended: {error}");
+    }
+}
+
+fn app(views: Views) -> Server<Arc<Views>> {
+    let mut app = Server::with_state(Arc::new(views));
+    app.at("/status")
+        .get(|r: Request<Arc<Views>>| async move { json(&(r.state().status)()) });
+    app.at("/profiles")
+        .get(|r: Request<Arc<Views>>| async move { json(&(r.state().profiles)()) });
+    app.at("/dump")
+        .get(|r: Request<Arc<Views>>| async move { json(&(r.state().dump)()) });
+    app.at("/ready")
+        .get(|r: Request<Arc<Views>>| async move { Ok(ready((r.state().ready)())) });
+    app.at("/metrics").get(|_| async { Ok(metrics()) });
+    app
+}
+
+fn json(view: &impl Serialize) -> tide::Result {
+    let body = tide::Body::from_json(view)?;
+    Ok(Response::builder(StatusCode::Ok).body(body).build())
+}
+
+fn ready(ready: bool) -> Response {
+    if ready {
+        Response::builder(StatusCode::Ok).body("ready\n").build()
+    } else {
+        Response::builder(StatusCode::ServiceUnavailable)
+            .body("not ready\n")
+            .build()
+    }
+}
+
+fn metrics() -> Response {
+    Response::builder(StatusCode::Ok)
+        .content_type(METRICS_TYPE)
+        .body(metrics_text())
+        .build()
+}
--- a/crates/operators/src/source.rs
+++ b/crates/operators/src/source.rs
@@ -31,9 +31,7 @@
 pub enum FileError {
     /// There is no such file.
     #[error("{0} does not exist")]
-    #[diagnostic(help(
-        "check the path; `chervilwind router --help` tells how to get a first file"
-    ))]
+    #[diagnostic(help("check the path; `chervilwind defaults` prints files to start from"))]
     Missing(String),
     /// The system refused to read it.
     #[error("{0} can't be read: {1}")]
@@ -41,7 +39,7 @@
     Unreadable(String, io::Error),
     /// It holds nothing but white space.
     #[error("{0} is empty")]
-    #[diagnostic(help("write the file anew, or start from the shipped default"))]
+    #[diagnostic(help("write it anew; `chervilwind defaults` prints files to start from"))]
     Empty(String),
     /// It is larger than any document may be.
     #[error("{0} has more than {FILE_MAX} bytes")]
--- /dev/null
+++ b/crates/operators/tests/server.rs
@@ -0,0 +1,137 @@
+//! Questions to a router's operators' address, over real sockets.
+
+use {
+    async_std::task,
+    operators::{
+        ask,
+        read_view,
+        serve,
+        start_metrics,
+        AskError,
+        Document,
+        Fleet,
+        Profiles,
+        Source,
+        State,
+        Status,
+        Views,
+        FLEET, //
+    },
+    policy::{
+        Incarnation,
+        Span, //
+    },
+    std::{
+        net::{
+            SocketAddr,
+            TcpListener,
+            TcpStream, //
+        },
+        sync::atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+    },
+};
+
+fn status() -> Status {
+    Status {
+        name: "router-1".parse().unwrap(),
+        incarnation: Incarnation(3),
+        zone: "hall-a".parse().unwrap(),
+        state: State::Ready,
+        revision: 7,
+        writer: "ada".to_owned(),
+        platform: true,
+        uptime: Span::secs(2),
+        control: 10,
+        members: Vec::new(),
+        services: Vec::new(),
+        workspaces: Vec::new(),
+    }
+}
+
+fn profiles() -> Profiles {
+    let source = Source::from_text("fleet.toml", FLEET);
+    Profiles::new(7, &Fleet::new(Document::parse(&source).unwrap()))
+}
+
+fn start() -> SocketAddr {
+    let ready = AtomicBool::new(false);
+    let views = Views {
+        status: Box::new(status),
+        profiles: Box::new(profiles),
+        dump: Box::new(|| serde_json::json!({ "tickets": [] })),
+        ready: Box::new(move || ready.fetch_or(true, Ordering::Relaxed)),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(serve(listener, views));
+    address
+}
+
+#[async_std::test]
+async fn serve_views() {
+    let address = start();
+    let body = ask(address, "/status").await.unwrap();
+    assert_eq!(read_view::<Status>(address, &body).unwrap(), status());
+    let body = ask(address, "/profiles").await.unwrap();
+    assert_eq!(read_view::<Profiles>(address, &body).unwrap(), profiles());
+    let body = ask(address, "/dump").await.unwrap();
+    assert_eq!(body, "{\"tickets\":[]}");
+}
+
+#[async_std::test]
+async fn serve_ready() {
+    let address = start();
+    let first = ask(address, "/ready").await;
+    assert!(matches!(first, Err(AskError::Refused { status: 503, .. })));
+    assert_eq!(ask(address, "/ready").await.unwrap(), "ready\n");
+}
+
+#[async_std::test]
+async fn serve_metrics() {
+    start_metrics();
+    metrics::counter!("chervilwind_test_count", "part" => "server").increment(3);
+    let text = ask(start(), "/metrics").await.unwrap();
+    assert!(
+        text.contains("chervilwind_test_count{part=\"server\"} 3"),
+        "{text}"
+    );
+}
+
+#[async_std::test]
+async fn serve_unknown_path() {
+    let asked = ask(start(), "/stauts").await;
+    assert!(matches!(asked, Err(AskError::Refused { status: 404, .. })));
+}
+
+#[async_std::test]
+async fn serve_silent_connections() {
+    // Something opens connections to the operators' address and never says a word; then an
+    // operator asks for the status and gets no answer, or never one again.
+    // Cause: each silent connection held a place, and all places were taken.
+    let address = start();
+    let silent: Vec<TcpStream> = (0..200)
+        .map(|_| TcpStream::connect(address).unwrap())
+        .collect();
+    assert!(ask(address, "/status").await.is_ok());
+    drop(silent);
+}
+
+#[async_std::test]
+async fn ask_nobody() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let asked = ask(address, "/status").await;
+    assert!(matches!(asked, Err(AskError::NotReached { .. })));
+}
+
+#[async_std::test]
+async fn ask_silent() {
+    // The connection opens, as the process behind it is paused, and no answer ever comes.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let asked = ask(listener.local_addr().unwrap(), "/status").await;
+    assert!(matches!(asked, Err(AskError::NotReached { .. })));
+}
