--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,12 +4,38 @@
 //! caller passes the time and a seed. That is what lets each decision be fuzzed against
 //! an oracle, replayed from a golden file and measured without a network.
 
+mod dispatch;
+mod entry;
 mod ids;
 mod outcome;
+pub mod rendezvous;
+mod shares;
+pub mod tickets;
 mod time;
 mod units;
 
 pub use self::{
+    dispatch::{
+        Action,
+        Dispatch,
+        DispatchDump,
+        Finish,
+        Job,
+        JobId,
+        Message,
+        Mode,
+        OwnerView,
+        Peer,
+        PeerState,
+        QueueDump,
+        Replica,
+        ReplicaDump,
+        Rules,
+        ServiceDump,
+        ServiceRules,
+        Unit,
+        WorkspaceShare, //
+    },
     ids::{
         IdError,
         Incarnation,
@@ -25,6 +51,10 @@
         OutcomeError,
         Refusal, //
     },
+    shares::{
+        gap_bound,
+        GapTerms, //
+    },
     time::{
         Span,
         SpanError,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod plain;
+pub mod relay;
 mod wire;
 
 pub use self::wire::{
