platform: add the clients, the configuration store and the stand-in

The first usable version: a key-value client with typed errors, a circuit and kept connections, a poller of the list of instances, leases, and a store that writes a configuration as parts and a head by compare-and-swap. The stand-in serves the same paths, with its faults on admin paths and in process.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,40 @@
 //! The platform's key-value service and its list of instances.
+//!
+//! [`Kv`] speaks to the key-value service, [`Instances`] polls the list, [`Lease`] is a lease
+//! whose holder knows when it ends, and [`store`] keeps the operators' configuration safely.
+
+mod circuit;
+mod error;
+mod http;
+mod instances;
+mod kv;
+mod lease;
+pub mod store;
+mod types;
+
+pub use self::{
+    error::KvError,
+    http::Options,
+    instances::{
+        Instance,
+        Instances,
+        Listed,
+        Role,
+        State, //
+    },
+    kv::{
+        Entry,
+        Kv,
+        Watched,
+        VALUE_MAX, //
+    },
+    lease::{
+        Claim,
+        Lease,
+        LeaseError, //
+    },
+    types::{
+        KeyRevision,
+        LeaseId, //
+    },
+};
--- /dev/null
+++ b/crates/platform/src/store/apply.rs
@@ -0,0 +1,275 @@
+//! Writes a new configuration, or tells why not.
+
+use {
+    super::{
+        error::{
+            ApplyError,
+            ReadError, //
+        },
+        head::{
+            read_head,
+            Blob,
+            Found,
+            Head,
+            PartRef,
+            HEAD_KEY, //
+        },
+        part::{
+            Part,
+            PartHash,
+            PART_MAX, //
+        },
+        revision::{
+            Base,
+            Revision,
+            WriteId, //
+        },
+    },
+    crate::{
+        error::KvError,
+        kv::Kv,
+        types::KeyRevision, //
+    },
+    async_std::task,
+    policy::Span,
+    std::{
+        collections::HashSet,
+        sync::Arc,
+        time::Duration, //
+    },
+};
+
+/// How often a write without an answer is made again, to find out what became of it.
+const TRIES: usize = 8;
+/// Least pause between two of them.
+const PAUSE: Span = Span::millis(200);
+
+/// A new configuration, whole.
+#[derive(Debug, Clone)]
+pub struct Change {
+    /// The configuration that it was made on.
+    pub base: Base,
+    /// Its parts, in order.
+    pub parts: Vec<Part>,
+    /// The operator who makes it.
+    pub writer: String,
+    /// The highest revision known to any router. The platform may have been restored to an
+    /// older state; the new revision is above both.
+    pub floor: Revision,
+}
+
+/// A configuration that was accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Applied {
+    /// Its revision.
+    pub revision: Revision,
+    /// The write that made it.
+    pub write: WriteId,
+}
+
+/// Writes a new configuration where its base is still the one in force.
+///
+/// A base above the head on the platform is accepted: the platform then was restored to an
+/// older state, and the operator's base, which routers have in force, is the newer one.
+///
+/// # Errors
+///
+/// [`ApplyError`]; only after [`ApplyError::Unknown`] may the change be in force.
+pub async fn apply(kv: &Kv, change: Change) -> Result<Applied, ApplyError> {
+    check(&change.parts)?;
+    let found = read_head(kv).await?;
+    check_base(&found, change.base)?;
+    let left = clean(kv, found.head.as_ref()).await;
+    let head = prepare(kv, &found, &change, left).await?;
+    let key = commit(kv, &found, &head).await?;
+    mend(kv, &head, key, &change.parts).await?;
+    Ok(Applied {
+        revision: head.revision,
+        write: head.write,
+    })
+}
+
+fn check(parts: &[Part]) -> Result<(), ApplyError> {
+    let mut names = HashSet::new();
+    for part in parts {
+        if part.text.len() > PART_MAX {
+            return Err(ApplyError::TooLarge {
+                name: part.name.clone(),
+                size: part.text.len(),
+                limit: PART_MAX,
+            });
+        }
+        if !names.insert(&part.name) {
+            return Err(ApplyError::Doubled(part.name.clone()));
+        }
+    }
+    Ok(())
+}
+
+fn check_base(found: &Found, base: Base) -> Result<(), ApplyError> {
+    let Some(head) = &found.head else {
+        return Ok(());
+    };
+    let other = base.write.is_some_and(|w| w != head.write);
+    if head.revision > base.revision || (head.revision == base.revision && other) {
+        return Err(conflict(head));
+    }
+    Ok(())
+}
+
+fn conflict(head: &Head) -> ApplyError {
+    ApplyError::Conflict {
+        revision: head.revision,
+        writer: head.writer.clone(),
+    }
+}
+
+/// Removes the parts that no head names, and returns those that are left for next time.
+///
+/// A writer that was slow can remove a part that another has meanwhile brought back. It
+/// would show as a missing part of the configuration in force. Parts are removed only at
+/// the revision at which the old head knew them, and bringing one back writes it anew.
+async fn clean(kv: &Kv, head: Option<&Head>) -> Vec<Blob> {
+    let mut left = Vec::new();
+    for blob in head.into_iter().flat_map(|h| &h.dropped) {
+        match kv.delete(&Blob::key_of(blob.hash), blob.key).await {
+            Ok(()) | Err(KvError::Conflict { .. }) => {}
+            Err(_) => left.push(*blob),
+        }
+    }
+    left
+}
+
+/// Writes the parts and makes the head that names them.
+async fn prepare(
+    kv: &Kv,
+    found: &Found,
+    change: &Change,
+    left: Vec<Blob>,
+) -> Result<Head, ApplyError> {
+    let before = found.head.as_ref();
+    let mut parts = Vec::with_capacity(change.parts.len());
+    for part in &change.parts {
+        let hash = part.hash();
+        let kept = before.and_then(|h| h.kept().find(|b| b.hash == hash));
+        let blob = match kept {
+            Some(blob) => *blob,
+            None => put_blob(kv, hash, &part.text)
+                .await
+                .map_err(ApplyError::NotApplied)?,
+        };
+        parts.push(PartRef {
+            name: part.name.clone(),
+            blob,
+        });
+    }
+    let last = before.map_or(Revision::NONE, |h| h.revision);
+    let mut head = Head {
+        revision: last.max(change.floor).max(change.base.revision).next(),
+        writer: change.writer.clone(),
+        write: WriteId::random(),
+        parts,
+        older: Vec::new(),
+        writes: Vec::new(),
+        dropped: left.clone(),
+    };
+    if let Some(before) = before {
+        head.follow(before, left);
+    }
+    Ok(head)
+}
+
+/// Writes a part anew, also where it is there already: see [`clean`].
+pub(crate) async fn put_blob(kv: &Kv, hash: PartHash, text: &Arc<str>) -> Result<Blob, KvError> {
+    let key = Blob::key_of(hash);
+    let mut cas = KeyRevision::NONE;
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match kv.put(&key, text.clone(), cas, None).await {
+            Ok(key) => return Ok(Blob { hash, key }),
+            Err(KvError::Conflict { current }) => cas = current,
+            Err(e) if tries >= TRIES => return Err(e),
+            Err(e @ KvError::Unknown { .. }) => task::sleep(pause_after(&e)).await,
+            Err(e) => return Err(e),
+        }
+        if tries >= 2 * TRIES {
+            return Err(KvError::Conflict { current: cas });
+        }
+    }
+}
+
+/// Writes the head, and finds out what became of it where the answer is lost.
+///
+/// Returns the revision of the head's key.
+async fn commit(kv: &Kv, found: &Found, head: &Head) -> Result<KeyRevision, ApplyError> {
+    let text: Arc<str> = head.to_text().map_err(ApplyError::Read)?.into();
+    let mut lost = None;
+    for _ in 0..TRIES {
+        // A write whose answer was lost may still be under way and be done later. Reading
+        // the head back is no proof against that. The same write made again is: either it
+        // is done now, or the head's key has moved and the late one can't be done any more.
+        let cause = match kv.put(HEAD_KEY, text.clone(), found.key, None).await {
+            Ok(key) => return Ok(key),
+            Err(KvError::Conflict { .. }) => match settle(kv, head.write).await {
+                Ok(done) => return done,
+                Err(e) => e,
+            },
+            Err(e @ KvError::TooLarge { .. }) => return Err(ApplyError::NotApplied(e)),
+            Err(e) => e,
+        };
+        if !cause.may_have_run() && lost.is_none() {
+            return Err(ApplyError::NotApplied(cause));
+        }
+        task::sleep(pause_after(&cause)).await;
+        lost = Some(cause);
+    }
+    Err(unknown(head, lost))
+}
+
+/// Reads the head after a conflict and finds whose write it was.
+async fn settle(kv: &Kv, write: WriteId) -> Result<Result<KeyRevision, ApplyError>, KvError> {
+    let found = match read_head(kv).await {
+        Ok(found) => found,
+        Err(ReadError::Kv(e)) => return Err(e),
+        Err(e) => return Ok(Err(ApplyError::Read(e))),
+    };
+    Ok(match &found.head {
+        Some(head) if head.made_by(write) => Ok(found.key),
+        Some(head) => Err(conflict(head)),
+        None => Err(ApplyError::Conflict {
+            revision: Revision::NONE,
+            writer: "a platform restored to nothing".to_owned(),
+        }),
+    })
+}
+
+/// Writes the parts again that a restore of the platform took away before the head came.
+///
+/// It would show as missing parts of the configuration in force. A restore takes revisions
+/// back, so that the head then has no higher one than the parts written before it.
+async fn mend(kv: &Kv, head: &Head, key: KeyRevision, parts: &[Part]) -> Result<(), ApplyError> {
+    for (part, named) in parts.iter().zip(&head.parts) {
+        if named.blob.key < key {
+            continue;
+        }
+        let put = put_blob(kv, named.blob.hash, &part.text).await;
+        put.map_err(|e| unknown(head, Some(e)))?;
+    }
+    Ok(())
+}
+
+fn unknown(head: &Head, cause: Option<KvError>) -> ApplyError {
+    ApplyError::Unknown {
+        revision: head.revision,
+        write: head.write,
+        cause: cause.map_or_else(String::new, |e| e.to_string()),
+    }
+}
+
+fn pause_after(cause: &KvError) -> Duration {
+    match cause {
+        KvError::Unavailable { retry, .. } => PAUSE.max(*retry).into(),
+        _ => PAUSE.into(),
+    }
+}
--- /dev/null
+++ b/crates/platform/src/store/error.rs
@@ -0,0 +1,85 @@
+//! Why a configuration was not read or not written.
+
+use {
+    super::{
+        part::PartHash,
+        revision::{
+            Revision,
+            WriteId, //
+        },
+    },
+    crate::error::KvError,
+    thiserror::Error, //
+};
+
+/// Why the configuration was not read.
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+pub enum ReadError {
+    /// The platform did not answer, or refused.
+    #[error(transparent)]
+    Kv(#[from] KvError),
+    /// The head can't be read.
+    #[error("the configuration's head on the platform can't be read ({0}); have a router repair it, or remove the key `config/head` and apply the configuration again")]
+    Head(String),
+    /// A part that the head names is not there.
+    #[error("part `{name}` ({hash}) of revision {revision} is missing on the platform; have a router repair it, or apply the configuration again")]
+    Missing {
+        /// The part's name.
+        name: String,
+        /// Its content's hash.
+        hash: PartHash,
+        /// The configuration that names it.
+        revision: Revision,
+    },
+}
+
+/// Why a change was not applied.
+#[derive(Debug, Error, Clone, PartialEq, Eq)]
+pub enum ApplyError {
+    /// Another operator's change came first; nothing was changed.
+    #[error("`{writer}` applied revision {revision} since you looked; look again, redo your change on it and apply again")]
+    Conflict {
+        /// The revision on the platform now.
+        revision: Revision,
+        /// Who wrote it.
+        writer: String,
+    },
+    /// A part is too large; nothing was changed.
+    #[error("part `{name}` has {size} bytes, more than {limit}; split it in two")]
+    TooLarge {
+        /// The part's name.
+        name: String,
+        /// Its size, in bytes.
+        size: usize,
+        /// The largest size taken, in bytes.
+        limit: usize,
+    },
+    /// Two parts have one name; nothing was changed.
+    #[error("two parts are called `{0}`; rename one")]
+    Doubled(String),
+    /// The platform is down; the configuration in force was surely not changed.
+    #[error("nothing was changed: {0}")]
+    NotApplied(KvError),
+    /// The write may be in force, or come into force yet.
+    #[error("it isn't known whether revision {revision} (write {write}) was applied ({cause}); ask a router for the revision in force before you apply again")]
+    Unknown {
+        /// The revision it would have.
+        revision: Revision,
+        /// The write.
+        write: WriteId,
+        /// What went wrong.
+        cause: String,
+    },
+    /// The head on the platform can't be read; nothing was changed.
+    #[error(transparent)]
+    Read(ReadError),
+}
+
+impl From<ReadError> for ApplyError {
+    fn from(e: ReadError) -> ApplyError {
+        match e {
+            ReadError::Kv(e) => ApplyError::NotApplied(e),
+            e => ApplyError::Read(e),
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/store/revision.rs
@@ -0,0 +1,102 @@
+//! Which configuration is meant: its revision and the write that made it.
+
+use {
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::{
+        fmt,
+        num::ParseIntError,
+        str::FromStr, //
+    },
+};
+
+/// Number of an accepted configuration; a later one has a higher number.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// Random number of one write, by which its writer knows it again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct WriteId(u64);
+
+/// The configuration that a change was made on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Base {
+    /// Its revision; 0 where there was none.
+    pub revision: Revision,
+    /// The write that made it, where the operator knows it.
+    pub write: Option<WriteId>,
+}
+
+impl Revision {
+    /// Before the first configuration.
+    pub const NONE: Revision = Revision(0);
+
+    /// Returns the next higher revision.
+    pub fn next(self) -> Revision {
+        Revision(self.0 + 1)
+    }
+}
+
+impl WriteId {
+    /// Draws a new one.
+    pub fn random() -> WriteId {
+        WriteId(fastrand::u64(..))
+    }
+}
+
+impl From<Revision> for Base {
+    fn from(revision: Revision) -> Base {
+        Base {
+            revision,
+            write: None,
+        }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Revision {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Revision, ParseIntError> {
+        s.parse().map(Revision)
+    }
+}
+
+impl fmt::Display for WriteId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for WriteId {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<WriteId, ParseIntError> {
+        u64::from_str_radix(s, 16).map(WriteId)
+    }
+}
+
+impl TryFrom<String> for WriteId {
+    type Error = ParseIntError;
+
+    fn try_from(s: String) -> Result<WriteId, ParseIntError> {
+        s.parse()
+    }
+}
+
+impl From<WriteId> for String {
+    fn from(id: WriteId) -> String {
+        id.to_string()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/store/watch.rs
@@ -0,0 +1,139 @@
+//! Waits for a new configuration.
+
+use {
+    super::{
+        config::Config,
+        error::ReadError,
+        head::{
+            parse_head,
+            Found,
+            HEAD_KEY, //
+        },
+        read::complete,
+        revision::Revision, //
+    },
+    crate::{
+        kv::{
+            Kv,
+            Watched, //
+        },
+        types::KeyRevision,
+    },
+    async_std::task,
+    policy::Span,
+    std::cmp::Ordering, //
+};
+
+/// How long one call waits.
+///
+/// A watch whose connection went silent is noticed after this and one answer's time, so it
+/// bounds how late a change is seen then; it costs a call each time.
+const WAIT: Span = Span::secs(2);
+
+/// How often a watch is replaced by a plain read. A restored platform gives out the same key
+/// revisions again; a watch can then wait for a revision that was already passed.
+const READ_EVERY: u32 = 5;
+/// Pause after a failure, so that a missing part is not asked for in a tight loop.
+const PAUSE: Span = Span::millis(500);
+
+/// Watches the head; its state is the key revision that it saw last.
+#[derive(Debug, Clone, Default)]
+pub struct Watcher {
+    seen: KeyRevision,
+    calls: u32,
+    failed: bool,
+}
+
+/// What is on the platform, against the configuration that the watcher has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Seen {
+    /// Nothing changed.
+    Same,
+    /// A later configuration.
+    Newer(Config),
+    /// An older one, or none: the platform was restored. Keep what is in force, and repair.
+    Older {
+        /// Its revision.
+        revision: Revision,
+    },
+    /// Another configuration under the same revision: the platform was restored, and an
+    /// operator who did not know of the one in force wrote to it. Keep what is in force.
+    Other {
+        /// Who wrote it.
+        writer: String,
+    },
+}
+
+impl Watcher {
+    /// Makes a watcher that has seen nothing.
+    pub fn new() -> Watcher {
+        Watcher::default()
+    }
+
+    /// Waits up to a few seconds for something other than `have`.
+    ///
+    /// # Errors
+    ///
+    /// [`ReadError`]; call again, it keeps the pauses by itself.
+    pub async fn next(&mut self, kv: &Kv, have: Option<&Config>) -> Result<Seen, ReadError> {
+        if self.failed {
+            task::sleep(PAUSE.into()).await;
+        }
+        let seen = self.step(kv, have).await;
+        self.failed = seen.is_err();
+        seen
+    }
+
+    async fn step(&mut self, kv: &Kv, have: Option<&Config>) -> Result<Seen, ReadError> {
+        self.calls += 1;
+        let watched = match self.calls % READ_EVERY {
+            0 => match kv.get(HEAD_KEY).await? {
+                Some(entry) => Watched::Changed(entry),
+                None => Watched::Gone,
+            },
+            _ => kv.watch(HEAD_KEY, self.seen, WAIT).await?,
+        };
+        let entry = match watched {
+            Watched::Same => return Ok(Seen::Same),
+            Watched::Gone => {
+                self.seen = KeyRevision::NONE;
+                return Ok(against_none(have));
+            }
+            Watched::Changed(entry) => entry,
+        };
+        let found = parse_head(&entry)?;
+        let seen = compare(kv, found, have).await?;
+        self.seen = entry.revision;
+        Ok(seen)
+    }
+}
+
+fn against_none(have: Option<&Config>) -> Seen {
+    match have {
+        Some(_) => Seen::Older {
+            revision: Revision::NONE,
+        },
+        None => Seen::Same,
+    }
+}
+
+async fn compare(kv: &Kv, found: Found, have: Option<&Config>) -> Result<Seen, ReadError> {
+    let Some(head) = &found.head else {
+        return Ok(against_none(have));
+    };
+    if let Some(have) = have {
+        let writer = head.writer.clone();
+        match head.revision.cmp(&have.revision) {
+            Ordering::Less => {
+                let revision = head.revision;
+                return Ok(Seen::Older { revision });
+            }
+            Ordering::Equal if head.write != have.write => return Ok(Seen::Other { writer }),
+            Ordering::Equal => return Ok(Seen::Same),
+            Ordering::Greater => {}
+        }
+    }
+    let parts = have.map_or(&[][..], |c| &c.parts);
+    let config = complete(kv, found, parts).await?;
+    Ok(config.map_or(Seen::Same, Seen::Newer))
+}
--- /dev/null
+++ b/crates/standins/src/platform/faults.rs
@@ -0,0 +1,35 @@
+//! What goes wrong on request.
+
+use {
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::{
+        collections::BTreeSet,
+        time::Duration, //
+    },
+};
+
+/// In which way the platform is down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Down {
+    /// Connections are closed at once, also the open ones.
+    Refuse,
+    /// Connections are taken, and nothing is ever answered.
+    Hang,
+    /// Every call is answered by status 503.
+    Error,
+}
+
+/// The faults in force.
+#[derive(Debug, Default)]
+pub(crate) struct Faults {
+    pub(crate) down: Option<Down>,
+    pub(crate) slow: Duration,
+    /// How many of the next writes are applied, and their connection closed unanswered.
+    pub(crate) lose: u32,
+    /// Clients that get no answer.
+    pub(crate) cut: BTreeSet<String>,
+}
--- /dev/null
+++ b/crates/standins/src/platform/handle.rs
@@ -0,0 +1,173 @@
+//! Starts the stand-in, and lets a test in the same process turn its faults on and off.
+
+use {
+    super::{
+        app,
+        counts::CallCount,
+        faults::Down,
+        instances::{
+            Instance,
+            State, //
+        },
+        server,
+        state::Shared, //
+    },
+    async_std::{
+        net::TcpListener,
+        task, //
+    },
+    std::{
+        io,
+        net::SocketAddr,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// How the stand-in is started.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Address for clients; port 0 takes a free one.
+    pub addr: SocketAddr,
+    /// Address for the admin paths; port 0 takes a free one.
+    pub admin: SocketAddr,
+    /// How much later than the truth the list of instances is.
+    pub lag: Duration,
+}
+
+/// A running stand-in; it stops when this is dropped.
+#[derive(Debug)]
+pub struct Handle {
+    /// Address for clients.
+    pub addr: SocketAddr,
+    /// Address for the admin paths.
+    pub admin: SocketAddr,
+    shared: Shared,
+    tasks: Vec<task::JoinHandle<()>>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            addr: any,
+            admin: any,
+            lag: Duration::ZERO,
+        }
+    }
+}
+
+/// Starts the platform on the addresses given.
+///
+/// # Errors
+///
+/// An address can't be listened on, mostly as the port is in use.
+pub async fn start(opts: Options) -> io::Result<Handle> {
+    let shared = Shared::new(opts.lag);
+    let clients = TcpListener::bind(opts.addr).await?;
+    let admin = TcpListener::bind(opts.admin).await?;
+    let (addr, admin_addr) = (clients.local_addr()?, admin.local_addr()?);
+    let paths = app::clients(shared.clone());
+    let admin_paths = app::admin(shared.clone());
+    let tasks = vec![
+        task::spawn(server::serve_clients(clients, shared.clone(), paths)),
+        task::spawn(server::serve_admin(admin, admin_paths)),
+    ];
+    Ok(Handle {
+        addr,
+        admin: admin_addr,
+        shared,
+        tasks,
+    })
+}
+
+impl Handle {
+    /// Adds instances to the true list, or changes those of the same name.
+    pub fn put_instances(&self, list: Vec<Instance>) {
+        self.shared.lock().list.put(list, Instant::now());
+    }
+
+    /// Takes an instance off the true list; returns whether it was there.
+    pub fn remove_instance(&self, name: &str) -> bool {
+        self.shared.lock().list.remove(name, Instant::now())
+    }
+
+    /// Changes the state of an instance in the true list; returns whether it is there.
+    pub fn set_state(&self, name: &str, state: State) -> bool {
+        let now = Instant::now();
+        self.shared.lock().list.set_state(name, state, now)
+    }
+
+    /// Sets how much later than the truth the list is shown.
+    pub fn set_lag(&self, lag: Duration) {
+        self.shared.lock().list.set_lag(lag);
+    }
+
+    /// Takes the platform down, or up again.
+    pub fn set_down(&self, down: Option<Down>) {
+        self.shared.lock().set_down(down);
+    }
+
+    /// Makes each call take longer by this: half of it before it acts, half after.
+    pub fn set_slow(&self, by: Duration) {
+        self.shared.lock().faults.slow = by;
+    }
+
+    /// Applies each of the next `n` writes, and closes its connection unanswered.
+    pub fn lose_answers(&self, n: u32) {
+        self.shared.lock().faults.lose = n;
+    }
+
+    /// Leaves all calls of a client unanswered.
+    pub fn cut(&self, client: &str) {
+        self.shared.lock().faults.cut.insert(client.to_owned());
+    }
+
+    /// Answers a client again that was cut off.
+    pub fn heal(&self, client: &str) {
+        self.shared.lock().faults.cut.remove(client);
+    }
+
+    /// Makes the connections open now silent for good; new ones work.
+    pub fn silence(&self) {
+        self.shared.lock().silence();
+    }
+
+    /// Keeps a copy of all keys and leases.
+    pub fn snapshot(&self) {
+        self.shared.lock().snapshot();
+    }
+
+    /// Goes back to the last copy, revisions too; returns whether there is one.
+    pub fn restore(&self) -> bool {
+        self.shared.lock().restore()
+    }
+
+    /// Returns the calls counted, by client and kind.
+    pub fn counts(&self) -> Vec<CallCount> {
+        self.shared.lock().counts.list()
+    }
+
+    /// Returns all calls of one kind, by whichever client.
+    pub fn calls(&self, kind: &str) -> u64 {
+        let counts = self.counts();
+        let some = counts.iter().filter(|c| c.kind == kind);
+        some.map(|c| c.calls).sum()
+    }
+
+    /// Sets the counts to zero.
+    pub fn clear_counts(&self) {
+        self.shared.lock().counts.clear();
+    }
+}
+
+impl Drop for Handle {
+    fn drop(&mut self) {
+        for task in self.tasks.drain(..) {
+            task::spawn(task.cancel());
+        }
+        self.shared.lock().set_down(Some(Down::Refuse));
+    }
+}
