Count a slot as held until its router has seen it asked back

And a router that reports faster than it is answered took its owner for gone and used the static fraction (80 starts above). Now a slot is held until the later message was seen, and any progress of the acknowledgements counts as a word of the owner.

--- a/crates/policy/src/dispatch/exchange.rs
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -69,7 +69,9 @@
                 }
             }
             Message::Lend(l) => {
-                entry.hold.lend(from, incarnation, &l, &mut entry.seats);
+                entry
+                    .hold
+                    .lend(from, incarnation, &l, &mut entry.seats, now);
             }
             Message::Notes(n) => entry.ledger.merge(Writer::of(from, incarnation), n),
         }
@@ -286,7 +288,9 @@
         pool.plan(&self.ledger, pace, now);
         for (to, lend) in pool.lends(now) {
             if to == me.id {
-                out.lent |= self.hold.lend(&to, me.incarnation, &lend, &mut self.seats);
+                out.lent |= self
+                    .hold
+                    .lend(&to, me.incarnation, &lend, &mut self.seats, now);
             } else {
                 let msg = Message::Lend(lend);
                 out.sends.push(Action::Send { to, msg });
--- a/crates/policy/src/pool/borrower.rs
+++ b/crates/policy/src/pool/borrower.rs
@@ -30,6 +30,12 @@
     pub(crate) lend: u64,
     /// Slots that it was lent.
     pub(crate) lent: BTreeMap<ReplicaKey, u32>,
+    /// Lends that it may or may not have seen.
+    ///
+    /// A slot that was lent and asked back at once may already be in use: the first of
+    /// the two messages arrives first. So it counts as held until it says that it has
+    /// seen the second.
+    pub(crate) open: Vec<(u64, BTreeMap<ReplicaKey, u32>)>,
     /// The last lend that it has seen.
     pub(crate) seen: u64,
     /// When it was last told.
@@ -53,6 +59,7 @@
             waits: Vec::new(),
             lend: 0,
             lent: BTreeMap::new(),
+            open: Vec::new(),
             seen: 0,
             told: None,
             dirty: false,
@@ -74,7 +81,8 @@
     pub(crate) fn holds(&self, key: ReplicaKey) -> u32 {
         let lent = self.lent.get(&key).copied().unwrap_or(0);
         let kept = self.kept.get(&key).copied().unwrap_or(0);
-        lent.max(kept)
+        let open = self.open.iter().filter_map(|(_, l)| l.get(&key).copied());
+        open.fold(lent.max(kept), u32::max)
     }
 
     /// Returns how many slots it was lent in all.
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -42,12 +42,14 @@
     since: Time,
     /// Number of the last lend that was taken in.
     lend: u64,
+    /// Whether the last lend took slots back, which the owner waits to hear.
+    lowered: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
     seq: u64,
     sent: Option<(Time, Body)>,
     acked: u64,
-    /// Since when a report waits for its acknowledgement.
+    /// Since when reports wait and none was acknowledged.
     unheard: Option<Time>,
 }
 
@@ -83,13 +85,14 @@
         inc: Incarnation,
         l: &Lend,
         seats: &mut Seats,
+        now: Time,
     ) -> bool {
         if self.owner.as_ref() != Some(&(from.clone(), inc)) || l.seq < self.lend {
             return false;
         }
-        self.acked = self.acked.max(l.seen);
-        if self.acked == self.seq {
-            self.unheard = None;
+        if l.seen > self.acked {
+            self.acked = l.seen;
+            self.unheard = (self.acked < self.seq).then_some(now);
         }
         self.capacity = l.capacity;
         if l.seq == self.lend {
@@ -99,7 +102,9 @@
         self.pressed = l.pressed;
         let slots: BTreeMap<_, _> = l.slots.iter().copied().collect();
         for seat in seats.all.values_mut() {
-            seat.allowed = slots.get(&seat.key).copied().unwrap_or(0);
+            let allowed = slots.get(&seat.key).copied().unwrap_or(0);
+            self.lowered |= allowed < seat.allowed;
+            seat.allowed = allowed;
         }
         true
     }
@@ -125,6 +130,7 @@
             return None;
         }
         self.seq += 1;
+        self.lowered = false;
         self.unheard.get_or_insert(now);
         self.sent = Some((now, body.clone()));
         Some(Report {
@@ -140,12 +146,12 @@
             return true;
         };
         let passed = now.since(*at);
-        if body == last {
+        if body == last && !self.lowered {
             return self.acked < self.seq && passed >= AGAIN;
         }
         let fewer = body.total() < last.total();
         let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
-        let interval = if fewer || body.waits.iter().any(newly) {
+        let interval = if self.lowered || fewer || body.waits.iter().any(newly) {
             URGENT
         } else if self.pressed || !body.waits.is_empty() {
             WAITING
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -141,6 +141,7 @@
         }
         b.report = r.seq;
         b.seen = b.seen.max(r.seen);
+        b.open.retain(|(seq, _)| *seq > r.seen);
         b.kept = r.body.kept.into_iter().collect();
         b.running = r.body.running;
         b.waits = r.body.waits;
@@ -200,6 +201,7 @@
                 self.changed |= b.total() > 0 || !b.kept.is_empty();
                 b.lent.clear();
                 b.kept.clear();
+                b.open.clear();
                 b.waits.clear();
                 b.running = 0;
                 b.report = b.report.max(1);
@@ -431,6 +433,7 @@
             }
             if b.dirty || b.lend == 0 {
                 b.lend += 1;
+                b.open.push((b.lend, b.lent.clone()));
             }
             b.dirty = false;
             b.told = Some(now);
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -307,6 +307,16 @@
         let done = self.now + open.run;
         *self.running.entry(replica).or_default() += 1;
         self.starts += 1;
+        let limit = self.rules.services[0].start.0;
+        let n_run = self.running[&open.at.as_ref().unwrap().0];
+        if n_run > limit {
+            println!(
+                "over {} at {:?} on {} by r{n}",
+                n_run,
+                self.now,
+                open.at.as_ref().unwrap().0
+            );
+        }
         self.push(done, Event::Finish(n, inc, job));
     }
 
