Let a newcomer catch up with what took all slots just before it

Workspaces that become backlogged were lifted to the level of the others as charged at start. That counted requests that still run as received, so the first to fill the fleet kept its lead for good. The lift now leaves out what still runs here.

--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -142,7 +142,9 @@
     /// Puts a request into its queue.
     pub(crate) fn enqueue(&mut self, id: JobId, live: &Live, now: Time) {
         let credit = (self.rules.credit.0 * MILLI) as i64;
-        self.ledger.activate(live.key, credit);
+        let queues = &self.queues;
+        let running = |key: Key| queues.get(&key).map_or(0, |q| q.charged);
+        self.ledger.activate(live.key, credit, running);
         self.ledger.set_waits(live.key, true);
         let queue = self
             .queues
@@ -298,6 +300,7 @@
         self.ledger.charge(live.key, charged);
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.running += 1;
+            queue.charged += charged;
             queue.drain.left();
             queue.used = now;
         }
@@ -316,8 +319,12 @@
         let Some(run) = &mut live.run else { return };
         let total = milli(served.0, live.job.share);
         if total > run.charged {
-            self.ledger.charge(live.key, total - run.charged);
+            let more = total - run.charged;
+            self.ledger.charge(live.key, more);
             run.charged = total;
+            if let Some(queue) = self.queues.get_mut(&live.key) {
+                queue.charged += more;
+            }
         }
     }
 
@@ -334,6 +341,7 @@
         }
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.running = queue.running.saturating_sub(1);
+            queue.charged -= run.charged;
             queue.used = now;
         }
         if let Some(seat) = self.seats.all.get_mut(&run.replica) {
--- a/crates/policy/src/entry/queue.rs
+++ b/crates/policy/src/entry/queue.rs
@@ -21,6 +21,8 @@
     pub(crate) drain: Drain,
     /// Requests that run from here.
     pub(crate) running: u32,
+    /// What was charged for them, in thousandths of a unit.
+    pub(crate) charged: i64,
     /// When it was last not empty.
     pub(crate) waited: Option<Time>,
     /// When it was last used at all.
@@ -34,6 +36,7 @@
             places: BTreeSet::new(),
             drain: Drain::default(),
             running: 0,
+            charged: 0,
             waited: None,
             used: now,
         }
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -116,38 +116,48 @@
     }
 
     /// Returns the least level of the backlogged workspaces but one.
-    fn least(&self, but: Option<Key>) -> Option<i64> {
+    fn least(&self, but: Option<Key>, running: impl Fn(Key) -> i64) -> Option<i64> {
         self.accounts
             .iter()
             .filter(|(key, a)| Some(**key) != but && self.waits(a))
-            .map(|(key, a)| a.level(self.share(*key)))
+            .map(|(key, a)| a.level(self.share(*key)) - self.normal(*key, running(*key)))
             .min()
     }
 
+    /// Returns an amount divided by the share of a workspace.
+    fn normal(&self, key: Key, milli: i64) -> i64 {
+        (milli as f64 / self.share(key).get()) as i64
+    }
+
     /// Brings a workspace that becomes backlogged near the others.
     ///
     /// What it saved up by idling is lost but for the credit; and what it had while
     /// nobody else waited is not held against it.
-    pub(crate) fn activate(&mut self, key: Key, credit: i64) {
+    ///
+    /// `running` gives what a workspace was charged for requests that still run here. It
+    /// counts as not yet received, so that a newcomer catches up with those whose
+    /// requests took all slots just before it came.
+    pub(crate) fn activate(&mut self, key: Key, credit: i64, running: impl Fn(Key) -> i64) {
         if self.accounts.get(&key).is_some_and(|a| self.waits(a)) {
             return;
         }
         let level = self.level(key);
-        let least = self.least(Some(key));
+        let least = self.least(Some(key), &running);
         let low = least.unwrap_or(self.floor) - credit;
         if level < low {
             self.shift(key, low - level);
         }
         if let Some(high) = least.map(|l| l + credit) {
-            if level > high {
-                self.shift(key, high - level);
+            let received = level - self.normal(key, running(key));
+            if received > high {
+                self.shift(key, high - received);
             }
         }
     }
 
     /// Notes how far the least backlogged workspace is.
     pub(crate) fn watch(&mut self) {
-        if let Some(least) = self.least(None) {
+        if let Some(least) = self.least(None, |_| 0) {
             self.floor = self.floor.max(least);
         }
     }
@@ -157,7 +167,7 @@
     /// After a partition heals, one workspace may be far ahead of the rest. Without
     /// this it would get nothing until all had caught up, which shows as starvation.
     pub(crate) fn forgive(&mut self, debt: i64) {
-        let Some(least) = self.least(None) else {
+        let Some(least) = self.least(None, |_| 0) else {
             return;
         };
         let ahead: Vec<(Key, i64)> = self
