Fuzz several routers against an oracle that knows the whole

Found so far: a slot that was lent and at once given back was not reported when the report had the same content as the last one, and stood idle for 300 ms; and rounding of targets left one slot over.

--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -14,6 +14,7 @@
             Entry,
             Live, //
         },
+        pool::Pool,
         shares::Writer,
         Action,
         DispatchDump,
@@ -381,5 +382,6 @@
                 limit: entry.pool.as_ref().and_then(|p| p.limit(s.key)),
             })
             .collect(),
+        routers: entry.pool.as_ref().map(Pool::dump).unwrap_or_default(),
     }
 }
--- a/crates/policy/src/dispatch/dump.rs
+++ b/crates/policy/src/dispatch/dump.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         Mode,
+        PeerState,
         ReplicaId,
         RouterId,
         ServiceId,
@@ -44,6 +45,25 @@
     pub queues: Vec<QueueDump>,
     /// Its replicas.
     pub replicas: Vec<ReplicaDump>,
+    /// What each router holds of it, where this router owns the pool.
+    pub routers: Vec<BorrowerDump>,
+}
+
+/// A router, as the owner of a pool sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BorrowerDump {
+    /// Its name.
+    pub router: RouterId,
+    /// What is believed of it.
+    pub state: PeerState,
+    /// Slots that it was lent.
+    pub lent: Slots,
+    /// Slots that it keeps by its last report.
+    pub kept: Slots,
+    /// Requests that run from it.
+    pub running: Slots,
+    /// Requests that wait there, rounded.
+    pub waiting: usize,
 }
 
 /// The queue of one workspace.
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
     action::Action,
     core::Dispatch,
     dump::{
+        BorrowerDump,
         DispatchDump,
         OwnerView,
         QueueDump,
--- a/crates/policy/src/entry/seats.rs
+++ b/crates/policy/src/entry/seats.rs
@@ -97,11 +97,14 @@
         }
     }
 
-    /// Keeps no more than what runs.
-    pub(crate) fn close(&mut self) {
+    /// Keeps no more than what runs; returns whether that changed anything.
+    pub(crate) fn close(&mut self) -> bool {
+        let mut closed = false;
         for seat in self.all.values_mut() {
+            closed |= seat.allowed > seat.running;
             seat.allowed = seat.allowed.min(seat.running);
         }
+        closed
     }
 
     /// Chooses a replica with room: in this zone first, then the idlest.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub use self::{
     dispatch::{
         Action,
+        BorrowerDump,
         Dispatch,
         DispatchDump,
         Finish,
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -42,8 +42,8 @@
     since: Time,
     /// Number of the last lend that was taken in.
     lend: u64,
-    /// Whether the last lend took slots back, which the owner waits to hear.
-    lowered: bool,
+    /// Whether the owner waits to hear that slots are back.
+    owes: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
     seq: u64,
@@ -103,18 +103,18 @@
         let slots: BTreeMap<_, _> = l.slots.iter().copied().collect();
         for seat in seats.all.values_mut() {
             let allowed = slots.get(&seat.key).copied().unwrap_or(0);
-            self.lowered |= allowed < seat.allowed;
+            self.owes |= allowed < seat.allowed;
             seat.allowed = allowed;
         }
         true
     }
 
     /// Gives back what is idle while work waits elsewhere.
-    pub(crate) fn give_back(&self, queues: &BTreeMap<Key, Queue>, seats: &mut Seats) {
+    pub(crate) fn give_back(&mut self, queues: &BTreeMap<Key, Queue>, seats: &mut Seats) {
         if !self.pressed || self.lend == 0 || queues.values().any(|q| !q.is_empty()) {
             return;
         }
-        seats.close();
+        self.owes |= seats.close();
     }
 
     /// Returns the report that is due, if any.
@@ -130,7 +130,7 @@
             return None;
         }
         self.seq += 1;
-        self.lowered = false;
+        self.owes = false;
         self.unheard.get_or_insert(now);
         self.sent = Some((now, body.clone()));
         Some(Report {
@@ -146,12 +146,12 @@
             return true;
         };
         let passed = now.since(*at);
-        if body == last && !self.lowered {
+        if body == last && !self.owes {
             return self.acked < self.seq && passed >= AGAIN;
         }
         let fewer = body.total() < last.total();
         let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
-        let interval = if self.lowered || fewer || body.waits.iter().any(newly) {
+        let interval = if self.owes || fewer || body.waits.iter().any(newly) {
             URGENT
         } else if self.pressed || !body.waits.is_empty() {
             WAITING
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -20,6 +20,7 @@
             Key,
             Ledger, //
         },
+        BorrowerDump,
         Incarnation,
         Peer,
         PeerState,
@@ -253,6 +254,21 @@
         self.lots.get(&key).map(|l| Slots(l.limit))
     }
 
+    /// Returns what each router holds, as operators read it.
+    pub(crate) fn dump(&self) -> Vec<BorrowerDump> {
+        self.borrowers
+            .iter()
+            .map(|(id, b)| BorrowerDump {
+                router: id.clone(),
+                state: b.state,
+                lent: Slots(b.total()),
+                kept: Slots(b.kept.values().sum()),
+                running: Slots(b.running),
+                waiting: b.waits.iter().map(|w| w.queued as usize).sum(),
+            })
+            .collect()
+    }
+
     /// Returns the free slots of a replica, below zero where too many are out.
     fn free(&self, key: ReplicaKey, lot: &Lot) -> i64 {
         let held: u32 = self.borrowers.values().map(|b| b.holds(key)).sum();
@@ -464,6 +480,7 @@
 
 /// Rounds targets to whole slots so that few of them move.
 fn round(exact: Vec<(&RouterId, f64, u32)>, capacity: u32) -> BTreeMap<RouterId, u32> {
+    let total: f64 = exact.iter().map(|e| e.1).sum();
     let mut out: BTreeMap<RouterId, u32> = BTreeMap::new();
     let mut rest: Vec<(f64, &RouterId)> = Vec::new();
     for (id, due, now) in exact {
@@ -473,10 +490,7 @@
         rest.push((due - whole + has, id));
     }
     let given: u32 = out.values().sum();
-    let exact_total: f64 = rest.iter().map(|r| r.0.fract()).sum::<f64>();
-    let left = capacity
-        .saturating_sub(given)
-        .min(exact_total.ceil() as u32);
+    let left = capacity.min(total.round() as u32).saturating_sub(given);
     rest.sort_by(|a, b| b.0.total_cmp(&a.0));
     for (_, id) in rest.into_iter().take(left as usize) {
         *out.entry(id.clone()).or_default() += 1;
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -4,6 +4,8 @@
     reason = "each test binary uses its own part of this helper"
 )]
 
+pub mod oracle;
+
 use {
     policy::{
         Action,
@@ -56,6 +58,20 @@
     pub double: u8,
 }
 
+impl Net {
+    /// Nothing is lost, doubled or overtaken.
+    pub const CLEAR: Net = Net {
+        delay: Span(1_500),
+        jitter: Span::ZERO,
+        loss: 0,
+        double: 0,
+    };
+
+    pub fn clear(&self) -> bool {
+        self.loss == 0 && self.double == 0 && self.jitter == Span::ZERO
+    }
+}
+
 pub struct Node {
     pub dispatch: Dispatch,
     pub peer: Peer,
@@ -73,6 +89,7 @@
     pub cost: f64,
     pub at: Option<(ReplicaId, Time)>,
     pub arrived: Time,
+    pub deadline: Time,
 }
 
 enum Event {
@@ -96,16 +113,23 @@
     pub net: Net,
     /// Routers on the far side of a partition.
     pub cut: BTreeSet<usize>,
+    /// Whether every router knows the list of replicas as it is.
+    pub told: bool,
     pub rules: Rules,
     pub replicas: Vec<Replica>,
     pub running: BTreeMap<ReplicaId, u32>,
     pub served: Vec<f64>,
     pub ended: Vec<Ended>,
+    /// Requests that died with their router.
+    pub lost: usize,
     pub starts: u64,
+    /// When a request of each workspace last started.
+    pub last_start: Vec<Time>,
     incarnations: u64,
     events: BTreeMap<Reverse<(Time, u64)>, Event>,
     numbers: u64,
-    states: Vec<PeerState>,
+    /// Routers that were killed, as the others still know them.
+    dead: Vec<Option<Peer>>,
 }
 
 pub fn service() -> ServiceId {
@@ -151,23 +175,21 @@
             now: Time(0),
             rng: fastrand::Rng::with_seed(seed),
             nodes: (0..routers).map(|_| None).collect(),
-            net: Net {
-                delay: Span(1_500),
-                jitter: Span::ZERO,
-                loss: 0,
-                double: 0,
-            },
+            net: Net::CLEAR,
             cut: BTreeSet::new(),
+            told: true,
             rules,
             replicas,
             running: BTreeMap::new(),
             served: vec![0.0; workspaces],
             ended: Vec::new(),
+            lost: 0,
             starts: 0,
+            last_start: vec![Time(0); workspaces],
             incarnations: 0,
             events: BTreeMap::new(),
             numbers: 0,
-            states: vec![PeerState::Leaving; routers],
+            dead: vec![None; routers],
         };
         for n in 0..routers {
             fleet.start(n);
@@ -200,7 +222,7 @@
             sent: 0,
             messages: 0,
         });
-        self.states[n] = PeerState::Live;
+        self.dead[n] = None;
     }
 
     /// Kills a router with all that it runs; the others notice when told.
@@ -210,17 +232,23 @@
         };
         for open in node.open.into_values() {
             self.free(&open);
+            self.lost += 1;
         }
-        self.states[n] = PeerState::Suspect;
+        self.dead[n] = Some(node.peer);
         self.tell_routers();
     }
 
     /// Tells every router which others it hears.
     pub fn tell_routers(&mut self) {
+        let dead = |p: &Option<Peer>| {
+            let state = PeerState::Suspect;
+            p.clone().map(|p| Peer { state, ..p })
+        };
         let peers: Vec<Option<Peer>> = self
             .nodes
             .iter()
-            .map(|n| n.as_ref().map(|n| n.peer.clone()))
+            .zip(&self.dead)
+            .map(|(n, d)| n.as_ref().map_or(dead(d), |n| Some(n.peer.clone())))
             .collect();
         for n in 0..self.nodes.len() {
             let list = peers
@@ -242,6 +270,34 @@
         }
     }
 
+    /// Marks a replica as leaving, or as back; the routers learn it by the list later.
+    pub fn mark(&mut self, n: usize, leaving: bool) {
+        self.replicas[n].leaving = leaving;
+        self.told = false;
+    }
+
+    /// Tells every router the list of replicas.
+    pub fn tell_replicas(&mut self) {
+        for n in 0..self.nodes.len() {
+            if let Some(node) = &mut self.nodes[n] {
+                let list = self.replicas.clone();
+                node.dispatch.replicas(&service(), list, self.now);
+            }
+            self.settle(n);
+        }
+        self.told = true;
+    }
+
+    /// Ends a router in order: it takes nothing new in and finishes what runs.
+    pub fn leave(&mut self, n: usize) {
+        if let Some(node) = &mut self.nodes[n] {
+            node.peer.state = PeerState::Leaving;
+            node.dispatch.leave(self.now);
+        }
+        self.settle(n);
+        self.tell_routers();
+    }
+
     /// Cuts these routers off from the others; none heals the partition.
     pub fn partition(&mut self, cut: BTreeSet<usize>) {
         self.cut = cut;
@@ -278,6 +334,7 @@
             cost,
             at: None,
             arrived: self.now,
+            deadline: self.now + window,
         };
         let id = node.dispatch.submit(job, self.now);
         node.open.insert(id, open);
@@ -305,18 +362,11 @@
         assert!(open.at.is_none(), "a second start of a job");
         open.at = Some((replica.clone(), self.now));
         let done = self.now + open.run;
-        *self.running.entry(replica).or_default() += 1;
+        *self.running.entry(replica.clone()).or_default() += 1;
         self.starts += 1;
-        let limit = self.rules.services[0].start.0;
-        let n_run = self.running[&open.at.as_ref().unwrap().0];
-        if n_run > limit {
-            println!(
-                "over {} at {:?} on {} by r{n}",
-                n_run,
-                self.now,
-                open.at.as_ref().unwrap().0
-            );
-        }
+        self.last_start[open.workspace] = self.now;
+        let gone = self.replicas.iter().any(|r| r.leaving && r.id == replica);
+        assert!(!gone || !self.told, "a start on a replica that leaves");
         self.push(done, Event::Finish(n, inc, job));
     }
 
