--- a/crates/policy/src/dispatch/exchange.rs
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -265,10 +265,7 @@
             sends: Vec::new(),
             lent: false,
         };
-        if leaving {
-            self.seats.close();
-        }
-        self.hold.give_back(&self.queues, &mut self.seats);
+        self.hold.give_back(&self.queues, &mut self.seats, leaving);
         let report = self
             .hold
             .report(service_key(service), &self.queues, &self.seats, now);
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -47,6 +47,8 @@
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
     seq: u64,
+    /// The last lend that the owner was told to be seen.
+    told: u64,
     sent: Option<(Time, Body)>,
     acked: u64,
     /// Since when reports wait and none was acknowledged.
@@ -62,6 +64,7 @@
         self.owner = owner;
         self.since = now;
         self.lend = 0;
+        self.told = 0;
         self.sent = None;
         self.unheard = None;
     }
@@ -96,6 +99,8 @@
         }
         self.capacity = l.capacity;
         if l.seq == self.lend {
+            // The owner sends it again, so the report that said it was seen got lost.
+            self.told = 0;
             return false;
         }
         self.lend = l.seq;
@@ -109,12 +114,18 @@
         true
     }
 
-    /// Gives back what is idle while work waits elsewhere.
-    pub(crate) fn give_back(&mut self, queues: &BTreeMap<Key, Queue>, seats: &mut Seats) {
-        if !self.pressed || self.lend == 0 || queues.values().any(|q| !q.is_empty()) {
-            return;
+    /// Gives back what is idle while work waits elsewhere, or when this router leaves.
+    pub(crate) fn give_back(
+        &mut self,
+        queues: &BTreeMap<Key, Queue>,
+        seats: &mut Seats,
+        leaving: bool,
+    ) {
+        let wanted = queues.values().any(|q| !q.is_empty());
+        let spare = self.pressed && self.lend > 0 && !wanted;
+        if spare || leaving {
+            self.owes |= seats.close();
         }
-        self.owes |= seats.close();
     }
 
     /// Returns the report that is due, if any.
@@ -131,6 +142,7 @@
         }
         self.seq += 1;
         self.owes = false;
+        self.told = self.lend;
         self.unheard.get_or_insert(now);
         self.sent = Some((now, body.clone()));
         Some(Report {
@@ -146,13 +158,15 @@
             return true;
         };
         let passed = now.since(*at);
-        if body == last && !self.owes {
-            return self.acked < self.seq && passed >= AGAIN;
-        }
         let fewer = body.total() < last.total();
         let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
         let interval = if self.owes || fewer || body.waits.iter().any(newly) {
             URGENT
+        } else if body == last && self.told == self.lend {
+            match self.acked < self.seq {
+                true => AGAIN,
+                false => return false,
+            }
         } else if self.pressed || !body.waits.is_empty() {
             WAITING
         } else {
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -42,7 +42,7 @@
 /// Shortest time between two lends to one router.
 const LEND: Span = Span::millis(10);
 /// A lend that was not acknowledged is sent again after this time.
-const AGAIN: Span = Span::millis(300);
+const AGAIN: Span = Span::millis(500);
 /// A report is acknowledged within this time.
 const ACK: Span = Span::millis(200);
 /// A router that never reported is taken to hold its fraction for this time.
@@ -174,6 +174,7 @@
             true => self.wants_pressed(ledger, pace),
             false => self.wants_idle(),
         };
+        self.restore(&wants);
         if due {
             self.planned = now;
             self.take_back(&wants);
@@ -335,7 +336,9 @@
                     .iter()
                     .map(|w| f64::from(w.queued + w.running) * part[&w.key])
                     .sum();
-                (id, due + f64::from(b.passing()), b.total())
+                // Where nothing waits, what runs needs no slot after it.
+                let passing = if b.waits.is_empty() { 0 } else { b.passing() };
+                (id, due + f64::from(passing), b.total())
             })
             .collect();
         round(exact, self.capacity())
@@ -365,6 +368,19 @@
             .collect()
     }
 
+    /// Lends again what a router still uses beyond what it was lent, if it should have it.
+    fn restore(&mut self, wants: &BTreeMap<RouterId, u32>) {
+        for (id, b) in &mut self.borrowers {
+            let want = wants.get(id).copied().unwrap_or(0);
+            let kept = b.kept.clone();
+            for (key, n) in kept.into_iter().filter(|(k, _)| self.lots.contains_key(k)) {
+                while b.total() < want && b.lent.get(&key).is_none_or(|l| *l < n) {
+                    b.raise(key);
+                }
+            }
+        }
+    }
+
     /// Asks slots back from routers that have more than they should, where another lacks.
     fn take_back(&mut self, wants: &BTreeMap<RouterId, u32>) {
         let free: i64 = self.lots.iter().map(|(k, l)| self.free(*k, l).max(0)).sum();
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -482,6 +482,13 @@
             .count()
     }
 
+    /// Returns whether more than a third of the routers vanished and were not yet dropped.
+    pub fn many_dead(&self) -> bool {
+        let live = self.nodes.iter().flatten().count();
+        let dead = self.dead.iter().flatten().count();
+        live * 3 < (live + dead) * 2
+    }
+
     /// Returns how many requests run.
     pub fn busy(&self) -> u32 {
         self.running.values().sum()
