--- a/crates/endpoints/src/error.rs
+++ b/crates/endpoints/src/error.rs
@@ -42,6 +42,9 @@
     /// The endpoint has nothing left to resume.
     #[error("endpoint no longer knows the stream; repeat the call if it is idempotent")]
     Unresumable,
+    /// The endpoint failed when it was to resume a stream.
+    #[error("resume failed with status {0}; repeat the call if it is idempotent")]
+    NotResumed(u16),
     /// The endpoint answered that it failed.
     #[error("endpoint failed with status {0}; look at its logs")]
     Status(u16),
--- a/crates/endpoints/src/run/progress.rs
+++ b/crates/endpoints/src/run/progress.rs
@@ -40,6 +40,8 @@
     pub(crate) failures: u32,
     /// How often it was silent since the last token.
     pub(crate) silences: u32,
+    /// Whether it was begun anew after the endpoint had nothing to resume.
+    pub(crate) renewed: bool,
     /// How often it was resumed.
     pub(crate) resumed: u32,
     started: Instant,
@@ -58,6 +60,7 @@
             number: None,
             failures: 0,
             silences: 0,
+            renewed: false,
             resumed: 0,
             started: Instant::now(),
             first: None,
--- a/crates/endpoints/src/run/task.rs
+++ b/crates/endpoints/src/run/task.rs
@@ -152,7 +152,7 @@
             (true, _) => self.stream(reply, from).await,
             (false, None) => self.plain(reply).await,
             (false, Some(_)) if reply.status < 500 => Err(CallError::Unresumable),
-            (false, Some(_)) => Err(CallError::Status(reply.status)),
+            (false, Some(_)) => Err(CallError::NotResumed(reply.status)),
         }
     }
 
@@ -186,18 +186,16 @@
         }
         let wrote = self.state.wrote || self.state.spent;
         let idempotent = self.call.idempotent;
-        // A kept connection may have been closed, or gone silent, since its last call. It
-        // shows as a call that breaks before its answer begins. Only an idempotent call
-        // uses one, so that it may go again over a new connection.
-        if start == Start::Kept && !self.state.head {
-            return Some(Start::New);
-        }
         if self.call.kind == Kind::Plain || !wrote {
-            return None;
+            // A kept connection may have been closed, or gone silent, since its last call.
+            // It shows as a call that breaks before its answer begins. Only an idempotent
+            // call uses one, so it may go again over a new connection.
+            let stale = start == Start::Kept && !self.state.head;
+            return stale.then_some(Start::New);
         }
         if *cause == CallError::Unresumable {
-            let unseen = idempotent && !self.state.head && self.state.failures == 0;
-            self.state.failures += 1;
+            let unseen = idempotent && self.state.tokens == 0 && !self.state.renewed;
+            self.state.renewed = true;
             return unseen.then_some(Start::New);
         }
         self.state.failures += 1;
