--- a/crates/endpoints/src/body.rs
+++ b/crates/endpoints/src/body.rs
@@ -14,6 +14,7 @@
         Cursor, //
     },
     std::{
+        collections::HashSet,
         io,
         pin::Pin,
         task::{
@@ -89,6 +90,7 @@
             .map_err(bad)?;
         let status = u16::from(parsed.status());
         drop(parsed.take_body());
+        let passed = headers(&head, &parsed);
         let frame = match () {
             _ if bodiless || status == 204 || status == 304 => Frame::Empty,
             _ if parsed.header("transfer-encoding").is_some() => Frame::Chunked,
@@ -115,7 +117,7 @@
             .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
         Ok(Reply {
             status,
-            headers: headers(&parsed),
+            headers: passed,
             length: match frame {
                 Frame::Left(n) => Some(n),
                 Frame::Empty => Some(0),
@@ -177,16 +179,19 @@
 }
 
 /// Returns the headers to pass on.
-fn headers(parsed: &http_types::Response) -> Vec<Header> {
+///
+/// The library adds a `date` with a line end in it, which would end the head early, and a
+/// `content-type` where the endpoint sent none. Only what stands in the head is taken.
+fn headers(head: &[u8], parsed: &http_types::Response) -> Vec<Header> {
+    let head = String::from_utf8_lossy(head).to_ascii_lowercase();
+    let sent: HashSet<&str> = head.lines().filter_map(|l| l.split(':').next()).collect();
     let mut all = Vec::new();
     for (name, values) in parsed.iter() {
+        if !sent.contains(name.as_str()) || frames(name.as_str()) {
+            continue;
+        }
         for value in values.iter() {
-            // The library adds a `date` with a line end in it where the endpoint sent
-            // none; passed on it would end the head early. A line end is only there.
-            let added = value.as_str().contains('\n');
-            if !added && !frames(name.as_str()) {
-                all.push(Header::new(name.as_str(), value.as_str()));
-            }
+            all.push(Header::new(name.as_str(), value.as_str()));
         }
     }
     all
--- a/crates/endpoints/src/request.rs
+++ b/crates/endpoints/src/request.rs
@@ -34,7 +34,11 @@
         req.insert_header(names::RESUME_FROM, n.to_string());
     }
     if !call.body.is_empty() {
+        let typed = req.content_type().is_some();
         req.set_body(&call.body[..]);
+        if !typed {
+            req.remove_header("content-type");
+        }
     }
     let mut buf = Vec::with_capacity(call.body.len() + 512);
     Encoder::new(req)
--- a/crates/endpoints/src/run/progress.rs
+++ b/crates/endpoints/src/run/progress.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        sse::Sse,
         CallError,
         End, //
     },
@@ -32,10 +33,14 @@
     pub(crate) head: bool,
     /// Whether the endpoint said that a resume never runs the call again.
     pub(crate) resumable: bool,
+    /// Whether the endpoint agreed to go on with the stream in this try.
+    pub(crate) alive: bool,
     /// Tokens passed on.
     pub(crate) tokens: u32,
     /// Number of the last event passed on that carries a token.
     pub(crate) number: Option<u32>,
+    /// Whether the event that ends the text was passed on.
+    pub(crate) finished: bool,
     /// Tries since the last progress.
     pub(crate) failures: u32,
     /// How often it was silent since the last token.
@@ -56,8 +61,10 @@
             spent: false,
             head: false,
             resumable: false,
+            alive: false,
             tokens: 0,
             number: None,
+            finished: false,
             failures: 0,
             silences: 0,
             renewed: false,
@@ -69,16 +76,25 @@
     }
 
     /// Notes a token that was passed on.
-    pub(crate) fn token(&mut self, number: Option<u32>) {
+    pub(crate) fn token(&mut self, sse: &Sse) {
         let now = Instant::now();
         self.first.get_or_insert(now);
         self.last = Some(now);
         self.tokens += 1;
-        self.number = number;
+        self.number = sse.number;
+        self.finished |= sse.last;
         self.failures = 0;
         self.silences = 0;
     }
 
+    /// Returns whether no further resume is worth it.
+    ///
+    /// An engine under load can be silent for long and well all the same: it agrees to go
+    /// on each time. Such tries only count against the doublings of the silence bound.
+    pub(crate) fn spent_all(&self, resumes: u32) -> bool {
+        self.failures > resumes || self.silences > DOUBLINGS
+    }
+
     /// Returns how long nothing may come before it counts as silence.
     ///
     /// Each silence without a token after it doubles the bound, so an engine that is only
--- a/crates/endpoints/src/run/stream.rs
+++ b/crates/endpoints/src/run/stream.rs
@@ -47,6 +47,7 @@
             Some(_) if echoed == from => Resume::Echoed,
             Some(_) => Resume::Asked,
         };
+        self.state.alive = from.is_some();
         self.pass_head(&reply).await?;
         let mut splitter = Splitter::default();
         loop {
@@ -66,22 +67,23 @@
     async fn events(&mut self, splitter: &mut Splitter, resume: Resume) -> Result<bool, CallError> {
         let (mut bytes, mut tokens) = (Vec::new(), 0);
         let mut done = Ok(false);
-        while let Some(sse) = splitter.next() {
+        while let (Ok(false), Some(sse)) = (&done, splitter.next()) {
             match self.due(&sse, resume) {
-                Ok(true) => bytes.extend_from_slice(&sse.bytes),
+                Ok(true) => {}
                 Ok(false) => continue,
-                Err(e) => done = Err(e),
+                Err(e) => {
+                    done = Err(e);
+                    break;
+                }
             }
+            bytes.extend_from_slice(&sse.bytes);
             match sse.part {
-                Part::Token if done.is_ok() => {
-                    self.state.token(sse.number);
+                Part::Token => {
+                    self.state.token(&sse);
                     tokens += 1;
                 }
                 Part::Done => done = Ok(true),
-                Part::Token | Part::Empty => {}
-            }
-            if done != Ok(false) {
-                break;
+                Part::Empty => {}
             }
         }
         if !bytes.is_empty() {
@@ -96,13 +98,25 @@
     /// as a word twice or missing in the caller's text. The numbers of the events tell;
     /// without them only an endpoint that echoes where it goes on is believed.
     fn due(&self, sse: &Sse, resume: Resume) -> Result<bool, CallError> {
-        if sse.part != Part::Token || resume == Resume::No {
-            return Ok(true);
+        match sse.part {
+            _ if resume == Resume::No => return Ok(true),
+            Part::Empty => return Ok(true),
+            // A resumed stream that leaves the tail out shows by no number, only by an end
+            // without the event that gives the reason for it.
+            Part::Done if !self.state.finished => return Err(CallError::Cut),
+            Part::Done => return Ok(true),
+            Part::Token => {}
         }
-        match (self.state.number, sse.number) {
-            (Some(last), Some(n)) if n <= last => Ok(false),
-            (Some(last), Some(n)) if n > last + 1 => Err(CallError::Cut),
-            (Some(_), Some(_)) => Ok(true),
+        // Endpoints number their tokens from 0. Before the first token came there is no
+        // other number to go by.
+        let next = match self.state.number {
+            Some(last) => last.saturating_add(1),
+            None => 0,
+        };
+        match sse.number {
+            Some(n) if n < next => Ok(false),
+            Some(n) if n > next => Err(CallError::Cut),
+            Some(_) => Ok(true),
             _ if self.state.tokens == 0 || resume == Resume::Echoed => Ok(true),
             _ => Err(CallError::Unresumable),
         }
--- a/crates/endpoints/src/run/task.rs
+++ b/crates/endpoints/src/run/task.rs
@@ -133,6 +133,7 @@
 
     /// Makes one try; `start` is lowered to `New` where no kept connection was there.
     async fn attempt(&mut self, start: &mut Start) -> Result<End, CallError> {
+        self.state.alive = false;
         let from = (*start == Start::Resume).then_some(self.state.tokens);
         let bytes = request::bytes(&self.call, from).await?;
         let mut conn = self.connect(start).await?;
@@ -198,9 +199,10 @@
             self.state.renewed = true;
             return unseen.then_some(Start::New);
         }
-        self.state.failures += 1;
+        let slow = self.state.alive && matches!(cause, CallError::Silent(_));
+        self.state.failures += u32::from(!slow);
         let may = idempotent || self.state.resumable;
-        if !may || self.state.failures > self.inner.opts.resumes {
+        if !may || self.state.spent_all(self.inner.opts.resumes) {
             return None;
         }
         self.state.resumed += 1;
--- a/crates/endpoints/src/sse.rs
+++ b/crates/endpoints/src/sse.rs
@@ -18,6 +18,8 @@
     pub(crate) number: Option<u32>,
     /// What it stands for.
     pub(crate) part: Part,
+    /// Whether it says that the text ends with it.
+    pub(crate) last: bool,
 }
 
 /// What an event stands for.
@@ -42,12 +44,7 @@
     pub(crate) fn next(&mut self) -> Option<Sse> {
         let end = boundary(&self.buf)?;
         let bytes: Vec<u8> = self.buf.drain(..end).collect();
-        let (number, part) = parse(&bytes);
-        Some(Sse {
-            bytes,
-            number,
-            part,
-        })
+        Some(parse(bytes))
     }
 }
 
@@ -66,20 +63,34 @@
     None
 }
 
-fn parse(bytes: &[u8]) -> (Option<u32>, Part) {
-    let text = String::from_utf8_lossy(bytes);
-    let mut number = None;
-    let mut part = Part::Empty;
+fn parse(bytes: Vec<u8>) -> Sse {
+    let text = String::from_utf8_lossy(&bytes);
+    let (mut number, mut part, mut last) = (None, Part::Empty, false);
     for line in text.lines() {
         if let Some(value) = line.strip_prefix("id:") {
             number = value.trim().parse().ok();
         }
         if let Some(value) = line.strip_prefix("data:") {
+            last = finishes(value);
             part = match value.trim() {
                 "[DONE]" => Part::Done,
                 _ => Part::Token,
             };
         }
     }
-    (number, part)
+    Sse {
+        number,
+        part,
+        last,
+        bytes,
+    }
+}
+
+/// Returns whether a chunk of a completion gives a reason why the text ends.
+fn finishes(chunk: &str) -> bool {
+    let Some((_, rest)) = chunk.split_once("\"finish_reason\"") else {
+        return false;
+    };
+    let value = rest.trim_start_matches([':', ' ']);
+    !value.starts_with("null")
 }
--- a/crates/endpoints/tests/common/mod.rs
+++ b/crates/endpoints/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use {
+    async_std::task::sleep,
     endpoints::{
         Call,
         Kind, //
@@ -72,6 +73,15 @@
     }
 }
 
+/// Waits until something is so, and fails where it never is.
+pub async fn eventually(what: &str, is: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !is() {
+        assert!(start.elapsed() < Duration::from_secs(30), "never: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// The text that the events of a stream carry.
 pub fn text(body: &[u8]) -> String {
     let body = String::from_utf8(body.to_vec()).expect("text");
--- a/crates/standins/src/plain/service.rs
+++ b/crates/standins/src/plain/service.rs
@@ -200,7 +200,7 @@
             sleep(Duration::from_millis(ms)).await;
             conn.answer(200, &headers, text).await?;
         }
-        None | Some(Fault::ResetUnread | Fault::Ignored) => {
+        None | Some(_) => {
             conn.answer(200, &headers, text).await?;
         }
     }
--- a/crates/standins/src/wire/fault.rs
+++ b/crates/standins/src/wire/fault.rs
@@ -49,6 +49,16 @@
     },
     /// The whole answer of the request, then a second answer for another id, unasked.
     Twice,
+    /// A resumed stream begins this many tokens too early.
+    Overlap {
+        /// How many tokens come twice.
+        by: u32,
+    },
+    /// A resumed stream leaves this many tokens out.
+    Skip {
+        /// How many tokens are missing.
+        by: u32,
+    },
     /// The request runs and ends in a status of 500.
     Fail,
 }
