Give callers and operators their commands

Cause: where, call, apply, profiles, status, dump and the stand-ins had no command. Limits in settings are those of the callers' crate. callers: Client::ask is public now.

--- a/crates/callers/src/client/steps.rs
+++ b/crates/callers/src/client/steps.rs
@@ -223,7 +223,11 @@
     }
 
     /// Asks one router which address to use, and for tickets.
-    async fn ask(
+    ///
+    /// # Errors
+    ///
+    /// The router's refusal, or that it could not be reached.
+    pub async fn ask(
         &self,
         service: &ServiceId,
         router: SocketAddr,
--- a/crates/operators/src/ask.rs
+++ b/crates/operators/src/ask.rs
@@ -6,6 +6,7 @@
         net::TcpStream, //
     },
     http_types::{
+        mime,
         Method,
         Request,
         Url, //
@@ -49,8 +50,25 @@
 ///
 /// When there is no answer within a few seconds, or one that isn't good.
 pub async fn ask(address: SocketAddr, path: &str) -> Result<String, AskError> {
+    bounded(address, path, None).await
+}
+
+/// Posts JSON, such as to a stand-in's admin address, and returns the body of the answer.
+///
+/// # Errors
+///
+/// When there is no answer within a few seconds, or one that isn't good.
+pub async fn post(address: SocketAddr, path: &str, json: String) -> Result<String, AskError> {
+    bounded(address, path, Some(json)).await
+}
+
+async fn bounded(
+    address: SocketAddr,
+    path: &str,
+    json: Option<String>,
+) -> Result<String, AskError> {
     let fail = |cause: String| AskError::NotReached { address, cause };
-    let exchange = timeout(ANSWER_TIME, exchange(address, path)).await;
+    let exchange = timeout(ANSWER_TIME, exchange(address, path, json)).await;
     let (status, body) = exchange
         .map_err(|_| fail(format!("no answer within {ANSWER_TIME:?}")))?
         .map_err(|e| fail(e.to_string()))?;
@@ -64,11 +82,20 @@
     Ok(body)
 }
 
-async fn exchange(address: SocketAddr, path: &str) -> http_types::Result<(u16, String)> {
+async fn exchange(
+    address: SocketAddr,
+    path: &str,
+    json: Option<String>,
+) -> http_types::Result<(u16, String)> {
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let url = Url::parse(&format!("http://{address}{path}"))?;
     let mut request = Request::new(Method::Get, url);
+    if let Some(json) = json {
+        request.set_method(Method::Post);
+        request.set_body(json);
+        request.set_content_type(mime::JSON);
+    }
     request.insert_header("connection", "close");
     let mut response = async_h1::connect(stream, request).await?;
     let status = response.status().into();
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -16,6 +16,7 @@
 pub use self::{
     ask::{
         ask,
+        post,
         read_view,
         AskError, //
     },
--- /dev/null
+++ b/src/cli/call.rs
@@ -0,0 +1,110 @@
+//! Sending one request.
+
+use {
+    super::flags::Call as CallFlags,
+    crate::errors::Error,
+    callers::{
+        Answer,
+        Call,
+        Client,
+        ClientSettings, //
+    },
+    policy::Outcome,
+    serde_json::json,
+    std::io::{
+        self,
+        Write, //
+    },
+};
+
+/// Path of a model's chat completions.
+const CHAT: &str = "/v1/chat/completions";
+
+/// Sends one request and prints the answer as it comes.
+pub(crate) async fn call(flags: &CallFlags) -> Result<(), Error> {
+    let mut settings = ClientSettings::new(vec![flags.router]);
+    settings.workspace = Some(flags.workspace.clone());
+    settings.tickets = 1;
+    let client = Client::new(settings);
+    let call = call_of(flags)?;
+    let mut out = io::stdout();
+    let mut failed = None;
+    let answer = client
+        .call_streamed(&call, &mut |piece| {
+            if !flags.json {
+                let written = out.write_all(piece).and_then(|()| out.flush());
+                failed = failed.take().or(written.err());
+            }
+        })
+        .await;
+    if let Some(error) = failed {
+        return Err(Error::Io("the answer can't be printed", error));
+    }
+    if flags.json {
+        println!("{}", answer_json(&answer));
+    }
+    ended(&answer)
+}
+
+fn call_of(flags: &CallFlags) -> Result<Call, Error> {
+    if flags.prompt.is_some() && (flags.body.is_some() || flags.path.is_some()) {
+        return Err(Error::Usage(
+            "--prompt is for models, --path and --body for plain services".to_owned(),
+            "give --prompt alone, or --path and --body".to_owned(),
+        ));
+    }
+    let path = flags.path.as_deref().unwrap_or("/");
+    let (method, target, body) = match (&flags.prompt, &flags.body) {
+        (Some(prompt), _) => ("POST", CHAT, chat_body(prompt)),
+        (None, Some(body)) => ("POST", path, body.clone()),
+        (None, None) => ("GET", path, String::new()),
+    };
+    let mut call = Call::post(
+        flags.service.clone(),
+        flags.workspace.clone(),
+        flags.profile.clone(),
+        target,
+        body.into_bytes(),
+    );
+    call.method = method.to_owned();
+    call.deadline = flags.deadline.map(Into::into);
+    call.once = flags.once;
+    if flags.prompt.is_some() {
+        let json = ("content-type".to_owned(), "application/json".to_owned());
+        call.headers.push(json);
+    }
+    Ok(call)
+}
+
+fn chat_body(prompt: &str) -> String {
+    json!({
+        "stream": true,
+        "messages": [{ "role": "user", "content": prompt }],
+    })
+    .to_string()
+}
+
+fn answer_json(answer: &Answer) -> serde_json::Value {
+    json!({
+        "outcome": answer.outcome,
+        "status": answer.status,
+        "refused": answer.refused,
+        "router": answer.router,
+        "ticket": answer.ticket,
+        "tries": answer.tries,
+        "body": String::from_utf8_lossy(&answer.body),
+    })
+}
+
+fn ended(answer: &Answer) -> Result<(), Error> {
+    if answer.outcome == Outcome::Answered {
+        return Ok(());
+    }
+    let refused = answer.refused.as_ref();
+    let message = refused.map_or("the endpoint failed".to_owned(), |r| r.message.clone());
+    // Nothing came back at all: the address given is no router's.
+    if answer.outcome == Outcome::NotRun && answer.status.is_none() && answer.router.is_none() {
+        return Err(Error::NoRouter(message));
+    }
+    Err(Error::Request(answer.outcome, message))
+}
--- /dev/null
+++ b/src/cli/locate.rs
@@ -0,0 +1,57 @@
+//! Asking which address to use.
+
+use {
+    super::{
+        flags::Where,
+        print::{
+            table,
+            time, //
+        },
+    },
+    crate::errors::Error,
+    callers::{
+        Client,
+        ClientSettings,
+        Refused, //
+    },
+    policy::{
+        Outcome,
+        Span, //
+    },
+};
+
+/// Asks a router which address to use, and for tickets.
+pub(crate) async fn locate(flags: &Where) -> Result<(), Error> {
+    let client = Client::new(ClientSettings::new(vec![flags.router]));
+    let tickets = flags.tickets.unwrap_or(0);
+    let answer = client.ask(&flags.service, flags.router, tickets).await;
+    let answer = answer.map_err(refused)?;
+    if flags.json {
+        let json = serde_json::to_string(&answer);
+        println!("{}", json.map_err(|e| Error::Io("JSON", e.into()))?);
+        return Ok(());
+    }
+    let rows = answer.addresses.iter().map(|a| {
+        vec![
+            a.address.to_string(),
+            a.router.to_string(),
+            a.zone.to_string(),
+            format!("{:.2}", a.weight),
+        ]
+    });
+    let header = ["address", "router", "zone", "weight"];
+    println!("{}", table(&header, 3, rows.collect()));
+    println!("keep for {}", time(Span::millis(answer.keep_ms)));
+    for ticket in &answer.tickets {
+        println!("ticket {ticket}");
+    }
+    Ok(())
+}
+
+/// Turns a refusal that no request was made for into an error.
+pub(crate) fn refused(refused: Refused) -> Error {
+    match refused.why {
+        callers::Why::NoEndpoint => Error::NoRouter(refused.message),
+        _ => Error::Request(Outcome::NotRun, refused.message),
+    }
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,15 @@
 //! The command line: what may be asked for, and doing it.
 
+mod apply;
+mod call;
+mod check;
 mod flags;
+mod help;
+mod locate;
+mod print;
 mod run;
+mod standin;
+mod views;
+mod wait;
 
 pub use self::run::run;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,32 +1,45 @@
 //! Doing what the command line asks for.
 
 use {
-    super::flags::{
-        Check,
-        Chervilwind,
-        ChervilwindCmd,
-        Defaults,
-        Router, //
+    super::{
+        apply::apply,
+        call::call,
+        check::{
+            check,
+            print_default, //
+        },
+        flags::{
+            Chervilwind,
+            ChervilwindCmd,
+            Router, //
+        },
+        help::help_for,
+        locate::locate,
+        standin::standin,
+        views::{
+            dump,
+            profiles,
+            status, //
+        },
     },
     crate::{
         conf::{
             start_logs,
-            Settings,
-            DEFAULT_SETTINGS, //
+            Settings, //
         },
         demo,
         errors::Error,
         router, //
     },
+    async_std::task::block_on,
     log::LevelFilter,
     operators::{
         render,
-        Document,
-        Problem,
-        Source, //
+        start_metrics, //
     },
-    serde_json::json,
     std::{
+        env,
+        ffi::OsString,
         io::{
             self,
             IsTerminal, //
@@ -35,9 +48,23 @@
     },
 };
 
+/// Exit code for arguments that can't be read.
+const USAGE: u8 = 2;
+
 /// Runs the program: reads the arguments, does what they say and prints any error.
 pub fn run() -> ExitCode {
-    let flags = Chervilwind::from_env_or_exit();
+    let args: Vec<OsString> = env::args_os().skip(1).collect();
+    let flags = match Chervilwind::from_vec(args.clone()) {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            print!("{}", help_for(&args, &error.to_string()));
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            eprintln!("{error}; `chervilwind --help` lists what may be given");
+            return ExitCode::from(USAGE);
+        }
+    };
     match run_command(flags.subcommand) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -48,74 +75,31 @@
 }
 
 fn run_command(command: ChervilwindCmd) -> Result<(), Error> {
+    if !matches!(command, ChervilwindCmd::Router(_)) {
+        start_logs(LevelFilter::Warn);
+    }
     match command {
         ChervilwindCmd::Router(flags) => run_router(&flags),
-        ChervilwindCmd::Demo(flags) => {
-            start_logs(LevelFilter::Warn);
-            demo::run(flags.json)
-        }
+        ChervilwindCmd::Demo(flags) => demo::run(flags.json),
+        ChervilwindCmd::Where(flags) => block_on(locate(&flags)),
+        ChervilwindCmd::Call(flags) => block_on(call(&flags)),
         ChervilwindCmd::Check(flags) => check(&flags),
+        ChervilwindCmd::Apply(flags) => block_on(apply(&flags)),
+        ChervilwindCmd::Profiles(flags) => block_on(profiles(&flags)),
+        ChervilwindCmd::Status(flags) => block_on(status(&flags)),
+        ChervilwindCmd::Dump(flags) => block_on(dump(&flags)),
         ChervilwindCmd::Defaults(flags) => print_default(&flags),
+        ChervilwindCmd::Standin(flags) => block_on(standin(&flags)),
+        ChervilwindCmd::Measure(flags) => Err(Error::Usage(
+            format!("nothing is measured under {:?}", flags.args),
+            "`chervilwind demo` shows the fleet at work".to_owned(),
+        )),
     }
 }
 
 fn run_router(flags: &Router) -> Result<(), Error> {
     let settings = Settings::from_file(&flags.settings)?;
     start_logs(settings.log);
+    start_metrics();
     router::run(settings)
 }
-
-fn check(flags: &Check) -> Result<(), Error> {
-    let source = Source::from_file(&flags.file)?;
-    let checked = if flags.settings {
-        Settings::parse(&source).map(|s| format!("settings of {}", s.name))
-    } else {
-        Document::parse(&source).map(|d| summary(&d))
-    };
-    match (checked, flags.json) {
-        (Ok(says), false) => println!("{}: good: {says}", flags.file.display()),
-        (Ok(_), true) => println!("{}", problems_json(&[])),
-        (Err(error), false) => return Err(error.into()),
-        (Err(error), true) => {
-            println!("{}", problems_json(&error.problems));
-            return Err(error.into());
-        }
-    }
-    Ok(())
-}
-
-fn summary(document: &Document) -> String {
-    format!(
-        "{} services, {} profiles, {} workspaces",
-        document.services.len(),
-        document.profiles.len(),
-        document.workspaces.len()
-    )
-}
-
-fn problems_json(problems: &[Problem]) -> serde_json::Value {
-    let list = problems.iter().map(|p| {
-        json!({
-            "line": p.line(),
-            "message": p.message,
-            "remedy": p.remedy,
-        })
-    });
-    json!({
-        "good": problems.is_empty(),
-        "problems": list.collect::<Vec<_>>(),
-    })
-}
-
-fn print_default(flags: &Defaults) -> Result<(), Error> {
-    match flags.name.as_str() {
-        "settings" => print!("{DEFAULT_SETTINGS}"),
-        "fleet" => print!("{}", operators::FLEET),
-        other => {
-            let message = format!("there is no default file `{other}`");
-            let remedy = "give `settings` or `fleet`".to_owned();
-            return Err(Error::Usage(message, remedy));
-        }
-    }
-    Ok(())
-}
--- a/src/conf/limits.rs
+++ b/src/conf/limits.rs
@@ -2,84 +2,72 @@
 
 use {
     super::bytes::Bytes,
+    callers::Limits,
     operators::{
         integer,
         span,
         Section, //
     },
-    policy::Span,
+    std::time::Duration,
     toml::de::DeValue, //
 };
 
+/// Largest head that the HTTP library takes.
+const HEAD_MAX: Bytes = Bytes(8 * 1024 - 1);
+/// Largest body that may be allowed.
+const BODY_MAX: Bytes = Bytes(64 << 20);
 /// Most connections that may be allowed.
 const CONNECTIONS_MAX: u64 = 100_000;
-/// Largest head or body that may be allowed.
-const BYTES_MAX: Bytes = Bytes(64 << 20);
+/// Largest head where nothing is said.
+const HEAD: Bytes = Bytes(7 << 10);
 
-/// What callers may ask of a router before it turns them away.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Limits {
-    /// Largest head of a request.
-    pub head: Bytes,
-    /// Largest body of a request.
-    pub body: Bytes,
-    /// Time within which the whole head must arrive.
-    pub head_time: Span,
-    /// Time within which the whole body must arrive.
-    pub body_time: Span,
-    /// Time after which an answer that the caller doesn't read is given up.
-    pub write_time: Span,
-    /// Time after which a connection without a request is closed.
-    pub idle_time: Span,
-    /// Connections of callers open at once.
-    pub connections: u32,
+/// Returns the limits where nothing is said.
+pub(crate) fn default_limits() -> Limits {
+    Limits {
+        head_bytes: HEAD.0 as usize,
+        ..Limits::default()
+    }
 }
 
-impl Default for Limits {
-    fn default() -> Limits {
-        Limits {
-            head: Bytes(16 << 10),
-            body: Bytes(4 << 20),
-            head_time: Span::secs(10),
-            body_time: Span::secs(30),
-            write_time: Span::secs(30),
-            idle_time: Span::secs(75),
-            connections: 4_000,
-        }
-    }
+/// Reads the section `[limits]`.
+pub(crate) fn read_limits(mut s: Section<'_>) -> Limits {
+    let d = default_limits();
+    let limits = Limits {
+        head_bytes: size(&mut s, "head", d.head_bytes, HEAD_MAX),
+        body_bytes: size(&mut s, "body", d.body_bytes, BODY_MAX),
+        head_time: time(&mut s, "head-time", d.head_time),
+        body_time: time(&mut s, "body-time", d.body_time),
+        idle: time(&mut s, "idle", d.idle),
+        stall: time(&mut s, "stall", d.stall),
+        connections: count(&mut s, "connections", d.connections),
+        per_peer: count(&mut s, "per-address", d.per_peer),
+        ..d
+    };
+    s.finish();
+    limits
 }
 
-impl Limits {
-    pub(crate) fn read(mut s: Section<'_>) -> Limits {
-        let d = Limits::default();
-        let limits = Limits {
-            head: s.take_or("head", d.head, bytes),
-            body: s.take_or("body", d.body, bytes),
-            head_time: s.take_or("head-time", d.head_time, span),
-            body_time: s.take_or("body-time", d.body_time, span),
-            write_time: s.take_or("write-time", d.write_time, span),
-            idle_time: s.take_or("idle-time", d.idle_time, span),
-            connections: s.take_or(
-                "connections",
-                d.connections.into(),
-                integer(1..=CONNECTIONS_MAX),
-            ) as u32,
-        };
-        s.finish();
-        limits
-    }
+fn size(s: &mut Section<'_>, key: &'static str, default: usize, max: Bytes) -> usize {
+    let size = s.take_or(key, Bytes(default as u64), |v| bytes(v, max));
+    size.0 as usize
+}
+
+fn time(s: &mut Section<'_>, key: &'static str, default: Duration) -> Duration {
+    s.take_or(key, default.into(), span).into()
+}
+
+fn count(s: &mut Section<'_>, key: &'static str, default: usize) -> usize {
+    s.take_or(key, default as u64, integer(1..=CONNECTIONS_MAX)) as usize
 }
 
-fn bytes(v: &DeValue<'_>) -> Result<Bytes, String> {
+fn bytes(v: &DeValue<'_>, max: Bytes) -> Result<Bytes, String> {
     let remedy = match v {
         DeValue::Integer(n) => format!("add a unit, in quotes: `\"{n}KiB\"` or `\"{n}B\"`"),
-        _ => "write a whole number and a unit: `\"512B\"`, `\"16KiB\"` or `\"8MiB\"`".to_owned(),
+        _ => "write a whole number and a unit: `\"512B\"`, `\"7KiB\"` or `\"8MiB\"`".to_owned(),
     };
     let size: Bytes = v.as_str().and_then(|s| s.parse().ok()).ok_or(remedy)?;
-    if size.0 == 0 || size > BYTES_MAX {
-        return Err(format!(
-            "give a size above 0 and of at most `\"{BYTES_MAX}\"`"
-        ));
+    if size.0 == 0 || size > max {
+        return Err(format!("give a size above 0 and of at most `\"{max}\"`"));
     }
     Ok(size)
 }
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -12,7 +12,6 @@
         Bytes,
         BytesError, //
     },
-    limits::Limits,
     listen::{
         Address,
         ListenError,
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -2,13 +2,17 @@
 
 use {
     super::{
-        limits::Limits,
+        limits::{
+            default_limits,
+            read_limits, //
+        },
         listen::{
             Address,
             ListenError,
             Listeners, //
         },
     },
+    callers::Limits,
     log::LevelFilter,
     miette::Diagnostic,
     operators::{
@@ -42,7 +46,7 @@
 ];
 
 /// The settings of one router.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// Its name, unique in the fleet.
     pub name: RouterId,
@@ -119,7 +123,7 @@
             peers: Address::loopback(),
             operators: Address::loopback(),
             platform,
-            limits: Limits::default(),
+            limits: default_limits(),
         }
     }
 
@@ -153,7 +157,7 @@
     let example = "[platform]` with `address = \"10.0.0.2:7000\"";
     let platform = section.need("address", example, text(ADDRESS));
     section.finish();
-    let limits = Limits::read(root.section("limits"));
+    let limits = read_limits(root.section("limits"));
     Some(Settings {
         name: id?,
         zone: zone?,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,7 +12,6 @@
         Address,
         Bytes,
         BytesError,
-        Limits,
         ListenError,
         Listeners,
         Settings,
