policy: members by heartbeats, and the head of the configuration

First whole versions for the wiring.

Ruled out for the head: waiting for the highest offered revision only.

--- /dev/null
+++ b/crates/policy/src/head/revision.rs
@@ -0,0 +1,103 @@
+//! Revisions, their sources, and what is decided about them.
+
+use {
+    crate::RouterId,
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::{
+        fmt,
+        num::ParseIntError,
+        str::FromStr, //
+    },
+};
+
+/// The number of an accepted configuration; a later one is higher.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// The hash of a configuration's text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Hash(pub u64);
+
+/// Who offers a revision.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Source {
+    /// The platform's key-value service.
+    Platform,
+    /// Another router.
+    Peer(RouterId),
+}
+
+/// What to do about an offer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Fetch this revision, or a higher one, from the source.
+    Fetch {
+        /// At least this revision.
+        revision: Revision,
+        /// Where it was offered.
+        from: Source,
+    },
+    /// Nothing to do.
+    Ignore,
+    /// The platform holds an older revision than this router: it was restored from a
+    /// backup, or is confused. Its revision is not taken; the operators should know.
+    Stale {
+        /// The revision in force here.
+        ours: Revision,
+        /// The revision the platform offers.
+        theirs: Revision,
+    },
+}
+
+/// What became of a fetched revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It is in force now.
+    InForce,
+    /// It is not higher than the one in force, which stays.
+    Old,
+    /// It has the number of the one in force, but another text. The one in force stays;
+    /// the operators should write their change again with a higher number.
+    Conflict {
+        /// The hash of the text in force.
+        ours: Hash,
+        /// The hash of the text fetched.
+        theirs: Hash,
+    },
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Revision {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Revision, ParseIntError> {
+        s.parse().map(Revision)
+    }
+}
+
+impl fmt::Display for Hash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Platform => f.pad("the platform"),
+            Source::Peer(id) => id.fmt(f),
+        }
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,9 @@
 //! caller passes the time and a seed. That is what lets each decision be fuzzed against
 //! an oracle, replayed from a golden file and measured without a network.
 
+pub mod head;
 mod ids;
+pub mod members;
 mod outcome;
 pub mod rendezvous;
 pub mod tickets;
--- /dev/null
+++ b/crates/policy/src/members/news.rs
@@ -0,0 +1,171 @@
+//! What a heartbeat tells, of its sender and of others.
+
+use {
+    super::{
+        peer::Peer,
+        Event,
+        Heartbeat,
+        Members,
+        Rumour,
+        State,
+        Word, //
+    },
+    crate::{
+        Incarnation,
+        RouterId,
+        Time, //
+    },
+};
+
+/// Most rumours about routers that are not live that a newcomer is told at once.
+const GREETING: usize = 64;
+
+impl Members {
+    /// Takes a heartbeat. It may be late, doubled or out of order.
+    pub fn heard(&mut self, b: Heartbeat, now: Time) {
+        if b.id == self.me {
+            self.replaced(b.incarnation);
+            return;
+        }
+        if !self.known_or_new(&b, now) {
+            return;
+        }
+        if self.hear(&b, now) {
+            self.vouch(&b, now);
+        }
+        for r in b.rumours {
+            self.rumoured(r, &b.id, now);
+        }
+        if b.ask {
+            // The asker may have had this round's heartbeat already; a new number shows
+            // that this router has lived on since.
+            self.seq += 1;
+            self.beat(&b.id, false);
+        }
+    }
+
+    /// Makes an entry for a sender not known before; tells whether there is one.
+    fn known_or_new(&mut self, b: &Heartbeat, now: Time) -> bool {
+        if self.peers.contains_key(&b.id) {
+            return true;
+        }
+        let Some(intro) = &b.intro else {
+            return false;
+        };
+        let peer = Peer::new(b.id.clone(), intro, &self.plan, now);
+        self.peers.insert(b.id.clone(), peer);
+        true
+    }
+
+    /// Notes what the sender says of itself; tells whether the heartbeat was news.
+    fn hear(&mut self, b: &Heartbeat, now: Time) -> bool {
+        let Some(p) = self.peers.get_mut(&b.id) else {
+            return false;
+        };
+        if b.incarnation < p.member.incarnation {
+            return false;
+        }
+        let newcomer = b.incarnation > p.member.incarnation;
+        if newcomer {
+            p.restart(b.incarnation, &self.plan);
+        } else if p.member.state == State::Left || p.direct.is_some_and(|(seq, _)| b.seq <= seq) {
+            return false;
+        }
+        let before = p.member.clone();
+        p.hear(b, &self.me, &self.plan, now);
+        if p.member != before {
+            self.events.push(Event::Changed);
+        }
+        self.turn(&b.id, State::Live, now);
+        if newcomer {
+            self.greet(&b.id);
+        }
+        true
+    }
+
+    /// Tells a newcomer which routers are not live, since that news is no longer spread.
+    fn greet(&mut self, id: &RouterId) {
+        let news = self.peers.values().filter(|p| p.word() != Word::Live);
+        let news = news.map(Peer::rumour).take(GREETING).collect();
+        self.owed.insert(id.clone(), news);
+        self.beat(id, true);
+    }
+
+    /// Tells the sender that routers which it misses are heard here.
+    fn vouch(&mut self, b: &Heartbeat, now: Time) {
+        for id in &b.deaf {
+            let Some(p) = self.peers.get(id).filter(|p| p.fresh(&self.plan, now)) else {
+                continue;
+            };
+            let r = p.rumour();
+            self.owed.entry(b.id.clone()).or_default().push(r);
+        }
+    }
+
+    /// Takes news of a router, told by another.
+    fn rumoured(&mut self, r: Rumour, from: &RouterId, now: Time) {
+        if r.id == self.me {
+            return self.accused(&r, from);
+        }
+        let n = self.peers.len();
+        let Some(p) = self.peers.get_mut(&r.id) else {
+            return;
+        };
+        if r.incarnation < p.member.incarnation {
+            if r.word != Word::Live && p.word() == Word::Live {
+                self.gossip.push(p.rumour(), n);
+            }
+            return;
+        }
+        if r.incarnation > p.member.incarnation {
+            p.restart(r.incarnation, &self.plan);
+            p.member.heard = false;
+        } else if !r.beats(p.seq, p.word()) {
+            // Fresher evidence is at hand: pass that on instead.
+            if r.word != Word::Live && p.word() == Word::Live && r.seq < p.seq {
+                self.gossip.push(p.rumour(), n);
+            }
+            return;
+        }
+        p.seq = p.seq.max(r.seq);
+        if r.word == Word::Live {
+            p.since = now;
+        }
+        self.turn(&r.id, r.word.state(), now);
+    }
+
+    /// Answers news of this router itself.
+    fn accused(&mut self, r: &Rumour, from: &RouterId) {
+        self.replaced(r.incarnation);
+        if r.incarnation != self.incarnation || r.word == Word::Live {
+            return;
+        }
+        self.seq = self.seq.max(r.seq) + 1;
+        let live = Rumour {
+            id: self.me.clone(),
+            incarnation: self.incarnation,
+            seq: self.seq,
+            word: Word::Live,
+        };
+        let n = self.peers.len();
+        self.gossip.push(live, n);
+        self.beat(from, false);
+    }
+
+    fn replaced(&mut self, by: Incarnation) {
+        if by > self.incarnation {
+            self.events.push(Event::Replaced(by));
+        }
+    }
+}
+
+impl Word {
+    fn state(self) -> State {
+        match self {
+            Word::Live => State::Live,
+            Word::Suspect => State::Suspect,
+            Word::Dead => State::Dead,
+            Word::Left => State::Left,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/members/peer.rs
@@ -0,0 +1,169 @@
+//! What is kept about another router.
+
+use {
+    super::{
+        gaps::Gaps,
+        Heartbeat,
+        Intro,
+        Listed,
+        Member,
+        Plan,
+        Rumour,
+        State,
+        Word, //
+    },
+    crate::{
+        Incarnation,
+        RouterId,
+        Span,
+        Time, //
+    },
+};
+
+/// Another router, and the evidence about it.
+#[derive(Debug)]
+pub(super) struct Peer {
+    pub(super) member: Member,
+    /// The freshest of its heartbeats that is known of, heard here or by others.
+    pub(super) seq: u64,
+    /// The last of its heartbeats that arrived here, and when.
+    pub(super) direct: Option<(u64, Time)>,
+    /// When the present silence began, by all that is known.
+    pub(super) since: Time,
+    /// When the present silence towards this router began.
+    pub(super) quiet: Time,
+    /// When it came into its state.
+    pub(super) changed: Time,
+    /// Its heartbeats are due here in every round.
+    pub(super) due: bool,
+    /// It was asked for a heartbeat since it was last heard.
+    pub(super) probed: bool,
+    pub(super) listed: bool,
+    pub(super) gaps: Gaps,
+    own_leaving: bool,
+    list_leaving: bool,
+}
+
+impl Peer {
+    pub(super) fn new(id: RouterId, intro: &Intro, plan: &Plan, now: Time) -> Peer {
+        Peer {
+            member: Member {
+                id,
+                incarnation: Incarnation::default(),
+                addr: intro.addr,
+                callers: intro.callers,
+                zone: intro.zone.clone(),
+                state: State::Listed,
+                leaving: false,
+                heard: false,
+                hears: true,
+                config: 0,
+                list: 0,
+                load: 0,
+            },
+            seq: 0,
+            direct: None,
+            since: now,
+            quiet: now,
+            changed: now,
+            due: false,
+            probed: false,
+            listed: false,
+            gaps: Gaps::new(plan),
+            own_leaving: false,
+            list_leaving: false,
+        }
+    }
+
+    /// Notes what the platform's list says. Its own word on where it is goes first.
+    pub(super) fn list(&mut self, l: &Listed) {
+        self.listed = true;
+        if self.member.incarnation == Incarnation::default() || self.member.state == State::Dead {
+            self.member.addr = l.addr;
+            self.member.callers = l.callers;
+            self.member.zone = l.zone.clone();
+        }
+        self.list_leaving = l.leaving;
+        self.member.leaving = self.own_leaving || self.list_leaving;
+    }
+
+    /// Starts over for a later start of the router.
+    pub(super) fn restart(&mut self, incarnation: Incarnation, plan: &Plan) {
+        self.member.incarnation = incarnation;
+        self.member.config = 0;
+        self.seq = 0;
+        self.direct = None;
+        self.own_leaving = false;
+        // The list lags: what it says of leaving was said of the earlier start.
+        self.list_leaving = false;
+        self.member.leaving = false;
+        self.gaps = Gaps::new(plan);
+    }
+
+    /// Notes a heartbeat of the present start that is newer than those before.
+    pub(super) fn hear(&mut self, b: &Heartbeat, me: &RouterId, plan: &Plan, now: Time) {
+        if let (true, Some((_, at))) = (self.due, self.direct) {
+            self.gaps.push(now.since(at), plan);
+        }
+        self.direct = Some((b.seq, now));
+        self.seq = self.seq.max(b.seq);
+        self.since = now;
+        self.quiet = now;
+        self.probed = false;
+        self.own_leaving = b.leaving;
+        let m = &mut self.member;
+        m.leaving = self.own_leaving || self.list_leaving;
+        m.heard = true;
+        m.hears = !b.deaf.contains(me);
+        m.config = m.config.max(b.config);
+        m.list = b.list;
+        m.load = b.load;
+        if let Some(i) = &b.intro {
+            m.addr = i.addr;
+            m.callers = i.callers;
+            m.zone = i.zone.clone();
+        }
+    }
+
+    /// Moves to another state; returns whether it is another.
+    pub(super) fn turn(&mut self, state: State, now: Time) -> bool {
+        if self.member.state == state {
+            return false;
+        }
+        self.member.state = state;
+        self.changed = now;
+        true
+    }
+
+    /// Returns the news about this router, as it is known here.
+    pub(super) fn rumour(&self) -> Rumour {
+        Rumour {
+            id: self.member.id.clone(),
+            incarnation: self.member.incarnation,
+            seq: self.seq,
+            word: self.word(),
+        }
+    }
+
+    pub(super) fn word(&self) -> Word {
+        match self.member.state {
+            State::Listed | State::Live => Word::Live,
+            State::Suspect => Word::Suspect,
+            State::Dead => Word::Dead,
+            State::Left => Word::Left,
+        }
+    }
+
+    /// Tells whether a heartbeat arrived here within the last two rounds.
+    pub(super) fn fresh(&self, plan: &Plan, now: Time) -> bool {
+        self.direct
+            .is_some_and(|(_, at)| now.since(at) <= Span(plan.interval.0 * 2))
+    }
+
+    /// Shifts the moments from which silence is counted, after a pause of this process.
+    pub(super) fn forgive(&mut self, pause: Span, now: Time) {
+        self.since = (self.since + pause).min(now);
+        self.quiet = (self.quiet + pause).min(now);
+        self.changed = (self.changed + pause).min(now);
+    }
+}
