--- /dev/null
+++ b/crates/policy/src/dispatch/mod.rs
@@ -0,0 +1,49 @@
+//! Which request starts where and when, across the fleet.
+
+mod action;
+mod core;
+mod dump;
+mod exchange;
+mod job;
+mod member;
+mod message;
+mod rules;
+
+pub(crate) use self::message::{
+    Body,
+    ServiceKey,
+    Wait, //
+};
+pub use self::{
+    action::Action,
+    core::Dispatch,
+    dump::{
+        DispatchDump,
+        OwnerView,
+        QueueDump,
+        ReplicaDump,
+        ServiceDump, //
+    },
+    job::{
+        Finish,
+        Job,
+        JobId, //
+    },
+    member::{
+        Peer,
+        PeerState,
+        Replica, //
+    },
+    message::{
+        Lend,
+        Message,
+        Report, //
+    },
+    rules::{
+        Mode,
+        Rules,
+        ServiceRules,
+        Unit,
+        WorkspaceShare, //
+    },
+};
--- /dev/null
+++ b/crates/policy/src/shares/mod.rs
@@ -0,0 +1,26 @@
+//! How much service each workspace has received, across the fleet.
+
+mod account;
+mod bound;
+mod key;
+mod ledger;
+mod notes;
+
+pub(crate) use self::{
+    account::Account,
+    key::{
+        Key,
+        Writer, //
+    },
+    ledger::{
+        Ledger,
+        MILLI, //
+    },
+};
+pub use self::{
+    bound::{
+        gap_bound,
+        GapTerms, //
+    },
+    notes::Notes, //
+};
