--- a/crates/operators/src/section.rs
+++ b/crates/operators/src/section.rs
@@ -207,8 +207,12 @@
 
     /// Reports what is missing, unless the file could not be understood anyway.
     pub fn missing(&self, what: &str, example: &str) {
+        let says = match self.table {
+            Some(_) => format!("has no {what}"),
+            None => "is missing".to_owned(),
+        };
         if !self.findings.broken {
-            self.wrong(&format!("has no {what}"), &format!("add `{example}`"));
+            self.wrong(&says, &format!("add `{example}`"));
         }
     }
 
--- /dev/null
+++ b/tests/apply.rs
@@ -0,0 +1,287 @@
+//! Writing a configuration, against a stand-in for the platform and routers' answers.
+
+use {
+    async_std::task,
+    operators::{
+        serve,
+        Member,
+        MemberState,
+        Profiles,
+        State,
+        Status,
+        Views,
+        FLEET, //
+    },
+    policy::{
+        Incarnation,
+        Span, //
+    },
+    standins::platform::{
+        self,
+        Down,
+        Handle, //
+    },
+    std::{
+        fs,
+        net::{
+            SocketAddr,
+            TcpListener, //
+        },
+        path::PathBuf,
+        process::{
+            Command,
+            Output, //
+        },
+        sync::{
+            atomic::{
+                AtomicU32,
+                AtomicU64,
+                Ordering, //
+            },
+            Arc, //
+        },
+    },
+};
+
+static FILES: AtomicU32 = AtomicU32::new(0);
+
+/// What a router says of itself, and of the others.
+struct Told {
+    name: &'static str,
+    revision: AtomicU64,
+    /// Raised by one at each question, up to this revision.
+    rises_to: u64,
+    members: Vec<(&'static str, SocketAddr, MemberState)>,
+}
+
+fn platform_start() -> Handle {
+    task::block_on(platform::start(platform::Options::default())).unwrap()
+}
+
+fn file(text: &str) -> PathBuf {
+    let n = FILES.fetch_add(1, Ordering::Relaxed);
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let path = dir.join(format!("apply-{n}.toml"));
+    fs::write(&path, text).unwrap();
+    path
+}
+
+fn apply(text: &str, platform: SocketAddr, more: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_chervilwind"))
+        .arg("apply")
+        .arg(file(text))
+        .args(["--platform", &platform.to_string()])
+        .args(["--writer", "ada"])
+        .args(more)
+        .output()
+        .unwrap()
+}
+
+/// Adds a workspace to the shipped configuration.
+fn with(workspace: &str) -> String {
+    format!("{FLEET}\n[workspace.{workspace}]\n")
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+fn stdout(output: &Output) -> &str {
+    std::str::from_utf8(&output.stdout).unwrap()
+}
+
+fn stderr(output: &Output) -> &str {
+    std::str::from_utf8(&output.stderr).unwrap()
+}
+
+fn router(told: Told) -> SocketAddr {
+    let told = Arc::new(told);
+    let ready = told.clone();
+    let views = Views {
+        status: Box::new(move || status(&told)),
+        profiles: Box::new(|| Profiles {
+            revision: 0,
+            profiles: Vec::new(),
+        }),
+        dump: Box::new(|| serde_json::Value::Null),
+        ready: Box::new(move || ready.revision.load(Ordering::SeqCst) > 0),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(serve(listener, views));
+    address
+}
+
+fn status(told: &Told) -> Status {
+    let now = told.revision.load(Ordering::SeqCst);
+    let next = (now + 1).min(told.rises_to).max(now);
+    told.revision.store(next, Ordering::SeqCst);
+    let members = told.members.iter().map(|(name, address, state)| Member {
+        name: name.parse().unwrap(),
+        incarnation: Incarnation(1),
+        zone: "hall-a".parse().unwrap(),
+        state: *state,
+        operators: Some(*address),
+        revision: now,
+        silent: Span::ZERO,
+    });
+    Status {
+        name: told.name.parse().unwrap(),
+        incarnation: Incarnation(1),
+        zone: "hall-a".parse().unwrap(),
+        state: State::Ready,
+        revision: now,
+        writer: "ada".to_owned(),
+        platform: true,
+        uptime: Span::secs(1),
+        control: 0,
+        members: members.collect(),
+        services: Vec::new(),
+        workspaces: Vec::new(),
+    }
+}
+
+fn alone(name: &'static str, revision: u64, rises_to: u64) -> Told {
+    Told {
+        name,
+        revision: AtomicU64::new(revision),
+        rises_to,
+        members: Vec::new(),
+    }
+}
+
+#[test]
+fn apply_first_and_same() {
+    let platform = platform_start();
+    let first = apply(FLEET, platform.addr, &[]);
+    assert_eq!(code(&first), 0, "{}", stderr(&first));
+    assert_eq!(stdout(&first), "revision 1 is written\n");
+    let same = apply(FLEET, platform.addr, &["--json"]);
+    let json: serde_json::Value = serde_json::from_str(stdout(&same)).unwrap();
+    assert_eq!(
+        (&json["revision"], &json["written"]),
+        (&1.into(), &false.into())
+    );
+    let next = apply(&with("hove"), platform.addr, &["--base", "1"]);
+    assert_eq!(stdout(&next), "revision 2 is written\n");
+}
+
+#[test]
+fn apply_bad_document() {
+    // A typing error must not reach the platform, where every router would read it.
+    let platform = platform_start();
+    let bad = apply("[profile.a]\nshare = 0\n", platform.addr, &[]);
+    assert_eq!(code(&bad), 2);
+    assert!(stderr(&bad).contains("profile \"a\" has share 0"));
+    assert_eq!(platform.counts().iter().map(|c| c.calls).sum::<u64>(), 0);
+}
+
+#[test]
+fn apply_conflict() {
+    // Two operators look at revision 1 and change it. The second to write must be told to look
+    // again, and not undo the first one's change.
+    let platform = platform_start();
+    apply(FLEET, platform.addr, &[]);
+    let first = apply(&with("hove"), platform.addr, &["--base", "1"]);
+    assert_eq!(code(&first), 0, "{}", stderr(&first));
+    let second = apply(&with("deal"), platform.addr, &["--base", "1"]);
+    assert_eq!(code(&second), 4, "{}", stderr(&second));
+    assert!(stderr(&second).contains("`ada` applied revision 2 since you looked"));
+}
+
+#[test]
+fn apply_platform_down() {
+    let platform = platform_start();
+    platform.set_down(Some(Down::Refuse));
+    let output = apply(FLEET, platform.addr, &[]);
+    assert_eq!(code(&output), 3, "{}", stderr(&output));
+    assert!(stderr(&output).contains("nothing was changed"));
+}
+
+#[test]
+fn apply_answer_lost() {
+    // The write takes effect and its answer is lost. The operator must not be told that it
+    // failed, nor may it count as another operator's change.
+    let platform = platform_start();
+    apply(FLEET, platform.addr, &[]);
+    platform.lose_answers(1);
+    let output = apply(&with("hove"), platform.addr, &[]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    assert_eq!(stdout(&output), "revision 2 is written\n");
+}
+
+#[test]
+fn apply_restored_platform() {
+    // The platform was restored to an older state, while routers run a later revision, which
+    // they never leave for an older one. A change written below it would never be in force.
+    let platform = platform_start();
+    let address = router(alone("r1", 7, 7)).to_string();
+    let output = apply(FLEET, platform.addr, &["--router", &address]);
+    assert_eq!(
+        stdout(&output),
+        "revision 8 is written\n",
+        "{}",
+        stderr(&output)
+    );
+}
+
+#[test]
+fn apply_wait_needs_router() {
+    let platform = platform_start();
+    let output = apply(FLEET, platform.addr, &["--wait"]);
+    assert_eq!(code(&output), 2);
+    assert_eq!(platform.calls("put"), 0);
+}
+
+#[test]
+fn apply_wait_all() {
+    // `--wait` must hold until the slowest live router has it; gone ones don't count.
+    let platform = platform_start();
+    let slow = router(alone("r2", 0, 5));
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let first = Told {
+        members: vec![
+            ("r2", slow, MemberState::Suspect),
+            ("r3", nobody, MemberState::Gone),
+            ("r4", nobody, MemberState::Leaving),
+        ],
+        ..alone("r1", 0, 3)
+    };
+    let address = router(first).to_string();
+    apply(FLEET, platform.addr, &[]);
+    let args = ["--router", address.as_str(), "--wait", "--timeout", "60s"];
+    let output = apply(&with("hove"), platform.addr, &args);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    assert!(stdout(&output).ends_with("is written, and in force on every live router\n"));
+}
+
+#[test]
+fn apply_wait_names_missing() {
+    let platform = platform_start();
+    let stuck = router(alone("r2", 0, 0));
+    let first = Told {
+        members: vec![("r2", stuck, MemberState::Live)],
+        ..alone("r1", 0, 9)
+    };
+    let address = router(first).to_string();
+    let args = ["--router", address.as_str(), "--wait", "--timeout", "3s"];
+    let output = apply(FLEET, platform.addr, &args);
+    assert_eq!(code(&output), 7, "{}", stderr(&output));
+    assert!(stderr(&output).contains("is written, but not in force yet at r2"));
+}
+
+#[test]
+fn apply_wait_other_process() {
+    // A router's address was given to another process. Its revision must not stand for that
+    // of the router that was there.
+    let platform = platform_start();
+    let other = router(alone("r9", 9, 9));
+    let first = Told {
+        members: vec![("r2", other, MemberState::Live)],
+        ..alone("r1", 0, 9)
+    };
+    let address = router(first).to_string();
+    let args = ["--router", address.as_str(), "--wait", "--timeout", "3s"];
+    let output = apply(FLEET, platform.addr, &args);
+    assert_eq!(code(&output), 7, "{}", stderr(&output));
+}
