--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,8 +6,11 @@
 
 mod dispatch;
 mod entry;
+pub mod head;
 mod ids;
+pub mod members;
 mod outcome;
+mod pool;
 pub mod rendezvous;
 mod shares;
 pub mod tickets;
@@ -22,6 +25,7 @@
         Finish,
         Job,
         JobId,
+        Lend,
         Message,
         Mode,
         OwnerView,
@@ -30,6 +34,7 @@
         QueueDump,
         Replica,
         ReplicaDump,
+        Report,
         Rules,
         ServiceDump,
         ServiceRules,
@@ -53,7 +58,8 @@
     },
     shares::{
         gap_bound,
-        GapTerms, //
+        GapTerms,
+        Notes, //
     },
     time::{
         Span,
