Call many at once, large, and for callers who hang up

A request's bytes have the silence bound for each write now, so that a large body over a slow path isn't taken for silence.

--- a/crates/endpoints/src/conn.rs
+++ b/crates/endpoints/src/conn.rs
@@ -60,20 +60,19 @@
         poll_once(self.stream.peek(&mut buf)).await.is_none()
     }
 
-    /// Writes a request, and notes in `wrote` as soon as one byte of it is out.
-    pub(crate) async fn send(&mut self, bytes: &[u8], wrote: &mut bool) -> Result<(), CallError> {
-        let mut left = bytes;
-        while !left.is_empty() {
-            match self.stream.write(left).await {
-                Ok(0) => return Err(CallError::Broken(io::ErrorKind::WriteZero)),
-                Ok(n) => {
-                    *wrote = true;
-                    left = &left[n..];
-                }
-                Err(e) => return Err(CallError::Broken(e.kind())),
-            }
+    /// Writes some bytes, and returns how many.
+    pub(crate) async fn write(&mut self, bytes: &[u8]) -> Result<usize, CallError> {
+        match self.stream.write(bytes).await {
+            Ok(0) => Err(CallError::Broken(io::ErrorKind::WriteZero)),
+            Ok(n) => Ok(n),
+            Err(e) => Err(CallError::Broken(e.kind())),
         }
-        Ok(())
+    }
+
+    /// Writes all bytes.
+    pub(crate) async fn write_all(&mut self, bytes: &[u8]) -> Result<(), CallError> {
+        let written = self.stream.write_all(bytes).await;
+        written.map_err(|e| CallError::Broken(e.kind()))
     }
 
     /// Reads the head of the answer, past any interim ones.
--- a/crates/endpoints/src/load.rs
+++ b/crates/endpoints/src/load.rs
@@ -89,7 +89,7 @@
     until(call.deadline, async {
         let mut conn = Conn::open(call.replica, call.deadline).await?;
         let bytes = request::bytes(call, None).await?;
-        conn.send(&bytes, &mut false).await?;
+        conn.write_all(&bytes).await?;
         let mut reply = conn.reply(false).await?;
         let mut body = Vec::new();
         while let Some(piece) = reply.piece().await? {
--- a/crates/endpoints/src/run/task.rs
+++ b/crates/endpoints/src/run/task.rs
@@ -137,9 +137,7 @@
         let from = (*start == Start::Resume).then_some(self.state.tokens);
         let bytes = request::bytes(&self.call, from).await?;
         let mut conn = self.connect(start).await?;
-        let at = self.bound();
-        let sent = until(at, conn.send(&bytes, &mut self.state.wrote)).await;
-        sent.ok_or_else(|| self.overdue())??;
+        self.send(&mut conn, &bytes).await?;
         let bodiless = self.call.method == Method::Head;
         let reply = self.wait(conn.reply(bodiless)).await?;
         self.check(&reply)?;
@@ -157,6 +155,17 @@
         }
     }
 
+    /// Writes a request, and notes as soon as one byte of it is out.
+    async fn send(&mut self, conn: &mut Conn, bytes: &[u8]) -> Result<(), CallError> {
+        let mut left = bytes;
+        while !left.is_empty() {
+            let n = self.wait(conn.write(left)).await?;
+            self.state.wrote = true;
+            left = &left[n..];
+        }
+        Ok(())
+    }
+
     async fn connect(&self, start: &mut Start) -> Result<Conn, CallError> {
         if *start == Start::Kept {
             if let Some(conn) = self.inner.kept.take(self.call.replica).await {
--- a/crates/endpoints/tests/calls.rs
+++ b/crates/endpoints/tests/calls.rs
@@ -3,9 +3,13 @@
 mod common;
 
 use {
-    async_std::task::block_on,
+    async_std::task::{
+        block_on,
+        spawn, //
+    },
     common::{
         engine,
+        eventually,
         plain_call,
         service,
         stream_call,
@@ -19,7 +23,8 @@
     policy::Outcome,
     standins::{
         engine::expected,
-        plain::answer, //
+        plain::answer,
+        Fault, //
     },
     std::time::Duration,
 };
@@ -67,9 +72,7 @@
     // engine falls silent after three tokens, which must arrive all the same.
     block_on(async {
         let engine = engine().await;
-        engine
-            .faults
-            .order(standins::Fault::SilentAfter { after: 3 }, 1);
+        engine.faults.order(Fault::SilentAfter { after: 3 }, 1);
         let client = Client::new(Options::default());
         let mut call = stream_call(engine.addr, "a", 12);
         call.silence = Duration::from_secs(60);
@@ -107,6 +110,92 @@
     });
 }
 
+#[test]
+fn stream_keeps_connection() {
+    block_on(async {
+        let engine = engine().await;
+        let client = Client::new(Options::default());
+        // The connection is free again a moment after the last event.
+        for n in 0..100 {
+            let before = engine.connections();
+            let call = stream_call(engine.addr, &format!("a{n}"), 2);
+            client.call(call).whole().await;
+            if engine.connections() == before {
+                return;
+            }
+        }
+        panic!("every stream opened a connection");
+    });
+}
+
+#[test]
+fn call_many() {
+    // Lookups of many grocers run at once, over few kept connections. Answers are late,
+    // doubled, or carry the id of another lookup. Each grocer gets the answer to the own
+    // lookup or none, never that of another.
+    block_on(async {
+        let service = service().await;
+        let client = Client::new(Options::default());
+        for round in 0..8 {
+            for ms in 0..16 {
+                service.faults.order(Fault::Delay { ms: ms * 4 }, 1);
+                service.faults.pass();
+                service.faults.order(Fault::Twice, 1);
+                service.faults.order(Fault::WrongId, 1);
+            }
+            let calls: Vec<_> = (0..64)
+                .map(|n| plain_call(service.addr, &format!("{round}.{n}"), true))
+                .map(|c| (c.body.clone(), spawn(client.call(c).whole())))
+                .collect();
+            let mut answered = 0;
+            for (body, call) in calls {
+                let whole = call.await;
+                if whole.end.outcome != Outcome::Answered {
+                    assert!(whole.body.is_empty());
+                    continue;
+                }
+                answered += 1;
+                assert_eq!(whole.body, answer("POST", "/records", &body).into_bytes());
+            }
+            assert!(answered >= 32, "{answered} of 64");
+        }
+        assert!(service.connections() < 8 * 64);
+    });
+}
+
+#[test]
+fn call_hang_up() {
+    // A caller hangs up while a service works on the call. The connection is closed, so
+    // that nothing is held for a caller who is gone.
+    block_on(async {
+        let service = service().await;
+        service.faults.order(Fault::Silent, 1);
+        let client = Client::new(Options::default());
+        let mut call = plain_call(service.addr, "a", false);
+        call.silence = Duration::from_secs(3600);
+        let answer = client.call(call);
+        eventually("the service runs it", || service.runs().contains_key("a")).await;
+        drop(answer);
+        eventually("the connection closes", || service.open() == 0).await;
+    });
+}
+
+#[test]
+fn call_large() {
+    block_on(async {
+        let service = service().await;
+        let client = Client::new(Options::default());
+        let mut call = plain_call(service.addr, "a", false);
+        call.body = vec![b'x'; 8 << 20].into();
+        let whole = client.call(call.clone()).whole().await;
+        assert_eq!(whole.end.outcome, Outcome::Answered);
+        assert_eq!(
+            whole.body,
+            answer("POST", "/records", &call.body).into_bytes()
+        );
+    });
+}
+
 #[test]
 fn load_report() {
     block_on(async {
--- a/crates/standins/src/engine/admin.rs
+++ b/crates/standins/src/engine/admin.rs
@@ -19,12 +19,7 @@
             ("x-request-id", ask.id.as_str()),
             ("content-type", "application/json"),
         ];
-        let headers = if ask.id.is_empty() {
-            &headers[1..]
-        } else {
-            &headers
-        };
-        conn.answer(status, headers, text.as_bytes()).await?;
+        conn.answer(status, &headers, text.as_bytes()).await?;
         Ok(true)
     }
 
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -100,6 +100,11 @@
         self.running.connections()
     }
 
+    /// Returns how many connections are open to it.
+    pub fn open(&self) -> usize {
+        self.running.open()
+    }
+
     /// Returns how often each request id ran.
     pub fn runs(&self) -> BTreeMap<String, u32> {
         self.state.batch.lock().unwrap().runs.clone()
--- a/crates/standins/src/plain/service.rs
+++ b/crates/standins/src/plain/service.rs
@@ -72,6 +72,11 @@
         self.running.connections()
     }
 
+    /// Returns how many connections are open to it.
+    pub fn open(&self) -> usize {
+        self.running.open()
+    }
+
     /// Returns how often each request id ran.
     pub fn runs(&self) -> BTreeMap<String, u32> {
         self.state.runs.lock().unwrap().clone()
@@ -161,7 +166,8 @@
             },
             _ => (404, String::new()),
         };
-        conn.answer(status, &[], text.as_bytes()).await?;
+        let headers = [("x-request-id", ask.id.as_str())];
+        conn.answer(status, &headers, text.as_bytes()).await?;
         Ok(true)
     }
 }
--- a/crates/standins/src/wire/serve.rs
+++ b/crates/standins/src/wire/serve.rs
@@ -48,6 +48,11 @@
     pub(crate) fn connections(&self) -> u64 {
         self.opened.load(Ordering::SeqCst)
     }
+
+    /// Returns how many connections are open.
+    pub(crate) fn open(&self) -> usize {
+        self.conns.lock().unwrap().len()
+    }
 }
 
 impl Drop for Running {
