--- /dev/null
+++ b/crates/policy/tests/limit.rs
@@ -0,0 +1,189 @@
+//! The learnt limit of a replica, against a model of an engine that batches.
+
+use {
+    fastrand::Rng,
+    policy::{
+        limit::Limit,
+        Slots,
+        Span,
+        Time, //
+    },
+};
+
+/// Requests run this long on average, so what runs falls slowly after a decrease.
+const LIFE: f64 = 8.0;
+/// From one report to the next, in seconds.
+const STEP: f64 = 0.25;
+
+/// An engine that runs up to `full` requests at `base` seconds a token.
+struct Engine {
+    base: f64,
+    full: f64,
+    noise: f64,
+    running: f64,
+    demand: f64,
+    rng: Rng,
+    now: f64,
+}
+
+impl Engine {
+    fn new(full: f64, noise: f64, seed: u64) -> Engine {
+        Engine {
+            base: 0.02,
+            full,
+            noise,
+            running: 0.0,
+            demand: f64::INFINITY,
+            rng: Rng::with_seed(seed),
+            now: 0.0,
+        }
+    }
+
+    /// Runs for some seconds; returns the mean of limit and of utilisation.
+    fn run(&mut self, limit: &mut Limit, secs: f64) -> (f64, f64) {
+        let steps = (secs / STEP) as u32;
+        let (mut limits, mut used) = (0.0, 0.0);
+        for _ in 0..steps {
+            self.now += STEP;
+            let target = f64::from(limit.get().0).min(self.demand);
+            let drained = self.running * (1.0 - STEP / LIFE);
+            self.running = target.max(drained).floor();
+            let slow = (self.running / self.full).max(1.0);
+            let gap = self.base * slow * (1.0 + self.noise * (self.rng.f64() * 2.0 - 1.0));
+            let first = 0.3 * slow * (1.0 + 0.5 * (self.rng.f64() * 2.0 - 1.0));
+            limit.sample(
+                Some(Span((first * 1e6) as u64)),
+                Some(Span((gap * 1e6) as u64)),
+                Slots(self.running as u32),
+                true,
+                Time((self.now * 1e6) as u64),
+            );
+            limits += f64::from(limit.get().0);
+            used += (self.running / self.full).min(1.0);
+        }
+        (limits / f64::from(steps), used / f64::from(steps))
+    }
+}
+
+#[test]
+fn sample_converges_near_what_the_engine_can_run() {
+    for seed in 0..20 {
+        for full in [1.0, 4.0, 16.0, 60.0] {
+            let mut limit = Limit::new(Slots(4));
+            let mut e = Engine::new(full, 0.2, seed);
+            e.run(&mut limit, 60.0);
+            let (mean, used) = e.run(&mut limit, 120.0);
+            println!("full {full} seed {seed}: limit {mean:.1}, utilisation {used:.3}");
+            assert!(mean <= full * 1.4 + 2.0, "full {full} seed {seed}: {mean}");
+            // A probe of a small replica takes a fourth of it away.
+            let least = if full < 8.0 { 0.9 } else { 0.97 };
+            assert!(used >= least, "full {full} seed {seed}: {used}");
+        }
+    }
+}
+
+#[test]
+fn sample_follows_an_engine_that_runs_half_as_many() {
+    // An engine loses half of its cache memory. Its answers take twice as long, as its
+    // router goes on giving it all it ran before.
+    for seed in 0..20 {
+        let mut limit = Limit::new(Slots(4));
+        let mut e = Engine::new(32.0, 0.2, seed);
+        e.run(&mut limit, 60.0);
+        e.full = 16.0;
+        e.run(&mut limit, 30.0);
+        let (mean, used) = e.run(&mut limit, 60.0);
+        println!("half seed {seed}: limit {mean:.1}, utilisation {used:.3}");
+        assert!(
+            mean <= 16.0 * 1.75 && used >= 0.97,
+            "seed {seed}: {mean} {used}"
+        );
+        e.full = 32.0;
+        e.run(&mut limit, 30.0);
+        let (mean, used) = e.run(&mut limit, 60.0);
+        println!("whole seed {seed}: limit {mean:.1}, utilisation {used:.3}");
+        assert!(
+            mean <= 32.0 * 1.75 && used >= 0.97,
+            "seed {seed}: {mean} {used}"
+        );
+    }
+}
+
+#[test]
+fn sample_does_not_collapse_when_every_token_is_slower() {
+    // An engine is throttled, so each token takes twice as long whatever runs. A limit that
+    // shrinks until the old times come back would end at 1 and leave the engine idle.
+    for seed in 0..20 {
+        let mut limit = Limit::new(Slots(4));
+        let mut e = Engine::new(16.0, 0.2, seed);
+        e.run(&mut limit, 60.0);
+        e.base *= 2.0;
+        e.run(&mut limit, 30.0);
+        let (mean, used) = e.run(&mut limit, 60.0);
+        println!("slow seed {seed}: limit {mean:.1}, utilisation {used:.3}");
+        assert!(
+            mean <= 16.0 * 1.75 && used >= 0.97,
+            "seed {seed}: {mean} {used}"
+        );
+        e.base /= 2.0;
+        e.run(&mut limit, 30.0);
+        let (mean, used) = e.run(&mut limit, 60.0);
+        println!("back seed {seed}: limit {mean:.1}, utilisation {used:.3}");
+        assert!(
+            mean <= 16.0 * 1.75 && used >= 0.97,
+            "seed {seed}: {mean} {used}"
+        );
+    }
+}
+
+#[test]
+fn sample_of_a_refusal() {
+    let mut limit = Limit::new(Slots(10));
+    for i in 0..6 {
+        limit.sample(
+            None,
+            None,
+            Slots(10),
+            false,
+            Time(0) + Span::millis(250 * i),
+        );
+    }
+    assert_eq!(limit.get(), Slots(7));
+    for i in 0..200 {
+        limit.sample(
+            None,
+            None,
+            Slots(1),
+            false,
+            Time(0) + Span::millis(2000 + 250 * i),
+        );
+    }
+    assert_eq!(limit.get(), Slots(1));
+}
+
+#[test]
+fn sample_leaves_the_limit_while_it_is_not_in_use() {
+    let mut limit = Limit::new(Slots(8));
+    let mut e = Engine::new(16.0, 0.1, 1);
+    e.demand = 2.0;
+    e.run(&mut limit, 60.0);
+    assert_eq!(limit.get(), Slots(8));
+}
+
+#[test]
+fn load_with_requests_that_wait_inside_the_engine() {
+    let mut limit = Limit::new(Slots(20));
+    limit.load(8, 12, Time(0));
+    assert_eq!(limit.get(), Slots(8));
+    limit.load(4, 16, Time(0) + Span::millis(500));
+    assert_eq!(limit.get(), Slots(8), "the report lags");
+    limit.load(0, 0, Time(0) + Span::secs(5));
+    assert_eq!(limit.get(), Slots(8));
+}
+
+#[test]
+fn capped_holds() {
+    let mut limit = Limit::new(Slots(4)).capped(Slots(6));
+    Engine::new(100.0, 0.0, 1).run(&mut limit, 30.0);
+    assert_eq!(limit.get(), Slots(6));
+}
