--- a/crates/standins/src/plain/service.rs
+++ b/crates/standins/src/plain/service.rs
@@ -132,6 +132,10 @@
             conn.answer(503, &headers, b"leaving\n").await?;
             return Ok(true);
         }
+        if fault == Some(Fault::Refuse) {
+            conn.refuse(&ask.id).await?;
+            return Ok(true);
+        }
         if fault == Some(Fault::Ignored) {
             return silence(&conn).await;
         }
@@ -200,7 +204,7 @@
             sleep(Duration::from_millis(ms)).await;
             conn.answer(200, &headers, text).await?;
         }
-        None | Some(Fault::ResetUnread | Fault::Ignored) => {
+        None | Some(_) => {
             conn.answer(200, &headers, text).await?;
         }
     }
