Keep no connection on which more came than was asked for

A second answer behind the first was swallowed by the reader unseen; the connection was kept. The next call could read the rest of it, found it foreign by its id, and ran again.

--- a/crates/endpoints/src/body.rs
+++ b/crates/endpoints/src/body.rs
@@ -99,6 +99,12 @@
                 None => Frame::Close,
             },
         };
+        // What stands behind the end of the body answers no call of ours.
+        let stray = match frame {
+            Frame::Left(n) => rest.len() as u64 > n,
+            Frame::Empty => !rest.is_empty(),
+            Frame::Chunked | Frame::Close => false,
+        };
         let source = Cursor::new(rest).chain(Eager(conn.stream.clone()));
         let reader: Box<dyn ReadBody> = match frame {
             Frame::Chunked => {
@@ -126,7 +132,7 @@
             conn,
             frame,
             reader,
-            keep: !close && frame != Frame::Close,
+            keep: !close && !stray && frame != Frame::Close,
         })
     }
 
--- a/crates/endpoints/tests/fuzz.rs
+++ b/crates/endpoints/tests/fuzz.rs
@@ -88,6 +88,7 @@
         Just(Fault::NoId),
         (0..80u64).prop_map(|ms| Fault::Delay { ms }),
         Just(Fault::Twice),
+        (0..4u64).prop_map(|ms| Fault::Stray { ms }),
         (1..8u32).prop_map(|by| Fault::Overlap { by }),
         (1..8u32).prop_map(|by| Fault::Skip { by }),
         Just(Fault::Refuse),
--- a/crates/endpoints/tests/odd_answers.rs
+++ b/crates/endpoints/tests/odd_answers.rs
@@ -4,6 +4,7 @@
 
 use {
     async_std::{
+        future::timeout,
         io::{
             ReadExt,
             WriteExt, //
@@ -49,8 +50,11 @@
     });
     let client = Client::new(Options::default());
     let mut call = plain_call(addr, "a", false);
-    call.silence = Duration::from_secs(5);
-    let whole = client.call(call).whole().await;
+    // Neither bound ends a call that hangs, so that the test sees it.
+    call.silence = Duration::from_secs(3600);
+    call.deadline += Duration::from_secs(3600);
+    let whole = timeout(Duration::from_secs(30), client.call(call).whole()).await;
+    let whole = whole.expect("the call hangs");
     drop(client);
     server.cancel().await;
     whole
--- a/crates/endpoints/tests/plain_faults.rs
+++ b/crates/endpoints/tests/plain_faults.rs
@@ -5,6 +5,7 @@
 use {
     async_std::task::block_on,
     common::{
+        eventually,
         plain_call,
         service, //
     },
@@ -215,19 +216,26 @@
 
 #[test]
 fn call_unasked_answer() {
-    // The service sends a second answer, for another id, right behind the first. It stays
-    // in the kept connection and would be read as the answer to the next call.
+    // The service sends a second answer, for another id, right behind the first or a while
+    // later. It stays in the kept connection, where the next call would read it as its
+    // own, discard it for its id, and have to run again.
     block_on(async {
-        let service = service().await;
-        let client = client();
-        service.faults.order(Fault::Twice, 1);
-        for id in ["a", "b", "c"] {
-            let whole = client
-                .call(plain_call(service.addr, id, true))
-                .whole()
-                .await;
-            assert_eq!(whole.end.outcome, Outcome::Answered);
-            assert_eq!(whole.body, right(id));
+        for fault in [Fault::Twice, Fault::Stray { ms: 30 }] {
+            let service = service().await;
+            let client = client();
+            service.faults.order(fault, 1);
+            for id in ["a", "b", "c"] {
+                let whole = client
+                    .call(plain_call(service.addr, id, true))
+                    .whole()
+                    .await;
+                assert_eq!(whole.end.outcome, Outcome::Answered);
+                assert_eq!(whole.body, right(id));
+                if matches!(fault, Fault::Stray { .. }) {
+                    eventually("the stray answer is out", || service.strays() == 1).await;
+                }
+            }
+            assert_eq!((service.runs()["b"], service.connections()), (1, 2));
         }
     });
 }
--- a/crates/standins/src/plain/service.rs
+++ b/crates/standins/src/plain/service.rs
@@ -4,6 +4,7 @@
     crate::wire::{
         head,
         listen,
+        whole,
         Ask,
         Conn,
         Fault,
@@ -19,6 +20,7 @@
         sync::{
             atomic::{
                 AtomicBool,
+                AtomicU32,
                 Ordering, //
             },
             Arc,
@@ -55,6 +57,7 @@
     faults: Faults,
     leaving: AtomicBool,
     runs: Mutex<BTreeMap<String, u32>>,
+    strays: AtomicU32,
 }
 
 impl Default for Opts {
@@ -82,6 +85,11 @@
         self.state.runs.lock().unwrap().clone()
     }
 
+    /// Returns how many answers it sent that nobody asked for.
+    pub fn strays(&self) -> u32 {
+        self.state.strays.load(Ordering::SeqCst)
+    }
+
     /// Refuses new work from now on, or takes it again.
     pub fn leave(&self, leaving: bool) {
         self.state.leaving.store(leaving, Ordering::SeqCst);
@@ -100,6 +108,7 @@
         faults: faults.clone(),
         leaving: AtomicBool::new(false),
         runs: Mutex::default(),
+        strays: AtomicU32::new(0),
     });
     let shared = state.clone();
     let running = listen(opts.addr, faults.clone(), move |conn, ask, fault| {
@@ -147,7 +156,7 @@
         *self.runs.lock().unwrap().entry(ask.id.clone()).or_default() += 1;
         sleep(self.work).await;
         let text = answer(ask.method.as_ref(), &ask.path, &ask.body);
-        reply(&conn, &ask.id, text.as_bytes(), fault).await
+        reply(&conn, &ask.id, text.as_bytes(), fault, &self.strays).await
     }
 
     async fn admin(&self, conn: &Conn, ask: &Ask) -> io::Result<bool> {
@@ -172,7 +181,13 @@
     }
 }
 
-async fn reply(conn: &Conn, id: &str, text: &[u8], fault: Option<Fault>) -> io::Result<bool> {
+async fn reply(
+    conn: &Conn,
+    id: &str,
+    text: &[u8],
+    fault: Option<Fault>,
+    strays: &AtomicU32,
+) -> io::Result<bool> {
     let headers = [("x-request-id", id), ("content-type", "text/plain")];
     match fault {
         Some(Fault::ResetUnanswered) => {
@@ -193,18 +208,19 @@
             part(conn, &headers, text, after).await?;
             return silence(conn).await;
         }
-        Some(Fault::WrongId) => {
-            let other = format!("{id}-other");
-            conn.answer(200, &[("x-request-id", &other)], b"of another\n")
-                .await?;
-        }
+        Some(Fault::WrongId) => conn.send(&foreign(id)).await?,
         Some(Fault::NoId) => conn.answer(200, &[], text).await?,
         Some(Fault::Fail) => conn.answer(500, &headers, b"failed\n").await?,
         Some(Fault::Twice) => {
+            let mut both = whole(200, &headers, text);
+            both.extend(foreign(id));
+            conn.send(&both).await?;
+        }
+        Some(Fault::Stray { ms }) => {
             conn.answer(200, &headers, text).await?;
-            let other = format!("{id}-other");
-            conn.answer(200, &[("x-request-id", &other)], b"of another\n")
-                .await?;
+            sleep(Duration::from_millis(ms)).await;
+            conn.send(&foreign(id)).await?;
+            strays.fetch_add(1, Ordering::SeqCst);
         }
         Some(Fault::Delay { ms }) => {
             sleep(Duration::from_millis(ms)).await;
@@ -217,6 +233,12 @@
     Ok(true)
 }
 
+/// Returns the whole answer to another request.
+fn foreign(id: &str) -> Vec<u8> {
+    let other = format!("{id}-other");
+    whole(200, &[("x-request-id", &other)], b"of another\n")
+}
+
 /// Sends the head and the first bytes of an answer.
 async fn part(conn: &Conn, headers: &[(&str, &str)], text: &[u8], after: u32) -> io::Result<()> {
     let len = text.len().to_string();
--- a/crates/standins/src/wire/fault.rs
+++ b/crates/standins/src/wire/fault.rs
@@ -47,8 +47,13 @@
         /// How late it comes.
         ms: u64,
     },
-    /// The whole answer of the request, then a second answer for another id, unasked.
+    /// The whole answer of the request and one for another id, in one piece.
     Twice,
+    /// The whole answer of the request, and some time later one for another id.
+    Stray {
+        /// How much later it comes.
+        ms: u64,
+    },
     /// A resumed stream begins this many tokens too early.
     Overlap {
         /// How many tokens come twice.
--- a/crates/standins/src/wire/http.rs
+++ b/crates/standins/src/wire/http.rs
@@ -90,10 +90,7 @@
         headers: &[(&str, &str)],
         body: &[u8],
     ) -> io::Result<()> {
-        let mut buf = head(status, headers);
-        buf.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
-        buf.extend_from_slice(body);
-        self.send(&buf).await
+        self.send(&whole(status, headers, body)).await
     }
 
     /// Answers that a request was not taken.
@@ -128,6 +125,15 @@
     fault == Some(Fault::ResetUnread)
 }
 
+/// Returns the bytes of a whole answer.
+pub(crate) fn whole(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut buf = head(status, headers);
+    buf.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
+    buf.extend_from_slice(body);
+    buf
+}
+
+/// Returns the first line and headers of an answer, without the empty line.
 pub(crate) fn head(status: u16, headers: &[(&str, &str)]) -> Vec<u8> {
     let mut buf = format!("HTTP/1.1 {status} Status\r\n");
     for (name, value) in headers {
--- a/crates/standins/src/wire/mod.rs
+++ b/crates/standins/src/wire/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) use self::{
     http::{
         head,
+        whole,
         Ask,
         Conn, //
     },
