--- /dev/null
+++ b/src/router/messages.rs
@@ -0,0 +1,58 @@
+//! What routers say to each other.
+
+use {
+    platform::{
+        store::Config,
+        Listed, //
+    },
+    policy::{
+        members::Heartbeat,
+        tickets::{
+            Ask,
+            Reply, //
+        },
+        Message,
+        ReplicaId, //
+    },
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+};
+
+/// A message that needs no answer. It may be lost, doubled or late.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Item {
+    /// A sign of life.
+    Beat(Heartbeat),
+    /// About shares and capacity.
+    Share(Message),
+    /// A replica said that it is leaving.
+    Withdrawn(ReplicaId),
+}
+
+/// A question that needs an answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Question {
+    /// Who is there? Asked of an address whose router is not known yet.
+    Hello(Heartbeat),
+    /// May I start the request of this ticket?
+    Ticket(Ask),
+    /// The configuration, if it is above this revision.
+    Config(u64),
+    /// The list of instances, if it is another than this revision.
+    List(u64),
+}
+
+/// The answer to a [`Question`].
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Answer {
+    /// The router that was asked.
+    Hello(Heartbeat),
+    /// What came of the ticket.
+    Ticket(Reply),
+    /// The configuration.
+    Config(Option<Box<Config>>),
+    /// The list of instances.
+    List(Option<Box<Listed>>),
+}
--- /dev/null
+++ b/src/router/state.rs
@@ -0,0 +1,126 @@
+//! The tables of one router.
+
+use {
+    super::{
+        clock::Clock,
+        jobs::{
+            Jobs,
+            Verdict, //
+        },
+        messages::Item,
+    },
+    crate::conf::Settings,
+    operators::Fleet,
+    peers::Links,
+    platform::{
+        store::Config,
+        Listed, //
+    },
+    policy::{
+        head::Head,
+        members::Members,
+        retry::Budget,
+        tickets::{
+            Holder,
+            Tickets, //
+        },
+        Action,
+        Dispatch,
+        ReplicaId,
+        Time, //
+    },
+    std::{
+        collections::HashMap,
+        sync::{
+            atomic::{
+                AtomicBool,
+                Ordering, //
+            },
+            Arc,
+            Mutex,
+            MutexGuard, //
+        },
+    },
+};
+
+/// What is in force and where it came from.
+#[derive(Debug)]
+pub(crate) struct InForce {
+    /// The highest revision heard of, and whom it can be had from.
+    pub(crate) head: Head,
+    /// The whole configuration, to hand on to peers.
+    pub(crate) config: Option<Arc<Config>>,
+    /// The same, for look-ups.
+    pub(crate) fleet: Arc<Fleet>,
+}
+
+/// The instances, as last listed.
+#[derive(Debug, Default)]
+pub(crate) struct Listing {
+    /// The list.
+    pub(crate) listed: Arc<Listed>,
+    /// Replicas seen leaving by themselves, and until when that is believed.
+    pub(crate) withdrawn: HashMap<ReplicaId, Time>,
+}
+
+/// One router: its tables, and what they are driven by.
+///
+/// Lock order: `force`, `listing`, `members`, `tickets`, `dispatch`, `jobs`. A task that
+/// needs two takes them in this order; none is held across an await.
+#[derive(Debug)]
+pub(crate) struct Router {
+    pub(crate) settings: Settings,
+    pub(crate) me: Holder,
+    pub(crate) clock: Clock,
+    pub(crate) links: Arc<Links<Item>>,
+    pub(crate) endpoints: endpoints::Client,
+    pub(crate) force: Mutex<InForce>,
+    pub(crate) listing: Mutex<Listing>,
+    pub(crate) members: Mutex<Members>,
+    pub(crate) tickets: Mutex<Tickets>,
+    pub(crate) dispatch: Mutex<Dispatch>,
+    pub(crate) jobs: Mutex<Jobs>,
+    pub(crate) budget: Mutex<Budget>,
+    pub(crate) leaving: AtomicBool,
+}
+
+/// Locks a table. A thread that panicked with the lock held has left a table that was
+/// changed by whole steps only, so the others go on with it.
+pub(crate) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+impl Router {
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Runs a step of the dispatch and does what it decides.
+    pub(crate) fn dispatch<R>(&self, step: impl FnOnce(&mut Dispatch, Time) -> R) -> R {
+        let mut dispatch = lock(&self.dispatch);
+        let out = step(&mut dispatch, self.clock.now());
+        for action in dispatch.take_actions() {
+            self.act(action);
+        }
+        out
+    }
+
+    fn act(&self, action: Action) {
+        let (job, verdict) = match action {
+            Action::Send { to, msg } => return self.links.send(&to, Item::Share(msg)),
+            Action::Start { job, replica } => (job, Verdict::Start(replica)),
+            Action::Refuse { job, why, after } => (job, Verdict::Refuse { why, after }),
+        };
+        if !lock(&self.jobs).tell(job, verdict) {
+            log::debug!("router: a decision came for a request that nobody waits for");
+        }
+    }
+
+    pub(crate) fn fleet(&self) -> Arc<Fleet> {
+        lock(&self.force).fleet.clone()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+}
