--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,14 +4,43 @@
 //! caller passes the time and a seed. That is what lets each decision be fuzzed against
 //! an oracle, replayed from a golden file and measured without a network.
 
+mod dispatch;
+mod entry;
+pub mod head;
 mod ids;
+pub mod members;
 mod outcome;
+mod pool;
 pub mod rendezvous;
+mod shares;
 pub mod tickets;
 mod time;
 mod units;
 
 pub use self::{
+    dispatch::{
+        Action,
+        Dispatch,
+        DispatchDump,
+        Finish,
+        Job,
+        JobId,
+        Lend,
+        Message,
+        Mode,
+        OwnerView,
+        Peer,
+        PeerState,
+        QueueDump,
+        Replica,
+        ReplicaDump,
+        Report,
+        Rules,
+        ServiceDump,
+        ServiceRules,
+        Unit,
+        WorkspaceShare, //
+    },
     ids::{
         IdError,
         Incarnation,
@@ -27,6 +56,11 @@
         OutcomeError,
         Refusal, //
     },
+    shares::{
+        gap_bound,
+        GapTerms,
+        Notes, //
+    },
     time::{
         Span,
         SpanError,
