--- /dev/null
+++ b/src/router/beat.rs
@@ -0,0 +1,203 @@
+//! Heartbeats: who the other routers are.
+
+use {
+    super::{
+        messages::{
+            Answer,
+            Item,
+            Known,
+            Question, //
+        },
+        state::{
+            lock,
+            Router, //
+        },
+    },
+    async_std::task,
+    policy::{
+        members::{
+            Event,
+            Intro,
+            Member,
+            Own,
+            State, //
+        },
+        Peer,
+        PeerState, //
+    },
+    std::{
+        sync::Arc,
+        time::Duration, //
+    },
+};
+
+/// How often the members are looked after.
+const TICK: Duration = Duration::from_millis(50);
+/// How often the addresses that the settings name are asked while nobody else is known.
+const SEEDING: Duration = Duration::from_millis(500);
+/// How long a peer may take to answer a greeting.
+const HELLO: Duration = Duration::from_secs(1);
+
+/// Keeps the members up to date for as long as the process runs.
+pub(crate) async fn run(router: Arc<Router>) {
+    task::spawn(greet(router.clone()));
+    loop {
+        tick(&router);
+        task::sleep(TICK).await;
+    }
+}
+
+fn tick(router: &Router) {
+    let own = own(router);
+    let mut members = lock(&router.members);
+    members.set(own);
+    members.tick(router.now());
+    drop(members);
+    router.follow_members();
+}
+
+fn own(router: &Router) -> Own {
+    let config = lock(&router.force).head.revision();
+    let list = lock(&router.listing).listed.revision;
+    let load = lock(&router.dispatch).load();
+    Own {
+        leaving: router.is_leaving(),
+        config,
+        list,
+        load,
+    }
+}
+
+impl Router {
+    /// Sends what the members want sent, and passes on what changed.
+    pub(crate) fn follow_members(&self) {
+        let events = lock(&self.members).take_events();
+        for event in events {
+            match event {
+                Event::Beat { to, addr, beat } => {
+                    let delay = self.way(&to);
+                    self.links.route(&to, addr, delay);
+                    self.links.send(&to, Item::Beat(*beat));
+                }
+                Event::Changed => self.members_changed(),
+                Event::Replaced(incarnation) => {
+                    log::error!(
+                        "router: a later start ({incarnation}) of {} is about; \
+                         this one hands back its work, give each router its own name",
+                        self.me.router
+                    );
+                    self.leave();
+                }
+            }
+        }
+    }
+
+    /// Time that each frame to a peer is held back. It is zero outside measurements.
+    fn way(&self, to: &policy::RouterId) -> Duration {
+        let zone = lock(&self.members).get(to).map(|m| m.zone.clone());
+        match zone {
+            Some(zone) if zone != self.settings.zone => self.settings.zone_delay,
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn members_changed(&self) {
+        let members = lock(&self.members);
+        let view = members.view();
+        let gone: Vec<_> = members
+            .known()
+            .filter(|m| !m.up())
+            .map(|m| m.id.clone())
+            .collect();
+        drop(members);
+        let others: Vec<Peer> = view
+            .iter()
+            .filter(|m| m.id != self.me.router)
+            .map(peer)
+            .collect();
+        log::info!("router: {} other routers are up", others.len());
+        self.dispatch(|d, now| d.routers(others, now));
+        for id in gone {
+            log::debug!("router: {id} is gone");
+        }
+    }
+}
+
+fn peer(m: &Member) -> Peer {
+    let state = match m.state {
+        _ if m.leaving => PeerState::Leaving,
+        State::Suspect => PeerState::Suspect,
+        _ => PeerState::Live,
+    };
+    Peer {
+        id: m.id.clone(),
+        incarnation: m.incarnation,
+        zone: m.zone.clone(),
+        state,
+    }
+}
+
+/// Greets the addresses that the settings name until another router is known.
+///
+/// A router that restarts empty while the platform is down has no list. It would show as
+/// a router that never becomes ready; the addresses in its settings lead it to its peers.
+async fn greet(router: Arc<Router>) {
+    if router.settings.seeds.is_empty() {
+        return;
+    }
+    let me = Known {
+        id: router.me.router.clone(),
+        intro: intro(&router),
+    };
+    loop {
+        for addr in &router.settings.seeds {
+            let question = Question::Hello(me.clone());
+            let asked = router.links.ask(*addr, &question, HELLO).await;
+            if let Ok(Answer::Hello(known)) = asked {
+                router.meet(known);
+            }
+        }
+        let pause = match lock(&router.members).view().len() {
+            0 | 1 => SEEDING,
+            _ => SEEDING * 20,
+        };
+        task::sleep(pause).await;
+    }
+}
+
+pub(crate) fn intro(router: &Router) -> Intro {
+    Intro {
+        addr: router.settings.peers.advertise,
+        callers: router.settings.callers.advertise,
+        zone: router.settings.zone.clone(),
+    }
+}
+
+impl Router {
+    /// Takes over routers that another one named.
+    pub(crate) fn meet(&self, known: Vec<Known>) {
+        let now = self.now();
+        let mut members = lock(&self.members);
+        for k in known {
+            if k.id != self.me.router {
+                members.seed(k.id, k.intro, now);
+            }
+        }
+        drop(members);
+        self.follow_members();
+    }
+
+    /// Returns this router and those it knows to be up.
+    pub(crate) fn known(&self) -> Vec<Known> {
+        let view = lock(&self.members).view();
+        let known = view.into_iter().map(|m| Known {
+            id: m.id,
+            intro: Intro {
+                addr: m.addr,
+                callers: m.callers,
+                zone: m.zone,
+            },
+        });
+        known.collect()
+    }
+}
--- /dev/null
+++ b/src/router/list.rs
@@ -0,0 +1,188 @@
+//! The platform's lagging list of instances, and what replicas say of themselves.
+
+use {
+    super::{
+        messages::{
+            Answer,
+            Item,
+            Question, //
+        },
+        state::{
+            lock,
+            Router, //
+        },
+    },
+    async_std::task,
+    platform::{
+        Instance,
+        Instances,
+        Listed,
+        Role,
+        State, //
+    },
+    policy::{
+        members,
+        Replica,
+        ReplicaId,
+        RouterId,
+        ServiceId,
+        Span, //
+    },
+    std::{
+        collections::BTreeMap,
+        sync::Arc,
+        time::Duration, //
+    },
+};
+
+/// How often a watcher of the list polls it.
+const POLL: Duration = Duration::from_secs(1);
+/// How many routers watch the platform; the others learn from them.
+pub(crate) const WATCHERS: usize = 3;
+/// How long a peer may take to answer.
+const ASK: Duration = Duration::from_secs(2);
+/// How long a replica's own word that it leaves stands against a list that lags.
+const WITHDRAWN: Span = Span::secs(30);
+
+/// Polls the list while this router is one of its watchers.
+pub(crate) async fn run(router: Arc<Router>) {
+    let mut instances = Instances::new(router.platform_options());
+    loop {
+        if router.watches("list") {
+            match instances.poll().await {
+                Ok(Some(listed)) => router.take_list(listed),
+                Ok(None) => {}
+                Err(e) => log::debug!("platform: the list can't be read: {e}"),
+            }
+        }
+        task::sleep(POLL).await;
+    }
+}
+
+impl Router {
+    /// Tells whether this router is one of those that watch a key on the platform.
+    pub(crate) fn watches(&self, key: &str) -> bool {
+        lock(&self.members).watches(key, WATCHERS)
+    }
+
+    /// Learns from a heartbeat which list a peer has.
+    pub(crate) fn list_head(self: &Arc<Router>, from: &RouterId, revision: u64) {
+        let ours = lock(&self.listing).listed.revision;
+        if revision <= ours || self.watches("list") {
+            return;
+        }
+        let Some(addr) = self.links.addr(from) else {
+            return;
+        };
+        if !self.begin_fetch(Fetch::List) {
+            return;
+        }
+        let router = self.clone();
+        task::spawn(async move {
+            let asked = router.links.ask(addr, &Question::List(ours), ASK).await;
+            if let Ok(Answer::List(Some(listed))) = asked {
+                router.take_list(*listed);
+            }
+            router.end_fetch(Fetch::List);
+        });
+    }
+
+    /// Returns the list, if it is another than a peer has.
+    pub(crate) fn list_beyond(&self, have: u64) -> Option<Listed> {
+        let listing = lock(&self.listing);
+        (listing.listed.revision != have).then(|| Listed::clone(&listing.listed))
+    }
+
+    fn take_list(&self, listed: Listed) {
+        let routers = listed.instances.iter().filter_map(router_of).collect();
+        let now = self.now();
+        let listed = Arc::new(listed);
+        lock(&self.listing).listed = listed.clone();
+        lock(&self.members).listed(routers, now);
+        self.follow_members();
+        self.apply_list();
+    }
+
+    /// Tells the dispatch which replicas there are.
+    pub(crate) fn apply_list(&self) {
+        let now = self.now();
+        let mut listing = lock(&self.listing);
+        listing.withdrawn.retain(|_, until| *until > now);
+        let mut services: BTreeMap<ServiceId, Vec<Replica>> = BTreeMap::new();
+        for service in self.fleet().document().services.keys() {
+            services.insert(service.clone(), Vec::new());
+        }
+        for instance in &listing.listed.instances {
+            let Some(mut replica) = replica_of(instance) else {
+                continue;
+            };
+            replica.leaving |= listing.withdrawn.contains_key(&replica.id);
+            let list = services.entry(replica.service.clone()).or_default();
+            list.push(replica);
+        }
+        self.dispatch(|d, now| {
+            for (service, list) in services {
+                d.replicas(&service, list, now);
+            }
+        });
+    }
+
+    /// Gives no more work to a replica that said it is leaving, and tells the others.
+    ///
+    /// The list lags, so a leaving endpoint would show as refusals for seconds. What it
+    /// says itself is believed at once, for a while, until the list has caught up.
+    pub(crate) fn noticed_leaving(&self, replica: &ReplicaId) {
+        let until = self.now() + WITHDRAWN;
+        let known = lock(&self.listing).withdrawn.insert(replica.clone(), until);
+        if known.is_some() {
+            return;
+        }
+        log::info!("endpoints: {replica} says that it is leaving");
+        self.withdraw(replica);
+        let view = lock(&self.members).view();
+        for m in view.iter().filter(|m| m.id != self.me.router) {
+            self.links.send(&m.id, Item::Withdrawn(replica.clone()));
+        }
+    }
+
+    /// Gives no more work to a replica.
+    pub(crate) fn withdraw(&self, replica: &ReplicaId) {
+        let until = self.now() + WITHDRAWN;
+        lock(&self.listing).withdrawn.insert(replica.clone(), until);
+        self.dispatch(|d, now| d.withdraw(replica, now));
+    }
+}
+
+/// What is being fetched from a peer; one at a time of each kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fetch {
+    /// The configuration.
+    Config,
+    /// The list of instances.
+    List,
+}
+
+fn router_of(i: &Instance) -> Option<members::Listed> {
+    if i.role != Role::Router {
+        return None;
+    }
+    Some(members::Listed {
+        id: i.name.parse().ok()?,
+        addr: i.addr,
+        callers: i.callers?,
+        zone: i.zone.clone(),
+        leaving: i.state == State::Leaving,
+    })
+}
+
+fn replica_of(i: &Instance) -> Option<Replica> {
+    if i.role != Role::Endpoint {
+        return None;
+    }
+    Some(Replica {
+        id: i.addr.to_string().parse().ok()?,
+        service: i.service.clone()?,
+        zone: i.zone.clone(),
+        leaving: i.state == State::Leaving,
+    })
+}
--- a/src/router/messages.rs
+++ b/src/router/messages.rs
@@ -6,13 +6,17 @@
         Listed, //
     },
     policy::{
-        members::Heartbeat,
+        members::{
+            Heartbeat,
+            Intro, //
+        },
         tickets::{
             Ask,
             Reply, //
         },
         Message,
-        ReplicaId, //
+        ReplicaId,
+        RouterId, //
     },
     serde::{
         Deserialize,
@@ -34,8 +38,8 @@
 /// A question that needs an answer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Question {
-    /// Who is there? Asked of an address whose router is not known yet.
-    Hello(Heartbeat),
+    /// Who is there? Asked of an address that the settings name.
+    Hello(Known),
     /// May I start the request of this ticket?
     Ticket(Ask),
     /// The configuration, if it is above this revision.
@@ -47,8 +51,8 @@
 /// The answer to a [`Question`].
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum Answer {
-    /// The router that was asked.
-    Hello(Heartbeat),
+    /// The routers that the one asked knows, itself among them.
+    Hello(Vec<Known>),
     /// What came of the ticket.
     Ticket(Reply),
     /// The configuration.
@@ -56,3 +60,10 @@
     /// The list of instances.
     List(Option<Box<Listed>>),
 }
+
+/// A router and where it is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Known {
+    pub(crate) id: RouterId,
+    pub(crate) intro: Intro,
+}
