--- /dev/null
+++ b/src/router/claims.rs
@@ -0,0 +1,174 @@
+//! Tickets: the right to start a request that may not be repeated.
+
+use {
+    super::{
+        messages::{
+            Answer,
+            Question, //
+        },
+        state::{
+            lock,
+            Router, //
+        },
+    },
+    callers::{
+        Refused,
+        Response,
+        Why, //
+    },
+    policy::{
+        tickets::{
+            Ask,
+            Claim,
+            Grant,
+            Record,
+            Reply,
+            Ticket, //
+        },
+        Outcome,
+        RouterId, //
+    },
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration, //
+    },
+};
+
+/// How long the holder of a ticket may take to answer.
+const ASK: Duration = Duration::from_millis(1500);
+/// How often a holder that gave no answer is asked again.
+const TRIES: u32 = 2;
+/// How often a ticket may have changed hands before its trail is given up.
+const HOPS: u32 = 8;
+/// When a caller should ask again about a request that runs.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// An answer as it is recorded for those who ask again.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Recorded {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Router {
+    /// Claims a ticket, asking other routers where needed.
+    ///
+    /// # Errors
+    ///
+    /// What the caller is told instead.
+    pub(crate) async fn claim(&self, text: Option<&str>) -> Result<Grant, Box<Response>> {
+        let text = text.ok_or_else(|| refuse(Why::TicketNeeded, NEEDED))?;
+        let ticket: Ticket = text
+            .parse()
+            .map_err(|e| refuse(Why::TicketUnknown, &format!("{e}")))?;
+        let now = self.now();
+        let mut claim = lock(&self.tickets).claim(&ticket, now);
+        for _ in 0..HOPS {
+            let ask = match claim {
+                Claim::Granted(grant) => return Ok(grant),
+                Claim::Ask(ask) => ask,
+                other => return Err(Box::new(told(other))),
+            };
+            let Some(reply) = self.ask_holder(&ask).await else {
+                return Err(refuse(Why::TicketOrphaned, ORPHANED));
+            };
+            let now = self.now();
+            claim = lock(&self.tickets).answered(&ticket, reply, now);
+        }
+        Err(refuse(Why::TicketOrphaned, ORPHANED))
+    }
+
+    async fn ask_holder(&self, ask: &Ask) -> Option<Reply> {
+        for _ in 0..TRIES {
+            let addr = self.addr_of(&ask.of.router)?;
+            let question = Question::Ticket(ask.clone());
+            match self.links.ask(addr, &question, ASK).await {
+                Ok(Answer::Ticket(reply)) => return Some(reply),
+                Ok(_) => return None,
+                Err(e) => log::debug!("peers: {} about a ticket: {e}", ask.of.router),
+            }
+        }
+        None
+    }
+
+    fn addr_of(&self, id: &RouterId) -> Option<SocketAddr> {
+        let members = lock(&self.members);
+        members.get(id).map(|m| m.addr)
+    }
+
+    /// Records how a granted request ended.
+    pub(crate) fn record(&self, grant: &Grant, outcome: Outcome, answer: Option<Recorded>) {
+        let bytes = answer.and_then(|a| rmp_serde::to_vec(&a).ok());
+        let bytes: Option<Arc<[u8]>> = bytes.map(Arc::from);
+        let now = self.now();
+        lock(&self.tickets).finish(grant, outcome, bytes, now);
+    }
+
+    /// Gives a ticket back: no byte of its request was written to an endpoint.
+    pub(crate) fn unstarted(&self, grant: &Grant) {
+        let now = self.now();
+        lock(&self.tickets).unstarted(grant, now);
+    }
+}
+
+const NEEDED: &str = "a request of this profile may not be repeated and needs a ticket; \
+    ask `/chervilwind/where` with `tickets=1` and send the ticket along";
+const ORPHANED: &str = "the router that holds the ticket can't be reached, so the request may \
+    have run; look whether it did before you ask for a new ticket";
+
+fn refuse(why: Why, message: &str) -> Box<Response> {
+    Box::new(Refused::new(why, message).into())
+}
+
+/// What a caller is told whose request may not be started.
+fn told(claim: Claim) -> Response {
+    let refused = match claim {
+        Claim::Done(record) => return again(record),
+        Claim::Running => Refused::new(
+            Why::TicketRunning,
+            "a request with this ticket runs; ask again with the same ticket for its answer",
+        )
+        .retry_after(AGAIN),
+        Claim::Expired => Refused::new(
+            Why::TicketUnknown,
+            "the ticket expired unused; ask for a new one",
+        ),
+        Claim::Gone | Claim::Granted(_) | Claim::Ask(_) => Refused::new(
+            Why::TicketOrphaned,
+            "nobody remembers this ticket any more, so the request may have run; look \
+             whether it did before you ask for a new one",
+        ),
+    };
+    refused.into()
+}
+
+/// Gives the recorded outcome of a request again.
+fn again(record: Record) -> Response {
+    let recorded: Option<Recorded> = record
+        .answer
+        .and_then(|a| rmp_serde::from_slice(&a.0).ok());
+    match recorded {
+        Some(r) => {
+            let mut response = Response::whole(r.status, record.outcome, r.body);
+            for (name, value) in r.headers {
+                response = response.header(&name, value);
+            }
+            response
+        }
+        None => Refused::new(
+            Why::TicketUsed,
+            format!(
+                "the request with this ticket ended ({}), and its answer is no longer kept",
+                record.outcome
+            ),
+        )
+        .outcome(record.outcome)
+        .into(),
+    }
+}
--- /dev/null
+++ b/src/router/config.rs
@@ -0,0 +1,268 @@
+//! The configuration in force: from the platform for a few watchers, from peers for all.
+
+use {
+    super::{
+        messages::{
+            Answer,
+            Delta,
+            DeltaPart,
+            Have,
+            Question, //
+        },
+        rules::rules,
+        state::{
+            lock,
+            Router, //
+        },
+    },
+    async_std::task,
+    operators::{
+        Document,
+        Fleet,
+        Source as Text, //
+    },
+    platform::{
+        store::{
+            join,
+            repair,
+            Config,
+            Part,
+            Repaired,
+            Seen,
+            Watcher, //
+        },
+        Kv,
+    },
+    policy::{
+        head::{
+            Decision,
+            Hash,
+            Revision,
+            Source,
+            Taken, //
+        },
+        RouterId,
+    },
+    std::{
+        collections::HashMap,
+        sync::Arc,
+        time::Duration, //
+    },
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Pause of a router that does not watch, before it looks whether it should.
+const LOOK: Duration = Duration::from_millis(250);
+/// How long a peer may take to answer.
+const ASK: Duration = Duration::from_secs(2);
+/// How often hanging fetches are looked after.
+const TICK: Duration = Duration::from_millis(250);
+
+/// Watches the platform while this router is one of the watchers.
+pub(crate) async fn watch(router: Arc<Router>) {
+    let kv = Kv::new(router.platform_options());
+    let mut watcher = Watcher::new();
+    loop {
+        if !router.watches("config") {
+            task::sleep(LOOK).await;
+            continue;
+        }
+        let have = lock(&router.force).config.clone();
+        match watcher.next(&kv, have.as_deref()).await {
+            Ok(seen) => router.seen(&kv, seen).await,
+            Err(e) => log::debug!("platform: the configuration can't be read: {e}"),
+        }
+    }
+}
+
+/// Tries fetches that hang at other sources.
+pub(crate) async fn tend(router: Arc<Router>) {
+    loop {
+        let decision = lock(&router.force).head.tick(router.now());
+        router.follow_head(decision);
+        task::sleep(TICK).await;
+    }
+}
+
+impl Router {
+    async fn seen(&self, kv: &Kv, seen: Seen) {
+        match seen {
+            Seen::Same => self.confirm_platform(),
+            Seen::Newer(config) => {
+                self.take_config(config, &Source::Platform);
+            }
+            Seen::Older { revision } => {
+                log::warn!(
+                    "config: the platform has revision {revision}, older than the one in \
+                     force, which stays; it is written back"
+                );
+                self.write_back(kv).await;
+            }
+            Seen::Other { writer } => log::error!(
+                "config: the platform has another configuration by {writer} under the \
+                 revision in force, which stays; apply the change again"
+            ),
+        }
+    }
+
+    fn confirm_platform(&self) {
+        let mut force = lock(&self.force);
+        if let Some(revision) = force.head.revision() {
+            let now = self.clock.now();
+            force.head.offer(revision, Source::Platform, now);
+        }
+    }
+
+    async fn write_back(&self, kv: &Kv) {
+        let Some(config) = lock(&self.force).config.clone() else {
+            return;
+        };
+        match repair(kv, &config).await {
+            Ok(Repaired::Written) => {
+                log::warn!("config: revision {} was written back", config.revision);
+            }
+            Ok(Repaired::NotNeeded) => {}
+            Err(e) => log::warn!("config: it can't be written back yet: {e}"),
+        }
+    }
+
+    /// Learns from a heartbeat which configuration a peer has in force.
+    pub(crate) fn config_head(self: &Arc<Router>, from: &RouterId, revision: u64) {
+        let source = Source::Peer(from.clone());
+        let now = self.now();
+        let decision = lock(&self.force)
+            .head
+            .offer(Revision(revision), source, now);
+        self.follow_head(decision);
+    }
+
+    fn follow_head(self: &Arc<Router>, decision: Decision) {
+        let Decision::Fetch {
+            from: Source::Peer(peer),
+            ..
+        } = decision
+        else {
+            return;
+        };
+        let router = self.clone();
+        task::spawn(async move { router.fetch(peer).await });
+    }
+
+    async fn fetch(self: &Arc<Router>, peer: RouterId) {
+        let source = Source::Peer(peer.clone());
+        let known = lock(&self.force).config.clone();
+        let question = Question::Config(have(known.as_deref()));
+        let asked = match self.links.addr(&peer) {
+            Some(addr) => self.links.ask(addr, &question, ASK).await.ok(),
+            None => None,
+        };
+        let config = match asked {
+            Some(Answer::Config(Some(delta))) => patch(known.as_deref(), *delta),
+            _ => None,
+        };
+        let taken = config.is_some_and(|c| self.take_config(c, &source));
+        if !taken {
+            let decision = lock(&self.force).head.failed(&source, self.now());
+            self.follow_head(decision);
+        }
+    }
+
+    /// Returns what a peer lacks of the configuration, if this router has a higher one.
+    pub(crate) fn config_above(&self, have: &Have) -> Option<Delta> {
+        let config = lock(&self.force).config.clone()?;
+        if config.revision.0 <= have.revision {
+            return None;
+        }
+        let parts = config.parts.iter().map(|p| delta_part(p, have)).collect();
+        Some(Delta {
+            revision: config.revision,
+            writer: config.writer.clone(),
+            write: config.write,
+            parts,
+        })
+    }
+
+    /// Puts a configuration in force, if it is valid and higher than the one in force.
+    ///
+    /// Returns whether it is usable, in force or not.
+    fn take_config(&self, config: Config, from: &Source) -> bool {
+        let text = join(&config.parts);
+        let name = format!("revision {}", config.revision);
+        let document = match Document::parse(&Text::from_text(&name, &text)) {
+            Ok(document) => document,
+            Err(e) => {
+                log::error!("config: revision {} is not valid: {e}", config.revision);
+                return false;
+            }
+        };
+        let revision = Revision(config.revision.0);
+        let hash = Hash(xxh3_64(text.as_bytes()));
+        let mut force = lock(&self.force);
+        match force.head.fetched(revision, hash, self.clock.now()) {
+            Taken::InForce => {}
+            Taken::Old => return true,
+            Taken::Conflict { ours, theirs } => {
+                log::error!(
+                    "config: {from} has another text ({theirs}) under revision {revision} \
+                     than the one in force ({ours}), which stays; apply the change again"
+                );
+                return true;
+            }
+        }
+        let rules = rules(&document);
+        force.fleet = Arc::new(Fleet::new(document));
+        force.config = Some(Arc::new(config));
+        log::info!("config: revision {revision} of {from} is in force");
+        // Rules follow in the order of revisions only while the table stays locked.
+        self.dispatch(|d, now| d.configure(rules, now));
+        drop(force);
+        metrics::gauge!("chervilwind_config_revision").set(revision.0 as f64);
+        self.apply_list();
+        true
+    }
+}
+
+fn have(config: Option<&Config>) -> Have {
+    Have {
+        revision: config.map_or(0, |c| c.revision.0),
+        parts: config.map_or(Vec::new(), |c| c.parts.iter().map(Part::hash).collect()),
+    }
+}
+
+fn delta_part(part: &Part, have: &Have) -> DeltaPart {
+    let hash = part.hash();
+    let name = part.name.clone();
+    if have.parts.contains(&hash) {
+        return DeltaPart::Known { name, hash };
+    }
+    DeltaPart::New {
+        name,
+        text: part.text.clone(),
+    }
+}
+
+/// Puts a configuration together from a peer's delta and the parts at hand.
+fn patch(known: Option<&Config>, delta: Delta) -> Option<Config> {
+    let at_hand: HashMap<_, _> = known
+        .into_iter()
+        .flat_map(|c| &c.parts)
+        .map(|p| (p.hash(), p.text.clone()))
+        .collect();
+    let parts: Option<Vec<Part>> = delta
+        .parts
+        .into_iter()
+        .map(|p| match p {
+            DeltaPart::New { name, text } => Some(Part { name, text }),
+            DeltaPart::Known { name, hash } => {
+                let text = at_hand.get(&hash)?.clone();
+                Some(Part { name, text })
+            }
+        })
+        .collect();
+    Some(Config {
+        revision: delta.revision,
+        writer: delta.writer,
+        write: delta.write,
+        parts: parts?,
+    })
+}
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -21,6 +21,10 @@
         State, //
     },
     policy::{
+        head::{
+            watchers,
+            WATCHERS, //
+        },
         members,
         Replica,
         ReplicaId,
@@ -30,15 +34,16 @@
     },
     std::{
         collections::BTreeMap,
-        sync::Arc,
+        sync::{
+            atomic::Ordering,
+            Arc, //
+        },
         time::Duration, //
     },
 };
 
 /// How often a watcher of the list polls it.
 const POLL: Duration = Duration::from_secs(1);
-/// How many routers watch the platform; the others learn from them.
-pub(crate) const WATCHERS: usize = 3;
 /// How long a peer may take to answer.
 const ASK: Duration = Duration::from_secs(2);
 /// How long a replica's own word that it leaves stands against a list that lags.
@@ -62,7 +67,8 @@
 impl Router {
     /// Tells whether this router is one of those that watch a key on the platform.
     pub(crate) fn watches(&self, key: &str) -> bool {
-        lock(&self.members).watches(key, WATCHERS)
+        let view = lock(&self.members).view();
+        watchers(&view, key, WATCHERS).contains(&self.me.router)
     }
 
     /// Learns from a heartbeat which list a peer has.
@@ -74,7 +80,8 @@
         let Some(addr) = self.links.addr(from) else {
             return;
         };
-        if !self.begin_fetch(Fetch::List) {
+        // One question at a time: a heartbeat comes four times a second from each peer.
+        if self.fetching.swap(true, Ordering::AcqRel) {
             return;
         }
         let router = self.clone();
@@ -83,7 +90,7 @@
             if let Ok(Answer::List(Some(listed))) = asked {
                 router.take_list(*listed);
             }
-            router.end_fetch(Fetch::List);
+            router.fetching.store(false, Ordering::Release);
         });
     }
 
@@ -106,10 +113,11 @@
     /// Tells the dispatch which replicas there are.
     pub(crate) fn apply_list(&self) {
         let now = self.now();
+        let fleet = self.fleet();
         let mut listing = lock(&self.listing);
         listing.withdrawn.retain(|_, until| *until > now);
         let mut services: BTreeMap<ServiceId, Vec<Replica>> = BTreeMap::new();
-        for service in self.fleet().document().services.keys() {
+        for service in fleet.document().services.keys() {
             services.insert(service.clone(), Vec::new());
         }
         for instance in &listing.listed.instances {
@@ -153,15 +161,6 @@
     }
 }
 
-/// What is being fetched from a peer; one at a time of each kind.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Fetch {
-    /// The configuration.
-    Config,
-    /// The list of instances.
-    List,
-}
-
 fn router_of(i: &Instance) -> Option<members::Listed> {
     if i.role != Role::Router {
         return None;
--- a/src/router/messages.rs
+++ b/src/router/messages.rs
@@ -2,7 +2,11 @@
 
 use {
     platform::{
-        store::Config,
+        store::{
+            PartHash,
+            Revision,
+            WriteId, //
+        },
         Listed, //
     },
     policy::{
@@ -22,6 +26,7 @@
         Deserialize,
         Serialize, //
     },
+    std::sync::Arc,
 };
 
 /// A message that needs no answer. It may be lost, doubled or late.
@@ -42,8 +47,8 @@
     Hello(Known),
     /// May I start the request of this ticket?
     Ticket(Ask),
-    /// The configuration, if it is above this revision.
-    Config(u64),
+    /// The configuration, if it is above a revision.
+    Config(Have),
     /// The list of instances, if it is another than this revision.
     List(u64),
 }
@@ -56,7 +61,7 @@
     /// What came of the ticket.
     Ticket(Reply),
     /// The configuration.
-    Config(Option<Box<Config>>),
+    Config(Option<Box<Delta>>),
     /// The list of instances.
     List(Option<Box<Listed>>),
 }
@@ -67,3 +72,40 @@
     pub(crate) id: RouterId,
     pub(crate) intro: Intro,
 }
+
+/// What the asker of a configuration has already.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Have {
+    /// The revision in force; 0 for none.
+    pub(crate) revision: u64,
+    /// The parts it knows, which need not be sent again.
+    pub(crate) parts: Vec<PartHash>,
+}
+
+/// A configuration, without the parts that the asker has.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Delta {
+    pub(crate) revision: Revision,
+    pub(crate) writer: String,
+    pub(crate) write: WriteId,
+    pub(crate) parts: Vec<DeltaPart>,
+}
+
+/// One part of a [`Delta`], in its place.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum DeltaPart {
+    /// The asker has it.
+    Known {
+        /// Its name, which may be new.
+        name: String,
+        /// Its content's hash.
+        hash: PartHash,
+    },
+    /// The asker needs it.
+    New {
+        /// Its name.
+        name: String,
+        /// Its content.
+        text: Arc<str>,
+    },
+}
--- /dev/null
+++ b/src/router/passing.rs
@@ -0,0 +1,140 @@
+//! An answer that is passed on while it comes.
+
+use {
+    super::{
+        running::{
+            finish,
+            lost,
+            pairs,
+            Held,
+            Running, //
+        },
+        state::lock,
+    },
+    async_std::{
+        channel::{
+            bounded,
+            Sender, //
+        },
+        task, //
+    },
+    callers::{
+        Piece,
+        Response, //
+    },
+    endpoints::{
+        Answer,
+        End,
+        Event, //
+    },
+    operators::Unit,
+    policy::{
+        Outcome,
+        ReplicaId,
+        Units, //
+    },
+};
+
+/// Pieces that may wait for a slow caller.
+const PIECES: usize = 8;
+/// Longest answer that is recorded for a ticket, in bytes.
+const RECORD_MAX: usize = 256 * 1024;
+
+/// An answer whose first bytes are here.
+pub(crate) struct Passing {
+    run: Running,
+    held: Held,
+    answer: Answer,
+    replica: ReplicaId,
+    /// The caller still reads.
+    heard: bool,
+}
+
+impl Passing {
+    pub(crate) fn new(run: Running, held: Held, answer: Answer, replica: ReplicaId) -> Passing {
+        Passing {
+            run,
+            held,
+            answer,
+            replica,
+            heard: true,
+        }
+    }
+
+    /// Returns the head of the answer; a task of its own passes on the rest.
+    pub(crate) fn respond(self) -> Response {
+        let (tx, pieces) = bounded(PIECES);
+        let mut response = Response::stream(self.held.status, pieces);
+        response.headers = pairs(&self.held.headers);
+        task::spawn(self.pass(tx));
+        response
+    }
+
+    async fn pass(mut self, pieces: Sender<Piece>) {
+        let first = self.held.body.clone();
+        self.progress(self.held.tokens);
+        self.give(&pieces, Piece::Data(first)).await;
+        let end = loop {
+            if !self.heard && self.run.work.idempotent {
+                return self.cancel();
+            }
+            match self.answer.next().await {
+                Some(Event::Data { bytes, tokens }) => {
+                    self.keep(&bytes, tokens);
+                    self.give(&pieces, Piece::Data(bytes)).await;
+                }
+                Some(Event::End(end)) => break end,
+                Some(Event::Head { .. }) => {}
+                None => return self.cancel(),
+            }
+        };
+        self.end(end, &pieces).await;
+    }
+
+    async fn give(&mut self, pieces: &Sender<Piece>, piece: Piece) {
+        self.heard = self.heard && pieces.send(piece).await.is_ok();
+    }
+
+    /// Keeps what a ticket's record needs, and charges what was served so far.
+    fn keep(&mut self, bytes: &[u8], tokens: u32) {
+        self.held.tokens += tokens;
+        self.progress(self.held.tokens);
+        let wanted = self.run.grant.is_some() && self.held.body.len() <= RECORD_MAX;
+        if wanted {
+            self.held.body.extend_from_slice(bytes);
+        }
+    }
+
+    fn progress(&self, tokens: u32) {
+        if self.run.work.unit == Unit::Tokens {
+            let served = Units(f64::from(tokens));
+            let job = self.run.job;
+            self.run.router.dispatch(|d, now| d.progress(job, served, now));
+        }
+    }
+
+    async fn end(mut self, end: End, pieces: &Sender<Piece>) {
+        if end.leaving {
+            self.run.router.noticed_leaving(&self.replica);
+        }
+        self.run.finish(finish(&self.run.work, &end));
+        self.run.note_time(&end);
+        let outcome = end.outcome;
+        if self.run.grant.is_some() && self.held.body.len() > RECORD_MAX {
+            self.held.status = 0;
+        }
+        self.run.record(outcome, &self.held);
+        let last = match outcome {
+            Outcome::Answered => Piece::End,
+            _ => Piece::Fail(lost(&end)),
+        };
+        self.give(pieces, last).await;
+    }
+
+    /// Ends an answer that nobody reads any more; dropping the call cancels it.
+    fn cancel(self) {
+        let job = self.run.job;
+        self.run.router.dispatch(|d, now| d.cancel(job, now));
+        lock(&self.run.router.jobs).remove(job);
+    }
+}
--- /dev/null
+++ b/src/router/running.rs
@@ -0,0 +1,402 @@
+//! A request that was admitted: queued, started, tried again, answered.
+
+use {
+    super::{
+        claims::Recorded,
+        jobs::Verdict,
+        passing::Passing,
+        state::{
+            lock,
+            Router, //
+        },
+    },
+    async_std::channel::Receiver,
+    callers::{
+        Gone,
+        Refused,
+        RequestId,
+        Response,
+        Why, //
+    },
+    endpoints::{
+        Answer,
+        Call,
+        CallId,
+        End,
+        Event,
+        Header,
+        Kind, //
+    },
+    futures_lite::future::or,
+    operators::Unit,
+    policy::{
+        tickets::Grant,
+        Finish,
+        Job,
+        JobId,
+        Outcome,
+        ProfileName,
+        ReplicaId,
+        Span,
+        Units, //
+    },
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// The least silence of an endpoint after which it is probed.
+const SILENCE: Duration = Duration::from_secs(2);
+/// How often one request is tried at most, the first try included.
+const TRIES: u32 = 4;
+/// Longest answer of a plain service that is held back until it is whole, in bytes.
+const WHOLE_MAX: usize = 1 << 20;
+
+/// A request as it was admitted.
+#[derive(Debug)]
+pub(crate) struct Work {
+    pub(crate) job: Job,
+    pub(crate) profile: ProfileName,
+    pub(crate) streamed: bool,
+    pub(crate) unit: Unit,
+    pub(crate) weight: Units,
+    pub(crate) idempotent: bool,
+    pub(crate) ticket: Option<String>,
+    pub(crate) id: RequestId,
+    pub(crate) method: String,
+    pub(crate) target: String,
+    pub(crate) headers: Vec<(String, String)>,
+    pub(crate) body: Arc<[u8]>,
+    pub(crate) deadline: Instant,
+}
+
+/// A request on its way.
+pub(crate) struct Running {
+    pub(crate) router: Arc<Router>,
+    pub(crate) work: Work,
+    pub(crate) grant: Option<Grant>,
+    pub(crate) job: JobId,
+    verdicts: Receiver<Verdict>,
+    tries: u32,
+    started: Instant,
+}
+
+/// What is known of a call when the caller's answer begins.
+enum Begun {
+    /// The first bytes are here, and more follow.
+    Streaming {
+        /// The first bytes.
+        held: Held,
+        /// What follows.
+        answer: Answer,
+    },
+    /// All that will come is here.
+    Ended { held: Held, end: End },
+    /// The caller hung up.
+    Gone,
+}
+
+/// What came of one try.
+enum Step {
+    /// The caller's answer, or its head.
+    Done(Response),
+    /// The request is queued again.
+    Again(Box<Running>),
+}
+
+/// What came of an answer that has not been passed on.
+#[derive(Debug, Default)]
+pub(crate) struct Held {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) tokens: u32,
+}
+
+impl Running {
+    pub(crate) fn new(router: Arc<Router>, work: Work, grant: Option<Grant>) -> Running {
+        let job = work.job.clone();
+        let (job, verdicts) = router.dispatch(|d, now| {
+            let id = d.submit(job, now);
+            (id, lock(&router.jobs).add(id))
+        });
+        Running {
+            router,
+            work,
+            grant,
+            job,
+            verdicts,
+            tries: 0,
+            started: Instant::now(),
+        }
+    }
+
+    /// Runs the request and returns its answer, or the head of it.
+    pub(crate) async fn run(mut self, gone: Gone) -> Response {
+        let now = self.router.now();
+        lock(&self.router.budget).first(now);
+        loop {
+            let verdict = or(
+                async { self.verdicts.recv().await.ok() },
+                async {
+                    gone.wait().await;
+                    None
+                },
+            )
+            .await;
+            let replica = match verdict {
+                Some(Verdict::Start(replica)) => replica,
+                Some(Verdict::Refuse { why, after }) => {
+                    self.drop_unstarted();
+                    return Refused::from_policy(why).retry_after(after.into()).into();
+                }
+                None => return self.abandon(),
+            };
+            self.tries += 1;
+            match self.attempt(replica, &gone).await {
+                Step::Done(response) => return response,
+                Step::Again(run) => self = *run,
+            }
+        }
+    }
+
+    /// Calls the endpoint once.
+    async fn attempt(mut self, replica: ReplicaId, gone: &Gone) -> Step {
+        let Some(call) = self.call(&replica) else {
+            self.finish(Finish::default());
+            self.drop_unstarted();
+            return Step::Done(internal("the endpoint's address can't be used"));
+        };
+        let answer = self.router.endpoints.call(call);
+        match self.begin(answer, gone).await {
+            Begun::Streaming { held, answer } => {
+                Step::Done(Passing::new(self, held, answer, replica).respond())
+            }
+            Begun::Gone => Step::Done(self.hung_up()),
+            Begun::Ended { held, end } => match self.ended(&replica, held, end) {
+                Some(response) => Step::Done(response),
+                None => Step::Again(Box::new(self)),
+            },
+        }
+    }
+
+    /// Waits until the answer can begin: at the first data of a stream, at the end of a
+    /// plain answer that is not too long.
+    ///
+    /// Until then nothing was passed on, so that a call which fails can be tried elsewhere
+    /// unseen.
+    async fn begin(&mut self, mut answer: Answer, gone: &Gone) -> Begun {
+        let mut held = Held::default();
+        loop {
+            let event = or(async { answer.next().await }, async {
+                self.caller_gone(gone).await;
+                None
+            })
+            .await;
+            match event {
+                None => return Begun::Gone,
+                Some(Event::Head { status, headers }) => {
+                    held.status = status;
+                    held.headers = headers;
+                }
+                Some(Event::Data { bytes, tokens }) => {
+                    held.body.extend_from_slice(&bytes);
+                    held.tokens += tokens;
+                    if self.work.streamed && held.status < 300 || held.body.len() > WHOLE_MAX {
+                        return Begun::Streaming { held, answer };
+                    }
+                }
+                Some(Event::End(end)) => return Begun::Ended { held, end },
+            }
+        }
+    }
+
+    /// Waits for the caller to hang up, if that ends the call.
+    ///
+    /// A request that may not be repeated goes on without its caller: its answer is
+    /// recorded, so that a caller who lost it can ask for it again.
+    async fn caller_gone(&self, gone: &Gone) {
+        if self.work.idempotent {
+            gone.wait().await;
+        } else {
+            futures_lite::future::pending::<()>().await;
+        }
+    }
+
+    /// Ends a call whose answer is all here; none means that the request is queued again.
+    fn ended(&mut self, replica: &ReplicaId, held: Held, end: End) -> Option<Response> {
+        if end.leaving {
+            self.router.noticed_leaving(replica);
+        }
+        if self.may_retry(&end) {
+            log::debug!("router: {} is tried again, after {}", self.work.id, end.outcome);
+            metrics::counter!("chervilwind_router_retries").increment(1);
+            let job = self.job;
+            self.router.dispatch(|d, now| d.requeue(job, replica, now));
+            return None;
+        }
+        self.finish(finish(&self.work, &end));
+        self.note_time(&end);
+        Some(self.answer(held, end))
+    }
+
+    fn may_retry(&self, end: &End) -> bool {
+        let safe = match end.outcome {
+            Outcome::NotRun => true,
+            Outcome::MayHaveRun | Outcome::Failed => self.work.idempotent,
+            Outcome::Answered => false,
+        };
+        let again = safe && self.tries < TRIES && Instant::now() < self.work.deadline;
+        again && lock(&self.router.budget).take(self.router.now())
+    }
+
+    fn answer(&mut self, held: Held, end: End) -> Response {
+        let headers = pairs(&held.headers);
+        let whole = matches!(end.outcome, Outcome::Answered | Outcome::Failed);
+        if whole && held.status != 0 {
+            self.record(end.outcome, &held);
+            let mut response = Response::whole(held.status, end.outcome, held.body);
+            response.headers = headers;
+            return response;
+        }
+        self.record(end.outcome, &held);
+        lost(&end).into()
+    }
+
+    pub(crate) fn record(&self, outcome: Outcome, held: &Held) {
+        let Some(grant) = &self.grant else {
+            return;
+        };
+        let answer = matches!(outcome, Outcome::Answered | Outcome::Failed).then(|| Recorded {
+            status: held.status,
+            headers: pairs(&held.headers),
+            body: held.body.clone(),
+        });
+        self.router.record(grant, outcome, answer);
+    }
+
+    pub(crate) fn note_time(&self, end: &End) {
+        if end.outcome == Outcome::Answered {
+            let ran = Span::from(self.started.elapsed());
+            let job = &self.work.job;
+            lock(&self.router.times).note(&job.service, &self.work.profile, ran);
+        }
+    }
+
+    /// Ends a request whose caller hung up before it started.
+    fn abandon(&mut self) -> Response {
+        let job = self.job;
+        self.router.dispatch(|d, now| d.cancel(job, now));
+        self.drop_unstarted();
+        gone_response(Outcome::NotRun)
+    }
+
+    /// Ends a request whose caller hung up while it ran; dropping the call cancels it.
+    fn hung_up(&mut self) -> Response {
+        let job = self.job;
+        self.router.dispatch(|d, now| d.cancel(job, now));
+        lock(&self.router.jobs).remove(job);
+        gone_response(Outcome::MayHaveRun)
+    }
+
+    fn drop_unstarted(&mut self) {
+        lock(&self.router.jobs).remove(self.job);
+        if let Some(grant) = self.grant.take() {
+            self.router.unstarted(&grant);
+        }
+    }
+
+    pub(crate) fn finish(&self, finish: Finish) {
+        let job = self.job;
+        self.router.dispatch(|d, now| d.finish(job, finish, now));
+        lock(&self.router.jobs).remove(job);
+    }
+
+    fn call(&mut self, replica: &ReplicaId) -> Option<Call> {
+        self.started = Instant::now();
+        let addr: SocketAddr = replica.as_str().parse().ok()?;
+        Some(Call {
+            id: self.call_id()?,
+            replica: addr,
+            method: self.work.method.parse().ok()?,
+            path: self.work.target.clone(),
+            headers: self
+                .work
+                .headers
+                .iter()
+                .map(|(n, v)| Header::new(n, v))
+                .collect(),
+            body: self.work.body.clone(),
+            kind: if self.work.streamed {
+                Kind::Stream
+            } else {
+                Kind::Plain
+            },
+            idempotent: self.work.idempotent,
+            deadline: self.work.deadline,
+            silence: SILENCE,
+        })
+    }
+
+    /// Names this try. A ticket's own text names a request that may not be repeated, so
+    /// that an endpoint can tell a second run from a first.
+    fn call_id(&self) -> Option<CallId> {
+        let text = match &self.grant {
+            Some(grant) => grant.ticket().to_string().replace('/', "."),
+            None => format!("{}.{:016x}.{}", self.work.id, fastrand::u64(..), self.tries),
+        };
+        text.parse().ok()
+    }
+}
+
+/// What the dispatch is told of a call's end.
+pub(crate) fn finish(work: &Work, end: &End) -> Finish {
+    let answered = end.outcome == Outcome::Answered;
+    let units = match work.unit {
+        Unit::Tokens => Units(f64::from(end.tokens)),
+        Unit::Requests if answered => work.weight,
+        Unit::Requests => Units(0.0),
+    };
+    Finish {
+        units,
+        first: end.first,
+        gap: end.gap,
+        ok: answered || end.cause.is_none(),
+        refund: units == Units(0.0),
+    }
+}
+
+/// What a caller is told whose answer was lost or never came about.
+pub(crate) fn lost(end: &End) -> Refused {
+    let cause = end.cause.as_ref().map_or("no cause is known".to_owned(), |c| c.to_string());
+    let (why, message) = match end.outcome {
+        Outcome::NotRun => (Why::NoEndpoint, format!("no endpoint took it: {cause}")),
+        Outcome::Failed => (Why::EndpointFailed, cause),
+        _ => (Why::AnswerLost, format!("it may have run: {cause}")),
+    };
+    let refused = Refused::new(why, message).outcome(end.outcome);
+    match end.outcome {
+        Outcome::NotRun => refused.retry_after(Duration::from_millis(500)),
+        _ => refused,
+    }
+}
+
+fn gone_response(outcome: Outcome) -> Response {
+    Refused::new(Why::AnswerLost, "the caller hung up").outcome(outcome).into()
+}
+
+fn internal(message: &str) -> Response {
+    Refused::new(Why::Internal, message).outcome(Outcome::NotRun).into()
+}
+
+pub(crate) fn pairs(headers: &[Header]) -> Vec<(String, String)> {
+    headers
+        .iter()
+        .map(|h| (h.name.clone(), h.value.clone()))
+        .collect()
+}
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -8,6 +8,7 @@
             Verdict, //
         },
         messages::Item,
+        times::Times, //
     },
     crate::conf::Settings,
     operators::Fleet,
@@ -65,7 +66,8 @@
 
 /// One router: its tables, and what they are driven by.
 ///
-/// Lock order: `force`, `listing`, `members`, `tickets`, `dispatch`, `jobs`. A task that
+/// Lock order: `force`, `listing`, `members`, `tickets`, `dispatch`, `jobs`; `budget` and
+/// `times` are taken alone. A task that
 /// needs two takes them in this order; none is held across an await.
 #[derive(Debug)]
 pub(crate) struct Router {
@@ -81,7 +83,12 @@
     pub(crate) dispatch: Mutex<Dispatch>,
     pub(crate) jobs: Mutex<Jobs>,
     pub(crate) budget: Mutex<Budget>,
+    /// This router takes no new work any more.
     pub(crate) leaving: AtomicBool,
+    /// The list of instances is being fetched from a peer.
+    pub(crate) fetching: AtomicBool,
+    /// How long requests of a profile ran of late.
+    pub(crate) times: Mutex<Times>,
 }
 
 /// Locks a table. A thread that panicked with the lock held has left a table that was
@@ -95,6 +102,11 @@
         self.clock.now()
     }
 
+    /// Returns how this router calls the platform.
+    pub(crate) fn platform_options(&self) -> platform::Options {
+        platform::Options::new(self.settings.platform, self.me.router.as_str())
+    }
+
     /// Runs a step of the dispatch and does what it decides.
     pub(crate) fn dispatch<R>(&self, step: impl FnOnce(&mut Dispatch, Time) -> R) -> R {
         let mut dispatch = lock(&self.dispatch);
