--- a/crates/platform/src/instances.rs
+++ b/crates/platform/src/instances.rs
@@ -70,7 +70,7 @@
 }
 
 /// A list, as it was at a revision.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listed {
     /// Revision of the list.
     pub revision: u64,
--- a/crates/policy/src/members/member.rs
+++ b/crates/policy/src/members/member.rs
@@ -23,6 +23,8 @@
     pub addr: SocketAddr,
     /// Where callers reach it.
     pub callers: SocketAddr,
+    /// Where operators reach it, if it said so.
+    pub operators: Option<SocketAddr>,
     /// Its availability zone.
     pub zone: Zone,
     /// What is known of its health.
--- a/crates/policy/src/members/messages.rs
+++ b/crates/policy/src/members/messages.rs
@@ -47,6 +47,8 @@
     pub addr: SocketAddr,
     /// Where callers reach it.
     pub callers: SocketAddr,
+    /// Where operators reach it, if it said so.
+    pub operators: Option<SocketAddr>,
     /// Its availability zone.
     pub zone: Zone,
 }
--- a/crates/policy/src/members/peer.rs
+++ b/crates/policy/src/members/peer.rs
@@ -52,6 +52,7 @@
                 incarnation: Incarnation::default(),
                 addr: intro.addr,
                 callers: intro.callers,
+                operators: intro.operators,
                 zone: intro.zone.clone(),
                 state: State::Listed,
                 leaving: false,
@@ -121,6 +122,7 @@
         if let Some(i) = &b.intro {
             m.addr = i.addr;
             m.callers = i.callers;
+            m.operators = i.operators.or(m.operators);
             m.zone = i.zone.clone();
         }
     }
--- a/crates/policy/src/members/table.rs
+++ b/crates/policy/src/members/table.rs
@@ -40,6 +40,7 @@
 /// let intro = |port| Intro {
 ///     addr: ([127, 0, 0, 1], port).into(),
 ///     callers: ([127, 0, 0, 1], port + 1).into(),
+///     operators: None,
 ///     zone: "hall-a".parse().unwrap(),
 /// };
 /// let id = |s: &str| s.parse().unwrap();
@@ -143,6 +144,7 @@
             let intro = Intro {
                 addr: l.addr,
                 callers: l.callers,
+                operators: None,
                 zone: l.zone.clone(),
             };
             self.seed(l.id.clone(), intro, now);
@@ -213,6 +215,7 @@
             incarnation: self.incarnation,
             addr: self.intro.addr,
             callers: self.intro.callers,
+            operators: self.intro.operators,
             zone: self.intro.zone.clone(),
             state: State::Live,
             leaving: self.own.leaving,
--- /dev/null
+++ b/crates/policy/src/retry/budget.rs
@@ -0,0 +1,112 @@
+//! Retries as a fraction of first tries.
+
+use {
+    crate::{
+        Span,
+        Time, //
+    },
+    std::collections::VecDeque, //
+};
+
+/// First tries are counted over this span.
+const WINDOW: Span = Span::secs(10);
+/// The window slides in steps of this span.
+const STEP: Span = Span::secs(1);
+
+/// How much may be spent on retries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Spend {
+    /// Retries for each first try.
+    pub fraction: f64,
+    /// Retries in a second that are allowed besides, so that a quiet router can retry.
+    pub floor: f64,
+}
+
+impl Default for Spend {
+    fn default() -> Spend {
+        Spend {
+            fraction: 0.1,
+            floor: 0.5,
+        }
+    }
+}
+
+/// The retries that one router may still make to one service.
+///
+/// When half the endpoints fail, each retry that fails would bring another. The budget
+/// bounds them all together: beyond the fraction a request fails at once.
+///
+/// # Examples
+///
+/// ```
+/// use policy::{retry::{Budget, Spend}, Time};
+///
+/// let mut budget = Budget::new(Spend { fraction: 0.1, floor: 0.0 });
+/// for _ in 0..20 {
+///     budget.first(Time(0));
+/// }
+/// assert!(budget.take(Time(1)));
+/// assert!(budget.take(Time(2)));
+/// assert!(!budget.take(Time(3)));
+/// ```
+#[derive(Debug)]
+pub struct Budget {
+    spend: Spend,
+    steps: VecDeque<Step>,
+}
+
+#[derive(Debug)]
+struct Step {
+    start: Time,
+    firsts: u32,
+    retries: u32,
+}
+
+impl Budget {
+    /// Makes a budget of which nothing is spent.
+    pub fn new(spend: Spend) -> Budget {
+        Budget {
+            spend,
+            steps: VecDeque::new(),
+        }
+    }
+
+    /// Counts a first try.
+    pub fn first(&mut self, now: Time) {
+        self.step(now).firsts += 1;
+    }
+
+    /// Takes one retry from the budget, if there is one left.
+    pub fn take(&mut self, now: Time) -> bool {
+        self.step(now);
+        let firsts: u32 = self.steps.iter().map(|s| s.firsts).sum();
+        let retries: u32 = self.steps.iter().map(|s| s.retries).sum();
+        let allowed = f64::from(firsts) * self.spend.fraction + self.spend.floor * WINDOW.as_secs();
+        if f64::from(retries + 1) > allowed {
+            return false;
+        }
+        self.step(now).retries += 1;
+        true
+    }
+
+    /// Returns the present step, after dropping those that left the window.
+    fn step(&mut self, now: Time) -> &mut Step {
+        while self
+            .steps
+            .front()
+            .is_some_and(|s| now.since(s.start) >= WINDOW)
+        {
+            self.steps.pop_front();
+        }
+        let fresh = self.steps.back().is_none_or(|s| now.since(s.start) >= STEP);
+        if fresh {
+            self.steps.push_back(Step {
+                start: now,
+                firsts: 0,
+                retries: 0,
+            });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- /dev/null
+++ b/crates/policy/src/retry/mod.rs
@@ -0,0 +1,8 @@
+//! How many retries may be spent.
+
+mod budget;
+
+pub use self::budget::{
+    Budget,
+    Spend, //
+};
--- a/crates/policy/tests/head.rs
+++ b/crates/policy/tests/head.rs
@@ -132,6 +132,7 @@
     let intro = |port| Intro {
         addr: ([127, 0, 0, 1], port).into(),
         callers: ([127, 0, 0, 1], port).into(),
+        operators: None,
         zone: "hall-a".parse().unwrap(),
     };
     let mut all = Members::new(
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -18,6 +18,7 @@
     operators::{
         choice,
         parse,
+        span,
         text,
         CheckError,
         FileError,
@@ -26,13 +27,16 @@
     },
     policy::{
         RouterId,
+        Span,
         Zone, //
     },
     std::{
         net::SocketAddr,
-        path::Path, //
+        path::Path,
+        time::Duration, //
     },
-    thiserror::Error, //
+    thiserror::Error,
+    toml::de::DeValue, //
 };
 
 const ADDRESS: &str = "an IP address and a port, in quotes, such as `\"10.0.0.7:7400\"`";
@@ -60,6 +64,10 @@
     pub callers: Address,
     /// Takes the other routers' connections.
     pub peers: Address,
+    /// Addresses of other routers, asked where the platform's list can't be had.
+    pub seeds: Vec<SocketAddr>,
+    /// Held back before each message to a router in another zone; only for measuring.
+    pub zone_delay: Duration,
     /// Takes the operators' questions.
     pub operators: Address,
     /// Where the platform's key-value service answers.
@@ -121,6 +129,8 @@
             log: LevelFilter::Warn,
             callers: Address::loopback(),
             peers: Address::loopback(),
+            seeds: Vec::new(),
+            zone_delay: Duration::ZERO,
             operators: Address::loopback(),
             platform,
             limits: default_limits(),
@@ -153,6 +163,10 @@
     let callers = read_address(root, "callers", source, &mut seen);
     let peers = read_address(root, "peers", source, &mut seen);
     let operators = read_address(root, "operators", source, &mut seen);
+    let mut fleet = root.section("fleet");
+    let seeds = fleet.take_or("seeds", Vec::new(), addresses);
+    let zone_delay = fleet.take_or("zone-delay", Span::ZERO, span);
+    fleet.finish();
     let mut section = root.section("platform");
     let example = "[platform]` with `address = \"10.0.0.2:7000\"";
     let platform = section.need("address", example, text(ADDRESS));
@@ -165,12 +179,25 @@
         log,
         callers: callers?,
         peers: peers?,
+        seeds,
+        zone_delay: zone_delay.into(),
         operators: operators?,
         platform: platform?,
         limits,
     })
 }
 
+/// Reads a list of addresses.
+fn addresses(value: &DeValue<'_>) -> Result<Vec<SocketAddr>, String> {
+    let remedy = "give a list such as `[\"10.0.0.8:7401\"]`".to_owned();
+    let list = value.as_array().ok_or(remedy.clone())?;
+    let parsed = list.iter().map(|v| {
+        let text = v.get_ref().as_str()?;
+        text.parse().ok()
+    });
+    parsed.collect::<Option<Vec<SocketAddr>>>().ok_or(remedy)
+}
+
 fn read_address(
     root: &mut Section<'_>,
     key: &'static str,
--- /dev/null
+++ b/src/gauge/mod.rs
@@ -0,0 +1,12 @@
+//! Measuring a fleet from outside: the fairness gap and the answers of requests.
+
+mod answer;
+mod gap;
+
+pub(crate) use self::{
+    answer::text_of,
+    gap::{
+        Gap,
+        Point, //
+    },
+};
--- a/src/router/beat.rs
+++ b/src/router/beat.rs
@@ -47,7 +47,7 @@
     }
 }
 
-fn tick(router: &Router) {
+fn tick(router: &Arc<Router>) {
     let own = own(router);
     let mut members = lock(&router.members);
     members.set(own);
@@ -57,9 +57,9 @@
 }
 
 fn own(router: &Router) -> Own {
-    let config = lock(&router.force).head.revision();
+    let config = lock(&router.force).head.revision().map_or(0, |r| r.0);
     let list = lock(&router.listing).listed.revision;
-    let load = lock(&router.dispatch).load();
+    let load = lock(&router.dispatch).dump().running as u32;
     Own {
         leaving: router.is_leaving(),
         config,
@@ -169,6 +169,7 @@
     Intro {
         addr: router.settings.peers.advertise,
         callers: router.settings.callers.advertise,
+        operators: Some(router.settings.operators.advertise),
         zone: router.settings.zone.clone(),
     }
 }
@@ -195,6 +196,7 @@
             intro: Intro {
                 addr: m.addr,
                 callers: m.callers,
+                operators: m.operators,
                 zone: m.zone,
             },
         });
--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -150,9 +150,7 @@
 
 /// Gives the recorded outcome of a request again.
 fn again(record: Record) -> Response {
-    let recorded: Option<Recorded> = record
-        .answer
-        .and_then(|a| rmp_serde::from_slice(&a.0).ok());
+    let recorded: Option<Recorded> = record.answer.and_then(|a| rmp_serde::from_slice(&a.0).ok());
     match recorded {
         Some(r) => {
             let mut response = Response::whole(r.status, record.outcome, r.body);
--- a/src/router/inbox.rs
+++ b/src/router/inbox.rs
@@ -31,11 +31,12 @@
     }
 }
 
-fn take(router: &Router, m: Incoming<Item>) {
+fn take(router: &Arc<Router>, m: Incoming<Item>) {
     for item in m.items {
         match item {
             Item::Beat(beat) => {
-                router.heads(&m.from, beat.config, beat.list);
+                router.config_head(&m.from, beat.config);
+                router.list_head(&m.from, beat.list);
                 let now = router.now();
                 lock(&router.members).heard(beat, now);
                 router.follow_members();
@@ -60,7 +61,7 @@
                 let now = router.now();
                 Answer::Ticket(lock(&router.tickets).asked(&ask, now))
             }
-            Question::Config(have) => Answer::Config(router.config_above(have).map(Box::new)),
+            Question::Config(have) => Answer::Config(router.config_above(&have).map(Box::new)),
             Question::List(have) => Answer::List(router.list_beyond(have).map(Box::new)),
         }
     })
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -54,7 +54,9 @@
     let mut instances = Instances::new(router.platform_options());
     loop {
         if router.watches("list") {
-            match instances.poll().await {
+            let polled = instances.poll().await;
+            router.platform_up.store(polled.is_ok(), Ordering::Relaxed);
+            match polled {
                 Ok(Some(listed)) => router.take_list(listed),
                 Ok(None) => {}
                 Err(e) => log::debug!("platform: the list can't be read: {e}"),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -1,13 +1,32 @@
 //! One router: its tables, workers and their wiring.
+//!
+//! The tables are [`state::Router`]; everything that happens to a router is a step of one of
+//! the pure tables of `policy` under its lock, followed by what the step decided. The tasks
+//! here only carry bytes to and from these steps.
 
-use crate::{
-    conf::Settings,
-    errors::Error, //
-};
+mod addresses;
+mod beat;
+mod claims;
+mod clock;
+mod config;
+mod inbox;
+mod jobs;
+mod leave;
+mod list;
+mod loads;
+mod messages;
+mod passing;
+mod report;
+mod requests;
+mod rules;
+mod running;
+mod start;
+mod state;
+mod tally;
+mod times;
 
-/// Runs a router until it is told to end.
-pub(crate) fn run(mut settings: Settings) -> Result<(), Error> {
-    let listeners = settings.bind()?;
-    log::info!("router: {} is up: {listeners:?}", settings.name);
-    Ok(())
-}
+pub(crate) use self::start::{
+    run,
+    start,
+    Started, //
+};
--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -105,11 +105,13 @@
         }
     }
 
-    fn progress(&self, tokens: u32) {
+    fn progress(&mut self, tokens: u32) {
         if self.run.work.unit == Unit::Tokens {
             let served = Units(f64::from(tokens));
             let job = self.run.job;
-            self.run.router.dispatch(|d, now| d.progress(job, served, now));
+            self.run
+                .router
+                .dispatch(|d, now| d.progress(job, served, now));
         }
     }
 
@@ -117,7 +119,10 @@
         if end.leaving {
             self.run.router.noticed_leaving(&self.replica);
         }
-        self.run.finish(finish(&self.run.work, &end));
+        let finish = finish(&self.run.work, &end);
+        self.run.finish(finish);
+        self.run.count_service(finish.units);
+        self.run.count(end.outcome);
         self.run.note_time(&end);
         let outcome = end.outcome;
         if self.run.grant.is_some() && self.held.body.len() > RECORD_MAX {
--- a/src/router/report.rs
+++ b/src/router/report.rs
@@ -5,7 +5,268 @@
         lock,
         Router, //
     },
-    operators::Views,
+    operators::{
+        Member,
+        MemberState,
+        Profiles,
+        ServiceStatus,
+        State,
+        Status,
+        Views,
+        WorkspaceStatus, //
+    },
+    policy::{
+        members,
+        DispatchDump,
+        RouterId,
+        ServiceDump,
+        Slots,
+        Span,
+        Time,
+        Units,
+        Zone, //
+    },
     serde::Serialize,
-    std::sync::Arc, //
+    std::{
+        net::SocketAddr,
+        sync::{
+            atomic::Ordering,
+            Arc, //
+        },
+    },
 };
+
+/// The state of a router, as `GET /dump` shows it.
+#[derive(Debug, Serialize)]
+struct Dump {
+    status: Status,
+    listed: Vec<ListedDump>,
+    withdrawn: Vec<String>,
+    members: Vec<MemberDump>,
+    tickets: TicketDump,
+    dispatch: DispatchDump,
+    traffic: TrafficDump,
+}
+
+#[derive(Debug, Serialize)]
+struct ListedDump {
+    name: String,
+    service: String,
+    addr: SocketAddr,
+    leaving: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct MemberDump {
+    id: RouterId,
+    incarnation: String,
+    zone: Zone,
+    addr: SocketAddr,
+    state: String,
+    leaving: bool,
+    heard: bool,
+    hears: bool,
+    config: u64,
+    list: u64,
+    load: u32,
+}
+
+#[derive(Debug, Serialize)]
+struct TicketDump {
+    issued: u64,
+    held: usize,
+    running: usize,
+    done: usize,
+    moved: usize,
+    bytes: usize,
+}
+
+#[derive(Debug, Serialize)]
+struct TrafficDump {
+    sent: u64,
+    received: u64,
+}
+
+/// Makes what the operators' server answers from.
+pub(crate) fn views(router: &Arc<Router>) -> Views {
+    let (status, profiles, dump, ready) = (
+        router.clone(),
+        router.clone(),
+        router.clone(),
+        router.clone(),
+    );
+    Views {
+        status: Box::new(move || status.status()),
+        profiles: Box::new(move || profiles.profiles()),
+        dump: Box::new(move || serde_json::to_value(dump.dump()).unwrap_or_default()),
+        ready: Box::new(move || ready.state() == State::Ready),
+    }
+}
+
+impl Router {
+    fn state(&self) -> State {
+        if self.is_leaving() {
+            State::Leaving
+        } else if lock(&self.force).head.ready() {
+            State::Ready
+        } else {
+            State::Starting
+        }
+    }
+
+    fn profiles(&self) -> Profiles {
+        let force = lock(&self.force);
+        let revision = force.head.revision().map_or(0, |r| r.0);
+        Profiles::new(revision, &force.fleet)
+    }
+
+    pub(crate) fn status(&self) -> Status {
+        let state = self.state();
+        let (revision, writer) = self.revision();
+        let members = self.member_views();
+        let dump = lock(&self.dispatch).dump();
+        let traffic = self.links.traffic();
+        Status {
+            name: self.me.router.clone(),
+            incarnation: self.me.incarnation,
+            zone: self.settings.zone.clone(),
+            state,
+            revision,
+            writer,
+            platform: self.platform_up.load(Ordering::Relaxed),
+            uptime: self.now().since(Time::default()),
+            control: traffic.sent() + traffic.received(),
+            members,
+            services: dump.services.iter().map(service).collect(),
+            workspaces: self.workspaces(&dump),
+        }
+    }
+
+    fn revision(&self) -> (u64, String) {
+        let force = lock(&self.force);
+        match &force.config {
+            Some(c) => (c.revision.0, c.writer.clone()),
+            None => (0, String::new()),
+        }
+    }
+
+    fn member_views(&self) -> Vec<Member> {
+        let view = lock(&self.members).view();
+        view.into_iter()
+            .map(|m| Member {
+                name: m.id,
+                incarnation: m.incarnation,
+                zone: m.zone,
+                state: match m.state {
+                    _ if m.leaving => MemberState::Leaving,
+                    members::State::Live => MemberState::Live,
+                    members::State::Listed | members::State::Suspect => MemberState::Suspect,
+                    members::State::Dead | members::State::Left => MemberState::Gone,
+                },
+                operators: m.operators,
+                revision: m.config,
+                silent: Span::ZERO,
+            })
+            .collect()
+    }
+
+    fn workspaces(&self, dump: &DispatchDump) -> Vec<WorkspaceStatus> {
+        let tally = lock(&self.tally);
+        tally
+            .iter()
+            .map(|(account, counts)| WorkspaceStatus {
+                name: account.workspace.clone(),
+                service: account.service.clone(),
+                queued: queued(dump, account),
+                running: 0,
+                answered: counts.answered,
+                refused: counts.refused,
+                received: counts.received,
+            })
+            .collect()
+    }
+
+    fn dump(&self) -> Dump {
+        let status = self.status();
+        let listing = lock(&self.listing);
+        let listed = listing.listed.instances.iter().map(listed).collect();
+        let withdrawn = listing.withdrawn.keys().map(ToString::to_string).collect();
+        drop(listing);
+        let members = lock(&self.members).known().map(member).collect();
+        let counts = lock(&self.tickets).counts();
+        let traffic = self.links.traffic();
+        Dump {
+            status,
+            listed,
+            withdrawn,
+            members,
+            tickets: TicketDump {
+                issued: counts.issued,
+                held: counts.held,
+                running: counts.running,
+                done: counts.done,
+                moved: counts.moved,
+                bytes: counts.bytes,
+            },
+            dispatch: lock(&self.dispatch).dump(),
+            traffic: TrafficDump {
+                sent: traffic.sent(),
+                received: traffic.received(),
+            },
+        }
+    }
+}
+
+fn queued(dump: &DispatchDump, account: &super::tally::Account) -> u32 {
+    let service = dump.services.iter().find(|s| s.service == account.service);
+    let queue = service.and_then(|s| s.queues.iter().find(|q| q.workspace == account.workspace));
+    queue.map_or(0, |q| q.queued as u32)
+}
+
+fn service(s: &ServiceDump) -> ServiceStatus {
+    let taking = s.replicas.iter().filter(|r| !r.leaving);
+    let sum = |of: fn(&policy::ReplicaDump) -> Slots| s.replicas.iter().map(|r| of(r).0).sum();
+    let least = s
+        .queues
+        .iter()
+        .map(|q| q.service.0)
+        .fold(f64::INFINITY, f64::min);
+    let most = s.queues.iter().map(|q| q.service.0).fold(0.0, f64::max);
+    ServiceStatus {
+        name: s.service.clone(),
+        replicas: taking.count() as u32,
+        limit: s.replicas.iter().filter_map(|r| r.limit).map(|l| l.0).sum(),
+        lent: sum(|r| r.allowed),
+        running: sum(|r| r.running),
+        queued: s.queues.iter().map(|q| q.queued as u32).sum(),
+        gap: Units((most - least).max(0.0)),
+    }
+}
+
+fn listed(i: &platform::Instance) -> ListedDump {
+    ListedDump {
+        name: i.name.clone(),
+        service: i
+            .service
+            .as_ref()
+            .map_or(String::new(), ToString::to_string),
+        addr: i.addr,
+        leaving: i.state == platform::State::Leaving,
+    }
+}
+
+fn member(m: &members::Member) -> MemberDump {
+    MemberDump {
+        id: m.id.clone(),
+        incarnation: m.incarnation.to_string(),
+        zone: m.zone.clone(),
+        addr: m.addr,
+        state: m.state.to_string(),
+        leaving: m.leaving,
+        heard: m.heard,
+        hears: m.hears,
+        config: m.config,
+        list: m.list,
+        load: m.load,
+    }
+}
--- a/src/router/running.rs
+++ b/src/router/running.rs
@@ -9,6 +9,7 @@
             lock,
             Router, //
         },
+        tally::Account, //
     },
     async_std::channel::Receiver,
     callers::{
@@ -84,6 +85,8 @@
     verdicts: Receiver<Verdict>,
     tries: u32,
     started: Instant,
+    /// Service counted for operators so far.
+    counted: Units,
 }
 
 /// What is known of a call when the caller's answer begins.
@@ -133,26 +136,25 @@
             verdicts,
             tries: 0,
             started: Instant::now(),
+            counted: Units::default(),
         }
     }
 
     /// Runs the request and returns its answer, or the head of it.
     pub(crate) async fn run(mut self, gone: Gone) -> Response {
-        let now = self.router.now();
-        lock(&self.router.budget).first(now);
+        let service = &self.work.job.service;
+        self.router.budget(service, |b, now| b.first(now));
         loop {
-            let verdict = or(
-                async { self.verdicts.recv().await.ok() },
-                async {
-                    gone.wait().await;
-                    None
-                },
-            )
+            let verdict = or(async { self.verdicts.recv().await.ok() }, async {
+                gone.wait().await;
+                None
+            })
             .await;
             let replica = match verdict {
                 Some(Verdict::Start(replica)) => replica,
                 Some(Verdict::Refuse { why, after }) => {
                     self.drop_unstarted();
+                    self.count(Outcome::NotRun);
                     return Refused::from_policy(why).retry_after(after.into()).into();
                 }
                 None => return self.abandon(),
@@ -200,7 +202,9 @@
             .await;
             match event {
                 None => return Begun::Gone,
-                Some(Event::Head { status, headers }) => {
+                Some(Event::Head {
+                    status, headers, ..
+                }) => {
                     held.status = status;
                     held.headers = headers;
                 }
@@ -234,13 +238,20 @@
             self.router.noticed_leaving(replica);
         }
         if self.may_retry(&end) {
-            log::debug!("router: {} is tried again, after {}", self.work.id, end.outcome);
+            log::debug!(
+                "router: {} is tried again, after {}",
+                self.work.id,
+                end.outcome
+            );
             metrics::counter!("chervilwind_router_retries").increment(1);
             let job = self.job;
             self.router.dispatch(|d, now| d.requeue(job, replica, now));
             return None;
         }
-        self.finish(finish(&self.work, &end));
+        let finish = finish(&self.work, &end);
+        self.finish(finish);
+        self.count_service(finish.units);
+        self.count(end.outcome);
         self.note_time(&end);
         Some(self.answer(held, end))
     }
@@ -252,7 +263,8 @@
             Outcome::Answered => false,
         };
         let again = safe && self.tries < TRIES && Instant::now() < self.work.deadline;
-        again && lock(&self.router.budget).take(self.router.now())
+        let service = &self.work.job.service;
+        again && self.router.budget(service, |b, now| b.take(now))
     }
 
     fn answer(&mut self, held: Held, end: End) -> Response {
@@ -280,6 +292,27 @@
         self.router.record(grant, outcome, answer);
     }
 
+    /// Counts service as it is received, up to `units` in all, for operators.
+    pub(crate) fn count_service(&mut self, units: Units) {
+        let more = units - self.counted;
+        self.counted = units;
+        lock(&self.router.tally).serve(&self.account(), more);
+    }
+
+    fn account(&self) -> Account {
+        Account {
+            workspace: self.work.job.workspace.clone(),
+            service: self.work.job.service.clone(),
+        }
+    }
+
+    /// Counts how the request ended, for operators.
+    pub(crate) fn count(&self, outcome: Outcome) {
+        lock(&self.router.tally).note(&self.account(), outcome);
+        metrics::counter!("chervilwind_router_requests", "outcome" => outcome.to_string())
+            .increment(1);
+    }
+
     pub(crate) fn note_time(&self, end: &End) {
         if end.outcome == Outcome::Answered {
             let ran = Span::from(self.started.elapsed());
@@ -373,7 +406,10 @@
 
 /// What a caller is told whose answer was lost or never came about.
 pub(crate) fn lost(end: &End) -> Refused {
-    let cause = end.cause.as_ref().map_or("no cause is known".to_owned(), |c| c.to_string());
+    let cause = end
+        .cause
+        .as_ref()
+        .map_or("no cause is known".to_owned(), |c| c.to_string());
     let (why, message) = match end.outcome {
         Outcome::NotRun => (Why::NoEndpoint, format!("no endpoint took it: {cause}")),
         Outcome::Failed => (Why::EndpointFailed, cause),
@@ -387,11 +423,15 @@
 }
 
 fn gone_response(outcome: Outcome) -> Response {
-    Refused::new(Why::AnswerLost, "the caller hung up").outcome(outcome).into()
+    Refused::new(Why::AnswerLost, "the caller hung up")
+        .outcome(outcome)
+        .into()
 }
 
 fn internal(message: &str) -> Response {
-    Refused::new(Why::Internal, message).outcome(Outcome::NotRun).into()
+    Refused::new(Why::Internal, message)
+        .outcome(Outcome::NotRun)
+        .into()
 }
 
 pub(crate) fn pairs(headers: &[Header]) -> Vec<(String, String)> {
--- /dev/null
+++ b/src/router/start.rs
@@ -0,0 +1,215 @@
+//! Starting a router and its tasks.
+
+use {
+    super::{
+        beat,
+        clock::{
+            incarnation,
+            Clock, //
+        },
+        config,
+        inbox,
+        jobs::Jobs,
+        leave,
+        list,
+        loads,
+        report,
+        requests,
+        state::{
+            lock,
+            InForce,
+            Listing,
+            Router, //
+        },
+        tally::Tally,
+        times::Times, //
+    },
+    crate::{
+        conf::{
+            Listeners,
+            Settings, //
+        },
+        errors::Error, //
+    },
+    async_std::{
+        channel::Receiver,
+        net::TcpListener,
+        task, //
+    },
+    callers::Server,
+    operators::Fleet,
+    peers::{
+        Links,
+        Pace, //
+    },
+    policy::{
+        head::Head,
+        members::{
+            Intro,
+            Members,
+            Plan, //
+        },
+        tickets::{
+            Holder,
+            Keep,
+            Tickets, //
+        },
+        Dispatch,
+        Peer,
+        PeerState, //
+    },
+    std::{
+        sync::{
+            atomic::AtomicBool,
+            Arc,
+            Mutex, //
+        },
+        time::Duration,
+    },
+};
+
+/// How often the dispatch is told the time.
+const TICK: Duration = Duration::from_millis(10);
+/// How often old tickets are dropped.
+const TICKET_TICK: Duration = Duration::from_secs(1);
+
+/// A router that runs in this process.
+pub(crate) struct Started {
+    /// Its tables.
+    pub(crate) router: Arc<Router>,
+    server: Server,
+}
+
+/// Runs a router until it is told to end.
+pub(crate) fn run(mut settings: Settings) -> Result<(), Error> {
+    let listeners = settings.bind()?;
+    operators::start_metrics();
+    let ends = leave::signals().map_err(|e| {
+        Error::Failed(
+            format!("signals can't be taken: {e}"),
+            "start it as an ordinary process".to_owned(),
+        )
+    })?;
+    task::block_on(async {
+        let started = start(settings, listeners);
+        wait_for_end(&started.router, ends).await;
+        started.end().await;
+    });
+    Ok(())
+}
+
+/// Waits for a signal, or until the router was told to leave by another cause.
+async fn wait_for_end(router: &Router, ends: Receiver<()>) {
+    let left = async {
+        while !router.is_leaving() {
+            task::sleep(Duration::from_millis(100)).await;
+        }
+    };
+    futures_lite::future::or(left, async {
+        let _ = ends.recv().await;
+    })
+    .await;
+}
+
+/// Starts a router's tasks.
+pub(crate) fn start(settings: Settings, listeners: Listeners) -> Started {
+    let limits = settings.limits.clone();
+    let router = Arc::new(make(settings));
+    let handler = router.clone();
+    let server = Server::new(limits, move |ask| requests::handle(handler.clone(), ask));
+    let callers = TcpListener::from(listeners.callers);
+    let accepting = server.clone();
+    task::spawn(async move { accepting.serve(callers).await });
+    task::spawn(peers::serve(
+        TcpListener::from(listeners.peers),
+        router.links.clone(),
+        inbox::handler(&router),
+    ));
+    let views = report::views(&router);
+    task::spawn(async move {
+        if let Err(e) = operators::serve(listeners.operators, views).await {
+            log::error!("router: the operators' address ended: {e}");
+        }
+    });
+    task::spawn(beat::run(router.clone()));
+    task::spawn(list::run(router.clone()));
+    task::spawn(loads::run(router.clone()));
+    task::spawn(config::watch(router.clone()));
+    task::spawn(config::tend(router.clone()));
+    task::spawn(tick(router.clone()));
+    task::spawn(tick_tickets(router.clone()));
+    log::info!("router: {} is up", router.me.router);
+    Started { router, server }
+}
+
+impl Started {
+    /// Ends it without cutting a request in flight.
+    pub(crate) async fn end(&self) {
+        leave::end(&self.router, &self.server).await;
+    }
+}
+
+fn make(settings: Settings) -> Router {
+    let me = Holder {
+        router: settings.name.clone(),
+        incarnation: incarnation(),
+    };
+    let clock = Clock::new();
+    let intro = Intro {
+        addr: settings.peers.advertise,
+        callers: settings.callers.advertise,
+        operators: Some(settings.operators.advertise),
+        zone: settings.zone.clone(),
+    };
+    let peer = Peer {
+        id: me.router.clone(),
+        incarnation: me.incarnation,
+        zone: settings.zone.clone(),
+        state: PeerState::Live,
+    };
+    let seed = fastrand::u64(..);
+    Router {
+        links: Links::new(me.router.clone(), me.incarnation, Pace::default()),
+        endpoints: endpoints::Client::new(endpoints::Options::default()),
+        force: Mutex::new(InForce {
+            head: Head::new(clock.now()),
+            config: None,
+            fleet: Arc::new(Fleet::default()),
+        }),
+        listing: Mutex::new(Listing::default()),
+        members: Mutex::new(Members::new(
+            me.router.clone(),
+            me.incarnation,
+            intro,
+            Plan::default(),
+            seed,
+        )),
+        tickets: Mutex::new(Tickets::new(me.clone(), Keep::default())),
+        dispatch: Mutex::new(Dispatch::new(peer, seed)),
+        jobs: Mutex::new(Jobs::default()),
+        budgets: Mutex::default(),
+        times: Mutex::new(Times::default()),
+        tally: Mutex::new(Tally::default()),
+        leaving: AtomicBool::new(false),
+        fetching: AtomicBool::new(false),
+        platform_up: AtomicBool::new(false),
+        me,
+        clock,
+        settings,
+    }
+}
+
+async fn tick(router: Arc<Router>) {
+    loop {
+        router.dispatch(|d, now| d.tick(now));
+        task::sleep(TICK).await;
+    }
+}
+
+async fn tick_tickets(router: Arc<Router>) {
+    loop {
+        let now = router.now();
+        lock(&router.tickets).tick(now);
+        task::sleep(TICKET_TICK).await;
+    }
+}
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -8,6 +8,7 @@
             Verdict, //
         },
         messages::Item,
+        tally::Tally,
         times::Times, //
     },
     crate::conf::Settings,
@@ -20,7 +21,10 @@
     policy::{
         head::Head,
         members::Members,
-        retry::Budget,
+        retry::{
+            Budget,
+            Spend, //
+        },
         tickets::{
             Holder,
             Tickets, //
@@ -28,6 +32,7 @@
         Action,
         Dispatch,
         ReplicaId,
+        ServiceId,
         Time, //
     },
     std::{
@@ -66,8 +71,8 @@
 
 /// One router: its tables, and what they are driven by.
 ///
-/// Lock order: `force`, `listing`, `members`, `tickets`, `dispatch`, `jobs`; `budget` and
-/// `times` are taken alone. A task that
+/// Lock order: `force`, `listing`, `members`, `tickets`, `dispatch`, `jobs`; `budgets`,
+/// `times` and `tally` are taken alone. A task that
 /// needs two takes them in this order; none is held across an await.
 #[derive(Debug)]
 pub(crate) struct Router {
@@ -82,11 +87,15 @@
     pub(crate) tickets: Mutex<Tickets>,
     pub(crate) dispatch: Mutex<Dispatch>,
     pub(crate) jobs: Mutex<Jobs>,
-    pub(crate) budget: Mutex<Budget>,
+    pub(crate) budgets: Mutex<HashMap<ServiceId, Budget>>,
     /// This router takes no new work any more.
     pub(crate) leaving: AtomicBool,
     /// The list of instances is being fetched from a peer.
     pub(crate) fetching: AtomicBool,
+    /// The platform answered the last call.
+    pub(crate) platform_up: AtomicBool,
+    /// What workspaces asked of this router.
+    pub(crate) tally: Mutex<Tally>,
     /// How long requests of a profile ran of late.
     pub(crate) times: Mutex<Times>,
 }
@@ -107,6 +116,20 @@
         platform::Options::new(self.settings.platform, self.me.router.as_str())
     }
 
+    /// Runs a step of a service's retry budget.
+    pub(crate) fn budget<R>(
+        &self,
+        service: &ServiceId,
+        step: impl FnOnce(&mut Budget, Time) -> R,
+    ) -> R {
+        let now = self.now();
+        let mut budgets = lock(&self.budgets);
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(Spend::default()));
+        step(budget, now)
+    }
+
     /// Runs a step of the dispatch and does what it decides.
     pub(crate) fn dispatch<R>(&self, step: impl FnOnce(&mut Dispatch, Time) -> R) -> R {
         let mut dispatch = lock(&self.dispatch);
