--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -163,6 +163,10 @@
         if !ask.path.starts_with("/v1/chat/completions") {
             return self.control(&conn, &ask).await;
         }
+        if fault == Some(Fault::Refuse) {
+            conn.refuse(&ask.id).await?;
+            return Ok(true);
+        }
         if fault == Some(Fault::Ignored) {
             conn.gone().await;
             return Ok(false);
@@ -264,7 +268,11 @@
             conn.reset();
             return Ok(false);
         }
-        let mut next = first;
+        let mut next = match fault {
+            Some(Fault::Overlap { by }) => first.saturating_sub(by),
+            Some(Fault::Skip { by }) if ask.resume.is_some() => first + by,
+            _ => first,
+        };
         while next < text.of {
             let (made, stopped) = text.state();
             if next >= made {
@@ -274,10 +282,10 @@
                 continue;
             }
             match fault {
-                Some(Fault::Cut { after }) if next - first >= after => {
+                Some(Fault::Cut { after }) if next >= first + after => {
                     return self.cut(conn, text, next).await;
                 }
-                Some(Fault::SilentAfter { after }) if next - first >= after => {
+                Some(Fault::SilentAfter { after }) if next >= first + after => {
                     conn.gone().await;
                     return Ok(false);
                 }
