--- a/crates/operators/src/views/status.rs
+++ b/crates/operators/src/views/status.rs
@@ -5,6 +5,7 @@
         Incarnation,
         RouterId,
         ServiceId,
+        Share,
         Span,
         Units,
         WorkspaceId,
@@ -120,6 +121,8 @@
     pub name: WorkspaceId,
     /// The service.
     pub service: ServiceId,
+    /// Its part of the service relative to other workspaces.
+    pub share: Share,
     /// Requests queued.
     pub queued: u32,
     /// Requests running.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,4 +12,5 @@
 mod views;
 mod wait;
 
+pub(crate) use self::print::table;
 pub use self::run::run;
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -77,7 +77,10 @@
 pub(crate) async fn run_load(stage: &Stage) -> (Vec<Row>, Vec<String>) {
     let source = Source::from_text("fleet.toml", operators::FLEET);
     let Ok(document) = Document::parse(&source) else {
-        return (Vec::new(), vec!["the shipped configuration is wrong".to_owned()]);
+        return (
+            Vec::new(),
+            vec!["the shipped configuration is wrong".to_owned()],
+        );
     };
     let routers = stage.addresses();
     let tasks: Vec<_> = document
@@ -103,7 +106,14 @@
     let client = Client::new(ClientSettings::new(routers));
     let next = Arc::new(AtomicU32::new(0));
     let workers: Vec<_> = (0..plan.at_once)
-        .map(|_| task::spawn(worker(id.clone(), client.clone(), next.clone(), plan.requests)))
+        .map(|_| {
+            task::spawn(worker(
+                id.clone(),
+                client.clone(),
+                next.clone(),
+                plan.requests,
+            ))
+        })
         .collect();
     let mut results = Vec::new();
     for w in workers {
@@ -196,12 +206,7 @@
     }
 }
 
-fn row(
-    id: &WorkspaceId,
-    share: f64,
-    plan: Plan,
-    results: &mut [Result],
-) -> (Row, Vec<String>) {
+fn row(id: &WorkspaceId, share: f64, plan: Plan, results: &mut [Result]) -> (Row, Vec<String>) {
     let count = |o| results.iter().filter(|r| r.outcome == o).count() as u32;
     let faults = results.iter().filter_map(|r| r.fault.clone());
     let faults = faults.map(|f| format!("{id}: {f}")).collect();
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -77,7 +77,10 @@
         return Ok(());
     }
     Err(Error::Failed(
-        format!("{} answers were wrong, lost or doubled", report.faults.len()),
+        format!(
+            "{} answers were wrong, lost or doubled",
+            report.faults.len()
+        ),
         "please report it with the lines above".to_owned(),
     ))
 }
--- a/src/demo/show.rs
+++ b/src/demo/show.rs
@@ -1,47 +1,64 @@
 //! Printing what came of the demo.
 
 use {
-    super::Report,
-    comfy_table::{
-        presets::UTF8_BORDERS_ONLY,
-        CellAlignment,
-        Table, //
+    super::{
+        Report,
+        Row, //
     },
+    crate::cli::table,
     serde_json::json,
 };
 
+/// Faults that are printed; the last line and the exit code tell of all.
+const FAULTS: usize = 10;
+const HEADER: [&str; 8] = [
+    "workspace",
+    "share",
+    "asked",
+    "answered",
+    "refused",
+    "tokens",
+    "tokens/share",
+    "median ms",
+];
+
 /// Prints the report as tables.
 pub(crate) fn show_tables(r: &Report) {
-    let mut table = table(&[
-        "workspace", "share", "asked", "answered", "refused", "tokens", "tokens/share", "median ms",
-    ]);
-    for row in &r.rows {
-        table.add_row([
-            row.workspace.clone(),
-            format!("{}", row.share),
-            row.asked.to_string(),
-            row.answered.to_string(),
-            row.refused.to_string(),
-            format!("{:.0}", row.service),
-            format!("{:.0}", row.service / row.share),
-            format!("{:.0}", row.median),
-        ]);
-    }
-    println!("{table}");
-    let mut control = self::table(&["router", "control bytes/s"]);
-    for c in &r.control {
-        control.add_row([c.router.clone(), format!("{:.0}", c.rate)]);
-    }
-    println!("{control}");
-    println!("fairness gap     {:.0} tokens/share, the widest between two backlogged", r.gap);
-    println!("utilisation      {:.1}% while work waited", r.utilisation * 100.0);
-    println!("time             {:.1} s", r.seconds);
-    for fault in &r.faults {
-        println!("fault            {fault}");
+    println!("{}", table(&HEADER, 1, r.rows.iter().map(cells).collect()));
+    let control = r.control.iter();
+    let control = control.map(|c| vec![c.router.clone(), format!("{:.0}", c.rate)]);
+    println!(
+        "{}",
+        table(&["router", "control bytes/s"], 1, control.collect())
+    );
+    println!(
+        "fairness gap  {:.0} tokens/share, the widest between two backlogged",
+        r.gap
+    );
+    println!(
+        "utilisation   {:.1}% while work waited",
+        r.utilisation * 100.0
+    );
+    println!("time          {:.1} s", r.seconds);
+    for fault in r.faults.iter().take(FAULTS) {
+        println!("fault         {fault}");
     }
     println!("answered {} of {}", answered(r), admitted(r));
 }
 
+fn cells(row: &Row) -> Vec<String> {
+    vec![
+        row.workspace.clone(),
+        format!("{}", row.share),
+        row.asked.to_string(),
+        row.answered.to_string(),
+        row.refused.to_string(),
+        format!("{:.0}", row.service),
+        format!("{:.0}", row.service / row.share),
+        format!("{:.0}", row.median),
+    ]
+}
+
 /// Prints the report as JSON.
 pub(crate) fn show_json(r: &Report) {
     let rows = r.rows.iter().map(|row| {
@@ -55,7 +72,10 @@
             "median_ms": row.median,
         })
     });
-    let control = r.control.iter().map(|c| json!({"router": c.router, "bytes_per_s": c.rate}));
+    let control = r
+        .control
+        .iter()
+        .map(|c| json!({"router": c.router, "bytes_per_s": c.rate}));
     let report = json!({
         "workspaces": rows.collect::<Vec<_>>(),
         "control": control.collect::<Vec<_>>(),
@@ -77,12 +97,3 @@
 fn admitted(r: &Report) -> u32 {
     r.rows.iter().map(|row| row.asked - row.refused).sum()
 }
-
-fn table(head: &[&str]) -> Table {
-    let mut table = Table::new();
-    table.load_preset(UTF8_BORDERS_ONLY).set_header(head.iter().copied());
-    for column in table.column_iter_mut().skip(1) {
-        column.set_cell_alignment(CellAlignment::Right);
-    }
-    table
-}
--- a/src/demo/stage.rs
+++ b/src/demo/stage.rs
@@ -27,6 +27,7 @@
     },
     std::{
         net::SocketAddr,
+        sync::Arc,
         time::{
             Duration,
             Instant, //
@@ -43,7 +44,7 @@
 /// A running fleet.
 pub(crate) struct Stage {
     pub(crate) routers: Vec<Started>,
-    pub(crate) engines: Vec<engine::Handle>,
+    pub(crate) engines: Vec<Arc<engine::Handle>>,
     pub(crate) plains: Vec<plain::Handle>,
     _platform: stand_in::Handle,
 }
@@ -56,7 +57,8 @@
             .map_err(cannot)?;
         let mut engines = Vec::new();
         for _ in 0..ENGINES {
-            engines.push(engine::start(engine::Opts::default()).await.map_err(cannot)?);
+            let engine = engine::start(engine::Opts::default()).await;
+            engines.push(Arc::new(engine.map_err(cannot)?));
         }
         let mut plains = Vec::new();
         for _ in 0..PLAINS {
--- a/src/demo/watch.rs
+++ b/src/demo/watch.rs
@@ -54,17 +54,18 @@
 impl Watch {
     pub(crate) fn start(stage: &Stage) -> Watch {
         let routers: Vec<_> = stage.routers.iter().map(|r| r.router.clone()).collect();
-        let gauges: Vec<_> = stage.engines.iter().map(engine::Handle::gauge).collect();
+        let engines = stage.engines.clone();
         let (stop, stopped) = bounded(1);
         let task = task::spawn(async move {
             let mut gap = Gap::default();
             let mut sum = Used::default();
-            let mut last = used(&gauges);
+            let mut last = used(&engines);
             while stopped.is_empty() && !stopped.is_closed() {
                 task::sleep(EVERY).await;
-                let statuses: Vec<Status> = routers.iter().map(|r: &Arc<Router>| r.status()).collect();
+                let statuses: Vec<Status> =
+                    routers.iter().map(|r: &Arc<Router>| r.status()).collect();
                 let points = points(&statuses);
-                let now = used(&gauges);
+                let now = used(&engines);
                 if points.iter().any(|p| p.backlogged) {
                     sum.busy += now.busy - last.busy;
                     sum.whole += now.whole - last.whole;
@@ -86,10 +87,10 @@
     }
 }
 
-fn used(gauges: &[engine::Gauge]) -> Used {
+fn used(engines: &[Arc<engine::Handle>]) -> Used {
     let mut used = Used::default();
-    for g in gauges {
-        let busy = g.busy();
+    for e in engines {
+        let busy = e.busy();
         used.busy += busy.busy;
         used.whole += busy.elapsed * f64::from(busy.capacity);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod conf;
 mod demo;
 mod errors;
+mod gauge;
 mod router;
 
 pub use self::{
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -25,8 +25,11 @@
 mod tally;
 mod times;
 
-pub(crate) use self::start::{
-    run,
-    start,
-    Started, //
+pub(crate) use self::{
+    start::{
+        run,
+        start,
+        Started, //
+    },
+    state::Router,
 };
--- a/src/router/report.rs
+++ b/src/router/report.rs
@@ -20,6 +20,7 @@
         DispatchDump,
         RouterId,
         ServiceDump,
+        Share,
         Slots,
         Span,
         Time,
@@ -171,12 +172,16 @@
     }
 
     fn workspaces(&self, dump: &DispatchDump) -> Vec<WorkspaceStatus> {
+        let fleet = self.fleet();
         let tally = lock(&self.tally);
         tally
             .iter()
             .map(|(account, counts)| WorkspaceStatus {
                 name: account.workspace.clone(),
                 service: account.service.clone(),
+                share: fleet
+                    .share(account.workspace.as_str())
+                    .unwrap_or(Share::ONE),
                 queued: queued(dump, account),
                 running: 0,
                 answered: counts.answered,
