Load a changed configuration part by part

Change: Loader keeps what each part said and parses only changed ones; where a part can't stand alone the whole text is parsed.

--- a/crates/operators/src/document.rs
+++ b/crates/operators/src/document.rs
@@ -166,29 +166,41 @@
     /// ```
     pub fn parse(source: &Source) -> Result<Document, CheckError> {
         parse(source, "document", |root| {
-            let document = Document {
-                policy: read_policy(root.section("policy")),
-                services: read_named(root, "service", read_service),
-                profiles: read_named(root, "profile", |s| Some(read_profile(s))),
-                workspaces: read_named(root, "workspace", |s| Some(read_workspace(s))),
-            };
-            root.finish_missing();
+            let document = read_document(root);
+            report_missing(root);
             Some(document)
         })
     }
+
+    /// Checks a piece of a document, which need not have a service, profile or workspace.
+    ///
+    /// Returns also whether it has a policy.
+    pub(crate) fn parse_piece(source: &Source) -> Result<(Document, bool), CheckError> {
+        parse(source, "document", |root| {
+            let policy = root.place_of("policy").is_some();
+            Some((read_document(root), policy))
+        })
+    }
 }
 
-impl Section<'_> {
-    fn finish_missing(&mut self) {
-        let examples = [
-            ("service", "[service.NAME]` with `kind = \"model\""),
-            ("profile", "[profile.NAME]"),
-            ("workspace", "[workspace.NAME]"),
-        ];
-        for (key, example) in examples {
-            if self.place_of(key).is_none() {
-                self.missing(key, example);
-            }
+fn read_document(root: &mut Section<'_>) -> Document {
+    Document {
+        policy: read_policy(root.section("policy")),
+        services: read_named(root, "service", read_service),
+        profiles: read_named(root, "profile", |s| Some(read_profile(s))),
+        workspaces: read_named(root, "workspace", |s| Some(read_workspace(s))),
+    }
+}
+
+fn report_missing(root: &Section<'_>) {
+    let examples = [
+        ("service", "[service.NAME]` with `kind = \"model\""),
+        ("profile", "[profile.NAME]"),
+        ("workspace", "[workspace.NAME]"),
+    ];
+    for (key, example) in examples {
+        if root.place_of(key).is_none() {
+            root.missing(key, example);
         }
     }
 }
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -4,6 +4,7 @@
 mod defaults;
 mod document;
 mod fleet;
+mod loader;
 mod metrics;
 mod nearest;
 mod problem;
@@ -35,6 +36,7 @@
         Fleet,
         UnknownName, //
     },
+    loader::Loader,
     metrics::{
         metrics_text,
         start_metrics, //
