--- a/crates/endpoints/src/run/task.rs
+++ b/crates/endpoints/src/run/task.rs
@@ -133,12 +133,11 @@
 
     /// Makes one try; `start` is lowered to `New` where no kept connection was there.
     async fn attempt(&mut self, start: &mut Start) -> Result<End, CallError> {
+        self.state.alive = false;
         let from = (*start == Start::Resume).then_some(self.state.tokens);
         let bytes = request::bytes(&self.call, from).await?;
         let mut conn = self.connect(start).await?;
-        let at = self.bound();
-        let sent = until(at, conn.send(&bytes, &mut self.state.wrote)).await;
-        sent.ok_or_else(|| self.overdue())??;
+        self.send(&mut conn, &bytes).await?;
         let bodiless = self.call.method == Method::Head;
         let reply = self.wait(conn.reply(bodiless)).await?;
         self.check(&reply)?;
@@ -156,6 +155,17 @@
         }
     }
 
+    /// Writes a request, and notes as soon as one byte of it is out.
+    async fn send(&mut self, conn: &mut Conn, bytes: &[u8]) -> Result<(), CallError> {
+        let mut left = bytes;
+        while !left.is_empty() {
+            let n = self.wait(conn.write(left)).await?;
+            self.state.wrote = true;
+            left = &left[n..];
+        }
+        Ok(())
+    }
+
     async fn connect(&self, start: &mut Start) -> Result<Conn, CallError> {
         if *start == Start::Kept {
             if let Some(conn) = self.inner.kept.take(self.call.replica).await {
@@ -198,9 +208,10 @@
             self.state.renewed = true;
             return unseen.then_some(Start::New);
         }
-        self.state.failures += 1;
+        let slow = self.state.alive && matches!(cause, CallError::Silent(_));
+        self.state.failures += u32::from(!slow);
         let may = idempotent || self.state.resumable;
-        if !may || self.state.failures > self.inner.opts.resumes {
+        if !may || self.state.spent_all(self.inner.opts.resumes) {
             return None;
         }
         self.state.resumed += 1;
--- a/crates/standins/src/plain/service.rs
+++ b/crates/standins/src/plain/service.rs
@@ -72,6 +72,11 @@
         self.running.connections()
     }
 
+    /// Returns how many connections are open to it.
+    pub fn open(&self) -> usize {
+        self.running.open()
+    }
+
     /// Returns how often each request id ran.
     pub fn runs(&self) -> BTreeMap<String, u32> {
         self.state.runs.lock().unwrap().clone()
@@ -132,6 +137,10 @@
             conn.answer(503, &headers, b"leaving\n").await?;
             return Ok(true);
         }
+        if fault == Some(Fault::Refuse) {
+            conn.refuse(&ask.id).await?;
+            return Ok(true);
+        }
         if fault == Some(Fault::Ignored) {
             return silence(&conn).await;
         }
@@ -157,7 +166,8 @@
             },
             _ => (404, String::new()),
         };
-        conn.answer(status, &[], text.as_bytes()).await?;
+        let headers = [("x-request-id", ask.id.as_str())];
+        conn.answer(status, &headers, text.as_bytes()).await?;
         Ok(true)
     }
 }
@@ -200,7 +210,7 @@
             sleep(Duration::from_millis(ms)).await;
             conn.answer(200, &headers, text).await?;
         }
-        None | Some(Fault::ResetUnread | Fault::Ignored) => {
+        None | Some(_) => {
             conn.answer(200, &headers, text).await?;
         }
     }
