--- a/crates/policy/src/limit/learner.rs
+++ b/crates/policy/src/limit/learner.rs
@@ -2,6 +2,31 @@
 
 use {
     super::{
+        rules::{
+            Bounds,
+            ABOVE_FULL,
+            BELOW_FLOOR,
+            CAP,
+            EVIDENCE,
+            FIRST,
+            FULL,
+            GAP,
+            GROWTH,
+            HALF_FULL,
+            IN_USE,
+            KEPT_REFUSED,
+            LEAST_KEPT,
+            MOST_KEPT,
+            PATIENCE,
+            PLAIN,
+            PROBE,
+            REPORT_LAG,
+            SETTLED,
+            SLOW,
+            START_GROWTH,
+            WAITING,
+            WINDOW, //
+        },
         track::{
             fullness,
             Track, //
@@ -15,68 +40,6 @@
     },
 };
 
-/// Samples are averaged over this span before anything is decided.
-const WINDOW: Span = Span::secs(1);
-/// No replica is given more than this, unless another cap is set.
-const CAP: f64 = 1024.0;
-/// Growth in a window until the replica was first found full.
-const START_GROWTH: f64 = 1.5;
-/// Growth in a window afterwards, at least 1.
-const GROWTH: f64 = 0.05;
-/// The limit is in use when this part of it runs.
-const IN_USE: f64 = 0.9;
-/// The most that one decrease takes.
-const LEAST_KEPT: f64 = 0.5;
-/// The least that one decrease takes.
-const MOST_KEPT: f64 = 0.75;
-/// After a decrease the limit is aimed this far above where the replica is full.
-const ABOVE_FULL: f64 = 1.1;
-/// What a refusal leaves of the limit.
-const KEPT_REFUSED: f64 = 0.7;
-/// A decrease shows its effect when this part or less of what ran still runs.
-const SETTLED: f64 = 0.8;
-/// So many slow windows in a row bring a decrease.
-const SLOW: u32 = 2;
-/// So many windows show the effect of a decrease.
-const EVIDENCE: u32 = 3;
-/// A decrease that shows no effect for this many windows is no longer watched.
-const PATIENCE: u32 = 15;
-/// Fullness below which a decrease made nothing faster, and above which the replica was
-/// full throughout.
-const FULL: [f64; 2] = [0.3, 0.7];
-/// Fullness that tells a full replica from one that has become slower.
-const HALF_FULL: f64 = 0.5;
-/// The floor is looked for by a decrease after the first span, then ever more rarely, up to
-/// the second, as long as it is found where it was.
-const PROBE: [Span; 2] = [Span::secs(8), Span::secs(128)];
-/// The engine's own report lags: it brings one decrease in this span at most.
-const REPORT_LAG: Span = Span::secs(2);
-/// The part of the running requests that may wait inside the engine.
-const WAITING: f64 = 0.1;
-
-/// Multiples of the floor up to which the limit grows, and above which it shrinks.
-#[derive(Debug, Clone, Copy)]
-struct Bounds {
-    grow: f64,
-    shrink: f64,
-}
-
-/// Time between tokens: steady, so the bounds are tight.
-const GAP: Bounds = Bounds {
-    grow: 1.15,
-    shrink: 1.4,
-};
-/// Time to first token, which varies with the prompt.
-const FIRST: Bounds = Bounds {
-    grow: 2.0,
-    shrink: 3.0,
-};
-/// Time to the answer of a plain service, which has no tokens.
-const PLAIN: Bounds = Bounds {
-    grow: 1.3,
-    shrink: 1.8,
-};
-
 /// The number of requests that one replica can run at once, as learnt so far.
 ///
 /// # Examples
@@ -123,6 +86,8 @@
     /// It was made to look for the floor.
     probe: bool,
     limit: f64,
+    /// The floors of the gap and the first token when it was made.
+    floors: [Option<f64>; 2],
     before: Window,
     after: Trail,
     age: u32,
@@ -155,7 +120,7 @@
 
     /// Returns how many requests may run at once, at least 1.
     pub fn get(&self) -> Slots {
-        Slots(self.limit as u32)
+        Slots(self.limit.round() as u32)
     }
 
     /// Takes what was seen of the replica over a report's interval: the mean time to first
@@ -215,7 +180,7 @@
         let used = w.running() + 1.0 > self.limit * IN_USE;
         let probed = *self.probed.get_or_insert(now);
         let due = now.since(probed) >= self.period;
-        if !slow {
+        if !slow && !due {
             self.slow = Trail::default();
         }
         match main {
@@ -227,7 +192,9 @@
             }
             Some(_) if due && used => {
                 self.slow.push(w);
-                self.shrink(1.0, true, now);
+                if self.slow.count >= EVIDENCE {
+                    self.shrink(1.0, true, now);
+                }
             }
             Some(_) if steady && used => self.grow(),
             _ => {}
@@ -257,11 +224,12 @@
         self.cut = Some(Cut {
             probe,
             limit: self.limit,
+            floors: [self.gap.floor(), self.first.floor()],
             before,
             after: Trail::default(),
             age: 0,
         });
-        self.put(self.limit.min(running) * kept);
+        self.put((self.limit.min(running) * kept).floor());
     }
 
     /// Sees what a decrease has changed, once fewer requests run.
@@ -274,43 +242,50 @@
         };
         cut.age += 1;
         let running = cut.before.running();
-        let settled = w.running() <= running * SETTLED && w.running() <= self.limit * ABOVE_FULL;
+        let settled =
+            w.running() <= running * SETTLED && w.running() <= self.limit.max(1.0) * ABOVE_FULL;
         if settled {
             cut.after.push(w);
         }
         if cut.after.count < EVIDENCE {
-            if cut.age < PATIENCE {
-                self.cut = Some(cut);
+            match cut.age < PATIENCE {
+                true => self.cut = Some(cut),
+                false if cut.probe => self.put(cut.limit),
+                false => {}
             }
             return;
         }
         let after = std::mem::take(&mut cut.after.sum);
-        let times = match (cut.before.gap(), after.gap()) {
-            (Some(a), Some(b)) => Some((a, b)),
-            _ => cut.before.first().zip(after.first()),
+        let times = match (cut.before.gap(), after.gap(), cut.floors[0]) {
+            (Some(a), Some(b), Some(f)) => Some((a, b, f)),
+            _ => match (cut.before.first(), after.first(), cut.floors[1]) {
+                (Some(a), Some(b), Some(f)) => Some((a, b, f)),
+                _ => None,
+            },
         };
-        let Some((before, less)) = times else {
+        let Some((before, less, floor)) = times else {
             return;
         };
         self.probed = Some(now);
         let full = fullness((running, before), (after.running(), less));
         if cut.probe {
-            return self.probe_result(full, running * less / before, &cut, &after);
+            let lower = less < floor * BELOW_FLOOR;
+            return self.probed(full, lower, running * less / before, &cut, &after);
         }
-        self.period = PROBE[0];
         if full < HALF_FULL {
+            self.period = PROBE[0];
             self.rebase(&after);
             self.put(cut.limit);
         }
     }
 
     /// Goes back up after a probe, unless the replica is still full.
-    fn probe_result(&mut self, full: f64, knee: f64, cut: &Cut, after: &Window) {
-        self.period = Span((self.period.0 * 2).min(PROBE[1].0));
+    fn probed(&mut self, full: f64, lower: bool, knee: f64, cut: &Cut, after: &Window) {
+        self.period = Span((self.period.0 * 2).clamp(PROBE[0].0, PROBE[1].0));
         if full < FULL[0] {
             self.rebase(after);
             self.put(cut.limit);
-        } else if full < FULL[1] {
+        } else if full < FULL[1] || !lower {
             self.put(knee * ABOVE_FULL);
         } else {
             // The floor was learnt while the replica was full: go on looking.
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -6,6 +6,7 @@
 //! that knows shares and deadlines.
 
 mod learner;
+mod rules;
 mod track;
 mod window;
 
