--- a/crates/callers/src/client/exchange.rs
+++ b/crates/callers/src/client/exchange.rs
@@ -63,21 +63,19 @@
 pub(crate) struct Exchange<'a> {
     pub(crate) pool: &'a Pool,
     pub(crate) router: SocketAddr,
-    pub(crate) http: http_types::Request,
     /// Longest time without a byte.
     pub(crate) silence: std::time::Duration,
     pub(crate) until: Instant,
 }
 
 impl Exchange<'_> {
-    pub(crate) async fn run(self, on_chunk: &mut OnChunk<'_>) -> Tried {
+    pub(crate) async fn run(self, http: http_types::Request, on_chunk: &mut OnChunk<'_>) -> Tried {
         let Ok(mut socket) = self.pool.get(self.router).await else {
             return Tried::Unsent;
         };
         let mut bytes = Vec::new();
-        let encoded = Encoder::new(self.http.clone())
-            .read_to_end(&mut bytes)
-            .await;
+        // The library's copy of a request has no body, so the request itself is encoded.
+        let encoded = Encoder::new(http).read_to_end(&mut bytes).await;
         if encoded.is_err() {
             return Tried::Unsent;
         }
--- a/crates/callers/src/client/steps.rs
+++ b/crates/callers/src/client/steps.rs
@@ -186,11 +186,10 @@
         let exchange = Exchange {
             pool: &self.0.pool,
             router,
-            http,
             silence,
             until: progress.until,
         };
-        exchange.run(on_chunk).await
+        exchange.run(http, on_chunk).await
     }
 
     /// Returns the addresses in the order in which they are tried.
@@ -240,14 +239,14 @@
             )
         };
         let target = self.question(service, tickets);
+        let http = plain("GET", router, &target).ok_or_else(unreachable)?;
         let exchange = Exchange {
             pool: &self.0.pool,
             router,
-            http: plain("GET", router, &target).ok_or_else(unreachable)?,
             silence: ASK_TIME,
             until: Instant::now() + ASK_TIME,
         };
-        let answer = match exchange.run(&mut None).await {
+        let answer = match exchange.run(http, &mut None).await {
             Tried::Whole(answer) => answer,
             _ => return Err(unreachable()),
         };
--- a/src/router/loads.rs
+++ b/src/router/loads.rs
@@ -6,13 +6,15 @@
         Router, //
     },
     async_std::task,
+    operators::Kind,
     platform::{
         Role,
         State, //
     },
     policy::{
         rendezvous,
-        ReplicaId, //
+        ReplicaId,
+        ServiceId, //
     },
     std::{
         net::SocketAddr,
@@ -41,9 +43,16 @@
     fn asked(&self) -> Vec<ReplicaId> {
         let view = lock(&self.members).view();
         let listed = lock(&self.listing).listed.clone();
+        let fleet = self.fleet();
+        // A plain service has no load report, and might take the question for a request.
+        let model = |s: &ServiceId| {
+            fleet
+                .service(s.as_str())
+                .is_ok_and(|s| s.kind == Kind::Model)
+        };
         let endpoints = listed.instances.iter().filter(|i| i.role == Role::Endpoint);
         endpoints
-            .filter(|i| i.state == State::Live)
+            .filter(|i| i.state == State::Live && i.service.as_ref().is_some_and(model))
             .filter_map(|i| i.addr.to_string().parse().ok())
             .filter(|id: &ReplicaId| {
                 let able = view.iter().filter(|m| m.takes_work());
