Carry the copied revision in the file that an operator edits

Cause: two operators who edit copies of one revision could undo each other's change, as apply went by the revision that it found. It shows as a change that is gone again. Ruled out: a base that must always be given, as scripts that own the file have none. Change: config prints the configuration under a line that names its revision and write; apply reads that line. Without it apply_old_copy fails.

--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -11,6 +11,7 @@
 mod section;
 mod server;
 mod source;
+mod syntax;
 mod values;
 mod views;
 
--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -2,13 +2,15 @@
 
 use {
     super::{
+        base_line::BaseLine,
         flags::Apply,
+        targets::{
+            platform_of,
+            router_of, //
+        },
         wait::wait_in_force, //
     },
-    crate::{
-        conf::Settings,
-        errors::Error, //
-    },
+    crate::errors::Error,
     operators::{
         ask,
         read_view,
@@ -44,56 +46,36 @@
 /// The name by which the platform counts this program's calls.
 const CLIENT: &str = "chervilwind-apply";
 
-/// Where to write, and whom to ask.
-struct Targets {
-    platform: SocketAddr,
-    router: Option<SocketAddr>,
-}
-
 /// Checks a configuration, writes it, and waits where asked to.
 pub(crate) async fn apply(flags: &Apply) -> Result<(), Error> {
     let source = Source::from_file(&flags.file)?;
     Document::parse(&source)?;
-    let targets = targets(flags)?;
-    let kv = Kv::new(Options::new(targets.platform, CLIENT));
+    let platform = platform_of(flags.platform, flags.settings.as_deref())?;
+    let router = router_of(flags.router, flags.settings.as_deref())?;
+    if flags.wait && router.is_none() {
+        return Err(needs_router());
+    }
+    let kv = Kv::new(Options::new(platform, CLIENT));
     let before = store::read(&kv, &[]).await?;
-    let floor = highest_known(targets.router).await;
-    let (revision, written) = match unchanged(before.as_ref(), &source, flags, floor) {
+    let floor = highest_known(router).await;
+    let (line, text) = BaseLine::split(source.text());
+    let base = base(flags, line.as_ref(), before.as_ref());
+    let (revision, written) = match unchanged(before.as_ref(), text, base, floor) {
         Some(revision) => (revision, false),
         None => {
-            let change = change(before.as_ref(), &source, flags, floor);
+            let change = change(text, flags, base, floor);
             (store::apply(&kv, change).await?.revision, true)
         }
     };
     if flags.wait {
         let timeout = flags.timeout.unwrap_or(TIMEOUT);
-        let router = targets.router.ok_or_else(needs_router)?;
+        let router = router.ok_or_else(needs_router)?;
         wait_in_force(router, revision.0, timeout).await?;
     }
     report(flags, revision, written);
     Ok(())
 }
 
-fn targets(flags: &Apply) -> Result<Targets, Error> {
-    let settings = match &flags.settings {
-        Some(file) => Some(Settings::from_file(file)?),
-        None => None,
-    };
-    let from = settings.as_ref();
-    let platform = flags.platform.or(from.map(|s| s.platform));
-    let router = flags.router.or(from.map(|s| s.operators.advertise));
-    if flags.wait && router.is_none() {
-        return Err(needs_router());
-    }
-    let platform = platform.ok_or_else(|| {
-        Error::Usage(
-            "the platform's address is not given".to_owned(),
-            "give --platform ADDRESS, or --settings FILE of a router".to_owned(),
-        )
-    })?;
-    Ok(Targets { platform, router })
-}
-
 fn needs_router() -> Error {
     Error::Usage(
         "--wait needs a router to ask".to_owned(),
@@ -120,29 +102,29 @@
     }
 }
 
+/// Returns the configuration that the file was made on, as far as that is known.
+fn base(flags: &Apply, line: Option<&BaseLine>, before: Option<&Config>) -> Base {
+    match (flags.base, line, before) {
+        (Some(revision), _, _) => Base::from(Revision(revision)),
+        (None, Some(line), _) => line.base(),
+        (None, None, Some(before)) => before.base(),
+        (None, None, None) => Base::default(),
+    }
+}
+
 /// Returns the revision that has this text already, so that nothing need be written.
-fn unchanged(
-    before: Option<&Config>,
-    source: &Source,
-    flags: &Apply,
-    floor: Revision,
-) -> Option<Revision> {
+fn unchanged(before: Option<&Config>, text: &str, base: Base, floor: Revision) -> Option<Revision> {
     let before = before?;
-    let same = join(&before.parts) == source.text();
-    let based = flags.base.is_none_or(|b| b == before.revision.0);
+    let same = join(&before.parts) == text;
+    let based = base.revision == before.revision;
     (same && based && before.revision >= floor).then_some(before.revision)
 }
 
-fn change(before: Option<&Config>, source: &Source, flags: &Apply, floor: Revision) -> Change {
-    let base = match (flags.base, before) {
-        (Some(revision), _) => Base::from(Revision(revision)),
-        (None, Some(before)) => before.base(),
-        (None, None) => Base::default(),
-    };
+fn change(text: &str, flags: &Apply, base: Base, floor: Revision) -> Change {
     let writer = flags.writer.clone().or_else(|| env::var("USER").ok());
     Change {
         base,
-        parts: split(PARTS, source.text()),
+        parts: split(PARTS, text),
         writer: writer.unwrap_or_else(|| "operator".to_owned()),
         floor,
     }
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -93,8 +93,24 @@
             optional --json
         }
 
+        /// Print the configuration that the platform holds, to be edited and applied.
+        ///
+        /// Its first line says what it is a copy of. `apply` reads that line, so that it can't
+        /// undo what others have changed since.
+        cmd config {
+            /// Address of the platform's key-value service.
+            optional --platform address: SocketAddr
+            /// A router's settings file, to take the platform's address from.
+            optional --settings file: PathBuf
+            /// Print JSON instead of text.
+            optional --json
+        }
+
         /// Check a configuration and write it to the platform.
         ///
+        /// It is written only if nobody changed the configuration meanwhile: since the copy that
+        /// `config` printed, the --base given, or else the start of this command.
+        ///
         /// A router's operators' address is needed for --wait. It also tells the revision in
         /// force, so that a platform restored to an older state can't hide it.
         cmd apply {
@@ -106,7 +122,7 @@
             optional --router address: SocketAddr
             /// A router's settings file, to take both addresses from.
             optional --settings file: PathBuf
-            /// Write only if the revision in force is still this one.
+            /// Write only if the platform's revision is still this one.
             optional --base revision: u64
             /// Your name, for other operators to see. The login name where not given.
             optional --writer name: String
@@ -198,6 +214,7 @@
     Where(Where),
     Call(Call),
     Check(Check),
+    Config(Config),
     Apply(Apply),
     Profiles(Profiles),
     Status(Status),
@@ -249,6 +266,13 @@
     pub json: bool,
 }
 
+#[derive(Debug)]
+pub struct Config {
+    pub platform: Option<SocketAddr>,
+    pub settings: Option<PathBuf>,
+    pub json: bool,
+}
+
 #[derive(Debug)]
 pub struct Apply {
     pub file: PathBuf,
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -8,6 +8,7 @@
             check,
             print_default, //
         },
+        config::config,
         flags::{
             Chervilwind,
             ChervilwindCmd,
@@ -84,6 +85,7 @@
         ChervilwindCmd::Where(flags) => block_on(locate(&flags)),
         ChervilwindCmd::Call(flags) => block_on(call(&flags)),
         ChervilwindCmd::Check(flags) => check(&flags),
+        ChervilwindCmd::Config(flags) => block_on(config(&flags)),
         ChervilwindCmd::Apply(flags) => block_on(apply(&flags)),
         ChervilwindCmd::Profiles(flags) => block_on(profiles(&flags)),
         ChervilwindCmd::Status(flags) => block_on(status(&flags)),
--- a/tests/apply.rs
+++ b/tests/apply.rs
@@ -66,17 +66,29 @@
     path
 }
 
-fn apply(text: &str, platform: SocketAddr, more: &[&str]) -> Output {
+fn chervilwind(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_chervilwind"))
-        .arg("apply")
-        .arg(file(text))
-        .args(["--platform", &platform.to_string()])
-        .args(["--writer", "ada"])
-        .args(more)
+        .args(args)
         .output()
         .unwrap()
 }
 
+fn apply(text: &str, platform: SocketAddr, more: &[&str]) -> Output {
+    let file = file(text);
+    let platform = platform.to_string();
+    let mut args = vec!["apply", file.to_str().unwrap(), "--writer", "ada"];
+    args.extend(["--platform", &platform]);
+    args.extend(more);
+    chervilwind(&args)
+}
+
+/// Prints the configuration that the platform holds.
+fn config(platform: SocketAddr) -> String {
+    let output = chervilwind(&["config", "--platform", &platform.to_string()]);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    stdout(&output).to_owned()
+}
+
 /// Adds a workspace to the shipped configuration.
 fn with(workspace: &str) -> String {
     format!("{FLEET}\n[workspace.{workspace}]\n")
@@ -189,6 +201,35 @@
     assert!(stderr(&second).contains("`ada` applied revision 2 since you looked"));
 }
 
+#[test]
+fn apply_old_copy() {
+    // An operator prints the configuration and edits it over lunch; another one applies a
+    // change meanwhile. Applying the copy would undo that change, and nobody would notice.
+    let platform = platform_start();
+    apply(FLEET, platform.addr, &[]);
+    let copy = config(platform.addr);
+    assert_eq!(copy.split_once('\n').unwrap().1, FLEET);
+    let other = apply(&with("hove"), platform.addr, &[]);
+    assert_eq!(code(&other), 0, "{}", stderr(&other));
+    let old = apply(&format!("{copy}[workspace.deal]\n"), platform.addr, &[]);
+    assert_eq!(code(&old), 4, "{}", stderr(&old));
+    let copy = config(platform.addr);
+    let new = apply(&format!("{copy}[workspace.deal]\n"), platform.addr, &[]);
+    assert_eq!(code(&new), 0, "{}", stderr(&new));
+    let now = config(platform.addr);
+    let text = format!("{}[workspace.deal]\n", with("hove"));
+    assert_eq!(now.split_once('\n').unwrap().1, text);
+}
+
+#[test]
+fn config_none() {
+    let platform = platform_start();
+    let output = chervilwind(&["config", "--platform", &platform.addr.to_string()]);
+    assert_eq!(code(&output), 1);
+    assert_eq!(stdout(&output), "");
+    assert!(stderr(&output).contains("the platform holds no configuration"));
+}
+
 #[test]
 fn apply_platform_down() {
     let platform = platform_start();
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -15,9 +15,9 @@
     },
 };
 
-const COMMANDS: [&str; 12] = [
-    "router", "demo", "where", "call", "check", "apply", "profiles", "status", "dump", "defaults",
-    "standin", "measure",
+const COMMANDS: [&str; 13] = [
+    "router", "demo", "where", "call", "check", "config", "apply", "profiles", "status", "dump",
+    "defaults", "standin", "measure",
 ];
 
 fn run(args: &[&str]) -> Output {
