Connect to peers only to say something, in order; believe lists and words again

- Links dialled peers that are gone for ever; now the first message opens the stream.
- Frames held back for measuring could overtake each other; they go out in order now.
- A replica's own word that it leaves is told again while it stands, and forgotten without a change of the list.
- A router without a configuration says so when asked for addresses; an answer cut by its deadline says timed-out.

--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -11,7 +11,10 @@
             Frame, //
         },
         links::Pace,
-        source::Source, //
+        source::{
+            Piece,
+            Source, //
+        },
     },
     async_std::{
         channel::{
@@ -126,12 +129,14 @@
     T: Serialize + Send + Sync + 'static,
 {
     let mut number = 0u64;
-    while !items.is_closed() || !items.is_empty() {
+    // A peer that is gone must not be dialled for ever, so a connection waits for the
+    // first message: whoever still has something to say to the peer pays for the try.
+    while let Ok(first) = items.recv().await {
         number += 1;
         match open(&ends, number, traffic.clone()).await {
             Ok(stream) => {
                 acks.restart();
-                feed(&ends, &items, &acks, stream).await;
+                feed(&ends, first, &items, &acks, stream).await;
             }
             Err(e) => {
                 log::debug!(
@@ -152,7 +157,7 @@
 }
 
 struct Stream {
-    pieces: Sender<Vec<u8>>,
+    pieces: Sender<Piece>,
     /// Gets a message when the request has ended, whyever.
     ended: Receiver<()>,
     /// Closes the connection when the link gives it up.
@@ -185,7 +190,7 @@
     })
 }
 
-fn request(ends: &Ends, number: u64, pieces: Receiver<Vec<u8>>) -> io::Result<Request> {
+fn request(ends: &Ends, number: u64, pieces: Receiver<Piece>) -> io::Result<Request> {
     let url = Url::parse(&format!("http://{}/p", ends.addr)).map_err(io::Error::other)?;
     let mut req = Request::new(Method::Post, url);
     req.insert_header("chervilwind-from", ends.me.as_str());
@@ -196,11 +201,12 @@
     Ok(req)
 }
 
-async fn feed<T>(ends: &Ends, items: &Receiver<T>, acks: &Arc<Acks>, stream: Stream)
+async fn feed<T>(ends: &Ends, first: T, items: &Receiver<T>, acks: &Arc<Acks>, stream: Stream)
 where
     T: Serialize + Send + Sync + 'static,
 {
-    while let Some(batch) = next(ends, items, acks, &stream).await {
+    let mut more = Some(gather(ends, vec![first], items).await);
+    while let Some(batch) = more {
         let told = acks.seen.load(Ordering::Relaxed);
         let frame = Frame {
             seq: acks.sent.fetch_add(1, Ordering::Relaxed) + 1,
@@ -209,25 +215,21 @@
         };
         let Ok(bytes) = encode(&frame) else {
             log::error!("peers: a message to {} can't be encoded", ends.peer);
-            continue;
+            return;
         };
-        if !ends.delay.is_zero() {
-            later(ends.delay, stream.pieces.clone(), bytes);
-        } else if stream.pieces.try_send(bytes).is_err() {
+        let piece = Piece {
+            due: Instant::now() + ends.delay,
+            bytes,
+        };
+        if stream.pieces.try_send(piece).is_err() {
             log::warn!("peers: stream to {} is stuck, opening a new one", ends.peer);
             return;
         }
         acks.told.fetch_max(told, Ordering::Relaxed);
+        more = next(ends, items, acks, &stream).await;
     }
 }
 
-fn later(delay: Duration, pieces: Sender<Vec<u8>>, bytes: Vec<u8>) {
-    task::spawn(async move {
-        task::sleep(delay).await;
-        let _ = pieces.send(bytes).await;
-    });
-}
-
 /// Waits for messages and gathers those that come at about the same time.
 ///
 /// Returns none where the stream must be given up: it ended, or what it carried has not
@@ -250,12 +252,17 @@
             Err(_) if acks.owes() => return Some(batch),
             Err(_) => continue,
         }
-        if !ends.pace.gather.is_zero() {
-            task::sleep(ends.pace.gather).await;
-        }
-        while let Ok(item) = items.try_recv() {
-            batch.push(item);
-        }
-        return Some(batch);
+        return Some(gather(ends, batch, items).await);
+    }
+}
+
+/// Adds the messages that come at about the same time.
+async fn gather<T>(ends: &Ends, mut batch: Vec<T>, items: &Receiver<T>) -> Vec<T> {
+    if !ends.pace.gather.is_zero() {
+        task::sleep(ends.pace.gather).await;
+    }
+    while let Ok(item) = items.try_recv() {
+        batch.push(item);
     }
+    batch
 }
--- a/crates/peers/src/source.rs
+++ b/crates/peers/src/source.rs
@@ -1,10 +1,14 @@
 //! A request body that is fed by a channel.
 
 use {
-    async_std::channel::Receiver,
+    async_std::{
+        channel::Receiver,
+        task, //
+    },
     futures_lite::{
         io::AsyncRead,
-        Stream, //
+        Stream,
+        StreamExt, //
     },
     std::{
         io,
@@ -13,21 +17,35 @@
             Context,
             Poll, //
         },
+        time::Instant,
     },
 };
 
-/// Reads the pieces that come over a channel, until every sender is gone.
+/// A piece of a body, and when it may go out.
 #[derive(Debug)]
+pub(crate) struct Piece {
+    pub(crate) due: Instant,
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// Reads the pieces that come over a channel, until every sender is gone.
 pub(crate) struct Source {
-    pieces: Pin<Box<Receiver<Vec<u8>>>>,
+    pieces: Pin<Box<dyn Stream<Item = Vec<u8>> + Send + Sync>>,
     rest: Vec<u8>,
     at: usize,
 }
 
 impl Source {
-    pub(crate) fn new(pieces: Receiver<Vec<u8>>) -> Source {
+    pub(crate) fn new(pieces: Receiver<Piece>) -> Source {
+        let timed = pieces.then(|p| async move {
+            let wait = p.due.saturating_duration_since(Instant::now());
+            if !wait.is_zero() {
+                task::sleep(wait).await;
+            }
+            p.bytes
+        });
         Source {
-            pieces: Box::pin(pieces),
+            pieces: Box::pin(timed),
             rest: Vec::new(),
             at: 0,
         }
--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -268,13 +268,18 @@
             .collect()
     }
 
+    /// Returns how many requests run from here.
+    pub fn running(&self) -> usize {
+        self.lives.values().filter(|l| l.run.is_some()).count()
+    }
+
     /// Returns the state of this part, as operators read it.
     pub fn dump(&self) -> DispatchDump {
         DispatchDump {
             mode: self.rules.mode,
             leaving: self.leaving,
             queued: self.services.values().map(Entry::queued).sum(),
-            running: self.lives.values().filter(|l| l.run.is_some()).count(),
+            running: self.running(),
             services: self.services.values().map(dump_service).collect(),
         }
     }
--- a/src/router/addresses.rs
+++ b/src/router/addresses.rs
@@ -34,6 +34,9 @@
 impl Router {
     /// Answers which addresses to use for a service, the best first.
     pub(crate) fn where_to(&self, query: &WhereQuery) -> Response {
+        if let Err(refused) = self.ready() {
+            return refused.into();
+        }
         if let Err(e) = self.fleet().service(query.service.as_str()) {
             return Refused::new(Why::UnknownService, e.to_string()).into();
         }
--- a/src/router/beat.rs
+++ b/src/router/beat.rs
@@ -59,7 +59,7 @@
 fn own(router: &Router) -> Own {
     let config = lock(&router.force).head.revision().map_or(0, |r| r.0);
     let list = lock(&router.listing).listed.revision;
-    let load = lock(&router.dispatch).dump().running as u32;
+    let load = lock(&router.dispatch).running() as u32;
     Own {
         leaving: router.is_leaving(),
         config,
--- a/src/router/leave.rs
+++ b/src/router/leave.rs
@@ -85,7 +85,7 @@
 
 /// Waits for requests that go on without their caller, such as those with a ticket.
 async fn finish_running(router: &Router) {
-    while lock(&router.dispatch).dump().running > 0 {
+    while lock(&router.dispatch).running() > 0 {
         task::sleep(LOOK).await;
     }
 }
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -48,6 +48,8 @@
 const ASK: Duration = Duration::from_secs(2);
 /// How long a replica's own word that it leaves stands against a list that lags.
 const WITHDRAWN: Span = Span::secs(30);
+/// How long before that ends the others are told again.
+const WITHDRAWN_AGAIN: Span = Span::secs(20);
 
 /// Polls the list while this router is one of its watchers.
 pub(crate) async fn run(router: Arc<Router>) {
@@ -62,6 +64,7 @@
                 Err(e) => log::debug!("platform: the list can't be read: {e}"),
             }
         }
+        router.believe_list_again();
         task::sleep(POLL).await;
     }
 }
@@ -137,14 +140,26 @@
         });
     }
 
+    /// Gives work again to replicas whose own word that they leave has become old.
+    fn believe_list_again(&self) {
+        let now = self.now();
+        let listing = lock(&self.listing);
+        let old = listing.withdrawn.values().any(|until| *until <= now);
+        drop(listing);
+        if old {
+            self.apply_list();
+        }
+    }
+
     /// Gives no more work to a replica that said it is leaving, and tells the others.
     ///
     /// The list lags, so a leaving endpoint would show as refusals for seconds. What it
-    /// says itself is believed at once, for a while, until the list has caught up.
+    /// says itself is believed at once, for a while, until the list has caught up. While
+    /// it goes on saying so, the others are told again before they stop believing it.
     pub(crate) fn noticed_leaving(&self, replica: &ReplicaId) {
-        let until = self.now() + WITHDRAWN;
-        let known = lock(&self.listing).withdrawn.insert(replica.clone(), until);
-        if known.is_some() {
+        let now = self.now();
+        let until = lock(&self.listing).withdrawn.get(replica).copied();
+        if until.is_some_and(|until| until.since(now) > WITHDRAWN_AGAIN) {
             return;
         }
         log::info!("endpoints: {replica} says that it is leaving");
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -78,7 +78,7 @@
         )
         .retry_after(Duration::ZERO));
     }
-    let fleet = ready(router)?;
+    let fleet = router.ready()?;
     let service = fleet.service(r.service.as_str()).map_err(unknown)?;
     let profile = fleet.profile(r.profile.as_str()).map_err(unknown)?;
     let workspace = fleet.workspace(r.workspace.as_str()).map_err(unknown)?;
@@ -99,16 +99,23 @@
     Ok(work(r, job, service, profile, workspace, left))
 }
 
-fn ready(router: &Router) -> Result<Arc<Fleet>, Refused> {
-    let force = lock(&router.force);
-    if force.head.ready() {
-        return Ok(force.fleet.clone());
+impl Router {
+    /// Returns the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// The refusal where there is none yet.
+    pub(crate) fn ready(&self) -> Result<Arc<Fleet>, Refused> {
+        let force = lock(&self.force);
+        if force.head.ready() {
+            return Ok(force.fleet.clone());
+        }
+        Err(Refused::new(
+            Why::NotReady,
+            "this router has no configuration yet; ask another which address to use",
+        )
+        .retry_after(READY_AGAIN))
     }
-    Err(Refused::new(
-        Why::NotReady,
-        "this router has no configuration yet; ask another which address to use",
-    )
-    .retry_after(READY_AGAIN))
 }
 
 fn work(
--- a/src/router/running.rs
+++ b/src/router/running.rs
@@ -22,6 +22,7 @@
     endpoints::{
         Answer,
         Call,
+        CallError,
         CallId,
         End,
         Event,
@@ -413,6 +414,7 @@
     let (why, message) = match end.outcome {
         Outcome::NotRun => (Why::NoEndpoint, format!("no endpoint took it: {cause}")),
         Outcome::Failed => (Why::EndpointFailed, cause),
+        _ if end.cause == Some(CallError::Deadline) => (Why::TimedOut, cause),
         _ => (Why::AnswerLost, format!("it may have run: {cause}")),
     };
     let refused = Refused::new(why, message).outcome(end.outcome);
