Compare rendered errors from their first column

Cause: expect-test takes off the indent that all lines share, so that errors rendered with one compared unequal; it did not show in runs that update the expectations. Change: a first line without an indent.

--- a/crates/operators/tests/document.rs
+++ b/crates/operators/tests/document.rs
@@ -215,6 +215,7 @@
     let text = format!("{GOOD}[profile.a]\nshare = 0\nurgenci = 3\n");
     let error = Document::parse(&Source::from_text("fleet.toml", &text)).unwrap_err();
     expect![[r#"
+        shown:
           × profile "a" has share 0
             ╭─[fleet.toml:15:9]
          14 │ [profile.a]
@@ -232,5 +233,5 @@
           help: did you mean `urgency`? known keys: `share`, `urgency`, `idempotent`, `weight`,
                 `deadline`, `hint`
     "#]]
-    .assert_eq(&render(&error, false));
+    .assert_eq(&format!("shown:\n{}", render(&error, false)));
 }
--- a/crates/operators/tests/files.rs
+++ b/crates/operators/tests/files.rs
@@ -26,7 +26,8 @@
 fn check(path: PathBuf, expect: Expect) {
     let error = Source::from_file(&path).unwrap_err();
     let dir = format!("{}/", env!("CARGO_TARGET_TMPDIR"));
-    expect.assert_eq(&render(&error, false).replace(&dir, ""));
+    let shown = render(&error, false).replace(&dir, "");
+    expect.assert_eq(&format!("shown:\n{shown}"));
 }
 
 #[test]
@@ -34,6 +35,7 @@
     check(
         PathBuf::from("no-such.toml"),
         expect![[r#"
+            shown:
               × no-such.toml does not exist
               help: check the path; `chervilwind defaults` prints files to start from
         "#]],
@@ -45,6 +47,7 @@
     check(
         PathBuf::from("/"),
         expect![[r#"
+            shown:
               × / can't be read: Is a directory (os error 21)
               help: give a regular file that this user may read
         "#]],
@@ -56,6 +59,7 @@
     check(
         file("empty.toml", b" \n\n"),
         expect![[r#"
+            shown:
               × empty.toml is empty
               help: write it anew; `chervilwind defaults` prints files to start from
         "#]],
@@ -68,6 +72,7 @@
     check(
         file("large.toml", &bytes),
         expect![[r#"
+            shown:
               × large.toml has more than 4194304 bytes
               help: check that this is the right file; shorten it to at most 4 MiB
         "#]],
@@ -86,6 +91,7 @@
     check(
         file("binary.toml", b"a = 1\n\xff\xfe"),
         expect![[r#"
+            shown:
               × binary.toml is not UTF-8 text: byte 6 is wrong
               help: check that this is the right file; save it as UTF-8
         "#]],
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -100,10 +100,11 @@
     let output = run(&args.split(' ').collect::<Vec<_>>());
     assert_eq!(output.status.code(), Some(2));
     expect![[r#"
+        shown:
           × --prompt is for models, --path and --body for plain services
           help: give --prompt alone, or --path and --body
     "#]]
-    .assert_eq(stderr(&output));
+    .assert_eq(&format!("shown:\n{}", stderr(&output)));
 }
 
 #[test]
@@ -142,10 +143,11 @@
     let output = run(&["router", "--settings", "no-such.toml"]);
     assert_eq!(output.status.code(), Some(2));
     expect![[r#"
+        shown:
           × no-such.toml does not exist
           help: check the path; `chervilwind defaults` prints files to start from
     "#]]
-    .assert_eq(stderr(&output));
+    .assert_eq(&format!("shown:\n{}", stderr(&output)));
 }
 
 #[test]
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -207,10 +207,11 @@
     let error = parse(&text).bind().unwrap_err();
     let shown = render(&error, false).replace(&address.port().to_string(), "PORT");
     expect![[r#"
+        shown:
           × chervilwind.toml:6: peers.listen = 127.0.0.1:PORT is in use
           help: stop the process that listens there, or give peers.listen another port
     "#]]
-    .assert_eq(&shown);
+    .assert_eq(&format!("shown:\n{shown}"));
     TcpListener::bind(first).expect("the first address is free again");
 }
 
