--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -15,4 +15,5 @@
 mod views;
 mod wait;
 
+pub(crate) use self::print::table;
 pub use self::run::run;
