--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -88,7 +88,7 @@
         "[platform]\n",
         "[platfrom]\naddres = 1\n[limits]\nhaed = \"1KiB\"\n[platform]\n",
         expect![[r#"
-            chervilwind.toml:9: the settings file has the unknown key `platfrom`; did you mean `platform`? known keys: `name`, `zone`, `region`, `log`, `callers`, `peers`, `operators`, `platform`, `limits`
+            chervilwind.toml:9: the settings file has the unknown key `platfrom`; did you mean `platform`? known keys: `name`, `zone`, `region`, `log`, `callers`, `peers`, `operators`, `fleet`, `platform`, `limits`
             chervilwind.toml:12: [limits] has the unknown key `haed`; did you mean `head`? known keys: `head`, `body`, `head-time`, `body-time`, `idle`, `stall`, `connections`, `per-address`"#]],
     );
 }
@@ -131,6 +131,28 @@
     );
 }
 
+#[test]
+fn parse_fleet() {
+    let fleet = "[fleet]\nseeds = [\"10.0.0.8:7401\"]\nzone-delay = \"1500us\"\n[peers]\n";
+    let settings = parse(&GOOD.replacen("[peers]\n", fleet, 1));
+    assert_eq!(settings.seeds, ["10.0.0.8:7401".parse().unwrap()]);
+    assert_eq!(settings.zone_delay, Duration::from_micros(1_500));
+    check(
+        "[platform]\n",
+        "[fleet]\nseeds = \"10.0.0.8:7401\"\nzone-delay = 2\n[platform]\n",
+        expect![[r#"
+            chervilwind.toml:10: [fleet] has seeds "10.0.0.8:7401"; give a list such as `["10.0.0.8:7401"]`
+            chervilwind.toml:11: [fleet] has zone-delay 2; add a unit, in quotes: `"2s"` or `"2ms"`"#]],
+    );
+    check(
+        "[platform]\n",
+        "[fleet]\nseeds = [\"router-2\"]\n[platform]\n",
+        expect![[
+            r#"chervilwind.toml:10: [fleet] has seeds ["router-2"]; give a list such as `["10.0.0.8:7401"]`"#
+        ]],
+    );
+}
+
 #[test]
 fn parse_same_address() {
     let text = GOOD.replace("127.0.0.1:0", "127.0.0.1:7400");
