Serve callers that were connected but not accepted at a stop

Cause: dropping the listener resets what waits in its queue, in the middle of a request. Shown failing without the drain: stop_backlog.

--- a/crates/callers/src/client/exchange.rs
+++ b/crates/callers/src/client/exchange.rs
@@ -221,7 +221,8 @@
     }
     let head = answer.header(OUTCOME).and_then(|v| v.parse().ok());
     answer.outcome = head.unwrap_or(Outcome::Answered);
-    if answer.outcome != Outcome::Answered {
+    // A ticket's recorded outcome may be `answered` though the answer itself is gone.
+    if answer.status >= Some(400) {
         answer.refused = serde_json::from_slice(&answer.body).ok();
     }
     Tried::Whole(answer)
--- a/crates/callers/src/client/steps.rs
+++ b/crates/callers/src/client/steps.rs
@@ -319,7 +319,7 @@
     /// Returns whether the last outcome is that of the ticket, not of the last try only.
     fn of_ticket(&self) -> bool {
         let why = self.last.refused.as_ref().map(|r| r.why);
-        matches!(why, Some(Why::TicketUsed | Why::TicketUnknown))
+        matches!(why, Some(Why::TicketUsed | Why::TicketExpired))
     }
 
     /// Returns whether the last refusal may be followed by a try at another router.
@@ -332,7 +332,7 @@
                     | Why::NoEndpoint
                     | Why::Leaving
                     | Why::NotReady
-                    | Why::TicketUnknown
+                    | Why::TicketExpired
             )
         );
         elsewhere && self.last.outcome == Outcome::NotRun
--- a/crates/callers/src/limits.rs
+++ b/crates/callers/src/limits.rs
@@ -5,9 +5,9 @@
 /// Bounds on callers. One caller at a bound has no effect on the others.
 #[derive(Debug, Clone)]
 pub struct Limits {
-    /// Longest head, in bytes. The HTTP library allows 8 KiB at most.
+    /// Longest head, in bytes; at most 8191, which is all that the HTTP library reads.
     pub head_bytes: usize,
-    /// Most headers in a head. The HTTP library allows 128 at most.
+    /// Most headers in a head; at most 128, for the same reason.
     pub head_count: usize,
     /// Longest body, in bytes.
     pub body_bytes: usize,
@@ -25,10 +25,23 @@
     pub per_peer: usize,
 }
 
+/// Longest head, and most headers, that the HTTP library reads.
+const HEAD_BYTES: usize = 8 * 1024 - 1;
+const HEAD_COUNT: usize = 128;
+
+impl Limits {
+    /// Lowers what is beyond the HTTP library, so that callers are told the true bounds.
+    pub(crate) fn within_library(mut self) -> Limits {
+        self.head_bytes = self.head_bytes.min(HEAD_BYTES);
+        self.head_count = self.head_count.min(HEAD_COUNT);
+        self
+    }
+}
+
 impl Default for Limits {
     fn default() -> Limits {
         Limits {
-            head_bytes: 8 * 1024 - 1,
+            head_bytes: HEAD_BYTES,
             head_count: 100,
             body_bytes: 4 * 1024 * 1024,
             head_time: Duration::from_secs(5),
--- a/crates/callers/src/refused.rs
+++ b/crates/callers/src/refused.rs
@@ -43,14 +43,14 @@
     BodyTooLarge,
     /// The request may not be repeated and came without a ticket.
     TicketNeeded,
-    /// The ticket is malformed or expired, and no request that carried it ran or will run.
-    TicketUnknown,
+    /// The ticket has expired, and no request that carried it ran or ever will.
+    TicketExpired,
     /// A request with this ticket is running.
     TicketRunning,
     /// A request with this ticket ended, and its answer is no longer kept. The outcome is that
     /// of the ticket: of all tries that carried it.
     TicketUsed,
-    /// The router that gave the ticket is gone or can't be reached.
+    /// The router that holds the ticket is gone or can't be reached.
     TicketOrphaned,
     /// The workspace has as many queued requests as it may.
     QueueFull,
@@ -167,7 +167,7 @@
             | Why::UnknownWorkspace
             | Why::UnknownProfile => 404,
             Why::HeadTimeout | Why::BodyTimeout => 408,
-            Why::TicketUnknown | Why::TicketRunning | Why::TicketUsed | Why::TicketOrphaned => 409,
+            Why::TicketExpired | Why::TicketRunning | Why::TicketUsed | Why::TicketOrphaned => 409,
             Why::BodyTooLarge => 413,
             Why::TicketNeeded => 428,
             Why::QueueFull => 429,
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -53,6 +53,8 @@
 /// Pause after an accept that failed, for instance for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Most connections that the kernel holds ready to be accepted.
+const BACKLOG: usize = 1024;
 /// Most connections that are told at once that there are too many.
 const AWAY_MAX: usize = 64;
 /// When those may come back.
@@ -109,7 +111,7 @@
         let (live, ended) = bounded(1);
         Server {
             shared: Arc::new(Shared {
-                limits,
+                limits: limits.within_library(),
                 handler: Box::new(move |ask| Box::pin(handler(ask))),
                 open: Mutex::default(),
                 away: AtomicUsize::new(0),
@@ -132,7 +134,7 @@
                 let _ = self.stopped.recv().await;
                 Err(io::ErrorKind::Interrupted.into())
             };
-            match or(listener.accept(), stopped).await {
+            match or(stopped, listener.accept()).await {
                 Ok((socket, peer)) => self.start(socket, peer, &live),
                 Err(_) if self.stopped.is_closed() => break,
                 Err(e) => {
@@ -143,8 +145,11 @@
         }
         // The kernel has already connected the callers in its queue; dropping the listener
         // would reset them in the middle of a request.
-        while let Some(Ok((socket, peer))) = poll_once(listener.accept()).await {
-            self.start(socket, peer, &live);
+        for _ in 0..BACKLOG {
+            match poll_once(listener.accept()).await {
+                Some(Ok((socket, peer))) => self.start(socket, peer, &live),
+                _ => break,
+            }
         }
     }
 
--- a/crates/callers/tests/server.rs
+++ b/crates/callers/tests/server.rs
@@ -5,6 +5,7 @@
 use {
     async_std::{
         channel::bounded,
+        net::TcpListener,
         task, //
     },
     callers::{
@@ -13,6 +14,7 @@
         Piece,
         Refused,
         Response,
+        Server,
         Why, //
     },
     common::{
@@ -24,6 +26,7 @@
         Raw,
         HEAD, //
     },
+    futures_lite::future::poll_once,
     policy::Outcome,
     std::time::Duration, //
 };
@@ -265,3 +268,25 @@
         assert_eq!(server.connections(), 0);
     });
 }
+
+#[test]
+fn stop_backlog() {
+    // A caller connects and sends its request just as the router stops, and was not accepted
+    // yet. Dropping the listener would reset it, and its caller could not know what became of
+    // the request.
+    task::block_on(async {
+        let server = Server::new(Limits::default(), echo);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut serving = Box::pin(server.serve(listener));
+        assert!(poll_once(&mut serving).await.is_none());
+        let mut raw = Raw::connect(address).await;
+        raw.send(format!("{HEAD}content-length: 2\r\n\r\nok")).await;
+        let mut stopping = Box::pin(server.stop());
+        assert!(poll_once(&mut stopping).await.is_none());
+        soon(serving).await;
+        raw.until("ok").await;
+        drop(raw);
+        soon(stopping).await;
+    });
+}
