--- a/crates/callers/tests/bad_input.rs
+++ b/crates/callers/tests/bad_input.rs
@@ -99,6 +99,12 @@
         // A length beyond 64 bits is no number to the HTTP library.
         let beyond = format!("{HEAD}content-length: {}0\r\n\r\n", u64::MAX);
         expect(&refused(limits(), beyond).await, 400, "bad-request");
+        // A caller that sends it all the same must not be reset before it reads why.
+        let whole = format!(
+            "{HEAD}content-length: 900000\r\n\r\n{}",
+            "a".repeat(900_000)
+        );
+        expect(&refused(limits(), whole).await, 413, "1024 bytes");
         let chunk = format!("200\r\n{}\r\n", "a".repeat(512));
         let chunked = format!(
             "{HEAD}transfer-encoding: chunked\r\n\r\n{}",
