--- a/crates/endpoints/src/run/task.rs
+++ b/crates/endpoints/src/run/task.rs
@@ -133,12 +133,11 @@
 
     /// Makes one try; `start` is lowered to `New` where no kept connection was there.
     async fn attempt(&mut self, start: &mut Start) -> Result<End, CallError> {
+        self.state.alive = false;
         let from = (*start == Start::Resume).then_some(self.state.tokens);
         let bytes = request::bytes(&self.call, from).await?;
         let mut conn = self.connect(start).await?;
-        let at = self.bound();
-        let sent = until(at, conn.send(&bytes, &mut self.state.wrote)).await;
-        sent.ok_or_else(|| self.overdue())??;
+        self.send(&mut conn, &bytes).await?;
         let bodiless = self.call.method == Method::Head;
         let reply = self.wait(conn.reply(bodiless)).await?;
         self.check(&reply)?;
@@ -152,10 +151,21 @@
             (true, _) => self.stream(reply, from).await,
             (false, None) => self.plain(reply).await,
             (false, Some(_)) if reply.status < 500 => Err(CallError::Unresumable),
-            (false, Some(_)) => Err(CallError::Status(reply.status)),
+            (false, Some(_)) => Err(CallError::NotResumed(reply.status)),
         }
     }
 
+    /// Writes a request, and notes as soon as one byte of it is out.
+    async fn send(&mut self, conn: &mut Conn, bytes: &[u8]) -> Result<(), CallError> {
+        let mut left = bytes;
+        while !left.is_empty() {
+            let n = self.wait(conn.write(left)).await?;
+            self.state.wrote = true;
+            left = &left[n..];
+        }
+        Ok(())
+    }
+
     async fn connect(&self, start: &mut Start) -> Result<Conn, CallError> {
         if *start == Start::Kept {
             if let Some(conn) = self.inner.kept.take(self.call.replica).await {
@@ -186,23 +196,22 @@
         }
         let wrote = self.state.wrote || self.state.spent;
         let idempotent = self.call.idempotent;
-        // A kept connection may have been closed, or gone silent, since its last call. It
-        // shows as a call that breaks before its answer begins. Only an idempotent call
-        // uses one, so that it may go again over a new connection.
-        if start == Start::Kept && !self.state.head {
-            return Some(Start::New);
-        }
         if self.call.kind == Kind::Plain || !wrote {
-            return None;
+            // A kept connection may have been closed, or gone silent, since its last call.
+            // It shows as a call that breaks before its answer begins. Only an idempotent
+            // call uses one, so it may go again over a new connection.
+            let stale = start == Start::Kept && !self.state.head;
+            return stale.then_some(Start::New);
         }
         if *cause == CallError::Unresumable {
-            let unseen = idempotent && !self.state.head && self.state.failures == 0;
-            self.state.failures += 1;
+            let unseen = idempotent && self.state.tokens == 0 && !self.state.renewed;
+            self.state.renewed = true;
             return unseen.then_some(Start::New);
         }
-        self.state.failures += 1;
+        let slow = self.state.alive && matches!(cause, CallError::Silent(_));
+        self.state.failures += u32::from(!slow);
         let may = idempotent || self.state.resumable;
-        if !may || self.state.failures > self.inner.opts.resumes {
+        if !may || self.state.spent_all(self.inner.opts.resumes) {
             return None;
         }
         self.state.resumed += 1;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,19 @@
 //! The command line: what may be asked for, and doing it.
 
+mod apply;
+mod base_line;
+mod call;
+mod check;
+mod config;
 mod flags;
+mod help;
+mod locate;
+mod print;
 mod run;
+mod standin;
+mod targets;
+mod views;
+mod wait;
 
+pub(crate) use self::print::table;
 pub use self::run::run;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 mod conf;
 mod demo;
 mod errors;
+mod gauge;
 mod router;
 
 pub use self::{
@@ -12,7 +13,6 @@
         Address,
         Bytes,
         BytesError,
-        Limits,
         ListenError,
         Listeners,
         Settings,
