--- a/crates/policy/src/members/news.rs
+++ b/crates/policy/src/members/news.rs
@@ -86,7 +86,10 @@
     /// Tells a newcomer which routers are not live, since that news is no longer spread.
     fn greet(&mut self, id: &RouterId) {
         let news = self.peers.values().filter(|p| p.word() != Word::Live);
-        let news = news.map(Peer::rumour).take(GREETING).collect();
+        let news: Vec<Rumour> = news.map(Peer::rumour).take(GREETING).collect();
+        if news.is_empty() {
+            return;
+        }
         self.owed.insert(id.clone(), news);
         self.beat(id, true);
     }
--- a/crates/policy/src/members/rounds.rs
+++ b/crates/policy/src/members/rounds.rs
@@ -21,11 +21,11 @@
     /// Lets time pass; call it at least once in each heartbeat interval.
     pub fn tick(&mut self, now: Time) {
         self.forgive(now);
-        let ring = Ring::new(self.ring_ids());
-        self.expect(&ring, now);
         if self.round.is_none_or(|at| now >= at) {
             self.round = Some(now + self.plan.interval);
             self.seq += 1;
+            let ring = Ring::new(self.ring_ids());
+            self.expect(&ring, now);
             for id in self.targets(&ring) {
                 self.beat(&id, false);
             }
--- a/crates/policy/src/members/table.rs
+++ b/crates/policy/src/members/table.rs
@@ -230,9 +230,14 @@
         let Some(p) = self.peers.get_mut(id) else {
             return;
         };
-        if p.turn(state, now) {
+        let before = p.member.state;
+        if !p.turn(state, now) {
+            return;
+        }
+        self.events.push(Event::Changed);
+        // A listed router that is first heard is what everyone expects.
+        if (before, state) != (State::Listed, State::Live) {
             self.gossip.push(p.rumour(), n);
-            self.events.push(Event::Changed);
         }
     }
 
--- /dev/null
+++ b/crates/policy/tests/members/fleet.rs
@@ -0,0 +1,282 @@
+//! A fleet of membership tables and the network between them, in virtual time.
+
+use {
+    fastrand::Rng,
+    policy::{
+        members::{
+            Event,
+            Heartbeat,
+            Intro,
+            Members,
+            Own,
+            Plan,
+            State, //
+        },
+        Incarnation,
+        RouterId,
+        Span,
+        Time, //
+    },
+    std::collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+};
+
+/// From one look at every router to the next.
+const STEP: Span = Span::millis(10);
+
+/// One router process.
+pub struct Node {
+    pub table: Members,
+    pub incarnation: u64,
+    pub up: bool,
+    /// It was stopped, and goes on then.
+    pub frozen: Option<Time>,
+    pub replaced: bool,
+    pub beats: u64,
+    pub bytes: u64,
+}
+
+pub struct Fleet {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub rng: Rng,
+    /// Pairs (from, to) whose heartbeats are lost.
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub loss: f64,
+    /// Part of the heartbeats that arrive twice.
+    pub doubled: f64,
+    /// Mean of what the network adds to its least delay, with a long tail.
+    pub jitter: Span,
+    pub tick: Span,
+    /// How often a router called one that is up suspect, and dead.
+    pub wrong: (u32, u32),
+    ids: Vec<RouterId>,
+    wire: BTreeMap<(Time, u64), (usize, Incarnation, Heartbeat)>,
+    sent: u64,
+    seen: BTreeMap<(usize, usize), State>,
+}
+
+pub fn id(i: usize) -> RouterId {
+    format!("router-{i}").parse().unwrap()
+}
+
+fn index(id: &RouterId) -> usize {
+    id.as_str()[7..].parse().unwrap()
+}
+
+fn intro(i: usize) -> Intro {
+    Intro {
+        addr: ([10, 0, (i / 250) as u8, (i % 250) as u8], 7400).into(),
+        callers: ([10, 0, (i / 250) as u8, (i % 250) as u8], 7500).into(),
+        zone: format!("hall-{}", i % 3).parse().unwrap(),
+    }
+}
+
+impl Fleet {
+    pub fn new(n: usize, seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            now: Time(1_000_000),
+            nodes: Vec::new(),
+            rng: Rng::with_seed(seed),
+            cuts: BTreeSet::new(),
+            loss: 0.0,
+            doubled: 0.0,
+            jitter: Span::millis(1),
+            tick: Span::millis(50),
+            wrong: (0, 0),
+            ids: (0..n).map(id).collect(),
+            wire: BTreeMap::new(),
+            sent: 0,
+            seen: BTreeMap::new(),
+        };
+        for i in 0..n {
+            let node = fleet.start(i, n, 1);
+            fleet.nodes.push(node);
+        }
+        fleet
+    }
+
+    fn start(&self, i: usize, n: usize, incarnation: u64) -> Node {
+        let seed = i as u64 + incarnation * 1000;
+        let start = Incarnation(incarnation);
+        let mut table = Members::new(id(i), start, intro(i), Plan::default(), seed);
+        for j in 0..n {
+            table.seed(id(j), intro(j), self.now);
+        }
+        Node {
+            table,
+            incarnation,
+            up: true,
+            frozen: None,
+            replaced: false,
+            beats: 0,
+            bytes: 0,
+        }
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.nodes[i].up = false;
+    }
+
+    pub fn restart(&mut self, i: usize) {
+        let n = self.nodes.len();
+        let next = self.nodes[i].incarnation + 1;
+        self.nodes[i] = self.start(i, n, next);
+    }
+
+    pub fn freeze(&mut self, i: usize, s: Span) {
+        self.nodes[i].frozen = Some(self.now + s);
+    }
+
+    /// Cuts every heartbeat between the two sides.
+    pub fn split(&mut self, left: &[usize]) {
+        for a in 0..self.nodes.len() {
+            for b in 0..self.nodes.len() {
+                if left.contains(&a) != left.contains(&b) {
+                    self.cuts.insert((a, b));
+                }
+            }
+        }
+    }
+
+    pub fn leave(&mut self, i: usize) {
+        self.nodes[i].table.set(Own {
+            leaving: true,
+            ..Own::default()
+        });
+    }
+
+    pub fn run(&mut self, s: Span) {
+        let end = self.now + s;
+        while self.now < end {
+            self.now += STEP;
+            self.step();
+        }
+    }
+
+    /// Runs until `done`, for at most `most`; returns how long it took.
+    pub fn until(&mut self, most: Span, done: impl Fn(&Fleet) -> bool) -> Option<Span> {
+        let start = self.now;
+        // A look at all pairs of a large fleet costs more than the fleet itself.
+        let look = if self.nodes.len() > 100 { 10 } else { 1 };
+        while !done(self) {
+            if self.now.since(start) >= most {
+                return None;
+            }
+            self.run(Span(STEP.0 * look));
+        }
+        Some(self.now.since(start))
+    }
+
+    /// What `a` thinks of `b`.
+    pub fn state(&self, a: usize, b: usize) -> Option<State> {
+        self.nodes[a].table.get(&self.ids[b]).map(|m| m.state)
+    }
+
+    /// Tells whether every router that runs sees `b` in this state.
+    pub fn all_see(&self, b: usize, state: State) -> bool {
+        (0..self.nodes.len())
+            .filter(|a| *a != b && self.running(*a))
+            .all(|a| self.state(a, b) == Some(state))
+    }
+
+    /// Tells whether every router that runs sees every other one live.
+    pub fn all_live(&self) -> bool {
+        (0..self.nodes.len())
+            .filter(|b| self.running(*b))
+            .all(|b| self.all_see(b, State::Live))
+    }
+
+    pub fn running(&self, a: usize) -> bool {
+        self.nodes[a].up && self.nodes[a].frozen.is_none()
+    }
+
+    fn step(&mut self) {
+        let now = self.now;
+        for node in &mut self.nodes {
+            node.frozen = node.frozen.filter(|t| *t > now);
+        }
+        self.deliver();
+        for i in 0..self.nodes.len() {
+            let turn = (now.0 + i as u64 * STEP.0) % self.tick.0 == 0;
+            if turn && self.running(i) {
+                self.nodes[i].table.tick(now);
+            }
+            self.send(i);
+        }
+    }
+
+    fn deliver(&mut self) {
+        let mut held = Vec::new();
+        while let Some(entry) = self.wire.first_entry() {
+            let (at, n) = *entry.key();
+            if at > self.now {
+                break;
+            }
+            let (to, incarnation, beat) = entry.remove();
+            let node = &mut self.nodes[to];
+            if !node.up || incarnation != Incarnation(node.incarnation) {
+                continue;
+            }
+            match node.frozen {
+                Some(t) => held.push(((t, n), (to, incarnation, beat))),
+                None => node.table.heard(beat, self.now),
+            }
+        }
+        self.wire.extend(held);
+    }
+
+    fn send(&mut self, i: usize) {
+        let events = self.nodes[i].table.take_events();
+        if !self.nodes[i].up {
+            return;
+        }
+        let mut changed = false;
+        for e in events {
+            match e {
+                Event::Beat { to, beat, .. } => self.post(i, index(&to), *beat),
+                Event::Changed => changed = true,
+                Event::Replaced(_) => self.nodes[i].replaced = true,
+            }
+        }
+        if changed {
+            self.count(i);
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, beat: Heartbeat) {
+        self.nodes[from].beats += 1;
+        self.nodes[from].bytes += rmp_serde::to_vec(&beat).unwrap().len() as u64;
+        if self.cuts.contains(&(from, to)) || self.rng.f64() < self.loss {
+            return;
+        }
+        let peer = Incarnation(self.nodes[to].incarnation);
+        let copies = 1 + u64::from(self.rng.f64() < self.doubled);
+        for _ in 0..copies {
+            let tail = -(1.0 - self.rng.f64()).ln() * self.jitter.0 as f64;
+            let at = self.now + Span(1_500 + tail as u64);
+            self.sent += 1;
+            self.wire.insert((at, self.sent), (to, peer, beat.clone()));
+        }
+    }
+
+    /// Counts the wrong judgements of one router.
+    fn count(&mut self, a: usize) {
+        for b in 0..self.nodes.len() {
+            let Some(state) = self.state(a, b) else {
+                continue;
+            };
+            let before = self.seen.insert((a, b), state);
+            if before == Some(state) || !self.running(b) {
+                continue;
+            }
+            match state {
+                State::Suspect => self.wrong.0 += 1,
+                State::Dead => self.wrong.1 += 1,
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/members/main.rs
@@ -0,0 +1,210 @@
+//! Membership under kills, freezes, cuts and restarts, in virtual time.
+
+mod fleet;
+
+use {
+    fleet::{
+        id,
+        Fleet, //
+    },
+    policy::{
+        members::State,
+        Span, //
+    },
+};
+
+fn settled(n: usize, seed: u64) -> Fleet {
+    let mut f = Fleet::new(n, seed);
+    let took = f.until(Span::secs(20), Fleet::all_live);
+    println!("{n} routers: all live after {}", took.unwrap());
+    f.run(Span::secs(3));
+    f
+}
+
+#[test]
+fn tick_finds_a_killed_router() {
+    for seed in 0..5 {
+        let mut f = settled(8, seed);
+        f.kill(3);
+        let took = f.until(Span::secs(10), |f| f.all_see(3, State::Dead));
+        println!("killed: dead at all after {}", took.unwrap());
+        assert!(took.unwrap() <= Span::millis(2000));
+        assert_eq!(f.wrong, (0, 0));
+    }
+}
+
+#[test]
+fn tick_after_a_freeze_of_this_process() {
+    // A router is stopped for some seconds (SIGSTOP, a starved machine) and goes on. Every
+    // other one was silent for it all that while. If it called them dead it would take over
+    // all their pools at once.
+    for seed in 0..5 {
+        let mut f = settled(8, seed);
+        f.freeze(2, Span::secs(5));
+        let took = f.until(Span::secs(4), |f| f.all_see(2, State::Dead));
+        assert!(took.unwrap() <= Span::millis(2000));
+        f.until(Span::secs(5), |f| f.nodes[2].frozen.is_none());
+        let back = f.until(Span::secs(5), Fleet::all_live);
+        println!(
+            "frozen: dead after {}, live again after {}",
+            took.unwrap(),
+            back.unwrap()
+        );
+        f.run(Span::secs(5));
+        assert_eq!(f.wrong, (0, 0));
+    }
+}
+
+#[test]
+fn tick_when_one_direction_is_cut() {
+    // Heartbeats of router 1 no longer reach router 2, but all others still get them. Were
+    // it dead for router 2 only, the two would choose different owners for the same pools.
+    for seed in 0..5 {
+        let mut f = settled(8, seed);
+        f.cuts.insert((1, 2));
+        f.run(Span::secs(20));
+        assert_eq!(f.state(2, 1), Some(State::Live));
+        assert_eq!(f.wrong.1, 0);
+        println!("one way: {} suspicions in 20s", f.wrong.0);
+        let seen = f.nodes[2].table.get(&id(1)).unwrap();
+        assert!(!seen.heard, "2 knows that it does not hear 1");
+        let back = f.nodes[1].table.get(&id(2)).unwrap();
+        assert!(back.heard && !back.hears, "1 knows that 2 does not hear it");
+        f.kill(1);
+        let took = f.until(Span::secs(10), |f| f.all_see(1, State::Dead));
+        println!("one way, then killed: dead after {}", took.unwrap());
+        assert!(took.unwrap() <= Span::millis(3000));
+    }
+}
+
+#[test]
+fn tick_when_the_fleet_is_split_and_rejoined() {
+    for seed in 0..5 {
+        let mut f = settled(9, seed);
+        f.split(&[0, 1, 2]);
+        let took = f.until(Span::secs(10), |f| {
+            let left = (0..3).all(|a| (3..9).all(|b| f.state(a, b) == Some(State::Dead)));
+            left && (3..9).all(|a| (0..3).all(|b| f.state(a, b) == Some(State::Dead)))
+        });
+        assert!(took.unwrap() <= Span::millis(2500), "{took:?}");
+        f.run(Span::secs(60));
+        f.cuts.clear();
+        let back = f.until(Span::secs(20), Fleet::all_live);
+        println!(
+            "split: seen after {}, rejoined after {}",
+            took.unwrap(),
+            back.unwrap()
+        );
+        assert!(back.unwrap() <= Span::millis(2500));
+    }
+}
+
+#[test]
+fn heard_when_all_restart_at_once() {
+    let mut f = settled(8, 1);
+    for i in 0..8 {
+        f.restart(i);
+    }
+    let took = f.until(Span::secs(10), |f| {
+        let fresh = |a: usize, b: usize| {
+            a == b
+                || f.nodes[a]
+                    .table
+                    .get(&id(b))
+                    .is_some_and(|m| m.incarnation.0 == 2)
+        };
+        f.all_live() && (0..8).all(|a| (0..8).all(|b| fresh(a, b)))
+    });
+    println!("all restarted: seen after {}", took.unwrap());
+    assert!(took.unwrap() <= Span::secs(1));
+    f.run(Span::secs(5));
+    assert_eq!(f.wrong, (0, 0));
+}
+
+#[test]
+fn heard_of_a_restart_between_two_heartbeats() {
+    let mut f = settled(8, 1);
+    f.kill(4);
+    f.restart(4);
+    f.run(Span::secs(2));
+    assert_eq!(f.nodes[0].table.get(&id(4)).unwrap().incarnation.0, 2);
+    assert!(f.all_live());
+}
+
+#[test]
+fn left_and_goodbye_at_a_graceful_end() {
+    let mut f = settled(8, 1);
+    f.leave(5);
+    f.run(Span::millis(600));
+    assert!(f.nodes[0].table.get(&id(5)).unwrap().leaving);
+    assert!(!f.nodes[0].table.get(&id(5)).unwrap().takes_work());
+    f.nodes[5].table.goodbye();
+    f.run(Span::millis(50));
+    f.kill(5);
+    let took = f.until(Span::secs(2), |f| f.all_see(5, State::Left));
+    println!("goodbye: seen after {}", took.unwrap());
+    f.run(Span::secs(5));
+    assert!(f.all_see(5, State::Left));
+    f.restart(5);
+    f.until(Span::secs(5), |f| f.all_see(5, State::Live))
+        .unwrap();
+    assert!(!f.nodes[0].table.get(&id(5)).unwrap().leaving);
+}
+
+#[test]
+fn tick_under_jitter_and_loss() {
+    // The machines are busy: each heartbeat is late by 60 ms on average with a long tail, 2%
+    // are lost, and now and then a router is not run for up to 700 ms.
+    let (mut wrong, mut hours) = ((0, 0), 0.0);
+    for seed in 0..5 {
+        let mut f = settled(8, seed);
+        f.jitter = Span::millis(60);
+        f.loss = 0.02;
+        for _ in 0..600 {
+            f.run(Span::millis(200));
+            let (i, ms) = (f.rng.usize(0..8), f.rng.u64(0..700));
+            f.freeze(i, Span::millis(ms));
+        }
+        wrong = (wrong.0 + f.wrong.0, wrong.1 + f.wrong.1);
+        hours += 8.0 * 120.0 / 3600.0;
+    }
+    println!("jitter: {wrong:?} wrong suspicions and deaths in {hours:.1} router hours");
+    assert_eq!(wrong.1, 0);
+}
+
+/// Starts `n` routers, kills one, restarts it, and prints what each took.
+fn large(n: usize) {
+    let mut f = Fleet::new(n, 1);
+    f.tick = Span::millis(250);
+    f.run(Span::secs(10));
+    assert!(f.nodes.iter().all(|node| node.table.view().len() == n));
+    let before: Vec<(u64, u64)> = f.nodes.iter().map(|n| (n.beats, n.bytes)).collect();
+    f.run(Span::secs(10));
+    let sent = f.nodes.iter().zip(&before);
+    let beats = sent.clone().map(|(n, b)| n.beats - b.0).max().unwrap() / 10;
+    let bytes = sent.map(|(n, b)| n.bytes - b.1).max().unwrap() / 10;
+    println!("{n}: {beats} heartbeats and {bytes} bytes a second at most");
+    assert!(beats <= 8 * 4 + 8);
+    assert_eq!(f.wrong, (0, 0));
+    f.kill(77);
+    let took = f.until(Span::secs(20), |f| f.all_see(77, State::Dead));
+    println!("{n}: killed, dead at all after {}", took.unwrap());
+    assert!(took.unwrap() <= Span::secs(4));
+    f.restart(77);
+    let took = f.until(Span::secs(20), |f| f.all_see(77, State::Live));
+    println!("{n}: restarted, live at all after {}", took.unwrap());
+    f.run(Span::secs(5));
+    println!("{n}: {:?} wrong suspicions and deaths", f.wrong);
+    assert_eq!(f.wrong.1, 0);
+}
+
+#[test]
+fn tick_in_a_large_fleet() {
+    large(100);
+}
+
+#[test]
+#[ignore = "takes half a minute; run with `--ignored` for the figures of 370 routers"]
+fn tick_in_a_fleet_of_370() {
+    large(370);
+}
