--- a/crates/policy/tests/members/fleet.rs
+++ b/crates/policy/tests/members/fleet.rs
@@ -70,6 +70,7 @@
     Intro {
         addr: ([10, 0, (i / 250) as u8, (i % 250) as u8], 7400).into(),
         callers: ([10, 0, (i / 250) as u8, (i % 250) as u8], 7500).into(),
+        operators: None,
         zone: format!("hall-{}", i % 3).parse().unwrap(),
     }
 }
