Send peers what changed of the configuration and the list, not all of it

Ruled out: hashes of all parts in each question (about 4 KB with 95 parts), since the answering router can remember what its revisions consisted of. Change: a delta names runs of parts of the base by place, and carries a hash of the whole text, so that a wrong base is noticed; the list's answer carries the instances that changed. Tests: router::delta::tests and router::changes::tests.

--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -2,11 +2,12 @@
 
 use {
     super::{
+        delta::{
+            self,
+            Delta, //
+        },
         messages::{
             Answer,
-            Delta,
-            DeltaPart,
-            Have,
             Question, //
         },
         rules::rules,
@@ -23,10 +24,10 @@
     },
     platform::{
         store::{
+            self,
             join,
             repair,
             Config,
-            Part,
             Repaired,
             Seen,
             Watcher, //
@@ -36,7 +37,6 @@
     policy::{
         head::{
             Decision,
-            Hash,
             Revision,
             Source,
             Taken, //
@@ -44,11 +44,9 @@
         RouterId,
     },
     std::{
-        collections::HashMap,
         sync::Arc,
         time::Duration, //
     },
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Pause of a router that does not watch, before it looks whether it should.
@@ -151,13 +149,14 @@
     async fn fetch(self: &Arc<Router>, peer: RouterId) {
         let source = Source::Peer(peer.clone());
         let known = lock(&self.force).config.clone();
-        let question = Question::Config(have(known.as_deref()));
+        let have = known.as_ref().map_or(store::Revision::NONE, |c| c.revision);
+        let question = Question::Config(have);
         let asked = match self.links.addr(&peer) {
             Some(addr) => self.links.ask(addr, &question, ASK).await.ok(),
             None => None,
         };
         let config = match asked {
-            Some(Answer::Config(Some(delta))) => patch(known.as_deref(), *delta),
+            Some(Answer::Config(Some(delta))) => delta.apply(known.as_deref()),
             _ => None,
         };
         let taken = config.is_some_and(|c| self.take_config(c, &source));
@@ -168,18 +167,10 @@
     }
 
     /// Returns what a peer lacks of the configuration, if this router has a higher one.
-    pub(crate) fn config_above(&self, have: &Have) -> Option<Delta> {
-        let config = lock(&self.force).config.clone()?;
-        if config.revision.0 <= have.revision {
-            return None;
-        }
-        let parts = config.parts.iter().map(|p| delta_part(p, have)).collect();
-        Some(Delta {
-            revision: config.revision,
-            writer: config.writer.clone(),
-            write: config.write,
-            parts,
-        })
+    pub(crate) fn config_above(&self, have: store::Revision) -> Option<Delta> {
+        let force = lock(&self.force);
+        let config = force.config.as_ref()?;
+        (config.revision > have).then(|| force.history.delta(config, have))
     }
 
     /// Puts a configuration in force, if it is valid and higher than the one in force.
@@ -196,7 +187,7 @@
             }
         };
         let revision = Revision(config.revision.0);
-        let hash = Hash(xxh3_64(text.as_bytes()));
+        let hash = delta::hash(&config.parts);
         let mut force = lock(&self.force);
         match force.head.fetched(revision, hash, self.clock.now()) {
             Taken::InForce => {}
@@ -211,6 +202,7 @@
         }
         let rules = rules(&document);
         force.fleet = Arc::new(Fleet::new(document));
+        force.history.push(&config);
         force.config = Some(Arc::new(config));
         log::info!("config: revision {revision} of {from} is in force");
         // Rules follow in the order of revisions only while the table stays locked.
@@ -221,48 +213,3 @@
         true
     }
 }
-
-fn have(config: Option<&Config>) -> Have {
-    Have {
-        revision: config.map_or(0, |c| c.revision.0),
-        parts: config.map_or(Vec::new(), |c| c.parts.iter().map(Part::hash).collect()),
-    }
-}
-
-fn delta_part(part: &Part, have: &Have) -> DeltaPart {
-    let hash = part.hash();
-    let name = part.name.clone();
-    if have.parts.contains(&hash) {
-        return DeltaPart::Known { name, hash };
-    }
-    DeltaPart::New {
-        name,
-        text: part.text.clone(),
-    }
-}
-
-/// Puts a configuration together from a peer's delta and the parts at hand.
-fn patch(known: Option<&Config>, delta: Delta) -> Option<Config> {
-    let at_hand: HashMap<_, _> = known
-        .into_iter()
-        .flat_map(|c| &c.parts)
-        .map(|p| (p.hash(), p.text.clone()))
-        .collect();
-    let parts: Option<Vec<Part>> = delta
-        .parts
-        .into_iter()
-        .map(|p| match p {
-            DeltaPart::New { name, text } => Some(Part { name, text }),
-            DeltaPart::Known { name, hash } => {
-                let text = at_hand.get(&hash)?.clone();
-                Some(Part { name, text })
-            }
-        })
-        .collect();
-    Some(Config {
-        revision: delta.revision,
-        writer: delta.writer,
-        write: delta.write,
-        parts: parts?,
-    })
-}
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        changes::Changes,
         messages::{
             Answer,
             Item,
@@ -92,24 +93,32 @@
         let router = self.clone();
         task::spawn(async move {
             let asked = router.links.ask(addr, &Question::List(ours), ASK).await;
-            if let Ok(Answer::List(Some(listed))) = asked {
-                router.take_list(*listed);
+            if let Ok(Answer::List(Some(changes))) = asked {
+                let have = lock(&router.listing).listed.clone();
+                if let Some(listed) = changes.apply(&have) {
+                    router.take_list(listed);
+                }
             }
             router.fetching.store(false, Ordering::Release);
         });
     }
 
-    /// Returns the list, if it is another than a peer has.
-    pub(crate) fn list_beyond(&self, have: u64) -> Option<Listed> {
+    /// Returns what a peer lacks of the list, if it has another.
+    pub(crate) fn list_beyond(&self, have: u64) -> Option<Changes> {
         let listing = lock(&self.listing);
-        (listing.listed.revision != have).then(|| Listed::clone(&listing.listed))
+        let other = listing.listed.revision != have;
+        other.then(|| listing.log.since(have, &listing.listed))
     }
 
     fn take_list(&self, listed: Listed) {
         let routers = listed.instances.iter().filter_map(router_of).collect();
         let now = self.now();
         let listed = Arc::new(listed);
-        lock(&self.listing).listed = listed.clone();
+        let mut listing = lock(&self.listing);
+        let old = listing.listed.clone();
+        listing.log.note(&old, &listed);
+        listing.listed = listed;
+        drop(listing);
         lock(&self.members).listed(routers, now);
         self.follow_members();
         self.apply_list();
--- a/src/router/messages.rs
+++ b/src/router/messages.rs
@@ -1,14 +1,11 @@
 //! What routers say to each other.
 
 use {
-    platform::{
-        store::{
-            PartHash,
-            Revision,
-            WriteId, //
-        },
-        Listed, //
+    super::{
+        changes::Changes,
+        delta::Delta, //
     },
+    platform::store::Revision,
     policy::{
         members::{
             Heartbeat,
@@ -26,7 +23,6 @@
         Deserialize,
         Serialize, //
     },
-    std::sync::Arc,
 };
 
 /// A message that needs no answer. It may be lost, doubled or late.
@@ -47,8 +43,8 @@
     Hello(Known),
     /// May I start the request of this ticket?
     Ticket(Ask),
-    /// The configuration, if it is above a revision.
-    Config(Have),
+    /// The configuration, if it is above this revision.
+    Config(Revision),
     /// The list of instances, if it is another than this revision.
     List(u64),
 }
@@ -63,7 +59,7 @@
     /// The configuration.
     Config(Option<Box<Delta>>),
     /// The list of instances.
-    List(Option<Box<Listed>>),
+    List(Option<Box<Changes>>),
 }
 
 /// A router and where it is.
@@ -72,40 +68,3 @@
     pub(crate) id: RouterId,
     pub(crate) intro: Intro,
 }
-
-/// What the asker of a configuration has already.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Have {
-    /// The revision in force; 0 for none.
-    pub(crate) revision: u64,
-    /// The parts it knows, which need not be sent again.
-    pub(crate) parts: Vec<PartHash>,
-}
-
-/// A configuration, without the parts that the asker has.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) struct Delta {
-    pub(crate) revision: Revision,
-    pub(crate) writer: String,
-    pub(crate) write: WriteId,
-    pub(crate) parts: Vec<DeltaPart>,
-}
-
-/// One part of a [`Delta`], in its place.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub(crate) enum DeltaPart {
-    /// The asker has it.
-    Known {
-        /// Its name, which may be new.
-        name: String,
-        /// Its content's hash.
-        hash: PartHash,
-    },
-    /// The asker needs it.
-    New {
-        /// Its name.
-        name: String,
-        /// Its content.
-        text: Arc<str>,
-    },
-}
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,9 +6,11 @@
 
 mod addresses;
 mod beat;
+mod changes;
 mod claims;
 mod clock;
 mod config;
+mod delta;
 mod inbox;
 mod jobs;
 mod leave;
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -8,6 +8,7 @@
             Clock, //
         },
         config,
+        delta::History,
         inbox,
         jobs::Jobs,
         leave,
@@ -174,6 +175,7 @@
         force: Mutex::new(InForce {
             head: Head::new(clock.now()),
             config: None,
+            history: History::default(),
             fleet: Arc::new(Fleet::default()),
         }),
         listing: Mutex::new(Listing::default()),
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
+        changes::Log,
         clock::Clock,
+        delta::History,
         jobs::{
             Jobs,
             Verdict, //
@@ -56,6 +58,8 @@
     pub(crate) head: Head,
     /// The whole configuration, to hand on to peers.
     pub(crate) config: Option<Arc<Config>>,
+    /// The parts of those before it, for peers that are behind.
+    pub(crate) history: History,
     /// The same, for look-ups.
     pub(crate) fleet: Arc<Fleet>,
 }
@@ -65,6 +69,8 @@
 pub(crate) struct Listing {
     /// The list.
     pub(crate) listed: Arc<Listed>,
+    /// What changed in it, for peers that are behind.
+    pub(crate) log: Log,
     /// Replicas seen leaving by themselves, and until when that is believed.
     pub(crate) withdrawn: HashMap<ReplicaId, Time>,
 }
