--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -66,7 +66,7 @@
         let text = text.ok_or_else(|| refuse(Why::TicketNeeded, NEEDED))?;
         let ticket: Ticket = text
             .parse()
-            .map_err(|e| refuse(Why::TicketUnknown, &format!("{e}")))?;
+            .map_err(|e| refuse(Why::TicketExpired, &format!("{e}")))?;
         let now = self.now();
         let mut claim = lock(&self.tickets).claim(&ticket, now);
         for _ in 0..HOPS {
@@ -136,7 +136,7 @@
         )
         .retry_after(AGAIN),
         Claim::Expired => Refused::new(
-            Why::TicketUnknown,
+            Why::TicketExpired,
             "the ticket expired unused; ask for a new one",
         ),
         Claim::Gone | Claim::Granted(_) | Claim::Ask(_) => Refused::new(
