Ask again about a request that runs, and probe silent connections

Cause: after a lost answer the other router says that the ticket's request runs and when to come back; the client took that for its end. Half of the deadline without a byte counted as silence, which would cost a queued request its place. Change: the client comes back under the same ticket while there is time. A malformed ticket is a bad header. Proof: answer_lost_still_runs. The probes have no test: they need a network that drops packets.

--- a/crates/callers/src/client/pool.rs
+++ b/crates/callers/src/client/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to routers that are kept for the next call.
 
 use {
+    crate::tune::tune,
     async_std::net::TcpStream,
     futures_lite::future::poll_once,
     std::{
@@ -44,7 +45,7 @@
             }
         }
         let socket = async_std::io::timeout(CONNECT, TcpStream::connect(router)).await?;
-        socket.set_nodelay(true)?;
+        tune(&socket)?;
         Ok(socket)
     }
 
--- a/crates/callers/src/client/settings.rs
+++ b/crates/callers/src/client/settings.rs
@@ -26,8 +26,8 @@
     pub tries: usize,
     /// Time for a call without a deadline.
     pub timeout: Duration,
-    /// Longest time without a byte before an answer counts as lost. A call with a deadline
-    /// waits half the time left at most, so that there is time to ask again.
+    /// Longest time without a byte before an answer counts as lost. It must be above the
+    /// time that a request may be queued: what is asked again loses its place.
     pub silence: Duration,
 }
 
--- a/crates/callers/src/client/steps.rs
+++ b/crates/callers/src/client/steps.rs
@@ -21,6 +21,7 @@
         Why,
         WHERE_PATH, //
     },
+    async_std::task,
     policy::{
         Outcome,
         ServiceId, //
@@ -38,6 +39,8 @@
 
 /// Time for a question which address to use.
 const ASK_TIME: Duration = Duration::from_secs(3);
+/// Least pause before asking again about a request that runs.
+const RUNS_PAUSE: Duration = Duration::from_millis(100);
 
 /// A client of a fleet of routers. Cheap to clone; clones share what is kept.
 #[derive(Debug, Clone)]
@@ -127,7 +130,11 @@
             if n > 0 && Instant::now() >= progress.until {
                 break;
             }
-            let done = self.step(call, *router, &mut progress, on_chunk).await;
+            let mut done = self.step(call, *router, &mut progress, on_chunk).await;
+            while let Some(pause) = progress.runs_on() {
+                task::sleep(pause).await;
+                done = self.step(call, *router, &mut progress, on_chunk).await;
+            }
             progress.last.tries = n + 1;
             if done {
                 break;
@@ -178,15 +185,10 @@
             let bad = "the method, path or a header can't be sent; use printable ASCII";
             return Tried::Whole(Answer::refused(Refused::new(Why::BadRequest, bad)));
         };
-        let left = progress.until.saturating_duration_since(Instant::now());
-        let silence = match call.deadline {
-            Some(_) => self.0.settings.silence.min(left / 2),
-            None => self.0.settings.silence,
-        };
         let exchange = Exchange {
             pool: &self.0.pool,
             router,
-            silence,
+            silence: self.0.settings.silence,
             until: progress.until,
         };
         exchange.run(http, on_chunk).await
@@ -305,6 +307,14 @@
         }
     }
 
+    /// Returns when to ask again under the same ticket, where its request still runs.
+    fn runs_on(&self) -> Option<Duration> {
+        let refused = self.last.refused.as_ref();
+        let running = refused.filter(|r| r.why == Why::TicketRunning)?;
+        let pause = Duration::from_millis(running.retry_ms.unwrap_or(0)).max(RUNS_PAUSE);
+        (Instant::now() + pause < self.until).then_some(pause)
+    }
+
     /// Returns the last answer, unless it claims more than is known of all tries together.
     fn finish(self) -> Answer {
         let settled = self.last.outcome != Outcome::NotRun || self.of_ticket();
--- a/crates/callers/src/lib.rs
+++ b/crates/callers/src/lib.rs
@@ -16,6 +16,7 @@
 mod response;
 mod server;
 mod stream_body;
+mod tune;
 mod wire;
 
 pub use self::{
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         connection::Connection,
+        tune::tune,
         wire::Wire,
         Ask,
         Limits,
@@ -166,7 +167,7 @@
     }
 
     fn start(&self, socket: TcpStream, peer: SocketAddr, live: &Sender<()>) {
-        if let Err(e) = socket.set_nodelay(true) {
+        if let Err(e) = tune(&socket) {
             log::debug!("callers: connection from {peer} broke at once: {e}");
             return;
         }
--- a/crates/callers/tests/client.rs
+++ b/crates/callers/tests/client.rs
@@ -34,6 +34,10 @@
     std::{
         net::SocketAddr,
         sync::{
+            atomic::{
+                AtomicUsize,
+                Ordering, //
+            },
             Arc,
             Mutex, //
         },
@@ -337,6 +341,29 @@
     });
 }
 
+#[test]
+fn answer_lost_still_runs() {
+    // The connection broke while a renewal runs. The other router says that it runs and when
+    // to come back; the caller does, and gets the answer without a second run.
+    task::block_on(async {
+        let log = Log::default();
+        let a = breaking(&log, "a", "").await;
+        let asked = Arc::new(AtomicUsize::new(0));
+        let b = router("b", &log, move |request| {
+            match asked.fetch_add(1, Ordering::SeqCst) {
+                0 | 1 => Refused::new(Why::TicketRunning, "ask again")
+                    .retry_after(Duration::from_millis(1))
+                    .into(),
+                _ => answered(request),
+            }
+        })
+        .await;
+        let answer = soon(client(guide(&log, &[a, b], 0).await).call(&once())).await;
+        assert_eq!((answer.outcome, answer.tries), (Outcome::Answered, 2));
+        assert_eq!(logged(&log), ["guide", "a a.t", "b a.t", "b a.t", "b a.t"]);
+    });
+}
+
 #[test]
 fn connection_stale() {
     // A router was restarted and closed the kept connections. A call on one of them would be
@@ -358,6 +385,7 @@
         .await;
         let answer = soon(client.call(&call())).await;
         assert_eq!((answer.outcome, answer.tries), (Outcome::Answered, 1));
+        assert_eq!(answer.body, b"hello");
     });
 }
 
@@ -370,11 +398,11 @@
         let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let a = silent.local_addr().unwrap();
         let b = router("b", &log, answered).await;
-        let call = Call {
-            deadline: Some(Duration::from_secs(2)),
-            ..call()
-        };
-        let answer = soon(client(guide(&log, &[a, b], 0).await).call(&call)).await;
+        let client = Client::new(ClientSettings {
+            silence: Duration::from_millis(300),
+            ..ClientSettings::new(vec![guide(&log, &[a, b], 0).await])
+        });
+        let answer = soon(client.call(&call())).await;
         assert_eq!((answer.outcome, answer.tries), (Outcome::Answered, 2));
     });
 }
--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -66,7 +66,7 @@
         let text = text.ok_or_else(|| refuse(Why::TicketNeeded, NEEDED))?;
         let ticket: Ticket = text
             .parse()
-            .map_err(|e| refuse(Why::TicketExpired, &format!("{e}")))?;
+            .map_err(|e| refuse(Why::BadHeader, &format!("{e}")))?;
         let now = self.now();
         let mut claim = lock(&self.tickets).claim(&ticket, now);
         for _ in 0..HOPS {
