Print as far as the reader reads, and a model's text as text

Cause: dump piped into head ended with a panic; call printed a refusal's JSON beside the error; apply run again on the same copy said that another operator came first, of its own change. Found by trying the commands against two routers.

--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -4,6 +4,7 @@
     super::{
         base_line::BaseLine,
         flags::Apply,
+        print::line,
         targets::{
             platform_of,
             router_of, //
@@ -58,9 +59,9 @@
     let kv = Kv::new(Options::new(platform, CLIENT));
     let before = store::read(&kv, &[]).await?;
     let floor = highest_known(router).await;
-    let (line, text) = BaseLine::split(source.text());
-    let base = base(flags, line.as_ref(), before.as_ref());
-    let (revision, written) = match unchanged(before.as_ref(), text, base, floor) {
+    let (copied, text) = BaseLine::split(source.text());
+    let base = base(flags, copied.as_ref(), before.as_ref());
+    let (revision, written) = match unchanged(before.as_ref(), text, floor) {
         Some(revision) => (revision, false),
         None => {
             let change = change(text, flags, base, floor);
@@ -72,8 +73,7 @@
         let router = router.ok_or_else(needs_router)?;
         wait_in_force(router, revision.0, timeout).await?;
     }
-    report(flags, revision, written);
-    Ok(())
+    report(flags, revision, written)
 }
 
 fn needs_router() -> Error {
@@ -103,21 +103,23 @@
 }
 
 /// Returns the configuration that the file was made on, as far as that is known.
-fn base(flags: &Apply, line: Option<&BaseLine>, before: Option<&Config>) -> Base {
-    match (flags.base, line, before) {
+fn base(flags: &Apply, copied: Option<&BaseLine>, before: Option<&Config>) -> Base {
+    match (flags.base, copied, before) {
         (Some(revision), _, _) => Base::from(Revision(revision)),
-        (None, Some(line), _) => line.base(),
+        (None, Some(copied), _) => copied.base(),
         (None, None, Some(before)) => before.base(),
         (None, None, None) => Base::default(),
     }
 }
 
 /// Returns the revision that has this text already, so that nothing need be written.
-fn unchanged(before: Option<&Config>, text: &str, base: Base, floor: Revision) -> Option<Revision> {
+///
+/// A command run again after its answer was lost then says that it is done, and not that
+/// somebody else came first.
+fn unchanged(before: Option<&Config>, text: &str, floor: Revision) -> Option<Revision> {
     let before = before?;
     let same = join(&before.parts) == text;
-    let based = base.revision == before.revision;
-    (same && based && before.revision >= floor).then_some(before.revision)
+    (same && before.revision >= floor).then_some(before.revision)
 }
 
 fn change(text: &str, flags: &Apply, base: Base, floor: Revision) -> Change {
@@ -130,15 +132,14 @@
     }
 }
 
-fn report(flags: &Apply, revision: Revision, written: bool) {
+fn report(flags: &Apply, revision: Revision, written: bool) -> Result<(), Error> {
     if flags.json {
         let json = json!({
             "revision": revision.0,
             "written": written,
             "in_force": flags.wait,
         });
-        println!("{json}");
-        return;
+        return line(json);
     }
     let what = match written {
         true => "is written",
@@ -148,5 +149,5 @@
         true => ", and in force on every live router",
         false => "",
     };
-    println!("revision {revision} {what}{force}");
+    line(format!("revision {revision} {what}{force}"))
 }
--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -1,20 +1,24 @@
 //! Sending one request.
 
 use {
-    super::flags::Call as CallFlags,
+    super::{
+        chat_text::ChatText,
+        flags::Call as CallFlags,
+        print::{
+            line,
+            put, //
+        },
+    },
     crate::errors::Error,
     callers::{
         Answer,
         Call,
         Client,
-        ClientSettings, //
+        ClientSettings,
+        Refused, //
     },
     policy::Outcome,
     serde_json::json,
-    std::io::{
-        self,
-        Write, //
-    },
 };
 
 /// Path of a model's chat completions.
@@ -27,25 +31,76 @@
     settings.tickets = 1;
     let client = Client::new(settings);
     let call = call_of(flags)?;
-    let mut out = io::stdout();
-    let mut failed = None;
+    let mut printer = Printer::new(flags);
     let answer = client
-        .call_streamed(&call, &mut |piece| {
-            if !flags.json {
-                let written = out.write_all(piece).and_then(|()| out.flush());
-                failed = failed.take().or(written.err());
-            }
-        })
+        .call_streamed(&call, &mut |piece| printer.take(piece))
         .await;
-    if let Some(error) = failed {
-        return Err(Error::Io("the answer can't be printed", error));
-    }
     if flags.json {
-        println!("{}", answer_json(&answer));
+        line(answer_json(&answer))?;
+    } else {
+        printer.end(&answer)?;
     }
     ended(&answer)
 }
 
+/// Prints an answer as it comes.
+struct Printer {
+    /// Takes the text out of a model's events.
+    chat: Option<ChatText>,
+    quiet: bool,
+    /// A first piece that looks like a refusal, which is printed as an error instead.
+    held: Vec<u8>,
+    printed: bool,
+    failed: Option<Error>,
+}
+
+impl Printer {
+    fn new(flags: &CallFlags) -> Printer {
+        Printer {
+            chat: flags.prompt.as_ref().map(|_| ChatText::default()),
+            quiet: flags.json,
+            held: Vec::new(),
+            printed: false,
+            failed: None,
+        }
+    }
+
+    fn take(&mut self, piece: &[u8]) {
+        let refusal = serde_json::from_slice::<Refused>(piece).is_ok();
+        if refusal && !self.printed {
+            self.held = piece.to_vec();
+        } else {
+            self.print(piece);
+        }
+    }
+
+    fn print(&mut self, piece: &[u8]) {
+        if self.quiet || self.failed.is_some() {
+            return;
+        }
+        self.printed = true;
+        let printed = match &mut self.chat {
+            Some(chat) => put(chat.take(piece).as_bytes()),
+            None => put(piece),
+        };
+        self.failed = printed.err();
+    }
+
+    fn end(&mut self, answer: &Answer) -> Result<(), Error> {
+        if answer.outcome == Outcome::Answered {
+            let held = std::mem::take(&mut self.held);
+            self.print(&held);
+        }
+        if let Some(error) = self.failed.take() {
+            return Err(error);
+        }
+        if self.chat.is_some() && self.printed {
+            line("")?;
+        }
+        Ok(())
+    }
+}
+
 fn call_of(flags: &CallFlags) -> Result<Call, Error> {
     if flags.prompt.is_some() && (flags.body.is_some() || flags.path.is_some()) {
         return Err(Error::Usage(
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,9 +1,15 @@
 //! Checking files, and printing the shipped ones.
 
 use {
-    super::flags::{
-        Check,
-        Defaults, //
+    super::{
+        flags::{
+            Check,
+            Defaults, //
+        },
+        print::{
+            line,
+            put, //
+        },
     },
     crate::{
         conf::{
@@ -33,29 +39,27 @@
         Document::parse(&source).map(|d| summary(&d))
     };
     match (checked, flags.json) {
-        (Ok(says), false) => println!("{}: good: {says}", flags.file.display()),
-        (Ok(_), true) => println!("{}", problems_json(&[])),
-        (Err(error), false) => return Err(error.into()),
+        (Ok(says), false) => line(format!("{}: good: {says}", flags.file.display())),
+        (Ok(_), true) => line(problems_json(&[])),
+        (Err(error), false) => Err(error.into()),
         (Err(error), true) => {
-            println!("{}", problems_json(&error.problems));
-            return Err(error.into());
+            line(problems_json(&error.problems))?;
+            Err(error.into())
         }
     }
-    Ok(())
 }
 
 /// Prints a shipped file.
 pub(crate) fn print_default(flags: &Defaults) -> Result<(), Error> {
     match flags.name.as_str() {
-        "settings" => print!("{DEFAULT_SETTINGS}"),
-        "fleet" => print!("{FLEET}"),
+        "settings" => put(DEFAULT_SETTINGS.as_bytes()),
+        "fleet" => put(FLEET.as_bytes()),
         other => {
             let message = format!("there is no default file `{other}`");
             let remedy = "give `settings` or `fleet`".to_owned();
-            return Err(Error::Usage(message, remedy));
+            Err(Error::Usage(message, remedy))
         }
     }
-    Ok(())
 }
 
 fn summary(document: &Document) -> String {
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -4,6 +4,10 @@
     super::{
         base_line::BaseLine,
         flags::Config as ConfigFlags,
+        print::{
+            line,
+            put, //
+        },
         targets::platform_of, //
     },
     crate::errors::Error,
@@ -32,7 +36,7 @@
                 .to_owned(),
         ));
     };
-    let line = BaseLine::of(&config);
+    let base = BaseLine::of(&config);
     let text = join(&config.parts);
     if flags.json {
         let json = json!({
@@ -41,9 +45,9 @@
             "writer": config.writer,
             "text": text,
         });
-        println!("{json}");
+        line(json)
     } else {
-        print!("{line}\n{text}");
+        line(base)?;
+        put(text.as_bytes())
     }
-    Ok(())
 }
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -73,7 +73,7 @@
             optional --deadline time: Span
             /// It may not be repeated: ask for a ticket and send it along.
             optional --once
-            /// What to ask a model; sent as a streaming chat completion.
+            /// What to ask a model, sent as a streaming chat completion; its text is printed.
             optional --prompt text: String
             /// Path of a plain service's request, `/` where not given.
             optional --path path: String
--- a/src/cli/locate.rs
+++ b/src/cli/locate.rs
@@ -4,6 +4,7 @@
     super::{
         flags::Where,
         print::{
+            line,
             table,
             time, //
         },
@@ -28,8 +29,7 @@
     let answer = answer.map_err(refused)?;
     if flags.json {
         let json = serde_json::to_string(&answer);
-        println!("{}", json.map_err(|e| Error::Io("JSON", e.into()))?);
-        return Ok(());
+        return line(json.map_err(|e| Error::Io("JSON", e.into()))?);
     }
     let rows = answer.addresses.iter().map(|a| {
         vec![
@@ -40,10 +40,10 @@
         ]
     });
     let header = ["address", "router", "zone", "weight"];
-    println!("{}", table(&header, 3, rows.collect()));
-    println!("keep for {}", time(Span::millis(answer.keep_ms)));
+    line(table(&header, 3, rows.collect()))?;
+    line(format!("keep for {}", time(Span::millis(answer.keep_ms))))?;
     for ticket in &answer.tickets {
-        println!("ticket {ticket}");
+        line(format!("ticket {ticket}"))?;
     }
     Ok(())
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod base_line;
 mod call;
+mod chat_text;
 mod check;
 mod config;
 mod flags;
--- a/src/cli/print.rs
+++ b/src/cli/print.rs
@@ -1,13 +1,22 @@
 //! Tables for people.
 
 use {
+    crate::errors::Error,
     comfy_table::{
         presets::UTF8_HORIZONTAL_ONLY,
         CellAlignment,
         ContentArrangement,
-        Table, //
+        Table,
+        TableComponent, //
+    },
+    policy::Span,
+    std::{
+        fmt::Display,
+        io::{
+            self,
+            Write, //
+        },
     },
-    policy::Span, //
 };
 
 /// Makes a table whose first `left` columns hold names, and the others numbers.
@@ -15,6 +24,10 @@
     let mut table = Table::new();
     table
         .load_preset(UTF8_HORIZONTAL_ONLY)
+        .remove_style(TableComponent::HorizontalLines)
+        .remove_style(TableComponent::MiddleIntersections)
+        .remove_style(TableComponent::LeftBorderIntersections)
+        .remove_style(TableComponent::RightBorderIntersections)
         .set_content_arrangement(ContentArrangement::Disabled)
         .set_header(header)
         .add_rows(rows);
@@ -38,3 +51,22 @@
 pub(crate) fn yes(flag: bool) -> String {
     if flag { "yes" } else { "no" }.to_owned()
 }
+
+/// Writes text and a line's end to the standard output.
+pub(crate) fn line(text: impl Display) -> Result<(), Error> {
+    put(format!("{text}\n").as_bytes())
+}
+
+/// Writes bytes to the standard output, at once.
+///
+/// A reader such as `head` closes the pipe when it has seen enough. It shows as a broken
+/// pipe and is no failure: what the reader asked for is done.
+pub(crate) fn put(bytes: &[u8]) -> Result<(), Error> {
+    let mut out = io::stdout().lock();
+    match out.write_all(bytes).and_then(|()| out.flush()) {
+        Err(e) if e.kind() != io::ErrorKind::BrokenPipe => {
+            Err(Error::Io("the output can't be written", e))
+        }
+        _ => Ok(()),
+    }
+}
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -16,6 +16,7 @@
         },
         help::help_for,
         locate::locate,
+        print::put,
         standin::standin,
         views::{
             dump,
@@ -58,15 +59,19 @@
     let flags = match Chervilwind::from_vec(args.clone()) {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            print!("{}", help_for(&args, &error.to_string()));
-            return ExitCode::SUCCESS;
+            return end(put(help_for(&args, &error.to_string()).as_bytes()));
         }
         Err(error) => {
             eprintln!("{error}; `chervilwind --help` lists what may be given");
             return ExitCode::from(USAGE);
         }
     };
-    match run_command(flags.subcommand) {
+    end(run_command(flags.subcommand))
+}
+
+/// Prints the error, if there is one, and returns the exit code.
+fn end(result: Result<(), Error>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprint!("{}", render(&error, io::stderr().is_terminal()));
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -1,7 +1,10 @@
 //! Running a stand-in as a process of its own, for tests.
 
 use {
-    super::flags::Standin,
+    super::{
+        flags::Standin,
+        print::line, //
+    },
     crate::errors::Error,
     operators::post,
     policy::Span,
@@ -29,21 +32,21 @@
             let handle = platform::start(platform_options(flags)).await;
             let handle = handle.map_err(listen_error)?;
             handle.put_instances(instances(flags)?);
-            println!("listening {} admin {}", handle.addr, handle.admin);
+            line(format!("listening {} admin {}", handle.addr, handle.admin))?;
             pending().await
         }
         "engine" => {
             let handle = engine::start(engine_options(flags)).await;
             let handle = handle.map_err(listen_error)?;
             register(flags, handle.addr).await?;
-            println!("listening {}", handle.addr);
+            line(format!("listening {}", handle.addr))?;
             pending().await
         }
         "plain" => {
             let handle = plain::start(plain_options(flags)).await;
             let handle = handle.map_err(listen_error)?;
             register(flags, handle.addr).await?;
-            println!("listening {}", handle.addr);
+            line(format!("listening {}", handle.addr))?;
             pending().await
         }
         other => Err(Error::Usage(
--- a/src/cli/views.rs
+++ b/src/cli/views.rs
@@ -8,6 +8,7 @@
             Status as StatusFlags, //
         },
         print::{
+            line,
             table,
             time,
             yes, //
@@ -26,8 +27,7 @@
 pub(crate) async fn profiles(flags: &ProfilesFlags) -> Result<(), Error> {
     let body = ask(flags.router, "/profiles").await?;
     if flags.json {
-        println!("{body}");
-        return Ok(());
+        return line(body);
     }
     let view: Profiles = read_view(flags.router, &body)?;
     let header = [
@@ -50,34 +50,31 @@
             p.hint.to_string(),
         ]
     });
-    println!("revision {}", view.revision);
-    println!("{}", table(&header, 1, rows.collect()));
-    Ok(())
+    line(format!("revision {}", view.revision))?;
+    line(table(&header, 1, rows.collect()))
 }
 
 /// Shows how a router is doing.
 pub(crate) async fn status(flags: &StatusFlags) -> Result<(), Error> {
     let body = ask(flags.router, "/status").await?;
     if flags.json {
-        println!("{body}");
-        return Ok(());
+        return line(body);
     }
     let view: Status = read_view(flags.router, &body)?;
-    println!("{}", summary(&view));
-    println!("{}", members(&view));
+    line(summary(&view))?;
+    line(members(&view))?;
     if !view.services.is_empty() {
-        println!("{}", services(&view));
+        line(services(&view))?;
     }
     if !view.workspaces.is_empty() {
-        println!("{}", workspaces(&view));
+        line(workspaces(&view))?;
     }
     Ok(())
 }
 
 /// Prints all that a router knows.
 pub(crate) async fn dump(flags: &Dump) -> Result<(), Error> {
-    println!("{}", ask(flags.router, "/dump").await?);
-    Ok(())
+    line(ask(flags.router, "/dump").await?)
 }
 
 fn summary(view: &Status) -> String {
--- a/tests/apply.rs
+++ b/tests/apply.rs
@@ -221,6 +221,20 @@
     assert_eq!(now.split_once('\n').unwrap().1, text);
 }
 
+#[test]
+fn apply_again() {
+    // An operator does not see how `apply` ended, and runs it again with the same copy. It must
+    // not say that somebody else came first: the change is there.
+    let platform = platform_start();
+    apply(FLEET, platform.addr, &[]);
+    let copy = format!("{}[workspace.deal]\n", config(platform.addr));
+    for says in ["is written", "has this text already"] {
+        let output = apply(&copy, platform.addr, &[]);
+        assert_eq!(code(&output), 0, "{}", stderr(&output));
+        assert_eq!(stdout(&output), format!("revision 2 {says}\n"));
+    }
+}
+
 #[test]
 fn config_none() {
     let platform = platform_start();
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -7,10 +7,15 @@
     },
     std::{
         fs,
+        os::{
+            fd::OwnedFd,
+            unix::net::UnixStream, //
+        },
         path::PathBuf,
         process::{
             Command,
-            Output, //
+            Output,
+            Stdio, //
         },
     },
 };
@@ -94,6 +99,23 @@
     "#]].assert_eq(&all);
 }
 
+#[test]
+fn output_closed() {
+    // `chervilwind dump ROUTER | head` ended with a panic, as `head` closes the pipe early.
+    let (ours, theirs) = UnixStream::pair().unwrap();
+    drop(ours);
+    let output = Command::new(env!("CARGO_BIN_EXE_chervilwind"))
+        .args(["defaults", "fleet"])
+        .stdout(OwnedFd::from(theirs))
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap()
+        .wait_with_output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", stderr(&output));
+    assert_eq!(stderr(&output), "");
+}
+
 #[test]
 fn call_mixed_arguments() {
     let args = "call 127.0.0.1:1 --service a --workspace b --profile c --prompt x --body y";
