--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -4,18 +4,21 @@
 mod defaults;
 mod document;
 mod fleet;
+mod loader;
 mod metrics;
 mod nearest;
 mod problem;
 mod section;
 mod server;
 mod source;
+mod syntax;
 mod values;
 mod views;
 
 pub use self::{
     ask::{
         ask,
+        post,
         read_view,
         AskError, //
     },
@@ -34,6 +37,7 @@
         Fleet,
         UnknownName, //
     },
+    loader::Loader,
     metrics::{
         metrics_text,
         start_metrics, //
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,10 +6,14 @@
 
 mod dispatch;
 mod entry;
+pub mod head;
 mod ids;
+pub mod limit;
+pub mod members;
 mod outcome;
 mod pool;
 pub mod rendezvous;
+pub mod retry;
 mod shares;
 pub mod tickets;
 mod time;
