Learn the limits of replicas at the owner, and let failing replicas alone

The limit was a fixed number. Routers now tell the owner twice a second how each replica answered, the owner learns from all of them together, and tells the limits on so that the next owner does not begin anew. A replica that fails at once was always idle and drew all requests to itself; after two failures in a row it gets one at a time with growing pauses.

The files of the pool are split by concern.

--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -170,7 +170,11 @@
         let Some(entry) = self.services.get_mut(&service) else {
             return;
         };
-        entry.end(live, Some(Units::default()), now);
+        let failed = Finish {
+            refund: true,
+            ..Finish::default()
+        };
+        entry.end(live, Some(&failed), now);
         live.avoid = Some(avoid.clone());
         entry.enqueue(id, live, now);
         self.pump(&service, now);
@@ -210,8 +214,7 @@
         };
         let service = live.job.service.clone();
         if let Some(entry) = self.services.get_mut(&service) {
-            let units = if f.refund { Units::default() } else { f.units };
-            entry.end(&mut live, Some(units), now);
+            entry.end(&mut live, Some(&f), now);
         }
         self.pump(&service, now);
     }
@@ -226,6 +229,16 @@
         self.rank(now);
     }
 
+    /// Takes in what a replica says of itself, some time after it was true: how many
+    /// requests run on it and how many wait inside it.
+    pub fn load(&mut self, replica: &ReplicaId, running: u32, waiting: u32, _now: Time) {
+        for entry in self.services.values_mut() {
+            if let Some(seat) = entry.seats.all.get_mut(replica) {
+                seat.sample.said = Some((running, waiting));
+            }
+        }
+    }
+
     /// Does what has become due. Call it every 10 ms or so.
     pub fn tick(&mut self, now: Time) {
         let services: Vec<ServiceId> = self.services.keys().cloned().collect();
@@ -312,7 +325,8 @@
         let Some(entry) = self.services.get_mut(service) else {
             return;
         };
-        while let Some((id, replica)) = entry.next(self.rules.mode, &self.lives, &self.me.zone) {
+        while let Some((id, replica)) = entry.next(self.rules.mode, &self.lives, &self.me.zone, now)
+        {
             entry.start(id, &mut self.lives[id], &replica, now);
             self.actions.push(Action::Start { job: id, replica });
         }
--- a/crates/policy/src/dispatch/exchange.rs
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -4,10 +4,7 @@
     super::message::service_key,
     crate::{
         entry::Entry,
-        pool::{
-            Pace,
-            Pool, //
-        },
+        pool::Pool,
         rendezvous,
         shares::Writer,
         Action,
@@ -35,10 +32,6 @@
 const NOTES_OWNER: Span = Span::millis(100);
 /// Times that a lend to itself may lead to another.
 const ROUNDS: usize = 4;
-/// Cost and run time assumed before any request has ended.
-const GUESS: (f64, f64) = (1.0, 0.5);
-/// The plan looks this many run times ahead, and at least this many seconds.
-const HORIZON: (f64, f64) = (2.0, 0.25);
 
 /// Spends the bytes that notes may take.
 #[derive(Debug, Default)]
@@ -65,7 +58,7 @@
         match msg {
             Message::Report(r) => {
                 if let Some(pool) = &mut entry.pool {
-                    pool.report(from, incarnation, r);
+                    pool.report(from, incarnation, r, now);
                 }
             }
             Message::Lend(l) => {
@@ -255,7 +248,7 @@
         let pool = self
             .pool
             .get_or_insert_with(|| Pool::new(service_key(service), now));
-        pool.set_seats(&self.seats, self.rules.start.0);
+        pool.set_seats(&self.seats, &self.hold.limits, self.rules.start);
         pool.set_routers(routers.values().chain([me]), now);
     }
 
@@ -269,20 +262,23 @@
         let report = self
             .hold
             .report(service_key(service), &self.queues, &self.seats, now);
-        if let (Some(r), Some((to, _))) = (report, self.hold.owner.clone()) {
+        if let (Some(mut r), Some((to, _))) = (report, self.hold.owner.clone()) {
+            if self.hold.loads_due(now) {
+                self.hold.loads_sent(now);
+                r.loads = Some(self.loads());
+            }
             match &mut self.pool {
-                Some(pool) => pool.report(&me.id, me.incarnation, r),
+                Some(pool) => pool.report(&me.id, me.incarnation, r, now),
                 None => out.sends.push(Action::Send {
                     to,
                     msg: Message::Report(r),
                 }),
             }
         }
-        let pace = self.pace();
         let Some(pool) = &mut self.pool else {
             return out;
         };
-        pool.plan(&self.ledger, pace, now);
+        pool.plan(&self.ledger, now);
         for (to, lend) in pool.lends(now) {
             if to == me.id {
                 out.lent |= self
@@ -298,42 +294,15 @@
 
     /// Does what is due now and then.
     fn tend(&mut self, place: &Place, now: Time) {
-        let debt = self.debt();
         self.ledger.watch();
-        if self.pool.is_some() {
-            self.ledger.forgive(debt);
+        if let Some(pool) = &self.pool {
+            if let Some(debt) = pool.debt(&self.rules) {
+                self.ledger.forgive(debt);
+            }
         }
         if self.hold.deaf(now) {
             self.seats
                 .allot(self.rules.start.0, place.rank, place.routers);
         }
     }
-
-    /// Returns what the owner assumes about the cost of requests.
-    fn pace(&self) -> Pace {
-        let cost = if self.cost > 0.0 { self.cost } else { GUESS.0 };
-        let run = if self.run_time > 0.0 {
-            self.run_time
-        } else {
-            GUESS.1
-        };
-        Pace {
-            rate: cost * crate::shares::MILLI / run,
-            horizon: (HORIZON.0 * run).max(HORIZON.1),
-        }
-    }
-
-    /// Returns how far ahead of the others a backlogged workspace may be.
-    ///
-    /// It is well above what happens without faults: all slots in the hands of one
-    /// workspace twice over.
-    fn debt(&self) -> i64 {
-        let cost = if self.cost > 0.0 { self.cost } else { GUESS.0 };
-        let all = f64::from(self.capacity()) * cost;
-        let units = DEBT * all + self.rules.window.0 + self.rules.credit.0;
-        (units * crate::shares::MILLI) as i64
-    }
 }
-
-/// How many times all slots one workspace may be ahead.
-const DEBT: f64 = 2.0;
--- a/crates/policy/src/dispatch/message.rs
+++ b/crates/policy/src/dispatch/message.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         entry::ReplicaKey,
-        shares::Notes, //
+        shares::Notes,
+        Span, //
     },
     serde::{
         Deserialize,
@@ -37,6 +38,37 @@
     /// The last lend of this owner that was seen.
     pub(crate) seen: u64,
     pub(crate) body: Body,
+    /// Limits of replicas, for an owner that has not lent anything yet.
+    pub(crate) limits: Vec<(ReplicaKey, u32)>,
+    /// How the replicas answered, now and then.
+    pub(crate) loads: Option<Loads>,
+}
+
+/// How the replicas answered a router since it last said so.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Loads {
+    /// Mean cost of a request, in thousandths of a unit; 0 where none has ended yet.
+    pub(crate) cost: u64,
+    /// Mean time that a request runs.
+    pub(crate) run: Span,
+    /// Each replica that was used.
+    pub(crate) seats: Vec<Load>,
+}
+
+/// How one replica answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Load {
+    pub(crate) key: ReplicaKey,
+    /// Requests that run on it from this router.
+    pub(crate) running: u32,
+    /// Mean time to the first byte.
+    pub(crate) first: Option<Span>,
+    /// Mean time between tokens.
+    pub(crate) gap: Option<Span>,
+    /// Whether it took all that it was given.
+    pub(crate) ok: bool,
+    /// What it said of itself: requests that run and that wait inside it.
+    pub(crate) said: Option<(u32, u32)>,
 }
 
 /// The part of a report that is compared with the last one.
@@ -74,6 +106,8 @@
     pub(crate) capacity: u32,
     /// Slots on each replica; those not named have none.
     pub(crate) slots: Vec<(ReplicaKey, u32)>,
+    /// Limits of replicas, now and then; the next owner begins with them.
+    pub(crate) limits: Vec<(ReplicaKey, u32)>,
 }
 
 impl Message {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -11,6 +11,8 @@
 
 pub(crate) use self::message::{
     Body,
+    Load,
+    Loads,
     ServiceKey,
     Wait, //
 };
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -8,6 +8,7 @@
         Seats, //
     },
     crate::{
+        dispatch::Loads,
         pool::{
             Hold,
             Pool, //
@@ -18,6 +19,7 @@
             Writer,
             MILLI, //
         },
+        Finish,
         Job,
         JobId,
         Mode,
@@ -231,8 +233,9 @@
         mode: Mode,
         lives: &Lives,
         zone: &Zone,
+        now: Time,
     ) -> Option<(JobId, ReplicaId)> {
-        if self.seats.free() == 0 {
+        if self.seats.free(now) == 0 {
             return None;
         }
         let keys = match mode {
@@ -240,14 +243,20 @@
             _ => self.by_level(lives),
         };
         keys.iter()
-            .find_map(|key| self.placeable(&self.queues[key], lives, zone))
+            .find_map(|key| self.placeable(&self.queues[key], lives, zone, now))
     }
 
     /// Returns the first request of a queue that has a replica to go to.
-    fn placeable(&self, queue: &Queue, lives: &Lives, zone: &Zone) -> Option<(JobId, ReplicaId)> {
+    fn placeable(
+        &self,
+        queue: &Queue,
+        lives: &Lives,
+        zone: &Zone,
+        now: Time,
+    ) -> Option<(JobId, ReplicaId)> {
         queue.places.iter().take(HEAD).find_map(|(_, _, id)| {
             let avoid = lives[*id].avoid.as_ref();
-            Some((*id, self.seats.choose(zone, avoid)?))
+            Some((*id, self.seats.choose(zone, avoid, now)?))
         })
     }
 
@@ -329,9 +338,12 @@
     }
 
     /// Ends the run of a request: corrects its charge and frees its seat.
-    pub(crate) fn end(&mut self, live: &mut Live, units: Option<Units>, now: Time) {
+    ///
+    /// Without a `finish` the caller has given up, and what was charged stays.
+    pub(crate) fn end(&mut self, live: &mut Live, finish: Option<&Finish>, now: Time) {
         let Some(run) = live.run.take() else { return };
-        if let Some(Units(n)) = units {
+        if let Some(f) = finish {
+            let n = if f.refund { 0.0 } else { f.units.0 };
             let total = milli(n, live.job.share);
             self.ledger.charge(live.key, total - run.charged);
             if n > 0.0 {
@@ -346,6 +358,22 @@
         }
         if let Some(seat) = self.seats.all.get_mut(&run.replica) {
             seat.running = seat.running.saturating_sub(1);
+            if let Some(f) = finish {
+                seat.health.note(f.ok, now);
+                seat.sample.note(f);
+            }
+        }
+    }
+
+    /// Returns how the replicas answered since the last call.
+    pub(crate) fn loads(&mut self) -> Loads {
+        let seats = self.seats.all.values_mut();
+        Loads {
+            cost: (self.cost * MILLI) as u64,
+            run: Span((self.run_time * 1e6) as u64),
+            seats: seats
+                .filter_map(|s| s.sample.take(s.key, s.running))
+                .collect(),
         }
     }
 }
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -2,8 +2,10 @@
 
 mod core;
 mod drain;
+mod health;
 mod live;
 mod queue;
+mod sample;
 mod seats;
 
 pub(crate) use self::{
--- /dev/null
+++ b/crates/policy/src/entry/sample.rs
@@ -0,0 +1,66 @@
+//! How fast a replica answered since the owner was last told.
+
+use crate::{
+    dispatch::Load,
+    entry::ReplicaKey,
+    Finish,
+    Span, //
+};
+
+/// What was seen of one replica.
+#[derive(Debug, Default)]
+pub(crate) struct Sample {
+    first: Mean,
+    gap: Mean,
+    failed: bool,
+    seen: bool,
+    /// What the replica last said of itself: requests that run and that wait inside it.
+    pub(crate) said: Option<(u32, u32)>,
+}
+
+#[derive(Debug, Default)]
+struct Mean {
+    sum: u64,
+    n: u64,
+}
+
+impl Sample {
+    /// Notes the end of a request.
+    pub(crate) fn note(&mut self, f: &Finish) {
+        self.seen = true;
+        self.failed |= !f.ok;
+        if f.ok {
+            self.first.push(f.first);
+            self.gap.push(f.gap);
+        }
+    }
+
+    /// Returns what the owner should be told, and begins anew.
+    pub(crate) fn take(&mut self, key: ReplicaKey, running: u32) -> Option<Load> {
+        let s = std::mem::take(self);
+        if !s.seen && s.said.is_none() && running == 0 {
+            return None;
+        }
+        Some(Load {
+            key,
+            running,
+            first: s.first.get(),
+            gap: s.gap.get(),
+            ok: !s.failed,
+            said: s.said,
+        })
+    }
+}
+
+impl Mean {
+    fn push(&mut self, value: Option<Span>) {
+        if let Some(v) = value {
+            self.sum += v.0;
+            self.n += 1;
+        }
+    }
+
+    fn get(&self) -> Option<Span> {
+        (self.n > 0).then(|| Span(self.sum / self.n))
+    }
+}
--- a/crates/policy/src/entry/seats.rs
+++ b/crates/policy/src/entry/seats.rs
@@ -1,9 +1,14 @@
 //! The replicas of one service and how many requests this router may run on each.
 
 use {
+    super::{
+        health::Health,
+        sample::Sample, //
+    },
     crate::{
         Replica,
         ReplicaId,
+        Time,
         Zone, //
     },
     std::collections::BTreeMap,
@@ -23,6 +28,8 @@
     pub(crate) running: u32,
     /// Set when it was seen to leave before the list said so.
     pub(crate) withdrawn: bool,
+    pub(crate) health: Health,
+    pub(crate) sample: Sample,
 }
 
 /// All replicas of one service.
@@ -38,29 +45,35 @@
     }
 
     /// Returns how many more requests may start on it.
-    pub(crate) fn free(&self) -> u32 {
-        if self.open() {
-            self.allowed.saturating_sub(self.running)
-        } else {
-            0
+    fn free(&self, now: Time) -> u32 {
+        if !self.open() {
+            return 0;
         }
+        let free = self.allowed.saturating_sub(self.running);
+        self.health.admits(free, self.running, now)
     }
 }
 
 impl Seats {
-    /// Takes over a new list; counts of replicas that stay are kept.
+    /// Takes over a new list, which knows what was withdrawn before; counts of replicas that stay are kept.
     pub(crate) fn replace(&mut self, list: Vec<Replica>) {
         let mut old = std::mem::take(&mut self.all);
         for replica in list {
             let id = replica.id.clone();
             let seat = match old.remove(&id) {
-                Some(s) => Seat { replica, ..s },
+                Some(s) => Seat {
+                    replica,
+                    withdrawn: false,
+                    ..s
+                },
                 None => Seat {
                     key: key_of(&id),
                     replica,
                     allowed: 0,
                     running: 0,
                     withdrawn: false,
+                    health: Health::default(),
+                    sample: Sample::default(),
                 },
             };
             self.all.insert(id, seat);
@@ -75,8 +88,8 @@
     }
 
     /// Returns how many more requests may start.
-    pub(crate) fn free(&self) -> u32 {
-        self.all.values().map(Seat::free).sum()
+    pub(crate) fn free(&self, now: Time) -> u32 {
+        self.all.values().map(|s| s.free(now)).sum()
     }
 
     /// Returns how many requests run.
@@ -110,16 +123,21 @@
     /// Chooses a replica with room: in this zone first, then the idlest.
     ///
     /// `avoid` is chosen only when no other replica takes new work at all.
-    pub(crate) fn choose(&self, zone: &Zone, avoid: Option<&ReplicaId>) -> Option<ReplicaId> {
+    pub(crate) fn choose(
+        &self,
+        zone: &Zone,
+        avoid: Option<&ReplicaId>,
+        now: Time,
+    ) -> Option<ReplicaId> {
         let others = self
             .all
             .values()
             .any(|s| s.open() && Some(&s.replica.id) != avoid);
         self.all
             .values()
-            .filter(|s| s.free() > 0)
+            .filter(|s| s.free(now) > 0)
             .filter(|s| !others || Some(&s.replica.id) != avoid)
-            .max_by_key(|s| (&s.replica.zone == zone, s.free()))
+            .max_by_key(|s| (&s.replica.zone == zone, s.free(now)))
             .map(|s| s.replica.id.clone())
     }
 }
--- a/crates/policy/src/pool/borrower.rs
+++ b/crates/policy/src/pool/borrower.rs
@@ -1,17 +1,26 @@
 //! A router, as the owner of a pool sees it.
 
 use {
+    super::Limits,
     crate::{
-        dispatch::Wait,
+        dispatch::{
+            Loads,
+            Report,
+            Wait, //
+        },
         entry::ReplicaKey,
         Incarnation,
         PeerState,
+        Span,
         Time,
         Zone, //
     },
     std::collections::BTreeMap,
 };
 
+/// Shortest time between two lists of limits to one router.
+const LIMITS: Span = Span::secs(2);
+
 /// A router that may hold slots.
 #[derive(Debug)]
 pub(crate) struct Borrower {
@@ -26,6 +35,8 @@
     pub(crate) kept: BTreeMap<ReplicaKey, u32>,
     pub(crate) running: u32,
     pub(crate) waits: Vec<Wait>,
+    /// How the replicas last answered it.
+    pub(crate) loads: Option<Loads>,
     /// Number of the last lend to it.
     pub(crate) lend: u64,
     /// Slots that it was lent.
@@ -40,6 +51,8 @@
     pub(crate) seen: u64,
     /// When it was last told.
     pub(crate) told: Option<Time>,
+    /// When it was last told the limits of replicas, and which.
+    pub(crate) limits: Option<(Time, Limits)>,
     /// Whether it has to be told.
     pub(crate) dirty: bool,
     /// The last report that it was told to be seen.
@@ -57,11 +70,13 @@
             kept: BTreeMap::new(),
             running: 0,
             waits: Vec::new(),
+            loads: None,
             lend: 0,
             lent: BTreeMap::new(),
             open: Vec::new(),
             seen: 0,
             told: None,
+            limits: None,
             dirty: false,
             acked: 0,
         }
@@ -104,4 +119,56 @@
         }
         self.lent.retain(|_, n| *n > 0);
     }
+
+    /// Returns how many of its running requests belong to workspaces that do not wait.
+    ///
+    /// Their slots come free as they end.
+    pub(crate) fn passing(&self) -> u32 {
+        let waiting: u32 = self.waits.iter().map(|w| w.running).sum();
+        self.running.saturating_sub(waiting)
+    }
+
+    /// Returns the limits of replicas if it should hear them, for when it owns the pool.
+    pub(crate) fn limits_due(&mut self, now_at: &Limits, now: Time) -> Vec<(ReplicaKey, u32)> {
+        let fresh = match &self.limits {
+            None => true,
+            Some((at, told)) => told != now_at && now.since(*at) >= LIMITS,
+        };
+        if !fresh {
+            return Vec::new();
+        }
+        self.limits = Some((now, now_at.clone()));
+        now_at.iter().map(|(k, n)| (*k, *n)).collect()
+    }
+
+    /// Takes in a later report.
+    pub(crate) fn report(&mut self, r: Report) {
+        self.report = r.seq;
+        self.seen = self.seen.max(r.seen);
+        self.open.retain(|(seq, _)| *seq > r.seen);
+        self.kept = r.body.kept.into_iter().collect();
+        self.running = r.body.running;
+        self.waits = r.body.waits;
+        if r.loads.is_some() {
+            self.loads = r.loads;
+        }
+        // It answers the last lend, so what it keeps less than lent it has given back.
+        if r.seen == self.lend {
+            let kept = &self.kept;
+            self.lent.retain(|key, n| {
+                *n = kept.get(key).map_or(0, |k| (*n).min(*k));
+                *n > 0
+            });
+        }
+    }
+
+    /// Forgets all that it held, as it is believed to be dead.
+    pub(crate) fn bury(&mut self) {
+        self.lent.clear();
+        self.kept.clear();
+        self.open.clear();
+        self.waits.clear();
+        self.running = 0;
+        self.report = self.report.max(1);
+    }
 }
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -1,6 +1,7 @@
 //! A router's side of a pool: what it was lent and what it reports.
 
 use {
+    super::Limits,
     crate::{
         dispatch::{
             Body,
@@ -32,6 +33,8 @@
 const AGAIN: Span = Span::millis(400);
 /// After this time without a word from the owner, the static fraction is used.
 const DEAF: Span = Span::secs(1);
+/// Time between two reports of how the replicas answered.
+const LOADS: Span = Span::millis(500);
 /// Queues up to this length are reported exactly.
 const EXACT: u32 = 8;
 
@@ -46,11 +49,15 @@
     owes: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
+    /// Limits of replicas that were heard of.
+    pub(crate) limits: Limits,
     seq: u64,
     /// The last lend that the owner was told to be seen.
     told: u64,
     sent: Option<(Time, Body)>,
     acked: u64,
+    /// When the owner was last told how the replicas answered.
+    loaded: Option<Time>,
     /// Since when reports wait and none was acknowledged.
     unheard: Option<Time>,
 }
@@ -105,6 +112,7 @@
         }
         self.lend = l.seq;
         self.pressed = l.pressed;
+        self.limits.extend(l.limits.iter().copied());
         let slots: BTreeMap<_, _> = l.slots.iter().copied().collect();
         for seat in seats.all.values_mut() {
             let allowed = slots.get(&seat.key).copied().unwrap_or(0);
@@ -128,7 +136,7 @@
         }
     }
 
-    /// Returns the report that is due, if any.
+    /// Returns the report that is due, if any, without its loads.
     pub(crate) fn report(
         &mut self,
         service: ServiceKey,
@@ -137,7 +145,8 @@
         now: Time,
     ) -> Option<Report> {
         let body = body(queues, seats);
-        if !self.due(&body, now) {
+        let loads = body.running > 0 && self.loads_due(now);
+        if !self.due(&body, now) && !loads {
             return None;
         }
         self.seq += 1;
@@ -150,9 +159,24 @@
             seq: self.seq,
             seen: self.lend,
             body,
+            limits: match self.lend {
+                0 => self.limits.iter().map(|(k, n)| (*k, *n)).collect(),
+                _ => Vec::new(),
+            },
+            loads: None,
         })
     }
 
+    /// Returns whether the owner should hear how the replicas answered.
+    pub(crate) fn loads_due(&self, now: Time) -> bool {
+        self.loaded.is_none_or(|t| now.since(t) >= LOADS)
+    }
+
+    /// Notes that the owner was told how the replicas answered.
+    pub(crate) fn loads_sent(&mut self, now: Time) {
+        self.loaded = Some(now);
+    }
+
     fn due(&self, body: &Body, now: Time) -> bool {
         let Some((at, last)) = &self.sent else {
             return true;
--- /dev/null
+++ b/crates/policy/src/pool/lot.rs
@@ -0,0 +1,48 @@
+//! A replica of a pool and its learnt limit.
+
+use crate::{
+    dispatch::Load,
+    limit::Limit,
+    Slots,
+    Time,
+    Zone, //
+};
+
+/// A replica of a pool.
+#[derive(Debug)]
+pub(crate) struct Lot {
+    pub(crate) zone: Zone,
+    limit: Limit,
+}
+
+impl Lot {
+    pub(crate) fn new(zone: Zone, start: Slots) -> Lot {
+        Lot {
+            zone,
+            limit: Limit::new(start),
+        }
+    }
+
+    /// Returns how many requests may run on it at once.
+    pub(crate) fn limit(&self) -> u32 {
+        self.limit.get().0
+    }
+
+    /// Learns from how it answered one router, while `running` ran in all.
+    pub(crate) fn learn(&mut self, load: &Load, running: u32, now: Time) {
+        let running = Slots(running);
+        self.limit
+            .sample(load.first, load.gap, running, load.ok, now);
+        if let Some((runs, waits)) = load.said {
+            self.limit.load(runs, waits, now);
+        }
+    }
+
+    /// Begins at least at what the routers use, where the owner is new and the limit was
+    /// learnt by another.
+    pub(crate) fn inherit(&mut self, used: u32) {
+        if used > self.limit() {
+            self.limit = Limit::new(Slots(used));
+        }
+    }
+}
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -3,16 +3,25 @@
 mod borrower;
 mod fill;
 mod hold;
+mod lot;
+mod moves;
 mod owner;
+mod pace;
+mod wants;
 
-pub(crate) use self::{
+use self::{
+    borrower::Borrower,
     fill::{
         fill,
         Row, //
     },
+    lot::Lot,
+    pace::Pace, //
+};
+pub(crate) use self::{
     hold::Hold,
-    owner::{
-        Pace,
-        Pool, //
-    },
+    owner::Pool, //
 };
+
+/// Limits of replicas, as last heard of.
+pub(crate) type Limits = std::collections::BTreeMap<crate::entry::ReplicaKey, u32>;
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        borrower::Borrower,
-        fill,
-        Row, //
+        Borrower,
+        Limits,
+        Lot,
+        Pace, //
     },
     crate::{
         dispatch::{
@@ -17,18 +18,18 @@
             Seats, //
         },
         shares::{
-            Key,
-            Ledger, //
+            Ledger,
+            MILLI, //
         },
         BorrowerDump,
         Incarnation,
         Peer,
         PeerState,
         RouterId,
+        ServiceRules,
         Slots,
         Span,
-        Time,
-        Zone, //
+        Time, //
     },
     std::collections::BTreeMap,
 };
@@ -51,33 +52,15 @@
 const VANISHED: Span = Span::secs(2);
 /// If many vanished at once, a partition is likely and they may run on for long.
 const CUT_OFF: Span = Span::secs(30);
-/// Part of the idle slots that stays with the owner while nothing waits.
-const RESERVE: f64 = 0.25;
-/// A slot moves only where the target differs by more than rounding.
-const STICKY: f64 = 0.6;
-
-/// What the owner assumes about the cost of requests.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Pace {
-    /// Normalised service that one slot gives in a second, in thousandths.
-    pub(crate) rate: f64,
-    /// How far ahead the plan looks, in seconds.
-    pub(crate) horizon: f64,
-}
-
-/// A replica of the pool.
-#[derive(Debug)]
-struct Lot {
-    zone: Zone,
-    limit: u32,
-}
+/// How many times all slots one workspace may be ahead.
+const DEBT: f64 = 2.0;
 
 /// A pool of slots, at its owner.
 #[derive(Debug)]
 pub(crate) struct Pool {
     service: ServiceKey,
-    lots: BTreeMap<ReplicaKey, Lot>,
-    borrowers: BTreeMap<RouterId, Borrower>,
+    pub(super) lots: BTreeMap<ReplicaKey, Lot>,
+    pub(super) borrowers: BTreeMap<RouterId, Borrower>,
     pub(crate) pressed: bool,
     waited: Time,
     planned: Time,
@@ -97,20 +80,18 @@
         }
     }
 
-    /// Takes over the replicas.
-    pub(crate) fn set_seats(&mut self, seats: &Seats, start: u32) {
-        self.lots = seats
-            .all
-            .values()
-            .filter(|s| s.open())
-            .map(|s| {
-                let lot = Lot {
-                    zone: s.replica.zone.clone(),
-                    limit: start,
-                };
-                (s.key, lot)
-            })
-            .collect();
+    /// Takes over the replicas. What was learnt of those that stay is kept.
+    ///
+    /// A replica that is new begins at the limit last heard of, else at `start`.
+    pub(crate) fn set_seats(&mut self, seats: &Seats, heard: &Limits, start: Slots) {
+        let mut old = std::mem::take(&mut self.lots);
+        for seat in seats.all.values().filter(|s| s.open()) {
+            let lot = old.remove(&seat.key).unwrap_or_else(|| {
+                let limit = heard.get(&seat.key).copied().map_or(start, Slots);
+                Lot::new(seat.replica.zone.clone(), limit)
+            });
+            self.lots.insert(seat.key, lot);
+        }
         self.changed = true;
     }
 
@@ -133,32 +114,57 @@
     }
 
     /// Takes in what a router says of itself.
-    pub(crate) fn report(&mut self, from: &RouterId, inc: Incarnation, r: Report) {
+    pub(crate) fn report(&mut self, from: &RouterId, inc: Incarnation, r: Report, now: Time) {
         let Some(b) = self.borrowers.get_mut(from) else {
             return;
         };
         if b.incarnation != inc || r.seq <= b.report {
             return;
         }
-        b.report = r.seq;
-        b.seen = b.seen.max(r.seen);
-        b.open.retain(|(seq, _)| *seq > r.seen);
-        b.kept = r.body.kept.into_iter().collect();
-        b.running = r.body.running;
-        b.waits = r.body.waits;
-        // It answers the last lend, so what it keeps less than lent it has given back.
-        if r.seen == b.lend {
-            let kept = &b.kept;
-            b.lent.retain(|key, n| {
-                *n = kept.get(key).map_or(0, |k| (*n).min(*k));
-                *n > 0
-            });
+        for (key, limit) in &r.limits {
+            if let Some(lot) = self.lots.get_mut(key) {
+                lot.inherit(*limit);
+            }
+        }
+        let fresh = r.loads.is_some();
+        b.report(r);
+        if fresh {
+            self.learn(from, now);
         }
         self.changed = true;
     }
 
+    /// Learns from how the replicas answered a router.
+    fn learn(&mut self, from: &RouterId, now: Time) {
+        let loads = |b: &Borrower| b.loads.clone().map_or(Vec::new(), |l| l.seats);
+        let news = self.borrowers.get(from).map_or(Vec::new(), loads);
+        for load in news {
+            let on = |b: &Borrower| {
+                let seats = b.loads.iter().flat_map(|l| &l.seats);
+                let running = seats.filter(|s| s.key == load.key).map(|s| s.running);
+                running.sum::<u32>()
+            };
+            let running = self.borrowers.values().map(on).sum();
+            if let Some(lot) = self.lots.get_mut(&load.key) {
+                lot.learn(&load, running, now);
+            }
+        }
+    }
+
+    /// Returns how far ahead of the others a backlogged workspace may be, in thousandths
+    /// of a unit, if the cost of requests is known.
+    ///
+    /// It is well above what happens without faults: all slots in the hands of one
+    /// workspace, some times over.
+    pub(crate) fn debt(&self, rules: &ServiceRules) -> Option<i64> {
+        let pace = Pace::of(self.borrowers.values());
+        let all = f64::from(self.capacity()) * pace.cost;
+        let more = (rules.window.0 + rules.credit.0) * MILLI;
+        pace.known.then_some((DEBT * all + more) as i64)
+    }
+
     /// Plans anew if something has changed and enough time has passed.
-    pub(crate) fn plan(&mut self, ledger: &Ledger, pace: Pace, now: Time) {
+    pub(crate) fn plan(&mut self, ledger: &Ledger, now: Time) {
         let old = self.pressed;
         self.reclaim(now);
         self.press(now);
@@ -171,7 +177,7 @@
         self.adopt();
         self.trim();
         let wants = match self.pressed {
-            true => self.wants_pressed(ledger, pace),
+            true => self.wants_pressed(ledger),
             false => self.wants_idle(),
         };
         self.restore(&wants);
@@ -201,12 +207,7 @@
         for b in self.borrowers.values_mut() {
             if b.state == PeerState::Suspect && now.since(b.since) >= wait {
                 self.changed |= b.total() > 0 || !b.kept.is_empty();
-                b.lent.clear();
-                b.kept.clear();
-                b.open.clear();
-                b.waits.clear();
-                b.running = 0;
-                b.report = b.report.max(1);
+                b.bury();
             }
             if !b.heard() && now.since(b.since) >= UNHEARD {
                 b.report = 1;
@@ -247,12 +248,12 @@
 
     /// Returns all slots of the pool.
     pub(crate) fn capacity(&self) -> u32 {
-        self.lots.values().map(|l| l.limit).sum()
+        self.lots.values().map(Lot::limit).sum()
     }
 
     /// Returns the limit of a replica.
     pub(crate) fn limit(&self, key: ReplicaKey) -> Option<Slots> {
-        self.lots.get(&key).map(|l| Slots(l.limit))
+        self.lots.get(&key).map(|l| Slots(l.limit()))
     }
 
     /// Returns what each router holds, as operators read it.
@@ -270,187 +271,10 @@
             .collect()
     }
 
-    /// Returns the free slots of a replica, below zero where too many are out.
-    fn free(&self, key: ReplicaKey, lot: &Lot) -> i64 {
-        let held: u32 = self.borrowers.values().map(|b| b.holds(key)).sum();
-        let unheard = self.borrowers.values().filter(|b| !b.heard()).count();
-        let unknown = lot.limit as usize * unheard / self.borrowers.len().max(1);
-        i64::from(lot.limit) - i64::from(held) - unknown as i64
-    }
-
-    /// Takes back what is lent above a replica's limit or on one that is gone.
-    fn trim(&mut self) {
-        for b in self.borrowers.values_mut() {
-            let before = b.lent.len();
-            b.lent.retain(|key, _| self.lots.contains_key(key));
-            b.dirty |= b.lent.len() != before;
-        }
-        let keys: Vec<ReplicaKey> = self.lots.keys().copied().collect();
-        for key in keys {
-            let limit = self.lots[&key].limit;
-            let lent =
-                |p: &Pool| -> u32 { p.borrowers.values().filter_map(|b| b.lent.get(&key)).sum() };
-            while lent(self) > limit {
-                let most = self
-                    .borrowers
-                    .values_mut()
-                    .max_by_key(|b| b.lent.get(&key).copied().unwrap_or(0));
-                let Some(b) = most else { break };
-                b.lower(key);
-            }
-        }
-    }
-
-    /// Returns how many slots each router should have while work waits.
-    fn wants_pressed(&self, ledger: &Ledger, pace: Pace) -> BTreeMap<RouterId, u32> {
-        let mut rows: BTreeMap<Key, f64> = BTreeMap::new();
-        let mut passing = 0.0;
-        for b in self.borrowers.values() {
-            passing += f64::from(b.passing());
-            for w in b.waits.iter().filter(|_| b.takes()) {
-                *rows.entry(w.key).or_default() += f64::from(w.queued + w.running);
-            }
-        }
-        let list: Vec<Row> = rows
-            .iter()
-            .map(|(key, demand)| Row {
-                level: ledger.level(*key) as f64,
-                share: ledger.share(*key).get(),
-                demand: *demand,
-            })
-            .collect();
-        let slots = (f64::from(self.capacity()) - passing).max(0.0);
-        let split = fill(slots, pace.rate * pace.horizon, &list);
-        let part: BTreeMap<Key, f64> = rows
-            .iter()
-            .zip(split)
-            .map(|((key, demand), slots)| (*key, slots / demand))
-            .collect();
-        let exact: Vec<(&RouterId, f64, u32)> = self
-            .borrowers
-            .iter()
-            .filter(|(_, b)| b.takes())
-            .map(|(id, b)| {
-                let due: f64 = b
-                    .waits
-                    .iter()
-                    .map(|w| f64::from(w.queued + w.running) * part[&w.key])
-                    .sum();
-                // Where nothing waits, what runs needs no slot after it.
-                let passing = if b.waits.is_empty() { 0 } else { b.passing() };
-                (id, due + f64::from(passing), b.total())
-            })
-            .collect();
-        round(exact, self.capacity())
-    }
-
-    /// Returns how many slots each router should have while nothing waits.
-    fn wants_idle(&self) -> BTreeMap<RouterId, u32> {
-        let takers: Vec<_> = self.borrowers.iter().filter(|(_, b)| b.takes()).collect();
-        let running: u32 = takers.iter().map(|(_, b)| b.running).sum();
-        let idle = f64::from(self.capacity().saturating_sub(running)) * (1.0 - RESERVE);
-        let n = takers.len().max(1) as f64;
-        takers
-            .iter()
-            .map(|(id, b)| {
-                let used = f64::from(b.running) / f64::from(running.max(1));
-                let spare = match running {
-                    0 => idle / n,
-                    _ => idle / 2.0 / n + idle / 2.0 * used,
-                };
-                let want = f64::from(b.running) + spare;
-                // Spare slots are not worth a message for every small change.
-                let now = f64::from(b.total());
-                let near = (now - want).abs() < spare / 2.0;
-                let want = if near { now } else { want };
-                ((*id).clone(), want as u32)
-            })
-            .collect()
-    }
-
-    /// Lends again what a router still uses beyond what it was lent, if it should have it.
-    fn restore(&mut self, wants: &BTreeMap<RouterId, u32>) {
-        for (id, b) in &mut self.borrowers {
-            let want = wants.get(id).copied().unwrap_or(0);
-            let kept = b.kept.clone();
-            for (key, n) in kept.into_iter().filter(|(k, _)| self.lots.contains_key(k)) {
-                while b.total() < want && b.lent.get(&key).is_none_or(|l| *l < n) {
-                    b.raise(key);
-                }
-            }
-        }
-    }
-
-    /// Asks slots back from routers that have more than they should, where another lacks.
-    fn take_back(&mut self, wants: &BTreeMap<RouterId, u32>) {
-        let free: i64 = self.lots.iter().map(|(k, l)| self.free(*k, l).max(0)).sum();
-        let lack: i64 = self
-            .borrowers
-            .iter()
-            .map(|(id, b)| i64::from(wants.get(id).map_or(0, |w| w.saturating_sub(b.total()))))
-            .sum();
-        // Slots that were asked back and are not yet free count as on their way.
-        let coming: i64 = self
-            .borrowers
-            .values()
-            .map(|b| {
-                let held: u32 = self.lots.keys().map(|k| b.holds(*k)).sum();
-                i64::from(held) - i64::from(b.total())
-            })
-            .sum();
-        for _ in 0..(lack - free - coming).max(0) {
-            let most = self
-                .borrowers
-                .iter_mut()
-                .filter(|(id, b)| b.total() > wants.get(*id).copied().unwrap_or(0))
-                .max_by_key(|(id, b)| b.total() - wants.get(*id).copied().unwrap_or(0));
-            let Some((_, b)) = most else { return };
-            let far = |key: &ReplicaKey| self.lots.get(key).is_some_and(|l| l.zone != b.zone);
-            let key = b
-                .lent
-                .iter()
-                .max_by_key(|(key, n)| (far(key), **n))
-                .map(|(key, _)| *key);
-            let Some(key) = key else { return };
-            b.lower(key);
-        }
-    }
-
-    /// Lends free slots to the routers that lack most.
-    fn give(&mut self, wants: &BTreeMap<RouterId, u32>) {
-        let mut free: BTreeMap<ReplicaKey, i64> = self
-            .lots
-            .iter()
-            .map(|(k, l)| (*k, self.free(*k, l)))
-            .filter(|(_, n)| *n > 0)
-            .collect();
-        while !free.is_empty() {
-            let lack = |id: &RouterId, b: &Borrower| {
-                wants.get(id).map_or(0, |w| w.saturating_sub(b.total()))
-            };
-            let most = self
-                .borrowers
-                .iter_mut()
-                .filter(|(id, b)| lack(id, b) > 0)
-                .max_by_key(|(id, b)| lack(id, b));
-            let Some((_, b)) = most else { return };
-            let near = |key: &ReplicaKey| self.lots[key].zone == b.zone;
-            let best = free
-                .iter()
-                .max_by_key(|(key, n)| (near(key), **n))
-                .map(|(key, _)| *key);
-            let Some(key) = best else { return };
-            b.raise(key);
-            if let Some(n) = free.get_mut(&key) {
-                *n -= 1;
-            }
-            free.retain(|_, n| *n > 0);
-        }
-    }
-
     /// Returns the lends that are due.
     pub(crate) fn lends(&mut self, now: Time) -> Vec<(RouterId, Lend)> {
         let capacity = self.capacity();
+        let limits: Limits = self.lots.iter().map(|(k, l)| (*k, l.limit())).collect();
         let (service, pressed) = (self.service, self.pressed);
         let mut out = Vec::new();
         for (id, b) in &mut self.borrowers {
@@ -477,39 +301,10 @@
                 pressed,
                 capacity,
                 slots: b.lent.iter().map(|(k, n)| (*k, *n)).collect(),
+                limits: b.limits_due(&limits, now),
             };
             out.push((id.clone(), lend));
         }
         out
     }
 }
-
-impl Borrower {
-    /// Returns how many of its running requests belong to workspaces that do not wait.
-    ///
-    /// Their slots come free as they end.
-    fn passing(&self) -> u32 {
-        let waiting: u32 = self.waits.iter().map(|w| w.running).sum();
-        self.running.saturating_sub(waiting)
-    }
-}
-
-/// Rounds targets to whole slots so that few of them move.
-fn round(exact: Vec<(&RouterId, f64, u32)>, capacity: u32) -> BTreeMap<RouterId, u32> {
-    let total: f64 = exact.iter().map(|e| e.1).sum();
-    let mut out: BTreeMap<RouterId, u32> = BTreeMap::new();
-    let mut rest: Vec<(f64, &RouterId)> = Vec::new();
-    for (id, due, now) in exact {
-        let whole = due.floor();
-        let has = if f64::from(now) > whole { STICKY } else { 0.0 };
-        out.insert(id.clone(), whole as u32);
-        rest.push((due - whole + has, id));
-    }
-    let given: u32 = out.values().sum();
-    let left = capacity.min(total.round() as u32).saturating_sub(given);
-    rest.sort_by(|a, b| b.0.total_cmp(&a.0));
-    for (_, id) in rest.into_iter().take(left as usize) {
-        *out.entry(id.clone()).or_default() += 1;
-    }
-    out
-}
--- /dev/null
+++ b/crates/policy/src/pool/wants.rs
@@ -0,0 +1,117 @@
+//! How many slots each router should have.
+
+use {
+    super::{
+        fill,
+        Pace,
+        Pool,
+        Row, //
+    },
+    crate::{
+        shares::{
+            Key,
+            Ledger, //
+        },
+        RouterId, //
+    },
+    std::collections::BTreeMap,
+};
+
+/// Part of the idle slots that stays with the owner while nothing waits.
+const RESERVE: f64 = 0.25;
+/// A router keeps the slot that rounding gives one of several, unless another's claim is
+/// larger by this part of a slot.
+const STICKY: f64 = 0.6;
+
+/// Slots that each router should have.
+pub(crate) type Wants = BTreeMap<RouterId, u32>;
+
+impl Pool {
+    /// Returns how many slots each router should have while work waits.
+    pub(super) fn wants_pressed(&self, ledger: &Ledger) -> Wants {
+        let mut rows: BTreeMap<Key, f64> = BTreeMap::new();
+        let mut passing = 0.0;
+        for b in self.borrowers.values() {
+            passing += f64::from(b.passing());
+            for w in b.waits.iter().filter(|_| b.takes()) {
+                *rows.entry(w.key).or_default() += f64::from(w.queued + w.running);
+            }
+        }
+        let list: Vec<Row> = rows
+            .iter()
+            .map(|(key, demand)| Row {
+                level: ledger.level(*key) as f64,
+                share: ledger.share(*key).get(),
+                demand: *demand,
+            })
+            .collect();
+        let pace = Pace::of(self.borrowers.values());
+        let slots = (f64::from(self.capacity()) - passing).max(0.0);
+        let split = fill(slots, pace.step(), &list);
+        let part: BTreeMap<Key, f64> = rows
+            .iter()
+            .zip(split)
+            .map(|((key, demand), slots)| (*key, slots / demand))
+            .collect();
+        let exact: Vec<(&RouterId, f64, u32)> = self
+            .borrowers
+            .iter()
+            .filter(|(_, b)| b.takes())
+            .map(|(id, b)| {
+                let due: f64 = b
+                    .waits
+                    .iter()
+                    .map(|w| f64::from(w.queued + w.running) * part[&w.key])
+                    .sum();
+                // Where nothing waits, what runs needs no slot after it.
+                let passing = if b.waits.is_empty() { 0 } else { b.passing() };
+                (id, due + f64::from(passing), b.total())
+            })
+            .collect();
+        round(exact, self.capacity())
+    }
+
+    /// Returns how many slots each router should have while nothing waits.
+    pub(super) fn wants_idle(&self) -> Wants {
+        let takers: Vec<_> = self.borrowers.iter().filter(|(_, b)| b.takes()).collect();
+        let running: u32 = takers.iter().map(|(_, b)| b.running).sum();
+        let idle = f64::from(self.capacity().saturating_sub(running)) * (1.0 - RESERVE);
+        let n = takers.len().max(1) as f64;
+        takers
+            .iter()
+            .map(|(id, b)| {
+                let used = f64::from(b.running) / f64::from(running.max(1));
+                let spare = match running {
+                    0 => idle / n,
+                    _ => idle / 2.0 / n + idle / 2.0 * used,
+                };
+                let want = f64::from(b.running) + spare;
+                // Spare slots are not worth a message for every small change.
+                let now = f64::from(b.total());
+                let near = (now - want).abs() < spare / 2.0;
+                let want = if near { now } else { want };
+                ((*id).clone(), want as u32)
+            })
+            .collect()
+    }
+}
+
+/// Rounds targets to whole slots so that few of them move.
+fn round(exact: Vec<(&RouterId, f64, u32)>, capacity: u32) -> Wants {
+    let total: f64 = exact.iter().map(|e| e.1).sum();
+    let mut out: Wants = BTreeMap::new();
+    let mut rest: Vec<(f64, &RouterId)> = Vec::new();
+    for (id, due, now) in exact {
+        let whole = due.floor();
+        let has = if f64::from(now) > whole { STICKY } else { 0.0 };
+        out.insert(id.clone(), whole as u32);
+        rest.push((due - whole + has, id));
+    }
+    let given: u32 = out.values().sum();
+    let left = capacity.min(total.round() as u32).saturating_sub(given);
+    rest.sort_by(|a, b| b.0.total_cmp(&a.0));
+    for (_, id) in rest.into_iter().take(left as usize) {
+        *out.entry(id.clone()).or_default() += 1;
+    }
+    out
+}
--- a/src/router/loads.rs
+++ b/src/router/loads.rs
@@ -69,7 +69,7 @@
     };
     match router.endpoints.load(addr, WITHIN).await {
         Ok(load) if load.leaving => router.noticed_leaving(&replica),
-        Ok(_) => {}
+        Ok(load) => router.dispatch(|d, now| d.load(&replica, load.running, load.waiting, now)),
         Err(e) => log::debug!("endpoints: no load report of {replica}: {e}"),
     }
 }
