policy: fuzz tickets against an oracle that sees the whole

Three routers, any number of starts of each (killed, or only paused and waking up), questions and replies lost, doubled and late, clocks that stand still apart, requests refused before the first byte. The oracle: a ticket starts at most once, ever; what was called expired never ran and never will; a recorded outcome is the true one.

The clock's guard is held by a story of its own.

--- /dev/null
+++ b/crates/policy/tests/tickets/main.rs
@@ -0,0 +1,99 @@
+//! At most once: a fuzz against an oracle, and the stories of single failures.
+
+mod stories;
+mod world;
+
+use {
+    policy::{
+        Outcome,
+        Span, //
+    },
+    proptest::{
+        prelude::*,
+        sample::Index,
+        test_runner::RngSeed, //
+    },
+    proptest_state_machine::{
+        prop_state_machine,
+        ReferenceStateMachine,
+        StateMachineTest, //
+    },
+    world::{
+        Step,
+        World, //
+    },
+};
+
+/// Makes any step at any time; [`World`] skips those that can't be done.
+pub struct Steps;
+
+impl ReferenceStateMachine for Steps {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions(_: &()) -> BoxedStrategy<Step> {
+        let i = any::<Index>;
+        let outcome = prop_oneof![
+            Just(Outcome::Answered),
+            Just(Outcome::Failed),
+            Just(Outcome::MayHaveRun),
+        ];
+        prop_oneof![
+            2 => (i(), 1..4u32).prop_map(|(at, count)| Step::Issue { at, count }),
+            8 => (i(), i()).prop_map(|(at, ticket)| Step::Claim { at, ticket }),
+            12 => (i(), i()).prop_map(|(message, to)| Step::Deliver { message, to }),
+            2 => i().prop_map(|message| Step::Lose { message }),
+            4 => i().prop_map(|grant| Step::Start { grant }),
+            3 => i().prop_map(|grant| Step::Refuse { grant }),
+            1 => i().prop_map(|grant| Step::Again { grant }),
+            2 => (i(), outcome).prop_map(|(grant, outcome)| Step::Finish { grant, outcome }),
+            1 => (i(), any::<bool>()).prop_map(|(at, killed)| Step::Restart { at, killed }),
+            2 => (i(), 1..15u64).prop_map(|(at, s)| Step::Pass { at, time: Span::secs(s) }),
+            2 => i().prop_map(|at| Step::Tick { at }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: (), _: &Step) {
+        state
+    }
+}
+
+impl StateMachineTest for World {
+    type SystemUnderTest = World;
+    type Reference = Steps;
+
+    fn init_test(_: &()) -> World {
+        World::new()
+    }
+
+    fn apply(mut world: World, _: &(), step: Step) -> World {
+        world.step(&step);
+        world
+    }
+}
+
+/// Fixed seed, so that CI runs the same cases; `PROPTEST_CASES` and `PROPTEST_RNG_SEED` set
+/// a longer run or another seed.
+fn config() -> ProptestConfig {
+    let mut c = ProptestConfig {
+        failure_persistence: None,
+        max_shrink_iters: 20_000,
+        ..ProptestConfig::default()
+    };
+    if c.rng_seed == RngSeed::Random {
+        c.rng_seed = RngSeed::Fixed(1);
+    }
+    c
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn tickets_start_at_most_once(sequential 1..400 => World);
+}
