--- /dev/null
+++ b/tests/proofs/once.rs
@@ -0,0 +1,209 @@
+//! At most once for what may not be repeated.
+
+use {
+    crate::stage::{
+        ask_again,
+        draft,
+        record,
+        send,
+        spawn_send,
+        tickets,
+        wait_for,
+        Fleet,
+        Plan,
+        Reply,
+        Signal,
+        Work, //
+    },
+    async_std::task::block_on,
+    callers::Why,
+    policy::Outcome,
+    standins::{
+        platform::Down,
+        Fault, //
+    },
+    std::time::Duration,
+};
+
+fn ticket(fleet: &Fleet, router: usize, work: &Work) -> String {
+    let router = fleet.routers[router].callers;
+    let tickets = block_on(tickets(router, work.call.service.as_str(), 1));
+    tickets.expect("the router answers").remove(0)
+}
+
+fn again(fleet: &Fleet, router: usize, work: &Work, ticket: &str) -> Reply {
+    ask_again(fleet.routers[router].callers, work, ticket)
+}
+
+fn wait_run(fleet: &Fleet, ticket: &str) {
+    wait_for("the endpoint got the request", || {
+        (fleet.runs_of(ticket) > 0).then_some(())
+    });
+}
+
+fn assert_answered(reply: &Reply, work: &Work) {
+    assert_eq!(reply.outcome, Outcome::Answered, "{:?}", reply.why);
+    assert!(work.is_right(&reply.body));
+}
+
+#[track_caller]
+fn assert_open(reply: &Reply) {
+    assert_eq!(reply.outcome, Outcome::MayHaveRun, "{:?}", reply.why);
+}
+
+// A registrar's renewal is on its way, the connection breaks, and she sends it again at
+// another router. It would stand twice in the registry. Cause: the second router does not
+// know of the first try.
+#[test]
+fn ticket_answer_lost() {
+    let fleet = Fleet::start(Plan {
+        work: Duration::from_millis(300),
+        ..Plan::default()
+    });
+    for work in [record("claim", 1), draft("renewal", 1, 60)] {
+        let ticket = ticket(&fleet, 0, &work);
+        let first = spawn_send(fleet.routers[0].callers, &work, &ticket);
+        wait_run(&fleet, &ticket);
+        drop(block_on(first.cancel()));
+        for router in [1, 2, 0] {
+            assert_answered(&again(&fleet, router, &work, &ticket), &work);
+        }
+        assert_eq!(fleet.runs_of(&ticket), 1);
+    }
+}
+
+// A router dies with a renewal that the endpoint has got, and the caller sends it again to
+// another. Cause: only the dead router knew that it had started it.
+#[test]
+fn ticket_router_killed() {
+    let mut fleet = Fleet::start(Plan::default());
+    let work = record("claim", 1);
+    let (unused, used) = (ticket(&fleet, 0, &work), ticket(&fleet, 0, &work));
+    for p in &fleet.plains {
+        p.faults.order(Fault::Silent, 1);
+    }
+    let first = spawn_send(fleet.routers[0].callers, &work, &used);
+    wait_run(&fleet, &used);
+    fleet.routers[0].kill();
+    assert!(block_on(first).is_err());
+    for p in &fleet.plains {
+        p.faults.clear();
+    }
+    for router in [1, 2] {
+        assert_open(&again(&fleet, router, &work, &used));
+        assert_open(&again(&fleet, router, &work, &unused));
+    }
+    // It comes back empty, under its old name and address.
+    fleet.routers[0].start();
+    fleet.wait_ready();
+    for router in [0, 1, 2] {
+        assert_open(&again(&fleet, router, &work, &used));
+        assert_open(&again(&fleet, router, &work, &unused));
+    }
+    assert_eq!((fleet.runs_of(&used), fleet.runs_of(&unused)), (1, 0));
+}
+
+// The network parts one router from the others while a renewal is sent to both sides.
+// Cause: each side takes the other for gone and itself for the one that may start it.
+#[test]
+fn ticket_partition() {
+    let fleet = Fleet::start(Plan::default());
+    let work = record("claim", 1);
+    let (kept, moved) = (ticket(&fleet, 0, &work), ticket(&fleet, 0, &work));
+    // Router 2 takes over the second ticket and is stopped short by the endpoint.
+    for p in &fleet.plains {
+        p.faults.order(Fault::Refuse, 8);
+    }
+    assert_eq!(again(&fleet, 1, &work, &moved).outcome, Outcome::NotRun);
+    for p in &fleet.plains {
+        p.faults.clear();
+    }
+    fleet.part(&[0]);
+    assert_open(&again(&fleet, 1, &work, &kept));
+    assert_open(&again(&fleet, 0, &work, &moved));
+    assert_answered(&again(&fleet, 0, &work, &kept), &work);
+    assert_answered(&again(&fleet, 1, &work, &moved), &work);
+    fleet.rejoin();
+    fleet.wait_ready();
+    for router in [0, 1, 2] {
+        assert_answered(&again(&fleet, router, &work, &kept), &work);
+        assert_answered(&again(&fleet, router, &work, &moved), &work);
+    }
+    assert_eq!((fleet.runs_of(&kept), fleet.runs_of(&moved)), (1, 1));
+}
+
+// The platform is down, and a renewal's answer is lost. Cause: what may run twice were
+// decided by the platform, nothing could be decided now.
+#[test]
+fn ticket_platform_down() {
+    let fleet = Fleet::start(Plan::default());
+    for down in [Down::Refuse, Down::Hang] {
+        fleet.platform.set_down(Some(down));
+        let work = record("claim", 1);
+        let ticket = ticket(&fleet, 2, &work);
+        for router in [0, 1, 2] {
+            assert_answered(&again(&fleet, router, &work, &ticket), &work);
+        }
+        assert_eq!(fleet.runs_of(&ticket), 1);
+    }
+}
+
+// A router's process is paused with a renewal in its hands, the caller turns to another
+// router, and the first wakes up and goes on. Cause: a paused process does not know that
+// it was given up.
+#[test]
+fn ticket_paused_wakes() {
+    let fleet = Fleet::start(Plan::default());
+    let work = record("claim", 1);
+    let ticket = ticket(&fleet, 0, &work);
+    fleet.routers[0].signal(Signal::Stop);
+    let first = spawn_send(fleet.routers[0].callers, &work, &ticket);
+    assert_open(&again(&fleet, 1, &work, &ticket));
+    fleet.routers[0].signal(Signal::Cont);
+    let first = block_on(first).expect("it answers when it wakes up");
+    assert_answered(&first, &work);
+    assert_answered(&again(&fleet, 1, &work, &ticket), &work);
+    assert_eq!(fleet.runs_of(&ticket), 1);
+}
+
+// Two copies of a renewal arrive at two routers at the same moment. Cause: a caller's
+// library that sends again before the first answer is there.
+#[test]
+fn ticket_sent_twice() {
+    let fleet = Fleet::start(Plan {
+        work: Duration::from_millis(20),
+        ..Plan::default()
+    });
+    for n in 0..20 {
+        let work = record("claim", n);
+        let ticket = ticket(&fleet, 0, &work);
+        let copies = [0, 1, 2, 1, 0].map(|r| spawn_send(fleet.routers[r].callers, &work, &ticket));
+        let replies = block_on(async {
+            let mut replies = Vec::new();
+            for c in copies {
+                replies.push(c.await.expect("each copy is answered"));
+            }
+            replies
+        });
+        for r in &replies {
+            match r.outcome {
+                Outcome::Answered => assert!(work.is_right(&r.body)),
+                _ => assert_eq!(r.why, Some(Why::TicketRunning)),
+            }
+        }
+        assert_answered(&again(&fleet, 2, &work, &ticket), &work);
+        assert_eq!(fleet.runs_of(&ticket), 1);
+    }
+}
+
+// A renewal comes without a ticket, as from an old client. Cause: nothing tells a second
+// copy of it from a first.
+#[test]
+fn ticket_missing() {
+    let fleet = Fleet::start(Plan::default());
+    let reply = block_on(send(fleet.routers[0].callers, &record("claim", 1), None));
+    let reply = reply.expect("it is answered");
+    assert_eq!(reply.why, Some(Why::TicketNeeded));
+    assert_eq!(reply.outcome, Outcome::NotRun);
+    assert!(fleet.runs().is_empty());
+}
--- /dev/null
+++ b/tests/proofs/stage/mod.rs
@@ -0,0 +1,27 @@
+//! A fleet to prove things on.
+
+mod calls;
+mod fleet;
+mod router;
+mod slots;
+mod wait;
+
+pub(crate) use self::{
+    calls::{
+        ask_again,
+        draft,
+        record,
+        send,
+        spawn_send,
+        tickets,
+        Loss,
+        Reply,
+        Work, //
+    },
+    fleet::{
+        Fleet,
+        Plan, //
+    },
+    router::Signal,
+    wait::wait_for,
+};
