Measure the fleet under uneven load, with routers as processes

It compares the modes in one run. The demo's reading of backlog and of the engines' use moves to gauge, so that both share it. The client can be pinned to a router; the fleet's advice would spread the load that is to be uneven.

--- a/crates/callers/src/client/settings.rs
+++ b/crates/callers/src/client/settings.rs
@@ -16,6 +16,8 @@
 pub struct ClientSettings {
     /// Routers to ask for addresses, tried in this order.
     pub routers: Vec<SocketAddr>,
+    /// Calls go to `routers` in their order, whatever the fleet would advise; for measuring.
+    pub pinned: bool,
     /// The caller's availability zone.
     pub zone: Option<Zone>,
     /// The workspace named when asking for addresses.
@@ -36,6 +38,7 @@
     pub fn new(routers: Vec<SocketAddr>) -> ClientSettings {
         ClientSettings {
             routers,
+            pinned: false,
             zone: None,
             workspace: None,
             tickets: 8,
--- a/crates/callers/src/client/steps.rs
+++ b/crates/callers/src/client/steps.rs
@@ -194,6 +194,9 @@
 
     /// Returns the addresses in the order in which they are tried.
     async fn route(&self, service: &ServiceId) -> Result<Vec<SocketAddr>, Refused> {
+        if self.0.settings.pinned {
+            return Ok(self.0.settings.routers.clone());
+        }
         let answer = self.addresses(service).await?;
         let weights: Vec<f64> = answer.addresses.iter().map(|a| a.weight.max(0.0)).collect();
         let mut pick = fastrand::f64() * weights.iter().sum::<f64>();
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -14,7 +14,6 @@
         Zone, //
     },
     std::{
-        ffi::OsString,
         net::SocketAddr,
         path::PathBuf, //
     },
@@ -192,10 +191,31 @@
             optional --zone name: Zone
         }
 
-        /// For developers: measure the fleet on this machine.
+        /// For developers: measure the fleet on this machine, with routers as processes.
+        ///
+        /// `fleet` compares the ways to share capacity under uneven load, `latency` is what one
+        /// router adds to a call, `control` is how the traffic between routers grows.
         cmd measure {
-            /// What to measure, and its options.
-            repeated args: OsString
+            /// `fleet`, `latency` or `control`.
+            required what: String
+            /// How long each run lasts, in seconds.
+            optional --seconds count: u32
+            /// Number of routers.
+            optional --routers count: usize
+            /// Number of replicas of the model.
+            optional --replicas count: usize
+            /// Modes to compare, such as `fleet,alone,static`.
+            optional --modes names: String
+            /// What counts as service: `tokens` or `requests`.
+            optional --unit name: String
+            /// One engine is slowed to half in the middle of a run.
+            optional --slow
+            /// One replica leaves in the middle of a run, and a new one comes.
+            optional --leave
+            /// Folder for each router's dump, taken in the middle of a run.
+            optional --dumps folder: PathBuf
+            /// Print JSON instead of tables.
+            optional --json
         }
     }
 }
@@ -330,7 +350,17 @@
 
 #[derive(Debug)]
 pub struct Measure {
-    pub args: Vec<OsString>,
+    pub what: String,
+
+    pub seconds: Option<u32>,
+    pub routers: Option<usize>,
+    pub replicas: Option<usize>,
+    pub modes: Option<String>,
+    pub unit: Option<String>,
+    pub slow: bool,
+    pub leave: bool,
+    pub dumps: Option<PathBuf>,
+    pub json: bool,
 }
 
 impl Chervilwind {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -15,5 +15,8 @@
 mod views;
 mod wait;
 
-pub(crate) use self::print::table;
 pub use self::run::run;
+pub(crate) use self::{
+    flags::Measure,
+    print::table, //
+};
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -30,6 +30,7 @@
         },
         demo,
         errors::Error,
+        measure,
         router, //
     },
     async_std::task::block_on,
@@ -92,10 +93,7 @@
         ChervilwindCmd::Dump(flags) => block_on(dump(&flags)),
         ChervilwindCmd::Defaults(flags) => print_default(&flags),
         ChervilwindCmd::Standin(flags) => block_on(standin(&flags)),
-        ChervilwindCmd::Measure(flags) => Err(Error::Usage(
-            format!("nothing is measured under {:?}", flags.args),
-            "`chervilwind demo` shows the fleet at work".to_owned(),
-        )),
+        ChervilwindCmd::Measure(flags) => measure::run(&flags),
     }
 }
 
--- a/src/demo/watch.rs
+++ b/src/demo/watch.rs
@@ -4,8 +4,9 @@
     super::stage::Stage,
     crate::{
         gauge::{
+            points,
             Gap,
-            Point, //
+            Used, //
         },
         router::Router,
     },
@@ -20,9 +21,7 @@
         },
     },
     operators::Status,
-    standins::engine,
     std::{
-        collections::BTreeMap,
         sync::Arc,
         time::Duration, //
     },
@@ -44,13 +43,6 @@
     stop: Sender<()>,
 }
 
-/// Busy and whole capacity, in slots times seconds.
-#[derive(Debug, Clone, Copy, Default)]
-struct Used {
-    busy: f64,
-    whole: f64,
-}
-
 impl Watch {
     pub(crate) fn start(stage: &Stage) -> Watch {
         let routers: Vec<_> = stage.routers.iter().map(|r| r.router.clone()).collect();
@@ -59,23 +51,22 @@
         let task = task::spawn(async move {
             let mut gap = Gap::default();
             let mut sum = Used::default();
-            let mut last = used(&engines);
+            let mut last = Used::of(&engines);
             while stopped.is_empty() && !stopped.is_closed() {
                 task::sleep(EVERY).await;
                 let statuses: Vec<Status> =
                     routers.iter().map(|r: &Arc<Router>| r.status()).collect();
-                let points = points(&statuses);
-                let now = used(&engines);
+                let points = points(SERVICE, &statuses);
+                let now = Used::of(&engines);
                 if points.iter().any(|p| p.backlogged) {
-                    sum.busy += now.busy - last.busy;
-                    sum.whole += now.whole - last.whole;
+                    sum.add(now - last);
                 }
                 last = now;
                 gap.sample(&points);
             }
             Seen {
                 gap: gap.widest(),
-                utilisation: sum.busy / sum.whole.max(f64::MIN_POSITIVE),
+                utilisation: sum.part(),
             }
         });
         Watch { task, stop }
@@ -86,28 +77,3 @@
         self.task.await
     }
 }
-
-fn used(engines: &[Arc<engine::Handle>]) -> Used {
-    let mut used = Used::default();
-    for e in engines {
-        let busy = e.busy();
-        used.busy += busy.busy;
-        used.whole += busy.elapsed * f64::from(busy.capacity);
-    }
-    used
-}
-
-fn points(statuses: &[Status]) -> Vec<Point> {
-    let mut points = BTreeMap::new();
-    let all = statuses.iter().flat_map(|s| &s.workspaces);
-    for w in all.filter(|w| w.service.as_str() == SERVICE) {
-        let point = points.entry(w.name.clone()).or_insert_with(|| Point {
-            workspace: w.name.clone(),
-            backlogged: false,
-            service: 0.0,
-        });
-        point.backlogged |= w.queued > 0;
-        point.service += w.received.0 / w.share.get();
-    }
-    points.into_values().collect()
-}
--- a/src/gauge/mod.rs
+++ b/src/gauge/mod.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 mod gap;
+mod points;
+mod quantile;
 
 pub(crate) use self::{
     answer::text_of,
@@ -9,4 +11,9 @@
         Gap,
         Point, //
     },
+    points::{
+        points,
+        Used, //
+    },
+    quantile::Quantiles,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 mod demo;
 mod errors;
 mod gauge;
+mod measure;
 mod router;
 
 pub use self::{
--- /dev/null
+++ b/src/measure/mod.rs
@@ -0,0 +1,14 @@
+//! Measuring the fleet on one machine, with the routers as processes of this binary.
+
+mod fleet;
+mod load;
+mod plan;
+mod process;
+mod run;
+mod setup;
+mod show;
+mod snapshot;
+mod stage;
+mod watch;
+
+pub(crate) use self::run::run;
