--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        changes::Changes,
         messages::{
             Answer,
             Item,
@@ -48,6 +49,8 @@
 const ASK: Duration = Duration::from_secs(2);
 /// How long a replica's own word that it leaves stands against a list that lags.
 const WITHDRAWN: Span = Span::secs(30);
+/// How long before that ends the others are told again.
+const WITHDRAWN_AGAIN: Span = Span::secs(20);
 
 /// Polls the list while this router is one of its watchers.
 pub(crate) async fn run(router: Arc<Router>) {
@@ -62,6 +65,7 @@
                 Err(e) => log::debug!("platform: the list can't be read: {e}"),
             }
         }
+        router.believe_list_again();
         task::sleep(POLL).await;
     }
 }
@@ -89,24 +93,32 @@
         let router = self.clone();
         task::spawn(async move {
             let asked = router.links.ask(addr, &Question::List(ours), ASK).await;
-            if let Ok(Answer::List(Some(listed))) = asked {
-                router.take_list(*listed);
+            if let Ok(Answer::List(Some(changes))) = asked {
+                let have = lock(&router.listing).listed.clone();
+                if let Some(listed) = changes.apply(&have) {
+                    router.take_list(listed);
+                }
             }
             router.fetching.store(false, Ordering::Release);
         });
     }
 
-    /// Returns the list, if it is another than a peer has.
-    pub(crate) fn list_beyond(&self, have: u64) -> Option<Listed> {
+    /// Returns what a peer lacks of the list, if it has another.
+    pub(crate) fn list_beyond(&self, have: u64) -> Option<Changes> {
         let listing = lock(&self.listing);
-        (listing.listed.revision != have).then(|| Listed::clone(&listing.listed))
+        let other = listing.listed.revision != have;
+        other.then(|| listing.log.since(have, &listing.listed))
     }
 
     fn take_list(&self, listed: Listed) {
         let routers = listed.instances.iter().filter_map(router_of).collect();
         let now = self.now();
         let listed = Arc::new(listed);
-        lock(&self.listing).listed = listed.clone();
+        let mut listing = lock(&self.listing);
+        let old = listing.listed.clone();
+        listing.log.note(&old, &listed);
+        listing.listed = listed;
+        drop(listing);
         lock(&self.members).listed(routers, now);
         self.follow_members();
         self.apply_list();
@@ -137,14 +149,26 @@
         });
     }
 
+    /// Gives work again to replicas whose own word that they leave has become old.
+    fn believe_list_again(&self) {
+        let now = self.now();
+        let listing = lock(&self.listing);
+        let old = listing.withdrawn.values().any(|until| *until <= now);
+        drop(listing);
+        if old {
+            self.apply_list();
+        }
+    }
+
     /// Gives no more work to a replica that said it is leaving, and tells the others.
     ///
     /// The list lags, so a leaving endpoint would show as refusals for seconds. What it
-    /// says itself is believed at once, for a while, until the list has caught up.
+    /// says itself is believed at once, for a while, until the list has caught up. While
+    /// it goes on saying so, the others are told again before they stop believing it.
     pub(crate) fn noticed_leaving(&self, replica: &ReplicaId) {
-        let until = self.now() + WITHDRAWN;
-        let known = lock(&self.listing).withdrawn.insert(replica.clone(), until);
-        if known.is_some() {
+        let now = self.now();
+        let until = lock(&self.listing).withdrawn.get(replica).copied();
+        if until.is_some_and(|until| until.since(now) > WITHDRAWN_AGAIN) {
             return;
         }
         log::info!("endpoints: {replica} says that it is leaving");
