--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub use self::{
     dispatch::{
         Action,
+        BorrowerDump,
         Dispatch,
         DispatchDump,
         Finish,
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -20,6 +20,7 @@
             Key,
             Ledger, //
         },
+        BorrowerDump,
         Incarnation,
         Peer,
         PeerState,
@@ -41,7 +42,7 @@
 /// Shortest time between two lends to one router.
 const LEND: Span = Span::millis(10);
 /// A lend that was not acknowledged is sent again after this time.
-const AGAIN: Span = Span::millis(300);
+const AGAIN: Span = Span::millis(500);
 /// A report is acknowledged within this time.
 const ACK: Span = Span::millis(200);
 /// A router that never reported is taken to hold its fraction for this time.
@@ -141,6 +142,7 @@
         }
         b.report = r.seq;
         b.seen = b.seen.max(r.seen);
+        b.open.retain(|(seq, _)| *seq > r.seen);
         b.kept = r.body.kept.into_iter().collect();
         b.running = r.body.running;
         b.waits = r.body.waits;
@@ -172,6 +174,7 @@
             true => self.wants_pressed(ledger, pace),
             false => self.wants_idle(),
         };
+        self.restore(&wants);
         if due {
             self.planned = now;
             self.take_back(&wants);
@@ -200,6 +203,7 @@
                 self.changed |= b.total() > 0 || !b.kept.is_empty();
                 b.lent.clear();
                 b.kept.clear();
+                b.open.clear();
                 b.waits.clear();
                 b.running = 0;
                 b.report = b.report.max(1);
@@ -251,6 +255,21 @@
         self.lots.get(&key).map(|l| Slots(l.limit))
     }
 
+    /// Returns what each router holds, as operators read it.
+    pub(crate) fn dump(&self) -> Vec<BorrowerDump> {
+        self.borrowers
+            .iter()
+            .map(|(id, b)| BorrowerDump {
+                router: id.clone(),
+                state: b.state,
+                lent: Slots(b.total()),
+                kept: Slots(b.kept.values().sum()),
+                running: Slots(b.running),
+                waiting: b.waits.iter().map(|w| w.queued as usize).sum(),
+            })
+            .collect()
+    }
+
     /// Returns the free slots of a replica, below zero where too many are out.
     fn free(&self, key: ReplicaKey, lot: &Lot) -> i64 {
         let held: u32 = self.borrowers.values().map(|b| b.holds(key)).sum();
@@ -317,7 +336,9 @@
                     .iter()
                     .map(|w| f64::from(w.queued + w.running) * part[&w.key])
                     .sum();
-                (id, due + f64::from(b.passing()), b.total())
+                // Where nothing waits, what runs needs no slot after it.
+                let passing = if b.waits.is_empty() { 0 } else { b.passing() };
+                (id, due + f64::from(passing), b.total())
             })
             .collect();
         round(exact, self.capacity())
@@ -347,6 +368,19 @@
             .collect()
     }
 
+    /// Lends again what a router still uses beyond what it was lent, if it should have it.
+    fn restore(&mut self, wants: &BTreeMap<RouterId, u32>) {
+        for (id, b) in &mut self.borrowers {
+            let want = wants.get(id).copied().unwrap_or(0);
+            let kept = b.kept.clone();
+            for (key, n) in kept.into_iter().filter(|(k, _)| self.lots.contains_key(k)) {
+                while b.total() < want && b.lent.get(&key).is_none_or(|l| *l < n) {
+                    b.raise(key);
+                }
+            }
+        }
+    }
+
     /// Asks slots back from routers that have more than they should, where another lacks.
     fn take_back(&mut self, wants: &BTreeMap<RouterId, u32>) {
         let free: i64 = self.lots.iter().map(|(k, l)| self.free(*k, l).max(0)).sum();
@@ -431,6 +465,7 @@
             }
             if b.dirty || b.lend == 0 {
                 b.lend += 1;
+                b.open.push((b.lend, b.lent.clone()));
             }
             b.dirty = false;
             b.told = Some(now);
@@ -461,6 +496,7 @@
 
 /// Rounds targets to whole slots so that few of them move.
 fn round(exact: Vec<(&RouterId, f64, u32)>, capacity: u32) -> BTreeMap<RouterId, u32> {
+    let total: f64 = exact.iter().map(|e| e.1).sum();
     let mut out: BTreeMap<RouterId, u32> = BTreeMap::new();
     let mut rest: Vec<(f64, &RouterId)> = Vec::new();
     for (id, due, now) in exact {
@@ -470,10 +506,7 @@
         rest.push((due - whole + has, id));
     }
     let given: u32 = out.values().sum();
-    let exact_total: f64 = rest.iter().map(|r| r.0.fract()).sum::<f64>();
-    let left = capacity
-        .saturating_sub(given)
-        .min(exact_total.ceil() as u32);
+    let left = capacity.min(total.round() as u32).saturating_sub(given);
     rest.sort_by(|a, b| b.0.total_cmp(&a.0));
     for (_, id) in rest.into_iter().take(left as usize) {
         *out.entry(id.clone()).or_default() += 1;
