--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -1,6 +1,17 @@
 //! The process's metrics in the usual text form.
 
 use {
+    crate::views::{
+        MemberState,
+        ServiceStatus,
+        Status, //
+    },
+    metrics::{
+        counter,
+        describe_counter,
+        describe_gauge,
+        gauge, //
+    },
     metrics_exporter_prometheus::{
         PrometheusBuilder,
         PrometheusHandle, //
@@ -10,6 +21,82 @@
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
+const COUNTERS: [(&str, &str); 11] = [
+    (
+        "chervilwind_callers_answers",
+        "Answers to callers, by HTTP status.",
+    ),
+    (
+        "chervilwind_callers_turned_away",
+        "Connections of callers beyond the limits.",
+    ),
+    (
+        "chervilwind_router_requests",
+        "Requests that ended, by outcome.",
+    ),
+    (
+        "chervilwind_router_retries",
+        "Requests that were sent to another endpoint.",
+    ),
+    (
+        "chervilwind_endpoints_calls",
+        "Calls to endpoints, by outcome.",
+    ),
+    (
+        "chervilwind_endpoints_hang_ups",
+        "Calls given up as the caller was gone.",
+    ),
+    (
+        "chervilwind_endpoints_resumes",
+        "Streams resumed on a new connection.",
+    ),
+    (
+        "chervilwind_endpoints_foreign",
+        "Answers dropped as they were another request's.",
+    ),
+    (
+        "chervilwind_peers_bytes",
+        "Bytes to and from other routers.",
+    ),
+    (
+        "chervilwind_platform_calls",
+        "Calls to the platform, by kind.",
+    ),
+    (
+        "chervilwind_platform_failures",
+        "Calls to the platform that failed, by kind.",
+    ),
+];
+
+const GAUGES: [(&str, &str); 8] = [
+    ("chervilwind_callers_connections", "Connections of callers."),
+    (
+        "chervilwind_config_revision",
+        "Revision of the configuration in force.",
+    ),
+    ("chervilwind_router_members", "Routers known, by state."),
+    (
+        "chervilwind_router_limit",
+        "Requests that a service's replicas may run, as learnt.",
+    ),
+    (
+        "chervilwind_router_lent",
+        "Requests that this router may run.",
+    ),
+    (
+        "chervilwind_router_running",
+        "Requests that this router runs.",
+    ),
+    (
+        "chervilwind_router_queued",
+        "Requests queued at this router.",
+    ),
+    (
+        "chervilwind_router_gap",
+        "Widest gap of normalised service between backlogged workspaces.",
+    ),
+];
+
 /// Starts to record metrics. A second start in the same process changes nothing.
 pub fn start_metrics() {
     HANDLE.get_or_init(|| {
@@ -20,6 +107,7 @@
                 "config: another recorder takes this process's metrics; /metrics stays empty"
             );
         }
+        describe();
         handle
     });
 }
@@ -40,3 +128,42 @@
     handle.run_upkeep();
     handle.render()
 }
+
+/// Records what a router's status tells. Workspaces are left out, as there may be thousands.
+pub(crate) fn record(status: &Status) {
+    counter!("chervilwind_peers_bytes").absolute(status.control);
+    let states = [
+        MemberState::Live,
+        MemberState::Suspect,
+        MemberState::Leaving,
+        MemberState::Gone,
+    ];
+    for state in states {
+        let members = status.members.iter().filter(|m| m.state == state);
+        gauge!("chervilwind_router_members", "state" => state.to_string())
+            .set(members.count() as f64);
+    }
+    status.services.iter().for_each(record_service);
+}
+
+fn record_service(service: &ServiceStatus) {
+    let values = [
+        ("chervilwind_router_limit", f64::from(service.limit)),
+        ("chervilwind_router_lent", f64::from(service.lent)),
+        ("chervilwind_router_running", f64::from(service.running)),
+        ("chervilwind_router_queued", f64::from(service.queued)),
+        ("chervilwind_router_gap", service.gap.0),
+    ];
+    for (name, value) in values {
+        gauge!(name, "service" => service.name.to_string()).set(value);
+    }
+}
+
+fn describe() {
+    for (name, text) in COUNTERS {
+        describe_counter!(name, text);
+    }
+    for (name, text) in GAUGES {
+        describe_gauge!(name, text);
+    }
+}
--- a/crates/operators/src/server.rs
+++ b/crates/operators/src/server.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        metrics::metrics_text,
+        metrics::{
+            metrics_text,
+            record, //
+        },
         views::{
             Profiles,
             Status, //
@@ -108,7 +111,8 @@
         .get(|r: Request<Arc<Views>>| async move { json(&(r.state().dump)()) });
     app.at("/ready")
         .get(|r: Request<Arc<Views>>| async move { Ok(ready((r.state().ready)())) });
-    app.at("/metrics").get(|_| async { Ok(metrics()) });
+    app.at("/metrics")
+        .get(|r: Request<Arc<Views>>| async move { Ok(metrics(&(r.state().status)())) });
     app
 }
 
@@ -127,7 +131,8 @@
     }
 }
 
-fn metrics() -> Response {
+fn metrics(status: &Status) -> Response {
+    record(status);
     Response::builder(StatusCode::Ok)
         .content_type(METRICS_TYPE)
         .body(metrics_text())
--- a/crates/operators/tests/server.rs
+++ b/crates/operators/tests/server.rs
@@ -11,6 +11,7 @@
         Document,
         Fleet,
         Profiles,
+        ServiceStatus,
         Source,
         State,
         Status,
@@ -19,7 +20,8 @@
     },
     policy::{
         Incarnation,
-        Span, //
+        Span,
+        Units, //
     },
     std::{
         net::{
@@ -46,7 +48,15 @@
         uptime: Span::secs(2),
         control: 10,
         members: Vec::new(),
-        services: Vec::new(),
+        services: vec![ServiceStatus {
+            name: "drafting-llm".parse().unwrap(),
+            replicas: 2,
+            limit: 16,
+            lent: 8,
+            running: 8,
+            queued: 4,
+            gap: Units(12.5),
+        }],
         workspaces: Vec::new(),
     }
 }
@@ -94,10 +104,18 @@
     start_metrics();
     metrics::counter!("chervilwind_test_count", "part" => "server").increment(3);
     let text = ask(start(), "/metrics").await.unwrap();
-    assert!(
-        text.contains("chervilwind_test_count{part=\"server\"} 3"),
-        "{text}"
-    );
+    let lines = [
+        "chervilwind_test_count{part=\"server\"} 3",
+        "# TYPE chervilwind_peers_bytes counter",
+        "# HELP chervilwind_peers_bytes Bytes to and from other routers.",
+        "chervilwind_peers_bytes 10",
+        "chervilwind_router_members{state=\"live\"} 0",
+        "chervilwind_router_queued{service=\"drafting-llm\"} 4",
+        "chervilwind_router_gap{service=\"drafting-llm\"} 12.5",
+    ];
+    for line in lines {
+        assert!(text.lines().any(|l| l == line), "no `{line}` in\n{text}");
+    }
 }
 
 #[async_std::test]
