--- a/src/cli/call.rs
+++ b/src/cli/call.rs
@@ -157,9 +157,11 @@
     }
     let refused = answer.refused.as_ref();
     let message = refused.map_or("the endpoint failed".to_owned(), |r| r.message.clone());
-    // Nothing came back at all: the address given is no router's.
-    if answer.outcome == Outcome::NotRun && answer.status.is_none() && answer.router.is_none() {
-        return Err(Error::NoRouter(message));
+    // No request was sent: it ended with the question which address to use.
+    if let (None, Some(refused)) = (answer.status, refused) {
+        if answer.outcome == Outcome::NotRun {
+            return Err(Error::from_refused(refused));
+        }
     }
     Err(Error::Request(answer.outcome, message))
 }
--- a/src/cli/locate.rs
+++ b/src/cli/locate.rs
@@ -12,13 +12,9 @@
     crate::errors::Error,
     callers::{
         Client,
-        ClientSettings,
-        Refused, //
-    },
-    policy::{
-        Outcome,
-        Span, //
+        ClientSettings, //
     },
+    policy::Span,
 };
 
 /// Asks a router which address to use, and for tickets.
@@ -26,7 +22,7 @@
     let client = Client::new(ClientSettings::new(vec![flags.router]));
     let tickets = flags.tickets.unwrap_or(0);
     let answer = client.ask(&flags.service, flags.router, tickets).await;
-    let answer = answer.map_err(refused)?;
+    let answer = answer.map_err(|r| Error::from_refused(&r))?;
     if flags.json {
         let json = serde_json::to_string(&answer);
         return line(json.map_err(|e| Error::Io("JSON", e.into()))?);
@@ -47,11 +43,3 @@
     }
     Ok(())
 }
-
-/// Turns a refusal that no request was made for into an error.
-pub(crate) fn refused(refused: Refused) -> Error {
-    match refused.why {
-        callers::Why::NoEndpoint => Error::NoRouter(refused.message),
-        _ => Error::Request(Outcome::NotRun, refused.message),
-    }
-}
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -5,6 +5,10 @@
         ListenError,
         SettingsError, //
     },
+    callers::{
+        Refused,
+        Why, //
+    },
     miette::Diagnostic,
     operators::{
         AskError,
@@ -79,6 +83,15 @@
 }
 
 impl Error {
+    /// Makes an error of a refusal that no request was sent for.
+    pub(crate) fn from_refused(refused: &Refused) -> Error {
+        let message = refused.message.clone();
+        match refused.why {
+            Why::NoEndpoint => Error::NoRouter(message),
+            _ => Error::Request(Outcome::NotRun, message),
+        }
+    }
+
     /// Returns the exit code, as `chervilwind --help` lists them.
     pub(crate) fn code(&self) -> ExitCode {
         ExitCode::from(match self {
