--- a/crates/policy/src/dispatch/message.rs
+++ b/crates/policy/src/dispatch/message.rs
@@ -33,6 +33,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     pub(crate) service: ServiceKey,
+    /// How often the router has turned to another owner, or back to this one.
+    pub(crate) term: u32,
     /// Number of this report; a later one replaces it.
     pub(crate) seq: u64,
     /// The last lend of this owner that was seen.
@@ -96,6 +98,9 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lend {
     pub(crate) service: ServiceKey,
+    /// The term of the last report that was seen. The router takes no lend of an older
+    /// one, which another owner may have followed.
+    pub(crate) term: u32,
     /// Number of this lend; a later one replaces it.
     pub(crate) seq: u64,
     /// The last report of this router that was seen.
--- a/crates/policy/src/pool/borrower.rs
+++ b/crates/policy/src/pool/borrower.rs
@@ -29,6 +29,8 @@
     pub(crate) state: PeerState,
     /// Since when its state is what it is.
     pub(crate) since: Time,
+    /// Its term, as of its last report.
+    pub(crate) term: u32,
     /// Number of its last report; none was heard while it is 0.
     pub(crate) report: u64,
     /// Slots that it said it keeps.
@@ -66,6 +68,7 @@
             zone,
             state,
             since: now,
+            term: 0,
             report: 0,
             kept: BTreeMap::new(),
             running: 0,
@@ -144,6 +147,14 @@
     /// Takes in a later report.
     pub(crate) fn report(&mut self, r: Report) {
         self.report = r.seq;
+        // It comes from another owner, which lent it other slots. What it keeps counts as
+        // lent, so that nobody is cut off, and no older lend counts any more.
+        if r.term != self.term {
+            self.term = r.term;
+            self.lent = r.body.kept.iter().copied().collect();
+            self.open.clear();
+            self.dirty = true;
+        }
         self.seen = self.seen.max(r.seen);
         self.open.retain(|(seq, _)| *seq > r.seen);
         self.kept = r.body.kept.into_iter().collect();
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -42,6 +42,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Hold {
     pub(crate) owner: Option<(RouterId, Incarnation)>,
+    /// How often the owner changed.
+    term: u32,
     since: Time,
     /// Number of the last lend that was taken in.
     lend: u64,
@@ -69,6 +71,7 @@
             return;
         }
         self.owner = owner;
+        self.term += 1;
         self.since = now;
         self.lend = 0;
         self.told = 0;
@@ -97,7 +100,8 @@
         seats: &mut Seats,
         now: Time,
     ) -> bool {
-        if self.owner.as_ref() != Some(&(from.clone(), inc)) || l.seq < self.lend {
+        let owner = self.owner.as_ref() == Some(&(from.clone(), inc));
+        if !owner || l.term != self.term || l.seq < self.lend {
             return false;
         }
         if l.seen > self.acked {
@@ -156,6 +160,7 @@
         self.sent = Some((now, body.clone()));
         Some(Report {
             service,
+            term: self.term,
             seq: self.seq,
             seen: self.lend,
             body,
--- a/crates/policy/src/pool/moves.rs
+++ b/crates/policy/src/pool/moves.rs
@@ -100,9 +100,16 @@
             .lots
             .iter()
             .map(|(k, l)| (*k, self.free(*k, l)))
-            .filter(|(_, n)| *n > 0)
             .collect();
-        while !free.is_empty() {
+        let mut room: i64 = free.values().sum();
+        if self.borrowers.values().all(Borrower::heard) {
+            room = i64::MAX;
+        }
+        free.retain(|_, n| *n > 0);
+        // What the unheard hold is only guessed, so it counts for the whole pool as well:
+        // they may hold more of one replica and less of another.
+        while !free.is_empty() && room > 0 {
+            room -= 1;
             let lack = |id: &RouterId, b: &Borrower| {
                 wants.get(id).map_or(0, |w| w.saturating_sub(b.total()))
             };
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -48,6 +48,8 @@
 const ACK: Span = Span::millis(200);
 /// A router that never reported is taken to hold its fraction for this time.
 const UNHEARD: Span = Span::secs(5);
+/// A new owner waits this long for reports of the live routers before it lends.
+const GATHER: Span = Span::secs(1);
 /// A router that vanished alone gets its slots taken back after this time.
 const VANISHED: Span = Span::secs(2);
 /// If many vanished at once, a partition is likely and they may run on for long.
@@ -62,6 +64,8 @@
     pub(super) lots: BTreeMap<ReplicaKey, Lot>,
     pub(super) borrowers: BTreeMap<RouterId, Borrower>,
     pub(crate) pressed: bool,
+    /// Since when this router owns the pool.
+    since: Time,
     waited: Time,
     planned: Time,
     changed: bool,
@@ -74,6 +78,7 @@
             lots: BTreeMap::new(),
             borrowers: BTreeMap::new(),
             pressed: false,
+            since: now,
             waited: now,
             planned: now,
             changed: true,
@@ -174,7 +179,6 @@
             return;
         }
         self.changed = false;
-        self.adopt();
         self.trim();
         let wants = match self.pressed {
             true => self.wants_pressed(ledger),
@@ -185,7 +189,18 @@
             self.planned = now;
             self.take_back(&wants);
         }
-        self.give(&wants);
+        if !self.gathers(now) {
+            self.give(&wants);
+        }
+    }
+
+    /// Returns whether this owner is so new that it does not know yet who holds what.
+    ///
+    /// It would lend slots a second time that routers hold from the last owner, which
+    /// shows as replicas above their limit. Each router reports to a new owner at once.
+    fn gathers(&self, now: Time) -> bool {
+        let unheard = |b: &Borrower| b.state == PeerState::Live && !b.heard();
+        now.since(self.since) < GATHER && self.borrowers.values().any(unheard)
     }
 
     /// Takes slots back from routers that are believed to be dead.
@@ -234,18 +249,6 @@
         }
     }
 
-    /// Takes what a router said it keeps for lent, if it was never lent anything.
-    ///
-    /// That is how a new owner takes over from the old one without cutting anybody off.
-    fn adopt(&mut self) {
-        for b in self.borrowers.values_mut() {
-            if b.takes() && b.lend == 0 && b.lent.is_empty() && !b.kept.is_empty() {
-                b.lent = b.kept.clone();
-                b.dirty = true;
-            }
-        }
-    }
-
     /// Returns all slots of the pool.
     pub(crate) fn capacity(&self) -> u32 {
         self.lots.values().map(Lot::limit).sum()
@@ -296,6 +299,7 @@
             b.acked = b.report;
             let lend = Lend {
                 service,
+                term: b.term,
                 seq: b.lend,
                 seen: b.report,
                 pressed,
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -32,6 +32,12 @@
     told: u64,
     /// Whether it is heard from.
     live: bool,
+    /// Whether its counts are known as they are since it is heard from.
+    ///
+    /// After a partition the counts of the far side are old. Taken for its level, they
+    /// would make its workspaces the least by far, and the others be forgiven what they
+    /// never owed.
+    known: bool,
 }
 
 /// The accounts of all workspaces at one service, as one router knows them.
@@ -70,7 +76,9 @@
     pub(crate) fn set_friends(&mut self, live: &BTreeMap<Writer, bool>) {
         self.friends.retain(|w, _| live.contains_key(w));
         for (w, live) in live {
-            self.friends.entry(*w).or_default().live = *live;
+            let f = self.friends.entry(*w).or_default();
+            f.known &= f.live && *live;
+            f.live = *live;
         }
     }
 
@@ -109,10 +117,9 @@
 
     /// Returns whether requests of a workspace wait at any live router.
     fn waits(&self, account: &Account) -> bool {
-        account
-            .parts
-            .iter()
-            .any(|(w, p)| p.waits && (*w == self.me || self.friends.get(w).is_some_and(|f| f.live)))
+        account.parts.iter().any(|(w, p)| {
+            p.waits && (*w == self.me || self.friends.get(w).is_some_and(|f| f.known))
+        })
     }
 
     /// Returns the least level of the backlogged workspaces but one.
@@ -271,6 +278,7 @@
             f.acked = f.acked.max(n.seen);
         }
         f.seen = f.seen.max(n.rev);
+        f.known |= f.live && n.notes.len() < NOTES;
         self.floor = self.floor.max(n.floor);
         for note in n.notes {
             let account = self.accounts.entry(note.key).or_default();
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -132,6 +132,30 @@
     dead: Vec<Option<Peer>>,
 }
 
+/// Callers that ask again as soon as they have their answer.
+pub struct Load {
+    /// How many each workspace has at each router.
+    pub callers: Vec<Vec<usize>>,
+}
+
+impl Load {
+    /// Asks again for each caller that has its answer.
+    pub fn ask(&self, f: &mut Fleet, run: (u64, u64)) {
+        for (w, at) in self.callers.iter().enumerate() {
+            for (n, many) in at.iter().enumerate() {
+                let Some(node) = &f.nodes[n] else { continue };
+                let open = node.open.values().filter(|o| o.workspace == w).count();
+                for _ in open..*many {
+                    let ms = f.rng.u64(run.0..run.1);
+                    let cost = ms as f64 / 500.0;
+                    let hint = cost * (0.5 + f.rng.f64());
+                    f.submit(n, w, Span::millis(ms), cost, hint, Span::secs(60));
+                }
+            }
+        }
+    }
+}
+
 pub fn service() -> ServiceId {
     "drafting-llm".parse().unwrap()
 }
@@ -489,6 +513,13 @@
         live * 3 < (live + dead) * 2
     }
 
+    /// Returns the router that lends the slots.
+    pub fn owner(&self) -> usize {
+        let first = self.nodes.iter().flatten().next().unwrap();
+        let owner = first.dispatch.dump().services[0].owner.clone().unwrap();
+        owner.as_str()[1..].parse().unwrap()
+    }
+
     /// Returns how many requests run.
     pub fn busy(&self) -> u32 {
         self.running.values().sum()
--- a/crates/policy/tests/measure.rs
+++ b/crates/policy/tests/measure.rs
@@ -5,54 +5,28 @@
 use {
     fleet::{
         rules,
-        Fleet, //
-    },
-    policy::{
-        Mode,
-        Span, //
+        Fleet,
+        Load, //
     },
+    policy::Mode,
 };
 
 const ROUTERS: usize = 8;
 const WORKSPACES: usize = 16;
 
-/// Keeps the callers of each workspace at their routers: a few large, most small.
-struct Load {
-    /// Callers that each workspace has at each router.
-    callers: Vec<Vec<usize>>,
-}
-
-impl Load {
-    fn skewed(rng: &mut fastrand::Rng) -> Load {
-        let callers = (0..WORKSPACES)
-            .map(|w| {
-                let mut at = vec![0; ROUTERS];
-                let many = if w < 4 { 60 } else { 6 + w };
-                let homes = if w < 4 { 3 } else { 1 + w % 3 };
-                for _ in 0..many {
-                    at[(w * 3 + rng.usize(..homes)) % ROUTERS] += 1;
-                }
-                at
-            })
-            .collect();
-        Load { callers }
-    }
-
-    /// Asks again for each caller that has its answer.
-    fn fill(&self, f: &mut Fleet, run: (u64, u64)) {
-        for (w, at) in self.callers.iter().enumerate() {
-            for (n, many) in at.iter().enumerate() {
-                let Some(node) = &f.nodes[n] else { continue };
-                let open = node.open.values().filter(|o| o.workspace == w).count();
-                for _ in open..*many {
-                    let ms = f.rng.u64(run.0..run.1);
-                    let cost = ms as f64 / 500.0;
-                    let hint = cost * (0.5 + f.rng.f64());
-                    f.submit(n, w, Span::millis(ms), cost, hint, Span::secs(60));
-                }
+fn skewed(rng: &mut fastrand::Rng) -> Load {
+    let callers = (0..WORKSPACES)
+        .map(|w| {
+            let mut at = vec![0; ROUTERS];
+            let many = if w < 4 { 60 } else { 6 + w };
+            let homes = if w < 4 { 3 } else { 1 + w % 3 };
+            for _ in 0..many {
+                at[(w * 3 + rng.usize(..homes)) % ROUTERS] += 1;
             }
-        }
-    }
+            at
+        })
+        .collect();
+    Load { callers }
 }
 
 struct Figures {
@@ -67,11 +41,11 @@
 fn run(mode: Mode, ms: (u64, u64), secs: u64) -> Figures {
     let mut f = Fleet::new(1, ROUTERS, 10, WORKSPACES, rules(mode, 8));
     let mut rng = fastrand::Rng::with_seed(5);
-    let load = Load::skewed(&mut rng);
+    let load = skewed(&mut rng);
     let mut span: Vec<(f64, f64)> = vec![(f64::MAX, f64::MIN); WORKSPACES * WORKSPACES];
     let (mut busy, mut slots) = (0u64, 0u64);
     for step in 0..secs * 100 {
-        load.fill(&mut f, ms);
+        load.ask(&mut f, ms);
         f.step();
         if step < 200 {
             continue;
