policy: believe the list again once it took back an earlier start's leaving

A router that left and came back was withdrawn again by the next look at the lagging list; one that the list withdrew before it was first heard was put back to work by its first heartbeat.

The decrease and its effect have a file of their own.

--- a/crates/policy/src/limit/learner.rs
+++ b/crates/policy/src/limit/learner.rs
@@ -2,6 +2,11 @@
 
 use {
     super::{
+        cut::{
+            Cut,
+            Effect,
+            Trail, //
+        },
         rules::{
             Bounds,
             ABOVE_FULL,
@@ -27,10 +32,7 @@
             WAITING,
             WINDOW, //
         },
-        track::{
-            fullness,
-            Track, //
-        },
+        track::Track,
         window::Window, //
     },
     crate::{
@@ -73,26 +75,6 @@
     cut: Option<Cut>,
 }
 
-/// Windows in a row, together.
-#[derive(Debug, Default)]
-struct Trail {
-    sum: Window,
-    count: u32,
-}
-
-/// A decrease whose effect is not known yet.
-#[derive(Debug)]
-struct Cut {
-    /// It was made to look for the floor.
-    probe: bool,
-    limit: f64,
-    /// The floors of the gap and the first token when it was made.
-    floors: [Option<f64>; 2],
-    before: Window,
-    after: Trail,
-    age: u32,
-}
-
 impl Limit {
     /// Makes the limit of a replica of which nothing is known.
     pub fn new(start: Slots) -> Limit {
@@ -255,38 +237,27 @@
             }
             return;
         }
-        let after = std::mem::take(&mut cut.after.sum);
-        let times = match (cut.before.gap(), after.gap(), cut.floors[0]) {
-            (Some(a), Some(b), Some(f)) => Some((a, b, f)),
-            _ => match (cut.before.first(), after.first(), cut.floors[1]) {
-                (Some(a), Some(b), Some(f)) => Some((a, b, f)),
-                _ => None,
-            },
-        };
-        let Some((before, less, floor)) = times else {
+        let Some(effect) = cut.effect() else {
             return;
         };
         self.probed = Some(now);
-        let full = fullness((running, before), (after.running(), less));
         if cut.probe {
-            let lower = less < floor * BELOW_FLOOR;
-            return self.probed(full, lower, running * less / before, &cut, &after);
-        }
-        if full < HALF_FULL {
+            self.go_on(&cut, effect);
+        } else if effect.fullness < HALF_FULL {
             self.period = PROBE[0];
-            self.rebase(&after);
+            self.rebase(&cut.after.sum);
             self.put(cut.limit);
         }
     }
 
     /// Goes back up after a probe, unless the replica is still full.
-    fn probed(&mut self, full: f64, lower: bool, knee: f64, cut: &Cut, after: &Window) {
+    fn go_on(&mut self, cut: &Cut, effect: Effect) {
         self.period = Span((self.period.0 * 2).clamp(PROBE[0].0, PROBE[1].0));
-        if full < FULL[0] {
-            self.rebase(after);
+        if effect.fullness < FULL[0] {
+            self.rebase(&cut.after.sum);
             self.put(cut.limit);
-        } else if full < FULL[1] || !lower {
-            self.put(knee * ABOVE_FULL);
+        } else if effect.fullness < FULL[1] || effect.after > effect.floor * BELOW_FLOOR {
+            self.put(effect.knee * ABOVE_FULL);
         } else {
             // The floor was learnt while the replica was full: go on looking.
             self.period = Span::ZERO;
@@ -307,10 +278,3 @@
         self.limit = limit.clamp(1.0, self.cap);
     }
 }
-
-impl Trail {
-    fn push(&mut self, w: &Window) {
-        self.sum.add(w);
-        self.count += 1;
-    }
-}
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -5,6 +5,7 @@
 //! that number: the engine is full, and nobody waits inside it who could wait in a queue
 //! that knows shares and deadlines.
 
+mod cut;
 mod learner;
 mod rules;
 mod track;
--- a/crates/policy/src/limit/track.rs
+++ b/crates/policy/src/limit/track.rs
@@ -36,11 +36,3 @@
         self.floor = Some(time);
     }
 }
-
-/// Returns how much of a fall of the running requests shows in the time: 0 when the
-/// replica was not full (fewer requests changed nothing), 1 when it was full throughout.
-pub(super) fn fullness(before: (f64, f64), after: (f64, f64)) -> f64 {
-    let ((running, time), (fewer, less)) = (before, after);
-    let share = 1.0 - fewer / running;
-    (time - less) / (time * share)
-}
--- a/crates/policy/src/members/peer.rs
+++ b/crates/policy/src/members/peer.rs
@@ -42,6 +42,7 @@
     pub(super) gaps: Gaps,
     own_leaving: bool,
     list_leaving: bool,
+    list_stale: bool,
 }
 
 impl Peer {
@@ -73,6 +74,7 @@
             gaps: Gaps::new(plan),
             own_leaving: false,
             list_leaving: false,
+            list_stale: false,
         }
     }
 
@@ -84,20 +86,24 @@
             self.member.callers = l.callers;
             self.member.zone = l.zone.clone();
         }
-        self.list_leaving = l.leaving;
+        self.list_stale &= l.leaving;
+        self.list_leaving = l.leaving && !self.list_stale;
         self.member.leaving = self.own_leaving || self.list_leaving;
     }
 
     /// Starts over for a later start of the router.
     pub(super) fn restart(&mut self, incarnation: Incarnation, plan: &Plan) {
+        let known = self.member.incarnation != Incarnation::default();
         self.member.incarnation = incarnation;
         self.member.config = 0;
         self.seq = 0;
         self.direct = None;
         self.own_leaving = false;
-        // The list lags: what it says of leaving was said of the earlier start.
-        self.list_leaving = false;
-        self.member.leaving = false;
+        // The list lags: what it says of leaving was said of the earlier start, and it goes on
+        // saying so for a while. It counts again once it has taken that back.
+        self.list_stale |= known && self.list_leaving;
+        self.list_leaving &= !known;
+        self.member.leaving = self.list_leaving;
         self.gaps = Gaps::new(plan);
     }
 
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -22,6 +22,8 @@
     noise: f64,
     running: f64,
     demand: f64,
+    /// The part of a step that is the same however few requests run.
+    fixed: f64,
     rng: Rng,
     now: f64,
 }
@@ -34,6 +36,7 @@
             noise,
             running: 0.0,
             demand: f64::INFINITY,
+            fixed: 1.0,
             rng: Rng::with_seed(seed),
             now: 0.0,
         }
@@ -48,7 +51,8 @@
             let target = f64::from(limit.get().0).min(self.demand);
             let drained = self.running * (1.0 - STEP / LIFE);
             self.running = target.max(drained).floor();
-            let slow = (self.running / self.full).max(1.0);
+            let load = self.running / self.full;
+            let slow = load.max(self.fixed + (1.0 - self.fixed) * load);
             let gap = self.base * slow * (1.0 + self.noise * (self.rng.f64() * 2.0 - 1.0));
             let first = 0.3 * slow * (1.0 + 0.5 * (self.rng.f64() * 2.0 - 1.0));
             limit.sample(
@@ -136,6 +140,24 @@
     }
 }
 
+#[test]
+fn sample_of_an_engine_whose_steps_grow_with_its_batch() {
+    // Each request makes the others a little slower long before the engine is full. A limit
+    // that stops at the first slowdown would leave most of the engine idle.
+    for seed in 0..20 {
+        let mut limit = Limit::new(Slots(4));
+        let mut e = Engine::new(40.0, 0.2, seed);
+        e.fixed = 0.6;
+        e.run(&mut limit, 180.0);
+        let (mean, used) = e.run(&mut limit, 120.0);
+        println!("grow seed {seed}: limit {mean:.1}, utilisation {used:.3}");
+        assert!(
+            mean <= 40.0 * 1.75 && used >= 0.75,
+            "seed {seed}: {mean} {used}"
+        );
+    }
+}
+
 #[test]
 fn sample_of_a_refusal() {
     let mut limit = Limit::new(Slots(10));
--- a/crates/policy/tests/members/single.rs
+++ b/crates/policy/tests/members/single.rs
@@ -121,6 +121,34 @@
     assert!(one(&m).leaving);
     m.heard(beat(1, 2, 1), at(20));
     assert!(!one(&m).leaving);
+    m.listed(vec![listed(1, true)], at(30));
+    assert!(!one(&m).leaving, "the list still lags");
+    m.listed(vec![listed(1, false)], at(40));
+    m.listed(vec![listed(1, true)], at(50));
+    assert!(one(&m).leaving, "the platform withdraws the new start");
+}
+
+#[test]
+fn listed_as_leaving_before_it_is_heard() {
+    // A router starts empty while the platform withdraws another, which does not know it yet
+    // and beats as ever. The list's word must hold.
+    let mut m = table();
+    m.listed(vec![listed(1, true)], at(0));
+    m.heard(beat(1, 5, 70), at(10));
+    assert!(one(&m).leaving);
+}
+
+#[test]
+fn heard_late_after_the_goodbye() {
+    // A router says goodbye on its connection, and a heartbeat it sent before arrives after
+    // that by another one.
+    let mut m = table();
+    m.heard(beat(1, 1, 1), at(0));
+    m.left(&id(1), at(10));
+    m.heard(beat(1, 1, 2), at(20));
+    assert_eq!(one(&m).state, State::Left);
+    m.heard(beat(1, 2, 1), at(30));
+    assert_eq!(one(&m).state, State::Live);
 }
 
 #[test]
