--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -42,12 +42,16 @@
     since: Time,
     /// Number of the last lend that was taken in.
     lend: u64,
+    /// Whether the owner waits to hear that slots are back.
+    owes: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
     seq: u64,
+    /// The last lend that the owner was told to be seen.
+    told: u64,
     sent: Option<(Time, Body)>,
     acked: u64,
-    /// Since when a report waits for its acknowledgement.
+    /// Since when reports wait and none was acknowledged.
     unheard: Option<Time>,
 }
 
@@ -60,6 +64,7 @@
         self.owner = owner;
         self.since = now;
         self.lend = 0;
+        self.told = 0;
         self.sent = None;
         self.unheard = None;
     }
@@ -83,33 +88,44 @@
         inc: Incarnation,
         l: &Lend,
         seats: &mut Seats,
+        now: Time,
     ) -> bool {
         if self.owner.as_ref() != Some(&(from.clone(), inc)) || l.seq < self.lend {
             return false;
         }
-        self.acked = self.acked.max(l.seen);
-        if self.acked == self.seq {
-            self.unheard = None;
+        if l.seen > self.acked {
+            self.acked = l.seen;
+            self.unheard = (self.acked < self.seq).then_some(now);
         }
         self.capacity = l.capacity;
         if l.seq == self.lend {
+            // The owner sends it again, so the report that said it was seen got lost.
+            self.told = 0;
             return false;
         }
         self.lend = l.seq;
         self.pressed = l.pressed;
         let slots: BTreeMap<_, _> = l.slots.iter().copied().collect();
         for seat in seats.all.values_mut() {
-            seat.allowed = slots.get(&seat.key).copied().unwrap_or(0);
+            let allowed = slots.get(&seat.key).copied().unwrap_or(0);
+            self.owes |= allowed < seat.allowed;
+            seat.allowed = allowed;
         }
         true
     }
 
-    /// Gives back what is idle while work waits elsewhere.
-    pub(crate) fn give_back(&self, queues: &BTreeMap<Key, Queue>, seats: &mut Seats) {
-        if !self.pressed || self.lend == 0 || queues.values().any(|q| !q.is_empty()) {
-            return;
+    /// Gives back what is idle while work waits elsewhere, or when this router leaves.
+    pub(crate) fn give_back(
+        &mut self,
+        queues: &BTreeMap<Key, Queue>,
+        seats: &mut Seats,
+        leaving: bool,
+    ) {
+        let wanted = queues.values().any(|q| !q.is_empty());
+        let spare = self.pressed && self.lend > 0 && !wanted;
+        if spare || leaving {
+            self.owes |= seats.close();
         }
-        seats.close();
     }
 
     /// Returns the report that is due, if any.
@@ -125,6 +141,8 @@
             return None;
         }
         self.seq += 1;
+        self.owes = false;
+        self.told = self.lend;
         self.unheard.get_or_insert(now);
         self.sent = Some((now, body.clone()));
         Some(Report {
@@ -140,13 +158,15 @@
             return true;
         };
         let passed = now.since(*at);
-        if body == last {
-            return self.acked < self.seq && passed >= AGAIN;
-        }
         let fewer = body.total() < last.total();
         let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
-        let interval = if fewer || body.waits.iter().any(newly) {
+        let interval = if self.owes || fewer || body.waits.iter().any(newly) {
             URGENT
+        } else if body == last && self.told == self.lend {
+            match self.acked < self.seq {
+                true => AGAIN,
+                false => return false,
+            }
         } else if self.pressed || !body.waits.is_empty() {
             WAITING
         } else {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod base_line;
 mod call;
+mod chat_text;
 mod check;
 mod config;
 mod flags;
@@ -15,5 +16,8 @@
 mod views;
 mod wait;
 
-pub(crate) use self::print::table;
 pub use self::run::run;
+pub(crate) use self::{
+    flags::Measure,
+    print::table, //
+};
