Leave out log lines that nobody can read

Cause: a router at level info ended with a panic when the process that read its standard error stream was gone, as fern panics where it can tell of a failed write nowhere.

--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -44,7 +44,8 @@
         ffi::OsString,
         io::{
             self,
-            IsTerminal, //
+            IsTerminal,
+            Write, //
         },
         process::ExitCode, //
     },
@@ -62,7 +63,9 @@
             return end(put(help_for(&args, &error.to_string()).as_bytes()));
         }
         Err(error) => {
-            eprintln!("{error}; `chervilwind --help` lists what may be given");
+            complain(&format!(
+                "{error}; `chervilwind --help` lists what may be given\n"
+            ));
             return ExitCode::from(USAGE);
         }
     };
@@ -74,12 +77,17 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprint!("{}", render(&error, io::stderr().is_terminal()));
+            complain(&render(&error, io::stderr().is_terminal()));
             error.code()
         }
     }
 }
 
+/// Writes to the standard error stream; where nobody reads it, the exit code still tells.
+fn complain(text: &str) {
+    let _ = io::stderr().write_all(text.as_bytes());
+}
+
 fn run_command(command: ChervilwindCmd) -> Result<(), Error> {
     if !matches!(command, ChervilwindCmd::Router(_)) {
         start_logs(LevelFilter::Warn);
--- a/src/conf/logs.rs
+++ b/src/conf/logs.rs
@@ -1,15 +1,19 @@
 //! Where log lines go and how they look.
 
 use {
+    fern::Output,
     log::LevelFilter,
     std::{
-        io,
+        io::{
+            self,
+            Write, //
+        },
         time::SystemTime, //
     },
 };
 
 /// The crates whose own log lines are shown only when they warn.
-const LIBRARIES: [&str; 6] = ["tide", "async_std", "async_io", "polling", "surf", "femme"];
+const LIBRARIES: [&str; 5] = ["async_h1", "async_io", "async_std", "polling", "tide"];
 
 /// Starts logging to the standard error stream.
 ///
@@ -24,7 +28,12 @@
     for name in LIBRARIES {
         dispatch = dispatch.level_for(name, level.min(LevelFilter::Warn));
     }
-    let started = dispatch.chain(io::stderr()).apply();
+    // The process that reads the lines may end. It shows as a broken pipe, at which fern's own
+    // output panics in whatever task logs. A line that can't be written is left out instead.
+    let output = Output::call(|record| {
+        let _ = writeln!(io::stderr(), "{}", record.args());
+    });
+    let started = dispatch.chain(output).apply();
     if started.is_err() {
         log::debug!("config: logging runs already");
     }
