--- a/crates/callers/src/wire.rs
+++ b/crates/callers/src/wire.rs
@@ -19,7 +19,10 @@
     http_types::Method,
     std::{
         convert::Infallible,
-        future::pending,
+        future::{
+            pending,
+            poll_fn, //
+        },
         io,
         net::Shutdown,
         pin::Pin,
@@ -98,10 +101,14 @@
 
     /// Reads some bytes ahead. Returns how many, 0 at the end.
     pub(crate) async fn fill(&self) -> io::Result<usize> {
-        let mut buf = [0; READ_BYTES];
-        let n = (&self.socket).read(&mut buf).await?;
-        self.ahead().bytes.extend_from_slice(&buf[..n]);
-        Ok(n)
+        // The buffer lives only while bytes are here, so that an idle connection holds none.
+        poll_fn(|cx| {
+            let mut buf = [0; READ_BYTES];
+            let n = ready!(Pin::new(&mut &self.socket).poll_read(cx, &mut buf))?;
+            self.ahead().bytes.extend_from_slice(&buf[..n]);
+            Poll::Ready(Ok(n))
+        })
+        .await
     }
 
     /// Fires the signal when the caller hangs up. Never ends.
@@ -144,13 +151,13 @@
         // Closing a socket with unread bytes resets it, and the caller may lose the refusal
         // it was sent. So what the caller still sends is read off, within bounds.
         let _ = self.socket.shutdown(Shutdown::Write);
-        let mut buf = [0; READ_BYTES];
         let drain = async {
             let mut left = LINGER_BYTES;
-            loop {
-                match (&self.socket).read(&mut buf).await {
-                    Ok(n) if n > 0 && n < left => left -= n,
-                    _ => break,
+            while let Ok(n @ 1..) = self.fill().await {
+                self.ahead().bytes.clear();
+                match left.checked_sub(n) {
+                    Some(less) => left = less,
+                    None => break,
                 }
             }
             Ok(())
