--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -11,6 +11,8 @@
 
 pub(crate) use self::message::{
     Body,
+    Load,
+    Loads,
     ServiceKey,
     Wait, //
 };
@@ -18,6 +20,7 @@
     action::Action,
     core::Dispatch,
     dump::{
+        BorrowerDump,
         DispatchDump,
         OwnerView,
         QueueDump,
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -16,6 +16,7 @@
         },
         help::help_for,
         locate::locate,
+        print::put,
         standin::standin,
         views::{
             dump,
@@ -30,6 +31,7 @@
         },
         demo,
         errors::Error,
+        measure,
         router, //
     },
     async_std::task::block_on,
@@ -58,15 +60,19 @@
     let flags = match Chervilwind::from_vec(args.clone()) {
         Ok(flags) => flags,
         Err(error) if error.is_help() => {
-            print!("{}", help_for(&args, &error.to_string()));
-            return ExitCode::SUCCESS;
+            return end(put(help_for(&args, &error.to_string()).as_bytes()));
         }
         Err(error) => {
             eprintln!("{error}; `chervilwind --help` lists what may be given");
             return ExitCode::from(USAGE);
         }
     };
-    match run_command(flags.subcommand) {
+    end(run_command(flags.subcommand))
+}
+
+/// Prints the error, if there is one, and returns the exit code.
+fn end(result: Result<(), Error>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprint!("{}", render(&error, io::stderr().is_terminal()));
@@ -92,10 +98,7 @@
         ChervilwindCmd::Dump(flags) => block_on(dump(&flags)),
         ChervilwindCmd::Defaults(flags) => print_default(&flags),
         ChervilwindCmd::Standin(flags) => block_on(standin(&flags)),
-        ChervilwindCmd::Measure(flags) => Err(Error::Usage(
-            format!("nothing is measured under {:?}", flags.args),
-            "`chervilwind demo` shows the fleet at work".to_owned(),
-        )),
+        ChervilwindCmd::Measure(flags) => measure::run(&flags),
     }
 }
 
