--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -30,7 +30,8 @@
         },
         demo,
         errors::Error,
-        router, //
+        router,
+        slopes, //
     },
     async_std::task::block_on,
     log::LevelFilter,
@@ -92,6 +93,10 @@
         ChervilwindCmd::Dump(flags) => block_on(dump(&flags)),
         ChervilwindCmd::Defaults(flags) => print_default(&flags),
         ChervilwindCmd::Standin(flags) => block_on(standin(&flags)),
+        ChervilwindCmd::Measure(flags) if flags.args.first().is_some_and(|a| a == "slopes") => {
+            let plots = flags.args.get(1).map(std::path::Path::new);
+            slopes::run(plots, false)
+        }
         ChervilwindCmd::Measure(flags) => Err(Error::Usage(
             format!("nothing is measured under {:?}", flags.args),
             "`chervilwind demo` shows the fleet at work".to_owned(),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 mod errors;
 mod gauge;
 mod router;
+mod slopes;
 
 pub use self::{
     cli::run,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -28,6 +28,9 @@
 mod times;
 
 pub(crate) use self::{
+    changes::Log,
+    delta::History,
+    rules::rules,
     start::{
         run,
         start,
