--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -1,6 +1,7 @@
 //! A router's side of a pool: what it was lent and what it reports.
 
 use {
+    super::Limits,
     crate::{
         dispatch::{
             Body,
@@ -32,6 +33,8 @@
 const AGAIN: Span = Span::millis(400);
 /// After this time without a word from the owner, the static fraction is used.
 const DEAF: Span = Span::secs(1);
+/// Time between two reports of how the replicas answered.
+const LOADS: Span = Span::millis(500);
 /// Queues up to this length are reported exactly.
 const EXACT: u32 = 8;
 
@@ -42,12 +45,20 @@
     since: Time,
     /// Number of the last lend that was taken in.
     lend: u64,
+    /// Whether the owner waits to hear that slots are back.
+    owes: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
+    /// Limits of replicas that were heard of.
+    pub(crate) limits: Limits,
     seq: u64,
+    /// The last lend that the owner was told to be seen.
+    told: u64,
     sent: Option<(Time, Body)>,
     acked: u64,
-    /// Since when a report waits for its acknowledgement.
+    /// When the owner was last told how the replicas answered.
+    loaded: Option<Time>,
+    /// Since when reports wait and none was acknowledged.
     unheard: Option<Time>,
 }
 
@@ -60,6 +71,7 @@
         self.owner = owner;
         self.since = now;
         self.lend = 0;
+        self.told = 0;
         self.sent = None;
         self.unheard = None;
     }
@@ -83,36 +95,48 @@
         inc: Incarnation,
         l: &Lend,
         seats: &mut Seats,
+        now: Time,
     ) -> bool {
         if self.owner.as_ref() != Some(&(from.clone(), inc)) || l.seq < self.lend {
             return false;
         }
-        self.acked = self.acked.max(l.seen);
-        if self.acked == self.seq {
-            self.unheard = None;
+        if l.seen > self.acked {
+            self.acked = l.seen;
+            self.unheard = (self.acked < self.seq).then_some(now);
         }
         self.capacity = l.capacity;
         if l.seq == self.lend {
+            // The owner sends it again, so the report that said it was seen got lost.
+            self.told = 0;
             return false;
         }
         self.lend = l.seq;
         self.pressed = l.pressed;
+        self.limits.extend(l.limits.iter().copied());
         let slots: BTreeMap<_, _> = l.slots.iter().copied().collect();
         for seat in seats.all.values_mut() {
-            seat.allowed = slots.get(&seat.key).copied().unwrap_or(0);
+            let allowed = slots.get(&seat.key).copied().unwrap_or(0);
+            self.owes |= allowed < seat.allowed;
+            seat.allowed = allowed;
         }
         true
     }
 
-    /// Gives back what is idle while work waits elsewhere.
-    pub(crate) fn give_back(&self, queues: &BTreeMap<Key, Queue>, seats: &mut Seats) {
-        if !self.pressed || self.lend == 0 || queues.values().any(|q| !q.is_empty()) {
-            return;
+    /// Gives back what is idle while work waits elsewhere, or when this router leaves.
+    pub(crate) fn give_back(
+        &mut self,
+        queues: &BTreeMap<Key, Queue>,
+        seats: &mut Seats,
+        leaving: bool,
+    ) {
+        let wanted = queues.values().any(|q| !q.is_empty());
+        let spare = self.pressed && self.lend > 0 && !wanted;
+        if spare || leaving {
+            self.owes |= seats.close();
         }
-        seats.close();
     }
 
-    /// Returns the report that is due, if any.
+    /// Returns the report that is due, if any, without its loads.
     pub(crate) fn report(
         &mut self,
         service: ServiceKey,
@@ -121,10 +145,13 @@
         now: Time,
     ) -> Option<Report> {
         let body = body(queues, seats);
-        if !self.due(&body, now) {
+        let loads = body.running > 0 && self.loads_due(now);
+        if !self.due(&body, now) && !loads {
             return None;
         }
         self.seq += 1;
+        self.owes = false;
+        self.told = self.lend;
         self.unheard.get_or_insert(now);
         self.sent = Some((now, body.clone()));
         Some(Report {
@@ -132,21 +159,38 @@
             seq: self.seq,
             seen: self.lend,
             body,
+            limits: match self.lend {
+                0 => self.limits.iter().map(|(k, n)| (*k, *n)).collect(),
+                _ => Vec::new(),
+            },
+            loads: None,
         })
     }
 
+    /// Returns whether the owner should hear how the replicas answered.
+    pub(crate) fn loads_due(&self, now: Time) -> bool {
+        self.loaded.is_none_or(|t| now.since(t) >= LOADS)
+    }
+
+    /// Notes that the owner was told how the replicas answered.
+    pub(crate) fn loads_sent(&mut self, now: Time) {
+        self.loaded = Some(now);
+    }
+
     fn due(&self, body: &Body, now: Time) -> bool {
         let Some((at, last)) = &self.sent else {
             return true;
         };
         let passed = now.since(*at);
-        if body == last {
-            return self.acked < self.seq && passed >= AGAIN;
-        }
         let fewer = body.total() < last.total();
         let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
-        let interval = if fewer || body.waits.iter().any(newly) {
+        let interval = if self.owes || fewer || body.waits.iter().any(newly) {
             URGENT
+        } else if body == last && self.told == self.lend {
+            match self.acked < self.seq {
+                true => AGAIN,
+                false => return false,
+            }
         } else if self.pressed || !body.waits.is_empty() {
             WAITING
         } else {
--- a/src/cli/locate.rs
+++ b/src/cli/locate.rs
@@ -4,6 +4,7 @@
     super::{
         flags::Where,
         print::{
+            line,
             table,
             time, //
         },
@@ -11,13 +12,9 @@
     crate::errors::Error,
     callers::{
         Client,
-        ClientSettings,
-        Refused, //
-    },
-    policy::{
-        Outcome,
-        Span, //
+        ClientSettings, //
     },
+    policy::Span,
 };
 
 /// Asks a router which address to use, and for tickets.
@@ -25,11 +22,10 @@
     let client = Client::new(ClientSettings::new(vec![flags.router]));
     let tickets = flags.tickets.unwrap_or(0);
     let answer = client.ask(&flags.service, flags.router, tickets).await;
-    let answer = answer.map_err(refused)?;
+    let answer = answer.map_err(|r| Error::from_refused(&r))?;
     if flags.json {
         let json = serde_json::to_string(&answer);
-        println!("{}", json.map_err(|e| Error::Io("JSON", e.into()))?);
-        return Ok(());
+        return line(json.map_err(|e| Error::Io("JSON", e.into()))?);
     }
     let rows = answer.addresses.iter().map(|a| {
         vec![
@@ -40,18 +36,10 @@
         ]
     });
     let header = ["address", "router", "zone", "weight"];
-    println!("{}", table(&header, 3, rows.collect()));
-    println!("keep for {}", time(Span::millis(answer.keep_ms)));
+    line(table(&header, 3, rows.collect()))?;
+    line(format!("keep for {}", time(Span::millis(answer.keep_ms))))?;
     for ticket in &answer.tickets {
-        println!("ticket {ticket}");
+        line(format!("ticket {ticket}"))?;
     }
     Ok(())
 }
-
-/// Turns a refusal that no request was made for into an error.
-pub(crate) fn refused(refused: Refused) -> Error {
-    match refused.why {
-        callers::Why::NoEndpoint => Error::NoRouter(refused.message),
-        _ => Error::Request(Outcome::NotRun, refused.message),
-    }
-}
