policy: a heartbeat older than the news of a death is no sign of life

Another seed of the fuzz (77 of 5,000 cases) found a dead router called suspect again: its last heartbeats waited in the socket of a stopped router, which heard of the death first when it went on, then took them for life. Shown failing by heard_late_of_a_router_that_others_know_is_dead. Now the heartbeat must be newer than the one that the news rests on. The model let a stop shrink while its messages waited for the old end; that is no stop of a process, and mended.

--- a/crates/policy/src/members/news.rs
+++ b/crates/policy/src/members/news.rs
@@ -68,7 +68,7 @@
         let newcomer = b.incarnation > p.member.incarnation;
         if newcomer {
             p.restart(b.incarnation, &self.plan);
-        } else if p.member.state == State::Left || p.direct.is_some_and(|(seq, _)| b.seq <= seq) {
+        } else if p.stale(b.seq) {
             return false;
         }
         let before = p.member.clone();
--- a/crates/policy/src/members/peer.rs
+++ b/crates/policy/src/members/peer.rs
@@ -133,6 +133,19 @@
         }
     }
 
+    /// Tells whether a heartbeat of the present start proves nothing.
+    pub(super) fn stale(&self, seq: u64) -> bool {
+        // A heartbeat that was held up may come when others have found the router dead. Taken
+        // for a sign of life it would bring work to a dead router for two more seconds. What
+        // the others say rests on the last heartbeat that any of them heard.
+        let heard = match self.member.state {
+            State::Left => return true,
+            State::Suspect | State::Dead => Some(self.seq),
+            State::Listed | State::Live => self.direct.map(|(seq, _)| seq),
+        };
+        heard.is_some_and(|last| seq <= last)
+    }
+
     /// Moves to another state; returns whether it is another.
     pub(super) fn turn(&mut self, state: State, now: Time) -> bool {
         if self.member.state == state {
--- a/crates/policy/tests/head/fuzz.rs
+++ b/crates/policy/tests/head/fuzz.rs
@@ -1,6 +1,7 @@
 //! Routers, a platform that may be restored to an older state, and lost fetches.
 
 use {
+    crate::seeded,
     policy::{
         head::{
             Decision,
@@ -13,10 +14,7 @@
         Span,
         Time, //
     },
-    proptest::{
-        prelude::*,
-        test_runner::RngSeed, //
-    },
+    proptest::prelude::*,
     proptest_state_machine::{
         prop_state_machine,
         ReferenceStateMachine,
@@ -229,21 +227,8 @@
     id[1..].parse().unwrap()
 }
 
-/// Fixed seed, so that CI runs the same cases; `PROPTEST_CASES` and `PROPTEST_RNG_SEED` set
-/// a longer run or another seed.
-fn config() -> ProptestConfig {
-    let mut c = ProptestConfig {
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    };
-    if c.rng_seed == RngSeed::Random {
-        c.rng_seed = RngSeed::Fixed(1);
-    }
-    c
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(seeded::config(256))]
 
     #[test]
     fn head_never_goes_back_and_reaches_the_highest(sequential 1..200 => World);
--- a/crates/policy/tests/head/main.rs
+++ b/crates/policy/tests/head/main.rs
@@ -1,6 +1,8 @@
 //! The configuration in force: never reverts, and is fetched from whoever has it.
 
 mod fuzz;
+#[path = "../seeded/mod.rs"]
+mod seeded;
 
 use policy::{
     head::{
--- a/crates/policy/tests/members/fleet.rs
+++ b/crates/policy/tests/members/fleet.rs
@@ -36,6 +36,9 @@
     /// It was stopped, and goes on then.
     pub frozen: Option<Time>,
     pub replaced: bool,
+    /// The revision in force, taken from the first heartbeat that names a higher one.
+    pub config: u64,
+    pub leaving: bool,
     pub beats: u64,
     pub bytes: u64,
 }
@@ -77,6 +80,17 @@
     }
 }
 
+impl Node {
+    pub fn take(&mut self, config: u64) {
+        self.config = self.config.max(config);
+        self.table.set(Own {
+            config: self.config,
+            leaving: self.leaving,
+            ..Own::default()
+        });
+    }
+}
+
 impl Fleet {
     pub fn new(n: usize, seed: u64) -> Fleet {
         let mut fleet = Fleet {
@@ -114,6 +128,8 @@
             up: true,
             frozen: None,
             replaced: false,
+            config: 0,
+            leaving: false,
             beats: 0,
             bytes: 0,
         }
@@ -130,7 +146,8 @@
     }
 
     pub fn freeze(&mut self, i: usize, s: Span) {
-        self.nodes[i].frozen = Some(self.now + s);
+        // What arrives meanwhile waits until then, so a stop can grow but not shrink.
+        self.nodes[i].frozen = self.nodes[i].frozen.max(Some(self.now + s));
     }
 
     /// Cuts every heartbeat between the two sides.
@@ -145,10 +162,8 @@
     }
 
     pub fn leave(&mut self, i: usize) {
-        self.nodes[i].table.set(Own {
-            leaving: true,
-            ..Own::default()
-        });
+        self.nodes[i].leaving = true;
+        self.nodes[i].take(0);
     }
 
     pub fn run(&mut self, s: Span) {
@@ -226,7 +241,10 @@
             match node.frozen {
                 // A process that goes on looks at its clock before it reads what arrived.
                 Some(t) => held.push(((t + AWAKE, n), (to, incarnation, beat))),
-                None => node.table.heard(beat, self.now),
+                None => {
+                    node.take(beat.config);
+                    node.table.heard(beat, self.now);
+                }
             }
         }
         self.wire.extend(held);
--- a/crates/policy/tests/members/fuzz.rs
+++ b/crates/policy/tests/members/fuzz.rs
@@ -1,18 +1,18 @@
 //! Random faults, one on another; after each quiet spell everyone must see the truth.
 
 use {
-    crate::fleet::{
-        id,
-        Fleet, //
+    crate::{
+        fleet::{
+            id,
+            Fleet, //
+        },
+        seeded, //
     },
     policy::{
         members::State,
         Span, //
     },
-    proptest::{
-        prelude::*,
-        test_runner::RngSeed, //
-    },
+    proptest::prelude::*,
     proptest_state_machine::{
         prop_state_machine,
         ReferenceStateMachine,
@@ -149,25 +149,8 @@
     assert_eq!(f.wrong, wrong, "a wrong suspicion without any fault");
 }
 
-/// Fixed seed, so that CI runs the same cases; `PROPTEST_CASES` and `PROPTEST_RNG_SEED` set
-/// a longer run or another seed.
-fn config() -> ProptestConfig {
-    let mut c = ProptestConfig {
-        failure_persistence: None,
-        max_shrink_iters: 300,
-        ..ProptestConfig::default()
-    };
-    if c.rng_seed == RngSeed::Random {
-        c.rng_seed = RngSeed::Fixed(1);
-    }
-    if std::env::var_os("PROPTEST_CASES").is_none() {
-        c.cases = 64;
-    }
-    c
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(seeded::config(64))]
 
     #[test]
     fn members_see_the_truth_after_faults(sequential 1..40 => Fleet);
--- a/crates/policy/tests/members/main.rs
+++ b/crates/policy/tests/members/main.rs
@@ -2,6 +2,8 @@
 
 mod fleet;
 mod fuzz;
+#[path = "../seeded/mod.rs"]
+mod seeded;
 mod single;
 
 use {
@@ -187,6 +189,10 @@
     println!("{n}: {beats} heartbeats and {bytes} bytes a second at most");
     assert!(beats <= 8 * 4 + 8);
     assert_eq!(f.wrong, (0, 0));
+    f.nodes[5].take(1);
+    let took = f.until(Span::secs(20), |f| f.nodes.iter().all(|n| n.config == 1));
+    println!("{n}: a revision is known at all after {}", took.unwrap());
+    assert!(took.unwrap() <= Span::secs(3));
     f.kill(77);
     let took = f.until(Span::secs(20), |f| f.all_see(77, State::Dead));
     println!("{n}: killed, dead at all after {}", took.unwrap());
--- a/crates/policy/tests/members/single.rs
+++ b/crates/policy/tests/members/single.rs
@@ -82,6 +82,29 @@
     assert_eq!(one(&m).state, State::Live);
 }
 
+#[test]
+fn heard_late_of_a_router_that_others_know_is_dead() {
+    // A router is stopped for some seconds, and another is killed meanwhile. When the first
+    // goes on it hears of the death before it reads the last heartbeats of the dead one, which
+    // have waited in its socket. They are older than what the news rests on.
+    let mut m = table();
+    m.heard(beat(1, 1, 2), at(0));
+    let mut b = beat(2, 1, 50);
+    b.rumours = vec![Rumour {
+        id: id(1),
+        incarnation: Incarnation(1),
+        seq: 5,
+        word: Word::Dead,
+    }];
+    m.heard(b, at(3000));
+    for seq in 3..=5 {
+        m.heard(beat(1, 1, seq), at(3100));
+        assert_eq!(one(&m).state, State::Dead);
+    }
+    m.heard(beat(1, 1, 6), at(3200));
+    assert_eq!(one(&m).state, State::Live);
+}
+
 #[test]
 fn heard_late_of_the_start_before() {
     // A router restarts, and a heartbeat of its earlier start arrives after the first one of
--- /dev/null
+++ b/crates/policy/tests/seeded/mod.rs
@@ -0,0 +1,22 @@
+//! How the fuzz tests are run: the same cases each time, more of them on request.
+
+use proptest::{
+    prelude::ProptestConfig,
+    test_runner::RngSeed, //
+};
+
+/// Runs `cases` cases from a fixed seed, unless `CHERVILWIND_FUZZ_CASES` and
+/// `CHERVILWIND_FUZZ_SEED` say otherwise.
+pub fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases: env("CHERVILWIND_FUZZ_CASES").map_or(cases, |n| n as u32),
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(env("CHERVILWIND_FUZZ_SEED").unwrap_or(1)),
+        max_shrink_iters: 2_000,
+        ..ProptestConfig::default()
+    }
+}
+
+fn env(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
--- a/crates/policy/tests/tickets/main.rs
+++ b/crates/policy/tests/tickets/main.rs
@@ -1,5 +1,7 @@
 //! At most once: a fuzz against an oracle, and the stories of single failures.
 
+#[path = "../seeded/mod.rs"]
+mod seeded;
 mod stories;
 mod world;
 
@@ -10,8 +12,7 @@
     },
     proptest::{
         prelude::*,
-        sample::Index,
-        test_runner::RngSeed, //
+        sample::Index, //
     },
     proptest_state_machine::{
         prop_state_machine,
@@ -77,22 +78,8 @@
     }
 }
 
-/// Fixed seed, so that CI runs the same cases; `PROPTEST_CASES` and `PROPTEST_RNG_SEED` set
-/// a longer run or another seed.
-fn config() -> ProptestConfig {
-    let mut c = ProptestConfig {
-        failure_persistence: None,
-        max_shrink_iters: 20_000,
-        ..ProptestConfig::default()
-    };
-    if c.rng_seed == RngSeed::Random {
-        c.rng_seed = RngSeed::Fixed(1);
-    }
-    c
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(seeded::config(256))]
 
     #[test]
     fn tickets_start_at_most_once(sequential 1..400 => World);
