Read chunked bodies that come in pieces, and survive their trailers

Cause: the HTTP library's decoder of chunks waits for the line end behind the last chunk without asking to be woken, and panics at a trailer that is not ASCII. Change: a wake-up after each read; a panic while a body is read is a malformed body. Proof, both seen failing before: request_chunked_pieces (hung until the body's time was up), trailer_not_text (connection closed without an answer).

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -211,7 +211,14 @@
         let most = limits.body_bytes as u64;
         let mut body = Vec::new();
         let mut reader = head.http.take_body().into_reader().take(most + 1);
-        let read = timeout(time, reader.read_to_end(&mut body)).await;
+        // The library panics at a trailer that is not ASCII.
+        let whole = AssertUnwindSafe(reader.read_to_end(&mut body)).catch_unwind();
+        let whole = async {
+            whole
+                .await
+                .unwrap_or(Err(io::ErrorKind::InvalidData.into()))
+        };
+        let read = timeout(time, whole).await;
         match (read, head.framing) {
             (Err(_), _) if time < limits.body_time => Err(parse::expired().into()),
             (Err(_), _) => Err(Refused::new(
--- a/crates/callers/src/wire.rs
+++ b/crates/callers/src/wire.rs
@@ -185,6 +185,10 @@
             n
         };
         ahead.allowed -= n as u64;
+        // The library's decoder of chunks loses its wake-up where the line end behind the last
+        // chunk comes in pieces: it reads one and waits without having asked for the next. The
+        // request would hang with its whole body here. This wake-up makes it ask again.
+        cx.waker().wake_by_ref();
         Poll::Ready(Ok(n))
     }
 }
--- a/crates/callers/tests/bad_input.rs
+++ b/crates/callers/tests/bad_input.rs
@@ -131,8 +131,14 @@
             let text = refused(limits(), format!("{HEAD}{extra}\r\nabc")).await;
             expect(&text, 400, "bad-request");
         }
-        let chunks = format!("{HEAD}transfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n");
-        expect(&refused(limits(), chunks).await, 400, "malformed");
+        for chunks in [
+            "zz\r\nabc\r\n",
+            "3\r\nabcd",
+            "0\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+        ] {
+            let bytes = format!("{HEAD}transfer-encoding: chunked\r\n\r\n{chunks}");
+            expect(&refused(limits(), bytes).await, 400, "malformed");
+        }
     });
 }
 
@@ -147,6 +153,16 @@
     });
 }
 
+#[test]
+fn trailer_not_text() {
+    // The library panics here too, in the middle of the body.
+    task::block_on(async {
+        let chunks = b"transfer-encoding: chunked\r\n\r\n0\r\nx-name: caf\xc3\xa9\r\n\r\n";
+        let bytes = [HEAD.as_bytes(), chunks].concat();
+        expect(&refused(limits(), bytes).await, 400, "malformed");
+    });
+}
+
 #[test]
 fn header_missing() {
     task::block_on(async {
--- a/crates/callers/tests/server.rs
+++ b/crates/callers/tests/server.rs
@@ -74,6 +74,27 @@
     });
 }
 
+#[test]
+fn request_chunked_pieces() {
+    // A caller's chunked body comes in pieces, the last line end of it alone. The library
+    // reads on from there without asking to be woken, so the request hung until the body's
+    // time was up although it was all there.
+    task::block_on(async {
+        let long = Limits {
+            body_time: Duration::from_secs(600),
+            ..Limits::default()
+        };
+        let (_server, address) = start(long, echo).await;
+        let mut raw = Raw::connect(address).await;
+        let head = format!("{HEAD}transfer-encoding: chunked\r\n\r\n");
+        for piece in [&head, "3\r\nabc", "\r\n0\r\n", "\r", "\n"] {
+            raw.send(piece).await;
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        raw.until("\r\n\r\nabc").await;
+    });
+}
+
 #[test]
 fn request_pipelined() {
     // A caller sends two requests in one go. Both are answered, in order: the second must not
