--- a/crates/callers/src/client/exchange.rs
+++ b/crates/callers/src/client/exchange.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        eager::Eager,
         pool::Pool,
         Answer,
         Call, //
@@ -82,7 +83,11 @@
         if self.bounded(socket.write_all(&bytes)).await.is_err() {
             return Tried::Lost;
         }
-        let read = async { decode(socket.clone()).await.map_err(io::Error::other) };
+        let read = async {
+            decode(Eager(socket.clone()))
+                .await
+                .map_err(io::Error::other)
+        };
         let Ok(mut http) = self.bounded(read).await else {
             return Tried::Lost;
         };
--- a/crates/callers/src/client/mod.rs
+++ b/crates/callers/src/client/mod.rs
@@ -1,6 +1,7 @@
 //! A client of the callers' interface, for our own commands, the demo and measurements.
 
 mod call;
+mod eager;
 mod exchange;
 mod known;
 mod pool;
--- a/crates/callers/tests/client.rs
+++ b/crates/callers/tests/client.rs
@@ -445,6 +445,34 @@
     });
 }
 
+#[test]
+fn stream_end_pieces() {
+    // The last line end of a stream arrives alone. The library's decoder would wait for it
+    // without asking to be woken, and the call would hang though its answer is whole.
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let a = listener.local_addr().unwrap();
+        task::spawn(async move {
+            let (mut socket, _) = listener.accept().await.unwrap();
+            let _ = socket.read(&mut [0; 8192]).await;
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            for piece in [head, "2\r\nok\r\n0\r\n", "\r", "\n"] {
+                socket.write_all(piece.as_bytes()).await.unwrap();
+                task::sleep(Duration::from_millis(20)).await;
+            }
+            let _ = socket.read(&mut [0; 1]).await;
+        });
+        let client = Client::new(ClientSettings {
+            silence: Duration::from_secs(600),
+            timeout: Duration::from_secs(600),
+            ..ClientSettings::new(vec![guide(&Log::default(), &[a], 0).await])
+        });
+        // In a task of its own: the bound on waiting would wake the call up.
+        let answer = soon(task::spawn(async move { client.call(&call()).await })).await;
+        assert_eq!(answer.body, b"ok");
+    });
+}
+
 fn pieces(data: &[&str], end: Piece) -> Response {
     let (send, receive) = bounded(8);
     for part in data {
