--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -17,15 +17,9 @@
         },
     },
     async_std::task,
-    operators::{
-        Document,
-        Fleet,
-        Source as Text, //
-    },
     platform::{
         store::{
             self,
-            join,
             repair,
             Config,
             Repaired,
@@ -177,10 +171,9 @@
     ///
     /// Returns whether it is usable, in force or not.
     fn take_config(&self, config: Config, from: &Source) -> bool {
-        let text = join(&config.parts);
-        let name = format!("revision {}", config.revision);
-        let document = match Document::parse(&Text::from_text(&name, &text)) {
-            Ok(document) => document,
+        let mut force = lock(&self.force);
+        let fleet = match force.loader.load(&config) {
+            Ok(fleet) => fleet,
             Err(e) => {
                 log::error!("config: revision {} is not valid: {e}", config.revision);
                 return false;
@@ -188,7 +181,6 @@
         };
         let revision = Revision(config.revision.0);
         let hash = delta::hash(&config.parts);
-        let mut force = lock(&self.force);
         match force.head.fetched(revision, hash, self.clock.now()) {
             Taken::InForce => {}
             Taken::Old => return true,
@@ -200,8 +192,8 @@
                 return true;
             }
         }
-        let rules = rules(&document);
-        force.fleet = Arc::new(Fleet::new(document));
+        let rules = rules(fleet.document());
+        force.fleet = Arc::new(fleet);
         force.history.push(&config);
         force.config = Some(Arc::new(config));
         log::info!("config: revision {revision} of {from} is in force");
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -38,7 +38,10 @@
         task, //
     },
     callers::Server,
-    operators::Fleet,
+    operators::{
+        Fleet,
+        Loader, //
+    },
     peers::{
         Links,
         Pace, //
@@ -176,6 +179,7 @@
             head: Head::new(clock.now()),
             config: None,
             history: History::default(),
+            loader: Loader::default(),
             fleet: Arc::new(Fleet::default()),
         }),
         listing: Mutex::new(Listing::default()),
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -14,7 +14,10 @@
         times::Times, //
     },
     crate::conf::Settings,
-    operators::Fleet,
+    operators::{
+        Fleet,
+        Loader, //
+    },
     peers::Links,
     platform::{
         store::Config,
@@ -60,6 +63,8 @@
     pub(crate) config: Option<Arc<Config>>,
     /// The parts of those before it, for peers that are behind.
     pub(crate) history: History,
+    /// Reads the parts that changed.
+    pub(crate) loader: Loader,
     /// The same, for look-ups.
     pub(crate) fleet: Arc<Fleet>,
 }
