platform: prove races, lost answers, outages and restores

Found on the way: a part's write gave up when the circuit paused after a lost answer, so that an apply ended as not applied although it could go on (the test apply_answers_lost failed). It now goes on as the head's write does. A change made on an older configuration than the fleet has is refused: on a restored platform it would have taken back what was accepted since.

--- a/crates/platform/src/circuit.rs
+++ b/crates/platform/src/circuit.rs
@@ -24,7 +24,7 @@
 impl Circuit {
     /// Lets a call through, or tells how long it has to wait.
     ///
-    /// After a pause one call goes as a probe, and the others wait `probe` for its end.
+    /// After a pause one call goes as a probe, and the others wait for its end, `probe` at most.
     pub(crate) fn admit(&mut self, now: Instant, probe: Duration) -> Result<(), Span> {
         match self.until {
             Some(until) if until > now => Err((until - now).into()),
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -123,7 +123,7 @@
     pub(crate) async fn call(&self, call: Call) -> Result<Answer, Fail> {
         let began = Instant::now();
         let limit = Duration::from(self.0.opts.answer + call.wait);
-        self.admit(began, limit)?;
+        self.admit(began)?;
         let done = self.tries(&call, limit).await;
         let mut circuit = self.circuit();
         match done {
@@ -158,9 +158,9 @@
         self.0.circuit.lock().expect("no holder panics")
     }
 
-    fn admit(&self, now: Instant, limit: Duration) -> Result<(), Fail> {
-        let connect = Duration::from(self.0.opts.connect);
-        let admitted = self.circuit().admit(now, connect + limit);
+    fn admit(&self, now: Instant) -> Result<(), Fail> {
+        let probe = Duration::from(self.0.opts.connect + self.0.opts.answer);
+        let admitted = self.circuit().admit(now, probe);
         admitted.map_err(|retry| Fail {
             sent: false,
             cause: "it failed just now and is given a pause".to_owned(),
--- a/crates/platform/src/store/apply.rs
+++ b/crates/platform/src/store/apply.rs
@@ -40,9 +40,11 @@
 };
 
 /// How often a write without an answer is made again, to find out what became of it.
-const TRIES: usize = 8;
-/// Least pause between two of them.
-const PAUSE: Span = Span::millis(200);
+const TRIES: usize = 10;
+/// Pause before the second of them; it doubles each time.
+const PAUSE: Span = Span::millis(50);
+/// Longest pause.
+const PAUSE_MAX: Span = Span::secs(2);
 
 /// A new configuration, whole.
 #[derive(Debug, Clone)]
@@ -53,8 +55,8 @@
     pub parts: Vec<Part>,
     /// The operator who makes it.
     pub writer: String,
-    /// The highest revision known to any router. The platform may have been restored to an
-    /// older state; the new revision is above both.
+    /// The highest revision known to any router; the platform may have been restored to an
+    /// older state. A change on a base below it is refused.
     pub floor: Revision,
 }
 
@@ -70,7 +72,8 @@
 /// Writes a new configuration where its base is still the one in force.
 ///
 /// A base above the head on the platform is accepted: the platform then was restored to an
-/// older state, and the operator's base, which routers have in force, is the newer one.
+/// older state, and the operator's base, which routers have in force, is the newer one. So
+/// the revision of an accepted configuration is above all that the fleet knows.
 ///
 /// # Errors
 ///
@@ -78,7 +81,7 @@
 pub async fn apply(kv: &Kv, change: Change) -> Result<Applied, ApplyError> {
     check(&change.parts)?;
     let found = read_head(kv).await?;
-    check_base(&found, change.base)?;
+    check_base(&found, &change)?;
     let left = clean(kv, found.head.as_ref()).await;
     let head = prepare(kv, &found, &change, left).await?;
     let key = commit(kv, &found, &head).await?;
@@ -106,13 +109,22 @@
     Ok(())
 }
 
-fn check_base(found: &Found, base: Base) -> Result<(), ApplyError> {
-    let Some(head) = &found.head else {
-        return Ok(());
-    };
-    let other = base.write.is_some_and(|w| w != head.write);
-    if head.revision > base.revision || (head.revision == base.revision && other) {
-        return Err(conflict(head));
+fn check_base(found: &Found, change: &Change) -> Result<(), ApplyError> {
+    let base = change.base;
+    if let Some(head) = &found.head {
+        let other = base.write.is_some_and(|w| w != head.write);
+        if head.revision > base.revision || (head.revision == base.revision && other) {
+            return Err(conflict(head));
+        }
+    }
+    // A platform that was restored shows an older configuration. A change made on it would
+    // take back what was accepted since, and routers would follow, as its revision is the
+    // highest. The fleet's own highest revision tells.
+    if base.revision < change.floor {
+        return Err(ApplyError::Behind {
+            base: base.revision,
+            floor: change.floor,
+        });
     }
     Ok(())
 }
@@ -165,7 +177,7 @@
     }
     let last = before.map_or(Revision::NONE, |h| h.revision);
     let mut head = Head {
-        revision: last.max(change.floor).max(change.base.revision).next(),
+        revision: last.max(change.base.revision).next(),
         writer: change.writer.clone(),
         write: WriteId::random(),
         parts,
@@ -183,20 +195,26 @@
 pub(crate) async fn put_blob(kv: &Kv, hash: PartHash, text: &Arc<str>) -> Result<Blob, KvError> {
     let key = Blob::key_of(hash);
     let mut cas = KeyRevision::NONE;
-    let mut tries = 0;
-    loop {
-        tries += 1;
-        match kv.put(&key, text.clone(), cas, None).await {
+    let mut lost = false;
+    let mut last = None;
+    for tries in 1..=TRIES {
+        let e = match kv.put(&key, text.clone(), cas, None).await {
             Ok(key) => return Ok(Blob { hash, key }),
-            Err(KvError::Conflict { current }) => cas = current,
-            Err(e) if tries >= TRIES => return Err(e),
-            Err(e @ KvError::Unknown { .. }) => task::sleep(pause_after(&e)).await,
-            Err(e) => return Err(e),
+            Err(e) => e,
+        };
+        match &e {
+            KvError::Conflict { current } => cas = *current,
+            KvError::Unknown { .. } => lost = true,
+            // The circuit pauses after a lost answer.
+            KvError::Unavailable { .. } if lost => {}
+            _ => return Err(e),
         }
-        if tries >= 2 * TRIES {
-            return Err(KvError::Conflict { current: cas });
+        if !matches!(e, KvError::Conflict { .. }) {
+            task::sleep(pause_after(tries, &e)).await;
         }
+        last = Some(e);
     }
+    Err(last.expect("there is at least one try"))
 }
 
 /// Writes the head, and finds out what became of it where the answer is lost.
@@ -205,7 +223,7 @@
 async fn commit(kv: &Kv, found: &Found, head: &Head) -> Result<KeyRevision, ApplyError> {
     let text: Arc<str> = head.to_text().map_err(ApplyError::Read)?.into();
     let mut lost = None;
-    for _ in 0..TRIES {
+    for tries in 1..=TRIES {
         // A write whose answer was lost may still be under way and be done later. Reading
         // the head back is no proof against that. The same write made again is: either it
         // is done now, or the head's key has moved and the late one can't be done any more.
@@ -221,7 +239,7 @@
         if !cause.may_have_run() && lost.is_none() {
             return Err(ApplyError::NotApplied(cause));
         }
-        task::sleep(pause_after(&cause)).await;
+        task::sleep(pause_after(tries, &cause)).await;
         lost = Some(cause);
     }
     Err(unknown(head, lost))
@@ -267,9 +285,11 @@
     }
 }
 
-fn pause_after(cause: &KvError) -> Duration {
+/// Returns how long to wait after a number of tries, the last of which failed.
+fn pause_after(tries: usize, cause: &KvError) -> Duration {
+    let doubled = Span(PAUSE.0 << (tries - 1).min(10)).min(PAUSE_MAX);
     match cause {
-        KvError::Unavailable { retry, .. } => PAUSE.max(*retry).into(),
-        _ => PAUSE.into(),
+        KvError::Unavailable { retry, .. } => doubled.max(*retry).into(),
+        _ => doubled.into(),
     }
 }
--- a/crates/platform/src/store/error.rs
+++ b/crates/platform/src/store/error.rs
@@ -44,6 +44,15 @@
         /// Who wrote it.
         writer: String,
     },
+    /// The change was made on an older configuration than routers have in force; nothing was
+    /// changed. The platform was restored to an older state.
+    #[error("your change is on revision {base}, and routers have revision {floor} in force; look at a router's configuration, redo your change on it and apply again")]
+    Behind {
+        /// The revision that the change was made on.
+        base: Revision,
+        /// The highest revision that routers know.
+        floor: Revision,
+    },
     /// A part is too large; nothing was changed.
     #[error("part `{name}` has {size} bytes, more than {limit}; split it in two")]
     TooLarge {
--- a/crates/platform/src/store/watch.rs
+++ b/crates/platform/src/store/watch.rs
@@ -86,12 +86,14 @@
 
     async fn step(&mut self, kv: &Kv, have: Option<&Config>) -> Result<Seen, ReadError> {
         self.calls += 1;
-        let watched = match self.calls % READ_EVERY {
-            0 => match kv.get(HEAD_KEY).await? {
+        // After a failure a read tells sooner than a watch whether the platform is back.
+        let read = self.failed || self.calls % READ_EVERY == 0;
+        let watched = match read {
+            true => match kv.get(HEAD_KEY).await? {
                 Some(entry) => Watched::Changed(entry),
                 None => Watched::Gone,
             },
-            _ => kv.watch(HEAD_KEY, self.seen, WAIT).await?,
+            false => kv.watch(HEAD_KEY, self.seen, WAIT).await?,
         };
         let entry = match watched {
             Watched::Same => return Ok(Seen::Same),
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -3,4 +3,9 @@
 mod common;
 mod instances;
 mod kv;
+mod lease;
+mod race;
+mod restore;
 mod store;
+mod store_fuzz;
+mod watch;
--- a/crates/standins/src/platform/handle.rs
+++ b/crates/standins/src/platform/handle.rs
@@ -145,6 +145,11 @@
         self.shared.lock().restore()
     }
 
+    /// Returns the keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.shared.lock().kv.keys(prefix)
+    }
+
     /// Returns the calls counted, by client and kind.
     pub fn counts(&self) -> Vec<CallCount> {
         self.shared.lock().counts.list()
--- a/crates/standins/src/platform/kv.rs
+++ b/crates/standins/src/platform/kv.rs
@@ -58,6 +58,13 @@
         self.revision
     }
 
+    /// Returns the keys that begin with `prefix`.
+    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+        let from = self.keys.range(prefix.to_owned()..);
+        let some = from.map(|(k, _)| k).take_while(|k| k.starts_with(prefix));
+        some.cloned().collect()
+    }
+
     pub(crate) fn get(&self, key: &str) -> Option<&Stored> {
         self.keys.get(key)
     }
