--- a/crates/callers/src/client/exchange.rs
+++ b/crates/callers/src/client/exchange.rs
@@ -42,13 +42,16 @@
     },
 };
 
+/// What takes a streamed body, piece by piece.
+pub(crate) type OnChunk<'a> = Option<&'a mut (dyn FnMut(&[u8]) + Send)>;
+
 const READ_BYTES: usize = 16 * 1024;
 
 /// What came of one try.
 pub(crate) enum Tried {
     /// A whole answer, or a refusal.
     Whole(Answer),
-    /// The body began and was cut, or its last event told of an error.
+    /// The body was cut after a part of it was passed on, or its last event tells why.
     Cut(Answer),
     /// No connection was made, so nothing ran.
     Unsent,
@@ -60,21 +63,19 @@
 pub(crate) struct Exchange<'a> {
     pub(crate) pool: &'a Pool,
     pub(crate) router: SocketAddr,
-    pub(crate) http: http_types::Request,
     /// Longest time without a byte.
     pub(crate) silence: std::time::Duration,
     pub(crate) until: Instant,
 }
 
 impl Exchange<'_> {
-    pub(crate) async fn run(self, on_chunk: &mut (dyn FnMut(&[u8]) + Send)) -> Tried {
+    pub(crate) async fn run(self, http: http_types::Request, on_chunk: &mut OnChunk<'_>) -> Tried {
         let Ok(mut socket) = self.pool.get(self.router).await else {
             return Tried::Unsent;
         };
         let mut bytes = Vec::new();
-        let encoded = Encoder::new(self.http.clone())
-            .read_to_end(&mut bytes)
-            .await;
+        // The library's copy of a request has no body, so the request itself is encoded.
+        let encoded = Encoder::new(http).read_to_end(&mut bytes).await;
         if encoded.is_err() {
             return Tried::Unsent;
         }
@@ -86,33 +87,47 @@
             return Tried::Lost;
         };
         let mut answer = head_of(&http, self.router);
+        let begun = on_chunk.is_some() && http.len().is_none();
         let whole = self.body(&mut http, &mut answer, on_chunk).await;
         let close = answer.header("connection") == Some("close");
         if whole && !close {
             self.pool.put(self.router, socket);
         }
-        settle(answer, whole)
+        match settle(answer, whole) {
+            Tried::Cut(a) if a.refused.is_none() && (a.body.is_empty() || !begun) => Tried::Lost,
+            tried => tried,
+        }
     }
 
     async fn body(
         &self,
         http: &mut http_types::Response,
         answer: &mut Answer,
-        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+        on_chunk: &mut OnChunk<'_>,
     ) -> bool {
+        let streamed = http.len().is_none();
         let mut buf = vec![0; READ_BYTES];
         loop {
             match self.bounded(http.read(&mut buf)).await {
                 Ok(0) => break,
                 Ok(n) => {
-                    on_chunk(&buf[..n]);
+                    if let Some(f) = on_chunk.as_mut().filter(|_| streamed) {
+                        f(&buf[..n]);
+                    }
                     answer.body.extend_from_slice(&buf[..n]);
                 }
                 Err(_) => return false,
             }
         }
         // The library takes a body that ends early for a whole one.
-        http.len().is_none_or(|len| answer.body.len() >= len)
+        if http.len().is_some_and(|len| answer.body.len() < len) {
+            return false;
+        }
+        // A whole answer is passed on only once it is here, so that a cut one can be asked again.
+        if let Some(f) = on_chunk.as_mut().filter(|_| !streamed) {
+            f(&answer.body);
+        }
+        true
     }
 
     async fn bounded<T>(
@@ -204,7 +219,8 @@
     }
     let head = answer.header(OUTCOME).and_then(|v| v.parse().ok());
     answer.outcome = head.unwrap_or(Outcome::Answered);
-    if answer.outcome != Outcome::Answered {
+    // A ticket's recorded outcome may be `answered` though the answer itself is gone.
+    if answer.status >= Some(400) {
         answer.refused = serde_json::from_slice(&answer.body).ok();
     }
     Tried::Whole(answer)
--- a/crates/callers/src/client/settings.rs
+++ b/crates/callers/src/client/settings.rs
@@ -16,6 +16,8 @@
 pub struct ClientSettings {
     /// Routers to ask for addresses, tried in this order.
     pub routers: Vec<SocketAddr>,
+    /// Calls go to `routers` in their order, whatever the fleet would advise; for measuring.
+    pub pinned: bool,
     /// The caller's availability zone.
     pub zone: Option<Zone>,
     /// The workspace named when asking for addresses.
@@ -26,8 +28,8 @@
     pub tries: usize,
     /// Time for a call without a deadline.
     pub timeout: Duration,
-    /// Longest time without a byte before an answer counts as lost. A call with a deadline
-    /// waits half the time left at most, so that there is time to ask again.
+    /// Longest time without a byte before an answer counts as lost. It must be above the
+    /// time that a request may be queued: what is asked again loses its place.
     pub silence: Duration,
 }
 
@@ -36,6 +38,7 @@
     pub fn new(routers: Vec<SocketAddr>) -> ClientSettings {
         ClientSettings {
             routers,
+            pinned: false,
             zone: None,
             workspace: None,
             tickets: 8,
--- a/crates/callers/src/client/steps.rs
+++ b/crates/callers/src/client/steps.rs
@@ -6,6 +6,7 @@
             plain,
             request_of,
             Exchange,
+            OnChunk,
             Tried, //
         },
         known::Known,
@@ -20,6 +21,7 @@
         Why,
         WHERE_PATH, //
     },
+    async_std::task,
     policy::{
         Outcome,
         ServiceId, //
@@ -37,6 +39,8 @@
 
 /// Time for a question which address to use.
 const ASK_TIME: Duration = Duration::from_secs(3);
+/// Least pause before asking again about a request that runs.
+const RUNS_PAUSE: Duration = Duration::from_millis(100);
 
 /// A client of a fleet of routers. Cheap to clone; clones share what is kept.
 #[derive(Debug, Clone)]
@@ -94,12 +98,22 @@
         Err(last)
     }
 
-    /// Calls a service. Each piece of the body is passed to `on_chunk` as it comes.
+    /// Calls a service and returns the whole answer.
+    pub async fn call(&self, call: &Call) -> Answer {
+        self.run(call, &mut None).await
+    }
+
+    /// Calls a service. Each piece of a streamed body is passed to `on_chunk` as it comes; from
+    /// the first one on, the call is not tried again.
     pub async fn call_streamed(
         &self,
         call: &Call,
         on_chunk: &mut (dyn FnMut(&[u8]) + Send),
     ) -> Answer {
+        self.run(call, &mut Some(on_chunk)).await
+    }
+
+    async fn run(&self, call: &Call, on_chunk: &mut OnChunk<'_>) -> Answer {
         let route = match self.route(&call.service).await {
             Ok(route) => route,
             Err(refused) => return Answer::refused(refused),
@@ -116,7 +130,11 @@
             if n > 0 && Instant::now() >= progress.until {
                 break;
             }
-            let done = self.step(call, *router, &mut progress, on_chunk).await;
+            let mut done = self.step(call, *router, &mut progress, on_chunk).await;
+            while let Some(pause) = progress.runs_on() {
+                task::sleep(pause).await;
+                done = self.step(call, *router, &mut progress, on_chunk).await;
+            }
             progress.last.tries = n + 1;
             if done {
                 break;
@@ -126,18 +144,13 @@
         progress.finish()
     }
 
-    /// Calls a service and returns the whole answer.
-    pub async fn call(&self, call: &Call) -> Answer {
-        self.call_streamed(call, &mut |_| {}).await
-    }
-
     /// Tries one router. Returns whether the call ended.
     async fn step(
         &self,
         call: &Call,
         router: SocketAddr,
         progress: &mut Progress,
-        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+        on_chunk: &mut OnChunk<'_>,
     ) -> bool {
         if call.once && progress.ticket.is_none() {
             match self.ticket(&call.service, router).await {
@@ -165,30 +178,27 @@
         call: &Call,
         router: SocketAddr,
         progress: &Progress,
-        on_chunk: &mut (dyn FnMut(&[u8]) + Send),
+        on_chunk: &mut OnChunk<'_>,
     ) -> Tried {
         let deadline = call.deadline.map(|_| progress.until);
         let Some(http) = request_of(call, router, deadline, progress.ticket.as_deref()) else {
             let bad = "the method, path or a header can't be sent; use printable ASCII";
             return Tried::Whole(Answer::refused(Refused::new(Why::BadRequest, bad)));
         };
-        let left = progress.until.saturating_duration_since(Instant::now());
-        let silence = match call.deadline {
-            Some(_) => self.0.settings.silence.min(left / 2),
-            None => self.0.settings.silence,
-        };
         let exchange = Exchange {
             pool: &self.0.pool,
             router,
-            http,
-            silence,
+            silence: self.0.settings.silence,
             until: progress.until,
         };
-        exchange.run(on_chunk).await
+        exchange.run(http, on_chunk).await
     }
 
     /// Returns the addresses in the order in which they are tried.
     async fn route(&self, service: &ServiceId) -> Result<Vec<SocketAddr>, Refused> {
+        if self.0.settings.pinned {
+            return Ok(self.0.settings.routers.clone());
+        }
         let answer = self.addresses(service).await?;
         let weights: Vec<f64> = answer.addresses.iter().map(|a| a.weight.max(0.0)).collect();
         let mut pick = fastrand::f64() * weights.iter().sum::<f64>();
@@ -217,7 +227,11 @@
     }
 
     /// Asks one router which address to use, and for tickets.
-    async fn ask(
+    ///
+    /// # Errors
+    ///
+    /// The router's refusal, or that it could not be reached.
+    pub async fn ask(
         &self,
         service: &ServiceId,
         router: SocketAddr,
@@ -230,14 +244,14 @@
             )
         };
         let target = self.question(service, tickets);
+        let http = plain("GET", router, &target).ok_or_else(unreachable)?;
         let exchange = Exchange {
             pool: &self.0.pool,
             router,
-            http: plain("GET", router, &target).ok_or_else(unreachable)?,
             silence: ASK_TIME,
             until: Instant::now() + ASK_TIME,
         };
-        let answer = match exchange.run(&mut |_| {}).await {
+        let answer = match exchange.run(http, &mut None).await {
             Tried::Whole(answer) => answer,
             _ => return Err(unreachable()),
         };
@@ -296,6 +310,14 @@
         }
     }
 
+    /// Returns when to ask again under the same ticket, where its request still runs.
+    fn runs_on(&self) -> Option<Duration> {
+        let refused = self.last.refused.as_ref();
+        let running = refused.filter(|r| r.why == Why::TicketRunning)?;
+        let pause = Duration::from_millis(running.retry_ms.unwrap_or(0)).max(RUNS_PAUSE);
+        (Instant::now() + pause < self.until).then_some(pause)
+    }
+
     /// Returns the last answer, unless it claims more than is known of all tries together.
     fn finish(self) -> Answer {
         let settled = self.last.outcome != Outcome::NotRun || self.of_ticket();
@@ -313,7 +335,7 @@
     /// Returns whether the last outcome is that of the ticket, not of the last try only.
     fn of_ticket(&self) -> bool {
         let why = self.last.refused.as_ref().map(|r| r.why);
-        matches!(why, Some(Why::TicketUsed | Why::TicketUnknown))
+        matches!(why, Some(Why::TicketUsed | Why::TicketExpired))
     }
 
     /// Returns whether the last refusal may be followed by a try at another router.
@@ -326,7 +348,7 @@
                     | Why::NoEndpoint
                     | Why::Leaving
                     | Why::NotReady
-                    | Why::TicketUnknown
+                    | Why::TicketExpired
             )
         );
         elsewhere && self.last.outcome == Outcome::NotRun
--- a/crates/operators/src/document.rs
+++ b/crates/operators/src/document.rs
@@ -29,6 +29,7 @@
         collections::BTreeMap,
         str::FromStr, //
     },
+    toml::de::DeValue, //
 };
 
 /// Most requests that one workspace may be allowed to queue at a router.
@@ -165,29 +166,41 @@
     /// ```
     pub fn parse(source: &Source) -> Result<Document, CheckError> {
         parse(source, "document", |root| {
-            let document = Document {
-                policy: read_policy(root.section("policy")),
-                services: read_named(root, "service", read_service),
-                profiles: read_named(root, "profile", |s| Some(read_profile(s))),
-                workspaces: read_named(root, "workspace", |s| Some(read_workspace(s))),
-            };
-            root.finish_missing();
+            let document = read_document(root);
+            report_missing(root);
             Some(document)
         })
     }
+
+    /// Checks a piece of a document, which need not have a service, profile or workspace.
+    ///
+    /// Returns also whether it has a policy.
+    pub(crate) fn parse_piece(source: &Source) -> Result<(Document, bool), CheckError> {
+        parse(source, "document", |root| {
+            let policy = root.place_of("policy").is_some();
+            Some((read_document(root), policy))
+        })
+    }
 }
 
-impl Section<'_> {
-    fn finish_missing(&mut self) {
-        let examples = [
-            ("service", "[service.NAME]` with `kind = \"model\""),
-            ("profile", "[profile.NAME]"),
-            ("workspace", "[workspace.NAME]"),
-        ];
-        for (key, example) in examples {
-            if self.place_of(key).is_none() {
-                self.missing(key, example);
-            }
+fn read_document(root: &mut Section<'_>) -> Document {
+    Document {
+        policy: read_policy(root.section("policy")),
+        services: read_named(root, "service", read_service),
+        profiles: read_named(root, "profile", |s| Some(read_profile(s))),
+        workspaces: read_named(root, "workspace", |s| Some(read_workspace(s))),
+    }
+}
+
+fn report_missing(root: &Section<'_>) {
+    let examples = [
+        ("service", "[service.NAME]` with `kind = \"model\""),
+        ("profile", "[profile.NAME]"),
+        ("workspace", "[workspace.NAME]"),
+    ];
+    for (key, example) in examples {
+        if root.place_of(key).is_none() {
+            root.missing(key, example);
         }
     }
 }
@@ -284,7 +297,14 @@
 
 fn read_share(s: &mut Section<'_>, what: &str) -> Share {
     s.take_or("share", Share::ONE, |v| {
-        let n = number(f64::NEG_INFINITY, false)(v)?;
-        Share::try_from(n).map_err(|_| format!("give a share above 0, or remove the {what}"))
+        let remedy = |e| match v {
+            DeValue::Integer(_) | DeValue::Float(_) => {
+                format!("give a share above 0, or remove the {what}")
+            }
+            _ => e,
+        };
+        number(0.0, true)(v)
+            .map_err(remedy)
+            .and_then(|n| Share::try_from(n).map_err(|e| e.to_string()))
     })
 }
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,15 +1,27 @@
 //! The operators' side: configuration documents and their checks, dumps and metrics.
 
+mod ask;
 mod defaults;
 mod document;
 mod fleet;
+mod loader;
+mod metrics;
 mod nearest;
 mod problem;
 mod section;
+mod server;
 mod source;
+mod syntax;
 mod values;
+mod views;
 
 pub use self::{
+    ask::{
+        ask,
+        post,
+        read_view,
+        AskError, //
+    },
     defaults::FLEET,
     document::{
         Document,
@@ -25,6 +37,11 @@
         Fleet,
         UnknownName, //
     },
+    loader::Loader,
+    metrics::{
+        metrics_text,
+        start_metrics, //
+    },
     problem::{
         render,
         CheckError,
@@ -34,6 +51,10 @@
         parse,
         Section, //
     },
+    server::{
+        serve,
+        Views, //
+    },
     source::{
         FileError,
         Source,
@@ -47,4 +68,14 @@
         span,
         text, //
     },
+    views::{
+        Member,
+        MemberState,
+        ProfileView,
+        Profiles,
+        ServiceStatus,
+        State,
+        Status,
+        WorkspaceStatus, //
+    },
 };
--- a/crates/operators/src/section.rs
+++ b/crates/operators/src/section.rs
@@ -7,7 +7,8 @@
             CheckError,
             Problem, //
         },
-        source::Source, //
+        source::Source,
+        syntax::syntax_problems, //
     },
     std::{
         cell::RefCell,
@@ -19,6 +20,9 @@
     },
 };
 
+/// Most problems reported of one file.
+pub(crate) const PROBLEMS_MAX: usize = 100;
+
 /// One table of a file, and what was wrong in it so far.
 ///
 /// Each key is taken once; [`Section::finish`] reports the keys that nobody took.
@@ -68,7 +72,7 @@
     read: impl FnOnce(&mut Section<'_>) -> Option<T>,
 ) -> Result<T, CheckError> {
     let (root, errors) = DeTable::parse_recoverable(source.text());
-    let syntax: Vec<Problem> = errors.iter().map(|e| syntax_problem(source, e)).collect();
+    let syntax = syntax_problems(source, &errors);
     let findings = Findings {
         source,
         broken: !syntax.is_empty(),
@@ -204,8 +208,12 @@
 
     /// Reports what is missing, unless the file could not be understood anyway.
     pub fn missing(&self, what: &str, example: &str) {
+        let says = match self.table {
+            Some(_) => format!("has no {what}"),
+            None => "is missing".to_owned(),
+        };
         if !self.findings.broken {
-            self.wrong(&format!("has no {what}"), &format!("add `{example}`"));
+            self.wrong(&says, &format!("add `{example}`"));
         }
     }
 
@@ -219,10 +227,10 @@
             let message = format!("{} has the unknown key `{name}`", self.name);
             let advice = match nearest(name, &self.taken) {
                 Some(k) => format!("did you mean `{k}`?"),
-                None => "remove it".to_owned(),
+                None => "remove it;".to_owned(),
             };
             let known: Vec<String> = self.taken.iter().map(|k| format!("`{k}`")).collect();
-            let remedy = format!("{advice}; known keys: {}", known.join(", "));
+            let remedy = format!("{advice} known keys: {}", known.join(", "));
             self.report(key.span(), message, remedy);
         }
     }
@@ -239,19 +247,9 @@
 
     fn report(&self, place: Range<usize>, message: String, remedy: String) {
         let problem = Problem::new(self.findings.source, place, message, remedy);
-        self.findings.problems.borrow_mut().push(problem);
-    }
-}
-
-fn syntax_problem(source: &Source, error: &toml::de::Error) -> Problem {
-    let place = error.span().unwrap_or(0..0);
-    if error.message().contains("duplicate key") {
-        let name = source.text().get(place.clone()).unwrap_or_default();
-        let message = format!("`{name}` is given twice");
-        let remedy = "keep one of the two, or give the other its own name".to_owned();
-        return Problem::new(source, place, message, remedy);
+        let mut problems = self.findings.problems.borrow_mut();
+        if problems.len() < PROBLEMS_MAX {
+            problems.push(problem);
+        }
     }
-    let message = format!("this is not valid TOML: {}", error.message());
-    let remedy = "mend this line; text values need quotes, tables a header in brackets".to_owned();
-    Problem::new(source, place, message, remedy)
 }
--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -1,24 +1,27 @@
 //! The state of this part and its events.
 
 use {
-    super::dump::{
-        QueueDump,
-        ReplicaDump,
-        ServiceDump, //
+    super::{
+        dump::{
+            QueueDump,
+            ReplicaDump,
+            ServiceDump, //
+        },
+        exchange::Pacer, //
     },
     crate::{
         entry::{
             Entry,
             Live, //
         },
+        pool::Pool,
         shares::Writer,
         Action,
         DispatchDump,
         Finish,
-        Incarnation,
         Job,
         JobId,
-        Message,
+        Mode,
         OwnerView,
         Peer,
         PeerState,
@@ -43,13 +46,17 @@
 /// Decides which request starts where and when.
 #[derive(Debug)]
 pub struct Dispatch {
-    me: Peer,
-    rules: Rules,
+    pub(super) me: Peer,
+    pub(super) rules: Rules,
     lives: SlotMap<JobId, Live>,
-    services: BTreeMap<ServiceId, Entry>,
-    routers: BTreeMap<RouterId, Peer>,
-    leaving: bool,
-    actions: Vec<Action>,
+    pub(super) services: BTreeMap<ServiceId, Entry>,
+    /// The other routers.
+    pub(super) routers: BTreeMap<RouterId, Peer>,
+    /// Whether the list of routers was given at least once.
+    pub(super) listed: bool,
+    pub(super) leaving: bool,
+    pub(super) actions: Vec<Action>,
+    pub(super) pacer: Pacer,
 }
 
 impl Dispatch {
@@ -77,8 +84,10 @@
             lives: SlotMap::with_key(),
             services: BTreeMap::new(),
             routers: BTreeMap::new(),
+            listed: false,
             leaving: false,
             actions: Vec::new(),
+            pacer: Pacer::default(),
         }
     }
 
@@ -105,7 +114,7 @@
             self.services.remove(&service);
         }
         self.rules = rules;
-        self.allot(now);
+        self.rank(now);
     }
 
     /// Takes over the list of a service's replicas.
@@ -113,13 +122,17 @@
         if let Some(entry) = self.services.get_mut(service) {
             entry.seats.replace(list);
         }
-        self.allot(now);
+        self.rank(now);
     }
 
-    /// Takes over the list of the other routers.
+    /// Takes over the list of the other routers, which may be empty.
+    ///
+    /// Until it was called once, this router owns nothing and waits for slots: one that
+    /// has just started and knows of nobody yet would take all slots for its own.
     pub fn routers(&mut self, list: Vec<Peer>, now: Time) {
+        self.listed = true;
         self.routers = list.into_iter().map(|p| (p.id.clone(), p)).collect();
-        self.allot(now);
+        self.rank(now);
     }
 
     /// Takes a request in. Its start or refusal is an action.
@@ -157,7 +170,11 @@
         let Some(entry) = self.services.get_mut(&service) else {
             return;
         };
-        entry.end(live, Some(Units::default()), now);
+        let failed = Finish {
+            refund: true,
+            ..Finish::default()
+        };
+        entry.end(live, Some(&failed), now);
         live.avoid = Some(avoid.clone());
         entry.enqueue(id, live, now);
         self.pump(&service, now);
@@ -181,12 +198,12 @@
     }
 
     /// Notes how much a running request has received so far.
-    pub fn progress(&mut self, id: JobId, served: Units, now: Time) {
+    pub fn progress(&mut self, id: JobId, served: Units, _now: Time) {
         let Some(live) = self.lives.get_mut(id) else {
             return;
         };
         if let Some(entry) = self.services.get_mut(&live.job.service) {
-            entry.progress(live, served, now);
+            entry.progress(live, served);
         }
     }
 
@@ -197,8 +214,7 @@
         };
         let service = live.job.service.clone();
         if let Some(entry) = self.services.get_mut(&service) {
-            let units = if f.refund { Units::default() } else { f.units };
-            entry.end(&mut live, Some(units), now);
+            entry.end(&mut live, Some(&f), now);
         }
         self.pump(&service, now);
     }
@@ -210,19 +226,16 @@
                 seat.withdrawn = true;
             }
         }
-        self.allot(now);
+        self.rank(now);
     }
 
-    /// Takes in a message of another router.
-    pub fn deliver(
-        &mut self,
-        _from: &RouterId,
-        _incarnation: Incarnation,
-        msg: Message,
-        _now: Time,
-    ) {
-        match msg {
-            Message::Hello => {}
+    /// Takes in what a replica says of itself, some time after it was true: how many
+    /// requests run on it and how many wait inside it.
+    pub fn load(&mut self, replica: &ReplicaId, running: u32, waiting: u32, _now: Time) {
+        for entry in self.services.values_mut() {
+            if let Some(seat) = entry.seats.all.get_mut(replica) {
+                seat.sample.said = Some((running, waiting));
+            }
         }
     }
 
@@ -237,6 +250,7 @@
             }
             self.pump(&service, now);
         }
+        self.exchange(now);
     }
 
     /// Begins the shutdown of this router: nothing new is taken in.
@@ -248,6 +262,7 @@
         for service in services {
             self.refuse_queued(&service, Refusal::Leaving, now);
         }
+        self.rank(now);
     }
 
     /// Returns what is to be done, in order.
@@ -261,26 +276,30 @@
             return Vec::new();
         };
         let live = self.live();
-        let open = entry.seats.all.values().filter(|s| s.open()).count() as u32;
-        let slots = Slots((open * entry.rules.start.0).div_ceil(live.len().max(1) as u32));
+        let slots = Slots(entry.capacity().div_ceil(live.len().max(1) as u32));
         live.into_iter()
             .map(|router| OwnerView { router, slots })
             .collect()
     }
 
+    /// Returns how many requests run from here.
+    pub fn running(&self) -> usize {
+        self.lives.values().filter(|l| l.run.is_some()).count()
+    }
+
     /// Returns the state of this part, as operators read it.
     pub fn dump(&self) -> DispatchDump {
         DispatchDump {
             mode: self.rules.mode,
             leaving: self.leaving,
             queued: self.services.values().map(Entry::queued).sum(),
-            running: self.lives.values().filter(|l| l.run.is_some()).count(),
+            running: self.running(),
             services: self.services.values().map(dump_service).collect(),
         }
     }
 
     /// Returns the routers that take work, in order of name, with this one.
-    fn live(&self) -> Vec<RouterId> {
+    pub(super) fn live(&self) -> Vec<RouterId> {
         let mut live: Vec<RouterId> = self
             .routers
             .values()
@@ -294,30 +313,20 @@
         live
     }
 
-    /// Gives this router its static fraction of each replica.
-    fn allot(&mut self, now: Time) {
-        let live = self.live();
-        let n = live.len().max(1) as u32;
-        let rank = live.iter().position(|id| id == &self.me.id).unwrap_or(0) as u32;
-        for entry in self.services.values_mut() {
-            let limit = entry.rules.start.0;
-            for (at, seat) in entry.seats.all.values_mut().enumerate() {
-                let extra = (rank + at as u32) % n < limit % n;
-                seat.allowed = (limit / n + u32::from(extra)).max(1);
-            }
-        }
-        let services: Vec<ServiceId> = self.services.keys().cloned().collect();
-        for service in services {
-            self.pump(&service, now);
+    /// Starts what may start at a service.
+    pub(super) fn pump(&mut self, service: &ServiceId, now: Time) {
+        self.start(service, now);
+        if self.rules.mode == Mode::Fleet {
+            self.flush(service, now);
         }
     }
 
-    /// Starts what may start at a service.
-    fn pump(&mut self, service: &ServiceId, now: Time) {
+    pub(super) fn start(&mut self, service: &ServiceId, now: Time) {
         let Some(entry) = self.services.get_mut(service) else {
             return;
         };
-        while let Some((id, replica)) = entry.next(self.rules.mode, &self.lives, &self.me.zone) {
+        while let Some((id, replica)) = entry.next(self.rules.mode, &self.lives, &self.me.zone, now)
+        {
             entry.start(id, &mut self.lives[id], &replica, now);
             self.actions.push(Action::Start { job: id, replica });
         }
@@ -368,8 +377,8 @@
 fn dump_service(entry: &Entry) -> ServiceDump {
     ServiceDump {
         service: entry.rules.service.clone(),
-        owner: None,
-        pressed: false,
+        owner: entry.hold.owner.as_ref().map(|o| o.0.clone()),
+        pressed: entry.hold.pressed,
         queues: entry
             .queues
             .iter()
@@ -389,8 +398,9 @@
                 leaving: !s.open(),
                 allowed: Slots(s.allowed),
                 running: Slots(s.running),
-                limit: None,
+                limit: entry.pool.as_ref().and_then(|p| p.limit(s.key)),
             })
             .collect(),
+        routers: entry.pool.as_ref().map(Pool::dump).unwrap_or_default(),
     }
 }
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -3,15 +3,24 @@
 mod action;
 mod core;
 mod dump;
+mod exchange;
 mod job;
 mod member;
 mod message;
 mod rules;
 
+pub(crate) use self::message::{
+    Body,
+    Load,
+    Loads,
+    ServiceKey,
+    Wait, //
+};
 pub use self::{
     action::Action,
     core::Dispatch,
     dump::{
+        BorrowerDump,
         DispatchDump,
         OwnerView,
         QueueDump,
@@ -28,7 +37,11 @@
         PeerState,
         Replica, //
     },
-    message::Message,
+    message::{
+        Lend,
+        Message,
+        Report, //
+    },
     rules::{
         Mode,
         Rules,
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -8,12 +8,18 @@
         Seats, //
     },
     crate::{
+        dispatch::Loads,
+        pool::{
+            Hold,
+            Pool, //
+        },
         shares::{
             Key,
             Ledger,
             Writer,
             MILLI, //
         },
+        Finish,
         Job,
         JobId,
         Mode,
@@ -38,6 +44,11 @@
 const AFTER_UNKNOWN: Span = Span::secs(1);
 /// How many requests at the head are tried when a retry must avoid a replica.
 const HEAD: usize = 8;
+/// A workspace counts as backlogged until its queue was empty for this time.
+///
+/// A queue that empties and fills many times a second would otherwise count as new each
+/// time, and be moved near the others each time.
+const CALM: Span = Span::millis(250);
 /// An idle queue is forgotten after this time.
 const IDLE: Span = Span::secs(300);
 
@@ -54,6 +65,10 @@
     pub(crate) queues: BTreeMap<Key, Queue>,
     pub(crate) seats: Seats,
     pub(crate) ledger: Ledger,
+    /// What this router was lent.
+    pub(crate) hold: Hold,
+    /// The pool, where this router owns it.
+    pub(crate) pool: Option<Pool>,
     /// Mean time that a request runs, in seconds.
     pub(crate) run_time: f64,
     /// Mean cost of a request, in units.
@@ -68,6 +83,8 @@
             rules: rules.clone(),
             queues: BTreeMap::new(),
             seats: Seats::default(),
+            hold: Hold::default(),
+            pool: None,
             run_time: 0.0,
             cost: 0.0,
             numbers: 0,
@@ -91,6 +108,15 @@
         self.queues.values().map(Queue::len).sum()
     }
 
+    /// Returns the slots of the whole service, as far as they are known.
+    pub(crate) fn capacity(&self) -> u32 {
+        if self.hold.capacity > 0 {
+            return self.hold.capacity;
+        }
+        let open = self.seats.all.values().filter(|s| s.open()).count() as u32;
+        open * self.rules.start.0
+    }
+
     /// Queues a request or says why not.
     pub(crate) fn submit(
         &mut self,
@@ -117,6 +143,11 @@
 
     /// Puts a request into its queue.
     pub(crate) fn enqueue(&mut self, id: JobId, live: &Live, now: Time) {
+        let credit = (self.rules.credit.0 * MILLI) as i64;
+        let queues = &self.queues;
+        let running = |key: Key| queues.get(&key).map_or(0, |q| q.charged);
+        self.ledger.activate(live.key, credit, running);
+        self.ledger.set_waits(live.key, true);
         let queue = self
             .queues
             .entry(live.key)
@@ -184,8 +215,14 @@
         out
     }
 
-    /// Forgets queues that were idle for long.
+    /// Notes which queues have been empty for a while, and forgets those idle for long.
     pub(crate) fn forget_idle(&mut self, now: Time) {
+        for (key, q) in &self.queues {
+            let calm = q.waited.is_none_or(|t| now.since(t) >= CALM);
+            if q.is_empty() && calm {
+                self.ledger.set_waits(*key, false);
+            }
+        }
         self.queues
             .retain(|_, q| !q.is_empty() || q.running > 0 || now.since(q.used) < IDLE);
     }
@@ -196,8 +233,9 @@
         mode: Mode,
         lives: &Lives,
         zone: &Zone,
+        now: Time,
     ) -> Option<(JobId, ReplicaId)> {
-        if self.seats.free() == 0 {
+        if self.seats.free(now) == 0 {
             return None;
         }
         let keys = match mode {
@@ -205,14 +243,20 @@
             _ => self.by_level(lives),
         };
         keys.iter()
-            .find_map(|key| self.placeable(&self.queues[key], lives, zone))
+            .find_map(|key| self.placeable(&self.queues[key], lives, zone, now))
     }
 
     /// Returns the first request of a queue that has a replica to go to.
-    fn placeable(&self, queue: &Queue, lives: &Lives, zone: &Zone) -> Option<(JobId, ReplicaId)> {
+    fn placeable(
+        &self,
+        queue: &Queue,
+        lives: &Lives,
+        zone: &Zone,
+        now: Time,
+    ) -> Option<(JobId, ReplicaId)> {
         queue.places.iter().take(HEAD).find_map(|(_, _, id)| {
             let avoid = lives[*id].avoid.as_ref();
-            Some((*id, self.seats.choose(zone, avoid)?))
+            Some((*id, self.seats.choose(zone, avoid, now)?))
         })
     }
 
@@ -262,9 +306,10 @@
             _ => 1.0,
         };
         let charged = milli(hint, live.job.share);
-        self.ledger.charge(live.key, charged, now);
+        self.ledger.charge(live.key, charged);
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.running += 1;
+            queue.charged += charged;
             queue.drain.left();
             queue.used = now;
         }
@@ -279,21 +324,28 @@
     }
 
     /// Charges what a running request has received beyond what was charged.
-    pub(crate) fn progress(&mut self, live: &mut Live, served: Units, now: Time) {
+    pub(crate) fn progress(&mut self, live: &mut Live, served: Units) {
         let Some(run) = &mut live.run else { return };
         let total = milli(served.0, live.job.share);
         if total > run.charged {
-            self.ledger.charge(live.key, total - run.charged, now);
+            let more = total - run.charged;
+            self.ledger.charge(live.key, more);
             run.charged = total;
+            if let Some(queue) = self.queues.get_mut(&live.key) {
+                queue.charged += more;
+            }
         }
     }
 
     /// Ends the run of a request: corrects its charge and frees its seat.
-    pub(crate) fn end(&mut self, live: &mut Live, units: Option<Units>, now: Time) {
+    ///
+    /// Without a `finish` the caller has given up, and what was charged stays.
+    pub(crate) fn end(&mut self, live: &mut Live, finish: Option<&Finish>, now: Time) {
         let Some(run) = live.run.take() else { return };
-        if let Some(Units(n)) = units {
+        if let Some(f) = finish {
+            let n = if f.refund { 0.0 } else { f.units.0 };
             let total = milli(n, live.job.share);
-            self.ledger.charge(live.key, total - run.charged, now);
+            self.ledger.charge(live.key, total - run.charged);
             if n > 0.0 {
                 step(&mut self.run_time, now.since(run.started).as_secs());
                 step(&mut self.cost, n);
@@ -301,10 +353,27 @@
         }
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.running = queue.running.saturating_sub(1);
+            queue.charged -= run.charged;
             queue.used = now;
         }
         if let Some(seat) = self.seats.all.get_mut(&run.replica) {
             seat.running = seat.running.saturating_sub(1);
+            if let Some(f) = finish {
+                seat.health.note(f.ok, now);
+                seat.sample.note(f);
+            }
+        }
+    }
+
+    /// Returns how the replicas answered since the last call.
+    pub(crate) fn loads(&mut self) -> Loads {
+        let seats = self.seats.all.values_mut();
+        Loads {
+            cost: (self.cost * MILLI) as u64,
+            run: Span((self.run_time * 1e6) as u64),
+            seats: seats
+                .filter_map(|s| s.sample.take(s.key, s.running))
+                .collect(),
         }
     }
 }
--- a/crates/policy/src/entry/seats.rs
+++ b/crates/policy/src/entry/seats.rs
@@ -1,23 +1,35 @@
 //! The replicas of one service and how many requests this router may run on each.
 
 use {
+    super::{
+        health::Health,
+        sample::Sample, //
+    },
     crate::{
         Replica,
         ReplicaId,
+        Time,
         Zone, //
     },
     std::collections::BTreeMap,
+    xxhash_rust::xxh3::xxh3_64,
 };
 
+/// A replica, by a short hash of its name, on the wire.
+pub(crate) type ReplicaKey = u32;
+
 /// One replica.
 #[derive(Debug)]
 pub(crate) struct Seat {
     pub(crate) replica: Replica,
+    pub(crate) key: ReplicaKey,
     /// Requests that this router may run on it at once.
     pub(crate) allowed: u32,
     pub(crate) running: u32,
     /// Set when it was seen to leave before the list said so.
     pub(crate) withdrawn: bool,
+    pub(crate) health: Health,
+    pub(crate) sample: Sample,
 }
 
 /// All replicas of one service.
@@ -33,28 +45,35 @@
     }
 
     /// Returns how many more requests may start on it.
-    pub(crate) fn free(&self) -> u32 {
-        if self.open() {
-            self.allowed.saturating_sub(self.running)
-        } else {
-            0
+    fn free(&self, now: Time) -> u32 {
+        if !self.open() {
+            return 0;
         }
+        let free = self.allowed.saturating_sub(self.running);
+        self.health.admits(free, self.running, now)
     }
 }
 
 impl Seats {
-    /// Takes over a new list; counts of replicas that stay are kept.
+    /// Takes over a new list, which knows what was withdrawn before; counts of replicas that stay are kept.
     pub(crate) fn replace(&mut self, list: Vec<Replica>) {
         let mut old = std::mem::take(&mut self.all);
         for replica in list {
             let id = replica.id.clone();
             let seat = match old.remove(&id) {
-                Some(s) => Seat { replica, ..s },
+                Some(s) => Seat {
+                    replica,
+                    withdrawn: false,
+                    ..s
+                },
                 None => Seat {
+                    key: key_of(&id),
                     replica,
                     allowed: 0,
                     running: 0,
                     withdrawn: false,
+                    health: Health::default(),
+                    sample: Sample::default(),
                 },
             };
             self.all.insert(id, seat);
@@ -69,8 +88,13 @@
     }
 
     /// Returns how many more requests may start.
-    pub(crate) fn free(&self) -> u32 {
-        self.all.values().map(Seat::free).sum()
+    pub(crate) fn free(&self, now: Time) -> u32 {
+        self.all.values().map(|s| s.free(now)).sum()
+    }
+
+    /// Returns how many requests run.
+    pub(crate) fn running(&self) -> u32 {
+        self.all.values().map(|s| s.running).sum()
     }
 
     /// Returns whether any replica takes new work.
@@ -78,19 +102,47 @@
         self.all.values().any(Seat::open)
     }
 
+    /// Gives this router its static fraction of each replica.
+    pub(crate) fn allot(&mut self, limit: u32, rank: u32, routers: u32) {
+        for (at, seat) in self.all.values_mut().enumerate() {
+            let extra = (rank + at as u32) % routers < limit % routers;
+            seat.allowed = (limit / routers + u32::from(extra)).max(1);
+        }
+    }
+
+    /// Keeps no more than what runs; returns whether that changed anything.
+    pub(crate) fn close(&mut self) -> bool {
+        let mut closed = false;
+        for seat in self.all.values_mut() {
+            closed |= seat.allowed > seat.running;
+            seat.allowed = seat.allowed.min(seat.running);
+        }
+        closed
+    }
+
     /// Chooses a replica with room: in this zone first, then the idlest.
     ///
     /// `avoid` is chosen only when no other replica takes new work at all.
-    pub(crate) fn choose(&self, zone: &Zone, avoid: Option<&ReplicaId>) -> Option<ReplicaId> {
+    pub(crate) fn choose(
+        &self,
+        zone: &Zone,
+        avoid: Option<&ReplicaId>,
+        now: Time,
+    ) -> Option<ReplicaId> {
         let others = self
             .all
             .values()
             .any(|s| s.open() && Some(&s.replica.id) != avoid);
         self.all
             .values()
-            .filter(|s| s.free() > 0)
+            .filter(|s| s.free(now) > 0)
             .filter(|s| !others || Some(&s.replica.id) != avoid)
-            .max_by_key(|s| (&s.replica.zone == zone, s.free()))
+            .max_by_key(|s| (&s.replica.zone == zone, s.free(now)))
             .map(|s| s.replica.id.clone())
     }
 }
+
+/// Returns the short hash of a replica's name.
+pub(crate) fn key_of(id: &ReplicaId) -> ReplicaKey {
+    xxh3_64(id.as_str().as_bytes()) as ReplicaKey
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,9 +6,14 @@
 
 mod dispatch;
 mod entry;
+pub mod head;
 mod ids;
+pub mod limit;
+pub mod members;
 mod outcome;
+mod pool;
 pub mod rendezvous;
+pub mod retry;
 mod shares;
 pub mod tickets;
 mod time;
@@ -17,11 +22,13 @@
 pub use self::{
     dispatch::{
         Action,
+        BorrowerDump,
         Dispatch,
         DispatchDump,
         Finish,
         Job,
         JobId,
+        Lend,
         Message,
         Mode,
         OwnerView,
@@ -30,6 +37,7 @@
         QueueDump,
         Replica,
         ReplicaDump,
+        Report,
         Rules,
         ServiceDump,
         ServiceRules,
@@ -53,7 +61,8 @@
     },
     shares::{
         gap_bound,
-        GapTerms, //
+        GapTerms,
+        Notes, //
     },
     time::{
         Span,
--- /dev/null
+++ b/crates/policy/src/pool/mod.rs
@@ -0,0 +1,27 @@
+//! Slots of replicas, lent by an owner to the routers where work waits.
+
+mod borrower;
+mod fill;
+mod hold;
+mod lot;
+mod moves;
+mod owner;
+mod pace;
+mod wants;
+
+use self::{
+    borrower::Borrower,
+    fill::{
+        fill,
+        Row, //
+    },
+    lot::Lot,
+    pace::Pace, //
+};
+pub(crate) use self::{
+    hold::Hold,
+    owner::Pool, //
+};
+
+/// Limits of replicas, as last heard of.
+pub(crate) type Limits = std::collections::BTreeMap<crate::entry::ReplicaKey, u32>;
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -100,6 +100,11 @@
         self.running.connections()
     }
 
+    /// Returns how many connections are open to it.
+    pub fn open(&self) -> usize {
+        self.running.open()
+    }
+
     /// Returns how often each request id ran.
     pub fn runs(&self) -> BTreeMap<String, u32> {
         self.state.batch.lock().unwrap().runs.clone()
@@ -163,6 +168,10 @@
         if !ask.path.starts_with("/v1/chat/completions") {
             return self.control(&conn, &ask).await;
         }
+        if fault == Some(Fault::Refuse) {
+            conn.refuse(&ask.id).await?;
+            return Ok(true);
+        }
         if fault == Some(Fault::Ignored) {
             conn.gone().await;
             return Ok(false);
@@ -204,9 +213,13 @@
         if ask.resume.is_some() {
             return texts.get(&ask.id).cloned();
         }
-        if self.batch.lock().unwrap().leaving {
+        let mut batch = self.batch.lock().unwrap();
+        if batch.leaving {
             return None;
         }
+        // Counted before anything is answered, so that a test sees the run whatever the
+        // caller sees.
+        batch.enter(&ask.id);
         let text = Arc::new(Generation::new(&ask.id, &ask.body));
         texts.insert(ask.id.clone(), text.clone());
         let (state, made) = (self.clone(), text.clone());
@@ -256,6 +269,9 @@
         if ask.resume.is_some() {
             headers.push(("x-resume-from", &from));
         }
+        if self.batch.lock().unwrap().leaving {
+            headers.push(("x-leaving", "1"));
+        }
         if fault != Some(Fault::NoId) {
             headers.push(("x-request-id", id));
         }
@@ -264,7 +280,11 @@
             conn.reset();
             return Ok(false);
         }
-        let mut next = first;
+        let mut next = match fault {
+            Some(Fault::Overlap { by }) => first.saturating_sub(by),
+            Some(Fault::Skip { by }) if ask.resume.is_some() => first + by,
+            _ => first,
+        };
         while next < text.of {
             let (made, stopped) = text.state();
             if next >= made {
@@ -274,10 +294,10 @@
                 continue;
             }
             match fault {
-                Some(Fault::Cut { after }) if next - first >= after => {
+                Some(Fault::Cut { after }) if next >= first + after => {
                     return self.cut(conn, text, next).await;
                 }
-                Some(Fault::SilentAfter { after }) if next - first >= after => {
+                Some(Fault::SilentAfter { after }) if next >= first + after => {
                     conn.gone().await;
                     return Ok(false);
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 mod conf;
 mod demo;
 mod errors;
+mod gauge;
+mod measure;
 mod router;
 
 pub use self::{
@@ -12,7 +14,6 @@
         Address,
         Bytes,
         BytesError,
-        Limits,
         ListenError,
         Listeners,
         Settings,
