Measure what one router adds to a call, and how control traffic grows

`measure latency` calls a plain service and a model by turns directly and through one router, so that both meet the same noise; `measure control` varies routers, workspaces, replicas and the pace of requests and fits a line through each.

--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -1,6 +1,8 @@
 //! Measuring the fleet on one machine, with the routers as processes of this binary.
 
+mod control;
 mod fleet;
+mod latency;
 mod load;
 mod plan;
 mod process;
--- a/src/measure/plan.rs
+++ b/src/measure/plan.rs
@@ -57,3 +57,16 @@
     })
     .collect()
 }
+
+/// Returns `n` equal workspaces with `callers` each, every one at two of the routers.
+pub(crate) fn even(n: usize, callers: usize, routers: usize) -> Vec<Plan> {
+    let plans = (0..n).map(|i| Plan {
+        name: format!("even-{}", i + 1),
+        share: 1.0,
+        callers,
+        homes: vec![i % routers, (i * 3 + 1) % routers],
+        tokens: (LEAST, 2 * LEAST),
+        floods: false,
+    });
+    plans.collect()
+}
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -2,10 +2,12 @@
 
 use {
     super::{
+        control,
         fleet::{
             self,
             Script, //
         },
+        latency,
         plan::uneven,
         setup::Setup,
         show::{
@@ -24,6 +26,8 @@
 
 /// How long each run lasts, where nothing is said.
 const SECONDS: u32 = 15;
+const LATENCY: u32 = 5;
+const CONTROL: u32 = 6;
 const MODES: &str = "fleet,alone,static";
 const MODE_NAMES: [&str; 3] = ["fleet", "alone", "static"];
 const UNIT_NAMES: [&str; 2] = ["tokens", "requests"];
@@ -32,6 +36,8 @@
 pub(crate) fn run(flags: &Measure) -> Result<(), Error> {
     match flags.what.as_str() {
         "fleet" => task::block_on(run_fleet(flags)),
+        "latency" => task::block_on(latency::run(time(flags, LATENCY), flags.json)),
+        "control" => task::block_on(control::run(time(flags, CONTROL), flags.json)),
         other => Err(Error::Usage(
             format!("nothing is measured under `{other}`"),
             "give `fleet`, `latency` or `control`".to_owned(),
