--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -116,6 +116,12 @@
         state: State::Live,
     };
     let json = serde_json::to_string(&[instance]).map_err(|e| Error::Io("JSON", e.into()))?;
-    post(admin, "/admin/instances", json).await?;
+    let posted = post(admin, "/admin/instances", json).await;
+    posted.map_err(|e| {
+        Error::Failed(
+            format!("the endpoint can't be put on the platform's list: {e}"),
+            "give --register the platform's --admin address".to_owned(),
+        )
+    })?;
     Ok(())
 }
