Tell a change behind the fleet's revision as a conflict

The test expects the refusal, that nothing was written, and the revision above the routers' for a change that was made on theirs.

--- a/tests/apply.rs
+++ b/tests/apply.rs
@@ -267,17 +267,20 @@
 
 #[test]
 fn apply_restored_platform() {
-    // The platform was restored to an older state, while routers run a later revision, which
-    // they never leave for an older one. A change written below it would never be in force.
+    // The platform was restored to an older state, while routers run a later revision. A file
+    // made on what the platform shows would take back what was accepted since. One made on
+    // what the routers run must come above it, as they never go back.
     let platform = platform_start();
+    apply(FLEET, platform.addr, &[]);
     let address = router(alone("r1", 7, 7)).to_string();
-    let output = apply(FLEET, platform.addr, &["--router", &address]);
-    assert_eq!(
-        stdout(&output),
-        "revision 8 is written\n",
-        "{}",
-        stderr(&output)
-    );
+    let args = ["--router", address.as_str()];
+    let old = apply(&with("hove"), platform.addr, &args);
+    assert_eq!(code(&old), 4, "{}", stderr(&old));
+    assert!(stderr(&old).contains("routers have revision 7 in force"));
+    assert!(config(platform.addr).contains("revision 1,"));
+    let args = ["--router", address.as_str(), "--base", "7"];
+    let new = apply(&with("hove"), platform.addr, &args);
+    assert_eq!(stdout(&new), "revision 8 is written\n", "{}", stderr(&new));
 }
 
 #[test]
