--- a/src/errors.rs
+++ b/src/errors.rs
@@ -109,7 +109,7 @@
 
 fn apply_code(error: &ApplyError) -> u8 {
     match error {
-        ApplyError::Conflict { .. } => 4,
+        ApplyError::Conflict { .. } | ApplyError::Behind { .. } => 4,
         ApplyError::NotApplied(_) | ApplyError::Read(_) => 3,
         ApplyError::TooLarge { .. } | ApplyError::Doubled(_) => 2,
         ApplyError::Unknown { .. } => 6,
