Tell a slow engine from a silent one by its load report

An engine that sends no head before its first token looked dead on every new connection: after three probes the call ended as may-have-run, at 15 times the silence bound. Ruled out: a higher number of probes, which only moves the bound. An engine that reports its load is well and is waited for. stream_slow fails without the probe.

--- a/crates/endpoints/src/run/task.rs
+++ b/crates/endpoints/src/run/task.rs
@@ -120,6 +120,7 @@
             };
             if matches!(cause, CallError::Silent(_)) {
                 self.inner.kept.forget(self.call.replica);
+                self.state.alive |= start == Start::Resume && self.responds().await;
             }
             match self.again(start, &cause) {
                 Some(next) => start = next,
@@ -218,6 +219,16 @@
         Some(Start::Resume)
     }
 
+    /// Returns whether the endpoint reports its load.
+    ///
+    /// Some engines send no head before the first token. Under load such an engine looks
+    /// as if it had died with every new connection; given up, its work would be lost.
+    async fn responds(&self) -> bool {
+        let limit = Instant::now() + self.call.silence;
+        let report = load::ask(self.call.replica, limit.min(self.call.deadline));
+        report.await.is_ok()
+    }
+
     /// Passes an event to the caller, who may take it slowly until the deadline.
     pub(crate) async fn pass(&self, event: Event) -> Result<(), CallError> {
         let sent = until(self.call.deadline, self.events.send(event)).await;
--- a/crates/endpoints/tests/plain_faults.rs
+++ b/crates/endpoints/tests/plain_faults.rs
@@ -245,15 +245,18 @@
 #[test]
 fn call_kept_silent() {
     // Lookups hang one after another although the service is well. Something between the
-    // two ends lost track of the kept connection: what is written on it never arrives,
-    // while a new one works. The call goes again over a new connection.
+    // two ends lost track of the kept connections: what is written on them never arrives,
+    // while a new one works. The call goes again over a new connection, and the other kept
+    // ones are closed rather than tried in turn.
     block_on(async {
         let service = service().await;
         let client = client();
-        client
-            .call(plain_call(service.addr, "a", true))
-            .whole()
-            .await;
+        service.faults.order(Fault::Delay { ms: 300 }, 2);
+        let first = client.call(plain_call(service.addr, "a0", true));
+        let second = client.call(plain_call(service.addr, "a1", true));
+        first.whole().await;
+        second.whole().await;
+        let kept = service.connections();
         service.faults.order(Fault::Ignored, 1);
         let whole = client
             .call(plain_call(service.addr, "b", true))
@@ -261,7 +264,8 @@
             .await;
         assert_eq!(whole.end.outcome, Outcome::Answered);
         assert_eq!(whole.body, right("b"));
-        assert_eq!((service.runs()["b"], service.connections()), (1, 2));
+        assert_eq!((service.runs()["b"], service.connections()), (1, kept + 1));
+        eventually("the others close", || service.open() == 1).await;
     });
 }
 
--- a/crates/endpoints/tests/stream_faults.rs
+++ b/crates/endpoints/tests/stream_faults.rs
@@ -187,18 +187,26 @@
 
 #[test]
 fn stream_slow() {
-    // An engine under load is slower than the silence bound. Each probe finds it well and
-    // goes on; the bound doubles. The text is whole, and the engine made it once.
+    // An engine under load is slower than the silence bound, and may send not even a head
+    // before its first token. Each probe finds it well and goes on; the bound doubles. The
+    // text is whole, and the engine made it once.
     block_on(async {
-        let engine = engine().await;
-        engine.slow(1000.0);
-        let mut call = stream_call(engine.addr, "a", 2);
-        call.silence = Duration::from_millis(50);
-        let right = expected(&call.body);
-        let whole = client().call(call).whole().await;
-        assert_eq!(whole.end.outcome, Outcome::Answered, "{:?}", whole.end);
-        assert_eq!(text(&whole.body), right);
-        assert_eq!(engine.runs()["a"], 1);
+        for late in [false, true] {
+            let opts = standins::engine::Opts {
+                first: Duration::from_secs(2),
+                gap: Duration::from_millis(1),
+                late,
+                ..Default::default()
+            };
+            let engine = standins::engine::start(opts).await.expect("a port");
+            let mut call = stream_call(engine.addr, "a", 2);
+            call.silence = Duration::from_millis(50);
+            let right = expected(&call.body);
+            let whole = client().call(call).whole().await;
+            assert_eq!(whole.end.outcome, Outcome::Answered, "{:?}", whole.end);
+            assert_eq!(text(&whole.body), right);
+            assert_eq!(engine.runs()["a"], 1);
+        }
     });
 }
 
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -59,6 +59,8 @@
     pub linger: Duration,
     /// How much the load report may lag.
     pub lag: Duration,
+    /// Whether the head of a stream comes only with its first token.
+    pub late: bool,
 }
 
 /// An engine that runs until this is dropped.
@@ -90,6 +92,7 @@
             gap: Duration::from_millis(5),
             linger: Duration::from_secs(3),
             lag: Duration::from_millis(200),
+            late: false,
         }
     }
 }
@@ -275,6 +278,11 @@
         if fault != Some(Fault::NoId) {
             headers.push(("x-request-id", id));
         }
+        while self.opts.late && text.state().0 <= first {
+            if text.state().1 || rx.recv().await.is_err() {
+                return Ok(false);
+            }
+        }
         conn.start(200, &headers).await?;
         if fault == Some(Fault::ResetAfterHead) {
             conn.reset();
