--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -196,7 +196,7 @@
         /// `fleet` compares the ways to share capacity under uneven load, `latency` is what one
         /// router adds to a call, `control` is how the traffic between routers grows.
         cmd measure {
-            /// `fleet`, `latency` or `control`.
+            /// `fleet`, `latency`, `control` or `slopes`.
             required what: String
             /// How long each run lasts, in seconds.
             optional --seconds count: u32
@@ -214,6 +214,8 @@
             optional --leave
             /// Folder for each router's dump, taken in the middle of a run.
             optional --dumps folder: PathBuf
+            /// Folder for the plots of `slopes`.
+            optional --plots folder: PathBuf
             /// Print JSON instead of tables.
             optional --json
         }
@@ -360,6 +362,7 @@
     pub slow: bool,
     pub leave: bool,
     pub dumps: Option<PathBuf>,
+    pub plots: Option<PathBuf>,
     pub json: bool,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 mod gauge;
 mod measure;
 mod router;
+mod slopes;
 
 pub use self::{
     cli::run,
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -16,7 +16,8 @@
     },
     crate::{
         cli::Measure,
-        errors::Error, //
+        errors::Error,
+        slopes, //
     },
     async_std::task,
     std::time::Duration, //
@@ -32,9 +33,10 @@
 pub(crate) fn run(flags: &Measure) -> Result<(), Error> {
     match flags.what.as_str() {
         "fleet" => task::block_on(run_fleet(flags)),
+        "slopes" => slopes::run(flags.plots.as_deref(), flags.json),
         other => Err(Error::Usage(
             format!("nothing is measured under `{other}`"),
-            "give `fleet`, `latency` or `control`".to_owned(),
+            "give `fleet`, `latency`, `control` or `slopes`".to_owned(),
         )),
     }
 }
