--- a/crates/endpoints/tests/fuzz.rs
+++ b/crates/endpoints/tests/fuzz.rs
@@ -42,11 +42,11 @@
 };
 
 /// Sequences of calls, each with a client and stand-ins of its own.
-const SEQUENCES: usize = 48;
+const SEQUENCES: usize = 96;
 /// Calls in a sequence.
 const CALLS: usize = 24;
 /// Sequences under way at a time.
-const ABREAST: usize = 12;
+const ABREAST: usize = 16;
 
 /// A call and the faults that it meets, one for each request it takes.
 #[derive(Debug, Clone)]
