Copy the configuration from a router too

Cause: after a restore of the platform, or while it is down, the configuration in force could be had nowhere as text, although a change on the older one is refused.

--- a/crates/operators/src/server.rs
+++ b/crates/operators/src/server.rs
@@ -19,6 +19,7 @@
         },
         task, //
     },
+    platform::store::Config,
     serde::Serialize,
     std::{
         collections::VecDeque,
@@ -50,13 +51,16 @@
     pub status: Box<dyn Fn() -> Status + Send + Sync>,
     /// The profiles in force.
     pub profiles: Box<dyn Fn() -> Profiles + Send + Sync>,
+    /// The configuration in force, where there is one.
+    pub config: Box<dyn Fn() -> Option<Arc<Config>> + Send + Sync>,
     /// All that the router knows.
     pub dump: Box<dyn Fn() -> serde_json::Value + Send + Sync>,
     /// Whether it takes requests.
     pub ready: Box<dyn Fn() -> bool + Send + Sync>,
 }
 
-/// Answers `/status`, `/profiles`, `/dump`, `/ready` and `/metrics` until the task is cancelled.
+/// Answers `/status`, `/profiles`, `/config`, `/dump`, `/ready` and `/metrics` until the task
+/// is cancelled.
 ///
 /// # Errors
 ///
@@ -107,6 +111,8 @@
         .get(|r: Request<Arc<Views>>| async move { json(&(r.state().status)()) });
     app.at("/profiles")
         .get(|r: Request<Arc<Views>>| async move { json(&(r.state().profiles)()) });
+    app.at("/config")
+        .get(|r: Request<Arc<Views>>| async move { json(&(r.state().config)()) });
     app.at("/dump")
         .get(|r: Request<Arc<Views>>| async move { json(&(r.state().dump)()) });
     app.at("/ready")
--- a/crates/operators/tests/server.rs
+++ b/crates/operators/tests/server.rs
@@ -18,6 +18,11 @@
         Views,
         FLEET, //
     },
+    platform::store::{
+        split,
+        Config,
+        Revision, //
+    },
     policy::{
         Incarnation,
         Span,
@@ -29,9 +34,12 @@
             TcpListener,
             TcpStream, //
         },
-        sync::atomic::{
-            AtomicBool,
-            Ordering, //
+        sync::{
+            atomic::{
+                AtomicBool,
+                Ordering, //
+            },
+            Arc, //
         },
     },
 };
@@ -66,11 +74,21 @@
     Profiles::new(7, &Fleet::new(Document::parse(&source).unwrap()))
 }
 
+fn config() -> Config {
+    Config {
+        revision: Revision(7),
+        writer: "ada".to_owned(),
+        write: "1f".parse().unwrap(),
+        parts: split("fleet", FLEET),
+    }
+}
+
 fn start() -> SocketAddr {
     let ready = AtomicBool::new(false);
     let views = Views {
         status: Box::new(status),
         profiles: Box::new(profiles),
+        config: Box::new(|| Some(Arc::new(config()))),
         dump: Box::new(|| serde_json::json!({ "tickets": [] })),
         ready: Box::new(move || ready.fetch_or(true, Ordering::Relaxed)),
     };
@@ -87,6 +105,8 @@
     assert_eq!(read_view::<Status>(address, &body).unwrap(), status());
     let body = ask(address, "/profiles").await.unwrap();
     assert_eq!(read_view::<Profiles>(address, &body).unwrap(), profiles());
+    let body = ask(address, "/config").await.unwrap();
+    assert_eq!(read_view::<Config>(address, &body).unwrap(), config());
     let body = ask(address, "/dump").await.unwrap();
     assert_eq!(body, "{\"tickets\":[]}");
 }
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -1,4 +1,4 @@
-//! Printing the configuration that the platform holds.
+//! Printing the configuration that the platform holds, or a router has in force.
 
 use {
     super::{
@@ -11,15 +11,21 @@
         targets::platform_of, //
     },
     crate::errors::Error,
+    operators::{
+        ask,
+        read_view, //
+    },
     platform::{
         store::{
             join,
-            read, //
+            read,
+            Config, //
         },
         Kv,
         Options, //
     },
     serde_json::json,
+    std::net::SocketAddr,
 };
 
 /// The name by which the platform counts this program's calls.
@@ -27,11 +33,13 @@
 
 /// Prints the configuration, to be edited and applied.
 pub(crate) async fn config(flags: &ConfigFlags) -> Result<(), Error> {
-    let platform = platform_of(flags.platform, flags.settings.as_deref())?;
-    let kv = Kv::new(Options::new(platform, CLIENT));
-    let Some(config) = read(&kv, &[]).await? else {
+    let found = match flags.router {
+        Some(router) => in_force(router).await?,
+        None => on_platform(flags).await?,
+    };
+    let Some(config) = found else {
         return Err(Error::Failed(
-            "the platform holds no configuration".to_owned(),
+            "there is no configuration".to_owned(),
             "write one with `chervilwind apply`; `chervilwind defaults fleet` prints an example"
                 .to_owned(),
         ));
@@ -51,3 +59,15 @@
         put(text.as_bytes())
     }
 }
+
+/// Asks a router, which knows the latest also while the platform is down or was restored.
+async fn in_force(router: SocketAddr) -> Result<Option<Config>, Error> {
+    let body = ask(router, "/config").await?;
+    Ok(read_view(router, &body)?)
+}
+
+async fn on_platform(flags: &ConfigFlags) -> Result<Option<Config>, Error> {
+    let platform = platform_of(flags.platform, flags.settings.as_deref())?;
+    let kv = Kv::new(Options::new(platform, CLIENT));
+    Ok(read(&kv, &[]).await?)
+}
--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -92,13 +92,16 @@
             optional --json
         }
 
-        /// Print the configuration that the platform holds, to be edited and applied.
+        /// Print the configuration that the platform holds, or with --router the one in force
+        /// there, to be edited and applied.
         ///
         /// Its first line says what it is a copy of. `apply` reads that line, so that it can't
         /// undo what others have changed since.
         cmd config {
             /// Address of the platform's key-value service.
             optional --platform address: SocketAddr
+            /// The operators' address of a router, to ask it and not the platform.
+            optional --router address: SocketAddr
             /// A router's settings file, to take the platform's address from.
             optional --settings file: PathBuf
             /// Print JSON instead of text.
@@ -291,6 +294,7 @@
 #[derive(Debug)]
 pub struct Config {
     pub platform: Option<SocketAddr>,
+    pub router: Option<SocketAddr>,
     pub settings: Option<PathBuf>,
     pub json: bool,
 }
--- a/src/router/report.rs
+++ b/src/router/report.rs
@@ -90,7 +90,8 @@
 
 /// Makes what the operators' server answers from.
 pub(crate) fn views(router: &Arc<Router>) -> Views {
-    let (status, profiles, dump, ready) = (
+    let (status, profiles, config, dump, ready) = (
+        router.clone(),
         router.clone(),
         router.clone(),
         router.clone(),
@@ -99,6 +100,7 @@
     Views {
         status: Box::new(move || status.status()),
         profiles: Box::new(move || profiles.profiles()),
+        config: Box::new(move || lock(&config.force).config.clone()),
         dump: Box::new(move || serde_json::to_value(dump.dump()).unwrap_or_default()),
         ready: Box::new(move || ready.state() == State::Ready),
     }
--- a/tests/apply.rs
+++ b/tests/apply.rs
@@ -12,12 +12,18 @@
         Views,
         FLEET, //
     },
+    platform::store::{
+        split,
+        Config,
+        Revision,
+        WriteId, //
+    },
     policy::{
         Incarnation,
         Span, //
     },
     standins::platform::{
-        self,
+        self as stand_in,
         Down,
         Handle, //
     },
@@ -52,10 +58,11 @@
     /// Raised by one at each question, up to this revision.
     rises_to: u64,
     members: Vec<(&'static str, SocketAddr, MemberState)>,
+    config: Option<Arc<Config>>,
 }
 
 fn platform_start() -> Handle {
-    task::block_on(platform::start(platform::Options::default())).unwrap()
+    task::block_on(stand_in::start(stand_in::Options::default())).unwrap()
 }
 
 fn file(text: &str) -> PathBuf {
@@ -108,13 +115,14 @@
 
 fn router(told: Told) -> SocketAddr {
     let told = Arc::new(told);
-    let ready = told.clone();
+    let (config, ready) = (told.clone(), told.clone());
     let views = Views {
         status: Box::new(move || status(&told)),
         profiles: Box::new(|| Profiles {
             revision: 0,
             profiles: Vec::new(),
         }),
+        config: Box::new(move || config.config.clone()),
         dump: Box::new(|| serde_json::Value::Null),
         ready: Box::new(move || ready.revision.load(Ordering::SeqCst) > 0),
     };
@@ -159,6 +167,7 @@
         revision: AtomicU64::new(revision),
         rises_to,
         members: Vec::new(),
+        config: None,
     }
 }
 
@@ -241,7 +250,7 @@
     let output = chervilwind(&["config", "--platform", &platform.addr.to_string()]);
     assert_eq!(code(&output), 1);
     assert_eq!(stdout(&output), "");
-    assert!(stderr(&output).contains("the platform holds no configuration"));
+    assert!(stderr(&output).contains("there is no configuration"));
 }
 
 #[test]
@@ -272,15 +281,35 @@
     // what the routers run must come above it, as they never go back.
     let platform = platform_start();
     apply(FLEET, platform.addr, &[]);
-    let address = router(alone("r1", 7, 7)).to_string();
+    let in_force = Config {
+        revision: Revision(7),
+        writer: "bea".to_owned(),
+        write: WriteId::random(),
+        parts: split("fleet", &with("hove")),
+    };
+    let told = Told {
+        config: Some(Arc::new(in_force)),
+        ..alone("r1", 7, 7)
+    };
+    let address = router(told).to_string();
     let args = ["--router", address.as_str()];
-    let old = apply(&with("hove"), platform.addr, &args);
+    let old = apply(&with("deal"), platform.addr, &args);
     assert_eq!(code(&old), 4, "{}", stderr(&old));
     assert!(stderr(&old).contains("routers have revision 7 in force"));
     assert!(config(platform.addr).contains("revision 1,"));
-    let args = ["--router", address.as_str(), "--base", "7"];
-    let new = apply(&with("hove"), platform.addr, &args);
+    let copy = chervilwind(&["config", "--router", &address]);
+    let text = format!("{}[workspace.deal]\n", stdout(&copy));
+    let new = apply(&text, platform.addr, &args);
     assert_eq!(stdout(&new), "revision 8 is written\n", "{}", stderr(&new));
+    assert!(config(platform.addr).ends_with("[workspace.hove]\n[workspace.deal]\n"));
+}
+
+#[test]
+fn config_router_without() {
+    let address = router(alone("r1", 0, 0)).to_string();
+    let output = chervilwind(&["config", "--router", &address]);
+    assert_eq!(code(&output), 1);
+    assert!(stderr(&output).contains("there is no configuration"));
 }
 
 #[test]
