--- a/crates/policy/src/tickets/mod.rs
+++ b/crates/policy/src/tickets/mod.rs
@@ -6,6 +6,8 @@
 //! agreeing, or on messages arriving once, in order or at all.
 
 mod answers;
+mod between;
+mod entry;
 mod floors;
 mod issued;
 mod messages;
--- a/crates/policy/src/tickets/table.rs
+++ b/crates/policy/src/tickets/table.rs
@@ -3,6 +3,10 @@
 use {
     super::{
         answers::Answers,
+        entry::{
+            Entry,
+            State, //
+        },
         floors::Floors,
         issued::Issued,
         Answer,
@@ -11,7 +15,6 @@
         Grant,
         Holder,
         Record,
-        Reply,
         Ticket, //
     },
     crate::{
@@ -63,34 +66,13 @@
 /// ```
 #[derive(Debug)]
 pub struct Tickets {
-    me: Holder,
-    keep: Keep,
+    pub(super) me: Holder,
+    pub(super) keep: Keep,
     now: Time,
     issued: Issued,
-    floors: Floors,
+    pub(super) floors: Floors,
     answers: Answers,
-    entries: HashMap<Ticket, Entry>,
-}
-
-/// What is known of a ticket that is no longer just issued.
-#[derive(Debug)]
-struct Entry {
-    state: State,
-    /// How often the ticket had changed hands when it came to its present holder.
-    hop: u32,
-    /// How often it was granted here.
-    attempt: u32,
-    expires: Time,
-    /// When the entry may be dropped, unless it runs.
-    until: Time,
-}
-
-#[derive(Debug)]
-enum State {
-    Held,
-    Running,
-    Done(Record),
-    Moved(Holder),
+    pub(super) entries: HashMap<Ticket, Entry>,
 }
 
 /// How many tickets are in which state, for the dump and metrics.
@@ -172,73 +154,6 @@
         }
     }
 
-    /// Takes the reply to an [`Ask`] and returns what it means for the request.
-    ///
-    /// A reply may come late, twice or never. [`Claim::Ask`] names whom to ask next.
-    pub fn answered(&mut self, t: &Ticket, reply: Reply, now: Time) -> Claim {
-        match reply {
-            Reply::Yours { to, hop } if to == self.me => {
-                self.adopt(t, hop, now);
-                self.claim(t, now)
-            }
-            // The reply is for an earlier start of this router, which may have used it.
-            Reply::Yours { .. } => Claim::Gone,
-            Reply::Moved { to, .. } if to.router == self.me.router && to != self.me => Claim::Gone,
-            Reply::Moved { to, hop } if to == self.me => {
-                self.adopt(t, hop, now);
-                self.claim(t, now)
-            }
-            Reply::Moved { to, hop } => Claim::Ask(Ask {
-                ticket: t.clone(),
-                by: self.me.clone(),
-                of: to,
-                hop,
-            }),
-            Reply::Running => Claim::Running,
-            Reply::Done(record) => Claim::Done(record),
-            Reply::Expired => Claim::Expired,
-            Reply::Gone => Claim::Gone,
-        }
-    }
-
-    /// Answers another router's [`Ask`]: gives the ticket away if it is unused.
-    ///
-    /// The same asker gets the same reply however often its question arrives.
-    pub fn asked(&mut self, ask: &Ask, now: Time) -> Reply {
-        let now = self.clock(now);
-        let t = &ask.ticket;
-        if ask.of != self.me || ask.by == self.me {
-            return Reply::Gone;
-        }
-        // Whoever names this start as the holder has it from the router that gave the
-        // ticket here, though the reply that said so may have been lost on its way.
-        self.adopt(t, ask.hop, now);
-        let Some(e) = self.entry(t) else {
-            return Reply::Gone;
-        };
-        match &e.state {
-            State::Held if now >= e.expires => Reply::Expired,
-            State::Held => {
-                e.state = State::Moved(ask.by.clone());
-                e.hop += 1;
-                Reply::Yours {
-                    to: ask.by.clone(),
-                    hop: e.hop,
-                }
-            }
-            State::Running => Reply::Running,
-            State::Done(record) => Reply::Done(record.clone()),
-            State::Moved(to) if *to == ask.by => Reply::Yours {
-                to: to.clone(),
-                hop: e.hop,
-            },
-            State::Moved(to) => Reply::Moved {
-                to: to.clone(),
-                hop: e.hop,
-            },
-        }
-    }
-
     /// Records how a granted request ended, for those who ask again.
     ///
     /// [`Outcome::NotRun`] is the same as [`Tickets::unstarted`]. A later answer replaces
@@ -334,7 +249,7 @@
 
     /// Returns the latest time seen. Callers on several threads may pass one that is a
     /// little older; a ticket once called expired must stay so.
-    fn clock(&mut self, now: Time) -> Time {
+    pub(super) fn clock(&mut self, now: Time) -> Time {
         self.now = self.now.max(now);
         self.now
     }
@@ -353,7 +268,7 @@
     }
 
     /// Finds the entry of a ticket, making one for an own ticket just issued.
-    fn entry(&mut self, t: &Ticket) -> Option<&mut Entry> {
+    pub(super) fn entry(&mut self, t: &Ticket) -> Option<&mut Entry> {
         let own = t.issuer() == self.me;
         if own && !self.entries.contains_key(t) && !self.floors.below(t) {
             let expires = self.issued.expires(t.number)?;
@@ -362,29 +277,7 @@
         self.entries.get_mut(t)
     }
 
-    /// Notes that the ticket came here by its `hop`th change of hands.
-    fn adopt(&mut self, t: &Ticket, hop: u32, now: Time) {
-        // A doubled reply arrives when the ticket was passed on, or used and forgotten. It
-        // would make two holders, shown by two starts. Each change of hands has a higher
-        // number, and what is forgotten is below the floor.
-        if hop == 0 {
-            return;
-        }
-        let now = self.clock(now);
-        let expires = now + self.keep.life;
-        match self.entries.get_mut(t) {
-            None if t.issuer() == self.me || self.floors.below(t) => {}
-            None => self.insert(t, hop, expires),
-            Some(e) if hop > e.hop && matches!(e.state, State::Moved(_)) => {
-                e.state = State::Held;
-                e.hop = hop;
-                e.until = e.until.max(expires + self.keep.outcome);
-            }
-            Some(_) => {}
-        }
-    }
-
-    fn insert(&mut self, t: &Ticket, hop: u32, expires: Time) {
+    pub(super) fn insert(&mut self, t: &Ticket, hop: u32, expires: Time) {
         let e = Entry {
             state: State::Held,
             hop,
