policy: figures in a heartbeat are no change of the view

Each heartbeat names another load, so each brought a Changed event, and the router worked out all owners anew and logged it. Now only what the view is made of counts. heard_with_another_load failed before.

--- a/crates/policy/src/members/messages.rs
+++ b/crates/policy/src/members/messages.rs
@@ -91,7 +91,7 @@
         /// What to send.
         beat: Box<Heartbeat>,
     },
-    /// The view has changed.
+    /// The view has changed, in more than the figures that routers report of themselves.
     Changed,
     /// A later start of this very router is about; this one should end.
     Replaced(Incarnation),
--- a/crates/policy/src/members/news.rs
+++ b/crates/policy/src/members/news.rs
@@ -71,9 +71,7 @@
         } else if p.stale(b.seq) {
             return false;
         }
-        let before = p.member.clone();
-        p.hear(b, &self.me, &self.plan, now);
-        if p.member != before {
+        if p.hear(b, &self.me, &self.plan, now) {
             self.events.push(Event::Changed);
         }
         self.turn(&b.id, State::Live, now);
--- a/crates/policy/src/members/peer.rs
+++ b/crates/policy/src/members/peer.rs
@@ -107,8 +107,9 @@
         self.gaps = Gaps::new(plan);
     }
 
-    /// Notes a heartbeat of the present start that is newer than those before.
-    pub(super) fn hear(&mut self, b: &Heartbeat, me: &RouterId, plan: &Plan, now: Time) {
+    /// Notes a heartbeat of the present start that is newer than those before; tells whether
+    /// more than the figures it reports has changed.
+    pub(super) fn hear(&mut self, b: &Heartbeat, me: &RouterId, plan: &Plan, now: Time) -> bool {
         if let (true, Some((_, at))) = (self.due, self.direct) {
             self.gaps.push(now.since(at), plan);
         }
@@ -119,18 +120,20 @@
         self.probed = false;
         self.own_leaving = b.leaving;
         let m = &mut self.member;
-        m.leaving = self.own_leaving || self.list_leaving;
-        m.heard = true;
-        m.hears = !b.deaf.contains(me);
         m.config = m.config.max(b.config);
         m.list = b.list;
         m.load = b.load;
+        let before = m.clone();
+        m.leaving = self.own_leaving || self.list_leaving;
+        m.heard = true;
+        m.hears = !b.deaf.contains(me);
         if let Some(i) = &b.intro {
             m.addr = i.addr;
             m.callers = i.callers;
             m.operators = i.operators.or(m.operators);
             m.zone = i.zone.clone();
         }
+        *m != before
     }
 
     /// Tells whether a heartbeat of the present start proves nothing.
--- a/crates/policy/tests/members/single.rs
+++ b/crates/policy/tests/members/single.rs
@@ -124,6 +124,20 @@
     }
 }
 
+#[test]
+fn heard_with_another_load() {
+    // Each heartbeat names another load. Were that a change of the view, every router would
+    // work out all owners anew for each heartbeat.
+    let mut m = table();
+    m.heard(beat(1, 1, 1), at(0));
+    assert!(m.take_events().contains(&Event::Changed));
+    let mut b = beat(1, 1, 2);
+    (b.load, b.config, b.list) = (7, 8, 9);
+    m.heard(b, at(250));
+    assert_eq!((one(&m).load, one(&m).config, one(&m).list), (7, 8, 9));
+    assert_eq!(m.take_events(), []);
+}
+
 #[test]
 fn heard_of_a_later_start_of_this_router() {
     let mut m = table();
