--- a/src/router/beat.rs
+++ b/src/router/beat.rs
@@ -32,7 +32,7 @@
 };
 
 /// How often the members are looked after.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(125);
 /// How often the addresses that the settings name are asked while nobody else is known.
 const SEEDING: Duration = Duration::from_millis(500);
 /// How long a peer may take to answer a greeting.
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -64,7 +64,10 @@
     },
     std::{
         sync::{
-            atomic::AtomicBool,
+            atomic::{
+                AtomicBool,
+                Ordering, //
+            },
             Arc,
             Mutex, //
         },
@@ -74,6 +77,8 @@
 
 /// How often the dispatch is told the time.
 const TICK: Duration = Duration::from_millis(10);
+/// The same while nothing happens at this router.
+const CALM: Duration = Duration::from_millis(50);
 /// How often old tickets are dropped.
 const TICKET_TICK: Duration = Duration::from_secs(1);
 
@@ -197,6 +202,7 @@
         times: Mutex::new(Times::default()),
         tally: Mutex::new(Tally::default()),
         leaving: AtomicBool::new(false),
+        stirred: AtomicBool::new(false),
         fetching: AtomicBool::new(false),
         platform_up: AtomicBool::new(false),
         me,
@@ -207,8 +213,12 @@
 
 async fn tick(router: Arc<Router>) {
     loop {
+        let busy = router.stirred.swap(false, Ordering::Relaxed);
         router.dispatch(|d, now| d.tick(now));
-        task::sleep(TICK).await;
+        // A tick alone stirs nothing, so an idle router soon wakes up seldom.
+        let acted = router.stirred.swap(false, Ordering::Relaxed);
+        let running = lock(&router.dispatch).running() > 0;
+        task::sleep(if busy || acted || running { TICK } else { CALM }).await;
     }
 }
 
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -99,6 +99,8 @@
     pub(crate) dispatch: Mutex<Dispatch>,
     pub(crate) jobs: Mutex<Jobs>,
     pub(crate) budgets: Mutex<HashMap<ServiceId, Budget>>,
+    /// The dispatch had something to do since the last tick.
+    pub(crate) stirred: AtomicBool,
     /// This router takes no new work any more.
     pub(crate) leaving: AtomicBool,
     /// The list of instances is being fetched from a peer.
@@ -145,7 +147,11 @@
     pub(crate) fn dispatch<R>(&self, step: impl FnOnce(&mut Dispatch, Time) -> R) -> R {
         let mut dispatch = lock(&self.dispatch);
         let out = step(&mut dispatch, self.clock.now());
-        for action in dispatch.take_actions() {
+        let actions = dispatch.take_actions();
+        if !actions.is_empty() {
+            self.stirred.store(true, Ordering::Relaxed);
+        }
+        for action in actions {
             self.act(action);
         }
         out
