Wait for slow plain services, and stop a stream once its caller is gone

Now a plain call that may be repeated may be silent for a third of the time left, and one that may not is waited for. A caller that hung up between two tokens held its slot until the next; the wait for the next event now ends with the caller.

--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -45,6 +45,8 @@
 const TRIES: u32 = 2;
 /// How often a ticket may have changed hands before its trail is given up.
 const HOPS: u32 = 8;
+/// When a caller should ask again whose ticket's holder may come back.
+const HOLDER_BACK: Duration = Duration::from_secs(2);
 /// When a caller should ask again about a request that runs.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -76,7 +78,7 @@
                 other => return Err(Box::new(told(other))),
             };
             let Some(reply) = self.ask_holder(&ask).await else {
-                return Err(refuse(Why::TicketOrphaned, ORPHANED));
+                return Err(Box::new(self.silent_holder(&ask)));
             };
             let now = self.now();
             claim = lock(&self.tickets).answered(&ticket, reply, now);
@@ -97,6 +99,20 @@
         None
     }
 
+    /// What a caller is told whose ticket's holder gives no answer.
+    ///
+    /// A holder that is paused or cut off may come back and know; one that is gone never will.
+    fn silent_holder(&self, ask: &Ask) -> Response {
+        let refused = Refused::new(Why::TicketOrphaned, ORPHANED);
+        let members = lock(&self.members);
+        let holder = members.get(&ask.of.router);
+        let same = holder.filter(|m| m.incarnation == ask.of.incarnation);
+        match same.is_some_and(|m| m.up()) {
+            true => refused.retry_after(HOLDER_BACK).into(),
+            false => refused.into(),
+        }
+    }
+
     fn addr_of(&self, id: &RouterId) -> Option<SocketAddr> {
         let members = lock(&self.members);
         members.get(id).map(|m| m.addr)
--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -19,6 +19,7 @@
         task, //
     },
     callers::{
+        Gone,
         Piece,
         Response, //
     },
@@ -27,6 +28,7 @@
         End,
         Event, //
     },
+    futures_lite::future::or,
     operators::Unit,
     policy::{
         Outcome,
@@ -46,17 +48,25 @@
     held: Held,
     answer: Answer,
     replica: ReplicaId,
+    gone: Gone,
     /// The caller still reads.
     heard: bool,
 }
 
 impl Passing {
-    pub(crate) fn new(run: Running, held: Held, answer: Answer, replica: ReplicaId) -> Passing {
+    pub(crate) fn new(
+        run: Running,
+        held: Held,
+        answer: Answer,
+        replica: ReplicaId,
+        gone: Gone,
+    ) -> Passing {
         Passing {
             run,
             held,
             answer,
             replica,
+            gone,
             heard: true,
         }
     }
@@ -78,7 +88,7 @@
             if !self.heard && self.run.work.idempotent {
                 return self.cancel();
             }
-            match self.answer.next().await {
+            match self.next().await {
                 Some(Event::Data { bytes, tokens }) => {
                     self.keep(&bytes, tokens);
                     self.give(&pieces, Piece::Data(bytes)).await;
@@ -91,6 +101,22 @@
         self.end(end, &pieces).await;
     }
 
+    /// Waits for the next event; none where the caller has hung up and that ends the call.
+    ///
+    /// A caller that hangs up between two tokens would otherwise hold its slot until the
+    /// next one is written, and work that waits would not get it.
+    async fn next(&mut self) -> Option<Event> {
+        if !self.run.work.idempotent {
+            return self.answer.next().await;
+        }
+        let gone = &self.gone;
+        or(async { self.answer.next().await }, async {
+            gone.wait().await;
+            None
+        })
+        .await
+    }
+
     async fn give(&mut self, pieces: &Sender<Piece>, piece: Piece) {
         self.heard = self.heard && pieces.send(piece).await.is_ok();
     }
@@ -139,6 +165,7 @@
     /// Ends an answer that nobody reads any more; dropping the call cancels it.
     fn cancel(self) {
         let job = self.run.job;
+        self.run.count(Outcome::MayHaveRun);
         self.run.router.dispatch(|d, now| d.cancel(job, now));
         lock(&self.run.router.jobs).remove(job);
     }
--- a/src/router/running.rs
+++ b/src/router/running.rs
@@ -52,8 +52,10 @@
     },
 };
 
-/// The least silence of an endpoint after which it is probed.
+/// The least silence of a stream after which it is probed.
 const SILENCE: Duration = Duration::from_secs(2);
+/// Part of the time left that a plain call may be silent, so that there is time to try again.
+const SILENT_PART: u32 = 3;
 /// How often one request is tried at most, the first try included.
 const TRIES: u32 = 4;
 /// Longest answer of a plain service that is held back until it is whole, in bytes.
@@ -178,7 +180,8 @@
         let answer = self.router.endpoints.call(call);
         match self.begin(answer, gone).await {
             Begun::Streaming { held, answer } => {
-                Step::Done(Passing::new(self, held, answer, replica).respond())
+                let gone = gone.clone();
+                Step::Done(Passing::new(self, held, answer, replica, gone).respond())
             }
             Begun::Gone => Step::Done(self.hung_up()),
             Begun::Ended { held, end } => match self.ended(&replica, held, end) {
@@ -373,10 +376,25 @@
             },
             idempotent: self.work.idempotent,
             deadline: self.work.deadline,
-            silence: SILENCE,
+            silence: self.silence(),
         })
     }
 
+    /// Returns how long the endpoint may be silent.
+    ///
+    /// A plain service says nothing until its answer is ready, so silence proves little: a
+    /// call that may be repeated is tried elsewhere while there is time, and one that may
+    /// not is waited for. Given up early it would end as may-have-run, though its answer
+    /// was only slow.
+    fn silence(&self) -> Duration {
+        let left = self.work.deadline.saturating_duration_since(Instant::now());
+        match (self.work.streamed, self.work.idempotent) {
+            (true, _) => SILENCE,
+            (false, true) => (left / SILENT_PART).max(SILENCE),
+            (false, false) => left,
+        }
+    }
+
     /// Names this try. A ticket's own text names a request that may not be repeated, so
     /// that an endpoint can tell a second run from a first.
     fn call_id(&self) -> Option<CallId> {
