Learn the list of instances from peers while the platform is down

A router that restarted empty during an outage of the platform never served: it knew of no endpoint. Cause: one of the list's watchers (in a fleet of three, each router) waited for the platform alone, and never asked a peer. Ruled out: membership and configuration, which had both come back from the peers named in the settings.

A watcher now asks peers while the platform does not answer, and a peer's list is taken only where it is later than the one at hand: an answer that the platform's own list has overtaken would otherwise have stayed until the next change.

restart_platform_down failed before (waited 90 s in vain), and passes now (1.9 s for three restarts under refusals, hangs and errors of the platform).

Prove further that a configuration in force never reverts: racing operators, a lost answer, a slow platform, a router that was cut off, a platform restored to an older state, and a thousand changes among pauses, a kill and a partition. These passed at once.

--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -80,7 +80,10 @@
     /// Learns from a heartbeat which list a peer has.
     pub(crate) fn list_head(self: &Arc<Router>, from: &RouterId, revision: u64) {
         let ours = lock(&self.listing).listed.revision;
-        if revision <= ours || self.watches("list") {
+        // A watcher that restarts empty while the platform is down has no list but its
+        // peers'. It would show as a router that knows of no endpoint.
+        let reads = self.watches("list") && self.platform_up.load(Ordering::Relaxed);
+        if revision <= ours || reads {
             return;
         }
         let Some(addr) = self.links.addr(from) else {
@@ -96,7 +99,7 @@
             if let Ok(Answer::List(Some(changes))) = asked {
                 let have = lock(&router.listing).listed.clone();
                 if let Some(listed) = changes.apply(&have) {
-                    router.take_list(listed);
+                    router.take_later(listed);
                 }
             }
             router.fetching.store(false, Ordering::Release);
@@ -110,6 +113,17 @@
         other.then(|| listing.log.since(have, &listing.listed))
     }
 
+    /// Takes a peer's list if it is later than the one at hand.
+    ///
+    /// The answer of a peer can be overtaken by the platform's own. The older list would
+    /// stay, as the next poll finds nothing new, and show as work for an endpoint that left.
+    fn take_later(&self, listed: Listed) {
+        let ours = lock(&self.listing).listed.revision;
+        if listed.revision > ours {
+            self.take_list(listed);
+        }
+    }
+
     fn take_list(&self, listed: Listed) {
         let routers = listed.instances.iter().filter_map(router_of).collect();
         let now = self.now();
--- a/tests/proofs/stage/fleet.rs
+++ b/tests/proofs/stage/fleet.rs
@@ -18,6 +18,8 @@
     platform::{
         store::{
             self,
+            Applied,
+            ApplyError,
             Base,
             Change,
             Revision, //
@@ -76,7 +78,7 @@
     pub(crate) engines: Vec<engine::Handle>,
     pub(crate) plains: Vec<plain::Handle>,
     pub(crate) routers: Vec<Router>,
-    _slot: Slot,
+    slot: Slot,
 }
 
 impl Fleet {
@@ -120,7 +122,7 @@
             plains: plains.collect(),
             routers: routers.collect(),
             platform,
-            _slot: slot,
+            slot,
         };
         fleet.platform.put_instances(fleet.list());
         fleet
@@ -137,14 +139,39 @@
 
     /// Writes a first configuration.
     pub(crate) fn configure(&self, text: &str) {
+        self.change(text, Revision::NONE).unwrap();
+    }
+
+    /// Writes a configuration where `base` is the revision in force.
+    pub(crate) fn change(&self, text: &str, base: Revision) -> Result<Applied, ApplyError> {
         let kv = Kv::new(platform::Options::new(self.platform.addr, "proofs"));
         let change = Change {
-            base: Base::default(),
+            base: Base::from(base),
             parts: store::split("fleet", text),
             writer: "proofs".to_owned(),
             floor: Revision::NONE,
         };
-        block_on(store::apply(&kv, change)).unwrap();
+        block_on(store::apply(&kv, change))
+    }
+
+    /// Waits until a revision is in force on every router named, and returns how long.
+    pub(crate) fn wait_force(&self, routers: &[usize], revision: Revision) -> Duration {
+        let (_, took) = wait_for("a revision is in force", || {
+            let mut all = routers.iter().map(|n| self.routers[*n].status());
+            let there = all.all(|s| s.is_some_and(|s| s.revision >= revision.0));
+            there.then_some(())
+        });
+        took
+    }
+
+    /// Lets each router's settings name the others, for when the list can't be had.
+    pub(crate) fn name_seeds(&self) {
+        let ways: Vec<SocketAddr> = self.routers.iter().map(|r| r.way.addr).collect();
+        for (n, r) in self.routers.iter().enumerate() {
+            let others = ways.iter().filter(|w| **w != r.way.addr);
+            let others: Vec<SocketAddr> = others.copied().collect();
+            r.write_settings(self.slot.address(n, 1), self.platform.addr, &others);
+        }
     }
 
     /// Parts some routers from all others, both ways.
--- a/tests/proofs/stage/mod.rs
+++ b/tests/proofs/stage/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet to prove things on.
 
 mod calls;
+mod eye;
 mod fleet;
 mod router;
 mod slots;
@@ -18,6 +19,7 @@
         Reply,
         Work, //
     },
+    eye::Eye,
     fleet::{
         Fleet,
         Plan, //
