--- a/crates/standins/src/plain/service.rs
+++ b/crates/standins/src/plain/service.rs
@@ -21,6 +21,7 @@
             atomic::{
                 AtomicBool,
                 AtomicU32,
+                AtomicU64,
                 Ordering, //
             },
             Arc,
@@ -56,6 +57,7 @@
     work: Duration,
     faults: Faults,
     leaving: AtomicBool,
+    turned_away: AtomicU64,
     runs: Mutex<BTreeMap<String, u32>>,
     strays: AtomicU32,
 }
@@ -90,6 +92,11 @@
         self.state.strays.load(Ordering::SeqCst)
     }
 
+    /// Returns how many requests came while it was leaving.
+    pub fn turned_away(&self) -> u64 {
+        self.state.turned_away.load(Ordering::SeqCst)
+    }
+
     /// Refuses new work from now on, or takes it again.
     pub fn leave(&self, leaving: bool) {
         self.state.leaving.store(leaving, Ordering::SeqCst);
@@ -107,6 +114,7 @@
         work: opts.work,
         faults: faults.clone(),
         leaving: AtomicBool::new(false),
+        turned_away: AtomicU64::new(0),
         runs: Mutex::default(),
         strays: AtomicU32::new(0),
     });
@@ -142,6 +150,7 @@
             return self.admin(&conn, &ask).await;
         }
         if self.leaving.load(Ordering::SeqCst) {
+            self.turned_away.fetch_add(1, Ordering::SeqCst);
             let headers = [("x-request-id", ask.id.as_str()), ("x-leaving", "1")];
             conn.answer(503, &headers, b"leaving\n").await?;
             return Ok(true);
--- a/tests/proofs/config.rs
+++ b/tests/proofs/config.rs
@@ -196,7 +196,7 @@
         }
         let changed = fleet.change(&with(&format!("site-{n}")), revision);
         revision = changed.expect("nobody else writes").revision;
-        if n % 20 == 0 && (n < 200 || n > 800) {
+        if n % 20 == 0 && !(200..=800).contains(&n) {
             took.push(fleet.wait_force(&ALL, revision));
         }
     }
@@ -205,5 +205,8 @@
     assert_eq!(eye.close(), Vec::<String>::new());
     took.sort();
     let (median, most) = (took[took.len() / 2], took[took.len() - 1]);
-    println!("in force everywhere after {median:?}, {most:?} at most, of {}", took.len());
+    println!(
+        "in force everywhere after {median:?}, {most:?} at most, of {}",
+        took.len()
+    );
 }
--- /dev/null
+++ b/tests/proofs/leaving.rs
@@ -0,0 +1,150 @@
+//! A leaving endpoint gets no new work.
+
+use {
+    crate::stage::{
+        ask_again,
+        record,
+        send,
+        tickets,
+        wait_for,
+        Fleet,
+        Plan,
+        Signal, //
+    },
+    async_std::task::block_on,
+    policy::Outcome,
+    standins::platform::{
+        Down,
+        State, //
+    },
+    std::time::Duration,
+};
+
+const DAY: Duration = Duration::from_secs(86_400);
+
+/// Sends a few requests through a router; each must be answered.
+fn work(fleet: &Fleet, router: usize, requests: u32) {
+    let router = fleet.routers[router].callers;
+    for n in 0..requests {
+        let op = fleet.routers.iter().map(|r| r.operators).collect::<Vec<_>>();
+        let begin = std::time::Instant::now();
+        let h = async_std::task::spawn(async move { async_std::task::sleep(Duration::from_secs(3)).await; for o in op { eprintln!("DUMP {}", operators::ask(o, "/dump").await.unwrap_or_default()); } });
+        let lookup = record("standard", n);
+        let reply = block_on(send(router, &lookup, None)).unwrap();
+        assert_eq!(reply.outcome, Outcome::Answered, "{:?}", reply.why);
+        let claim = record("claim", n);
+        let ticket = block_on(tickets(router, "broker-desk", 1))
+            .unwrap()
+            .remove(0);
+        let reply = ask_again(router, &claim, &ticket);
+        if begin.elapsed() < Duration::from_secs(3) { block_on(h.cancel()); }
+        assert_eq!(reply.outcome, Outcome::Answered, "{:?}", reply.why);
+    }
+}
+
+/// Waits until a router counts this many plain replicas that take work.
+fn wait_replicas(fleet: &Fleet, router: usize, n: u32) -> Duration {
+    let (_, took) = wait_for("a router knows which endpoints stay", || {
+        let status = fleet.routers[router].status()?;
+        let mut services = status.services.iter();
+        let desk = services.find(|s| s.name.as_str() == "broker-desk")?;
+        (desk.replicas == n).then_some(())
+    });
+    took
+}
+
+fn desk_runs(fleet: &Fleet, n: usize) -> u32 {
+    fleet.plains[n].runs().values().sum()
+}
+
+// An endpoint is leaving and turns requests away, but the list will not say so for a day.
+// Callers see refusals and slow answers all that time. Cause: only the list was believed.
+#[test]
+fn leave_list_lags() {
+    let fleet = Fleet::start(Plan {
+        plains: 3,
+        ..Plan::default()
+    });
+    work(&fleet, 0, 5);
+    fleet.platform.set_lag(DAY);
+    fleet.plains[0].leave(true);
+    fleet.platform.set_state("broker-desk-1", State::Leaving);
+    // Whichever router meets the endpoint first tells the others.
+    wait_for("a router has met the leaving endpoint", || {
+        work(&fleet, 0, 1);
+        (fleet.plains[0].turned_away() > 0).then_some(())
+    });
+    for router in 0..3 {
+        wait_replicas(&fleet, router, 2);
+    }
+    let met = fleet.plains[0].turned_away();
+    for router in 0..3 {
+        work(&fleet, router, 30);
+    }
+    assert_eq!(fleet.plains[0].turned_away(), met);
+}
+
+// An endpoint leaves by the list alone while the router that hands out its slots is down
+// or paused; the others go on with the slots that they were lent, and their requests are
+// cut when the endpoint ends. Cause: only the owner took slots back.
+#[test]
+fn leave_owner_away() {
+    let mut fleet = Fleet::start(Plan {
+        plains: 3,
+        ..Plan::default()
+    });
+    for away in 0..3 {
+        work(&fleet, away, 5);
+        match away {
+            0 => fleet.routers[away].kill(),
+            _ => fleet.routers[away].signal(Signal::Stop),
+        }
+        fleet.platform.set_state("broker-desk-1", State::Leaving);
+        let others = (0..3).filter(|r| *r != away);
+        for router in others.clone() {
+            wait_replicas(&fleet, router, 2);
+        }
+        let before = desk_runs(&fleet, 0);
+        for router in others {
+            work(&fleet, router, 20);
+        }
+        assert_eq!(desk_runs(&fleet, 0), before);
+        fleet.routers[away].signal(Signal::Cont);
+        fleet.routers[away].start();
+        // The one that was away hears of it too, and only then is asked.
+        wait_replicas(&fleet, away, 2);
+        let before = desk_runs(&fleet, 0);
+        work(&fleet, away, 20);
+        assert_eq!(desk_runs(&fleet, 0), before);
+        fleet.platform.set_state("broker-desk-1", State::Live);
+        fleet.wait_ready();
+    }
+}
+
+// An endpoint leaves while the platform is down, so no list will say it; the owner of its
+// slots is paused. Cause: its own word goes through the owner alone.
+#[test]
+fn leave_platform_down() {
+    let fleet = Fleet::start(Plan {
+        plains: 3,
+        ..Plan::default()
+    });
+    work(&fleet, 0, 5);
+    fleet.platform.set_down(Some(Down::Hang));
+    fleet.routers[2].signal(Signal::Stop);
+    for n in 0..2 {
+        fleet.plains[n].leave(true);
+        wait_for("a router has met the leaving endpoint", || {
+            work(&fleet, 0, 1);
+            (fleet.plains[n].turned_away() > 0).then_some(())
+        });
+        for router in 0..2 {
+            wait_replicas(&fleet, router, 2 - n as u32);
+        }
+        let met = fleet.plains[n].turned_away();
+        for router in 0..2 {
+            work(&fleet, router, 20);
+        }
+        assert_eq!(fleet.plains[n].turned_away(), met);
+    }
+}
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -5,6 +5,8 @@
 //! faults ordered. docs/PROVED.md lists what each test proves.
 
 mod config;
+mod fuzz;
+mod leaving;
 mod once;
 mod path;
 mod rolling;
--- /dev/null
+++ b/tests/proofs/stage/load.rs
@@ -0,0 +1,135 @@
+//! Callers that go on sending requests while something happens.
+
+use {
+    super::{
+        calls::{
+            draft,
+            record,
+            send,
+            tickets,
+            Loss,
+            Work, //
+        },
+        Fleet,
+    },
+    async_std::task::{
+        self,
+        JoinHandle, //
+    },
+    callers::Client,
+    policy::Outcome,
+    std::{
+        net::SocketAddr,
+        sync::{
+            atomic::{
+                AtomicBool,
+                Ordering, //
+            },
+            Arc,
+        },
+        time::Duration,
+    },
+};
+
+/// Callers at work.
+#[derive(Debug)]
+pub(crate) struct Load {
+    end: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Seen>>,
+}
+
+/// What callers saw.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    pub(crate) answered: u32,
+    /// Tries that ended without an answer after the request was sent.
+    pub(crate) cut: Vec<Loss>,
+    /// Answers that were not whole or not right, and refusals that are no call to go on.
+    pub(crate) wrong: Vec<String>,
+}
+
+impl Load {
+    /// Begins with a number of callers.
+    pub(crate) fn begin(fleet: &Fleet, callers: u32) -> Load {
+        let end = Arc::new(AtomicBool::new(false));
+        let callers = (0..callers).map(|n| caller(fleet.client(), n, end.clone()));
+        Load {
+            callers: callers.collect(),
+            end,
+        }
+    }
+
+    /// Lets each caller end its last request, and returns what they saw.
+    pub(crate) fn end(self) -> Seen {
+        self.end.store(true, Ordering::SeqCst);
+        let mut all = Seen::default();
+        for seen in self.callers.into_iter().map(task::block_on) {
+            assert!(seen.answered > 0, "a caller got no answer at all: {seen:?}");
+            all.answered += seen.answered;
+            all.cut.extend(seen.cut);
+            all.wrong.extend(seen.wrong);
+        }
+        all
+    }
+}
+
+/// Sends one request after another until told to end.
+fn caller(client: Client, n: u32, end: Arc<AtomicBool>) -> JoinHandle<Seen> {
+    task::spawn(async move {
+        let mut seen = Seen::default();
+        let mut number = n * 10_000;
+        while seen.answered == 0 || !end.load(Ordering::SeqCst) {
+            number += 1;
+            let work = match n % 3 {
+                0 => record("claim", number),
+                1 => draft("renewal", number, 40),
+                _ => draft("standard", number, 80),
+            };
+            one(&client, &work, &mut seen).await;
+        }
+        seen
+    })
+}
+
+/// Sends one request until it is over, as a caller by docs/CALLERS.md does.
+async fn one(client: &Client, work: &Work, seen: &mut Seen) {
+    loop {
+        let Ok(answer) = client.addresses(&work.call.service).await else {
+            task::sleep(Duration::from_millis(100)).await;
+            continue;
+        };
+        for address in answer.addresses {
+            if try_at(address.address, work, seen).await {
+                return;
+            }
+        }
+    }
+}
+
+/// Tries one address; returns whether the request is over.
+async fn try_at(router: SocketAddr, work: &Work, seen: &mut Seen) -> bool {
+    let mut ticket = None;
+    if work.call.once {
+        let some = tickets(router, work.call.service.as_str(), 1).await;
+        ticket = some.unwrap_or_default().pop();
+        if ticket.is_none() {
+            return false;
+        }
+    }
+    match send(router, work, ticket.as_deref()).await {
+        Ok(reply) if reply.outcome == Outcome::Answered && work.is_right(&reply.body) => {
+            seen.answered += 1;
+            true
+        }
+        Ok(reply) if reply.outcome == Outcome::NotRun => false,
+        Ok(reply) => {
+            seen.wrong.push(format!("{reply:?}"));
+            true
+        }
+        Err(Loss::Unsent) => false,
+        Err(loss) => {
+            seen.cut.push(loss);
+            true
+        }
+    }
+}
--- a/tests/proofs/stage/mod.rs
+++ b/tests/proofs/stage/mod.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod eye;
 mod fleet;
+mod load;
 mod router;
 mod slots;
 mod wait;
@@ -24,6 +25,7 @@
         Fleet,
         Plan, //
     },
+    load::Load,
     router::Signal,
     wait::wait_for,
 };
--- a/tests/proofs/stage/router.rs
+++ b/tests/proofs/stage/router.rs
@@ -110,8 +110,11 @@
         }
     }
 
-    /// Starts its process, empty as any start.
+    /// Starts its process, empty as any start, unless it runs.
     pub(crate) fn start(&mut self) {
+        if self.child.is_some() {
+            return;
+        }
         let child = Command::new(env!("CARGO_BIN_EXE_chervilwind"))
             .args(["router", "--settings"])
             .arg(&self.file)
@@ -129,14 +132,17 @@
         }
     }
 
-    /// Sends its process a signal.
+    /// Sends its process a signal, if it runs.
     pub(crate) fn signal(&self, signal: Signal) {
         let name = match signal {
             Signal::Term => "-TERM",
             Signal::Stop => "-STOP",
             Signal::Cont => "-CONT",
         };
-        let id = self.child.as_ref().expect("it runs").id().to_string();
+        let Some(child) = &self.child else {
+            return;
+        };
+        let id = child.id().to_string();
         let sent = Command::new("kill").args([name, &id]).status().unwrap();
         assert!(sent.success());
     }
