--- a/crates/endpoints/tests/plain_faults.rs
+++ b/crates/endpoints/tests/plain_faults.rs
@@ -23,7 +23,10 @@
         },
         Fault, //
     },
-    std::net::TcpListener,
+    std::{
+        net::TcpListener,
+        time::Duration, //
+    },
 };
 
 fn client() -> Client {
@@ -199,10 +202,9 @@
         let service = service().await;
         let client = client();
         service.faults.order(Fault::Delay { ms: 800 }, 1);
-        let first = client
-            .call(plain_call(service.addr, "a", true))
-            .whole()
-            .await;
+        let mut late = plain_call(service.addr, "a", true);
+        late.silence = Duration::from_millis(200);
+        let first = client.call(late).whole().await;
         assert_eq!(first.end.outcome, Outcome::MayHaveRun);
         for id in ["b", "c"] {
             let whole = client
@@ -243,15 +245,18 @@
 #[test]
 fn call_kept_silent() {
     // Lookups hang one after another although the service is well. Something between the
-    // two ends lost track of the kept connection: what is written on it never arrives,
-    // while a new one works. The call goes again over a new connection.
+    // two ends lost track of the kept connections: what is written on them never arrives,
+    // while a new one works. The call goes again over a new connection, and the other kept
+    // ones are closed rather than tried in turn.
     block_on(async {
         let service = service().await;
         let client = client();
-        client
-            .call(plain_call(service.addr, "a", true))
-            .whole()
-            .await;
+        service.faults.order(Fault::Delay { ms: 300 }, 2);
+        let first = client.call(plain_call(service.addr, "a0", true));
+        let second = client.call(plain_call(service.addr, "a1", true));
+        first.whole().await;
+        second.whole().await;
+        let kept = service.connections();
         service.faults.order(Fault::Ignored, 1);
         let whole = client
             .call(plain_call(service.addr, "b", true))
@@ -259,7 +264,8 @@
             .await;
         assert_eq!(whole.end.outcome, Outcome::Answered);
         assert_eq!(whole.body, right("b"));
-        assert_eq!((service.runs()["b"], service.connections()), (1, 2));
+        assert_eq!((service.runs()["b"], service.connections()), (1, kept + 1));
+        eventually("the others close", || service.open() == 1).await;
     });
 }
 
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -32,6 +32,12 @@
     told: u64,
     /// Whether it is heard from.
     live: bool,
+    /// Whether its counts are known as they are since it is heard from.
+    ///
+    /// After a partition the counts of the far side are old. Taken for its level, they
+    /// would make its workspaces the least by far, and the others be forgiven what they
+    /// never owed.
+    known: bool,
 }
 
 /// The accounts of all workspaces at one service, as one router knows them.
@@ -70,7 +76,9 @@
     pub(crate) fn set_friends(&mut self, live: &BTreeMap<Writer, bool>) {
         self.friends.retain(|w, _| live.contains_key(w));
         for (w, live) in live {
-            self.friends.entry(*w).or_default().live = *live;
+            let f = self.friends.entry(*w).or_default();
+            f.known &= f.live && *live;
+            f.live = *live;
         }
     }
 
@@ -109,45 +117,54 @@
 
     /// Returns whether requests of a workspace wait at any live router.
     fn waits(&self, account: &Account) -> bool {
-        account
-            .parts
-            .iter()
-            .any(|(w, p)| p.waits && (*w == self.me || self.friends.get(w).is_some_and(|f| f.live)))
+        account.parts.iter().any(|(w, p)| {
+            p.waits && (*w == self.me || self.friends.get(w).is_some_and(|f| f.known))
+        })
     }
 
     /// Returns the least level of the backlogged workspaces but one.
-    fn least(&self, but: Option<Key>) -> Option<i64> {
+    fn least(&self, but: Option<Key>, running: impl Fn(Key) -> i64) -> Option<i64> {
         self.accounts
             .iter()
             .filter(|(key, a)| Some(**key) != but && self.waits(a))
-            .map(|(key, a)| a.level(self.share(*key)))
+            .map(|(key, a)| a.level(self.share(*key)) - self.normal(*key, running(*key)))
             .min()
     }
 
+    /// Returns an amount divided by the share of a workspace.
+    fn normal(&self, key: Key, milli: i64) -> i64 {
+        (milli as f64 / self.share(key).get()) as i64
+    }
+
     /// Brings a workspace that becomes backlogged near the others.
     ///
     /// What it saved up by idling is lost but for the credit; and what it had while
     /// nobody else waited is not held against it.
-    pub(crate) fn activate(&mut self, key: Key, credit: i64) {
+    ///
+    /// `running` gives what a workspace was charged for requests that still run here. It
+    /// counts as not yet received, so that a newcomer catches up with those whose
+    /// requests took all slots just before it came.
+    pub(crate) fn activate(&mut self, key: Key, credit: i64, running: impl Fn(Key) -> i64) {
         if self.accounts.get(&key).is_some_and(|a| self.waits(a)) {
             return;
         }
         let level = self.level(key);
-        let least = self.least(Some(key));
+        let least = self.least(Some(key), &running);
         let low = least.unwrap_or(self.floor) - credit;
         if level < low {
             self.shift(key, low - level);
         }
         if let Some(high) = least.map(|l| l + credit) {
-            if level > high {
-                self.shift(key, high - level);
+            let received = level - self.normal(key, running(key));
+            if received > high {
+                self.shift(key, high - received);
             }
         }
     }
 
     /// Notes how far the least backlogged workspace is.
     pub(crate) fn watch(&mut self) {
-        if let Some(least) = self.least(None) {
+        if let Some(least) = self.least(None, |_| 0) {
             self.floor = self.floor.max(least);
         }
     }
@@ -157,7 +174,7 @@
     /// After a partition heals, one workspace may be far ahead of the rest. Without
     /// this it would get nothing until all had caught up, which shows as starvation.
     pub(crate) fn forgive(&mut self, debt: i64) {
-        let Some(least) = self.least(None) else {
+        let Some(least) = self.least(None, |_| 0) else {
             return;
         };
         let ahead: Vec<(Key, i64)> = self
@@ -261,6 +278,7 @@
             f.acked = f.acked.max(n.seen);
         }
         f.seen = f.seen.max(n.rev);
+        f.known |= f.live && n.notes.len() < NOTES;
         self.floor = self.floor.max(n.floor);
         for note in n.notes {
             let account = self.accounts.entry(note.key).or_default();
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -5,6 +5,10 @@
         ListenError,
         SettingsError, //
     },
+    callers::{
+        Refused,
+        Why, //
+    },
     miette::Diagnostic,
     operators::{
         AskError,
@@ -79,6 +83,15 @@
 }
 
 impl Error {
+    /// Makes an error of a refusal that no request was sent for.
+    pub(crate) fn from_refused(refused: &Refused) -> Error {
+        let message = refused.message.clone();
+        match refused.why {
+            Why::NoEndpoint => Error::NoRouter(message),
+            _ => Error::Request(Outcome::NotRun, message),
+        }
+    }
+
     /// Returns the exit code, as `chervilwind --help` lists them.
     pub(crate) fn code(&self) -> ExitCode {
         ExitCode::from(match self {
@@ -96,7 +109,7 @@
 
 fn apply_code(error: &ApplyError) -> u8 {
     match error {
-        ApplyError::Conflict { .. } => 4,
+        ApplyError::Conflict { .. } | ApplyError::Behind { .. } => 4,
         ApplyError::NotApplied(_) | ApplyError::Read(_) => 3,
         ApplyError::TooLarge { .. } | ApplyError::Doubled(_) => 2,
         ApplyError::Unknown { .. } => 6,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 mod demo;
 mod errors;
 mod gauge;
+mod measure;
 mod router;
+mod slopes;
 
 pub use self::{
     cli::run,
