--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -69,6 +69,7 @@
         text, //
     },
     views::{
+        InForce,
         Member,
         MemberState,
         ProfileView,
--- a/crates/operators/src/server.rs
+++ b/crates/operators/src/server.rs
@@ -7,6 +7,8 @@
             record, //
         },
         views::{
+            InForce,
+            Member,
             Profiles,
             Status, //
         },
@@ -49,6 +51,10 @@
 pub struct Views {
     /// How the router is doing.
     pub status: Box<dyn Fn() -> Status + Send + Sync>,
+    /// The revision in force.
+    pub revision: Box<dyn Fn() -> InForce + Send + Sync>,
+    /// The routers it knows, itself included.
+    pub members: Box<dyn Fn() -> Vec<Member> + Send + Sync>,
     /// The profiles in force.
     pub profiles: Box<dyn Fn() -> Profiles + Send + Sync>,
     /// The configuration in force, where there is one.
@@ -59,8 +65,8 @@
     pub ready: Box<dyn Fn() -> bool + Send + Sync>,
 }
 
-/// Answers `/status`, `/profiles`, `/config`, `/dump`, `/ready` and `/metrics` until the task
-/// is cancelled.
+/// Answers `/status`, `/revision`, `/members`, `/profiles`, `/config`, `/dump`, `/ready` and
+/// `/metrics` until the task is cancelled.
 ///
 /// # Errors
 ///
@@ -109,6 +115,10 @@
     let mut app = Server::with_state(Arc::new(views));
     app.at("/status")
         .get(|r: Request<Arc<Views>>| async move { json(&(r.state().status)()) });
+    app.at("/revision")
+        .get(|r: Request<Arc<Views>>| async move { json(&(r.state().revision)()) });
+    app.at("/members")
+        .get(|r: Request<Arc<Views>>| async move { json(&(r.state().members)()) });
     app.at("/profiles")
         .get(|r: Request<Arc<Views>>| async move { json(&(r.state().profiles)()) });
     app.at("/config")
--- a/crates/operators/src/views/mod.rs
+++ b/crates/operators/src/views/mod.rs
@@ -9,6 +9,7 @@
         Profiles, //
     },
     status::{
+        InForce,
         Member,
         MemberState,
         ServiceStatus,
--- a/crates/operators/src/views/status.rs
+++ b/crates/operators/src/views/status.rs
@@ -50,6 +50,17 @@
     pub workspaces: Vec<WorkspaceStatus>,
 }
 
+/// What a router has in force, as `GET /revision` tells it: small, as it is asked often.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InForce {
+    /// Its name.
+    pub name: RouterId,
+    /// This start of it.
+    pub incarnation: Incarnation,
+    /// Revision of the configuration in force here; 0 where it has none yet.
+    pub revision: u64,
+}
+
 /// Whether a router takes requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/operators/tests/server.rs
+++ b/crates/operators/tests/server.rs
@@ -10,6 +10,9 @@
         AskError,
         Document,
         Fleet,
+        InForce,
+        Member,
+        MemberState,
         Profiles,
         ServiceStatus,
         Source,
@@ -69,6 +72,26 @@
     }
 }
 
+fn in_force() -> InForce {
+    InForce {
+        name: "router-1".parse().unwrap(),
+        incarnation: Incarnation(3),
+        revision: 7,
+    }
+}
+
+fn member() -> Member {
+    Member {
+        name: "router-2".parse().unwrap(),
+        incarnation: Incarnation(9),
+        zone: "hall-b".parse().unwrap(),
+        state: MemberState::Suspect,
+        operators: Some(SocketAddr::from(([10, 0, 0, 8], 7402))),
+        revision: 6,
+        silent: Span::millis(1_500),
+    }
+}
+
 fn profiles() -> Profiles {
     let source = Source::from_text("fleet.toml", FLEET);
     Profiles::new(7, &Fleet::new(Document::parse(&source).unwrap()))
@@ -87,6 +110,8 @@
     let ready = AtomicBool::new(false);
     let views = Views {
         status: Box::new(status),
+        revision: Box::new(in_force),
+        members: Box::new(|| vec![member()]),
         profiles: Box::new(profiles),
         config: Box::new(|| Some(Arc::new(config()))),
         dump: Box::new(|| serde_json::json!({ "tickets": [] })),
@@ -105,6 +130,13 @@
     assert_eq!(read_view::<Status>(address, &body).unwrap(), status());
     let body = ask(address, "/profiles").await.unwrap();
     assert_eq!(read_view::<Profiles>(address, &body).unwrap(), profiles());
+    let body = ask(address, "/revision").await.unwrap();
+    assert_eq!(read_view::<InForce>(address, &body).unwrap(), in_force());
+    let body = ask(address, "/members").await.unwrap();
+    assert_eq!(
+        read_view::<Vec<Member>>(address, &body).unwrap(),
+        [member()]
+    );
     let body = ask(address, "/config").await.unwrap();
     assert_eq!(read_view::<Config>(address, &body).unwrap(), config());
     let body = ask(address, "/dump").await.unwrap();
--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -16,8 +16,8 @@
         ask,
         read_view,
         Document,
-        Source,
-        Status, //
+        Member,
+        Source, //
     },
     platform::{
         store::{
@@ -88,12 +88,12 @@
     let Some(router) = router else {
         return Revision::NONE;
     };
-    let asked = ask(router, "/status").await;
-    let status = asked.and_then(|body| read_view::<Status>(router, &body));
-    match status {
-        Ok(status) => {
-            let members = status.members.iter().map(|m| m.revision);
-            Revision(members.max().unwrap_or(0).max(status.revision))
+    let asked = ask(router, "/members").await;
+    let members = asked.and_then(|body| read_view::<Vec<Member>>(router, &body));
+    match members {
+        Ok(members) => {
+            let revisions = members.iter().map(|m| m.revision);
+            Revision(revisions.max().unwrap_or(0))
         }
         Err(error) => {
             log::warn!("config: {error}, going by the platform's revision alone");
--- a/src/cli/wait.rs
+++ b/src/cli/wait.rs
@@ -10,13 +10,16 @@
         ask,
         read_view,
         AskError,
-        MemberState,
-        Status, //
+        InForce,
+        Member,
+        MemberState, //
     },
     policy::{
+        Incarnation,
         RouterId,
         Span, //
     },
+    serde::de::DeserializeOwned,
     std::{
         collections::BTreeSet,
         net::SocketAddr,
@@ -27,6 +30,15 @@
 /// Pause between two rounds of questions.
 const PAUSE: Duration = Duration::from_millis(200);
 
+/// A wait for a revision to be in force everywhere.
+struct Wait {
+    /// The router that names the others.
+    router: SocketAddr,
+    revision: u64,
+    /// The routers that have it. None goes back, so that they aren't asked again.
+    done: BTreeSet<(RouterId, Incarnation)>,
+}
+
 /// Returns when every live router has the revision, or a later one, in force.
 ///
 /// `router` names the others. A router whose heartbeat is late counts as live, as it may be
@@ -41,9 +53,14 @@
     time: Span,
 ) -> Result<(), Error> {
     let mut missing = format!("{router}: not asked yet");
+    let mut wait = Wait {
+        router,
+        revision,
+        done: BTreeSet::new(),
+    };
     let rounds = async {
         loop {
-            match round(router, revision).await {
+            match wait.round().await {
                 Ok(left) if left.is_empty() => return,
                 Ok(left) => missing = left.join(", "),
                 Err(error) => missing = error.to_string(),
@@ -55,40 +72,49 @@
     waited.map_err(|_| Error::NotInForce(revision, missing))
 }
 
-/// Asks every router once and returns those that don't have the revision.
-async fn round(router: SocketAddr, revision: u64) -> Result<Vec<String>, AskError> {
-    let first = status(router).await?;
-    let mut seen = BTreeSet::from([first.name.clone()]);
-    let mut left = Vec::new();
-    if first.revision < revision {
-        left.push(first.name.to_string());
-    }
-    let mut asked = Vec::new();
-    for member in first.members {
-        let live = matches!(member.state, MemberState::Live | MemberState::Suspect);
-        if !live || !seen.insert(member.name.clone()) {
-            continue;
+impl Wait {
+    /// Asks the routers that are not done and returns those that don't have the revision.
+    async fn round(&mut self) -> Result<Vec<String>, AskError> {
+        let first = in_force(self.router).await?;
+        let members: Vec<Member> = view(self.router, "/members").await?;
+        let mut left = Vec::new();
+        if first.revision < self.revision {
+            left.push(first.name.to_string());
+        }
+        let mut asked = Vec::new();
+        for member in members {
+            let live = matches!(member.state, MemberState::Live | MemberState::Suspect);
+            let id = (member.name, member.incarnation);
+            if !live || id.0 == first.name || self.done.contains(&id) {
+                continue;
+            }
+            match member.operators {
+                Some(address) => asked.push((id, task::spawn(in_force(address)))),
+                None if member.revision < self.revision => left.push(id.0.to_string()),
+                None => {}
+            }
         }
-        match member.operators {
-            Some(address) => asked.push((member.name, task::spawn(status(address)))),
-            None if member.revision < revision => left.push(member.name.to_string()),
-            None => {}
+        for (id, answer) in asked {
+            if self.has(&id.0, answer.await) {
+                self.done.insert(id);
+            } else {
+                left.push(id.0.to_string());
+            }
         }
+        Ok(left)
     }
-    for (name, answer) in asked {
-        if !has(&name, answer.await, revision) {
-            left.push(name.to_string());
-        }
+
+    /// Says whether that router has the revision; another one behind its address doesn't count.
+    fn has(&self, name: &RouterId, answer: Result<InForce, AskError>) -> bool {
+        answer.is_ok_and(|a| a.name == *name && a.revision >= self.revision)
     }
-    Ok(left)
 }
 
-async fn status(router: SocketAddr) -> Result<Status, AskError> {
-    let body = ask(router, "/status").await?;
-    read_view(router, &body)
+async fn in_force(router: SocketAddr) -> Result<InForce, AskError> {
+    view(router, "/revision").await
 }
 
-/// Says whether that router has the revision; another one behind its address doesn't count.
-fn has(name: &RouterId, answer: Result<Status, AskError>, revision: u64) -> bool {
-    answer.is_ok_and(|s| s.name == *name && s.revision >= revision)
+async fn view<T: DeserializeOwned>(router: SocketAddr, path: &str) -> Result<T, AskError> {
+    let body = ask(router, path).await?;
+    read_view(router, &body)
 }
--- a/src/router/report.rs
+++ b/src/router/report.rs
@@ -6,6 +6,7 @@
         Router, //
     },
     operators::{
+        InForce,
         Member,
         MemberState,
         Profiles,
@@ -90,15 +91,12 @@
 
 /// Makes what the operators' server answers from.
 pub(crate) fn views(router: &Arc<Router>) -> Views {
-    let (status, profiles, config, dump, ready) = (
-        router.clone(),
-        router.clone(),
-        router.clone(),
-        router.clone(),
-        router.clone(),
-    );
+    let [status, revision, members, profiles, config, dump, ready] =
+        std::array::from_fn(|_| router.clone());
     Views {
         status: Box::new(move || status.status()),
+        revision: Box::new(move || revision.in_force()),
+        members: Box::new(move || members.member_views()),
         profiles: Box::new(move || profiles.profiles()),
         config: Box::new(move || lock(&config.force).config.clone()),
         dump: Box::new(move || serde_json::to_value(dump.dump()).unwrap_or_default()),
@@ -153,6 +151,14 @@
         }
     }
 
+    fn in_force(&self) -> InForce {
+        InForce {
+            name: self.me.router.clone(),
+            incarnation: self.me.incarnation,
+            revision: self.revision().0,
+        }
+    }
+
     fn member_views(&self) -> Vec<Member> {
         let view = lock(&self.members).view();
         view.into_iter()
