--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -163,8 +163,10 @@
     }
 
     /// Ends an answer that nobody reads any more; dropping the call cancels it.
-    fn cancel(self) {
+    fn cancel(mut self) {
         let job = self.run.job;
+        self.held.status = 0;
+        self.run.record(Outcome::MayHaveRun, &self.held);
         self.run.count(Outcome::MayHaveRun);
         self.run.router.dispatch(|d, now| d.cancel(job, now));
         lock(&self.run.router.jobs).remove(job);
--- a/src/router/running.rs
+++ b/src/router/running.rs
@@ -336,6 +336,9 @@
     /// Ends a request whose caller hung up while it ran; dropping the call cancels it.
     fn hung_up(&mut self) -> Response {
         let job = self.job;
+        // A ticket left as running would send its caller away to ask again for ever.
+        self.record(Outcome::MayHaveRun, &Held::default());
+        self.count(Outcome::MayHaveRun);
         self.router.dispatch(|d, now| d.cancel(job, now));
         lock(&self.router.jobs).remove(job);
         gone_response(Outcome::MayHaveRun)
