--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -163,10 +163,9 @@
     }
 
     /// Ends an answer that nobody reads any more; dropping the call cancels it.
-    fn cancel(mut self) {
+    fn cancel(self) {
         let job = self.run.job;
-        self.held.status = 0;
-        self.run.record(Outcome::MayHaveRun, &self.held);
+        self.run.record(Outcome::MayHaveRun, &Held::default());
         self.run.count(Outcome::MayHaveRun);
         self.run.router.dispatch(|d, now| d.cancel(job, now));
         lock(&self.run.router.jobs).remove(job);
