--- a/crates/platform/tests/platform/kv.rs
+++ b/crates/platform/tests/platform/kv.rs
@@ -14,6 +14,7 @@
         VALUE_MAX, //
     },
     async_std::task,
+    futures_lite::future::zip,
     policy::Span,
     standins::platform::Down,
     std::{
@@ -224,6 +225,25 @@
     });
 }
 
+// All kept connections go silent at once. A router that tried one after the other would
+// spend a timeout on each; after the first it trusts none of them.
+#[test]
+fn get_on_silent_connections() {
+    run(async {
+        let platform = platform().await;
+        let kv = hasty(&platform, "a");
+        platform.set_slow(Duration::from_millis(50));
+        let (one, two) = zip(kv.get("x"), kv.get("x")).await;
+        assert_eq!((one, two), (Ok(None), Ok(None)));
+        platform.set_slow(Duration::ZERO);
+        platform.silence();
+        platform.clear_counts();
+        assert_eq!(kv.get("x").await, Ok(None));
+        assert_eq!(kv.get("x").await, Ok(None));
+        assert_eq!(platform.calls("get"), 3);
+    });
+}
+
 // The same for a watch: its wait is over and no answer came. It is made again elsewhere.
 #[test]
 fn watch_on_silent_connection() {
--- a/crates/platform/tests/platform/lease.rs
+++ b/crates/platform/tests/platform/lease.rs
@@ -75,6 +75,23 @@
     });
 }
 
+// The platform grants the lease at once and its answer takes long. A holder that counted from
+// the answer would take the lease for valid after the platform had given it to another.
+#[test]
+fn lease_answer_slow() {
+    run(async {
+        let platform = platform().await;
+        let kv = client(&platform, "a");
+        let later = |kind| Time(Span::secs(1).0 * platform.calls(kind));
+        let mut lease = Lease::grant(&kv, TTL, MARGIN, || later("grant"))
+            .await
+            .unwrap();
+        assert_eq!(lease.valid_for(later("grant")), None);
+        lease.renew(&kv, || later("renew")).await.unwrap();
+        assert_eq!(lease.valid_for(later("renew")), None);
+    });
+}
+
 // The answer to a renewal is lost. The holder must not count on it, though it was done.
 #[test]
 fn lease_renewal_lost() {
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! The platform's clients against the stand-in.
 
+mod admin;
 mod common;
 mod instances;
 mod kv;
--- a/crates/platform/tests/platform/restore.rs
+++ b/crates/platform/tests/platform/restore.rs
@@ -18,7 +18,9 @@
         Seen,
         Watcher, //
     },
+    async_std::task,
     standins::platform::Handle,
+    std::time::Duration, //
 };
 
 /// A platform that had revisions 1 to 4 and was restored to 2, and the configuration 4.
@@ -70,6 +72,27 @@
     });
 }
 
+// The platform is restored after an operator's parts were written and before the head was.
+// The head would name parts that are gone, and no router could read the configuration.
+#[test]
+fn apply_restored_in_the_middle() {
+    run(async {
+        let platform = platform().await;
+        platform.snapshot();
+        platform.set_slow(Duration::from_millis(500));
+        let kv = client(&platform, "a");
+        let ada = task::spawn(async move { write(&kv, "ada", Base::default(), 0, "one").await });
+        while platform.keys("config/part/").is_empty() {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        platform.restore();
+        platform.set_slow(Duration::ZERO);
+        ada.await.unwrap();
+        let config = read(&client(&platform, "b"), &[]).await.unwrap().unwrap();
+        assert_eq!(&*config.parts[0].text, "one");
+    });
+}
+
 // All routers restart empty after the platform came back from a backup. They would take the
 // older configuration, though a later one was in force. So a router that has the later one
 // writes it back, unchanged, as soon as it sees the older one.
--- a/crates/platform/tests/platform/store.rs
+++ b/crates/platform/tests/platform/store.rs
@@ -263,6 +263,11 @@
         }
         let kept = platform.keys("config/part/").len();
         assert!(kept <= 6, "{kept} parts kept");
+        // What a change costs: the head read, a part and the head written, a part removed.
+        platform.clear_counts();
+        write(&kv, "ada", on, 0, "one more").await.unwrap();
+        let calls = ["get", "put", "delete"].map(|kind| platform.calls(kind));
+        assert_eq!(calls, [1, 2, 1]);
     });
 }
 
