--- a/crates/operators/tests/server.rs
+++ b/crates/operators/tests/server.rs
@@ -10,6 +10,9 @@
         AskError,
         Document,
         Fleet,
+        InForce,
+        Member,
+        MemberState,
         Profiles,
         ServiceStatus,
         Source,
@@ -18,6 +21,11 @@
         Views,
         FLEET, //
     },
+    platform::store::{
+        split,
+        Config,
+        Revision, //
+    },
     policy::{
         Incarnation,
         Span,
@@ -29,9 +37,12 @@
             TcpListener,
             TcpStream, //
         },
-        sync::atomic::{
-            AtomicBool,
-            Ordering, //
+        sync::{
+            atomic::{
+                AtomicBool,
+                Ordering, //
+            },
+            Arc, //
         },
     },
 };
@@ -61,16 +72,48 @@
     }
 }
 
+fn in_force() -> InForce {
+    InForce {
+        name: "router-1".parse().unwrap(),
+        incarnation: Incarnation(3),
+        revision: 7,
+    }
+}
+
+fn member() -> Member {
+    Member {
+        name: "router-2".parse().unwrap(),
+        incarnation: Incarnation(9),
+        zone: "hall-b".parse().unwrap(),
+        state: MemberState::Suspect,
+        operators: Some(SocketAddr::from(([10, 0, 0, 8], 7402))),
+        revision: 6,
+        silent: Span::millis(1_500),
+    }
+}
+
 fn profiles() -> Profiles {
     let source = Source::from_text("fleet.toml", FLEET);
     Profiles::new(7, &Fleet::new(Document::parse(&source).unwrap()))
 }
 
+fn config() -> Config {
+    Config {
+        revision: Revision(7),
+        writer: "ada".to_owned(),
+        write: "1f".parse().unwrap(),
+        parts: split("fleet", FLEET),
+    }
+}
+
 fn start() -> SocketAddr {
     let ready = AtomicBool::new(false);
     let views = Views {
         status: Box::new(status),
+        revision: Box::new(in_force),
+        members: Box::new(|| vec![member()]),
         profiles: Box::new(profiles),
+        config: Box::new(|| Some(Arc::new(config()))),
         dump: Box::new(|| serde_json::json!({ "tickets": [] })),
         ready: Box::new(move || ready.fetch_or(true, Ordering::Relaxed)),
     };
@@ -87,6 +130,15 @@
     assert_eq!(read_view::<Status>(address, &body).unwrap(), status());
     let body = ask(address, "/profiles").await.unwrap();
     assert_eq!(read_view::<Profiles>(address, &body).unwrap(), profiles());
+    let body = ask(address, "/revision").await.unwrap();
+    assert_eq!(read_view::<InForce>(address, &body).unwrap(), in_force());
+    let body = ask(address, "/members").await.unwrap();
+    assert_eq!(
+        read_view::<Vec<Member>>(address, &body).unwrap(),
+        [member()]
+    );
+    let body = ask(address, "/config").await.unwrap();
+    assert_eq!(read_view::<Config>(address, &body).unwrap(), config());
     let body = ask(address, "/dump").await.unwrap();
     assert_eq!(body, "{\"tickets\":[]}");
 }
--- a/crates/policy/src/members/news.rs
+++ b/crates/policy/src/members/news.rs
@@ -68,12 +68,10 @@
         let newcomer = b.incarnation > p.member.incarnation;
         if newcomer {
             p.restart(b.incarnation, &self.plan);
-        } else if p.member.state == State::Left || p.direct.is_some_and(|(seq, _)| b.seq <= seq) {
+        } else if p.stale(b.seq) {
             return false;
         }
-        let before = p.member.clone();
-        p.hear(b, &self.me, &self.plan, now);
-        if p.member != before {
+        if p.hear(b, &self.me, &self.plan, now) {
             self.events.push(Event::Changed);
         }
         self.turn(&b.id, State::Live, now);
--- a/tests/proofs/stage/mod.rs
+++ b/tests/proofs/stage/mod.rs
@@ -1,7 +1,9 @@
 //! A fleet to prove things on.
 
 mod calls;
+mod eye;
 mod fleet;
+mod load;
 mod router;
 mod slots;
 mod wait;
@@ -18,10 +20,12 @@
         Reply,
         Work, //
     },
+    eye::Eye,
     fleet::{
         Fleet,
         Plan, //
     },
+    load::Load,
     router::Signal,
     wait::wait_for,
 };
