Measure at other paces, end with the routers on a signal, and test the gauges

A measuring that was told to end left its router processes behind. It now ends them by dropping the stage. `--gap` sets the engines' pace; what small workspaces are refused is counted as wrong.

--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -211,6 +211,8 @@
             optional --modes names: String
             /// What counts as service: `tokens` or `requests`.
             optional --unit name: String
+            /// Time between an engine's tokens, 10ms where not given.
+            optional --gap time: Span
             /// One engine is slowed to half in the middle of a run.
             optional --slow
             /// One replica leaves in the middle of a run, and a new one comes.
@@ -363,6 +365,7 @@
     pub replicas: Option<usize>,
     pub modes: Option<String>,
     pub unit: Option<String>,
+    pub gap: Option<Span>,
     pub slow: bool,
     pub leave: bool,
     pub dumps: Option<PathBuf>,
--- a/src/gauge/mod.rs
+++ b/src/gauge/mod.rs
@@ -4,6 +4,8 @@
 mod gap;
 mod points;
 mod quantile;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::{
     answer::text_of,
--- a/src/measure/control.rs
+++ b/src/measure/control.rs
@@ -19,7 +19,11 @@
     },
     crate::{
         cli::table,
-        errors::Error, //
+        errors::Error,
+        slopes::{
+            fit,
+            Point, //
+        },
     },
     serde::Serialize,
     std::time::Duration,
@@ -184,27 +188,21 @@
 
 /// Fits a line through the runs of one axis.
 fn slope(axis: Axis, rows: &[Row]) -> Slope {
-    let along: Vec<&Row> = rows.iter().filter(|r| r.axis == axis).collect();
-    let fit = |of: fn(&Row) -> f64| {
-        let points = along.iter().map(|r| (r.size.value(axis), of(r)));
-        incline(&points.collect::<Vec<_>>())
+    let line = |of: fn(&Row) -> f64| {
+        let along = rows.iter().filter(|r| r.axis == axis);
+        let points = along.map(|r| Point {
+            size: r.size.value(axis),
+            cost: of(r),
+        });
+        fit(&points.collect::<Vec<_>>()).slope
     };
     Slope {
         axis,
-        mean: fit(|r| r.both.mean),
-        max: fit(|r| r.both.max),
+        mean: line(|r| r.both.mean),
+        max: line(|r| r.both.max),
     }
 }
 
-/// Returns the incline of the line with the least squares.
-fn incline(points: &[(f64, f64)]) -> f64 {
-    let x = mean(&points.iter().map(|p| p.0).collect::<Vec<_>>());
-    let y = mean(&points.iter().map(|p| p.1).collect::<Vec<_>>());
-    let up: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
-    let along: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
-    up / along
-}
-
 fn show(t: &Table, json: bool) {
     if json {
         let text = serde_json::to_string_pretty(t).unwrap_or_default();
--- a/src/measure/fleet.rs
+++ b/src/measure/fleet.rs
@@ -75,8 +75,10 @@
     /// Time to the first byte of the answers of small and of flooding workspaces.
     pub(crate) first_small: Quantiles,
     pub(crate) first_floods: Quantiles,
-    /// Requests refused though they could have been served, by cause.
+    /// Requests refused, by cause.
     pub(crate) refused: BTreeMap<String, u64>,
+    /// Those of workspaces that don't flood: each could have been served in time.
+    pub(crate) wrongly: u64,
     /// Wrong and lost answers.
     pub(crate) faults: Vec<String>,
     /// What each router used.
@@ -172,6 +174,10 @@
         first_small: first(false),
         first_floods: first(true),
         refused,
+        wrongly: each()
+            .filter(|(p, _)| !p.floods)
+            .flat_map(|(_, s)| s.refused.values())
+            .sum(),
         faults: sums.iter().flat_map(|s| s.faults.clone()).collect(),
         routers: Vec::new(),
         rows: each()
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -11,6 +11,8 @@
 mod show;
 mod snapshot;
 mod stage;
+#[cfg(test)]
+mod tests;
 mod watch;
 
 pub(crate) use self::run::run;
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -19,14 +19,21 @@
     crate::{
         cli::Measure,
         errors::Error,
+        router::signals,
         slopes, //
     },
     async_std::task,
-    std::time::Duration, //
+    futures_lite::future::or,
+    std::{
+        future::Future,
+        time::Duration, //
+    },
 };
 
 /// How long each run lasts, where nothing is said.
 const SECONDS: u32 = 15;
+/// Tokens that could come in the time to the first one.
+const FIRST: u32 = 5;
 const LATENCY: u32 = 5;
 const CONTROL: u32 = 6;
 const MODES: &str = "fleet,alone,static";
@@ -36,10 +43,10 @@
 /// Measures what the arguments name.
 pub(crate) fn run(flags: &Measure) -> Result<(), Error> {
     match flags.what.as_str() {
-        "fleet" => task::block_on(run_fleet(flags)),
+        "fleet" => until_told(run_fleet(flags)),
+        "latency" => until_told(latency::run(time(flags, LATENCY), flags.json)),
+        "control" => until_told(control::run(time(flags, CONTROL), flags.json)),
         "slopes" => slopes::run(flags.plots.as_deref(), flags.json),
-        "latency" => task::block_on(latency::run(time(flags, LATENCY), flags.json)),
-        "control" => task::block_on(control::run(time(flags, CONTROL), flags.json)),
         other => Err(Error::Usage(
             format!("nothing is measured under `{other}`"),
             "give `fleet`, `latency`, `control` or `slopes`".to_owned(),
@@ -47,6 +54,18 @@
     }
 }
 
+/// Measures until done, or until a signal tells to end; the router processes end with it.
+fn until_told(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
+    let told = signals().map_err(|e| Error::Io("signals can't be taken", e))?;
+    task::block_on(or(work, async {
+        let _ = told.recv().await;
+        Err(Error::Failed(
+            "the measuring was told to end".to_owned(),
+            "run it again, or with fewer --seconds".to_owned(),
+        ))
+    }))
+}
+
 async fn run_fleet(flags: &Measure) -> Result<(), Error> {
     let script = Script {
         time: time(flags, SECONDS),
@@ -81,6 +100,10 @@
     if let Some(unit) = &flags.unit {
         setup.unit = one_of("--unit", unit, &UNIT_NAMES)?.to_owned();
     }
+    if let Some(gap) = flags.gap {
+        setup.gap = gap.into();
+        setup.first = setup.gap * FIRST;
+    }
     setup.plans = uneven(setup.routers);
     Ok(setup)
 }
--- a/src/measure/show.rs
+++ b/src/measure/show.rs
@@ -84,7 +84,10 @@
         "first byte    small p50 {:.0} p95 {:.0} p99 {:.0} ms; floods p50 {:.0} p95 {:.0} p99 {:.0}",
         s.p50, s.p95, s.p99, f.p50, f.p95, f.p99
     );
-    println!("refused       {:?}", run.refused);
+    println!(
+        "refused       {} wrongly; in all {:?}",
+        run.wrongly, run.refused
+    );
     println!("wrong, lost   {}", run.faults.len());
 }
 
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -30,6 +30,7 @@
 pub(crate) use self::{
     changes::Log,
     delta::History,
+    leave::signals,
     rules::rules,
     start::{
         run,
--- a/src/slopes/mod.rs
+++ b/src/slopes/mod.rs
@@ -14,6 +14,11 @@
 mod show;
 mod tickets;
 
+pub(crate) use self::{
+    fit::fit,
+    series::Point, //
+};
+
 use {
     self::{
         plot::plot,
