peers: close a stream that ended, and bound questions

Cause: after a stream was replaced or idle, the library reads its request to the end before it closes. A peer that is gone without a word never ends it, so each such restart left a connection and a task for good. A question of any length was read into memory, without a bound on time. Ruled out: a bound on time around the whole connection, which cuts good streams. Change: the socket is shut down when its stream has ended; a question has 64 KiB and 30 s.

--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -18,7 +18,10 @@
         sync::Mutex as AsyncMutex,
         task, //
     },
-    futures_lite::future::Boxed,
+    futures_lite::{
+        future::Boxed,
+        AsyncReadExt, //
+    },
     http_types::{
         Request,
         Response,
@@ -35,6 +38,7 @@
     std::{
         collections::HashMap,
         fmt,
+        net::Shutdown,
         sync::Arc,
         time::Duration, //
     },
@@ -42,6 +46,8 @@
 
 /// A stream on which nothing came for this long is closed; its peer opens another.
 const IDLE: Duration = Duration::from_secs(30);
+/// Longest question accepted, in bytes.
+const QUESTION_MAX: u64 = 64 * 1024;
 
 /// What this router does with what its peers send.
 pub struct Handler<T, Q, A> {
@@ -102,10 +108,11 @@
     A: Serialize + Send + 'static,
 {
     let _ = socket.set_nodelay(true);
-    let counted = Counted::new(socket, server.links.traffic().clone());
+    let counted = Counted::new(socket.clone(), server.links.traffic().clone());
     let served = async_h1::accept(counted, |req| {
         let server = server.clone();
-        async move { Ok(respond(&server, req).await) }
+        let socket = socket.clone();
+        async move { Ok(respond(&server, &socket, req).await) }
     })
     .await;
     if let Err(e) = served {
@@ -113,7 +120,11 @@
     }
 }
 
-async fn respond<T, Q, A>(server: &Server<T, Q, A>, mut req: Request) -> Response
+async fn respond<T, Q, A>(
+    server: &Server<T, Q, A>,
+    socket: &TcpStream,
+    mut req: Request,
+) -> Response
 where
     T: Serialize + DeserializeOwned + Send + Sync + 'static,
     Q: DeserializeOwned + Send + 'static,
@@ -123,7 +134,13 @@
         return Response::new(StatusCode::BadRequest);
     };
     match req.url().path() {
-        "/p" => stream(server, from, &mut req).await,
+        "/p" => {
+            stream(server, from, &mut req).await;
+            // The library reads a request to its end before it closes. A peer that is gone
+            // without a word never ends it, and the connection would stay open for ever.
+            let _ = socket.shutdown(Shutdown::Both);
+            Response::new(StatusCode::Gone)
+        }
         "/a" => answer(server, from, &mut req).await,
         _ => Response::new(StatusCode::NotFound),
     }
@@ -134,7 +151,7 @@
     Q: DeserializeOwned,
     A: Serialize,
 {
-    let Ok(body) = req.body_bytes().await else {
+    let Some(body) = body(req).await else {
         return Response::new(StatusCode::BadRequest);
     };
     let Ok(question) = rmp_serde::from_slice(&body) else {
@@ -151,7 +168,18 @@
     }
 }
 
-async fn stream<T, Q, A>(server: &Server<T, Q, A>, from: RouterId, req: &mut Request) -> Response
+/// Reads a question; none where it is too long or does not come.
+async fn body(req: &mut Request) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    let mut reader = req.take_body().into_reader().take(QUESTION_MAX + 1);
+    let read = timeout(IDLE, reader.read_to_end(&mut body)).await;
+    match read {
+        Ok(Ok(n)) if n as u64 <= QUESTION_MAX => Some(body),
+        _ => None,
+    }
+}
+
+async fn stream<T, Q, A>(server: &Server<T, Q, A>, from: RouterId, req: &mut Request)
 where
     T: Serialize + DeserializeOwned + Send + Sync + 'static,
 {
@@ -175,9 +203,6 @@
             });
         }
     }
-    let mut res = Response::new(StatusCode::Gone);
-    res.insert_header("connection", "close");
-    res
 }
 
 /// Tells whether `origin` is the newest stream of the peer.
