peers: acknowledge once, also without a message, and count streams on

Found by reading; each test failed on the code as it was unless said. - Acknowledgements were numbered, so each was acknowledged in turn, for ever: 455 bytes between two idle routers in 0.9 s (send_nothing_more). 369 idle links would take more than a node's 21 KB/s. Now they carry the number before them. - A router with nothing to say acknowledged nothing, so whoever spoke to it opened a connection every silence bound: 6 in 6 s (send_one_way_only). Now it answers. - A link begun anew counted its streams from 1; the peer took each for a replaced one (route_back_to_first_address). The count is kept with the acknowledgements. - The bound on silence counted from the last acknowledgement, also over a pause with nothing to confirm. The endless acknowledgements hid that (send_after_pause passed before, and guards the change). - At most 256 messages go into a frame; 1,024 long ones went over its limit. Not covered: an acknowledgement lost on a connection gone silent costs the peer a new connection until this router has a message of its own.

--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -43,6 +43,7 @@
         sync::{
             atomic::{
                 AtomicU32,
+                AtomicU64,
                 Ordering, //
             },
             Arc,
@@ -57,11 +58,18 @@
 
 /// Frames that may wait in a stream's buffer before it counts as stuck.
 const BUFFER: usize = 16;
+/// Most messages in one frame, so that no frame is too long for its receiver.
+const BATCH: usize = 256;
+/// Part of a peer's patience after which it is answered though there is nothing to say.
+const ACK_PART: u32 = 4;
 
 /// What both directions between this router and one peer know of each other.
 #[derive(Debug, Default)]
 pub(crate) struct Acks {
-    /// Number of the last frame sent.
+    /// Number of the last stream opened to the peer. The peer takes frames of the highest
+    /// only, so it goes on counting where the peer got another address.
+    pub(crate) streams: AtomicU64,
+    /// Number of the last frame sent that carries messages.
     pub(crate) sent: AtomicU32,
     /// Highest of our frames that the peer says it saw.
     pub(crate) confirmed: AtomicU32,
@@ -69,7 +77,7 @@
     pub(crate) seen: AtomicU32,
     /// Highest frame of the peer that was acknowledged to it.
     pub(crate) told: AtomicU32,
-    /// When `confirmed` last moved.
+    /// When `confirmed` last moved, or the first frame after it was sent.
     pub(crate) moved: Mutex<Option<Instant>>,
 }
 
@@ -95,6 +103,31 @@
         self.confirmed.store(sent, Ordering::Relaxed);
     }
 
+    /// Returns the number of the next frame.
+    ///
+    /// A frame that only acknowledges has the number of the one before it. With a number of
+    /// its own it would have to be acknowledged in turn, and so on for ever: two routers
+    /// with nothing to say would send four frames a second.
+    fn number(&self, messages: usize) -> u32 {
+        let sent = self.sent.load(Ordering::Relaxed);
+        if messages == 0 {
+            return sent;
+        }
+        // The peer's silence counts from here, not from its last word before a pause in
+        // which there was nothing to confirm: the stream would be given up at once, and
+        // the message with it.
+        if self.confirmed.load(Ordering::Relaxed) == sent {
+            self.restart();
+        }
+        self.sent.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Gives up what is owed to a peer that can't be reached.
+    fn waive(&self) {
+        let seen = self.seen.load(Ordering::Relaxed);
+        self.told.fetch_max(seen, Ordering::Relaxed);
+    }
+
     fn restart(&self) {
         *self.moved.lock().expect("acks lock") = Some(Instant::now());
     }
@@ -128,11 +161,10 @@
 where
     T: Serialize + Send + Sync + 'static,
 {
-    let mut number = 0u64;
     // A peer that is gone must not be dialled for ever, so a connection waits for the
     // first message: whoever still has something to say to the peer pays for the try.
-    while let Ok(first) = items.recv().await {
-        number += 1;
+    while let Some(first) = begin(&ends, &items, &acks).await {
+        let number = acks.streams.fetch_add(1, Ordering::Relaxed) + 1;
         match open(&ends, number, traffic.clone()).await {
             Ok(stream) => {
                 acks.restart();
@@ -145,12 +177,28 @@
                     ends.addr
                 );
                 drain(&items);
+                acks.waive();
                 task::sleep(ends.pace.redial).await;
             }
         }
     }
 }
 
+/// Waits for something to say: a message, or frames of the peer that are not acknowledged.
+///
+/// A peer that hears no acknowledgement takes its stream for silent and opens another, once
+/// in every [`Pace::silence`]. So a router with no message of its own answers all the same.
+async fn begin<T>(ends: &Ends, items: &Receiver<T>, acks: &Acks) -> Option<Vec<T>> {
+    loop {
+        match timeout(ends.pace.silence / ACK_PART, items.recv()).await {
+            Ok(Ok(item)) => return Some(vec![item]),
+            Ok(Err(_)) => return None,
+            Err(_) if acks.owes() => return Some(Vec::new()),
+            Err(_) => {}
+        }
+    }
+}
+
 /// Throws away what could not be sent: it is stale by the time the peer is back.
 fn drain<T>(items: &Receiver<T>) {
     while items.try_recv().is_ok() {}
@@ -201,15 +249,15 @@
     Ok(req)
 }
 
-async fn feed<T>(ends: &Ends, first: T, items: &Receiver<T>, acks: &Arc<Acks>, stream: Stream)
+async fn feed<T>(ends: &Ends, first: Vec<T>, items: &Receiver<T>, acks: &Arc<Acks>, stream: Stream)
 where
     T: Serialize + Send + Sync + 'static,
 {
-    let mut more = Some(gather(ends, vec![first], items).await);
+    let mut more = Some(gather(ends, first, items).await);
     while let Some(batch) = more {
         let told = acks.seen.load(Ordering::Relaxed);
         let frame = Frame {
-            seq: acks.sent.fetch_add(1, Ordering::Relaxed) + 1,
+            seq: acks.number(batch.len()),
             ack: told,
             items: batch,
         };
@@ -261,8 +309,11 @@
     if !ends.pace.gather.is_zero() {
         task::sleep(ends.pace.gather).await;
     }
-    while let Ok(item) = items.try_recv() {
-        batch.push(item);
+    while batch.len() < BATCH {
+        match items.try_recv() {
+            Ok(item) => batch.push(item),
+            Err(_) => break,
+        }
     }
     batch
 }
--- a/crates/peers/src/links.rs
+++ b/crates/peers/src/links.rs
@@ -126,10 +126,13 @@
         task::spawn(link::run(ends, rx, acks, self.traffic.clone()));
     }
 
-    /// Forgets a peer and ends the stream to it.
-    pub fn remove(&self, peer: &RouterId) {
-        self.peers.lock().expect("peers lock").remove(peer);
-        self.acks.lock().expect("acks lock").remove(peer);
+    /// Ends the streams to all peers but those that `keep` names.
+    ///
+    /// The numbers of its frames and streams are kept. A peer that was only cut off comes
+    /// back with them, and would take those of a new count for old ones.
+    pub fn retain(&self, keep: impl Fn(&RouterId) -> bool) {
+        let mut peers = self.peers.lock().expect("peers lock");
+        peers.retain(|id, _| keep(id));
     }
 
     /// Returns where a peer is reached.
--- a/crates/standins/src/relay/handle.rs
+++ b/crates/standins/src/relay/handle.rs
@@ -69,6 +69,11 @@
         Ok(Relay { addr, faults })
     }
 
+    /// Returns how many connections were opened so far.
+    pub fn connections(&self) -> u64 {
+        self.faults.opened.load(Ordering::SeqCst)
+    }
+
     /// Lets every connection open now go silent for good, while new ones work.
     pub fn silence(&self) {
         let opened = self.faults.opened.load(Ordering::SeqCst);
