policy: decide about a request that can't wait any more

Cause: a request to be tried again whose service was gone was in no queue and not ended; its caller waited for ever, and running() never fell to 0, so the router never ended. At a leaving router it waited in a queue until its deadline. Ruled out: refusing every retry at a leaving router, which cuts requests in flight that could still be answered. Change: requeue refuses at once what can't start at once there. Before: requeue_service_gone, requeue_while_leaving failed. After: they pass.

--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -140,11 +140,7 @@
         let service = job.service.clone();
         let known = self.services.contains_key(&service);
         if self.leaving || !known {
-            let why = if self.leaving {
-                Refusal::Leaving
-            } else {
-                Refusal::NoEndpoint
-            };
+            let why = self.closed();
             return self.turn_away(job, why);
         }
         let entry = self
@@ -161,23 +157,37 @@
 
     /// Queues a started request again, away from a replica.
     ///
-    /// The caller knows that it surely did not run there, or that it is idempotent.
+    /// The caller knows that it surely did not run there, or that it is idempotent. Where
+    /// it can't wait any more, and not start either, it is refused at once.
     pub fn requeue(&mut self, id: JobId, avoid: &ReplicaId, now: Time) {
         let Some(live) = self.lives.get_mut(id) else {
             return;
         };
         let service = live.job.service.clone();
-        let Some(entry) = self.services.get_mut(&service) else {
-            return;
-        };
         let failed = Finish {
             refund: true,
             ..Finish::default()
         };
-        entry.end(live, Some(&failed), now);
-        live.avoid = Some(avoid.clone());
-        entry.enqueue(id, live, now);
-        self.pump(&service, now);
+        let entry = self.services.get_mut(&service);
+        let entry = entry.and_then(|entry| {
+            entry.end(live, Some(&failed), now);
+            entry.seats.any_open().then_some(entry)
+        });
+        // Nothing would ever be decided about a request that waits where nothing starts
+        // any more: its service is gone, or this router leaves.
+        let waits = match entry {
+            Some(entry) => {
+                live.avoid = Some(avoid.clone());
+                entry.enqueue(id, live, now);
+                self.pump(&service, now);
+                self.leaving && self.lives[id].run.is_none()
+            }
+            None => true,
+        };
+        if waits {
+            self.refuse(id, self.closed(), AFTER_NONE, now);
+            self.pump(&service, now);
+        }
     }
 
     /// Forgets a request that its caller gave up, queued or running.
@@ -360,6 +370,14 @@
         }
     }
 
+    /// Returns why no queue takes a request.
+    fn closed(&self) -> Refusal {
+        match self.leaving {
+            true => Refusal::Leaving,
+            false => Refusal::NoEndpoint,
+        }
+    }
+
     /// Refuses a request that no queue takes.
     fn turn_away(&mut self, job: Job, why: Refusal) -> JobId {
         let live = Live::unqueued(job);
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -245,6 +245,35 @@
     assert_ne!(again[0].1, first);
 }
 
+#[test]
+fn requeue_service_gone() {
+    // A caller waits for ever, and the router never ends. Its request failed at a replica
+    // when operators had just taken the service away, and was to be tried again: nothing
+    // started there any more, and nothing refused it.
+    let mut d = router(Mode::Alone, 1, &[("a", "hall-a")]);
+    let id = d.submit(job("w1", Time(0)), Time(0));
+    let at = started(&mut d)[0].1.clone();
+    d.configure(Rules::default(), Time(1));
+    d.requeue(id, &at, Time(2));
+    let refused = refused(&mut d);
+    assert_eq!((refused[0].0, refused[0].1), (id, Refusal::NoEndpoint));
+    assert_eq!(d.running(), 0);
+}
+
+#[test]
+fn requeue_while_leaving() {
+    // A caller of a router that shuts down waits until its deadline. Its request was to be
+    // tried again, in a queue from which nothing started any more.
+    let mut d = router(Mode::Alone, 1, &[("a", "hall-a"), ("b", "hall-a")]);
+    let id = d.submit(job("w1", Time(0)), Time(0));
+    d.submit(job("w1", Time(0)), Time(0));
+    let at = started(&mut d)[0].1.clone();
+    d.leave(Time(1));
+    d.requeue(id, &at, Time(2));
+    let refused = refused(&mut d);
+    assert_eq!((refused[0].0, refused[0].1), (id, Refusal::Leaving));
+}
+
 #[test]
 fn leave_refuses_queued() {
     let mut d = router(Mode::Alone, 1, &[("a", "hall-a")]);
