router: tell the dispatch of a lone router, in order, with a way to each

Three findings about the members as the dispatch hears of them: - A first list that names nobody else changed no member, so a fleet of one router was never told, owned no pool and kept its static fraction. start_without_others failed before, passes now. - Two changes followed at once could reach the dispatch in the wrong order, and the older one stayed. Found by reading; the lock now covers both. Not tested: the window is a few instructions. - A way to a peer was made by the first heartbeat to it only. With more than nine routers most are beaten at random, about every N/4 rounds, and messages for an owner without a way were dropped. Ways were never taken away again either. Now they follow the members. Also: a peer's list is compared and taken under one lock.

--- a/src/router/beat.rs
+++ b/src/router/beat.rs
@@ -23,7 +23,8 @@
             State, //
         },
         Peer,
-        PeerState, //
+        PeerState,
+        Zone, //
     },
     std::{
         sync::Arc,
@@ -75,7 +76,8 @@
         for event in events {
             match event {
                 Event::Beat { to, addr, beat } => {
-                    let delay = self.way(&to);
+                    let zone = lock(&self.members).get(&to).map(|m| m.zone.clone());
+                    let delay = zone.map_or(Duration::ZERO, |z| self.way(&z));
                     self.links.route(&to, addr, delay);
                     self.links.send(&to, Item::Beat(*beat));
                 }
@@ -92,34 +94,35 @@
         }
     }
 
-    /// Time that each frame to a peer is held back. It is zero outside measurements.
-    fn way(&self, to: &policy::RouterId) -> Duration {
-        let zone = lock(&self.members).get(to).map(|m| m.zone.clone());
-        match zone {
-            Some(zone) if zone != self.settings.zone => self.settings.zone_delay,
-            _ => Duration::ZERO,
+    /// Time that each frame to a zone is held back. It is zero outside measurements.
+    fn way(&self, zone: &Zone) -> Duration {
+        match *zone == self.settings.zone {
+            true => Duration::ZERO,
+            false => self.settings.zone_delay,
         }
     }
 
-    fn members_changed(&self) {
+    pub(crate) fn members_changed(&self) {
+        // Two changes that are followed at once must reach the dispatch in their order: it
+        // would otherwise go on asking a dead owner for slots until the next change.
         let members = lock(&self.members);
-        let view = members.view();
-        let gone: Vec<_> = members
-            .known()
-            .filter(|m| !m.up())
-            .map(|m| m.id.clone())
-            .collect();
-        drop(members);
-        let others: Vec<Peer> = view
-            .iter()
-            .filter(|m| m.id != self.me.router)
-            .map(peer)
-            .collect();
-        log::info!("router: {} other routers are up", others.len());
+        let mut view = members.view();
+        view.retain(|m| m.id != self.me.router);
+        log::info!("router: {} other routers are up", view.len());
+        self.keep_links(&view);
+        let others: Vec<Peer> = view.iter().map(peer).collect();
         self.dispatch(|d, now| d.routers(others, now));
-        for id in gone {
-            log::debug!("router: {id} is gone");
+    }
+
+    /// Keeps a way to each router that is up, and to no other.
+    ///
+    /// In a large fleet most routers are beaten seldom. One without a way to the owner of
+    /// a pool would have its reports thrown away, and run with its static fraction.
+    fn keep_links(&self, up: &[Member]) {
+        for m in up {
+            self.links.route(&m.id, m.addr, self.way(&m.zone));
         }
+        self.links.retain(|id| up.iter().any(|m| m.id == *id));
     }
 }
 
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -52,6 +52,13 @@
 /// How long before that ends the others are told again.
 const WITHDRAWN_AGAIN: Span = Span::secs(20);
 
+/// When a list replaces the one at hand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    Always,
+    IfLater,
+}
+
 /// Polls the list while this router is one of its watchers.
 pub(crate) async fn run(router: Arc<Router>) {
     let mut instances = Instances::new(router.platform_options());
@@ -60,7 +67,7 @@
             let polled = instances.poll().await;
             router.platform_up.store(polled.is_ok(), Ordering::Relaxed);
             match polled {
-                Ok(Some(listed)) => router.take_list(listed),
+                Ok(Some(listed)) => router.take_list(listed, Taken::Always),
                 Ok(None) => {}
                 Err(e) => log::debug!("platform: the list can't be read: {e}"),
             }
@@ -99,7 +106,7 @@
             if let Ok(Answer::List(Some(changes))) = asked {
                 let have = lock(&router.listing).listed.clone();
                 if let Some(listed) = changes.apply(&have) {
-                    router.take_later(listed);
+                    router.take_list(listed, Taken::IfLater);
                 }
             }
             router.fetching.store(false, Ordering::Release);
@@ -113,28 +120,29 @@
         other.then(|| listing.log.since(have, &listing.listed))
     }
 
-    /// Takes a peer's list if it is later than the one at hand.
+    /// Takes a list: the platform's always, a peer's if it is later than the one at hand.
     ///
     /// The answer of a peer can be overtaken by the platform's own. The older list would
     /// stay, as the next poll finds nothing new, and show as work for an endpoint that left.
-    fn take_later(&self, listed: Listed) {
-        let ours = lock(&self.listing).listed.revision;
-        if listed.revision > ours {
-            self.take_list(listed);
-        }
-    }
-
-    fn take_list(&self, listed: Listed) {
+    fn take_list(&self, listed: Listed, taken: Taken) {
         let routers = listed.instances.iter().filter_map(router_of).collect();
         let now = self.now();
         let listed = Arc::new(listed);
         let mut listing = lock(&self.listing);
         let old = listing.listed.clone();
+        if taken == Taken::IfLater && listed.revision <= old.revision {
+            return;
+        }
         listing.log.note(&old, &listed);
         listing.listed = listed;
         drop(listing);
         lock(&self.members).listed(routers, now);
         self.follow_members();
+        // A first list that names nobody else changes no member, but the dispatch waits to
+        // hear just that.
+        if old.revision == 0 {
+            self.members_changed();
+        }
         self.apply_list();
     }
 
