router: ask for the whole configuration where changes fit nothing

Cause: after a restored platform two routers can have different texts under one revision. The changes from it to the next fit only one of them; the other asked for the same changes again and again and never got the next. Change: where they don't fit, the whole is asked for.

--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -144,15 +144,13 @@
         let source = Source::Peer(peer.clone());
         let known = lock(&self.force).config.clone();
         let have = known.as_ref().map_or(store::Revision::NONE, |c| c.revision);
-        let question = Question::Config(have);
-        let asked = match self.links.addr(&peer) {
-            Some(addr) => self.links.ask(addr, &question, ASK).await.ok(),
-            None => None,
-        };
-        let config = match asked {
-            Some(Answer::Config(Some(delta))) => delta.apply(known.as_deref()),
-            _ => None,
-        };
+        let mut config = self.config_of(&peer, have, known.as_deref()).await;
+        // The peer may have had another text under the revision in force here, as after a
+        // restored platform. What changed since then fits nothing here, however often it
+        // is asked for, so the whole is.
+        if config.is_none() && known.is_some() {
+            config = self.config_of(&peer, store::Revision::NONE, None).await;
+        }
         let taken = config.is_some_and(|c| self.take_config(c, &source));
         if !taken {
             let decision = lock(&self.force).head.failed(&source, self.now());
@@ -160,6 +158,21 @@
         }
     }
 
+    /// Asks a peer for its configuration, as changes to the one that is known here.
+    async fn config_of(
+        &self,
+        peer: &RouterId,
+        have: store::Revision,
+        known: Option<&Config>,
+    ) -> Option<Config> {
+        let addr = self.links.addr(peer)?;
+        let question = Question::Config(have);
+        match self.links.ask(addr, &question, ASK).await {
+            Ok(Answer::Config(Some(delta))) => delta.apply(known),
+            _ => None,
+        }
+    }
+
     /// Returns what a peer lacks of the configuration, if this router has a higher one.
     pub(crate) fn config_above(&self, have: store::Revision) -> Option<Delta> {
         let force = lock(&self.force);
