router: say not run only of all tries, and give tickets back on every path

Findings, each by reading; the tests named failed before and pass now: - A request tried again was answered not-run where the last try was refused or not admitted, though an earlier one may have run (handle_refused_after_lost_try, handle_not_admitted_after_lost_try). - A streamed answer over 256 KiB was recorded in part and given to whoever asked again, with status 0 (handle_long_answer_again). - A ticket used for another request gave that one the first one's answer (handle_other_request_with_ticket). A hash of service, workspace, method, target and body is recorded and compared. - Deadlines too short for any endpoint made it count as failing for everyone (handle_deadlines_too_short).

--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -6,6 +6,11 @@
             Answer,
             Question, //
         },
+        running::{
+            pairs,
+            Held,
+            Work, //
+        },
         state::{
             lock,
             Router, //
@@ -50,21 +55,53 @@
 /// When a caller should ask again about a request that runs.
 const AGAIN: Duration = Duration::from_millis(500);
 
-/// An answer as it is recorded for those who ask again.
-#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+/// What is recorded of a request for those who ask again.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Recorded {
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<(String, String)>,
-    pub(crate) body: Vec<u8>,
+    /// Hash of the request, see [`Work::print`].
+    print: u64,
+    /// Its whole answer, unless there was none or it was too long.
+    answer: Option<Whole>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Whole {
+    status: u16,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Recorded {
+    /// Records an answer; one whose status is 0 was too long to be held.
+    pub(crate) fn new(held: &Held, print: u64) -> Recorded {
+        let whole = held.status != 0;
+        Recorded {
+            print,
+            answer: whole.then(|| Whole {
+                status: held.status,
+                headers: pairs(&held.headers),
+                body: held.body.clone(),
+            }),
+        }
+    }
+
+    /// Records a request that has no answer.
+    pub(crate) fn without(print: u64) -> Recorded {
+        Recorded {
+            print,
+            answer: None,
+        }
+    }
 }
 
 impl Router {
-    /// Claims a ticket, asking other routers where needed.
+    /// Claims a request's ticket, asking other routers where needed.
     ///
     /// # Errors
     ///
     /// What the caller is told instead.
-    pub(crate) async fn claim(&self, text: Option<&str>) -> Result<Grant, Box<Response>> {
+    pub(crate) async fn claim(&self, work: &Work) -> Result<Grant, Box<Response>> {
+        let text = work.ticket.as_deref();
         let text = text.ok_or_else(|| refuse(Why::TicketNeeded, NEEDED))?;
         let ticket: Ticket = text
             .parse()
@@ -75,7 +112,7 @@
             let ask = match claim {
                 Claim::Granted(grant) => return Ok(grant),
                 Claim::Ask(ask) => ask,
-                other => return Err(Box::new(told(other))),
+                other => return Err(Box::new(told(other, work.print()))),
             };
             let Some(reply) = self.ask_holder(&ask).await else {
                 return Err(Box::new(self.silent_holder(&ask)));
@@ -119,8 +156,8 @@
     }
 
     /// Records how a granted request ended.
-    pub(crate) fn record(&self, grant: &Grant, outcome: Outcome, answer: Option<Recorded>) {
-        let bytes = answer.and_then(|a| rmp_serde::to_vec(&a).ok());
+    pub(crate) fn record(&self, grant: &Grant, outcome: Outcome, recorded: Recorded) {
+        let bytes = rmp_serde::to_vec(&recorded).ok();
         let bytes: Option<Arc<[u8]>> = bytes.map(Arc::from);
         let now = self.now();
         lock(&self.tickets).finish(grant, outcome, bytes, now);
@@ -138,14 +175,17 @@
 const ORPHANED: &str = "the router that holds the ticket can't be reached, so the request may \
     have run; look whether it did before you ask for a new ticket";
 
+const ANOTHER: &str = "this ticket was used for another request, and this one did not run; \
+    ask for a ticket of its own";
+
 fn refuse(why: Why, message: &str) -> Box<Response> {
     Box::new(Refused::new(why, message).into())
 }
 
 /// What a caller is told whose request may not be started.
-fn told(claim: Claim) -> Response {
+fn told(claim: Claim, print: u64) -> Response {
     let refused = match claim {
-        Claim::Done(record) => return again(record),
+        Claim::Done(record) => return again(record, print),
         Claim::Running => Refused::new(
             Why::TicketRunning,
             "a request with this ticket runs; ask again with the same ticket for its answer",
@@ -165,20 +205,26 @@
 }
 
 /// Gives the recorded outcome of a request again.
-fn again(record: Record) -> Response {
-    let recorded: Option<Recorded> = record.answer.and_then(|a| rmp_serde::from_slice(&a.0).ok());
-    match recorded {
-        Some(r) => {
-            let mut response = Response::whole(r.status, record.outcome, r.body);
-            for (name, value) in r.headers {
-                response = response.header(&name, value);
-            }
+fn again(record: Record, print: u64) -> Response {
+    let bytes = record.answer.as_ref();
+    let recorded = bytes.and_then(|a| rmp_serde::from_slice::<Recorded>(&a.0).ok());
+    // A caller that uses a ticket for a second request by mistake would get the answer to
+    // the first, and believe that both were done.
+    if recorded.as_ref().is_some_and(|r| r.print != print) {
+        return Refused::new(Why::TicketUsed, ANOTHER)
+            .outcome(Outcome::NotRun)
+            .into();
+    }
+    match recorded.and_then(|r| r.answer) {
+        Some(whole) => {
+            let mut response = Response::whole(whole.status, record.outcome, whole.body);
+            response.headers = whole.headers;
             response
         }
         None => Refused::new(
             Why::TicketUsed,
             format!(
-                "the request with this ticket ended ({}), and its answer is no longer kept",
+                "the request with this ticket ended ({}), and its answer is not kept",
                 record.outcome
             ),
         )
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -39,3 +39,6 @@
     },
     state::Router,
 };
+
+#[cfg(test)]
+mod tests;
--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -1,15 +1,12 @@
 //! An answer that is passed on while it comes.
 
 use {
-    super::{
-        running::{
-            finish,
-            lost,
-            pairs,
-            Held,
-            Running, //
-        },
-        state::lock,
+    super::running::{
+        finish,
+        lost,
+        pairs,
+        Held,
+        Running, //
     },
     async_std::{
         channel::{
@@ -35,8 +32,15 @@
         ReplicaId,
         Units, //
     },
+    std::time::{
+        Duration,
+        Instant, //
+    },
 };
 
+/// How often a stream's service is charged while it runs. All streams share the dispatch
+/// and its lock, which would be taken for every token otherwise.
+const CHARGE: Duration = Duration::from_millis(50);
 /// Pieces that may wait for a slow caller.
 const PIECES: usize = 8;
 /// Longest answer that is recorded for a ticket, in bytes.
@@ -51,6 +55,8 @@
     gone: Gone,
     /// The caller still reads.
     heard: bool,
+    /// When its service was last charged.
+    charged: Option<Instant>,
 }
 
 impl Passing {
@@ -68,6 +74,7 @@
             replica,
             gone,
             heard: true,
+            charged: None,
         }
     }
 
@@ -81,7 +88,10 @@
     }
 
     async fn pass(mut self, pieces: Sender<Piece>) {
-        let first = self.held.body.clone();
+        let first = match self.run.grant {
+            Some(_) => self.held.body.clone(),
+            None => std::mem::take(&mut self.held.body),
+        };
         self.progress(self.held.tokens);
         self.give(&pieces, Piece::Data(first)).await;
         let end = loop {
@@ -131,8 +141,11 @@
         }
     }
 
+    /// Charges what was served so far, now and then.
     fn progress(&mut self, tokens: u32) {
-        if self.run.work.unit == Unit::Tokens {
+        let due = self.charged.is_none_or(|at| at.elapsed() >= CHARGE);
+        if due && self.run.work.unit == Unit::Tokens {
+            self.charged = Some(Instant::now());
             let served = Units(f64::from(tokens));
             let job = self.run.job;
             self.run
@@ -145,7 +158,7 @@
         if end.leaving {
             self.run.router.noticed_leaving(&self.replica);
         }
-        let finish = finish(&self.run.work, &end);
+        let finish = finish(&self.run.work, &end, self.run.ran());
         self.run.finish(finish);
         self.run.count_service(finish.units);
         self.run.count(end.outcome);
@@ -163,11 +176,7 @@
     }
 
     /// Ends an answer that nobody reads any more; dropping the call cancels it.
-    fn cancel(self) {
-        let job = self.run.job;
-        self.run.record(Outcome::MayHaveRun, &Held::default());
-        self.run.count(Outcome::MayHaveRun);
-        self.run.router.dispatch(|d, now| d.cancel(job, now));
-        lock(&self.run.router.jobs).remove(job);
+    fn cancel(mut self) {
+        self.run.lose();
     }
 }
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -63,7 +63,7 @@
     if work.idempotent {
         return Running::new(router, work, None).run(gone).await;
     }
-    match router.claim(work.ticket.as_deref()).await {
+    match router.claim(&work).await {
         Ok(grant) => Running::new(router, work, Some(grant)).run(gone).await,
         Err(response) => *response,
     }
@@ -82,9 +82,9 @@
     let service = fleet.service(r.service.as_str()).map_err(unknown)?;
     let profile = fleet.profile(r.profile.as_str()).map_err(unknown)?;
     let workspace = fleet.workspace(r.workspace.as_str()).map_err(unknown)?;
-    let expect = lock(&router.times).expect(&r.service, &r.profile);
     let left = r.deadline.unwrap_or(Duration::from(profile.deadline));
     let now = router.now();
+    let expect = lock(&router.times).expect(&r.service, &r.profile, now);
     let job = Job {
         service: r.service.clone(),
         workspace: r.workspace.clone(),
--- a/src/router/running.rs
+++ b/src/router/running.rs
@@ -50,6 +50,7 @@
             Instant, //
         },
     },
+    xxhash_rust::xxh3::Xxh3,
 };
 
 /// The least silence of a stream after which it is probed.
@@ -87,6 +88,10 @@
     pub(crate) job: JobId,
     verdicts: Receiver<Verdict>,
     tries: u32,
+    /// An earlier try may have run.
+    spent: bool,
+    /// The dispatch has been told of the end.
+    over: bool,
     started: Instant,
     /// Service counted for operators so far.
     counted: Units,
@@ -124,6 +129,25 @@
     pub(crate) tokens: u32,
 }
 
+impl Work {
+    /// Returns a hash of what is asked of whom, which a ticket stands for.
+    pub(crate) fn print(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        let names = [
+            self.job.service.as_str(),
+            self.job.workspace.as_str(),
+            &self.method,
+            &self.target,
+        ];
+        for name in names {
+            hash.update(name.as_bytes());
+            hash.update(b"\n");
+        }
+        hash.update(&self.body);
+        hash.digest()
+    }
+}
+
 impl Running {
     pub(crate) fn new(router: Arc<Router>, work: Work, grant: Option<Grant>) -> Running {
         let job = work.job.clone();
@@ -138,6 +162,8 @@
             job,
             verdicts,
             tries: 0,
+            spent: false,
+            over: false,
             started: Instant::now(),
             counted: Units::default(),
         }
@@ -156,9 +182,11 @@
             let replica = match verdict {
                 Some(Verdict::Start(replica)) => replica,
                 Some(Verdict::Refuse { why, after }) => {
+                    let outcome = self.known(Outcome::NotRun);
                     self.drop_unstarted();
-                    self.count(Outcome::NotRun);
-                    return Refused::from_policy(why).retry_after(after.into()).into();
+                    self.count(outcome);
+                    let refused = Refused::from_policy(why).outcome(outcome);
+                    return refused.retry_after(after.into()).into();
                 }
                 None => return self.abandon(),
             };
@@ -170,6 +198,18 @@
         }
     }
 
+    /// Returns what is known of all tries, where the last one ended like this.
+    ///
+    /// A request that is tried again may be refused, or find no endpoint that takes it,
+    /// after an endpoint got an earlier try. "Not run" would be true of the last try only,
+    /// and a caller who then asks elsewhere doubles what ran.
+    fn known(&self, last: Outcome) -> Outcome {
+        match last {
+            Outcome::NotRun if self.spent => Outcome::MayHaveRun,
+            _ => last,
+        }
+    }
+
     /// Calls the endpoint once.
     async fn attempt(mut self, replica: ReplicaId, gone: &Gone) -> Step {
         let Some(call) = self.call(&replica) else {
@@ -237,7 +277,7 @@
     }
 
     /// Ends a call whose answer is all here; none means that the request is queued again.
-    fn ended(&mut self, replica: &ReplicaId, held: Held, end: End) -> Option<Response> {
+    fn ended(&mut self, replica: &ReplicaId, held: Held, mut end: End) -> Option<Response> {
         if end.leaving {
             self.router.noticed_leaving(replica);
         }
@@ -248,11 +288,13 @@
                 end.outcome
             );
             metrics::counter!("chervilwind_router_retries").increment(1);
+            self.spent |= end.outcome != Outcome::NotRun;
             let job = self.job;
             self.router.dispatch(|d, now| d.requeue(job, replica, now));
             return None;
         }
-        let finish = finish(&self.work, &end);
+        let finish = finish(&self.work, &end, self.ran());
+        end.outcome = self.known(end.outcome);
         self.finish(finish);
         self.count_service(finish.units);
         self.count(end.outcome);
@@ -288,11 +330,11 @@
         let Some(grant) = &self.grant else {
             return;
         };
-        let answer = matches!(outcome, Outcome::Answered | Outcome::Failed).then(|| Recorded {
-            status: held.status,
-            headers: pairs(&held.headers),
-            body: held.body.clone(),
-        });
+        let print = self.work.print();
+        let answer = match outcome {
+            Outcome::Answered | Outcome::Failed => Recorded::new(held, print),
+            Outcome::NotRun | Outcome::MayHaveRun => Recorded::without(print),
+        };
         self.router.record(grant, outcome, answer);
     }
 
@@ -317,42 +359,61 @@
             .increment(1);
     }
 
+    /// Returns how long the present try has run.
+    pub(crate) fn ran(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     pub(crate) fn note_time(&self, end: &End) {
         if end.outcome == Outcome::Answered {
-            let ran = Span::from(self.started.elapsed());
+            let ran = Span::from(self.ran());
             let job = &self.work.job;
-            lock(&self.router.times).note(&job.service, &self.work.profile, ran);
+            let now = self.router.now();
+            lock(&self.router.times).note(&job.service, &self.work.profile, ran, now);
         }
     }
 
     /// Ends a request whose caller hung up before it started.
     fn abandon(&mut self) -> Response {
-        let job = self.job;
-        self.router.dispatch(|d, now| d.cancel(job, now));
+        let outcome = self.known(Outcome::NotRun);
+        self.cancel();
         self.drop_unstarted();
-        gone_response(Outcome::NotRun)
+        gone_response(outcome)
     }
 
     /// Ends a request whose caller hung up while it ran; dropping the call cancels it.
     fn hung_up(&mut self) -> Response {
-        let job = self.job;
+        self.lose();
+        gone_response(Outcome::MayHaveRun)
+    }
+
+    /// Ends a request that ran and whose end nobody knows.
+    pub(crate) fn lose(&mut self) {
         // A ticket left as running would send its caller away to ask again for ever.
         self.record(Outcome::MayHaveRun, &Held::default());
         self.count(Outcome::MayHaveRun);
+        self.cancel();
+    }
+
+    fn cancel(&mut self) {
+        let job = self.job;
+        self.over = true;
         self.router.dispatch(|d, now| d.cancel(job, now));
         lock(&self.router.jobs).remove(job);
-        gone_response(Outcome::MayHaveRun)
     }
 
+    /// Gives back the ticket of a request that the dispatch no longer knows.
     fn drop_unstarted(&mut self) {
+        self.over = true;
         lock(&self.router.jobs).remove(self.job);
         if let Some(grant) = self.grant.take() {
             self.router.unstarted(&grant);
         }
     }
 
-    pub(crate) fn finish(&self, finish: Finish) {
+    pub(crate) fn finish(&mut self, finish: Finish) {
         let job = self.job;
+        self.over = true;
         self.router.dispatch(|d, now| d.finish(job, finish, now));
         lock(&self.router.jobs).remove(job);
     }
@@ -409,8 +470,23 @@
     }
 }
 
-/// What the dispatch is told of a call's end.
-pub(crate) fn finish(work: &Work, end: &End) -> Finish {
+impl Drop for Running {
+    /// Ends what no path above has ended, as where one of them panicked.
+    ///
+    /// The slot would stay taken, and the ticket running, for as long as the router lives.
+    fn drop(&mut self) {
+        if !self.over {
+            log::error!("router: {} was dropped in the middle", self.work.id);
+            self.lose();
+        }
+    }
+}
+
+/// What the dispatch is told of the end of a call that ran for a while.
+pub(crate) fn finish(work: &Work, end: &End, ran: Duration) -> Finish {
+    // One workspace whose deadlines are too short for any endpoint would have all
+    // replicas taken for failing. It would show as capacity that idles for everyone.
+    let rushed = end.cause == Some(CallError::Deadline) && ran < SILENCE;
     let answered = end.outcome == Outcome::Answered;
     let units = match work.unit {
         Unit::Tokens => Units(f64::from(end.tokens)),
@@ -421,7 +497,7 @@
         units,
         first: end.first,
         gap: end.gap,
-        ok: answered || end.cause.is_none(),
+        ok: answered || end.cause.is_none() || rushed,
         refund: units == Units(0.0),
     }
 }
