--- a/src/cli/flags.rs
+++ b/src/cli/flags.rs
@@ -213,6 +213,8 @@
             optional --unit name: String
             /// Time between an engine's tokens, 10ms where not given.
             optional --gap time: Span
+            /// Ask for half of the capacity only, so that hardly anything waits.
+            optional --calm
             /// One engine is slowed to half in the middle of a run.
             optional --slow
             /// One replica leaves in the middle of a run, and a new one comes.
@@ -366,6 +368,7 @@
     pub modes: Option<String>,
     pub unit: Option<String>,
     pub gap: Option<Span>,
+    pub calm: bool,
     pub slow: bool,
     pub leave: bool,
     pub dumps: Option<PathBuf>,
--- a/src/measure/plan.rs
+++ b/src/measure/plan.rs
@@ -42,6 +42,8 @@
 ];
 /// Fewest tokens of one request.
 const LEAST: u32 = 16;
+/// Callers to each one that a calm load leaves.
+const CALM: usize = 12;
 const FLOODS: &str = "flood";
 
 /// Returns the uneven load of the issue.
@@ -58,6 +60,14 @@
     .collect()
 }
 
+/// Leaves each workspace so few callers that about half of the capacity is used.
+pub(crate) fn calm(mut plans: Vec<Plan>) -> Vec<Plan> {
+    for plan in &mut plans {
+        plan.callers = plan.callers.div_ceil(CALM).max(plan.homes.len());
+    }
+    plans
+}
+
 /// Returns `n` equal workspaces with `callers` each, every one at two of the routers.
 pub(crate) fn even(n: usize, callers: usize, routers: usize) -> Vec<Plan> {
     let plans = (0..n).map(|i| Plan {
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -8,7 +8,10 @@
             Script, //
         },
         latency,
-        plan::uneven,
+        plan::{
+            calm,
+            uneven, //
+        },
         setup::Setup,
         show::{
             runs_json,
@@ -105,6 +108,9 @@
         setup.first = setup.gap * FIRST;
     }
     setup.plans = uneven(setup.routers);
+    if flags.calm {
+        setup.plans = calm(setup.plans);
+    }
     Ok(setup)
 }
 
