--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -78,6 +78,7 @@
     /// Requests taken in and not ended.
     pub open: BTreeMap<JobId, Open>,
     pub sent: u64,
+    pub taken: u64,
     pub messages: u64,
 }
 
@@ -244,6 +245,7 @@
             peer,
             open: BTreeMap::new(),
             sent: 0,
+            taken: 0,
             messages: 0,
         });
         self.dead[n] = None;
@@ -416,6 +418,9 @@
         if self.cut.contains(&m) != self.cut.contains(&n) || self.rng.u8(..100) < self.net.loss {
             return;
         }
+        if let Some(to) = &mut self.nodes[m] {
+            to.taken += bytes.len() as u64 + FRAME;
+        }
         let times = if self.rng.u8(..100) < self.net.double {
             2
         } else {
