Halve the control traffic, and start most requests without a message

- The pool is pressed only while there is more work than slots, for 100 ms.
Otherwise slots move at once from where they are spare.
- Service is charged only while slots are short, so a calm fleet exchanges no counts.
- Messages leave out what the other end has acknowledged, and have budgets of bytes that hold whatever the number of routers and workspaces.
A service is spoken of among 14 homes at most.

--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -7,14 +7,18 @@
             ReplicaDump,
             ServiceDump, //
         },
-        exchange::Pacer, //
+        exchange::HOMES, //
     },
     crate::{
         entry::{
             Entry,
             Live, //
         },
-        pool::Pool,
+        pool::{
+            Bucket,
+            Pool, //
+        },
+        rendezvous,
         shares::Writer,
         Action,
         DispatchDump,
@@ -56,7 +60,8 @@
     pub(super) listed: bool,
     pub(super) leaving: bool,
     pub(super) actions: Vec<Action>,
-    pub(super) pacer: Pacer,
+    /// Bytes that notes may take.
+    pub(super) pacer: Bucket,
 }
 
 impl Dispatch {
@@ -87,7 +92,7 @@
             listed: false,
             leaving: false,
             actions: Vec::new(),
-            pacer: Pacer::default(),
+            pacer: Bucket::default(),
         }
     }
 
@@ -276,6 +281,7 @@
             return Vec::new();
         };
         let live = self.live();
+        let live = rendezvous::top(service.as_str(), live, HOMES, |id| id.as_str());
         let slots = Slots(entry.capacity().div_ceil(live.len().max(1) as u32));
         live.into_iter()
             .map(|router| OwnerView { router, slots })
@@ -325,6 +331,7 @@
         let Some(entry) = self.services.get_mut(service) else {
             return;
         };
+        entry.note_waits(now);
         while let Some((id, replica)) = entry.next(self.rules.mode, &self.lives, &self.me.zone, now)
         {
             entry.start(id, &mut self.lives[id], &replica, now);
--- a/crates/policy/src/dispatch/exchange.rs
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -23,24 +23,18 @@
 };
 
 /// Bytes a second that one router may send as notes.
-const BUDGET: f64 = 6_000.0;
+const BUDGET: f64 = 3_000.0;
 /// Most bytes that may be saved up.
 const BURST: f64 = 3_000.0;
 /// Shortest time between two notes about one service to one router.
-const NOTES: Span = Span::millis(200);
-/// The owner splits the slots, so it is told sooner.
-const NOTES_OWNER: Span = Span::millis(100);
+const NOTES: Span = Span::secs(1);
+/// The owner splits the slots, so it is told sooner, and tells the others sooner.
+const NOTES_OWNER: Span = Span::millis(200);
+/// Most routers that callers of one service are pointed to.
+pub(super) const HOMES: usize = 14;
 /// Times that a lend to itself may lead to another.
 const ROUNDS: usize = 4;
 
-/// Spends the bytes that notes may take.
-#[derive(Debug, Default)]
-pub(super) struct Pacer {
-    bytes: f64,
-    last: Time,
-    sent: BTreeMap<(ServiceId, RouterId), Time>,
-}
-
 impl Dispatch {
     /// Takes in a message of another router.
     pub fn deliver(&mut self, from: &RouterId, incarnation: Incarnation, msg: Message, now: Time) {
@@ -55,6 +49,7 @@
         let Some(entry) = self.services.get_mut(&service) else {
             return;
         };
+        entry.mates.hear(from, now);
         match msg {
             Message::Report(r) => {
                 if let Some(pool) = &mut entry.pool {
@@ -62,6 +57,9 @@
                 }
             }
             Message::Lend(l) => {
+                for (key, level) in entry.hold.levels(from, incarnation, &l) {
+                    entry.ledger.hear(key, level, now);
+                }
                 entry
                     .hold
                     .lend(from, incarnation, &l, &mut entry.seats, now);
@@ -90,6 +88,9 @@
         }
         for (service, entry) in &mut self.services {
             entry.ledger.set_friends(&friends);
+            let homes = rendezvous::top(service.as_str(), &live, HOMES, |id| id.as_str());
+            let homes = homes.into_iter().filter(|id| **id != me.id);
+            entry.mates.set_homes(homes.cloned());
             if self.rules.mode != Mode::Fleet {
                 let place = Place::of(&live, &me.id);
                 entry
@@ -138,12 +139,13 @@
         let place = Place::of(&live, &self.me.id);
         for entry in self.services.values_mut() {
             entry.tend(&place, now);
+            entry.mates.forget(now);
         }
-        self.pacer.refill(now);
+        self.pacer.refill(BUDGET, BURST, now);
         let mut due = self.due_notes(now);
         due.sort();
         for (_, service, to) in due {
-            if self.pacer.bytes <= 0.0 {
+            if !self.pacer.open() {
                 return;
             }
             self.note(service, to, now);
@@ -154,16 +156,17 @@
     fn due_notes(&self, now: Time) -> Vec<(Time, ServiceId, RouterId)> {
         let mut due = Vec::new();
         for (service, entry) in &self.services {
-            for p in self.routers.values() {
-                if p.state == PeerState::Suspect {
+            let owner = entry.hold.owner.as_ref().map(|o| &o.0);
+            for id in entry.mates.ids() {
+                let live = |p: &Peer| p.state != PeerState::Suspect;
+                if !self.routers.get(id).is_some_and(live) {
                     continue;
                 }
-                let owner = entry.hold.owner.as_ref().is_some_and(|o| o.0 == p.id);
-                let interval = if owner { NOTES_OWNER } else { NOTES };
-                let sent = self.pacer.sent.get(&(service.clone(), p.id.clone()));
-                if sent.is_none_or(|t| now.since(*t) >= interval) {
-                    let sent = sent.copied().unwrap_or_default();
-                    due.push((sent, service.clone(), p.id.clone()));
+                let close = owner == Some(id) || owner == Some(&self.me.id);
+                let interval = if close { NOTES_OWNER } else { NOTES };
+                let told = entry.mates.told(id);
+                if told.is_none_or(|t| now.since(t) >= interval) {
+                    due.push((told.unwrap_or_default(), service.clone(), id.clone()));
                 }
             }
         }
@@ -181,8 +184,8 @@
         let Some(n) = entry.ledger.notes(service_key(&service), writer, relay) else {
             return;
         };
-        self.pacer.bytes -= n.size() as f64;
-        self.pacer.sent.insert((service, to.clone()), now);
+        self.pacer.spend(n.size());
+        entry.mates.tell(&to, now);
         self.actions.push(Action::Send {
             to,
             msg: Message::Notes(n),
@@ -216,14 +219,6 @@
     }
 }
 
-impl Pacer {
-    fn refill(&mut self, now: Time) {
-        let dt = now.since(self.last).as_secs();
-        self.last = now;
-        self.bytes = (self.bytes + dt * BUDGET).min(BURST);
-    }
-}
-
 /// What one service has to say.
 struct Out {
     sends: Vec<Action>,
@@ -259,9 +254,13 @@
             lent: false,
         };
         self.hold.give_back(&self.queues, &mut self.seats, leaving);
-        let report = self
-            .hold
-            .report(service_key(service), &self.queues, &self.seats, now);
+        let report = self.hold.report(
+            service_key(service),
+            &self.queues,
+            &self.seats,
+            self.pool.is_some(),
+            now,
+        );
         if let (Some(mut r), Some((to, _))) = (report, self.hold.owner.clone()) {
             if self.hold.loads_due(now) {
                 self.hold.loads_sent(now);
@@ -279,7 +278,7 @@
             return out;
         };
         pool.plan(&self.ledger, now);
-        for (to, lend) in pool.lends(now) {
+        for (to, lend) in pool.lends(&me.id, &self.ledger, now) {
             if to == me.id {
                 out.lent |= self
                     .hold
@@ -294,7 +293,7 @@
 
     /// Does what is due now and then.
     fn tend(&mut self, place: &Place, now: Time) {
-        self.ledger.watch();
+        self.ledger.watch(now);
         if let Some(pool) = &self.pool {
             if let Some(debt) = pool.debt(&self.rules) {
                 self.ledger.forgive(debt);
--- a/crates/policy/src/dispatch/message.rs
+++ b/crates/policy/src/dispatch/message.rs
@@ -15,6 +15,9 @@
 /// A service, by a short hash of its name.
 pub(crate) type ServiceKey = u32;
 
+/// Rough bytes of a lend, of each replica in it and of each level.
+const LEND: (usize, usize, usize) = (28, 7, 6);
+
 /// A message between two routers about one service.
 ///
 /// Each is absolute and numbered, so that a lost, doubled, late or overtaken one does no
@@ -39,7 +42,14 @@
     pub(crate) seq: u64,
     /// The last lend of this owner that was seen.
     pub(crate) seen: u64,
-    pub(crate) body: Body,
+    /// Slots kept on each replica: allowed, or running where that is more. None says that
+    /// they are as in the last report that was acknowledged.
+    pub(crate) kept: Option<Vec<(ReplicaKey, u32)>>,
+    /// Requests running in all.
+    pub(crate) running: u32,
+    /// The backlogged workspaces. None says that they are much as in the last report that
+    /// was acknowledged.
+    pub(crate) waits: Option<Vec<Wait>>,
     /// Limits of replicas, for an owner that has not lent anything yet.
     pub(crate) limits: Vec<(ReplicaKey, u32)>,
     /// How the replicas answered, now and then.
@@ -73,17 +83,6 @@
     pub(crate) said: Option<(u32, u32)>,
 }
 
-/// The part of a report that is compared with the last one.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub(crate) struct Body {
-    /// Slots kept on each replica: allowed, or running where that is more.
-    pub(crate) kept: Vec<(ReplicaKey, u32)>,
-    /// Requests running in all.
-    pub(crate) running: u32,
-    /// The backlogged workspaces.
-    pub(crate) waits: Vec<Wait>,
-}
-
 /// The demand of one backlogged workspace at one router.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Wait {
@@ -109,12 +108,26 @@
     pub(crate) pressed: bool,
     /// Slots of the whole pool.
     pub(crate) capacity: u32,
-    /// Slots on each replica; those not named have none.
-    pub(crate) slots: Vec<(ReplicaKey, u32)>,
+    /// Routers that use the pool; the more there are, the less often each reports.
+    pub(crate) sharers: u32,
+    /// Slots on each replica; those not named have none. Left out where the router is known
+    /// to have seen them.
+    pub(crate) slots: Option<Vec<(ReplicaKey, u32)>>,
+    /// For each workspace that waits by the report that was seen, in its order: its
+    /// normalised service without what this router counted, in thousandths of a unit.
+    pub(crate) levels: Vec<i64>,
     /// Limits of replicas, now and then; the next owner begins with them.
     pub(crate) limits: Vec<(ReplicaKey, u32)>,
 }
 
+impl Lend {
+    /// Returns roughly how many bytes it takes on the wire.
+    pub(crate) fn size(&self) -> usize {
+        let slots = self.slots.as_ref().map_or(0, Vec::len);
+        LEND.0 + LEND.1 * (slots + self.limits.len()) + LEND.2 * self.levels.len()
+    }
+}
+
 impl Message {
     /// Returns the service that it is about.
     pub(crate) fn service(&self) -> ServiceKey {
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -5,17 +5,21 @@
 mod dump;
 mod exchange;
 mod job;
+mod mates;
 mod member;
 mod message;
 mod rules;
 
-pub(crate) use self::message::{
-    Body,
-    Load,
-    Loads,
-    ServiceKey,
-    Wait, //
+pub(crate) use self::{
+    mates::Mates,
+    message::{
+        Load,
+        Loads,
+        ServiceKey,
+        Wait, //
+    },
 };
+
 pub use self::{
     action::Action,
     core::Dispatch,
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -8,7 +8,10 @@
         Seats, //
     },
     crate::{
-        dispatch::Loads,
+        dispatch::{
+            Loads,
+            Mates, //
+        },
         pool::{
             Hold,
             Pool, //
@@ -65,6 +68,8 @@
     pub(crate) queues: BTreeMap<Key, Queue>,
     pub(crate) seats: Seats,
     pub(crate) ledger: Ledger,
+    /// The routers that deal with this service.
+    pub(crate) mates: Mates,
     /// What this router was lent.
     pub(crate) hold: Hold,
     /// The pool, where this router owns it.
@@ -83,6 +88,7 @@
             rules: rules.clone(),
             queues: BTreeMap::new(),
             seats: Seats::default(),
+            mates: Mates::default(),
             hold: Hold::default(),
             pool: None,
             run_time: 0.0,
@@ -143,11 +149,6 @@
 
     /// Puts a request into its queue.
     pub(crate) fn enqueue(&mut self, id: JobId, live: &Live, now: Time) {
-        let credit = (self.rules.credit.0 * MILLI) as i64;
-        let queues = &self.queues;
-        let running = |key: Key| queues.get(&key).map_or(0, |q| q.charged);
-        self.ledger.activate(live.key, credit, running);
-        self.ledger.set_waits(live.key, true);
         let queue = self
             .queues
             .entry(live.key)
@@ -157,6 +158,33 @@
         queue.places.insert((live.due, live.number, id));
     }
 
+    /// Notes which workspaces have become backlogged, before their requests start.
+    ///
+    /// A request that finds a free slot does not make its workspace backlogged.
+    pub(crate) fn note_waits(&mut self, now: Time) {
+        let queued = self.queued();
+        if queued == 0 || queued as u32 <= self.seats.free(now) {
+            return;
+        }
+        let credit = (self.rules.credit.0 * MILLI) as i64;
+        let queues = &self.queues;
+        let running = |key: Key| queues.get(&key).map_or(0, |q| q.charged);
+        for key in queues.iter().filter(|q| !q.1.is_empty()).map(|q| *q.0) {
+            self.ledger.activate(key, credit, running);
+            self.ledger.set_waits(key, true);
+        }
+    }
+
+    /// Returns whether service given here may be at the cost of a workspace that waits.
+    ///
+    /// Only then it is charged: what a workspace receives while there is enough for all is
+    /// not held against it later, and costs no message.
+    fn contended(&self) -> bool {
+        self.hold.pressed
+            || self.hold.owner.is_none()
+            || self.queues.values().any(|q| !q.is_empty())
+    }
+
     /// Takes a queued request out of its queue.
     pub(crate) fn unqueue(&mut self, id: JobId, live: &Live, now: Time) {
         if let Some(queue) = self.queues.get_mut(&live.key) {
@@ -305,7 +333,10 @@
             _ if self.cost > 0.0 => self.cost,
             _ => 1.0,
         };
-        let charged = milli(hint, live.job.share);
+        let charged = match self.contended() {
+            true => milli(hint, live.job.share),
+            false => 0,
+        };
         self.ledger.charge(live.key, charged);
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.running += 1;
@@ -325,9 +356,10 @@
 
     /// Charges what a running request has received beyond what was charged.
     pub(crate) fn progress(&mut self, live: &mut Live, served: Units) {
+        let contended = self.contended();
         let Some(run) = &mut live.run else { return };
         let total = milli(served.0, live.job.share);
-        if total > run.charged {
+        if contended && total > run.charged {
             let more = total - run.charged;
             self.ledger.charge(live.key, more);
             run.charged = total;
@@ -344,8 +376,10 @@
         let Some(run) = live.run.take() else { return };
         if let Some(f) = finish {
             let n = if f.refund { 0.0 } else { f.units.0 };
-            let total = milli(n, live.job.share);
-            self.ledger.charge(live.key, total - run.charged);
+            let more = milli(n, live.job.share) - run.charged;
+            if more < 0 || self.contended() {
+                self.ledger.charge(live.key, more);
+            }
             if n > 0.0 {
                 step(&mut self.run_time, now.since(run.started).as_secs());
                 step(&mut self.cost, n);
--- a/crates/policy/src/pool/borrower.rs
+++ b/crates/policy/src/pool/borrower.rs
@@ -4,8 +4,10 @@
     super::Limits,
     crate::{
         dispatch::{
+            Lend,
             Loads,
             Report,
+            ServiceKey,
             Wait, //
         },
         entry::ReplicaKey,
@@ -21,6 +23,24 @@
 /// Shortest time between two lists of limits to one router.
 const LIMITS: Span = Span::secs(2);
 
+/// How long a router's largest need counts.
+const PEAK: Span = Span::secs(2);
+/// Shortest time between two lends to one router.
+const LEND: Span = Span::millis(10);
+/// A lend that was not acknowledged is sent again after this time.
+const AGAIN: Span = Span::millis(500);
+/// A report is acknowledged within this time.
+const ACK: Span = Span::millis(190);
+
+/// What all routers are told alike.
+#[derive(Debug)]
+pub(crate) struct Common {
+    pub(crate) service: ServiceKey,
+    pub(crate) pressed: bool,
+    pub(crate) capacity: u32,
+    pub(crate) sharers: u32,
+}
+
 /// A router that may hold slots.
 #[derive(Debug)]
 pub(crate) struct Borrower {
@@ -36,6 +56,9 @@
     /// Slots that it said it keeps.
     pub(crate) kept: BTreeMap<ReplicaKey, u32>,
     pub(crate) running: u32,
+    /// The most that lately ran and waited there.
+    pub(crate) peak: f64,
+    noted: Time,
     pub(crate) waits: Vec<Wait>,
     /// How the replicas last answered it.
     pub(crate) loads: Option<Loads>,
@@ -53,6 +76,8 @@
     pub(crate) seen: u64,
     /// When it was last told.
     pub(crate) told: Option<Time>,
+    /// When it was last told the levels of the workspaces that wait there.
+    pub(crate) levels: Option<Time>,
     /// When it was last told the limits of replicas, and which.
     pub(crate) limits: Option<(Time, Limits)>,
     /// Whether it has to be told.
@@ -72,6 +97,8 @@
             report: 0,
             kept: BTreeMap::new(),
             running: 0,
+            peak: 0.0,
+            noted: now,
             waits: Vec::new(),
             loads: None,
             lend: 0,
@@ -79,6 +106,7 @@
             open: Vec::new(),
             seen: 0,
             told: None,
+            levels: None,
             limits: None,
             dirty: false,
             acked: 0,
@@ -131,6 +159,75 @@
         self.running.saturating_sub(waiting)
     }
 
+    /// Notes how much it needs; the most of the last seconds counts.
+    pub(crate) fn note_need(&mut self, now: Time) {
+        let dt = now.since(self.noted).as_secs();
+        self.noted = now;
+        let need = f64::from(self.running + self.waiting());
+        self.peak = need.max(self.peak * (-dt / PEAK.as_secs()).exp());
+    }
+
+    /// Returns whether it was not told just now.
+    pub(crate) fn rested(&self, now: Time) -> bool {
+        self.told.is_none_or(|t| now.since(t) >= LEND)
+    }
+
+    /// Returns how many requests wait there.
+    pub(crate) fn waiting(&self) -> u32 {
+        self.waits.iter().map(|w| w.queued).sum()
+    }
+
+    /// Returns whether it uses the service.
+    pub(crate) fn busy(&self) -> bool {
+        self.running > 0 || !self.waits.is_empty()
+    }
+
+    /// Returns what it is to be told, if that is due.
+    ///
+    /// The slots are left out where it has seen them before.
+    pub(crate) fn lend_due(
+        &mut self,
+        c: &Common,
+        limits: &Limits,
+        level: impl Fn(&Wait) -> i64,
+        open: bool,
+        now: Time,
+    ) -> Option<Lend> {
+        let passed = self.told.map_or(AGAIN, |t| now.since(t));
+        let again = self.seen < self.lend && passed >= AGAIN;
+        let ack = self.acked < self.report && passed >= ACK;
+        let first = self.lend == 0;
+        let news = first || self.dirty && open;
+        if !(news || again || ack) {
+            return None;
+        }
+        if self.dirty || first {
+            self.lend += 1;
+            self.open.push((self.lend, self.lent.clone()));
+        }
+        let known = self.seen == self.lend;
+        let mut levels = Vec::new();
+        if self.levels.is_none_or(|t| now.since(t) >= ACK) {
+            self.levels = Some(now);
+            levels = self.waits.iter().map(level).collect();
+        }
+        self.dirty = false;
+        self.told = Some(now);
+        self.acked = self.report;
+        Some(Lend {
+            service: c.service,
+            term: self.term,
+            seq: self.lend,
+            seen: self.report,
+            pressed: c.pressed,
+            capacity: c.capacity,
+            sharers: c.sharers,
+            slots: (!known).then(|| self.lent.iter().map(|(k, n)| (*k, *n)).collect()),
+            levels,
+            limits: self.limits_due(limits, now),
+        })
+    }
+
     /// Returns the limits of replicas if it should hear them, for when it owns the pool.
     pub(crate) fn limits_due(&mut self, now_at: &Limits, now: Time) -> Vec<(ReplicaKey, u32)> {
         let fresh = match &self.limits {
@@ -151,15 +248,19 @@
         // lent, so that nobody is cut off, and no older lend counts any more.
         if r.term != self.term {
             self.term = r.term;
-            self.lent = r.body.kept.iter().copied().collect();
+            self.lent = r.kept.iter().flatten().copied().collect();
             self.open.clear();
             self.dirty = true;
         }
         self.seen = self.seen.max(r.seen);
         self.open.retain(|(seq, _)| *seq > r.seen);
-        self.kept = r.body.kept.into_iter().collect();
-        self.running = r.body.running;
-        self.waits = r.body.waits;
+        if let Some(kept) = r.kept {
+            self.kept = kept.into_iter().collect();
+        }
+        self.running = r.running;
+        if let Some(waits) = r.waits {
+            self.waits = waits;
+        }
         if r.loads.is_some() {
             self.loads = r.loads;
         }
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -1,10 +1,12 @@
 //! A router's side of a pool: what it was lent and what it reports.
 
 use {
-    super::Limits,
+    super::{
+        Bucket,
+        Limits, //
+    },
     crate::{
         dispatch::{
-            Body,
             Lend,
             Report,
             ServiceKey,
@@ -12,6 +14,7 @@
         },
         entry::{
             Queue,
+            ReplicaKey,
             Seats, //
         },
         shares::Key,
@@ -20,21 +23,33 @@
         Span,
         Time, //
     },
-    std::collections::BTreeMap,
+    std::collections::{
+        BTreeMap,
+        VecDeque, //
+    },
 };
 
 /// Shortest time between two reports.
 const URGENT: Span = Span::millis(10);
 /// Time between two reports while work waits.
-const WAITING: Span = Span::millis(100);
+const WAITING: Span = Span::millis(200);
 /// Time between two reports while nothing waits.
 const IDLE: Span = Span::millis(250);
+/// Rough bytes of a report, of each replica in it and of each workspace.
+const SIZES: (usize, usize, usize) = (30, 7, 13);
+/// Bytes a second of reports that an owner should take in without need, and at most.
+const OWNER_TAKES: u64 = 4_000;
+const OWNER_MOST: f64 = 9_000.0;
+/// Bytes of urgent reports that may be saved up.
+const BURST: f64 = 600.0;
 /// A report that was not acknowledged is sent again after this time.
 const AGAIN: Span = Span::millis(400);
 /// After this time without a word from the owner, the static fraction is used.
 const DEAF: Span = Span::secs(1);
 /// Time between two reports of how the replicas answered.
 const LOADS: Span = Span::millis(500);
+/// Reports whose workspaces are remembered until the owner answers.
+const ASKED: usize = 8;
 /// Queues up to this length are reported exactly.
 const EXACT: u32 = 8;
 
@@ -51,13 +66,22 @@
     owes: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
+    /// Routers that use the pool.
+    sharers: u32,
+    bucket: Bucket,
     /// Limits of replicas that were heard of.
     pub(crate) limits: Limits,
     seq: u64,
     /// The last lend that the owner was told to be seen.
     told: u64,
     sent: Option<(Time, Body)>,
+    /// The last report that named what is kept, and that.
+    kept: Option<(u64, Vec<(ReplicaKey, u32)>)>,
+    /// The last report that named the workspaces that wait, when, and those.
+    waits: Option<(u64, Time, Vec<Wait>)>,
     acked: u64,
+    /// The workspaces of the last reports, in order, by number of the report.
+    asked: VecDeque<(u64, Vec<Key>)>,
     /// When the owner was last told how the replicas answered.
     loaded: Option<Time>,
     /// Since when reports wait and none was acknowledged.
@@ -76,6 +100,8 @@
         self.lend = 0;
         self.told = 0;
         self.sent = None;
+        self.kept = None;
+        self.waits = None;
         self.unheard = None;
     }
 
@@ -109,6 +135,11 @@
             self.unheard = (self.acked < self.seq).then_some(now);
         }
         self.capacity = l.capacity;
+        self.sharers = l.sharers;
+        self.limits.extend(l.limits.iter().copied());
+        let Some(slots) = &l.slots else {
+            return false;
+        };
         if l.seq == self.lend {
             // The owner sends it again, so the report that said it was seen got lost.
             self.told = 0;
@@ -116,8 +147,7 @@
         }
         self.lend = l.seq;
         self.pressed = l.pressed;
-        self.limits.extend(l.limits.iter().copied());
-        let slots: BTreeMap<_, _> = l.slots.iter().copied().collect();
+        let slots: BTreeMap<_, _> = slots.iter().copied().collect();
         for seat in seats.all.values_mut() {
             let allowed = slots.get(&seat.key).copied().unwrap_or(0);
             self.owes |= allowed < seat.allowed;
@@ -126,6 +156,19 @@
         true
     }
 
+    /// Returns the levels that a lend tells, without what this router counted itself.
+    pub(crate) fn levels(&self, from: &RouterId, inc: Incarnation, l: &Lend) -> Vec<(Key, i64)> {
+        let owner = self.owner.as_ref() == Some(&(from.clone(), inc));
+        let asked = self.asked.iter().find(|(seq, _)| *seq == l.seen);
+        match asked {
+            Some((_, keys)) if owner && l.term == self.term => {
+                let levels = l.levels.iter().copied();
+                keys.iter().copied().zip(levels).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Gives back what is idle while work waits elsewhere, or when this router leaves.
     pub(crate) fn give_back(
         &mut self,
@@ -141,37 +184,74 @@
     }
 
     /// Returns the report that is due, if any, without its loads.
+    ///
+    /// It is `local` where this router owns the pool, and then costs nothing.
     pub(crate) fn report(
         &mut self,
         service: ServiceKey,
         queues: &BTreeMap<Key, Queue>,
         seats: &Seats,
+        local: bool,
         now: Time,
     ) -> Option<Report> {
-        let body = body(queues, seats);
+        let body = Body::of(queues, seats);
         let loads = body.running > 0 && self.loads_due(now);
-        if !self.due(&body, now) && !loads {
+        if !self.due(&body, local, now) && !loads {
             return None;
         }
         self.seq += 1;
         self.owes = false;
         self.told = self.lend;
         self.unheard.get_or_insert(now);
+        let known = self
+            .kept
+            .as_ref()
+            .is_some_and(|(seq, kept)| *seq <= self.acked && *kept == body.kept);
+        if !known {
+            self.kept = Some((self.seq, body.kept.clone()));
+        }
+        let waits = self.waits_due(&body, now);
+        if waits {
+            self.waits = Some((self.seq, now, body.waits.clone()));
+        }
+        self.bucket.spend(body.size(!known, waits));
+        let limits = match self.lend {
+            0 => self.limits.iter().map(|(k, n)| (*k, *n)).collect(),
+            _ => Vec::new(),
+        };
         self.sent = Some((now, body.clone()));
+        let keys = body.waits.iter().map(|w| w.key).collect();
+        self.asked.push_back((self.seq, keys));
+        if self.asked.len() > ASKED {
+            self.asked.pop_front();
+        }
         Some(Report {
             service,
             term: self.term,
             seq: self.seq,
             seen: self.lend,
-            body,
-            limits: match self.lend {
-                0 => self.limits.iter().map(|(k, n)| (*k, *n)).collect(),
-                _ => Vec::new(),
-            },
+            kept: (!known).then_some(body.kept),
+            running: body.running,
+            waits: waits.then_some(body.waits),
+            limits,
             loads: None,
         })
     }
 
+    /// Returns whether the report should name the workspaces that wait.
+    fn waits_due(&self, body: &Body, now: Time) -> bool {
+        let Some((seq, at, told)) = &self.waits else {
+            return true;
+        };
+        let same = body
+            .waits
+            .iter()
+            .map(|w| w.key)
+            .eq(told.iter().map(|w| w.key));
+        let much = body.queued() >= 2 * queued(told) || 2 * body.queued() <= queued(told);
+        !same || much || !self.pressed || *seq > self.acked || now.since(*at) >= self.interval(body)
+    }
+
     /// Returns whether the owner should hear how the replicas answered.
     pub(crate) fn loads_due(&self, now: Time) -> bool {
         self.loaded.is_none_or(|t| now.since(t) >= LOADS)
@@ -182,57 +262,111 @@
         self.loaded = Some(now);
     }
 
-    fn due(&self, body: &Body, now: Time) -> bool {
+    fn due(&mut self, body: &Body, local: bool, now: Time) -> bool {
+        let sharers = self.sharers.max(1) as f64;
+        self.bucket.refill(OWNER_MOST / sharers, BURST, now);
         let Some((at, last)) = &self.sent else {
             return true;
         };
         let passed = now.since(*at);
-        let fewer = body.total() < last.total();
-        let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
-        let interval = if self.owes || fewer || body.waits.iter().any(newly) {
+        if local {
+            return body != last || self.told != self.lend || self.owes;
+        }
+        let urgent = self.owes || body.urges(last, self.pressed);
+        let interval = if urgent && self.bucket.open() {
             URGENT
         } else if body == last && self.told == self.lend {
             match self.acked < self.seq {
                 true => AGAIN,
                 false => return false,
             }
-        } else if self.pressed || !body.waits.is_empty() {
-            WAITING
         } else {
-            IDLE
+            self.interval(body)
         };
         passed >= interval
     }
+
+    /// Returns the time between two reports that nobody waits for.
+    ///
+    /// It grows with their size and with the number of routers that report, so that the
+    /// bytes that an owner takes in stay bounded.
+    fn interval(&self, body: &Body) -> Span {
+        let all = body.size(false, true) as u64 * u64::from(self.sharers);
+        let paced = Span::millis(all * 1000 / OWNER_TAKES);
+        if self.pressed || !body.waits.is_empty() {
+            paced.max(WAITING)
+        } else {
+            paced.max(IDLE)
+        }
+    }
+}
+
+/// The part of a report that is compared with the last one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Body {
+    kept: Vec<(ReplicaKey, u32)>,
+    running: u32,
+    waits: Vec<Wait>,
 }
 
 impl Body {
+    fn of(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
+        let seats_kept = seats
+            .all
+            .values()
+            .map(|s| (s.key, s.allowed.max(s.running)));
+        let waiting = queues.iter().filter(|(_, q)| !q.is_empty());
+        Body {
+            kept: seats_kept.filter(|k| k.1 > 0).collect(),
+            running: seats.running(),
+            waits: waiting
+                .map(|(key, q)| Wait {
+                    key: *key,
+                    queued: coarse(q.len() as u32),
+                    running: q.running,
+                })
+                .collect(),
+        }
+    }
+
+    /// Returns roughly how many bytes a report of it takes.
+    fn size(&self, kept: bool, waits: bool) -> usize {
+        let kept = if kept { SIZES.1 * self.kept.len() } else { 0 };
+        let waits = if waits { SIZES.2 * self.waits.len() } else { 0 };
+        SIZES.0 + kept + waits
+    }
+
     /// Returns all slots kept.
     fn total(&self) -> u32 {
         self.kept.iter().map(|k| k.1).sum()
     }
-}
 
-fn body(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
-    Body {
-        kept: seats
-            .all
-            .values()
-            .map(|s| (s.key, s.allowed.max(s.running)))
-            .filter(|k| k.1 > 0)
-            .collect(),
-        running: seats.running(),
-        waits: queues
-            .iter()
-            .filter(|(_, q)| !q.is_empty())
-            .map(|(key, q)| Wait {
-                key: *key,
-                queued: coarse(q.len() as u32),
-                running: q.running,
-            })
-            .collect(),
+    /// Returns all requests that wait.
+    fn queued(&self) -> u32 {
+        queued(&self.waits)
+    }
+
+    /// Returns whether the owner should hear of it at once: slots came back, a workspace
+    /// began to wait, more waits (much more, where work waits everywhere), or no spare slot is
+    /// left while there are some.
+    fn urges(&self, last: &Body, pressed: bool) -> bool {
+        let fewer = self.total() < last.total();
+        let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
+        let full = !pressed && self.running >= self.total() && last.running < last.total();
+        let grown = if pressed {
+            2 * last.queued()
+        } else {
+            last.queued() + 1
+        };
+        let more = self.queued() >= grown.max(1) && self.queued() > last.queued();
+        fewer || full || more || self.waits.iter().any(newly)
     }
 }
 
+fn queued(waits: &[Wait]) -> u32 {
+    waits.iter().map(|w| w.queued).sum()
+}
+
 /// Rounds a large number to its three highest bits, so that it seldom changes.
 fn coarse(n: u32) -> u32 {
     if n <= EXACT {
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Slots of replicas, lent by an owner to the routers where work waits.
 
 mod borrower;
+mod bucket;
 mod fill;
 mod hold;
 mod lot;
@@ -19,6 +20,7 @@
     pace::Pace, //
 };
 pub(crate) use self::{
+    bucket::Bucket,
     hold::Hold,
     owner::Pool, //
 };
--- a/crates/policy/src/pool/moves.rs
+++ b/crates/policy/src/pool/moves.rs
@@ -59,13 +59,22 @@
         }
     }
 
-    /// Asks slots back from routers that have more than they should, where another lacks.
-    pub(super) fn take_back(&mut self, wants: &Wants) {
+    /// Returns how many slots each router needs for what runs and waits there.
+    pub(super) fn needs(&self) -> Wants {
+        let takers = self.borrowers.iter().filter(|(_, b)| b.takes());
+        takers
+            .map(|(id, b)| (id.clone(), b.running + b.waiting()))
+            .collect()
+    }
+
+    /// Asks slots back from routers that have more than wanted, where others lack what
+    /// they need.
+    pub(super) fn take_back(&mut self, wants: &Wants, needs: &Wants) {
         let free: i64 = self.lots.iter().map(|(k, l)| self.free(*k, l).max(0)).sum();
         let lack: i64 = self
             .borrowers
             .iter()
-            .map(|(id, b)| i64::from(wants.get(id).map_or(0, |w| w.saturating_sub(b.total()))))
+            .map(|(id, b)| i64::from(needs.get(id).map_or(0, |n| n.saturating_sub(b.total()))))
             .sum();
         // Slots that were asked back and are not yet free count as on their way.
         let coming: i64 = self
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
+        borrower::Common,
         Borrower,
+        Bucket,
         Limits,
         Lot,
         Pace, //
@@ -11,7 +13,8 @@
         dispatch::{
             Lend,
             Report,
-            ServiceKey, //
+            ServiceKey,
+            Wait, //
         },
         entry::{
             ReplicaKey,
@@ -19,6 +22,7 @@
         },
         shares::{
             Ledger,
+            Writer,
             MILLI, //
         },
         BorrowerDump,
@@ -38,14 +42,10 @@
 const PLAN: Span = Span::millis(100);
 /// Shortest time between two plans that spread what is idle.
 const SPREAD: Span = Span::millis(500);
-/// How long the pool counts as pressed after work last waited.
+/// How long there must be more work than slots until the pool counts as pressed.
+const FULL: Span = Span::millis(100);
+/// How long the pool counts as pressed after there last was more work than slots.
 const PRESSED: Span = Span::millis(300);
-/// Shortest time between two lends to one router.
-const LEND: Span = Span::millis(10);
-/// A lend that was not acknowledged is sent again after this time.
-const AGAIN: Span = Span::millis(500);
-/// A report is acknowledged within this time.
-const ACK: Span = Span::millis(200);
 /// A router that never reported is taken to hold its fraction for this time.
 const UNHEARD: Span = Span::secs(5);
 /// A new owner waits this long for reports of the live routers before it lends.
@@ -54,6 +54,9 @@
 const VANISHED: Span = Span::secs(2);
 /// If many vanished at once, a partition is likely and they may run on for long.
 const CUT_OFF: Span = Span::secs(30);
+/// Bytes a second that an owner sends, and the most that it saves up.
+const TELLS: f64 = 8_000.0;
+const BURST: f64 = 3_000.0;
 /// How many times all slots one workspace may be ahead.
 const DEBT: f64 = 2.0;
 
@@ -66,9 +69,13 @@
     pub(crate) pressed: bool,
     /// Since when this router owns the pool.
     since: Time,
-    waited: Time,
+    /// Since when there is more work than slots.
+    full: Option<Time>,
+    /// When there last was more work than slots, for a while.
+    waited: Option<Time>,
     planned: Time,
     changed: bool,
+    bucket: Bucket,
 }
 
 impl Pool {
@@ -79,9 +86,11 @@
             borrowers: BTreeMap::new(),
             pressed: false,
             since: now,
-            waited: now,
+            full: None,
+            waited: None,
             planned: now,
             changed: true,
+            bucket: Bucket::default(),
         }
     }
 
@@ -133,6 +142,7 @@
         }
         let fresh = r.loads.is_some();
         b.report(r);
+        b.note_need(now);
         if fresh {
             self.learn(from, now);
         }
@@ -187,11 +197,19 @@
         self.restore(&wants);
         if due {
             self.planned = now;
-            self.take_back(&wants);
+            self.take_back(&wants, &wants);
+        } else if !self.pressed {
+            // Spare slots move now and then; those that work waits for move at once.
+            let needs = self.needs();
+            self.take_back(&needs, &needs);
         }
-        if !self.gathers(now) {
-            self.give(&wants);
+        if self.gathers(now) {
+            return;
+        }
+        if !self.pressed {
+            self.give(&self.needs());
         }
+        self.give(&wants);
     }
 
     /// Returns whether this owner is so new that it does not know yet who holds what.
@@ -231,16 +249,20 @@
         }
     }
 
-    /// Notes whether work waits anywhere.
+    /// Notes whether more work is there than slots.
     fn press(&mut self, now: Time) {
-        let waits = self
-            .borrowers
-            .values()
-            .any(|b| b.takes() && !b.waits.is_empty());
-        if waits {
-            self.waited = now;
+        let takers = || self.borrowers.values().filter(|b| b.takes());
+        let demand: u32 = takers().map(|b| b.running + b.waiting()).sum();
+        if takers().any(|b| b.waiting() > 0) && demand >= self.capacity() {
+            let since = *self.full.get_or_insert(now);
+            // A peak that passes by itself is not worth taking all spare slots back.
+            if self.pressed || now.since(since) >= FULL {
+                self.waited = Some(now);
+            }
+        } else {
+            self.full = None;
         }
-        let pressed = waits || self.pressed && now.since(self.waited) < PRESSED;
+        let pressed = self.waited.is_some_and(|t| now.since(t) < PRESSED);
         if pressed != self.pressed {
             self.pressed = pressed;
             for b in self.borrowers.values_mut() {
@@ -275,39 +297,33 @@
     }
 
     /// Returns the lends that are due.
-    pub(crate) fn lends(&mut self, now: Time) -> Vec<(RouterId, Lend)> {
-        let capacity = self.capacity();
+    pub(crate) fn lends(
+        &mut self,
+        me: &RouterId,
+        ledger: &Ledger,
+        now: Time,
+    ) -> Vec<(RouterId, Lend)> {
+        self.bucket.refill(TELLS, BURST, now);
         let limits: Limits = self.lots.iter().map(|(k, l)| (*k, l.limit())).collect();
-        let (service, pressed) = (self.service, self.pressed);
+        let common = Common {
+            service: self.service,
+            pressed: self.pressed,
+            capacity: self.capacity(),
+            sharers: self.borrowers.values().filter(|b| b.busy()).count() as u32,
+        };
         let mut out = Vec::new();
         for (id, b) in &mut self.borrowers {
-            if !b.heard() || b.state == PeerState::Suspect {
-                continue;
-            }
-            let passed = b.told.map_or(Span::secs(60), |t| now.since(t));
-            let again = b.seen < b.lend && passed >= AGAIN;
-            let ack = b.acked < b.report && passed >= ACK;
-            if !(b.dirty && passed >= LEND || again || ack) {
-                continue;
+            if b.heard() && b.state != PeerState::Suspect {
+                let writer = Writer::of(id, b.incarnation);
+                let level = |w: &Wait| ledger.level_without(w.key, writer);
+                let local = id == me;
+                let open = local || self.bucket.open() && b.rested(now);
+                let lend = b.lend_due(&common, &limits, level, open, now);
+                if !local {
+                    self.bucket.spend(lend.as_ref().map_or(0, Lend::size));
+                }
+                out.extend(lend.map(|l| (id.clone(), l)));
             }
-            if b.dirty || b.lend == 0 {
-                b.lend += 1;
-                b.open.push((b.lend, b.lent.clone()));
-            }
-            b.dirty = false;
-            b.told = Some(now);
-            b.acked = b.report;
-            let lend = Lend {
-                service,
-                term: b.term,
-                seq: b.lend,
-                seen: b.report,
-                pressed,
-                capacity,
-                slots: b.lent.iter().map(|(k, n)| (*k, *n)).collect(),
-                limits: b.limits_due(&limits, now),
-            };
-            out.push((id.clone(), lend));
         }
         out
     }
--- a/crates/policy/src/pool/wants.rs
+++ b/crates/policy/src/pool/wants.rs
@@ -18,7 +18,11 @@
 };
 
 /// Part of the idle slots that stays with the owner while nothing waits.
-const RESERVE: f64 = 0.25;
+const RESERVE: f64 = 0.1;
+/// Part of the spare slots that is spread evenly; the rest goes by use.
+const EVEN: f64 = 0.3;
+/// Part of the spare slots by which a router may have more or less than its part.
+const NEAR: f64 = 0.6;
 /// A router keeps the slot that rounding gives one of several, unless another's claim is
 /// larger by this part of a slot.
 const STICKY: f64 = 0.6;
@@ -71,28 +75,32 @@
         round(exact, self.capacity())
     }
 
-    /// Returns how many slots each router should have while nothing waits.
+    /// Returns how many slots each router should have while there are enough for all.
+    ///
+    /// That is the most that it used lately and some spare ones, so that most requests start
+    /// without a message.
     pub(super) fn wants_idle(&self) -> Wants {
-        let takers: Vec<_> = self.borrowers.iter().filter(|(_, b)| b.takes()).collect();
-        let running: u32 = takers.iter().map(|(_, b)| b.running).sum();
-        let idle = f64::from(self.capacity().saturating_sub(running)) * (1.0 - RESERVE);
-        let n = takers.len().max(1) as f64;
-        takers
-            .iter()
-            .map(|(id, b)| {
-                let used = f64::from(b.running) / f64::from(running.max(1));
-                let spare = match running {
-                    0 => idle / n,
-                    _ => idle / 2.0 / n + idle / 2.0 * used,
-                };
-                let want = f64::from(b.running) + spare;
-                // Spare slots are not worth a message for every small change.
-                let now = f64::from(b.total());
-                let near = (now - want).abs() < spare / 2.0;
-                let want = if near { now } else { want };
-                ((*id).clone(), want as u32)
-            })
-            .collect()
+        let needs = self.needs();
+        let peak = |id: &RouterId| self.borrowers[id].peak;
+        let peaks: f64 = needs.keys().map(peak).sum();
+        let idle = (f64::from(self.capacity()) - peaks).max(0.0) * (1.0 - RESERVE);
+        let n = needs.len().max(1) as f64;
+        let mut wants = Wants::new();
+        for (id, need) in needs {
+            let used = if peaks > 0.0 {
+                peak(&id) / peaks
+            } else {
+                1.0 / n
+            };
+            let spare = idle * (EVEN / n + (1.0 - EVEN) * used);
+            let want = peak(&id) + spare;
+            // Spare slots are not worth a message for every small change.
+            let now = self.borrowers[&id].total();
+            let near = (f64::from(now) - want).abs() <= spare * NEAR;
+            let want = if near { now } else { want as u32 };
+            wants.insert(id, want.max(need));
+        }
+        wants
     }
 }
 
@@ -105,7 +113,9 @@
         let whole = due.floor();
         let has = if f64::from(now) > whole { STICKY } else { 0.0 };
         out.insert(id.clone(), whole as u32);
-        rest.push((due - whole + has, id));
+        if due > whole {
+            rest.push((due - whole + has, id));
+        }
     }
     let given: u32 = out.values().sum();
     let left = capacity.min(total.round() as u32).saturating_sub(given);
--- a/crates/policy/src/shares/account.rs
+++ b/crates/policy/src/shares/account.rs
@@ -29,6 +29,8 @@
     pub(crate) forgiven: i64,
     /// Revision of this router's last change here.
     pub(crate) rev: u64,
+    /// Revision of this router's last lift or forgiveness here.
+    pub(crate) shifted: u64,
 }
 
 impl Account {
@@ -37,6 +39,22 @@
         (self.sum as f64 / share.get()) as i64 + self.lift - self.forgiven
     }
 
+    /// Lifts, or forgives below zero.
+    pub(crate) fn shift(&mut self, me: Writer, rev: u64, by: i64) {
+        if by > 0 {
+            self.lift += by;
+        } else {
+            self.forgiven -= by;
+        }
+        self.shifted = rev;
+        self.charge(me, rev, 0);
+    }
+
+    /// Returns what one router counted.
+    pub(crate) fn charged(&self, writer: Writer) -> i64 {
+        self.parts.get(&writer).map_or(0, |p| p.charged)
+    }
+
     /// Charges (or, below zero, gives back) an amount to this router's count.
     pub(crate) fn charge(&mut self, me: Writer, rev: u64, milli: i64) {
         let part = self.parts.entry(me).or_default();
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -12,12 +12,21 @@
         Key,
         Writer, //
     },
-    crate::Share,
-    std::collections::BTreeMap,
+    crate::{
+        Share,
+        Span,
+        Time, //
+    },
+    std::collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
 };
 
 /// Thousandths in one unit.
 pub(crate) const MILLI: f64 = 1000.0;
+/// What the owner told counts for this time.
+const HEARD: Span = Span::millis(1_500);
 /// Most counts in one message.
 const NOTES: usize = 128;
 
@@ -53,6 +62,12 @@
     friends: BTreeMap<Writer, Friend>,
     /// Level of the least backlogged workspace when there last was any.
     floor: i64,
+    /// The workspaces that some router, live or not, last said to wait.
+    waiting: BTreeSet<Key>,
+    /// What the owner of the pool lately told, and when.
+    heard: BTreeMap<Key, (Time, i64)>,
+    /// This router's changes, each workspace once, by revision.
+    changes: BTreeMap<u64, Key>,
 }
 
 impl Ledger {
@@ -64,6 +79,9 @@
             shares: BTreeMap::new(),
             friends: BTreeMap::new(),
             floor: 0,
+            waiting: BTreeSet::new(),
+            heard: BTreeMap::new(),
+            changes: BTreeMap::new(),
         }
     }
 
@@ -88,33 +106,74 @@
     }
 
     /// Returns normalised service in thousandths of a unit.
+    ///
+    /// What the owner of the pool told counts where it is more: it hears all routers
+    /// sooner than they hear each other.
     pub(crate) fn level(&self, key: Key) -> i64 {
+        let Some(a) = self.accounts.get(&key) else {
+            return 0;
+        };
+        let level = a.level(self.share(key));
+        match self.heard.get(&key) {
+            Some((_, rest)) => level.max(rest + self.normal(key, a.charged(self.me))),
+            None => level,
+        }
+    }
+
+    /// Returns normalised service without what one router counted.
+    pub(crate) fn level_without(&self, key: Key, writer: Writer) -> i64 {
         match self.accounts.get(&key) {
-            Some(a) => a.level(self.share(key)),
+            Some(a) => a.level(self.share(key)) - self.normal(key, a.charged(writer)),
             None => 0,
         }
     }
 
+    /// Takes in what the owner of the pool says of a workspace, without this router's part.
+    pub(crate) fn hear(&mut self, key: Key, rest: i64, now: Time) {
+        self.heard.insert(key, (now, rest));
+    }
+
     /// Charges an amount, which may be below zero.
     pub(crate) fn charge(&mut self, key: Key, milli: i64) {
         if milli == 0 {
             return;
         }
-        self.rev += 1;
+        let rev = self.touch(key);
         let account = self.accounts.entry(key).or_default();
-        account.charge(self.me, self.rev, milli);
+        account.charge(self.me, rev, milli);
     }
 
     /// Notes whether requests of a workspace wait here.
     pub(crate) fn set_waits(&mut self, key: Key, waits: bool) {
+        let part = self.accounts.get(&key).and_then(|a| a.parts.get(&self.me));
+        if part.is_some_and(|p| p.waits) == waits {
+            return;
+        }
+        let rev = self.touch(key);
         let account = self.accounts.entry(key).or_default();
-        let now = account.parts.get(&self.me).is_some_and(|p| p.waits);
-        if now != waits {
-            self.rev += 1;
-            account.set_waits(self.me, self.rev, waits);
+        account.set_waits(self.me, rev, waits);
+        self.index(key);
+    }
+
+    /// Keeps the list of workspaces that wait anywhere.
+    fn index(&mut self, key: Key) {
+        let waits = |a: &Account| a.parts.values().any(|p| p.waits);
+        if self.accounts.get(&key).is_some_and(waits) {
+            self.waiting.insert(key);
+        } else {
+            self.waiting.remove(&key);
         }
     }
 
+    /// Returns the accounts of workspaces that wait anywhere.
+    fn backlogged(&self) -> impl Iterator<Item = (Key, &Account)> {
+        let accounts = self
+            .waiting
+            .iter()
+            .filter_map(|k| Some((*k, self.accounts.get(k)?)));
+        accounts.filter(|(_, a)| self.waits(a))
+    }
+
     /// Returns whether requests of a workspace wait at any live router.
     fn waits(&self, account: &Account) -> bool {
         account.parts.iter().any(|(w, p)| {
@@ -124,10 +183,9 @@
 
     /// Returns the least level of the backlogged workspaces but one.
     fn least(&self, but: Option<Key>, running: impl Fn(Key) -> i64) -> Option<i64> {
-        self.accounts
-            .iter()
-            .filter(|(key, a)| Some(**key) != but && self.waits(a))
-            .map(|(key, a)| a.level(self.share(*key)) - self.normal(*key, running(*key)))
+        self.backlogged()
+            .filter(|(key, _)| Some(*key) != but)
+            .map(|(key, a)| a.level(self.share(key)) - self.normal(key, running(key)))
             .min()
     }
 
@@ -163,7 +221,8 @@
     }
 
     /// Notes how far the least backlogged workspace is.
-    pub(crate) fn watch(&mut self) {
+    pub(crate) fn watch(&mut self, now: Time) {
+        self.heard.retain(|_, (at, _)| now.since(*at) < HEARD);
         if let Some(least) = self.least(None, |_| 0) {
             self.floor = self.floor.max(least);
         }
@@ -178,10 +237,8 @@
             return;
         };
         let ahead: Vec<(Key, i64)> = self
-            .accounts
-            .iter()
-            .filter(|(_, a)| self.waits(a))
-            .map(|(key, a)| (*key, a.level(self.share(*key)) - least - debt))
+            .backlogged()
+            .map(|(key, a)| (key, a.level(self.share(key)) - least - debt))
             .filter(|(_, over)| *over > 0)
             .collect();
         for (key, over) in ahead {
@@ -191,14 +248,19 @@
 
     /// Moves the level of a workspace.
     fn shift(&mut self, key: Key, by: i64) {
-        self.rev += 1;
+        let rev = self.touch(key);
         let account = self.accounts.entry(key).or_default();
-        if by > 0 {
-            account.lift += by;
-        } else {
-            account.forgiven -= by;
+        account.shift(self.me, rev, by);
+    }
+
+    /// Notes that this router changes an account; returns the new revision.
+    fn touch(&mut self, key: Key) -> u64 {
+        if let Some(a) = self.accounts.get(&key) {
+            self.changes.remove(&a.rev);
         }
-        account.charge(self.me, self.rev, 0);
+        self.rev += 1;
+        self.changes.insert(self.rev, key);
+        self.rev
     }
 
     /// Returns what a router should be told, if there is anything.
@@ -207,30 +269,15 @@
     pub(crate) fn notes(&mut self, service: u32, to: Writer, relay: bool) -> Option<Notes> {
         let f = self.friends.get(&to)?;
         let acked = f.acked;
-        let mut changed: Vec<(&Key, &Account)> = self
-            .accounts
-            .iter()
-            .filter(|(_, a)| a.rev > acked)
-            .collect();
-        changed.sort_by_key(|(_, a)| a.rev);
-        let whole = changed.len() <= NOTES;
-        changed.truncate(NOTES);
-        let rev = match changed.last() {
-            Some((_, a)) if !whole => a.rev,
+        let changed = self.changes.range(acked + 1..);
+        let count = changed.clone().count();
+        let rev = match changed.clone().nth(NOTES - 1) {
+            Some((rev, _)) if count > NOTES => *rev,
             _ => self.rev,
         };
         let notes: Vec<Note> = changed
-            .into_iter()
-            .map(|(key, a)| {
-                let part = a.parts.get(&self.me).copied().unwrap_or_default();
-                Note {
-                    key: *key,
-                    charged: part.charged,
-                    waits: part.waits,
-                    lift: a.lift,
-                    forgiven: a.forgiven,
-                }
-            })
+            .take(NOTES)
+            .map(|(_, key)| self.note(*key, acked))
             .collect();
         let others = match relay && f.acked == 0 {
             true => self.others(to),
@@ -252,6 +299,18 @@
         })
     }
 
+    /// Returns this router's count of a workspace, for one that has seen it up to `acked`.
+    fn note(&self, key: Key, acked: u64) -> Note {
+        let a = &self.accounts[&key];
+        let part = a.parts.get(&self.me).copied().unwrap_or_default();
+        Note {
+            key,
+            charged: part.charged,
+            waits: part.waits,
+            shift: (a.shifted > acked).then_some((a.lift, a.forgiven)),
+        }
+    }
+
     /// Returns the counts of all routers but this one and the receiver.
     fn others(&self, to: Writer) -> Vec<(Writer, Vec<Relay>)> {
         let mut out: BTreeMap<Writer, Vec<Relay>> = BTreeMap::new();
@@ -282,14 +341,17 @@
         self.floor = self.floor.max(n.floor);
         for note in n.notes {
             let account = self.accounts.entry(note.key).or_default();
-            account.lift = account.lift.max(note.lift);
-            account.forgiven = account.forgiven.max(note.forgiven);
+            if let Some((lift, forgiven)) = note.shift {
+                account.lift = account.lift.max(lift);
+                account.forgiven = account.forgiven.max(forgiven);
+            }
             let part = Part {
                 rev: n.rev,
                 charged: note.charged,
                 waits: note.waits,
             };
             account.merge(from, part);
+            self.index(note.key);
         }
         for (writer, list) in n.others {
             if writer == self.me {
--- a/crates/policy/src/shares/notes.rs
+++ b/crates/policy/src/shares/notes.rs
@@ -29,7 +29,7 @@
 }
 
 /// Rough bytes of a message, of each count in it, and of each that is relayed.
-const SIZES: (usize, usize, usize) = (24, 22, 20);
+const SIZES: (usize, usize, usize) = (24, 16, 20);
 
 impl Notes {
     /// Returns roughly how many bytes it takes on the wire.
@@ -45,8 +45,8 @@
     pub(crate) key: Key,
     pub(crate) charged: i64,
     pub(crate) waits: bool,
-    pub(crate) lift: i64,
-    pub(crate) forgiven: i64,
+    /// What was lifted and forgiven, if that changed.
+    pub(crate) shift: Option<(i64, i64)>,
 }
 
 /// Another router's count of one workspace.
