platform: prove late writes, slow readers and two configurations of one revision

A change on a restored platform writes all its parts. The remedy for a missing part was wrong, as a repair looks at the head alone: it is to remove the head, which the test now does.

--- a/crates/platform/src/store/apply.rs
+++ b/crates/platform/src/store/apply.rs
@@ -41,8 +41,8 @@
 
 /// How often a write without an answer is made again, to find out what became of it.
 const TRIES: usize = 10;
-/// Pause before the second of them; it doubles each time.
-const PAUSE: Span = Span::millis(50);
+/// Pause before the second of them, no shorter than the circuit's first; it doubles each time.
+const PAUSE: Span = Span::millis(100);
 /// Longest pause.
 const PAUSE_MAX: Span = Span::secs(2);
 
@@ -142,14 +142,17 @@
 /// would show as a missing part of the configuration in force. Parts are removed only at
 /// the revision at which the old head knew them, and bringing one back writes it anew.
 async fn clean(kv: &Kv, head: Option<&Head>) -> Vec<Blob> {
-    let mut left = Vec::new();
-    for blob in head.into_iter().flat_map(|h| &h.dropped) {
+    let dropped = head.map_or(&[][..], |h| &h.dropped);
+    for (i, blob) in dropped.iter().enumerate() {
         match kv.delete(&Blob::key_of(blob.hash), blob.key).await {
             Ok(()) | Err(KvError::Conflict { .. }) => {}
-            Err(_) => left.push(*blob),
+            Err(e) => {
+                task::sleep(pause_after(1, &e)).await;
+                return dropped[i..].to_vec();
+            }
         }
     }
-    left
+    Vec::new()
 }
 
 /// Writes the parts and makes the head that names them.
@@ -160,10 +163,12 @@
     left: Vec<Blob>,
 ) -> Result<Head, ApplyError> {
     let before = found.head.as_ref();
+    // Which parts a platform restored to an older state still has isn't known.
+    let trusted = before.filter(|h| h.revision == change.base.revision);
     let mut parts = Vec::with_capacity(change.parts.len());
     for part in &change.parts {
         let hash = part.hash();
-        let kept = before.and_then(|h| h.kept().find(|b| b.hash == hash));
+        let kept = trusted.and_then(|h| h.kept().find(|b| b.hash == hash));
         let blob = match kept {
             Some(blob) => *blob,
             None => put_blob(kv, hash, &part.text)
--- a/crates/platform/src/store/error.rs
+++ b/crates/platform/src/store/error.rs
@@ -19,10 +19,10 @@
     #[error(transparent)]
     Kv(#[from] KvError),
     /// The head can't be read.
-    #[error("the configuration's head on the platform can't be read ({0}); have a router repair it, or remove the key `config/head` and apply the configuration again")]
+    #[error("the configuration's head on the platform can't be read ({0}); remove the key `config/head`, and a router writes the configuration in force back")]
     Head(String),
     /// A part that the head names is not there.
-    #[error("part `{name}` ({hash}) of revision {revision} is missing on the platform; have a router repair it, or apply the configuration again")]
+    #[error("part `{name}` ({hash}) of revision {revision} is missing on the platform; remove the key `config/head`, and a router writes the configuration in force back")]
     Missing {
         /// The part's name.
         name: String,
--- a/crates/platform/tests/platform/restore.rs
+++ b/crates/platform/tests/platform/restore.rs
@@ -60,6 +60,32 @@
     });
 }
 
+// The platform is restored, and an operator who reaches no router writes to it: there are two
+// configurations of one revision. A change made on one must not replace the other.
+#[test]
+fn apply_on_other_of_two() {
+    run(async {
+        let (platform, config) = restored().await;
+        let kv = client(&platform, "b");
+        for text in ["other 3", "other 4"] {
+            let old = read(&kv, &[]).await.unwrap().unwrap();
+            write(&kv, "ben", old.base(), 0, text).await.unwrap();
+        }
+        let err = write(&kv, "eve", config.base(), 4, "text 5")
+            .await
+            .unwrap_err();
+        let expected = ApplyError::Conflict {
+            revision: Revision(4),
+            writer: "ben".to_owned(),
+        };
+        assert_eq!(err, expected);
+        let mut watcher = Watcher::new();
+        let seen = watcher.next(&kv, Some(&config)).await.unwrap();
+        let writer = "ben".to_owned();
+        assert_eq!(seen, Seen::Other { writer });
+    });
+}
+
 // The same, but the operator made the change on what routers have in force. It is accepted
 // under a revision above all that the fleet knows; a lower one would be ignored by routers.
 #[test]
--- a/crates/platform/tests/platform/store.rs
+++ b/crates/platform/tests/platform/store.rs
@@ -8,20 +8,21 @@
         run,
         write, //
     },
-    ::platform::{
-        store::{
-            apply,
-            join,
-            read,
-            split,
-            ApplyError,
-            Base,
-            Change,
-            Part,
-            Revision,
-            PART_MAX, //
-        },
-        KeyRevision, KvError,
+    ::platform::store::{
+        apply,
+        join,
+        read,
+        repair,
+        split,
+        ApplyError,
+        Base,
+        Change,
+        Part,
+        ReadError,
+        Revision,
+        Seen,
+        Watcher,
+        PART_MAX, //
     },
     async_std::task,
     standins::platform::Down,
@@ -279,22 +280,40 @@
         let platform = platform().await;
         let kv = client(&platform, "a");
         let mut on = base();
-        let mut first = KeyRevision::NONE;
-        let key = "config/part/".to_owned() + &Part::new("", "text 0").hash().to_string();
-        for i in 0..12 {
-            write(&kv, "ada", on, 0, &format!("text {}", i % 7))
+        for i in 0..6 {
+            write(&kv, "ada", on, 0, &format!("text {i}"))
                 .await
                 .unwrap();
             on = read(&kv, &[]).await.unwrap().unwrap().base();
-            if i == 0 {
-                first = kv.get(&key).await.unwrap().unwrap().revision;
-            }
-            if i == 7 {
-                let late = kv.delete(&key, first).await;
-                assert!(matches!(late, Err(KvError::Conflict { .. })), "{late:?}");
-                assert!(read(&kv, &[]).await.is_ok());
-            }
         }
+        // The next change removes "text 0" first, and that comes late; then it writes it.
+        platform.hold_writes(1);
+        write(&kv, "ada", on, 0, "text 0").await.unwrap();
+        assert_eq!(platform.calls("delete"), 1);
+        platform.release_writes().await;
+        let config = read(&kv, &[]).await.unwrap().unwrap();
+        assert_eq!(&*config.parts[0].text, "text 0");
+    });
+}
+
+// Ada's write is still under way when she gives it up. Nothing of it is seen when she looks.
+// If she were told that nothing was changed, it would come into force later.
+#[test]
+fn apply_write_done_late() {
+    run(async {
+        let platform = platform().await;
+        let kv = client(&platform, "a");
+        write(&kv, "eve", base(), 0, "one").await.unwrap();
+        let before = read(&kv, &[]).await.unwrap().unwrap();
+        // The part is there already, so the write held is the head's.
+        platform.hold_writes(1);
+        let ada = write(&kv, "ada", before.base(), 0, "one").await.unwrap();
+        let hers = read(&kv, &[]).await.unwrap().unwrap();
+        assert_eq!(hers.write, ada.write);
+        let ben = write(&kv, "ben", hers.base(), 0, "two").await.unwrap();
+        platform.release_writes().await;
+        let config = read(&kv, &[]).await.unwrap().unwrap();
+        assert_eq!(config.write, ben.write);
     });
 }
 
@@ -329,3 +348,60 @@
         writes.await;
     });
 }
+
+// A router reads the head, and its answer is a while under way. Meanwhile so many changes
+// come that the parts it names are removed. The router must read the newer one instead.
+#[test]
+fn read_parts_gone() {
+    run(async {
+        let platform = platform().await;
+        let (a, b) = (client(&platform, "a"), client(&platform, "b"));
+        write(&a, "ada", base(), 0, "text 1").await.unwrap();
+        platform.stall("b");
+        let before = platform.calls("get");
+        let reading = task::spawn(async move { read(&b, &[]).await });
+        while platform.calls("get") == before {
+            task::sleep(Duration::from_millis(1)).await;
+        }
+        for i in 2..=9 {
+            let on = Revision(i - 1).into();
+            write(&a, "ada", on, 0, &format!("text {i}")).await.unwrap();
+        }
+        platform.let_go("b");
+        let config = reading.await.unwrap().unwrap();
+        assert_eq!(config.revision, Revision(9));
+        assert_eq!(&*config.parts[0].text, "text 9");
+    });
+}
+
+// A part of the configuration in force is not there, by whichever fault. A router keeps what
+// it has and says what to do; it must not take the rest for the whole.
+#[test]
+fn read_part_missing() {
+    run(async {
+        let platform = platform().await;
+        let kv = client(&platform, "a");
+        write(&kv, "ada", base(), 0, "text").await.unwrap();
+        let config = read(&kv, &[]).await.unwrap().unwrap();
+        let key = &platform.keys("config/part/")[0];
+        let entry = kv.get(key).await.unwrap().unwrap();
+        kv.delete(key, entry.revision).await.unwrap();
+        let err = read(&kv, &[]).await.unwrap_err();
+        assert!(matches!(err, ReadError::Missing { .. }), "{err}");
+        assert!(
+            err.to_string().contains("remove the key `config/head`"),
+            "{err}"
+        );
+        // Who has the part needs no other.
+        let known = read(&kv, &config.parts).await;
+        assert_eq!(known, Ok(Some(config.clone())));
+        // The remedy: a router that watches sees the head gone, and writes it back.
+        let head = kv.get("config/head").await.unwrap().unwrap();
+        kv.delete("config/head", head.revision).await.unwrap();
+        let seen = Watcher::new().next(&kv, Some(&config)).await.unwrap();
+        let revision = Revision::NONE;
+        assert_eq!(seen, Seen::Older { revision });
+        repair(&kv, &config).await.unwrap();
+        assert_eq!(read(&kv, &[]).await, Ok(Some(config)));
+    });
+}
--- a/crates/platform/tests/platform/store_fuzz.rs
+++ b/crates/platform/tests/platform/store_fuzz.rs
@@ -38,6 +38,10 @@
     Look(usize),
     /// An operator adds a line to what they saw last, and so many answers are lost.
     Apply(usize, u32),
+    /// The same, and so many writes are still under way when the operator gives them up.
+    ApplyLate(usize, u32),
+    /// The writes under way are done.
+    Release,
     /// All connections go silent.
     Silence,
     /// The platform keeps a copy.
@@ -61,6 +65,8 @@
     prop_oneof![
         8 => (0..OPERATORS).prop_map(Step::Look),
         12 => (0..OPERATORS, 0..4_u32).prop_map(|(i, n)| Step::Apply(i, n / 2)),
+        4 => (0..OPERATORS, 1..3_u32).prop_map(|(i, n)| Step::ApplyLate(i, n)),
+        3 => Just(Step::Release),
         1 => Just(Step::Silence),
         1 => Just(Step::Snapshot),
         1 => Just(Step::Restore),
@@ -81,6 +87,12 @@
                 oracle.apply(&clients[i], i).await;
                 platform.lose_answers(0);
             }
+            Step::ApplyLate(i, held) => {
+                platform.hold_writes(held);
+                oracle.apply(&clients[i], i).await;
+                platform.hold_writes(0);
+            }
+            Step::Release => platform.release_writes().await,
             Step::Silence => platform.silence(),
             Step::Snapshot => platform.snapshot(),
             Step::Restore => assert!(platform.restore()),
--- a/crates/standins/src/platform/app.rs
+++ b/crates/standins/src/platform/app.rs
@@ -12,7 +12,8 @@
             Stored,
             VALUE_MAX, //
         },
-        state::Shared,
+        server,
+        state::Shared, //
     },
     serde::{
         Deserialize,
@@ -93,6 +94,7 @@
     app.at("/admin/instances/:name")
         .put(set_state)
         .delete(remove_instance);
+    app.at("/admin/release").post(release);
     app.at("/admin/:fault").post(fault);
     app
 }
@@ -231,6 +233,11 @@
     Ok(found(req.state().lock().list.remove(name, now)))
 }
 
+async fn release(req: Request<Shared>) -> Result {
+    server::release(req.state().clone()).await;
+    Ok(Response::new(StatusCode::Ok))
+}
+
 async fn fault(req: Request<Shared>) -> Result {
     let q: AdminQuery = req.query()?;
     let span = Duration::from_millis(q.ms.unwrap_or(0));
@@ -242,8 +249,11 @@
         "slow" => inner.faults.slow = span,
         "lag" => inner.list.set_lag(span),
         "lose" => inner.faults.lose = q.n.unwrap_or(1),
+        "hold" => inner.faults.hold = q.n.unwrap_or(1),
         "cut" => _ = inner.faults.cut.insert(client),
         "heal" => _ = inner.faults.cut.remove(&client),
+        "stall" => _ = inner.faults.stalled.insert(client),
+        "let-go" => _ = inner.faults.stalled.remove(&client),
         "silence" => inner.silence(),
         "expire" => inner.expire_leases(),
         "snapshot" => inner.snapshot(),
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -30,6 +30,11 @@
     pub(crate) slow: Duration,
     /// How many of the next writes are applied, and their connection closed unanswered.
     pub(crate) lose: u32,
+    /// How many of the next writes are done only when they are released, and their connection
+    /// closed unanswered.
+    pub(crate) hold: u32,
     /// Clients that get no answer.
     pub(crate) cut: BTreeSet<String>,
+    /// Clients whose calls are done, and answered only when they are let go.
+    pub(crate) stalled: BTreeSet<String>,
 }
--- a/crates/standins/src/platform/handle.rs
+++ b/crates/standins/src/platform/handle.rs
@@ -120,6 +120,17 @@
         self.shared.lock().faults.lose = n;
     }
 
+    /// Holds each of the next `n` writes until they are released, and closes its connection
+    /// unanswered: a write that is still under way when its writer gave it up.
+    pub fn hold_writes(&self, n: u32) {
+        self.shared.lock().faults.hold = n;
+    }
+
+    /// Does the writes held so far, in the order in which they came.
+    pub async fn release_writes(&self) {
+        server::release(self.shared.clone()).await;
+    }
+
     /// Leaves all calls of a client unanswered.
     pub fn cut(&self, client: &str) {
         self.shared.lock().faults.cut.insert(client.to_owned());
@@ -130,6 +141,17 @@
         self.shared.lock().faults.cut.remove(client);
     }
 
+    /// Does a client's calls, and keeps the answers back until `let_go`.
+    pub fn stall(&self, client: &str) {
+        let faults = &mut self.shared.lock().faults;
+        faults.stalled.insert(client.to_owned());
+    }
+
+    /// Sends a client the answers kept back.
+    pub fn let_go(&self, client: &str) {
+        self.shared.lock().faults.stalled.remove(client);
+    }
+
     /// Makes the connections open now silent for good; new ones work.
     pub fn silence(&self) {
         self.shared.lock().silence();
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        app,
         faults::Down,
         state::{
             Conn,
@@ -23,8 +24,12 @@
         Response,
         StatusCode, //
     },
+    std::time::Duration,
 };
 
+/// How often a stalled call looks whether it may go on.
+const STALL_TICK: Duration = Duration::from_millis(5);
+
 /// Serves clients, with the faults in force.
 pub(crate) async fn serve_clients(
     listener: TcpListener,
@@ -74,7 +79,7 @@
 }
 
 async fn answer(
-    req: Request,
+    mut req: Request,
     key: ConnKey,
     shared: &Shared,
     app: &tide::Server<Shared>,
@@ -93,9 +98,18 @@
     if let Some(res) = gate(key, &client, shared).await {
         return Ok(res);
     }
+    if write && hold_one(shared) {
+        let body = req.body_bytes().await?;
+        req.set_body(body);
+        shared.lock().held.push(req);
+        return Err(http_types::format_err!("the write comes late"));
+    }
     task::sleep(slow / 2).await;
     let res = app.respond(req).await;
     task::sleep(slow / 2).await;
+    while shared.lock().faults.stalled.contains(&client) {
+        task::sleep(STALL_TICK).await;
+    }
     if let Some(res) = gate(key, &client, shared).await {
         return Ok(res);
     }
@@ -122,6 +136,22 @@
     down.map(|_| Response::new(StatusCode::ServiceUnavailable))
 }
 
+fn hold_one(shared: &Shared) -> bool {
+    let faults = &mut shared.lock().faults;
+    let held = faults.hold > 0;
+    faults.hold = faults.hold.saturating_sub(1);
+    held
+}
+
+/// Does the writes that were held, in the order in which they came.
+pub(crate) async fn release(shared: Shared) {
+    let app = app::clients(shared.clone());
+    let held = std::mem::take(&mut shared.lock().held);
+    for req in held {
+        let _: http_types::Result<Response> = app.respond(req).await;
+    }
+}
+
 fn lose_one(shared: &Shared) -> bool {
     let faults = &mut shared.lock().faults;
     let lost = faults.lose > 0;
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -18,6 +18,7 @@
         },
         net::TcpStream,
     },
+    http_types::Request,
     slotmap::{
         new_key_type,
         SlotMap, //
@@ -50,6 +51,8 @@
     pub(crate) faults: Faults,
     pub(crate) counts: Counts,
     pub(crate) conns: SlotMap<ConnKey, Conn>,
+    /// Writes to be done when they are released.
+    pub(crate) held: Vec<Request>,
     waiting: Vec<Sender<()>>,
 }
 
@@ -70,6 +73,7 @@
             faults: Faults::default(),
             counts: Counts::default(),
             conns: SlotMap::with_key(),
+            held: Vec::new(),
             waiting: Vec::new(),
         })))
     }
