--- a/src/slopes/config.rs
+++ b/src/slopes/config.rs
@@ -130,7 +130,7 @@
     }
     let document = Document::parse(&Source::from_text("fleet.toml", &text));
     let document = document.expect("the generated configuration is valid");
-    let mut dispatch = super::dispatch::empty();
+    let mut dispatch = super::model::empty();
     let rounds = 5;
     let begin = Instant::now();
     for _ in 0..rounds {
--- a/src/slopes/mod.rs
+++ b/src/slopes/mod.rs
@@ -9,6 +9,7 @@
 mod lists;
 mod members;
 mod memory;
+mod model;
 mod plot;
 mod series;
 mod show;
