--- a/crates/platform/src/store/apply.rs
+++ b/crates/platform/src/store/apply.rs
@@ -21,9 +21,9 @@
         },
         revision::{
             Base,
-            Revision,
             WriteId, //
         },
+        Revision, //
     },
     crate::{
         error::KvError,
--- a/crates/platform/src/store/config.rs
+++ b/crates/platform/src/store/config.rs
@@ -5,9 +5,9 @@
         part::Part,
         revision::{
             Base,
-            Revision,
             WriteId, //
         },
+        Revision, //
     },
     serde::{
         Deserialize,
--- a/crates/platform/src/store/error.rs
+++ b/crates/platform/src/store/error.rs
@@ -4,9 +4,9 @@
     super::{
         part::PartHash,
         revision::{
-            Revision,
             WriteId, //
         },
+        Revision, //
     },
     crate::error::KvError,
     thiserror::Error, //
--- a/crates/platform/src/store/head.rs
+++ b/crates/platform/src/store/head.rs
@@ -5,9 +5,9 @@
         error::ReadError,
         part::PartHash,
         revision::{
-            Revision,
             WriteId, //
         },
+        Revision, //
     },
     crate::{
         kv::{
--- a/crates/platform/src/store/mod.rs
+++ b/crates/platform/src/store/mod.rs
@@ -39,7 +39,6 @@
     },
     revision::{
         Base,
-        Revision,
         WriteId, //
     },
     watch::{
@@ -47,3 +46,4 @@
         Watcher, //
     },
 };
+pub use policy::head::Revision;
--- a/crates/platform/src/store/revision.rs
+++ b/crates/platform/src/store/revision.rs
@@ -1,6 +1,7 @@
 //! Which configuration is meant: its revision and the write that made it.
 
 use {
+    policy::head::Revision,
     serde::{
         Deserialize,
         Serialize, //
@@ -12,13 +13,6 @@
     },
 };
 
-/// Number of an accepted configuration; a later one has a higher number.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
 /// Random number of one write, by which its writer knows it again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
@@ -33,16 +27,6 @@
     pub write: Option<WriteId>,
 }
 
-impl Revision {
-    /// Before the first configuration.
-    pub const NONE: Revision = Revision(0);
-
-    /// Returns the next higher revision.
-    pub fn next(self) -> Revision {
-        Revision(self.0 + 1)
-    }
-}
-
 impl WriteId {
     /// Draws a new one.
     pub fn random() -> WriteId {
@@ -59,20 +43,6 @@
     }
 }
 
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-impl FromStr for Revision {
-    type Err = ParseIntError;
-
-    fn from_str(s: &str) -> Result<Revision, ParseIntError> {
-        s.parse().map(Revision)
-    }
-}
-
 impl fmt::Display for WriteId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/platform/src/store/watch.rs
+++ b/crates/platform/src/store/watch.rs
@@ -10,7 +10,7 @@
             HEAD_KEY, //
         },
         read::complete,
-        revision::Revision, //
+        Revision, //
     },
     crate::{
         kv::{
--- a/crates/policy/src/head/revision.rs
+++ b/crates/policy/src/head/revision.rs
@@ -20,6 +20,16 @@
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
+impl Revision {
+    /// Before the first configuration.
+    pub const NONE: Revision = Revision(0);
+
+    /// Returns the next higher revision.
+    pub fn next(self) -> Revision {
+        Revision(self.0 + 1)
+    }
+}
+
 /// The hash of a configuration's text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -143,7 +143,7 @@
     async fn fetch(self: &Arc<Router>, peer: RouterId) {
         let source = Source::Peer(peer.clone());
         let known = lock(&self.force).config.clone();
-        let have = known.as_ref().map_or(store::Revision::NONE, |c| c.revision);
+        let have = known.as_ref().map_or(Revision::NONE, |c| c.revision);
         let question = Question::Config(have);
         let asked = match self.links.addr(&peer) {
             Some(addr) => self.links.ask(addr, &question, ASK).await.ok(),
@@ -161,7 +161,7 @@
     }
 
     /// Returns what a peer lacks of the configuration, if this router has a higher one.
-    pub(crate) fn config_above(&self, have: store::Revision) -> Option<Delta> {
+    pub(crate) fn config_above(&self, have: Revision) -> Option<Delta> {
         let force = lock(&self.force);
         let config = force.config.as_ref()?;
         (config.revision > have).then(|| force.history.delta(config, have))
@@ -179,7 +179,7 @@
                 return false;
             }
         };
-        let revision = Revision(config.revision.0);
+        let revision = config.revision;
         let hash = delta::hash(&config.parts);
         match force.head.fetched(revision, hash, self.clock.now()) {
             Taken::InForce => {}
