--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -19,7 +19,6 @@
     async_std::task,
     platform::{
         store::{
-            self,
             repair,
             Config,
             Repaired,
