Tell only what changed of slots, and work only for services that are in use

- Reports and lends name the replicas whose number changed since what the other end has acknowledged; still absolute and numbered.
An end that cannot follow asks for all.
- The owner keeps what each router holds in a row for each replica, in place of maps, and plans a large pool less often (8 us for each replica of each router).
- Limits go to the heir of the pool alone, and only those that changed.
- Routers that are no home of a service and hold nothing of it say nothing; what nobody answers is told again after growing pauses; services without work are looked at four times a second, and a list of replicas ranks its own service only.

--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -28,7 +28,6 @@
         Mode,
         OwnerView,
         Peer,
-        PeerState,
         Refusal,
         Replica,
         ReplicaId,
@@ -47,6 +46,9 @@
 /// When a caller of a router that is leaving, or of an unknown service, may come back.
 const AFTER_NONE: Span = Span::secs(1);
 
+/// A service without any work here is looked at this often.
+const CALM_TICK: Span = Span::millis(250);
+
 /// Decides which request starts where and when.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -60,6 +62,8 @@
     pub(super) listed: bool,
     pub(super) leaving: bool,
     pub(super) actions: Vec<Action>,
+    /// When it was last looked for notes to be sent.
+    pub(super) exchanged: Time,
     /// Bytes that notes may take.
     pub(super) pacer: Bucket,
 }
@@ -92,6 +96,7 @@
             listed: false,
             leaving: false,
             actions: Vec::new(),
+            exchanged: Time(0),
             pacer: Bucket::default(),
         }
     }
@@ -99,10 +104,12 @@
     /// Puts rules in force. Requests of a service that is gone are refused.
     pub fn configure(&mut self, rules: Rules, now: Time) {
         let writer = Writer::of(&self.me.id, self.me.incarnation);
+        let mut fresh = rules.mode != self.rules.mode;
         for r in &rules.services {
             match self.services.get_mut(&r.service) {
-                Some(entry) => entry.configure(r.clone()),
+                Some(entry) => entry.configure(r),
                 None => {
+                    fresh = true;
                     let entry = Entry::new(r.clone(), writer);
                     self.services.insert(r.service.clone(), entry);
                 }
@@ -119,7 +126,11 @@
             self.services.remove(&service);
         }
         self.rules = rules;
-        self.rank(now);
+        if fresh {
+            self.rank(now);
+        } else {
+            self.pump_all(now);
+        }
     }
 
     /// Takes over the list of a service's replicas.
@@ -127,7 +138,7 @@
         if let Some(entry) = self.services.get_mut(service) {
             entry.seats.replace(list);
         }
-        self.rank(now);
+        self.reseat(service, now);
     }
 
     /// Takes over the list of the other routers, which may be empty.
@@ -226,12 +237,16 @@
 
     /// Stops new work on a replica that was seen to leave.
     pub fn withdraw(&mut self, replica: &ReplicaId, now: Time) {
-        for entry in self.services.values_mut() {
+        let mut of = None;
+        for (service, entry) in &mut self.services {
             if let Some(seat) = entry.seats.all.get_mut(replica) {
                 seat.withdrawn = true;
+                of = Some(service.clone());
             }
         }
-        self.rank(now);
+        if let Some(service) = of {
+            self.reseat(&service, now);
+        }
     }
 
     /// Takes in what a replica says of itself, some time after it was true: how many
@@ -249,6 +264,10 @@
         let services: Vec<ServiceId> = self.services.keys().cloned().collect();
         for service in services {
             let entry = self.services.get_mut(&service).expect("listed above");
+            if entry.calm() && now.since(entry.ticked) < CALM_TICK {
+                continue;
+            }
+            entry.ticked = now;
             entry.forget_idle(now);
             for refused in entry.overdue(&self.lives, now) {
                 self.refuse(refused.0, refused.1, refused.2, now);
@@ -304,21 +323,6 @@
         }
     }
 
-    /// Returns the routers that take work, in order of name, with this one.
-    pub(super) fn live(&self) -> Vec<RouterId> {
-        let mut live: Vec<RouterId> = self
-            .routers
-            .values()
-            .filter(|p| p.state == PeerState::Live)
-            .map(|p| p.id.clone())
-            .collect();
-        if !self.leaving {
-            live.push(self.me.id.clone());
-        }
-        live.sort();
-        live
-    }
-
     /// Starts what may start at a service.
     pub(super) fn pump(&mut self, service: &ServiceId, now: Time) {
         self.start(service, now);
--- a/crates/policy/src/dispatch/message.rs
+++ b/crates/policy/src/dispatch/message.rs
@@ -42,9 +42,11 @@
     pub(crate) seq: u64,
     /// The last lend of this owner that was seen.
     pub(crate) seen: u64,
-    /// Slots kept on each replica: allowed, or running where that is more. None says that
-    /// they are as in the last report that was acknowledged.
-    pub(crate) kept: Option<Vec<(ReplicaKey, u32)>>,
+    /// The last report that was acknowledged; 0 where none was.
+    pub(crate) base: u64,
+    /// Slots kept on each replica (allowed, or running where that is more) that changed
+    /// since then; all where there is no base.
+    pub(crate) kept: Vec<(ReplicaKey, u32)>,
     /// Requests running in all.
     pub(crate) running: u32,
     /// The backlogged workspaces. None says that they are much as in the last report that
@@ -102,6 +104,8 @@
     pub(crate) term: u32,
     /// Number of this lend; a later one replaces it.
     pub(crate) seq: u64,
+    /// The last lend that the router has seen; 0 where none was.
+    pub(crate) base: u64,
     /// The last report of this router that was seen.
     pub(crate) seen: u64,
     /// Whether work waits at some router.
@@ -110,9 +114,8 @@
     pub(crate) capacity: u32,
     /// Routers that use the pool; the more there are, the less often each reports.
     pub(crate) sharers: u32,
-    /// Slots on each replica; those not named have none. Left out where the router is known
-    /// to have seen them.
-    pub(crate) slots: Option<Vec<(ReplicaKey, u32)>>,
+    /// Slots on each replica that changed since then; all where there is no base.
+    pub(crate) slots: Vec<(ReplicaKey, u32)>,
     /// For each workspace that waits by the report that was seen, in its order: its
     /// normalised service without what this router counted, in thousandths of a unit.
     pub(crate) levels: Vec<i64>,
@@ -123,8 +126,7 @@
 impl Lend {
     /// Returns roughly how many bytes it takes on the wire.
     pub(crate) fn size(&self) -> usize {
-        let slots = self.slots.as_ref().map_or(0, Vec::len);
-        LEND.0 + LEND.1 * (slots + self.limits.len()) + LEND.2 * self.levels.len()
+        LEND.0 + LEND.1 * (self.slots.len() + self.limits.len()) + LEND.2 * self.levels.len()
     }
 }
 
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -8,11 +8,13 @@
 mod mates;
 mod member;
 mod message;
+mod ranks;
 mod rules;
 
 pub(crate) use self::{
     mates::Mates,
     message::{
+        service_key,
         Load,
         Loads,
         ServiceKey,
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -9,8 +9,10 @@
     },
     crate::{
         dispatch::{
+            service_key,
             Loads,
-            Mates, //
+            Mates,
+            ServiceKey, //
         },
         pool::{
             Hold,
@@ -64,6 +66,8 @@
 /// One service at this router.
 #[derive(Debug)]
 pub(crate) struct Entry {
+    /// Its name on the wire.
+    pub(crate) key: ServiceKey,
     pub(crate) rules: ServiceRules,
     pub(crate) queues: BTreeMap<Key, Queue>,
     pub(crate) seats: Seats,
@@ -79,13 +83,20 @@
     /// Mean cost of a request, in units.
     pub(crate) cost: f64,
     numbers: u64,
+    /// Requests that run from here.
+    busy: usize,
+    /// When it was last looked at.
+    pub(crate) ticked: Time,
 }
 
 impl Entry {
     pub(crate) fn new(rules: ServiceRules, me: Writer) -> Entry {
         let mut entry = Entry {
+            key: service_key(&rules.service),
             ledger: Ledger::new(me),
             rules: rules.clone(),
+            busy: 0,
+            ticked: Time(0),
             queues: BTreeMap::new(),
             seats: Seats::default(),
             mates: Mates::default(),
@@ -95,18 +106,32 @@
             cost: 0.0,
             numbers: 0,
         };
-        entry.configure(rules);
+        entry.set_shares();
         entry
     }
 
-    pub(crate) fn configure(&mut self, rules: ServiceRules) {
-        let shares = rules
+    /// Puts rules in force.
+    pub(crate) fn configure(&mut self, rules: &ServiceRules) {
+        if &self.rules == rules {
+            return;
+        }
+        self.rules = rules.clone();
+        self.set_shares();
+    }
+
+    fn set_shares(&mut self) {
+        let shares = self
+            .rules
             .shares
             .iter()
             .map(|s| (Key::of(&s.workspace), s.share))
             .collect();
         self.ledger.set_shares(shares);
-        self.rules = rules;
+    }
+
+    /// Returns whether there is no work here and nothing to lend.
+    pub(crate) fn calm(&self) -> bool {
+        self.pool.is_none() && self.busy == 0 && self.queues.values().all(Queue::is_empty)
     }
 
     /// Returns how many requests are queued.
@@ -245,6 +270,7 @@
 
     /// Notes which queues have been empty for a while, and forgets those idle for long.
     pub(crate) fn forget_idle(&mut self, now: Time) {
+        self.mates.forget(now);
         for (key, q) in &self.queues {
             let calm = q.waited.is_none_or(|t| now.since(t) >= CALM);
             if q.is_empty() && calm {
@@ -347,6 +373,7 @@
         if let Some(seat) = self.seats.all.get_mut(replica) {
             seat.running += 1;
         }
+        self.busy += 1;
         live.run = Some(Run {
             replica: replica.clone(),
             started: now,
@@ -374,6 +401,7 @@
     /// Without a `finish` the caller has given up, and what was charged stays.
     pub(crate) fn end(&mut self, live: &mut Live, finish: Option<&Finish>, now: Time) {
         let Some(run) = live.run.take() else { return };
+        self.busy -= 1;
         if let Some(f) = finish {
             let n = if f.refund { 0.0 } else { f.units.0 };
             let more = milli(n, live.job.share) - run.charged;
--- a/crates/policy/src/entry/sample.rs
+++ b/crates/policy/src/entry/sample.rs
@@ -38,7 +38,7 @@
     /// Returns what the owner should be told, and begins anew.
     pub(crate) fn take(&mut self, key: ReplicaKey, running: u32) -> Option<Load> {
         let s = std::mem::take(self);
-        if !s.seen && s.said.is_none() && running == 0 {
+        if !s.seen && s.said.is_none() {
             return None;
         }
         Some(Load {
--- a/crates/policy/src/entry/seats.rs
+++ b/crates/policy/src/entry/seats.rs
@@ -26,6 +26,9 @@
     /// Requests that this router may run on it at once.
     pub(crate) allowed: u32,
     pub(crate) running: u32,
+    /// Slots that the owner was last told to be kept, and by which report.
+    pub(crate) told: Option<u32>,
+    pub(crate) touched: u64,
     /// Set when it was seen to leave before the list said so.
     pub(crate) withdrawn: bool,
     pub(crate) health: Health,
@@ -44,6 +47,11 @@
         !self.replica.leaving && !self.withdrawn
     }
 
+    /// Returns how many slots this router keeps on it.
+    pub(crate) fn kept(&self) -> u32 {
+        self.allowed.max(self.running)
+    }
+
     /// Returns how many more requests may start on it.
     fn free(&self, now: Time) -> u32 {
         if !self.open() {
@@ -55,7 +63,9 @@
 }
 
 impl Seats {
-    /// Takes over a new list, which knows what was withdrawn before; counts of replicas that stay are kept.
+    /// Takes over a new list, which knows what was withdrawn before.
+    ///
+    /// Counts of replicas that stay are kept.
     pub(crate) fn replace(&mut self, list: Vec<Replica>) {
         let mut old = std::mem::take(&mut self.all);
         for replica in list {
@@ -71,6 +81,8 @@
                     replica,
                     allowed: 0,
                     running: 0,
+                    told: None,
+                    touched: 0,
                     withdrawn: false,
                     health: Health::default(),
                     sample: Sample::default(),
@@ -110,6 +122,45 @@
         }
     }
 
+    /// Takes over what was lent: on the replicas named, or where it is `all`, on no other.
+    ///
+    /// Returns whether any slot was asked back.
+    pub(crate) fn allow(&mut self, slots: &[(ReplicaKey, u32)], all: bool) -> bool {
+        let slots: BTreeMap<ReplicaKey, u32> = slots.iter().copied().collect();
+        let mut fewer = false;
+        for seat in self.all.values_mut() {
+            let Some(n) = slots.get(&seat.key).copied().or(all.then_some(0)) else {
+                continue;
+            };
+            // One that was given back on its own counts too: the owner asked for it.
+            let named = slots.contains_key(&seat.key);
+            fewer |= n < seat.allowed || named && n == seat.allowed;
+            seat.allowed = n;
+        }
+        fewer
+    }
+
+    /// Returns what this router keeps of each replica where it changed after the report
+    /// `base`, to be told by the report `seq`; all that it keeps where there is no base.
+    pub(crate) fn news(&mut self, seq: u64, base: u64) -> Vec<(ReplicaKey, u32)> {
+        let mut out = Vec::new();
+        for seat in self.all.values_mut() {
+            let kept = seat.kept();
+            if seat.told != Some(kept) {
+                seat.told = Some(kept);
+                seat.touched = seq;
+            }
+            let news = match base {
+                0 => kept > 0,
+                _ => seat.touched > base,
+            };
+            if news {
+                out.push((seat.key, kept));
+            }
+        }
+        out
+    }
+
     /// Keeps no more than what runs; returns whether that changed anything.
     pub(crate) fn close(&mut self) -> bool {
         let mut closed = false;
--- a/crates/policy/src/pool/borrower.rs
+++ b/crates/policy/src/pool/borrower.rs
@@ -1,11 +1,13 @@
 //! A router, as the owner of a pool sees it.
 
 use {
-    super::Limits,
+    super::{
+        Cell,
+        Lot, //
+    },
     crate::{
         dispatch::{
             Lend,
-            Loads,
             Report,
             ServiceKey,
             Wait, //
@@ -41,11 +43,32 @@
     pub(crate) sharers: u32,
 }
 
+impl Common {
+    /// Asks a router to tell all that it keeps.
+    pub(crate) fn ask_all(&self, term: u32) -> Lend {
+        Lend {
+            service: self.service,
+            term,
+            seq: 0,
+            base: 0,
+            seen: 0,
+            pressed: self.pressed,
+            capacity: self.capacity,
+            sharers: self.sharers,
+            slots: Vec::new(),
+            levels: Vec::new(),
+            limits: Vec::new(),
+        }
+    }
+}
+
 /// A router that may hold slots.
 #[derive(Debug)]
 pub(crate) struct Borrower {
     pub(crate) incarnation: Incarnation,
     pub(crate) zone: Zone,
+    /// Whether callers of the service are pointed to it.
+    pub(crate) home: bool,
     pub(crate) state: PeerState,
     /// Since when its state is what it is.
     pub(crate) since: Time,
@@ -53,33 +76,31 @@
     pub(crate) term: u32,
     /// Number of its last report; none was heard while it is 0.
     pub(crate) report: u64,
-    /// Slots that it said it keeps.
-    pub(crate) kept: BTreeMap<ReplicaKey, u32>,
+    /// What it holds of each replica, in the order of the pool's.
+    pub(crate) cells: Vec<Cell>,
+    /// Slots that it said it keeps on replicas that the pool does not know.
+    strays: BTreeMap<ReplicaKey, u32>,
     pub(crate) running: u32,
     /// The most that lately ran and waited there.
     pub(crate) peak: f64,
     noted: Time,
     pub(crate) waits: Vec<Wait>,
-    /// How the replicas last answered it.
-    pub(crate) loads: Option<Loads>,
+    /// Mean cost in thousandths of a unit and mean time that its requests run.
+    pub(crate) pace: Option<(u64, Span)>,
     /// Number of the last lend to it.
     pub(crate) lend: u64,
-    /// Slots that it was lent.
-    pub(crate) lent: BTreeMap<ReplicaKey, u32>,
-    /// Lends that it may or may not have seen.
-    ///
-    /// A slot that was lent and asked back at once may already be in use: the first of
-    /// the two messages arrives first. So it counts as held until it says that it has
-    /// seen the second.
-    pub(crate) open: Vec<(u64, BTreeMap<ReplicaKey, u32>)>,
+    /// Slots that it was lent in all.
+    total: u32,
     /// The last lend that it has seen.
     pub(crate) seen: u64,
     /// When it was last told.
     pub(crate) told: Option<Time>,
     /// When it was last told the levels of the workspaces that wait there.
     pub(crate) levels: Option<Time>,
-    /// When it was last told the limits of replicas, and which.
-    pub(crate) limits: Option<(Time, Limits)>,
+    /// When it was last told limits of replicas, and which.
+    limits: (Option<Time>, BTreeMap<ReplicaKey, u32>),
+    /// Set by a report that could not be understood, to its term.
+    pub(crate) puzzled: Option<u32>,
     /// Whether it has to be told.
     pub(crate) dirty: bool,
     /// The last report that it was told to be seen.
@@ -91,23 +112,25 @@
         Borrower {
             incarnation,
             zone,
+            home: false,
             state,
             since: now,
             term: 0,
             report: 0,
-            kept: BTreeMap::new(),
+            cells: Vec::new(),
+            strays: BTreeMap::new(),
             running: 0,
             peak: 0.0,
             noted: now,
             waits: Vec::new(),
-            loads: None,
+            pace: None,
             lend: 0,
-            lent: BTreeMap::new(),
-            open: Vec::new(),
+            total: 0,
             seen: 0,
             told: None,
             levels: None,
-            limits: None,
+            limits: (None, BTreeMap::new()),
+            puzzled: None,
             dirty: false,
             acked: 0,
         }
@@ -123,32 +146,47 @@
         self.heard() && self.state == PeerState::Live
     }
 
-    /// Returns how many slots of a replica it may be using.
-    pub(crate) fn holds(&self, key: ReplicaKey) -> u32 {
-        let lent = self.lent.get(&key).copied().unwrap_or(0);
-        let kept = self.kept.get(&key).copied().unwrap_or(0);
-        let open = self.open.iter().filter_map(|(_, l)| l.get(&key).copied());
-        open.fold(lent.max(kept), u32::max)
-    }
-
     /// Returns how many slots it was lent in all.
     pub(crate) fn total(&self) -> u32 {
-        self.lent.values().sum()
+        self.total
     }
 
-    /// Lends one more slot.
-    pub(crate) fn raise(&mut self, key: ReplicaKey) {
-        *self.lent.entry(key).or_default() += 1;
+    /// Returns how many slots it may be using in all.
+    pub(crate) fn held(&self) -> u32 {
+        self.cells.iter().map(Cell::holds).sum()
+    }
+
+    /// Lends one more slot of a replica.
+    pub(crate) fn raise(&mut self, at: usize) {
+        let cell = &mut self.cells[at];
+        cell.lend(cell.lent + 1, self.lend + 1);
+        self.total += 1;
         self.dirty = true;
     }
 
-    /// Asks one slot back.
-    pub(crate) fn lower(&mut self, key: ReplicaKey) {
-        if let Some(n) = self.lent.get_mut(&key) {
-            *n = n.saturating_sub(1);
+    /// Asks one slot of a replica back.
+    pub(crate) fn lower(&mut self, at: usize) {
+        let cell = &mut self.cells[at];
+        if cell.lent > 0 {
+            cell.lend(cell.lent - 1, self.lend + 1);
+            self.total -= 1;
             self.dirty = true;
         }
-        self.lent.retain(|_, n| *n > 0);
+    }
+
+    /// Follows a change of the pool's replicas.
+    pub(crate) fn reorder(&mut self, old: &[ReplicaKey], new: &[ReplicaKey]) {
+        let cells = std::mem::take(&mut self.cells);
+        let mut known: BTreeMap<ReplicaKey, Cell> = old.iter().copied().zip(cells).collect();
+        for key in new {
+            let mut cell = known.remove(key).unwrap_or_default();
+            cell.kept = cell.kept.max(self.strays.remove(key).unwrap_or(0));
+            self.cells.push(cell);
+        }
+        for (key, cell) in known.into_iter().filter(|(_, c)| c.kept > 0) {
+            self.strays.insert(key, cell.kept);
+        }
+        self.total = self.cells.iter().map(|c| c.lent).sum();
     }
 
     /// Returns how many of its running requests belong to workspaces that do not wait.
@@ -182,13 +220,12 @@
         self.running > 0 || !self.waits.is_empty()
     }
 
-    /// Returns what it is to be told, if that is due.
-    ///
-    /// The slots are left out where it has seen them before.
+    /// Returns what it is to be told, if that is due: the slots that changed since the
+    /// lend that it has seen.
     pub(crate) fn lend_due(
         &mut self,
         c: &Common,
-        limits: &Limits,
+        lots: &[Lot],
         level: impl Fn(&Wait) -> i64,
         open: bool,
         now: Time,
@@ -203,9 +240,7 @@
         }
         if self.dirty || first {
             self.lend += 1;
-            self.open.push((self.lend, self.lent.clone()));
         }
-        let known = self.seen == self.lend;
         let mut levels = Vec::new();
         if self.levels.is_none_or(|t| now.since(t) >= ACK) {
             self.levels = Some(now);
@@ -214,71 +249,97 @@
         self.dirty = false;
         self.told = Some(now);
         self.acked = self.report;
+        let base = self.seen;
+        let news = |cell: &Cell| match base {
+            0 => cell.lent > 0,
+            _ => cell.touched > base,
+        };
+        let cells = lots.iter().zip(&self.cells);
         Some(Lend {
             service: c.service,
             term: self.term,
             seq: self.lend,
+            base,
             seen: self.report,
             pressed: c.pressed,
             capacity: c.capacity,
             sharers: c.sharers,
-            slots: (!known).then(|| self.lent.iter().map(|(k, n)| (*k, *n)).collect()),
+            slots: cells
+                .filter(|(_, cell)| news(cell))
+                .map(|(lot, cell)| (lot.key, cell.lent))
+                .collect(),
             levels,
-            limits: self.limits_due(limits, now),
+            limits: Vec::new(),
         })
     }
 
-    /// Returns the limits of replicas if it should hear them, for when it owns the pool.
-    pub(crate) fn limits_due(&mut self, now_at: &Limits, now: Time) -> Vec<(ReplicaKey, u32)> {
-        let fresh = match &self.limits {
-            None => true,
-            Some((at, told)) => told != now_at && now.since(*at) >= LIMITS,
-        };
-        if !fresh {
+    /// Returns the limits that changed, if it should hear them, as it owns the pool next.
+    pub(crate) fn limits_due(&mut self, lots: &[Lot], now: Time) -> Vec<(ReplicaKey, u32)> {
+        let (at, told) = &mut self.limits;
+        if at.is_some_and(|t| now.since(t) < LIMITS) {
             return Vec::new();
         }
-        self.limits = Some((now, now_at.clone()));
-        now_at.iter().map(|(k, n)| (*k, *n)).collect()
+        *at = Some(now);
+        let mut out = Vec::new();
+        for lot in lots {
+            let limit = lot.limit();
+            if told.insert(lot.key, limit) != Some(limit) {
+                out.push((lot.key, limit));
+            }
+        }
+        out
     }
 
-    /// Takes in a later report.
-    pub(crate) fn report(&mut self, r: Report) {
+    /// Takes in a later report. `at` finds a replica's place.
+    pub(crate) fn report(&mut self, r: Report, at: impl Fn(ReplicaKey) -> Option<usize>) {
         self.report = r.seq;
-        // It comes from another owner, which lent it other slots. What it keeps counts as
-        // lent, so that nobody is cut off, and no older lend counts any more.
+        if r.base == 0 {
+            self.strays.clear();
+            self.cells.iter_mut().for_each(|c| c.kept = 0);
+        }
+        for (key, n) in r.kept {
+            match at(key) {
+                Some(at) => self.cells[at].kept = n,
+                None => {
+                    self.strays.insert(key, n);
+                }
+            }
+        }
         if r.term != self.term {
             self.term = r.term;
-            self.lent = r.kept.iter().flatten().copied().collect();
-            self.open.clear();
+            self.seen = 0;
+            self.cells.iter_mut().for_each(Cell::adopt);
             self.dirty = true;
         }
         self.seen = self.seen.max(r.seen);
-        self.open.retain(|(seq, _)| *seq > r.seen);
-        if let Some(kept) = r.kept {
-            self.kept = kept.into_iter().collect();
+        // It answers the last lend, so what it keeps less than lent it has given back.
+        let last = r.seen == self.lend;
+        for cell in &mut self.cells {
+            cell.seen(r.seen);
+            if last {
+                cell.lent = cell.lent.min(cell.kept);
+            }
         }
+        self.total = self.cells.iter().map(|c| c.lent).sum();
         self.running = r.running;
         if let Some(waits) = r.waits {
             self.waits = waits;
         }
-        if r.loads.is_some() {
-            self.loads = r.loads;
+        for load in r.loads.iter().flat_map(|l| &l.seats) {
+            if let Some(at) = at(load.key) {
+                self.cells[at].running = load.running;
+            }
         }
-        // It answers the last lend, so what it keeps less than lent it has given back.
-        if r.seen == self.lend {
-            let kept = &self.kept;
-            self.lent.retain(|key, n| {
-                *n = kept.get(key).map_or(0, |k| (*n).min(*k));
-                *n > 0
-            });
+        if let Some(l) = r.loads.filter(|l| l.cost > 0 && l.run > Span::ZERO) {
+            self.pace = Some((l.cost, l.run));
         }
     }
 
     /// Forgets all that it held, as it is believed to be dead.
     pub(crate) fn bury(&mut self) {
-        self.lent.clear();
-        self.kept.clear();
-        self.open.clear();
+        self.cells.iter_mut().for_each(|c| *c = Cell::default());
+        self.strays.clear();
+        self.total = 0;
         self.waits.clear();
         self.running = 0;
         self.report = self.report.max(1);
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -14,7 +14,7 @@
         },
         entry::{
             Queue,
-            ReplicaKey,
+            Seat,
             Seats, //
         },
         shares::Key,
@@ -44,10 +44,16 @@
 const BURST: f64 = 600.0;
 /// A report that was not acknowledged is sent again after this time.
 const AGAIN: Span = Span::millis(400);
+/// How often that time doubles while nobody answers.
+const TRIES: u32 = 4;
+/// So many reports without an answer are enough to stop hurrying.
+const SILENT: u32 = 16;
 /// After this time without a word from the owner, the static fraction is used.
 const DEAF: Span = Span::secs(1);
 /// Time between two reports of how the replicas answered.
 const LOADS: Span = Span::millis(500);
+/// The same, for each replica where there are many.
+const LOAD: Span = Span::millis(3);
 /// Reports whose workspaces are remembered until the owner answers.
 const ASKED: usize = 8;
 /// Queues up to this length are reported exactly.
@@ -57,6 +63,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Hold {
     pub(crate) owner: Option<(RouterId, Incarnation)>,
+    /// Whether callers of the service are pointed to this router.
+    pub(crate) home: bool,
     /// How often the owner changed.
     term: u32,
     since: Time,
@@ -72,11 +80,11 @@
     /// Limits of replicas that were heard of.
     pub(crate) limits: Limits,
     seq: u64,
+    /// Reports since the last acknowledgement.
+    tries: u32,
     /// The last lend that the owner was told to be seen.
     told: u64,
     sent: Option<(Time, Body)>,
-    /// The last report that named what is kept, and that.
-    kept: Option<(u64, Vec<(ReplicaKey, u32)>)>,
     /// The last report that named the workspaces that wait, when, and those.
     waits: Option<(u64, Time, Vec<Wait>)>,
     acked: u64,
@@ -100,7 +108,7 @@
         self.lend = 0;
         self.told = 0;
         self.sent = None;
-        self.kept = None;
+        self.acked = 0;
         self.waits = None;
         self.unheard = None;
     }
@@ -127,32 +135,38 @@
         now: Time,
     ) -> bool {
         let owner = self.owner.as_ref() == Some(&(from.clone(), inc));
-        if !owner || l.term != self.term || l.seq < self.lend {
+        if !owner || l.term != self.term {
+            return false;
+        }
+        if l.seq == 0 {
+            self.acked = 0;
+            self.sent = None;
+            return false;
+        }
+        if l.seq < self.lend {
             return false;
         }
         if l.seen > self.acked {
             self.acked = l.seen;
+            self.tries = 0;
             self.unheard = (self.acked < self.seq).then_some(now);
         }
         self.capacity = l.capacity;
         self.sharers = l.sharers;
         self.limits.extend(l.limits.iter().copied());
-        let Some(slots) = &l.slots else {
-            return false;
-        };
         if l.seq == self.lend {
             // The owner sends it again, so the report that said it was seen got lost.
-            self.told = 0;
+            if l.base < l.seq {
+                self.told = 0;
+            }
+            return false;
+        }
+        if self.lend < l.base {
             return false;
         }
         self.lend = l.seq;
         self.pressed = l.pressed;
-        let slots: BTreeMap<_, _> = slots.iter().copied().collect();
-        for seat in seats.all.values_mut() {
-            let allowed = slots.get(&seat.key).copied().unwrap_or(0);
-            self.owes |= allowed < seat.allowed;
-            seat.allowed = allowed;
-        }
+        self.owes |= seats.allow(&l.slots, l.base == 0);
         true
     }
 
@@ -190,47 +204,56 @@
         &mut self,
         service: ServiceKey,
         queues: &BTreeMap<Key, Queue>,
-        seats: &Seats,
+        seats: &mut Seats,
         local: bool,
         now: Time,
     ) -> Option<Report> {
+        let just = |(at, _): &(Time, Body)| now.since(*at) < URGENT;
+        if !local && self.sent.as_ref().is_some_and(just) {
+            return None;
+        }
         let body = Body::of(queues, seats);
-        let loads = body.running > 0 && self.loads_due(now);
+        if !self.home && self.sent.is_none() && body.is_empty() {
+            return None;
+        }
+        let loads = body.running > 0 && self.loads_due(seats.all.len(), now);
         if !self.due(&body, local, now) && !loads {
             return None;
         }
         self.seq += 1;
+        self.tries += 1;
         self.owes = false;
         self.told = self.lend;
         self.unheard.get_or_insert(now);
-        let known = self
-            .kept
-            .as_ref()
-            .is_some_and(|(seq, kept)| *seq <= self.acked && *kept == body.kept);
-        if !known {
-            self.kept = Some((self.seq, body.kept.clone()));
-        }
+        let kept = seats.news(self.seq, self.acked);
         let waits = self.waits_due(&body, now);
         if waits {
             self.waits = Some((self.seq, now, body.waits.clone()));
         }
-        self.bucket.spend(body.size(!known, waits));
+        self.bucket.spend(body.size(kept.len(), waits));
         let limits = match self.lend {
             0 => self.limits.iter().map(|(k, n)| (*k, *n)).collect(),
             _ => Vec::new(),
         };
-        self.sent = Some((now, body.clone()));
         let keys = body.waits.iter().map(|w| w.key).collect();
         self.asked.push_back((self.seq, keys));
         if self.asked.len() > ASKED {
             self.asked.pop_front();
         }
+        self.sent = Some((
+            now,
+            Body {
+                news: false,
+                ..body.clone()
+            },
+        ));
         Some(Report {
             service,
             term: self.term,
             seq: self.seq,
             seen: self.lend,
-            kept: (!known).then_some(body.kept),
+            base: self.acked,
+            kept,
             running: body.running,
             waits: waits.then_some(body.waits),
             limits,
@@ -253,8 +276,9 @@
     }
 
     /// Returns whether the owner should hear how the replicas answered.
-    pub(crate) fn loads_due(&self, now: Time) -> bool {
-        self.loaded.is_none_or(|t| now.since(t) >= LOADS)
+    pub(crate) fn loads_due(&self, seats: usize, now: Time) -> bool {
+        let interval = LOADS.max(Span(LOAD.0 * seats as u64));
+        self.loaded.is_none_or(|t| now.since(t) >= interval)
     }
 
     /// Notes that the owner was told how the replicas answered.
@@ -273,11 +297,12 @@
             return body != last || self.told != self.lend || self.owes;
         }
         let urgent = self.owes || body.urges(last, self.pressed);
-        let interval = if urgent && self.bucket.open() {
+        let answered = self.tries < SILENT;
+        let interval = if urgent && answered && self.bucket.open() {
             URGENT
         } else if body == last && self.told == self.lend {
             match self.acked < self.seq {
-                true => AGAIN,
+                true => Span(AGAIN.0 << self.tries.min(TRIES)),
                 false => return false,
             }
         } else {
@@ -291,7 +316,7 @@
     /// It grows with their size and with the number of routers that report, so that the
     /// bytes that an owner takes in stay bounded.
     fn interval(&self, body: &Body) -> Span {
-        let all = body.size(false, true) as u64 * u64::from(self.sharers);
+        let all = body.size(0, true) as u64 * u64::from(self.sharers);
         let paced = Span::millis(all * 1000 / OWNER_TAKES);
         if self.pressed || !body.waits.is_empty() {
             paced.max(WAITING)
@@ -304,20 +329,20 @@
 /// The part of a report that is compared with the last one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Body {
-    kept: Vec<(ReplicaKey, u32)>,
+    /// Slots kept in all.
+    kept: u32,
+    /// Whether those of any replica are not as last told.
+    news: bool,
     running: u32,
     waits: Vec<Wait>,
 }
 
 impl Body {
     fn of(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
-        let seats_kept = seats
-            .all
-            .values()
-            .map(|s| (s.key, s.allowed.max(s.running)));
         let waiting = queues.iter().filter(|(_, q)| !q.is_empty());
         Body {
-            kept: seats_kept.filter(|k| k.1 > 0).collect(),
+            kept: seats.all.values().map(Seat::kept).sum(),
+            news: seats.all.values().any(|s| s.told != Some(s.kept())),
             running: seats.running(),
             waits: waiting
                 .map(|(key, q)| Wait {
@@ -329,16 +354,15 @@
         }
     }
 
-    /// Returns roughly how many bytes a report of it takes.
-    fn size(&self, kept: bool, waits: bool) -> usize {
-        let kept = if kept { SIZES.1 * self.kept.len() } else { 0 };
-        let waits = if waits { SIZES.2 * self.waits.len() } else { 0 };
-        SIZES.0 + kept + waits
+    /// Returns whether this router has nothing to do with the pool.
+    fn is_empty(&self) -> bool {
+        self.kept == 0 && self.running == 0 && self.waits.is_empty()
     }
 
-    /// Returns all slots kept.
-    fn total(&self) -> u32 {
-        self.kept.iter().map(|k| k.1).sum()
+    /// Returns roughly how many bytes a report of it takes.
+    fn size(&self, kept: usize, waits: bool) -> usize {
+        let waits = if waits { SIZES.2 * self.waits.len() } else { 0 };
+        SIZES.0 + SIZES.1 * kept + waits
     }
 
     /// Returns all requests that wait.
@@ -350,9 +374,9 @@
     /// began to wait, more waits (much more, where work waits everywhere), or no spare slot is
     /// left while there are some.
     fn urges(&self, last: &Body, pressed: bool) -> bool {
-        let fewer = self.total() < last.total();
+        let fewer = self.kept < last.kept;
         let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
-        let full = !pressed && self.running >= self.total() && last.running < last.total();
+        let full = !pressed && self.running >= self.kept && last.running < last.kept;
         let grown = if pressed {
             2 * last.queued()
         } else {
--- a/crates/policy/src/pool/lot.rs
+++ b/crates/policy/src/pool/lot.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     dispatch::Load,
+    entry::ReplicaKey,
     limit::Limit,
     Slots,
     Time,
@@ -11,13 +12,15 @@
 /// A replica of a pool.
 #[derive(Debug)]
 pub(crate) struct Lot {
+    pub(crate) key: ReplicaKey,
     pub(crate) zone: Zone,
     limit: Limit,
 }
 
 impl Lot {
-    pub(crate) fn new(zone: Zone, start: Slots) -> Lot {
+    pub(crate) fn new(key: ReplicaKey, zone: Zone, start: Slots) -> Lot {
         Lot {
+            key,
             zone,
             limit: Limit::new(start),
         }
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -2,6 +2,7 @@
 
 mod borrower;
 mod bucket;
+mod cell;
 mod fill;
 mod hold;
 mod lot;
@@ -12,6 +13,7 @@
 
 use self::{
     borrower::Borrower,
+    cell::Cell,
     fill::{
         fill,
         Row, //
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -5,6 +5,7 @@
         borrower::Common,
         Borrower,
         Bucket,
+        Cell,
         Limits,
         Lot,
         Pace, //
@@ -12,6 +13,7 @@
     crate::{
         dispatch::{
             Lend,
+            Load,
             Report,
             ServiceKey,
             Wait, //
@@ -35,13 +37,18 @@
         Span,
         Time, //
     },
-    std::collections::BTreeMap,
+    std::collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
 };
 
 /// Shortest time between two plans that take slots back.
 const PLAN: Span = Span::millis(100);
 /// Shortest time between two plans that spread what is idle.
 const SPREAD: Span = Span::millis(500);
+/// Shortest time between two plans, for each replica of each router.
+const PAIR: Span = Span(8);
 /// How long there must be more work than slots until the pool counts as pressed.
 const FULL: Span = Span::millis(100);
 /// How long the pool counts as pressed after there last was more work than slots.
@@ -64,7 +71,8 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     service: ServiceKey,
-    pub(super) lots: BTreeMap<ReplicaKey, Lot>,
+    /// The replicas, by key.
+    pub(super) lots: Vec<Lot>,
     pub(super) borrowers: BTreeMap<RouterId, Borrower>,
     pub(crate) pressed: bool,
     /// Since when this router owns the pool.
@@ -74,7 +82,11 @@
     /// When there last was more work than slots, for a while.
     waited: Option<Time>,
     planned: Time,
+    /// When it was last planned at all.
+    ran: Time,
     changed: bool,
+    /// The router that owns the pool next.
+    heir: Option<RouterId>,
     bucket: Bucket,
 }
 
@@ -82,13 +94,15 @@
     pub(crate) fn new(service: ServiceKey, now: Time) -> Pool {
         Pool {
             service,
-            lots: BTreeMap::new(),
+            lots: Vec::new(),
             borrowers: BTreeMap::new(),
             pressed: false,
             since: now,
             full: None,
             waited: None,
             planned: now,
+            ran: Time(0),
+            heir: None,
             changed: true,
             bucket: Bucket::default(),
         }
@@ -98,26 +112,62 @@
     ///
     /// A replica that is new begins at the limit last heard of, else at `start`.
     pub(crate) fn set_seats(&mut self, seats: &Seats, heard: &Limits, start: Slots) {
-        let mut old = std::mem::take(&mut self.lots);
+        let was: Vec<ReplicaKey> = self.lots.iter().map(|l| l.key).collect();
+        let lots = std::mem::take(&mut self.lots);
+        let mut old: BTreeMap<ReplicaKey, Lot> = lots.into_iter().map(|l| (l.key, l)).collect();
         for seat in seats.all.values().filter(|s| s.open()) {
             let lot = old.remove(&seat.key).unwrap_or_else(|| {
                 let limit = heard.get(&seat.key).copied().map_or(start, Slots);
-                Lot::new(seat.replica.zone.clone(), limit)
+                Lot::new(seat.key, seat.replica.zone.clone(), limit)
             });
-            self.lots.insert(seat.key, lot);
+            self.lots.push(lot);
+        }
+        self.lots.sort_by_key(|l| l.key);
+        let keys: Vec<ReplicaKey> = self.lots.iter().map(|l| l.key).collect();
+        if keys != was {
+            for b in self.borrowers.values_mut() {
+                b.reorder(&was, &keys);
+            }
         }
         self.changed = true;
     }
 
-    /// Takes over the routers, this one among them.
-    pub(crate) fn set_routers<'a>(&mut self, list: impl Iterator<Item = &'a Peer>, now: Time) {
+    /// Returns the place of a replica.
+    fn at(lots: &[Lot], key: ReplicaKey) -> Option<usize> {
+        lots.binary_search_by_key(&key, |l| l.key).ok()
+    }
+
+    /// Takes note of who owns the pool next.
+    pub(crate) fn set_heir(&mut self, heir: Option<RouterId>) {
+        self.heir = heir;
+    }
+
+    /// Returns whether a router may hold slots that it has not told of yet.
+    ///
+    /// One that is no home holds some only if it says so.
+    pub(super) fn unheard(&self, b: &Borrower) -> bool {
+        !b.heard() && b.home
+    }
+
+    /// Takes over the routers, this one among them, and which of them are homes.
+    pub(crate) fn set_routers<'a>(
+        &mut self,
+        list: impl Iterator<Item = &'a Peer>,
+        homes: &BTreeSet<RouterId>,
+        now: Time,
+    ) {
         let mut old = std::mem::take(&mut self.borrowers);
         for p in list {
             let kept = old.remove(&p.id).filter(|b| b.incarnation == p.incarnation);
             let mut b = match kept {
                 Some(b) => b,
-                None => Borrower::new(p.incarnation, p.zone.clone(), p.state, now),
+                None => {
+                    let mut b = Borrower::new(p.incarnation, p.zone.clone(), p.state, now);
+                    b.cells = vec![Cell::default(); self.lots.len()];
+                    b
+                }
             };
+            b.home = homes.contains(&p.id);
             if b.state != p.state {
                 b.state = p.state;
                 b.since = now;
@@ -135,34 +185,32 @@
         if b.incarnation != inc || r.seq <= b.report {
             return;
         }
+        // It tells what changed since a report that was lost with the last owner's memory,
+        // or with this one's list of routers. It has to tell all.
+        if r.base > b.report {
+            b.puzzled = Some(r.term);
+            return;
+        }
         for (key, limit) in &r.limits {
-            if let Some(lot) = self.lots.get_mut(key) {
-                lot.inherit(*limit);
+            if let Some(at) = Self::at(&self.lots, *key) {
+                self.lots[at].inherit(*limit);
             }
         }
-        let fresh = r.loads.is_some();
-        b.report(r);
+        let loads = r.loads.clone().map_or(Vec::new(), |l| l.seats);
+        b.report(r, |key| Self::at(&self.lots, key));
         b.note_need(now);
-        if fresh {
-            self.learn(from, now);
-        }
+        self.learn(loads, now);
         self.changed = true;
     }
 
     /// Learns from how the replicas answered a router.
-    fn learn(&mut self, from: &RouterId, now: Time) {
-        let loads = |b: &Borrower| b.loads.clone().map_or(Vec::new(), |l| l.seats);
-        let news = self.borrowers.get(from).map_or(Vec::new(), loads);
-        for load in news {
-            let on = |b: &Borrower| {
-                let seats = b.loads.iter().flat_map(|l| &l.seats);
-                let running = seats.filter(|s| s.key == load.key).map(|s| s.running);
-                running.sum::<u32>()
+    fn learn(&mut self, loads: Vec<Load>, now: Time) {
+        for load in loads {
+            let Some(at) = Self::at(&self.lots, load.key) else {
+                continue;
             };
-            let running = self.borrowers.values().map(on).sum();
-            if let Some(lot) = self.lots.get_mut(&load.key) {
-                lot.learn(&load, running, now);
-            }
+            let running = self.borrowers.values().map(|b| b.cells[at].running).sum();
+            self.lots[at].learn(&load, running, now);
         }
     }
 
@@ -183,12 +231,18 @@
         let old = self.pressed;
         self.reclaim(now);
         self.press(now);
+        // A large pool takes a while to plan, and one slot matters less in it.
+        let pairs = self.lots.len() * self.borrowers.len();
+        if now.since(self.ran) < Span(pairs as u64 * PAIR.0) {
+            return;
+        }
         let interval = if self.pressed { PLAN } else { SPREAD };
         let due = now.since(self.planned) >= interval;
         if !self.changed && !due && old == self.pressed {
             return;
         }
         self.changed = false;
+        self.ran = now;
         self.trim();
         let wants = match self.pressed {
             true => self.wants_pressed(ledger),
@@ -217,7 +271,7 @@
     /// It would lend slots a second time that routers hold from the last owner, which
     /// shows as replicas above their limit. Each router reports to a new owner at once.
     fn gathers(&self, now: Time) -> bool {
-        let unheard = |b: &Borrower| b.state == PeerState::Live && !b.heard();
+        let unheard = |b: &Borrower| b.state == PeerState::Live && self.unheard(b);
         now.since(self.since) < GATHER && self.borrowers.values().any(unheard)
     }
 
@@ -239,7 +293,7 @@
         };
         for b in self.borrowers.values_mut() {
             if b.state == PeerState::Suspect && now.since(b.since) >= wait {
-                self.changed |= b.total() > 0 || !b.kept.is_empty();
+                self.changed |= b.held() > 0;
                 b.bury();
             }
             if !b.heard() && now.since(b.since) >= UNHEARD {
@@ -273,12 +327,17 @@
 
     /// Returns all slots of the pool.
     pub(crate) fn capacity(&self) -> u32 {
-        self.lots.values().map(Lot::limit).sum()
+        self.lots.iter().map(Lot::limit).sum()
     }
 
     /// Returns the limit of a replica.
     pub(crate) fn limit(&self, key: ReplicaKey) -> Option<Slots> {
-        self.lots.get(&key).map(|l| Slots(l.limit()))
+        Self::at(&self.lots, key).map(|at| Slots(self.lots[at].limit()))
+    }
+
+    /// Returns the limits of all replicas, for the next owner.
+    pub(crate) fn limits(&self) -> Limits {
+        self.lots.iter().map(|l| (l.key, l.limit())).collect()
     }
 
     /// Returns what each router holds, as operators read it.
@@ -289,7 +348,7 @@
                 router: id.clone(),
                 state: b.state,
                 lent: Slots(b.total()),
-                kept: Slots(b.kept.values().sum()),
+                kept: Slots(b.cells.iter().map(|c| c.kept).sum()),
                 running: Slots(b.running),
                 waiting: b.waits.iter().map(|w| w.queued as usize).sum(),
             })
@@ -304,7 +363,6 @@
         now: Time,
     ) -> Vec<(RouterId, Lend)> {
         self.bucket.refill(TELLS, BURST, now);
-        let limits: Limits = self.lots.iter().map(|(k, l)| (*k, l.limit())).collect();
         let common = Common {
             service: self.service,
             pressed: self.pressed,
@@ -313,12 +371,17 @@
         };
         let mut out = Vec::new();
         for (id, b) in &mut self.borrowers {
-            if b.heard() && b.state != PeerState::Suspect {
+            if let Some(term) = b.puzzled.take() {
+                out.push((id.clone(), common.ask_all(term)));
+            } else if b.heard() && b.state != PeerState::Suspect {
                 let writer = Writer::of(id, b.incarnation);
                 let level = |w: &Wait| ledger.level_without(w.key, writer);
                 let local = id == me;
                 let open = local || self.bucket.open() && b.rested(now);
-                let lend = b.lend_due(&common, &limits, level, open, now);
+                let mut lend = b.lend_due(&common, &self.lots, level, open, now);
+                if let Some(l) = lend.as_mut().filter(|_| self.heir.as_ref() == Some(id)) {
+                    l.limits = b.limits_due(&self.lots, now);
+                }
                 if !local {
                     self.bucket.spend(lend.as_ref().map_or(0, Lend::size));
                 }
--- a/crates/policy/src/pool/pace.rs
+++ b/crates/policy/src/pool/pace.rs
@@ -25,12 +25,10 @@
     /// Takes the mean of what the routers saw.
     pub(crate) fn of<'a>(borrowers: impl Iterator<Item = &'a Borrower>) -> Pace {
         let (mut cost, mut run, mut n) = (0.0, 0.0, 0.0);
-        for l in borrowers.filter_map(|b| b.loads.as_ref()) {
-            if l.cost > 0 && l.run.0 > 0 {
-                cost += l.cost as f64;
-                run += l.run.as_secs();
-                n += 1.0;
-            }
+        for (c, r) in borrowers.filter_map(|b| b.pace) {
+            cost += c as f64;
+            run += r.as_secs();
+            n += 1.0;
         }
         let known = n > 0.0;
         Pace {
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -74,7 +74,7 @@
     pub(crate) fn new(me: Writer) -> Ledger {
         Ledger {
             me,
-            rev: 1,
+            rev: 0,
             accounts: BTreeMap::new(),
             shares: BTreeMap::new(),
             friends: BTreeMap::new(),
@@ -263,6 +263,27 @@
         self.rev
     }
 
+    /// Returns whether nothing is known of any workspace.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Returns the revision of this router's counts.
+    pub(crate) fn rev(&self) -> u64 {
+        self.rev
+    }
+
+    /// Returns whether a router has not acknowledged anything yet.
+    pub(crate) fn is_new(&self, to: Writer) -> bool {
+        self.friends.get(&to).is_some_and(|f| f.acked == 0)
+    }
+
+    /// Returns whether there is anything to tell a router.
+    pub(crate) fn owes(&self, to: Writer, relay: bool) -> bool {
+        let owes = |f: &Friend| f.acked < self.rev || f.told != f.seen || relay && f.acked == 0;
+        self.friends.get(&to).is_some_and(owes)
+    }
+
     /// Returns what a router should be told, if there is anything.
     ///
     /// `relay` says whether this router is the one to tell a new one of all others.
@@ -283,9 +304,11 @@
             true => self.others(to),
             false => Vec::new(),
         };
-        if notes.is_empty() && f.told == f.seen && f.acked == self.rev {
-            return None;
+        // The receiver acknowledges a revision, so what is relayed needs one.
+        if rev == 0 {
+            self.rev = 1;
         }
+        let rev = rev.max(1);
         let f = self.friends.get_mut(&to)?;
         f.told = f.seen;
         Some(Notes {
