--- a/tests/proofs/config.rs
+++ b/tests/proofs/config.rs
@@ -6,6 +6,7 @@
         wait_for,
         Eye,
         Fleet,
+        Look,
         Plan,
         Signal, //
     },
@@ -15,8 +16,15 @@
         ApplyError,
         Revision, //
     },
-    policy::Outcome,
-    standins::platform::Down,
+    policy::{
+        head::WATCHERS,
+        rendezvous,
+        Outcome, //
+    },
+    standins::platform::{
+        Down,
+        State, //
+    },
     std::{
         fs,
         path::PathBuf,
@@ -25,11 +33,19 @@
             Command,
             Stdio, //
         },
-        time::Duration,
+        thread::sleep,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
 const ALL: [usize; 3] = [0, 1, 2];
+/// Between two changes at 64,000 a day.
+const PACE: Duration = Duration::from_millis(1_350);
+/// After this, what a router said last has been looked at.
+const SEEN: Duration = Duration::from_millis(500);
 
 /// Returns the shipped configuration with one more workspace.
 fn with(workspace: &str) -> String {
@@ -175,6 +191,97 @@
     assert_eq!(eye.close(), Vec::<String>::new());
 }
 
+// A change is accepted, one router has it, and then the platform goes down for long. The
+// others serve by the old rules all that time. Cause: each waits for the platform.
+#[test]
+fn change_before_outage() {
+    let fleet = Fleet::start(Plan::default());
+    let eye = Eye::open(&fleet);
+    fleet.part(&[0]);
+    for name in ["router-2", "router-3"] {
+        fleet.platform.cut(name);
+    }
+    let changed = fleet.change(&with("hull"), Revision(1)).unwrap();
+    fleet.wait_force(&[0], changed.revision);
+    fleet.platform.set_down(Some(Down::Hang));
+    for n in [1, 2] {
+        assert_eq!(fleet.routers[n].status().unwrap().revision, 1);
+    }
+    fleet.rejoin();
+    let took = fleet.wait_force(&ALL, changed.revision);
+    println!("in force everywhere {took:?} after one router could tell the others");
+    assert_eq!(eye.close(), Vec::<String>::new());
+}
+
+/// Returns which routers watch a key of the platform, and which don't.
+fn watching(fleet: &Fleet, key: &str) -> (Vec<usize>, Vec<usize>) {
+    let all = fleet.routers.iter().enumerate();
+    let top = rendezvous::top(key, all, WATCHERS, |(_, r)| r.name.as_str());
+    let watch: Vec<usize> = top.into_iter().map(|(n, _)| n).collect();
+    let rest = (0..fleet.routers.len()).filter(|n| !watch.contains(n));
+    (watch.clone(), rest.collect())
+}
+
+// The three routers that watch for all others lose the platform, which the other routers
+// still reach. Changes are accepted and come into force nowhere. Cause: watchers are chosen
+// by their names alone, whether or not they can do it.
+#[test]
+fn change_watchers_cut() {
+    let fleet = Fleet::start(Plan {
+        routers: 5,
+        ..Plan::default()
+    });
+    let eye = Eye::open(&fleet);
+    let (watch, _) = watching(&fleet, "config");
+    for n in &watch {
+        fleet.platform.cut(&fleet.routers[*n].name);
+    }
+    let all: Vec<usize> = (0..5).collect();
+    let changed = fleet.change(&with("hull"), Revision(1)).unwrap();
+    let first = fleet.wait_force(&all, changed.revision);
+    let changed = fleet.change(&with("kent"), changed.revision).unwrap();
+    let second = fleet.wait_force(&all, changed.revision);
+    println!("three watchers cut off: in force after {first:?}, the next after {second:?}");
+    // The others lose it too, and the first ones have it back.
+    for n in 0..5 {
+        let name = &fleet.routers[n].name;
+        match watch.contains(&n) {
+            true => fleet.platform.heal(name),
+            false => fleet.platform.cut(name),
+        }
+    }
+    let changed = fleet.change(&with("deal"), changed.revision).unwrap();
+    let back = fleet.wait_force(&all, changed.revision);
+    println!("the other two cut off, the three back: in force after {back:?}");
+    assert_eq!(eye.close(), Vec::<String>::new());
+}
+
+// The three routers that poll the list of instances lose the platform. An endpoint that
+// leaves gets work until it ends, and a new one gets none. Cause: as above.
+#[test]
+fn list_watchers_cut() {
+    let fleet = Fleet::start(Plan {
+        routers: 5,
+        plains: 3,
+        ..Plan::default()
+    });
+    let (watch, rest) = watching(&fleet, "list");
+    for n in watch {
+        fleet.platform.cut(&fleet.routers[n].name);
+    }
+    fleet.platform.set_state("broker-desk-1", State::Leaving);
+    for r in &fleet.routers {
+        let (_, took) = wait_for("a router knows that an endpoint leaves", || {
+            let status = r.status()?;
+            let mut services = status.services.iter();
+            let desk = services.find(|s| s.name.as_str() == "broker-desk")?;
+            (desk.replicas == 2).then_some(())
+        });
+        println!("three pollers cut off: {} knows after {took:?}", r.name);
+    }
+    assert_eq!(rest.len(), 2);
+}
+
 // A thousand changes come one after another while routers pause, restart and are cut off,
 // and one of them goes back or stays behind. Cause: messages about revisions overtake each
 // other.
@@ -182,7 +289,6 @@
 fn change_thousand() {
     let mut fleet = Fleet::start(Plan::default());
     let eye = Eye::open(&fleet);
-    let mut took = Vec::new();
     let mut revision = Revision(1);
     for n in 0..1_000 {
         match n {
@@ -194,19 +300,67 @@
             700 => fleet.rejoin(),
             _ => {}
         }
-        let changed = fleet.change(&with(&format!("site-{n}")), revision);
-        revision = changed.expect("nobody else writes").revision;
-        if n % 20 == 0 && !(200..=800).contains(&n) {
-            took.push(fleet.wait_force(&ALL, revision));
-        }
+        revision = change_site(&fleet, n, revision);
     }
     fleet.wait_force(&ALL, revision);
     assert_eq!(revision, Revision(1_001));
     assert_eq!(eye.close(), Vec::<String>::new());
-    took.sort();
-    let (median, most) = (took[took.len() / 2], took[took.len() - 1]);
-    println!(
-        "in force everywhere after {median:?}, {most:?} at most, of {}",
-        took.len()
-    );
+}
+
+fn change_site(fleet: &Fleet, n: u32, base: Revision) -> Revision {
+    let changed = fleet.change(&with(&format!("site-{n}")), base);
+    changed.expect("nobody else writes").revision
+}
+
+// Operators change the configuration as often as on the busiest day, and some routers are
+// always behind. Cause: a change reaches most routers only when something asks for it.
+#[test]
+fn change_pace() {
+    let fleet = Fleet::start(Plan {
+        routers: 8,
+        ..Plan::default()
+    });
+    let (paced, quick) = match std::env::var("CHERVILWIND_LONG").as_deref() {
+        Ok("1") => (1_000, 1_000),
+        _ => (10, 1_000),
+    };
+    let mut revision = Revision(1);
+    for (what, changes, pause) in [
+        ("by the day", paced, PACE),
+        ("quick", quick, Duration::ZERO),
+    ] {
+        let eye = Eye::open(&fleet);
+        let mut accepted = Vec::new();
+        for n in 0..changes {
+            revision = change_site(&fleet, n, revision);
+            accepted.push((revision.0, Instant::now()));
+            sleep(pause);
+        }
+        let all: Vec<usize> = (0..fleet.routers.len()).collect();
+        fleet.wait_force(&all, revision);
+        sleep(SEEN);
+        let looks = eye.looks();
+        let back: Vec<&String> = looks.iter().flat_map(|l| &l.back).collect();
+        assert!(back.is_empty(), "{back:?}");
+        let mut took: Vec<Duration> = accepted.iter().map(|a| last(&looks, *a)).collect();
+        took.sort();
+        let part = |p: usize| took[(took.len() - 1) * p / 100];
+        println!(
+            "{changes} changes, {what}: in force on 8 routers after {:?} (median), {:?} (99 in \
+             100), {:?} (most)",
+            part(50),
+            part(99),
+            part(100)
+        );
+    }
+}
+
+/// Returns how long after it was accepted a revision, or a higher one, was in force on all.
+fn last(looks: &[Look], (revision, accepted): (u64, Instant)) -> Duration {
+    let first = looks.iter().map(|l| {
+        let mut risen = l.risen.iter();
+        let (_, at) = risen.find(|(r, _)| *r >= revision).expect("it rose");
+        at.saturating_duration_since(accepted)
+    });
+    first.max().expect("there are routers")
 }
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -7,7 +7,9 @@
 mod config;
 mod fuzz;
 mod leaving;
+mod members;
 mod once;
 mod path;
+mod platform;
 mod rolling;
 mod stage;
--- /dev/null
+++ b/tests/proofs/platform.rs
@@ -0,0 +1,155 @@
+//! What the platform is asked for, and what its outages do.
+
+use {
+    crate::stage::{
+        wait_for,
+        Fleet,
+        Load,
+        Plan, //
+    },
+    ::platform::{
+        store::{
+            self,
+            Revision, //
+        },
+        Kv,
+        Options, //
+    },
+    async_std::task::block_on,
+    operators::FLEET,
+    policy::head::WATCHERS,
+    standins::platform::Down,
+    std::{
+        collections::BTreeMap,
+        thread::sleep,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Callers at work during an outage.
+const CALLERS: u32 = 12;
+/// How long each kind of outage lasts, in CI and with `CHERVILWIND_LONG=1`.
+const SHORT: Duration = Duration::from_secs(3);
+const LONG: Duration = Duration::from_secs(60);
+/// Calls of each kind that are counted before the callers of the platform are told apart.
+const COUNTED: u64 = 30;
+
+fn outage() -> Duration {
+    match std::env::var("CHERVILWIND_LONG").as_deref() {
+        Ok("1") => LONG,
+        _ => SHORT,
+    }
+}
+
+/// Returns the calls of each kind, by router.
+fn calls(fleet: &Fleet) -> BTreeMap<String, BTreeMap<String, u64>> {
+    let mut calls: BTreeMap<String, BTreeMap<String, u64>> = BTreeMap::new();
+    for c in fleet.platform.counts() {
+        if c.client.starts_with("router-") {
+            let kind = calls.entry(c.kind).or_default();
+            *kind.entry(c.client).or_default() += c.calls;
+        }
+    }
+    calls
+}
+
+// A fleet that grows asks the platform ever more, until it is turned away and nobody can
+// change the configuration. Cause: every router watched and polled for itself.
+#[test]
+fn calls_by_routers() {
+    for routers in [1, 3, 8] {
+        let fleet = Fleet::start(Plan {
+            routers,
+            ..Plan::default()
+        });
+        fleet.platform.clear_counts();
+        let begin = Instant::now();
+        wait_for("the platform was asked often", || {
+            let kinds = ["watch", "list"];
+            let enough = |kind| fleet.platform.calls(kind) >= COUNTED;
+            kinds.into_iter().all(enough).then_some(())
+        });
+        let took = begin.elapsed().as_secs_f64();
+        let calls = calls(&fleet);
+        for (kind, by) in &calls {
+            assert!(by.len() <= WATCHERS, "{routers} routers: {kind} {by:?}");
+            let sum: u64 = by.values().sum();
+            let rate = sum as f64 / took;
+            println!(
+                "{routers} routers: {rate:.2} {kind}/s by {} of them",
+                by.len()
+            );
+        }
+    }
+}
+
+// The platform is down for a while, and callers are refused or lose requests that were
+// under way. Cause: a step on the way of a request asks the platform.
+#[test]
+fn outage_under_load() {
+    let fleet = Fleet::start(Plan {
+        work: Duration::from_millis(20),
+        ..Plan::default()
+    });
+    let load = Load::begin(&fleet, CALLERS);
+    for down in [Down::Refuse, Down::Hang, Down::Error] {
+        fleet.platform.set_down(Some(down));
+        sleep(outage());
+        load.wait_answered(CALLERS);
+        fleet.platform.set_down(None);
+    }
+    fleet.platform.set_slow(Duration::from_secs(3));
+    sleep(outage());
+    load.wait_answered(CALLERS);
+    fleet.platform.set_slow(Duration::ZERO);
+    let changed = fleet.change(FLEET, Revision(1)).unwrap();
+    let took = fleet.wait_force(&[0, 1, 2], changed.revision);
+    let seen = load.end();
+    println!(
+        "{} answered through four outages of {:?}; a change after them in force after {took:?}",
+        seen.answered,
+        outage()
+    );
+    assert!(seen.cut.is_empty(), "{:?}", seen.cut);
+    assert!(seen.wrong.is_empty(), "{:?}", seen.wrong);
+    assert_eq!(seen.refused, 0);
+}
+
+// The platform comes back empty. The routers drop their rules, or the next router that
+// starts finds none and refuses all. Cause: what the platform says is taken for the truth.
+#[test]
+fn restart_empty_under_load() {
+    let mut fleet = Fleet::prepare(Plan {
+        work: Duration::from_millis(20),
+        ..Plan::default()
+    });
+    fleet.platform.snapshot();
+    fleet.configure(FLEET);
+    for r in &mut fleet.routers {
+        r.start();
+    }
+    fleet.wait_ready();
+    let changed = fleet.change(FLEET, Revision(1)).unwrap();
+    fleet.wait_force(&[0, 1, 2], changed.revision);
+    let load = Load::begin(&fleet, CALLERS);
+    load.wait_answered(CALLERS);
+    assert!(fleet.platform.restore());
+    let kv = Kv::new(Options::new(fleet.platform.addr, "proofs"));
+    let (_, took) = wait_for("the routers have written it back", || {
+        let config = block_on(store::read(&kv, &[])).ok()??;
+        (config.revision == changed.revision).then_some(())
+    });
+    load.wait_answered(CALLERS);
+    let seen = load.end();
+    println!("written back after {took:?}, {} answered", seen.answered);
+    assert!(seen.cut.is_empty(), "{:?}", seen.cut);
+    assert!(seen.wrong.is_empty(), "{:?}", seen.wrong);
+    assert_eq!(seen.refused, 0);
+    fleet.routers[1].kill();
+    fleet.routers[1].start();
+    fleet.wait_ready();
+    fleet.wait_force(&[0, 1, 2], changed.revision);
+}
--- a/tests/proofs/stage/eye.rs
+++ b/tests/proofs/stage/eye.rs
@@ -1,4 +1,4 @@
-//! Watching that no router's revision ever goes down.
+//! Watching what every router says of its revision and of the other routers.
 
 use {
     super::Fleet,
@@ -9,10 +9,19 @@
             JoinHandle, //
         },
     },
-    operators::Status,
-    policy::Incarnation,
+    operators::{
+        MemberState,
+        Status, //
+    },
+    policy::{
+        Incarnation,
+        RouterId, //
+    },
     std::{
-        collections::HashMap,
+        collections::{
+            HashMap,
+            HashSet, //
+        },
         net::SocketAddr,
         sync::{
             atomic::{
@@ -21,18 +30,36 @@
             },
             Arc, //
         },
-        time::Duration,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
 const LOOK: Duration = Duration::from_millis(15);
 const ANSWER: Duration = Duration::from_secs(2);
 
-/// Looks at every router's revision all the time.
+/// Looks at every router's status all the time.
 #[derive(Debug)]
 pub(crate) struct Eye {
     end: Arc<AtomicBool>,
-    looks: Vec<JoinHandle<Vec<String>>>,
+    looks: Vec<JoinHandle<Look>>,
+}
+
+/// What was seen of one router.
+#[derive(Debug, Default)]
+pub(crate) struct Look {
+    /// Revisions that went down, in words.
+    pub(crate) back: Vec<String>,
+    /// Each revision that was new, and when it was seen first.
+    pub(crate) risen: Vec<(u64, Instant)>,
+    /// How often it began to take another router for silent or gone.
+    pub(crate) missed: u32,
+    /// The highest revision of each start.
+    highest: HashMap<Incarnation, u64>,
+    /// The routers that it takes for live.
+    live: HashSet<RouterId>,
 }
 
 impl Eye {
@@ -51,25 +78,53 @@
 
     /// Returns what went back, in words.
     pub(crate) fn close(self) -> Vec<String> {
+        self.looks().into_iter().flat_map(|l| l.back).collect()
+    }
+
+    /// Returns what was seen of each router.
+    pub(crate) fn looks(self) -> Vec<Look> {
         self.end.store(true, Ordering::SeqCst);
-        self.looks.into_iter().flat_map(task::block_on).collect()
+        self.looks.into_iter().map(task::block_on).collect()
     }
 }
 
-async fn look(router: SocketAddr, end: &AtomicBool) -> Vec<String> {
-    let mut highest: HashMap<Incarnation, u64> = HashMap::new();
-    let mut back = Vec::new();
+async fn look(router: SocketAddr, end: &AtomicBool) -> Look {
+    let mut seen = Look::default();
     while !end.load(Ordering::SeqCst) {
         if let Some(s) = status(router).await {
-            let known = highest.entry(s.incarnation).or_default();
-            if s.revision < *known {
-                back.push(format!("{}: {} after {known}", s.name, s.revision));
-            }
-            *known = s.revision.max(*known);
+            seen.revision(&s);
+            seen.members(&s);
         }
         task::sleep(LOOK).await;
     }
-    back
+    seen
+}
+
+impl Look {
+    fn revision(&mut self, s: &Status) {
+        let known = self.highest.entry(s.incarnation).or_default();
+        if s.revision < *known {
+            let word = format!("{}: {} after {known}", s.name, s.revision);
+            self.back.push(word);
+        }
+        if s.revision > *known {
+            self.risen.push((s.revision, Instant::now()));
+        }
+        *known = s.revision.max(*known);
+    }
+
+    fn members(&mut self, s: &Status) {
+        let up =
+            |m: &&operators::Member| matches!(m.state, MemberState::Live | MemberState::Leaving);
+        let live: HashSet<RouterId> = s
+            .members
+            .iter()
+            .filter(up)
+            .map(|m| m.name.clone())
+            .collect();
+        self.missed += self.live.difference(&live).count() as u32;
+        self.live = live;
+    }
 }
 
 async fn status(router: SocketAddr) -> Option<Status> {
--- a/tests/proofs/stage/load.rs
+++ b/tests/proofs/stage/load.rs
@@ -10,7 +10,8 @@
             Loss,
             Work, //
         },
-        Fleet,
+        wait::wait_for,
+        Fleet, //
     },
     async_std::task::{
         self,
@@ -23,6 +24,7 @@
         sync::{
             atomic::{
                 AtomicBool,
+                AtomicU32,
                 Ordering, //
             },
             Arc,
@@ -35,6 +37,7 @@
 #[derive(Debug)]
 pub(crate) struct Load {
     end: Arc<AtomicBool>,
+    answered: Arc<AtomicU32>,
     callers: Vec<JoinHandle<Seen>>,
 }
 
@@ -42,6 +45,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
     pub(crate) answered: u32,
+    /// Refusals as not run, after which the caller went elsewhere.
+    pub(crate) refused: u32,
     /// Tries that ended without an answer after the request was sent.
     pub(crate) cut: Vec<Loss>,
     /// Answers that were not whole or not right, and refusals that are no call to go on.
@@ -52,13 +57,29 @@
     /// Begins with a number of callers.
     pub(crate) fn begin(fleet: &Fleet, callers: u32) -> Load {
         let end = Arc::new(AtomicBool::new(false));
-        let callers = (0..callers).map(|n| caller(fleet.client(), n, end.clone()));
+        let answered = Arc::new(AtomicU32::new(0));
+        let callers =
+            (0..callers).map(|n| caller(fleet.client(), n, end.clone(), answered.clone()));
         Load {
             callers: callers.collect(),
+            answered,
             end,
         }
     }
 
+    /// Returns how many requests were answered so far.
+    pub(crate) fn answered(&self) -> u32 {
+        self.answered.load(Ordering::SeqCst)
+    }
+
+    /// Waits until this many more requests are answered.
+    pub(crate) fn wait_answered(&self, more: u32) {
+        let enough = self.answered() + more;
+        wait_for("enough requests are answered", || {
+            (self.answered() >= enough).then_some(())
+        });
+    }
+
     /// Lets each caller end its last request, and returns what they saw.
     pub(crate) fn end(self) -> Seen {
         self.end.store(true, Ordering::SeqCst);
@@ -66,6 +87,7 @@
         for seen in self.callers.into_iter().map(task::block_on) {
             assert!(seen.answered > 0, "a caller got no answer at all: {seen:?}");
             all.answered += seen.answered;
+            all.refused += seen.refused;
             all.cut.extend(seen.cut);
             all.wrong.extend(seen.wrong);
         }
@@ -74,7 +96,12 @@
 }
 
 /// Sends one request after another until told to end.
-fn caller(client: Client, n: u32, end: Arc<AtomicBool>) -> JoinHandle<Seen> {
+fn caller(
+    client: Client,
+    n: u32,
+    end: Arc<AtomicBool>,
+    answered: Arc<AtomicU32>,
+) -> JoinHandle<Seen> {
     task::spawn(async move {
         let mut seen = Seen::default();
         let mut number = n * 10_000;
@@ -85,7 +112,9 @@
                 1 => draft("renewal", number, 40),
                 _ => draft("standard", number, 80),
             };
+            let before = seen.answered;
             one(&client, &work, &mut seen).await;
+            answered.fetch_add(seen.answered - before, Ordering::SeqCst);
         }
         seen
     })
@@ -121,7 +150,10 @@
             seen.answered += 1;
             true
         }
-        Ok(reply) if reply.outcome == Outcome::NotRun => false,
+        Ok(reply) if reply.outcome == Outcome::NotRun => {
+            seen.refused += 1;
+            false
+        }
         Ok(reply) => {
             seen.wrong.push(format!("{reply:?}"));
             true
--- a/tests/proofs/stage/mod.rs
+++ b/tests/proofs/stage/mod.rs
@@ -20,7 +20,10 @@
         Reply,
         Work, //
     },
-    eye::Eye,
+    eye::{
+        Eye,
+        Look, //
+    },
     fleet::{
         Fleet,
         Plan, //
