--- a/crates/platform/tests/platform/kv.rs
+++ b/crates/platform/tests/platform/kv.rs
@@ -14,6 +14,7 @@
         VALUE_MAX, //
     },
     async_std::task,
+    futures_lite::future::zip,
     policy::Span,
     standins::platform::Down,
     std::{
@@ -224,6 +225,24 @@
     });
 }
 
+// Several kept connections go silent at once. A router that trusted the others after the
+// first would spend a timeout on each.
+#[test]
+fn get_on_silent_connections() {
+    run(async {
+        let platform = platform().await;
+        let kv = hasty(&platform, "a");
+        let pair = || zip(kv.get("x"), kv.get("x"));
+        assert_eq!(pair().await, (Ok(None), Ok(None)));
+        platform.silence();
+        platform.clear_counts();
+        assert_eq!(kv.get("x").await, Ok(None));
+        assert_eq!(platform.calls("get"), 2, "a silent one and a new one");
+        assert_eq!(pair().await, (Ok(None), Ok(None)));
+        assert_eq!(platform.calls("get"), 4);
+    });
+}
+
 // The same for a watch: its wait is over and no answer came. It is made again elsewhere.
 #[test]
 fn watch_on_silent_connection() {
