Choose watchers to whom the platform answers

Cause: the three routers that watch the configuration, and the three that poll the list, are chosen by rendezvous of their names. Where these three lose the platform and the others reach it, accepted changes come into force nowhere, and a leaving endpoint goes on getting work.

Ruled out: that heartbeats lose the revision (nobody had it); that a watch hangs for ever (it fails after 3 s); letting every router read now and then (the calls would grow with the fleet).

Change: a router says in its heartbeats that the platform does not answer it, and the next by rank take over. It tries again every 30 s by itself. Where the platform answers nobody, the same three go on trying.

--- a/crates/policy/src/members/member.rs
+++ b/crates/policy/src/members/member.rs
@@ -31,6 +31,8 @@
     pub state: State,
     /// It shuts down, by its own word or the list's: no new work for it.
     pub leaving: bool,
+    /// The platform does not answer it, by its own word.
+    pub no_platform: bool,
     /// Its heartbeats arrive here.
     pub heard: bool,
     /// It says nothing of missing this router's heartbeats.
--- a/crates/policy/src/members/messages.rs
+++ b/crates/policy/src/members/messages.rs
@@ -26,6 +26,8 @@
     pub intro: Option<Intro>,
     /// It shuts down.
     pub leaving: bool,
+    /// The platform does not answer it.
+    pub no_platform: bool,
     /// The revision of the configuration that it has in force.
     pub config: u64,
     /// The revision of the platform's list that it has seen.
--- a/crates/policy/src/members/peer.rs
+++ b/crates/policy/src/members/peer.rs
@@ -57,6 +57,7 @@
                 zone: intro.zone.clone(),
                 state: State::Listed,
                 leaving: false,
+                no_platform: false,
                 heard: false,
                 hears: true,
                 config: 0,
@@ -96,6 +97,7 @@
         let known = self.member.incarnation != Incarnation::default();
         self.member.incarnation = incarnation;
         self.member.config = 0;
+        self.member.no_platform = false;
         self.seq = 0;
         self.direct = None;
         self.own_leaving = false;
@@ -125,6 +127,7 @@
         m.load = b.load;
         let before = m.clone();
         m.leaving = self.own_leaving || self.list_leaving;
+        m.no_platform = b.no_platform;
         m.heard = true;
         m.hears = !b.deaf.contains(me);
         if let Some(i) = &b.intro {
--- a/crates/policy/src/members/table.rs
+++ b/crates/policy/src/members/table.rs
@@ -78,6 +78,8 @@
 pub struct Own {
     /// It shuts down.
     pub leaving: bool,
+    /// The platform does not answer it.
+    pub no_platform: bool,
     /// The revision of the configuration in force.
     pub config: u64,
     /// The revision of the platform's list that it has seen.
@@ -219,6 +221,7 @@
             zone: self.intro.zone.clone(),
             state: State::Live,
             leaving: self.own.leaving,
+            no_platform: self.own.no_platform,
             heard: true,
             hears: true,
             config: self.own.config,
@@ -259,6 +262,7 @@
             seq: self.seq,
             intro: (!known).then(|| self.intro.clone()),
             leaving: self.own.leaving,
+            no_platform: self.own.no_platform,
             config: self.own.config,
             list: self.own.list,
             load: self.own.load,
--- a/crates/policy/tests/members/single.rs
+++ b/crates/policy/tests/members/single.rs
@@ -34,6 +34,7 @@
         seq,
         intro: Some(intro(i)),
         leaving: false,
+        no_platform: false,
         config: 0,
         list: 0,
         load: 0,
--- a/src/router/beat.rs
+++ b/src/router/beat.rs
@@ -26,7 +26,10 @@
         PeerState, //
     },
     std::{
-        sync::Arc,
+        sync::{
+            atomic::Ordering,
+            Arc, //
+        },
         time::Duration, //
     },
 };
@@ -62,6 +65,7 @@
     let load = lock(&router.dispatch).running() as u32;
     Own {
         leaving: router.is_leaving(),
+        no_platform: router.no_platform.load(Ordering::Relaxed),
         config,
         list,
         load,
--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -22,6 +22,7 @@
             self,
             repair,
             Config,
+            ReadError,
             Repaired,
             Seen,
             Watcher, //
@@ -36,15 +37,22 @@
             Taken, //
         },
         RouterId,
+        Span,
+        Time, //
     },
     std::{
-        sync::Arc,
+        sync::{
+            atomic::Ordering,
+            Arc, //
+        },
         time::Duration, //
     },
 };
 
 /// Pause of a router that does not watch, before it looks whether it should.
 const LOOK: Duration = Duration::from_millis(250);
+/// How soon a router that lost the platform, and does not watch, tries again.
+const AGAIN: Span = Span::secs(30);
 /// How long a peer may take to answer.
 const ASK: Duration = Duration::from_secs(2);
 /// How often hanging fetches are looked after.
@@ -54,13 +62,18 @@
 pub(crate) async fn watch(router: Arc<Router>) {
     let kv = Kv::new(router.platform_options());
     let mut watcher = Watcher::new();
+    let mut tried = router.now();
     loop {
-        if !router.watches("config") {
+        if !router.watches("config") && !router.tries_again(tried) {
             task::sleep(LOOK).await;
             continue;
         }
+        tried = router.now();
         let have = lock(&router.force).config.clone();
-        match watcher.next(&kv, have.as_deref()).await {
+        let next = watcher.next(&kv, have.as_deref()).await;
+        let lost = matches!(next, Err(ReadError::Kv(_)));
+        router.no_platform.store(lost, Ordering::Relaxed);
+        match next {
             Ok(seen) => router.seen(&kv, seen).await,
             Err(e) => log::debug!("platform: the configuration can't be read: {e}"),
         }
@@ -77,6 +90,15 @@
 }
 
 impl Router {
+    /// Tells whether to look if the platform is back.
+    ///
+    /// A router that lost the platform is no watcher while others reach it. It would stay
+    /// out for good, and a fleet that lost it in turn would have no watcher left, if it did
+    /// not try again by itself.
+    fn tries_again(&self, tried: Time) -> bool {
+        self.no_platform.load(Ordering::Relaxed) && self.now().since(tried) > AGAIN
+    }
+
     async fn seen(&self, kv: &Kv, seen: Seen) {
         match seen {
             Seen::Same => self.confirm_platform(),
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -58,7 +58,7 @@
     loop {
         if router.watches("list") {
             let polled = instances.poll().await;
-            router.platform_up.store(polled.is_ok(), Ordering::Relaxed);
+            router.no_platform.store(polled.is_err(), Ordering::Relaxed);
             match polled {
                 Ok(Some(listed)) => router.take_list(listed),
                 Ok(None) => {}
@@ -82,7 +82,7 @@
         let ours = lock(&self.listing).listed.revision;
         // A watcher that restarts empty while the platform is down has no list but its
         // peers'. It would show as a router that knows of no endpoint.
-        let reads = self.watches("list") && self.platform_up.load(Ordering::Relaxed);
+        let reads = self.watches("list") && !self.no_platform.load(Ordering::Relaxed);
         if revision <= ours || reads {
             return;
         }
--- a/src/router/report.rs
+++ b/src/router/report.rs
@@ -134,7 +134,7 @@
             state,
             revision,
             writer,
-            platform: self.platform_up.load(Ordering::Relaxed),
+            platform: !self.no_platform.load(Ordering::Relaxed),
             uptime: self.now().since(Time::default()),
             control: traffic.sent() + traffic.received(),
             members,
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -204,7 +204,7 @@
         leaving: AtomicBool::new(false),
         stirred: AtomicBool::new(false),
         fetching: AtomicBool::new(false),
-        platform_up: AtomicBool::new(false),
+        no_platform: AtomicBool::new(false),
         me,
         clock,
         settings,
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -105,8 +105,8 @@
     pub(crate) leaving: AtomicBool,
     /// The list of instances is being fetched from a peer.
     pub(crate) fetching: AtomicBool,
-    /// The platform answered the last call.
-    pub(crate) platform_up: AtomicBool,
+    /// The platform did not answer this router's last call.
+    pub(crate) no_platform: AtomicBool,
     /// What workspaces asked of this router.
     pub(crate) tally: Mutex<Tally>,
     /// How long requests of a profile ran of late.
