--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -7,14 +7,18 @@
             ReplicaDump,
             ServiceDump, //
         },
-        exchange::Pacer, //
+        exchange::HOMES, //
     },
     crate::{
         entry::{
             Entry,
             Live, //
         },
-        pool::Pool,
+        pool::{
+            Bucket,
+            Pool, //
+        },
+        rendezvous,
         shares::Writer,
         Action,
         DispatchDump,
@@ -24,7 +28,6 @@
         Mode,
         OwnerView,
         Peer,
-        PeerState,
         Refusal,
         Replica,
         ReplicaId,
@@ -43,6 +46,9 @@
 /// When a caller of a router that is leaving, or of an unknown service, may come back.
 const AFTER_NONE: Span = Span::secs(1);
 
+/// A service without any work here is looked at this often.
+const CALM_TICK: Span = Span::millis(250);
+
 /// Decides which request starts where and when.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -56,7 +62,10 @@
     pub(super) listed: bool,
     pub(super) leaving: bool,
     pub(super) actions: Vec<Action>,
-    pub(super) pacer: Pacer,
+    /// When it was last looked for notes to be sent.
+    pub(super) exchanged: Time,
+    /// Bytes that notes may take.
+    pub(super) pacer: Bucket,
 }
 
 impl Dispatch {
@@ -87,17 +96,20 @@
             listed: false,
             leaving: false,
             actions: Vec::new(),
-            pacer: Pacer::default(),
+            exchanged: Time(0),
+            pacer: Bucket::default(),
         }
     }
 
     /// Puts rules in force. Requests of a service that is gone are refused.
     pub fn configure(&mut self, rules: Rules, now: Time) {
         let writer = Writer::of(&self.me.id, self.me.incarnation);
+        let mut fresh = rules.mode != self.rules.mode;
         for r in &rules.services {
             match self.services.get_mut(&r.service) {
-                Some(entry) => entry.configure(r.clone()),
+                Some(entry) => entry.configure(r),
                 None => {
+                    fresh = true;
                     let entry = Entry::new(r.clone(), writer);
                     self.services.insert(r.service.clone(), entry);
                 }
@@ -114,7 +126,11 @@
             self.services.remove(&service);
         }
         self.rules = rules;
-        self.rank(now);
+        if fresh {
+            self.rank(now);
+        } else {
+            self.pump_all(now);
+        }
     }
 
     /// Takes over the list of a service's replicas.
@@ -122,7 +138,7 @@
         if let Some(entry) = self.services.get_mut(service) {
             entry.seats.replace(list);
         }
-        self.rank(now);
+        self.reseat(service, now);
     }
 
     /// Takes over the list of the other routers, which may be empty.
@@ -231,12 +247,16 @@
 
     /// Stops new work on a replica that was seen to leave.
     pub fn withdraw(&mut self, replica: &ReplicaId, now: Time) {
-        for entry in self.services.values_mut() {
+        let mut of = None;
+        for (service, entry) in &mut self.services {
             if let Some(seat) = entry.seats.all.get_mut(replica) {
                 seat.withdrawn = true;
+                of = Some(service.clone());
             }
         }
-        self.rank(now);
+        if let Some(service) = of {
+            self.reseat(&service, now);
+        }
     }
 
     /// Takes in what a replica says of itself, some time after it was true: how many
@@ -254,6 +274,10 @@
         let services: Vec<ServiceId> = self.services.keys().cloned().collect();
         for service in services {
             let entry = self.services.get_mut(&service).expect("listed above");
+            if entry.calm() && now.since(entry.ticked) < CALM_TICK {
+                continue;
+            }
+            entry.ticked = now;
             entry.forget_idle(now);
             for refused in entry.overdue(&self.lives, now) {
                 self.refuse(refused.0, refused.1, refused.2, now);
@@ -286,6 +310,7 @@
             return Vec::new();
         };
         let live = self.live();
+        let live = rendezvous::top(service.as_str(), live, HOMES, |id| id.as_str());
         let slots = Slots(entry.capacity().div_ceil(live.len().max(1) as u32));
         live.into_iter()
             .map(|router| OwnerView { router, slots })
@@ -308,21 +333,6 @@
         }
     }
 
-    /// Returns the routers that take work, in order of name, with this one.
-    pub(super) fn live(&self) -> Vec<RouterId> {
-        let mut live: Vec<RouterId> = self
-            .routers
-            .values()
-            .filter(|p| p.state == PeerState::Live)
-            .map(|p| p.id.clone())
-            .collect();
-        if !self.leaving {
-            live.push(self.me.id.clone());
-        }
-        live.sort();
-        live
-    }
-
     /// Starts what may start at a service.
     pub(super) fn pump(&mut self, service: &ServiceId, now: Time) {
         self.start(service, now);
@@ -335,6 +345,7 @@
         let Some(entry) = self.services.get_mut(service) else {
             return;
         };
+        entry.note_waits(now);
         while let Some((id, replica)) = entry.next(self.rules.mode, &self.lives, &self.me.zone, now)
         {
             entry.start(id, &mut self.lives[id], &replica, now);
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -5,17 +5,23 @@
 mod dump;
 mod exchange;
 mod job;
+mod mates;
 mod member;
 mod message;
+mod ranks;
 mod rules;
 
-pub(crate) use self::message::{
-    Body,
-    Load,
-    Loads,
-    ServiceKey,
-    Wait, //
+pub(crate) use self::{
+    mates::Mates,
+    message::{
+        service_key,
+        Load,
+        Loads,
+        ServiceKey,
+        Wait, //
+    },
 };
+
 pub use self::{
     action::Action,
     core::Dispatch,
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -8,7 +8,12 @@
         Seats, //
     },
     crate::{
-        dispatch::Loads,
+        dispatch::{
+            service_key,
+            Loads,
+            Mates,
+            ServiceKey, //
+        },
         pool::{
             Hold,
             Pool, //
@@ -61,10 +66,14 @@
 /// One service at this router.
 #[derive(Debug)]
 pub(crate) struct Entry {
+    /// Its name on the wire.
+    pub(crate) key: ServiceKey,
     pub(crate) rules: ServiceRules,
     pub(crate) queues: BTreeMap<Key, Queue>,
     pub(crate) seats: Seats,
     pub(crate) ledger: Ledger,
+    /// The routers that deal with this service.
+    pub(crate) mates: Mates,
     /// What this router was lent.
     pub(crate) hold: Hold,
     /// The pool, where this router owns it.
@@ -74,33 +83,55 @@
     /// Mean cost of a request, in units.
     pub(crate) cost: f64,
     numbers: u64,
+    /// Requests that run from here.
+    busy: usize,
+    /// When it was last looked at.
+    pub(crate) ticked: Time,
 }
 
 impl Entry {
     pub(crate) fn new(rules: ServiceRules, me: Writer) -> Entry {
         let mut entry = Entry {
+            key: service_key(&rules.service),
             ledger: Ledger::new(me),
             rules: rules.clone(),
+            busy: 0,
+            ticked: Time(0),
             queues: BTreeMap::new(),
             seats: Seats::default(),
+            mates: Mates::default(),
             hold: Hold::default(),
             pool: None,
             run_time: 0.0,
             cost: 0.0,
             numbers: 0,
         };
-        entry.configure(rules);
+        entry.set_shares();
         entry
     }
 
-    pub(crate) fn configure(&mut self, rules: ServiceRules) {
-        let shares = rules
+    /// Puts rules in force.
+    pub(crate) fn configure(&mut self, rules: &ServiceRules) {
+        if &self.rules == rules {
+            return;
+        }
+        self.rules = rules.clone();
+        self.set_shares();
+    }
+
+    fn set_shares(&mut self) {
+        let shares = self
+            .rules
             .shares
             .iter()
             .map(|s| (Key::of(&s.workspace), s.share))
             .collect();
         self.ledger.set_shares(shares);
-        self.rules = rules;
+    }
+
+    /// Returns whether there is no work here and nothing to lend.
+    pub(crate) fn calm(&self) -> bool {
+        self.pool.is_none() && self.busy == 0 && self.queues.values().all(Queue::is_empty)
     }
 
     /// Returns how many requests are queued.
@@ -143,11 +174,6 @@
 
     /// Puts a request into its queue.
     pub(crate) fn enqueue(&mut self, id: JobId, live: &Live, now: Time) {
-        let credit = (self.rules.credit.0 * MILLI) as i64;
-        let queues = &self.queues;
-        let running = |key: Key| queues.get(&key).map_or(0, |q| q.charged);
-        self.ledger.activate(live.key, credit, running);
-        self.ledger.set_waits(live.key, true);
         let queue = self
             .queues
             .entry(live.key)
@@ -157,6 +183,33 @@
         queue.places.insert((live.due, live.number, id));
     }
 
+    /// Notes which workspaces have become backlogged, before their requests start.
+    ///
+    /// A request that finds a free slot does not make its workspace backlogged.
+    pub(crate) fn note_waits(&mut self, now: Time) {
+        let queued = self.queued();
+        if queued == 0 || queued as u32 <= self.seats.free(now) {
+            return;
+        }
+        let credit = (self.rules.credit.0 * MILLI) as i64;
+        let queues = &self.queues;
+        let running = |key: Key| queues.get(&key).map_or(0, |q| q.charged);
+        for key in queues.iter().filter(|q| !q.1.is_empty()).map(|q| *q.0) {
+            self.ledger.activate(key, credit, running);
+            self.ledger.set_waits(key, true);
+        }
+    }
+
+    /// Returns whether service given here may be at the cost of a workspace that waits.
+    ///
+    /// Only then it is charged: what a workspace receives while there is enough for all is
+    /// not held against it later, and costs no message.
+    fn contended(&self) -> bool {
+        self.hold.pressed
+            || self.hold.owner.is_none()
+            || self.queues.values().any(|q| !q.is_empty())
+    }
+
     /// Takes a queued request out of its queue.
     pub(crate) fn unqueue(&mut self, id: JobId, live: &Live, now: Time) {
         if let Some(queue) = self.queues.get_mut(&live.key) {
@@ -217,6 +270,7 @@
 
     /// Notes which queues have been empty for a while, and forgets those idle for long.
     pub(crate) fn forget_idle(&mut self, now: Time) {
+        self.mates.forget(now);
         for (key, q) in &self.queues {
             let calm = q.waited.is_none_or(|t| now.since(t) >= CALM);
             if q.is_empty() && calm {
@@ -305,7 +359,10 @@
             _ if self.cost > 0.0 => self.cost,
             _ => 1.0,
         };
-        let charged = milli(hint, live.job.share);
+        let charged = match self.contended() {
+            true => milli(hint, live.job.share),
+            false => 0,
+        };
         self.ledger.charge(live.key, charged);
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.running += 1;
@@ -316,6 +373,7 @@
         if let Some(seat) = self.seats.all.get_mut(replica) {
             seat.running += 1;
         }
+        self.busy += 1;
         live.run = Some(Run {
             replica: replica.clone(),
             started: now,
@@ -325,9 +383,10 @@
 
     /// Charges what a running request has received beyond what was charged.
     pub(crate) fn progress(&mut self, live: &mut Live, served: Units) {
+        let contended = self.contended();
         let Some(run) = &mut live.run else { return };
         let total = milli(served.0, live.job.share);
-        if total > run.charged {
+        if contended && total > run.charged {
             let more = total - run.charged;
             self.ledger.charge(live.key, more);
             run.charged = total;
@@ -342,10 +401,13 @@
     /// Without a `finish` the caller has given up, and what was charged stays.
     pub(crate) fn end(&mut self, live: &mut Live, finish: Option<&Finish>, now: Time) {
         let Some(run) = live.run.take() else { return };
+        self.busy -= 1;
         if let Some(f) = finish {
             let n = if f.refund { 0.0 } else { f.units.0 };
-            let total = milli(n, live.job.share);
-            self.ledger.charge(live.key, total - run.charged);
+            let more = milli(n, live.job.share) - run.charged;
+            if more < 0 || self.contended() {
+                self.ledger.charge(live.key, more);
+            }
             if n > 0.0 {
                 step(&mut self.run_time, now.since(run.started).as_secs());
                 step(&mut self.cost, n);
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -1,6 +1,8 @@
 //! Slots of replicas, lent by an owner to the routers where work waits.
 
 mod borrower;
+mod bucket;
+mod cell;
 mod fill;
 mod hold;
 mod lot;
@@ -11,6 +13,7 @@
 
 use self::{
     borrower::Borrower,
+    cell::Cell,
     fill::{
         fill,
         Row, //
@@ -19,6 +22,7 @@
     pace::Pace, //
 };
 pub(crate) use self::{
+    bucket::Bucket,
     hold::Hold,
     owner::Pool, //
 };
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{
+        borrower::Common,
         Borrower,
+        Bucket,
+        Cell,
         Limits,
         Lot,
         Pace, //
@@ -10,8 +13,10 @@
     crate::{
         dispatch::{
             Lend,
+            Load,
             Report,
-            ServiceKey, //
+            ServiceKey,
+            Wait, //
         },
         entry::{
             ReplicaKey,
@@ -19,6 +24,7 @@
         },
         shares::{
             Ledger,
+            Writer,
             MILLI, //
         },
         BorrowerDump,
@@ -31,21 +37,22 @@
         Span,
         Time, //
     },
-    std::collections::BTreeMap,
+    std::collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
 };
 
 /// Shortest time between two plans that take slots back.
 const PLAN: Span = Span::millis(100);
 /// Shortest time between two plans that spread what is idle.
 const SPREAD: Span = Span::millis(500);
-/// How long the pool counts as pressed after work last waited.
+/// Shortest time between two plans, for each replica of each router.
+const PAIR: Span = Span(8);
+/// How long there must be more work than slots until the pool counts as pressed.
+const FULL: Span = Span::millis(100);
+/// How long the pool counts as pressed after there last was more work than slots.
 const PRESSED: Span = Span::millis(300);
-/// Shortest time between two lends to one router.
-const LEND: Span = Span::millis(10);
-/// A lend that was not acknowledged is sent again after this time.
-const AGAIN: Span = Span::millis(500);
-/// A report is acknowledged within this time.
-const ACK: Span = Span::millis(200);
 /// A router that never reported is taken to hold its fraction for this time.
 const UNHEARD: Span = Span::secs(5);
 /// A new owner waits this long for reports of the live routers before it lends.
@@ -54,6 +61,9 @@
 const VANISHED: Span = Span::secs(2);
 /// If many vanished at once, a partition is likely and they may run on for long.
 const CUT_OFF: Span = Span::secs(30);
+/// Bytes a second that an owner sends, and the most that it saves up.
+const TELLS: f64 = 8_000.0;
+const BURST: f64 = 3_000.0;
 /// How many times all slots one workspace may be ahead.
 const DEBT: f64 = 2.0;
 
@@ -61,27 +71,40 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     service: ServiceKey,
-    pub(super) lots: BTreeMap<ReplicaKey, Lot>,
+    /// The replicas, by key.
+    pub(super) lots: Vec<Lot>,
     pub(super) borrowers: BTreeMap<RouterId, Borrower>,
     pub(crate) pressed: bool,
     /// Since when this router owns the pool.
     since: Time,
-    waited: Time,
+    /// Since when there is more work than slots.
+    full: Option<Time>,
+    /// When there last was more work than slots, for a while.
+    waited: Option<Time>,
     planned: Time,
+    /// When it was last planned at all.
+    ran: Time,
     changed: bool,
+    /// The router that owns the pool next.
+    heir: Option<RouterId>,
+    bucket: Bucket,
 }
 
 impl Pool {
     pub(crate) fn new(service: ServiceKey, now: Time) -> Pool {
         Pool {
             service,
-            lots: BTreeMap::new(),
+            lots: Vec::new(),
             borrowers: BTreeMap::new(),
             pressed: false,
             since: now,
-            waited: now,
+            full: None,
+            waited: None,
             planned: now,
+            ran: Time(0),
+            heir: None,
             changed: true,
+            bucket: Bucket::default(),
         }
     }
 
@@ -89,26 +112,62 @@
     ///
     /// A replica that is new begins at the limit last heard of, else at `start`.
     pub(crate) fn set_seats(&mut self, seats: &Seats, heard: &Limits, start: Slots) {
-        let mut old = std::mem::take(&mut self.lots);
+        let was: Vec<ReplicaKey> = self.lots.iter().map(|l| l.key).collect();
+        let lots = std::mem::take(&mut self.lots);
+        let mut old: BTreeMap<ReplicaKey, Lot> = lots.into_iter().map(|l| (l.key, l)).collect();
         for seat in seats.all.values().filter(|s| s.open()) {
             let lot = old.remove(&seat.key).unwrap_or_else(|| {
                 let limit = heard.get(&seat.key).copied().map_or(start, Slots);
-                Lot::new(seat.replica.zone.clone(), limit)
+                Lot::new(seat.key, seat.replica.zone.clone(), limit)
             });
-            self.lots.insert(seat.key, lot);
+            self.lots.push(lot);
+        }
+        self.lots.sort_by_key(|l| l.key);
+        let keys: Vec<ReplicaKey> = self.lots.iter().map(|l| l.key).collect();
+        if keys != was {
+            for b in self.borrowers.values_mut() {
+                b.reorder(&was, &keys);
+            }
         }
         self.changed = true;
     }
 
-    /// Takes over the routers, this one among them.
-    pub(crate) fn set_routers<'a>(&mut self, list: impl Iterator<Item = &'a Peer>, now: Time) {
+    /// Returns the place of a replica.
+    fn at(lots: &[Lot], key: ReplicaKey) -> Option<usize> {
+        lots.binary_search_by_key(&key, |l| l.key).ok()
+    }
+
+    /// Takes note of who owns the pool next.
+    pub(crate) fn set_heir(&mut self, heir: Option<RouterId>) {
+        self.heir = heir;
+    }
+
+    /// Returns whether a router may hold slots that it has not told of yet.
+    ///
+    /// One that is no home holds some only if it says so.
+    pub(super) fn unheard(&self, b: &Borrower) -> bool {
+        !b.heard() && b.home
+    }
+
+    /// Takes over the routers, this one among them, and which of them are homes.
+    pub(crate) fn set_routers<'a>(
+        &mut self,
+        list: impl Iterator<Item = &'a Peer>,
+        homes: &BTreeSet<RouterId>,
+        now: Time,
+    ) {
         let mut old = std::mem::take(&mut self.borrowers);
         for p in list {
             let kept = old.remove(&p.id).filter(|b| b.incarnation == p.incarnation);
             let mut b = match kept {
                 Some(b) => b,
-                None => Borrower::new(p.incarnation, p.zone.clone(), p.state, now),
+                None => {
+                    let mut b = Borrower::new(p.incarnation, p.zone.clone(), p.state, now);
+                    b.cells = vec![Cell::default(); self.lots.len()];
+                    b
+                }
             };
+            b.home = homes.contains(&p.id);
             if b.state != p.state {
                 b.state = p.state;
                 b.since = now;
@@ -126,33 +185,32 @@
         if b.incarnation != inc || r.seq <= b.report {
             return;
         }
+        // It tells what changed since a report that was lost with the last owner's memory,
+        // or with this one's list of routers. It has to tell all.
+        if r.base > b.report {
+            b.puzzled = Some(r.term);
+            return;
+        }
         for (key, limit) in &r.limits {
-            if let Some(lot) = self.lots.get_mut(key) {
-                lot.inherit(*limit);
+            if let Some(at) = Self::at(&self.lots, *key) {
+                self.lots[at].inherit(*limit);
             }
         }
-        let fresh = r.loads.is_some();
-        b.report(r);
-        if fresh {
-            self.learn(from, now);
-        }
+        let loads = r.loads.clone().map_or(Vec::new(), |l| l.seats);
+        b.report(r, |key| Self::at(&self.lots, key));
+        b.note_need(now);
+        self.learn(loads, now);
         self.changed = true;
     }
 
     /// Learns from how the replicas answered a router.
-    fn learn(&mut self, from: &RouterId, now: Time) {
-        let loads = |b: &Borrower| b.loads.clone().map_or(Vec::new(), |l| l.seats);
-        let news = self.borrowers.get(from).map_or(Vec::new(), loads);
-        for load in news {
-            let on = |b: &Borrower| {
-                let seats = b.loads.iter().flat_map(|l| &l.seats);
-                let running = seats.filter(|s| s.key == load.key).map(|s| s.running);
-                running.sum::<u32>()
+    fn learn(&mut self, loads: Vec<Load>, now: Time) {
+        for load in loads {
+            let Some(at) = Self::at(&self.lots, load.key) else {
+                continue;
             };
-            let running = self.borrowers.values().map(on).sum();
-            if let Some(lot) = self.lots.get_mut(&load.key) {
-                lot.learn(&load, running, now);
-            }
+            let running = self.borrowers.values().map(|b| b.cells[at].running).sum();
+            self.lots[at].learn(&load, running, now);
         }
     }
 
@@ -173,12 +231,18 @@
         let old = self.pressed;
         self.reclaim(now);
         self.press(now);
+        // A large pool takes a while to plan, and one slot matters less in it.
+        let pairs = self.lots.len() * self.borrowers.len();
+        if now.since(self.ran) < Span(pairs as u64 * PAIR.0) {
+            return;
+        }
         let interval = if self.pressed { PLAN } else { SPREAD };
         let due = now.since(self.planned) >= interval;
         if !self.changed && !due && old == self.pressed {
             return;
         }
         self.changed = false;
+        self.ran = now;
         self.trim();
         let wants = match self.pressed {
             true => self.wants_pressed(ledger),
@@ -187,11 +251,19 @@
         self.restore(&wants);
         if due {
             self.planned = now;
-            self.take_back(&wants);
+            self.take_back(&wants, &wants);
+        } else if !self.pressed {
+            // Spare slots move now and then; those that work waits for move at once.
+            let needs = self.needs();
+            self.take_back(&needs, &needs);
+        }
+        if self.gathers(now) {
+            return;
         }
-        if !self.gathers(now) {
-            self.give(&wants);
+        if !self.pressed {
+            self.give(&self.needs());
         }
+        self.give(&wants);
     }
 
     /// Returns whether this owner is so new that it does not know yet who holds what.
@@ -199,7 +271,7 @@
     /// It would lend slots a second time that routers hold from the last owner, which
     /// shows as replicas above their limit. Each router reports to a new owner at once.
     fn gathers(&self, now: Time) -> bool {
-        let unheard = |b: &Borrower| b.state == PeerState::Live && !b.heard();
+        let unheard = |b: &Borrower| b.state == PeerState::Live && self.unheard(b);
         now.since(self.since) < GATHER && self.borrowers.values().any(unheard)
     }
 
@@ -221,7 +293,7 @@
         };
         for b in self.borrowers.values_mut() {
             if b.state == PeerState::Suspect && now.since(b.since) >= wait {
-                self.changed |= b.total() > 0 || !b.kept.is_empty();
+                self.changed |= b.held() > 0;
                 b.bury();
             }
             if !b.heard() && now.since(b.since) >= UNHEARD {
@@ -231,16 +303,20 @@
         }
     }
 
-    /// Notes whether work waits anywhere.
+    /// Notes whether more work is there than slots.
     fn press(&mut self, now: Time) {
-        let waits = self
-            .borrowers
-            .values()
-            .any(|b| b.takes() && !b.waits.is_empty());
-        if waits {
-            self.waited = now;
+        let takers = || self.borrowers.values().filter(|b| b.takes());
+        let demand: u32 = takers().map(|b| b.running + b.waiting()).sum();
+        if takers().any(|b| b.waiting() > 0) && demand >= self.capacity() {
+            let since = *self.full.get_or_insert(now);
+            // A peak that passes by itself is not worth taking all spare slots back.
+            if self.pressed || now.since(since) >= FULL {
+                self.waited = Some(now);
+            }
+        } else {
+            self.full = None;
         }
-        let pressed = waits || self.pressed && now.since(self.waited) < PRESSED;
+        let pressed = self.waited.is_some_and(|t| now.since(t) < PRESSED);
         if pressed != self.pressed {
             self.pressed = pressed;
             for b in self.borrowers.values_mut() {
@@ -251,12 +327,17 @@
 
     /// Returns all slots of the pool.
     pub(crate) fn capacity(&self) -> u32 {
-        self.lots.values().map(Lot::limit).sum()
+        self.lots.iter().map(Lot::limit).sum()
     }
 
     /// Returns the limit of a replica.
     pub(crate) fn limit(&self, key: ReplicaKey) -> Option<Slots> {
-        self.lots.get(&key).map(|l| Slots(l.limit()))
+        Self::at(&self.lots, key).map(|at| Slots(self.lots[at].limit()))
+    }
+
+    /// Returns the limits of all replicas, for the next owner.
+    pub(crate) fn limits(&self) -> Limits {
+        self.lots.iter().map(|l| (l.key, l.limit())).collect()
     }
 
     /// Returns what each router holds, as operators read it.
@@ -267,7 +348,7 @@
                 router: id.clone(),
                 state: b.state,
                 lent: Slots(b.total()),
-                kept: Slots(b.kept.values().sum()),
+                kept: Slots(b.cells.iter().map(|c| c.kept).sum()),
                 running: Slots(b.running),
                 waiting: b.waits.iter().map(|w| w.queued as usize).sum(),
             })
@@ -275,39 +356,37 @@
     }
 
     /// Returns the lends that are due.
-    pub(crate) fn lends(&mut self, now: Time) -> Vec<(RouterId, Lend)> {
-        let capacity = self.capacity();
-        let limits: Limits = self.lots.iter().map(|(k, l)| (*k, l.limit())).collect();
-        let (service, pressed) = (self.service, self.pressed);
+    pub(crate) fn lends(
+        &mut self,
+        me: &RouterId,
+        ledger: &Ledger,
+        now: Time,
+    ) -> Vec<(RouterId, Lend)> {
+        self.bucket.refill(TELLS, BURST, now);
+        let common = Common {
+            service: self.service,
+            pressed: self.pressed,
+            capacity: self.capacity(),
+            sharers: self.borrowers.values().filter(|b| b.busy()).count() as u32,
+        };
         let mut out = Vec::new();
         for (id, b) in &mut self.borrowers {
-            if !b.heard() || b.state == PeerState::Suspect {
-                continue;
+            if let Some(term) = b.puzzled.take() {
+                out.push((id.clone(), common.ask_all(term)));
+            } else if b.heard() && b.state != PeerState::Suspect {
+                let writer = Writer::of(id, b.incarnation);
+                let level = |w: &Wait| ledger.level_without(w.key, writer);
+                let local = id == me;
+                let open = local || self.bucket.open() && b.rested(now);
+                let mut lend = b.lend_due(&common, &self.lots, level, open, now);
+                if let Some(l) = lend.as_mut().filter(|_| self.heir.as_ref() == Some(id)) {
+                    l.limits = b.limits_due(&self.lots, now);
+                }
+                if !local {
+                    self.bucket.spend(lend.as_ref().map_or(0, Lend::size));
+                }
+                out.extend(lend.map(|l| (id.clone(), l)));
             }
-            let passed = b.told.map_or(Span::secs(60), |t| now.since(t));
-            let again = b.seen < b.lend && passed >= AGAIN;
-            let ack = b.acked < b.report && passed >= ACK;
-            if !(b.dirty && passed >= LEND || again || ack) {
-                continue;
-            }
-            if b.dirty || b.lend == 0 {
-                b.lend += 1;
-                b.open.push((b.lend, b.lent.clone()));
-            }
-            b.dirty = false;
-            b.told = Some(now);
-            b.acked = b.report;
-            let lend = Lend {
-                service,
-                term: b.term,
-                seq: b.lend,
-                seen: b.report,
-                pressed,
-                capacity,
-                slots: b.lent.iter().map(|(k, n)| (*k, *n)).collect(),
-                limits: b.limits_due(&limits, now),
-            };
-            out.push((id.clone(), lend));
         }
         out
     }
--- a/src/router/beat.rs
+++ b/src/router/beat.rs
@@ -27,7 +27,10 @@
         Zone, //
     },
     std::{
-        sync::Arc,
+        sync::{
+            atomic::Ordering,
+            Arc, //
+        },
         time::Duration, //
     },
 };
@@ -63,6 +66,7 @@
     let load = lock(&router.dispatch).running() as u32;
     Own {
         leaving: router.is_leaving(),
+        no_platform: router.no_platform.load(Ordering::Relaxed),
         config,
         list,
         load,
--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -19,9 +19,9 @@
     async_std::task,
     platform::{
         store::{
-            self,
             repair,
             Config,
+            ReadError,
             Repaired,
             Seen,
             Watcher, //
@@ -36,15 +36,22 @@
             Taken, //
         },
         RouterId,
+        Span,
+        Time, //
     },
     std::{
-        sync::Arc,
+        sync::{
+            atomic::Ordering,
+            Arc, //
+        },
         time::Duration, //
     },
 };
 
 /// Pause of a router that does not watch, before it looks whether it should.
 const LOOK: Duration = Duration::from_millis(250);
+/// How soon a router that lost the platform, and does not watch, tries again.
+const AGAIN: Span = Span::secs(30);
 /// How long a peer may take to answer.
 const ASK: Duration = Duration::from_secs(2);
 /// How often hanging fetches are looked after.
@@ -54,13 +61,18 @@
 pub(crate) async fn watch(router: Arc<Router>) {
     let kv = Kv::new(router.platform_options());
     let mut watcher = Watcher::new();
+    let mut tried = router.now();
     loop {
-        if !router.watches("config") {
+        if !router.watches("config") && !router.tries_again(tried) {
             task::sleep(LOOK).await;
             continue;
         }
+        tried = router.now();
         let have = lock(&router.force).config.clone();
-        match watcher.next(&kv, have.as_deref()).await {
+        let next = watcher.next(&kv, have.as_deref()).await;
+        let lost = matches!(next, Err(ReadError::Kv(_)));
+        router.no_platform.store(lost, Ordering::Relaxed);
+        match next {
             Ok(seen) => router.seen(&kv, seen).await,
             Err(e) => log::debug!("platform: the configuration can't be read: {e}"),
         }
@@ -77,6 +89,15 @@
 }
 
 impl Router {
+    /// Tells whether to look if the platform is back.
+    ///
+    /// A router that lost the platform is no watcher while others reach it. It would stay
+    /// out for good, and a fleet that lost it in turn would have no watcher left, if it did
+    /// not try again by itself.
+    fn tries_again(&self, tried: Time) -> bool {
+        self.no_platform.load(Ordering::Relaxed) && self.now().since(tried) > AGAIN
+    }
+
     async fn seen(&self, kv: &Kv, seen: Seen) {
         match seen {
             Seen::Same => self.confirm_platform(),
@@ -143,13 +164,13 @@
     async fn fetch(self: &Arc<Router>, peer: RouterId) {
         let source = Source::Peer(peer.clone());
         let known = lock(&self.force).config.clone();
-        let have = known.as_ref().map_or(store::Revision::NONE, |c| c.revision);
+        let have = known.as_ref().map_or(Revision::NONE, |c| c.revision);
         let mut config = self.config_of(&peer, have, known.as_deref()).await;
         // The peer may have had another text under the revision in force here, as after a
         // restored platform. What changed since then fits nothing here, however often it
         // is asked for, so the whole is.
         if config.is_none() && known.is_some() {
-            config = self.config_of(&peer, store::Revision::NONE, None).await;
+            config = self.config_of(&peer, Revision::NONE, None).await;
         }
         let taken = config.is_some_and(|c| self.take_config(c, &source));
         if !taken {
@@ -162,7 +183,7 @@
     async fn config_of(
         &self,
         peer: &RouterId,
-        have: store::Revision,
+        have: Revision,
         known: Option<&Config>,
     ) -> Option<Config> {
         let addr = self.links.addr(peer)?;
@@ -174,7 +195,7 @@
     }
 
     /// Returns what a peer lacks of the configuration, if this router has a higher one.
-    pub(crate) fn config_above(&self, have: store::Revision) -> Option<Delta> {
+    pub(crate) fn config_above(&self, have: Revision) -> Option<Delta> {
         let force = lock(&self.force);
         let config = force.config.as_ref()?;
         (config.revision > have).then(|| force.history.delta(config, have))
@@ -192,7 +213,7 @@
                 return false;
             }
         };
-        let revision = Revision(config.revision.0);
+        let revision = config.revision;
         let hash = delta::hash(&config.parts);
         match force.head.fetched(revision, hash, self.clock.now()) {
             Taken::InForce => {}
