Lend a retry another replica than the one it keeps away from

A request that one endpoint failed waited for its whole deadline of 20 s in an idle fleet. Cause: its router held one slot, of the very replica that the retry avoids, and the owner took that slot for all that the router needed; no plan ever changed it. The same stands behind a replica that is let alone after failures. Ruled out: lost messages (reports and lends were acknowledged), a leak of slots (the owner's sums were right).

A router now gives back idle slots of replicas that can take nothing of what waits, names these replicas in its report, and the owner lends slots of others. Ruled out: counting such slots as further demand, which would lend all slots of the failing replica first.

requeue_starts_elsewhere failed before ("it starts again elsewhere") and passes now.

--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -48,7 +48,7 @@
 pub struct Dispatch {
     pub(super) me: Peer,
     pub(super) rules: Rules,
-    lives: SlotMap<JobId, Live>,
+    pub(super) lives: SlotMap<JobId, Live>,
     pub(super) services: BTreeMap<ServiceId, Entry>,
     /// The other routers.
     pub(super) routers: BTreeMap<RouterId, Peer>,
--- a/crates/policy/src/dispatch/exchange.rs
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -3,7 +3,10 @@
 use {
     super::message::service_key,
     crate::{
-        entry::Entry,
+        entry::{
+            Entry,
+            ReplicaKey, //
+        },
         pool::Pool,
         rendezvous,
         shares::Writer,
@@ -120,7 +123,8 @@
             let Some(entry) = self.services.get_mut(service) else {
                 return;
             };
-            let out = entry.speak(service, &self.me, self.leaving, now);
+            let shuns = entry.shunned(&self.lives, now);
+            let out = entry.speak(service, &self.me, shuns, self.leaving, now);
             self.actions.extend(out.sends);
             if !out.lent {
                 return;
@@ -253,15 +257,22 @@
     }
 
     /// Returns what is to be told to whom about slots.
-    fn speak(&mut self, service: &ServiceId, me: &Peer, leaving: bool, now: Time) -> Out {
+    fn speak(
+        &mut self,
+        service: &ServiceId,
+        me: &Peer,
+        shuns: Vec<ReplicaKey>,
+        leaving: bool,
+        now: Time,
+    ) -> Out {
         let mut out = Out {
             sends: Vec::new(),
             lent: false,
         };
         self.hold.give_back(&self.queues, &mut self.seats, leaving);
-        let report = self
-            .hold
-            .report(service_key(service), &self.queues, &self.seats, now);
+        self.hold.shun(&mut self.seats, &shuns, now);
+        let key = service_key(service);
+        let report = self.hold.report(key, &self.queues, &self.seats, shuns, now);
         if let (Some(mut r), Some((to, _))) = (report, self.hold.owner.clone()) {
             if self.hold.loads_due(now) {
                 self.hold.loads_sent(now);
--- a/crates/policy/src/dispatch/message.rs
+++ b/crates/policy/src/dispatch/message.rs
@@ -82,6 +82,8 @@
     pub(crate) running: u32,
     /// The backlogged workspaces.
     pub(crate) waits: Vec<Wait>,
+    /// Replicas that can take nothing of what waits.
+    pub(crate) shuns: Vec<ReplicaKey>,
 }
 
 /// The demand of one backlogged workspace at one router.
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -4,7 +4,9 @@
     super::{
         Live,
         Queue,
+        ReplicaKey,
         Run,
+        Seat,
         Seats, //
     },
     crate::{
@@ -73,6 +75,8 @@
     pub(crate) run_time: f64,
     /// Mean cost of a request, in units.
     pub(crate) cost: f64,
+    /// Queued requests that avoid a replica.
+    retries: usize,
     numbers: u64,
 }
 
@@ -87,6 +91,7 @@
             pool: None,
             run_time: 0.0,
             cost: 0.0,
+            retries: 0,
             numbers: 0,
         };
         entry.configure(rules);
@@ -155,16 +160,32 @@
         queue.pass(now);
         queue.used = now;
         queue.places.insert((live.due, live.number, id));
+        self.retries += usize::from(live.avoid.is_some());
     }
 
     /// Takes a queued request out of its queue.
     pub(crate) fn unqueue(&mut self, id: JobId, live: &Live, now: Time) {
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.pass(now);
-            queue.places.remove(&(live.due, live.number, id));
+            let queued = queue.places.remove(&(live.due, live.number, id));
+            self.retries -= usize::from(queued && live.avoid.is_some());
         }
     }
 
+    /// Returns the replicas that can take nothing of what waits.
+    pub(crate) fn shunned(&self, lives: &Lives, now: Time) -> Vec<ReplicaKey> {
+        let failing = |s: &Seat| !s.health.admits_any(s.running, now);
+        if self.retries == 0 && !self.seats.all.values().any(failing) {
+            return Vec::new();
+        }
+        let heads = self
+            .queues
+            .values()
+            .flat_map(|q| q.places.iter().take(HEAD));
+        let avoids: Vec<_> = heads.map(|h| lives[h.2].avoid.as_ref()).collect();
+        self.seats.shunned(&avoids, now)
+    }
+
     /// Returns why a request cannot be taken, and when to come back.
     fn objection(&mut self, live: &Live, id: JobId, now: Time) -> Option<(Refusal, Span)> {
         if !self.seats.any_open() {
--- a/crates/policy/src/entry/health.rs
+++ b/crates/policy/src/entry/health.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns whether it is not let alone at present.
+    pub(crate) fn admits_any(&self, running: u32, now: Time) -> bool {
+        self.admits(1, running, now) > 0
+    }
+
     /// Returns how many of `free` requests may start while `running` run.
     pub(crate) fn admits(&self, free: u32, running: u32, now: Time) -> u32 {
         if self.fails < FAILS {
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -17,6 +17,7 @@
     queue::Queue,
     seats::{
         ReplicaKey,
+        Seat,
         Seats, //
     },
 };
--- a/crates/policy/src/entry/seats.rs
+++ b/crates/policy/src/entry/seats.rs
@@ -120,6 +120,32 @@
         closed
     }
 
+    /// Returns the replicas that can take none of the requests which avoid these.
+    ///
+    /// A replica that fails is let alone for a while, and a retry keeps away from the one
+    /// that failed it, unless there is no other.
+    pub(crate) fn shunned(&self, avoids: &[Option<&ReplicaId>], now: Time) -> Vec<ReplicaKey> {
+        if avoids.is_empty() {
+            return Vec::new();
+        }
+        let open = self.all.values().filter(|s| s.open());
+        let others = open.clone().count() > 1;
+        let avoided = |s: &Seat| avoids.iter().all(|a| *a == Some(&s.replica.id));
+        open.filter(|s| !s.health.admits_any(s.running, now) || others && avoided(s))
+            .map(|s| s.key)
+            .collect()
+    }
+
+    /// Keeps no more than what runs on these replicas; returns whether that changed anything.
+    pub(crate) fn close_some(&mut self, keys: &[ReplicaKey]) -> bool {
+        let mut closed = false;
+        for seat in self.all.values_mut().filter(|s| keys.contains(&s.key)) {
+            closed |= seat.allowed > seat.running;
+            seat.allowed = seat.allowed.min(seat.running);
+        }
+        closed
+    }
+
     /// Chooses a replica with room: in this zone first, then the idlest.
     ///
     /// `avoid` is chosen only when no other replica takes new work at all.
--- a/crates/policy/src/pool/borrower.rs
+++ b/crates/policy/src/pool/borrower.rs
@@ -37,6 +37,8 @@
     pub(crate) kept: BTreeMap<ReplicaKey, u32>,
     pub(crate) running: u32,
     pub(crate) waits: Vec<Wait>,
+    /// Replicas that can take nothing of what waits there.
+    pub(crate) shuns: Vec<ReplicaKey>,
     /// How the replicas last answered it.
     pub(crate) loads: Option<Loads>,
     /// Number of the last lend to it.
@@ -73,6 +75,7 @@
             kept: BTreeMap::new(),
             running: 0,
             waits: Vec::new(),
+            shuns: Vec::new(),
             loads: None,
             lend: 0,
             lent: BTreeMap::new(),
@@ -160,6 +163,7 @@
         self.kept = r.body.kept.into_iter().collect();
         self.running = r.body.running;
         self.waits = r.body.waits;
+        self.shuns = r.body.shuns;
         if r.loads.is_some() {
             self.loads = r.loads;
         }
@@ -179,6 +183,7 @@
         self.kept.clear();
         self.open.clear();
         self.waits.clear();
+        self.shuns.clear();
         self.running = 0;
         self.report = self.report.max(1);
     }
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -12,6 +12,7 @@
         },
         entry::{
             Queue,
+            ReplicaKey,
             Seats, //
         },
         shares::Key,
@@ -140,15 +141,27 @@
         }
     }
 
+    /// Gives back idle slots of replicas that can take nothing of what waits.
+    ///
+    /// Such a slot would answer the demand and stay idle. It shows as a request that waits
+    /// for its whole deadline in an idle fleet, after one replica has failed it. The owner
+    /// learns of the replicas with the slots, and lends others instead.
+    pub(crate) fn shun(&mut self, seats: &mut Seats, shuns: &[ReplicaKey], now: Time) {
+        if self.lend > 0 && !self.deaf(now) {
+            self.owes |= seats.close_some(shuns);
+        }
+    }
+
     /// Returns the report that is due, if any, without its loads.
     pub(crate) fn report(
         &mut self,
         service: ServiceKey,
         queues: &BTreeMap<Key, Queue>,
         seats: &Seats,
+        shuns: Vec<ReplicaKey>,
         now: Time,
     ) -> Option<Report> {
-        let body = body(queues, seats);
+        let body = body(queues, seats, shuns);
         let loads = body.running > 0 && self.loads_due(now);
         if !self.due(&body, now) && !loads {
             return None;
@@ -212,8 +225,9 @@
     }
 }
 
-fn body(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
+fn body(queues: &BTreeMap<Key, Queue>, seats: &Seats, shuns: Vec<ReplicaKey>) -> Body {
     Body {
+        shuns,
         kept: seats
             .all
             .values()
--- a/crates/policy/src/pool/moves.rs
+++ b/crates/policy/src/pool/moves.rs
@@ -11,7 +11,10 @@
         entry::ReplicaKey,
         RouterId, //
     },
-    std::collections::BTreeMap,
+    std::collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
 };
 
 impl Pool {
@@ -108,23 +111,28 @@
         free.retain(|_, n| *n > 0);
         // What the unheard hold is only guessed, so it counts for the whole pool as well:
         // they may hold more of one replica and less of another.
+        let mut stuck: BTreeSet<RouterId> = BTreeSet::new();
         while !free.is_empty() && room > 0 {
-            room -= 1;
             let lack = |id: &RouterId, b: &Borrower| {
                 wants.get(id).map_or(0, |w| w.saturating_sub(b.total()))
             };
             let most = self
                 .borrowers
                 .iter_mut()
-                .filter(|(id, b)| lack(id, b) > 0)
+                .filter(|(id, b)| lack(id, b) > 0 && !stuck.contains(*id))
                 .max_by_key(|(id, b)| lack(id, b));
-            let Some((_, b)) = most else { return };
+            let Some((id, b)) = most else { return };
             let near = |key: &ReplicaKey| self.lots[key].zone == b.zone;
             let best = free
                 .iter()
+                .filter(|(key, _)| !b.shuns.contains(key))
                 .max_by_key(|(key, n)| (near(key), **n))
                 .map(|(key, _)| *key);
-            let Some(key) = best else { return };
+            let Some(key) = best else {
+                stuck.insert(id.clone());
+                continue;
+            };
+            room -= 1;
             b.raise(key);
             if let Some(n) = free.get_mut(&key) {
                 *n -= 1;
