--- /dev/null
+++ b/tests/proofs/answers.rs
@@ -0,0 +1,274 @@
+//! The whole answer to its own request, and refusals that are true.
+
+use {
+    crate::stage::{
+        ask_again,
+        draft,
+        record,
+        send,
+        tickets,
+        wait_for,
+        Fleet,
+        Plan,
+        Reply,
+        Work, //
+    },
+    async_std::task::{
+        self,
+        block_on, //
+    },
+    callers::{
+        Client,
+        ClientSettings, //
+    },
+    policy::Outcome,
+    standins::{
+        relay::Relay,
+        Fault,
+        Faults, //
+    },
+    std::time::Duration,
+};
+
+/// Every way in which an endpoint can spoil one answer.
+const SPOILT: [Fault; 14] = [
+    Fault::ResetUnread,
+    Fault::ResetUnanswered,
+    Fault::ResetAfterHead,
+    Fault::Cut { after: 0 },
+    Fault::Cut { after: 5 },
+    Fault::Silent,
+    Fault::SilentAfter { after: 5 },
+    Fault::Ignored,
+    Fault::WrongId,
+    Fault::NoId,
+    Fault::Twice,
+    Fault::Delay { ms: 200 },
+    Fault::Refuse,
+    Fault::Fail,
+];
+
+fn one_each() -> Plan {
+    Plan {
+        engines: 1,
+        plains: 1,
+        ..Plan::default()
+    }
+}
+
+fn faults(fleet: &Fleet) -> impl Iterator<Item = &Faults> {
+    let engines = fleet.engines.iter().map(|e| &e.faults);
+    engines.chain(fleet.plains.iter().map(|p| &p.faults))
+}
+
+/// Sends a request that may not be repeated, and returns its ticket too.
+fn send_once(fleet: &Fleet, work: &Work) -> (String, Reply) {
+    let router = fleet.routers[0].callers;
+    let ticket = block_on(tickets(router, work.call.service.as_str(), 1));
+    let ticket = ticket.expect("it answers").remove(0);
+    let reply = block_on(send(router, work, Some(&ticket)));
+    (ticket, reply.expect("it answers"))
+}
+
+// A broker's draft stops in the middle, a lookup hangs, or one caller reads another's
+// answer. Cause: connections break, go silent or carry an answer that is not theirs.
+#[test]
+fn answer_spoilt_once() {
+    let fleet = Fleet::start(Plan::default());
+    let client = fleet.client();
+    for (n, fault) in SPOILT.into_iter().enumerate() {
+        for work in [
+            draft("standard", n as u32, 20),
+            record("standard", n as u32),
+        ] {
+            faults(&fleet).for_each(|f| f.order(fault, 1));
+            let answer = block_on(client.call(&work.call));
+            faults(&fleet).for_each(Faults::clear);
+            // A failure that the endpoint itself reports is its answer.
+            let failed = fault == Fault::Fail && answer.outcome == Outcome::Failed;
+            let whole = answer.outcome == Outcome::Answered && work.is_right(&answer.body);
+            assert!(whole || failed, "{fault:?}: {answer:?}");
+        }
+    }
+}
+
+// Many callers at once, and answers come crossed, doubled, cut and late on the connections
+// that they share. Cause: a connection is used again while an answer is still owed on it.
+#[test]
+fn answer_crossed_under_load() {
+    let fleet = Fleet::start(Plan::default());
+    for f in faults(&fleet) {
+        for _ in 0..30 {
+            for fault in [
+                Fault::Twice,
+                Fault::WrongId,
+                Fault::Delay { ms: 30 },
+                Fault::Cut { after: 4 },
+            ] {
+                f.order(fault, 1);
+                f.pass();
+            }
+        }
+    }
+    let client = fleet.client();
+    let calls = (0..300u32).map(|n| {
+        let client = client.clone();
+        task::spawn(async move {
+            let work = match n % 3 {
+                0 => draft("standard", n, 12),
+                1 => draft("renewal", n, 12),
+                _ => record("standard", n),
+            };
+            let answer = client.call(&work.call).await;
+            (work, answer)
+        })
+    });
+    let calls: Vec<_> = calls.collect();
+    let mut answered = 0;
+    for (work, answer) in calls.into_iter().map(block_on) {
+        if answer.outcome == Outcome::Answered {
+            assert!(work.is_right(&answer.body), "{answer:?}");
+            answered += 1;
+        }
+        // What may be repeated is answered in the end, or was refused as not run.
+        let open = matches!(answer.outcome, Outcome::MayHaveRun | Outcome::Failed);
+        assert!(work.call.once || !open, "{answer:?}");
+    }
+    println!("{answered} of 300 answered among crossed and cut answers");
+}
+
+// A registrar is told "not run", sends a renewal once more, and it stands twice in the
+// registry. Cause: a call that failed was taken for one that never began.
+#[test]
+fn refusal_not_run() {
+    let fleet = Fleet::start(one_each());
+    let mut told = Vec::new();
+    for (n, fault) in SPOILT.into_iter().enumerate() {
+        for work in [draft("renewal", n as u32, 20), record("claim", n as u32)] {
+            faults(&fleet).for_each(|f| f.order(fault, 8));
+            let (ticket, reply) = send_once(&fleet, &work);
+            faults(&fleet).for_each(Faults::clear);
+            let runs = fleet.runs_of(&ticket);
+            let story = format!("{fault:?} {} ran {runs}: {reply:?}", work.call.service);
+            assert!(runs <= 1, "{story}");
+            match reply.outcome {
+                Outcome::Answered => assert!(runs == 1 && work.is_right(&reply.body), "{story}"),
+                Outcome::NotRun => assert_eq!(runs, 0, "{story}"),
+                Outcome::MayHaveRun => {}
+                Outcome::Failed => assert_eq!(fault, Fault::Fail, "{story}"),
+            }
+            told.push((fault, reply.outcome, runs));
+        }
+    }
+    // What is surely not run is also said to be so: only a refusal says it here.
+    let sure = |f, o| told.iter().any(|t| t.0 == f && t.1 == o);
+    assert!(sure(Fault::Refuse, Outcome::NotRun), "{told:?}");
+    assert!(
+        sure(Fault::ResetUnanswered, Outcome::MayHaveRun),
+        "{told:?}"
+    );
+}
+
+// An endpoint's process is gone and nothing listens at its address. Cause: a refused
+// connection carried no byte, so the request is not run, and may go elsewhere.
+#[test]
+fn refusal_connect_refused() {
+    let mut fleet = Fleet::start(one_each());
+    fleet.plains.clear();
+    let work = record("claim", 1);
+    let (ticket, reply) = send_once(&fleet, &work);
+    assert_eq!(reply.outcome, Outcome::NotRun, "{:?}", reply.why);
+    // The ticket was given back: it is good for a later try.
+    let again = ask_again(fleet.routers[0].callers, &work, &ticket);
+    assert_eq!(again.outcome, Outcome::NotRun, "{:?}", again.why);
+}
+
+// Something between a caller and its router loses track of the open connections; new ones
+// work. The caller waits for good, or sends a renewal twice. Cause: silence is no error.
+#[test]
+fn silent_callers_side() {
+    let fleet = Fleet::start(Plan::default());
+    let ways: Vec<Relay> = fleet.callers().into_iter().map(way).collect();
+    let mut settings = ClientSettings::new(vec![ways[0].addr]);
+    settings.silence = Duration::from_secs(2);
+    let client = Client::new(settings);
+    let work = record("claim", 1);
+    // The way to router 1 swallows the answer of a renewal, which the client asks for again.
+    let router = fleet.routers[0].callers;
+    let ticket = block_on(tickets(router, "broker-desk", 1))
+        .unwrap()
+        .remove(0);
+    faults(&fleet).for_each(|f| f.order(Fault::Delay { ms: 300 }, 1));
+    let first = crate::stage::spawn_send(ways[0].addr, &work, &ticket);
+    wait_for("it runs", || (fleet.runs_of(&ticket) == 1).then_some(()));
+    ways[0].silence();
+    let reply = ask_again(ways[0].addr, &work, &ticket);
+    assert_eq!(reply.outcome, Outcome::Answered, "{:?}", reply.why);
+    assert!(work.is_right(&reply.body));
+    assert_eq!(fleet.runs_of(&ticket), 1);
+    block_on(first.cancel());
+    // A client that keeps connections finds out, and opens new ones.
+    let work = draft("standard", 1, 10);
+    assert_eq!(block_on(client.call(&work.call)).outcome, Outcome::Answered);
+    ways.iter().for_each(Relay::silence);
+    let answer = block_on(client.call(&work.call));
+    assert_eq!(answer.outcome, Outcome::Answered, "{:?}", answer.refused);
+}
+
+fn way(to: std::net::SocketAddr) -> Relay {
+    block_on(Relay::start(to)).unwrap()
+}
+
+// Connections between a router and its endpoints go silent for good while new ones work,
+// and every request that is put on one of them hangs. Cause: a kept connection is trusted.
+#[test]
+fn silent_endpoints_side() {
+    let fleet = Fleet::prepare(one_each());
+    let mut fleet = fleet;
+    let engine = way(fleet.engines[0].addr);
+    let plain = way(fleet.plains[0].addr);
+    fleet.list_at(&[engine.addr], &[plain.addr]);
+    fleet.configure(operators::FLEET);
+    fleet
+        .routers
+        .iter_mut()
+        .for_each(crate::stage::Router::start);
+    fleet.wait_ready();
+    let client = fleet.client();
+    for n in 0..3 {
+        for work in [draft("standard", n, 10), record("standard", n)] {
+            let answer = block_on(client.call(&work.call));
+            assert_eq!(answer.outcome, Outcome::Answered, "{:?}", answer.refused);
+            assert!(work.is_right(&answer.body));
+        }
+        engine.silence();
+        plain.silence();
+    }
+    // What may not be repeated ends as open, and never runs again.
+    let work = record("claim", 9);
+    let (ticket, reply) = send_once(&fleet, &work);
+    assert_ne!(reply.outcome, Outcome::NotRun, "{:?}", reply.why);
+    assert!(fleet.runs_of(&ticket) <= 1);
+}
+
+// Every connection between routers goes silent at once while new ones work; routers take
+// each other for dead, or wait for slots that never come. Cause: as above, among routers.
+#[test]
+fn silent_between_routers() {
+    let fleet = Fleet::start(Plan::default());
+    let client = fleet.client();
+    for n in 0..3 {
+        fleet.routers.iter().for_each(|r| r.way.silence());
+        let work = record("claim", n);
+        let router = fleet.routers[0].callers;
+        let ticket = block_on(tickets(router, "broker-desk", 1))
+            .unwrap()
+            .remove(0);
+        let reply = ask_again(fleet.routers[1].callers, &work, &ticket);
+        assert_ne!(reply.outcome, Outcome::NotRun, "{:?}", reply.why);
+        let answer = block_on(client.call(&draft("standard", n, 10).call));
+        assert_eq!(answer.outcome, Outcome::Answered, "{:?}", answer.refused);
+        fleet.wait_ready();
+        assert!(fleet.runs_of(&ticket) <= 1);
+    }
+}
--- a/tests/proofs/main.rs
+++ b/tests/proofs/main.rs
@@ -4,6 +4,7 @@
 //! stand-ins run in the test's own process, where their runs can be counted and their
 //! faults ordered. docs/PROVED.md lists what each test proves.
 
+mod answers;
 mod config;
 mod fuzz;
 mod leaving;
--- a/tests/proofs/stage/fleet.rs
+++ b/tests/proofs/stage/fleet.rs
@@ -124,17 +124,21 @@
             platform,
             slot,
         };
-        fleet.platform.put_instances(fleet.list());
+        let engines: Vec<_> = fleet.engines.iter().map(|e| e.addr).collect();
+        let plains: Vec<_> = fleet.plains.iter().map(|p| p.addr).collect();
+        fleet.list_at(&engines, &plains);
         fleet
     }
 
-    fn list(&self) -> Vec<Instance> {
+    /// Lists the routers, and endpoints at these addresses.
+    pub(crate) fn list_at(&self, engines: &[SocketAddr], plains: &[SocketAddr]) {
         let routers = self.routers.iter().map(Router::entry);
-        let engines = self.engines.iter().enumerate();
-        let engines = engines.map(|(i, e)| endpoint("drafting-llm", i, e.addr));
-        let plains = self.plains.iter().enumerate();
-        let plains = plains.map(|(i, p)| endpoint("broker-desk", i, p.addr));
-        routers.chain(engines).chain(plains).collect()
+        let engines = engines.iter().enumerate();
+        let engines = engines.map(|(i, a)| endpoint("drafting-llm", i, *a));
+        let plains = plains.iter().enumerate();
+        let plains = plains.map(|(i, a)| endpoint("broker-desk", i, *a));
+        let list = routers.chain(engines).chain(plains).collect();
+        self.platform.put_instances(list);
     }
 
     /// Writes a first configuration.
--- a/tests/proofs/stage/mod.rs
+++ b/tests/proofs/stage/mod.rs
@@ -26,6 +26,9 @@
         Plan, //
     },
     load::Load,
-    router::Signal,
+    router::{
+        Router,
+        Signal, //
+    },
     wait::wait_for,
 };
