--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -165,6 +165,7 @@
     /// Ends an answer that nobody reads any more; dropping the call cancels it.
     fn cancel(self) {
         let job = self.run.job;
+        self.run.record(Outcome::MayHaveRun, &Held::default());
         self.run.count(Outcome::MayHaveRun);
         self.run.router.dispatch(|d, now| d.cancel(job, now));
         lock(&self.run.router.jobs).remove(job);
