--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -17,6 +17,7 @@
         Why, //
     },
     policy::{
+        members::State,
         tickets::{
             Ask,
             Claim,
@@ -101,13 +102,14 @@
 
     /// What a caller is told whose ticket's holder gives no answer.
     ///
-    /// A holder that is paused or cut off may come back and know; one that is gone never will.
+    /// A holder that is paused or cut off may come back and know, also after it was taken for
+    /// dead; one that left, or was started again, never will.
     fn silent_holder(&self, ask: &Ask) -> Response {
         let refused = Refused::new(Why::TicketOrphaned, ORPHANED);
         let members = lock(&self.members);
         let holder = members.get(&ask.of.router);
         let same = holder.filter(|m| m.incarnation == ask.of.incarnation);
-        match same.is_some_and(|m| m.up()) {
+        match same.is_some_and(|m| m.state != State::Left) {
             true => refused.retry_after(HOLDER_BACK).into(),
             false => refused.into(),
         }
