--- a/crates/policy/src/pool/moves.rs
+++ b/crates/policy/src/pool/moves.rs
@@ -62,14 +62,22 @@
         }
     }
 
-    /// Asks slots back from routers that have more than they should, where another lacks.
-    pub(super) fn take_back(&mut self, wants: &Wants) {
-        let free: i64 = self.lots.iter().map(|(k, l)| self.free(*k, l).max(0)).sum();
-        let lack: i64 = self
-            .borrowers
+    /// Returns how many slots each router needs for what runs and waits there.
+    pub(super) fn needs(&self) -> Wants {
+        let takers = self.borrowers.iter().filter(|(_, b)| b.takes());
+        takers
+            .map(|(id, b)| (id.clone(), b.running + b.waiting()))
+            .collect()
+    }
+
+    /// Asks slots back from routers that have more than wanted, where others lack what
+    /// they need.
+    pub(super) fn take_back(&mut self, wants: &Wants, needs: &Wants) {
+        let free: BTreeMap<ReplicaKey, i64> = self
+            .lots
             .iter()
-            .map(|(id, b)| i64::from(wants.get(id).map_or(0, |w| w.saturating_sub(b.total()))))
-            .sum();
+            .map(|(k, l)| (*k, self.free(*k, l).max(0)))
+            .collect();
         // Slots that were asked back and are not yet free count as on their way.
         let coming: i64 = self
             .borrowers
@@ -79,17 +87,40 @@
                 i64::from(held) - i64::from(b.total())
             })
             .sum();
-        for _ in 0..(lack - free - coming).max(0) {
+        let lacks = self.borrowers.iter().map(|(id, b)| {
+            let lack = needs.get(id).map_or(0, |n| n.saturating_sub(b.total()));
+            (&b.shuns, i64::from(lack))
+        });
+        // Free slots that a router shuns do not help it: others must give of theirs.
+        let helped = |shuns: &[ReplicaKey]| free.iter().any(|(k, n)| *n > 0 && !shuns.contains(k));
+        let (some, none): (Vec<_>, Vec<_>) =
+            lacks.partition(|(shuns, _)| shuns.is_empty() || helped(shuns));
+        let lack: i64 = some.iter().map(|(_, lack)| lack).sum();
+        let stuck: Vec<(Vec<ReplicaKey>, i64)> = none
+            .into_iter()
+            .map(|(shuns, lack)| (shuns.clone(), lack - coming))
+            .collect();
+        self.lower_some(wants, lack - free.values().sum::<i64>() - coming, &[]);
+        for (shuns, lack) in stuck {
+            self.lower_some(wants, lack, &shuns);
+        }
+    }
+
+    /// Asks back so many slots, of other replicas than these, from those with most to spare.
+    fn lower_some(&mut self, wants: &Wants, many: i64, shuns: &[ReplicaKey]) {
+        for _ in 0..many.max(0) {
+            let fits = |b: &Borrower| b.lent.keys().any(|k| !shuns.contains(k));
             let most = self
                 .borrowers
                 .iter_mut()
-                .filter(|(id, b)| b.total() > wants.get(*id).copied().unwrap_or(0))
+                .filter(|(id, b)| b.total() > wants.get(*id).copied().unwrap_or(0) && fits(b))
                 .max_by_key(|(id, b)| b.total() - wants.get(*id).copied().unwrap_or(0));
             let Some((_, b)) = most else { return };
             let far = |key: &ReplicaKey| self.lots.get(key).is_some_and(|l| l.zone != b.zone);
             let key = b
                 .lent
                 .iter()
+                .filter(|(key, _)| !shuns.contains(key))
                 .max_by_key(|(key, n)| (far(key), **n))
                 .map(|(key, _)| *key);
             let Some(key) = key else { return };
