Let the tests of leaving endpoints reach every replica

leave_platform_down waited in vain in one run of six: requests one after another all went to the same replica, so the one that left was never met. Cause in the test: it needs requests at once; 24 at once reach every replica. The check itself (none after it was met) is as it was.

--- a/tests/proofs/leaving.rs
+++ b/tests/proofs/leaving.rs
@@ -5,6 +5,7 @@
         ask_again,
         record,
         send,
+        spawn_send,
         tickets,
         wait_for,
         Fleet,
@@ -38,6 +39,17 @@
     }
 }
 
+/// Sends so many requests at once through a router that every replica gets some.
+fn flood(fleet: &Fleet, router: usize) {
+    let router = fleet.routers[router].callers;
+    let calls: Vec<_> = (0..24)
+        .map(|n| spawn_send(router, &record("standard", n), None))
+        .collect();
+    for call in calls {
+        assert!(block_on(call).is_ok());
+    }
+}
+
 /// Waits until a router counts this many plain replicas that take work.
 fn wait_replicas(fleet: &Fleet, router: usize, n: u32) -> Duration {
     let (_, took) = wait_for("a router knows which endpoints stay", || {
@@ -59,6 +71,7 @@
 fn leave_list_lags() {
     let fleet = Fleet::start(Plan {
         plains: 3,
+        work: Duration::from_millis(20),
         ..Plan::default()
     });
     work(&fleet, 0, 5);
@@ -67,7 +80,7 @@
     fleet.platform.set_state("broker-desk-1", State::Leaving);
     // Whichever router meets the endpoint first tells the others.
     wait_for("a router has met the leaving endpoint", || {
-        work(&fleet, 0, 1);
+        flood(&fleet, 0);
         (fleet.plains[0].turned_away() > 0).then_some(())
     });
     for router in 0..3 {
@@ -123,6 +136,7 @@
 fn leave_platform_down() {
     let fleet = Fleet::start(Plan {
         plains: 3,
+        work: Duration::from_millis(20),
         ..Plan::default()
     });
     work(&fleet, 0, 5);
@@ -131,7 +145,7 @@
     for n in 0..2 {
         fleet.plains[n].leave(true);
         wait_for("a router has met the leaving endpoint", || {
-            work(&fleet, 0, 1);
+            flood(&fleet, 0);
             (fleet.plains[n].turned_away() > 0).then_some(())
         });
         for router in 0..2 {
