--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -19,7 +19,10 @@
             Pool, //
         },
         rendezvous,
-        shares::Writer,
+        shares::{
+            ShareTable,
+            Writer, //
+        },
         Action,
         DispatchDump,
         Finish,
@@ -37,10 +40,14 @@
         Slots,
         Span,
         Time,
-        Units, //
+        Units,
+        WorkspaceShare, //
     },
     slotmap::SlotMap,
-    std::collections::BTreeMap,
+    std::{
+        collections::BTreeMap,
+        sync::Arc, //
+    },
 };
 
 /// When a caller of a router that is leaving, or of an unknown service, may come back.
@@ -105,12 +112,18 @@
     pub fn configure(&mut self, rules: Rules, now: Time) {
         let writer = Writer::of(&self.me.id, self.me.incarnation);
         let mut fresh = rules.mode != self.rules.mode;
+        let mut table: Option<(&Arc<Vec<WorkspaceShare>>, ShareTable)> = None;
         for r in &rules.services {
+            let shares = match &table {
+                Some((of, shares)) if Arc::ptr_eq(of, &r.shares) => shares.clone(),
+                _ => ShareTable::of(&r.shares),
+            };
+            table = Some((&r.shares, shares.clone()));
             match self.services.get_mut(&r.service) {
-                Some(entry) => entry.configure(r),
+                Some(entry) => entry.configure(r, shares),
                 None => {
                     fresh = true;
-                    let entry = Entry::new(r.clone(), writer);
+                    let entry = Entry::new(r.clone(), shares, writer);
                     self.services.insert(r.service.clone(), entry);
                 }
             }
--- a/crates/policy/src/dispatch/rules.rs
+++ b/crates/policy/src/dispatch/rules.rs
@@ -12,6 +12,7 @@
         Deserialize,
         Serialize, //
     },
+    std::sync::Arc,
 };
 
 /// How routers share the capacity of a replica.
@@ -64,9 +65,9 @@
     pub queue: usize,
     /// Limit that a new replica starts with.
     pub start: Slots,
-    /// Shares of workspaces; one that is not named has share 1.
+    /// Shares of workspaces; one that is not named has share 1. Services may share a list.
     #[serde(default)]
-    pub shares: Vec<WorkspaceShare>,
+    pub shares: Arc<Vec<WorkspaceShare>>,
 }
 
 /// The share of one workspace.
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -21,6 +21,7 @@
         shares::{
             Key,
             Ledger,
+            ShareTable,
             Writer,
             MILLI, //
         },
@@ -90,7 +91,7 @@
 }
 
 impl Entry {
-    pub(crate) fn new(rules: ServiceRules, me: Writer) -> Entry {
+    pub(crate) fn new(rules: ServiceRules, shares: ShareTable, me: Writer) -> Entry {
         let mut entry = Entry {
             key: service_key(&rules.service),
             ledger: Ledger::new(me),
@@ -106,26 +107,13 @@
             cost: 0.0,
             numbers: 0,
         };
-        entry.set_shares();
+        entry.ledger.set_shares(shares);
         entry
     }
 
-    /// Puts rules in force.
-    pub(crate) fn configure(&mut self, rules: &ServiceRules) {
-        if &self.rules == rules {
-            return;
-        }
+    /// Puts rules in force, with the shares that they name.
+    pub(crate) fn configure(&mut self, rules: &ServiceRules, shares: ShareTable) {
         self.rules = rules.clone();
-        self.set_shares();
-    }
-
-    fn set_shares(&mut self) {
-        let shares = self
-            .rules
-            .shares
-            .iter()
-            .map(|s| (Key::of(&s.workspace), s.share))
-            .collect();
         self.ledger.set_shares(shares);
     }
 
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -10,6 +10,7 @@
         },
         Account,
         Key,
+        ShareTable,
         Writer, //
     },
     crate::{
@@ -57,7 +58,7 @@
     /// Counts this router's changes.
     rev: u64,
     accounts: BTreeMap<Key, Account>,
-    shares: BTreeMap<Key, Share>,
+    shares: ShareTable,
     /// The other live routers.
     friends: BTreeMap<Writer, Friend>,
     /// Level of the least backlogged workspace when there last was any.
@@ -76,7 +77,7 @@
             me,
             rev: 0,
             accounts: BTreeMap::new(),
-            shares: BTreeMap::new(),
+            shares: ShareTable::default(),
             friends: BTreeMap::new(),
             floor: 0,
             waiting: BTreeSet::new(),
@@ -86,7 +87,7 @@
     }
 
     /// Sets the shares that are not 1.
-    pub(crate) fn set_shares(&mut self, shares: BTreeMap<Key, Share>) {
+    pub(crate) fn set_shares(&mut self, shares: ShareTable) {
         self.shares = shares;
     }
 
@@ -102,7 +103,7 @@
 
     /// Returns the share of a workspace.
     pub(crate) fn share(&self, key: Key) -> Share {
-        self.shares.get(&key).copied().unwrap_or(Share::ONE)
+        self.shares.get(key)
     }
 
     /// Returns normalised service in thousandths of a unit.
--- a/crates/policy/src/shares/mod.rs
+++ b/crates/policy/src/shares/mod.rs
@@ -5,6 +5,7 @@
 mod key;
 mod ledger;
 mod notes;
+mod table;
 
 pub(crate) use self::{
     account::Account,
@@ -16,6 +17,7 @@
         Ledger,
         MILLI, //
     },
+    table::ShareTable,
 };
 pub use self::{
     bound::{
--- a/crates/policy/tests/dispatch.rs
+++ b/crates/policy/tests/dispatch.rs
@@ -38,7 +38,7 @@
             credit: Units(1.0),
             queue: 4,
             start: Slots(start),
-            shares: Vec::new(),
+            shares: Default::default(),
         }],
     }
 }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -175,7 +175,7 @@
             credit: Units(1.0),
             queue: 1000,
             start: Slots(slots),
-            shares: Vec::new(),
+            shares: Default::default(),
         }],
     }
 }
--- a/src/router/rules.rs
+++ b/src/router/rules.rs
@@ -11,6 +11,7 @@
         ServiceRules,
         WorkspaceShare, //
     },
+    std::sync::Arc,
 };
 
 /// Turns a checked document into the rules of the dispatch.
@@ -23,6 +24,7 @@
             share: w.share,
         })
         .collect();
+    let shares = Arc::new(shares);
     let services = document.services.iter().map(|(id, s)| ServiceRules {
         service: id.clone(),
         unit: match s.unit {
--- a/src/slopes/dispatch.rs
+++ b/src/slopes/dispatch.rs
@@ -208,6 +208,7 @@
             share: Share::ONE,
         })
         .collect();
+    let shares = std::sync::Arc::new(shares);
     let services = (0..size.services).map(|i| ServiceRules {
         service: service(i),
         unit: Unit::Tokens,
