Learn the limit without leaving a backlogged pool idle

Cause: with learnt limits a pool of 10 engines (8 each), all backlogged, ran at 79-83 % of its slots. The engine's report cut the limit to what ran without those before their first token; all replicas looked for their floor at the same moment, by a fourth; a cut took 25-50 % and was held for 3-15 s.

One replica of a pool looks at a time, by a tenth. A limit learnt by another owner does not start with leaps.

--- a/crates/policy/src/pool/lot.rs
+++ b/crates/policy/src/pool/lot.rs
@@ -23,14 +23,33 @@
         }
     }
 
+    /// Makes a replica whose limit another owner has learnt.
+    pub(crate) fn known(zone: Zone, limit: Slots) -> Lot {
+        Lot {
+            zone,
+            limit: Limit::known(limit),
+        }
+    }
+
     /// Returns how many requests may run on it at once.
     pub(crate) fn limit(&self) -> u32 {
         self.limit.get().0
     }
 
+    /// Returns whether it runs fewer requests for a while, to see whether they are faster.
+    pub(crate) fn probing(&self) -> bool {
+        self.limit.probing()
+    }
+
+    /// Returns how many slots that takes.
+    pub(crate) fn probe_cost(&self) -> u32 {
+        self.limit.probe_cost().0
+    }
+
     /// Learns from how it answered one router, while `running` ran in all.
-    pub(crate) fn learn(&mut self, load: &Load, running: u32, now: Time) {
+    pub(crate) fn learn(&mut self, load: &Load, running: u32, probe: bool, now: Time) {
         let running = Slots(running);
+        self.limit.allow_probe(probe);
         self.limit
             .sample(load.first, load.gap, running, load.ok, now);
         if let Some((runs, waits)) = load.said {
@@ -42,7 +61,7 @@
     /// learnt by another.
     pub(crate) fn inherit(&mut self, used: u32) {
         if used > self.limit() {
-            self.limit = Limit::new(Slots(used));
+            self.limit = Limit::known(Slots(used));
         }
     }
 }
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -57,6 +57,10 @@
 /// Bytes a second that an owner sends, and the most that it saves up.
 const TELLS: f64 = 8_000.0;
 const BURST: f64 = 3_000.0;
+/// The part of a pool, one in so many, that may be taken away to learn a limit.
+const PROBED_PART: u32 = 50;
+/// A pool where one slot is more than that learns so once in this time.
+const PROBED: Span = Span::secs(120);
 /// How many times all slots one workspace may be ahead.
 const DEBT: f64 = 2.0;
 
@@ -75,6 +79,8 @@
     waited: Option<Time>,
     planned: Time,
     changed: bool,
+    /// When a replica last ran fewer requests to learn its limit.
+    probed: Time,
     bucket: Bucket,
 }
 
@@ -90,6 +96,7 @@
             waited: None,
             planned: now,
             changed: true,
+            probed: now,
             bucket: Bucket::default(),
         }
     }
@@ -100,10 +107,12 @@
     pub(crate) fn set_seats(&mut self, seats: &Seats, heard: &Limits, start: Slots) {
         let mut old = std::mem::take(&mut self.lots);
         for seat in seats.all.values().filter(|s| s.open()) {
-            let lot = old.remove(&seat.key).unwrap_or_else(|| {
-                let limit = heard.get(&seat.key).copied().map_or(start, Slots);
-                Lot::new(seat.replica.zone.clone(), limit)
-            });
+            let zone = || seat.replica.zone.clone();
+            let lot = match (old.remove(&seat.key), heard.get(&seat.key)) {
+                (Some(lot), _) => lot,
+                (None, Some(limit)) => Lot::known(zone(), Slots(*limit)),
+                (None, None) => Lot::new(zone(), start),
+            };
             self.lots.insert(seat.key, lot);
         }
         self.changed = true;
@@ -160,12 +169,29 @@
                 running.sum::<u32>()
             };
             let running = self.borrowers.values().map(on).sum();
+            let probe = self.may_probe(load.key, now);
             if let Some(lot) = self.lots.get_mut(&load.key) {
-                lot.learn(&load, running, now);
+                lot.learn(&load, running, probe, now);
+                if lot.probing() {
+                    self.probed = now;
+                }
             }
         }
     }
 
+    /// Returns whether a replica may run fewer requests for a while, to see whether they are
+    /// faster.
+    ///
+    /// If all replicas did so at the same moment, a tenth of the pool would stand idle while
+    /// work waits. So one does it at a time, and where even that is more than a small part
+    /// of the pool, rarely.
+    fn may_probe(&self, key: ReplicaKey, now: Time) -> bool {
+        let cost = self.lots.get(&key).map_or(0, Lot::probe_cost);
+        let small = cost * PROBED_PART <= self.capacity() || !self.pressed;
+        let rare = now.since(self.probed) >= PROBED;
+        (small || rare) && !self.lots.values().any(Lot::probing)
+    }
+
     /// Returns how far ahead of the others a backlogged workspace may be, in thousandths
     /// of a unit, if the cost of requests is known.
     ///
