--- a/crates/policy/src/pool/moves.rs
+++ b/crates/policy/src/pool/moves.rs
@@ -4,47 +4,44 @@
     super::{
         wants::Wants,
         Borrower,
-        Lot,
         Pool, //
     },
-    crate::{
-        entry::ReplicaKey,
-        RouterId, //
-    },
-    std::collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    crate::RouterId,
 };
 
 impl Pool {
-    /// Returns the free slots of a replica, below zero where too many are out.
-    fn free(&self, key: ReplicaKey, lot: &Lot) -> i64 {
-        let held: u32 = self.borrowers.values().map(|b| b.holds(key)).sum();
-        let unheard = self.borrowers.values().filter(|b| !b.heard()).count();
-        let unknown = lot.limit() as usize * unheard / self.borrowers.len().max(1);
-        i64::from(lot.limit()) - i64::from(held) - unknown as i64
+    /// Returns the free slots of each replica, below zero where too many are out.
+    fn free(&self) -> Vec<i64> {
+        let unheard = self.borrowers.values().filter(|b| self.unheard(b)).count();
+        let known = self.borrowers.len().max(1);
+        let mut free: Vec<i64> = self
+            .lots
+            .iter()
+            .map(|l| l.limit() as usize)
+            .map(|limit| (limit - limit * unheard / known) as i64)
+            .collect();
+        for b in self.borrowers.values() {
+            for (n, cell) in free.iter_mut().zip(&b.cells) {
+                *n -= i64::from(cell.holds());
+            }
+        }
+        free
     }
 
-    /// Takes back what is lent above a replica's limit or on one that is gone.
+    /// Takes back what is lent above a replica's limit.
     pub(super) fn trim(&mut self) {
-        for b in self.borrowers.values_mut() {
-            let before = b.lent.len();
-            b.lent.retain(|key, _| self.lots.contains_key(key));
-            b.dirty |= b.lent.len() != before;
+        let mut lent: Vec<u32> = vec![0; self.lots.len()];
+        for b in self.borrowers.values() {
+            for (n, cell) in lent.iter_mut().zip(&b.cells) {
+                *n += cell.lent;
+            }
         }
-        let keys: Vec<ReplicaKey> = self.lots.keys().copied().collect();
-        for key in keys {
-            let limit = self.lots[&key].limit();
-            let lent =
-                |p: &Pool| -> u32 { p.borrowers.values().filter_map(|b| b.lent.get(&key)).sum() };
-            while lent(self) > limit {
-                let most = self
-                    .borrowers
-                    .values_mut()
-                    .max_by_key(|b| b.lent.get(&key).copied().unwrap_or(0));
-                let Some(b) = most else { break };
-                b.lower(key);
+        for (at, lot) in self.lots.iter().enumerate() {
+            for _ in lot.limit()..lent[at] {
+                let most = self.borrowers.values_mut().max_by_key(|b| b.cells[at].lent);
+                if let Some(b) = most {
+                    b.lower(at);
+                }
             }
         }
     }
@@ -53,10 +50,9 @@
     pub(super) fn restore(&mut self, wants: &Wants) {
         for (id, b) in &mut self.borrowers {
             let want = wants.get(id).copied().unwrap_or(0);
-            let kept = b.kept.clone();
-            for (key, n) in kept.into_iter().filter(|(k, _)| self.lots.contains_key(k)) {
-                while b.total() < want && b.lent.get(&key).is_none_or(|l| *l < n) {
-                    b.raise(key);
+            for at in 0..b.cells.len() {
+                while b.total() < want && b.cells[at].lent < b.cells[at].kept {
+                    b.raise(at);
                 }
             }
         }
@@ -73,102 +69,93 @@
     /// Asks slots back from routers that have more than wanted, where others lack what
     /// they need.
     pub(super) fn take_back(&mut self, wants: &Wants, needs: &Wants) {
-        let free: BTreeMap<ReplicaKey, i64> = self
-            .lots
+        if self
+            .borrowers
             .iter()
-            .map(|(k, l)| (*k, self.free(*k, l).max(0)))
-            .collect();
+            .all(|(id, b)| lacks(needs, id, b) == 0)
+        {
+            return;
+        }
+        let free = self.free();
         // Slots that were asked back and are not yet free count as on their way.
         let coming: i64 = self
             .borrowers
             .values()
-            .map(|b| {
-                let held: u32 = self.lots.keys().map(|k| b.holds(*k)).sum();
-                i64::from(held) - i64::from(b.total())
-            })
+            .map(|b| i64::from(b.held()) - i64::from(b.total()))
             .sum();
-        let lacks = self.borrowers.iter().map(|(id, b)| {
-            let lack = needs.get(id).map_or(0, |n| n.saturating_sub(b.total()));
-            (&b.shuns, i64::from(lack))
-        });
-        // Free slots that a router shuns do not help it: others must give of theirs.
-        let helped = |shuns: &[ReplicaKey]| free.iter().any(|(k, n)| *n > 0 && !shuns.contains(k));
-        let (some, none): (Vec<_>, Vec<_>) =
-            lacks.partition(|(shuns, _)| shuns.is_empty() || helped(shuns));
-        let lack: i64 = some.iter().map(|(_, lack)| lack).sum();
-        let stuck: Vec<(Vec<ReplicaKey>, i64)> = none
-            .into_iter()
-            .map(|(shuns, lack)| (shuns.clone(), lack - coming))
-            .collect();
-        self.lower_some(wants, lack - free.values().sum::<i64>() - coming, &[]);
-        for (shuns, lack) in stuck {
-            self.lower_some(wants, lack, &shuns);
+        let mut lack = -coming - free.iter().map(|n| (*n).max(0)).sum::<i64>();
+        let mut stuck = Vec::new();
+        for (id, b) in &self.borrowers {
+            let few = i64::from(lacks(needs, id, b));
+            if b.helped(&free) {
+                lack += few;
+            } else {
+                stuck.push((few - coming, b.shuns()));
+            }
+        }
+        self.lower_some(wants, lack, &[]);
+        // Free slots that a router shuns do not help it, so others give it of theirs.
+        for (few, shuns) in stuck {
+            self.lower_some(wants, few, &shuns);
         }
     }
 
-    /// Asks back so many slots, of other replicas than these, from those with most to spare.
-    fn lower_some(&mut self, wants: &Wants, many: i64, shuns: &[ReplicaKey]) {
+    /// Asks back so many slots, but of these replicas, from those with most to spare.
+    fn lower_some(&mut self, wants: &Wants, many: i64, but: &[usize]) {
         for _ in 0..many.max(0) {
-            let fits = |b: &Borrower| b.lent.keys().any(|k| !shuns.contains(k));
+            let gives = |b: &Borrower| {
+                let mut cells = b.cells.iter().enumerate();
+                cells.any(|(at, c)| c.lent > 0 && !but.contains(&at))
+            };
             let most = self
                 .borrowers
                 .iter_mut()
-                .filter(|(id, b)| b.total() > wants.get(*id).copied().unwrap_or(0) && fits(b))
+                .filter(|(id, b)| b.total() > wants.get(*id).copied().unwrap_or(0) && gives(b))
                 .max_by_key(|(id, b)| b.total() - wants.get(*id).copied().unwrap_or(0));
             let Some((_, b)) = most else { return };
-            let far = |key: &ReplicaKey| self.lots.get(key).is_some_and(|l| l.zone != b.zone);
-            let key = b
-                .lent
-                .iter()
-                .filter(|(key, _)| !shuns.contains(key))
-                .max_by_key(|(key, n)| (far(key), **n))
-                .map(|(key, _)| *key);
-            let Some(key) = key else { return };
-            b.lower(key);
+            let lots = &self.lots;
+            let lent = (0..lots.len()).filter(|at| b.cells[*at].lent > 0 && !but.contains(at));
+            let far = lent.max_by_key(|at| (lots[*at].zone != b.zone, b.cells[*at].lent));
+            let Some(at) = far else { return };
+            b.lower(at);
         }
     }
 
     /// Lends free slots to the routers that lack most.
     pub(super) fn give(&mut self, wants: &Wants) {
-        let mut free: BTreeMap<ReplicaKey, i64> = self
-            .lots
+        if self
+            .borrowers
             .iter()
-            .map(|(k, l)| (*k, self.free(*k, l)))
-            .collect();
-        let mut room: i64 = free.values().sum();
-        if self.borrowers.values().all(Borrower::heard) {
-            room = i64::MAX;
+            .all(|(id, b)| lacks(wants, id, b) == 0)
+        {
+            return;
         }
-        free.retain(|_, n| *n > 0);
+        let mut free = self.free();
+        let mut room: i64 = free.iter().map(|n| (*n).max(0)).sum();
         // What the unheard hold is only guessed, so it counts for the whole pool as well:
         // they may hold more of one replica and less of another.
-        let mut stuck: BTreeSet<RouterId> = BTreeSet::new();
-        while !free.is_empty() && room > 0 {
-            let lack = |id: &RouterId, b: &Borrower| {
-                wants.get(id).map_or(0, |w| w.saturating_sub(b.total()))
-            };
-            let most = self
+        if self.borrowers.values().any(|b| self.unheard(b)) {
+            room = free.iter().sum();
+        }
+        for _ in 0..room.max(0) {
+            let lacking = self
                 .borrowers
                 .iter_mut()
-                .filter(|(id, b)| lack(id, b) > 0 && !stuck.contains(*id))
-                .max_by_key(|(id, b)| lack(id, b));
-            let Some((id, b)) = most else { return };
-            let near = |key: &ReplicaKey| self.lots[key].zone == b.zone;
-            let best = free
-                .iter()
-                .filter(|(key, _)| !b.shuns.contains(key))
-                .max_by_key(|(key, n)| (near(key), **n))
-                .map(|(key, _)| *key);
-            let Some(key) = best else {
-                stuck.insert(id.clone());
-                continue;
-            };
-            room -= 1;
-            b.raise(key);
-            if let Some(n) = free.get_mut(&key) {
-                *n -= 1;
-            }
-            free.retain(|_, n| *n > 0);
+                .filter(|(id, b)| lacks(wants, id, b) > 0 && b.helped(&free));
+            let most = lacking.max_by_key(|(id, b)| lacks(wants, id, b));
+            let Some((_, b)) = most else { return };
+            let lots = &self.lots;
+            let open = (0..lots.len()).filter(|at| free[*at] > 0 && !b.cells[*at].shunned);
+            let near = open.max_by_key(|at| (lots[*at].zone == b.zone, free[*at]));
+            let Some(at) = near else { return };
+            b.raise(at);
+            free[at] -= 1;
         }
     }
 }
+
+/// Returns how many slots a router has too few.
+fn lacks(wants: &Wants, id: &RouterId, b: &Borrower) -> u32 {
+    let want = wants.get(id).copied().unwrap_or(0);
+    want.saturating_sub(b.total())
+}
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -10,6 +10,7 @@
         },
         Account,
         Key,
+        ShareTable,
         Writer, //
     },
     crate::{
@@ -57,7 +58,7 @@
     /// Counts this router's changes.
     rev: u64,
     accounts: BTreeMap<Key, Account>,
-    shares: BTreeMap<Key, Share>,
+    shares: ShareTable,
     /// The other live routers.
     friends: BTreeMap<Writer, Friend>,
     /// Level of the least backlogged workspace when there last was any.
@@ -74,9 +75,9 @@
     pub(crate) fn new(me: Writer) -> Ledger {
         Ledger {
             me,
-            rev: 1,
+            rev: 0,
             accounts: BTreeMap::new(),
-            shares: BTreeMap::new(),
+            shares: ShareTable::default(),
             friends: BTreeMap::new(),
             floor: 0,
             waiting: BTreeSet::new(),
@@ -86,7 +87,7 @@
     }
 
     /// Sets the shares that are not 1.
-    pub(crate) fn set_shares(&mut self, shares: BTreeMap<Key, Share>) {
+    pub(crate) fn set_shares(&mut self, shares: ShareTable) {
         self.shares = shares;
     }
 
@@ -102,7 +103,7 @@
 
     /// Returns the share of a workspace.
     pub(crate) fn share(&self, key: Key) -> Share {
-        self.shares.get(&key).copied().unwrap_or(Share::ONE)
+        self.shares.get(key)
     }
 
     /// Returns normalised service in thousandths of a unit.
@@ -263,6 +264,27 @@
         self.rev
     }
 
+    /// Returns whether nothing is known of any workspace.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.accounts.is_empty()
+    }
+
+    /// Returns the revision of this router's counts.
+    pub(crate) fn rev(&self) -> u64 {
+        self.rev
+    }
+
+    /// Returns whether a router has not acknowledged anything yet.
+    pub(crate) fn is_new(&self, to: Writer) -> bool {
+        self.friends.get(&to).is_some_and(|f| f.acked == 0)
+    }
+
+    /// Returns whether there is anything to tell a router.
+    pub(crate) fn owes(&self, to: Writer, relay: bool) -> bool {
+        let owes = |f: &Friend| f.acked < self.rev || f.told != f.seen || relay && f.acked == 0;
+        self.friends.get(&to).is_some_and(owes)
+    }
+
     /// Returns what a router should be told, if there is anything.
     ///
     /// `relay` says whether this router is the one to tell a new one of all others.
@@ -283,9 +305,11 @@
             true => self.others(to),
             false => Vec::new(),
         };
-        if notes.is_empty() && f.told == f.seen && f.acked == self.rev {
-            return None;
+        // The receiver acknowledges a revision, so what is relayed needs one.
+        if rev == 0 {
+            self.rev = 1;
         }
+        let rev = rev.max(1);
         let f = self.friends.get_mut(&to)?;
         f.told = f.seen;
         Some(Notes {
