--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -213,7 +213,7 @@
             return None;
         }
         let body = Body::of(queues, seats);
-        if !self.home && self.sent.is_none() && body.is_empty() {
+        if !self.home && self.seq == 0 && body.is_empty() {
             return None;
         }
         let loads = body.running > 0 && self.loads_due(seats.all.len(), now);
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -251,7 +251,7 @@
         self.dead[n] = None;
     }
 
-    /// Kills a router with all that it runs; the others notice when told.
+    /// Kills a router with all that it runs; the others notice when told of it.
     pub fn kill(&mut self, n: usize) {
         let Some(node) = self.nodes[n].take() else {
             return;
@@ -261,7 +261,20 @@
             self.lost += 1;
         }
         self.dead[n] = Some(node.peer);
-        self.tell_routers();
+    }
+
+    /// Lets the oldest request at a router be given up by its caller.
+    pub fn cancel(&mut self, n: usize) {
+        let Some(node) = &mut self.nodes[n] else {
+            return;
+        };
+        let Some((id, open)) = node.open.pop_first() else {
+            return;
+        };
+        node.dispatch.cancel(id, self.now);
+        self.lost += 1;
+        self.free(&open);
+        self.settle(n);
     }
 
     /// Tells every router which others it hears.
@@ -345,7 +358,7 @@
             workspace: self::workspace(workspace),
             arrived: self.now,
             deadline: self.now + window,
-            urgency: 0,
+            urgency: (self.now.0 / 10_000 % 10) as u8,
             hint: Units(hint),
             share: Share::ONE,
             expect: Span::ZERO,
@@ -525,6 +538,13 @@
         owner.as_str()[1..].parse().unwrap()
     }
 
+    /// Returns the share of a workspace.
+    pub fn share(&self, w: usize) -> f64 {
+        let shares = &self.rules.services[0].shares;
+        let share = shares.iter().find(|s| s.workspace == workspace(w));
+        share.map_or(1.0, |s| s.share.get())
+    }
+
     /// Returns how many requests run.
     pub fn busy(&self) -> u32 {
         self.running.values().sum()
--- a/crates/policy/tests/fleet/oracle.rs
+++ b/crates/policy/tests/fleet/oracle.rs
@@ -37,6 +37,7 @@
     started: BTreeMap<usize, Time>,
     /// Least and largest difference of service since both are backlogged.
     pairs: BTreeMap<(usize, usize), (f64, f64)>,
+    /// The largest gap while no fault had happened yet, as a part of the bound.
     pub gap: f64,
 }
 
@@ -125,10 +126,13 @@
                     self.pairs.remove(&(i, j));
                     continue;
                 }
-                let d = f.served[i] - f.served[j];
+                let level = |w: usize| f.served[w] / f.share(w);
+                let d = level(i) - level(j);
                 let p = self.pairs.entry((i, j)).or_insert((d, d));
                 *p = (p.0.min(d), p.1.max(d));
-                self.gap = self.gap.max(p.1 - p.0);
+                if !self.faulted {
+                    self.gap = self.gap.max((p.1 - p.0) / bound);
+                }
                 assert!(
                     p.1 - p.0 <= bound,
                     "the gap between w{i} and w{j} is {:.1}, the bound {bound:.1}",
@@ -143,13 +147,15 @@
 pub fn bound(f: &Fleet, faulted: bool) -> f64 {
     let rules = &f.rules.services[0];
     let slots = f64::from(f.slots());
+    let least = (0..f.served.len()).map(|w| f.share(w)).fold(1.0, f64::min);
+    let most = slots * COST_MAX / least;
     let terms = GapTerms {
-        running: Units(slots * COST_MAX),
-        rate: Units(slots * COST_MAX / RUN_MAX.as_secs()),
+        running: Units(most),
+        rate: Units(most / RUN_MAX.as_secs()),
         exchange: EXCHANGE + RUN_MAX,
         window: rules.window,
         credit: rules.credit,
     };
-    let debt = 2.0 * slots * COST_MAX + rules.window.0 + rules.credit.0;
+    let debt = 2.0 * most + rules.window.0 + rules.credit.0;
     gap_bound(&terms).0 + if faulted { debt } else { 0.0 }
 }
--- a/crates/policy/tests/fuzz.rs
+++ b/crates/policy/tests/fuzz.rs
@@ -18,7 +18,11 @@
     },
     policy::{
         Mode,
-        Span, //
+        Rules,
+        Share,
+        Span,
+        Units,
+        WorkspaceShare, //
     },
     proptest::{
         prelude::*,
@@ -31,7 +35,10 @@
         ReferenceStateMachine,
         StateMachineTest, //
     },
-    std::collections::BTreeSet,
+    std::{
+        collections::BTreeSet,
+        sync::Arc, //
+    },
 };
 
 const ROUTERS: usize = 4;
@@ -55,11 +62,15 @@
     },
     /// Time passes, in ticks.
     Pass(u16),
-    Kill(usize),
+    /// A caller hangs up.
+    Cancel(usize),
+    /// A router dies; the others notice after some ticks.
+    Kill(usize, u16),
     /// A router starts, or starts again, with empty memory.
     Boot(usize),
     Leave(usize),
-    Cut(BTreeSet<usize>),
+    /// Some routers are cut off; all notice after some ticks.
+    Cut(BTreeSet<usize>, u16),
     Heal,
     /// A replica is marked as leaving or as back; routers learn it after some ticks.
     Mark(usize, bool, u8),
@@ -116,10 +127,12 @@
             24 => ask,
             24 => (1..150u16).prop_map(Step::Pass),
             4 => (700..1200u16).prop_map(Step::Pass),
-            1 => (0..ROUTERS).prop_map(Step::Kill),
+            2 => (0..ROUTERS).prop_map(Step::Cancel),
+            1 => (0..ROUTERS, 0..200u16).prop_map(|(n, t)| Step::Kill(n, t)),
             2 => (0..ROUTERS).prop_map(Step::Boot),
             1 => (0..ROUTERS).prop_map(Step::Leave),
-            1 => prop::collection::btree_set(0..ROUTERS, 1..ROUTERS).prop_map(Step::Cut),
+            1 => (prop::collection::btree_set(0..ROUTERS, 1..ROUTERS), 0..200u16)
+                .prop_map(|(cut, t)| Step::Cut(cut, t)),
             2 => Just(Step::Heal),
             2 => (0..REPLICAS, any::<bool>(), 0..100u8).prop_map(|(n, l, t)| Step::Mark(n, l, t)),
             1 => (0..20u64, 0..30u8, 0..30u8)
@@ -131,9 +144,9 @@
 
     fn preconditions(w: &World, step: &Step) -> bool {
         match step {
-            Step::Kill(n) | Step::Leave(n) => w.up.contains(n) && w.up.len() > 2,
+            Step::Kill(n, _) | Step::Leave(n) => w.up.contains(n) && w.up.len() > 2,
             Step::Boot(n) => !w.up.contains(n),
-            Step::Cut(_) => !w.cut,
+            Step::Cut(..) => !w.cut,
             Step::Heal => w.cut,
             Step::Clear => w.bad,
             Step::Mark(n, leaving, _) => {
@@ -145,13 +158,13 @@
 
     fn apply(mut w: World, step: &Step) -> World {
         match step {
-            Step::Kill(n) | Step::Leave(n) => {
+            Step::Kill(n, _) | Step::Leave(n) => {
                 w.up.remove(n);
             }
             Step::Boot(n) => {
                 w.up.insert(*n);
             }
-            Step::Cut(_) => w.cut = true,
+            Step::Cut(..) => w.cut = true,
             Step::Heal => w.cut = false,
             Step::Mark(n, true, _) => {
                 w.gone.insert(*n);
@@ -167,6 +180,19 @@
     }
 }
 
+/// Rules with shares that differ and a window for urgent work.
+fn uneven() -> Rules {
+    let mut rules = rules(Mode::Fleet, SLOTS);
+    let share = |(n, share)| WorkspaceShare {
+        workspace: fleet::workspace(n),
+        share: Share::try_from(share).unwrap(),
+    };
+    let shares = [(1, 2.0), (2, 0.5)].map(share);
+    rules.services[0].shares = Arc::new(shares.to_vec());
+    rules.services[0].window = Units(2.0);
+    rules
+}
+
 /// The routers, and who judges them.
 struct Judged {
     fleet: Fleet,
@@ -185,6 +211,15 @@
         }
     }
 
+    /// Lets time pass until a fault is noticed.
+    fn unnoticed(&mut self, ticks: u16) {
+        for _ in 0..ticks {
+            self.oracle.fault(self.fleet.now);
+            self.pass(1);
+        }
+        self.fleet.tell_routers();
+    }
+
     fn ask(&mut self, step: Step) {
         let Step::Ask {
             router,
@@ -223,7 +258,7 @@
 
     fn init_test(_: &World) -> Judged {
         let mut judged = Judged {
-            fleet: Fleet::new(3, ROUTERS, REPLICAS, WORKSPACES, rules(Mode::Fleet, SLOTS)),
+            fleet: Fleet::new(3, ROUTERS, REPLICAS, WORKSPACES, uneven()),
             oracle: Oracle::default(),
             asked: 0,
         };
@@ -232,17 +267,24 @@
     }
 
     fn apply(mut s: Judged, _: &World, step: Step) -> Judged {
-        let calm = matches!(step, Step::Ask { .. } | Step::Pass(_));
+        let calm = matches!(step, Step::Ask { .. } | Step::Pass(_) | Step::Cancel(_));
         match step {
             Step::Ask { .. } => s.ask(step),
             Step::Pass(ticks) => s.pass(ticks),
-            Step::Kill(n) => s.fleet.kill(n),
+            Step::Cancel(n) => s.fleet.cancel(n),
+            Step::Kill(n, after) => {
+                s.fleet.kill(n);
+                s.unnoticed(after);
+            }
             Step::Boot(n) => {
                 s.fleet.kill(n);
                 s.fleet.boot(n);
             }
             Step::Leave(n) => s.fleet.leave(n),
-            Step::Cut(cut) => s.fleet.partition(cut),
+            Step::Cut(cut, after) => {
+                s.fleet.cut = cut;
+                s.unnoticed(after);
+            }
             Step::Heal => s.fleet.partition(BTreeSet::new()),
             Step::Mark(n, leaving, after) => {
                 s.fleet.mark(n, leaving);
@@ -280,6 +322,7 @@
         for _ in 0..70 {
             s.pass(100);
         }
+        println!("largest gap {:.2} of the bound", s.oracle.gap);
         let open: usize = s.fleet.nodes.iter().flatten().map(|n| n.open.len()).sum();
         assert_eq!(open, 0, "requests without an end");
         assert_eq!(
--- a/crates/policy/tests/golden.rs
+++ b/crates/policy/tests/golden.rs
@@ -154,6 +154,7 @@
     pass(&mut f, &load, 3, &mut out);
     let owner = f.owner();
     f.kill(owner);
+    f.tell_routers();
     pass(&mut f, &load, 1, &mut out);
     f.boot(owner);
     pass(&mut f, &load, 5, &mut out);
