--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -64,6 +64,10 @@
 /// Bytes a second that an owner sends, and the most that it saves up.
 const TELLS: f64 = 8_000.0;
 const BURST: f64 = 3_000.0;
+/// The part of a pool, one in so many, that may be taken away to learn a limit.
+const PROBED_PART: u32 = 50;
+/// A pool where one slot is more than that learns so once in this time.
+const PROBED: Span = Span::secs(120);
 /// How many times all slots one workspace may be ahead.
 const DEBT: f64 = 2.0;
 
@@ -85,6 +89,8 @@
     /// When it was last planned at all.
     ran: Time,
     changed: bool,
+    /// When a replica last ran fewer requests to learn its limit.
+    probed: Time,
     /// The router that owns the pool next.
     heir: Option<RouterId>,
     bucket: Bucket,
@@ -104,6 +110,7 @@
             ran: Time(0),
             heir: None,
             changed: true,
+            probed: now,
             bucket: Bucket::default(),
         }
     }
@@ -116,10 +123,12 @@
         let lots = std::mem::take(&mut self.lots);
         let mut old: BTreeMap<ReplicaKey, Lot> = lots.into_iter().map(|l| (l.key, l)).collect();
         for seat in seats.all.values().filter(|s| s.open()) {
-            let lot = old.remove(&seat.key).unwrap_or_else(|| {
-                let limit = heard.get(&seat.key).copied().map_or(start, Slots);
-                Lot::new(seat.key, seat.replica.zone.clone(), limit)
-            });
+            let zone = || seat.replica.zone.clone();
+            let lot = match (old.remove(&seat.key), heard.get(&seat.key)) {
+                (Some(lot), _) => lot,
+                (None, Some(limit)) => Lot::known(seat.key, zone(), Slots(*limit)),
+                (None, None) => Lot::new(seat.key, zone(), start),
+            };
             self.lots.push(lot);
         }
         self.lots.sort_by_key(|l| l.key);
@@ -210,10 +219,26 @@
                 continue;
             };
             let running = self.borrowers.values().map(|b| b.cells[at].running).sum();
-            self.lots[at].learn(&load, running, now);
+            let probe = self.may_probe(at, now);
+            self.lots[at].learn(&load, running, probe, now);
+            if self.lots[at].probing() {
+                self.probed = now;
+            }
         }
     }
 
+    /// Returns whether a replica may run fewer requests for a while, to see whether they are
+    /// faster.
+    ///
+    /// If all replicas did so at the same moment, a tenth of the pool would stand idle while
+    /// work waits. So one does it at a time, and where even that is more than a small part
+    /// of the pool, rarely.
+    fn may_probe(&self, at: usize, now: Time) -> bool {
+        let small = self.lots[at].probe_cost() * PROBED_PART <= self.capacity() || !self.pressed;
+        let rare = now.since(self.probed) >= PROBED;
+        (small || rare) && !self.lots.iter().any(Lot::probing)
+    }
+
     /// Returns how far ahead of the others a backlogged workspace may be, in thousandths
     /// of a unit, if the cost of requests is known.
     ///
