--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -14,6 +14,7 @@
         },
         entry::{
             Queue,
+            ReplicaKey,
             Seat,
             Seats, //
         },
@@ -197,6 +198,17 @@
         }
     }
 
+    /// Gives back idle slots of replicas that can take nothing of what waits.
+    ///
+    /// Such a slot would answer the demand and stay idle. It shows as a request that waits
+    /// for its whole deadline in an idle fleet, after one replica has failed it. The owner
+    /// learns of the replicas with the slots, and lends others instead.
+    pub(crate) fn shun(&mut self, seats: &mut Seats, shuns: &[ReplicaKey], now: Time) {
+        if self.lend > 0 && !self.deaf(now) {
+            self.owes |= seats.close_some(shuns);
+        }
+    }
+
     /// Returns the report that is due, if any, without its loads.
     ///
     /// It is `local` where this router owns the pool, and then costs nothing.
@@ -205,6 +217,7 @@
         service: ServiceKey,
         queues: &BTreeMap<Key, Queue>,
         seats: &mut Seats,
+        shuns: Vec<ReplicaKey>,
         local: bool,
         now: Time,
     ) -> Option<Report> {
@@ -212,8 +225,8 @@
         if !local && self.sent.as_ref().is_some_and(just) {
             return None;
         }
-        let body = Body::of(queues, seats);
-        if !self.home && self.sent.is_none() && body.is_empty() {
+        let body = Body::of(queues, seats, shuns);
+        if !self.home && self.seq == 0 && body.is_empty() {
             return None;
         }
         let loads = body.running > 0 && self.loads_due(seats.all.len(), now);
@@ -256,6 +269,7 @@
             kept,
             running: body.running,
             waits: waits.then_some(body.waits),
+            shuns: body.shuns,
             limits,
             loads: None,
         })
@@ -335,15 +349,17 @@
     news: bool,
     running: u32,
     waits: Vec<Wait>,
+    shuns: Vec<ReplicaKey>,
 }
 
 impl Body {
-    fn of(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
+    fn of(queues: &BTreeMap<Key, Queue>, seats: &Seats, shuns: Vec<ReplicaKey>) -> Body {
         let waiting = queues.iter().filter(|(_, q)| !q.is_empty());
         Body {
             kept: seats.all.values().map(Seat::kept).sum(),
             news: seats.all.values().any(|s| s.told != Some(s.kept())),
             running: seats.running(),
+            shuns,
             waits: waiting
                 .map(|(key, q)| Wait {
                     key: *key,
