--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -204,7 +204,7 @@
     /// Puts a configuration in force, if it is valid and higher than the one in force.
     ///
     /// Returns whether it is usable, in force or not.
-    fn take_config(&self, config: Config, from: &Source) -> bool {
+    pub(crate) fn take_config(&self, config: Config, from: &Source) -> bool {
         let mut force = lock(&self.force);
         let fleet = match force.loader.load(&config) {
             Ok(fleet) => fleet,
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -54,11 +54,20 @@
 
 /// When a list replaces the one at hand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Taken {
+pub(super) enum Taken {
     Always,
     IfLater,
 }
 
+/// A fetch under way. Its end, also by a panic, lets the next one begin.
+struct Fetching(Arc<Router>);
+
+impl Drop for Fetching {
+    fn drop(&mut self) {
+        self.0.fetching.store(false, Ordering::Release);
+    }
+}
+
 /// Polls the list while this router is one of its watchers.
 pub(crate) async fn run(router: Arc<Router>) {
     let mut instances = Instances::new(router.platform_options());
@@ -100,8 +109,9 @@
         if self.fetching.swap(true, Ordering::AcqRel) {
             return;
         }
-        let router = self.clone();
+        let fetching = Fetching(self.clone());
         task::spawn(async move {
+            let router = &fetching.0;
             let asked = router.links.ask(addr, &Question::List(ours), ASK).await;
             if let Ok(Answer::List(Some(changes))) = asked {
                 let have = lock(&router.listing).listed.clone();
@@ -109,7 +119,6 @@
                     router.take_list(listed, Taken::IfLater);
                 }
             }
-            router.fetching.store(false, Ordering::Release);
         });
     }
 
@@ -124,7 +133,7 @@
     ///
     /// The answer of a peer can be overtaken by the platform's own. The older list would
     /// stay, as the next poll finds nothing new, and show as work for an endpoint that left.
-    fn take_list(&self, listed: Listed, taken: Taken) {
+    pub(super) fn take_list(&self, listed: Listed, taken: Taken) {
         let routers = listed.instances.iter().filter_map(router_of).collect();
         let now = self.now();
         let listed = Arc::new(listed);
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -38,6 +38,7 @@
         task, //
     },
     callers::Server,
+    futures_lite::FutureExt,
     operators::{
         Fleet,
         Loader, //
@@ -63,6 +64,8 @@
         PeerState, //
     },
     std::{
+        future::Future,
+        panic::AssertUnwindSafe,
         sync::{
             atomic::{
                 AtomicBool,
@@ -79,6 +82,8 @@
 const TICK: Duration = Duration::from_millis(10);
 /// The same while nothing happens at this router.
 const CALM: Duration = Duration::from_millis(50);
+/// Pause before a task that panicked is started again.
+const AGAIN: Duration = Duration::from_millis(100);
 /// How often old tickets are dropped.
 const TICKET_TICK: Duration = Duration::from_secs(1);
 
@@ -140,17 +145,38 @@
             log::error!("router: the operators' address ended: {e}");
         }
     });
-    task::spawn(beat::run(router.clone()));
-    task::spawn(list::run(router.clone()));
-    task::spawn(loads::run(router.clone()));
-    task::spawn(config::watch(router.clone()));
-    task::spawn(config::tend(router.clone()));
-    task::spawn(tick(router.clone()));
-    task::spawn(tick_tickets(router.clone()));
+    keep("beat::run", &router, beat::run);
+    keep("list::run", &router, list::run);
+    keep("loads::run", &router, loads::run);
+    keep("config::watch", &router, config::watch);
+    keep("config::tend", &router, config::tend);
+    keep("tick", &router, tick);
+    keep("tick_tickets", &router, tick_tickets);
     log::info!("router: {} is up", router.me.router);
     Started { router, server }
 }
 
+/// Runs a task for as long as the process runs, again where it panicked.
+///
+/// A router whose tick has died still beats and takes requests, and starts none of them.
+fn keep<T, F>(name: &'static str, of: &Arc<T>, task: fn(Arc<T>) -> F)
+where
+    T: Send + Sync + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let of = of.clone();
+    task::spawn(async move {
+        while AssertUnwindSafe(task(of.clone()))
+            .catch_unwind()
+            .await
+            .is_err()
+        {
+            log::error!("router: {name} panicked, it is started again; see the lines above");
+            task::sleep(AGAIN).await;
+        }
+    });
+}
+
 impl Started {
     /// Ends it without cutting a request in flight.
     pub(crate) async fn end(&self) {
@@ -229,3 +255,6 @@
         task::sleep(TICKET_TICK).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
