router: ask about a ticket no longer than its request lives, name 16 routers

- A request with 200 ms left waited up to 3 s for its ticket's holder.
Not tested: a verdict would need a clock.
- An answer about addresses named every router: about 37 KB at 370.
Each draws 16 by weight; callers ask again every 5 s.

--- a/src/router/addresses.rs
+++ b/src/router/addresses.rs
@@ -28,6 +28,9 @@
 /// How long tickets may be kept by their caller, in milliseconds: half of their life, so
 /// that a request still finds its ticket valid after it queued.
 const TICKET_MS: u64 = 60_000;
+/// Most addresses in one answer. Each answer draws its own, so that callers of a large fleet
+/// spread over all of it without a list of all of it.
+const MOST: usize = 16;
 /// Part of its weight that a router in another zone than the caller keeps.
 const FAR: f64 = 0.5;
 
@@ -87,7 +90,7 @@
             .map(|a| (-fastrand::f64().max(1e-9).ln() / a.weight, a))
             .collect();
         keyed.sort_by(|a, b| a.0.total_cmp(&b.0));
-        keyed.into_iter().map(|(_, a)| a).collect()
+        keyed.into_iter().map(|(_, a)| a).take(MOST).collect()
     }
 
     fn slots(&self, query: &WhereQuery) -> HashMap<String, u32> {
--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -41,7 +41,10 @@
     std::{
         net::SocketAddr,
         sync::Arc,
-        time::Duration, //
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
@@ -115,7 +118,7 @@
                 Claim::Ask(ask) => ask,
                 other => return Err(Box::new(told(other, work.print()))),
             };
-            let Some(reply) = self.ask_holder(&ask).await else {
+            let Some(reply) = self.ask_holder(&ask, work.deadline).await else {
                 return Err(Box::new(self.silent_holder(&ask)));
             };
             let now = self.now();
@@ -124,11 +127,12 @@
         Err(refuse(Why::TicketOrphaned, ORPHANED))
     }
 
-    async fn ask_holder(&self, ask: &Ask) -> Option<Reply> {
+    async fn ask_holder(&self, ask: &Ask, deadline: Instant) -> Option<Reply> {
         for _ in 0..TRIES {
+            let bound = ASK.min(deadline.saturating_duration_since(Instant::now()));
             let addr = self.addr_of(&ask.of.router)?;
             let question = Question::Ticket(ask.clone());
-            match self.links.ask(addr, &question, ASK).await {
+            match self.links.ask(addr, &question, bound).await {
                 Ok(Answer::Ticket(reply)) => return Some(reply),
                 Ok(_) => return None,
                 Err(e) => log::debug!("peers: {} about a ticket: {e}", ask.of.router),
