--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -119,7 +119,10 @@
 
     /// Returns whether there is no work here and nothing to lend.
     pub(crate) fn calm(&self) -> bool {
-        self.pool.is_none() && self.busy == 0 && self.queues.values().all(Queue::is_empty)
+        self.pool.is_none()
+            && !self.hold.late
+            && self.busy == 0
+            && self.queues.values().all(Queue::is_empty)
     }
 
     /// Returns how many requests are queued.
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -72,6 +72,8 @@
     lend: u64,
     /// Whether the owner waits to hear that slots are back.
     owes: bool,
+    /// Whether a report may be due that had to wait.
+    pub(crate) late: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
     /// Routers that use the pool.
@@ -210,6 +212,7 @@
     ) -> Option<Report> {
         let just = |(at, _): &(Time, Body)| now.since(*at) < URGENT;
         if !local && self.sent.as_ref().is_some_and(just) {
+            self.late = true;
             return None;
         }
         let body = Body::of(queues, seats);
@@ -222,6 +225,7 @@
         }
         self.seq += 1;
         self.tries += 1;
+        self.late = false;
         self.owes = false;
         self.told = self.lend;
         self.unheard.get_or_insert(now);
@@ -297,6 +301,7 @@
             return body != last || self.told != self.lend || self.owes;
         }
         let urgent = self.owes || body.urges(last, self.pressed);
+        self.late = urgent;
         let answered = self.tries < SILENT;
         let interval = if urgent && answered && self.bucket.open() {
             URGENT
