--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -61,7 +61,7 @@
 pub struct Dispatch {
     pub(super) me: Peer,
     pub(super) rules: Rules,
-    lives: SlotMap<JobId, Live>,
+    pub(super) lives: SlotMap<JobId, Live>,
     pub(super) services: BTreeMap<ServiceId, Entry>,
     /// The other routers.
     pub(super) routers: BTreeMap<RouterId, Peer>,
--- a/crates/policy/src/dispatch/message.rs
+++ b/crates/policy/src/dispatch/message.rs
@@ -52,6 +52,8 @@
     /// The backlogged workspaces. None says that they are much as in the last report that
     /// was acknowledged.
     pub(crate) waits: Option<Vec<Wait>>,
+    /// Replicas that can take nothing of what waits.
+    pub(crate) shuns: Vec<ReplicaKey>,
     /// Limits of replicas, for an owner that has not lent anything yet.
     pub(crate) limits: Vec<(ReplicaKey, u32)>,
     /// How the replicas answered, now and then.
