--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -2,11 +2,7 @@
 
 use {
     super::{
-        dump::{
-            QueueDump,
-            ReplicaDump,
-            ServiceDump, //
-        },
+        dump::dump_service,
         exchange::HOMES, //
     },
     crate::{
@@ -14,10 +10,7 @@
             Entry,
             Live, //
         },
-        pool::{
-            Bucket,
-            Pool, //
-        },
+        pool::Bucket,
         rendezvous,
         shares::{
             ShareTable,
@@ -50,9 +43,6 @@
     },
 };
 
-/// When a caller of a router that is leaving, or of an unknown service, may come back.
-const AFTER_NONE: Span = Span::secs(1);
-
 /// A service without any work here is looked at this often.
 const CALM_TICK: Span = Span::millis(250);
 
@@ -355,76 +345,4 @@
             self.actions.push(Action::Start { job: id, replica });
         }
     }
-
-    /// Refuses a queued request.
-    fn refuse(&mut self, id: JobId, why: Refusal, after: Span, now: Time) {
-        let Some(live) = self.lives.remove(id) else {
-            return;
-        };
-        if let Some(entry) = self.services.get_mut(&live.job.service) {
-            entry.unqueue(id, &live, now);
-        }
-        self.actions.push(Action::Refuse {
-            job: id,
-            why,
-            after,
-        });
-    }
-
-    /// Refuses all that is queued at a service.
-    fn refuse_queued(&mut self, service: &ServiceId, why: Refusal, now: Time) {
-        let queued: Vec<JobId> = self
-            .lives
-            .iter()
-            .filter(|(_, l)| &l.job.service == service && l.run.is_none())
-            .map(|(id, _)| id)
-            .collect();
-        for id in queued {
-            self.refuse(id, why, AFTER_NONE, now);
-        }
-    }
-
-    /// Refuses a request that no queue takes.
-    fn turn_away(&mut self, job: Job, why: Refusal) -> JobId {
-        let live = Live::unqueued(job);
-        let id = self.lives.insert(live);
-        self.lives.remove(id);
-        self.actions.push(Action::Refuse {
-            job: id,
-            why,
-            after: AFTER_NONE,
-        });
-        id
-    }
-}
-
-fn dump_service(entry: &Entry) -> ServiceDump {
-    ServiceDump {
-        service: entry.rules.service.clone(),
-        owner: entry.hold.owner.as_ref().map(|o| o.0.clone()),
-        pressed: entry.hold.pressed,
-        queues: entry
-            .queues
-            .iter()
-            .filter(|(_, q)| !q.is_empty())
-            .map(|(key, q)| QueueDump {
-                workspace: q.workspace.clone(),
-                queued: q.len(),
-                service: Units(entry.ledger.level(*key) as f64 / 1000.0),
-            })
-            .collect(),
-        replicas: entry
-            .seats
-            .all
-            .values()
-            .map(|s| ReplicaDump {
-                replica: s.replica.id.clone(),
-                leaving: !s.open(),
-                allowed: Slots(s.allowed),
-                running: Slots(s.running),
-                limit: entry.pool.as_ref().and_then(|p| p.limit(s.key)),
-            })
-            .collect(),
-        routers: entry.pool.as_ref().map(Pool::dump).unwrap_or_default(),
-    }
 }
--- a/crates/policy/src/dispatch/dump.rs
+++ b/crates/policy/src/dispatch/dump.rs
@@ -2,6 +2,8 @@
 
 use {
     crate::{
+        entry::Entry,
+        pool::Pool,
         Mode,
         PeerState,
         ReplicaId,
@@ -100,3 +102,34 @@
     /// How many slots callers may expect there.
     pub slots: Slots,
 }
+
+pub(super) fn dump_service(entry: &Entry) -> ServiceDump {
+    ServiceDump {
+        service: entry.rules.service.clone(),
+        owner: entry.hold.owner.as_ref().map(|o| o.0.clone()),
+        pressed: entry.hold.pressed,
+        queues: entry
+            .queues
+            .iter()
+            .filter(|(_, q)| !q.is_empty())
+            .map(|(key, q)| QueueDump {
+                workspace: q.workspace.clone(),
+                queued: q.len(),
+                service: Units(entry.ledger.level(*key) as f64 / 1000.0),
+            })
+            .collect(),
+        replicas: entry
+            .seats
+            .all
+            .values()
+            .map(|s| ReplicaDump {
+                replica: s.replica.id.clone(),
+                leaving: !s.open(),
+                allowed: Slots(s.allowed),
+                running: Slots(s.running),
+                limit: entry.pool.as_ref().and_then(|p| p.limit(s.key)),
+            })
+            .collect(),
+        routers: entry.pool.as_ref().map(Pool::dump).unwrap_or_default(),
+    }
+}
--- a/crates/policy/src/dispatch/mod.rs
+++ b/crates/policy/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod member;
 mod message;
 mod ranks;
+mod refuse;
 mod rules;
 
 pub(crate) use self::{
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -4,9 +4,7 @@
     super::{
         Live,
         Queue,
-        ReplicaKey,
         Run,
-        Seat,
         Seats, //
     },
     crate::{
@@ -37,8 +35,7 @@
         Share,
         Span,
         Time,
-        Units,
-        Zone, //
+        Units, //
     },
     slotmap::SlotMap,
     std::collections::BTreeMap,
@@ -46,12 +43,6 @@
 
 /// How much of a new measurement goes into a mean.
 const MEAN_STEP: f64 = 0.05;
-/// Shortest and longest time that a refused caller is told to wait.
-const AFTER: (Span, Span) = (Span::millis(50), Span::secs(60));
-/// Time to come back after when nothing is known of the queue.
-const AFTER_UNKNOWN: Span = Span::secs(1);
-/// How many requests at the head are tried when a retry must avoid a replica.
-const HEAD: usize = 8;
 /// A workspace counts as backlogged until its queue was empty for this time.
 ///
 /// A queue that empties and fills many times a second would otherwise count as new each
@@ -86,7 +77,7 @@
     /// Mean cost of a request, in units.
     pub(crate) cost: f64,
     /// Queued requests that avoid a replica.
-    retries: usize,
+    pub(super) retries: usize,
     numbers: u64,
     /// Requests that run from here.
     busy: usize,
@@ -216,70 +207,6 @@
         }
     }
 
-    /// Returns the replicas that can take nothing of what waits.
-    pub(crate) fn shunned(&self, lives: &Lives, now: Time) -> Vec<ReplicaKey> {
-        let failing = |s: &Seat| !s.health.admits_any(s.running, now);
-        if self.retries == 0 && !self.seats.all.values().any(failing) {
-            return Vec::new();
-        }
-        let heads = self
-            .queues
-            .values()
-            .flat_map(|q| q.places.iter().take(HEAD));
-        let avoids: Vec<_> = heads.map(|h| lives[h.2].avoid.as_ref()).collect();
-        self.seats.shunned(&avoids, now)
-    }
-
-    /// Returns why a request cannot be taken, and when to come back.
-    fn objection(&mut self, live: &Live, id: JobId, now: Time) -> Option<(Refusal, Span)> {
-        if !self.seats.any_open() {
-            return Some((Refusal::NoEndpoint, AFTER_UNKNOWN));
-        }
-        let left = live.job.deadline.since(now);
-        let expect = self.expect(&live.job);
-        let Some(queue) = self.queues.get_mut(&live.key) else {
-            return (left <= expect).then_some((Refusal::Late, AFTER_UNKNOWN));
-        };
-        queue.pass(now);
-        if queue.len() >= self.rules.queue {
-            let after = queue.drain.wait(queue.len().div_ceil(2));
-            return Some((Refusal::QueueFull, clamp(after)));
-        }
-        let ahead = queue.before(&(live.due, live.number, id));
-        let wait = match ahead {
-            0 => Span::ZERO,
-            n => queue.drain.wait(n).unwrap_or(Span::ZERO),
-        };
-        let need = wait + expect;
-        if need < left {
-            return None;
-        }
-        Some((Refusal::Late, clamp(Some(Span(need.0 - left.0)))))
-    }
-
-    /// Returns how long a request is thought to run.
-    fn expect(&self, job: &Job) -> Span {
-        job.expect
-    }
-
-    /// Returns the requests that can no longer be answered in time.
-    pub(crate) fn overdue(&mut self, lives: &Lives, now: Time) -> Vec<Refused> {
-        let mut out = Vec::new();
-        for queue in self.queues.values_mut() {
-            queue.pass(now);
-            let after = clamp(queue.drain.wait(queue.len()));
-            for (_, _, id) in &queue.places {
-                let job = &lives[*id].job;
-                if job.deadline <= now {
-                    out.push((*id, Refusal::Expired, after));
-                } else if job.deadline.since(now) < job.expect {
-                    out.push((*id, Refusal::Late, after));
-                }
-            }
-        }
-        out
-    }
-
     /// Notes which queues have been empty for a while, and forgets those idle for long.
     pub(crate) fn forget_idle(&mut self, now: Time) {
         self.mates.forget(now);
@@ -293,76 +220,6 @@
             .retain(|_, q| !q.is_empty() || q.running > 0 || now.since(q.used) < IDLE);
     }
 
-    /// Chooses the next request to start and its replica.
-    pub(crate) fn next(
-        &self,
-        mode: Mode,
-        lives: &Lives,
-        zone: &Zone,
-        now: Time,
-    ) -> Option<(JobId, ReplicaId)> {
-        if self.seats.free(now) == 0 {
-            return None;
-        }
-        let keys = match mode {
-            Mode::Static => self.by_arrival(),
-            _ => self.by_level(lives),
-        };
-        keys.iter()
-            .find_map(|key| self.placeable(&self.queues[key], lives, zone, now))
-    }
-
-    /// Returns the first request of a queue that has a replica to go to.
-    fn placeable(
-        &self,
-        queue: &Queue,
-        lives: &Lives,
-        zone: &Zone,
-        now: Time,
-    ) -> Option<(JobId, ReplicaId)> {
-        queue.places.iter().take(HEAD).find_map(|(_, _, id)| {
-            let avoid = lives[*id].avoid.as_ref();
-            Some((*id, self.seats.choose(zone, avoid, now)?))
-        })
-    }
-
-    /// Returns the backlogged workspaces, first come first served.
-    fn by_arrival(&self) -> Vec<Key> {
-        let mut heads: Vec<_> = self
-            .queues
-            .iter()
-            .filter_map(|(k, q)| Some((q.places.first()?, *k)))
-            .collect();
-        heads.sort();
-        heads.into_iter().map(|h| h.1).collect()
-    }
-
-    /// Returns the backlogged workspaces, the one that is due first.
-    ///
-    /// That is the one with the least normalised service; but within the window of
-    /// it, the one with the most urgent head.
-    fn by_level(&self, lives: &Lives) -> Vec<Key> {
-        let window = (self.rules.window.0 * MILLI) as i64;
-        let mut heads: Vec<_> = self
-            .queues
-            .iter()
-            .filter_map(|(k, q)| {
-                Some((
-                    self.ledger.level(*k),
-                    lives[q.places.first()?.2].job.urgency,
-                    *k,
-                ))
-            })
-            .collect();
-        let least = heads.iter().map(|h| h.0).min().unwrap_or(0);
-        heads.sort_by_key(|&(level, urgency, key)| {
-            let within = level <= least + window;
-            let rank = if within { 9 - urgency.min(9) } else { 10 };
-            (rank, level, key)
-        });
-        heads.into_iter().map(|h| h.2).collect()
-    }
-
     /// Starts a request: charges its hint and takes a seat.
     pub(crate) fn start(&mut self, id: JobId, live: &mut Live, replica: &ReplicaId, now: Time) {
         self.unqueue(id, live, now);
@@ -465,7 +322,3 @@
         *mean += (value - *mean) * MEAN_STEP;
     }
 }
-
-fn clamp(after: Option<Span>) -> Span {
-    after.unwrap_or(AFTER_UNKNOWN).clamp(AFTER.0, AFTER.1)
-}
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -4,7 +4,9 @@
 mod drain;
 mod health;
 mod live;
+mod pick;
 mod queue;
+mod refuse;
 mod sample;
 mod seats;
 
--- a/crates/policy/src/pool/mod.rs
+++ b/crates/policy/src/pool/mod.rs
@@ -1,5 +1,6 @@
 //! Slots of replicas, lent by an owner to the routers where work waits.
 
+mod body;
 mod borrower;
 mod bucket;
 mod cell;
@@ -9,7 +10,9 @@
 mod moves;
 mod owner;
 mod pace;
+mod tell;
 mod wants;
+mod watch;
 
 use self::{
     borrower::Borrower,
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        borrower::Common,
+        tell::Common,
         Borrower,
         Bucket,
         Cell,
@@ -49,18 +49,6 @@
 const SPREAD: Span = Span::millis(500);
 /// Shortest time between two plans, for each replica of each router.
 const PAIR: Span = Span(8);
-/// How long there must be more work than slots until the pool counts as pressed.
-const FULL: Span = Span::millis(100);
-/// How long the pool counts as pressed after there last was more work than slots.
-const PRESSED: Span = Span::millis(300);
-/// A router that never reported is taken to hold its fraction for this time.
-const UNHEARD: Span = Span::secs(5);
-/// A new owner waits this long for reports of the live routers before it lends.
-const GATHER: Span = Span::secs(1);
-/// A router that vanished alone gets its slots taken back after this time.
-const VANISHED: Span = Span::secs(2);
-/// If many vanished at once, a partition is likely and they may run on for long.
-const CUT_OFF: Span = Span::secs(30);
 /// Bytes a second that an owner sends, and the most that it saves up.
 const TELLS: f64 = 8_000.0;
 const BURST: f64 = 3_000.0;
@@ -80,15 +68,15 @@
     pub(super) borrowers: BTreeMap<RouterId, Borrower>,
     pub(crate) pressed: bool,
     /// Since when this router owns the pool.
-    since: Time,
+    pub(super) since: Time,
     /// Since when there is more work than slots.
-    full: Option<Time>,
+    pub(super) full: Option<Time>,
     /// When there last was more work than slots, for a while.
-    waited: Option<Time>,
+    pub(super) waited: Option<Time>,
     planned: Time,
     /// When it was last planned at all.
     ran: Time,
-    changed: bool,
+    pub(super) changed: bool,
     /// When a replica last ran fewer requests to learn its limit.
     probed: Time,
     /// The router that owns the pool next.
@@ -151,13 +139,6 @@
         self.heir = heir;
     }
 
-    /// Returns whether a router may hold slots that it has not told of yet.
-    ///
-    /// One that is no home holds some only if it says so.
-    pub(super) fn unheard(&self, b: &Borrower) -> bool {
-        !b.heard() && b.home
-    }
-
     /// Takes over the routers, this one among them, and which of them are homes.
     pub(crate) fn set_routers<'a>(
         &mut self,
@@ -291,65 +272,6 @@
         self.give(&wants);
     }
 
-    /// Returns whether this owner is so new that it does not know yet who holds what.
-    ///
-    /// It would lend slots a second time that routers hold from the last owner, which
-    /// shows as replicas above their limit. Each router reports to a new owner at once.
-    fn gathers(&self, now: Time) -> bool {
-        let unheard = |b: &Borrower| b.state == PeerState::Live && self.unheard(b);
-        now.since(self.since) < GATHER && self.borrowers.values().any(unheard)
-    }
-
-    /// Takes slots back from routers that are believed to be dead.
-    fn reclaim(&mut self, now: Time) {
-        let known = self.borrowers.len();
-        let live = self
-            .borrowers
-            .values()
-            .filter(|b| b.state != PeerState::Suspect)
-            .count();
-        // A partition shows as many routers that fall silent together. They may run on
-        // with what they hold, so their slots are not lent again until the list would
-        // have dropped the dead. One router that falls silent alone is likely dead.
-        let wait = if live * 3 >= known * 2 {
-            VANISHED
-        } else {
-            CUT_OFF
-        };
-        for b in self.borrowers.values_mut() {
-            if b.state == PeerState::Suspect && now.since(b.since) >= wait {
-                self.changed |= b.held() > 0;
-                b.bury();
-            }
-            if !b.heard() && now.since(b.since) >= UNHEARD {
-                b.report = 1;
-                self.changed = true;
-            }
-        }
-    }
-
-    /// Notes whether more work is there than slots.
-    fn press(&mut self, now: Time) {
-        let takers = || self.borrowers.values().filter(|b| b.takes());
-        let demand: u32 = takers().map(|b| b.running + b.waiting()).sum();
-        if takers().any(|b| b.waiting() > 0) && demand >= self.capacity() {
-            let since = *self.full.get_or_insert(now);
-            // A peak that passes by itself is not worth taking all spare slots back.
-            if self.pressed || now.since(since) >= FULL {
-                self.waited = Some(now);
-            }
-        } else {
-            self.full = None;
-        }
-        let pressed = self.waited.is_some_and(|t| now.since(t) < PRESSED);
-        if pressed != self.pressed {
-            self.pressed = pressed;
-            for b in self.borrowers.values_mut() {
-                b.dirty = true;
-            }
-        }
-    }
-
     /// Returns all slots of the pool.
     pub(crate) fn capacity(&self) -> u32 {
         self.lots.iter().map(Lot::limit).sum()
--- /dev/null
+++ b/crates/policy/src/shares/gossip.rs
@@ -0,0 +1,140 @@
+//! What routers tell each other of their accounts.
+
+use {
+    super::{
+        account::Part,
+        ledger::Friend,
+        notes::{
+            Note,
+            Notes,
+            Relay, //
+        },
+        Key,
+        Ledger,
+        Writer, //
+    },
+    std::collections::BTreeMap,
+};
+
+/// Most counts in one message.
+const NOTES: usize = 128;
+
+impl Ledger {
+    /// Returns whether a router has not acknowledged anything yet.
+    pub(crate) fn is_new(&self, to: Writer) -> bool {
+        self.friends.get(&to).is_some_and(|f| f.acked == 0)
+    }
+
+    /// Returns whether there is anything to tell a router.
+    pub(crate) fn owes(&self, to: Writer, relay: bool) -> bool {
+        let owes = |f: &Friend| f.acked < self.rev || f.told != f.seen || relay && f.acked == 0;
+        self.friends.get(&to).is_some_and(owes)
+    }
+
+    /// Returns what a router should be told, if there is anything.
+    ///
+    /// `relay` says whether this router is the one to tell a new one of all others.
+    pub(crate) fn notes(&mut self, service: u32, to: Writer, relay: bool) -> Option<Notes> {
+        let f = self.friends.get(&to)?;
+        let acked = f.acked;
+        let changed = self.changes.range(acked + 1..);
+        let count = changed.clone().count();
+        let rev = match changed.clone().nth(NOTES - 1) {
+            Some((rev, _)) if count > NOTES => *rev,
+            _ => self.rev,
+        };
+        let notes: Vec<Note> = changed
+            .take(NOTES)
+            .map(|(_, key)| self.note(*key, acked))
+            .collect();
+        let others = match relay && f.acked == 0 {
+            true => self.others(to),
+            false => Vec::new(),
+        };
+        // The receiver acknowledges a revision, so what is relayed needs one.
+        if rev == 0 {
+            self.rev = 1;
+        }
+        let rev = rev.max(1);
+        let f = self.friends.get_mut(&to)?;
+        f.told = f.seen;
+        Some(Notes {
+            service,
+            to: to.0 as u32,
+            seen: f.seen,
+            rev,
+            floor: self.floor,
+            notes,
+            others,
+        })
+    }
+
+    /// Returns this router's count of a workspace, for one that has seen it up to `acked`.
+    fn note(&self, key: Key, acked: u64) -> Note {
+        let a = &self.accounts[&key];
+        let part = a.parts.get(&self.me).copied().unwrap_or_default();
+        Note {
+            key,
+            charged: part.charged,
+            waits: part.waits,
+            shift: (a.shifted > acked).then_some((a.lift, a.forgiven)),
+        }
+    }
+
+    /// Returns the counts of all routers but this one and the receiver.
+    fn others(&self, to: Writer) -> Vec<(Writer, Vec<Relay>)> {
+        let mut out: BTreeMap<Writer, Vec<Relay>> = BTreeMap::new();
+        for (key, a) in &self.accounts {
+            for (w, p) in &a.parts {
+                if *w != self.me && *w != to {
+                    out.entry(*w).or_default().push(Relay {
+                        key: *key,
+                        rev: p.rev,
+                        charged: p.charged,
+                    });
+                }
+            }
+        }
+        out.into_iter().collect()
+    }
+
+    /// Takes in what another router tells.
+    pub(crate) fn merge(&mut self, from: Writer, n: Notes) {
+        let Some(f) = self.friends.get_mut(&from) else {
+            return;
+        };
+        if n.to == self.me.0 as u32 {
+            f.acked = f.acked.max(n.seen);
+        }
+        f.seen = f.seen.max(n.rev);
+        f.known |= f.live && n.notes.len() < NOTES;
+        self.floor = self.floor.max(n.floor);
+        for note in n.notes {
+            let account = self.accounts.entry(note.key).or_default();
+            if let Some((lift, forgiven)) = note.shift {
+                account.lift = account.lift.max(lift);
+                account.forgiven = account.forgiven.max(forgiven);
+            }
+            let part = Part {
+                rev: n.rev,
+                charged: note.charged,
+                waits: note.waits,
+            };
+            account.merge(from, part);
+            self.index(note.key);
+        }
+        for (writer, list) in n.others {
+            if writer == self.me {
+                continue;
+            }
+            for r in list {
+                let part = Part {
+                    rev: r.rev,
+                    charged: r.charged,
+                    waits: false,
+                };
+                self.accounts.entry(r.key).or_default().merge(writer, part);
+            }
+        }
+    }
+}
--- a/crates/policy/src/shares/mod.rs
+++ b/crates/policy/src/shares/mod.rs
@@ -2,6 +2,7 @@
 
 mod account;
 mod bound;
+mod gossip;
 mod key;
 mod ledger;
 mod notes;
