--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         dump::dump_service,
-        exchange::HOMES, //
+        exchange::HOMES,
+        refuse::AFTER_NONE, //
     },
     crate::{
         entry::{
@@ -159,11 +160,7 @@
         let service = job.service.clone();
         let known = self.services.contains_key(&service);
         if self.leaving || !known {
-            let why = if self.leaving {
-                Refusal::Leaving
-            } else {
-                Refusal::NoEndpoint
-            };
+            let why = self.closed();
             return self.turn_away(job, why);
         }
         let entry = self
@@ -180,23 +177,37 @@
 
     /// Queues a started request again, away from a replica.
     ///
-    /// The caller knows that it surely did not run there, or that it is idempotent.
+    /// The caller knows that it surely did not run there, or that it is idempotent. Where
+    /// it can't wait any more, and not start either, it is refused at once.
     pub fn requeue(&mut self, id: JobId, avoid: &ReplicaId, now: Time) {
         let Some(live) = self.lives.get_mut(id) else {
             return;
         };
         let service = live.job.service.clone();
-        let Some(entry) = self.services.get_mut(&service) else {
-            return;
-        };
         let failed = Finish {
             refund: true,
             ..Finish::default()
         };
-        entry.end(live, Some(&failed), now);
-        live.avoid = Some(avoid.clone());
-        entry.enqueue(id, live, now);
-        self.pump(&service, now);
+        let entry = self.services.get_mut(&service);
+        let entry = entry.and_then(|entry| {
+            entry.end(live, Some(&failed), now);
+            entry.seats.any_open().then_some(entry)
+        });
+        // Nothing would ever be decided about a request that waits where nothing starts
+        // any more: its service is gone, or this router leaves.
+        let waits = match entry {
+            Some(entry) => {
+                live.avoid = Some(avoid.clone());
+                entry.enqueue(id, live, now);
+                self.pump(&service, now);
+                self.leaving && self.lives[id].run.is_none()
+            }
+            None => true,
+        };
+        if waits {
+            self.refuse(id, self.closed(), AFTER_NONE, now);
+            self.pump(&service, now);
+        }
     }
 
     /// Forgets a request that its caller gave up, queued or running.
--- a/crates/policy/src/dispatch/refuse.rs
+++ b/crates/policy/src/dispatch/refuse.rs
@@ -13,7 +13,7 @@
 };
 
 /// When a caller of a router that is leaving, or of an unknown service, may come back.
-const AFTER_NONE: Span = Span::secs(1);
+pub(super) const AFTER_NONE: Span = Span::secs(1);
 
 impl Dispatch {
     /// Refuses a queued request.
@@ -44,6 +44,14 @@
         }
     }
 
+    /// Returns why no queue takes a request.
+    pub(super) fn closed(&self) -> Refusal {
+        match self.leaving {
+            true => Refusal::Leaving,
+            false => Refusal::NoEndpoint,
+        }
+    }
+
     /// Refuses a request that no queue takes.
     pub(super) fn turn_away(&mut self, job: Job, why: Refusal) -> JobId {
         let live = Live::unqueued(job);
