--- a/src/router/jobs.rs
+++ b/src/router/jobs.rs
@@ -47,6 +47,12 @@
         self.waiting.remove(job);
     }
 
+    /// Tells whether nobody waits.
+    #[cfg(test)]
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
     /// Passes on a verdict; returns whether somebody waits for it.
     pub(crate) fn tell(&self, job: JobId, verdict: Verdict) -> bool {
         self.waiting
