Forget idle workspaces, and relay what the dead lifted

Counts of dead starts would have grown for months, and a router that came back empty got them all. A workspace without a change for ten minutes is now forgotten; its level no longer matters, as it is brought near the others when it waits again, also by the owner where one router has forgotten it and another has not. Lifts were told only by who made them, so they were lost with it; they are now relayed with the counts of the dead.

shares/tests.rs: notes_relay_all and watch_forgets_idle fail without the mends.

--- a/crates/policy/src/dispatch/exchange.rs
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -67,7 +67,11 @@
                     .hold
                     .lend(from, incarnation, &l, &mut entry.seats, now);
             }
-            Message::Notes(n) => entry.ledger.merge(Writer::of(from, incarnation), n),
+            Message::Notes(n) => {
+                let debt = entry.pool.as_ref().and_then(|p| p.debt(&entry.rules));
+                let writer = Writer::of(from, incarnation);
+                entry.ledger.merge(writer, n, debt);
+            }
         }
         self.pump(&service, now);
     }
--- a/crates/policy/src/shares/account.rs
+++ b/crates/policy/src/shares/account.rs
@@ -1,6 +1,13 @@
 //! The service of one workspace, as counted by each router.
 
-use {super::Writer, crate::Share, std::collections::BTreeMap};
+use {
+    super::Writer,
+    crate::{
+        Share,
+        Time, //
+    },
+    std::collections::BTreeMap,
+};
 
 /// What one start of a router counted.
 ///
@@ -27,6 +34,8 @@
     pub(crate) lift: i64,
     /// Normalised service forgiven; it only grows.
     pub(crate) forgiven: i64,
+    /// When it last changed.
+    pub(crate) touched: Time,
     /// Revision of this router's last change here.
     pub(crate) rev: u64,
     /// Revision of this router's last lift or forgiveness here.
@@ -50,6 +59,12 @@
         self.charge(me, rev, 0);
     }
 
+    /// Takes in what others lifted and forgave.
+    pub(crate) fn raise(&mut self, lift: i64, forgiven: i64) {
+        self.lift = self.lift.max(lift);
+        self.forgiven = self.forgiven.max(forgiven);
+    }
+
     /// Returns what one router counted.
     pub(crate) fn charged(&self, writer: Writer) -> i64 {
         self.parts.get(&writer).map_or(0, |p| p.charged)
--- a/crates/policy/src/shares/gossip.rs
+++ b/crates/policy/src/shares/gossip.rs
@@ -9,6 +9,7 @@
             Notes,
             Relay, //
         },
+        Account,
         Key,
         Ledger,
         Writer, //
@@ -51,6 +52,11 @@
             true => self.others(to),
             false => Vec::new(),
         };
+        let shift = |(key, a): (&Key, &Account)| (*key, a.lift, a.forgiven);
+        let shifts = match others.is_empty() {
+            true => Vec::new(),
+            false => self.accounts.iter().map(shift).collect(),
+        };
         // The receiver acknowledges a revision, so what is relayed needs one.
         if rev == 0 {
             self.rev = 1;
@@ -66,6 +72,7 @@
             floor: self.floor,
             notes,
             others,
+            shifts,
         })
     }
 
@@ -99,7 +106,9 @@
     }
 
     /// Takes in what another router tells.
-    pub(crate) fn merge(&mut self, from: Writer, n: Notes) {
+    ///
+    /// The owner of the pool gives the debt that its workspaces may have.
+    pub(crate) fn merge(&mut self, from: Writer, n: Notes, debt: Option<i64>) {
         let Some(f) = self.friends.get_mut(&from) else {
             return;
         };
@@ -110,10 +119,11 @@
         f.known |= f.live && n.notes.len() < NOTES;
         self.floor = self.floor.max(n.floor);
         for note in n.notes {
+            let waited = self.accounts.get(&note.key).is_some_and(|a| self.waits(a));
             let account = self.accounts.entry(note.key).or_default();
+            account.touched = self.now;
             if let Some((lift, forgiven)) = note.shift {
-                account.lift = account.lift.max(lift);
-                account.forgiven = account.forgiven.max(forgiven);
+                account.raise(lift, forgiven);
             }
             let part = Part {
                 rev: n.rev,
@@ -122,6 +132,12 @@
             };
             account.merge(from, part);
             self.index(note.key);
+            if let Some(debt) = debt.filter(|_| note.waits && !waited) {
+                self.welcome(note.key, debt);
+            }
+        }
+        for (key, lift, forgiven) in n.shifts {
+            self.accounts.entry(key).or_default().raise(lift, forgiven);
         }
         for (writer, list) in n.others {
             if writer == self.me {
--- a/crates/policy/src/shares/ledger.rs
+++ b/crates/policy/src/shares/ledger.rs
@@ -20,6 +20,9 @@
 
 /// Thousandths in one unit.
 pub(crate) const MILLI: f64 = 1000.0;
+/// An idle workspace is forgotten after this time, give or take the time between sweeps.
+const IDLE: Span = Span::secs(600);
+const SWEEP: Span = Span::secs(10);
 /// What the owner told counts for this time.
 const HEARD: Span = Span::millis(1_500);
 
@@ -61,6 +64,10 @@
     heard: BTreeMap<Key, (Time, i64)>,
     /// This router's changes, each workspace once, by revision.
     pub(super) changes: BTreeMap<u64, Key>,
+    /// The moment as last told.
+    pub(super) now: Time,
+    /// When idle workspaces were last forgotten.
+    swept: Time,
 }
 
 impl Ledger {
@@ -75,6 +82,8 @@
             waiting: BTreeSet::new(),
             heard: BTreeMap::new(),
             changes: BTreeMap::new(),
+            now: Time(0),
+            swept: Time(0),
         }
     }
 
@@ -168,7 +177,7 @@
     }
 
     /// Returns whether requests of a workspace wait at any live router.
-    fn waits(&self, account: &Account) -> bool {
+    pub(super) fn waits(&self, account: &Account) -> bool {
         account.parts.iter().any(|(w, p)| {
             p.waits && (*w == self.me || self.friends.get(w).is_some_and(|f| f.known))
         })
@@ -213,14 +222,43 @@
         }
     }
 
-    /// Notes how far the least backlogged workspace is.
+    /// Notes how far the least backlogged workspace is, and forgets idle ones.
     pub(crate) fn watch(&mut self, now: Time) {
+        self.now = now;
+        if now.since(self.swept) >= SWEEP {
+            self.swept = now;
+            self.sweep();
+        }
         self.heard.retain(|_, (at, _)| now.since(*at) < HEARD);
         if let Some(least) = self.least(None, |_| 0) {
             self.floor = self.floor.max(least);
         }
     }
 
+    /// Forgets the workspaces that were idle for long.
+    ///
+    /// Their levels no longer matter: on waiting again they are brought near the others.
+    fn sweep(&mut self) {
+        let (now, waiting) = (self.now, &self.waiting);
+        self.accounts
+            .retain(|key, a| waiting.contains(key) || now.since(a.touched) < IDLE);
+        let accounts = &self.accounts;
+        self.changes.retain(|_, key| accounts.contains_key(key));
+    }
+
+    /// Brings a workspace that another router has just reported to wait near the others, if
+    /// it is far behind.
+    ///
+    /// That happens where one router has forgotten it and another has not yet: what the
+    /// first counts begins anew, and it would be served alone until it has caught up.
+    pub(super) fn welcome(&mut self, key: Key, debt: i64) {
+        let least = self.least(Some(key), |_| 0);
+        let behind = least.map_or(0, |l| l - debt - self.level(key));
+        if behind > 0 {
+            self.shift(key, behind);
+        }
+    }
+
     /// Keeps what any backlogged workspace owes the others below `debt`.
     ///
     /// After a partition heals, one workspace may be far ahead of the rest. Without
@@ -253,6 +291,7 @@
         }
         self.rev += 1;
         self.changes.insert(self.rev, key);
+        self.accounts.entry(key).or_default().touched = self.now;
         self.rev
     }
 
--- a/crates/policy/src/shares/mod.rs
+++ b/crates/policy/src/shares/mod.rs
@@ -7,6 +7,8 @@
 mod ledger;
 mod notes;
 mod table;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::{
     account::Account,
--- a/crates/policy/src/shares/notes.rs
+++ b/crates/policy/src/shares/notes.rs
@@ -26,6 +26,8 @@
     pub(crate) notes: Vec<Note>,
     /// Counts of other routers, for a receiver that is new.
     pub(crate) others: Vec<(Writer, Vec<Relay>)>,
+    /// What all routers lifted and forgave, for a receiver that is new.
+    pub(crate) shifts: Vec<(Key, i64, i64)>,
 }
 
 /// Rough bytes of a message, of each count in it, and of each that is relayed.
@@ -35,7 +37,7 @@
     /// Returns roughly how many bytes it takes on the wire.
     pub(crate) fn size(&self) -> usize {
         let relays: usize = self.others.iter().map(|o| o.1.len()).sum();
-        SIZES.0 + SIZES.1 * self.notes.len() + SIZES.2 * relays
+        SIZES.0 + SIZES.1 * self.notes.len() + SIZES.2 * (relays + self.shifts.len())
     }
 }
 
