--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        refuse::doomed,
         Live,
         Queue,
         Run,
@@ -167,6 +168,7 @@
             .or_insert_with(|| Queue::new(live.job.workspace.clone(), now));
         queue.pass(now);
         queue.used = now;
+        queue.doomed = queue.doomed.min(doomed(&live.job));
         queue.places.insert((live.due, live.number, id));
         self.retries += usize::from(live.avoid.is_some());
     }
--- a/crates/policy/src/entry/queue.rs
+++ b/crates/policy/src/entry/queue.rs
@@ -25,6 +25,8 @@
     pub(crate) charged: i64,
     /// When it was last not empty.
     pub(crate) waited: Option<Time>,
+    /// When it is too late to start the first of its requests, or before.
+    pub(crate) doomed: Time,
     /// When it was last used at all.
     pub(crate) used: Time,
 }
@@ -38,6 +40,7 @@
             running: 0,
             charged: 0,
             waited: None,
+            doomed: Time(u64::MAX),
             used: now,
         }
     }
--- a/crates/policy/src/entry/refuse.rs
+++ b/crates/policy/src/entry/refuse.rs
@@ -66,13 +66,19 @@
         let mut out = Vec::new();
         for queue in self.queues.values_mut() {
             queue.pass(now);
+            if now < queue.doomed {
+                continue;
+            }
             let after = clamp(queue.drain.wait(queue.len()));
+            queue.doomed = Time(u64::MAX);
             for (_, _, id) in &queue.places {
                 let job = &lives[*id].job;
                 if job.deadline <= now {
                     out.push((*id, Refusal::Expired, after));
-                } else if job.deadline.since(now) < job.expect {
+                } else if doomed(job) <= now {
                     out.push((*id, Refusal::Late, after));
+                } else {
+                    queue.doomed = queue.doomed.min(doomed(job));
                 }
             }
         }
@@ -80,6 +86,11 @@
     }
 }
 
+/// Returns when it is too late to start a request.
+pub(super) fn doomed(job: &Job) -> Time {
+    job.deadline - job.expect
+}
+
 fn clamp(after: Option<Span>) -> Span {
     after.unwrap_or(AFTER_UNKNOWN).clamp(AFTER.0, AFTER.1)
 }
