--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -255,14 +255,15 @@
             false => self.wants_idle(),
         };
         self.restore(&wants);
-        if due {
-            self.planned = now;
-            self.take_back(&wants, &wants);
-        } else if !self.pressed {
+        if !self.pressed {
             // Spare slots move now and then; those that work waits for move at once.
             let needs = self.needs();
             self.take_back(&needs, &needs);
         }
+        if due {
+            self.planned = now;
+            self.take_back(&wants, &wants);
+        }
         if self.gathers(now) {
             return;
         }
