--- a/src/gauge/points.rs
+++ b/src/gauge/points.rs
@@ -27,14 +27,21 @@
     pub(crate) fn of(engines: &[Arc<engine::Handle>]) -> Used {
         let mut used = Used::default();
         for e in engines {
-            let busy = e.busy();
-            used.busy += busy.busy;
-            used.admitted += busy.admitted;
-            used.whole += busy.elapsed * f64::from(busy.capacity);
+            used.add(Used::of_one(e));
         }
         used
     }
 
+    /// Reads one engine's own sums since its start.
+    pub(crate) fn of_one(engine: &engine::Handle) -> Used {
+        let busy = engine.busy();
+        Used {
+            busy: busy.busy,
+            admitted: busy.admitted,
+            whole: busy.elapsed * f64::from(busy.capacity),
+        }
+    }
+
     /// Adds another use.
     pub(crate) fn add(&mut self, more: Used) {
         self.busy += more.busy;
--- a/src/measure/fleet.rs
+++ b/src/measure/fleet.rs
@@ -143,7 +143,7 @@
         }
     }
     if script.slow {
-        stage.engines[0].slow(2.0);
+        stage.engines.slow(0, 2.0);
     }
     if script.leave {
         stage.leave_engine(1);
--- a/src/measure/latency.rs
+++ b/src/measure/latency.rs
@@ -147,7 +147,7 @@
 }
 
 async fn stream_calls(stage: &Stage, whole: bool) -> Result<Pair, Error> {
-    let direct = pinned(stage.engines[0].addr);
+    let direct = pinned(stage.engines.addr(0));
     let router = pinned(stage.routers[0].ports.callers);
     let name = match whole {
         true => "stream, whole",
--- a/src/measure/load.rs
+++ b/src/measure/load.rs
@@ -84,16 +84,17 @@
 }
 
 impl Load {
-    /// Starts all callers of all workspaces.
+    /// Starts all callers: the first of each workspace, then the second of each, and so on,
+    /// so that none has the idle fleet for itself.
     pub(crate) fn start(plans: &[Plan], routers: &[SocketAddr]) -> Load {
-        let mut load = Load {
-            counts: Vec::new(),
-            tasks: Vec::new(),
-        };
-        for plan in plans {
-            let counts = Counts::default();
-            let plan = Arc::new(plan.clone());
-            for number in 0..plan.callers {
+        let all: Vec<_> = plans
+            .iter()
+            .map(|p| (Arc::new(p.clone()), Counts::default()))
+            .collect();
+        let most = plans.iter().map(|p| p.callers).max().unwrap_or_default();
+        let mut tasks = Vec::new();
+        for number in 0..most {
+            for (plan, counts) in all.iter().filter(|(p, _)| number < p.callers) {
                 let home = plan.homes[number % plan.homes.len()];
                 let caller = Caller {
                     plan: plan.clone(),
@@ -101,11 +102,13 @@
                     counts: counts.clone(),
                     number,
                 };
-                load.tasks.push(task::spawn(caller.run()));
+                tasks.push(task::spawn(caller.run()));
             }
-            load.counts.push(counts);
         }
-        load
+        Load {
+            counts: all.into_iter().map(|(_, c)| c).collect(),
+            tasks,
+        }
     }
 
     /// Lets all callers hang up.
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -1,6 +1,7 @@
 //! Measuring the fleet on one machine, with the routers as processes of this binary.
 
 mod control;
+mod engines;
 mod fleet;
 mod latency;
 mod load;
--- a/src/measure/stage.rs
+++ b/src/measure/stage.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        engines::Engines,
         process::{
             free_ports,
             RouterProcess, //
@@ -41,7 +42,6 @@
         net::SocketAddr,
         path::PathBuf,
         process,
-        sync::Arc,
         time::{
             Duration,
             Instant, //
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 pub(crate) struct Stage {
     pub(crate) routers: Vec<RouterProcess>,
-    pub(crate) engines: Vec<Arc<engine::Handle>>,
+    pub(crate) engines: Engines,
     pub(crate) plains: Vec<plain::Handle>,
     pub(crate) platform: stand_in::Handle,
     setup: Setup,
@@ -77,7 +77,7 @@
         configure(platform.addr, setup).await?;
         let mut stage = Stage {
             routers: Vec::new(),
-            engines: Vec::new(),
+            engines: Engines::default(),
             plains: Vec::new(),
             platform,
             setup: setup.clone(),
@@ -107,7 +107,7 @@
         let engine = engine.await.map_err(cannot)?;
         let i = self.engines.len();
         self.list(endpoint(MODEL, i, engine.addr));
-        self.engines.push(Arc::new(engine));
+        self.engines.push(engine);
         Ok(())
     }
 
@@ -115,6 +115,7 @@
     pub(crate) fn leave_engine(&self, i: usize) {
         let name = format!("{MODEL}-{}", i + 1);
         self.platform.set_state(&name, stand_in::State::Leaving);
+        self.engines.leave(i);
     }
 
     /// Returns where callers reach the routers.
--- a/src/measure/watch.rs
+++ b/src/measure/watch.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        engines::Engines,
         load::Counts,
         plan::Plan,
         process::status_of,
@@ -25,10 +26,8 @@
     },
     operators::Status,
     serde::Serialize,
-    standins::engine,
     std::{
         net::SocketAddr,
-        sync::Arc,
         time::{
             Duration,
             Instant, //
@@ -47,7 +46,7 @@
     pub(crate) plans: Vec<Plan>,
     pub(crate) counts: Vec<Counts>,
     pub(crate) operators: Vec<SocketAddr>,
-    pub(crate) engines: Vec<Arc<engine::Handle>>,
+    pub(crate) engines: Engines,
     /// Service is counted in tokens, not in answers.
     pub(crate) tokens: bool,
     /// The load settles for this long before anything but the gap is taken.
@@ -88,6 +87,8 @@
     pub(crate) gap: f64,
     /// Requests that each engine runs.
     pub(crate) engines: Vec<u32>,
+    /// What each workspace got up to now, divided by its share.
+    pub(crate) services: Vec<f64>,
 }
 
 /// A task that samples the fleet.
@@ -117,6 +118,15 @@
     }
 }
 
+/// Sums since the last line of the course.
+#[derive(Default)]
+struct Line {
+    used: Used,
+    /// Tokens and time at the last line.
+    tokens: i64,
+    at: f64,
+}
+
 /// What is kept from look to look.
 struct Eye {
     scene: Scene,
@@ -125,13 +135,12 @@
     gap: Gap,
     settled: Gap,
     looks: usize,
-    last: Used,
-    line: (Used, i64, f64),
+    line: Line,
 }
 
 impl Eye {
     fn new(scene: Scene) -> Eye {
-        let last = Used::of(&scene.engines);
+        scene.engines.take_used();
         Eye {
             begin: Instant::now(),
             seen: Seen {
@@ -141,8 +150,7 @@
             gap: Gap::default(),
             settled: Gap::default(),
             looks: 0,
-            last,
-            line: (last, 0, 0.0),
+            line: Line::default(),
             scene,
         }
     }
@@ -150,7 +158,8 @@
     async fn look(&mut self) {
         let statuses = statuses(&self.scene.operators).await;
         let points = self.points(&statuses);
-        let now = Used::of(&self.scene.engines);
+        let used = self.scene.engines.take_used();
+        self.line.used.add(used);
         self.gap.sample(&points);
         self.looks += 1;
         for (sum, plan) in self.seen.backlogged.iter_mut().zip(&self.scene.plans) {
@@ -162,37 +171,43 @@
         if self.begin.elapsed() > self.scene.warm {
             self.settled.sample(&points);
             if points.iter().any(|p| p.backlogged) {
-                self.seen.used.add(now - self.last);
+                self.seen.used.add(used);
             }
         }
-        self.last = now;
         if self.looks % LINE == 0 {
-            self.note(&statuses, now);
+            self.note(&statuses);
         }
     }
 
     /// Takes the backlog from the routers, and the service from the callers.
     fn points(&self, statuses: &[Status]) -> Vec<Point> {
         let mut points = points(MODEL, statuses);
-        for point in &mut points {
-            let plans = self.scene.plans.iter().zip(&self.scene.counts);
-            let named = |(plan, _): &(&Plan, _)| plan.name == point.workspace.as_str();
-            if let Some((plan, counts)) = plans.clone().find(named) {
-                let sums = counts.get();
-                let service = match self.scene.tokens {
-                    true => sums.tokens as f64,
-                    false => sums.answered as f64,
-                };
-                point.service = service / plan.share;
+        for (plan, service) in self.scene.plans.iter().zip(self.services()) {
+            let named = |p: &&mut Point| p.workspace.as_str() == plan.name;
+            if let Some(point) = points.iter_mut().find(named) {
+                point.service = service;
             }
         }
         points
     }
 
-    fn note(&mut self, statuses: &[Status], now: Used) {
+    /// Returns what each workspace's callers got, divided by its share.
+    fn services(&self) -> Vec<f64> {
+        let both = self.scene.plans.iter().zip(&self.scene.counts);
+        let each = both.map(|(plan, counts)| {
+            let sums = counts.get();
+            let service = match self.scene.tokens {
+                true => sums.tokens as f64,
+                false => sums.answered as f64,
+            };
+            service / plan.share
+        });
+        each.collect()
+    }
+
+    fn note(&mut self, statuses: &[Status]) {
         let at = self.begin.elapsed().as_secs_f64();
         let tokens: i64 = self.scene.counts.iter().map(|c| c.get().tokens).sum();
-        let (used, before, since) = self.line;
         let services = || {
             let all = statuses.iter().flat_map(|s| &s.services);
             all.filter(|s| s.name.as_str() == MODEL)
@@ -202,12 +217,17 @@
             limit: services().map(|s| s.limit).sum(),
             running: services().map(|s| s.running).sum(),
             queued: services().map(|s| s.queued).sum(),
-            busy: (now - used).part(),
-            tokens: (tokens - before) as f64 / (at - since),
+            busy: self.line.used.part(),
+            tokens: (tokens - self.line.tokens) as f64 / (at - self.line.at),
             gap: self.gap.widest(),
-            engines: self.scene.engines.iter().map(|e| load(e)).collect(),
+            engines: self.scene.engines.running(),
+            services: self.services(),
         });
-        self.line = (now, tokens, at);
+        self.line = Line {
+            used: Used::default(),
+            tokens,
+            at,
+        };
     }
 
     fn end(mut self) -> Seen {
@@ -219,11 +239,6 @@
     }
 }
 
-fn load(engine: &engine::Handle) -> u32 {
-    let load = engine.load();
-    load.running + load.waiting
-}
-
 /// Asks all routers at once how they are doing; leaves out those that don't answer.
 async fn statuses(operators: &[SocketAddr]) -> Vec<Status> {
     let asked: Vec<_> = operators
