--- a/crates/platform/tests/platform/race.rs
+++ b/crates/platform/tests/platform/race.rs
@@ -126,7 +126,10 @@
     });
 }
 
-/// Loses answers and silences connections until it is dropped.
+/// Loses answers and silences connections until it is dropped, each after so many writes.
+///
+/// Faults that came by time would lose every answer of operators who have become slow by
+/// them, and the test would take minutes.
 async fn inject(platform: &Handle) {
     let mut rng = fastrand::Rng::with_seed(7);
     loop {
@@ -134,6 +137,9 @@
             0 => platform.silence(),
             n => platform.lose_answers(n),
         }
-        task::sleep(Duration::from_millis(rng.u64(50..250))).await;
+        let next = platform.calls("put") + rng.u64(8..20);
+        while platform.calls("put") < next {
+            task::sleep(Duration::from_millis(1)).await;
+        }
     }
 }
