--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -2,22 +2,16 @@
 
 use {
     super::{
-        dump::{
-            QueueDump,
-            ReplicaDump,
-            ServiceDump, //
-        },
-        exchange::HOMES, //
+        dump::dump_service,
+        exchange::HOMES,
+        refuse::AFTER_NONE, //
     },
     crate::{
         entry::{
             Entry,
             Live, //
         },
-        pool::{
-            Bucket,
-            Pool, //
-        },
+        pool::Bucket,
         rendezvous,
         shares::{
             ShareTable,
@@ -50,9 +44,6 @@
     },
 };
 
-/// When a caller of a router that is leaving, or of an unknown service, may come back.
-const AFTER_NONE: Span = Span::secs(1);
-
 /// A service without any work here is looked at this often.
 const CALM_TICK: Span = Span::millis(250);
 
@@ -169,11 +160,7 @@
         let service = job.service.clone();
         let known = self.services.contains_key(&service);
         if self.leaving || !known {
-            let why = if self.leaving {
-                Refusal::Leaving
-            } else {
-                Refusal::NoEndpoint
-            };
+            let why = self.closed();
             return self.turn_away(job, why);
         }
         let entry = self
@@ -190,23 +177,37 @@
 
     /// Queues a started request again, away from a replica.
     ///
-    /// The caller knows that it surely did not run there, or that it is idempotent.
+    /// The caller knows that it surely did not run there, or that it is idempotent. Where
+    /// it can't wait any more, and not start either, it is refused at once.
     pub fn requeue(&mut self, id: JobId, avoid: &ReplicaId, now: Time) {
         let Some(live) = self.lives.get_mut(id) else {
             return;
         };
         let service = live.job.service.clone();
-        let Some(entry) = self.services.get_mut(&service) else {
-            return;
-        };
         let failed = Finish {
             refund: true,
             ..Finish::default()
         };
-        entry.end(live, Some(&failed), now);
-        live.avoid = Some(avoid.clone());
-        entry.enqueue(id, live, now);
-        self.pump(&service, now);
+        let entry = self.services.get_mut(&service);
+        let entry = entry.and_then(|entry| {
+            entry.end(live, Some(&failed), now);
+            entry.seats.any_open().then_some(entry)
+        });
+        // Nothing would ever be decided about a request that waits where nothing starts
+        // any more: its service is gone, or this router leaves.
+        let waits = match entry {
+            Some(entry) => {
+                live.avoid = Some(avoid.clone());
+                entry.enqueue(id, live, now);
+                self.pump(&service, now);
+                self.leaving && self.lives[id].run.is_none()
+            }
+            None => true,
+        };
+        if waits {
+            self.refuse(id, self.closed(), AFTER_NONE, now);
+            self.pump(&service, now);
+        }
     }
 
     /// Forgets a request that its caller gave up, queued or running.
@@ -355,76 +356,4 @@
             self.actions.push(Action::Start { job: id, replica });
         }
     }
-
-    /// Refuses a queued request.
-    fn refuse(&mut self, id: JobId, why: Refusal, after: Span, now: Time) {
-        let Some(live) = self.lives.remove(id) else {
-            return;
-        };
-        if let Some(entry) = self.services.get_mut(&live.job.service) {
-            entry.unqueue(id, &live, now);
-        }
-        self.actions.push(Action::Refuse {
-            job: id,
-            why,
-            after,
-        });
-    }
-
-    /// Refuses all that is queued at a service.
-    fn refuse_queued(&mut self, service: &ServiceId, why: Refusal, now: Time) {
-        let queued: Vec<JobId> = self
-            .lives
-            .iter()
-            .filter(|(_, l)| &l.job.service == service && l.run.is_none())
-            .map(|(id, _)| id)
-            .collect();
-        for id in queued {
-            self.refuse(id, why, AFTER_NONE, now);
-        }
-    }
-
-    /// Refuses a request that no queue takes.
-    fn turn_away(&mut self, job: Job, why: Refusal) -> JobId {
-        let live = Live::unqueued(job);
-        let id = self.lives.insert(live);
-        self.lives.remove(id);
-        self.actions.push(Action::Refuse {
-            job: id,
-            why,
-            after: AFTER_NONE,
-        });
-        id
-    }
-}
-
-fn dump_service(entry: &Entry) -> ServiceDump {
-    ServiceDump {
-        service: entry.rules.service.clone(),
-        owner: entry.hold.owner.as_ref().map(|o| o.0.clone()),
-        pressed: entry.hold.pressed,
-        queues: entry
-            .queues
-            .iter()
-            .filter(|(_, q)| !q.is_empty())
-            .map(|(key, q)| QueueDump {
-                workspace: q.workspace.clone(),
-                queued: q.len(),
-                service: Units(entry.ledger.level(*key) as f64 / 1000.0),
-            })
-            .collect(),
-        replicas: entry
-            .seats
-            .all
-            .values()
-            .map(|s| ReplicaDump {
-                replica: s.replica.id.clone(),
-                leaving: !s.open(),
-                allowed: Slots(s.allowed),
-                running: Slots(s.running),
-                limit: entry.pool.as_ref().and_then(|p| p.limit(s.key)),
-            })
-            .collect(),
-        routers: entry.pool.as_ref().map(Pool::dump).unwrap_or_default(),
-    }
 }
