Believe a list that the platform numbers anew, and no empty one

Cause: a platform that was restarted empty lists nothing until its instances are back, and counts its list from 1 again. And a router that does not read the list by itself takes only a higher revision, so it would never hear of another change.

Ruled out: taking a lower revision from any peer at once (a reader that is only behind would bring back an endpoint that left).

Change: an empty list is not taken, as the routers themselves are on it. A lower revision is taken from a reader once all readers have been below for 3 s. Changes to a list carry the hash of the whole, so that changes to the new list are never put on top of the old one.

Proofs made stricter, after a look without each guard: the write whose answer is lost is the one of the head, racing operators both read before either writes, what a restored platform is brought back to is compared by its write and not by who conflicts, and a router unknown to the list starts while the platform is down.

--- a/crates/standins/src/platform/handle.rs
+++ b/crates/standins/src/platform/handle.rs
@@ -172,6 +172,11 @@
         self.shared.lock().restore()
     }
 
+    /// Comes back empty: no keys, leases or instances, and all revisions counted anew.
+    pub fn restart_empty(&self) {
+        self.shared.lock().restart_empty();
+    }
+
     /// Returns the keys that begin with `prefix`.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.shared.lock().kv.keys(prefix)
--- a/crates/standins/src/platform/instances.rs
+++ b/crates/standins/src/platform/instances.rs
@@ -96,6 +96,11 @@
         self.lag = lag;
     }
 
+    /// Begins anew with an empty list.
+    pub(crate) fn restart_empty(&mut self) {
+        *self = Self::new(self.lag);
+    }
+
     /// Adds instances, or changes those of the same name.
     pub(crate) fn put(&mut self, list: Vec<Instance>, now: Instant) {
         for i in list {
--- a/crates/standins/src/platform/state.rs
+++ b/crates/standins/src/platform/state.rs
@@ -125,6 +125,13 @@
         self.saved = Some(self.kv.clone());
     }
 
+    /// Forgets all keys, leases and instances, as a restart without a backup does.
+    pub(crate) fn restart_empty(&mut self) {
+        self.kv = Kv::default();
+        self.list.restart_empty();
+        self.changed();
+    }
+
     /// Goes back to the last snapshot; returns whether there is one.
     pub(crate) fn restore(&mut self) -> bool {
         let Some(kv) = self.saved.clone() else {
--- a/src/router/changes.rs
+++ b/src/router/changes.rs
@@ -5,6 +5,7 @@
         Instance,
         Listed, //
     },
+    policy::head::Hash,
     serde::{
         Deserialize,
         Serialize, //
@@ -13,6 +14,7 @@
         HashMap,
         VecDeque, //
     },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Changes that are remembered. A peer that is further behind gets the whole list.
@@ -27,6 +29,8 @@
     pub(crate) present: Vec<Instance>,
     /// Names of instances that are gone.
     pub(crate) gone: Vec<String>,
+    /// Hash of the whole list, so that a wrong base is noticed.
+    pub(crate) hash: Hash,
 }
 
 /// The list and how it came about.
@@ -79,6 +83,7 @@
                 base: None,
                 present: listed.instances.clone(),
                 gone: Vec::new(),
+                hash: hash(listed),
             };
         }
         let now = by_name(listed);
@@ -97,12 +102,17 @@
             base: Some(have),
             present: present.collect(),
             gone: gone.map(|n| (*n).to_owned()).collect(),
+            hash: hash(listed),
         }
     }
 }
 
 impl Changes {
     /// Puts the list together; none where it starts from another one.
+    ///
+    /// A platform that was restarted gives out the same revisions again, for other lists.
+    /// Changes to one of these, made to the older one, would leave instances that are gone,
+    /// or hide some that are there, until they change again. The hash tells.
     pub(crate) fn apply(self, have: &Listed) -> Option<Listed> {
         if self.base.is_some_and(|base| base != have.revision) {
             return None;
@@ -123,13 +133,22 @@
         }
         let mut instances: Vec<Instance> = all.into_values().collect();
         instances.sort_by(|a, b| a.name.cmp(&b.name));
-        Some(Listed {
+        let listed = Listed {
             revision: self.revision,
             instances,
-        })
+        };
+        (hash(&listed) == self.hash).then_some(listed)
     }
 }
 
+/// Returns the hash of a list, whatever its order.
+fn hash(listed: &Listed) -> Hash {
+    let mut sorted: Vec<&Instance> = listed.instances.iter().collect();
+    sorted.sort_by(|a, b| a.name.cmp(&b.name));
+    let bytes = rmp_serde::to_vec(&sorted).unwrap_or_default();
+    Hash(xxh3_64(&bytes))
+}
+
 fn by_name(listed: &Listed) -> HashMap<&str, &Instance> {
     let instances = listed.instances.iter();
     instances.map(|i| (i.name.as_str(), i)).collect()
--- a/src/router/changes/tests.rs
+++ b/src/router/changes/tests.rs
@@ -83,6 +83,17 @@
     assert_eq!(changes.apply(&listed(1, &["b"])), Some(lists[2].clone()));
 }
 
+#[test]
+fn apply_same_revision_other_list() {
+    // An endpoint that is gone gets work until it changes again. A router was cut off while
+    // the platform began its list anew; the new one has come to the router's revision, and
+    // what changed since is put on top of the old list.
+    let lists = [listed(1, &["a"]), listed(2, &["a", "b"]), listed(3, &["a"])];
+    let changes = since(2, &lists);
+    assert_eq!(changes.clone().apply(&lists[1]), Some(lists[2].clone()));
+    assert_eq!(changes.apply(&listed(2, &["z"])), None);
+}
+
 #[test]
 fn apply_to_another_list() {
     let lists = [listed(1, &["a"]), listed(2, &["a", "b"])];
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -26,7 +26,10 @@
             watchers,
             WATCHERS, //
         },
-        members,
+        members::{
+            self,
+            Member, //
+        },
         Replica,
         ReplicaId,
         RouterId,
@@ -35,6 +38,7 @@
     },
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
         sync::{
             atomic::Ordering,
             Arc, //
@@ -47,6 +51,8 @@
 const POLL: Duration = Duration::from_secs(1);
 /// How long a peer may take to answer.
 const ASK: Duration = Duration::from_secs(2);
+/// How long all who read the list may be behind this router before it takes their list.
+const ANEW: Span = Span::secs(3);
 /// How long a replica's own word that it leaves stands against a list that lags.
 const WITHDRAWN: Span = Span::secs(30);
 /// How long before that ends the others are told again.
@@ -60,6 +66,12 @@
             let polled = instances.poll().await;
             router.no_platform.store(polled.is_err(), Ordering::Relaxed);
             match polled {
+                // A platform that was restarted lists nothing until the instances have come
+                // back. It would show as requests that find no endpoint, all of them. The
+                // routers themselves are listed, so that an empty list can't be true.
+                Ok(Some(listed)) if listed.instances.is_empty() => {
+                    log::warn!("platform: its list is empty; the last one stays");
+                }
                 Ok(Some(listed)) => router.take_list(listed),
                 Ok(None) => {}
                 Err(e) => log::debug!("platform: the list can't be read: {e}"),
@@ -83,7 +95,8 @@
         // A watcher that restarts empty while the platform is down has no list but its
         // peers'. It would show as a router that knows of no endpoint.
         let reads = self.watches("list") && !self.no_platform.load(Ordering::Relaxed);
-        if revision <= ours || reads {
+        let anew = self.numbered_anew(from, ours);
+        if reads || revision == ours || (revision < ours && !anew) {
             return;
         }
         let Some(addr) = self.links.addr(from) else {
@@ -95,17 +108,49 @@
         }
         let router = self.clone();
         task::spawn(async move {
-            let asked = router.links.ask(addr, &Question::List(ours), ASK).await;
-            if let Ok(Answer::List(Some(changes))) = asked {
-                let have = lock(&router.listing).listed.clone();
-                if let Some(listed) = changes.apply(&have) {
-                    router.take_later(listed);
-                }
+            if let Some(listed) = router.fetch_list(addr, ours).await {
+                router.take_later(listed, anew);
             }
             router.fetching.store(false, Ordering::Release);
         });
     }
 
+    /// Asks a peer for its list: for what changed, or for all where that does not fit.
+    async fn fetch_list(&self, addr: SocketAddr, ours: u64) -> Option<Listed> {
+        for have in [ours, 0] {
+            let asked = self.links.ask(addr, &Question::List(have), ASK).await;
+            let Ok(Answer::List(Some(changes))) = asked else {
+                return None;
+            };
+            let known = lock(&self.listing).listed.clone();
+            if let Some(listed) = changes.apply(&known) {
+                return Some(listed);
+            }
+        }
+        None
+    }
+
+    /// Tells whether `from` reads a list that the platform has begun to number anew.
+    ///
+    /// Its revisions are then below those that this router has, and would never be taken: an
+    /// endpoint that leaves goes on getting work from most routers. A reader that is only
+    /// behind has caught up after a poll or two.
+    fn numbered_anew(&self, from: &RouterId, ours: u64) -> bool {
+        let view = lock(&self.members).view();
+        let ids = watchers(&view, "list", WATCHERS);
+        let reads = |m: &&Member| ids.contains(&m.id) && m.id != self.me.router && !m.no_platform;
+        let readers: Vec<&Member> = view.iter().filter(reads).collect();
+        let above = readers.iter().all(|m| m.list > 0 && m.list < ours);
+        let now = self.now();
+        let mut listing = lock(&self.listing);
+        if readers.is_empty() || !above {
+            listing.above = None;
+            return false;
+        }
+        let since = *listing.above.get_or_insert(now);
+        now.since(since) > ANEW && readers.iter().any(|m| m.id == *from)
+    }
+
     /// Returns what a peer lacks of the list, if it has another.
     pub(crate) fn list_beyond(&self, have: u64) -> Option<Changes> {
         let listing = lock(&self.listing);
@@ -113,13 +158,13 @@
         other.then(|| listing.log.since(have, &listing.listed))
     }
 
-    /// Takes a peer's list if it is later than the one at hand.
+    /// Takes a peer's list if it is later than the one at hand, or numbered anew.
     ///
     /// The answer of a peer can be overtaken by the platform's own. The older list would
     /// stay, as the next poll finds nothing new, and show as work for an endpoint that left.
-    fn take_later(&self, listed: Listed) {
+    fn take_later(&self, listed: Listed, anew: bool) {
         let ours = lock(&self.listing).listed.revision;
-        if listed.revision > ours {
+        if listed.revision > ours || anew {
             self.take_list(listed);
         }
     }
@@ -132,6 +177,7 @@
         let old = listing.listed.clone();
         listing.log.note(&old, &listed);
         listing.listed = listed;
+        listing.above = None;
         drop(listing);
         lock(&self.members).listed(routers, now);
         self.follow_members();
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -78,6 +78,8 @@
     pub(crate) log: Log,
     /// Replicas seen leaving by themselves, and until when that is believed.
     pub(crate) withdrawn: HashMap<ReplicaId, Time>,
+    /// Since when all who read the list have a lower revision.
+    pub(crate) above: Option<Time>,
 }
 
 /// One router: its tables, and what they are driven by.
--- a/tests/proofs/config.rs
+++ b/tests/proofs/config.rs
@@ -3,6 +3,7 @@
 use {
     crate::stage::{
         record,
+        send,
         wait_for,
         Eye,
         Fleet,
@@ -12,9 +13,14 @@
     },
     async_std::task::block_on,
     operators::FLEET,
-    platform::store::{
-        ApplyError,
-        Revision, //
+    platform::{
+        store::{
+            self,
+            ApplyError,
+            Revision, //
+        },
+        Kv,
+        Options, //
     },
     policy::{
         head::WATCHERS,
@@ -52,17 +58,17 @@
     format!("{FLEET}\n[workspace.{workspace}]\n")
 }
 
-/// Starts `chervilwind apply --wait` for an operator who saw revision 1.
-fn operator(fleet: &Fleet, name: &str) -> Child {
+/// Starts `chervilwind apply --wait` for an operator who saw revision `base`.
+fn operator(fleet: &Fleet, name: &str, base: u64, text: &str) -> Child {
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let file = dir.join(format!("{name}-{}.toml", fleet.platform.addr.port()));
-    fs::write(&file, with(name)).unwrap();
+    fs::write(&file, text).unwrap();
     let platform = fleet.platform.addr.to_string();
     let router = fleet.routers[0].operators.to_string();
     Command::new(env!("CARGO_BIN_EXE_chervilwind"))
         .arg("apply")
         .arg(&file)
-        .args(["--writer", name, "--base", "1", "--wait"])
+        .args(["--writer", name, "--base", &base.to_string(), "--wait"])
         .args(["--platform", &platform, "--router", &router])
         .stdout(Stdio::null())
         .stderr(Stdio::null())
@@ -76,7 +82,9 @@
 fn apply_operators_race() {
     let fleet = Fleet::start(Plan::default());
     let eye = Eye::open(&fleet);
-    let both = ["ada", "bea"].map(|name| (name, operator(&fleet, name)));
+    // Slow enough that both have read before either writes.
+    fleet.platform.set_slow(Duration::from_millis(300));
+    let both = ["ada", "bea"].map(|name| (name, operator(&fleet, name, 1, &with(name))));
     let codes = both.map(|(name, mut child)| (name, child.wait().unwrap().code()));
     let winners: Vec<&str> = codes
         .iter()
@@ -98,12 +106,17 @@
 fn apply_answer_lost() {
     let fleet = Fleet::start(Plan::default());
     let eye = Eye::open(&fleet);
-    fleet.platform.lose_answers(2);
-    let code = operator(&fleet, "ada").wait().unwrap().code();
-    assert_eq!(code, Some(0));
-    for r in &fleet.routers {
-        let status = r.status().unwrap();
-        assert_eq!((status.revision, status.writer.as_str()), (2, "ada"));
+    let changed = fleet.change(&with("hull"), Revision(1)).unwrap();
+    fleet.wait_force(&ALL, changed.revision);
+    // The parts of revision 1 are all there, so the only write is the one that counts.
+    for (base, text) in [(2, FLEET), (3, &with("hull"))] {
+        fleet.platform.lose_answers(1);
+        let code = operator(&fleet, "ada", base, text).wait().unwrap().code();
+        assert_eq!(code, Some(0));
+        for r in &fleet.routers {
+            let status = r.status().unwrap();
+            assert_eq!((status.revision, status.writer.as_str()), (base + 1, "ada"));
+        }
     }
     assert_eq!(eye.close(), Vec::<String>::new());
 }
@@ -134,6 +147,33 @@
     }
 }
 
+// A router that nobody knows of starts while the platform is down: an instance was replaced.
+// It has neither rules nor endpoints. Cause: only the list leads it to its peers.
+#[test]
+fn start_new_platform_down() {
+    let mut fleet = Fleet::prepare(Plan {
+        routers: 4,
+        ..Plan::default()
+    });
+    fleet.name_seeds();
+    fleet.configure(FLEET);
+    let new = fleet.routers[3].name.clone();
+    assert!(fleet.platform.remove_instance(&new));
+    for r in &mut fleet.routers[..3] {
+        r.start();
+    }
+    for r in &fleet.routers[..3] {
+        wait_for("the listed are ready", || {
+            fleet.is_ready(r, 3).then_some(())
+        });
+    }
+    fleet.platform.set_down(Some(Down::Hang));
+    fleet.routers[3].start();
+    fleet.wait_ready();
+    let answer = block_on(send(fleet.routers[3].callers, &record("standard", 1), None));
+    assert_eq!(answer.unwrap().outcome, Outcome::Answered);
+}
+
 // The platform answers slowly for long, and a change is in force here and not there.
 // Cause: each router waits for its own slow read.
 #[test]
@@ -175,10 +215,16 @@
     fleet.wait_force(&ALL, changed.revision);
     assert!(fleet.platform.restore());
     // The routers write it back, so that the next operator builds on it.
-    let again = |base| fleet.change(&with("kent"), Revision(base));
+    let kv = Kv::new(Options::new(fleet.platform.addr, "proofs"));
     wait_for("it is written back", || {
-        matches!(again(1), Err(ApplyError::Conflict { .. })).then_some(())
+        let config = block_on(store::read(&kv, &[])).ok()??;
+        (config.write == changed.write).then_some(())
     });
+    let again = fleet.change(&with("kent"), Revision(1));
+    assert!(
+        matches!(again, Err(ApplyError::Conflict { .. })),
+        "{again:?}"
+    );
     for n in ALL {
         fleet.routers[n].kill();
         fleet.routers[n].start();
@@ -292,8 +338,9 @@
     let mut revision = Revision(1);
     for n in 0..1_000 {
         match n {
-            200 => fleet.routers[1].signal(Signal::Stop),
-            300 => fleet.routers[1].signal(Signal::Cont),
+            // It wakes up with an answer that is old by then.
+            200..300 if n % 10 == 0 => fleet.routers[1].signal(Signal::Stop),
+            200..=300 if n % 10 == 5 => fleet.routers[1].signal(Signal::Cont),
             400 => fleet.routers[2].kill(),
             450 => fleet.routers[2].start(),
             600 => fleet.part(&[0]),
--- a/tests/proofs/members.rs
+++ b/tests/proofs/members.rs
@@ -35,6 +35,8 @@
 const FLOOD: u32 = 40;
 /// Callers that flood a fleet of eight.
 const CALLERS: u32 = 96;
+/// After this, each router's status has been looked at.
+const SEEN: Duration = Duration::from_millis(500);
 /// How long the flood lasts.
 const LASTS: Duration = Duration::from_secs(6);
 
@@ -145,9 +147,10 @@
 #[test]
 fn freeze_noticed() {
     let fleet = fleet(4);
+    let eye = Eye::open(&fleet);
+    sleep(SEEN);
     fleet.routers[1].signal(Signal::Stop);
     wait_given_up(&fleet, 1, "frozen");
-    let eye = Eye::open(&fleet);
     fleet.routers[1].signal(Signal::Cont);
     converged(&fleet);
     let missed: Vec<u32> = eye.looks().iter().map(|l| l.missed).collect();
--- a/tests/proofs/platform.rs
+++ b/tests/proofs/platform.rs
@@ -5,7 +5,8 @@
         wait_for,
         Fleet,
         Load,
-        Plan, //
+        Plan,
+        Router, //
     },
     ::platform::{
         store::{
@@ -18,7 +19,10 @@
     async_std::task::block_on,
     operators::FLEET,
     policy::head::WATCHERS,
-    standins::platform::Down,
+    standins::platform::{
+        Down,
+        State, //
+    },
     std::{
         collections::BTreeMap,
         thread::sleep,
@@ -119,38 +123,66 @@
     assert_eq!(seen.refused, 0);
 }
 
-// The platform comes back empty. The routers drop their rules, or the next router that
-// starts finds none and refuses all. Cause: what the platform says is taken for the truth.
+/// Waits until every router knows this many replicas of the plain service.
+fn wait_desks(fleet: &Fleet, n: u32) -> Duration {
+    let knows = |r: &Router| {
+        let status = r.status()?;
+        let mut services = status.services.iter();
+        let desk = services.find(|s| s.name.as_str() == "broker-desk")?;
+        (desk.replicas == n).then_some(())
+    };
+    let (_, took) = wait_for("all know which endpoints stay", || {
+        fleet.routers.iter().try_for_each(knows)
+    });
+    took
+}
+
+// The platform comes back empty. The routers drop their rules and endpoints, or the next
+// router that starts finds no rules and refuses all. Then it lists the instances again,
+// numbered from 1, and most routers never hear of another change. Cause: what the platform
+// says is taken for the truth, and a lower number for an older list.
 #[test]
 fn restart_empty_under_load() {
-    let mut fleet = Fleet::prepare(Plan {
+    let mut fleet = Fleet::start(Plan {
+        routers: 5,
+        plains: 3,
         work: Duration::from_millis(20),
         ..Plan::default()
     });
-    fleet.platform.snapshot();
-    fleet.configure(FLEET);
-    for r in &mut fleet.routers {
-        r.start();
+    let all: Vec<usize> = (0..5).collect();
+    // The list has had some revisions, which all know of.
+    for state in [State::Leaving, State::Live, State::Leaving, State::Live] {
+        fleet.platform.set_state("broker-desk-1", state);
+        wait_desks(&fleet, if state == State::Live { 3 } else { 2 });
     }
-    fleet.wait_ready();
     let changed = fleet.change(FLEET, Revision(1)).unwrap();
-    fleet.wait_force(&[0, 1, 2], changed.revision);
+    fleet.wait_force(&all, changed.revision);
     let load = Load::begin(&fleet, CALLERS);
     load.wait_answered(CALLERS);
-    assert!(fleet.platform.restore());
+    fleet.platform.clear_counts();
+    fleet.platform.restart_empty();
     let kv = Kv::new(Options::new(fleet.platform.addr, "proofs"));
     let (_, took) = wait_for("the routers have written it back", || {
         let config = block_on(store::read(&kv, &[])).ok()??;
         (config.revision == changed.revision).then_some(())
     });
+    println!("the configuration is written back after {took:?}");
+    wait_for("the empty list was read", || {
+        let polled = fleet.platform.calls("list");
+        (polled >= 2 * WATCHERS as u64).then_some(())
+    });
     load.wait_answered(CALLERS);
+    fleet.platform.put_instances(fleet.list());
+    fleet.platform.set_state("broker-desk-1", State::Leaving);
+    let took = wait_desks(&fleet, 2);
+    println!("a change of the list that is numbered anew is known to all after {took:?}");
     let seen = load.end();
-    println!("written back after {took:?}, {} answered", seen.answered);
     assert!(seen.cut.is_empty(), "{:?}", seen.cut);
     assert!(seen.wrong.is_empty(), "{:?}", seen.wrong);
     assert_eq!(seen.refused, 0);
+    fleet.platform.set_state("broker-desk-1", State::Live);
     fleet.routers[1].kill();
     fleet.routers[1].start();
     fleet.wait_ready();
-    fleet.wait_force(&[0, 1, 2], changed.revision);
+    fleet.wait_force(&all, changed.revision);
 }
--- a/tests/proofs/stage/fleet.rs
+++ b/tests/proofs/stage/fleet.rs
@@ -128,7 +128,8 @@
         fleet
     }
 
-    fn list(&self) -> Vec<Instance> {
+    /// Returns the platform's list of instances.
+    pub(crate) fn list(&self) -> Vec<Instance> {
         let routers = self.routers.iter().map(Router::entry);
         let engines = self.engines.iter().enumerate();
         let engines = engines.map(|(i, e)| endpoint("drafting-llm", i, e.addr));
--- a/tests/proofs/stage/mod.rs
+++ b/tests/proofs/stage/mod.rs
@@ -29,6 +29,9 @@
         Plan, //
     },
     load::Load,
-    router::Signal,
+    router::{
+        Router,
+        Signal, //
+    },
     wait::wait_for,
 };
