--- a/crates/policy/src/pool/borrower.rs
+++ b/crates/policy/src/pool/borrower.rs
@@ -325,6 +325,10 @@
         if let Some(waits) = r.waits {
             self.waits = waits;
         }
+        self.cells.iter_mut().for_each(|c| c.shunned = false);
+        for at in r.shuns.iter().filter_map(|key| at(*key)) {
+            self.cells[at].shunned = true;
+        }
         for load in r.loads.iter().flat_map(|l| &l.seats) {
             if let Some(at) = at(load.key) {
                 self.cells[at].running = load.running;
@@ -335,6 +339,19 @@
         }
     }
 
+    /// Returns whether there is a free slot that it would use.
+    pub(crate) fn helped(&self, free: &[i64]) -> bool {
+        let mut all = self.cells.iter().zip(free);
+        let shuns = self.cells.iter().any(|c| c.shunned);
+        !shuns || all.any(|(cell, n)| *n > 0 && !cell.shunned)
+    }
+
+    /// Returns the replicas that can take nothing of what waits there.
+    pub(crate) fn shuns(&self) -> Vec<usize> {
+        let all = self.cells.iter().enumerate();
+        all.filter(|(_, c)| c.shunned).map(|(at, _)| at).collect()
+    }
+
     /// Forgets all that it held, as it is believed to be dead.
     pub(crate) fn bury(&mut self) {
         self.cells.iter_mut().for_each(|c| *c = Cell::default());
--- a/crates/policy/src/pool/cell.rs
+++ b/crates/policy/src/pool/cell.rs
@@ -19,6 +19,8 @@
     lapse: u64,
     /// The last lend in which `lent` changed.
     pub(crate) touched: u64,
+    /// The replica can take nothing of what waits at the router.
+    pub(crate) shunned: bool,
 }
 
 impl Cell {
--- a/crates/policy/src/pool/moves.rs
+++ b/crates/policy/src/pool/moves.rs
@@ -69,30 +69,52 @@
     /// Asks slots back from routers that have more than wanted, where others lack what
     /// they need.
     pub(super) fn take_back(&mut self, wants: &Wants, needs: &Wants) {
-        let lack: i64 = self
+        if self
             .borrowers
             .iter()
-            .map(|(id, b)| i64::from(needs.get(id).map_or(0, |n| n.saturating_sub(b.total()))))
-            .sum();
-        if lack == 0 {
+            .all(|(id, b)| lacks(needs, id, b) == 0)
+        {
             return;
         }
-        let free: i64 = self.free().into_iter().map(|n| n.max(0)).sum();
+        let free = self.free();
         // Slots that were asked back and are not yet free count as on their way.
         let coming: i64 = self
             .borrowers
             .values()
             .map(|b| i64::from(b.held()) - i64::from(b.total()))
             .sum();
-        for _ in 0..(lack - free - coming).max(0) {
+        let mut lack = -coming - free.iter().map(|n| (*n).max(0)).sum::<i64>();
+        let mut stuck = Vec::new();
+        for (id, b) in &self.borrowers {
+            let few = i64::from(lacks(needs, id, b));
+            if b.helped(&free) {
+                lack += few;
+            } else {
+                stuck.push((few - coming, b.shuns()));
+            }
+        }
+        self.lower_some(wants, lack, &[]);
+        // Free slots that a router shuns do not help it, so others give it of theirs.
+        for (few, shuns) in stuck {
+            self.lower_some(wants, few, &shuns);
+        }
+    }
+
+    /// Asks back so many slots, but of these replicas, from those with most to spare.
+    fn lower_some(&mut self, wants: &Wants, many: i64, but: &[usize]) {
+        for _ in 0..many.max(0) {
+            let gives = |b: &Borrower| {
+                let mut cells = b.cells.iter().enumerate();
+                cells.any(|(at, c)| c.lent > 0 && !but.contains(&at))
+            };
             let most = self
                 .borrowers
                 .iter_mut()
-                .filter(|(id, b)| b.total() > wants.get(*id).copied().unwrap_or(0))
+                .filter(|(id, b)| b.total() > wants.get(*id).copied().unwrap_or(0) && gives(b))
                 .max_by_key(|(id, b)| b.total() - wants.get(*id).copied().unwrap_or(0));
             let Some((_, b)) = most else { return };
             let lots = &self.lots;
-            let lent = (0..lots.len()).filter(|at| b.cells[*at].lent > 0);
+            let lent = (0..lots.len()).filter(|at| b.cells[*at].lent > 0 && !but.contains(at));
             let far = lent.max_by_key(|at| (lots[*at].zone != b.zone, b.cells[*at].lent));
             let Some(at) = far else { return };
             b.lower(at);
@@ -119,11 +141,11 @@
             let lacking = self
                 .borrowers
                 .iter_mut()
-                .filter(|(id, b)| lacks(wants, id, b) > 0);
+                .filter(|(id, b)| lacks(wants, id, b) > 0 && b.helped(&free));
             let most = lacking.max_by_key(|(id, b)| lacks(wants, id, b));
             let Some((_, b)) = most else { return };
             let lots = &self.lots;
-            let open = (0..lots.len()).filter(|at| free[*at] > 0);
+            let open = (0..lots.len()).filter(|at| free[*at] > 0 && !b.cells[*at].shunned);
             let near = open.max_by_key(|at| (lots[*at].zone == b.zone, free[*at]));
             let Some(at) = near else { return };
             b.raise(at);
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -58,6 +58,13 @@
 /// How long before that ends the others are told again.
 const WITHDRAWN_AGAIN: Span = Span::secs(20);
 
+/// When a list replaces the one at hand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Taken {
+    Always,
+    IfLater,
+}
+
 /// Polls the list while this router is one of its watchers.
 pub(crate) async fn run(router: Arc<Router>) {
     let mut instances = Instances::new(router.platform_options());
@@ -72,7 +79,7 @@
                 Ok(Some(listed)) if listed.instances.is_empty() => {
                     log::warn!("platform: its list is empty; the last one stays");
                 }
-                Ok(Some(listed)) => router.take_list(listed),
+                Ok(Some(listed)) => router.take_list(listed, Taken::Always),
                 Ok(None) => {}
                 Err(e) => log::debug!("platform: the list can't be read: {e}"),
             }
@@ -109,7 +116,8 @@
         let router = self.clone();
         task::spawn(async move {
             if let Some(listed) = router.fetch_list(addr, ours).await {
-                router.take_later(listed, anew);
+                let taken = if anew { Taken::Always } else { Taken::IfLater };
+                router.take_list(listed, taken);
             }
             router.fetching.store(false, Ordering::Release);
         });
@@ -158,29 +166,31 @@
         other.then(|| listing.log.since(have, &listing.listed))
     }
 
-    /// Takes a peer's list if it is later than the one at hand, or numbered anew.
+    /// Takes a list: the platform's always, a peer's if it is later than the one at hand,
+    /// or numbered anew.
     ///
     /// The answer of a peer can be overtaken by the platform's own. The older list would
     /// stay, as the next poll finds nothing new, and show as work for an endpoint that left.
-    fn take_later(&self, listed: Listed, anew: bool) {
-        let ours = lock(&self.listing).listed.revision;
-        if listed.revision > ours || anew {
-            self.take_list(listed);
-        }
-    }
-
-    fn take_list(&self, listed: Listed) {
+    fn take_list(&self, listed: Listed, taken: Taken) {
         let routers = listed.instances.iter().filter_map(router_of).collect();
         let now = self.now();
         let listed = Arc::new(listed);
         let mut listing = lock(&self.listing);
         let old = listing.listed.clone();
+        if taken == Taken::IfLater && listed.revision <= old.revision {
+            return;
+        }
         listing.log.note(&old, &listed);
         listing.listed = listed;
         listing.above = None;
         drop(listing);
         lock(&self.members).listed(routers, now);
         self.follow_members();
+        // A first list that names nobody else changes no member, but the dispatch waits to
+        // hear just that.
+        if old.revision == 0 {
+            self.members_changed();
+        }
         self.apply_list();
     }
 
--- a/tests/proofs/platform.rs
+++ b/tests/proofs/platform.rs
@@ -172,7 +172,7 @@
         (polled >= 2 * WATCHERS as u64).then_some(())
     });
     load.wait_answered(CALLERS);
-    fleet.platform.put_instances(fleet.list());
+    fleet.list_all();
     fleet.platform.set_state("broker-desk-1", State::Leaving);
     let took = wait_desks(&fleet, 2);
     println!("a change of the list that is numbered anew is known to all after {took:?}");
