--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -60,11 +60,20 @@
 
 /// When a list replaces the one at hand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Taken {
+pub(super) enum Taken {
     Always,
     IfLater,
 }
 
+/// A fetch under way. Its end, also by a panic, lets the next one begin.
+struct Fetching(Arc<Router>);
+
+impl Drop for Fetching {
+    fn drop(&mut self) {
+        self.0.fetching.store(false, Ordering::Release);
+    }
+}
+
 /// Polls the list while this router is one of its watchers.
 pub(crate) async fn run(router: Arc<Router>) {
     let mut instances = Instances::new(router.platform_options());
@@ -98,7 +107,12 @@
 
     /// Learns from a heartbeat which list a peer has.
     pub(crate) fn list_head(self: &Arc<Router>, from: &RouterId, revision: u64) {
-        let ours = lock(&self.listing).listed.revision;
+        let listing = lock(&self.listing);
+        let (ours, above) = (listing.listed.revision, listing.above);
+        drop(listing);
+        if revision == ours && above.is_none() {
+            return;
+        }
         // A watcher that restarts empty while the platform is down has no list but its
         // peers'. It would show as a router that knows of no endpoint.
         let reads = self.watches("list") && !self.no_platform.load(Ordering::Relaxed);
@@ -113,13 +127,13 @@
         if self.fetching.swap(true, Ordering::AcqRel) {
             return;
         }
-        let router = self.clone();
+        let fetching = Fetching(self.clone());
         task::spawn(async move {
+            let router = &fetching.0;
             if let Some(listed) = router.fetch_list(addr, ours).await {
                 let taken = if anew { Taken::Always } else { Taken::IfLater };
                 router.take_list(listed, taken);
             }
-            router.fetching.store(false, Ordering::Release);
         });
     }
 
@@ -171,7 +185,7 @@
     ///
     /// The answer of a peer can be overtaken by the platform's own. The older list would
     /// stay, as the next poll finds nothing new, and show as work for an endpoint that left.
-    fn take_list(&self, listed: Listed, taken: Taken) {
+    pub(super) fn take_list(&self, listed: Listed, taken: Taken) {
         let routers = listed.instances.iter().filter_map(router_of).collect();
         let now = self.now();
         let listed = Arc::new(listed);
