--- a/crates/policy/src/dispatch/core.rs
+++ b/crates/policy/src/dispatch/core.rs
@@ -223,6 +223,19 @@
         }
     }
 
+    /// Notes tokens that a running request has received, and how long after its last ones.
+    ///
+    /// The limit of a replica is learnt from these. A mean over whole requests would tell
+    /// seconds late what a change of the limit has changed.
+    pub fn tokens(&mut self, id: JobId, count: u32, took: Span) {
+        let Some(live) = self.lives.get(id) else {
+            return;
+        };
+        if let Some(entry) = self.services.get_mut(&live.job.service) {
+            entry.tokens(live, count, took);
+        }
+    }
+
     /// Ends a started request.
     pub fn finish(&mut self, id: JobId, f: Finish, now: Time) {
         let Some(mut live) = self.lives.remove(id) else {
--- a/crates/policy/src/dispatch/job.rs
+++ b/crates/policy/src/dispatch/job.rs
@@ -47,7 +47,7 @@
     pub units: Units,
     /// Time from its start to the first byte of the answer.
     pub first: Option<Span>,
-    /// Mean time between two tokens.
+    /// Mean time between two tokens, unless they were told as they came.
     pub gap: Option<Span>,
     /// Whether the replica showed no sign of overload or failure.
     pub ok: bool,
--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -396,6 +396,14 @@
         }
     }
 
+    /// Notes tokens that a running request has received.
+    pub(crate) fn tokens(&mut self, live: &Live, count: u32, took: Span) {
+        let Some(run) = &live.run else { return };
+        if let Some(seat) = self.seats.all.get_mut(&run.replica) {
+            seat.sample.tokens(count, took);
+        }
+    }
+
     /// Ends the run of a request: corrects its charge and frees its seat.
     ///
     /// Without a `finish` the caller has given up, and what was charged stays.
--- a/crates/policy/src/entry/sample.rs
+++ b/crates/policy/src/entry/sample.rs
@@ -35,6 +35,13 @@
         }
     }
 
+    /// Notes tokens that came this long after the ones before.
+    pub(crate) fn tokens(&mut self, count: u32, took: Span) {
+        self.seen = true;
+        self.gap.sum += took.0;
+        self.gap.n += u64::from(count);
+    }
+
     /// Returns what the owner should be told, and begins anew.
     pub(crate) fn take(&mut self, key: ReplicaKey, running: u32) -> Option<Load> {
         let s = std::mem::take(self);
--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -31,10 +31,13 @@
     futures_lite::future::or,
     operators::Unit,
     policy::{
+        Finish,
         Outcome,
         ReplicaId,
+        Span,
         Units, //
     },
+    std::time::Instant,
 };
 
 /// Pieces that may wait for a slow caller.
@@ -49,6 +52,8 @@
     answer: Answer,
     replica: ReplicaId,
     gone: Gone,
+    /// When its last tokens came.
+    last: Instant,
     /// The caller still reads.
     heard: bool,
 }
@@ -67,6 +72,7 @@
             answer,
             replica,
             gone,
+            last: Instant::now(),
             heard: true,
         }
     }
@@ -82,7 +88,7 @@
 
     async fn pass(mut self, pieces: Sender<Piece>) {
         let first = self.held.body.clone();
-        self.progress(self.held.tokens);
+        self.progress();
         self.give(&pieces, Piece::Data(first)).await;
         let end = loop {
             if !self.heard && self.run.work.idempotent {
@@ -124,16 +130,17 @@
     /// Keeps what a ticket's record needs, and charges what was served so far.
     fn keep(&mut self, bytes: &[u8], tokens: u32) {
         self.held.tokens += tokens;
-        self.progress(self.held.tokens);
+        self.progress();
+        self.pace(tokens);
         let wanted = self.run.grant.is_some() && self.held.body.len() <= RECORD_MAX;
         if wanted {
             self.held.body.extend_from_slice(bytes);
         }
     }
 
-    fn progress(&mut self, tokens: u32) {
+    fn progress(&self) {
         if self.run.work.unit == Unit::Tokens {
-            let served = Units(f64::from(tokens));
+            let served = Units(f64::from(self.held.tokens));
             let job = self.run.job;
             self.run
                 .router
@@ -141,11 +148,25 @@
         }
     }
 
+    /// Tells how long tokens took, as they come.
+    fn pace(&mut self, tokens: u32) {
+        if tokens == 0 {
+            return;
+        }
+        let took = Span::from(self.last.elapsed());
+        self.last = Instant::now();
+        let job = self.run.job;
+        self.run.router.dispatch(|d, _| d.tokens(job, tokens, took));
+    }
+
     async fn end(mut self, end: End, pieces: &Sender<Piece>) {
         if end.leaving {
             self.run.router.noticed_leaving(&self.replica);
         }
-        let finish = finish(&self.run.work, &end);
+        let finish = Finish {
+            gap: None,
+            ..finish(&self.run.work, &end)
+        };
         self.run.finish(finish);
         self.run.count_service(finish.units);
         self.run.count(end.outcome);
