--- a/crates/policy/src/limit/learner.rs
+++ b/crates/policy/src/limit/learner.rs
@@ -13,6 +13,7 @@
             CAP,
             EVIDENCE,
             FIRST,
+            FLAT,
             FULL,
             GAP,
             GROWTH,
@@ -26,9 +27,10 @@
             PROBE_EVIDENCE,
             PROBE_KEPT,
             QUEUED_KEPT,
+            QUICKER,
             RECENT,
             REPORT_LAG,
-            START_GROWTH,
+            RISEN,
             WINDOW, //
         },
         track::Track,
@@ -62,8 +64,8 @@
     window: Window,
     gap: Track,
     first: Track,
-    /// It was found full once, so it no longer grows by leaps.
-    found: bool,
+    /// The part that the next growth adds.
+    rate: f64,
     /// When the floor was last looked for, and how long until the next time.
     probed: Option<Time>,
     period: Span,
@@ -105,7 +107,7 @@
             window: Window::default(),
             gap: Track::new(),
             first: Track::new(),
-            found: false,
+            rate: GROWTH[0],
             probed: None,
             period: PROBE[0],
             probes: true,
@@ -117,15 +119,6 @@
         }
     }
 
-    /// Makes the limit of a replica that another has learnt to run `limit`.
-    ///
-    /// It does not grow by leaps, as that of an unknown replica does.
-    pub fn known(limit: Slots) -> Limit {
-        let mut known = Limit::new(limit);
-        known.found = true;
-        known
-    }
-
     /// Never lets the limit rise above `cap`.
     pub fn capped(mut self, cap: Slots) -> Limit {
         self.cap = f64::from(cap.0.max(1));
@@ -186,7 +179,6 @@
         let lately = self.reported.is_some_and(|t| now.since(t) < REPORT_LAG);
         if waiting > running && running > 0 && !lately && inside < self.limit {
             self.reported = Some(now);
-            self.found = true;
             self.put(inside);
         }
     }
@@ -194,7 +186,6 @@
     /// Draws the conclusion from one window.
     fn learn(&mut self, w: &Window, now: Time) {
         if w.refused {
-            self.found = true;
             self.cut = None;
             self.put(self.limit.min(w.running().max(1.0)) * KEPT_REFUSED);
             return;
@@ -215,12 +206,15 @@
         let due = self.probes && now.since(probed) >= self.period;
         let used = self.recent.sum().running() + 1.0 > self.limit * IN_USE;
         let full = self.recent.count() == RECENT && self.age > RECENT;
+        if !pace.steady {
+            self.rate = GROWTH[0];
+        }
         if pace.slow {
             if full {
                 self.shrink(&pace, now);
             }
         } else if pace.steady && used && self.free(now) {
-            self.grow();
+            self.grow(pace.ratio);
         } else if due && used && full {
             self.probe(now);
         }
@@ -262,14 +256,17 @@
     }
 
     fn more(&self) -> f64 {
-        match self.found {
-            true => (self.limit * GROWTH).max(1.0),
-            false => self.limit * (START_GROWTH - 1.0),
-        }
+        (self.limit * self.rate).max(1.0)
     }
 
-    fn grow(&mut self) {
+    /// Lets more run; by ever larger steps as long as that makes nothing slower.
+    fn grow(&mut self, ratio: f64) {
+        // A replica that starts at what it can run would be overfull for seconds after one
+        // large step. The cut after it takes slots from every router at once, which shows as
+        // a wider fairness gap.
+        let faster = if ratio <= FLAT { QUICKER } else { 0.0 };
         self.put(self.limit + self.more());
+        self.rate = (self.rate * faster).clamp(GROWTH[0], GROWTH[1]);
     }
 
     /// Takes the limit down to where the replica should be just full, and watches what that
@@ -310,7 +307,6 @@
     }
 
     fn cut(&mut self, kind: Kind, limit: f64) {
-        self.found = true;
         self.cut = Some(Cut {
             probe: false,
             kind,
@@ -361,7 +357,10 @@
             }
             (true, false) => {
                 self.probed = Some(now);
-                self.period = Span((self.period.0 * 2).clamp(PROBE[0].0, PROBE[1].0));
+                self.period = match self.risen(&after) {
+                    true => PROBE[0],
+                    false => Span((self.period.0 * 2).min(PROBE[1].0)),
+                };
                 self.rebase(&after);
                 self.put(cut.top.min(cut.limit * ABOVE_FULL));
             }
@@ -387,6 +386,16 @@
         });
     }
 
+    /// Returns whether times are well above the floor.
+    fn risen(&self, w: &Window) -> bool {
+        let (time, track) = match w.gap() {
+            Some(gap) => (Some(gap), &self.gap),
+            None => (w.first(), &self.first),
+        };
+        let both = time.zip(track.floor());
+        both.is_some_and(|(time, floor)| time > floor * RISEN)
+    }
+
     /// Takes these times for the floor.
     fn rebase(&mut self, w: &Window) {
         if let Some(t) = w.gap() {
--- a/crates/policy/src/limit/rules.rs
+++ b/crates/policy/src/limit/rules.rs
@@ -6,10 +6,12 @@
 pub(super) const WINDOW: Span = Span::secs(1);
 /// No replica is given more than this, unless another cap is set.
 pub(super) const CAP: f64 = 1024.0;
-/// One growth until the replica was first found full.
-pub(super) const START_GROWTH: f64 = 1.5;
-/// One growth afterwards, at least 1.
-pub(super) const GROWTH: f64 = 0.1;
+/// What the first growth in a row adds at least, and what a later one adds at most.
+pub(super) const GROWTH: [f64; 2] = [0.1, 0.35];
+/// A later growth adds so many times as much, as long as the times stay below the multiple
+/// of the floor.
+pub(super) const QUICKER: f64 = 1.5;
+pub(super) const FLAT: f64 = 1.08;
 /// The limit is in use when this part of it runs.
 pub(super) const IN_USE: f64 = 0.9;
 /// The most that one decrease takes.
@@ -40,7 +42,9 @@
 pub(super) const FULL: f64 = 0.5;
 /// The floor is looked for by a decrease after the first span, then ever more rarely, up to
 /// the second, as long as it is found where it was.
-pub(super) const PROBE: [Span; 2] = [Span::secs(16), Span::secs(256)];
+pub(super) const PROBE: [Span; 2] = [Span::secs(24), Span::secs(256)];
+/// A floor that has risen so many times is looked for again soon.
+pub(super) const RISEN: f64 = 1.06;
 /// A limit found too high is not tried again for the first span, then ever longer, up to
 /// the second.
 pub(super) const HOLD: [Span; 2] = [Span::secs(4), Span::secs(16)];
--- a/crates/policy/src/limit/track.rs
+++ b/crates/policy/src/limit/track.rs
@@ -1,7 +1,7 @@
 //! One kind of time that a replica is judged by, and what it is when the replica is not full.
 
 /// How much of the difference a lower time moves the floor; less than 1 against noise.
-const LOWER_WEIGHT: f64 = 0.1;
+const LOWER_WEIGHT: f64 = 0.05;
 /// A time below this part of the floor is no noise: the replica has become faster.
 const SURELY_LOWER: f64 = 0.8;
 /// The floor of one kind of time, and the multiples of it that matter.
@@ -27,6 +27,10 @@
         ratio
     }
 
+    pub(super) fn floor(&self) -> Option<f64> {
+        self.floor
+    }
+
     /// Sets the floor to the time of a replica that is surely not full.
     pub(super) fn set(&mut self, time: f64) {
         self.floor = Some(time);
--- a/crates/policy/src/pool/lot.rs
+++ b/crates/policy/src/pool/lot.rs
@@ -26,15 +26,6 @@
         }
     }
 
-    /// Makes a replica whose limit another owner has learnt.
-    pub(crate) fn known(key: ReplicaKey, zone: Zone, limit: Slots) -> Lot {
-        Lot {
-            key,
-            zone,
-            limit: Limit::known(limit),
-        }
-    }
-
     /// Returns how many requests may run on it at once.
     pub(crate) fn limit(&self) -> u32 {
         self.limit.get().0
@@ -65,7 +56,7 @@
     /// learnt by another.
     pub(crate) fn inherit(&mut self, used: u32) {
         if used > self.limit() {
-            self.limit = Limit::known(Slots(used));
+            self.limit = Limit::new(Slots(used));
         }
     }
 }
--- a/crates/policy/src/pool/owner.rs
+++ b/crates/policy/src/pool/owner.rs
@@ -123,12 +123,10 @@
         let lots = std::mem::take(&mut self.lots);
         let mut old: BTreeMap<ReplicaKey, Lot> = lots.into_iter().map(|l| (l.key, l)).collect();
         for seat in seats.all.values().filter(|s| s.open()) {
-            let zone = || seat.replica.zone.clone();
-            let lot = match (old.remove(&seat.key), heard.get(&seat.key)) {
-                (Some(lot), _) => lot,
-                (None, Some(limit)) => Lot::known(seat.key, zone(), Slots(*limit)),
-                (None, None) => Lot::new(seat.key, zone(), start),
-            };
+            let lot = old.remove(&seat.key).unwrap_or_else(|| {
+                let limit = heard.get(&seat.key).copied().map_or(start, Slots);
+                Lot::new(seat.key, seat.replica.zone.clone(), limit)
+            });
             self.lots.push(lot);
         }
         self.lots.sort_by_key(|l| l.key);
