--- a/crates/policy/src/entry/core.rs
+++ b/crates/policy/src/entry/core.rs
@@ -4,7 +4,9 @@
     super::{
         Live,
         Queue,
+        ReplicaKey,
         Run,
+        Seat,
         Seats, //
     },
     crate::{
@@ -21,6 +23,7 @@
         shares::{
             Key,
             Ledger,
+            ShareTable,
             Writer,
             MILLI, //
         },
@@ -82,6 +85,8 @@
     pub(crate) run_time: f64,
     /// Mean cost of a request, in units.
     pub(crate) cost: f64,
+    /// Queued requests that avoid a replica.
+    retries: usize,
     numbers: u64,
     /// Requests that run from here.
     busy: usize,
@@ -90,7 +95,7 @@
 }
 
 impl Entry {
-    pub(crate) fn new(rules: ServiceRules, me: Writer) -> Entry {
+    pub(crate) fn new(rules: ServiceRules, shares: ShareTable, me: Writer) -> Entry {
         let mut entry = Entry {
             key: service_key(&rules.service),
             ledger: Ledger::new(me),
@@ -104,34 +109,25 @@
             pool: None,
             run_time: 0.0,
             cost: 0.0,
+            retries: 0,
             numbers: 0,
         };
-        entry.set_shares();
+        entry.ledger.set_shares(shares);
         entry
     }
 
-    /// Puts rules in force.
-    pub(crate) fn configure(&mut self, rules: &ServiceRules) {
-        if &self.rules == rules {
-            return;
-        }
+    /// Puts rules in force, with the shares that they name.
+    pub(crate) fn configure(&mut self, rules: &ServiceRules, shares: ShareTable) {
         self.rules = rules.clone();
-        self.set_shares();
-    }
-
-    fn set_shares(&mut self) {
-        let shares = self
-            .rules
-            .shares
-            .iter()
-            .map(|s| (Key::of(&s.workspace), s.share))
-            .collect();
         self.ledger.set_shares(shares);
     }
 
     /// Returns whether there is no work here and nothing to lend.
     pub(crate) fn calm(&self) -> bool {
-        self.pool.is_none() && self.busy == 0 && self.queues.values().all(Queue::is_empty)
+        self.pool.is_none()
+            && !self.hold.late
+            && self.busy == 0
+            && self.queues.values().all(Queue::is_empty)
     }
 
     /// Returns how many requests are queued.
@@ -181,6 +177,7 @@
         queue.pass(now);
         queue.used = now;
         queue.places.insert((live.due, live.number, id));
+        self.retries += usize::from(live.avoid.is_some());
     }
 
     /// Notes which workspaces have become backlogged, before their requests start.
@@ -214,10 +211,25 @@
     pub(crate) fn unqueue(&mut self, id: JobId, live: &Live, now: Time) {
         if let Some(queue) = self.queues.get_mut(&live.key) {
             queue.pass(now);
-            queue.places.remove(&(live.due, live.number, id));
+            let queued = queue.places.remove(&(live.due, live.number, id));
+            self.retries -= usize::from(queued && live.avoid.is_some());
         }
     }
 
+    /// Returns the replicas that can take nothing of what waits.
+    pub(crate) fn shunned(&self, lives: &Lives, now: Time) -> Vec<ReplicaKey> {
+        let failing = |s: &Seat| !s.health.admits_any(s.running, now);
+        if self.retries == 0 && !self.seats.all.values().any(failing) {
+            return Vec::new();
+        }
+        let heads = self
+            .queues
+            .values()
+            .flat_map(|q| q.places.iter().take(HEAD));
+        let avoids: Vec<_> = heads.map(|h| lives[h.2].avoid.as_ref()).collect();
+        self.seats.shunned(&avoids, now)
+    }
+
     /// Returns why a request cannot be taken, and when to come back.
     fn objection(&mut self, live: &Live, id: JobId, now: Time) -> Option<(Refusal, Span)> {
         if !self.seats.any_open() {
--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -7,6 +7,8 @@
 mod queue;
 mod sample;
 mod seats;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::{
     core::Entry,
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -14,6 +14,7 @@
         },
         entry::{
             Queue,
+            ReplicaKey,
             Seat,
             Seats, //
         },
@@ -72,6 +73,8 @@
     lend: u64,
     /// Whether the owner waits to hear that slots are back.
     owes: bool,
+    /// Whether a report may be due that had to wait.
+    pub(crate) late: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
     /// Routers that use the pool.
@@ -197,6 +200,17 @@
         }
     }
 
+    /// Gives back idle slots of replicas that can take nothing of what waits.
+    ///
+    /// Such a slot would answer the demand and stay idle. It shows as a request that waits
+    /// for its whole deadline in an idle fleet, after one replica has failed it. The owner
+    /// learns of the replicas with the slots, and lends others instead.
+    pub(crate) fn shun(&mut self, seats: &mut Seats, shuns: &[ReplicaKey], now: Time) {
+        if self.lend > 0 && !self.deaf(now) {
+            self.owes |= seats.close_some(shuns);
+        }
+    }
+
     /// Returns the report that is due, if any, without its loads.
     ///
     /// It is `local` where this router owns the pool, and then costs nothing.
@@ -205,15 +219,17 @@
         service: ServiceKey,
         queues: &BTreeMap<Key, Queue>,
         seats: &mut Seats,
+        shuns: Vec<ReplicaKey>,
         local: bool,
         now: Time,
     ) -> Option<Report> {
         let just = |(at, _): &(Time, Body)| now.since(*at) < URGENT;
         if !local && self.sent.as_ref().is_some_and(just) {
+            self.late = true;
             return None;
         }
-        let body = Body::of(queues, seats);
-        if !self.home && self.sent.is_none() && body.is_empty() {
+        let body = Body::of(queues, seats, shuns);
+        if !self.home && self.seq == 0 && body.is_empty() {
             return None;
         }
         let loads = body.running > 0 && self.loads_due(seats.all.len(), now);
@@ -222,6 +238,7 @@
         }
         self.seq += 1;
         self.tries += 1;
+        self.late = false;
         self.owes = false;
         self.told = self.lend;
         self.unheard.get_or_insert(now);
@@ -256,6 +273,7 @@
             kept,
             running: body.running,
             waits: waits.then_some(body.waits),
+            shuns: body.shuns,
             limits,
             loads: None,
         })
@@ -297,6 +315,7 @@
             return body != last || self.told != self.lend || self.owes;
         }
         let urgent = self.owes || body.urges(last, self.pressed);
+        self.late = urgent;
         let answered = self.tries < SILENT;
         let interval = if urgent && answered && self.bucket.open() {
             URGENT
@@ -335,15 +354,17 @@
     news: bool,
     running: u32,
     waits: Vec<Wait>,
+    shuns: Vec<ReplicaKey>,
 }
 
 impl Body {
-    fn of(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
+    fn of(queues: &BTreeMap<Key, Queue>, seats: &Seats, shuns: Vec<ReplicaKey>) -> Body {
         let waiting = queues.iter().filter(|(_, q)| !q.is_empty());
         Body {
             kept: seats.all.values().map(Seat::kept).sum(),
             news: seats.all.values().any(|s| s.told != Some(s.kept())),
             running: seats.running(),
+            shuns,
             waits: waiting
                 .map(|(key, q)| Wait {
                     key: *key,
--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -1,15 +1,12 @@
 //! An answer that is passed on while it comes.
 
 use {
-    super::{
-        running::{
-            finish,
-            lost,
-            pairs,
-            Held,
-            Running, //
-        },
-        state::lock,
+    super::running::{
+        finish,
+        lost,
+        pairs,
+        Held,
+        Running, //
     },
     async_std::{
         channel::{
@@ -31,15 +28,20 @@
     futures_lite::future::or,
     operators::Unit,
     policy::{
-        Finish,
         Outcome,
         ReplicaId,
         Span,
         Units, //
     },
-    std::time::Instant,
+    std::time::{
+        Duration,
+        Instant, //
+    },
 };
 
+/// How often the dispatch is told of a stream's tokens while it runs. All streams share the dispatch
+/// and its lock, which would be taken for every token otherwise.
+const TELL: Duration = Duration::from_millis(50);
 /// Pieces that may wait for a slow caller.
 const PIECES: usize = 8;
 /// Longest answer that is recorded for a ticket, in bytes.
@@ -52,10 +54,12 @@
     answer: Answer,
     replica: ReplicaId,
     gone: Gone,
-    /// When its last tokens came.
-    last: Instant,
     /// The caller still reads.
     heard: bool,
+    /// When the dispatch was last told of its tokens, and of how many.
+    told: Option<(Instant, u32)>,
+    /// The dispatch was told how long tokens took.
+    paced: bool,
 }
 
 impl Passing {
@@ -72,8 +76,9 @@
             answer,
             replica,
             gone,
-            last: Instant::now(),
             heard: true,
+            told: None,
+            paced: false,
         }
     }
 
@@ -87,7 +92,10 @@
     }
 
     async fn pass(mut self, pieces: Sender<Piece>) {
-        let first = self.held.body.clone();
+        let first = match self.run.grant {
+            Some(_) => self.held.body.clone(),
+            None => std::mem::take(&mut self.held.body),
+        };
         self.progress();
         self.give(&pieces, Piece::Data(first)).await;
         let end = loop {
@@ -131,42 +139,41 @@
     fn keep(&mut self, bytes: &[u8], tokens: u32) {
         self.held.tokens += tokens;
         self.progress();
-        self.pace(tokens);
         let wanted = self.run.grant.is_some() && self.held.body.len() <= RECORD_MAX;
         if wanted {
             self.held.body.extend_from_slice(bytes);
         }
     }
 
-    fn progress(&self) {
-        if self.run.work.unit == Unit::Tokens {
-            let served = Units(f64::from(self.held.tokens));
-            let job = self.run.job;
-            self.run
-                .router
-                .dispatch(|d, now| d.progress(job, served, now));
-        }
-    }
-
-    /// Tells how long tokens took, as they come.
-    fn pace(&mut self, tokens: u32) {
-        if tokens == 0 {
+    /// Charges what was served so far and tells how long it took, now and then.
+    fn progress(&mut self) {
+        let (now, tokens) = (Instant::now(), self.held.tokens);
+        let last = self.told;
+        if last.is_some_and(|(at, had)| now - at < TELL || had == tokens) {
             return;
         }
-        let took = Span::from(self.last.elapsed());
-        self.last = Instant::now();
+        self.told = Some((now, tokens));
+        self.paced = last.is_some();
+        let served = (self.run.work.unit == Unit::Tokens).then(|| Units(f64::from(tokens)));
         let job = self.run.job;
-        self.run.router.dispatch(|d, _| d.tokens(job, tokens, took));
+        self.run.router.dispatch(|d, time| {
+            if let Some(served) = served {
+                d.progress(job, served, time);
+            }
+            if let Some((at, had)) = last {
+                d.tokens(job, tokens - had, Span::from(now - at));
+            }
+        });
     }
 
     async fn end(mut self, end: End, pieces: &Sender<Piece>) {
         if end.leaving {
             self.run.router.noticed_leaving(&self.replica);
         }
-        let finish = Finish {
-            gap: None,
-            ..finish(&self.run.work, &end)
-        };
+        let mut finish = finish(&self.run.work, &end, self.run.ran());
+        if self.paced {
+            finish.gap = None;
+        }
         self.run.finish(finish);
         self.run.count_service(finish.units);
         self.run.count(end.outcome);
@@ -184,11 +191,7 @@
     }
 
     /// Ends an answer that nobody reads any more; dropping the call cancels it.
-    fn cancel(self) {
-        let job = self.run.job;
-        self.run.record(Outcome::MayHaveRun, &Held::default());
-        self.run.count(Outcome::MayHaveRun);
-        self.run.router.dispatch(|d, now| d.cancel(job, now));
-        lock(&self.run.router.jobs).remove(job);
+    fn cancel(mut self) {
+        self.run.lose();
     }
 }
