Report less and move fewer slots where very many workspaces wait

Where dozens of workspaces wait at a router some begin or cease at any moment, and each change made a full report urgent.

--- a/crates/policy/src/pool/body.rs
+++ b/crates/policy/src/pool/body.rs
@@ -70,7 +70,8 @@
     /// left while there are some.
     pub(super) fn urges(&self, last: &Body, pressed: bool) -> bool {
         let fewer = self.kept < last.kept;
-        let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
+        let first = !pressed || last.waits.is_empty();
+        let newly = |w: &Wait| first && !last.waits.iter().any(|l| l.key == w.key);
         let full = !pressed && self.running >= self.kept && last.running < last.kept;
         let grown = if pressed {
             2 * last.queued()
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -251,7 +251,8 @@
             0 => self.limits.iter().map(|(k, n)| (*k, *n)).collect(),
             _ => Vec::new(),
         };
-        let keys = body.waits.iter().map(|w| w.key).collect();
+        let told = self.waits.iter().flat_map(|w| &w.2);
+        let keys = told.map(|w| w.key).collect();
         self.asked.push_back((self.seq, keys));
         if self.asked.len() > ASKED {
             self.asked.pop_front();
@@ -283,13 +284,14 @@
         let Some((seq, at, told)) = &self.waits else {
             return true;
         };
-        let same = body
-            .waits
-            .iter()
-            .map(|w| w.key)
-            .eq(told.iter().map(|w| w.key));
         let much = body.queued() >= 2 * queued(told) || 2 * body.queued() <= queued(told);
-        !same || much || !self.pressed || *seq > self.acked || now.since(*at) >= self.interval(body)
+        if much || *seq > self.acked || now.since(*at) >= self.interval(body) {
+            return true;
+        }
+        // Where many workspaces wait, some begin or cease to all the time. This router
+        // serves them by itself meanwhile, from the slots that it has.
+        let keys = body.waits.iter().map(|w| w.key);
+        !self.pressed || told.is_empty() && !keys.eq(told.iter().map(|w| w.key))
     }
 
     /// Returns whether the owner should hear how the replicas answered.
--- a/crates/policy/src/pool/moves.rs
+++ b/crates/policy/src/pool/moves.rs
@@ -9,6 +9,10 @@
     crate::RouterId,
 };
 
+/// Where more queues wait than there are slots, a plan moves at most one of so many slots: the
+/// levels cross all the time, and each slot is idle on its way.
+const MOVES: u32 = 20;
+
 impl Pool {
     /// Returns the free slots of each replica, below zero where too many are out.
     fn free(&self) -> Vec<i64> {
@@ -93,6 +97,10 @@
                 stuck.push((few - coming, b.shuns()));
             }
         }
+        let queues: usize = self.borrowers.values().map(|b| b.waits.len()).sum();
+        if self.pressed && queues as u32 > self.capacity() {
+            lack = lack.min(i64::from(self.capacity() / MOVES).max(1));
+        }
         self.lower_some(wants, lack, &[]);
         // Free slots that a router shuns do not help it, so others give it of theirs.
         for (few, shuns) in stuck {
