--- a/crates/policy/src/entry/mod.rs
+++ b/crates/policy/src/entry/mod.rs
@@ -9,6 +9,8 @@
 mod refuse;
 mod sample;
 mod seats;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::{
     core::Entry,
