--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -30,6 +30,7 @@
     policy::{
         Outcome,
         ReplicaId,
+        Span,
         Units, //
     },
     std::time::{
@@ -38,9 +39,9 @@
     },
 };
 
-/// How often a stream's service is charged while it runs. All streams share the dispatch
+/// How often the dispatch is told of a stream's tokens while it runs. All streams share the dispatch
 /// and its lock, which would be taken for every token otherwise.
-const CHARGE: Duration = Duration::from_millis(50);
+const TELL: Duration = Duration::from_millis(50);
 /// Pieces that may wait for a slow caller.
 const PIECES: usize = 8;
 /// Longest answer that is recorded for a ticket, in bytes.
@@ -55,8 +56,10 @@
     gone: Gone,
     /// The caller still reads.
     heard: bool,
-    /// When its service was last charged.
-    charged: Option<Instant>,
+    /// When the dispatch was last told of its tokens, and of how many.
+    told: Option<(Instant, u32)>,
+    /// The dispatch was told how long tokens took.
+    paced: bool,
 }
 
 impl Passing {
@@ -74,7 +77,8 @@
             replica,
             gone,
             heard: true,
-            charged: None,
+            told: None,
+            paced: false,
         }
     }
 
@@ -92,7 +96,7 @@
             Some(_) => self.held.body.clone(),
             None => std::mem::take(&mut self.held.body),
         };
-        self.progress(self.held.tokens);
+        self.progress();
         self.give(&pieces, Piece::Data(first)).await;
         let end = loop {
             if !self.heard && self.run.work.idempotent {
@@ -134,31 +138,42 @@
     /// Keeps what a ticket's record needs, and charges what was served so far.
     fn keep(&mut self, bytes: &[u8], tokens: u32) {
         self.held.tokens += tokens;
-        self.progress(self.held.tokens);
+        self.progress();
         let wanted = self.run.grant.is_some() && self.held.body.len() <= RECORD_MAX;
         if wanted {
             self.held.body.extend_from_slice(bytes);
         }
     }
 
-    /// Charges what was served so far, now and then.
-    fn progress(&mut self, tokens: u32) {
-        let due = self.charged.is_none_or(|at| at.elapsed() >= CHARGE);
-        if due && self.run.work.unit == Unit::Tokens {
-            self.charged = Some(Instant::now());
-            let served = Units(f64::from(tokens));
-            let job = self.run.job;
-            self.run
-                .router
-                .dispatch(|d, now| d.progress(job, served, now));
+    /// Charges what was served so far and tells how long it took, now and then.
+    fn progress(&mut self) {
+        let (now, tokens) = (Instant::now(), self.held.tokens);
+        let last = self.told;
+        if last.is_some_and(|(at, had)| now - at < TELL || had == tokens) {
+            return;
         }
+        self.told = Some((now, tokens));
+        self.paced = last.is_some();
+        let served = (self.run.work.unit == Unit::Tokens).then(|| Units(f64::from(tokens)));
+        let job = self.run.job;
+        self.run.router.dispatch(|d, time| {
+            if let Some(served) = served {
+                d.progress(job, served, time);
+            }
+            if let Some((at, had)) = last {
+                d.tokens(job, tokens - had, Span::from(now - at));
+            }
+        });
     }
 
     async fn end(mut self, end: End, pieces: &Sender<Piece>) {
         if end.leaving {
             self.run.router.noticed_leaving(&self.replica);
         }
-        let finish = finish(&self.run.work, &end, self.run.ran());
+        let mut finish = finish(&self.run.work, &end, self.run.ran());
+        if self.paced {
+            finish.gap = None;
+        }
         self.run.finish(finish);
         self.run.count_service(finish.units);
         self.run.count(end.outcome);
