limit: a look for the floor ends when the load does

Cause: windows without times counted as faster, so the limit went down to 1 while nothing ran, and work that came back found one slot. Shown by sample_when_the_load_ends_during_a_look_for_the_floor, which ended at 1 of 8.

--- a/crates/policy/src/limit/learner.rs
+++ b/crates/policy/src/limit/learner.rs
@@ -347,7 +347,14 @@
             }
             return;
         }
-        let full = cut.fullness(self.limit).is_none_or(|f| f >= FULL);
+        let fullness = cut.fullness(self.limit);
+        if cut.probe && fullness.is_none() {
+            // The load ended meanwhile, and nothing was seen. Going on would end at 1, and
+            // leave the replica idle when work comes back.
+            self.put(cut.top);
+            return;
+        }
+        let full = fullness.is_none_or(|f| f >= FULL);
         match (cut.probe, full) {
             (true, true) => {
                 // Fewer requests were faster, so it was more than full: go on looking.
--- a/crates/policy/tests/limit.rs
+++ b/crates/policy/tests/limit.rs
@@ -192,6 +192,24 @@
     assert_eq!(limit.get(), Slots(8));
 }
 
+#[test]
+fn sample_when_the_load_ends_during_a_look_for_the_floor() {
+    // Work came back after a pause, and a replica ran one request at a time at first. The
+    // last work had ended just as fewer slots were tried; that nothing was seen then was
+    // taken for a replica that had become faster, again and again.
+    let mut limit = Limit::new(Slots(8));
+    let mut e = Engine::new(8.0, 0.0, 1);
+    while !limit.probing() {
+        e.run(&mut limit, STEP);
+        assert!(e.now < 600.0, "no look for the floor");
+    }
+    for i in 1..400 {
+        let now = Time(((e.now + STEP * f64::from(i)) * 1e6) as u64);
+        limit.sample(None, None, Slots(0), true, now);
+    }
+    assert!(limit.get() >= Slots(8), "{}", limit.get());
+}
+
 #[test]
 fn load_with_requests_that_wait_inside_the_engine() {
     let mut limit = Limit::new(Slots(40));
