--- a/crates/policy/src/limit/learner.rs
+++ b/crates/policy/src/limit/learner.rs
@@ -2,27 +2,27 @@
 
 use {
     super::{
+        ceiling::Ceiling,
         cut::{
             Cut,
             Kind,
             Trail, //
         },
+        floors::{
+            Floors,
+            Pace, //
+        },
         rules::{
-            Bounds,
             ABOVE_FULL,
             CAP,
             EVIDENCE,
-            FIRST,
             FLAT,
             FULL,
-            GAP,
             GROWTH,
-            HOLD,
             IN_USE,
             KEPT_REFUSED,
             LEAST_KEPT,
             PATIENCE,
-            PLAIN,
             PROBE,
             PROBE_EVIDENCE,
             PROBE_KEPT,
@@ -30,10 +30,8 @@
             QUICKER,
             RECENT,
             REPORT_LAG,
-            RISEN,
             WINDOW, //
         },
-        track::Track,
         window::Window, //
     },
     crate::{
@@ -62,8 +60,7 @@
     limit: f64,
     cap: f64,
     window: Window,
-    gap: Track,
-    first: Track,
+    floors: Floors,
     /// The part that the next growth adds.
     rate: f64,
     /// When the floor was last looked for, and how long until the next time.
@@ -81,23 +78,6 @@
     cut: Option<Cut>,
 }
 
-/// A limit at which the replica was found more than full.
-#[derive(Debug)]
-struct Ceiling {
-    limit: Slots,
-    /// Until when it is not tried again, and for how long it was not.
-    until: Time,
-    hold: Span,
-}
-
-/// How slow the replica is, as a multiple of its floor.
-struct Pace {
-    kind: Kind,
-    ratio: f64,
-    slow: bool,
-    steady: bool,
-}
-
 impl Limit {
     /// Makes the limit of a replica of which nothing is known.
     pub fn new(start: Slots) -> Limit {
@@ -105,8 +85,7 @@
             limit: f64::from(start.0.max(1)),
             cap: CAP,
             window: Window::default(),
-            gap: Track::new(),
-            first: Track::new(),
+            floors: Floors::new(),
             rate: GROWTH[0],
             probed: None,
             period: PROBE[0],
@@ -199,7 +178,10 @@
         }
         self.recent.push(w, RECENT);
         self.age += 1;
-        let Some(pace) = self.pace() else {
+        if self.recent.count() < EVIDENCE {
+            return;
+        }
+        let Some(pace) = self.floors.pace(&self.recent.sum()) else {
             return;
         };
         let probed = *self.probed.get_or_insert(now);
@@ -220,39 +202,11 @@
         }
     }
 
-    /// Compares the last windows with the floor, once there are enough.
-    fn pace(&mut self) -> Option<Pace> {
-        if self.recent.count() < EVIDENCE {
-            return None;
-        }
-        let sum = self.recent.sum();
-        let gap = sum.gap().map(|t| self.gap.ratio(t));
-        let first = sum.first().map(|t| self.first.ratio(t));
-        let pace = |kind, ratio, b: Bounds| Pace {
-            kind,
-            ratio,
-            slow: ratio > b.shrink,
-            steady: ratio <= b.grow,
-        };
-        match (gap, first) {
-            (Some(gap), Some(first)) => {
-                let (gap, first) = (pace(Kind::Gap, gap, GAP), pace(Kind::First, first, FIRST));
-                let steady = gap.steady && first.steady;
-                let worst = if first.slow && !gap.slow { first } else { gap };
-                Some(Pace { steady, ..worst })
-            }
-            (Some(gap), None) => Some(pace(Kind::Gap, gap, GAP)),
-            (None, Some(first)) => Some(pace(Kind::Answer, first, PLAIN)),
-            (None, None) => None,
-        }
-    }
-
     /// Returns whether the next increase stays below what was too much a short while ago.
     fn free(&self, now: Time) -> bool {
-        let next = (self.limit + self.more()).round() as u32;
-        self.ceiling
-            .as_ref()
-            .is_none_or(|c| now >= c.until || next < c.limit.0)
+        let next = Slots((self.limit + self.more()).round() as u32);
+        let ceiling = self.ceiling.as_ref();
+        ceiling.is_none_or(|c| c.admits(next, now))
     }
 
     fn more(&self) -> f64 {
@@ -277,7 +231,7 @@
             // One request alone can't be slowed by others: this is the floor now.
             self.probed = Some(now);
             let alone = self.recent.sum();
-            return self.rebase(&alone);
+            return self.floors.rebase(&alone);
         }
         let kept = match pace.kind {
             // A queue inside the engine delays the first token only. Its length can't be
@@ -364,55 +318,27 @@
             }
             (true, false) => {
                 self.probed = Some(now);
-                self.period = match self.risen(&after) {
+                self.period = match self.floors.risen(&after) {
                     true => PROBE[0],
                     false => Span((self.period.0 * 2).min(PROBE[1].0)),
                 };
-                self.rebase(&after);
+                self.floors.rebase(&after);
                 self.put(cut.top.min(cut.limit * ABOVE_FULL));
             }
-            (false, true) => self.hold_below(cut.limit, now),
+            (false, true) => {
+                let limit = Slots(cut.limit.round() as u32);
+                self.ceiling = Some(Ceiling::new(limit, self.ceiling.take(), now));
+            }
             (false, false) => {
                 self.probed = Some(now);
                 self.period = Span(PROBE[0].0 * 2);
                 self.ceiling = None;
-                self.rebase(&after);
+                self.floors.rebase(&after);
                 self.put(cut.limit);
             }
         }
     }
 
-    /// Does not try so many again for a while, ever longer.
-    fn hold_below(&mut self, limit: f64, now: Time) {
-        let last = self.ceiling.take().map_or(Span::ZERO, |c| c.hold);
-        let hold = Span((last.0 * 2).clamp(HOLD[0].0, HOLD[1].0));
-        self.ceiling = Some(Ceiling {
-            limit: Slots(limit.round() as u32),
-            until: now + hold,
-            hold,
-        });
-    }
-
-    /// Returns whether times are well above the floor.
-    fn risen(&self, w: &Window) -> bool {
-        let (time, track) = match w.gap() {
-            Some(gap) => (Some(gap), &self.gap),
-            None => (w.first(), &self.first),
-        };
-        let both = time.zip(track.floor());
-        both.is_some_and(|(time, floor)| time > floor * RISEN)
-    }
-
-    /// Takes these times for the floor.
-    fn rebase(&mut self, w: &Window) {
-        if let Some(t) = w.gap() {
-            self.gap.set(t);
-        }
-        if let Some(t) = w.first() {
-            self.first.set(t);
-        }
-    }
-
     fn put(&mut self, limit: f64) {
         self.limit = limit.clamp(1.0, self.cap);
         self.recent = Trail::default();
--- a/crates/policy/src/limit/mod.rs
+++ b/crates/policy/src/limit/mod.rs
@@ -5,7 +5,9 @@
 //! that number: the engine is full, and nobody waits inside it who could wait in a queue
 //! that knows shares and deadlines.
 
+mod ceiling;
 mod cut;
+mod floors;
 mod learner;
 mod rules;
 mod track;
