--- a/src/slopes/dispatch.rs
+++ b/src/slopes/dispatch.rs
@@ -4,7 +4,6 @@
     super::{
         memory::bytes_of,
         model::{
-            alone,
             node,
             run,
             Cost,
@@ -19,11 +18,13 @@
     std::collections::HashMap, //
 };
 
+/// Whole fleets, in proportion to letter 1's; the largest that one run carries in minutes.
+const FLEETS: [usize; 4] = [27, 54, 108, 185];
+
 pub(crate) fn measure() -> Vec<Series> {
     let by_router = [4, 8, 14, 28];
     let by_waiting = [1, 15, 45, 90];
     let by_replica = [28, 111, 222, 444];
-    let fleet = [8, 32, 92, 185, 370];
     let mut all = grown(
         "routers of a model",
         MODEL.routers,
@@ -54,22 +55,19 @@
             ..MODEL
         },
     ));
-    all.push(Series {
-        name: "dispatch-fleet-sent",
-        role: "shares and capacity",
-        size: "routers known, 27 models",
-        cost: "bytes/s sent by one",
-        target: 370.0,
-        points: points(&fleet, |n| alone(n).sent),
-    });
-    all.push(Series {
-        name: "dispatch-fleet-time",
-        role: "shares and capacity",
-        size: "routers known, 27 models",
-        cost: "% of a core at one",
-        target: 370.0,
-        points: points(&fleet, |n| alone(n).core),
-    });
+    all.extend(grown(
+        "routers, 27 models",
+        370,
+        &FLEETS,
+        ["dispatch-fleet", "dispatch-fleet-time"],
+        |n| Size {
+            routers: n,
+            services: 27,
+            replicas: 12_000 * n / 370,
+            workspaces: 6_100,
+            backlogged: 610,
+        },
+    ));
     all
 }
 
