--- a/crates/policy/src/dispatch/exchange.rs
+++ b/crates/policy/src/dispatch/exchange.rs
@@ -3,7 +3,10 @@
 use {
     super::ranks::Place,
     crate::{
-        entry::Entry,
+        entry::{
+            Entry,
+            ReplicaKey, //
+        },
         rendezvous,
         shares::Writer,
         Action,
@@ -64,7 +67,11 @@
                     .hold
                     .lend(from, incarnation, &l, &mut entry.seats, now);
             }
-            Message::Notes(n) => entry.ledger.merge(Writer::of(from, incarnation), n),
+            Message::Notes(n) => {
+                let debt = entry.pool.as_ref().and_then(|p| p.debt(&entry.rules));
+                let writer = Writer::of(from, incarnation);
+                entry.ledger.merge(writer, n, debt);
+            }
         }
         self.pump(&service, now);
     }
@@ -75,7 +82,8 @@
             let Some(entry) = self.services.get_mut(service) else {
                 return;
             };
-            let out = entry.speak(&self.me, self.leaving, now);
+            let shuns = entry.shunned(&self.lives, now);
+            let out = entry.speak(&self.me, shuns, self.leaving, now);
             self.actions.extend(out.sends);
             if !out.lent {
                 return;
@@ -176,16 +184,17 @@
 
 impl Entry {
     /// Returns what is to be told to whom about slots.
-    fn speak(&mut self, me: &Peer, leaving: bool, now: Time) -> Out {
+    fn speak(&mut self, me: &Peer, shuns: Vec<ReplicaKey>, leaving: bool, now: Time) -> Out {
         let mut out = Out {
             sends: Vec::new(),
             lent: false,
         };
         self.hold.give_back(&self.queues, &mut self.seats, leaving);
+        self.hold.shun(&mut self.seats, &shuns, now);
         let local = self.pool.is_some();
         let report = self
             .hold
-            .report(self.key, &self.queues, &mut self.seats, local, now);
+            .report(self.key, &self.queues, &mut self.seats, shuns, local, now);
         if let (Some(mut r), Some((to, _))) = (report, self.hold.owner.clone()) {
             if self.hold.loads_due(self.seats.all.len(), now) {
                 self.hold.loads_sent(now);
--- a/crates/policy/src/pool/hold.rs
+++ b/crates/policy/src/pool/hold.rs
@@ -2,6 +2,10 @@
 
 use {
     super::{
+        body::{
+            queued,
+            Body, //
+        },
         Bucket,
         Limits, //
     },
@@ -14,7 +18,7 @@
         },
         entry::{
             Queue,
-            Seat,
+            ReplicaKey,
             Seats, //
         },
         shares::Key,
@@ -35,8 +39,6 @@
 const WAITING: Span = Span::millis(200);
 /// Time between two reports while nothing waits.
 const IDLE: Span = Span::millis(250);
-/// Rough bytes of a report, of each replica in it and of each workspace.
-const SIZES: (usize, usize, usize) = (30, 7, 13);
 /// Bytes a second of reports that an owner should take in without need, and at most.
 const OWNER_TAKES: u64 = 4_000;
 const OWNER_MOST: f64 = 9_000.0;
@@ -56,8 +58,6 @@
 const LOAD: Span = Span::millis(3);
 /// Reports whose workspaces are remembered until the owner answers.
 const ASKED: usize = 8;
-/// Queues up to this length are reported exactly.
-const EXACT: u32 = 8;
 
 /// What this router holds of a pool that another router, or itself, owns.
 #[derive(Debug, Default)]
@@ -72,6 +72,8 @@
     lend: u64,
     /// Whether the owner waits to hear that slots are back.
     owes: bool,
+    /// Whether a report may be due that had to wait.
+    pub(crate) late: bool,
     pub(crate) pressed: bool,
     pub(crate) capacity: u32,
     /// Routers that use the pool.
@@ -197,6 +199,17 @@
         }
     }
 
+    /// Gives back idle slots of replicas that can take nothing of what waits.
+    ///
+    /// Such a slot would answer the demand and stay idle. It shows as a request that waits
+    /// for its whole deadline in an idle fleet, after one replica has failed it. The owner
+    /// learns of the replicas with the slots, and lends others instead.
+    pub(crate) fn shun(&mut self, seats: &mut Seats, shuns: &[ReplicaKey], now: Time) {
+        if self.lend > 0 && !self.deaf(now) {
+            self.owes |= seats.close_some(shuns);
+        }
+    }
+
     /// Returns the report that is due, if any, without its loads.
     ///
     /// It is `local` where this router owns the pool, and then costs nothing.
@@ -205,15 +218,17 @@
         service: ServiceKey,
         queues: &BTreeMap<Key, Queue>,
         seats: &mut Seats,
+        shuns: Vec<ReplicaKey>,
         local: bool,
         now: Time,
     ) -> Option<Report> {
         let just = |(at, _): &(Time, Body)| now.since(*at) < URGENT;
         if !local && self.sent.as_ref().is_some_and(just) {
+            self.late = true;
             return None;
         }
-        let body = Body::of(queues, seats);
-        if !self.home && self.sent.is_none() && body.is_empty() {
+        let body = Body::of(queues, seats, shuns);
+        if !self.home && self.seq == 0 && body.is_empty() {
             return None;
         }
         let loads = body.running > 0 && self.loads_due(seats.all.len(), now);
@@ -222,6 +237,7 @@
         }
         self.seq += 1;
         self.tries += 1;
+        self.late = false;
         self.owes = false;
         self.told = self.lend;
         self.unheard.get_or_insert(now);
@@ -256,6 +272,7 @@
             kept,
             running: body.running,
             waits: waits.then_some(body.waits),
+            shuns: body.shuns,
             limits,
             loads: None,
         })
@@ -297,6 +314,7 @@
             return body != last || self.told != self.lend || self.owes;
         }
         let urgent = self.owes || body.urges(last, self.pressed);
+        self.late = urgent;
         let answered = self.tries < SILENT;
         let interval = if urgent && answered && self.bucket.open() {
             URGENT
@@ -325,77 +343,3 @@
         }
     }
 }
-
-/// The part of a report that is compared with the last one.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct Body {
-    /// Slots kept in all.
-    kept: u32,
-    /// Whether those of any replica are not as last told.
-    news: bool,
-    running: u32,
-    waits: Vec<Wait>,
-}
-
-impl Body {
-    fn of(queues: &BTreeMap<Key, Queue>, seats: &Seats) -> Body {
-        let waiting = queues.iter().filter(|(_, q)| !q.is_empty());
-        Body {
-            kept: seats.all.values().map(Seat::kept).sum(),
-            news: seats.all.values().any(|s| s.told != Some(s.kept())),
-            running: seats.running(),
-            waits: waiting
-                .map(|(key, q)| Wait {
-                    key: *key,
-                    queued: coarse(q.len() as u32),
-                    running: q.running,
-                })
-                .collect(),
-        }
-    }
-
-    /// Returns whether this router has nothing to do with the pool.
-    fn is_empty(&self) -> bool {
-        self.kept == 0 && self.running == 0 && self.waits.is_empty()
-    }
-
-    /// Returns roughly how many bytes a report of it takes.
-    fn size(&self, kept: usize, waits: bool) -> usize {
-        let waits = if waits { SIZES.2 * self.waits.len() } else { 0 };
-        SIZES.0 + SIZES.1 * kept + waits
-    }
-
-    /// Returns all requests that wait.
-    fn queued(&self) -> u32 {
-        queued(&self.waits)
-    }
-
-    /// Returns whether the owner should hear of it at once: slots came back, a workspace
-    /// began to wait, more waits (much more, where work waits everywhere), or no spare slot is
-    /// left while there are some.
-    fn urges(&self, last: &Body, pressed: bool) -> bool {
-        let fewer = self.kept < last.kept;
-        let newly = |w: &Wait| !last.waits.iter().any(|l| l.key == w.key);
-        let full = !pressed && self.running >= self.kept && last.running < last.kept;
-        let grown = if pressed {
-            2 * last.queued()
-        } else {
-            last.queued() + 1
-        };
-        let more = self.queued() >= grown.max(1) && self.queued() > last.queued();
-        fewer || full || more || self.waits.iter().any(newly)
-    }
-}
-
-fn queued(waits: &[Wait]) -> u32 {
-    waits.iter().map(|w| w.queued).sum()
-}
-
-/// Rounds a large number to its three highest bits, so that it seldom changes.
-fn coarse(n: u32) -> u32 {
-    if n <= EXACT {
-        return n;
-    }
-    let low = n.ilog2() - 2;
-    n >> low << low
-}
--- a/crates/policy/src/shares/mod.rs
+++ b/crates/policy/src/shares/mod.rs
@@ -2,10 +2,13 @@
 
 mod account;
 mod bound;
+mod gossip;
 mod key;
 mod ledger;
 mod notes;
 mod table;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use self::{
     account::Account,
