--- a/tests/proofs/stage/fleet.rs
+++ b/tests/proofs/stage/fleet.rs
@@ -124,12 +124,17 @@
             platform,
             slot,
         };
-        let engines: Vec<_> = fleet.engines.iter().map(|e| e.addr).collect();
-        let plains: Vec<_> = fleet.plains.iter().map(|p| p.addr).collect();
-        fleet.list_at(&engines, &plains);
+        fleet.list_all();
         fleet
     }
 
+    /// Lists the routers and all endpoints.
+    pub(crate) fn list_all(&self) {
+        let engines: Vec<_> = self.engines.iter().map(|e| e.addr).collect();
+        let plains: Vec<_> = self.plains.iter().map(|p| p.addr).collect();
+        self.list_at(&engines, &plains);
+    }
+
     /// Lists the routers, and endpoints at these addresses.
     pub(crate) fn list_at(&self, engines: &[SocketAddr], plains: &[SocketAddr]) {
         let routers = self.routers.iter().map(Router::entry);
