--- a/src/slopes/dispatch.rs
+++ b/src/slopes/dispatch.rs
@@ -19,12 +19,12 @@
 };
 
 /// Whole fleets, in proportion to letter 1's; the largest that one run carries in minutes.
-const FLEETS: [usize; 4] = [27, 54, 108, 185];
+const FLEETS: [usize; 3] = [27, 54, 108];
 
 pub(crate) fn measure() -> Vec<Series> {
-    let by_router = [4, 8, 14, 28];
-    let by_waiting = [1, 15, 45, 90];
-    let by_replica = [28, 111, 222, 444];
+    let by_router = [4, 14, 28];
+    let by_waiting = [1, 45, 90];
+    let by_replica = [28, 222, 444];
     let mut all = grown(
         "routers of a model",
         MODEL.routers,
