--- a/src/router/claims.rs
+++ b/src/router/claims.rs
@@ -6,15 +6,13 @@
             Answer,
             Question, //
         },
-        running::{
-            pairs,
-            Held,
-            Work, //
-        },
+        running::Held,
         state::{
             lock,
             Router, //
         },
+        told::pairs,
+        work::Work, //
     },
     callers::{
         Refused,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -26,6 +26,8 @@
 mod state;
 mod tally;
 mod times;
+mod told;
+mod work;
 
 pub(crate) use self::{
     changes::Log,
--- a/src/router/passing.rs
+++ b/src/router/passing.rs
@@ -1,12 +1,16 @@
 //! An answer that is passed on while it comes.
 
 use {
-    super::running::{
-        finish,
-        lost,
-        pairs,
-        Held,
-        Running, //
+    super::{
+        running::{
+            Held,
+            Running, //
+        },
+        told::{
+            finish,
+            lost,
+            pairs, //
+        },
     },
     async_std::{
         channel::{
--- a/src/router/requests.rs
+++ b/src/router/requests.rs
@@ -2,14 +2,12 @@
 
 use {
     super::{
-        running::{
-            Running,
-            Work, //
-        },
+        running::Running,
         state::{
             lock,
             Router, //
         },
+        work::Work, //
     },
     callers::{
         Ask,
--- a/src/router/running.rs
+++ b/src/router/running.rs
@@ -9,77 +9,52 @@
             lock,
             Router, //
         },
-        tally::Account, //
+        tally::Account,
+        told::{
+            finish,
+            gone_response,
+            internal,
+            lost,
+            pairs, //
+        },
+        work::Work, //
     },
     async_std::channel::Receiver,
     callers::{
         Gone,
         Refused,
-        RequestId,
-        Response,
-        Why, //
+        Response, //
     },
     endpoints::{
         Answer,
-        Call,
-        CallError,
-        CallId,
         End,
         Event,
-        Header,
-        Kind, //
+        Header, //
     },
     futures_lite::future::or,
-    operators::Unit,
     policy::{
         tickets::Grant,
         Finish,
-        Job,
         JobId,
         Outcome,
-        ProfileName,
         ReplicaId,
         Span,
         Units, //
     },
     std::{
-        net::SocketAddr,
         sync::Arc,
         time::{
             Duration,
             Instant, //
         },
     },
-    xxhash_rust::xxh3::Xxh3,
 };
 
-/// The least silence of a stream after which it is probed.
-const SILENCE: Duration = Duration::from_secs(2);
-/// Part of the time left that a plain call may be silent, so that there is time to try again.
-const SILENT_PART: u32 = 3;
 /// How often one request is tried at most, the first try included.
 const TRIES: u32 = 4;
 /// Longest answer of a plain service that is held back until it is whole, in bytes.
 const WHOLE_MAX: usize = 1 << 20;
 
-/// A request as it was admitted.
-#[derive(Debug)]
-pub(crate) struct Work {
-    pub(crate) job: Job,
-    pub(crate) profile: ProfileName,
-    pub(crate) streamed: bool,
-    pub(crate) unit: Unit,
-    pub(crate) weight: Units,
-    pub(crate) idempotent: bool,
-    pub(crate) ticket: Option<String>,
-    pub(crate) id: RequestId,
-    pub(crate) method: String,
-    pub(crate) target: String,
-    pub(crate) headers: Vec<(String, String)>,
-    pub(crate) body: Arc<[u8]>,
-    pub(crate) deadline: Instant,
-}
-
 /// A request on its way.
 pub(crate) struct Running {
     pub(crate) router: Arc<Router>,
@@ -129,25 +104,6 @@
     pub(crate) tokens: u32,
 }
 
-impl Work {
-    /// Returns a hash of what is asked of whom, which a ticket stands for.
-    pub(crate) fn print(&self) -> u64 {
-        let mut hash = Xxh3::new();
-        let names = [
-            self.job.service.as_str(),
-            self.job.workspace.as_str(),
-            &self.method,
-            &self.target,
-        ];
-        for name in names {
-            hash.update(name.as_bytes());
-            hash.update(b"\n");
-        }
-        hash.update(&self.body);
-        hash.digest()
-    }
-}
-
 impl Running {
     pub(crate) fn new(router: Arc<Router>, work: Work, grant: Option<Grant>) -> Running {
         let job = work.job.clone();
@@ -212,7 +168,9 @@
 
     /// Calls the endpoint once.
     async fn attempt(mut self, replica: ReplicaId, gone: &Gone) -> Step {
-        let Some(call) = self.call(&replica) else {
+        self.started = Instant::now();
+        let call = self.work.call(&replica, self.grant.as_ref(), self.tries);
+        let Some(call) = call else {
             self.finish(Finish::default());
             self.drop_unstarted();
             return Step::Done(internal("the endpoint's address can't be used"));
@@ -417,57 +375,6 @@
         self.router.dispatch(|d, now| d.finish(job, finish, now));
         lock(&self.router.jobs).remove(job);
     }
-
-    fn call(&mut self, replica: &ReplicaId) -> Option<Call> {
-        self.started = Instant::now();
-        let addr: SocketAddr = replica.as_str().parse().ok()?;
-        Some(Call {
-            id: self.call_id()?,
-            replica: addr,
-            method: self.work.method.parse().ok()?,
-            path: self.work.target.clone(),
-            headers: self
-                .work
-                .headers
-                .iter()
-                .map(|(n, v)| Header::new(n, v))
-                .collect(),
-            body: self.work.body.clone(),
-            kind: if self.work.streamed {
-                Kind::Stream
-            } else {
-                Kind::Plain
-            },
-            idempotent: self.work.idempotent,
-            deadline: self.work.deadline,
-            silence: self.silence(),
-        })
-    }
-
-    /// Returns how long the endpoint may be silent.
-    ///
-    /// A plain service says nothing until its answer is ready, so silence proves little: a
-    /// call that may be repeated is tried elsewhere while there is time, and one that may
-    /// not is waited for. Given up early it would end as may-have-run, though its answer
-    /// was only slow.
-    fn silence(&self) -> Duration {
-        let left = self.work.deadline.saturating_duration_since(Instant::now());
-        match (self.work.streamed, self.work.idempotent) {
-            (true, _) => SILENCE,
-            (false, true) => (left / SILENT_PART).max(SILENCE),
-            (false, false) => left,
-        }
-    }
-
-    /// Names this try. A ticket's own text names a request that may not be repeated, so
-    /// that an endpoint can tell a second run from a first.
-    fn call_id(&self) -> Option<CallId> {
-        let text = match &self.grant {
-            Some(grant) => grant.ticket().to_string().replace('/', "."),
-            None => format!("{}.{:016x}.{}", self.work.id, fastrand::u64(..), self.tries),
-        };
-        text.parse().ok()
-    }
 }
 
 impl Drop for Running {
@@ -481,61 +388,3 @@
         }
     }
 }
-
-/// What the dispatch is told of the end of a call that ran for a while.
-pub(crate) fn finish(work: &Work, end: &End, ran: Duration) -> Finish {
-    // One workspace whose deadlines are too short for any endpoint would have all
-    // replicas taken for failing. It would show as capacity that idles for everyone.
-    let rushed = ran < SILENCE && work.deadline <= Instant::now();
-    let answered = end.outcome == Outcome::Answered;
-    let units = match work.unit {
-        Unit::Tokens => Units(f64::from(end.tokens)),
-        Unit::Requests if answered => work.weight,
-        Unit::Requests => Units(0.0),
-    };
-    Finish {
-        units,
-        first: end.first,
-        gap: end.gap,
-        ok: answered || end.cause.is_none() || rushed,
-        refund: units == Units(0.0),
-    }
-}
-
-/// What a caller is told whose answer was lost or never came about.
-pub(crate) fn lost(end: &End) -> Refused {
-    let cause = end
-        .cause
-        .as_ref()
-        .map_or("no cause is known".to_owned(), |c| c.to_string());
-    let (why, message) = match end.outcome {
-        Outcome::NotRun => (Why::NoEndpoint, format!("no endpoint took it: {cause}")),
-        Outcome::Failed => (Why::EndpointFailed, cause),
-        _ if end.cause == Some(CallError::Deadline) => (Why::TimedOut, cause),
-        _ => (Why::AnswerLost, format!("it may have run: {cause}")),
-    };
-    let refused = Refused::new(why, message).outcome(end.outcome);
-    match end.outcome {
-        Outcome::NotRun => refused.retry_after(Duration::from_millis(500)),
-        _ => refused,
-    }
-}
-
-fn gone_response(outcome: Outcome) -> Response {
-    Refused::new(Why::AnswerLost, "the caller hung up")
-        .outcome(outcome)
-        .into()
-}
-
-fn internal(message: &str) -> Response {
-    Refused::new(Why::Internal, message)
-        .outcome(Outcome::NotRun)
-        .into()
-}
-
-pub(crate) fn pairs(headers: &[Header]) -> Vec<(String, String)> {
-    headers
-        .iter()
-        .map(|h| (h.name.clone(), h.value.clone()))
-        .collect()
-}
