--- a/src/slopes/model.rs
+++ b/src/slopes/model.rs
@@ -36,10 +36,12 @@
 };
 
 const TICK: Span = Span::millis(10);
-/// Time simulated for each figure, after as much to settle.
-const SPAN: Span = Span::secs(3);
-/// How long a request runs.
-const RUN: Span = Span::secs(1);
+/// Time simulated before a figure, for the first requests to end.
+const SETTLE: Span = Span::secs(11);
+/// Time simulated for each figure.
+const SPAN: Span = Span::secs(4);
+/// How long a request runs: 323 tokens, 30 ms apart.
+const RUN: Span = Span::secs(10);
 /// Bytes that a stream adds to a message: its part of a frame, the chunk around it.
 const FRAME: usize = 18;
 /// Requests a second that a node takes.
@@ -142,7 +144,7 @@
 /// Runs the routers of one model against each other.
 pub(crate) fn run(size: Size) -> Cost {
     let mut fleet = Fleet::new(size);
-    fleet.advance(SPAN);
+    fleet.advance(SETTLE);
     fleet.sent = 0;
     fleet.seconds = 0.0;
     fleet.advance(SPAN);
@@ -153,33 +155,6 @@
     }
 }
 
-/// Runs one router that takes requests of one model, among many that it only knows.
-pub(crate) fn alone(routers: usize) -> Cost {
-    let size = Size {
-        routers,
-        services: 27,
-        replicas: 12_000,
-        workspaces: 6_100,
-        backlogged: 0,
-    };
-    let mut fleet = Fleet {
-        nodes: vec![node(0, size)],
-        index: HashMap::new(),
-        ..Fleet::new(Size {
-            routers: 0,
-            ..MODEL
-        })
-    };
-    fleet.advance(SPAN);
-    fleet.sent = 0;
-    fleet.seconds = 0.0;
-    fleet.advance(SPAN);
-    Cost {
-        sent: fleet.sent as f64 / SPAN.as_secs(),
-        core: fleet.seconds / SPAN.as_secs() * 100.0,
-    }
-}
-
 /// Routers that hear each other a tick later.
 struct Fleet {
     size: Size,
@@ -191,6 +166,8 @@
     seconds: f64,
     debt: f64,
     next: usize,
+    /// Whose request each is.
+    owners: HashMap<(usize, JobId), usize>,
 }
 
 /// A request that runs.
@@ -213,6 +190,7 @@
             seconds: 0.0,
             debt: 0.0,
             next: 0,
+            owners: HashMap::new(),
         };
         fleet.flood();
         fleet
@@ -225,10 +203,13 @@
             return;
         }
         let slots = self.size.replicas * 22;
+        let each = (2 * slots / self.size.backlogged.max(1)).min(900);
         for b in 0..self.size.backlogged {
-            for k in 0..(2 * slots / self.size.backlogged.max(1)).min(900) {
-                // Each workspace's callers keep to a few routers.
-                let at = (b + k % 3) % nodes;
+            // Each workspace's callers keep to a few routers of one model.
+            let spots = nodes / self.size.services;
+            for k in 0..each {
+                let spot = (b / self.size.services + k % 3) % spots.max(1);
+                let at = (spot * self.size.services + b % self.size.services) % nodes;
                 self.submit(at, b);
             }
         }
@@ -236,7 +217,8 @@
 
     fn submit(&mut self, at: usize, w: usize) {
         let job = Job {
-            service: service(0),
+            // Callers of a model are sent to its own few routers.
+            service: service(at % self.size.services),
             workspace: workspace(w),
             arrived: self.now,
             deadline: self.now + Span::secs(3_600),
@@ -246,7 +228,10 @@
             expect: Span::ZERO,
             prefix: None,
         };
-        self.nodes[at].submit(job, self.now);
+        let begin = Instant::now();
+        let job = self.nodes[at].submit(job, self.now);
+        self.seconds += begin.elapsed().as_secs_f64();
+        self.owners.insert((at, job), w);
     }
 
     fn advance(&mut self, span: Span) {
@@ -258,23 +243,13 @@
 
     fn step(&mut self) {
         self.now += TICK;
-        let begin = Instant::now();
         self.arrive();
-        while self.ending.front().is_some_and(|e| e.at <= self.now) {
-            if let Some(e) = self.ending.pop_front() {
-                let finish = Finish {
-                    units: Units(300.0),
-                    first: Some(Span::millis(300)),
-                    gap: Some(Span::millis(25)),
-                    ok: true,
-                    refund: false,
-                };
-                self.nodes[e.node].finish(e.job, finish, self.now);
-            }
-        }
+        self.end_due();
+        let begin = Instant::now();
         for n in &mut self.nodes {
             n.tick(self.now);
         }
+        self.seconds += begin.elapsed().as_secs_f64();
         let mut mail = Vec::new();
         for i in 0..self.nodes.len() {
             mail.extend(self.act(i));
@@ -285,19 +260,50 @@
                 continue;
             };
             let id = router(from).id;
+            let begin = Instant::now();
             self.nodes[to].deliver(&id, Incarnation(1), msg, self.now);
+            self.seconds += begin.elapsed().as_secs_f64();
+        }
+    }
+
+    /// Ends what is due; a workspace that is backlogged asks again at once.
+    fn end_due(&mut self) {
+        while self.ending.front().is_some_and(|e| e.at <= self.now) {
+            let Some(e) = self.ending.pop_front() else {
+                return;
+            };
+            let finish = Finish {
+                units: Units(300.0),
+                first: Some(Span::millis(300)),
+                gap: Some(Span::millis(25)),
+                ok: true,
+                refund: false,
+            };
+            let begin = Instant::now();
+            self.nodes[e.node].finish(e.job, finish, self.now);
+            self.seconds += begin.elapsed().as_secs_f64();
+            let w = self.owners.remove(&(e.node, e.job));
+            if let Some(w) = w.filter(|w| *w < self.size.backlogged) {
+                self.submit(e.node, w);
+            }
         }
-        self.seconds += begin.elapsed().as_secs_f64();
     }
 
-    /// New requests, as many as each node takes; the same workspace for those backlogged.
+    /// New requests of the workspaces that are not backlogged, at a tenth of the rate.
     fn arrive(&mut self) {
-        self.debt += RATE * TICK.as_secs() * self.nodes.len() as f64;
+        let others = self.size.workspaces.saturating_sub(self.size.backlogged);
+        if others == 0 {
+            return;
+        }
+        self.debt += RATE / 10.0 * TICK.as_secs() * self.nodes.len() as f64;
         while self.debt >= 1.0 {
             self.debt -= 1.0;
             self.next += 1;
-            let at = self.next % self.nodes.len();
-            let w = self.next % self.size.workspaces.max(1);
+            let w = self.size.backlogged + self.next % others;
+            // Each workspace's callers keep to a few routers of one model.
+            let spots = (self.nodes.len() / self.size.services).max(1);
+            let spot = (w + self.next % 3) % spots;
+            let at = (spot * self.size.services + w % self.size.services) % self.nodes.len();
             self.submit(at, w);
         }
     }
