--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -43,13 +43,13 @@
 
 /// Requests of the workspaces that flood, and how many each sends at once.
 const FLOOD: Plan = Plan {
-    requests: 240,
+    requests: 1_200,
     at_once: 60,
 };
 /// The same of all others.
 const USUAL: Plan = Plan {
-    requests: 16,
-    at_once: 4,
+    requests: 120,
+    at_once: 10,
 };
 const FLOODING: [&str; 2] = ["manchester", "leeds"];
 /// Every so many requests of a workspace one is a renewal, which may not be repeated.
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -27,6 +27,8 @@
     pub(crate) rows: Vec<Row>,
     /// The widest fairness gap seen, in tokens divided by share.
     pub(crate) gap: f64,
+    /// The same, once the first callers' lead is paid back.
+    pub(crate) settled: f64,
     /// Part of the engines' capacity that was busy while work waited.
     pub(crate) utilisation: f64,
     /// Control traffic of each router, sent and received.
@@ -98,6 +100,7 @@
     Ok(Report {
         rows,
         gap: seen.gap,
+        settled: seen.settled,
         utilisation: seen.utilisation,
         control,
         faults,
--- a/src/demo/show.rs
+++ b/src/demo/show.rs
@@ -32,8 +32,8 @@
         table(&["router", "control bytes/s"], 1, control.collect())
     );
     println!(
-        "fairness gap  {:.0} tokens/share, the widest between two backlogged",
-        r.gap
+        "fairness gap  {:.0} tokens/share, the widest between two backlogged; {:.0} once settled",
+        r.gap, r.settled
     );
     println!(
         "utilisation   {:.1}% while work waited",
@@ -80,6 +80,7 @@
         "workspaces": rows.collect::<Vec<_>>(),
         "control": control.collect::<Vec<_>>(),
         "gap": r.gap,
+        "gap_settled": r.settled,
         "utilisation": r.utilisation,
         "seconds": r.seconds,
         "faults": r.faults,
--- a/src/demo/watch.rs
+++ b/src/demo/watch.rs
@@ -23,17 +23,23 @@
     operators::Status,
     std::{
         sync::Arc,
-        time::Duration, //
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
 const SERVICE: &str = "drafting-llm";
 const EVERY: Duration = Duration::from_millis(20);
+/// Until then the first callers hold the slots that stood idle.
+const SETTLED: Duration = Duration::from_secs(2);
 
 /// What was seen while the load ran.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
     pub(crate) gap: f64,
+    pub(crate) settled: f64,
     pub(crate) utilisation: f64,
 }
 
@@ -49,7 +55,9 @@
         let engines = stage.engines.clone();
         let (stop, stopped) = bounded(1);
         let task = task::spawn(async move {
+            let begin = Instant::now();
             let mut gap = Gap::default();
+            let mut settled = Gap::default();
             let mut sum = Used::default();
             let mut last = Used::of(&engines);
             while stopped.is_empty() && !stopped.is_closed() {
@@ -63,9 +71,13 @@
                 }
                 last = now;
                 gap.sample(&points);
+                if begin.elapsed() >= SETTLED {
+                    settled.sample(&points);
+                }
             }
             Seen {
                 gap: gap.widest(),
+                settled: settled.widest(),
                 utilisation: sum.part(),
             }
         });
