placement: copy a prompt's shared parts from the engine that has them

An engine's memory turns over in about 7 s at the peak, and a part is used again every 4 to 8 s, so a request at the second home, or at its home after the part was pushed out, read it anew: 4,900 tokens, 30 to 60 ms of an engine.

The parts were missing, not misplaced.

Change: a request names an engine that used the parts last, from which its engine copies them; the choice counts such tokens a fifth. The weights are settings now ([placement]), so that trials need no build.

--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -85,6 +85,8 @@
     pub memory: u64,
     /// Tokens in one event of a stream.
     pub stride: u32,
+    /// Whether one can copy cached parts of prompts from another.
+    pub copies: bool,
 }
 
 /// Bounds on what callers send, and what all workspaces share.
--- a/crates/gateway/src/model/dialect.rs
+++ b/crates/gateway/src/model/dialect.rs
@@ -32,6 +32,8 @@
     pub signature: &'static str,
     /// Header with the last event of a stream that the caller has.
     pub last_event: &'static str,
+    /// Header with the address of a replica that has parts of the prompt cached.
+    pub copy_from: &'static str,
     /// Header that tells when to come back, in seconds.
     pub retry_after: &'static str,
     /// Path at which the platform asks whether this instance is ready.
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -168,6 +168,7 @@
         dialect.deadline,
         dialect.expect,
         dialect.workspace,
+        dialect.copy_from,
         "expect",
     ];
     for name in ours {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -217,6 +217,7 @@
         headers: &req.headers,
         workspace: req.workspace.as_ref().map(|w| w.as_str()),
         last_event: events.last(),
+        source: place.source,
         body: &req.body,
         until: req.until,
         repeatable: req.route.repeatable(),
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -31,6 +31,7 @@
         Time, //
     },
     std::{
+        net::SocketAddr,
         sync::Arc,
         time::{
             Duration,
@@ -54,6 +55,8 @@
 pub(crate) struct Place {
     gw: Arc<Shared>,
     pub(crate) replica: Arc<Replica>,
+    /// Where it can copy the prompt's shared parts from.
+    pub(crate) source: Option<SocketAddr>,
     key: ReplicaKey,
     /// What it still counts as.
     load: Load,
@@ -78,7 +81,9 @@
         let mut tables = self.tables();
         let (prompt, engine) = (req.prompt.as_ref(), req.about.engine);
         let picked = match (prompt, engine) {
-            (Some(prompt), Some(engine)) => tables.pick_engine(req, prompt, engine, tried, now),
+            (Some(prompt), Some(engine)) => {
+                tables.pick_engine(self, req, (prompt, engine), tried, now)
+            }
             _ => tables.pick_server(self, req, tried, now),
         };
         let choice = match picked {
@@ -103,9 +108,9 @@
 impl Tables {
     fn pick_engine(
         &mut self,
+        gw: &Shared,
         req: &Request,
-        prompt: &Prompt,
-        engine: Engine,
+        (prompt, engine): (&Prompt, Engine),
         tried: &[ReplicaId],
         now: Time,
     ) -> Option<Pick> {
@@ -124,6 +129,7 @@
                 id: replica.id.clone(),
                 key,
                 slots: engine.slots,
+                copies: engine.copies,
                 memory: engine.memory,
                 speed: self.speeds.of(key),
                 load: self.board.load(key, now),
@@ -142,6 +148,7 @@
             target: Span::from(req.route.target),
             shortest: Span::from(req.shortest),
             standing,
+            tuning: &gw.settings.placement,
         };
         Some(pick(&candidates, &wish))
     }
@@ -210,15 +217,12 @@
             let key = WorkspaceKey::of(workspace);
             self.quota.given(key, prompt.cost(), now);
         }
-        let ready = self.roster.known();
-        let replica = ready
-            .filter(|(id, _)| **id == choice.replica)
-            .map(|(_, r)| r.clone())
-            .next()
-            .expect("a replica that was chosen is known while the tables are locked");
+        let replica = self.roster.get(&choice.replica).cloned();
+        let source = choice.source.and_then(|id| self.roster.get(&id));
         Place {
             gw: gw.clone(),
-            replica,
+            source: source.map(|r| r.addr),
+            replica: replica.expect("what was chosen is known while the tables are locked"),
             key: choice.key,
             load,
             unread: choice.unread,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use {
     miette::Diagnostic,
     policy::{
+        placement::Tuning,
         RouterId,
         Zone, //
     },
@@ -34,6 +35,9 @@
     pub bounds: Bounds,
     /// What the instance has.
     pub instance: Instance,
+    /// How the choice among engines is weighed, where not as usual.
+    #[serde(default)]
+    pub placement: Tuning,
 }
 
 /// Where an instance listens.
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -24,6 +24,7 @@
     },
     std::{
         io,
+        net::SocketAddr,
         time::{
             Duration,
             Instant, //
@@ -58,6 +59,8 @@
     pub(crate) workspace: Option<&'a str>,
     /// The last event that the caller has, where a stream goes on.
     pub(crate) last_event: Option<u64>,
+    /// A replica that has parts of the prompt cached.
+    pub(crate) source: Option<SocketAddr>,
     pub(crate) body: &'a [u8],
     pub(crate) until: Instant,
     /// Whether it may run twice.
@@ -152,6 +155,9 @@
     if let Some(workspace) = out.workspace {
         headers.push(dialect.workspace, workspace);
     }
+    if let Some(source) = out.source {
+        headers.push(dialect.copy_from, source);
+    }
     if let Some(last) = out.last_event {
         headers.remove(dialect.last_event);
         headers.push(dialect.last_event, last);
--- a/crates/policy/src/placement/engine.rs
+++ b/crates/policy/src/placement/engine.rs
@@ -45,6 +45,8 @@
     pub load: Load,
     /// Added to its fullness, for one that fails often; 0 for a sound one.
     pub penalty: f64,
+    /// Whether it can copy cached parts from another engine.
+    pub copies: bool,
     /// When this router last sent it a request that shares the prompt's last shared part, in
     /// seconds ago.
     pub cached: Option<f64>,
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -12,6 +12,7 @@
 mod pick;
 mod plain;
 mod speed;
+mod tuning;
 
 pub use self::{
     board::{
@@ -37,4 +38,5 @@
         Server, //
     },
     speed::Speeds,
+    tuning::Tuning,
 };
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -4,7 +4,8 @@
     super::{
         Candidate,
         Prompt,
-        ReplicaKey, //
+        ReplicaKey,
+        Tuning, //
     },
     crate::{
         ReplicaId,
@@ -14,27 +15,6 @@
     xxhash_rust::xxh3::xxh3_64_with_seed, //
 };
 
-/// How many engines a prompt's shared parts are kept at.
-const HOMES: usize = 2;
-/// A part is taken as cached where it was used this recently, in seconds.
-const CACHED_S: f64 = 20.0;
-/// What reading shared tokens again counts, relative to reading tokens for the first time.
-///
-/// It takes the same time of the engine, and besides pushes other parts out of its cache.
-const AGAIN_COST: f64 = 1.5;
-/// Fullness up to which any engine takes a request whose homes are full. An engine that is
-/// half idle loses nothing by reading the shared parts anew.
-const SPARE: f64 = 0.5;
-/// Fullness at which a workspace within its fair share is refused.
-const FULL: f64 = 1.0;
-/// The same for a workspace that had far more than its share.
-const FULL_OVER: f64 = 0.55;
-/// Multiples of its fair share between which a workspace's bound falls from one to the other.
-const OVER: (f64, f64) = (0.9, 1.6);
-/// Part of the slots that the fleet fills.
-const SLOTS: f64 = 1.0;
-/// Part of an engine's memory that the fleet fills. What is left holds cached parts.
-const MEMORY: f64 = 0.85;
 /// Time to the first event beside reading, in milliseconds.
 const BASE_MS: f64 = 40.0;
 /// Shortest and longest time after which a refused request may come back.
@@ -51,6 +31,8 @@
     pub shortest: Span,
     /// What its workspace had of late, as a multiple of its fair share.
     pub standing: f64,
+    /// How the choice is weighed.
+    pub tuning: &'a Tuning,
 }
 
 /// Where a request goes.
@@ -64,6 +46,8 @@
     pub uncached: u32,
     /// Tokens that it has to read in all before the first event, this prompt included.
     pub unread: u64,
+    /// The replica that it can copy the prompt's shared parts from.
+    pub source: Option<ReplicaId>,
 }
 
 /// What was decided.
@@ -107,12 +91,14 @@
         .enumerate()
         .map(|(rank, (_, engine))| rate(engine, rank, wish))
         .collect();
-    let limit = limit(wish.standing);
-    let (homes, others) = rated.split_at_mut(HOMES.min(ranked.len()));
-    if let Some(best) = cheapest(homes, limit) {
+    let tuning = wish.tuning;
+    let limit = tuning.limit(wish.standing);
+    let source = source(&rated);
+    let (homes, others) = rated.split_at_mut(tuning.homes.min(ranked.len()));
+    if let Some(best) = cheapest(homes, limit, source.as_ref()) {
         return Pick::Run(best);
     }
-    if let Some(best) = cheapest(others, SPARE.min(limit)) {
+    if let Some(best) = cheapest(others, tuning.spare.min(limit), source.as_ref()) {
         return Pick::Run(best);
     }
     Pick::Refuse {
@@ -120,23 +106,36 @@
     }
 }
 
+/// Returns the engine that most likely has the prompt's shared parts.
+fn source(rated: &[Rated<'_>]) -> Option<ReplicaId> {
+    let used = rated.iter().filter(|r| r.engine.cached.is_some());
+    let last = used.min_by(|a, b| {
+        let ago = |r: &Rated<'_>| r.engine.cached.unwrap_or(f64::MAX);
+        ago(a).total_cmp(&ago(b))
+    });
+    last.or(rated.first()).map(|r| r.engine.id.clone())
+}
+
 fn rate<'a>(engine: &'a Candidate, rank: usize, wish: &Wish<'_>) -> Rated<'a> {
-    let prompt = wish.prompt;
-    let cached = rank == 0 || engine.cached.is_some_and(|s| s < CACHED_S);
-    let again = if cached { 0 } else { prompt.shared() };
+    let (prompt, tuning) = (wish.prompt, wish.tuning);
+    let cached = rank == 0 || engine.cached.is_some_and(|s| s < tuning.cached_s);
+    let missing = if cached { 0 } else { prompt.shared() };
+    // Copied from another engine, shared parts are there in a fraction of the time.
+    let again = if engine.copies { 0 } else { missing };
+    let copied = f64::from(missing - again) * tuning.copy_cost;
     let uncached = prompt.total.saturating_sub(prompt.shared()) + again;
     let load = engine.load;
     let wait = (load.unread as f64 + f64::from(uncached)) / engine.speed;
     let target = (wish.target.as_secs() * 1e3 - BASE_MS).max(1.0);
-    let slots = f64::from(load.running + 1) / (f64::from(engine.slots.max(1)) * SLOTS);
+    let slots = f64::from(load.running + 1) / (f64::from(engine.slots.max(1)) * tuning.slots);
     let need = load.memory + u64::from(prompt.total + prompt.output);
-    let memory = need as f64 / (engine.memory.max(1) as f64 * MEMORY);
+    let memory = need as f64 / (engine.memory.max(1) as f64 * tuning.memory);
     // What stands before this request stands before the next one too, whose target may be
     // shorter.
     let shortest = (wish.shortest.as_secs() * 1e3 - BASE_MS).max(1.0);
     let before = load.unread as f64 / engine.speed / shortest;
     let full = slots.max(memory).max(wait / target).max(before) + engine.penalty;
-    let cost = wait + AGAIN_COST * f64::from(again) / engine.speed;
+    let cost = wait + (tuning.again_cost * f64::from(again) + copied) / engine.speed;
     Rated {
         engine,
         uncached,
@@ -146,7 +145,7 @@
     }
 }
 
-fn cheapest(rated: &[Rated<'_>], limit: f64) -> Option<Choice> {
+fn cheapest(rated: &[Rated<'_>], limit: f64, source: Option<&ReplicaId>) -> Option<Choice> {
     let fits = rated.iter().filter(|r| r.full <= limit);
     let best = fits.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
     Some(Choice {
@@ -154,17 +153,12 @@
         key: best.engine.key,
         uncached: best.uncached,
         unread: best.engine.load.unread + u64::from(best.uncached),
+        source: source
+            .filter(|id| **id != best.engine.id && best.engine.copies)
+            .cloned(),
     })
 }
 
-/// Returns up to which fullness a workspace's requests are taken.
-///
-/// One that floods is refused first, while those within their share still find a place.
-fn limit(standing: f64) -> f64 {
-    let over = ((standing - OVER.0) / (OVER.1 - OVER.0)).clamp(0.0, 1.0);
-    FULL - (FULL - FULL_OVER) * over
-}
-
 /// Returns when a place at a home is likely: once what is to be read before has been read.
 fn after(homes: &[Rated<'_>], wish: &Wish<'_>) -> Span {
     let least = homes.iter().map(|r| r.wait).fold(f64::MAX, f64::min);
--- a/crates/policy/src/placement/plain.rs
+++ b/crates/policy/src/placement/plain.rs
@@ -64,6 +64,7 @@
             key: server.key,
             uncached: 0,
             unread: 0,
+            source: None,
         }),
         None => Pick::Refuse { after: AGAIN },
     }
--- /dev/null
+++ b/crates/policy/src/placement/tuning.rs
@@ -0,0 +1,71 @@
+//! How the choice among engines is weighed.
+
+use serde::Deserialize;
+
+/// How the choice among engines is weighed. Settings may give other values than these.
+///
+/// # Examples
+///
+/// ```
+/// use policy::placement::Tuning;
+///
+/// let tuning = Tuning::default();
+/// assert!(tuning.limit(2.0) < tuning.limit(0.5));
+/// ```
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, rename_all = "kebab-case")]
+pub struct Tuning {
+    /// How many engines a prompt's shared parts are kept at.
+    pub homes: usize,
+    /// A part is taken as cached where it was used this recently, in seconds.
+    pub cached_s: f64,
+    /// What reading shared tokens again counts, relative to reading tokens for the first time.
+    ///
+    /// It takes the same time of the engine, and besides pushes other parts out of its cache.
+    pub again_cost: f64,
+    /// The same for shared tokens that are copied from another engine.
+    pub copy_cost: f64,
+    /// Fullness up to which any engine takes a request whose homes are full. An engine that
+    /// is half idle loses nothing by reading the shared parts anew.
+    pub spare: f64,
+    /// Fullness at which a workspace within its fair share is refused.
+    pub full: f64,
+    /// The same for a workspace that had far more than its share.
+    pub full_over: f64,
+    /// Multiple of its fair share at which a workspace's bound begins to fall.
+    pub over_from: f64,
+    /// The multiple at which it has fallen to the least.
+    pub over_to: f64,
+    /// Part of the slots that the fleet fills.
+    pub slots: f64,
+    /// Part of an engine's memory that the fleet fills. What is left holds cached parts.
+    pub memory: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Tuning {
+        Tuning {
+            homes: 2,
+            cached_s: 20.0,
+            again_cost: 1.5,
+            copy_cost: 0.2,
+            spare: 0.5,
+            full: 1.0,
+            full_over: 0.55,
+            over_from: 0.9,
+            over_to: 1.6,
+            slots: 1.0,
+            memory: 0.85,
+        }
+    }
+}
+
+impl Tuning {
+    /// Returns up to which fullness a workspace's requests are taken.
+    ///
+    /// One that floods is refused first, while those within their share still find a place.
+    pub fn limit(&self, standing: f64) -> f64 {
+        let over = (standing - self.over_from) / (self.over_to - self.over_from).max(0.01);
+        self.full - (self.full - self.full_over) * over.clamp(0.0, 1.0)
+    }
+}
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -152,6 +152,11 @@
         ready.map(|(id, e)| (id, &e.value))
     }
 
+    /// Returns a replica that is known.
+    pub fn get(&self, id: &ReplicaId) -> Option<&T> {
+        self.entries.get(id).map(|e| &e.value)
+    }
+
     /// Returns every replica that is known, also those that are draining.
     pub fn known(&self) -> impl Iterator<Item = (&ReplicaId, &T)> {
         self.entries.iter().map(|(id, e)| (id, &e.value))
