gateway: close the connections of refused callers under a flood; weights as settings

One workspace sends there 400 requests a second, most are refused, each try comes over a new connection and the old one stays idle for 15 s: 3,000 open.

Ruled out: a fault of the accept loop; other instances had under 400 open at that time.

Change: from a quarter of the connections on, refusals close theirs; from six tenths on idle ones are kept for a quarter of the time. The part of a target that a prompt's own reading counts, and the shortest Retry-After, are settings.

--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -57,6 +57,11 @@
 const BODIES_PART: usize = 6;
 /// When to come back where bodies take too much memory.
 const BODIES_AGAIN: Duration = Duration::from_millis(500);
+/// Part of the connections that an instance may have from which those of refused requests are
+/// closed. Their callers try again over new ones, and a flood would leave thousands idle.
+const MANY: f64 = 0.25;
+/// Part from which idle connections are kept for a quarter of the usual time.
+const FULL: f64 = 0.6;
 /// How long an answer of our own may take to be written.
 const WRITE_TIME: Duration = Duration::from_secs(5);
 
@@ -113,7 +118,11 @@
 
     /// Serves one request. Returns whether the connection is kept.
     async fn one(&mut self, limits: Limits) -> Result<bool, Stop> {
-        self.first_byte(limits.idle).await?;
+        let idle = match self.crowd() > FULL {
+            true => limits.idle / 4,
+            false => limits.idle,
+        };
+        self.first_byte(idle).await?;
         let gw = self.gw.clone();
         let _active = Count::up(&gw.active, 1);
         let head = self.head(&limits).await?;
@@ -248,10 +257,16 @@
         kept && !(course.begun && self.gw.is_leaving())
     }
 
+    /// Returns which part of the connections that the instance may have are open.
+    fn crowd(&self) -> f64 {
+        let open = self.gw.callers.load(Ordering::Relaxed);
+        open as f64 / self.gw.most_callers().max(1) as f64
+    }
+
     /// Writes an answer of our own. Returns whether the connection can carry another request.
     async fn tell(&mut self, own: &Own, id: Option<&str>) -> bool {
         let mut own = own.clone();
-        own.close |= self.gw.is_leaving();
+        own.close |= self.gw.is_leaving() || self.crowd() > MANY;
         let bytes = own.bytes(&self.gw.dialect, id);
         let written = timeout(WRITE_TIME, self.conn.write(&bytes)).await;
         matches!(written, Ok(Ok(()))) && !own.close
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -29,14 +29,11 @@
 
 /// Pause after an accept that failed, for instance for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// File descriptors that are left for replicas, peers, the store and files, of all that the
-/// process may have.
-const DESCRIPTORS_LEFT: usize = 1_200;
 
 /// Accepts callers for as long as the process runs.
 pub(crate) async fn accept(gw: Arc<Shared>, listener: TcpListener, stop: Receiver<()>) {
-    let all = gw.settings.instance.descriptors as usize;
-    let most = all.saturating_sub(DESCRIPTORS_LEFT).max(all / 2);
+    let most = gw.most_callers();
+    let mut full = false;
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -46,7 +43,12 @@
                 continue;
             }
         };
-        if gw.callers.load(Ordering::Relaxed) >= most {
+        let open = gw.callers.load(Ordering::Relaxed);
+        if (open >= most) != full {
+            full = open >= most;
+            log::warn!("event=accept outcome=full full={full} open={open} most={most}");
+        }
+        if full {
             metrics::counter!("chervilwind_callers_turned_away").increment(1);
             continue;
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,6 +45,11 @@
     },
 };
 
+/// File descriptors that are left for replicas, peers, the store and files, of all that the
+/// process may have: 12 kept and 30 running connections to each of 12 replicas, and as much
+/// again.
+const DESCRIPTORS_LEFT: usize = 1_200;
+
 /// A configuration that is in force, and the bytes it was read from, for peers.
 #[derive(Debug)]
 pub(crate) struct InForce {
@@ -146,6 +151,12 @@
         lock(&self.tables)
     }
 
+    /// Returns how many connections callers may have.
+    pub(crate) fn most_callers(&self) -> usize {
+        let all = self.settings.instance.descriptors as usize;
+        all.saturating_sub(DESCRIPTORS_LEFT).max(all / 2)
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -17,8 +17,8 @@
 
 /// Time to the first event beside reading, in milliseconds.
 const BASE_MS: f64 = 40.0;
-/// Shortest and longest time after which a refused request may come back.
-const AGAIN_MS: (f64, f64) = (150.0, 2_000.0);
+/// Longest time after which a refused request may come back, in milliseconds.
+const AGAIN_MS: f64 = 2_000.0;
 
 /// What is asked for.
 #[derive(Debug, Clone)]
@@ -134,7 +134,9 @@
     // shorter.
     let shortest = (wish.shortest.as_secs() * 1e3 - BASE_MS).max(1.0);
     let before = load.unread as f64 / engine.speed / shortest;
-    let full = slots.max(memory).max(wait / target).max(before) + engine.penalty;
+    // A prompt that takes long to read by itself is late at any engine.
+    let own = tuning.own * wait / target;
+    let full = slots.max(memory).max(before).max(own) + engine.penalty;
     let cost = wait + (tuning.again_cost * f64::from(again) + copied) / engine.speed;
     Rated {
         engine,
@@ -164,5 +166,5 @@
     let least = homes.iter().map(|r| r.wait).fold(f64::MAX, f64::min);
     let least = if homes.is_empty() { 0.0 } else { least };
     let ms = least * wish.standing.clamp(1.0, 4.0);
-    Span::millis(ms.clamp(AGAIN_MS.0, AGAIN_MS.1) as u64)
+    Span::millis(ms.clamp(wish.tuning.again_ms, AGAIN_MS) as u64)
 }
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -36,8 +36,13 @@
     pub over_from: f64,
     /// The multiple at which it has fallen to the least.
     pub over_to: f64,
+    /// What a request's own reading counts of its latency target, relative to what stands
+    /// before it.
+    pub own: f64,
     /// Part of the slots that the fleet fills.
     pub slots: f64,
+    /// Shortest time after which a refused request may come back, in milliseconds.
+    pub again_ms: f64,
     /// Part of an engine's memory that the fleet fills. What is left holds cached parts.
     pub memory: f64,
 }
@@ -54,7 +59,9 @@
             full_over: 0.55,
             over_from: 0.9,
             over_to: 1.6,
+            own: 1.0,
             slots: 1.0,
+            again_ms: 150.0,
             memory: 0.85,
         }
     }
