--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -1,13 +1,16 @@
 //! The whole answer to its own request, whatever the replica sends.
 
-use crate::{
-    replica::{
-        answer,
-        good,
-        Replica,
-        Step, //
+use {
+    crate::{
+        replica::{
+            answer,
+            good,
+            Replica,
+            Step, //
+        },
+        stage::Stage,
     },
-    stage::Stage,
+    std::time::Duration,
 };
 
 #[test]
@@ -90,23 +93,25 @@
 fn answer_before_the_body_was_read() {
     // A replica rejects a long request before it has read it, and reads on later. The next
     // request on that connection would be taken for the rest of the body.
-    let replica = Replica::start(|_, seen| {
-        vec![Step::Send(answer(
-            seen.header("x-id").unwrap(),
-            "413 Too Long",
-            "no",
-        ))]
+    let replica = Replica::start_early(|n, seen| {
+        let mut steps = vec![Step::Send(good(seen, "early"))];
+        if n == 0 {
+            steps.push(Step::Pause(Duration::from_millis(300)));
+        }
+        steps
     });
     let stage = Stage::start(&[("i-1", &replica)]);
-    let body = "y".repeat(90_000);
+    let body = "y".repeat(12_000_000);
     let mut caller = stage.caller();
     let head = format!(
-        "POST /once/a HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nX-Key: k1\r\n\
+        "POST /again/a HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nX-Key: k1\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     );
     caller.send(head.as_bytes());
-    assert_eq!(caller.answer().status, 413);
-    assert_eq!(caller.get("/once/b", "2", "").status, 413);
-    assert!(replica.seen()[1].head.starts_with("GET /once/b"));
+    assert_eq!(caller.answer().status, 200);
+    assert_eq!(caller.get("/again/b", "2", "").status, 200);
+    let seen = replica.seen();
+    assert_eq!(seen.len(), 2);
+    assert!(seen[1].head.starts_with("GET /again/b"));
 }
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -44,11 +44,19 @@
 #[derive(Clone)]
 pub(crate) struct Replica {
     pub(crate) addr: SocketAddr,
+    /// It answers before it reads the body.
+    early: bool,
     seen: Arc<Mutex<Vec<Seen>>>,
     closed: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl Seen {
+    /// The length that it gives its body.
+    pub(crate) fn length(&self) -> usize {
+        self.header("content-length")
+            .map_or(0, |n| n.parse().unwrap())
+    }
+
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
         self.head.lines().skip(1).find_map(|line| {
             let (found, value) = line.split_once(':')?;
@@ -61,9 +69,24 @@
     /// Starts a replica; `script` gets the number of the request, from 0 on.
     pub(crate) fn start(
         script: impl Fn(usize, &Seen) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Replica {
+        Replica::serving(false, script)
+    }
+
+    /// Starts a replica that answers once it has the head, and reads the body then.
+    pub(crate) fn start_early(
+        script: impl Fn(usize, &Seen) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Replica {
+        Replica::serving(true, script)
+    }
+
+    fn serving(
+        early: bool,
+        script: impl Fn(usize, &Seen) -> Vec<Step> + Send + Sync + 'static,
     ) -> Replica {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let replica = Replica {
+            early,
             addr: listener.local_addr().unwrap(),
             seen: Arc::default(),
             closed: Arc::default(),
@@ -80,7 +103,7 @@
 
     fn serve(&self, mut stream: TcpStream, script: &Script) {
         let mut buf = Vec::new();
-        while let Some(seen) = read(&mut stream, &mut buf) {
+        while let Some(seen) = read(&mut stream, &mut buf, self.early) {
             let number = {
                 let mut all = self.seen.lock().unwrap();
                 all.push(seen.clone());
@@ -103,6 +126,9 @@
                     Step::Close => return,
                 }
             }
+            if self.early && !drop_body(&mut stream, &mut buf, seen.length()) {
+                return;
+            }
         }
     }
 
@@ -116,7 +142,7 @@
     }
 }
 
-fn read(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Seen> {
+fn read(stream: &mut TcpStream, buf: &mut Vec<u8>, early: bool) -> Option<Seen> {
     loop {
         if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&buf[..end]).into_owned();
@@ -124,9 +150,7 @@
                 head,
                 body: Vec::new(),
             };
-            let length: usize = seen
-                .header("content-length")
-                .map_or(0, |n| n.parse().unwrap());
+            let length = if early { 0 } else { seen.length() };
             if buf.len() >= end + 4 + length {
                 seen.body = buf[end + 4..end + 4 + length].to_vec();
                 buf.drain(..end + 4 + length);
@@ -141,6 +165,19 @@
     }
 }
 
+/// Reads what is left of a body that was not read before the answer.
+fn drop_body(stream: &mut TcpStream, buf: &mut Vec<u8>, length: usize) -> bool {
+    let mut part = [0; 4096];
+    while buf.len() < length {
+        match stream.read(&mut part) {
+            Ok(n) if n > 0 => buf.extend_from_slice(&part[..n]),
+            _ => return false,
+        }
+    }
+    buf.drain(..length);
+    true
+}
+
 /// A good answer to a request.
 pub(crate) fn good(seen: &Seen, body: &str) -> Vec<u8> {
     answer(seen.header("x-id").unwrap_or("-"), "200 OK", body)
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -1,19 +1,16 @@
 //! What reaches a replica, and what is refused before.
 
-use {
-    crate::{
-        replica::{
-            good,
-            Replica,
-            Step, //
-        },
-        stage::{
-            config,
-            wait,
-            Stage, //
-        },
+use crate::{
+    replica::{
+        good,
+        Replica,
+        Step, //
+    },
+    stage::{
+        config,
+        wait,
+        Stage, //
     },
-    std::time::Duration,
 };
 
 fn echo() -> Replica {
@@ -27,7 +24,7 @@
     let mut caller = stage.caller();
     caller.send(
         b"POST /once/x%2fy/../z?q=%20a HTTP/1.1\r\nHost: a.example\r\nX-Id: 7\r\nX-Key: k2\r\n\
-          X-Other: kept\r\nConnection: X-Hop\r\nX-Hop: dropped\r\nContent-Length: 4\r\n\r\nbody",
+          X-Other: kept\r\nX-Deadline: 3000\r\nConnection: X-Hop\r\nX-Hop: dropped\r\nContent-Length: 4\r\n\r\nbody",
     );
     let got = caller.answer();
     assert_eq!(
@@ -121,7 +118,7 @@
     assert_eq!(ask(&format!("GET /open/a {host}\r\n")), 200);
     assert_eq!(
         ask(&format!(
-            "GET /once/a {host}X-Key: k1\r\nContent-Length: 100001\r\n\r\n"
+            "GET /once/a {host}X-Key: k1\r\nContent-Length: 13000001\r\n\r\n"
         )),
         413
     );
@@ -190,10 +187,10 @@
     let replica = Replica::start(|_, _| vec![Step::UntilClosed]);
     let stage = Stage::start(&[("i-1", &replica)]);
     let mut caller = stage.caller();
-    caller.send(crate::caller::get("/again/a", "1", "").as_bytes());
+    caller.send(crate::caller::get("/stream/a", "1", "").as_bytes());
     wait(|| replica.seen().len() == 1);
     drop(caller);
+    // The route's timeout would end it only after a minute.
     wait(|| replica.closed().len() == 1);
-    std::thread::sleep(Duration::from_millis(50));
     assert_eq!(replica.seen().len(), 1);
 }
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -76,7 +76,8 @@
 /// Routes of the tests: `/once/`, `/again/`, `/stream/` and `/resume/`, all with service `s`,
 /// and `/open/`, which needs no key.
 pub(crate) fn config(version: u64) -> Vec<u8> {
-    format!(r#"{{"version":{version},"keys":{{"k1":"w1","k2":"w2"}},"timeout":3000}}"#).into_bytes()
+    format!(r#"{{"version":{version},"keys":{{"k1":"w1","k2":"w2"}},"timeout":60000}}"#)
+        .into_bytes()
 }
 
 fn read_config(bytes: &[u8]) -> Result<Config, String> {
@@ -84,7 +85,7 @@
     let mut config = Config::default();
     config.version = json["version"].as_u64().ok_or("no version")?;
     config.limits = Limits {
-        body_bytes: 100_000,
+        body_bytes: 13_000_000,
         ..Limits::default()
     };
     let routes = [
