quota: of those over their shares, who had more than an even part yields

Change: besides the stated capacity, shares are measured against all that was given. Who had more than an even part of that has a bound up to 0.3 lower. Refusals are logged with what decided them.

--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -18,7 +18,7 @@
 /// is a call that is paid for; at this length 15 of them make up a day of 45 s.
 const WAIT: Duration = Duration::from_secs(3);
 /// Pause after a call that failed.
-const AGAIN: Duration = Duration::from_millis(250);
+const AGAIN: Duration = Duration::from_millis(150);
 
 /// Puts each configuration that the store gets in force.
 pub(crate) async fn follow_config(gw: Arc<Shared>) {
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -23,7 +23,7 @@
 /// A router reads it at least this often, however many there are.
 const LEAST: Duration = Duration::from_millis(3_000);
 /// Pause after a read that failed.
-const AGAIN: Duration = Duration::from_millis(300);
+const AGAIN: Duration = Duration::from_millis(150);
 
 /// Reads the list again and again.
 pub(crate) async fn follow_replicas(gw: Arc<Shared>) {
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -129,7 +129,10 @@
                 course.cause = refused.why.to_owned();
                 return Flow::Cut;
             }
-            Err(refused) => return Flow::Own(course.given_up(refused.why, refused.after)),
+            Err(refused) => {
+                course.inputs = refused.inputs;
+                return Flow::Own(course.given_up(refused.why, refused.after));
+            }
         };
         let step = attempt(gw, req, place, writer, course, &mut events).await;
         let again = match step {
@@ -159,7 +162,8 @@
 ) -> Step {
     course.tried.push(place.replica.id.clone());
     course.sent = Sent::default();
-    let called = called(gw, req, &place, events, &mut course.sent).await;
+    let last = course.is_last(req);
+    let called = called(gw, req, &place, events, last, &mut course.sent).await;
     let reached = std::mem::take(&mut course.sent).any;
     course.sends += u32::from(reached);
     let reply = match called {
@@ -218,6 +222,7 @@
     req: &Request,
     place: &Place,
     events: &Events,
+    last: bool,
     sent: &mut Sent,
 ) -> Result<Reply, TryError> {
     let out = Outgoing {
@@ -236,10 +241,15 @@
         let reply = call(&gw.pool, &gw.dialect, &place.replica, &out, sent).await?;
         Ok(reply)
     };
-    or(call, silence(req, place)).await
+    match last {
+        true => call.await,
+        false => or(call, silence(req, place)).await,
+    }
 }
 
 /// Waits until a replica counts as silent; for good where the request can't be repeated.
+///
+/// Not to be asked of a request's last try: giving that up would only lose its answer.
 async fn silence<T>(req: &Request, place: &Place) -> Result<T, TryError> {
     match req.route.kind {
         RouteKind::Stream { resume: true } => loop {
@@ -304,7 +314,9 @@
     }
     let read = reply.body.whole(&mut reply.conn, WHOLE_MAX);
     let body = match req.route.kind {
-        RouteKind::Idempotent => or(async { Ok(read.await?) }, silence(req, place)).await?,
+        RouteKind::Idempotent if !course.is_last(req) => {
+            or(async { Ok(read.await?) }, silence(req, place)).await?
+        }
         _ => read.await?,
     };
     place.answered(status < 500);
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -318,7 +318,7 @@
     };
     log::info!(
         "event=request outcome={outcome} id={} status={} route={} service={} workspace={} \
-         replica={} sends={} first-ms={} ms={} version={} cause={:?}",
+         replica={} sends={} first-ms={} ms={} version={} cause={:?} tokens={} {}",
         req.id,
         course.status,
         req.route.name,
@@ -329,6 +329,8 @@
         first.map_or(-1, |d| d.as_millis() as i64),
         req.arrived.elapsed().as_millis(),
         req.version,
-        course.cause
+        course.cause,
+        req.prompt.as_ref().map_or(0, |p| p.total),
+        course.inputs
     );
 }
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -49,6 +49,8 @@
     pub(crate) first: Option<Instant>,
     /// The status that the caller got, 0 where none.
     pub(crate) status: u16,
+    /// What a refusal was decided by, for the log.
+    pub(crate) inputs: String,
     /// What stands in the log about its end.
     pub(crate) cause: String,
 }
@@ -73,6 +75,11 @@
         safe && self.sends < most && has_time(req.until) && budget(gw, req, Budget::take)
     }
 
+    /// Tells whether the try that begins, or is under way, is the last that the route allows.
+    pub(crate) fn is_last(&self, req: &Request) -> bool {
+        self.tried.len() as u32 >= req.route.attempts
+    }
+
     /// Returns the answer to a request that is given up.
     ///
     /// "Not run" is a promise. After a try that may have run it would be broken by that try,
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -25,7 +25,10 @@
             Server,
             Wish, //
         },
-        quota::WorkspaceKey,
+        quota::{
+            Standing,
+            WorkspaceKey, //
+        },
         ReplicaId,
         Span,
         Time, //
@@ -48,6 +51,8 @@
 pub(crate) struct Refused {
     pub(crate) why: &'static str,
     pub(crate) after: Duration,
+    /// What it was decided by, for the log.
+    pub(crate) inputs: String,
 }
 
 /// A place that a request takes at a replica until this is dropped.
@@ -80,23 +85,31 @@
         let now = self.now();
         let mut tables = self.tables();
         let (prompt, engine) = (req.prompt.as_ref(), req.about.engine);
-        let picked = match (prompt, engine) {
+        let (picked, standing) = match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
                 tables.pick_engine(self, req, (prompt, engine), tried, now)
             }
-            _ => tables.pick_server(self, req, tried, now),
+            _ => (
+                tables.pick_server(self, req, tried, now),
+                Standing::default(),
+            ),
         };
         let choice = match picked {
             None => {
                 return Err(Refused {
                     why: "no replica of its service takes work",
                     after: NOBODY_AGAIN,
+                    inputs: String::new(),
                 })
             }
-            Some(Pick::Refuse { after }) => {
+            Some(Pick::Refuse { after, full, bound }) => {
                 return Err(Refused {
                     why: "the replicas of its service are full",
                     after: after.into(),
+                    inputs: format!(
+                        "full={full:.2} bound={bound} share={:.2} even={:.2}",
+                        standing.share, standing.even
+                    ),
                 })
             }
             Some(Pick::Run(choice)) => choice,
@@ -113,9 +126,9 @@
         (prompt, engine): (&Prompt, Engine),
         tried: &[ReplicaId],
         now: Time,
-    ) -> Option<Pick> {
+    ) -> (Option<Pick>, Standing) {
         let workspace = req.workspace.as_ref().map(WorkspaceKey::of);
-        let standing = workspace.map_or(0.0, |key| {
+        let standing = workspace.map_or(Standing::default(), |key| {
             if tried.is_empty() {
                 self.quota.asked(key, prompt.cost(), now);
             }
@@ -141,7 +154,7 @@
             })
             .collect();
         if candidates.is_empty() {
-            return None;
+            return (None, standing);
         }
         let wish = Wish {
             prompt,
@@ -150,7 +163,7 @@
             standing,
             tuning: &gw.settings.placement,
         };
-        Some(pick(&candidates, &wish))
+        (Some(pick(&candidates, &wish)), standing)
     }
 
     fn pick_server(
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -65,7 +65,7 @@
     *events = Events::after(events.last());
     let mut first = true;
     loop {
-        let piece = next(req, place, &mut reply).await?;
+        let piece = next(req, place, &mut reply, course.is_last(req)).await?;
         let Some(piece) = piece else {
             break;
         };
@@ -105,10 +105,11 @@
     req: &Request,
     place: &Place,
     reply: &mut Reply,
+    last: bool,
 ) -> Result<Option<Vec<u8>>, TryError> {
     let piece = async { Ok(reply.body.piece(&mut reply.conn).await?) };
     let resumes = matches!(req.route.kind, RouteKind::Stream { resume: true });
-    if !resumes {
+    if !resumes || last {
         return piece.await;
     }
     let silent = async {
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -13,9 +13,12 @@
         },
     },
     gateway::State,
-    std::sync::{
-        Arc,
-        Mutex, //
+    std::{
+        sync::{
+            Arc,
+            Mutex, //
+        },
+        time::Duration,
     },
 };
 
@@ -58,7 +61,14 @@
 
 #[test]
 fn fleet_leaving_replica_from_a_peer() {
-    let (a, b) = (echo(), echo());
+    // The one that leaves is the quicker one, so it would get the requests.
+    let a = echo();
+    let b = Replica::start(|_, seen| {
+        vec![
+            Step::Pause(Duration::from_millis(40)),
+            Step::Send(good(seen, "ok")),
+        ]
+    });
     let (first, second) = pair(&a);
     for stage in [&first, &second] {
         let mut world = stage.world.lock().unwrap();
--- a/crates/gateway/tests/gateway/once.rs
+++ b/crates/gateway/tests/gateway/once.rs
@@ -161,3 +161,22 @@
     // 0.2 of the requests and 50 besides are allowed to the whole fleet.
     assert!((10..=90).contains(&extra), "{extra}");
 }
+
+#[test]
+fn again_last_try_is_waited_for() {
+    // A replica takes long. The route allows one more try, which is used, and then none: the
+    // second was given up as well, half a second before its answer came.
+    let slow = || {
+        Replica::start(|_, seen| {
+            vec![
+                Step::Pause(Duration::from_millis(1_300)),
+                Step::Send(good(seen, "at last")),
+            ]
+        })
+    };
+    let (a, b) = (slow(), slow());
+    let stage = Stage::start(&[("i-1", &a), ("i-2", &b)]);
+    let got = stage.get("/again/a", "1");
+    assert_eq!((got.status, got.body.as_str()), (200, "at last"));
+    assert_eq!(a.seen().len() + b.seen().len(), 2);
+}
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -146,6 +146,7 @@
     wait(|| stage.get("/once/a", "2").status == 401);
     // The connection was open before, and an older version that comes late changes nothing.
     stage.put(config(3));
+    stage.wait_told();
     assert_eq!(caller.get("/once/a", "3", "").status, 401);
 }
 
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -64,6 +64,8 @@
     pub(crate) replicas: Vec<gateway::Replica>,
     /// The store answers nobody.
     pub(crate) down: bool,
+    /// The highest revision that a watch has told.
+    pub(crate) told: u64,
 }
 
 /// One gateway on loopback.
@@ -89,7 +91,7 @@
         ..Limits::default()
     };
     let routes = [
-        ("/once/", RouteKind::Single, 1, false),
+        ("/once/", RouteKind::Single, 2, false),
         ("/again/", RouteKind::Idempotent, 2, false),
         ("/stream/", RouteKind::Stream { resume: false }, 1, false),
         ("/resume/", RouteKind::Stream { resume: true }, 2, false),
@@ -190,6 +192,7 @@
         loop {
             let read = from(&world, versioned).await?.unwrap();
             if read.revision > after || Instant::now() >= until {
+                world.lock().unwrap().told = read.revision;
                 return Ok(Watched {
                     value: (read.revision > after).then_some(read.value),
                     revision: read.revision,
@@ -285,7 +288,7 @@
             config: config(1),
             revision: 1,
             replicas: list,
-            down: false,
+            ..World::default()
         };
         let stage = Stage::within(Arc::new(Mutex::new(world)), "g1", |_| {});
         stage.wait_ready();
@@ -333,6 +336,17 @@
         world.revision += 1;
     }
 
+    /// Waits until the gateway was told of what the store holds.
+    pub(crate) fn wait_told(&self) {
+        wait(|| {
+            let world = self.world.lock().unwrap();
+            world.told == world.revision
+        });
+        // It is told before it acts; its next call comes after that.
+        let asked = Instant::now();
+        wait(|| asked.elapsed() > Duration::from_millis(100));
+    }
+
     /// Begins to end the gateway; the thread returns once it has ended.
     pub(crate) fn end(&mut self) -> thread::JoinHandle<()> {
         let gateway = self.gateway.take().unwrap();
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -29,6 +29,7 @@
     latency::Latencies,
     pick::{
         pick,
+        Bound,
         Choice,
         Pick,
         Wish, //
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -8,10 +8,14 @@
         Tuning, //
     },
     crate::{
+        quota::Standing,
         ReplicaId,
         Span, //
     },
-    std::cmp::Reverse,
+    std::{
+        cmp::Reverse,
+        fmt, //
+    },
     xxhash_rust::xxh3::xxh3_64_with_seed, //
 };
 
@@ -29,8 +33,8 @@
     pub target: Span,
     /// The shortest such time among all requests to these engines.
     pub shortest: Span,
-    /// What its workspace had of late, as a multiple of its fair share.
-    pub standing: f64,
+    /// What its workspace had of late, against its fair share.
+    pub standing: Standing,
     /// How the choice is weighed.
     pub tuning: &'a Tuning,
 }
@@ -50,6 +54,33 @@
     pub source: Option<ReplicaId>,
 }
 
+/// What an engine has least left of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Bound {
+    /// Places for requests.
+    Slots,
+    /// Memory.
+    Memory,
+    /// Time, as others' prompts are to be read first.
+    Backlog,
+    /// Time, as the prompt itself takes long to read.
+    Reading,
+    /// It is not known, or nothing is there.
+    None,
+}
+
+impl fmt::Display for Bound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Bound::Slots => "slots",
+            Bound::Memory => "memory",
+            Bound::Backlog => "backlog",
+            Bound::Reading => "reading",
+            Bound::None => "none",
+        })
+    }
+}
+
 /// What was decided.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Pick {
@@ -59,6 +90,10 @@
     Refuse {
         /// When a place is likely.
         after: Span,
+        /// How full the best of its homes is.
+        full: f64,
+        /// What that engine has least left of.
+        bound: Bound,
     },
 }
 
@@ -67,6 +102,8 @@
     uncached: u32,
     /// Highest of the parts used of slots, memory and time.
     full: f64,
+    /// Which of them it is.
+    bound: Bound,
     /// Time to read all that stands before the first event, in milliseconds.
     wait: f64,
     cost: f64,
@@ -98,11 +135,14 @@
     if let Some(best) = cheapest(homes, limit, source.as_ref()) {
         return Pick::Run(best);
     }
-    if let Some(best) = cheapest(others, tuning.spare.min(limit), source.as_ref()) {
+    if let Some(best) = cheapest(others, tuning.spare(wish.standing), source.as_ref()) {
         return Pick::Run(best);
     }
+    let least = homes.iter().min_by(|a, b| a.full.total_cmp(&b.full));
     Pick::Refuse {
         after: after(homes, wish),
+        full: least.map_or(0.0, |r| r.full),
+        bound: least.map_or(Bound::None, |r| r.bound),
     }
 }
 
@@ -136,12 +176,23 @@
     let before = load.unread as f64 / engine.speed / shortest;
     // A prompt that takes long to read by itself is late at any engine.
     let own = tuning.own * wait / target;
-    let full = slots.max(memory).max(before).max(own) + engine.penalty;
+    let parts = [
+        (slots, Bound::Slots),
+        (memory, Bound::Memory),
+        (before, Bound::Backlog),
+        (own, Bound::Reading),
+    ];
+    let (full, bound) = parts
+        .into_iter()
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .unwrap_or((0.0, Bound::None));
+    let full = full + engine.penalty;
     let cost = wait + (tuning.again_cost * f64::from(again) + copied) / engine.speed;
     Rated {
         engine,
         uncached,
         full,
+        bound,
         wait,
         cost,
     }
@@ -165,6 +216,6 @@
 fn after(homes: &[Rated<'_>], wish: &Wish<'_>) -> Span {
     let least = homes.iter().map(|r| r.wait).fold(f64::MAX, f64::min);
     let least = if homes.is_empty() { 0.0 } else { least };
-    let ms = least * wish.standing.clamp(1.0, 4.0);
+    let ms = least * wish.standing.share.clamp(1.0, 4.0);
     Span::millis(ms.clamp(wish.tuning.again_ms, AGAIN_MS) as u64)
 }
--- a/crates/policy/src/placement/plain.rs
+++ b/crates/policy/src/placement/plain.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        Bound,
         Choice,
         Load,
         Pick,
@@ -66,7 +67,11 @@
             unread: 0,
             source: None,
         }),
-        None => Pick::Refuse { after: AGAIN },
+        None => Pick::Refuse {
+            after: AGAIN,
+            full: 1.0,
+            bound: Bound::Slots,
+        },
     }
 }
 
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -1,16 +1,20 @@
 //! How the choice among engines is weighed.
 
-use serde::Deserialize;
+use {
+    crate::quota::Standing,
+    serde::Deserialize, //
+};
 
 /// How the choice among engines is weighed. Settings may give other values than these.
 ///
 /// # Examples
 ///
 /// ```
-/// use policy::placement::Tuning;
+/// use policy::{placement::Tuning, quota::Standing};
 ///
 /// let tuning = Tuning::default();
-/// assert!(tuning.limit(2.0) < tuning.limit(0.5));
+/// let at = |share| Standing { share, even: 0.0 };
+/// assert!(tuning.limit(at(2.0)) < tuning.limit(at(0.5)));
 /// ```
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
@@ -28,6 +32,9 @@
     /// Fullness up to which any engine takes a request whose homes are full. An engine that
     /// is half idle loses nothing by reading the shared parts anew.
     pub spare: f64,
+    /// The same for a workspace within its fair share, which then finds a place anywhere
+    /// before one that floods finds a second.
+    pub spare_within: f64,
     /// Fullness at which a workspace within its fair share is refused.
     pub full: f64,
     /// The same for a workspace that had far more than its share.
@@ -36,6 +43,11 @@
     pub over_from: f64,
     /// The multiple at which it has fallen to the least.
     pub over_to: f64,
+    /// How much lower the bound is for one that had more than an even part of all that was
+    /// given, so that others over their shares find places first.
+    pub yields: f64,
+    /// How much more than an even part lowers it by all of that.
+    pub uneven: f64,
     /// What a request's own reading counts of its latency target, relative to what stands
     /// before it.
     pub own: f64,
@@ -55,10 +67,13 @@
             again_cost: 1.5,
             copy_cost: 0.2,
             spare: 0.3,
+            spare_within: 0.6,
             full: 1.2,
             full_over: 0.55,
             over_from: 0.9,
             over_to: 1.6,
+            yields: 0.3,
+            uneven: 0.4,
             own: 1.0,
             slots: 1.0,
             again_ms: 50.0,
@@ -68,11 +83,23 @@
 }
 
 impl Tuning {
+    /// Returns up to which fullness engines that are no homes take a workspace's requests.
+    pub fn spare(&self, standing: Standing) -> f64 {
+        match standing.share < self.over_from {
+            true => self.spare_within,
+            false => self.spare.min(self.limit(standing)),
+        }
+    }
+
     /// Returns up to which fullness a workspace's requests are taken.
     ///
     /// One that floods is refused first, while those within their share still find a place.
-    pub fn limit(&self, standing: f64) -> f64 {
-        let over = (standing - self.over_from) / (self.over_to - self.over_from).max(0.01);
-        self.full - (self.full - self.full_over) * over.clamp(0.0, 1.0)
+    /// Of several that are over their shares, those with more than an even part of what there
+    /// is are refused before the others: whoever asks most often finds most places otherwise.
+    pub fn limit(&self, standing: Standing) -> f64 {
+        let over = (standing.share - self.over_from) / (self.over_to - self.over_from).max(0.01);
+        let within = self.full - (self.full - self.full_over) * over.clamp(0.0, 1.0);
+        let uneven = ((standing.even - 1.0) / self.uneven).clamp(0.0, 1.0);
+        within - self.yields * uneven
     }
 }
--- a/crates/policy/src/quota/mod.rs
+++ b/crates/policy/src/quota/mod.rs
@@ -8,6 +8,7 @@
     table::{
         Asked,
         Quota,
+        Standing,
         WorkspaceKey, //
     },
 };
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -53,8 +53,8 @@
 /// quota.asked(large, 4_000.0, Time(0));
 /// quota.given(large, 800.0, Time(0));
 /// quota.asked(small, 40.0, Time(0));
-/// assert!(quota.standing(large, Time(0)) > 1.0);
-/// assert!(quota.standing(small, Time(0)) < 1.0);
+/// assert!(quota.standing(large, Time(0)).share > 1.0);
+/// assert!(quota.standing(small, Time(0)).share < 1.0);
 /// ```
 #[derive(Debug)]
 pub struct Quota {
@@ -63,7 +63,27 @@
     capacity: f64,
     own: HashMap<WorkspaceKey, VecDeque<(Time, Asked)>>,
     peers: HashMap<RouterId, (Time, HashMap<WorkspaceKey, Asked>)>,
-    fair: Option<(Time, f64)>,
+    levels: Option<(Time, Levels)>,
+}
+
+/// The most that a workspace may have over the window, in tokens.
+#[derive(Debug, Clone, Copy)]
+struct Levels {
+    /// Of the capacity that the configuration states.
+    stated: f64,
+    /// Of what was given to all.
+    actual: f64,
+}
+
+/// What a workspace was given, against its even part of what there is.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Standing {
+    /// As a multiple of its fair share of the stated capacity; 0 where none is known.
+    pub share: f64,
+    /// As a multiple of its fair share of all that was given. Engines give more than is
+    /// stated where little has to be read anew; of the rest nobody is to have more than
+    /// another who wants more.
+    pub even: f64,
 }
 
 impl WorkspaceKey {
@@ -88,14 +108,14 @@
             capacity: 0.0,
             own: HashMap::new(),
             peers: HashMap::new(),
-            fair: None,
+            levels: None,
         }
     }
 
     /// Sets what all may have together, in tokens a second; 0 where it is not known.
     pub fn set_capacity(&mut self, capacity: f64) {
         self.capacity = capacity;
-        self.fair = None;
+        self.levels = None;
     }
 
     /// Counts what a workspace asks for.
@@ -161,34 +181,41 @@
         sum
     }
 
-    /// Returns what a workspace was given, as a multiple of its fair share; 0 where no
-    /// capacity is known.
-    pub fn standing(&mut self, workspace: WorkspaceKey, now: Time) -> f64 {
+    /// Returns what a workspace was given, against its fair share.
+    pub fn standing(&mut self, workspace: WorkspaceKey, now: Time) -> Standing {
         if self.capacity <= 0.0 {
-            return 0.0;
+            return Standing::default();
+        }
+        let levels = self.levels(now);
+        let given = f64::from(self.sum(workspace, now).given);
+        Standing {
+            share: given / levels.stated.max(1.0),
+            even: given / levels.actual.max(1.0),
         }
-        let fair = self.fair(now);
-        f64::from(self.sum(workspace, now).given) / fair.max(1.0)
     }
 
-    /// Returns the fair share of a workspace over the window, in tokens.
-    fn fair(&mut self, now: Time) -> f64 {
-        if let Some((at, fair)) = self.fair {
+    fn levels(&mut self, now: Time) -> Levels {
+        if let Some((at, levels)) = self.levels {
             if now.since(at) < FRESH {
-                return fair;
+                return levels;
             }
         }
-        let mut all: HashMap<WorkspaceKey, f64> = HashMap::new();
+        let mut all: HashMap<WorkspaceKey, Asked> = HashMap::new();
         for key in self.own.keys() {
-            *all.entry(*key).or_default() += f64::from(self.own_sum(*key, now).asked);
+            all.entry(*key).or_default().add(self.own_sum(*key, now));
         }
         let heard = self.peers.values().filter(|p| now.since(p.0) < HEARD);
         for (key, sum) in heard.flat_map(|p| &p.1) {
-            *all.entry(*key).or_default() += f64::from(sum.asked);
+            all.entry(*key).or_default().add(*sum);
         }
-        let asks: Vec<f64> = all.into_values().collect();
-        let fair = level(&asks, self.capacity * self.window.as_secs());
-        self.fair = Some((now, fair));
-        fair
+        let asks: Vec<f64> = all.values().map(|a| f64::from(a.asked)).collect();
+        let given: f64 = all.values().map(|a| f64::from(a.given)).sum();
+        let stated = self.capacity * self.window.as_secs();
+        let levels = Levels {
+            stated: level(&asks, stated),
+            actual: level(&asks, given.max(stated)),
+        };
+        self.levels = Some((now, levels));
+        levels
     }
 }
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -166,13 +166,12 @@
     }
 }
 
-/// Plays 20 s in which workspace 0 asks `flood` times a second and eight others 4 times.
-fn play(flood: u32) -> HashMap<u32, Served> {
+/// Plays 20 s in which each workspace asks so many times a second.
+fn play(rates: &[u32]) -> HashMap<u32, Served> {
     let mut world = World::new();
     let mut served: HashMap<u32, Served> = HashMap::new();
     let mut due: BTreeMap<(Time, u32), Span> = BTreeMap::new();
-    for who in 0..9u32 {
-        let rate = if who == 0 { flood } else { 4 };
+    for (who, rate) in (0u32..).zip(rates.iter().copied()) {
         let every = Span(1_000_000 / u64::from(rate));
         due.insert((Time(u64::from(who) * 7_000), who), every);
     }
@@ -204,8 +203,8 @@
             total: 7_000,
             output: 200,
         };
-        // The flood comes in at one router, the others are spread.
-        let router = if who == 0 { 0 } else { who as usize % ROUTERS };
+        // Each workspace comes in at one router.
+        let router = who as usize % ROUTERS;
         let first = world.ask(router, WorkspaceKey(who), &prompt);
         let entry = served.entry(who).or_default();
         entry.asked += 1;
@@ -219,7 +218,7 @@
 fn load_flood_spares_the_others() {
     // One workspace asks for eight times what there is, at one router. The others ask for
     // less than their shares; they were refused as often as the flood.
-    let served = play(400);
+    let served = play(&[400, 4, 4, 4, 4, 4, 4, 4, 4]);
     for who in 1..9 {
         let s = served[&who];
         assert!(s.begun * 100 >= s.asked * 93, "{who}: {s:?}");
@@ -231,9 +230,22 @@
     assert!(flood.begun > 20 * 10, "{flood:?}");
 }
 
+#[test]
+fn load_floods_share_evenly() {
+    // Three workspaces want far more than there is, one of them ten times as often as the
+    // next. Each place that fell free went to whoever asked next, so to that one; the others
+    // were refused in every second and got a quarter of what it got.
+    let served = play(&[400, 60, 40, 3, 3, 3, 3, 3, 3]);
+    let most = served[&0].begun;
+    for who in [1, 2] {
+        let s = served[&who];
+        assert!(s.begun * 2 >= most.min(s.asked), "{who}: {s:?} of {most}");
+    }
+}
+
 #[test]
 fn load_calm_serves_all() {
-    for (who, s) in play(4) {
+    for (who, s) in play(&[4; 9]) {
         assert_eq!(s.begun, s.asked, "{who}");
         assert!(s.late * 100 <= s.asked * 3, "{who}: {s:?}");
     }
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -3,6 +3,7 @@
 use policy::{
     placement::{
         pick,
+        Bound,
         Candidate,
         Choice,
         Load,
@@ -13,6 +14,7 @@
         Tuning,
         Wish, //
     },
+    quota::Standing,
     ReplicaId,
     Span, //
 };
@@ -50,7 +52,10 @@
         prompt: &prompt(),
         target: Span::millis(400),
         shortest: Span::millis(250),
-        standing,
+        standing: Standing {
+            share: standing,
+            even: 0.0,
+        },
         tuning: &Tuning::default(),
     };
     pick(engines, &wish)
@@ -119,10 +124,12 @@
     for engine in &mut all {
         engine.load.running = 58;
     }
-    let Pick::Refuse { after } = choose(&all, 0.0) else {
+    let Pick::Refuse { after, full, bound } = choose(&all, 0.0) else {
         panic!("nothing has room");
     };
     assert!(after > Span::ZERO && after <= Span::secs(2));
+    assert!(full > 1.2);
+    assert_eq!(bound, Bound::Slots);
 }
 
 #[test]
@@ -190,7 +197,7 @@
                 prompt: &prompt,
                 target: Span::millis(400),
                 shortest: Span::millis(250),
-                standing: 0.0,
+                standing: Standing::default(),
                 tuning: &Tuning::default(),
             };
             match pick(all, &wish) {
--- a/crates/policy/tests/placement/quota.rs
+++ b/crates/policy/tests/placement/quota.rs
@@ -36,7 +36,7 @@
     let mut quota = Quota::new(Span::secs(4));
     quota.asked(LARGE, 1e9, at(0));
     quota.given(LARGE, 1e9, at(0));
-    assert_eq!(quota.standing(LARGE, at(0)), 0.0);
+    assert_eq!(quota.standing(LARGE, at(0)).share, 0.0);
 }
 
 #[test]
@@ -44,7 +44,7 @@
     let mut quota = quota();
     quota.asked(LARGE, 3_000.0, at(0));
     quota.given(LARGE, 3_000.0, at(0));
-    assert!(quota.standing(LARGE, at(100)) <= 1.0);
+    assert!(quota.standing(LARGE, at(100)).share <= 1.0);
 }
 
 #[test]
@@ -59,8 +59,8 @@
         given: 6_000.0,
     };
     quota.peer(&"r2".parse().unwrap(), &[(LARGE, flood)], at(0));
-    assert!(quota.standing(LARGE, at(60)) > 1.4);
-    assert!(quota.standing(SMALL, at(60)) < 0.1);
+    assert!(quota.standing(LARGE, at(60)).share > 1.4);
+    assert!(quota.standing(SMALL, at(60)).share < 0.1);
 }
 
 #[test]
@@ -68,8 +68,8 @@
     let mut quota = quota();
     quota.asked(LARGE, 8_000.0, at(0));
     quota.given(LARGE, 8_000.0, at(0));
-    assert!(quota.standing(LARGE, at(1_000)) > 1.0);
-    assert_eq!(quota.standing(LARGE, at(4_100)), 0.0);
+    assert!(quota.standing(LARGE, at(1_000)).share > 1.0);
+    assert_eq!(quota.standing(LARGE, at(4_100)).share, 0.0);
 }
 
 #[test]
@@ -82,5 +82,20 @@
     quota.peer(&"r2".parse().unwrap(), &[(LARGE, counts)], at(0));
     quota.asked(LARGE, 1.0, at(2_100));
     quota.forget(at(2_100));
-    assert!(quota.standing(LARGE, at(2_100)) < 0.1);
+    assert!(quota.standing(LARGE, at(2_100)).share < 0.1);
+}
+
+#[test]
+fn quota_even_part_of_what_was_given() {
+    // Engines give twice what is stated. Two workspaces want far more than their shares, and
+    // one asks ten times as often: both are over, and only one had more than an even part.
+    let mut quota = quota();
+    quota.asked(LARGE, 90_000.0, at(0));
+    quota.given(LARGE, 6_500.0, at(0));
+    quota.asked(SMALL, 9_000.0, at(0));
+    quota.given(SMALL, 2_500.0, at(0));
+    let (large, small) = (quota.standing(LARGE, at(60)), quota.standing(SMALL, at(60)));
+    assert!(large.share > 1.0 && small.share > 1.0);
+    assert!(large.even > 1.4, "{large:?}");
+    assert!(small.even < 0.6, "{small:?}");
 }
