gateway: long answers are passed on while they come; smaller files

Cause: read as a newcomer, an answer over 1 MiB was dropped as too long, though the comment said it is passed on.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -9,18 +9,15 @@
             Course, //
         },
         place::Place,
+        plain::pass_plain,
+        silence::silence,
         stream::{
             pass_stream,
             StreamEnd, //
         },
     },
     crate::{
-        http::{
-            Headers,
-            Line,
-            ReadError, //
-        },
-        model::RouteKind,
+        http::ReadError,
         state::Shared,
         upstream::{
             call,
@@ -31,34 +28,12 @@
             Sent, //
         },
     },
-    async_std::{
-        net::TcpStream,
-        task, //
-    },
-    futures_lite::{
-        future::or,
-        AsyncWriteExt, //
-    },
-    std::{
-        sync::Arc,
-        time::{
-            Duration,
-            Instant, //
-        },
-    },
+    async_std::net::TcpStream,
+    futures_lite::future::or,
+    std::{sync::Arc, time::Duration},
     thiserror::Error, //
 };
 
-/// Longest answer that is held until it is whole, in bytes. Until then a try that breaks can
-/// be followed by another unseen; a longer one is cut where it breaks.
-const WHOLE_MAX: usize = 1 << 20;
-/// A replica that sends nothing to anybody for this long, while it has requests, is given up.
-/// An engine sends an event in each of its steps, some 100 ms apart at the most.
-pub(super) const SILENT: Duration = Duration::from_millis(1_000);
-/// How often it is looked whether a replica is silent.
-pub(super) const LOOK: Duration = Duration::from_millis(200);
-/// A plain request that may be repeated is tried elsewhere after so many latency targets.
-const PATIENCE: u32 = 3;
 /// When to come back after a replica turned a request away.
 const TURNED_AWAY: Duration = Duration::from_millis(250);
 
@@ -101,7 +76,7 @@
 }
 
 /// What came of a try.
-enum Step {
+pub(super) enum Step {
     End(Flow),
     /// It reached a replica that may have run it, or that broke off.
     Lost,
@@ -192,7 +167,7 @@
     let passed = match streams(req, &reply) {
         true => stream(gw, req, &mut place, reply, writer, course, events).await,
         false if course.begun => return Step::Lost,
-        false => plain(gw, req, &place, reply, writer, course).await,
+        false => pass_plain(gw, req, &place, reply, writer, course).await,
     };
     match passed {
         Ok(step) => step,
@@ -206,7 +181,7 @@
 }
 
 /// Logs a try that gave no answer.
-fn note(req: &Request, place: &Place, course: &mut Course, outcome: &str, cause: &str) {
+pub(super) fn note(req: &Request, place: &Place, course: &mut Course, outcome: &str, cause: &str) {
     log::info!(
         "event=try outcome={outcome} id={} replica={} send={} ms={} cause={cause:?}",
         req.id,
@@ -247,29 +222,6 @@
     }
 }
 
-/// Waits until a replica counts as silent; for good where the request can't be repeated.
-///
-/// Not to be asked of a request's last try: giving that up would only lose its answer.
-async fn silence<T>(req: &Request, place: &Place) -> Result<T, TryError> {
-    match req.route.kind {
-        RouteKind::Stream { resume: true } => loop {
-            task::sleep(LOOK).await;
-            if place.silent() >= SILENT {
-                return Err(TryError::Silent);
-            }
-        },
-        RouteKind::Idempotent => {
-            let left = req.until.saturating_duration_since(Instant::now());
-            task::sleep((req.route.target * PATIENCE).min(left / 2)).await;
-            Err(TryError::Silent)
-        }
-        // It may have run, so its answer is waited for as long as there is time.
-        RouteKind::Stream { resume: false } | RouteKind::Single => {
-            futures_lite::future::pending().await
-        }
-    }
-}
-
 fn streams(req: &Request, reply: &Reply) -> bool {
     let kind = reply.head.headers.get("content-type").unwrap_or_default();
     let good = (200..300).contains(&reply.head.status());
@@ -297,70 +249,3 @@
         StreamEnd::CallerGone => Ok(Step::End(Flow::Cut)),
     }
 }
-
-/// Passes on an answer that is no stream.
-async fn plain(
-    gw: &Shared,
-    req: &Request,
-    place: &Place,
-    mut reply: Reply,
-    writer: &mut TcpStream,
-    course: &mut Course,
-) -> Result<Step, TryError> {
-    let status = reply.head.status();
-    let signed = reply.head.headers.get(gw.dialect.signature).is_some();
-    if (200..300).contains(&status) && !signed {
-        return Err(TryError::Unsigned);
-    }
-    let read = reply.body.whole(&mut reply.conn, WHOLE_MAX);
-    let body = match req.route.kind {
-        RouteKind::Idempotent if !course.is_last(req) => {
-            or(async { Ok(read.await?) }, silence(req, place)).await?
-        }
-        _ => read.await?,
-    };
-    place.answered(status < 500);
-    let head = reply.head.clone();
-    reply.recycle(&gw.pool, &place.replica);
-    if status >= 500 && req.route.kind == RouteKind::Idempotent {
-        // It failed there; another replica may do better while there is time.
-        if course.may_send(gw, req, false) {
-            note(req, place, course, "failed", &status.to_string());
-            course.may_have_run = true;
-            return Ok(Step::Again);
-        }
-    }
-    let Line::Response { reason, .. } = &head.line else {
-        return Ok(Step::End(Flow::Cut));
-    };
-    let length = match req.method.as_str() {
-        "HEAD" => head.headers.get("content-length").map(str::to_owned),
-        _ => Some(body.len().to_string()),
-    };
-    let headers = passed(gw, head.headers, length);
-    let line = Line::Response {
-        status,
-        reason: reason.clone(),
-    };
-    let mut bytes = line.head(&headers);
-    bytes.extend_from_slice(&body);
-    course.begun = true;
-    course.status = status;
-    course.first = Some(Instant::now());
-    Ok(Step::End(match writer.write_all(&bytes).await {
-        Ok(()) => Flow::Passed,
-        Err(_) => Flow::Cut,
-    }))
-}
-
-/// Returns the headers that the caller gets.
-pub(super) fn passed(gw: &Shared, mut headers: Headers, length: Option<String>) -> Headers {
-    headers.strip();
-    if let Some(length) = length {
-        headers.push("Content-Length", length);
-    }
-    if gw.is_leaving() {
-        headers.push("Connection", "close");
-    }
-    headers
-}
--- /dev/null
+++ b/crates/gateway/src/serve/choose.rs
@@ -0,0 +1,197 @@
+//! What is known of the replicas, put before the decision where a request goes.
+
+use {
+    super::{
+        admit::Request,
+        place::Place, //
+    },
+    crate::{
+        model::{
+            Engine,
+            Replica, //
+        },
+        state::{
+            Shared,
+            Tables, //
+        },
+    },
+    policy::{
+        placement::{
+            pick,
+            pick_plain,
+            Candidate,
+            Pick,
+            Prompt,
+            ReplicaKey,
+            Server,
+            Wish, //
+        },
+        quota::{
+            Standing,
+            WorkspaceKey, //
+        },
+        ReplicaId,
+        Span,
+        Time, //
+    },
+    std::{
+        sync::Arc,
+        time::Duration, //
+    },
+};
+
+/// When to come back where no replica takes work: about the first rest of one that failed.
+const NOBODY_AGAIN: Duration = Duration::from_millis(400);
+
+/// A request that was refused.
+#[derive(Debug)]
+pub(crate) struct Refused {
+    pub(crate) why: &'static str,
+    pub(crate) after: Duration,
+    /// What it was decided by, for the log.
+    pub(crate) inputs: String,
+}
+
+impl Shared {
+    /// Chooses a replica for a request, apart from those that were tried, and takes a place.
+    ///
+    /// # Errors
+    ///
+    /// Why it is refused, and when a place is likely.
+    pub(crate) fn place(
+        self: &Arc<Shared>,
+        req: &Request,
+        tried: &[ReplicaId],
+    ) -> Result<Place, Refused> {
+        let now = self.now();
+        let mut tables = self.tables();
+        let (prompt, engine) = (req.prompt.as_ref(), req.about.engine);
+        let (picked, standing) = match (prompt, engine) {
+            (Some(prompt), Some(engine)) => {
+                tables.pick_engine(self, req, (prompt, engine), tried, now)
+            }
+            _ => (
+                tables.pick_server(self, req, tried, now),
+                Standing::default(),
+            ),
+        };
+        let choice = match picked {
+            None => {
+                return Err(Refused {
+                    why: "no replica of its service takes work",
+                    after: NOBODY_AGAIN,
+                    inputs: String::new(),
+                })
+            }
+            Some(Pick::Refuse { after, full, bound }) => {
+                return Err(Refused {
+                    why: "the replicas of its service are full",
+                    after: after.into(),
+                    inputs: format!(
+                        "full={full:.2} bound={bound} share={:.2} even={:.2}",
+                        standing.share, standing.even
+                    ),
+                })
+            }
+            Some(Pick::Run(choice)) => choice,
+        };
+        Ok(tables.take(self, req, choice, now))
+    }
+}
+
+impl Tables {
+    fn pick_engine(
+        &mut self,
+        gw: &Shared,
+        req: &Request,
+        (prompt, engine): (&Prompt, Engine),
+        tried: &[ReplicaId],
+        now: Time,
+    ) -> (Option<Pick>, Standing) {
+        let workspace = req.workspace.as_ref().map(WorkspaceKey::of);
+        let standing = workspace.map_or(Standing::default(), |key| {
+            if tried.is_empty() {
+                self.quota.asked(key, prompt.cost(), now);
+            }
+            self.quota.standing(key, now)
+        });
+        let usual = self.usual_failures(req);
+        let home = prompt.home().unwrap_or_default();
+        let candidates: Vec<Candidate> = self
+            .open(req, tried, now)
+            .map(|(key, replica)| Candidate {
+                id: replica.id.clone(),
+                key,
+                slots: engine.slots,
+                copies: engine.copies,
+                memory: engine.memory,
+                speed: self.speeds.of(key),
+                load: self.board.load(key, now),
+                penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(usual)),
+                cached: self
+                    .cached
+                    .get(&(key, home))
+                    .map(|at| now.since(*at).as_secs()),
+            })
+            .collect();
+        if candidates.is_empty() {
+            return (None, standing);
+        }
+        let wish = Wish {
+            prompt,
+            target: Span::from(req.route.target),
+            shortest: Span::from(req.shortest),
+            standing,
+            tuning: &gw.settings.placement,
+        };
+        (Some(pick(&candidates, &wish)), standing)
+    }
+
+    fn pick_server(
+        &mut self,
+        gw: &Shared,
+        req: &Request,
+        tried: &[ReplicaId],
+        now: Time,
+    ) -> Option<Pick> {
+        let usual = self.usual_failures(req);
+        let servers: Vec<Server> = self
+            .open(req, tried, now)
+            .map(|(key, replica)| Server {
+                id: replica.id.clone(),
+                key,
+                slots: replica.slots,
+                load: self.board.load(key, now),
+                took: self.latencies.of(key),
+                near: replica.zone == gw.settings.zone,
+                penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(usual)),
+            })
+            .collect();
+        (!servers.is_empty()).then(|| pick_plain(&servers, fastrand::u64(..)))
+    }
+
+    /// Returns the replicas of a request's service that take work and answer.
+    fn open<'a>(
+        &'a self,
+        req: &'a Request,
+        tried: &'a [ReplicaId],
+        now: Time,
+    ) -> impl Iterator<Item = (ReplicaKey, &'a Arc<Replica>)> {
+        let ready = self.roster.ready();
+        ready
+            .filter(|(id, r)| r.service == req.service && !tried.contains(id))
+            .map(|(id, r)| (ReplicaKey::of(id), r))
+            .filter(move |(key, _)| self.health.get(key).is_none_or(|h| h.open(now)))
+    }
+
+    /// Returns the part of failures that is usual at a service: the least of its replicas'.
+    fn usual_failures(&self, req: &Request) -> f64 {
+        let ready = self.roster.ready();
+        let of_service = ready.filter(|(_, r)| r.service == req.service);
+        let failures = of_service.map(|(id, _)| {
+            let health = self.health.get(&ReplicaKey::of(id));
+            health.map_or(0.0, |h| h.failures())
+        });
+        failures.fold(1.0, f64::min)
+    }
+}
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -12,6 +12,10 @@
             Flow, //
         },
         course::Course,
+        trail::{
+            ended,
+            turned_down, //
+        },
     },
     crate::{
         http::{
@@ -141,13 +145,7 @@
             Ok(request) => request,
             Err(own) => {
                 let id = id.as_deref();
-                log::info!(
-                    "event=request outcome=refused id={} status={} cause={:?}",
-                    id.unwrap_or("-"),
-                    own.status,
-                    own.why
-                );
-                count(own.status, "-");
+                turned_down(id, &own);
                 let kept = self.tell(&own, id).await;
                 return Ok(kept && keep);
             }
@@ -256,7 +254,7 @@
                 !gone && self.tell(&own, Some(&req.id)).await
             }
         };
-        note(&req, &course, gone, kept);
+        ended(&req, &course, gone, kept);
         kept && !(course.begun && self.gw.is_leaving())
     }
 
@@ -297,40 +295,3 @@
         false => Own::not_run("no replica could be reached in time", Duration::ZERO),
     }
 }
-
-fn count(status: u16, route: &str) {
-    metrics::counter!("chervilwind_answers", "status" => status.to_string(), "route" => route.to_owned())
-        .increment(1);
-}
-
-/// Logs how a request ended, and counts it.
-fn note(req: &Request, course: &Course, gone: bool, kept: bool) {
-    let first = course.first.map(|at| at - req.arrived);
-    if let Some(first) = first {
-        metrics::histogram!("chervilwind_first_seconds").record(first.as_secs_f64());
-    }
-    count(course.status, &req.route.name);
-    let outcome = match (gone, course.begun, kept) {
-        (true, _, _) => "caller-gone",
-        (_, true, true) => "answered",
-        (_, true, false) => "cut",
-        _ => "refused",
-    };
-    log::info!(
-        "event=request outcome={outcome} id={} status={} route={} service={} workspace={} \
-         replica={} sends={} first-ms={} ms={} version={} cause={:?} tokens={} {}",
-        req.id,
-        course.status,
-        req.route.name,
-        req.service,
-        req.workspace.as_ref().map_or("-", |w| w.as_str()),
-        course.tried.last().map_or("-", |r| r.as_str()),
-        course.sends,
-        first.map_or(-1, |d| d.as_millis() as i64),
-        req.arrived.elapsed().as_millis(),
-        req.version,
-        course.cause,
-        req.prompt.as_ref().map_or(0, |p| p.total),
-        course.inputs
-    );
-}
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -80,6 +80,13 @@
         self.tried.len() as u32 >= req.route.attempts
     }
 
+    /// Notes that the caller gets a replica's answer.
+    pub(crate) fn begin(&mut self, status: u16) {
+        self.begun = true;
+        self.status = status;
+        self.first = Some(Instant::now());
+    }
+
     /// Returns the answer to a request that is given up.
     ///
     /// "Not run" is a promise. After a try that may have run it would be broken by that try,
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,12 +4,16 @@
 mod admit;
 mod answer;
 mod attempts;
+mod choose;
 mod connection;
 mod course;
 mod place;
+mod plain;
 mod server;
+mod silence;
 pub(crate) mod small;
 mod stream;
+mod trail;
 
 pub(crate) use self::{
     addresses::serve_addresses,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -3,14 +3,11 @@
 use {
     super::{
         admit::Request,
-        attempts::{
-            passed,
-            TryError,
-            LOOK,
-            SILENT, //
-        },
+        attempts::TryError,
         course::Course,
-        place::Place, //
+        place::Place,
+        plain::passed,
+        silence::silence, //
     },
     crate::{
         http::{
@@ -26,15 +23,11 @@
             Reply, //
         },
     },
-    async_std::{
-        net::TcpStream,
-        task, //
-    },
+    async_std::net::TcpStream,
     futures_lite::{
         future::or,
         AsyncWriteExt, //
     },
-    std::time::Instant,
 };
 
 /// How a stream ended that did not break.
@@ -84,7 +77,6 @@
         if writer.write_all(&out).await.is_err() {
             return Ok(StreamEnd::CallerGone);
         }
-        course.first.get_or_insert_with(Instant::now);
     }
     if events.inside() {
         // The replica stopped in the middle of an event and ended the body all the same.
@@ -108,19 +100,10 @@
     last: bool,
 ) -> Result<Option<Vec<u8>>, TryError> {
     let piece = async { Ok(reply.body.piece(&mut reply.conn).await?) };
-    let resumes = matches!(req.route.kind, RouteKind::Stream { resume: true });
-    if !resumes || last {
-        return piece.await;
+    match (req.route.kind, last) {
+        (RouteKind::Stream { resume: true }, false) => or(piece, silence(req, place)).await,
+        _ => piece.await,
     }
-    let silent = async {
-        loop {
-            task::sleep(LOOK).await;
-            if place.silent() >= SILENT {
-                return Err(TryError::Silent);
-            }
-        }
-    };
-    or(piece, silent).await
 }
 
 /// Returns the head of the answer where the caller does not have it yet.
@@ -128,8 +111,7 @@
     if course.begun {
         return Vec::new();
     }
-    course.begun = true;
-    course.status = reply.head.status();
+    course.begin(reply.head.status());
     let mut headers = passed(gw, reply.head.headers.clone(), None);
     headers.push("Transfer-Encoding", "chunked");
     reply.head.line.head(&headers)
--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -115,3 +115,26 @@
     assert_eq!(seen.len(), 2);
     assert!(seen[1].head.starts_with("GET /again/b"));
 }
+
+#[test]
+fn answer_too_long_to_be_held() {
+    // An answer of 3 MB is passed on while it comes. Held until it is whole it would take
+    // the memory that other requests need, and dropped for its length it was lost.
+    let long = "z".repeat(3_000_000);
+    let sent = long.clone();
+    let replica = Replica::start(move |n, seen| {
+        let mut bytes = good(seen, &sent);
+        if n == 1 {
+            bytes.truncate(2_000_000);
+        }
+        vec![Step::Send(bytes), Step::Close]
+    });
+    let stage = Stage::start(&[("i-1", &replica)]);
+    let got = stage.get("/once/a", "1");
+    assert_eq!((got.status, got.whole), (200, true));
+    assert!(got.body == long);
+    assert_eq!(got.header("x-signature"), Some("s-1"));
+    // One that breaks off must not look whole.
+    let cut = stage.get("/once/a", "2");
+    assert_eq!((cut.status, cut.whole), (200, false));
+}
