roster: routers read the list in turns, by what they hear of each other

Change: every word on load tells how long ago its sender read the list; the first router for which the newest read is older than 0.45 s and up to 0.3 s of its own choice reads it.

Test: roster_read_in_turns, nine routers that start at the same moment: no gap over 1 s in 20 s with under 150 reads; without it they had a rhythm each, and no bound but 3.6 s.

--- a/crates/gateway/src/fleet/beat.rs
+++ b/crates/gateway/src/fleet/beat.rs
@@ -11,7 +11,8 @@
             WorkspaceKey, //
         },
         Incarnation,
-        RouterId, //
+        RouterId,
+        Span, //
     },
     serde::{
         Deserialize,
@@ -46,6 +47,8 @@
     pub(crate) from: u32,
     /// Number of this word within that start; a later one is higher.
     pub(crate) number: u32,
+    /// How long ago it read the list of replicas, in milliseconds.
+    list_age: u16,
     loads: Vec<(ReplicaKey, u16, u16, u16)>,
 }
 
@@ -79,7 +82,12 @@
 }
 
 impl Loads {
-    pub(crate) fn new(from: u32, number: u32, loads: &[(ReplicaKey, Load)]) -> Loads {
+    pub(crate) fn new(
+        from: u32,
+        number: u32,
+        list_age: Option<Span>,
+        loads: &[(ReplicaKey, Load)],
+    ) -> Loads {
         let unit = |n: u64, unit: u64| u16::try_from(n.div_ceil(unit)).unwrap_or(u16::MAX);
         let loads = loads.iter().map(|(key, load)| {
             let running = u16::try_from(load.running).unwrap_or(u16::MAX);
@@ -93,10 +101,16 @@
         Loads {
             from,
             number,
+            list_age: list_age.map_or(u16::MAX, |a| a.as_millis().min(u64::from(u16::MAX)) as u16),
             loads: loads.collect(),
         }
     }
 
+    /// Returns how long ago it read the list of replicas; a minute or more is as good as never.
+    pub(crate) fn list_age(&self) -> Span {
+        Span::millis(u64::from(self.list_age))
+    }
+
     pub(crate) fn loads(&self) -> Vec<(ReplicaKey, Load)> {
         let loads = self.loads.iter().map(|(key, running, unread, memory)| {
             let load = Load {
--- a/crates/gateway/src/fleet/beat/tests.rs
+++ b/crates/gateway/src/fleet/beat/tests.rs
@@ -5,9 +5,12 @@
         Loads,
         Word, //
     },
-    policy::placement::{
-        Load,
-        ReplicaKey, //
+    policy::{
+        placement::{
+            Load,
+            ReplicaKey, //
+        },
+        Span, //
     },
 };
 
@@ -24,11 +27,12 @@
 
 #[test]
 fn loads_there_and_back() {
-    let word = Word::Loads(Loads::new(7, 8, &loads(3)));
+    let word = Word::Loads(Loads::new(7, 8, Some(Span::millis(250)), &loads(3)));
     let Word::Loads(back) = Word::decode(&word.encode().unwrap()).unwrap() else {
         panic!("another word");
     };
     assert_eq!((back.from, back.number), (7, 8));
+    assert_eq!(back.list_age(), Span::millis(250));
     for (key, load) in back.loads() {
         assert!(key.0 >= 0xa000_0000);
         assert_eq!(load.running, 12);
@@ -41,7 +45,7 @@
 fn loads_stay_small() {
     // Each router sends them to each other many times a second; 21 KB/s is what all that
     // routers say to each other may take.
-    let bytes = Word::Loads(Loads::new(u32::MAX, u32::MAX, &loads(12)))
+    let bytes = Word::Loads(Loads::new(u32::MAX, u32::MAX, None, &loads(12)))
         .encode()
         .unwrap();
     assert!(bytes.len() <= 200, "{}", bytes.len());
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -87,7 +87,8 @@
     let mut to = tables.peers.addresses();
     to.retain(|addr| *addr != me.listen.peers);
     let mut words = Vec::new();
-    let loads = Loads::new(from, number, &tables.board.report());
+    let list_age = tables.roster.age(now);
+    let loads = Loads::new(from, number, list_age, &tables.board.report());
     let (counts, left) = (tables.quota.report(now), tables.roster.left(now));
     drop(tables);
     if number % HELLO_EVERY == 1 {
@@ -135,6 +136,7 @@
                 let mut tables = gw.tables();
                 if let Some(from) = tables.peers.loads(&loads, now) {
                     tables.board.peer(&from, &loads.loads(), now);
+                    tables.roster.peer_read(loads.list_age(), now);
                 }
             }
             Err(e) => log::debug!("event=peers outcome=not-understood cause={e:?}"),
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -6,7 +6,10 @@
         state::Shared, //
     },
     async_std::task,
-    policy::placement::ReplicaKey,
+    policy::{
+        placement::ReplicaKey,
+        Span, //
+    },
     std::{
         collections::HashSet,
         sync::{
@@ -17,34 +20,37 @@
     },
 };
 
-/// The fleet reads the list this often, each router in its turn, and tells the others who
-/// left. A leaving replica may get requests for 2 s after its word was taken down.
-const FLEET_EVERY: Duration = Duration::from_millis(350);
-/// A router reads it at least this often, however many there are.
-const LEAST: Duration = Duration::from_secs(10);
+/// How often it is looked whether it is this router's turn to read the list.
+const LOOK: Duration = Duration::from_millis(50);
+/// The most that a router waits of its own choice for each router there is, so that not all
+/// read at once: 0.3 s at nine.
+const SPREAD_MS: u64 = 33;
 /// Pause after a read that failed.
 const AGAIN: Duration = Duration::from_millis(150);
 
 /// Reads the list again and again.
 pub(crate) async fn follow_replicas(gw: Arc<Shared>) {
+    let mut wait = Span::ZERO;
     loop {
+        let now = gw.now();
+        if !gw.tables().roster.is_due(wait, now) {
+            task::sleep(LOOK).await;
+            continue;
+        }
         let read = (gw.store.replicas)().await;
         gw.note_store("replicas", read.as_ref().err());
-        let pause = match read {
+        match read {
             Ok(list) => {
                 take(&gw, list);
-                let routers = gw.tables().peers.count(gw.now());
-                (FLEET_EVERY * routers as u32)
-                    .min(LEAST)
-                    .mul_f64(0.85 + 0.3 * fastrand::f64())
+                let routers = gw.tables().peers.count(gw.now()) as u64;
+                wait = Span::millis(fastrand::u64(..SPREAD_MS * routers));
             }
             Err(_) => {
                 let now = gw.now();
                 gw.tables().roster.failed(now);
-                AGAIN
+                task::sleep(AGAIN).await;
             }
-        };
-        task::sleep(pause).await;
+        }
     }
 }
 
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -20,6 +20,12 @@
 /// call may take. Believed, it would bring back a replica that is leaving, and the peer's next
 /// words are old news by then.
 const LATE: Span = Span::millis(2_400);
+/// The fleet reads the list this often: the first router whose last word of a read is older
+/// than this, and a little of its own choice, reads it. A leaving replica may get requests for
+/// 2 s after its word was taken down, and the news takes 0.3 s more to all routers.
+const FLEET_EVERY: Span = Span::millis(450);
+/// A router reads it at least this often, whatever it hears of others.
+const OWN_EVERY: Span = Span::secs(4);
 /// How long a replica that left is remembered and told to peers: several times the longest
 /// pause between two reads of the list by the slowest of them.
 const TELL: Span = Span::secs(6);
@@ -55,6 +61,10 @@
     /// The first whole list after that.
     again: Option<Time>,
     left: BTreeMap<ReplicaKey, Time>,
+    /// When this router last read the list.
+    read: Option<Time>,
+    /// When any router last did, as far as is known.
+    fleet_read: Option<Time>,
 }
 
 impl<T> Default for Roster<T> {
@@ -64,6 +74,8 @@
             trouble: None,
             again: None,
             left: BTreeMap::new(),
+            read: None,
+            fleet_read: None,
         }
     }
 }
@@ -82,6 +94,8 @@
         list: impl IntoIterator<Item = (ReplicaId, T, bool)>,
         now: Time,
     ) -> Vec<ReplicaId> {
+        self.read = Some(now);
+        self.fleet_read = Some(now);
         if self.trouble.is_some() {
             self.again.get_or_insert(now);
         }
@@ -130,6 +144,24 @@
         gone
     }
 
+    /// Tells whether this router is to read the list now; `wait` is a little time of its own
+    /// choice, different at each.
+    pub fn is_due(&self, wait: Span, now: Time) -> bool {
+        let old = |at: Option<Time>, span| at.is_none_or(|at| now.since(at) >= span);
+        old(self.fleet_read, FLEET_EVERY + wait) || old(self.read, OWN_EVERY)
+    }
+
+    /// Returns how long ago this router read the list, to tell the peers.
+    pub fn age(&self, now: Time) -> Option<Span> {
+        self.read.map(|at| now.since(at))
+    }
+
+    /// Takes a peer's word of how long ago it read the list.
+    pub fn peer_read(&mut self, age: Span, now: Time) {
+        let at = now - age;
+        self.fleet_read = Some(self.fleet_read.map_or(at, |known| known.max(at)));
+    }
+
     /// Takes a peer's word that replicas no longer take work. Returns those that did so far.
     pub fn told(&mut self, left: &[ReplicaKey], now: Time) -> Vec<ReplicaId> {
         let mut gone = Vec::new();
--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -94,3 +94,46 @@
     list(&mut roster, &["a", "b"], 2_600);
     assert_eq!(ready(&roster), ["a", "b"]);
 }
+
+#[test]
+fn roster_read_in_turns() {
+    // Every router read the list in a rhythm of its own, 3 s long. After an outage that all
+    // had seen end at the same moment they read together, and a replica that left just after
+    // got requests for 2 s.
+    let mut routers: Vec<Roster<()>> = (0..9).map(|_| Roster::default()).collect();
+    let mut reads = Vec::new();
+    for ms in (0..20_000).step_by(20) {
+        for n in 0..9 {
+            let wait = Span::millis((n * 67 + ms / 20 * 31) % 300);
+            if routers[n as usize].is_due(wait, at(ms)) {
+                list(&mut routers[n as usize], &["a"], ms);
+                reads.push(ms);
+            }
+        }
+        // Each says hello three times a second, one after the other.
+        let speaker = (ms / 20 % 9) as usize;
+        if let Some(age) = routers[speaker].age(at(ms)) {
+            for other in (0..9).filter(|n| *n != speaker) {
+                routers[other].peer_read(age, at(ms));
+            }
+        }
+    }
+    let gap = reads.windows(2).map(|w| w[1] - w[0]).max().unwrap();
+    assert!(gap <= 1_000, "{gap}");
+    // Nine routers that read every 0.45 s would be 400 reads in 20 s.
+    assert!(reads.len() < 150, "{}", reads.len());
+}
+
+#[test]
+fn roster_read_alone() {
+    let mut roster: Roster<()> = Roster::default();
+    assert!(roster.is_due(Span::ZERO, at(0)));
+    list(&mut roster, &["a"], 0);
+    assert!(!roster.is_due(Span::millis(100), at(500)));
+    assert!(roster.is_due(Span::millis(100), at(550)));
+    roster.peer_read(Span::millis(50), at(550));
+    assert!(!roster.is_due(Span::millis(100), at(600)));
+    // What others read is no list of its own.
+    roster.peer_read(Span::ZERO, at(4_000));
+    assert!(roster.is_due(Span::ZERO, at(4_000)));
+}
