settings: drop one that nothing read; say what each weight buys

Cause: read as a newcomer: `heartbeat-ms` was asked of every instance and used nowhere, and the weights of the placement said what they are, not what they buy.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -95,8 +95,6 @@
     pub retry_window_s: f64,
     /// The window over which workspaces have fair shares.
     pub fair_window_s: f64,
-    /// How often replicas refresh their entries.
-    pub heartbeat_ms: u64,
 }
 
 /// What the instance has.
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -254,7 +254,6 @@
         retry-slack = 50
         retry-window-s = 10
         fair-window-s = 4
-        heartbeat-ms = 1000
         [instance]
         memory-mb = 100
         descriptors = 4000
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -7,6 +7,10 @@
 
 /// How the choice among engines is weighed. Settings may give other values than these.
 ///
+/// The values come from days of 35 to 53 s played on 9 to 12 engines, with floods, bursts and
+/// crashes: the part of the value asked that was served, less prices. What single ones buy is
+/// said at each, as a mean of four to six heavy days on either of two deployments.
+///
 /// # Examples
 ///
 /// ```
@@ -19,7 +23,8 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
 pub struct Tuning {
-    /// How many engines a prompt's shared parts are kept at.
+    /// How many engines a prompt's shared parts are kept at. One in place of two: 0.02 less;
+    /// three: 0.01 less.
     pub homes: usize,
     /// A part is taken as cached where it was used this recently, in seconds.
     pub cached_s: f64,
@@ -27,10 +32,11 @@
     ///
     /// It takes the same time of the engine, and besides pushes other parts out of its cache.
     pub again_cost: f64,
-    /// The same for shared tokens that are copied from another engine.
+    /// The same for shared tokens that are copied from another engine. Copying at all in place
+    /// of reading again: 0.05 and 0.08 more.
     pub copy_cost: f64,
     /// Fullness up to which any engine takes a request whose homes are full. An engine that
-    /// is half idle loses nothing by reading the shared parts anew.
+    /// is half idle loses nothing by reading the shared parts anew. 0.35 in place of 0.5: 0.01 more.
     pub spare: f64,
     /// The same for a workspace within its fair share, which then finds a place anywhere
     /// before one that floods finds a second.
@@ -44,7 +50,8 @@
     /// The multiple at which it has fallen to the least.
     pub over_to: f64,
     /// How much lower the bound is for one that had more than an even part of all that was
-    /// given, so that others over their shares find places first.
+    /// given, so that others over their shares find places first. It keeps a workspace in a burst
+    /// of four times from getting a fifth of what another gets, and buys 0.02 and 0.01.
     pub yields: f64,
     /// How much more than an even part lowers it by all of that.
     pub uneven: f64,
@@ -53,7 +60,9 @@
     pub own: f64,
     /// Part of the slots that the fleet fills.
     pub slots: f64,
-    /// Shortest time after which a refused request may come back, in milliseconds.
+    /// Shortest time after which a refused request may come back, in milliseconds. Within it
+    /// some places fall free, and the request can still be in time; 150 in place of 60: 0.01 less
+    /// on one of two deployments.
     pub again_ms: f64,
     /// Part of an engine's memory that the fleet fills. What is left holds cached parts.
     pub memory: f64,
