policy: one ranking by rendezvous hash; state that nothing read is gone

Cause: read once more. placement::pick ranked engines by a loop of its own, the same hash and order as rendezvous::top_near. Roster kept since when an entry is missing, which nothing read, and the moment of the last failed read, of which only its being there counted.

Change: rendezvous::of_hash serves both; the same scores, so the same homes. Roster has a flag and no more. Numbers in the choice among plain replicas have names and grounds.

Ruled out: entry::Health for placement::Health: the one counts failures in a row for its own slots, the other rests on reach and silence and weighs odd failure rates.

--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -46,8 +46,7 @@
                 wait = Span::millis(fastrand::u64(..SPREAD_MS * routers));
             }
             Err(_) => {
-                let now = gw.now();
-                gw.tables().roster.failed(now);
+                gw.tables().roster.failed();
                 task::sleep(AGAIN).await;
             }
         }
--- a/crates/policy/src/placement/health.rs
+++ b/crates/policy/src/placement/health.rs
@@ -19,6 +19,9 @@
 /// Services fail some requests by themselves (up to one in seven was seen), evenly over
 /// their replicas.
 const ODD: f64 = 0.2;
+/// What each part of failures beyond that adds to a replica's fullness: one that fails half
+/// of its requests more than usual counts as 0.6 fuller.
+const WEIGHT: f64 = 2.0;
 
 /// What is known of one replica's answers.
 ///
@@ -106,6 +109,6 @@
 
     /// Returns what is added to its fullness, where it fails more than `usual` at its service.
     pub fn penalty(&self, usual: f64) -> f64 {
-        (self.failures - usual - ODD).max(0.0) * 2.0
+        (self.failures - usual - ODD).max(0.0) * WEIGHT
     }
 }
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -9,14 +9,11 @@
     },
     crate::{
         quota::Standing,
+        rendezvous,
         ReplicaId,
         Span, //
     },
-    std::{
-        cmp::Reverse,
-        fmt, //
-    },
-    xxhash_rust::xxh3::xxh3_64_with_seed, //
+    std::fmt,
 };
 
 /// Time to the first event beside reading, in milliseconds.
@@ -118,20 +115,15 @@
 /// engines (0.587 to 0.481 of the value served in a trial of twelve engines).
 pub fn pick(engines: &[Candidate], wish: &Wish<'_>) -> Pick {
     let home = wish.prompt.home().unwrap_or_default();
-    let mut ranked: Vec<(u64, &Candidate)> = engines
-        .iter()
-        .map(|e| (xxh3_64_with_seed(e.id.as_str().as_bytes(), home), e))
-        .collect();
-    ranked.sort_unstable_by_key(|(score, _)| Reverse(*score));
-    let mut rated: Vec<Rated<'_>> = ranked
-        .iter()
+    let rated: Vec<Rated<'_>> = rendezvous::of_hash(home, engines, |e| e.id.as_str())
+        .into_iter()
         .enumerate()
-        .map(|(rank, (_, engine))| rate(engine, rank, wish))
+        .map(|(rank, engine)| rate(engine, rank, wish))
         .collect();
     let tuning = wish.tuning;
     let limit = tuning.limit(wish.standing);
     let source = source(&rated);
-    let (homes, others) = rated.split_at_mut(tuning.homes.min(ranked.len()));
+    let (homes, others) = rated.split_at(tuning.homes.min(rated.len()));
     if let Some(best) = cheapest(homes, limit, source.as_ref()) {
         return Pick::Run(best);
     }
--- a/crates/policy/src/placement/plain.rs
+++ b/crates/policy/src/placement/plain.rs
@@ -20,6 +20,14 @@
 /// most latency targets; what comes beyond would be shed by the replica itself, and each
 /// shed request is a wasted send.
 const FULL: f64 = 2.5;
+/// What another availability zone adds to the expected time, in seconds: there and back.
+const FAR_S: f64 = 0.003;
+/// Part of its mean time that an idle replica is expected to take, so that the quicker one of
+/// two idle ones is told.
+const IDLE_PART: f64 = 0.3;
+/// Multiples of the expected time that a penalty of 1 adds: one that always fails comes after
+/// sound ones with four times its work.
+const PENALTY: f64 = 4.0;
 /// When a request that finds all replicas full may come back.
 const AGAIN: Span = Span::millis(150);
 
@@ -77,6 +85,6 @@
 
 fn expected(server: &Server) -> f64 {
     let queued = f64::from(server.load.running) / f64::from(server.slots.max(1));
-    let far = if server.near { 0.0 } else { 0.003 };
-    (server.took + far) * (0.3 + queued) * (1.0 + 4.0 * server.penalty)
+    let far = if server.near { 0.0 } else { FAR_S };
+    (server.took + far) * (IDLE_PART + queued) * (1.0 + PENALTY * server.penalty)
 }
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -85,7 +85,35 @@
     F: Fn(&T) -> &str,
     N: Fn(&T) -> bool,
 {
-    let seed = xxh3_64(key.as_bytes());
+    let mut ranked = ranked(xxh3_64(key.as_bytes()), members, name, near);
+    ranked.truncate(k);
+    ranked
+}
+
+/// Returns all members, best first, for a key that is a hash already.
+///
+/// # Examples
+///
+/// ```
+/// use policy::rendezvous;
+///
+/// let all = rendezvous::of_hash(7, ["a", "b", "c"], |m| m);
+/// assert_eq!(all, rendezvous::of_hash(7, ["c", "b", "a"], |m| m));
+/// ```
+pub fn of_hash<T, I, F>(hash: u64, members: I, name: F) -> Vec<T>
+where
+    I: IntoIterator<Item = T>,
+    F: Fn(&T) -> &str,
+{
+    ranked(hash, members, name, |_| true)
+}
+
+fn ranked<T, I, F, N>(seed: u64, members: I, name: F, near: N) -> Vec<T>
+where
+    I: IntoIterator<Item = T>,
+    F: Fn(&T) -> &str,
+    N: Fn(&T) -> bool,
+{
     let mut ranked: Vec<(bool, u64, T)> = members
         .into_iter()
         .map(|m| (near(&m), xxh3_64_with_seed(name(&m).as_bytes(), seed), m))
@@ -93,7 +121,7 @@
     ranked.sort_by(|a, b| {
         (Reverse(a.0), Reverse(a.1), name(&a.2)).cmp(&(Reverse(b.0), Reverse(b.1), name(&b.2)))
     });
-    ranked.into_iter().take(k).map(|r| r.2).collect()
+    ranked.into_iter().map(|r| r.2).collect()
 }
 
 /// Like [`best`], but a member that is `near` wins over any that is not.
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -35,8 +35,6 @@
 struct Entry<T> {
     value: T,
     draining: bool,
-    /// Since when it is missing from the list.
-    missing: Option<Time>,
 }
 
 /// The replicas that are known, and which of them take work.
@@ -56,8 +54,8 @@
 #[derive(Debug, Clone)]
 pub struct Roster<T> {
     entries: BTreeMap<ReplicaId, Entry<T>>,
-    /// When the list could last not be read.
-    trouble: Option<Time>,
+    /// The list could not be read, and entries may have lapsed meanwhile.
+    trouble: bool,
     /// The first whole list after that.
     again: Option<Time>,
     left: BTreeMap<ReplicaKey, Time>,
@@ -71,7 +69,7 @@
     fn default() -> Roster<T> {
         Roster {
             entries: BTreeMap::new(),
-            trouble: None,
+            trouble: false,
             again: None,
             left: BTreeMap::new(),
             read: None,
@@ -82,8 +80,8 @@
 
 impl<T> Roster<T> {
     /// Notes that the list could not be read.
-    pub fn failed(&mut self, now: Time) {
-        self.trouble = Some(now);
+    pub fn failed(&mut self) {
+        self.trouble = true;
         self.again = None;
     }
 
@@ -96,7 +94,7 @@
     ) -> Vec<ReplicaId> {
         self.read = Some(now);
         self.fleet_read = Some(now);
-        if self.trouble.is_some() {
+        if self.trouble {
             self.again.get_or_insert(now);
         }
         let mut seen = BTreeMap::new();
@@ -105,18 +103,13 @@
         }
         let patient = self.again.is_some_and(|first| now.since(first) < BACK);
         if !patient {
-            self.trouble = None;
+            self.trouble = false;
             self.again = None;
         }
-        let mut gone = Vec::new();
-        for (id, entry) in &mut self.entries {
-            if seen.contains_key(id) {
-                entry.missing = None;
-            } else if patient {
-                entry.missing.get_or_insert(now);
-            } else {
-                gone.push(id.clone());
-            }
+        let mut gone: Vec<ReplicaId> = Vec::new();
+        if !patient {
+            let missing = self.entries.keys().filter(|id| !seen.contains_key(*id));
+            gone.extend(missing.cloned());
         }
         for id in &gone {
             self.entries.remove(id);
@@ -130,12 +123,7 @@
             if draining && was {
                 gone.push(id.clone());
             }
-            let entry = Entry {
-                value,
-                draining,
-                missing: None,
-            };
-            self.entries.insert(id, entry);
+            self.entries.insert(id, Entry { value, draining });
         }
         for id in &gone {
             self.left.insert(ReplicaKey::of(id), now);
--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -38,8 +38,8 @@
     // every replica lives; taken at its word, nothing is served for two seconds.
     let mut roster = Roster::default();
     list(&mut roster, &["a", "b"], 0);
-    roster.failed(at(1_000));
-    roster.failed(at(5_000));
+    roster.failed();
+    roster.failed();
     assert!(list(&mut roster, &[], 5_400).is_empty());
     assert_eq!(ready(&roster), ["a", "b"]);
     list(&mut roster, &["a"], 6_000);
@@ -51,9 +51,9 @@
 fn roster_second_outage_starts_anew() {
     let mut roster = Roster::default();
     list(&mut roster, &["a"], 0);
-    roster.failed(at(1_000));
+    roster.failed();
     list(&mut roster, &[], 2_000);
-    roster.failed(at(3_000));
+    roster.failed();
     assert!(list(&mut roster, &[], 5_000).is_empty());
     assert_eq!(ready(&roster), ["a"]);
 }
