gateway: one connect, one take, one silence rule, one head for answers in chunks

Cause: read once more. Connecting with a bound stood in http::exchange and upstream::call; taking held bytes up to a length in the sized, chunked and unframed body; the head of an answer in chunks in plain and stream; the signature check in both; and that a last try is not given up was checked at three callers of silence(), one of which the next caller would forget. Each event of a stream was copied twice on its way. Where peers of the settings listen was worked out in leave.rs. Three fields were decoded from the configuration that nothing reads (gap, stride, connections), and comments spoke of words every 40 ms.

Change: Conn::open takes the bound, Conn::take the length, silence() the last try; Reply::signed, chunked_head and Settings::seeds hold the rest. pass_stream says how the request ended, so StreamEnd is gone. Fields and comments as read now.

Ruled out: sharing sse::Splitter, callers' socket options and Peers with policy::members. They look alike and differ (resume and numbers, other bounds, datagrams without acks).

--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -23,7 +23,7 @@
 
 /// A peer that was not heard for this long gets no callers and no part of what is shared.
 ///
-/// Its words come every 40 ms to 0.3 s, so some may be lost; callers that are sent to a
+/// Its words come every 0.1 to 0.3 s, so some may be lost; callers that are sent to a
 /// router that is down lose a second each.
 const LIVE: Span = Span::millis(1_000);
 /// After this time an address that never answered, and that nobody lists, is forgotten.
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -29,9 +29,9 @@
 };
 
 /// Time that each known peer adds to the time between two words, so that a router of 60 sends
-/// 200 words a second, not 750.
+/// 200 words a second, not 600.
 const EVERY_PEER: Duration = Duration::from_millis(5);
-/// A router says hello once in so many words, 4 times a second.
+/// A router says hello once in so many words, 3 times a second.
 const HELLO_EVERY: u32 = 3;
 /// How many addresses of other routers a hello tells, once in so many hellos.
 const KNOWN: usize = 16;
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -25,6 +25,9 @@
 /// The most that a router waits of its own choice for each router there is, so that not all
 /// read at once: 0.3 s at nine.
 const SPREAD_MS: u64 = 33;
+/// How long it is remembered that a prompt's shared part was sent to a replica, in seconds: an
+/// engine's memory turns over in less.
+const CACHED_S: f64 = 30.0;
 /// Pause after a read that failed.
 const AGAIN: Duration = Duration::from_millis(150);
 
@@ -72,7 +75,7 @@
     tables.heard.retain(|key, _| known.contains(key));
     tables
         .cached
-        .retain(|(key, _), at| known.contains(key) && now.since(*at).as_secs() < 30.0);
+        .retain(|(key, _), at| known.contains(key) && now.since(*at).as_secs() < CACHED_S);
     drop(tables);
     for id in &gone {
         gw.pool.forget(id);
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -81,25 +81,14 @@
             Framing::Length(_) => self.sized(conn).await?,
             Framing::Close => until_end(conn).await?,
         };
-        self.ended |=
-            piece.is_none() || (self.left == 0 && matches!(self.framing, Framing::Length(_)));
+        self.ended |= piece.is_none();
         Ok(piece)
     }
 
     async fn sized(&mut self, conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadError> {
-        if self.left == 0 {
-            return Ok(None);
-        }
-        if conn.held().is_empty() {
-            conn.more().await?;
-        }
-        let n = conn
-            .held()
-            .len()
-            .min(usize::try_from(self.left).unwrap_or(usize::MAX));
-        let piece = conn.held()[..n].to_vec();
-        conn.used(n);
-        self.left -= n as u64;
+        let piece = conn.take(self.left).await?;
+        self.left -= piece.len() as u64;
+        self.ended = self.left == 0;
         Ok(Some(piece))
     }
 
@@ -126,14 +115,9 @@
 
 /// Reads what comes until the connection ends. A reset is an error: the body may be cut.
 async fn until_end(conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadError> {
-    if conn.held().is_empty() {
-        match conn.more().await {
-            Ok(()) => {}
-            Err(ReadError::Closed) => return Ok(None),
-            Err(e) => return Err(e),
-        }
+    match conn.take(u64::MAX).await {
+        Ok(piece) => Ok(Some(piece)),
+        Err(ReadError::Closed) => Ok(None),
+        Err(e) => Err(e),
     }
-    let piece = conn.held().to_vec();
-    conn.used(piece.len());
-    Ok(Some(piece))
 }
--- a/crates/gateway/src/http/chunk.rs
+++ b/crates/gateway/src/http/chunk.rs
@@ -31,16 +31,8 @@
             match *self {
                 Chunks::Length => *self = length(conn).await?,
                 Chunks::Inside(left) => {
-                    if conn.held().is_empty() {
-                        conn.more().await?;
-                    }
-                    let n = conn
-                        .held()
-                        .len()
-                        .min(usize::try_from(left).unwrap_or(usize::MAX));
-                    let piece = conn.held()[..n].to_vec();
-                    conn.used(n);
-                    *self = match left - n as u64 {
+                    let piece = conn.take(left).await?;
+                    *self = match left - piece.len() as u64 {
                         0 => Chunks::Behind,
                         left => Chunks::Inside(left),
                     };
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -5,7 +5,10 @@
         Head,
         HeadError, //
     },
-    async_std::net::TcpStream,
+    async_std::{
+        future::timeout,
+        net::TcpStream, //
+    },
     futures_lite::{
         future::poll_fn,
         ready,
@@ -85,8 +88,10 @@
         })
     }
 
-    pub(crate) async fn open(addr: SocketAddr) -> io::Result<Conn> {
-        Conn::new(TcpStream::connect(addr).await?)
+    /// Opens a connection, which may take so long at the most.
+    pub(crate) async fn open(addr: SocketAddr, within: Duration) -> io::Result<Conn> {
+        let stream = timeout(within, TcpStream::connect(addr)).await;
+        Conn::new(stream.map_err(|_| io::ErrorKind::TimedOut)??)
     }
 
     /// Returns the bytes that were read and not used yet.
@@ -134,6 +139,18 @@
         }
     }
 
+    /// Returns bytes that were read, at most so many; reads some where there are none.
+    pub(crate) async fn take(&mut self, most: u64) -> Result<Vec<u8>, ReadError> {
+        if self.held().is_empty() {
+            self.more().await?;
+        }
+        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        let n = self.held().len().min(most);
+        let piece = self.held()[..n].to_vec();
+        self.used(n);
+        Ok(piece)
+    }
+
     /// Reads a head by `parse`, of at most `max` bytes.
     pub(crate) async fn head(&mut self, max: usize, parse: Parse) -> Result<Head, ReadError> {
         loop {
--- a/crates/gateway/src/http/exchange.rs
+++ b/crates/gateway/src/http/exchange.rs
@@ -96,10 +96,8 @@
 
 async fn open(ask: &Ask) -> Result<Conn, ExchangeError> {
     let failed = |kind| ExchangeError::Connect(ask.addr, kind);
-    timeout(CONNECT.min(ask.within), Conn::open(ask.addr))
-        .await
-        .map_err(|_| failed(io::ErrorKind::TimedOut))?
-        .map_err(|e| failed(e.kind()))
+    let conn = Conn::open(ask.addr, CONNECT.min(ask.within)).await;
+    conn.map_err(|e| failed(e.kind()))
 }
 
 async fn send(conn: &mut Conn, ask: &Ask) -> Result<(Answer, bool), ReadError> {
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -82,7 +82,7 @@
             log::info!("event=reload outcome=checked same-addresses={same}");
             let now = gw.now();
             let mut tables = gw.tables();
-            for seed in seeds(&new) {
+            for seed in new.seeds() {
                 tables.peers.list(seed, now);
             }
         }
@@ -90,19 +90,6 @@
     }
 }
 
-/// Returns where the instances that the settings name hear their peers.
-pub(crate) fn seeds(settings: &Settings) -> Vec<std::net::SocketAddr> {
-    let port = settings.listen.peers.port();
-    let mut all: Vec<_> = settings
-        .fleet
-        .seeds
-        .iter()
-        .map(|s| std::net::SocketAddr::new(s.ip(), port))
-        .collect();
-    all.retain(|s| *s != settings.listen.peers);
-    all
-}
-
 /// Ends the instance without cutting a request in flight.
 ///
 /// Callers keep an address for a while, so requests are taken and served that long; answers
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -43,8 +43,6 @@
     pub timeout: Duration,
     /// The time to an answer, or to a stream's first event, that is aimed at.
     pub target: Duration,
-    /// Longest pause between two events of a stream that is in time.
-    pub gap: Duration,
     /// Services that share its requests, by weight.
     pub split: Vec<(ServiceId, u32)>,
     /// Most replicas that one request may be sent to.
@@ -70,8 +68,6 @@
 /// A service that replicas offer.
 #[derive(Debug, Clone, Default)]
 pub struct Service {
-    /// Most connections that one of its replicas takes from all routers.
-    pub connections: u32,
     /// What is known of its engines; none for a plain service.
     pub engine: Option<Engine>,
 }
@@ -83,8 +79,6 @@
     pub slots: u32,
     /// Tokens that one has memory for.
     pub memory: u64,
-    /// Tokens in one event of a stream.
-    pub stride: u32,
     /// Whether one can copy cached parts of prompts from another.
     pub copies: bool,
 }
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -11,10 +11,7 @@
         place::Place,
         plain::pass_plain,
         silence::silence,
-        stream::{
-            pass_stream,
-            StreamEnd, //
-        },
+        stream::pass_stream, //
     },
     crate::{
         http::ReadError,
@@ -30,7 +27,10 @@
     },
     async_std::net::TcpStream,
     futures_lite::future::or,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::Duration, //
+    },
     thiserror::Error, //
 };
 
@@ -136,7 +136,6 @@
     events: &mut Events,
 ) -> Step {
     course.tried.push(place.replica.id.clone());
-    course.sent = Sent::default();
     let last = course.is_last(req);
     let called = called(gw, req, &place, events, last, &mut course.sent).await;
     let reached = std::mem::take(&mut course.sent).any;
@@ -164,10 +163,16 @@
             };
         }
     };
-    let passed = match streams(req, &reply) {
-        true => stream(gw, req, &mut place, reply, writer, course, events).await,
-        false if course.begun => return Step::Lost,
-        false => pass_plain(gw, req, &place, reply, writer, course).await,
+    let streamed = streams(req, &reply);
+    if course.begun && !streamed {
+        return Step::Lost;
+    }
+    let passed = match (reply.signed(&gw.dialect), streamed) {
+        (false, _) => Err(TryError::Unsigned),
+        (true, true) => pass_stream(gw, req, &mut place, reply, writer, course, events)
+            .await
+            .map(Step::End),
+        (true, false) => pass_plain(gw, req, &place, reply, writer, course).await,
     };
     match passed {
         Ok(step) => step,
@@ -216,10 +221,7 @@
         let reply = call(&gw.pool, &gw.dialect, &place.replica, &out, sent).await?;
         Ok(reply)
     };
-    match last {
-        true => call.await,
-        false => or(call, silence(req, place)).await,
-    }
+    or(call, silence(req, place, last)).await
 }
 
 fn streams(req: &Request, reply: &Reply) -> bool {
@@ -227,25 +229,3 @@
     let good = (200..300).contains(&reply.head.status());
     req.route.streams() && good && kind.starts_with("text/event-stream")
 }
-
-/// Passes on a stream.
-async fn stream(
-    gw: &Shared,
-    req: &Request,
-    place: &mut Place,
-    reply: Reply,
-    writer: &mut TcpStream,
-    course: &mut Course,
-    events: &mut Events,
-) -> Result<Step, TryError> {
-    if reply.head.headers.get(gw.dialect.signature).is_none() {
-        return Err(TryError::Unsigned);
-    }
-    match pass_stream(gw, req, place, reply, writer, course, events).await? {
-        StreamEnd::Whole => {
-            place.answered(true);
-            Ok(Step::End(Flow::Passed))
-        }
-        StreamEnd::CallerGone => Ok(Step::End(Flow::Cut)),
-    }
-}
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -34,6 +34,7 @@
 /// Longest answer that is held until it is whole, in bytes. Until then a try that breaks can
 /// be followed by another unseen; a longer one is cut where it breaks.
 const WHOLE_MAX: usize = 1 << 20;
+
 /// Passes on an answer that is no stream.
 pub(super) async fn pass_plain(
     gw: &Shared,
@@ -44,14 +45,11 @@
     course: &mut Course,
 ) -> Result<Step, TryError> {
     let status = reply.head.status();
-    let signed = reply.head.headers.get(gw.dialect.signature).is_some();
-    if (200..300).contains(&status) && !signed {
-        return Err(TryError::Unsigned);
-    }
     let held = hold(&mut reply);
     let (body, whole) = match req.route.kind {
-        RouteKind::Idempotent if !course.is_last(req) => {
-            or(async { Ok(held.await?) }, silence(req, place)).await?
+        RouteKind::Idempotent => {
+            let silent = silence(req, place, course.is_last(req));
+            or(async { Ok(held.await?) }, silent).await?
         }
         _ => held.await?,
     };
@@ -105,12 +103,9 @@
     writer: &mut TcpStream,
     course: &mut Course,
 ) -> Flow {
-    let mut headers = passed(gw, reply.head.headers.clone(), None);
-    headers.push("Transfer-Encoding", "chunked");
-    let mut bytes = reply.head.line.head(&headers);
+    let mut bytes = chunked_head(gw, &reply, course);
     chunk(&mut bytes, &held);
     drop(held);
-    course.begin(reply.head.status());
     loop {
         if writer.write_all(&bytes).await.is_err() {
             return Flow::Cut;
@@ -136,8 +131,16 @@
     }
 }
 
+/// Begins the caller's answer, and returns the head of one that comes in chunks.
+pub(super) fn chunked_head(gw: &Shared, reply: &Reply, course: &mut Course) -> Vec<u8> {
+    course.begin(reply.head.status());
+    let mut headers = passed(gw, reply.head.headers.clone(), None);
+    headers.push("Transfer-Encoding", "chunked");
+    reply.head.line.head(&headers)
+}
+
 /// Returns the headers that the caller gets.
-pub(super) fn passed(gw: &Shared, mut headers: Headers, length: Option<String>) -> Headers {
+fn passed(gw: &Shared, mut headers: Headers, length: Option<String>) -> Headers {
     headers.strip();
     if let Some(length) = length {
         headers.push("Content-Length", length);
--- a/crates/gateway/src/serve/silence.rs
+++ b/crates/gateway/src/serve/silence.rs
@@ -22,10 +22,12 @@
 /// A plain request that may be repeated is tried elsewhere after so many latency targets.
 const PATIENCE: u32 = 3;
 
-/// Waits until a replica counts as silent; for good where the request can't be repeated.
-///
-/// Not to be asked of a request's last try: giving that up would only lose its answer.
-pub(super) async fn silence<T>(req: &Request, place: &Place) -> Result<T, TryError> {
+/// Waits until a replica counts as silent; for good where the request can't be repeated, and
+/// where this is its last try: giving that up would only lose its answer.
+pub(super) async fn silence<T>(req: &Request, place: &Place, last: bool) -> Result<T, TryError> {
+    if last {
+        return futures_lite::future::pending().await;
+    }
     match req.route.kind {
         RouteKind::Stream { resume: true } => quiet(place).await,
         RouteKind::Idempotent => {
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -3,10 +3,13 @@
 use {
     super::{
         admit::Request,
-        attempts::TryError,
+        attempts::{
+            Flow,
+            TryError, //
+        },
         course::Course,
         place::Place,
-        plain::passed,
+        plain::chunked_head,
         silence::silence, //
     },
     crate::{
@@ -15,7 +18,6 @@
             ReadError,
             LAST_CHUNK, //
         },
-        model::RouteKind,
         state::Shared,
         upstream::{
             Events,
@@ -30,14 +32,6 @@
     },
 };
 
-/// How a stream ended that did not break.
-pub(super) enum StreamEnd {
-    /// All of it was passed on.
-    Whole,
-    /// The caller does not take it any more.
-    CallerGone,
-}
-
 /// Passes on the whole events of a replica's stream as they come.
 ///
 /// The head goes with the first event: until then a try that breaks can be followed by
@@ -54,7 +48,7 @@
     writer: &mut TcpStream,
     course: &mut Course,
     events: &mut Events,
-) -> Result<StreamEnd, TryError> {
+) -> Result<Flow, TryError> {
     *events = Events::after(events.last());
     let mut first = true;
     loop {
@@ -75,7 +69,7 @@
         let mut out = begin(gw, &reply, course);
         chunk(&mut out, &whole);
         if writer.write_all(&out).await.is_err() {
-            return Ok(StreamEnd::CallerGone);
+            return Ok(Flow::Cut);
         }
     }
     if events.inside() {
@@ -86,10 +80,11 @@
     out.extend_from_slice(LAST_CHUNK);
     let written = writer.write_all(&out).await;
     reply.recycle(&gw.pool, &place.replica);
-    Ok(match written {
-        Ok(()) => StreamEnd::Whole,
-        Err(_) => StreamEnd::CallerGone,
-    })
+    if written.is_err() {
+        return Ok(Flow::Cut);
+    }
+    place.answered(true);
+    Ok(Flow::Passed)
 }
 
 /// Waits for bytes of the stream, or until the replica counts as silent.
@@ -100,10 +95,7 @@
     last: bool,
 ) -> Result<Option<Vec<u8>>, TryError> {
     let piece = async { Ok(reply.body.piece(&mut reply.conn).await?) };
-    match (req.route.kind, last) {
-        (RouteKind::Stream { resume: true }, false) => or(piece, silence(req, place)).await,
-        _ => piece.await,
-    }
+    or(piece, silence(req, place, last)).await
 }
 
 /// Returns the head of the answer where the caller does not have it yet.
@@ -111,10 +103,7 @@
     if course.begun {
         return Vec::new();
     }
-    course.begin(reply.head.status());
-    let mut headers = passed(gw, reply.head.headers.clone(), None);
-    headers.push("Transfer-Encoding", "chunked");
-    reply.head.line.head(&headers)
+    chunked_head(gw, reply, course)
 }
 
 fn broken(e: EventsError) -> TryError {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -152,6 +152,18 @@
     }
 }
 
+impl Settings {
+    /// Returns where the instances that the settings name hear their peers.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        let port = self.listen.peers.port();
+        let named = self.fleet.seeds.iter();
+        named
+            .map(|seed| SocketAddr::new(seed.ip(), port))
+            .filter(|addr| *addr != self.listen.peers)
+            .collect()
+    }
+}
+
 impl Bounds {
     fn check(&self) -> Result<(), String> {
         let above = [
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -109,7 +109,7 @@
     let documents = TcpListener::bind(listen.peers).await?;
     let metrics = TcpListener::bind(listen.metrics).await?;
     let peers = Arc::new(UdpSocket::bind(listen.peers).await?);
-    let seeds = leave::seeds(&settings);
+    let seeds = settings.seeds();
     log::info!(
         "event=start name={} callers={}",
         settings.name,
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -17,7 +17,6 @@
         },
         upstream::Pool,
     },
-    async_std::future::timeout,
     futures_lite::{
         future::or,
         AsyncWriteExt, //
@@ -141,10 +140,8 @@
 async fn open(replica: &Replica, until: Instant) -> Result<Conn, CallError> {
     let left = until.saturating_duration_since(Instant::now());
     metrics::counter!("chervilwind_replica_connections").increment(1);
-    timeout(CONNECT.min(left), Conn::open(replica.addr))
-        .await
-        .map_err(|_| CallError::Connect(io::ErrorKind::TimedOut))?
-        .map_err(|e| CallError::Connect(e.kind()))
+    let conn = Conn::open(replica.addr, CONNECT.min(left)).await;
+    conn.map_err(|e| CallError::Connect(e.kind()))
 }
 
 fn head(dialect: &Dialect, replica: &Replica, out: &Outgoing<'_>) -> Vec<u8> {
@@ -211,6 +208,13 @@
         self.head.status() == 421 || self.head.headers.get(dialect.not_run).is_some()
     }
 
+    /// Tells whether the answer may be passed on: a success counts only with the replica's
+    /// signature.
+    pub(crate) fn signed(&self, dialect: &Dialect) -> bool {
+        let good = (200..300).contains(&self.head.status());
+        !good || self.head.headers.get(dialect.signature).is_some()
+    }
+
     /// Keeps the connection for the next request, where nothing more is owed on it.
     pub(crate) fn recycle(self, pool: &Pool, replica: &Replica) {
         let clean = self.conn.held().is_empty();
--- a/crates/gateway/src/upstream/events.rs
+++ b/crates/gateway/src/upstream/events.rs
@@ -59,8 +59,8 @@
         let mut out = Vec::new();
         let mut start = 0;
         while let Some(end) = self.next_end() {
-            let event = self.buf[start..end].to_vec();
-            let number = number(&event);
+            let event = &self.buf[start..end];
+            let number = number(event);
             start = end;
             self.count += 1;
             let old = matches!((number, self.last), (Some(n), Some(last)) if n <= last);
@@ -73,7 +73,7 @@
                 }
             }
             self.last = number.or(self.last);
-            out.extend_from_slice(&event);
+            out.extend_from_slice(event);
         }
         self.buf.drain(..start);
         self.seen -= start;
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -104,7 +104,6 @@
             kind,
             timeout: Duration::from_millis(json["timeout"].as_u64().unwrap()),
             target: Duration::from_millis(300),
-            gap: Duration::from_millis(200),
             split: vec![("s".parse().unwrap(), 1)],
             attempts,
             open,
