roster: a replica that is first seen draining is told to the peers as leaving

The list had it as draining 0.3 s after its word, but every router that read then saw it for the first time, and only a change from ready to draining was told. Routers that had seen it ready between learnt it by their own read, up to 4 s later. Ruled out: the store (all reads show it draining from 14.995 s on); the peers' words (other replicas' leaving reached all within 0.9 s). Change: seen first as draining counts as news. The test fails without it.

--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -119,9 +119,17 @@
             let late = told.is_some_and(|at| now.since(*at) < LATE);
             let known = self.entries.get(&id);
             let draining = draining || late && known.is_some_and(|e| e.draining);
-            let was = known.is_some_and(|e| !e.draining);
-            if draining && was {
-                gone.push(id.clone());
+            if draining {
+                match known.map(|e| e.draining) {
+                    Some(false) => gone.push(id.clone()),
+                    // It came and is leaving between two reads of this router. Peers that
+                    // read meanwhile took it for one that takes work, and hear otherwise from
+                    // nobody else until they read again, up to 4 s later.
+                    None => {
+                        self.left.insert(ReplicaKey::of(&id), now);
+                    }
+                    Some(true) => {}
+                }
             }
             self.entries.insert(id, Entry { value, draining });
         }
--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -72,6 +72,20 @@
     assert!(far.told(&near.left(at(600)), at(600)).is_empty());
 }
 
+#[test]
+fn roster_draining_when_first_seen_is_told() {
+    // A replica joins, and drains a second later. One router read the list between the two;
+    // the next reader sees it for the first time, as draining. Nobody told the first, which
+    // sent it requests until its own next read, 3 s after the replica's word.
+    let mut early = Roster::default();
+    list(&mut early, &["a", "b"], 0);
+    let mut late = Roster::default();
+    list(&mut late, &["a"], 0);
+    late.listed([(id("a"), (), false), (id("b"), (), true)], at(1_300));
+    assert_eq!(early.told(&late.left(at(1_400)), at(1_400)), [id("b")]);
+    assert_eq!(ready(&early), ["a"]);
+}
+
 #[test]
 fn roster_left_is_forgotten() {
     let mut roster = Roster::default();
