gateway: a caller who closed before its request was read gets no replica

The watch for a hang-up was begun after the first step of the work, which sends over a kept connection at once. Ruled out: late words of a hang-up (the end stands in the socket behind the request). Change: the hang-up is looked for once before the work begins. Test: a connection whose caller closed before it was read counts as gone, one that waits or sends its next request does not.

--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -190,6 +190,13 @@
         futures_lite::future::pending::<()>().await;
     }
 
+    /// Tells whether the other end has hung up by now; keeps what it sent before.
+    pub(crate) async fn is_gone(&mut self) -> bool {
+        futures_lite::future::poll_once(self.hung_up())
+            .await
+            .is_some()
+    }
+
     /// Tells whether the connection is open with nothing to read.
     ///
     /// A kept connection that has bytes to read holds something that answers no request of
@@ -198,3 +205,6 @@
         self.held().is_empty() && futures_lite::future::poll_once(self.fill()).await.is_none()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/http/conn/tests.rs
@@ -0,0 +1,56 @@
+use {
+    super::Conn,
+    crate::http::Head,
+    async_std::task,
+    std::{
+        io::Write,
+        net::{
+            TcpListener,
+            TcpStream, //
+        },
+    },
+};
+
+const REQUEST: &[u8] = b"GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n";
+
+/// Reads one request of a caller who does `then` before it is read; tells whether the caller
+/// is taken as gone.
+fn read_late(then: fn(TcpStream) -> Option<TcpStream>) -> bool {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut caller = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    caller.write_all(REQUEST).unwrap();
+    let caller = then(caller);
+    let (stream, _) = listener.accept().unwrap();
+    stream.set_nonblocking(true).unwrap();
+    let gone = task::block_on(async {
+        let mut conn = Conn::new(stream.into()).unwrap();
+        conn.head(4096, Head::request).await.unwrap();
+        conn.is_gone().await
+    });
+    drop(caller);
+    gone
+}
+
+#[test]
+fn is_gone_closed_before_it_was_read() {
+    // An instance was short of processor and read a request 1.8 s after it was sent. The caller
+    // had given up after one second and closed. The request was sent on all the same, and a
+    // replica worked for nobody.
+    assert!(read_late(|caller| {
+        drop(caller);
+        None
+    }));
+}
+
+#[test]
+fn is_gone_waiting() {
+    assert!(!read_late(Some));
+}
+
+#[test]
+fn is_gone_next_request() {
+    assert!(!read_late(|mut caller| {
+        caller.write_all(REQUEST).unwrap();
+        Some(caller)
+    }));
+}
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -219,8 +219,16 @@
     }
 
     /// Serves a request. Returns whether the connection can carry another.
+    ///
+    /// An instance short of processor reads requests late, some of them of callers who gave up
+    /// meanwhile. Their end stands behind the request, and is looked for before a replica gets
+    /// work that nobody waits for.
     async fn serve(&mut self, req: Request) -> bool {
         let mut course = Course::default();
+        if self.conn.is_gone().await {
+            ended(&req, &course, true, false);
+            return false;
+        }
         let mut writer = self.conn.writer();
         let left = req.until.saturating_duration_since(Instant::now());
         let gw = self.gw.clone();
