fleet: routers get a list of replicas that changed from the peer that read it

Change: words name the list by a digest and its age; who has another list gets it from that peer, and a read of its own is left for when no peer has one. The time of own choice before a read grows with routers and the time between words, so that about three read before all have heard.

--- a/crates/gateway/src/fleet/beat.rs
+++ b/crates/gateway/src/fleet/beat.rs
@@ -47,8 +47,10 @@
     pub(crate) from: u32,
     /// Number of this word within that start; a later one is higher.
     pub(crate) number: u32,
-    /// How long ago it read the list of replicas, in milliseconds.
+    /// How long ago its list of replicas was made, in milliseconds.
     list_age: u16,
+    /// Which list that is.
+    pub(crate) list: u32,
     loads: Vec<(ReplicaKey, u16, u16, u16)>,
 }
 
@@ -86,6 +88,7 @@
         from: u32,
         number: u32,
         list_age: Option<Span>,
+        list: u32,
         loads: &[(ReplicaKey, Load)],
     ) -> Loads {
         let unit = |n: u64, unit: u64| u16::try_from(n.div_ceil(unit)).unwrap_or(u16::MAX);
@@ -102,11 +105,12 @@
             from,
             number,
             list_age: list_age.map_or(u16::MAX, |a| a.as_millis().min(u64::from(u16::MAX)) as u16),
+            list,
             loads: loads.collect(),
         }
     }
 
-    /// Returns how long ago it read the list of replicas; a minute or more is as good as never.
+    /// Returns how long ago its list of replicas was made; a minute or more is as good as never.
     pub(crate) fn list_age(&self) -> Span {
         Span::millis(u64::from(self.list_age))
     }
--- a/crates/gateway/src/fleet/documents.rs
+++ b/crates/gateway/src/fleet/documents.rs
@@ -1,9 +1,10 @@
-//! The configuration from peer to peer.
+//! What peers hand each other on request: the configuration, and the list of replicas.
 //!
 //! The store turns single instances away at times while it serves the others. They hear of a
 //! new version from the words of their peers, and get it from them.
 
 use {
+    super::lists,
     crate::{
         http::{
             exchange,
@@ -17,6 +18,7 @@
     },
     async_std::net::TcpListener,
     serde::{
+        de::DeserializeOwned,
         Deserialize,
         Serialize, //
     },
@@ -29,6 +31,8 @@
 
 /// Where a peer's configuration is had.
 const PATH: &str = "/configuration";
+/// Where a peer's list of replicas is had.
+pub(super) const LIST_PATH: &str = "/replicas";
 /// How long a peer may take: a megabyte takes 10 ms at the speed of the links.
 const WITHIN: Duration = Duration::from_millis(800);
 /// Longest document.
@@ -40,23 +44,23 @@
     bytes: Vec<u8>,
 }
 
-/// Hands the configuration to peers that ask for it.
+/// Hands documents to peers that ask for them.
 pub(crate) async fn serve_documents(gw: Arc<Shared>, listener: TcpListener) {
     serve_small(listener, move |_, target| {
-        let found = match target {
-            PATH => gw.in_force(),
+        let encoded = match target {
+            PATH => gw.in_force().map(|force| {
+                rmp_serde::to_vec_named(&Document {
+                    bytes: force.document.clone(),
+                })
+            }),
+            LIST_PATH => lists::own(&gw).map(|list| rmp_serde::to_vec(&list)),
             _ => None,
         };
-        let Some(force) = found else {
-            return Small::status(404);
-        };
-        let document = Document {
-            bytes: force.document.clone(),
-        };
-        match rmp_serde::to_vec_named(&document) {
-            Ok(bytes) => Small::body("application/msgpack", bytes),
-            Err(e) => {
-                log::error!("event=config outcome=not-encoded cause={e:?}");
+        match encoded {
+            None => Small::status(404),
+            Some(Ok(bytes)) => Small::body("application/msgpack", bytes),
+            Some(Err(e)) => {
+                log::error!("event=document outcome=not-encoded path={target} cause={e:?}");
                 Small::status(500)
             }
         }
@@ -64,34 +68,33 @@
     .await;
 }
 
-/// Gets the configuration of a peer, and puts it in force where it is newer.
-pub(crate) async fn fetch(gw: &Shared, addr: SocketAddr) {
+/// Gets a document of a peer; none, with a line in the log, where it can't be had.
+pub(super) async fn get<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Option<T> {
     let ask = Ask {
         addr,
         method: "GET",
-        target: PATH.to_owned(),
+        target: path.to_owned(),
         body: None,
         within: WITHIN,
         max: MAX,
     };
-    let answer = match exchange(&mut None, &ask).await {
-        Ok(answer) if answer.status == 200 => answer,
-        Ok(answer) => {
-            log::debug!(
-                "event=config outcome=not-had from={addr} status={}",
-                answer.status
-            );
-            return;
-        }
-        Err(e) => {
-            log::debug!("event=config outcome=not-had from={addr} cause={e:?}");
-            return;
-        }
-    };
-    match rmp_serde::from_slice::<Document>(&answer.body) {
-        Ok(document) => {
-            gw.take_config(document.bytes, &addr.to_string());
-        }
-        Err(e) => log::warn!("event=config outcome=not-understood from={addr} cause={e:?}"),
+    let answer = exchange(&mut None, &ask)
+        .await
+        .map_err(|e| log::debug!("event=document outcome=not-had from={addr} cause={e:?}"))
+        .ok()?;
+    if answer.status != 200 {
+        let status = answer.status;
+        log::debug!("event=document outcome=not-had from={addr} status={status}");
+        return None;
+    }
+    rmp_serde::from_slice(&answer.body)
+        .map_err(|e| log::warn!("event=document outcome=not-understood from={addr} cause={e:?}"))
+        .ok()
+}
+
+/// Gets the configuration of a peer, and puts it in force where it is newer.
+pub(crate) async fn fetch(gw: &Shared, addr: SocketAddr) {
+    if let Some(document) = get::<Document>(addr, PATH).await {
+        gw.take_config(document.bytes, &addr.to_string());
     }
 }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod beat;
 mod documents;
+mod lists;
 mod peers;
 mod talk;
 
@@ -9,6 +10,7 @@
     documents::serve_documents,
     peers::Peers,
     talk::{
+        every,
         listen,
         say, //
     },
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -35,6 +35,8 @@
     pub(crate) incarnation: Incarnation,
     hello: u32,
     loads: u32,
+    /// Where it hears its peers, and hands out documents.
+    peers: SocketAddr,
     pub(crate) callers: SocketAddr,
     pub(crate) ready: bool,
     pub(crate) heard: Time,
@@ -61,6 +63,7 @@
             incarnation: hello.incarnation,
             hello: hello.number,
             loads: same.map_or(0, |p| p.loads),
+            peers: hello.peers,
             callers: hello.callers,
             ready: hello.ready,
             heard: now,
@@ -70,9 +73,9 @@
         true
     }
 
-    /// Takes a peer's word on its load. Returns who it is, unless the word is old or from one
-    /// that has not said hello.
-    pub(crate) fn loads(&mut self, loads: &Loads, now: Time) -> Option<RouterId> {
+    /// Takes a peer's word on its load. Returns who it is and where it hands out documents,
+    /// unless the word is old or from one that has not said hello.
+    pub(crate) fn loads(&mut self, loads: &Loads, now: Time) -> Option<(RouterId, SocketAddr)> {
         let mut all = self.all.iter_mut();
         let (name, peer) = all.find(|(name, p)| short(name, p.incarnation) == loads.from)?;
         if loads.number <= peer.loads {
@@ -80,7 +83,7 @@
         }
         peer.loads = loads.number;
         peer.heard = now;
-        Some(name.clone())
+        Some((name.clone(), peer.peers))
     }
 
     /// Notes that somebody lists a router at this address.
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -8,9 +8,13 @@
             Loads,
             Word, //
         },
-        documents, //
+        documents,
+        lists, //
+    },
+    crate::{
+        state::Shared,
+        Settings, //
     },
-    crate::state::Shared,
     async_std::{
         net::UdpSocket,
         task, //
@@ -41,9 +45,13 @@
 /// Longest datagram.
 const MAX: usize = 16 * 1024;
 
+/// Returns the time between two words of a router that has so many peers.
+pub(crate) fn every(settings: &Settings, peers: u32) -> Duration {
+    Duration::from_millis(settings.fleet.beat_ms).max(EVERY_PEER * peers)
+}
+
 /// Speaks to all peers for as long as the process runs.
 pub(crate) async fn say(gw: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let every = Duration::from_millis(gw.settings.fleet.beat_ms);
     let mut number = 0;
     let mut failed = false;
     loop {
@@ -52,7 +60,7 @@
         for word in words {
             failed = send(&socket, &word, &to, failed).await;
         }
-        task::sleep(every.max(EVERY_PEER * to.len() as u32)).await;
+        task::sleep(every(&gw.settings, to.len() as u32)).await;
     }
 }
 
@@ -88,7 +96,13 @@
     to.retain(|addr| *addr != me.listen.peers);
     let mut words = Vec::new();
     let list_age = tables.roster.age(now);
-    let loads = Loads::new(from, number, list_age, &tables.board.report());
+    let loads = Loads::new(
+        from,
+        number,
+        list_age,
+        tables.roster.digest(),
+        &tables.board.report(),
+    );
     let (counts, left) = (tables.quota.report(now), tables.roster.left(now));
     drop(tables);
     if number % HELLO_EVERY == 1 {
@@ -116,6 +130,7 @@
 /// Hears the peers for as long as the process runs.
 pub(crate) async fn listen(gw: Arc<Shared>, socket: Arc<UdpSocket>) {
     let fetching = Arc::new(AtomicBool::new(false));
+    let listing = Arc::new(AtomicBool::new(false));
     let mut buf = vec![0; MAX];
     loop {
         let n = match socket.recv_from(&mut buf).await {
@@ -134,9 +149,18 @@
             Ok(Word::Loads(loads)) => {
                 let now = gw.now();
                 let mut tables = gw.tables();
-                if let Some(from) = tables.peers.loads(&loads, now) {
-                    tables.board.peer(&from, &loads.loads(), now);
-                    tables.roster.peer_read(loads.list_age(), now);
+                let Some((from, at)) = tables.peers.loads(&loads, now) else {
+                    continue;
+                };
+                tables.board.peer(&from, &loads.loads(), now);
+                let newer = tables.roster.peer_list(loads.list_age(), loads.list, now);
+                drop(tables);
+                if newer && !listing.swap(true, Ordering::SeqCst) {
+                    let (gw, listing) = (gw.clone(), listing.clone());
+                    task::spawn(async move {
+                        lists::fetch(&gw, at).await;
+                        listing.store(false, Ordering::SeqCst);
+                    });
                 }
             }
             Err(e) => log::debug!("event=peers outcome=not-understood cause={e:?}"),
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -2,16 +2,22 @@
 
 use {
     crate::{
-        model::State,
+        fleet,
+        model::{
+            Replica,
+            State, //
+        },
         state::Shared, //
     },
     async_std::task,
     policy::{
         placement::ReplicaKey,
+        ReplicaId,
         Span, //
     },
     std::{
         collections::HashSet,
+        net::SocketAddr,
         sync::{
             atomic::Ordering,
             Arc, //
@@ -22,9 +28,10 @@
 
 /// How often it is looked whether it is this router's turn to read the list.
 const LOOK: Duration = Duration::from_millis(50);
-/// The most that a router waits of its own choice for each router there is, so that not all
-/// read at once: 0.3 s at nine.
-const SPREAD_MS: u64 = 33;
+/// How many routers read the list before all have heard of the first, on average. A router waits
+/// up to its part of that, of its own choice: 0.3 s at nine routers, 6 s at sixty, of which the
+/// least is about 0.1 s.
+const READERS: u32 = 3;
 /// How long it is remembered that a prompt's shared part was sent to a replica, in seconds: an
 /// engine's memory turns over in less.
 const CACHED_S: f64 = 30.0;
@@ -45,8 +52,9 @@
         match read {
             Ok(list) => {
                 take(&gw, list);
-                let routers = gw.tables().peers.count(gw.now()) as u64;
-                wait = Span::millis(fastrand::u64(..SPREAD_MS * routers));
+                let routers = gw.tables().peers.count(gw.now()) as u32;
+                let most = fleet::every(&gw.settings, routers) * routers / READERS;
+                wait = Span(fastrand::u64(..=most.as_micros() as u64));
             }
             Err(_) => {
                 gw.tables().roster.failed();
@@ -56,14 +64,31 @@
     }
 }
 
-fn take(gw: &Shared, list: Vec<crate::Replica>) {
+/// Takes a list that the store gave.
+fn take(gw: &Shared, list: Vec<Replica>) {
     let now = gw.now();
-    let entries = list.into_iter().map(|r| {
+    let gone = gw.tables().roster.listed(entries(list), now);
+    left(gw, &gone, "store");
+}
+
+/// Takes the list of a peer, as it was `age` ago.
+pub(crate) fn take_from_peer(gw: &Shared, list: Vec<Replica>, age: Span, from: SocketAddr) {
+    let now = gw.now();
+    let gone = gw.tables().roster.listed_by_peer(entries(list), age, now);
+    left(gw, &gone, &from.to_string());
+}
+
+fn entries(list: Vec<Replica>) -> impl Iterator<Item = (ReplicaId, Arc<Replica>, bool)> {
+    list.into_iter().map(|r| {
         let draining = r.state == State::Draining;
         (r.id.clone(), Arc::new(r), draining)
-    });
+    })
+}
+
+/// Notes which replicas no longer take work, and forgets what is known of those that are gone.
+fn left(gw: &Shared, gone: &[ReplicaId], from: &str) {
+    let now = gw.now();
     let mut tables = gw.tables();
-    let gone = tables.roster.listed(entries, now);
     let known: HashSet<ReplicaKey> = tables
         .roster
         .known()
@@ -77,9 +102,9 @@
         .cached
         .retain(|(key, _), at| known.contains(key) && now.since(*at).as_secs() < CACHED_S);
     drop(tables);
-    for id in &gone {
+    for id in gone {
         gw.pool.forget(id);
-        log::info!("event=replica outcome=left replica={id} from=store");
+        log::info!("event=replica outcome=left replica={id} from={from}");
     }
     gw.listed.store(true, Ordering::Relaxed);
 }
--- a/crates/gateway/src/model/replica.rs
+++ b/crates/gateway/src/model/replica.rs
@@ -6,11 +6,15 @@
         ServiceId,
         Zone, //
     },
-    std::net::SocketAddr,
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
+    std::net::SocketAddr, //
 };
 
 /// One start of one replica.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Replica {
     /// Its id, which names this start alone.
     pub id: ReplicaId,
@@ -27,7 +31,7 @@
 }
 
 /// Whether a replica takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// It takes requests.
     Ready,
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -87,6 +87,20 @@
     });
 }
 
+#[test]
+fn fleet_new_replica_from_a_peer() {
+    // The store turns one instance away while replicas are replaced one after the other. It
+    // learnt from its peers which had left, but of no new one, and in the end knew none.
+    let (a, b) = (echo(), echo());
+    let (first, second) = pair(&a);
+    second.world.lock().unwrap().down = true;
+    first.world.lock().unwrap().replicas[0] = crate::stage::entry("i-2", &b);
+    wait(|| {
+        second.get("/again/a", "1");
+        !b.seen().is_empty()
+    });
+}
+
 #[test]
 fn fleet_addresses_name_both() {
     let replica = echo();
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -8,6 +8,7 @@
         Time, //
     },
     std::collections::BTreeMap,
+    xxhash_rust::xxh3::Xxh3, //
 };
 
 /// After an outage of the list, an entry that is missing may come back within this time.
@@ -24,8 +25,12 @@
 /// than this, and a little of its own choice, reads it. A leaving replica may get requests for
 /// 2 s after its word was taken down, and the news takes 0.3 s more to all routers.
 const FLEET_EVERY: Span = Span::millis(450);
-/// A router reads it at least this often, whatever it hears of others.
+/// A router that gets no newer list from a peer reads it at least this often, whatever it hears
+/// of others' reads.
 const OWN_EVERY: Span = Span::secs(4);
+/// A peer's list counts as newer from this much on. Its age is told in words that take some
+/// time, and two routers that read at the same moment need not ask each other.
+const NEWER: Span = Span::millis(100);
 /// How long a replica that left is remembered and told to peers: several times the longest
 /// pause between two reads of the list by the slowest of them.
 const TELL: Span = Span::secs(6);
@@ -92,8 +97,35 @@
         list: impl IntoIterator<Item = (ReplicaId, T, bool)>,
         now: Time,
     ) -> Vec<ReplicaId> {
-        self.read = Some(now);
         self.fleet_read = Some(now);
+        self.merge(list, now, now)
+    }
+
+    /// Takes the whole list of a peer, as it was `age` ago. Returns those that no longer take
+    /// work.
+    ///
+    /// A list that is no newer than this router's own changes nothing.
+    pub fn listed_by_peer(
+        &mut self,
+        list: impl IntoIterator<Item = (ReplicaId, T, bool)>,
+        age: Span,
+        now: Time,
+    ) -> Vec<ReplicaId> {
+        let made = now - age;
+        if self.read.is_some_and(|read| made <= read) {
+            return Vec::new();
+        }
+        self.merge(list, made, now)
+    }
+
+    /// Takes a whole list that was made at a moment.
+    fn merge(
+        &mut self,
+        list: impl IntoIterator<Item = (ReplicaId, T, bool)>,
+        made: Time,
+        now: Time,
+    ) -> Vec<ReplicaId> {
+        self.read = Some(made);
         if self.trouble {
             self.again.get_or_insert(now);
         }
@@ -158,6 +190,39 @@
         self.fleet_read = Some(self.fleet_read.map_or(at, |known| known.max(at)));
     }
 
+    /// Takes a peer's word of how long ago its list was made, and which list it is. Returns
+    /// whether the peer has a newer one that says something else.
+    pub fn peer_list(&mut self, age: Span, digest: u32, now: Time) -> bool {
+        self.peer_read(age, now);
+        let made = now - age;
+        if self.read.is_some_and(|read| made < read + NEWER) {
+            return false;
+        }
+        if self.read.is_some() && digest == self.digest() {
+            self.read = Some(made);
+            return false;
+        }
+        true
+    }
+
+    /// Returns a short name of what this router knows of all replicas: the same at all routers
+    /// that know the same.
+    pub fn digest(&self) -> u32 {
+        let mut hash = Xxh3::new();
+        for (id, entry) in &self.entries {
+            hash.update(id.as_str().as_bytes());
+            hash.update(&[u8::from(entry.draining)]);
+        }
+        hash.digest() as u32
+    }
+
+    /// Returns every replica that is known, with whether it is draining, to tell a peer.
+    pub fn all(&self) -> impl Iterator<Item = (&ReplicaId, &T, bool)> {
+        self.entries
+            .iter()
+            .map(|(id, e)| (id, &e.value, e.draining))
+    }
+
     /// Takes a peer's word that replicas no longer take work. Returns those that did so far.
     pub fn told(&mut self, left: &[ReplicaKey], now: Time) -> Vec<ReplicaId> {
         let mut gone = Vec::new();
--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -151,3 +151,61 @@
     roster.peer_read(Span::ZERO, at(4_000));
     assert!(roster.is_due(Span::ZERO, at(4_000)));
 }
+
+/// Returns what a router tells a peer of its list.
+fn whole(roster: &Roster<()>) -> Vec<(ReplicaId, (), bool)> {
+    let all = roster
+        .all()
+        .map(|(id, (), draining)| (id.clone(), (), draining));
+    all.collect()
+}
+
+#[test]
+fn roster_list_of_a_peer() {
+    // Sixty routers each read the list every 4 s, which was three quarters of all reads, and
+    // still knew of a new replica only then. Now a few read, and the others get a list that
+    // differs from theirs from these.
+    let mut reader = Roster::default();
+    let mut other = Roster::default();
+    list(&mut reader, &["a", "b"], 0);
+    list(&mut other, &["a", "b"], 10);
+    list(&mut reader, &["b", "c"], 1_000);
+    let age = reader.age(at(1_300)).unwrap();
+    assert!(other.peer_list(age, reader.digest(), at(1_300)));
+    assert_eq!(
+        other.listed_by_peer(whole(&reader), age, at(1_310)),
+        [id("a")]
+    );
+    assert_eq!(ready(&other), ["b", "c"]);
+    // It now has the same, and is asked for it no more.
+    assert_eq!(other.age(at(1_310)), Some(Span::millis(300)));
+    assert!(!other.peer_list(Span::millis(310), reader.digest(), at(1_320)));
+}
+
+#[test]
+fn roster_list_of_a_peer_that_is_older() {
+    // A peer's list from before a replica left would bring it back.
+    let mut roster = Roster::default();
+    let mut peer = Roster::default();
+    list(&mut peer, &["a", "b"], 0);
+    list(&mut roster, &["a", "b"], 0);
+    list(&mut roster, &["b"], 500);
+    assert!(!roster.peer_list(Span::millis(600), peer.digest(), at(600)));
+    assert!(roster
+        .listed_by_peer(whole(&peer), Span::millis(600), at(600))
+        .is_empty());
+    assert_eq!(ready(&roster), ["b"]);
+}
+
+#[test]
+fn roster_same_list_of_a_peer() {
+    // Where nothing changes nobody needs to ask anybody, the store included.
+    let mut reader = Roster::default();
+    let mut other = Roster::default();
+    list(&mut other, &["a", "b"], 0);
+    for ms in (0..60_000).step_by(500) {
+        list(&mut reader, &["a", "b"], ms);
+        assert!(!other.peer_list(Span::millis(20), reader.digest(), at(ms + 20)));
+        assert!(!other.is_due(Span::millis(100), at(ms + 400)), "{ms}");
+    }
+}
