tests: the gateway as a process: settings, metrics, dump, end

Ruled out: asking a gateway inside a test (the recorder of metrics belongs to a whole process). Change: four tests with the real binary and a store that can't be reached: a wrong setting is named with its remedy, one that is not known is ignored, metrics count the store's calls and the dump shows that it is lost, and SIGTERM ends it with success.

--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,162 @@
+//! The gateway as a process of its own: its settings, metrics, dump and end.
+
+use std::{
+    fs,
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    path::PathBuf,
+    process::{
+        Child,
+        Command,
+        Output,
+        Stdio, //
+    },
+    thread,
+    time::Duration, //
+};
+
+/// Pauses between two questions, and how many there are before a gateway counts as hanging.
+const PAUSE: Duration = Duration::from_millis(50);
+const TRIES: u32 = 600;
+
+/// Settings of an instance whose store can't be reached.
+const SETTINGS: &str = r#"name = "edge-1"
+zone = "hall-a"
+[listen]
+callers = "IP:7600"
+ready = "IP:7601"
+addresses = "IP:7602"
+peers = "IP:7603"
+metrics = "IP:7604"
+[fleet]
+seeds = []
+[store]
+address = "IP:9"
+[bounds]
+grace-s = 8
+retry-ratio = 0.2
+retry-slack = 50
+retry-window-s = 10
+fair-window-s = 4
+[instance]
+memory-mb = 100
+descriptors = 4000
+"#;
+
+/// A process that is killed at the end of its test.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Writes settings for a loopback address of their own, so that no other test takes its ports.
+fn write(ip: &str, settings: &str) -> PathBuf {
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("gateway-{ip}.toml"));
+    fs::write(&file, settings.replace("IP", ip)).unwrap();
+    file
+}
+
+fn gateway(file: &PathBuf) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_chervilwind"));
+    command.arg("gateway").arg("--settings").arg(file);
+    command
+}
+
+/// Asks an address; none where nobody listens yet.
+fn ask(addr: &str, path: &str) -> Option<String> {
+    let addr: SocketAddr = addr.parse().unwrap();
+    let mut stream = TcpStream::connect(addr).ok()?;
+    let question = format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    stream.write_all(question.as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    Some(answer)
+}
+
+/// Asks until the answer has a text.
+fn wait(addr: &str, path: &str, text: &str) -> String {
+    let mut last = None;
+    for _ in 0..TRIES {
+        last = ask(addr, path);
+        if let Some(answer) = last.as_ref().filter(|a| a.contains(text)) {
+            return answer.clone();
+        }
+        thread::sleep(PAUSE);
+    }
+    panic!("no `{text}` at {addr}{path}: {last:?}");
+}
+
+fn ended(file: &PathBuf) -> Output {
+    gateway(file).output().unwrap()
+}
+
+#[test]
+fn gateway_wrong_settings() {
+    // An operator's typing error must not start half an instance: what is wrong is named, with
+    // the remedy, and the process ends.
+    for (from, to, named) in [
+        ("zone = \"hall-a\"\n", "", "missing field `zone`"),
+        ("grace-s = 8", "grace-s = 0", "bounds.grace-s is 0"),
+        (
+            "retry-ratio = 0.2",
+            "retry-ratio = -1",
+            "bounds.retry-ratio is -1",
+        ),
+    ] {
+        let output = ended(&write("127.0.76.1", &SETTINGS.replace(from, to)));
+        let said = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success(), "{to}");
+        assert!(said.contains(named), "{said}");
+        assert!(said.contains("deploy/settings.toml"), "{said}");
+    }
+}
+
+#[test]
+fn gateway_unknown_settings_are_ignored() {
+    let file = write("127.0.76.2", &format!("shade = 3\n{SETTINGS}"));
+    let _process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
+    wait("127.0.76.2:7604", "/metrics", "200 OK");
+}
+
+#[test]
+fn gateway_metrics_and_dump() {
+    // After a complaint there is nothing but logs and metrics. An instance whose store is away
+    // must show just that, and count its calls.
+    let file = write("127.0.76.3", SETTINGS);
+    let _process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
+    let metrics = wait(
+        "127.0.76.3:7604",
+        "/metrics",
+        "chervilwind_store_calls{call=\"config\"}",
+    );
+    for name in ["chervilwind_active_requests 0", "chervilwind_peers 0"] {
+        assert!(metrics.contains(name), "{name} in {metrics}");
+    }
+    wait("127.0.76.3:7604", "/state", "store_lost: true");
+    wait("127.0.76.3:7601", "/v1/ready", "503");
+}
+
+#[test]
+fn gateway_ends_by_itself() {
+    // SIGTERM with nothing to finish: it ends with success well before the grace period does.
+    let file = write("127.0.76.4", SETTINGS);
+    let mut process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
+    wait("127.0.76.4:7604", "/metrics", "200 OK");
+    let pid = process.0.id().to_string();
+    assert!(Command::new("kill")
+        .args(["-TERM", &pid])
+        .status()
+        .unwrap()
+        .success());
+    assert!(process.0.wait().unwrap().success());
+}
