roster: who reads the list next is drawn at each look, not once after a read

Ruled out: lists from peers (they carry what the reader has). Change: each router draws at each look, with a chance that rises while nobody reads.

--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -10,7 +10,6 @@
     documents::serve_documents,
     peers::Peers,
     talk::{
-        every,
         listen,
         say, //
     },
--- a/crates/gateway/src/fleet/peers.rs
+++ b/crates/gateway/src/fleet/peers.rs
@@ -21,11 +21,14 @@
     },
 };
 
-/// A peer that was not heard for this long gets no callers and no part of what is shared.
+/// A peer that was not heard for this long, or for as long as [`Peers::hear`] says, gets no
+/// callers and no part of what is shared.
 ///
-/// Its words come every 0.1 to 0.3 s, so some may be lost; callers that are sent to a
-/// router that is down lose a second each.
+/// Its words come every 0.1 to 0.3 s in a fleet of up to 60, so some may be lost; callers that
+/// are sent to a router that is down lose a second each.
 const LIVE: Span = Span::millis(1_000);
+/// Words that may be missed before a peer of a larger fleet counts as gone.
+const MISSED: f64 = 3.3;
 /// After this time an address that never answered, and that nobody lists, is forgotten.
 const FORGET: Span = Span::secs(15);
 
@@ -43,14 +46,32 @@
 }
 
 /// All peers that are known.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
     all: BTreeMap<RouterId, Peer>,
     /// Addresses to speak to, and when each was last listed or heard.
     addresses: HashMap<SocketAddr, Time>,
+    /// How long a peer counts as there without a word.
+    live: Span,
+}
+
+impl Default for Peers {
+    fn default() -> Peers {
+        Peers {
+            all: BTreeMap::new(),
+            addresses: HashMap::new(),
+            live: LIVE,
+        }
+    }
 }
 
 impl Peers {
+    /// Sets how often peers speak. At 300 routers they do so every 1.5 s, and each would count
+    /// as gone between any two of its words.
+    pub(crate) fn hear(&mut self, every: Span) {
+        self.live = LIVE.max(every * MISSED);
+    }
+
     /// Takes a peer's word on itself. Returns false for one that is older than what is known.
     pub(crate) fn hello(&mut self, hello: &Hello, now: Time) -> bool {
         let known = self.all.get(&hello.name);
@@ -100,7 +121,7 @@
     /// Returns the peers that are heard, with their names.
     pub(crate) fn live(&self, now: Time) -> impl Iterator<Item = (&RouterId, &Peer)> {
         let live = self.all.iter();
-        live.filter(move |(_, p)| now.since(p.heard) < LIVE)
+        live.filter(move |(_, p)| now.since(p.heard) < self.live)
     }
 
     /// Returns how many routers there are, this one included.
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -19,6 +19,7 @@
         net::UdpSocket,
         task, //
     },
+    policy::Span,
     std::{
         net::SocketAddr,
         sync::{
@@ -46,7 +47,7 @@
 const MAX: usize = 16 * 1024;
 
 /// Returns the time between two words of a router that has so many peers.
-pub(crate) fn every(settings: &Settings, peers: u32) -> Duration {
+fn every(settings: &Settings, peers: u32) -> Duration {
     Duration::from_millis(settings.fleet.beat_ms).max(EVERY_PEER * peers)
 }
 
@@ -89,6 +90,10 @@
     let me = &gw.settings;
     let from = short(&me.name, gw.incarnation);
     let mut tables = gw.tables();
+    let every = Span::from(every(me, tables.peers.addresses().len() as u32));
+    tables.peers.hear(every);
+    tables.board.hear(every);
+    tables.quota.hear(every * f64::from(HELLO_EVERY));
     tables.peers.forget(now);
     tables.board.forget(now);
     tables.quota.forget(now);
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        fleet,
         model::{
             Replica,
             State, //
@@ -13,6 +12,7 @@
     policy::{
         placement::ReplicaKey,
         ReplicaId,
+        Roster,
         Span, //
     },
     std::{
@@ -26,12 +26,6 @@
     },
 };
 
-/// How often it is looked whether it is this router's turn to read the list.
-const LOOK: Duration = Duration::from_millis(50);
-/// How many routers read the list before all have heard of the first, on average. A router waits
-/// up to its part of that, of its own choice: 0.3 s at nine routers, 6 s at sixty, of which the
-/// least is about 0.1 s.
-const READERS: u32 = 3;
 /// How long it is remembered that a prompt's shared part was sent to a replica, in seconds: an
 /// engine's memory turns over in less.
 const CACHED_S: f64 = 30.0;
@@ -40,22 +34,15 @@
 
 /// Reads the list again and again.
 pub(crate) async fn follow_replicas(gw: Arc<Shared>) {
-    let mut wait = Span::ZERO;
     loop {
-        let now = gw.now();
-        if !gw.tables().roster.is_due(wait, now) {
-            task::sleep(LOOK).await;
+        if !is_due(&gw) {
+            task::sleep(Roster::<()>::LOOK.into()).await;
             continue;
         }
         let read = (gw.store.replicas)().await;
         gw.note_store("replicas", read.as_ref().err());
         match read {
-            Ok(list) => {
-                take(&gw, list);
-                let routers = gw.tables().peers.count(gw.now()) as u32;
-                let most = fleet::every(&gw.settings, routers) * routers / READERS;
-                wait = Span(fastrand::u64(..=most.as_micros() as u64));
-            }
+            Ok(list) => take(&gw, list),
             Err(_) => {
                 gw.tables().roster.failed();
                 task::sleep(AGAIN).await;
@@ -64,6 +51,13 @@
     }
 }
 
+fn is_due(gw: &Shared) -> bool {
+    let now = gw.now();
+    let tables = gw.tables();
+    let routers = tables.peers.count(now);
+    tables.roster.is_due(fastrand::f64(), routers, now)
+}
+
 /// Takes a list that the store gave.
 fn take(gw: &Shared, list: Vec<Replica>) {
     let now = gw.now();
--- a/crates/policy/src/placement/board.rs
+++ b/crates/policy/src/placement/board.rs
@@ -15,13 +15,16 @@
     xxhash_rust::xxh3::xxh3_64, //
 };
 
-/// A peer's word counts for this long.
+/// A peer's word counts for this long, or for as long as [`Board::hear`] says.
 ///
 /// Peers speak several times in this span, so one that is not heard was cut off or is gone,
 /// and its requests end with it. Kept for longer, a killed router's requests would keep
 /// places taken that are free.
 const HEARD: Span = Span::millis(700);
 
+/// Words of a peer that may be missed before it counts as silent. One in some hundred is lost.
+const MISSED: f64 = 2.3;
+
 /// A short name of a replica for messages between routers: 4 bytes in place of 10 to 20.
 ///
 /// Two replicas of 100 share a name by a chance of about one in a million; each then counts
@@ -56,7 +59,7 @@
 /// assert_eq!(board.load(ReplicaKey::of(&id), Time(0)).running, 2);
 /// # Ok::<(), policy::IdError>(())
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Board {
     own: HashMap<ReplicaKey, Load>,
     peers: HashMap<RouterId, Told>,
@@ -67,6 +70,20 @@
     told: HashMap<ReplicaKey, Load>,
     /// When the peer that was not heard for longest last spoke.
     oldest: Option<Time>,
+    /// How long a peer's word counts.
+    heard: Span,
+}
+
+impl Default for Board {
+    fn default() -> Board {
+        Board {
+            own: HashMap::new(),
+            peers: HashMap::new(),
+            told: HashMap::new(),
+            oldest: None,
+            heard: HEARD,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -97,6 +114,12 @@
 }
 
 impl Board {
+    /// Sets how often peers speak. In a large fleet they do so more seldom, and a word that
+    /// counted for less than the time to the next would be missing most of the time.
+    pub fn hear(&mut self, every: Span) {
+        self.heard = HEARD.max(every * MISSED);
+    }
+
     /// Counts a request that is sent to a replica.
     pub fn start(&mut self, replica: ReplicaKey, load: Load) {
         self.own.entry(replica).or_default().add(load);
@@ -147,7 +170,7 @@
 
     /// Drops the word of peers that were not heard for a while.
     pub fn forget(&mut self, now: Time) {
-        let heard = |told: &Told| now.since(told.at) < HEARD;
+        let heard = |told: &Told| now.since(told.at) < self.heard;
         let (heard, silent) = std::mem::take(&mut self.peers)
             .into_iter()
             .partition(|(_, told)| heard(told));
@@ -162,13 +185,13 @@
     /// Returns the work of a replica over the fleet.
     pub fn load(&self, replica: ReplicaKey, now: Time) -> Load {
         let mut sum = self.own(replica);
-        if self.oldest.is_none_or(|at| now.since(at) < HEARD) {
+        if self.oldest.is_none_or(|at| now.since(at) < self.heard) {
             sum.add(self.told.get(&replica).copied().unwrap_or_default());
             return sum;
         }
         // Somebody is silent, and was not forgotten yet.
         for told in self.peers.values() {
-            if now.since(told.at) >= HEARD {
+            if now.since(told.at) >= self.heard {
                 continue;
             }
             if let Some(load) = told.loads.get(&replica) {
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -21,8 +21,11 @@
 
 /// Length of one step of the window.
 const STEP: Span = Span::millis(250);
-/// A peer's word counts for this long; after that its share of the window is unknown.
+/// A peer's word counts for this long, or for as long as [`Quota::hear`] says; after that its
+/// share of the window is unknown.
 const HEARD: Span = Span::secs(2);
+/// Words of a peer that may be missed before its counts are unknown. One in some hundred is lost.
+const MISSED: f64 = 2.3;
 /// The level is worked out again after this time.
 const FRESH: Span = Span::millis(50);
 
@@ -71,6 +74,8 @@
     own: HashMap<WorkspaceKey, VecDeque<(Time, Asked)>>,
     peers: HashMap<RouterId, (Time, HashMap<WorkspaceKey, Asked>)>,
     levels: Option<(Time, Levels)>,
+    /// How long a peer's word counts.
+    heard: Span,
 }
 
 /// The most that a workspace may have over the window, in tokens.
@@ -119,9 +124,15 @@
             own: HashMap::new(),
             peers: HashMap::new(),
             levels: None,
+            heard: HEARD,
         }
     }
 
+    /// Sets how often peers tell their counts, which is more seldom in a large fleet.
+    pub fn hear(&mut self, every: Span) {
+        self.heard = HEARD.max(every * MISSED);
+    }
+
     /// Sets what all may have together, in tokens a second; 0 where it is not known.
     pub fn set_capacity(&mut self, capacity: f64) {
         self.capacity = capacity;
@@ -179,7 +190,7 @@
     /// Drops what is too old to count.
     pub fn forget(&mut self, now: Time) {
         let window = self.window;
-        self.peers.retain(|_, (at, _)| now.since(*at) < HEARD);
+        self.peers.retain(|_, (at, _)| now.since(*at) < self.heard);
         self.own
             .retain(|_, steps| steps.back().is_some_and(|s| now.since(s.0) < window));
     }
@@ -187,7 +198,7 @@
     fn sum(&self, workspace: WorkspaceKey, now: Time) -> Asked {
         let mut sum = self.own_sum(workspace, now);
         for (at, counts) in self.peers.values() {
-            if now.since(*at) < HEARD {
+            if now.since(*at) < self.heard {
                 sum.add(counts.get(&workspace).copied().unwrap_or_default());
             }
         }
@@ -230,7 +241,7 @@
         for key in self.own.keys() {
             all.entry(*key).or_default().add(self.own_sum(*key, now));
         }
-        let heard = self.peers.values().filter(|p| now.since(p.0) < HEARD);
+        let heard = self.peers.values().filter(|p| now.since(p.0) < self.heard);
         for (key, sum) in heard.flat_map(|p| &p.1) {
             all.entry(*key).or_default().add(*sum);
         }
--- a/crates/policy/src/roster.rs
+++ b/crates/policy/src/roster.rs
@@ -21,10 +21,16 @@
 /// call may take. Believed, it would bring back a replica that is leaving, and the peer's next
 /// words are old news by then.
 const LATE: Span = Span::millis(2_400);
-/// The fleet reads the list this often: the first router whose last word of a read is older
-/// than this, and a little of its own choice, reads it. A leaving replica may get requests for
-/// 2 s after its word was taken down, and the news takes 0.3 s more to all routers.
+/// The list is not read again this soon after any router's last word of a read. A leaving
+/// replica may get requests for 2 s after its word was taken down, and the news takes 0.3 s more
+/// to all routers.
 const FLEET_EVERY: Span = Span::millis(450);
+/// How many routers begin to read in a second once that has passed, on average. It rises by as
+/// much for each [`RISE`] that nobody did: the first reads after 0.1 s, none after 0.5 s once in
+/// 6,000 times, and about two do before all have heard of it.
+const READERS: f64 = 5.0;
+/// See [`READERS`].
+const RISE: Span = Span::millis(100);
 /// A router that gets no newer list from a peer reads it at least this often, whatever it hears
 /// of others' reads.
 const OWN_EVERY: Span = Span::secs(4);
@@ -172,11 +178,22 @@
         gone
     }
 
-    /// Tells whether this router is to read the list now; `wait` is a little time of its own
-    /// choice, different at each.
-    pub fn is_due(&self, wait: Span, now: Time) -> bool {
+    /// How often a router looks whether it is to read the list.
+    pub const LOOK: Span = Span::millis(50);
+
+    /// Tells whether this router is to read the list now, of so many; `roll` is a number from
+    /// 0 to 1 that is drawn at each look.
+    ///
+    /// Who reads next is drawn anew at each look. Where each router drew a time to wait when it
+    /// had read, the short ones were used up by those who read, and those who did not kept
+    /// theirs: after a minute nobody waited for less than half of the longest time, 3 s at 60
+    /// routers, and replicas that left got requests for as long.
+    pub fn is_due(&self, roll: f64, routers: usize, now: Time) -> bool {
         let old = |at: Option<Time>, span| at.is_none_or(|at| now.since(at) >= span);
-        old(self.fleet_read, FLEET_EVERY + wait) || old(self.read, OWN_EVERY)
+        let since = self.fleet_read.map_or(OWN_EVERY, |at| now.since(at));
+        let over = (since.as_secs() - FLEET_EVERY.as_secs()) / RISE.as_secs();
+        let chance = Self::LOOK.as_secs() * READERS * (1.0 + over) / routers.max(1) as f64;
+        old(self.read, OWN_EVERY) || over >= 0.0 && roll < chance
     }
 
     /// Returns how long ago this router read the list, to tell the peers.
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -10,6 +10,7 @@
         ops::{
             Add,
             AddAssign,
+            Mul,
             Sub, //
         },
         str::FromStr,
@@ -77,6 +78,14 @@
     }
 }
 
+impl Mul<f64> for Span {
+    type Output = Span;
+
+    fn mul(self, by: f64) -> Span {
+        Span((self.0 as f64 * by) as u64)
+    }
+}
+
 impl Sub<Span> for Time {
     type Output = Time;
 
--- a/crates/policy/tests/placement/board.rs
+++ b/crates/policy/tests/placement/board.rs
@@ -63,3 +63,17 @@
         }
     }
 }
+
+#[test]
+fn board_words_of_a_large_fleet() {
+    // At 300 routers each speaks every 1.5 s. A word that counted for 0.7 s was missing half of
+    // the time, and engines that were full looked free to everybody else.
+    let mut board = Board::default();
+    let (peer, key) = ("r-1".parse().unwrap(), ReplicaKey(1));
+    board.peer(&peer, &[(key, load(20))], Time(0));
+    let before_next = Time(0) + Span::millis(1_400);
+    assert_eq!(board.load(key, before_next).running, 0);
+    board.hear(Span::millis(1_500));
+    assert_eq!(board.load(key, before_next).running, 20);
+    assert_eq!(board.load(key, Time(0) + Span::secs(4)).running, 0);
+}
--- a/crates/policy/tests/placement/quota.rs
+++ b/crates/policy/tests/placement/quota.rs
@@ -96,6 +96,23 @@
     within.count() as f64 / 1_000.0 * asked
 }
 
+#[test]
+fn quota_counts_of_a_large_fleet() {
+    // At 300 routers each tells its counts every 4.5 s. Taken as unknown after 2 s, a flood at
+    // another router was seen less than half of the time.
+    let mut quota = quota();
+    let flood = Asked {
+        asked: 40_000.0,
+        given: 6_000.0,
+        lately: 10_000.0,
+    };
+    quota.peer(&"r2".parse().unwrap(), &[(LARGE, flood)], at(0));
+    quota.hear(Span::millis(4_500));
+    quota.forget(at(4_400));
+    quota.asked(SMALL, 10.0, at(4_400));
+    assert!(quota.standing(LARGE, ROLL, at(4_400)).share > 1.4);
+}
+
 #[test]
 fn quota_even_part_of_what_was_given() {
     // Engines give twice what is stated. Two workspaces want far more than their shares, and
