kvstore: the client of the product's own key-value service no longer shares a name with platform/

Ruled out: moving it into platform/, which would put configuration storage and leases into the folder that decides nothing; one client for both, as the two services differ in calls, codec and what they keep.

--- a/crates/platform/src/lib.rs
+++ b/crates/kvstore/src/lib.rs
@@ -1,4 +1,4 @@
-//! The platform's key-value service and its list of instances.
+//! The product's own key-value service: its client, the list of instances, and the configuration kept there.
 //!
 //! [`Kv`] speaks to the key-value service, [`Instances`] polls the list, [`Lease`] is a lease
 //! whose holder knows when it ends, and [`store`] keeps the operators' configuration safely.
--- a/crates/platform/src/store/part.rs
+++ b/crates/kvstore/src/store/part.rs
@@ -68,7 +68,7 @@
 /// # Examples
 ///
 /// ```
-/// use platform::store::{join, split};
+/// use kvstore::store::{join, split};
 ///
 /// let text = "[workspaces.a]\nshare = 1\n[workspaces.b]\nshare = 2\n";
 /// let parts = split("fleet", text);
--- a/crates/platform/tests/platform/admin.rs
+++ b/crates/kvstore/tests/kvstore/admin.rs
@@ -6,7 +6,6 @@
         platform,
         run, //
     },
-    ::platform::KeyRevision,
     async_std::net::TcpStream,
     http_types::{
         Method,
@@ -14,6 +13,7 @@
         StatusCode,
         Url, //
     },
+    kvstore::KeyRevision,
     standins::platform::{
         CallCount,
         Handle,
--- a/crates/platform/tests/platform/common.rs
+++ b/crates/kvstore/tests/kvstore/common.rs
@@ -1,7 +1,7 @@
 //! Starts the stand-in and clients for the tests.
 
 use {
-    ::platform::{
+    kvstore::{
         store::{
             apply,
             Applied,
--- a/crates/platform/tests/platform/instances.rs
+++ b/crates/kvstore/tests/kvstore/instances.rs
@@ -5,7 +5,7 @@
         platform,
         run, //
     },
-    ::platform::{
+    kvstore::{
         Instances,
         Options,
         State, //
--- a/crates/platform/tests/platform/kv.rs
+++ b/crates/kvstore/tests/kvstore/kv.rs
@@ -7,14 +7,14 @@
         platform,
         run, //
     },
-    ::platform::{
+    async_std::task,
+    futures_lite::future::zip,
+    kvstore::{
         KeyRevision,
         KvError,
         Watched,
         VALUE_MAX, //
     },
-    async_std::task,
-    futures_lite::future::zip,
     policy::Span,
     standins::platform::Down,
     std::{
@@ -289,7 +289,7 @@
 }
 
 /// Reads once the circuit lets a call through.
-async fn get_at_last(kv: &::platform::Kv, key: &str) -> Option<String> {
+async fn get_at_last(kv: &kvstore::Kv, key: &str) -> Option<String> {
     loop {
         match kv.get(key).await {
             Ok(entry) => return entry.map(|e| e.value.to_string()),
--- a/crates/platform/tests/platform/lease.rs
+++ b/crates/kvstore/tests/kvstore/lease.rs
@@ -6,13 +6,13 @@
         platform,
         run, //
     },
-    ::platform::{
+    async_std::task,
+    kvstore::{
         KvError,
         Lease,
         LeaseError,
         Watched, //
     },
-    async_std::task,
     policy::{
         Span,
         Time, //
--- a/crates/platform/tests/platform/odd_answers.rs
+++ b/crates/kvstore/tests/kvstore/odd_answers.rs
@@ -2,12 +2,6 @@
 
 use {
     crate::common::run,
-    ::platform::{
-        KeyRevision,
-        Kv,
-        KvError,
-        Options, //
-    },
     async_std::{
         io::{
             ReadExt,
@@ -16,6 +10,12 @@
         net::TcpListener,
         task,
     },
+    kvstore::{
+        KeyRevision,
+        Kv,
+        KvError,
+        Options, //
+    },
 };
 
 /// A platform that gives one answer to whatever it is asked, and closes.
--- a/crates/platform/tests/platform/race.rs
+++ b/crates/kvstore/tests/kvstore/race.rs
@@ -8,7 +8,12 @@
         run,
         write, //
     },
-    ::platform::{
+    async_std::task,
+    futures_lite::future::{
+        or,
+        zip, //
+    },
+    kvstore::{
         store::{
             read,
             ApplyError,
@@ -17,11 +22,6 @@
         },
         Kv,
     },
-    async_std::task,
-    futures_lite::future::{
-        or,
-        zip, //
-    },
     standins::platform::Handle,
     std::{
         sync::Arc,
--- a/crates/platform/tests/platform/restore.rs
+++ b/crates/kvstore/tests/kvstore/restore.rs
@@ -7,7 +7,8 @@
         run,
         write, //
     },
-    ::platform::store::{
+    async_std::task,
+    kvstore::store::{
         read,
         repair,
         ApplyError,
@@ -18,7 +19,6 @@
         Seen,
         Watcher, //
     },
-    async_std::task,
     standins::platform::Handle,
     std::time::Duration, //
 };
--- a/crates/platform/tests/platform/store.rs
+++ b/crates/kvstore/tests/kvstore/store.rs
@@ -8,7 +8,8 @@
         run,
         write, //
     },
-    ::platform::store::{
+    async_std::task,
+    kvstore::store::{
         apply,
         join,
         read,
@@ -24,7 +25,6 @@
         Watcher,
         PART_MAX, //
     },
-    async_std::task,
     standins::platform::Down,
     std::time::Duration,
 };
--- a/crates/platform/tests/platform/store_fuzz.rs
+++ b/crates/kvstore/tests/kvstore/store_fuzz.rs
@@ -7,7 +7,7 @@
         run,
         write, //
     },
-    ::platform::{
+    kvstore::{
         store::{
             read,
             repair,
@@ -151,7 +151,7 @@
     base: Base,
     floor: Revision,
     text: &str,
-) -> Result<::platform::store::Applied, ApplyError> {
+) -> Result<kvstore::store::Applied, ApplyError> {
     loop {
         match write(kv, name, base, floor.0, text).await {
             Err(ApplyError::NotApplied(_)) => {}
--- a/crates/platform/tests/platform/watch.rs
+++ b/crates/kvstore/tests/kvstore/watch.rs
@@ -8,7 +8,8 @@
         run,
         write, //
     },
-    ::platform::{
+    async_std::task,
+    kvstore::{
         store::{
             read,
             Base,
@@ -19,7 +20,6 @@
         },
         KeyRevision, Kv,
     },
-    async_std::task,
     standins::platform::Down,
     std::time::Duration,
 };
--- a/crates/operators/src/loader.rs
+++ b/crates/operators/src/loader.rs
@@ -7,7 +7,7 @@
         problem::CheckError,
         source::Source, //
     },
-    platform::store::{
+    kvstore::store::{
         join,
         Config,
         Part,
@@ -47,7 +47,7 @@
     ///
     /// ```
     /// use operators::{Loader, FLEET};
-    /// use platform::store::{split, Config, Revision, WriteId};
+    /// use kvstore::store::{split, Config, Revision, WriteId};
     ///
     /// let config = Config {
     ///     revision: Revision(3),
--- a/crates/operators/src/server.rs
+++ b/crates/operators/src/server.rs
@@ -21,7 +21,7 @@
         },
         task, //
     },
-    platform::store::Config,
+    kvstore::store::Config,
     serde::Serialize,
     std::{
         collections::VecDeque,
--- a/crates/operators/tests/loader.rs
+++ b/crates/operators/tests/loader.rs
@@ -1,6 +1,13 @@
 //! Loading part by part against parsing the whole text.
 
 use {
+    kvstore::store::{
+        split,
+        Config,
+        Part,
+        Revision,
+        WriteId, //
+    },
     operators::{
         Document,
         Fleet,
@@ -8,13 +15,6 @@
         Source,
         FLEET, //
     },
-    platform::store::{
-        split,
-        Config,
-        Part,
-        Revision,
-        WriteId, //
-    },
     proptest::{
         collection::vec,
         prelude::*,
--- a/crates/operators/tests/server.rs
+++ b/crates/operators/tests/server.rs
@@ -2,6 +2,11 @@
 
 use {
     async_std::task,
+    kvstore::store::{
+        split,
+        Config,
+        Revision, //
+    },
     operators::{
         ask,
         read_view,
@@ -21,11 +26,6 @@
         Views,
         FLEET, //
     },
-    platform::store::{
-        split,
-        Config,
-        Revision, //
-    },
     policy::{
         Incarnation,
         Span,
--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -12,14 +12,7 @@
         wait::wait_in_force, //
     },
     crate::errors::Error,
-    operators::{
-        ask,
-        read_view,
-        Document,
-        Member,
-        Source, //
-    },
-    platform::{
+    kvstore::{
         store::{
             self,
             join,
@@ -32,6 +25,13 @@
         Kv,
         Options, //
     },
+    operators::{
+        ask,
+        read_view,
+        Document,
+        Member,
+        Source, //
+    },
     policy::Span,
     serde_json::json,
     std::{
--- a/src/cli/base_line.rs
+++ b/src/cli/base_line.rs
@@ -1,7 +1,7 @@
 //! The first line of a configuration that `config` prints: what it was made on.
 
 use {
-    platform::store::{
+    kvstore::store::{
         Base,
         Config,
         Revision,
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -11,11 +11,7 @@
         targets::platform_of, //
     },
     crate::errors::Error,
-    operators::{
-        ask,
-        read_view, //
-    },
-    platform::{
+    kvstore::{
         store::{
             join,
             read,
@@ -24,6 +20,10 @@
         Kv,
         Options, //
     },
+    operators::{
+        ask,
+        read_view, //
+    },
     serde_json::json,
     std::net::SocketAddr,
 };
--- a/src/demo/stage.rs
+++ b/src/demo/stage.rs
@@ -11,7 +11,7 @@
         },
     },
     async_std::task,
-    platform::{
+    kvstore::{
         store::{
             self,
             Base,
@@ -165,7 +165,7 @@
 }
 
 async fn configure(platform: SocketAddr) -> Result<(), Error> {
-    let kv = Kv::new(platform::Options::new(platform, "demo"));
+    let kv = Kv::new(kvstore::Options::new(platform, "demo"));
     let change = Change {
         base: Base::default(),
         parts: store::split("fleet", operators::FLEET),
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -9,16 +9,16 @@
         Refused,
         Why, //
     },
+    kvstore::store::{
+        ApplyError,
+        ReadError, //
+    },
     miette::Diagnostic,
     operators::{
         AskError,
         CheckError,
         FileError, //
     },
-    platform::store::{
-        ApplyError,
-        ReadError, //
-    },
     policy::Outcome,
     std::{
         io,
--- a/src/measure/stage.rs
+++ b/src/measure/stage.rs
@@ -18,12 +18,7 @@
     },
     crate::errors::Error,
     async_std::task,
-    operators::{
-        MemberState,
-        State,
-        Status, //
-    },
-    platform::{
+    kvstore::{
         store::{
             self,
             Base,
@@ -32,6 +27,11 @@
         },
         Kv,
     },
+    operators::{
+        MemberState,
+        State,
+        Status, //
+    },
     standins::{
         engine,
         plain,
@@ -202,7 +202,7 @@
 }
 
 async fn configure(platform: SocketAddr, setup: &Setup) -> Result<(), Error> {
-    let kv = Kv::new(platform::Options::new(platform, "measure"));
+    let kv = Kv::new(kvstore::Options::new(platform, "measure"));
     let change = Change {
         base: Base::default(),
         parts: store::split("fleet", &setup.document()),
--- a/src/router/changes.rs
+++ b/src/router/changes.rs
@@ -1,7 +1,7 @@
 //! What changed in the list of instances, as it goes to a peer.
 
 use {
-    platform::{
+    kvstore::{
         Instance,
         Listed, //
     },
--- a/src/router/changes/tests.rs
+++ b/src/router/changes/tests.rs
@@ -3,7 +3,7 @@
         Changes,
         Log, //
     },
-    platform::{
+    kvstore::{
         Instance,
         Listed,
         Role,
--- a/src/router/config.rs
+++ b/src/router/config.rs
@@ -17,7 +17,7 @@
         },
     },
     async_std::task,
-    platform::{
+    kvstore::{
         store::{
             repair,
             Config,
--- a/src/router/delta.rs
+++ b/src/router/delta.rs
@@ -1,7 +1,7 @@
 //! What changed between two configurations, as it goes to a peer.
 
 use {
-    platform::store::{
+    kvstore::store::{
         Config,
         Part,
         PartHash,
@@ -145,7 +145,7 @@
 
 /// Returns the hash of the whole text.
 pub(crate) fn hash(parts: &[Part]) -> Hash {
-    Hash(xxh3_64(platform::store::join(parts).as_bytes()))
+    Hash(xxh3_64(kvstore::store::join(parts).as_bytes()))
 }
 
 #[cfg(test)]
--- a/src/router/delta/tests.rs
+++ b/src/router/delta/tests.rs
@@ -4,7 +4,7 @@
         History,
         Step, //
     },
-    platform::store::{
+    kvstore::store::{
         Config,
         Part,
         Revision,
--- a/src/router/list.rs
+++ b/src/router/list.rs
@@ -14,7 +14,7 @@
         },
     },
     async_std::task,
-    platform::{
+    kvstore::{
         Instance,
         Instances,
         Listed,
--- a/src/router/loads.rs
+++ b/src/router/loads.rs
@@ -6,11 +6,11 @@
         Router, //
     },
     async_std::task,
-    operators::Kind,
-    platform::{
+    kvstore::{
         Role,
         State, //
     },
+    operators::Kind,
     policy::{
         rendezvous,
         ReplicaId,
--- a/src/router/messages.rs
+++ b/src/router/messages.rs
@@ -5,7 +5,7 @@
         changes::Changes,
         delta::Delta, //
     },
-    platform::store::Revision,
+    kvstore::store::Revision,
     policy::{
         members::{
             Heartbeat,
--- a/src/router/report.rs
+++ b/src/router/report.rs
@@ -256,7 +256,7 @@
     }
 }
 
-fn listed(i: &platform::Instance) -> ListedDump {
+fn listed(i: &kvstore::Instance) -> ListedDump {
     ListedDump {
         name: i.name.clone(),
         service: i
@@ -264,7 +264,7 @@
             .as_ref()
             .map_or(String::new(), ToString::to_string),
         addr: i.addr,
-        leaving: i.state == platform::State::Leaving,
+        leaving: i.state == kvstore::State::Leaving,
     }
 }
 
--- a/src/router/start/tests.rs
+++ b/src/router/start/tests.rs
@@ -12,7 +12,7 @@
         Receiver,
         Sender, //
     },
-    platform::{
+    kvstore::{
         Instance,
         Listed,
         Role,
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -14,15 +14,15 @@
         times::Times, //
     },
     crate::conf::Settings,
+    kvstore::{
+        store::Config,
+        Listed, //
+    },
     operators::{
         Fleet,
         Loader, //
     },
     peers::Links,
-    platform::{
-        store::Config,
-        Listed, //
-    },
     policy::{
         head::Head,
         members::Members,
@@ -127,8 +127,8 @@
     }
 
     /// Returns how this router calls the platform.
-    pub(crate) fn platform_options(&self) -> platform::Options {
-        platform::Options::new(self.settings.platform, self.me.router.as_str())
+    pub(crate) fn platform_options(&self) -> kvstore::Options {
+        kvstore::Options::new(self.settings.platform, self.me.router.as_str())
     }
 
     /// Runs a step of a service's retry budget.
--- a/src/router/tests/fleet.rs
+++ b/src/router/tests/fleet.rs
@@ -7,7 +7,7 @@
             Started, //
         },
     },
-    platform::store::{
+    kvstore::store::{
         self,
         Config,
         WriteId, //
--- a/src/router/tests/stage.rs
+++ b/src/router/tests/stage.rs
@@ -20,7 +20,7 @@
         RequestId,
         Response, //
     },
-    platform::{
+    kvstore::{
         store::{
             self,
             Base,
@@ -163,7 +163,7 @@
 }
 
 async fn configure(platform: SocketAddr) {
-    let kv = Kv::new(platform::Options::new(platform, "test"));
+    let kv = Kv::new(kvstore::Options::new(platform, "test"));
     let change = Change {
         base: Base::default(),
         parts: store::split("fleet", operators::FLEET),
--- a/src/slopes/config.rs
+++ b/src/slopes/config.rs
@@ -9,18 +9,18 @@
         },
     },
     crate::router::History,
+    kvstore::store::{
+        split,
+        Config,
+        Revision,
+        WriteId, //
+    },
     operators::{
         Document,
         Fleet,
         Loader,
         Source, //
     },
-    platform::store::{
-        split,
-        Config,
-        Revision,
-        WriteId, //
-    },
     policy::Time,
     std::{
         fmt::Write,
--- a/src/slopes/lists.rs
+++ b/src/slopes/lists.rs
@@ -9,7 +9,7 @@
         },
     },
     crate::router::Log,
-    platform::{
+    kvstore::{
         Instance,
         Listed,
         Role,
--- a/tests/apply.rs
+++ b/tests/apply.rs
@@ -2,6 +2,12 @@
 
 use {
     async_std::task,
+    kvstore::store::{
+        split,
+        Config,
+        Revision,
+        WriteId, //
+    },
     operators::{
         serve,
         InForce,
@@ -10,12 +16,6 @@
         Views,
         FLEET, //
     },
-    platform::store::{
-        split,
-        Config,
-        Revision,
-        WriteId, //
-    },
     policy::{
         Incarnation,
         Span, //
--- a/tests/proofs/config.rs
+++ b/tests/proofs/config.rs
@@ -12,8 +12,7 @@
         Signal, //
     },
     async_std::task::block_on,
-    operators::FLEET,
-    platform::{
+    kvstore::{
         store::{
             self,
             ApplyError,
@@ -22,6 +21,7 @@
         Kv,
         Options, //
     },
+    operators::FLEET,
     policy::{
         head::WATCHERS,
         rendezvous,
--- a/tests/proofs/platform.rs
+++ b/tests/proofs/platform.rs
@@ -8,7 +8,8 @@
         Plan,
         Router, //
     },
-    ::platform::{
+    async_std::task::block_on,
+    kvstore::{
         store::{
             self,
             Revision, //
@@ -16,7 +17,6 @@
         Kv,
         Options, //
     },
-    async_std::task::block_on,
     operators::FLEET,
     policy::head::WATCHERS,
     standins::platform::{
--- a/tests/proofs/stage/fleet.rs
+++ b/tests/proofs/stage/fleet.rs
@@ -11,11 +11,7 @@
         Client,
         ClientSettings, //
     },
-    operators::{
-        MemberState,
-        State as RouterState, //
-    },
-    platform::{
+    kvstore::{
         store::{
             self,
             Applied,
@@ -26,6 +22,10 @@
         },
         Kv,
     },
+    operators::{
+        MemberState,
+        State as RouterState, //
+    },
     standins::{
         engine, plain,
         platform::{
@@ -153,7 +153,7 @@
 
     /// Writes a configuration where `base` is the revision in force.
     pub(crate) fn change(&self, text: &str, base: Revision) -> Result<Applied, ApplyError> {
-        let kv = Kv::new(platform::Options::new(self.platform.addr, "proofs"));
+        let kv = Kv::new(kvstore::Options::new(self.platform.addr, "proofs"));
         let change = Change {
             base: Base::from(base),
             parts: store::split("fleet", text),
