--- a/crates/gateway/src/fleet/lists.rs
+++ b/crates/gateway/src/fleet/lists.rs
@@ -2,7 +2,8 @@
 //!
 //! Of 60 routers a few read the list of the store in any second. The others see from the words
 //! of these that there is a newer list, and which; where it differs from their own, they get it
-//! from the peer. Before, each read the store every 4 s: 1,000 of 1,300 reads in 48 s.
+//! from the peer. If each read the store every 4 s instead, that would be 1,000 reads in 48 s
+//! beside 300 in turns, and a router that the store turns away would know of no new replica.
 
 use {
     super::documents,
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -7,5 +7,8 @@
 pub(crate) use self::{
     config::follow_config,
     register::register,
-    replicas::{follow_replicas, take_from_peer},
+    replicas::{
+        follow_replicas,
+        take_from_peer, //
+    },
 };
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -51,6 +51,7 @@
     }
 }
 
+/// Draws whether this router is to read the list of the store now.
 fn is_due(gw: &Shared) -> bool {
     let now = gw.now();
     let tables = gw.tables();
@@ -62,14 +63,14 @@
 fn take(gw: &Shared, list: Vec<Replica>) {
     let now = gw.now();
     let gone = gw.tables().roster.listed(entries(list), now);
-    left(gw, &gone, "store");
+    note(gw, &gone, "store");
 }
 
 /// Takes the list of a peer, as it was `age` ago.
 pub(crate) fn take_from_peer(gw: &Shared, list: Vec<Replica>, age: Span, from: SocketAddr) {
     let now = gw.now();
     let gone = gw.tables().roster.listed_by_peer(entries(list), age, now);
-    left(gw, &gone, &from.to_string());
+    note(gw, &gone, &from.to_string());
 }
 
 fn entries(list: Vec<Replica>) -> impl Iterator<Item = (ReplicaId, Arc<Replica>, bool)> {
@@ -79,8 +80,9 @@
     })
 }
 
-/// Notes which replicas no longer take work, and forgets what is known of those that are gone.
-fn left(gw: &Shared, gone: &[ReplicaId], from: &str) {
+/// Notes that there is a list, and which replicas no longer take work; forgets what is known of
+/// those that are gone.
+fn note(gw: &Shared, gone: &[ReplicaId], from: &str) {
     let now = gw.now();
     let mut tables = gw.tables();
     let known: HashSet<ReplicaKey> = tables
--- a/crates/policy/src/placement/board.rs
+++ b/crates/policy/src/placement/board.rs
@@ -66,7 +66,8 @@
     /// Sum of what the peers told.
     ///
     /// A decision looks at every replica. Added up from 58 peers each time, 90 replicas took
-    /// half of the processor time of a request.
+    /// more than half of a request's processor time: kept as a sum, an instance short of it
+    /// answered 9,552 requests of a day in place of 4,029.
     told: HashMap<ReplicaKey, Load>,
     /// When the peer that was not heard for longest last spoke.
     oldest: Option<Time>,
