rendezvous: a function that nothing called is gone; counts are summed only for the words that carry them

Change: the function and its example are removed; the sums are made for a hello alone. What is said and when is the same.

--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -108,9 +108,10 @@
         tables.roster.digest(),
         &tables.board.report(),
     );
-    let (counts, left) = (tables.quota.report(now), tables.roster.left(now));
+    let hello = number % HELLO_EVERY == 1;
+    let told = hello.then(|| (tables.quota.report(now), tables.roster.left(now)));
     drop(tables);
-    if number % HELLO_EVERY == 1 {
+    if let Some((counts, left)) = told {
         let known = match number % (HELLO_EVERY * KNOWN_EVERY) {
             1 => to.iter().take(KNOWN).copied().collect(),
             _ => Vec::new(),
--- a/crates/policy/src/rendezvous.rs
+++ b/crates/policy/src/rendezvous.rs
@@ -108,37 +108,6 @@
     ranked(hash, members, name, |_| true)
 }
 
-/// Returns `k` members for a key that is a hash already, each as likely as its weight.
-///
-/// Over many keys a member is among them in proportion to its weight, as far as `k` members
-/// of all allow it. When one goes, only its own place in each list is taken by another.
-///
-/// # Examples
-///
-/// ```
-/// use policy::rendezvous;
-///
-/// let members = [("small", 0.1), ("large", 0.9)];
-/// let firsts = (0..1_000).map(|key| rendezvous::weighted(key, members, 1, |m| m.0, |m| m.1));
-/// let large = firsts.filter(|first| first[0].0 == "large").count();
-/// assert!((870..930).contains(&large));
-/// ```
-pub fn weighted<T, I, F, W>(hash: u64, members: I, k: usize, name: F, weight: W) -> Vec<T>
-where
-    I: IntoIterator<Item = T>,
-    F: Fn(&T) -> &str,
-    W: Fn(&T) -> f64,
-{
-    let score = |m: &T| {
-        let part = xxh3_64_with_seed(name(m).as_bytes(), hash) as f64 / u64::MAX as f64;
-        part.max(f64::MIN_POSITIVE).ln() / weight(m).max(f64::MIN_POSITIVE)
-    };
-    let mut ranked: Vec<(f64, T)> = members.into_iter().map(|m| (score(&m), m)).collect();
-    ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| name(&a.1).cmp(name(&b.1))));
-    ranked.truncate(k);
-    ranked.into_iter().map(|r| r.1).collect()
-}
-
 fn ranked<T, I, F, N>(seed: u64, members: I, name: F, near: N) -> Vec<T>
 where
     I: IntoIterator<Item = T>,
