actives: callers are pointed to a few routers that tell each other often, the others stand by

Cause: every router told every other. At 295 words on loads came every 1.5 s and counts of workspaces every 4.4 s, where targets are 0.3 to 0.5 s and shares are counted over 4 s. Ruled out: more words (they take the processor and 50 MB/s as it is); engines that are full (they began 5 of 11 million tokens a second that they begin now). Change: policy::actives works out, from whom it hears, which routers take callers: in turns over the zones, largest first, 24 at least and four times the processor time that the requests need. They tell each other as before; all others are told who is there every 10 ms x routers. Entries in the store are kept by active routers only; those that stand by leave reads of the list and the watch to them. Virtual-time tests at 8, 60, 300 and 370 routers: start, kills of all, of half of the active ones and of one, a leaving one, a cut zone, bytes. Found by them and mended: words of silence that kept each other alive, rounds that came all at once, routers taken for gone as they were told at the old pace.

--- a/crates/gateway/src/fleet/beat.rs
+++ b/crates/gateway/src/fleet/beat.rs
@@ -2,6 +2,7 @@
 
 use {
     policy::{
+        actives::Intro,
         placement::{
             Load,
             ReplicaKey, //
@@ -10,7 +11,6 @@
             Asked,
             WorkspaceKey, //
         },
-        Incarnation,
         RouterId,
         Span, //
     },
@@ -18,8 +18,7 @@
         Deserialize,
         Serialize, //
     },
-    std::net::SocketAddr,
-    xxhash_rust::xxh3::xxh3_64, //
+    std::net::SocketAddr, //
 };
 
 /// Tokens in one unit of a load that is still to be read: 0.6 ms of an engine's time.
@@ -40,13 +39,15 @@
     Hello(Box<Hello>),
 }
 
-/// A router's requests at each replica.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct Loads {
+/// What each word says, whatever else it says.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub(crate) struct About {
     /// Which start of which router says so.
     pub(crate) from: u32,
     /// Number of this word within that start; a later one is higher.
     pub(crate) number: u32,
+    /// When the next one is to come, in milliseconds.
+    next: u16,
     /// How long ago its list of replicas was made, in milliseconds.
     list_age: u16,
     /// Which list that is.
@@ -55,39 +56,36 @@
     pub(crate) config: u64,
     /// How long ago the store told it that this is the newest, in milliseconds.
     config_age: u16,
+}
+
+/// A router's requests at each replica; to active routers, many times a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Loads {
+    pub(crate) about: About,
     loads: Vec<(ReplicaKey, u16, u16, u16)>,
 }
 
 /// Who a router is, and what it knows.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Hello {
+    pub(crate) about: About,
     pub(crate) name: RouterId,
-    /// This start of it.
-    pub(crate) incarnation: Incarnation,
-    /// Where it hears its peers.
-    pub(crate) peers: SocketAddr,
-    /// Where it takes callers.
-    pub(crate) callers: SocketAddr,
-    /// Whether callers may be sent there.
-    pub(crate) ready: bool,
-    /// Number of this word within that start; a later one is higher.
-    pub(crate) number: u32,
-    /// What workspaces asked of it over the window, and were given.
+    pub(crate) intro: Intro,
+    /// Requests a second that it takes.
+    pub(crate) rate: f32,
+    /// What workspaces asked of it over the window, and were given; to active routers.
     pub(crate) counts: Vec<(WorkspaceKey, Asked)>,
     /// Replicas that left of late.
     pub(crate) left: Vec<ReplicaKey>,
-    /// Where some of its peers hear theirs.
+    /// Short names of active routers that are silent.
+    pub(crate) silent: Vec<u32>,
+    /// Where some of its peers hear theirs; to routers that start.
     pub(crate) known: Vec<SocketAddr>,
 }
 
-/// Returns the short name of a router's start, 4 bytes in place of about 25.
-pub(crate) fn short(name: &RouterId, incarnation: Incarnation) -> u32 {
-    (xxh3_64(name.as_str().as_bytes()) ^ incarnation.0) as u32
-}
-
-/// What a router's word on its loads says besides.
+/// What the router that speaks knows.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct About {
+pub(crate) struct Facts {
     pub(crate) from: u32,
     pub(crate) number: u32,
     pub(crate) list_age: Option<Span>,
@@ -102,6 +100,38 @@
     of.map_or(u16::MAX, |a| a.as_millis().min(u64::from(u16::MAX)) as u16)
 }
 
+impl About {
+    /// Makes what a word says whose next one comes after `next`.
+    pub(crate) fn new(facts: &Facts, next: Span) -> About {
+        About {
+            from: facts.from,
+            number: facts.number,
+            next: age(Some(next)),
+            list_age: age(facts.list_age),
+            list: facts.list,
+            config: facts.config,
+            config_age: age(facts.config_age),
+        }
+    }
+
+    /// Returns the time until the next word.
+    pub(crate) fn next(&self) -> Span {
+        Span::millis(u64::from(self.next))
+    }
+
+    /// Returns how long ago its list of replicas was made; a minute or more is as good as never.
+    pub(crate) fn list_age(&self) -> Span {
+        Span::millis(u64::from(self.list_age))
+    }
+
+    /// Returns how long ago the store told it that its configuration is the newest; none where
+    /// it does not watch.
+    pub(crate) fn config_age(&self) -> Option<Span> {
+        let age = self.config_age;
+        (age < u16::MAX).then(|| Span::millis(u64::from(age)))
+    }
+}
+
 impl Loads {
     pub(crate) fn new(about: About, loads: &[(ReplicaKey, Load)]) -> Loads {
         let unit = |n: u64, unit: u64| u16::try_from(n.div_ceil(unit)).unwrap_or(u16::MAX);
@@ -115,28 +145,11 @@
             )
         });
         Loads {
-            from: about.from,
-            number: about.number,
-            list_age: age(about.list_age),
-            list: about.list,
-            config: about.config,
-            config_age: age(about.config_age),
+            about,
             loads: loads.collect(),
         }
     }
 
-    /// Returns how long ago its list of replicas was made; a minute or more is as good as never.
-    pub(crate) fn list_age(&self) -> Span {
-        Span::millis(u64::from(self.list_age))
-    }
-
-    /// Returns how long ago the store told it that its configuration is the newest; none where
-    /// it does not watch.
-    pub(crate) fn config_age(&self) -> Option<Span> {
-        let age = self.config_age;
-        (age < u16::MAX).then(|| Span::millis(u64::from(age)))
-    }
-
     pub(crate) fn loads(&self) -> Vec<(ReplicaKey, Load)> {
         let loads = self.loads.iter().map(|(key, running, unread, memory)| {
             let load = Load {
--- a/crates/gateway/src/fleet/beat/tests.rs
+++ b/crates/gateway/src/fleet/beat/tests.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         About,
+        Facts,
         Loads,
         Word, //
     },
@@ -16,14 +17,15 @@
 };
 
 fn about(from: u32) -> About {
-    About {
+    let facts = Facts {
         from,
         number: from.saturating_add(1),
         list_age: Some(Span::millis(250)),
         list: from,
         config: u64::from(from).saturating_add(2),
         config_age: None,
-    }
+    };
+    About::new(&facts, Span::millis(120))
 }
 
 fn loads(n: u32) -> Vec<(ReplicaKey, Load)> {
@@ -43,9 +45,11 @@
     let Word::Loads(back) = Word::decode(&word.encode().unwrap()).unwrap() else {
         panic!("another word");
     };
-    assert_eq!((back.from, back.number, back.config), (7, 8, 9));
-    assert_eq!(back.list_age(), Span::millis(250));
-    assert_eq!(back.config_age(), None);
+    let said = back.about;
+    assert_eq!((said.from, said.number, said.config), (7, 8, 9));
+    assert_eq!(said.next(), Span::millis(120));
+    assert_eq!(said.list_age(), Span::millis(250));
+    assert_eq!(said.config_age(), None);
     for (key, load) in back.loads() {
         assert!(key.0 >= 0xa000_0000);
         assert_eq!(load.running, 12);
--- a/crates/gateway/src/fleet/documents.rs
+++ b/crates/gateway/src/fleet/documents.rs
@@ -103,7 +103,7 @@
 ///
 /// All peers hear of a new one in the same moment, and the one that told them has few cores.
 pub(crate) async fn fetch(gw: &Shared, addr: SocketAddr) {
-    let routers = gw.tables().peers.count(gw.now()) as u32;
+    let routers = gw.tables().fleet.count(gw.now()) as u32;
     task::sleep((SPREAD * routers).mul_f64(fastrand::f64())).await;
     if let Some(document) = get::<Document>(addr, PATH).await {
         gw.take_config(document.bytes, &addr.to_string());
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -3,12 +3,10 @@
 mod beat;
 mod documents;
 mod lists;
-mod peers;
 mod talk;
 
 pub(crate) use self::{
     documents::serve_documents,
-    peers::Peers,
     talk::{
         listen,
         say, //
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         beat::{
-            short,
             About,
+            Facts,
             Hello,
             Loads,
             Word, //
@@ -12,16 +12,24 @@
         documents,
         lists, //
     },
-    crate::{
-        state::Shared,
-        Settings, //
+    crate::state::{
+        Shared,
+        Tables, //
     },
     async_std::{
         net::UdpSocket,
         task, //
     },
     futures_lite::future::or,
-    policy::Span,
+    policy::{
+        actives::{
+            short,
+            Heard, //
+        },
+        RouterId,
+        Span,
+        Time, //
+    },
     std::{
         future::Future,
         net::SocketAddr,
@@ -36,38 +44,51 @@
     },
 };
 
-/// Time that each known peer adds to the time between two words, so that a router of 60 sends
-/// 200 words a second, not 600.
-const EVERY_PEER: Duration = Duration::from_millis(5);
-/// A router says hello once in so many words, 3 times a second.
+/// An active router tells the others who it is, and what workspaces asked of it, once in so many
+/// words on its loads: some 3 times a second.
 const HELLO_EVERY: u32 = 3;
-/// How many addresses of other routers a hello tells, once in so many hellos.
-const KNOWN: usize = 16;
-const KNOWN_EVERY: u32 = 8;
+/// How many addresses of others a router that starts is told.
+const KNOWN: usize = 64;
 /// Pause after a word could not be received.
 const AGAIN: Duration = Duration::from_millis(50);
 /// Longest datagram.
 const MAX: usize = 16 * 1024;
 
-/// Returns the time between two words of a router that has so many peers.
-fn every(settings: &Settings, peers: u32) -> Duration {
-    Duration::from_millis(settings.fleet.beat_ms).max(EVERY_PEER * peers)
+/// A word, and to whom it goes.
+type Addressed = (Word, Vec<SocketAddr>);
+
+/// Why a router speaks now.
+#[derive(Debug, Clone, Copy)]
+struct Occasion {
+    /// Number of words on its loads so far.
+    round: u32,
+    /// It had requests at replicas when it last spoke, so that the active routers count these.
+    was_busy: bool,
+    /// There is something to tell the active ones.
+    woken: bool,
 }
 
 /// Speaks to all peers for as long as the process runs.
 pub(crate) async fn say(gw: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let mut number = 0;
     let mut failed = false;
+    let mut occasion = Occasion {
+        round: 0,
+        was_busy: false,
+        woken: false,
+    };
     loop {
-        number += 1;
-        let (words, to) = words(&gw, number);
-        for word in words {
+        occasion.round += 1;
+        let (words, pause) = words(&gw, &mut occasion);
+        for (word, to) in words {
             failed = send(&socket, &word, &to, failed).await;
         }
-        let pause = task::sleep(every(&gw.settings, to.len() as u32));
-        or(pause, async {
-            let _ = gw.woken.recv().await;
-        })
+        occasion.woken = or(
+            async {
+                task::sleep(pause).await;
+                false
+            },
+            async { gw.woken.recv().await.is_ok() },
+        )
         .await;
     }
 }
@@ -92,54 +113,70 @@
     failed
 }
 
-fn words(gw: &Shared, number: u32) -> (Vec<Word>, Vec<SocketAddr>) {
+/// Returns what is to be said now, to whom, and the time until the next words.
+fn words(gw: &Shared, occasion: &mut Occasion) -> (Vec<Addressed>, Duration) {
     let now = gw.now();
-    let me = &gw.settings;
-    let from = short(&me.name, gw.incarnation);
+    let ready = gw.is_ready();
     let config = gw.version();
+    let number = gw.next_word();
+    let urgent = gw.takes_urgent();
     let mut tables = gw.tables();
-    let every = Span::from(every(me, tables.peers.addresses().len() as u32));
-    tables.peers.hear(every);
-    tables.board.hear(every);
-    tables.quota.hear(every * f64::from(HELLO_EVERY));
-    tables.peers.forget(now);
+    tables.fleet.set_ready(ready);
+    let loads = tables.board.report();
+    let busy = !loads.is_empty();
+    let speaks = busy || occasion.was_busy || occasion.woken;
+    occasion.was_busy = busy;
+    let due = tables.fleet.due(speaks, urgent, now);
+    let pace = tables.fleet.pace();
+    tables.board.hear(pace);
+    tables.quota.hear(pace * f64::from(HELLO_EVERY));
     tables.board.forget(now);
     tables.quota.forget(now);
-    let mut to = tables.peers.addresses();
-    to.retain(|addr| *addr != me.listen.peers);
+    let facts = tables.facts(gw, number, config);
     let mut words = Vec::new();
-    let list_age = tables.roster.age(now);
-    let about = About {
-        from,
-        number,
-        list_age,
-        list: tables.roster.digest(),
-        config,
-        config_age: tables.watch.age(now),
-    };
-    let loads = Loads::new(about, &tables.board.report());
-    let hello = number % HELLO_EVERY == 1;
-    let told = hello.then(|| (tables.quota.report(now), tables.roster.left(now)));
+    if occasion.round % HELLO_EVERY == 1 && !due.near.is_empty() {
+        let mut near = tables.hello(&facts, due.near_next, now);
+        near.counts = tables.quota.report(now);
+        words.push((Word::Hello(Box::new(near)), due.near.clone()));
+    }
+    if !due.far.is_empty() {
+        let far = tables.hello(&facts, due.far_next, now);
+        words.push((Word::Hello(Box::new(far)), due.far));
+    }
     drop(tables);
-    if let Some((counts, left)) = told {
-        let known = match number % (HELLO_EVERY * KNOWN_EVERY) {
-            1 => to.iter().take(KNOWN).copied().collect(),
-            _ => Vec::new(),
-        };
-        words.push(Word::Hello(Box::new(Hello {
-            name: me.name.clone(),
-            incarnation: gw.incarnation,
-            peers: me.listen.peers,
-            callers: me.listen.callers,
-            ready: gw.is_ready(),
+    if !due.near.is_empty() {
+        let about = About::new(&facts, due.near_next);
+        words.push((Word::Loads(Loads::new(about, &loads)), due.near));
+    }
+    (words, pace.into())
+}
+
+impl Tables {
+    fn facts(&self, gw: &Shared, number: u32, config: u64) -> Facts {
+        let now = gw.now();
+        Facts {
+            from: short(&gw.settings.name, gw.incarnation),
             number,
-            counts,
-            left,
-            known,
-        })));
+            list_age: self.roster.age(now),
+            list: self.roster.digest(),
+            config,
+            config_age: self.watch.age(now),
+        }
+    }
+
+    /// Returns a word on who this router is, whose next one comes after `next`.
+    fn hello(&self, facts: &Facts, next: Span, now: Time) -> Hello {
+        Hello {
+            about: About::new(facts, next),
+            name: self.fleet.name().clone(),
+            intro: self.fleet.own().clone(),
+            rate: self.fleet.rate() as f32,
+            counts: Vec::new(),
+            left: self.roster.left(now),
+            silent: self.fleet.silent(),
+            known: Vec::new(),
+        }
     }
-    words.push(Word::Loads(loads));
-    (words, to)
 }
 
 /// Work of a kind of which one runs at a time. Words that call for it come several times a
@@ -161,12 +198,26 @@
     }
 }
 
+/// What one router hears, and what it does then.
+#[derive(Debug)]
+struct Listener {
+    gw: Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    fetching: Single,
+    listing: Single,
+}
+
 /// Hears the peers for as long as the process runs.
 pub(crate) async fn listen(gw: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let (fetching, listing) = (Single::default(), Single::default());
+    let listener = Listener {
+        gw,
+        socket,
+        fetching: Single::default(),
+        listing: Single::default(),
+    };
     let mut buf = vec![0; MAX];
     loop {
-        let n = match socket.recv_from(&mut buf).await {
+        let n = match listener.socket.recv_from(&mut buf).await {
             Ok((n, _)) => n,
             Err(e) => {
                 log::warn!("event=peers outcome=receive-failed cause={e:?}");
@@ -175,54 +226,100 @@
             }
         };
         match Word::decode(&buf[..n]) {
-            Ok(Word::Hello(hello)) if hello.name != gw.settings.name => hear(&gw, &hello),
-            Ok(Word::Hello(_)) => {}
-            Ok(Word::Loads(loads)) => {
-                let now = gw.now();
-                let mut tables = gw.tables();
-                let Some((from, at)) = tables.peers.loads(&loads, now) else {
-                    continue;
-                };
-                tables.board.peer(&from, &loads.loads(), now);
-                tables.watch.peer(&from, loads.config_age(), now);
-                let newer = tables.roster.peer_list(loads.list_age(), loads.list, now);
-                drop(tables);
-                if newer {
-                    let gw = gw.clone();
-                    listing.spawn(async move { lists::fetch(&gw, at).await });
-                }
-                if loads.config > gw.version() {
-                    let gw = gw.clone();
-                    fetching.spawn(async move { documents::fetch(&gw, at).await });
+            Ok(Word::Hello(hello)) if hello.name != listener.gw.settings.name => {
+                if listener.hello(&hello) == Heard::First {
+                    listener.answer(hello.intro.peers).await;
                 }
             }
+            Ok(Word::Hello(_)) => {}
+            Ok(Word::Loads(loads)) => listener.loads(&loads),
             Err(e) => log::debug!("event=peers outcome=not-understood cause={e:?}"),
         }
     }
 }
 
-fn hear(gw: &Shared, hello: &Hello) {
-    let now = gw.now();
-    let mut tables = gw.tables();
-    let known = tables.peers.live(now).any(|(name, _)| *name == hello.name);
-    if !tables.peers.hello(hello, now) {
-        return;
+impl Listener {
+    fn loads(&self, loads: &Loads) {
+        let about = &loads.about;
+        let now = self.gw.now();
+        let mut tables = self.gw.tables();
+        let next = about.next();
+        let Some((from, at)) = tables.fleet.word(about.from, about.number, next, now) else {
+            return;
+        };
+        tables.board.peer(&from, &loads.loads(), now);
+        drop(tables);
+        self.about(about, &from, at);
     }
-    if !known {
-        log::info!(
-            "event=peer outcome=heard peer={} at={}",
-            hello.name,
-            hello.peers
-        );
+
+    fn hello(&self, hello: &Hello) -> Heard {
+        let now = self.gw.now();
+        let about = &hello.about;
+        let mut tables = self.gw.tables();
+        let rate = f64::from(hello.rate);
+        let intro = hello.intro.clone();
+        let heard = tables
+            .fleet
+            .hello(&hello.name, about.number, intro, about.next(), rate, now);
+        if heard == Heard::Old {
+            return heard;
+        }
+        if !hello.counts.is_empty() {
+            tables.quota.peer(&hello.name, &hello.counts, now);
+        }
+        tables.fleet.told_silent(&hello.silent, now);
+        for addr in &hello.known {
+            tables.fleet.list(*addr, now);
+        }
+        let left = tables.roster.told(&hello.left, now);
+        drop(tables);
+        let at = hello.intro.peers;
+        for id in left {
+            log::info!(
+                "event=replica outcome=left replica={id} from={}",
+                hello.name
+            );
+        }
+        self.about(about, &hello.name, at);
+        if heard == Heard::First {
+            log::info!("event=peer outcome=heard peer={} at={at}", hello.name);
+        }
+        heard
     }
-    tables.quota.peer(&hello.name, &hello.counts, now);
-    for addr in &hello.known {
-        tables.peers.list(*addr, now);
+
+    /// Tells a router that starts who this one is, and where others are: it may know only those
+    /// that its settings name, and the store may be away.
+    async fn answer(&self, to: SocketAddr) {
+        let now = self.gw.now();
+        let config = self.gw.version();
+        let number = self.gw.next_word();
+        let hello = {
+            let tables = self.gw.tables();
+            let facts = tables.facts(&self.gw, number, config);
+            let mut hello = tables.hello(&facts, tables.fleet.round(), now);
+            hello.known = tables.fleet.some(KNOWN, fastrand::usize(..));
+            hello
+        };
+        send(&self.socket, &Word::Hello(Box::new(hello)), &[to], false).await;
     }
-    for id in tables.roster.told(&hello.left, now) {
-        log::info!(
-            "event=replica outcome=left replica={id} from={}",
-            hello.name
-        );
+
+    /// Takes what each word says.
+    fn about(&self, about: &About, from: &RouterId, at: SocketAddr) {
+        let gw = &self.gw;
+        let now = gw.now();
+        let mut tables = gw.tables();
+        tables.watch.peer(from, about.config_age(), now);
+        let newer = tables.roster.peer_list(about.list_age(), about.list, now);
+        drop(tables);
+        if newer {
+            let gw = gw.clone();
+            self.listing
+                .spawn(async move { lists::fetch(&gw, at).await });
+        }
+        if about.config > gw.version() {
+            let gw = gw.clone();
+            self.fetching
+                .spawn(async move { documents::fetch(&gw, at).await });
+        }
     }
 }
--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -36,7 +36,7 @@
 fn is_due(gw: &Shared) -> bool {
     let now = gw.now();
     let tables = gw.tables();
-    let routers = tables.peers.count(now);
+    let routers = tables.fleet.takers();
     !gw.is_leaving() && tables.watch.is_due(fastrand::f64(), routers, now)
 }
 
@@ -44,19 +44,18 @@
 async fn pause(gw: &Shared) {
     let pause = {
         let tables = gw.tables();
-        let routers = tables.peers.count(gw.now());
+        let routers = tables.fleet.count(gw.now());
         tables.watch.pause(fastrand::f64(), routers)
     };
     task::sleep(pause.into()).await;
 }
 
-/// Puts a configuration in force, and has the peers told at once of a new one: with hundreds of
-/// them the next word is due in more than a second.
+/// Puts a configuration in force, and has all peers told at once of a new one.
 fn take(gw: &Shared, document: Vec<u8>) {
     let before = gw.version();
     gw.take_config(document, FROM);
     if gw.version() > before {
-        gw.announce();
+        gw.announce_to_all();
     }
 }
 
--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -3,7 +3,10 @@
 use {
     crate::state::Shared,
     async_std::task,
-    policy::RouterId,
+    policy::{
+        RouterId,
+        Span, //
+    },
     serde::{
         Deserialize,
         Serialize, //
@@ -23,14 +26,22 @@
 const LEASE: Duration = Duration::from_secs(15);
 /// How often it is renewed, so that two renewals may fail.
 const RENEW: Duration = Duration::from_secs(5);
-/// How often it is looked for others later on. Their hellos tell of those that come.
+/// A router that has been active for this long registers. One that starts takes itself for active
+/// until it hears others, and 295 that start together would register all.
+const SETTLED: Span = Span::millis(2_000);
+/// When a router that starts looks for others: the seeds that its settings name may be down.
+const EARLY: [Duration; 3] = [
+    Duration::from_millis(500),
+    Duration::from_millis(3_000),
+    Duration::from_millis(6_000),
+];
+/// How often an active router looks for others later on, so that two parts of a fleet that
+/// started without hearing each other become one.
 const LOOK: Duration = Duration::from_secs(15);
-/// Pause after a call that failed.
-const AGAIN: Duration = Duration::from_millis(500);
-/// How long a router that starts looks for others at each tick.
-const EARLY: Duration = Duration::from_secs(6);
+/// How often a router that hears nobody looks for others.
+const ALONE: Duration = Duration::from_secs(1);
 /// How often it sees what is to be done.
-const TICK: Duration = Duration::from_secs(1);
+const TICK: Duration = Duration::from_millis(500);
 
 /// What a router registers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,35 +50,75 @@
     pub(crate) peers: SocketAddr,
 }
 
-/// Keeps this router's entry, and looks for the others'.
+/// This router's entry, and its looks for the others'.
+#[derive(Debug)]
+struct Registration {
+    started: Instant,
+    /// When it last looked for others, and how often it did.
+    looked: Option<Instant>,
+    looks: usize,
+    /// The lease of its entry, and when that was renewed.
+    lease: Option<(u64, Instant)>,
+}
+
+/// Keeps this router's entry while it is active, and looks for the others'.
+///
+/// Those who start need to hear of a few routers only, who tell them of the rest. With an entry of
+/// each, and a look of each every second at its start, 295 instances made some thousands of calls
+/// to the store on a day of 50 s.
 pub(crate) async fn register(gw: Arc<Shared>) {
-    let started = Instant::now();
-    let mut looked = None;
+    let mut own = Registration {
+        started: Instant::now(),
+        looked: None,
+        looks: 0,
+        lease: None,
+    };
     while !gw.is_leaving() {
-        let Some(lease) = take_out(&gw).await else {
-            task::sleep(AGAIN).await;
-            continue;
+        if own.is_to_look(&gw) {
+            own.looked = Some(Instant::now());
+            own.looks += 1;
+            look(&gw).await;
+        }
+        own.keep_entry(&gw).await;
+        task::sleep(TICK).await;
+    }
+    if let Some((lease, _)) = own.lease {
+        let ended = (gw.store.release)(lease).await;
+        gw.note_store("release", ended.as_ref().err());
+    }
+}
+
+impl Registration {
+    fn is_to_look(&self, gw: &Shared) -> bool {
+        let due = |every| self.looked.is_none_or(|at| at.elapsed() >= every);
+        if let Some(early) = EARLY.get(self.looks) {
+            return self.started.elapsed() >= *early;
+        }
+        let now = gw.now();
+        let tables = gw.tables();
+        if tables.fleet.count(now) == 1 {
+            return due(ALONE);
+        }
+        tables.fleet.is_active() && due(LOOK)
+    }
+
+    async fn keep_entry(&mut self, gw: &Shared) {
+        let settled = {
+            let now = gw.now();
+            gw.tables().fleet.active_for(now) >= SETTLED
         };
-        let mut renewed = Instant::now();
-        loop {
-            let early = started.elapsed() < EARLY;
-            if early || looked.is_none_or(|at: Instant| at.elapsed() >= LOOK) {
-                looked = Some(Instant::now());
-                look(&gw).await;
-            }
-            task::sleep(TICK).await;
-            if gw.is_leaving() {
-                let ended = (gw.store.release)(lease).await;
-                gw.note_store("release", ended.as_ref().err());
-                return;
-            }
-            if renewed.elapsed() < RENEW {
-                continue;
+        match self.lease {
+            None if settled => {
+                let taken = take_out(gw).await;
+                self.lease = taken.map(|lease| (lease, Instant::now()));
             }
-            renewed = Instant::now();
-            if !renew(&gw, lease).await {
-                break;
+            // The entry of one that only stands by ends with its lease.
+            Some((lease, at)) if settled && at.elapsed() >= RENEW => {
+                let goes_on = renew(gw, lease).await;
+                self.lease = goes_on.then(|| (lease, Instant::now()));
             }
+            Some((_, at)) if at.elapsed() >= LEASE => self.lease = None,
+            _ => {}
         }
     }
 }
@@ -110,7 +161,7 @@
     let mut tables = gw.tables();
     for bytes in listed {
         match rmp_serde::from_slice::<Entry>(&bytes) {
-            Ok(entry) => tables.peers.list(entry.peers, now),
+            Ok(entry) => tables.fleet.list(entry.peers, now),
             Err(e) => log::warn!("event=register outcome=not-understood cause={e:?}"),
         }
     }
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -56,7 +56,7 @@
 fn is_due(gw: &Shared) -> bool {
     let now = gw.now();
     let tables = gw.tables();
-    let routers = tables.peers.count(now);
+    let routers = tables.fleet.takers();
     tables.roster.is_due(fastrand::f64(), routers, now)
 }
 
--- a/crates/gateway/src/leave.rs
+++ b/crates/gateway/src/leave.rs
@@ -83,7 +83,7 @@
             let now = gw.now();
             let mut tables = gw.tables();
             for seed in new.seeds() {
-                tables.peers.list(seed, now);
+                tables.fleet.list(seed, now);
             }
         }
         Err(e) => log::error!("event=reload outcome=rejected cause={:?}", e.to_string()),
@@ -97,6 +97,7 @@
 pub(crate) async fn end(gw: &Arc<Shared>, stop: Sender<()>) {
     let began = Instant::now();
     gw.leaving.store(true, Ordering::SeqCst);
+    gw.announce_to_all();
     log::info!(
         "event=stop outcome=leaving active={}",
         gw.active.load(Ordering::Relaxed)
--- a/crates/gateway/src/serve/addresses.rs
+++ b/crates/gateway/src/serve/addresses.rs
@@ -17,8 +17,6 @@
 /// How long callers keep an answer. Some keep it three times as long, so an instance that
 /// leaves is asked by nobody 3 s later, well within the time that it has.
 const KEEP: Duration = Duration::from_secs(1);
-/// Most addresses in an answer.
-const MOST: usize = 64;
 
 /// Answers callers who ask which address to use.
 pub(crate) async fn serve_addresses(gw: Arc<Shared>, listener: TcpListener) {
@@ -42,21 +40,26 @@
     .await;
 }
 
-/// Returns the instances that take callers.
+/// Returns the active instances, which take callers.
 ///
-/// Callers choose among them at random, so every one that can serve is named: whoever names
-/// only those that are near sends the callers of a busy zone to a few.
+/// Callers choose among them at random, so all are named, also those that are far: whoever names
+/// only those that are near sends the callers of a busy zone to a few. Where none is known this one
+/// is named, if it can serve.
 fn addresses(gw: &Shared) -> Vec<SocketAddr> {
     let now = gw.now();
-    let mut all: Vec<SocketAddr> = Vec::new();
-    if gw.is_ready() {
+    let ready = gw.is_ready();
+    let mut tables = gw.tables();
+    tables.fleet.set_ready(ready);
+    tables.fleet.refresh(now);
+    let mut all: Vec<SocketAddr> = tables
+        .fleet
+        .active()
+        .map(|(_, p)| p.intro.callers)
+        .collect();
+    if ready && (tables.fleet.is_active() || all.is_empty()) {
         all.push(gw.settings.listen.callers);
     }
-    let tables = gw.tables();
-    let peers = tables.peers.live(now).filter(|(_, p)| p.ready);
-    all.extend(peers.map(|(_, p)| p.callers));
     drop(tables);
     fastrand::shuffle(&mut all);
-    all.truncate(MOST);
     all
 }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -143,7 +143,7 @@
             target: Span::from(req.route.target),
             shortest: Span::from(req.shortest),
             standing,
-            words: self.peers.every(),
+            words: self.fleet.pace(),
             tuning: &gw.settings.placement,
         };
         (Some(pick(&candidates, &wish)), standing)
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -114,20 +114,21 @@
     until.saturating_duration_since(Instant::now()) > LEAST
 }
 
-/// Counts a request for the retry budget of its service.
+/// Counts a request that this router takes, also for the retry budget of its service.
 pub(crate) fn count_first(gw: &Shared, req: &Request) {
+    gw.tables().fleet.count_request();
     budget(gw, req, Budget::first);
 }
 
 /// Runs a step of the retry budget of a request's service.
 ///
 /// Each router spends a part of what the users allow over the fleet: the ratio of its own
-/// requests, and an even part of what is allowed besides.
+/// requests, and an even part among the active ones of what is allowed besides.
 fn budget<R>(gw: &Shared, req: &Request, step: fn(&mut Budget, policy::Time) -> R) -> R {
     let now = gw.now();
     let bounds = gw.settings.bounds;
     let mut tables = gw.tables();
-    let routers = tables.peers.count(now) as f64;
+    let routers = tables.fleet.sharers() as f64;
     let budget = tables
         .budgets
         .entry(req.service.clone())
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -104,7 +104,7 @@
 
 fn gauges(gw: &Shared) {
     let now = gw.now();
-    let peers = gw.tables().peers.live(now).count();
+    let peers = gw.tables().fleet.live(now).count();
     let values = [
         (
             "chervilwind_active_requests",
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -65,6 +65,15 @@
     /// Time between two words on this router's load to each peer, in milliseconds.
     #[serde(default = "beat_ms")]
     pub beat_ms: u64,
+    /// Least number of routers that take callers, where there are as many.
+    #[serde(default = "active")]
+    pub active: usize,
+}
+
+/// Least number of routers that take callers: the loss of one is the loss of a twenty-fourth of
+/// what is served until its callers have gone elsewhere.
+fn active() -> usize {
+    24
 }
 
 /// Requests that others sent in this time are not counted in a decision: three or four for
@@ -105,6 +114,14 @@
     pub memory_mb: u64,
     /// File descriptors that the process may use.
     pub descriptors: u32,
+    /// Processor time that it has, in cores.
+    #[serde(default = "processor")]
+    pub processor: f32,
+}
+
+/// An instance that does not know what it has counts as one of the smallest.
+fn processor() -> f32 {
+    0.12
 }
 
 /// Why settings were not accepted.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        fleet::Peers,
         model::{
             Config,
             Dialect,
@@ -18,6 +17,10 @@
         Sender, //
     },
     policy::{
+        actives::{
+            Actives,
+            Intro, //
+        },
         placement::{
             Board,
             Health,
@@ -39,6 +42,7 @@
         sync::{
             atomic::{
                 AtomicBool,
+                AtomicU32,
                 AtomicUsize,
                 Ordering, //
             },
@@ -77,7 +81,8 @@
     pub(crate) heard: HashMap<ReplicaKey, Time>,
     pub(crate) quota: Quota,
     pub(crate) budgets: HashMap<ServiceId, Budget>,
-    pub(crate) peers: Peers,
+    /// The other routers.
+    pub(crate) fleet: Actives,
     pub(crate) watch: Watch,
 }
 
@@ -97,6 +102,10 @@
     /// Wakes who speaks to the peers, where something is to be told before its time.
     wake: Sender<()>,
     pub(crate) woken: Receiver<()>,
+    /// What is to be told concerns all, not only the active routers.
+    urgent: AtomicBool,
+    /// Number of the last word to peers.
+    words: AtomicU32,
     /// No new callers are wanted any more.
     pub(crate) leaving: AtomicBool,
     /// Requests are refused, as they might not end before the process must.
@@ -116,11 +125,12 @@
 impl Shared {
     pub(crate) fn new(settings: Settings, dialect: Dialect, store: Store) -> Shared {
         let (wake, woken) = bounded(1);
+        let incarnation = Incarnation(fastrand::u64(..));
         let window = Span((settings.bounds.fair_window_s * 1e6) as u64);
         Shared {
             dialect,
             store,
-            incarnation: Incarnation(fastrand::u64(..)),
+            incarnation,
             started: Instant::now(),
             force: Mutex::new(None),
             tables: Mutex::new(Tables {
@@ -133,12 +143,14 @@
                 heard: HashMap::new(),
                 quota: Quota::new(window),
                 budgets: HashMap::new(),
-                peers: Peers::default(),
+                fleet: own_fleet(&settings, incarnation),
                 watch: Watch::default(),
             }),
             pool: Pool::default(),
             wake,
             woken,
+            urgent: AtomicBool::new(false),
+            words: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             refuses: AtomicBool::new(false),
             listed: AtomicBool::new(false),
@@ -165,12 +177,31 @@
         self.in_force().map_or(0, |force| force.config.version)
     }
 
-    /// Has the peers told at once of what is new here.
+    /// Has the active routers told at once of what is new here.
     pub(crate) fn announce(&self) {
         // Where a word waits to be told already, it tells of this too.
         let _ = self.wake.try_send(());
     }
 
+    /// Has all routers told at once of what is new here.
+    ///
+    /// Those that stand by hear a router every three seconds where there are 300. A leaving
+    /// router would be named to callers for as long, and a key that is taken away would be taken.
+    pub(crate) fn announce_to_all(&self) {
+        self.urgent.store(true, Ordering::SeqCst);
+        self.announce();
+    }
+
+    /// Tells whether all routers are to be told now, once for each time that they are to be.
+    pub(crate) fn takes_urgent(&self) -> bool {
+        self.urgent.swap(false, Ordering::SeqCst)
+    }
+
+    /// Returns the number of the next word to peers.
+    pub(crate) fn next_word(&self) -> u32 {
+        self.words.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
     /// Locks the tables for one step.
     pub(crate) fn tables(&self) -> MutexGuard<'_, Tables> {
         lock(&self.tables)
@@ -233,6 +264,20 @@
     }
 }
 
+/// Makes the table of the other routers, of whom none is known yet.
+fn own_fleet(settings: &Settings, incarnation: Incarnation) -> Actives {
+    let intro = Intro {
+        incarnation,
+        peers: settings.listen.peers,
+        callers: settings.listen.callers,
+        zone: settings.zone.clone(),
+        processor: settings.instance.processor,
+        ready: false,
+    };
+    let beat = Span::millis(settings.fleet.beat_ms);
+    Actives::new(settings.name.clone(), intro, settings.fleet.active, beat)
+}
+
 /// Locks a table. A thread that panicked with the lock held has left a table that was
 /// changed by whole steps only, so the others go on with it.
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! caller passes the time and a seed. That is what lets each decision be fuzzed against
 //! an oracle, replayed from a golden file and measured without a network.
 
+pub mod actives;
 mod dispatch;
 mod entry;
 pub mod head;
--- /dev/null
+++ b/crates/policy/tests/actives/main.rs
@@ -0,0 +1,167 @@
+//! Which routers take callers, in fleets of 8 to 370.
+
+mod world;
+
+use {
+    policy::Span,
+    world::{
+        name,
+        World,
+        LEAST, //
+    },
+};
+
+/// The sizes that a fleet has today, and the one to design for.
+const SIZES: [usize; 4] = [8, 60, 300, 370];
+
+#[test]
+fn start_nobody_knows_anybody() {
+    // All processes start in the same moment, the store is away, and each knows only the three
+    // that its settings name. Callers come at once, and must not be sent to a few for long.
+    for n in SIZES {
+        let mut world = World::new(n, 7);
+        let took = world.agree_within(Span::secs(6));
+        assert!(took.is_some(), "{n} routers do not agree after 6 s");
+        assert_eq!(world.active(n - 1).len(), LEAST.min(n));
+        world.run(Span::secs(6));
+        // One word in a hundred is lost, and one that was comes again after three seconds.
+        let least = world.least_known();
+        assert!(least * 100 >= n * 99, "one of {n} knows only {least}");
+    }
+}
+
+#[test]
+fn start_after_all_were_killed() {
+    // Power fails everywhere and comes back after a second. Those that start must neither wait
+    // for the dead nor name them to callers.
+    for n in SIZES {
+        let mut world = World::new(n, 11);
+        world.run(Span::secs(12));
+        for i in 0..n {
+            world.kill(i);
+        }
+        world.run(Span::secs(1));
+        for i in 0..n {
+            world.start(i);
+        }
+        let took = world.agree_within(Span::secs(6));
+        assert!(took.is_some(), "{n} routers do not agree after 6 s");
+    }
+}
+
+#[test]
+fn silent_active_one_is_replaced() {
+    // The process of an active router is killed. Callers who ask any router for addresses must
+    // soon be told of one that is up in its place: each that connects to the dead one loses a
+    // second.
+    for n in SIZES {
+        let mut world = World::new(n, 3);
+        world.run(Span::secs(12));
+        let dead = world
+            .up()
+            .into_iter()
+            .find(|i| world.is_active(*i))
+            .unwrap();
+        world.kill(dead);
+        world.run(Span::millis(2_500));
+        let naming = world
+            .up()
+            .into_iter()
+            .filter(|i| world.dead_named(*i) > 0)
+            .count();
+        assert!(
+            naming * 50 <= n,
+            "{naming} of {n} name a dead one after 2.5 s"
+        );
+        assert!(world.agree_within(Span::secs(5)).is_some(), "{n} disagree");
+    }
+}
+
+#[test]
+fn half_the_active_ones_are_killed() {
+    // Many processes are killed at the same moment, half of the active ones among them.
+    for n in [60, 300, 370] {
+        let mut world = World::new(n, 5);
+        world.run(Span::secs(12));
+        let all = world.up();
+        let active: Vec<usize> = all.into_iter().filter(|i| world.is_active(*i)).collect();
+        for i in active.iter().step_by(2) {
+            world.kill(*i);
+        }
+        world.run(Span::secs(4));
+        let naming = world
+            .up()
+            .into_iter()
+            .filter(|i| world.dead_named(*i) > 0)
+            .count();
+        assert!(
+            naming * 50 <= n,
+            "{naming} of {n} name a dead one after 4 s"
+        );
+        assert!(world.active(n - 1).len() >= LEAST);
+    }
+}
+
+#[test]
+fn leaving_one_is_named_no_more() {
+    // An active router gets a SIGTERM. Callers who ask for addresses a moment later must not be
+    // sent there any more, whichever router they ask.
+    for n in SIZES {
+        let mut world = World::new(n, 9);
+        world.run(Span::secs(12));
+        let leaving = world
+            .up()
+            .into_iter()
+            .find(|i| world.is_active(*i))
+            .unwrap();
+        world.leave(leaving);
+        world.run(Span::millis(300));
+        let gone = name(leaving);
+        let naming = world
+            .up()
+            .into_iter()
+            .filter(|i| world.active(*i).contains(&gone))
+            .count();
+        // One word in a hundred is lost.
+        assert!(naming * 20 <= n, "{naming} of {n} name the leaving one");
+    }
+}
+
+#[test]
+fn cut_zone_serves_its_callers() {
+    // A zone can't reach the others for ten seconds. Both sides take those that they hear for
+    // active, and agree again once the cut is mended.
+    let n = 300;
+    let mut world = World::new(n, 13);
+    world.run(Span::secs(12));
+    world.cut.insert(2);
+    world.run(Span::secs(14));
+    let inside = world.active(2);
+    assert!(inside.len() >= LEAST, "{inside:?}");
+    let outside = (0..n).filter(|i| i % 5 != 2).map(name).collect::<Vec<_>>();
+    assert!(inside.iter().all(|name| !outside.contains(name)));
+    world.cut.clear();
+    assert!(world.agree_within(Span::secs(8)).is_some());
+}
+
+#[test]
+fn words_between_routers_stay_bounded() {
+    // What a router that stands by sends and gets may not grow with the fleet: 21 KB/s each way
+    // is all that routers may say to each other.
+    for n in SIZES {
+        let mut world = World::new(n, 17);
+        world.run(Span::secs(12));
+        world.reset_bytes();
+        world.run(Span::secs(6));
+        for i in 0..n {
+            if world.is_active(i) {
+                continue;
+            }
+            let (sent, got) = (world.sent[i] / 6, world.got[i] / 6);
+            assert!(
+                sent <= 21_000 && got <= 21_000,
+                "{n}: {i} sent {sent}, got {got}"
+            );
+        }
+    }
+}
