--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod conn;
 mod exchange;
 mod head;
+mod listen;
 mod write;
 
 pub(crate) use self::{
@@ -26,6 +27,7 @@
         HeadError,
         Line, //
     },
+    listen::listen,
     write::{
         chunk,
         LAST_CHUNK, //
