fleet: who is active is logged and measured; tests of the words' sizes and of a store that is down for all

Cause: nothing in logs or metrics told which routers callers are pointed to; the mend of reads in an outage had no test.

--- a/crates/gateway/src/fleet/beat/tests.rs
+++ b/crates/gateway/src/fleet/beat/tests.rs
@@ -4,14 +4,17 @@
     super::{
         About,
         Facts,
+        Hello,
         Loads,
         Word, //
     },
     policy::{
+        actives::Intro,
         placement::{
             Load,
             ReplicaKey, //
         },
+        Incarnation,
         Span, //
     },
 };
@@ -68,6 +71,33 @@
     assert!(bytes.len() <= 200, "{}", bytes.len());
 }
 
+#[test]
+fn hello_stays_small() {
+    // An active router of 370 tells 100 others a second that it is there, which is to leave most of
+    // 21 KB/s for what it tells the other active ones.
+    let intro = Intro {
+        incarnation: Incarnation(u64::MAX),
+        peers: "10.250.250.250:7400".parse().unwrap(),
+        callers: "10.250.250.250:8783".parse().unwrap(),
+        zone: "richmond-c".parse().unwrap(),
+        processor: 0.12,
+        ready: true,
+    };
+    let hello = Hello {
+        about: about(u32::MAX),
+        name: "edge-richmond-c-100".parse().unwrap(),
+        intro,
+        rate: 1_234.5,
+        counts: Vec::new(),
+        left: Vec::new(),
+        silent: Vec::new(),
+        asks: false,
+        known: Vec::new(),
+    };
+    let bytes = Word::Hello(Box::new(hello)).encode().unwrap();
+    assert!(bytes.len() <= 140, "{}", bytes.len());
+}
+
 #[test]
 fn garbage_is_no_word() {
     for bytes in [&b""[..], b"GET / HTTP/1.1", &[0xc1; 40]] {
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -24,6 +24,7 @@
     policy::{
         actives::{
             short,
+            Actives,
             Heard,
             Said, //
         },
@@ -70,6 +71,21 @@
     was_busy: bool,
     /// There is something to tell the active ones.
     woken: bool,
+    /// It was active when it last spoke.
+    was_active: bool,
+}
+
+impl Occasion {
+    /// Notes whether this router is active, and logs the change.
+    fn note_active(&mut self, fleet: &Actives) {
+        let active = fleet.is_active();
+        if active != self.was_active {
+            let outcome = if active { "begun" } else { "ended" };
+            let all = fleet.active_count();
+            log::info!("event=active outcome={outcome} active={all}");
+        }
+        self.was_active = active;
+    }
 }
 
 /// Speaks to all peers for as long as the process runs.
@@ -79,6 +95,7 @@
         round: 0,
         was_busy: false,
         woken: false,
+        was_active: false,
     };
     loop {
         occasion.round += 1;
@@ -131,6 +148,7 @@
     let speaks = busy || occasion.was_busy || occasion.woken;
     occasion.was_busy = busy;
     let due = tables.fleet.due(speaks, urgent, now);
+    occasion.note_active(&tables.fleet);
     let pace = tables.fleet.pace();
     tables.board.hear(pace);
     tables.quota.hear(pace * f64::from(HELLO_EVERY));
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -104,7 +104,10 @@
 
 fn gauges(gw: &Shared) {
     let now = gw.now();
-    let peers = gw.tables().fleet.live(now).count();
+    let (peers, active) = {
+        let tables = gw.tables();
+        (tables.fleet.live(now).count(), tables.fleet.active_count())
+    };
     let values = [
         (
             "chervilwind_active_requests",
@@ -113,6 +116,7 @@
         ("chervilwind_callers", gw.callers.load(Ordering::Relaxed)),
         ("chervilwind_body_bytes", gw.bodies.load(Ordering::Relaxed)),
         ("chervilwind_peers", peers),
+        ("chervilwind_active_routers", active),
     ];
     for (name, value) in values {
         metrics::gauge!(name).set(value as f64);
--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -182,6 +182,28 @@
     assert!(roster.is_due(0.9, 2, at(4_000)));
 }
 
+#[test]
+fn roster_store_down_for_all() {
+    // The store is silent for eight seconds. Each of 300 routers that has had no list for four
+    // called it again and again, 450 times in ten seconds, though a call of a few would have told
+    // all that it is back.
+    let mut all: Vec<Roster<()>> = (0..300).map(|_| Roster::default()).collect();
+    for router in &mut all {
+        list(router, &["a"], 0);
+    }
+    let mut calls = 0;
+    for ms in (500..8_000).step_by(50) {
+        for (n, router) in all.iter_mut().enumerate() {
+            if router.is_due(roll(n, ms), 300, at(ms)) {
+                router.failed();
+                calls += 1;
+            }
+        }
+    }
+    // 30 calls a second at the most, once it has been due for half a second.
+    assert!((8..240).contains(&calls), "{calls}");
+}
+
 /// Returns what a router tells a peer of its list.
 fn whole(roster: &Roster<()>) -> Vec<(ReplicaId, (), bool)> {
     let all = roster
