--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -10,7 +10,6 @@
 mod conn;
 mod exchange;
 mod head;
-mod listen;
 mod write;
 
 pub(crate) use self::{
@@ -27,7 +26,6 @@
         HeadError,
         Line, //
     },
-    listen::listen,
     write::{
         chunk,
         LAST_CHUNK, //
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -4,7 +4,6 @@
     crate::{
         fleet,
         follow,
-        http,
         leave::{
             self,
             Signal, //
@@ -104,7 +103,7 @@
     handle: Option<PrometheusHandle>,
 ) -> io::Result<Gateway> {
     let listen = settings.listen.clone();
-    let callers = http::listen(listen.callers)?;
+    let callers = TcpListener::bind(listen.callers).await?;
     let ready = TcpListener::bind(listen.ready).await?;
     let addresses = TcpListener::bind(listen.addresses).await?;
     let documents = TcpListener::bind(listen.peers).await?;
