--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -29,11 +29,13 @@
 /// How often the users allow it to be sent on after that.
 const ALLOWED: usize = 3;
 
+type Script = dyn Fn(&Seen) -> Vec<Step> + Send + Sync;
+
 /// Replicas that start again under another id, as others, when they end.
 struct Replicas {
     up: Vec<(String, Replica)>,
     started: usize,
-    script: Arc<dyn Fn(&Seen) -> Vec<Step> + Send + Sync>,
+    script: Arc<Script>,
 }
 
 impl Replicas {
