gateway: a request under which three replicas ended is held back at all routers

Cause: a request ends each replica that begins to run it, with all that runs there, and is sent again. What was known of that lay in one attempt (the replicas that it had tried) and went with it. Each further attempt, and the second try of each, at whichever router, began anew. Ruled out: replicas that end by themselves (no other request was at more than 2 of the 24 ends that the logs hold, this one at 12 of 12 of its burst); load (ends came at 0.2 to 0.9 of the bound). Class: evidence of what a request did to replicas lives no longer, and no wider, than the attempt. Change: policy::quarantine. A router whose connection is lost when a replica had just begun a request looks whether the replica refuses connections, and notes request and replica. Routers tell each other at once, and again for 2 s. Three ends in a row, each of a send that came after the end before, and the request is refused for ten minutes, with how long; who starts later hears it from any other. An answer anywhere clears it. Replicas that were leaving count for nothing, and neither do several that end at once. Why it holds: it depends on nothing that one router remembers alone, and needs the replica's end, not a lost answer.

--- a/crates/gateway/src/fleet/beat.rs
+++ b/crates/gateway/src/fleet/beat.rs
@@ -7,6 +7,7 @@
             Load,
             ReplicaKey, //
         },
+        quarantine::Notes,
         quota::{
             Asked,
             WorkspaceKey, //
@@ -79,6 +80,8 @@
     pub(crate) counts: Vec<(WorkspaceKey, Asked)>,
     /// Replicas that left of late.
     pub(crate) left: Vec<ReplicaKey>,
+    /// Requests under which replicas end.
+    pub(crate) notes: Notes,
     /// Short names of active routers that are silent.
     pub(crate) silent: Vec<u32>,
     /// It knows few others, and asks for the addresses of more.
--- a/crates/gateway/src/fleet/beat/tests.rs
+++ b/crates/gateway/src/fleet/beat/tests.rs
@@ -14,6 +14,7 @@
             Load,
             ReplicaKey, //
         },
+        quarantine::Notes,
         Incarnation,
         Span, //
     },
@@ -90,6 +91,7 @@
         rate: 1_234.5,
         counts: Vec::new(),
         left: Vec::new(),
+        notes: Notes::default(),
         silent: Vec::new(),
         asks: false,
         known: Vec::new(),
--- a/crates/gateway/src/fleet/hear.rs
+++ b/crates/gateway/src/fleet/hear.rs
@@ -147,8 +147,15 @@
             tables.fleet.list(*addr, now);
         }
         let left = tables.roster.told(&hello.left, now);
+        let held = tables.quarantine.hear(&hello.notes, now);
         drop(tables);
         let at = hello.intro.peers;
+        for digest in held {
+            log::warn!(
+                "event=quarantine outcome=begun digest={digest} from={}",
+                hello.name
+            );
+        }
         for id in left {
             log::info!(
                 "event=replica outcome=left replica={id} from={}",
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -139,11 +139,15 @@
     tables.quota.hear(pace * f64::from(HELLO_EVERY));
     tables.board.forget(now);
     tables.quota.forget(now);
+    tables.quarantine.forget(now);
     let facts = tables.facts(gw, number, config);
     let mut words = Vec::new();
     let told: Vec<SocketAddr> = due.near.iter().chain(&due.beside).copied().collect();
-    if occasion.round % HELLO_EVERY == 1 && !told.is_empty() {
+    // A request that ends replicas is sent to the next one within a tenth of a second or so.
+    let news = tables.quarantine.takes_news();
+    if (news || occasion.round % HELLO_EVERY == 1) && !told.is_empty() {
         let mut near = tables.hello(&facts, due.near_next, now);
+        near.notes = tables.quarantine.notes(now);
         near.counts = tables.quota.report(now);
         words.push((Word::Hello(Box::new(near)), told));
     }
@@ -185,6 +189,7 @@
             rate: self.fleet.rate() as f32,
             counts: Vec::new(),
             left: self.roster.left(now),
+            notes: self.quarantine.holds(now),
             silent: self.fleet.silent(),
             asks: self.fleet.knows_few(),
             known: Vec::new(),
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -202,12 +202,7 @@
     e.note(place);
     note(req, place, course, outcome, &e.to_string());
     if e.lost_connection() && place.is_early() && has_ended(&place.replica, &gw.pool).await {
-        log::info!(
-            "event=replica outcome=ended replica={} id={} digest={}",
-            place.replica.id,
-            req.id,
-            req.digest
-        );
+        place.ended();
     }
 }
 
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -56,6 +56,10 @@
 impl Shared {
     /// Chooses a replica for a request, apart from those that were tried, and takes a place.
     ///
+    /// A request under which replicas ended gets none. Each that it is sent to ends with all that
+    /// runs there, which shows as a tenth and more of a service's requests failing while it comes.
+    /// The refusal holds for each try at each router, since all of them know of it a moment later.
+    ///
     /// # Errors
     ///
     /// Why it is refused, and when a place is likely.
@@ -66,6 +70,13 @@
     ) -> Result<Place, Refused> {
         let now = self.now();
         let mut tables = self.tables();
+        if let Some(left) = tables.quarantine.left(req.digest, now) {
+            return Err(Refused {
+                why: "replicas end when they run this request",
+                after: left.into(),
+                inputs: String::new(),
+            });
+        }
         let (prompt, engine) = (req.prompt.as_ref(), req.about.engine);
         let (picked, standing) = match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -16,6 +16,7 @@
             Prompt,
             ReplicaKey, //
         },
+        quarantine::RequestDigest,
         quota::WorkspaceKey,
         Span,
         Time, //
@@ -38,6 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Place {
     gw: Arc<Shared>,
+    digest: RequestDigest,
     pub(crate) replica: Arc<Replica>,
     /// Where it can copy the prompt's shared parts from.
     pub(crate) source: Option<SocketAddr>,
@@ -80,6 +82,7 @@
         let source = choice.source.and_then(|id| self.roster.get(&id));
         Place {
             gw: gw.clone(),
+            digest: req.digest,
             source: source.map(|r| r.addr),
             replica: replica.expect("what was chosen is known while the tables are locked"),
             key: choice.key,
@@ -119,7 +122,11 @@
     /// Notes that the replica sent something.
     pub(crate) fn heard(&self) {
         let now = self.gw.now();
-        self.gw.tables().heard.insert(self.key, now);
+        let mut tables = self.gw.tables();
+        tables.heard.insert(self.key, now);
+        if !self.is_early() {
+            tables.quarantine.answered(self.digest, now);
+        }
     }
 
     /// Returns how long the replica has sent nothing to this router, to any request.
@@ -137,6 +144,9 @@
         let mut tables = self.gw.tables();
         tables.health.entry(self.key).or_default().answered(ok);
         tables.heard.insert(self.key, now);
+        if ok {
+            tables.quarantine.answered(self.digest, now);
+        }
         if self.load.memory == 0 {
             tables.latencies.note(self.key, took);
         }
@@ -158,6 +168,28 @@
         tables.health.entry(self.key).or_default().broken(now);
     }
 
+    /// Notes that the replica's process ended, when it had just begun the request or was about
+    /// to. One that was leaving ends by itself.
+    pub(crate) fn ended(&self) {
+        let now = self.gw.now();
+        let mut tables = self.gw.tables();
+        let (id, digest) = (&self.replica.id, self.digest);
+        if !tables.roster.takes_work(id) {
+            return;
+        }
+        let ran = Span::from(self.ran());
+        let held = tables.quarantine.ended(digest, self.key, ran, now);
+        drop(tables);
+        log::info!("event=replica outcome=ended replica={id} digest={digest}");
+        match held {
+            true => {
+                log::warn!("event=quarantine outcome=begun digest={digest} from=own");
+                self.gw.announce_to_all();
+            }
+            false => self.gw.announce(),
+        }
+    }
+
     /// Returns how long the request has had this place.
     pub(crate) fn ran(&self) -> Duration {
         self.began.elapsed()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -29,6 +29,7 @@
             ReplicaMap,
             Speeds, //
         },
+        quarantine::Quarantine,
         quota::Quota,
         retry::Budget,
         Incarnation,
@@ -83,6 +84,8 @@
     pub(crate) heard: ReplicaMap<Time>,
     pub(crate) quota: Quota,
     pub(crate) budgets: HashMap<ServiceId, Budget>,
+    /// Requests under which replicas end.
+    pub(crate) quarantine: Quarantine,
     /// The other routers.
     pub(crate) fleet: Actives,
     pub(crate) watch: Watch,
@@ -145,6 +148,7 @@
                 heard: ReplicaMap::default(),
                 quota: Quota::new(window),
                 budgets: HashMap::new(),
+                quarantine: Quarantine::default(),
                 fleet: own_fleet(&settings, incarnation),
                 watch: Watch::default(),
             }),
--- a/crates/policy/src/roster/mod.rs
+++ b/crates/policy/src/roster/mod.rs
@@ -276,6 +276,11 @@
         ready.map(|(id, e)| (id, &e.value))
     }
 
+    /// Tells whether a replica is known and takes work.
+    pub fn takes_work(&self, id: &ReplicaId) -> bool {
+        self.entries.get(id).is_some_and(|e| !e.draining)
+    }
+
     /// Returns a replica that is known.
     pub fn get(&self, id: &ReplicaId) -> Option<&T> {
         self.entries.get(id).map(|e| &e.value)
--- /dev/null
+++ b/crates/policy/tests/quarantine/main.rs
@@ -0,0 +1,215 @@
+//! Requests under which replicas end: what is known of them at one router, and in whole fleets.
+
+mod fleet;
+
+use {
+    self::fleet::{
+        Fleet,
+        Plan, //
+    },
+    policy::{
+        placement::ReplicaKey,
+        quarantine::{
+            Held,
+            Notes,
+            Quarantine,
+            RequestDigest,
+            HOLD, //
+        },
+        Span,
+        Time, //
+    },
+};
+
+const DEADLY: RequestDigest = RequestDigest(0xdead);
+const OTHER: RequestDigest = RequestDigest(0x0123);
+
+fn at(ms: u64) -> Time {
+    Time(0) + Span::millis(ms)
+}
+
+/// How long a request runs until its replica ends.
+const RAN: Span = Span::millis(200);
+
+/// Notes that a replica ended under the deadly request; returns whether it is held back from then.
+fn end(quarantine: &mut Quarantine, replica: u32, now: Time) -> bool {
+    quarantine.ended(DEADLY, ReplicaKey(replica), RAN, now)
+}
+
+/// A router at which replicas ended under a request, at these milliseconds.
+fn after_ends(ms: &[u64]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for (n, ms) in ms.iter().enumerate() {
+        end(&mut quarantine, n as u32, at(*ms));
+    }
+    quarantine
+}
+
+/// What the question that many callers ask may be refused by chance: two seconds' worth, in which
+/// one that was under way is answered and all have heard of it.
+const MOMENT: usize = 10;
+
+#[test]
+fn quarantine_third_end() {
+    let mut quarantine = after_ends(&[0, 400]);
+    assert_eq!(quarantine.left(DEADLY, at(500)), None);
+    assert!(end(&mut quarantine, 9, at(800)));
+    assert_eq!(quarantine.left(DEADLY, at(800)), Some(HOLD));
+    assert_eq!(quarantine.left(OTHER, at(800)), None);
+    // It is told once that it began.
+    assert!(!end(&mut quarantine, 10, at(900)));
+}
+
+#[test]
+fn quarantine_same_replica_counts_once() {
+    let mut quarantine = after_ends(&[0, 400]);
+    assert!(!end(&mut quarantine, 1, at(800)));
+    assert_eq!(quarantine.left(DEADLY, at(800)), None);
+}
+
+#[test]
+fn quarantine_rack_that_fails() {
+    // A rack takes four replicas at once, and with them four copies of a question that many
+    // callers ask. Refused for that, it would have no answer for ten minutes.
+    let quarantine = after_ends(&[0, 10, 30, 60]);
+    assert_eq!(quarantine.left(DEADLY, at(100)), None);
+}
+
+#[test]
+fn quarantine_answered_is_cleared() {
+    let mut quarantine = after_ends(&[0, 400]);
+    quarantine.answered(DEADLY, at(500));
+    for (n, ms) in [800, 1_200].into_iter().enumerate() {
+        assert!(!end(&mut quarantine, 20 + n as u32, at(ms)));
+    }
+    assert!(end(&mut quarantine, 30, at(1_600)));
+}
+
+#[test]
+fn quarantine_let_through_again() {
+    // After the hold it is tried once; ending one more replica holds it back again at once, and
+    // an answer clears it for good.
+    let later = Time(0) + HOLD + Span::secs(1);
+    let mut deadly = after_ends(&[0, 400, 800]);
+    assert_eq!(deadly.left(DEADLY, later), None);
+    assert!(end(&mut deadly, 9, later));
+    assert!(deadly.left(DEADLY, later).is_some());
+    let mut mended = after_ends(&[0, 400, 800]);
+    mended.answered(DEADLY, later);
+    assert!(!end(&mut mended, 9, later + Span::secs(1)));
+}
+
+#[test]
+fn quarantine_ends_seen_by_three_routers() {
+    let mut routers = [(); 3].map(|()| Quarantine::default());
+    for (n, router) in routers.iter_mut().enumerate() {
+        let now = at(400 * n as u64);
+        assert!(!end(router, n as u32, now));
+    }
+    let notes: Vec<Notes> = routers.iter().map(|r| r.notes(at(900))).collect();
+    let [first, ..] = &mut routers;
+    assert!(first.hear(&notes[1], at(905)).is_empty());
+    // A word may come twice.
+    assert!(first.hear(&notes[1], at(906)).is_empty());
+    assert_eq!(first.hear(&notes[2], at(907)), [DEADLY]);
+    // A router that starts later hears of it from any other.
+    let mut late = Quarantine::default();
+    assert_eq!(late.hear(&first.holds(at(60_000)), at(5)), [DEADLY]);
+    let left = late.left(DEADLY, at(5)).unwrap();
+    assert!(left < HOLD && left > Span::secs(530), "{left:?}");
+}
+
+#[test]
+fn quarantine_answer_elsewhere() {
+    let mut first = after_ends(&[0, 400]);
+    let mut second = Quarantine::default();
+    second.hear(&first.notes(at(410)), at(415));
+    second.answered(DEADLY, at(500));
+    first.hear(&second.notes(at(510)), at(515));
+    assert!(!end(&mut first, 9, at(800)));
+    assert!(first.takes_news());
+    assert!(!first.takes_news());
+}
+
+#[test]
+fn quarantine_words_do_not_keep_it_up() {
+    // Two routers tell each other for an hour how much longer they hold a request back.
+    let mut first = after_ends(&[0, 400, 800]);
+    let mut second = Quarantine::default();
+    second.hear(&first.holds(at(800)), at(808));
+    for ms in (1_000..3_600_000).step_by(300) {
+        second.hear(&first.holds(at(ms)), at(ms + 8));
+        first.hear(&second.holds(at(ms + 10)), at(ms + 18));
+        if first.left(DEADLY, at(ms)).is_none() {
+            let over = at(ms).since(at(800) + HOLD);
+            assert!(over < Span::secs(2), "{over:?}");
+            return;
+        }
+    }
+    panic!("it is never let through again");
+}
+
+#[test]
+fn quarantine_peers_ask_for_too_long() {
+    let mut quarantine = Quarantine::default();
+    let notes = Notes {
+        held: vec![Held {
+            digest: DEADLY,
+            left: Span::secs(1_000_000),
+        }],
+        ..Notes::default()
+    };
+    quarantine.hear(&notes, at(0));
+    assert_eq!(quarantine.left(DEADLY, at(0)), Some(HOLD));
+}
+
+#[test]
+fn quarantine_many_suspects() {
+    // Crash after crash adds suspects. They take bounded memory, and the one that is held back
+    // stays.
+    let mut quarantine = after_ends(&[0, 400, 800]);
+    for n in 0..20_000 {
+        let now = at(1_000 + n);
+        let digest = RequestDigest(1_000_000 + n);
+        quarantine.ended(digest, ReplicaKey(n as u32), RAN, now);
+    }
+    assert!(quarantine.left(DEADLY, at(25_000)).is_some());
+    assert!(quarantine.notes(at(21_000)).ended.len() <= 32);
+    let dump = format!("{quarantine:?}");
+    assert!(dump.matches("changed").count() <= 4_096);
+}
+
+#[test]
+fn quarantine_in_a_fleet() {
+    // A request ends each replica that runs it and comes several times a second at any router,
+    // beside others that move from crash to crash and questions that many callers ask. The users'
+    // bound: at most three sends later than three seconds after the third end.
+    for (routers, seeds) in [(1, 20), (8, 20), (60, 6), (300, 1)] {
+        for seed in 0..seeds {
+            let ended = Fleet::new(routers, seed).run(&Plan::default());
+            assert!(ended.late <= 3, "{routers} routers, seed {seed}: {ended:?}");
+            assert_eq!(
+                ended.innocent, 0,
+                "{routers} routers, seed {seed}: {ended:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn quarantine_replicas_crash_by_themselves() {
+    // Replicas crash twice a second for a minute under whatever runs there. No request ends them,
+    // and none stays held back.
+    for seed in 0..20 {
+        let plan = Plan {
+            deadly: 0.0,
+            crashes: 2.0,
+            ..Plan::default()
+        };
+        let ended = Fleet::new(8, seed).run(&plan);
+        eprintln!("DBG own {seed} {ended:?}");
+        assert_eq!(ended.innocent, 0, "seed {seed}: {ended:?}");
+        assert!(ended.refused <= MOMENT, "seed {seed}: {ended:?}");
+        assert!(ended.all >= 30, "seed {seed}: {ended:?}");
+    }
+}
