gateway: routers that start after all were killed know which requests are held back

What callers would see: all routers are killed at once while a request is held back; it comes again and ends three more replicas and those under way until it is known again, which is more than the users allow. Cause: what is held back was known to running routers only. Change: the router that saw the third end writes what it holds back into its entry in the store, and each that registers writes what it knows. Who starts reads the entries anyway, half a second after its start: one call more for each request that is held back, none else. Until when stands there by the time of day, as an entry is read for as long as its lease is renewed and a span in it would count anew each time. Weighed: a key of its own for each request (a lease, a write and a read of each router at its start). Runs: the tests of the gateway; without the write quarantine_known_to_who_starts waits for good. Left: entries end 15 s after all routers, so a longer power failure forgets.

--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -4,6 +4,11 @@
     crate::state::Shared,
     async_std::task,
     policy::{
+        quarantine::{
+            Held,
+            Notes,
+            RequestDigest, //
+        },
         RouterId,
         Span, //
     },
@@ -16,7 +21,8 @@
         sync::Arc,
         time::{
             Duration,
-            Instant, //
+            Instant,
+            SystemTime, //
         },
     },
 };
@@ -48,6 +54,47 @@
 pub(crate) struct Entry {
     pub(crate) name: RouterId,
     pub(crate) peers: SocketAddr,
+    /// Requests that it holds back. Where all routers end at once, nobody is left who could tell
+    /// those that start, and three more replicas would end before it is known again.
+    #[serde(default)]
+    held: Vec<HeldUntil>,
+}
+
+/// A request that is held back, by the time of day. Clocks differ and are set, by seconds in ten
+/// minutes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct HeldUntil {
+    digest: RequestDigest,
+    unix_ms: u64,
+}
+
+impl Entry {
+    fn new(name: RouterId, peers: SocketAddr, held: &[Held], unix_ms: u64) -> Entry {
+        let held = held.iter().map(|h| HeldUntil {
+            digest: h.digest,
+            unix_ms: unix_ms + h.left.as_millis(),
+        });
+        Entry {
+            name,
+            peers,
+            held: held.collect(),
+        }
+    }
+
+    /// Returns what is still held back by it.
+    fn held(&self, unix_ms: u64) -> Vec<Held> {
+        let held = self.held.iter().map(|h| Held {
+            digest: h.digest,
+            left: Span::millis(h.unix_ms.saturating_sub(unix_ms)),
+        });
+        held.filter(|h| h.left > Span::ZERO).collect()
+    }
+}
+
+/// Returns the time of day, in Unix milliseconds.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
 }
 
 /// This router's entry, and its looks for the others'.
@@ -59,6 +106,8 @@
     looks: usize,
     /// The lease of its entry, and when that was renewed.
     lease: Option<(u64, Instant)>,
+    /// The entry lacks a request that this router holds back.
+    behind: bool,
 }
 
 /// Keeps this router's entry while it is active, and looks for the others'.
@@ -72,6 +121,7 @@
         looked: None,
         looks: 0,
         lease: None,
+        behind: false,
     };
     while !gw.is_leaving() {
         if own.is_to_look(&gw) {
@@ -120,6 +170,10 @@
             Some((_, at)) if at.elapsed() >= LEASE => self.lease = None,
             _ => {}
         }
+        self.behind |= gw.tables().quarantine.takes_begun();
+        if let Some((lease, _)) = self.lease.filter(|_| self.behind) {
+            self.behind = !write(gw, lease).await;
+        }
     }
 }
 
@@ -139,30 +193,61 @@
     let lease = (gw.store.lease)(LEASE).await;
     gw.note_store("lease", lease.as_ref().err());
     let lease = lease.ok()?;
-    let entry = Entry {
-        name: gw.settings.name.clone(),
-        peers: gw.settings.listen.peers,
+    if !write(gw, lease).await {
+        return None;
+    }
+    log::info!("event=register outcome=done lease={lease}");
+    Some(lease)
+}
+
+/// Writes this router's entry. Returns whether it stands there.
+async fn write(gw: &Shared, lease: u64) -> bool {
+    let held = gw.tables().quarantine.holds(gw.now()).held;
+    let settings = &gw.settings;
+    let entry = Entry::new(
+        settings.name.clone(),
+        settings.listen.peers,
+        &held,
+        unix_ms(),
+    );
+    let bytes = match rmp_serde::to_vec_named(&entry) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            log::error!("event=register outcome=not-encoded cause={e:?}");
+            return false;
+        }
     };
-    let bytes = rmp_serde::to_vec_named(&entry)
-        .map_err(|e| log::error!("event=register outcome=not-encoded cause={e:?}"))
-        .ok()?;
     let written = (gw.store.register)(entry.name.to_string(), bytes, lease).await;
     gw.note_store("register", written.as_ref().err());
-    written.ok()?;
-    log::info!("event=register outcome=done lease={lease}");
-    Some(lease)
+    written.is_ok()
 }
 
 async fn look(gw: &Shared) {
     let listed = (gw.store.routers)().await;
     gw.note_store("routers", listed.as_ref().err());
     let Ok(listed) = listed else { return };
-    let now = gw.now();
-    let mut tables = gw.tables();
     for bytes in listed {
         match rmp_serde::from_slice::<Entry>(&bytes) {
-            Ok(entry) => tables.fleet.list(entry.peers, now),
+            Ok(entry) => take(gw, &entry),
             Err(e) => log::warn!("event=register outcome=not-understood cause={e:?}"),
         }
     }
 }
+
+fn take(gw: &Shared, entry: &Entry) {
+    let now = gw.now();
+    let notes = Notes {
+        held: entry.held(unix_ms()),
+        ..Notes::default()
+    };
+    let mut tables = gw.tables();
+    tables.fleet.list(entry.peers, now);
+    let begun = tables.quarantine.hear(&notes, now);
+    drop(tables);
+    for digest in begun {
+        log::warn!("event=quarantine outcome=begun digest={digest} from=store");
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -44,6 +44,13 @@
     (first, second)
 }
 
+/// Returns the addresses that an instance names to callers.
+pub(crate) fn named(stage: &Stage) -> Vec<String> {
+    let mut caller = crate::caller::Caller::open(stage.settings.listen.addresses);
+    let body = caller.get("/addresses", "-", "").body;
+    body.split(' ').map(str::to_owned).collect()
+}
+
 fn echo() -> Replica {
     Replica::start(|_, seen| vec![Step::Send(good(seen, "ok"))])
 }
@@ -112,11 +119,6 @@
 fn fleet_addresses_name_both() {
     let replica = echo();
     let (first, second) = pair(&replica);
-    let ask = || {
-        let mut caller = crate::caller::Caller::open(first.settings.listen.addresses);
-        let body = caller.get("/addresses", "-", "").body;
-        body.split(' ').map(str::to_owned).collect::<Vec<_>>()
-    };
-    wait(|| ask().len() == 2);
-    assert!(ask().contains(&second.settings.listen.callers.to_string()));
+    wait(|| named(&first).len() == 2);
+    assert!(named(&first).contains(&second.settings.listen.callers.to_string()));
 }
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -6,7 +6,10 @@
             Caller,
             Got, //
         },
-        fleet::pair,
+        fleet::{
+            named,
+            pair, //
+        },
         replica::{
             good,
             Replica,
@@ -16,10 +19,14 @@
         stage::{
             entry,
             wait,
-            Stage, //
+            Stage,
+            World, //
         },
     },
-    std::sync::Arc, //
+    std::sync::{
+        Arc,
+        Mutex, //
+    },
 };
 
 /// Replicas that are up at any time.
@@ -122,3 +129,39 @@
         assert_eq!(post(stage, "k1", 50, "harmless").status, 200);
     }
 }
+
+#[test]
+fn quarantine_known_to_who_starts() {
+    // A router has seen three replicas end under a request, and writes so into its entry in the
+    // store. Another that starts knows no router; it reads the entry, and no replica ends under the
+    // request any more.
+    let mut replicas = Replicas::start(ends_under("deadly"));
+    let first = Stage::start(&[("i-1", &replicas.up[0].1)]);
+    let entry = |world: &World| world.registered.get("g1").cloned();
+    wait(|| entry(&first.world.lock().unwrap()).is_some());
+    let before = entry(&first.world.lock().unwrap());
+    let mut n = 0;
+    while post(&first, "k1", n, "deadly").status != 503 {
+        replicas.list(&[&first]);
+        n += 1;
+    }
+    wait(|| entry(&first.world.lock().unwrap()) != before);
+    replicas.list(&[&first]);
+    let ended = replicas.ended();
+    let world = {
+        let world = first.world.lock().unwrap();
+        World {
+            config: world.config.clone(),
+            revision: 1,
+            replicas: world.replicas.clone(),
+            registered: world.registered.clone(),
+            ..World::default()
+        }
+    };
+    let second = Stage::within(Arc::new(Mutex::new(world)), "g2", |_| {});
+    second.wait_ready();
+    // It looks at the entries of others half a second after its start.
+    wait(|| named(&second).len() == 2);
+    assert_eq!(post(&second, "k1", 91, "deadly").status, 503);
+    assert_eq!(replicas.ended(), ended);
+}
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -30,7 +30,10 @@
     policy::placement::Prompt,
     serde_json::Value,
     std::{
-        collections::HashMap,
+        collections::{
+            BTreeMap,
+            HashMap, //
+        },
         net::{
             SocketAddr,
             TcpListener,
@@ -69,6 +72,8 @@
     pub(crate) down: Option<Down>,
     /// The highest revision that a watch has told.
     pub(crate) told: u64,
+    /// What routers have registered, by their names.
+    pub(crate) registered: BTreeMap<String, Vec<u8>>,
 }
 
 /// How a store turns a router away.
@@ -235,6 +240,15 @@
     })
 }
 
+fn register(world: &Held, name: String, value: Vec<u8>) -> Pending<()> {
+    let world = world.clone();
+    Box::pin(async move {
+        from(&world, |_| ()).await?;
+        world.lock().unwrap().registered.insert(name, value);
+        Ok(())
+    })
+}
+
 fn store(world: &Held) -> Store {
     let of = || world.clone();
     let (a, b, c, d, e, f, g, h) = (of(), of(), of(), of(), of(), of(), of(), of());
@@ -242,11 +256,11 @@
         config: Box::new(move || from(&a, versioned)),
         watch: Box::new(move |after, wait| watch(&b, after, wait)),
         replicas: Box::new(move || from(&c, |w| w.replicas.clone())),
-        routers: Box::new(move || from(&d, |_| Vec::new())),
+        routers: Box::new(move || from(&d, |w| w.registered.values().cloned().collect())),
         lease: Box::new(move |_| from(&e, |_| 1)),
         renew: Box::new(move |_| from(&f, |_| true)),
         release: Box::new(move |_| from(&g, |_| ())),
-        register: Box::new(move |_, _, _| from(&h, |_| ())),
+        register: Box::new(move |name, value, _| register(&h, name, value)),
     }
 }
 
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -63,7 +63,10 @@
     records: HashMap<RequestDigest, Record>,
     /// What was answered here of late, suspected or not.
     trusted: HashMap<RequestDigest, Time>,
+    /// There is something that was not told yet.
     news: bool,
+    /// This router saw that a request is to be held back, and did not write it down yet.
+    begun: bool,
 }
 
 impl Quarantine {
@@ -76,7 +79,9 @@
             own: true,
         };
         self.news = true;
-        self.take_end(digest, end, now)
+        let begun = self.take_end(digest, end, now);
+        self.begun |= begun;
+        begun
     }
 
     /// Notes that a replica answered a request.
@@ -171,6 +176,12 @@
         std::mem::take(&mut self.news)
     }
 
+    /// Tells whether this router saw that a request is to be held back, once for each time: it is
+    /// the one that writes it down.
+    pub fn takes_begun(&mut self) -> bool {
+        std::mem::take(&mut self.begun)
+    }
+
     /// Returns how many requests are held back.
     pub fn count(&self, now: Time) -> usize {
         let held = self.records.values().filter(|r| r.left(now).is_some());
