--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -104,9 +104,13 @@
 
 fn gauges(gw: &Shared) {
     let now = gw.now();
-    let (peers, active) = {
+    let (peers, active, held) = {
         let tables = gw.tables();
-        (tables.fleet.live(now).count(), tables.fleet.active_count())
+        (
+            tables.fleet.live(now).count(),
+            tables.fleet.active_count(),
+            tables.quarantine.count(now),
+        )
     };
     let values = [
         (
@@ -117,6 +121,7 @@
         ("chervilwind_body_bytes", gw.bodies.load(Ordering::Relaxed)),
         ("chervilwind_peers", peers),
         ("chervilwind_active_routers", active),
+        ("chervilwind_requests_held", held),
     ];
     for (name, value) in values {
         metrics::gauge!(name).set(value as f64);
