policy: two replicas that end at one moment under a request count for two

What callers would see: two copies of a request end a replica each within 40 ms, and a third end comes only when replicas are back; a clump of copies goes through then, later than the users allow. Cause: all ends of one moment counted once, for the sake of racks that fail. Change: a moment counts for two at the most. A rack alone still holds nothing back (quarantine_rack_that_fails).

--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -6,10 +6,13 @@
     Time, //
 };
 
-/// Replicas that end this soon after each other count as one. A rack that fails takes several at
-/// once, and a caller who asks many times over may have a copy at each: what ended nothing would be
-/// held back. It takes some milliseconds until all routers have seen it.
-const APART: Span = Span::millis(40);
+/// Replicas that end this soon after each other end at one moment. It takes some milliseconds until
+/// all routers have seen it.
+const MOMENT: Span = Span::millis(40);
+/// Ends that count of one moment. A rack that fails takes several replicas at once, and a caller who
+/// asks many times over may have a copy at each: what ended nothing would be held back for that
+/// alone. A request that ends replicas is sent on, and is there at other moments too.
+const MOST_AT_ONCE: usize = 2;
 
 /// The end of a replica under the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,12 +62,15 @@
         self.until = None;
     }
 
-    /// Counts the moments at which replicas ended.
-    pub(super) fn moments(&self) -> usize {
+    /// Counts the ends, of each moment a few at the most.
+    pub(super) fn count(&self) -> usize {
         let mut last: Option<Time> = None;
+        let mut at_once = 0;
         let mut count = 0;
         for end in &self.ends {
-            count += usize::from(last.is_none_or(|at| end.at.since(at) >= APART));
+            let same = last.is_some_and(|at| end.at.since(at) < MOMENT);
+            at_once = if same { at_once + 1 } else { 1 };
+            count += usize::from(at_once <= MOST_AT_ONCE);
             last = Some(end.at);
         }
         count
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -20,9 +20,9 @@
     std::collections::HashMap,
 };
 
-/// Moments at which replicas ended under a request, from which it is held back. Two happen
-/// by chance: after a crash requests with the same home move to the same other engine.
-const MOMENTS: usize = 3;
+/// Replicas that ended under a request, from which it is held back. Two happen by chance: after a
+/// crash requests with the same home move to the same other engine.
+const ENDS: usize = 3;
 /// How long a request is held back. After that it is let through once more, and one more replica
 /// ends if nothing has changed: with ten minutes that is the work of a replica for some seconds
 /// out of six hundred.
@@ -210,7 +210,7 @@
         }
         record.changed = now;
         // Whoever was held back before and is let through again has no more chances.
-        let proven = record.moments() >= MOMENTS || record.until.is_some();
+        let proven = record.count() >= ENDS || record.until.is_some();
         let before = record.left(now).is_some();
         if proven {
             record.until = record.until.max(Some(end.at + HOLD));
--- a/crates/policy/tests/quarantine/main.rs
+++ b/crates/policy/tests/quarantine/main.rs
@@ -72,6 +72,14 @@
     assert_eq!(quarantine.left(DEADLY, at(100)), None);
 }
 
+#[test]
+fn quarantine_two_at_once() {
+    // Two copies end a replica each, 20 ms apart, and a third does three seconds later, when
+    // replicas are back. Counted as one, the two first would let a whole clump through then.
+    let mut quarantine = after_ends(&[0, 20]);
+    assert!(end(&mut quarantine, 9, at(3_000)));
+}
+
 #[test]
 fn quarantine_answered_is_cleared() {
     // An answer clears a request of all ends before it, and for ten seconds of those that follow:
