--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -14,6 +14,24 @@
 /// The sizes that a fleet has today, and the one to design for.
 const SIZES: [usize; 4] = [8, 60, 300, 370];
 
+/// A fleet that has found out who takes callers.
+fn settled(n: usize, seed: u64) -> World {
+    let mut world = World::new(n, seed);
+    world.run(Span::secs(12));
+    world
+}
+
+fn first_active(world: &mut World) -> usize {
+    let mut up = world.up().into_iter();
+    up.find(|i| world.is_active(*i)).unwrap()
+}
+
+/// Counts the routers that would send callers to a dead one.
+fn naming_dead(world: &mut World) -> usize {
+    let up = world.up().into_iter();
+    up.filter(|i| world.dead_named(*i) > 0).count()
+}
+
 #[test]
 fn start_nobody_knows_anybody() {
     // All processes start in the same moment, the store is away, and each knows only the three
@@ -40,8 +58,7 @@
     // Power fails everywhere and comes back after a second. Those that start must neither wait
     // for the dead nor name them to callers.
     for n in SIZES {
-        let mut world = World::new(n, 11);
-        world.run(Span::secs(12));
+        let mut world = settled(n, 11);
         for i in 0..n {
             world.kill(i);
         }
@@ -60,20 +77,11 @@
     // soon be told of one that is up in its place: each that connects to the dead one loses a
     // second.
     for n in SIZES {
-        let mut world = World::new(n, 3);
-        world.run(Span::secs(12));
-        let dead = world
-            .up()
-            .into_iter()
-            .find(|i| world.is_active(*i))
-            .unwrap();
+        let mut world = settled(n, 3);
+        let dead = first_active(&mut world);
         world.kill(dead);
         world.run(Span::millis(2_500));
-        let naming = world
-            .up()
-            .into_iter()
-            .filter(|i| world.dead_named(*i) > 0)
-            .count();
+        let naming = naming_dead(&mut world);
         assert!(
             naming * 50 <= n,
             "{naming} of {n} name a dead one after 2.5 s"
@@ -86,19 +94,14 @@
 fn half_the_active_ones_are_killed() {
     // Many processes are killed at the same moment, half of the active ones among them.
     for n in [60, 300, 370] {
-        let mut world = World::new(n, 5);
-        world.run(Span::secs(12));
+        let mut world = settled(n, 5);
         let all = world.up();
         let active: Vec<usize> = all.into_iter().filter(|i| world.is_active(*i)).collect();
         for i in active.iter().step_by(2) {
             world.kill(*i);
         }
         world.run(Span::secs(4));
-        let naming = world
-            .up()
-            .into_iter()
-            .filter(|i| world.dead_named(*i) > 0)
-            .count();
+        let naming = naming_dead(&mut world);
         assert!(
             naming * 50 <= n,
             "{naming} of {n} name a dead one after 4 s"
@@ -112,13 +115,8 @@
     // An active router gets a SIGTERM. Callers who ask for addresses a moment later must not be
     // sent there any more, whichever router they ask.
     for n in SIZES {
-        let mut world = World::new(n, 9);
-        world.run(Span::secs(12));
-        let leaving = world
-            .up()
-            .into_iter()
-            .find(|i| world.is_active(*i))
-            .unwrap();
+        let mut world = settled(n, 9);
+        let leaving = first_active(&mut world);
         world.leave(leaving);
         world.run(Span::millis(300));
         let gone = name(leaving);
@@ -137,8 +135,7 @@
     // A zone can't reach the others for ten seconds. Both sides take those that they hear for
     // active, and agree again once the cut is mended.
     let n = 300;
-    let mut world = World::new(n, 13);
-    world.run(Span::secs(12));
+    let mut world = settled(n, 13);
     world.cut.insert(2);
     world.run(Span::secs(14));
     let inside = world.active(2);
@@ -154,8 +151,7 @@
     // What a router that stands by sends and gets may not grow with the fleet: 21 KB/s each way
     // is all that routers may say to each other.
     for n in SIZES {
-        let mut world = World::new(n, 17);
-        world.run(Span::secs(12));
+        let mut world = settled(n, 17);
         world.reset_bytes();
         world.run(Span::secs(6));
         for i in 0..n {
