policy: a third end that two routers see at once is written down as well

What callers would see: the second and the third replica end under a request at the same moment, seen by two routers; all hold it back, but no entry in the store says so, and after a kill of all routers it is not known. Found in reading the change: only a router whose own end was the third in its eyes wrote its entry. Test first: quarantine_two_routers_at_once fails without it. Change: whoever saw one of the ends writes, three routers at the most. Ends stay in order where a peer's word moves one to an earlier moment.

--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -45,13 +45,19 @@
         if self.answered.is_some_and(|at| at >= end.at) {
             return false;
         }
-        if let Some(known) = self.ends.iter_mut().find(|e| e.replica == end.replica) {
-            known.at = known.at.min(end.at);
-            return false;
+        let known = self.ends.iter_mut().find(|e| e.replica == end.replica);
+        let news = known.is_none();
+        match known {
+            Some(known) => known.at = known.at.min(end.at),
+            None => self.ends.push(end),
         }
-        self.ends.push(end);
         self.ends.sort_by_key(|e| e.at);
-        true
+        news
+    }
+
+    /// Tells whether this router saw one of the ends.
+    pub(super) fn seen_here(&self) -> bool {
+        self.ends.iter().any(|e| e.own)
     }
 
     /// Takes an answer, which clears it of everything before.
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -65,7 +65,8 @@
     trusted: HashMap<RequestDigest, Time>,
     /// There is something that was not told yet.
     news: bool,
-    /// This router saw that a request is to be held back, and did not write it down yet.
+    /// A request is held back under which this router saw a replica end, and that is not written
+    /// down yet.
     begun: bool,
 }
 
@@ -79,9 +80,7 @@
             own: true,
         };
         self.news = true;
-        let begun = self.take_end(digest, end, now);
-        self.begun |= begun;
-        begun
+        self.take_end(digest, end, now)
     }
 
     /// Notes that a replica answered a request.
@@ -176,8 +175,11 @@
         std::mem::take(&mut self.news)
     }
 
-    /// Tells whether this router saw that a request is to be held back, once for each time: it is
-    /// the one that writes it down.
+    /// Tells whether a request is held back from now on under which this router saw a replica end,
+    /// once for each time.
+    ///
+    /// Those who saw one are the ones to write it down. Of two ends at the same time at two routers
+    /// neither knows that it is the third until it hears of the other.
     pub fn takes_begun(&mut self) -> bool {
         std::mem::take(&mut self.begun)
     }
@@ -215,7 +217,9 @@
         if proven {
             record.until = record.until.max(Some(end.at + HOLD));
         }
-        proven && !before
+        let begun = proven && !before;
+        self.begun |= begun && record.seen_here();
+        begun
     }
 
     fn hear_answered(&mut self, answered: &Answered, now: Time) {
--- a/crates/policy/tests/quarantine/main.rs
+++ b/crates/policy/tests/quarantine/main.rs
@@ -140,6 +140,25 @@
     assert!(left < HOLD && left > Span::secs(530), "{left:?}");
 }
 
+#[test]
+fn quarantine_two_routers_at_once() {
+    // The second and the third end are seen by two routers before either hears of the other's.
+    // Whoever saw one writes it down, or nobody would, and a kill of all routers forgets it.
+    let mut first = after_ends(&[0]);
+    let mut second = Quarantine::default();
+    second.hear(&first.notes(at(10)), at(15));
+    assert!(!end(&mut first, 8, at(400)));
+    assert!(!end(&mut second, 9, at(450)));
+    let [from_first, from_second] = [&first, &second].map(|r| r.notes(at(460)));
+    assert_eq!(first.hear(&from_second, at(465)), [DEADLY]);
+    assert_eq!(second.hear(&from_first, at(465)), [DEADLY]);
+    assert!(first.takes_begun() && second.takes_begun());
+    assert!(!first.takes_begun());
+    let mut third = Quarantine::default();
+    third.hear(&first.holds(at(470)), at(475));
+    assert!(!third.takes_begun());
+}
+
 #[test]
 fn quarantine_answer_elsewhere() {
     let mut first = after_ends(&[0, 400]);
