--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -23,9 +23,16 @@
             World, //
         },
     },
-    std::sync::{
-        Arc,
-        Mutex, //
+    gateway::State,
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            Mutex, //
+        },
+        thread,
+        time::Duration, //
     },
 };
 
@@ -36,6 +43,9 @@
 /// How often the users allow it to be sent on after that.
 const ALLOWED: usize = 3;
 
+/// Time between two closes, so that they don't count as of one moment.
+const APART: Duration = Duration::from_millis(100);
+
 type Script = dyn Fn(&Seen) -> Vec<Step> + Send + Sync;
 
 /// Replicas that start again under another id, as others, when they end.
@@ -95,7 +105,11 @@
 }
 
 fn post(stage: &Stage, key: &str, id: usize, body: &str) -> Got {
-    let mut caller = Caller::open(stage.settings.listen.callers);
+    post_to(stage.settings.listen.callers, key, id, body)
+}
+
+fn post_to(addr: SocketAddr, key: &str, id: usize, body: &str) -> Got {
+    let mut caller = Caller::open(addr);
     let text = format!(
         "POST /again/a HTTP/1.1\r\nHost: a.example\r\nX-Id: {id}\r\nX-Key: {key}\r\n\
          Content-Length: {}\r\n\r\n{body}",
@@ -165,3 +179,68 @@
     assert_eq!(post(&second, "k1", 91, "deadly").status, 503);
     assert_eq!(replicas.ended(), ended);
 }
+
+#[test]
+fn quarantine_connections_that_break() {
+    // Replicas close the connection on each try of one request until all of them have, and serve
+    // it then. Taken for crashes, that would keep it from being served for ten minutes.
+    let closed: Arc<Mutex<BTreeSet<usize>>> = Arc::default();
+    let replicas: Vec<Replica> = (0..UP)
+        .map(|own| {
+            let closed = closed.clone();
+            Replica::start(move |_, seen| {
+                let mut closed = closed.lock().unwrap();
+                if seen.body != b"unlucky" || closed.len() == UP {
+                    return vec![Step::Send(good(seen, "ok"))];
+                }
+                closed.insert(own);
+                vec![Step::Pause(APART), Step::Close]
+            })
+        })
+        .collect();
+    let named: Vec<String> = (0..UP).map(|n| format!("i-{n}")).collect();
+    let pairs: Vec<_> = named.iter().map(String::as_str).zip(&replicas).collect();
+    let stage = Stage::start(&pairs);
+    let statuses: Vec<u16> = (0..12)
+        .map(|n| post(&stage, "k1", n, "unlucky").status)
+        .collect();
+    assert!(!statuses.contains(&503), "{statuses:?}");
+    assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
+}
+
+/// Lists one replica alone, which keeps the request and answers others, and waits until the
+/// instance knows of it.
+fn only(stage: &Stage, id: &str) -> Replica {
+    let replica = Replica::start(|_, seen| match seen.body == b"late" {
+        true => vec![Step::UntilClosed],
+        false => vec![Step::Send(good(seen, "ok"))],
+    });
+    stage.world.lock().unwrap().replicas = vec![entry(id, &replica)];
+    wait(|| {
+        stage.get("/again/other", "o");
+        !replica.seen().is_empty()
+    });
+    replica
+}
+
+#[test]
+fn quarantine_replicas_that_leave() {
+    // Replicas are replaced one after the other. Each is known to be leaving, has the same request
+    // left, and ends by itself. Counted, they would have it refused for ten minutes.
+    let stage = Stage::start(&[]);
+    for n in 0..4 {
+        let replica = only(&stage, &format!("i-{n}"));
+        let addr = stage.settings.listen.callers;
+        let caller = thread::spawn(move || post_to(addr, "k1", n, "late").status);
+        wait(|| replica.seen().iter().any(|seen| seen.body == b"late"));
+        stage.world.lock().unwrap().replicas[0].state = State::Draining;
+        wait(|| stage.get("/again/other", "o").status == 503);
+        replica.end();
+        // It ended there; nobody else is up.
+        assert_eq!(caller.join().unwrap(), 502);
+    }
+    let last = Replica::start(|_, seen| vec![Step::Send(good(seen, "ok"))]);
+    stage.world.lock().unwrap().replicas = vec![entry("i-last", &last)];
+    wait(|| stage.get("/again/other", "o").status == 200);
+    assert_eq!(post(&stage, "k1", 9, "late").status, 200);
+}
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -159,7 +159,7 @@
     }
 
     /// Ends as a process does that crashes.
-    fn end(&self) {
+    pub(crate) fn end(&self) {
         self.ended.store(true, Ordering::SeqCst);
         // Wakes the thread that accepts, which then stops to listen. What is said to a caller
         // before that would be taken as a sign of life.
