policy: comments of the quarantine say what a newcomer would ask

Read as a newcomer: what is past when a hold is past, what counts of one moment, whose news is told. No code changes.

--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -32,14 +32,14 @@
     pub(super) answered: Option<Time>,
     /// This router saw that.
     pub(super) own_answer: bool,
-    /// Until when it is held back; past where it was.
+    /// Until when it is held back. Once past, it is let through, and the next end holds it back.
     pub(super) until: Option<Time>,
     /// When any of this last changed.
     pub(super) changed: Time,
 }
 
 impl Record {
-    /// Takes the end of a replica. Returns whether it is news.
+    /// Takes the end of a replica. Returns whether it is the first word of it.
     pub(super) fn end(&mut self, end: End) -> bool {
         // An answer that came after it has cleared the request of it.
         if self.answered.is_some_and(|at| at >= end.at) {
@@ -68,7 +68,7 @@
         self.until = None;
     }
 
-    /// Counts the ends, of each moment a few at the most.
+    /// Counts the ends, of each moment [`MOST_AT_ONCE`] at the most.
     pub(super) fn count(&self) -> usize {
         let mut last: Option<Time> = None;
         let mut at_once = 0;
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -63,7 +63,7 @@
     records: HashMap<RequestDigest, Record>,
     /// What was answered here of late, suspected or not.
     trusted: HashMap<RequestDigest, Time>,
-    /// There is something that was not told yet.
+    /// This router saw something that it has not told yet.
     news: bool,
     /// A request is held back under which this router saw a replica end, and that is not written
     /// down yet.
@@ -170,7 +170,7 @@
         notes
     }
 
-    /// Tells whether there is something that was not told yet, once for each time.
+    /// Tells whether this router saw something that it has not told yet, once for each time.
     pub fn takes_news(&mut self) -> bool {
         std::mem::take(&mut self.news)
     }
