--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -123,8 +123,8 @@
 fn quarantine_ends_replicas_at_every_router() {
     // Callers saw a tenth and more of all requests of a service fail for some 15 s. One request
     // ended each engine that began to run it, with all that ran there; it came again at any
-    // instance, was sent to the next engines, and 16 ended, 9 of them at any time, until it came
-    // no more. Cause: a try knew the replicas of its own attempt only, so each attempt began anew.
+    // instance, was sent to the next engines, and 16 of these ended one after the other until it
+    // came no more. Cause: a try knew the replicas of its own attempt only, so each attempt began anew.
     // Shown by the logs: it alone was among what was broken off at each of the ends.
     let mut replicas = Replicas::start(ends_under("deadly"));
     let (first, second) = pair(&replicas.up[0].1);
