gateway: one function tells the time of day

Found on the last reading: the entry in the store worked out Unix milliseconds as the log lines already did. Both call clock::unix_ms now.

--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -1,7 +1,10 @@
 //! This router's entry in the store, and those of the others.
 
 use {
-    crate::state::Shared,
+    crate::{
+        clock::unix_ms,
+        state::Shared, //
+    },
     async_std::task,
     policy::{
         quarantine::{
@@ -21,8 +24,7 @@
         sync::Arc,
         time::{
             Duration,
-            Instant,
-            SystemTime, //
+            Instant, //
         },
     },
 };
@@ -91,12 +93,6 @@
     }
 }
 
-/// Returns the time of day, in Unix milliseconds.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |span| span.as_millis() as u64)
-}
-
 /// This router's entry, and its looks for the others'.
 #[derive(Debug)]
 struct Registration {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! comes from `policy`. How callers, replicas and the platform speak is given from outside
 //! as a [`Dialect`] and a [`Store`].
 
+mod clock;
 mod fleet;
 mod follow;
 mod http;
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -1,6 +1,7 @@
 //! Log lines: bounded in number, written by a thread of their own.
 
 use {
+    crate::clock::unix_ms,
     fern::Output,
     log::LevelFilter,
     std::{
@@ -19,8 +20,7 @@
         },
         time::{
             Duration,
-            Instant,
-            SystemTime, //
+            Instant, //
         },
     },
 };
@@ -55,8 +55,7 @@
     });
     let started = fern::Dispatch::new()
         .format(|out, message, record| {
-            let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-            let ms = since.map_or(0, |d| d.as_millis());
+            let ms = unix_ms();
             out.finish(format_args!("ts={ms} level={} {message}", record.level()))
         })
         .level(LevelFilter::Warn)
