gateway: the log tells what each model request was placed or refused by

Callers' requests were refused at one instance and served at another in the same second, and nothing in the logs told why: only refusals had their share and even part, and neither had what the instance knew of the engines.

Each model request's line now has share, even, asked, part, running (requests of all instances at replicas, as known here), own, peers and active, served or refused. Two gauges hold the picture itself, and OPERATIONS says how to compare two instances. No decision is changed.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -106,7 +106,10 @@
     let mut events = Events::after(req.last_event);
     loop {
         let place = match gw.place(req, &course.tried) {
-            Ok(place) => place,
+            Ok(mut place) => {
+                course.inputs = std::mem::take(&mut place.inputs);
+                place
+            }
             Err(refused) if course.begun => {
                 course.cause = refused.why.to_owned();
                 return Flow::Cut;
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -24,6 +24,7 @@
             Prompt,
             ReplicaKey,
             Server,
+            View,
             Wish, //
         },
         quota::{
@@ -35,6 +36,7 @@
         Time, //
     },
     std::{
+        fmt,
         sync::Arc,
         time::Duration, //
     },
@@ -53,6 +55,30 @@
     pub(crate) inputs: String,
 }
 
+/// What a router knew when it chose among engines, for the log.
+#[derive(Debug, Clone, Copy, Default)]
+struct Basis {
+    standing: Standing,
+    view: View,
+    active: bool,
+}
+
+impl fmt::Display for Basis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Basis {
+            standing,
+            view,
+            active,
+        } = self;
+        write!(
+            f,
+            "share={:.2} even={:.2} asked={:.0} part={:.0} running={} own={} peers={} active={active}",
+            standing.share, standing.even, standing.asked, standing.part, view.running, view.own,
+            view.peers,
+        )
+    }
+}
+
 impl Shared {
     /// Chooses a replica for a request, apart from those that were tried, and takes a place.
     ///
@@ -78,14 +104,12 @@
             });
         }
         let (prompt, engine) = (req.prompt.as_ref(), req.about.engine);
-        let (picked, standing) = match (prompt, engine) {
+        let (picked, basis) = match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
-                tables.pick_engine(self, req, (prompt, engine), tried, now)
+                let (pick, basis) = tables.pick_engine(self, req, (prompt, engine), tried, now);
+                (pick, basis.to_string())
             }
-            _ => (
-                tables.pick_server(self, req, tried, now),
-                Standing::default(),
-            ),
+            _ => (tables.pick_server(self, req, tried, now), String::new()),
         };
         let choice = match picked {
             None => {
@@ -99,15 +123,14 @@
                 return Err(Refused {
                     why: "the replicas of its service are full",
                     after: after.into(),
-                    inputs: format!(
-                        "full={full:.2} bound={bound} share={:.2} even={:.2}",
-                        standing.share, standing.even
-                    ),
+                    inputs: format!("full={full:.2} bound={bound} {basis}"),
                 })
             }
             Some(Pick::Run(choice)) => choice,
         };
-        Ok(tables.take(self, req, choice, now))
+        let mut place = tables.take(self, req, choice, now);
+        place.inputs = basis;
+        Ok(place)
     }
 }
 
@@ -119,7 +142,7 @@
         (prompt, engine): (&Prompt, Engine),
         tried: &[ReplicaId],
         now: Time,
-    ) -> (Option<Pick>, Standing) {
+    ) -> (Option<Pick>, Basis) {
         let workspace = req.workspace.as_ref().map(WorkspaceKey::of);
         let standing = workspace.map_or(Standing::default(), |key| {
             if tried.is_empty() {
@@ -128,6 +151,11 @@
             self.quota.standing(key, roll(&req.id), now)
         });
         self.board.forget(now);
+        let basis = Basis {
+            standing,
+            view: self.board.view(now),
+            active: self.fleet.is_active(),
+        };
         let usual = self.usual_failures(req);
         let home = prompt.home().unwrap_or_default();
         let candidates: Vec<Candidate> = self
@@ -148,7 +176,7 @@
             })
             .collect();
         if candidates.is_empty() {
-            return (None, standing);
+            return (None, basis);
         }
         let wish = Wish {
             prompt,
@@ -158,7 +186,7 @@
             words: self.fleet.pace(),
             tuning: &gw.settings.placement,
         };
-        (Some(pick(&candidates, &wish)), standing)
+        (Some(pick(&candidates, &wish)), basis)
     }
 
     fn pick_server(
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -49,7 +49,7 @@
     pub(crate) first: Option<Instant>,
     /// The status that the caller got, 0 where none.
     pub(crate) status: u16,
-    /// What a refusal was decided by, for the log.
+    /// What the last choice of a replica was made from, for the log.
     pub(crate) inputs: String,
     /// What stands in the log about its end.
     pub(crate) cause: String,
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -43,6 +43,8 @@
     pub(crate) replica: Arc<Replica>,
     /// Where it can copy the prompt's shared parts from.
     pub(crate) source: Option<SocketAddr>,
+    /// What it was chosen by, for the log.
+    pub(crate) inputs: String,
     key: ReplicaKey,
     /// What it still counts as.
     load: Load,
@@ -84,6 +86,7 @@
             gw: gw.clone(),
             digest: req.digest,
             source: source.map(|r| r.addr),
+            inputs: String::new(),
             replica: replica.expect("what was chosen is known while the tables are locked"),
             key: choice.key,
             load,
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -104,12 +104,13 @@
 
 fn gauges(gw: &Shared) {
     let now = gw.now();
-    let (peers, active, held) = {
+    let (peers, active, held, view) = {
         let tables = gw.tables();
         (
             tables.fleet.live(now).count(),
             tables.fleet.active_count(),
             tables.quarantine.count(now),
+            tables.board.view(now),
         )
     };
     let values = [
@@ -122,6 +123,8 @@
         ("chervilwind_peers", peers),
         ("chervilwind_active_routers", active),
         ("chervilwind_requests_held", held),
+        ("chervilwind_known_requests", view.running as usize),
+        ("chervilwind_known_peers", view.peers),
     ];
     for (name, value) in values {
         metrics::gauge!(name).set(value as f64);
--- a/crates/policy/src/placement/board.rs
+++ b/crates/policy/src/placement/board.rs
@@ -40,6 +40,17 @@
 /// not measured.
 pub type ReplicaMap<V> = HashMap<ReplicaKey, V, FxBuildHasher>;
 
+/// What a router knows of the requests at all replicas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct View {
+    /// Requests of all routers that it knows of, its own included.
+    pub running: u32,
+    /// Its own.
+    pub own: u32,
+    /// Peers whose last message counts.
+    pub peers: usize,
+}
+
 /// Work at a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Load {
@@ -97,6 +108,8 @@
 struct Told {
     at: Time,
     loads: ReplicaMap<Load>,
+    /// Requests of all loads.
+    running: u32,
 }
 
 impl ReplicaKey {
@@ -163,6 +176,7 @@
         let told = Told {
             at: now,
             loads: loads.iter().copied().collect(),
+            running: loads.iter().map(|(_, load)| load.running).sum(),
         };
         for (key, load) in &told.loads {
             self.told.entry(*key).or_default().add(*load);
@@ -230,6 +244,23 @@
         self.own.values().map(|load| load.running).sum()
     }
 
+    /// Returns what this router knows of the requests at all replicas.
+    pub fn view(&self, now: Time) -> View {
+        let heard = self.peers.values();
+        let heard = heard.filter(|told| self.heard.holds(told.at, now));
+        let own = self.running();
+        let mut view = View {
+            running: own,
+            own,
+            peers: 0,
+        };
+        for told in heard {
+            view.peers += 1;
+            view.running += told.running;
+        }
+        view
+    }
+
     /// Returns this router's own work, to tell the peers.
     pub fn report(&self) -> Vec<(ReplicaKey, Load)> {
         self.own.iter().map(|(key, load)| (*key, *load)).collect()
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -19,7 +19,8 @@
         Board,
         Load,
         ReplicaKey,
-        ReplicaMap, //
+        ReplicaMap,
+        View, //
     },
     engine::{
         Candidate,
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -25,7 +25,7 @@
 ///
 /// let tuning = Tuning::default();
 /// let words = Span::millis(100);
-/// let at = |share| Standing { share, even: 0.0 };
+/// let at = |share| Standing { share, ..Standing::default() };
 /// assert!(tuning.limit(at(2.0), words).places < tuning.limit(at(0.5), words).places);
 /// ```
 #[derive(Debug, Clone, PartialEq, Deserialize)]
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -101,6 +101,10 @@
     /// part. Engines give more than is stated where little has to be read anew; of the rest
     /// nobody is to have more than another who wants more. 0 where all can be given.
     pub even: f64,
+    /// What the workspace asked for in the last second, over the fleet, in tokens.
+    pub asked: f64,
+    /// The even part in a second, in tokens; 0 where none is known.
+    pub part: f64,
 }
 
 impl WorkspaceKey {
@@ -244,6 +248,8 @@
                 true => 0.0,
                 false => roll * lately / levels.actual.max(1.0),
             },
+            asked: lately,
+            part: levels.actual,
         }
     }
 
--- a/crates/policy/tests/placement/board.rs
+++ b/crates/policy/tests/placement/board.rs
@@ -61,6 +61,8 @@
             let running: u32 = loads.map(|l| l.1.running).sum();
             assert_eq!(board.load(key, now), load(u64::from(running)), "{step}");
         }
+        let all = (0..8).map(|key| board.load(ReplicaKey(key), now).running);
+        assert_eq!(board.view(now).running, all.sum(), "{step}");
     }
 }
 
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -54,7 +54,7 @@
         shortest: Span::millis(250),
         standing: Standing {
             share: standing,
-            even: 0.0,
+            ..Standing::default()
         },
         words: Span::millis(100),
         tuning: &Tuning::default(),
