--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,4 +9,5 @@
 mod replica;
 mod requests;
 mod stage;
+mod standby;
 mod streams;
