fleet: busy instances that stand by get summaries of all loads and counts

Cause: active routers and those that stand by told each other their loads and counts, but those that stand by did not tell each other. Callers of the large workspaces keep to one or two of these each, so most of what engines ran came from routers that knew only of themselves and the active ones: in calm they knew of 376 running requests where active ones knew of 891. To them engines looked idle and no share was exceeded; they sent on whatever came, engines filled, and active routers, who knew, refused for all.

Change: two active routers, by rendezvous hash, send each busy router that stands by a summary, the sum of all others' loads and counts without its own. Where both are known whichever is more counts, so nothing counts twice. Weighed: all busy ones tell each other (their number squared, some 80 x 80 x 10 a second at 295), or callers who keep to one instance are refused there (they come back to it).

--- a/crates/gateway/src/fleet/beat.rs
+++ b/crates/gateway/src/fleet/beat.rs
@@ -19,13 +19,21 @@
         Deserialize,
         Serialize, //
     },
-    std::net::SocketAddr, //
+    std::{
+        cmp::Reverse,
+        net::SocketAddr, //
+    },
 };
 
 /// Tokens in one unit of a load that is still to be read: 0.6 ms of an engine's time.
 const UNREAD_UNIT: u64 = 64;
 /// Tokens in one unit of memory.
 const MEMORY_UNIT: u64 = 1_024;
+/// Replicas and workspaces that a summary holds at the most, so that it fits into the buffer of
+/// whoever receives it.
+const MOST_LOADS: usize = 600;
+/// See [`MOST_LOADS`].
+const MOST_COUNTS: usize = 250;
 
 /// A router's word on itself.
 ///
@@ -36,6 +44,8 @@
 pub(crate) enum Word {
     /// Its requests at each replica.
     Loads(Loads),
+    /// What it knows of all routers but the one that it tells.
+    Summary(Summary),
     /// All that changes seldom; a few times a second.
     Hello(Box<Hello>),
 }
@@ -65,7 +75,29 @@
     pub(crate) about: About,
     /// The router that is told takes callers, as far as this one knows.
     pub(crate) to_active: bool,
-    loads: Vec<(ReplicaKey, u16, u16, u16)>,
+    /// The router that tells acts as an active one itself.
+    pub(crate) from_active: bool,
+    loads: Vec<PackedLoad>,
+}
+
+/// The requests and counts of all routers but the one that is told; to routers that stand by and
+/// have many requests.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Summary {
+    pub(crate) about: About,
+    loads: Vec<PackedLoad>,
+    pub(crate) counts: Vec<(WorkspaceKey, Asked)>,
+}
+
+/// The work at a replica in 12 bytes or so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct PackedLoad {
+    replica: ReplicaKey,
+    running: u16,
+    /// In units of [`UNREAD_UNIT`].
+    unread: u16,
+    /// In units of [`MEMORY_UNIT`].
+    memory: u16,
 }
 
 /// Who a router is, and what it knows.
@@ -139,35 +171,73 @@
     }
 }
 
-impl Loads {
-    pub(crate) fn new(about: About, to_active: bool, loads: &[(ReplicaKey, Load)]) -> Loads {
+impl PackedLoad {
+    fn new(replica: ReplicaKey, load: Load) -> PackedLoad {
         let unit = |n: u64, unit: u64| u16::try_from(n.div_ceil(unit)).unwrap_or(u16::MAX);
-        let loads = loads.iter().map(|(key, load)| {
-            let running = u16::try_from(load.running).unwrap_or(u16::MAX);
-            (
-                *key,
-                running,
-                unit(load.unread, UNREAD_UNIT),
-                unit(load.memory, MEMORY_UNIT),
-            )
-        });
+        PackedLoad {
+            replica,
+            running: u16::try_from(load.running).unwrap_or(u16::MAX),
+            unread: unit(load.unread, UNREAD_UNIT),
+            memory: unit(load.memory, MEMORY_UNIT),
+        }
+    }
+
+    fn unpack(self) -> (ReplicaKey, Load) {
+        let load = Load {
+            running: u32::from(self.running),
+            unread: u64::from(self.unread) * UNREAD_UNIT,
+            memory: u64::from(self.memory) * MEMORY_UNIT,
+        };
+        (self.replica, load)
+    }
+}
+
+fn pack(loads: &[(ReplicaKey, Load)]) -> Vec<PackedLoad> {
+    let loads = loads.iter();
+    loads
+        .map(|(key, load)| PackedLoad::new(*key, *load))
+        .collect()
+}
+
+fn unpack(loads: &[PackedLoad]) -> Vec<(ReplicaKey, Load)> {
+    loads.iter().map(|load| load.unpack()).collect()
+}
+
+impl Loads {
+    pub(crate) fn new(about: About, loads: &[(ReplicaKey, Load)]) -> Loads {
         Loads {
             about,
-            to_active,
-            loads: loads.collect(),
+            to_active: false,
+            from_active: false,
+            loads: pack(loads),
+        }
+    }
+
+    pub(crate) fn loads(&self) -> Vec<(ReplicaKey, Load)> {
+        unpack(&self.loads)
+    }
+}
+
+impl Summary {
+    /// Makes a summary that one datagram holds. Of more replicas than that the fullest are told.
+    pub(crate) fn new(
+        about: About,
+        mut loads: Vec<(ReplicaKey, Load)>,
+        mut counts: Vec<(WorkspaceKey, Asked)>,
+    ) -> Summary {
+        loads.sort_by_key(|(key, load)| (Reverse(load.running), *key));
+        loads.truncate(MOST_LOADS);
+        counts.sort_by(|(_, a), (_, b)| b.asked.total_cmp(&a.asked));
+        counts.truncate(MOST_COUNTS);
+        Summary {
+            about,
+            loads: pack(&loads),
+            counts,
         }
     }
 
     pub(crate) fn loads(&self) -> Vec<(ReplicaKey, Load)> {
-        let loads = self.loads.iter().map(|(key, running, unread, memory)| {
-            let load = Load {
-                running: u32::from(*running),
-                unread: u64::from(*unread) * UNREAD_UNIT,
-                memory: u64::from(*memory) * MEMORY_UNIT,
-            };
-            (*key, load)
-        });
-        loads.collect()
+        unpack(&self.loads)
     }
 }
 
--- a/crates/gateway/src/fleet/beat/tests.rs
+++ b/crates/gateway/src/fleet/beat/tests.rs
@@ -45,7 +45,7 @@
 
 #[test]
 fn loads_there_and_back() {
-    let word = Word::Loads(Loads::new(about(7), true, &loads(3)));
+    let word = Word::Loads(Loads::new(about(7), &loads(3)));
     let Word::Loads(back) = Word::decode(&word.encode().unwrap()).unwrap() else {
         panic!("another word");
     };
@@ -66,7 +66,7 @@
 fn loads_stay_small() {
     // Each router sends them to each other many times a second; 21 KB/s is what all that
     // routers say to each other may take.
-    let bytes = Word::Loads(Loads::new(about(u32::MAX), true, &loads(12)))
+    let bytes = Word::Loads(Loads::new(about(u32::MAX), &loads(12)))
         .encode()
         .unwrap();
     assert!(bytes.len() <= 200, "{}", bytes.len());
--- a/crates/gateway/src/fleet/hear.rs
+++ b/crates/gateway/src/fleet/hear.rs
@@ -6,6 +6,7 @@
             About,
             Hello,
             Loads,
+            Summary,
             Word, //
         },
         documents,
@@ -102,6 +103,7 @@
             }
             Ok(Word::Hello(_)) => {}
             Ok(Word::Loads(loads)) => listener.loads(&loads),
+            Ok(Word::Summary(summary)) => listener.summary(&summary),
             Err(e) => log::debug!("event=peers outcome=not-understood cause={e:?}"),
         }
     }
@@ -117,6 +119,7 @@
         let said = Said {
             busy: told.iter().map(|(_, load)| load.running).sum::<u32>() >= BUSY,
             to_active: loads.to_active,
+            from_active: loads.from_active,
         };
         let word = tables.fleet.word(about.from, about.number, next, said, now);
         let Some((from, at)) = word else {
@@ -127,6 +130,23 @@
         self.about(about, &from, at);
     }
 
+    fn summary(&self, summary: &Summary) {
+        let about = &summary.about;
+        let now = self.gw.now();
+        let mut tables = self.gw.tables();
+        let said = Said::default();
+        let word = tables
+            .fleet
+            .word(about.from, about.number, about.next(), said, now);
+        let Some((from, at)) = word else {
+            return;
+        };
+        tables.board.summary(&summary.loads(), now);
+        tables.quota.summary(&summary.counts, now);
+        drop(tables);
+        self.about(about, &from, at);
+    }
+
     fn hello(&self, hello: &Hello) -> Heard {
         let now = self.gw.now();
         let about = &hello.about;
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -6,6 +6,7 @@
         Facts,
         Hello,
         Loads,
+        Summary,
         Word, //
     },
     crate::state::{
@@ -20,8 +21,11 @@
     policy::{
         actives::{
             short,
-            Actives, //
+            Actives,
+            Due,
+            HELLO_EVERY, //
         },
+        RouterId,
         Span,
         Time, //
     },
@@ -32,9 +36,6 @@
     },
 };
 
-/// An active router tells the others who it is, and what workspaces asked of it, once in so many
-/// words on its loads: some 3 times a second.
-const HELLO_EVERY: u32 = 3;
 /// A router that stands by tells its loads from so many running requests on. A few requests of the
 /// operators reach each router every second; told by 270 routers, they would be most of all words.
 pub(super) const BUSY: u32 = 4;
@@ -134,6 +135,7 @@
     occasion.was_busy = busy;
     let due = tables.fleet.due(speaks, urgent, now);
     occasion.note_active(&tables.fleet);
+    let acts = tables.fleet.acts(now);
     let pace = tables.fleet.pace();
     tables.board.hear(pace);
     tables.quota.hear(pace * f64::from(HELLO_EVERY));
@@ -142,15 +144,12 @@
     tables.quarantine.forget(now);
     let facts = tables.facts(gw, number, config);
     let mut words = Vec::new();
-    let told: Vec<SocketAddr> = due.near.iter().chain(&due.beside).copied().collect();
     // A request that ends replicas is sent to the next one within a tenth of a second or so.
     let news = tables.quarantine.takes_news();
-    if (news || occasion.round % HELLO_EVERY == 1) && !told.is_empty() {
-        let mut near = tables.hello(&facts, due.near_next, now);
-        near.notes = tables.quarantine.notes(now);
-        near.counts = tables.quota.report(now);
-        words.push((Word::Hello(Box::new(near)), told));
+    if news || occasion.round % HELLO_EVERY == 1 {
+        words.extend(tables.introductions(&facts, &due, now));
     }
+    words.extend(tables.summaries(&facts, &due, now));
     for (to, next) in [(due.far, due.far_next), (due.seldom, due.seldom_next)] {
         if !to.is_empty() {
             let far = tables.hello(&facts, next, now);
@@ -158,10 +157,13 @@
         }
     }
     drop(tables);
-    for (to, to_active) in [(due.near, true), (due.beside, false)] {
+    for (to, to_active) in [(due.near, true), (due.addressed, false)] {
         if !to.is_empty() {
             let about = About::new(&facts, due.near_next);
-            words.push((Word::Loads(Loads::new(about, to_active, &loads)), to));
+            let mut loads = Loads::new(about, &loads);
+            loads.to_active = to_active;
+            loads.from_active = acts;
+            words.push((Word::Loads(loads), to));
         }
     }
     (words, pace.into())
@@ -180,6 +182,41 @@
         }
     }
 
+    /// Returns the messages to routers that decide by what this one counts.
+    fn introductions(&mut self, facts: &Facts, due: &Due, now: Time) -> Vec<Addressed> {
+        let near = due.near.iter().chain(&due.addressed).copied().collect();
+        let beside = due.beside.clone();
+        let mut all = Vec::new();
+        if due.near.is_empty() && due.addressed.is_empty() && due.beside.is_empty() {
+            return all;
+        }
+        let counts = self.quota.report(now);
+        for (to, next) in [(near, due.near_next), (beside, due.beside_next)] {
+            let to: Vec<SocketAddr> = to;
+            if !to.is_empty() {
+                let mut hello = self.hello(facts, next, now);
+                hello.notes = self.quarantine.notes(now);
+                hello.counts = counts.clone();
+                all.push((Word::Hello(Box::new(hello)), to));
+            }
+        }
+        all
+    }
+
+    /// Returns the summaries of what this router knows of all.
+    fn summaries(&self, facts: &Facts, due: &Due, now: Time) -> Vec<Addressed> {
+        let summary = |(name, addr): &(RouterId, SocketAddr)| {
+            let about = About::new(facts, due.near_next);
+            let loads = self.board.all_but(name, now);
+            let counts = self.quota.all_but(name, now);
+            (
+                Word::Summary(Summary::new(about, loads, counts)),
+                vec![*addr],
+            )
+        };
+        due.relayed.iter().map(summary).collect()
+    }
+
     /// Returns a word on who this router is, whose next one comes after `next`.
     pub(super) fn hello(&self, facts: &Facts, next: Span, now: Time) -> Hello {
         Hello {
--- a/crates/policy/src/actives/due.rs
+++ b/crates/policy/src/actives/due.rs
@@ -1,8 +1,13 @@
 //! Whom a router tells something, and how often.
 
 use {
-    super::Actives,
+    super::{
+        Actives,
+        Peer, //
+    },
     crate::{
+        rendezvous,
+        RouterId,
         Span,
         Time, //
     },
@@ -12,6 +17,10 @@
     },
 };
 
+/// A router introduces itself with every so many of its messages on loads.
+pub const HELLO_EVERY: u32 = 3;
+/// Active routers that each busy router which stands by gets summaries from: one may be gone.
+const RELAYS: usize = 2;
 /// Time between two words of active routers, for each that is active, so that one of 64 sends
 /// no more than 200 words a second.
 const NEAR: Span = Span::millis(5);
@@ -33,10 +42,17 @@
 pub struct Due {
     /// The active ones, and the time until they hear from this router again.
     pub near: Vec<SocketAddr>,
-    /// Others that are told its loads.
-    pub beside: Vec<SocketAddr>,
     /// See [`Due::near`].
     pub near_next: Span,
+    /// Others that act as active ones and take this one for such, and are told its loads too.
+    pub addressed: Vec<SocketAddr>,
+    /// Others that stand by and have many requests, and the time until they hear from this router
+    /// again.
+    pub beside: Vec<SocketAddr>,
+    /// See [`Due::beside`].
+    pub beside_next: Span,
+    /// Those of them that get a summary of all loads and counts from this router.
+    pub relayed: Vec<(RouterId, SocketAddr)>,
     /// Others, whom it only tells that it is there.
     pub far: Vec<SocketAddr>,
     /// Time until these hear from this router again.
@@ -63,6 +79,11 @@
         FAR_LEAST.max(FAR * self.contacts.len() as f64)
     }
 
+    /// Tells whether this router, or another one, takes it for active.
+    pub fn acts(&self, now: Time) -> bool {
+        self.is_active() || self.is_addressed(now)
+    }
+
     /// Tells whether others take this router for active, whatever it takes itself for.
     ///
     /// One that stands by hears others every few seconds. Where it missed that an active one is gone,
@@ -71,33 +92,71 @@
         self.addressed.is_some_and(|at| now.since(at) < ADDRESSED)
     }
 
-    /// Returns the others that are told this router's loads: those that have many requests, and those
-    /// that take this router for active.
+    /// Returns the others that act as active ones, though this router takes them for none.
+    fn addressing(&self, now: Time) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values().filter(|p| p.active.is_none());
+        peers.filter(move |p| is_recent(p.addressed, now))
+    }
+
+    /// Returns the others that stand by and have many requests.
     ///
     /// Callers of a large workspace may all connect to one router, whatever addresses they are
     /// given. Told nothing, it would send half of all requests to engines that it takes for idle.
-    fn beside(&self, now: Time) -> Vec<SocketAddr> {
-        let lately = |at: Option<Time>| at.is_some_and(|at| now.since(at) < ADDRESSED);
-        let peers = self.peers.values().filter(|p| p.active.is_none());
-        let beside = peers.filter(|p| lately(p.busy) || lately(p.addressed));
-        beside.map(|p| p.intro.peers).collect()
+    fn beside(&self, now: Time) -> impl Iterator<Item = (&RouterId, &Peer)> {
+        let peers = self.peers.iter().filter(|(_, p)| p.active.is_none());
+        peers.filter(move |(_, p)| is_recent(p.busy, now) && !is_recent(p.addressed, now))
+    }
+
+    /// Tells whether this router is one of those that send summaries to another.
+    ///
+    /// Routers that stand by don't tell each other their loads, as their number squared would be
+    /// too many messages. Only active routers know of all.
+    fn relays_to(&self, other: &RouterId) -> bool {
+        let score = |name: &RouterId| rendezvous::score(other.as_str(), name.as_str());
+        let own = score(&self.name);
+        let before = self.active.iter().filter(|name| score(name) > own);
+        self.is_active() && before.take(RELAYS).count() < RELAYS
     }
 
     /// Returns whom to tell something now; `busy` says that this router has requests at replicas,
     /// which the active ones are to know of, and `urgent` that all are to be told.
     pub fn due(&mut self, busy: bool, urgent: bool, now: Time) -> Due {
         self.refresh(now);
-        let near_next = self.pace();
-        let (near, beside) = match self.is_active() || busy || self.is_addressed(now) {
-            true => (
-                self.active().map(|(_, p)| p.intro.peers).collect(),
-                self.beside(now),
-            ),
-            false => (Vec::new(), Vec::new()),
+        let mut due = match self.acts(now) || busy {
+            true => self.due_often(now),
+            false => Due::default(),
         };
-        for addr in near.iter().chain(&beside) {
-            self.contacts.tell(*addr, near_next, now);
+        due.near_next = self.pace();
+        due.beside_next = due.near_next * f64::from(HELLO_EVERY);
+        for addr in due.near.iter().chain(&due.addressed) {
+            self.contacts.tell(*addr, due.near_next, now);
         }
+        for addr in &due.beside {
+            self.contacts.tell(*addr, due.beside_next, now);
+        }
+        self.due_seldom(&mut due, urgent, now);
+        due
+    }
+
+    /// Returns whom to tell something many times a second.
+    fn due_often(&self, now: Time) -> Due {
+        let near = self.active().map(|(_, p)| p.intro.peers);
+        let addressed = self.addressing(now).map(|p| p.intro.peers);
+        let beside = self.beside(now).map(|(_, p)| p.intro.peers);
+        let relayed = self.beside(now).filter(|(name, _)| self.relays_to(name));
+        Due {
+            near: near.collect(),
+            addressed: addressed.collect(),
+            beside: beside.collect(),
+            relayed: relayed
+                .map(|(name, p)| (name.clone(), p.intro.peers))
+                .collect(),
+            ..Due::default()
+        }
+    }
+
+    /// Adds those that are only told that this router is there.
+    fn due_seldom(&mut self, due: &mut Due, urgent: bool, now: Time) {
         let round = self.round();
         let often: HashSet<SocketAddr> = self.active().map(|(_, p)| p.intro.peers).collect();
         let is_active = self.is_active();
@@ -106,20 +165,13 @@
             true => round,
             false => round * STAND_BY,
         };
-        let due = match urgent {
+        let all = match urgent {
             true => self.contacts.all(round_of, now),
             false => self.contacts.due(round_of, now),
         };
-        let (far, seldom) = due.into_iter().partition(is_often);
-        Due {
-            near,
-            beside,
-            near_next,
-            far,
-            far_next: round,
-            seldom,
-            seldom_next: round * STAND_BY,
-        }
+        (due.far, due.seldom) = all.into_iter().partition(is_often);
+        due.far_next = round;
+        due.seldom_next = round * STAND_BY;
     }
 
     /// Returns some addresses of other routers, to tell one that starts.
@@ -130,3 +182,8 @@
         turned.take(most).copied().collect()
     }
 }
+
+/// Tells whether something happened a moment ago.
+fn is_recent(at: Option<Time>, now: Time) -> bool {
+    at.is_some_and(|at| now.since(at) < ADDRESSED)
+}
--- a/crates/policy/src/actives/mod.rs
+++ b/crates/policy/src/actives/mod.rs
@@ -22,7 +22,10 @@
         choose,
         Member, //
     },
-    due::Due,
+    due::{
+        Due,
+        HELLO_EVERY, //
+    },
     peer::{
         short,
         Heard,
--- a/crates/policy/src/actives/peer.rs
+++ b/crates/policy/src/actives/peer.rs
@@ -75,7 +75,7 @@
     pub(super) loads: u32,
     /// When it last told its loads and had many requests.
     pub(super) busy: Option<Time>,
-    /// When it last told its loads to this router as to an active one.
+    /// When it last told its loads to this router as one active router to another.
     pub(super) addressed: Option<Time>,
     /// When it was last heard, and how much later its next word was to come.
     pub(super) heard: Time,
--- a/crates/policy/src/actives/table.rs
+++ b/crates/policy/src/actives/table.rs
@@ -74,12 +74,14 @@
 }
 
 /// What a router's word on its loads says besides.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub struct Said {
     /// It has many requests.
     pub busy: bool,
     /// It takes the router that it tells for active.
     pub to_active: bool,
+    /// It acts as an active one itself.
+    pub from_active: bool,
 }
 
 impl Actives {
@@ -207,6 +209,8 @@
         }
         if said.to_active {
             self.addressed = Some(now);
+        }
+        if said.to_active && said.from_active {
             peer.addressed = Some(now);
         }
         if said.busy {
--- a/crates/policy/src/placement/board.rs
+++ b/crates/policy/src/placement/board.rs
@@ -14,7 +14,10 @@
         Deserialize,
         Serialize, //
     },
-    std::collections::HashMap,
+    std::collections::{
+        BTreeSet,
+        HashMap, //
+    },
     xxhash_rust::xxh3::xxh3_64_with_seed, //
 };
 
@@ -47,7 +50,7 @@
     pub running: u32,
     /// Its own.
     pub own: u32,
-    /// Peers whose last message counts.
+    /// Peers whose own last message counts; a summary of theirs is none.
     pub peers: usize,
 }
 
@@ -87,6 +90,8 @@
     /// more than half of a request's processor time: kept as a sum, an instance short of it
     /// answered 9,552 requests of a day in place of 4,029.
     told: ReplicaMap<Load>,
+    /// What an active router last told of all others' work, to one that stands by.
+    summary: Option<Told>,
     /// When the peer that was not heard for longest last spoke.
     oldest: Option<Time>,
     heard: Validity,
@@ -98,6 +103,7 @@
             own: ReplicaMap::default(),
             peers: HashMap::new(),
             told: ReplicaMap::default(),
+            summary: None,
             oldest: None,
             heard: HEARD,
         }
@@ -112,6 +118,16 @@
     running: u32,
 }
 
+impl Told {
+    fn new(loads: &[(ReplicaKey, Load)], now: Time) -> Told {
+        Told {
+            at: now,
+            loads: loads.iter().copied().collect(),
+            running: loads.iter().map(|(_, load)| load.running).sum(),
+        }
+    }
+}
+
 impl ReplicaKey {
     /// Returns the short name of a replica that does not tell when it started.
     pub fn of(id: &ReplicaId) -> ReplicaKey {
@@ -135,6 +151,14 @@
         self.memory += other.memory;
     }
 
+    fn max(self, other: Load) -> Load {
+        Load {
+            running: self.running.max(other.running),
+            unread: self.unread.max(other.unread),
+            memory: self.memory.max(other.memory),
+        }
+    }
+
     fn take(&mut self, other: Load) {
         self.running = self.running.saturating_sub(other.running);
         self.unread = self.unread.saturating_sub(other.unread);
@@ -173,11 +197,7 @@
 
     /// Takes what a peer tells of its requests, in place of what it told before.
     pub fn peer(&mut self, from: &RouterId, loads: &[(ReplicaKey, Load)], now: Time) {
-        let told = Told {
-            at: now,
-            loads: loads.iter().copied().collect(),
-            running: loads.iter().map(|(_, load)| load.running).sum(),
-        };
+        let told = Told::new(loads, now);
         for (key, load) in &told.loads {
             self.told.entry(*key).or_default().add(*load);
         }
@@ -187,6 +207,28 @@
         self.oldest = self.peers.values().map(|told| told.at).min();
     }
 
+    /// Takes what an active router tells of all others' work, in place of what any told before.
+    ///
+    /// It may count requests that their own routers tell of too, so whichever is more counts.
+    pub fn summary(&mut self, loads: &[(ReplicaKey, Load)], now: Time) {
+        self.summary = Some(Told::new(loads, now));
+    }
+
+    /// Returns the work of all routers but one, to tell that one.
+    pub fn all_but(&self, peer: &RouterId, now: Time) -> Vec<(ReplicaKey, Load)> {
+        let theirs = self.peers.get(peer);
+        let theirs = theirs.filter(|told| self.heard.holds(told.at, now));
+        let keys: BTreeSet<ReplicaKey> = self.own.keys().chain(self.told.keys()).copied().collect();
+        let others = keys.into_iter().map(|key| {
+            let mut load = self.load(key, now);
+            if let Some(own) = theirs.and_then(|told| told.loads.get(&key)) {
+                load.take(*own);
+            }
+            (key, load)
+        });
+        others.filter(|(_, load)| load.running > 0).collect()
+    }
+
     fn take_back(&mut self, told: &Told) {
         for (key, load) in &told.loads {
             if let Some(sum) = self.told.get_mut(key) {
@@ -200,6 +242,7 @@
 
     /// Drops the word of peers that were not heard for a while.
     pub fn forget(&mut self, now: Time) {
+        self.summary.take_if(|told| !self.heard.holds(told.at, now));
         if self.oldest.is_none_or(|at| self.heard.holds(at, now)) {
             return;
         }
@@ -217,12 +260,22 @@
 
     /// Returns the work of a replica over the fleet.
     pub fn load(&self, replica: ReplicaKey, now: Time) -> Load {
+        let summary = self.summary.as_ref();
+        let summary = summary.filter(|told| self.heard.holds(told.at, now));
+        let summed = summary.and_then(|told| told.loads.get(&replica));
+        let told = self.told(replica, now);
         let mut sum = self.own(replica);
+        sum.add(told.max(summed.copied().unwrap_or_default()));
+        sum
+    }
+
+    /// Returns what the peers told of a replica.
+    fn told(&self, replica: ReplicaKey, now: Time) -> Load {
         if self.oldest.is_none_or(|at| self.heard.holds(at, now)) {
-            sum.add(self.told.get(&replica).copied().unwrap_or_default());
-            return sum;
+            return self.told.get(&replica).copied().unwrap_or_default();
         }
         // Somebody is silent, and was not forgotten yet.
+        let mut sum = Load::default();
         for told in self.peers.values() {
             if !self.heard.holds(told.at, now) {
                 continue;
@@ -248,17 +301,16 @@
     pub fn view(&self, now: Time) -> View {
         let heard = self.peers.values();
         let heard = heard.filter(|told| self.heard.holds(told.at, now));
+        let (peers, told) =
+            heard.fold((0, 0), |(peers, sum), told| (peers + 1, sum + told.running));
+        let summary = self.summary.as_ref();
+        let summary = summary.filter(|told| self.heard.holds(told.at, now));
         let own = self.running();
-        let mut view = View {
-            running: own,
+        View {
+            running: own + told.max(summary.map_or(0, |told| told.running)),
             own,
-            peers: 0,
-        };
-        for told in heard {
-            view.peers += 1;
-            view.running += told.running;
+            peers,
         }
-        view
     }
 
     /// Returns this router's own work, to tell the peers.
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -75,12 +75,21 @@
     /// Tokens a second that all may have together.
     capacity: f64,
     /// What each workspace had asked for in the last second when this router last told its peers.
-    told: HashMap<WorkspaceKey, Lately>,
-    peers: HashMap<RouterId, (Time, HashMap<WorkspaceKey, Asked>)>,
+    reported: HashMap<WorkspaceKey, Lately>,
+    peers: HashMap<RouterId, Told>,
+    /// What an active router last told of all others' counts, to one that stands by.
+    summary: Option<Told>,
     levels: Option<(Time, Levels)>,
     heard: Validity,
 }
 
+/// Counts that were told, and when.
+#[derive(Debug)]
+struct Told {
+    at: Time,
+    counts: HashMap<WorkspaceKey, Asked>,
+}
+
 /// The most that a workspace may have over the window, in tokens.
 #[derive(Debug, Clone, Copy)]
 struct Levels {
@@ -120,6 +129,29 @@
         self.given += other.given;
         self.lately += other.lately;
     }
+
+    fn max(self, other: Asked) -> Asked {
+        Asked {
+            asked: self.asked.max(other.asked),
+            given: self.given.max(other.given),
+            lately: self.lately.max(other.lately),
+        }
+    }
+
+    fn take(&mut self, other: Asked) {
+        self.asked = (self.asked - other.asked).max(0.0);
+        self.given = (self.given - other.given).max(0.0);
+        self.lately = (self.lately - other.lately).max(0.0);
+    }
+}
+
+impl Told {
+    fn new(counts: &[(WorkspaceKey, Asked)], now: Time) -> Told {
+        Told {
+            at: now,
+            counts: counts.iter().copied().collect(),
+        }
+    }
 }
 
 impl Quota {
@@ -128,8 +160,9 @@
         Quota {
             own: Window::new(window),
             capacity: 0.0,
-            told: HashMap::new(),
+            reported: HashMap::new(),
             peers: HashMap::new(),
+            summary: None,
             levels: None,
             heard: HEARD,
         }
@@ -168,7 +201,7 @@
     /// taken to get as much; one whose callers use few routers is thinned too far until then.
     fn unheard(&self, workspace: WorkspaceKey, peers: f64, heard: usize, now: Time) -> f64 {
         let own = self.own.lately(workspace, now);
-        let told = self.told.get(&workspace).copied().unwrap_or_default();
+        let told = self.reported.get(&workspace).copied().unwrap_or_default();
         let grown = own.requests - CHANCE * own.requests.sqrt() - told.requests;
         if grown <= 0.0 {
             return 0.0;
@@ -183,7 +216,7 @@
     pub fn report(&mut self, now: Time) -> Vec<(WorkspaceKey, Asked)> {
         let keys = self.own.workspaces();
         let lately = keys.map(|key| (*key, self.own.lately(*key, now)));
-        self.told = lately.collect();
+        self.reported = lately.collect();
         let keys = self.own.workspaces();
         let sums = keys.map(|key| (*key, self.own.sum(*key, now)));
         sums.filter(|(_, sum)| sum.asked > 0.0 || sum.given > 0.0)
@@ -192,21 +225,64 @@
 
     /// Takes a peer's counts, in place of those before.
     pub fn peer(&mut self, from: &RouterId, counts: &[(WorkspaceKey, Asked)], now: Time) {
-        let counts = counts.iter().copied().collect();
-        self.peers.insert(from.clone(), (now, counts));
+        self.peers.insert(from.clone(), Told::new(counts, now));
+    }
+
+    /// Takes what an active router tells of all others' counts, in place of what any told before.
+    ///
+    /// It may hold counts that their own routers tell too, so whichever is more counts.
+    pub fn summary(&mut self, counts: &[(WorkspaceKey, Asked)], now: Time) {
+        self.summary = Some(Told::new(counts, now));
+    }
+
+    /// Returns the counts of all routers but one, to tell that one.
+    pub fn all_but(&self, peer: &RouterId, now: Time) -> Vec<(WorkspaceKey, Asked)> {
+        let theirs = self.peers.get(peer);
+        let theirs = theirs.filter(|told| self.heard.holds(told.at, now));
+        let mut all = self.told(now);
+        for key in self.own.workspaces() {
+            all.entry(*key).or_default().add(self.own.sum(*key, now));
+        }
+        for (key, counts) in theirs.iter().flat_map(|told| &told.counts) {
+            all.entry(*key).or_default().take(*counts);
+        }
+        let all = all.into_iter();
+        all.filter(|(_, sum)| sum.asked > 0.0 || sum.given > 0.0)
+            .collect()
     }
 
     /// Drops what is too old to count.
     pub fn forget(&mut self, now: Time) {
-        self.peers.retain(|_, (at, _)| self.heard.holds(*at, now));
+        self.peers.retain(|_, told| self.heard.holds(told.at, now));
+        self.summary.take_if(|told| !self.heard.holds(told.at, now));
         self.own.forget(now);
     }
 
     /// Returns the counts of the peers that were heard of late.
     fn heard(&self, now: Time) -> impl Iterator<Item = &HashMap<WorkspaceKey, Asked>> {
         let heard = self.peers.values();
-        let heard = heard.filter(move |(at, _)| self.heard.holds(*at, now));
-        heard.map(|(_, counts)| counts)
+        let heard = heard.filter(move |told| self.heard.holds(told.at, now));
+        heard.map(|told| &told.counts)
+    }
+
+    /// Returns the counts of the last summary, where it counts.
+    fn summed(&self, now: Time) -> Option<&HashMap<WorkspaceKey, Asked>> {
+        let summary = self.summary.as_ref();
+        let summary = summary.filter(|told| self.heard.holds(told.at, now));
+        summary.map(|told| &told.counts)
+    }
+
+    /// Returns what the peers told, or a summary of it.
+    fn told(&self, now: Time) -> HashMap<WorkspaceKey, Asked> {
+        let mut all: HashMap<WorkspaceKey, Asked> = HashMap::new();
+        for (key, counts) in self.heard(now).flatten() {
+            all.entry(*key).or_default().add(*counts);
+        }
+        for (key, counts) in self.summed(now).into_iter().flatten() {
+            let sum = all.entry(*key).or_default();
+            *sum = sum.max(*counts);
+        }
+        all
     }
 
     /// Adds to what so many peers told of a workspace what is known of it here.
@@ -222,6 +298,8 @@
         for counts in self.heard(now) {
             theirs.add(counts.get(&workspace).copied().unwrap_or_default());
         }
+        let summed = self.summed(now).and_then(|all| all.get(&workspace));
+        let theirs = theirs.max(summed.copied().unwrap_or_default());
         self.with_own(workspace, theirs, self.heard(now).count(), now)
     }
 
@@ -259,10 +337,7 @@
                 return levels;
             }
         }
-        let mut all: HashMap<WorkspaceKey, Asked> = HashMap::new();
-        for (key, counts) in self.heard(now).flatten() {
-            all.entry(*key).or_default().add(*counts);
-        }
+        let mut all = self.told(now);
         let heard = self.heard(now).count();
         for key in self.own.workspaces() {
             let sum = all.entry(*key).or_default();
--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -166,3 +166,63 @@
         }
     }
 }
+
+/// Returns the routers that stand by and have requests, 60 at the most.
+fn busy_standbys(world: &mut World) -> Vec<usize> {
+    let up = world.up().into_iter();
+    let standing_by = up.filter(|i| !world.is_active(*i));
+    standing_by.take(60).collect()
+}
+
+/// Counts the routers among these that know of fewer than nine tenths of all requests, or of more
+/// than there are.
+fn count_wrong(world: &World, routers: &[usize]) -> usize {
+    let all: u32 = world.up().into_iter().map(|i| world.own(i)).sum();
+    let right = all * 9 / 10..=all;
+    let routers = routers.iter();
+    routers
+        .filter(|i| !right.contains(&world.known(**i)))
+        .count()
+}
+
+/// Guards against routers that stand by and decide by a part of what the others sent.
+#[test]
+fn busy_standbys_know_all_requests() {
+    for n in SIZES {
+        let mut world = settled(n, 23);
+        let busy = busy_standbys(&mut world);
+        for i in world.up() {
+            let requests = if busy.contains(&i) { 20 } else { 0 };
+            world.hold(i, requests);
+        }
+        world.run(Span::secs(2));
+        let mut wrong = 0;
+        for _ in 0..100 {
+            world.run(Span::millis(50));
+            wrong += count_wrong(&world, &busy);
+        }
+        let looks = 100 * busy.len();
+        assert!(wrong * 100 <= looks * 2, "{n}: {wrong} of {looks}");
+    }
+}
+
+/// Guards against routers that stand by and know nothing for seconds after active ones were killed.
+#[test]
+fn busy_standbys_know_requests_after_kills() {
+    for n in [60, 300] {
+        let mut world = settled(n, 29);
+        let busy = busy_standbys(&mut world);
+        for i in &busy {
+            world.hold(*i, 20);
+        }
+        world.run(Span::secs(2));
+        let up = world.up().into_iter();
+        let active: Vec<usize> = up.filter(|i| world.is_active(*i)).collect();
+        for i in active.iter().step_by(2) {
+            world.kill(*i);
+        }
+        world.run(Span::millis(1_500));
+        let wrong = count_wrong(&world, &busy);
+        assert!(wrong * 20 <= busy.len(), "{n}: {wrong} of {}", busy.len());
+    }
+}
--- a/crates/policy/tests/actives/world.rs
+++ b/crates/policy/tests/actives/world.rs
@@ -7,7 +7,13 @@
             Actives,
             Heard,
             Intro,
-            Said, //
+            Said,
+            HELLO_EVERY, //
+        },
+        placement::{
+            Board,
+            Load,
+            ReplicaKey, //
         },
         Incarnation,
         RouterId,
@@ -36,11 +42,28 @@
 /// Bytes of a word on who a router is, and of one on its loads, with the heads of its datagram.
 const HELLO_BYTES: u64 = 170;
 const LOADS_BYTES: u64 = 600;
+/// Bytes of a summary of 160 replicas and 60 workspaces.
+const SUMMARY_BYTES: u64 = 3_700;
+/// Requests at replicas from which on a router that stands by tells of them.
+const BUSY: u32 = 4;
+/// The one replica that there is.
+const REPLICA: ReplicaKey = ReplicaKey(1);
 
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
-    Hello { next: Span, known: Vec<SocketAddr> },
-    Loads { next: Span, to_active: bool },
+    Hello {
+        next: Span,
+        known: Vec<SocketAddr>,
+    },
+    Loads {
+        next: Span,
+        said: Said,
+        running: u32,
+    },
+    Summary {
+        next: Span,
+        running: u32,
+    },
 }
 
 type Word = (Reverse<(Time, u64)>, usize, usize, u32, Incarnation, What);
@@ -48,6 +71,7 @@
 #[derive(Debug)]
 struct Router {
     fleet: Actives,
+    board: Board,
     up: bool,
     number: u32,
     speaks: Time,
@@ -108,6 +132,7 @@
             let speaks = world.now + Span::millis(world.rng.u64(0..300));
             world.routers.push(Router {
                 fleet: Actives::new(name(i), intro(i, 1), LEAST, Span::millis(100)),
+                board: Board::default(),
                 up: true,
                 number: 0,
                 speaks,
@@ -128,6 +153,25 @@
         self.routers.len()
     }
 
+    /// Has a router send so many requests to the replica, which do not end.
+    pub(crate) fn hold(&mut self, i: usize, running: u32) {
+        let load = Load {
+            running,
+            ..Load::default()
+        };
+        self.routers[i].board.start(REPLICA, load);
+    }
+
+    /// Returns how many requests a router has at the replica.
+    pub(crate) fn own(&self, i: usize) -> u32 {
+        self.routers[i].board.running()
+    }
+
+    /// Returns how many requests of all routers one knows of.
+    pub(crate) fn known(&self, i: usize) -> u32 {
+        self.routers[i].board.view(self.now).running
+    }
+
     /// Ends a router's process.
     pub(crate) fn kill(&mut self, i: usize) {
         self.routers[i].up = false;
@@ -139,6 +183,7 @@
         let own = intro(i, incarnation);
         self.routers[i] = Router {
             fleet: Actives::new(name(i), own, LEAST, Span::millis(100)),
+            board: Board::default(),
             up: true,
             number: 0,
             speaks: self.now + Span::millis(self.rng.u64(0..300)),
@@ -170,26 +215,55 @@
         let router = &mut self.routers[i];
         router.number += 1;
         let number = router.number;
-        let due = router.fleet.due(false, urgent, now);
+        let running = router.board.running();
+        let due = router.fleet.due(running >= BUSY, urgent, now);
+        let said = Said {
+            busy: running >= BUSY,
+            from_active: router.fleet.acts(now),
+            ..Said::default()
+        };
+        router.board.hear(router.fleet.pace());
+        let summaries: Vec<(SocketAddr, u32)> = due
+            .relayed
+            .iter()
+            .map(|(name, addr)| (*addr, running_in(&router.board.all_but(name, now))))
+            .collect();
         router.speaks = now + router.fleet.pace();
+        let loads = |next, said| What::Loads {
+            next,
+            said,
+            running,
+        };
         let hello = |next| What::Hello {
             next,
             known: Vec::new(),
         };
         for to in &due.near {
             let next = due.near_next;
-            if number % 3 == 1 {
+            if number % HELLO_EVERY == 1 {
                 self.send(i, *to, number, hello(next));
             }
-            let to_active = true;
-            self.send(i, *to, number, What::Loads { next, to_active });
+            let said = Said {
+                to_active: true,
+                ..said
+            };
+            self.send(i, *to, number, loads(next, said));
         }
-        for to in &due.beside {
-            let (next, to_active) = (due.near_next, false);
-            if number % 3 == 1 {
+        for to in &due.addressed {
+            let next = due.near_next;
+            if number % HELLO_EVERY == 1 {
                 self.send(i, *to, number, hello(next));
             }
-            self.send(i, *to, number, What::Loads { next, to_active });
+            self.send(i, *to, number, loads(next, said));
+        }
+        for to in &due.beside {
+            if number % HELLO_EVERY == 1 {
+                self.send(i, *to, number, hello(due.beside_next));
+            }
+        }
+        for (to, running) in summaries {
+            let next = due.near_next;
+            self.send(i, to, number, What::Summary { next, running });
         }
         for to in &due.far {
             self.send(i, *to, number, hello(due.far_next));
@@ -203,6 +277,7 @@
         let bytes = match &what {
             What::Hello { known, .. } => HELLO_BYTES + 12 * known.len() as u64,
             What::Loads { .. } => LOADS_BYTES,
+            What::Summary { .. } => SUMMARY_BYTES,
         };
         self.sent[from] += bytes;
         let Some(to) = self.at.get(&to).copied() else {
@@ -240,15 +315,28 @@
                 What::Hello { next, known } => {
                     self.hello(from, to, number, incarnation, next, &known)
                 }
-                What::Loads { next, to_active } => {
-                    let said = Said {
-                        busy: false,
-                        to_active,
-                    };
+                What::Loads {
+                    next,
+                    said,
+                    running,
+                } => {
+                    let key = short(&name(from), incarnation);
+                    let router = &mut self.routers[to];
+                    let heard = router.fleet.word(key, number, next, said, self.now);
+                    if heard.is_some() {
+                        router
+                            .board
+                            .peer(&name(from), &at_replica(running), self.now);
+                    }
+                }
+                What::Summary { next, running } => {
                     let key = short(&name(from), incarnation);
-                    self.routers[to]
-                        .fleet
-                        .word(key, number, next, said, self.now);
+                    let router = &mut self.routers[to];
+                    let said = Said::default();
+                    let heard = router.fleet.word(key, number, next, said, self.now);
+                    if heard.is_some() {
+                        router.board.summary(&at_replica(running), self.now);
+                    }
                 }
             }
         }
@@ -384,3 +472,15 @@
         fleet.is_active()
     }
 }
+
+fn at_replica(running: u32) -> [(ReplicaKey, Load); 1] {
+    let load = Load {
+        running,
+        ..Load::default()
+    };
+    [(REPLICA, load)]
+}
+
+fn running_in(loads: &[(ReplicaKey, Load)]) -> u32 {
+    loads.iter().map(|(_, load)| load.running).sum()
+}
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -56,6 +56,9 @@
     counts: Span,
     /// Whether a workspace's requests come in at all routers, not at one.
     spread: bool,
+    /// How many of the routers stand by. Workspaces from the second on keep to one of these each,
+    /// the first one to the others.
+    standing_by: usize,
 }
 
 const SMALL: Fleet = Fleet {
@@ -63,6 +66,7 @@
     loads: Span::millis(40),
     counts: Span::millis(40),
     spread: false,
+    standing_by: 0,
 };
 
 struct World {
@@ -134,10 +138,11 @@
         let names: Vec<RouterId> = (0..self.fleet.routers)
             .map(|i| format!("r-{i}").parse().unwrap())
             .collect();
+        let active = self.fleet.routers - self.fleet.standing_by;
         for (i, name) in names.iter().enumerate() {
             let loads = due(self.fleet.loads).then(|| self.boards[i].report());
             let counts = due(self.fleet.counts).then(|| self.quotas[i].report(self.now));
-            for peer in (0..self.fleet.routers).filter(|peer| *peer != i) {
+            for peer in (0..active).filter(|peer| *peer != i) {
                 if let Some(loads) = &loads {
                     self.boards[peer].peer(name, loads, self.now);
                 }
@@ -146,6 +151,15 @@
                 }
             }
         }
+        for (i, name) in names.iter().enumerate().skip(active) {
+            if due(self.fleet.loads) {
+                let relay = i % active;
+                let loads = self.boards[relay].all_but(name, self.now);
+                self.boards[i].summary(&loads, self.now);
+                let counts = self.quotas[relay].all_but(name, self.now);
+                self.quotas[i].summary(&counts, self.now);
+            }
+        }
     }
 
     /// Asks at a router; tells how long the first event takes, or none where it is refused.
@@ -260,9 +274,12 @@
             total: 4_000 + own(who, turn),
             output: 200,
         };
-        let router = match fleet.spread {
-            true => turn as usize % fleet.routers,
-            false => who as usize % fleet.routers,
+        let active = fleet.routers - fleet.standing_by;
+        let router = match (fleet.spread, fleet.standing_by) {
+            (true, _) => turn as usize % fleet.routers,
+            (false, 0) => who as usize % fleet.routers,
+            (false, _) if who == 0 => turn as usize % active,
+            (false, standing_by) => active + who as usize % standing_by,
         };
         let first = world.ask(router, WorkspaceKey(who), &prompt);
         let entry = served.entry(who).or_default();
@@ -349,6 +366,7 @@
         loads: Span::millis(300),
         counts: Span::millis(900),
         spread: true,
+        standing_by: 0,
     };
     let served = play(fleet, &[400, 150, 100, 60, 3, 3, 3, 3, 3]);
     let worst = worst_part(&served);
@@ -364,6 +382,7 @@
         loads: Span::millis(300),
         counts: Span::millis(900),
         spread: true,
+        standing_by: 0,
     };
     let served = play(fleet, &[2_000, 100, 3, 3, 3, 3, 3]);
     let (most, other) = (served[&0].begun, served[&1].begun);
@@ -414,6 +433,7 @@
         loads: Span::millis(300),
         counts: Span::millis(900),
         spread: true,
+        standing_by: 0,
     };
     let own = |who, _| if who == 0 { 600 } else { 5_000 };
     let served = play_sized(fleet, &[3_000, 60, 3, 3, 3, 3, 3], &[], own);
@@ -431,9 +451,26 @@
         loads: Span::millis(300),
         counts: Span::millis(900),
         spread: true,
+        standing_by: 0,
     };
     let rates = [2_000, 100, 100, 100, 3, 3, 3];
     let served = play_sized(fleet, &rates, &[6], |_, _| 3_000);
     let begun = served[&0].seconds.map(|s| s.1);
     assert!(begun[6] * 8 <= served[&0].seconds[6].0, "{begun:?}");
 }
+
+/// Guards against workspaces whose callers keep to routers that stand by being served whole while
+/// one whose callers use the active ones is refused.
+#[test]
+fn load_flood_at_active_routers_has_its_part() {
+    let fleet = Fleet {
+        routers: 24,
+        loads: Span::millis(100),
+        counts: Span::millis(300),
+        spread: false,
+        standing_by: 12,
+    };
+    let served = play(fleet, &[400, 70, 60, 50, 8, 8, 8, 8, 8]);
+    let worst = worst_part(&served);
+    assert!(worst >= 0.6, "{worst:.2} {served:?}");
+}
