retry: routers that stand by and have requests share one budget with the active ones

What callers would see: services get retries beyond what the users allow (BUDGET) when many fail at once.

Active routers count the busy ones besides, and say in their summaries how many share. One that stands by and has no summary takes its part among all that it knows of.

--- a/crates/gateway/src/fleet/beat.rs
+++ b/crates/gateway/src/fleet/beat.rs
@@ -85,6 +85,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Summary {
     pub(crate) about: About,
+    /// Among how many routers what the fleet may spend is divided.
+    pub(crate) sharers: u16,
     loads: Vec<PackedLoad>,
     pub(crate) counts: Vec<(WorkspaceKey, Asked)>,
 }
@@ -222,6 +224,7 @@
     /// Makes a summary that one datagram holds. Of more replicas than that the fullest are told.
     pub(crate) fn new(
         about: About,
+        sharers: usize,
         mut loads: Vec<(ReplicaKey, Load)>,
         mut counts: Vec<(WorkspaceKey, Asked)>,
     ) -> Summary {
@@ -231,6 +234,7 @@
         counts.truncate(MOST_COUNTS);
         Summary {
             about,
+            sharers: u16::try_from(sharers).unwrap_or(u16::MAX),
             loads: pack(&loads),
             counts,
         }
--- a/crates/gateway/src/fleet/beat/tests.rs
+++ b/crates/gateway/src/fleet/beat/tests.rs
@@ -6,6 +6,7 @@
         Facts,
         Hello,
         Loads,
+        Summary,
         Word, //
     },
     policy::{
@@ -15,6 +16,10 @@
             ReplicaKey, //
         },
         quarantine::Notes,
+        quota::{
+            Asked,
+            WorkspaceKey, //
+        },
         Incarnation,
         Span, //
     },
@@ -72,6 +77,41 @@
     assert!(bytes.len() <= 200, "{}", bytes.len());
 }
 
+fn counts(n: u32) -> Vec<(WorkspaceKey, Asked)> {
+    let asked = Asked {
+        asked: 1e7,
+        given: 1e6,
+        lately: 2e6,
+    };
+    (0..n)
+        .map(|i| (WorkspaceKey(0xa000_0000 + i), asked))
+        .collect()
+}
+
+#[test]
+fn summary_there_and_back() {
+    let word = Word::Summary(Summary::new(about(7), 40, loads(3), counts(2)));
+    let Word::Summary(back) = Word::decode(&word.encode().unwrap()).unwrap() else {
+        panic!("another word");
+    };
+    assert_eq!((back.about.from, back.sharers), (7, 40));
+    assert_eq!(back.loads().len(), 3);
+    assert_eq!(back.counts, counts(2));
+}
+
+/// Guards against summaries of large fleets that are cut off by the receiver's buffer.
+#[test]
+fn summary_fits_a_datagram() {
+    let word = Word::Summary(Summary::new(
+        about(u32::MAX),
+        usize::MAX,
+        loads(12_000),
+        counts(6_100),
+    ));
+    let bytes = word.encode().unwrap();
+    assert!(bytes.len() <= crate::fleet::hear::MAX, "{}", bytes.len());
+}
+
 #[test]
 fn hello_stays_small() {
     // An active router of 370 tells 100 others a second that it is there, which is to leave most of
--- a/crates/gateway/src/fleet/hear.rs
+++ b/crates/gateway/src/fleet/hear.rs
@@ -47,7 +47,7 @@
 /// Pause after a word could not be received.
 const AGAIN: Duration = Duration::from_millis(50);
 /// Longest datagram.
-const MAX: usize = 16 * 1024;
+pub(super) const MAX: usize = 16 * 1024;
 
 /// Work of a kind of which one runs at a time. Words that call for it come several times a
 /// second, and what is asked of a peer takes longer.
@@ -141,6 +141,8 @@
         let Some((from, at)) = word else {
             return;
         };
+        let sharers = usize::from(summary.sharers);
+        tables.fleet.tell_sharers(sharers, now);
         tables.board.summary(&summary.loads(), now);
         tables.quota.summary(&summary.counts, now);
         drop(tables);
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -205,12 +205,13 @@
 
     /// Returns the summaries of what this router knows of all.
     fn summaries(&self, facts: &Facts, due: &Due, now: Time) -> Vec<Addressed> {
+        let sharers = self.fleet.sharers(now);
         let summary = |(name, addr): &(RouterId, SocketAddr)| {
             let about = About::new(facts, due.near_next);
             let loads = self.board.all_but(name, now);
             let counts = self.quota.all_but(name, now);
             (
-                Word::Summary(Summary::new(about, loads, counts)),
+                Word::Summary(Summary::new(about, sharers, loads, counts)),
                 vec![*addr],
             )
         };
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -123,12 +123,12 @@
 /// Runs a step of the retry budget of a request's service.
 ///
 /// Each router spends a part of what the users allow over the fleet: the ratio of its own
-/// requests, and an even part among the active ones of what is allowed besides.
+/// requests, and an even part among all that have requests of what is allowed besides.
 fn budget<R>(gw: &Shared, req: &Request, step: fn(&mut Budget, policy::Time) -> R) -> R {
     let now = gw.now();
     let bounds = gw.settings.bounds;
     let mut tables = gw.tables();
-    let routers = tables.fleet.sharers() as f64;
+    let routers = tables.fleet.sharers(now) as f64;
     let budget = tables
         .budgets
         .entry(req.service.clone())
--- a/crates/policy/src/actives/due.rs
+++ b/crates/policy/src/actives/due.rs
@@ -102,7 +102,7 @@
     ///
     /// Callers of a large workspace may all connect to one router, whatever addresses they are
     /// given. Told nothing, it would send half of all requests to engines that it takes for idle.
-    fn beside(&self, now: Time) -> impl Iterator<Item = (&RouterId, &Peer)> {
+    pub(super) fn beside(&self, now: Time) -> impl Iterator<Item = (&RouterId, &Peer)> {
         let peers = self.peers.iter().filter(|(_, p)| p.active.is_none());
         peers.filter(move |(_, p)| is_recent(p.busy, now) && !is_recent(p.addressed, now))
     }
@@ -184,6 +184,6 @@
 }
 
 /// Tells whether something happened a moment ago.
-fn is_recent(at: Option<Time>, now: Time) -> bool {
+pub(super) fn is_recent(at: Option<Time>, now: Time) -> bool {
     at.is_some_and(|at| now.since(at) < ADDRESSED)
 }
--- a/crates/policy/src/actives/set.rs
+++ b/crates/policy/src/actives/set.rs
@@ -6,6 +6,7 @@
             choose,
             Member, //
         },
+        due::is_recent,
         peer::{
             short,
             Intro,
@@ -154,9 +155,24 @@
         self.live(now).count() + 1
     }
 
-    /// Returns among how many routers, this one included, what the fleet may spend is divided.
-    pub fn sharers(&self) -> usize {
-        self.active.len() + 1
+    /// Returns among how many routers, this one included, what the fleet may spend is divided: the
+    /// active ones, and those that stand by and have many requests.
+    ///
+    /// Only active routers know the latter. One that stands by takes their word for it, or its part
+    /// among all where it has none.
+    pub fn sharers(&self, now: Time) -> usize {
+        if self.is_active() {
+            return self.active_count() + self.beside(now).count();
+        }
+        let told = self
+            .told_sharers
+            .filter(|(at, _)| is_recent(Some(*at), now));
+        told.map_or(self.contacts.len() + 1, |(_, sharers)| sharers)
+    }
+
+    /// Takes the word of an active router on how many share what the fleet may spend.
+    pub fn tell_sharers(&mut self, sharers: usize, now: Time) {
+        self.told_sharers = Some((now, sharers.max(1)));
     }
 
     /// Returns among how many routers one is drawn where one of them is to do something.
--- a/crates/policy/src/actives/table.rs
+++ b/crates/policy/src/actives/table.rs
@@ -70,6 +70,8 @@
     pub(super) active_since: Option<Time>,
     /// When another router last told this one its loads, as to an active one.
     pub(super) addressed: Option<Time>,
+    /// Among how many routers an active one said that budgets are divided, and when.
+    pub(super) told_sharers: Option<(Time, usize)>,
     pub(super) refreshed: Option<Time>,
 }
 
@@ -99,6 +101,7 @@
             active: Vec::new(),
             active_since: None,
             addressed: None,
+            told_sharers: None,
             refreshed: None,
         }
     }
--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -226,3 +226,22 @@
         assert!(wrong * 20 <= busy.len(), "{n}: {wrong} of {}", busy.len());
     }
 }
+
+/// Guards against busy routers that stand by spending a part of the retry budget that nobody has
+/// left for them.
+#[test]
+fn sharers_spend_one_budget() {
+    for n in SIZES {
+        let mut world = settled(n, 31);
+        let busy = busy_standbys(&mut world);
+        for i in &busy {
+            world.hold(*i, 20);
+        }
+        world.run(Span::secs(2));
+        let up = world.up().into_iter();
+        let parts = up.filter(|i| busy.contains(i) || world.is_active(*i));
+        let parts: Vec<usize> = parts.collect();
+        let spent: f64 = parts.iter().map(|i| 1.0 / world.sharers(*i) as f64).sum();
+        assert!(spent <= 1.1, "{n}: {spent:.2} budgets");
+    }
+}
--- a/crates/policy/tests/actives/world.rs
+++ b/crates/policy/tests/actives/world.rs
@@ -63,6 +63,7 @@
     Summary {
         next: Span,
         running: u32,
+        sharers: usize,
     },
 }
 
@@ -172,6 +173,11 @@
         self.routers[i].board.view(self.now).running
     }
 
+    /// Returns among how many routers one takes what the fleet may spend to be divided.
+    pub(crate) fn sharers(&self, i: usize) -> usize {
+        self.routers[i].fleet.sharers(self.now)
+    }
+
     /// Ends a router's process.
     pub(crate) fn kill(&mut self, i: usize) {
         self.routers[i].up = false;
@@ -223,6 +229,7 @@
             ..Said::default()
         };
         router.board.hear(router.fleet.pace());
+        let sharers = router.fleet.sharers(now);
         let summaries: Vec<(SocketAddr, u32)> = due
             .relayed
             .iter()
@@ -263,7 +270,12 @@
         }
         for (to, running) in summaries {
             let next = due.near_next;
-            self.send(i, to, number, What::Summary { next, running });
+            let summary = What::Summary {
+                next,
+                running,
+                sharers,
+            };
+            self.send(i, to, number, summary);
         }
         for to in &due.far {
             self.send(i, *to, number, hello(due.far_next));
@@ -329,12 +341,17 @@
                             .peer(&name(from), &at_replica(running), self.now);
                     }
                 }
-                What::Summary { next, running } => {
+                What::Summary {
+                    next,
+                    running,
+                    sharers,
+                } => {
                     let key = short(&name(from), incarnation);
                     let router = &mut self.routers[to];
                     let said = Said::default();
                     let heard = router.fleet.word(key, number, next, said, self.now);
                     if heard.is_some() {
+                        router.fleet.tell_sharers(sharers, self.now);
                         router.board.summary(&at_replica(running), self.now);
                     }
                 }
