--- a/crates/policy/src/actives/due.rs
+++ b/crates/policy/src/actives/due.rs
@@ -29,8 +29,7 @@
 /// sends 100 words of some 150 bytes a second.
 const FAR: Span = Span::millis(10);
 const FAR_LEAST: Span = Span::millis(300);
-/// Those that stand by tell each other so many times as seldom: 10 words a second. With 100 a
-/// second an instance took 0.048 cores on average on a heavy day, its requests included.
+/// Those that stand by tell each other so many times as seldom: 10 messages a second at 300.
 const STAND_BY: f64 = 10.0;
 /// A router that was told others' loads in this time speaks to the active ones like one of them.
 const ADDRESSED: Span = Span::millis(700);
--- a/crates/policy/src/placement/board.rs
+++ b/crates/policy/src/placement/board.rs
@@ -39,8 +39,7 @@
 /// What is known of each replica.
 ///
 /// A decision looks at every replica several times, and these names are hashes already. The usual
-/// hash function guards against keys that callers choose, which these are not; what it cost was
-/// not measured.
+/// hash function guards against keys that callers choose, which these are not.
 pub type ReplicaMap<V> = HashMap<ReplicaKey, V, FxBuildHasher>;
 
 /// What a router knows of the requests at all replicas.
@@ -86,9 +85,8 @@
     peers: HashMap<RouterId, Told>,
     /// Sum of what the peers told.
     ///
-    /// A decision looks at every replica. Added up from 58 peers each time, 90 replicas took
-    /// more than half of a request's processor time: kept as a sum, an instance short of it
-    /// answered 9,552 requests of a day in place of 4,029.
+    /// A decision looks at every replica, and adding up the peers for each would take more time
+    /// than all else that a request takes.
     told: ReplicaMap<Load>,
     /// What an active router last told of all others' work, to one that stands by.
     summary: Option<Told>,
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -115,7 +115,7 @@
 /// request goes to one of two engines that have its parts cached, the same at all routers,
 /// whichever is expected to read it first; elsewhere only where an engine is half idle. Once
 /// a free place anywhere is taken, each request finds nothing cached, and reading eats the
-/// engines (0.587 to 0.481 of the value served in a trial of twelve engines).
+/// engines.
 pub fn pick(engines: &[Candidate], wish: &Wish<'_>) -> Pick {
     let home = wish.prompt.home().unwrap_or_default();
     let rated: Vec<Rated<'_>> = rendezvous::of_hash(home, engines, |e| e.id.as_str())
@@ -146,8 +146,7 @@
 ///
 /// A router knows only of what it sent itself, and the first request of a part may have gone to
 /// either home through any router. Where it knows of none, the other home is asked: that costs
-/// an engine 2 ms where nothing is there, and 50 ms to read 5,000 tokens anew. It takes a third
-/// off what shared parts that are read again cost, as measured on days of three deployments.
+/// an engine far less time than reading the parts anew.
 fn source(rated: &[Rated<'_>], best: &Rated<'_>) -> Option<ReplicaId> {
     let used = rated.iter().filter(|r| r.engine.cached.is_some());
     let last = used.min_by(|a, b| {
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -8,16 +8,11 @@
     serde::Deserialize, //
 };
 
-/// The time between two words of peers at which yielding counts once. It is that of the small
-/// fleets on whose days the figures were measured.
+/// The time between two messages of peers at which yielding counts once.
 const WORDS: Span = Span::millis(100);
 
 /// How the choice among engines is weighed. Settings may give other values than these.
 ///
-/// The values come from days of 35 to 53 s played on 9 to 12 engines, with floods, bursts and
-/// crashes: the part of the value asked that was served, less prices. What single ones buy is
-/// said at each, as a mean of four to six heavy days on either of two deployments.
-///
 /// # Examples
 ///
 /// ```
@@ -31,8 +26,7 @@
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default, rename_all = "kebab-case")]
 pub struct Tuning {
-    /// How many engines a prompt's shared parts are kept at. One in place of two: 0.02 less;
-    /// three: 0.01 less.
+    /// How many engines a prompt's shared parts are kept at.
     pub homes: usize,
     /// A part is taken as cached where it was used this recently, in seconds.
     pub cached_s: f64,
@@ -40,11 +34,10 @@
     ///
     /// It takes the same time of the engine, and besides pushes other parts out of its cache.
     pub again_cost: f64,
-    /// The same for shared tokens that are copied from another engine. Copying at all in place
-    /// of reading again: 0.05 and 0.08 more.
+    /// The same for shared tokens that are copied from another engine.
     pub copy_cost: f64,
     /// Fullness up to which any engine takes a request whose homes are full. An engine that
-    /// is half idle loses nothing by reading the shared parts anew. 0.35 in place of 0.5: 0.01 more.
+    /// is half idle loses nothing by reading the shared parts anew.
     pub spare: f64,
     /// The same for a workspace within its fair share, which then finds a place anywhere
     /// before one that floods finds a second.
@@ -53,7 +46,6 @@
     pub full: f64,
     /// Part of its slots and its memory up to which an engine takes requests of a workspace
     /// that had far more than its share. Each request that runs slows the tokens of all others.
-    /// 0.4 in place of 0.55: up to 0.006 more of what was owed is earned.
     pub full_over: f64,
     /// The same for the time until the engine has read what others sent before, as a part of
     /// the shortest latency target. Engines admit in the order of arrival: what a flood puts
@@ -62,31 +54,25 @@
     pub backlog_over: f64,
     /// The same for the time until the request itself is read, as a part of its own target. One
     /// long prompt of a flood holds up an engine for as long as forty short ones.
-    ///
-    /// 0.2 here and in [`Tuning::backlog_over`], 0.4 in [`Tuning::full_over`], in place of 0.55
-    /// for all three: 0.01 to 0.03 more of what was owed is earned on three deployments, and 7
-    /// to 9 in 100 answers are late in place of 8 to 13. In return a flood gets less beyond its
-    /// share.
     pub own_over: f64,
     /// The same for a request within its workspace's even part of what there is. Bounded like the
     /// others, a workspace of long prompts gets less than half of what one of short prompts gets,
-    /// in tokens. It costs 0.01 to 0.026 of what was owed.
+    /// in tokens.
     pub own_even: f64,
     /// Multiple of its fair share at which a workspace's bound begins to fall.
     pub over_from: f64,
     /// The multiple at which it has fallen to the least.
     pub over_to: f64,
     /// How much lower the bound is for a request beyond its workspace's even part of all that
-    /// was given, so that others over their shares find places first. It keeps a workspace in a
-    /// burst of four times from getting a fifth of what another gets.
+    /// was given, so that others over their shares find places first.
     pub yields: f64,
     /// How far beyond an even part a request stands where it is lower by all of that.
     pub uneven: f64,
     /// How much lower still it is for a request that stands [`Tuning::far`] even parts out.
     ///
     /// As many requests of each workspace stand within any number of even parts, so a bound
-    /// that goes on falling gives each the same. Level from 1.4 parts on it gave what was left
-    /// to who asks most often: twice what another flood got.
+    /// that goes on falling gives each the same. A level one would give what is left to who asks
+    /// most often.
     pub yields_far: f64,
     /// Even parts at which it has fallen by all of that.
     pub far: f64,
@@ -96,8 +82,7 @@
     /// Part of the slots that the fleet fills.
     pub slots: f64,
     /// Shortest time after which a refused request may come back, in milliseconds. Within it
-    /// some places fall free, and the request can still be in time; 150 in place of 60: 0.01 less
-    /// on one of two deployments.
+    /// some places fall free, and the request can still be in time.
     pub again_ms: f64,
     /// Part of an engine's memory that the fleet fills. What is left holds cached parts.
     pub memory: f64,
@@ -155,10 +140,9 @@
     /// with bounds so low it may have been given little, and would find the places of those
     /// who ask for little.
     ///
-    /// `words` is the time between two words of a peer. Routers do not see what others sent since
+    /// `words` is the time between two messages of a peer. Routers do not see what others sent since
     /// these, and with all at once an engine that looks idle gets many times what it can take. The
-    /// later the words, the more a request beyond its even part yields: at 60 routers, 300 ms
-    /// apart, a flood of short prompts filled engines so that another got a quarter of its tokens.
+    /// later the messages, the more a request beyond its even part yields.
     pub fn limit(&self, standing: Standing, words: Span) -> Fullness {
         let over = (standing.share - self.over_from) / (self.over_to - self.over_from).max(0.01);
         let uneven = ((standing.even - 1.0) / self.uneven).clamp(0.0, 1.0);
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -193,10 +193,8 @@
     /// the last second, as far as can be told from what it asks here.
     ///
     /// A flood that begins reaches all routers at once, and each hears of the others' part only
-    /// when they next tell their counts, up to 0.9 s later at 60 routers. Taken for all there is,
-    /// its own part was let through whole: the flood got 3 million tokens in its first second
-    /// and 0.5 million in each later one, and others less than half of what it had over six.
-    /// So growth here, beyond what chance would make it, is taken to be growth there, by the
+    /// when they next tell their counts. Taken for all there is, its own part would be let through
+    /// whole. So growth here, beyond what chance would make it, is taken to be growth there, by the
     /// proportion in which peers told of it before. Where nothing was told yet, all routers are
     /// taken to get as much; one whose callers use few routers is thinned too far until then.
     fn unheard(&self, workspace: WorkspaceKey, peers: f64, heard: usize, now: Time) -> f64 {
@@ -309,10 +307,9 @@
     /// The load is several workspaces that each ask for far more than there is, at many
     /// routers. Each router lets through the same part of each workspace's requests, even part
     /// over what is asked, and the sum over the fleet is that part. Counts that are late do
-    /// little harm, as what is asked changes slowly. Judged by what it had been given, a
-    /// workspace above its part got nothing for seconds and then, until all had heard of it,
-    /// far too much: with counts 0.9 s late 0.14 to 0.48 of what another had, over six seconds;
-    /// now 0.5 and more.
+    /// little harm, as what is asked changes slowly. Judged by what it was given, a workspace
+    /// above its part would get nothing for seconds and then, until all have heard of it, far too
+    /// much.
     pub fn standing(&mut self, workspace: WorkspaceKey, roll: f64, now: Time) -> Standing {
         if self.capacity <= 0.0 {
             return Standing::default();
--- a/crates/policy/src/quota/window.rs
+++ b/crates/policy/src/quota/window.rs
@@ -17,9 +17,8 @@
 
 /// Length of one step of the window.
 const STEP: Span = Span::millis(250);
-/// The asks of the last second decide how several floods share what there is. A flood that
-/// begins is let through whole until it shows in what was asked: over 4 s of window it got
-/// three times what another had, over 1 s no more than a half above it.
+/// The asks of this span decide how several floods share what there is. A flood that begins is
+/// let through whole until it shows in what was asked, which takes as long.
 pub(super) const LATELY: Span = Span::secs(1);
 
 /// Counts of workspaces over a sliding window.
