gateway: the outage in store_down_changes_nothing is longer than the pause between two reads

Cause: routers take what is missing after an outage for lapsed if they noticed the outage: a read failed, or none was made for 1.2 s. The test's outage of 700 ms can fall between two reads. On the users' platform entries lapse after three heartbeats, 3.6 s, so an outage that no router notices takes none.

The outage is 1.5 s now, longer than that pause and under half of the time after which entries lapse; the checks are as they were.

--- a/crates/gateway/tests/gateway/leaving.rs
+++ b/crates/gateway/tests/gateway/leaving.rs
@@ -21,6 +21,10 @@
     },
 };
 
+/// Longer than routers go without reading the list of replicas, and less than half of the time
+/// after which entries lapse.
+const OUTAGE: Duration = Duration::from_millis(1_500);
+
 fn slow(ms: u64) -> Replica {
     Replica::start(move |_, seen| {
         vec![
@@ -97,7 +101,7 @@
         let replica = slow(1);
         let stage = Stage::start(&[("i-1", &replica)]);
         stage.world.lock().unwrap().down = Some(how);
-        thread::sleep(Duration::from_millis(700));
+        thread::sleep(OUTAGE);
         assert_eq!(stage.get("/once/a", "1").status, 200);
         let list = {
             let mut world = stage.world.lock().unwrap();
