placement: a workspace within its even part takes places up to 0.6 of the slots, not 0.4

Cause: where a workspace got more than 1.6 times its part of the stated capacity, and engines give more than is stated, even requests within its even part were bounded by 0.4 of the slots: 4 of 12, as 5 are more than 0.4.

Change: 0.6, so 7 of 12.

pick_even_part_at_a_half_idle_engine fails before (refused at 0.58 of the slots).

--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -98,7 +98,7 @@
             spare: 0.3,
             spare_within: 0.6,
             full: 1.2,
-            full_over: 0.4,
+            full_over: 0.6,
             backlog_over: 0.2,
             own_over: 0.2,
             own_even: 0.55,
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -237,3 +237,32 @@
     assert_eq!(moved, lost);
     assert!((10..45).contains(&lost), "{lost}");
 }
+
+/// Guards against a workspace being refused its even part while engines are half idle.
+#[test]
+fn pick_even_part_at_a_half_idle_engine() {
+    let mut all = engines(4);
+    for engine in &mut all {
+        engine.slots = 12;
+        engine.load.running = 6;
+    }
+    let short = Prompt {
+        parts: vec![Part { id: 1, tokens: 100 }, Part { id: 2, tokens: 200 }],
+        total: 300,
+        output: 100,
+    };
+    let wish = Wish {
+        prompt: &short,
+        target: Span::millis(400),
+        shortest: Span::millis(250),
+        standing: Standing {
+            share: 3.0,
+            even: 0.5,
+            ..Standing::default()
+        },
+        words: Span::millis(100),
+        tuning: &Tuning::default(),
+    };
+    let picked = pick(&all, &wish);
+    assert!(matches!(picked, Pick::Run(_)), "{picked:?}");
+}
