fleet: names and comments of the summaries say what a newcomer would ask

What would stop a newcomer: methods named for saying (`tell_sharers`, `summary` that sets one, `acts`), comments on who tells whom what. They are `set_sharers`, `set_summary`, `acts_active`, and the comments speak of sending, receiving and standbys. No decision is changed.

--- a/crates/gateway/src/fleet/beat.rs
+++ b/crates/gateway/src/fleet/beat.rs
@@ -29,10 +29,9 @@
 const UNREAD_UNIT: u64 = 64;
 /// Tokens in one unit of memory.
 const MEMORY_UNIT: u64 = 1_024;
-/// Replicas and workspaces that a summary holds at the most, so that it fits into the buffer of
-/// whoever receives it.
+/// Most replicas in a summary. With [`MOST_COUNTS`] it keeps one within the receiver's buffer.
 const MOST_LOADS: usize = 600;
-/// See [`MOST_LOADS`].
+/// Most workspaces in a summary.
 const MOST_COUNTS: usize = 250;
 
 /// A router's word on itself.
@@ -44,7 +43,7 @@
 pub(crate) enum Word {
     /// Its requests at each replica.
     Loads(Loads),
-    /// What it knows of all routers but the one that it tells.
+    /// The sum of all routers' requests, without those of the receiver.
     Summary(Summary),
     /// All that changes seldom; a few times a second.
     Hello(Box<Hello>),
@@ -75,23 +74,23 @@
     pub(crate) about: About,
     /// The router that is told takes callers, as far as this one knows.
     pub(crate) to_active: bool,
-    /// The router that tells acts as an active one itself.
+    /// The sender acts as an active router.
     pub(crate) from_active: bool,
     loads: Vec<PackedLoad>,
 }
 
-/// The requests and counts of all routers but the one that is told; to routers that stand by and
-/// have many requests.
+/// The requests and counts of all routers but the receiver; sent to routers that stand by and have
+/// many requests.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Summary {
     pub(crate) about: About,
-    /// Among how many routers what the fleet may spend is divided.
+    /// Number of routers that share the retry budget.
     pub(crate) sharers: u16,
     loads: Vec<PackedLoad>,
     pub(crate) counts: Vec<(WorkspaceKey, Asked)>,
 }
 
-/// The work at a replica in 12 bytes or so.
+/// The load of a replica, in about 15 bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct PackedLoad {
     replica: ReplicaKey,
@@ -221,7 +220,8 @@
 }
 
 impl Summary {
-    /// Makes a summary that one datagram holds. Of more replicas than that the fullest are told.
+    /// Makes a summary that fits into one datagram: where there are too many replicas or workspaces,
+    /// it holds the fullest replicas and the workspaces that ask for most.
     pub(crate) fn new(
         about: About,
         sharers: usize,
--- a/crates/gateway/src/fleet/hear.rs
+++ b/crates/gateway/src/fleet/hear.rs
@@ -142,9 +142,9 @@
             return;
         };
         let sharers = usize::from(summary.sharers);
-        tables.fleet.tell_sharers(sharers, now);
-        tables.board.summary(&summary.loads(), now);
-        tables.quota.summary(&summary.counts, now);
+        tables.fleet.set_sharers(sharers, now);
+        tables.board.set_summary(&summary.loads(), now);
+        tables.quota.set_summary(&summary.counts, now);
         drop(tables);
         self.about(about, &from, at);
     }
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -135,7 +135,7 @@
     occasion.was_busy = busy;
     let due = tables.fleet.due(speaks, urgent, now);
     occasion.note_active(&tables.fleet);
-    let acts = tables.fleet.acts(now);
+    let acts = tables.fleet.acts_active(now);
     let pace = tables.fleet.pace();
     tables.board.hear(pace);
     tables.quota.hear(pace * f64::from(HELLO_EVERY));
@@ -182,17 +182,16 @@
         }
     }
 
-    /// Returns the messages to routers that decide by what this one counts.
+    /// Returns introductions, with counts, for the active routers and the busy standbys.
     fn introductions(&mut self, facts: &Facts, due: &Due, now: Time) -> Vec<Addressed> {
-        let near = due.near.iter().chain(&due.addressed).copied().collect();
+        let near: Vec<SocketAddr> = due.near.iter().chain(&due.addressed).copied().collect();
         let beside = due.beside.clone();
         let mut all = Vec::new();
-        if due.near.is_empty() && due.addressed.is_empty() && due.beside.is_empty() {
+        if near.is_empty() && beside.is_empty() {
             return all;
         }
         let counts = self.quota.report(now);
         for (to, next) in [(near, due.near_next), (beside, due.beside_next)] {
-            let to: Vec<SocketAddr> = to;
             if !to.is_empty() {
                 let mut hello = self.hello(facts, next, now);
                 hello.notes = self.quarantine.notes(now);
@@ -203,7 +202,7 @@
         all
     }
 
-    /// Returns the summaries of what this router knows of all.
+    /// Returns the summaries for the busy standbys that get them from this router.
     fn summaries(&self, facts: &Facts, due: &Due, now: Time) -> Vec<Addressed> {
         let sharers = self.fleet.sharers(now);
         let summary = |(name, addr): &(RouterId, SocketAddr)| {
--- a/crates/policy/src/actives/due.rs
+++ b/crates/policy/src/actives/due.rs
@@ -17,9 +17,9 @@
     },
 };
 
-/// A router introduces itself with every so many of its messages on loads.
+/// A router introduces itself with every third message on its loads.
 pub const HELLO_EVERY: u32 = 3;
-/// Active routers that each busy router which stands by gets summaries from: one may be gone.
+/// Active routers that send summaries to each busy standby, so that it can lose one of them.
 const RELAYS: usize = 2;
 /// Time between two words of active routers, for each that is active, so that one of 64 sends
 /// no more than 200 words a second.
@@ -43,14 +43,13 @@
     pub near: Vec<SocketAddr>,
     /// See [`Due::near`].
     pub near_next: Span,
-    /// Others that act as active ones and take this one for such, and are told its loads too.
+    /// Routers that act as active ones, though this one takes them for standbys. They get its loads.
     pub addressed: Vec<SocketAddr>,
-    /// Others that stand by and have many requests, and the time until they hear from this router
-    /// again.
+    /// Standbys with many requests, which get its introductions, and the time between two of these.
     pub beside: Vec<SocketAddr>,
     /// See [`Due::beside`].
     pub beside_next: Span,
-    /// Those of them that get a summary of all loads and counts from this router.
+    /// Those of them that get their summaries from this router.
     pub relayed: Vec<(RouterId, SocketAddr)>,
     /// Others, whom it only tells that it is there.
     pub far: Vec<SocketAddr>,
@@ -78,8 +77,8 @@
         FAR_LEAST.max(FAR * self.contacts.len() as f64)
     }
 
-    /// Tells whether this router, or another one, takes it for active.
-    pub fn acts(&self, now: Time) -> bool {
+    /// Returns whether this router is active, by its own view or by another router's.
+    pub fn acts_active(&self, now: Time) -> bool {
         self.is_active() || self.is_addressed(now)
     }
 
@@ -91,25 +90,26 @@
         self.addressed.is_some_and(|at| now.since(at) < ADDRESSED)
     }
 
-    /// Returns the others that act as active ones, though this router takes them for none.
+    /// Returns the routers that act as active ones, though this one takes them for standbys.
     fn addressing(&self, now: Time) -> impl Iterator<Item = &Peer> {
         let peers = self.peers.values().filter(|p| p.active.is_none());
         peers.filter(move |p| is_recent(p.addressed, now))
     }
 
-    /// Returns the others that stand by and have many requests.
+    /// Returns the standbys that have many requests.
     ///
     /// Callers of a large workspace may all connect to one router, whatever addresses they are
-    /// given. Told nothing, it would send half of all requests to engines that it takes for idle.
+    /// given. Without others' loads it would send half of all requests to engines that it takes for
+    /// idle.
     pub(super) fn beside(&self, now: Time) -> impl Iterator<Item = (&RouterId, &Peer)> {
         let peers = self.peers.iter().filter(|(_, p)| p.active.is_none());
         peers.filter(move |(_, p)| is_recent(p.busy, now) && !is_recent(p.addressed, now))
     }
 
-    /// Tells whether this router is one of those that send summaries to another.
+    /// Returns whether this router sends summaries to another one.
     ///
-    /// Routers that stand by don't tell each other their loads, as their number squared would be
-    /// too many messages. Only active routers know of all.
+    /// Standbys don't exchange loads among themselves, since the number of messages would grow with
+    /// their number squared. Only active routers get the loads of all.
     fn relays_to(&self, other: &RouterId) -> bool {
         let score = |name: &RouterId| rendezvous::score(other.as_str(), name.as_str());
         let own = score(&self.name);
@@ -121,7 +121,7 @@
     /// which the active ones are to know of, and `urgent` that all are to be told.
     pub fn due(&mut self, busy: bool, urgent: bool, now: Time) -> Due {
         self.refresh(now);
-        let mut due = match self.acts(now) || busy {
+        let mut due = match self.acts_active(now) || busy {
             true => self.due_often(now),
             false => Due::default(),
         };
@@ -137,7 +137,7 @@
         due
     }
 
-    /// Returns whom to tell something many times a second.
+    /// Returns the receivers of frequent messages.
     fn due_often(&self, now: Time) -> Due {
         let near = self.active().map(|(_, p)| p.intro.peers);
         let addressed = self.addressing(now).map(|p| p.intro.peers);
@@ -154,7 +154,7 @@
         }
     }
 
-    /// Adds those that are only told that this router is there.
+    /// Adds the receivers of introductions only.
     fn due_seldom(&mut self, due: &mut Due, urgent: bool, now: Time) {
         let round = self.round();
         let often: HashSet<SocketAddr> = self.active().map(|(_, p)| p.intro.peers).collect();
@@ -182,7 +182,7 @@
     }
 }
 
-/// Tells whether something happened a moment ago.
+/// Returns whether something happened within [`ADDRESSED`].
 pub(super) fn is_recent(at: Option<Time>, now: Time) -> bool {
     at.is_some_and(|at| now.since(at) < ADDRESSED)
 }
--- a/crates/policy/src/actives/set.rs
+++ b/crates/policy/src/actives/set.rs
@@ -155,24 +155,24 @@
         self.live(now).count() + 1
     }
 
-    /// Returns among how many routers, this one included, what the fleet may spend is divided: the
-    /// active ones, and those that stand by and have many requests.
+    /// Returns how many routers, this one included, share the fleet's retry budget: the active ones
+    /// and the standbys that have many requests.
     ///
-    /// Only active routers know the latter. One that stands by takes their word for it, or its part
-    /// among all where it has none.
+    /// Only active routers know the latter. A standby uses the number in the last summary, or counts
+    /// all routers where it has none.
     pub fn sharers(&self, now: Time) -> usize {
         if self.is_active() {
             return self.active_count() + self.beside(now).count();
         }
         let told = self
-            .told_sharers
+            .known_sharers
             .filter(|(at, _)| is_recent(Some(*at), now));
         told.map_or(self.contacts.len() + 1, |(_, sharers)| sharers)
     }
 
-    /// Takes the word of an active router on how many share what the fleet may spend.
-    pub fn tell_sharers(&mut self, sharers: usize, now: Time) {
-        self.told_sharers = Some((now, sharers.max(1)));
+    /// Sets how many routers share the fleet's retry budget, as an active one counts them.
+    pub fn set_sharers(&mut self, sharers: usize, now: Time) {
+        self.known_sharers = Some((now, sharers.max(1)));
     }
 
     /// Returns among how many routers one is drawn where one of them is to do something.
--- a/crates/policy/src/actives/table.rs
+++ b/crates/policy/src/actives/table.rs
@@ -70,8 +70,8 @@
     pub(super) active_since: Option<Time>,
     /// When another router last told this one its loads, as to an active one.
     pub(super) addressed: Option<Time>,
-    /// Among how many routers an active one said that budgets are divided, and when.
-    pub(super) told_sharers: Option<(Time, usize)>,
+    /// How many routers share the retry budget, and when an active one said so.
+    pub(super) known_sharers: Option<(Time, usize)>,
     pub(super) refreshed: Option<Time>,
 }
 
@@ -82,7 +82,7 @@
     pub busy: bool,
     /// It takes the router that it tells for active.
     pub to_active: bool,
-    /// It acts as an active one itself.
+    /// The sender acts as an active router.
     pub from_active: bool,
 }
 
@@ -101,7 +101,7 @@
             active: Vec::new(),
             active_since: None,
             addressed: None,
-            told_sharers: None,
+            known_sharers: None,
             refreshed: None,
         }
     }
--- a/crates/policy/src/placement/board.rs
+++ b/crates/policy/src/placement/board.rs
@@ -42,14 +42,14 @@
 /// hash function guards against keys that callers choose, which these are not.
 pub type ReplicaMap<V> = HashMap<ReplicaKey, V, FxBuildHasher>;
 
-/// What a router knows of the requests at all replicas.
+/// A router's view of the requests at all replicas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct View {
-    /// Requests of all routers that it knows of, its own included.
+    /// Requests of all routers, as far as it knows, its own included.
     pub running: u32,
     /// Its own.
     pub own: u32,
-    /// Peers whose own last message counts; a summary of theirs is none.
+    /// Peers that sent their loads themselves a moment ago.
     pub peers: usize,
 }
 
@@ -88,7 +88,7 @@
     /// A decision looks at every replica, and adding up the peers for each would take more time
     /// than all else that a request takes.
     told: ReplicaMap<Load>,
-    /// What an active router last told of all others' work, to one that stands by.
+    /// The sum of all other routers' work, as an active router last sent it to this standby.
     summary: Option<Told>,
     /// When the peer that was not heard for longest last spoke.
     oldest: Option<Time>,
@@ -205,14 +205,14 @@
         self.oldest = self.peers.values().map(|told| told.at).min();
     }
 
-    /// Takes what an active router tells of all others' work, in place of what any told before.
+    /// Replaces the sum of all other routers' work.
     ///
-    /// It may count requests that their own routers tell of too, so whichever is more counts.
-    pub fn summary(&mut self, loads: &[(ReplicaKey, Load)], now: Time) {
+    /// Some of these may send their own loads as well, so the larger of both counts for a replica.
+    pub fn set_summary(&mut self, loads: &[(ReplicaKey, Load)], now: Time) {
         self.summary = Some(Told::new(loads, now));
     }
 
-    /// Returns the work of all routers but one, to tell that one.
+    /// Returns the work of all routers but one, to send it to that one.
     pub fn all_but(&self, peer: &RouterId, now: Time) -> Vec<(ReplicaKey, Load)> {
         let theirs = self.peers.get(peer);
         let theirs = theirs.filter(|told| self.heard.holds(told.at, now));
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -77,13 +77,13 @@
     /// What each workspace had asked for in the last second when this router last told its peers.
     reported: HashMap<WorkspaceKey, Lately>,
     peers: HashMap<RouterId, Told>,
-    /// What an active router last told of all others' counts, to one that stands by.
+    /// The sum of all other routers' counts, as an active router last sent it to this standby.
     summary: Option<Told>,
     levels: Option<(Time, Levels)>,
     heard: Validity,
 }
 
-/// Counts that were told, and when.
+/// Counts that a peer sent, and when they came.
 #[derive(Debug)]
 struct Told {
     at: Time,
@@ -226,14 +226,14 @@
         self.peers.insert(from.clone(), Told::new(counts, now));
     }
 
-    /// Takes what an active router tells of all others' counts, in place of what any told before.
+    /// Replaces the sum of all other routers' counts.
     ///
-    /// It may hold counts that their own routers tell too, so whichever is more counts.
-    pub fn summary(&mut self, counts: &[(WorkspaceKey, Asked)], now: Time) {
+    /// Some of these may send their own counts as well, so the larger of both counts.
+    pub fn set_summary(&mut self, counts: &[(WorkspaceKey, Asked)], now: Time) {
         self.summary = Some(Told::new(counts, now));
     }
 
-    /// Returns the counts of all routers but one, to tell that one.
+    /// Returns the counts of all routers but one, to send them to that one.
     pub fn all_but(&self, peer: &RouterId, now: Time) -> Vec<(WorkspaceKey, Asked)> {
         let theirs = self.peers.get(peer);
         let theirs = theirs.filter(|told| self.heard.holds(told.at, now));
@@ -270,7 +270,7 @@
         summary.map(|told| &told.counts)
     }
 
-    /// Returns what the peers told, or a summary of it.
+    /// Returns the counts of all other routers.
     fn told(&self, now: Time) -> HashMap<WorkspaceKey, Asked> {
         let mut all: HashMap<WorkspaceKey, Asked> = HashMap::new();
         for (key, counts) in self.heard(now).flatten() {
--- a/crates/policy/tests/actives/world.rs
+++ b/crates/policy/tests/actives/world.rs
@@ -225,7 +225,7 @@
         let due = router.fleet.due(running >= BUSY, urgent, now);
         let said = Said {
             busy: running >= BUSY,
-            from_active: router.fleet.acts(now),
+            from_active: router.fleet.acts_active(now),
             ..Said::default()
         };
         router.board.hear(router.fleet.pace());
@@ -351,8 +351,8 @@
                     let said = Said::default();
                     let heard = router.fleet.word(key, number, next, said, self.now);
                     if heard.is_some() {
-                        router.fleet.tell_sharers(sharers, self.now);
-                        router.board.summary(&at_replica(running), self.now);
+                        router.fleet.set_sharers(sharers, self.now);
+                        router.board.set_summary(&at_replica(running), self.now);
                     }
                 }
             }
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -155,9 +155,9 @@
             if due(self.fleet.loads) {
                 let relay = i % active;
                 let loads = self.boards[relay].all_but(name, self.now);
-                self.boards[i].summary(&loads, self.now);
+                self.boards[i].set_summary(&loads, self.now);
                 let counts = self.quotas[relay].all_but(name, self.now);
-                self.quotas[i].summary(&counts, self.now);
+                self.quotas[i].set_summary(&counts, self.now);
             }
         }
     }
