policy: tests of floods and of active routers say in one line what they guard against

At 300 routers counts came every 4.5 s and held for 2 s, loads every 1.5 s and held for 0.7 s. Callers sent to a dead router lose a second each.

Comments only; no test is changed.

--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -32,10 +32,9 @@
     up.filter(|i| world.dead_named(*i) > 0).count()
 }
 
+/// Guards against a fleet that starts at once and sends all callers to a few routers for long.
 #[test]
 fn start_nobody_knows_anybody() {
-    // All processes start in the same moment, the store is away, and each knows only the three
-    // that its settings name. Callers come at once, and must not be sent to a few for long.
     for n in SIZES {
         let mut world = World::new(n, 7);
         let took = world.agree_within(Span::secs(6));
@@ -53,10 +52,9 @@
     }
 }
 
+/// Guards against routers that wait for the dead, or name them to callers, after a power failure.
 #[test]
 fn start_after_all_were_killed() {
-    // Power fails everywhere and comes back after a second. Those that start must neither wait
-    // for the dead nor name them to callers.
     for n in SIZES {
         let mut world = settled(n, 11);
         for i in 0..n {
@@ -71,11 +69,9 @@
     }
 }
 
+/// Guards against callers being sent to a killed router, where each loses a second.
 #[test]
 fn silent_active_one_is_replaced() {
-    // The process of an active router is killed. Callers who ask any router for addresses must
-    // soon be told of one that is up in its place: each that connects to the dead one loses a
-    // second.
     for n in SIZES {
         let mut world = settled(n, 3);
         let dead = first_active(&mut world);
@@ -90,9 +86,9 @@
     }
 }
 
+/// Guards against the same where half of the active routers are killed at once.
 #[test]
 fn half_the_active_ones_are_killed() {
-    // Many processes are killed at the same moment, half of the active ones among them.
     for n in [60, 300, 370] {
         let mut world = settled(n, 5);
         let all = world.up();
@@ -110,10 +106,9 @@
     }
 }
 
+/// Guards against callers being sent to a router that shuts down.
 #[test]
 fn leaving_one_is_named_no_more() {
-    // An active router gets a SIGTERM. Callers who ask for addresses a moment later must not be
-    // sent there any more, whichever router they ask.
     for n in SIZES {
         let mut world = settled(n, 9);
         let leaving = first_active(&mut world);
@@ -130,10 +125,9 @@
     }
 }
 
+/// Guards against a zone that can't reach the others and serves nobody, or disagrees afterwards.
 #[test]
 fn cut_zone_serves_its_callers() {
-    // A zone can't reach the others for ten seconds. Both sides take those that they hear for
-    // active, and agree again once the cut is mended.
     let n = 300;
     let mut world = settled(n, 13);
     world.cut.insert(2);
@@ -146,10 +140,9 @@
     assert!(world.agree_within(Span::secs(8)).is_some());
 }
 
+/// Guards against messages of idle standbys that grow with the fleet, beyond 21 KB/s.
 #[test]
 fn words_between_routers_stay_bounded() {
-    // What a router that stands by sends and gets may not grow with the fleet: 21 KB/s each way
-    // is all that routers may say to each other.
     for n in SIZES {
         let mut world = settled(n, 17);
         world.reset_bytes();
--- a/crates/policy/tests/placement/board.rs
+++ b/crates/policy/tests/placement/board.rs
@@ -31,11 +31,9 @@
     }
 }
 
+/// Guards against sums that drift from what the peers sent, so that replicas seem ever fuller.
 #[test]
 fn board_sum_of_what_is_heard() {
-    // Peers speak, repeat themselves, fall silent and are forgotten in any order. The sums are
-    // kept beside what each told; one that is off by a request for each lost word would show
-    // replicas fuller and fuller until nobody gets a place.
     let names: Vec<RouterId> = (0..6).map(|i| format!("r-{i}").parse().unwrap()).collect();
     let mut board = Board::default();
     let mut told: BTreeMap<RouterId, (Time, Vec<(ReplicaKey, Load)>)> = BTreeMap::new();
@@ -66,10 +64,9 @@
     }
 }
 
+/// Guards against loads that are dropped before the next ones come.
 #[test]
 fn board_words_of_a_large_fleet() {
-    // At 300 routers each speaks every 1.5 s. A word that counted for 0.7 s was missing half of
-    // the time, and engines that were full looked free to everybody else.
     let mut board = Board::default();
     let (peer, key) = ("r-1".parse().unwrap(), ReplicaKey(1));
     board.peer(&peer, &[(key, load(20))], Time(0));
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -294,10 +294,9 @@
     served
 }
 
+/// Guards against those within their shares being refused as often as a flood.
 #[test]
 fn load_flood_spares_the_others() {
-    // One workspace asks for eight times what there is, at one router. The others ask for
-    // less than their shares; they were refused as often as the flood.
     let served = play(SMALL, &[400, 4, 4, 4, 4, 4, 4, 4, 4]);
     for who in 1..9 {
         let s = served[&who];
@@ -310,11 +309,9 @@
     assert!(flood.begun > 20 * 10, "{flood:?}");
 }
 
+/// Guards against each free place going to whoever asks next, and so to who asks most.
 #[test]
 fn load_floods_share_evenly() {
-    // Three workspaces want far more than there is, one of them ten times as often as the
-    // next. Each place that fell free went to whoever asked next, so to that one; the others
-    // were refused in every second and got a quarter of what it got.
     let served = play(SMALL, &[400, 60, 40, 3, 3, 3, 3, 3, 3]);
     let most = served[&0].begun;
     for who in [1, 2] {
@@ -323,6 +320,7 @@
     }
 }
 
+/// Guards against refusals while there is enough for all.
 #[test]
 fn load_calm_serves_all() {
     for (who, s) in play(SMALL, &[4; 9]) {
@@ -355,12 +353,9 @@
     worst
 }
 
+/// Guards against shares that swing between nothing and too much where counts come late.
 #[test]
 fn load_floods_share_evenly_with_late_counts() {
-    // Four workspaces flood all of 24 routers, which hear of each other's counts 0.9 s late.
-    // One that was over its part got nothing for seconds, then, when what it had left the
-    // window all at once, took more than its part before the others heard of it: within six
-    // seconds some had less than half of what another had.
     let fleet = Fleet {
         routers: 24,
         loads: Span::millis(300),
@@ -373,10 +368,9 @@
     assert!(worst >= 0.6, "{worst:.2} {served:?}");
 }
 
+/// Guards against what is left over going to who asks most often.
 #[test]
 fn load_flood_of_many_times_another() {
-    // One workspace asks twenty times as often as another that floods too. Beyond a few parts
-    // the bound was level, so what was left over went to who asked most, twice as much.
     let fleet = Fleet {
         routers: 24,
         loads: Span::millis(300),
@@ -389,11 +383,9 @@
     assert!(other * 100 >= most * 56, "{other} of {most}");
 }
 
+/// Guards against short prompts being late behind a flood's long ones.
 #[test]
 fn load_flood_of_long_prompts() {
-    // One workspace floods, and every fifth of its prompts takes an engine 200 ms to read, half
-    // of the latency target. The others keep to their shares with short ones. Engines read in
-    // the order of arrival, so the others stood behind the long prompts and were late.
     let own = |who, turn| match (who, turn % 5) {
         (0, 0) => 20_000,
         _ => 3_000,
@@ -408,11 +400,9 @@
     assert!(served[&0].begun > 20 * 10, "{:?}", served[&0]);
 }
 
+/// Guards against a workspace losing its part because its prompts are long.
 #[test]
 fn load_flood_of_long_prompts_has_its_part() {
-    // Two workspaces ask for more than there is, one with short prompts, one with prompts that
-    // take 150 ms to read. The long ones were refused for their length alone, however few had
-    // been asked, and their workspace got less than half of what the other got in tokens.
     let own = |who, _| match who {
         1 => 15_000,
         _ => 3_000,
@@ -422,12 +412,9 @@
     assert!(long * 2 >= short, "{long} and {short} thousand tokens");
 }
 
+/// Guards against many routers filling an idle engine at once with a flood's short prompts.
 #[test]
 fn load_flood_of_short_prompts_with_late_words() {
-    // At 24 routers that hear of each other's loads every 300 ms one workspace floods with short
-    // prompts, another asks for some times its part with longer ones. Each router saw engines
-    // idle and sent them the short ones, all at once; the other workspace, well within its
-    // part, found them full and got less than half of what the flood got in tokens.
     let fleet = Fleet {
         routers: 24,
         loads: Span::millis(300),
@@ -441,11 +428,9 @@
     assert!(long * 2 >= short, "{long} and {short} thousand tokens");
 }
 
+/// Guards against a new flood being let through whole, as each router sees a small part of it.
 #[test]
 fn load_flood_that_begins_at_many_routers() {
-    // Three workspaces flood 24 routers, which hear of each other's counts every 900 ms. After 6 s
-    // another begins to ask for twenty times as much. Each router saw a small part of that alone
-    // and let it through: 598 of 2,000 requests in its first second, 17 in each later one.
     let fleet = Fleet {
         routers: 24,
         loads: Span::millis(300),
--- a/crates/policy/tests/placement/quota.rs
+++ b/crates/policy/tests/placement/quota.rs
@@ -49,10 +49,9 @@
     assert!(quota.standing(LARGE, ROLL, at(100)).share <= 1.0);
 }
 
+/// Guards against a flood going first at a router that sees little of it.
 #[test]
 fn quota_flood_at_another_router() {
-    // A workspace floods one router, and has a few requests here. Judged by this router's
-    // counts alone they would go first, before those of workspaces that had less.
     let mut quota = quota();
     quota.asked(LARGE, 10.0, at(0));
     quota.asked(SMALL, 10.0, at(0));
@@ -96,10 +95,9 @@
     within.count() as f64 / 1_000.0 * asked
 }
 
+/// Guards against counts that are dropped before the next ones come.
 #[test]
 fn quota_counts_of_a_large_fleet() {
-    // At 300 routers each tells its counts every 4.5 s. Taken as unknown after 2 s, a flood at
-    // another router was seen less than half of the time.
     let mut quota = quota();
     let flood = Asked {
         asked: 40_000.0,
@@ -113,11 +111,9 @@
     assert!(quota.standing(LARGE, ROLL, at(4_400)).share > 1.4);
 }
 
+/// Guards against uneven parts where engines give more than the configuration states.
 #[test]
 fn quota_even_part_of_what_was_given() {
-    // Engines give twice what is stated. Two workspaces want far more than their shares, and
-    // one asks ten times as often: each is to get half of what there is, though both had
-    // different parts so far.
     let mut quota = quota();
     quota.asked(LARGE, 90_000.0, at(0));
     quota.given(LARGE, 6_500.0, at(0));
@@ -132,11 +128,9 @@
     assert!((1_080.0..1_180.0).contains(&small), "{small}");
 }
 
+/// Guards against a new flood being let through whole, as it is short of the whole window.
 #[test]
 fn quota_flood_that_begins() {
-    // A workspace that was quiet floods from one moment on. Over 4 s its first second looked
-    // like a quarter of what it asks, so it was let through whole while others that flooded
-    // for longer were refused: three times as much went to it as to each of them.
     let mut quota = quota();
     for second in 0..4 {
         quota.asked(LARGE, 4_000.0, at(second * 1_000));
