--- a/crates/gateway/tests/gateway/drill.rs
+++ b/crates/gateway/tests/gateway/drill.rs
@@ -2,11 +2,8 @@
 
 use {
     crate::{
-        replica::{
-            good,
-            Replica,
-            Step, //
-        },
+        fleet::echo,
+        replica::Replica,
         stage::{
             wait,
             Down,
@@ -17,10 +14,6 @@
     std::collections::BTreeMap,
 };
 
-fn echo() -> Replica {
-    Replica::start(|_, seen| vec![Step::Send(good(seen, "ok"))])
-}
-
 /// Starts a gateway whose entry stands in the store, and lets the store lose that entry while it
 /// gives the entry's lease to another router.
 fn lease_given_twice(replica: &Replica) -> Stage {
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -51,7 +51,8 @@
     body.split(' ').map(str::to_owned).collect()
 }
 
-fn echo() -> Replica {
+/// Starts a replica that answers each request.
+pub(crate) fn echo() -> Replica {
     Replica::start(|_, seen| vec![Step::Send(good(seen, "ok"))])
 }
 
