gateway: what comes of a try stands in a module of its own

attempts, plain, stream and silence imported one another in a circle, as the types of a try's outcome stood in attempts. They are in serve/step.rs now, and the log line of a try is in serve/trail.rs with the others.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         admit::Request,
-        answer::Own,
         course::{
             count_first,
             Course, //
@@ -11,15 +10,19 @@
         place::Place,
         plain::pass_plain,
         silence::silence,
-        stream::pass_stream, //
+        step::{
+            Flow,
+            Step,
+            TryError, //
+        },
+        stream::pass_stream,
+        trail::note, //
     },
     crate::{
-        http::ReadError,
         state::Shared,
         upstream::{
             call,
             has_ended,
-            CallError,
             Events,
             Outgoing,
             Reply,
@@ -32,69 +35,11 @@
         sync::Arc,
         time::Duration, //
     },
-    thiserror::Error, //
 };
 
 /// When to come back after a replica turned a request away.
 const TURNED_AWAY: Duration = Duration::from_millis(250);
 
-/// How a request ended for its caller.
-#[derive(Debug)]
-pub(crate) enum Flow {
-    /// It gets this answer.
-    Own(Own),
-    /// It has its answer; the connection is kept.
-    Passed,
-    /// What it has of its answer is cut off, or it is gone.
-    Cut,
-}
-
-/// Why a try gave no answer.
-#[derive(Debug, Error)]
-pub(super) enum TryError {
-    #[error("{0}")]
-    Call(#[from] CallError),
-    #[error("the replica is silent")]
-    Silent,
-    #[error("the answer is not signed")]
-    Unsigned,
-}
-
-impl From<ReadError> for TryError {
-    fn from(e: ReadError) -> TryError {
-        TryError::Call(CallError::Read(e))
-    }
-}
-
-impl TryError {
-    /// Notes what it says of the replica.
-    fn note(&self, place: &Place) {
-        match self {
-            TryError::Silent | TryError::Call(CallError::Connect(_)) => place.unreachable(),
-            TryError::Call(_) | TryError::Unsigned => place.broken(),
-        }
-    }
-
-    /// Tells whether the connection was lost on which the request had been sent.
-    fn lost_connection(&self) -> bool {
-        let lost = |e: &ReadError| matches!(e, ReadError::Closed | ReadError::Broken(_));
-        matches!(self, TryError::Call(CallError::Read(e)) if lost(e))
-    }
-}
-
-/// What came of a try.
-pub(super) enum Step {
-    End(Flow),
-    /// It reached a replica that may have run it, or that broke off.
-    Lost,
-    /// It reached nobody.
-    Unreached,
-    /// A replica turned it away without running it.
-    TurnedAway,
-    /// It failed, and another send was taken from the budget.
-    Again,
-}
-
 /// Serves a request and writes its answer, unless it is one of our own.
 pub(crate) async fn serve(
     gw: &Arc<Shared>,
@@ -209,21 +154,6 @@
     }
 }
 
-/// Logs a try that gave no answer.
-pub(super) fn note(req: &Request, place: &Place, course: &mut Course, outcome: &str, cause: &str) {
-    log::info!(
-        "event=try outcome={outcome} id={} digest={} replica={} send={} ms={} event-ms={} \
-         cause={cause:?}",
-        req.id,
-        req.digest,
-        place.replica.id,
-        course.sends,
-        place.ran().as_millis(),
-        place.since_first().map_or(-1, |d| d.as_millis() as i64)
-    );
-    course.cause = cause.to_owned();
-}
-
 async fn called(
     gw: &Shared,
     req: &Request,
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -7,11 +7,9 @@
             Request, //
         },
         answer::Own,
-        attempts::{
-            serve,
-            Flow, //
-        },
+        attempts::serve,
         course::Course,
+        step::Flow,
         trail::{
             ended,
             turned_down, //
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -12,6 +12,7 @@
 mod server;
 mod silence;
 pub(crate) mod small;
+mod step;
 mod stream;
 mod trail;
 
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -3,15 +3,15 @@
 use {
     super::{
         admit::Request,
-        attempts::{
-            note,
+        course::Course,
+        place::Place,
+        silence::silence,
+        step::{
             Flow,
             Step,
             TryError, //
         },
-        course::Course,
-        place::Place,
-        silence::silence, //
+        trail::note, //
     },
     crate::{
         http::{
--- a/crates/gateway/src/serve/silence.rs
+++ b/crates/gateway/src/serve/silence.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         admit::Request,
-        attempts::TryError,
-        place::Place, //
+        place::Place,
+        step::TryError, //
     },
     crate::model::RouteKind,
     async_std::task,
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -3,14 +3,14 @@
 use {
     super::{
         admit::Request,
-        attempts::{
-            Flow,
-            TryError, //
-        },
         course::Course,
         place::Place,
         plain::chunked_head,
-        silence::silence, //
+        silence::silence,
+        step::{
+            Flow,
+            TryError, //
+        }, //
     },
     crate::{
         http::{
--- a/crates/gateway/src/serve/trail.rs
+++ b/crates/gateway/src/serve/trail.rs
@@ -3,7 +3,8 @@
 use super::{
     admit::Request,
     answer::Own,
-    course::Course, //
+    course::Course,
+    place::Place, //
 };
 
 /// Logs and counts a request that was refused before it was placed.
@@ -54,3 +55,18 @@
         course.inputs
     );
 }
+
+/// Logs a try that gave no answer.
+pub(super) fn note(req: &Request, place: &Place, course: &mut Course, outcome: &str, cause: &str) {
+    log::info!(
+        "event=try outcome={outcome} id={} digest={} replica={} send={} ms={} event-ms={} \
+         cause={cause:?}",
+        req.id,
+        req.digest,
+        place.replica.id,
+        course.sends,
+        place.ran().as_millis(),
+        place.since_first().map_or(-1, |d| d.as_millis() as i64)
+    );
+    course.cause = cause.to_owned();
+}
