gateway: an answer that is cut off tells why, in a warning and a counter

What could not be told: of an answer that had begun and was cut off, the log had the cause of the last refusal or try as a text, in a line that a flood of requests leaves out, and nothing told how long the stream had been quiet, how much time, how many attempts and how much of the retry budget were left. The hypotheses on the incident differ in just these.

Causes are typed now (Cut, NoRetry, Refusal), logged as event=cut with these figures and counted by cause. No decision is changed: Budget::take is written with Budget::left, which allows the same number. Ruled out: more fields on event=request, which is not a warning and is dropped with the others.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -11,6 +11,7 @@
         plain::pass_plain,
         silence::silence,
         step::{
+            Cut,
             Flow,
             Step,
             TryError, //
@@ -56,25 +57,25 @@
                 place
             }
             Err(refused) if course.begun => {
-                course.cause = refused.why.to_owned();
-                return Flow::Cut;
+                course.cause = refused.why.text().to_owned();
+                return Flow::Cut(Cut::Refused(refused.why));
             }
             Err(refused) => {
                 course.inputs = refused.inputs;
-                return Flow::Own(course.given_up(refused.why, refused.after));
+                return Flow::Own(course.given_up(refused.why.text(), refused.after));
             }
         };
         let step = attempt(gw, req, place, writer, course, &mut events).await;
         let again = match step {
             Step::End(flow) => return flow,
-            Step::Again => true,
+            Step::Again => Ok(()),
             Step::Unreached => course.may_try_unreached(req.until),
             Step::TurnedAway => course.may_send(gw, req, true),
             Step::Lost => course.may_send(gw, req, false),
         };
-        if !again {
+        if let Err(why) = again {
             return match course.begun {
-                true => Flow::Cut,
+                true => Flow::Cut(Cut::NoRetry(why)),
                 false => Flow::Own(course.given_up("no replica answered it", TURNED_AWAY)),
             };
         }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         admit::Request,
-        place::Place, //
+        place::Place,
+        step::Refusal, //
     },
     crate::{
         model::{
@@ -49,7 +50,7 @@
 /// A request that was refused.
 #[derive(Debug)]
 pub(crate) struct Refused {
-    pub(crate) why: &'static str,
+    pub(crate) why: Refusal,
     pub(crate) after: Duration,
     /// What it was decided by, for the log.
     pub(crate) inputs: String,
@@ -98,7 +99,7 @@
         let mut tables = self.tables();
         if let Some(left) = tables.quarantine.left(req.digest, now) {
             return Err(Refused {
-                why: "replicas end when they run this request",
+                why: Refusal::Held,
                 after: left.into(),
                 inputs: String::new(),
             });
@@ -114,14 +115,14 @@
         let choice = match picked {
             None => {
                 return Err(Refused {
-                    why: "no replica of its service takes work",
+                    why: Refusal::NoReplica,
                     after: NOBODY_AGAIN,
                     inputs: String::new(),
                 })
             }
             Some(Pick::Refuse { after, full, bound }) => {
                 return Err(Refused {
-                    why: "the replicas of its service are full",
+                    why: Refusal::Full,
                     after: after.into(),
                     inputs: format!("full={full:.2} bound={bound} {basis}"),
                 })
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -9,10 +9,14 @@
         answer::Own,
         attempts::serve,
         course::Course,
-        step::Flow,
+        step::{
+            Cut,
+            Flow, //
+        },
         trail::{
             ended,
-            turned_down, //
+            turned_down,
+            was_cut, //
         },
     },
     crate::{
@@ -243,12 +247,20 @@
                 Some(flow) => (flow, false),
                 // What may not be repeated is not broken off: it may be half done.
                 None if req.route.kind == RouteKind::Single => (work.await, true),
-                None => (Ok(Flow::Cut), true),
+                None => (Ok(Flow::Cut(Cut::Caller)), true),
             }
         };
+        let cut = match &flow {
+            Ok(Flow::Cut(cut)) => Some(*cut),
+            Err(_) if course.begun => Some(Cut::Time),
+            _ => None,
+        };
+        if let Some(cut) = cut.filter(|_| course.begun && !gone) {
+            was_cut(&self.gw, &req, &mut course, cut);
+        }
         let kept = match flow {
             Ok(Flow::Passed) => !gone,
-            Ok(Flow::Cut) => false,
+            Ok(Flow::Cut(_)) => false,
             Ok(Flow::Own(own)) => {
                 course.status = own.status;
                 !gone && self.tell(&own, Some(&req.id)).await
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         admit::Request,
-        answer::Own, //
+        answer::Own,
+        step::NoRetry, //
     },
     crate::{
         state::Shared,
@@ -47,6 +48,8 @@
     pub(crate) begun: bool,
     /// When the caller got the first event, or the answer.
     pub(crate) first: Option<Instant>,
+    /// When the caller last got some of its answer.
+    pub(crate) last: Option<Instant>,
     /// The status that the caller got, 0 where none.
     pub(crate) status: u16,
     /// What the last choice of a replica was made from, for the log.
@@ -57,22 +60,53 @@
 
 impl Course {
     /// Tells whether a try that reached nobody may be followed by another.
-    pub(crate) fn may_try_unreached(&mut self, until: Instant) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub(crate) fn may_try_unreached(&mut self, until: Instant) -> Result<(), NoRetry> {
         self.unreached += 1;
-        self.unreached < UNREACHED && has_time(until)
+        if self.unreached >= UNREACHED {
+            return Err(NoRetry::Unreached);
+        }
+        if !has_time(until) {
+            return Err(NoRetry::Time);
+        }
+        Ok(())
     }
 
     /// Tells whether a request may be sent to one more replica, and takes it from the budget.
     ///
     /// `surely_not_run` is set where all replicas that got it said that they did not run it.
-    pub(crate) fn may_send(&self, gw: &Shared, req: &Request, surely_not_run: bool) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub(crate) fn may_send(
+        &self,
+        gw: &Shared,
+        req: &Request,
+        surely_not_run: bool,
+    ) -> Result<(), NoRetry> {
         let most = match surely_not_run {
             // A replica that turned it away has not run it.
             true => req.route.attempts.max(2),
             false => req.route.attempts,
         };
         let safe = surely_not_run && !self.may_have_run || req.route.repeatable();
-        safe && self.sends < most && has_time(req.until) && budget(gw, req, Budget::take)
+        if !safe {
+            return Err(NoRetry::MayHaveRun);
+        }
+        if self.sends >= most {
+            return Err(NoRetry::Attempts);
+        }
+        if !has_time(req.until) {
+            return Err(NoRetry::Time);
+        }
+        if !budget(gw, req, Budget::take) {
+            return Err(NoRetry::Budget);
+        }
+        Ok(())
     }
 
     /// Tells whether the try that begins, or is under way, is the last that the route allows.
@@ -85,6 +119,12 @@
         self.begun = true;
         self.status = status;
         self.first = Some(Instant::now());
+        self.last = self.first;
+    }
+
+    /// Notes that the caller got more of its answer.
+    pub(crate) fn passed(&mut self) {
+        self.last = Some(Instant::now());
     }
 
     /// Returns the answer to a request that is given up.
@@ -120,6 +160,11 @@
     budget(gw, req, Budget::first);
 }
 
+/// Returns how many retries the budget of a request's service has left at this router.
+pub(super) fn budget_left(gw: &Shared, req: &Request) -> u32 {
+    budget(gw, req, Budget::left)
+}
+
 /// Runs a step of the retry budget of a request's service.
 ///
 /// Each router spends a part of what the users allow over the fleet: the ratio of its own
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -7,7 +7,9 @@
         place::Place,
         silence::silence,
         step::{
+            Cut,
             Flow,
+            NoRetry,
             Step,
             TryError, //
         },
@@ -63,7 +65,7 @@
     reply.recycle(&gw.pool, &place.replica);
     if status >= 500 && req.route.kind == RouteKind::Idempotent {
         // It failed there; another replica may do better while there is time.
-        if course.may_send(gw, req, false) {
+        if course.may_send(gw, req, false).is_ok() {
             note(req, place, course, "failed", &status.to_string());
             course.may_have_run = true;
             return Ok(Step::Again);
@@ -78,7 +80,7 @@
     course.begin(status);
     Ok(Step::End(match writer.write_all(&bytes).await {
         Ok(()) => Flow::Passed,
-        Err(_) => Flow::Cut,
+        Err(_) => Flow::Cut(Cut::Caller),
     }))
 }
 
@@ -108,8 +110,9 @@
     drop(held);
     loop {
         if writer.write_all(&bytes).await.is_err() {
-            return Flow::Cut;
+            return Flow::Cut(Cut::Caller);
         }
+        course.passed();
         match reply.body.piece(&mut reply.conn).await {
             Ok(Some(piece)) => {
                 bytes.clear();
@@ -119,7 +122,7 @@
             Err(e) => {
                 course.cause = e.to_string();
                 place.broken();
-                return Flow::Cut;
+                return Flow::Cut(Cut::NoRetry(NoRetry::MayHaveRun));
             }
         }
     }
@@ -127,7 +130,7 @@
     reply.recycle(&gw.pool, &place.replica);
     match writer.write_all(LAST_CHUNK).await {
         Ok(()) => Flow::Passed,
-        Err(_) => Flow::Cut,
+        Err(_) => Flow::Cut(Cut::Caller),
     }
 }
 
--- a/crates/gateway/src/serve/step.rs
+++ b/crates/gateway/src/serve/step.rs
@@ -20,7 +20,74 @@
     /// It has its answer; the connection is kept.
     Passed,
     /// What it has of its answer is cut off, or it is gone.
-    Cut,
+    Cut(Cut),
+}
+
+/// Why an answer that had begun was cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cut {
+    /// The caller's connection closed or broke.
+    Caller,
+    /// The time of the request was over.
+    Time,
+    /// The replica's answer broke, and no other replica was tried.
+    NoRetry(NoRetry),
+    /// The replica's answer broke, and no other replica was to be had.
+    Refused(Refusal),
+}
+
+/// Why a request is not sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoRetry {
+    /// It may have run, and must not run twice.
+    MayHaveRun,
+    /// The route allows no more attempts.
+    Attempts,
+    /// Too little time is left.
+    Time,
+    /// The retry budget of its service is spent.
+    Budget,
+    /// Too many tries reached nobody.
+    Unreached,
+}
+
+/// Why no replica is chosen for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// Replicas ended one after the other when they had just begun it.
+    Held,
+    /// No replica of its service takes work.
+    NoReplica,
+    /// The replicas of its service are full.
+    Full,
+}
+
+impl Cut {
+    /// Returns a short name, for metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Cut::Caller => "caller",
+            Cut::Time | Cut::NoRetry(NoRetry::Time) => "time",
+            Cut::NoRetry(NoRetry::MayHaveRun) => "not-repeatable",
+            Cut::NoRetry(NoRetry::Attempts) => "attempts",
+            Cut::NoRetry(NoRetry::Budget) => "budget",
+            Cut::NoRetry(NoRetry::Unreached) => "unreached",
+            Cut::Refused(Refusal::Held) => "held",
+            Cut::Refused(Refusal::NoReplica) => "no-replica",
+            Cut::Refused(Refusal::Full) => "full",
+        }
+    }
+}
+
+impl Refusal {
+    /// Returns what callers and logs are told.
+    pub(crate) fn text(self) -> &'static str {
+        match self {
+            Refusal::Held => "replicas end when they run this request",
+            Refusal::NoReplica => "no replica of its service takes work",
+            Refusal::Full => "the replicas of its service are full",
+        }
+    }
 }
 
 /// Why a try gave no answer.
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -8,6 +8,7 @@
         plain::chunked_head,
         silence::silence,
         step::{
+            Cut,
             Flow,
             TryError, //
         }, //
@@ -69,8 +70,9 @@
         let mut out = begin(gw, &reply, course);
         chunk(&mut out, &whole);
         if writer.write_all(&out).await.is_err() {
-            return Ok(Flow::Cut);
+            return Ok(Flow::Cut(Cut::Caller));
         }
+        course.passed();
     }
     if events.inside() {
         // The replica stopped in the middle of an event and ended the body all the same.
@@ -81,7 +83,7 @@
     let written = writer.write_all(&out).await;
     reply.recycle(&gw.pool, &place.replica);
     if written.is_err() {
-        return Ok(Flow::Cut);
+        return Ok(Flow::Cut(Cut::Caller));
     }
     place.answered(true);
     Ok(Flow::Passed)
--- a/crates/gateway/src/serve/trail.rs
+++ b/crates/gateway/src/serve/trail.rs
@@ -1,10 +1,18 @@
 //! What is logged and counted of requests, so that a failure can be explained afterwards.
 
-use super::{
-    admit::Request,
-    answer::Own,
-    course::Course,
-    place::Place, //
+use {
+    super::{
+        admit::Request,
+        answer::Own,
+        course::{
+            budget_left,
+            Course, //
+        },
+        place::Place,
+        step::Cut, //
+    },
+    crate::state::Shared,
+    std::time::Instant,
 };
 
 /// Logs and counts a request that was refused before it was placed.
@@ -56,6 +64,35 @@
     );
 }
 
+/// Logs and counts an answer that had begun and was cut off.
+///
+/// As a warning, it is not left out where a flood of requests uses up the lines of a second.
+pub(super) fn was_cut(gw: &Shared, req: &Request, course: &mut Course, cut: Cut) {
+    metrics::counter!("chervilwind_answers_cut", "cause" => cut.label()).increment(1);
+    if course.cause.is_empty() {
+        course.cause = cut.label().to_owned();
+    }
+    log::warn!(
+        "event=cut cause={} id={} route={} service={} replica={} tries={} sends={} attempts={} \
+         quiet-ms={} left-ms={} budget={} version={} last-cause={:?}",
+        cut.label(),
+        req.id,
+        req.route.name,
+        req.service,
+        course.tried.last().map_or("-", |r| r.as_str()),
+        course.tried.len(),
+        course.sends,
+        req.route.attempts,
+        course.last.map_or(-1, |at| at.elapsed().as_millis() as i64),
+        req.until
+            .saturating_duration_since(Instant::now())
+            .as_millis(),
+        budget_left(gw, req),
+        req.version,
+        course.cause
+    );
+}
+
 /// Logs a try that gave no answer.
 pub(super) fn note(req: &Request, place: &Place, course: &mut Course, outcome: &str, cause: &str) {
     log::info!(
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -83,17 +83,22 @@
 
     /// Takes one retry from the budget, if there is one left.
     pub fn take(&mut self, now: Time) -> bool {
-        self.step(now);
-        let firsts: u32 = self.steps.iter().map(|s| s.firsts).sum();
-        let retries: u32 = self.steps.iter().map(|s| s.retries).sum();
-        let allowed = f64::from(firsts) * self.spend.fraction + self.spend.floor * WINDOW.as_secs();
-        if f64::from(retries + 1) > allowed {
+        if self.left(now) == 0 {
             return false;
         }
         self.step(now).retries += 1;
         true
     }
 
+    /// Returns how many retries are left.
+    pub fn left(&mut self, now: Time) -> u32 {
+        self.step(now);
+        let firsts: u32 = self.steps.iter().map(|s| s.firsts).sum();
+        let retries: u32 = self.steps.iter().map(|s| s.retries).sum();
+        let allowed = f64::from(firsts) * self.spend.fraction + self.spend.floor * WINDOW.as_secs();
+        (allowed as u32).saturating_sub(retries)
+    }
+
     /// Returns the present step, after dropping those that left the window.
     fn step(&mut self, now: Time) -> &mut Step {
         while self
