gateway: six failing tests of streams that have begun and need another replica

What callers see: a stream that may be resumed ends in the middle, or a request gets 502, though its replica would have gone on or another would have taken it a moment later.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod quarantine;
 mod replica;
 mod requests;
+mod resume;
 mod stage;
 mod standby;
 mod streams;
