placement: a stream that has begun goes on where new requests are refused

What callers saw: a stream that may be resumed ended in the middle. Its replica had broken off or was silent, and the retry was placed under the bounds of a new request: its workspace's part, slots, memory, the backlog, the time to read its prompt. Where engines are full the caller was cut off at once, seconds of its time left.

Cause: a retry forgot what the request had already been given. Change: Claim says whether the caller has the beginning. Claim::Begun is refused only where no replica takes work at all; it goes to the engine with the shortest queue, the cheapest of several, and is not counted a second time against its workspace.

Ruled out: a higher bound for begun streams (a bound at which they are cut all the same); the prompt's homes first (a begun stream would queue at a full home while an engine beside it is idle).

With the two branches taken out pick_begun_where_all_are_full, pick_begun_shortest_queue and plain_begun_where_all_are_full fail.

Why it holds: the bound is not asked, so no state of the loads refuses it.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -51,7 +51,7 @@
     count_first(gw, req);
     let mut events = Events::after(req.last_event);
     loop {
-        let place = match gw.place(req, &course.tried) {
+        let place = match gw.place(req, &course.tried, course.claim()) {
             Ok(mut place) => {
                 course.inputs = std::mem::take(&mut place.inputs);
                 place
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -21,6 +21,7 @@
             pick,
             pick_plain,
             Candidate,
+            Claim,
             Pick,
             Prompt,
             ReplicaKey,
@@ -94,6 +95,7 @@
         self: &Arc<Shared>,
         req: &Request,
         tried: &[ReplicaId],
+        claim: Claim,
     ) -> Result<Place, Refused> {
         let now = self.now();
         let mut tables = self.tables();
@@ -107,10 +109,14 @@
         let (prompt, engine) = (req.prompt.as_ref(), req.about.engine);
         let (picked, basis) = match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
-                let (pick, basis) = tables.pick_engine(self, req, (prompt, engine), tried, now);
+                let (pick, basis) =
+                    tables.pick_engine(self, req, (prompt, engine), tried, claim, now);
                 (pick, basis.to_string())
             }
-            _ => (tables.pick_server(self, req, tried, now), String::new()),
+            _ => (
+                tables.pick_server(self, req, tried, claim, now),
+                String::new(),
+            ),
         };
         let choice = match picked {
             None => {
@@ -129,7 +135,7 @@
             }
             Some(Pick::Run(choice)) => choice,
         };
-        let mut place = tables.take(self, req, choice, now);
+        let mut place = tables.take(self, req, choice, claim, now);
         place.inputs = basis;
         Ok(place)
     }
@@ -142,6 +148,7 @@
         req: &Request,
         (prompt, engine): (&Prompt, Engine),
         tried: &[ReplicaId],
+        claim: Claim,
         now: Time,
     ) -> (Option<Pick>, Basis) {
         let workspace = req.workspace.as_ref().map(WorkspaceKey::of);
@@ -181,6 +188,7 @@
         }
         let wish = Wish {
             prompt,
+            claim,
             target: Span::from(req.route.target),
             shortest: Span::from(req.shortest),
             standing,
@@ -195,6 +203,7 @@
         gw: &Shared,
         req: &Request,
         tried: &[ReplicaId],
+        claim: Claim,
         now: Time,
     ) -> Option<Pick> {
         let usual = self.usual_failures(req);
@@ -210,7 +219,7 @@
                 penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(usual)),
             })
             .collect();
-        (!servers.is_empty()).then(|| pick_plain(&servers, fastrand::u64(..)))
+        (!servers.is_empty()).then(|| pick_plain(&servers, claim, fastrand::u64(..)))
     }
 
     /// Returns the replicas of a request's service that take work and answer.
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -11,6 +11,7 @@
         upstream::Sent, //
     },
     policy::{
+        placement::Claim,
         retry::{
             Budget,
             Spend, //
@@ -114,6 +115,14 @@
         self.tried.len() as u32 >= req.route.attempts
     }
 
+    /// Returns what the request has of its answer.
+    pub(crate) fn claim(&self) -> Claim {
+        match self.begun {
+            true => Claim::Begun,
+            false => Claim::New,
+        }
+    }
+
     /// Notes that the caller gets a replica's answer.
     pub(crate) fn begin(&mut self, status: u16) {
         self.begun = true;
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -12,6 +12,7 @@
     policy::{
         placement::{
             Choice,
+            Claim,
             Load,
             Prompt,
             ReplicaKey, //
@@ -63,6 +64,7 @@
         gw: &Arc<Shared>,
         req: &Request,
         choice: Choice,
+        claim: Claim,
         now: Time,
     ) -> Place {
         let prompt = req.prompt.as_ref();
@@ -76,7 +78,8 @@
         if let Some(home) = prompt.and_then(Prompt::home) {
             self.cached.insert((choice.key, home), now);
         }
-        if let (Some(prompt), Some(workspace)) = (prompt, &req.workspace) {
+        let counted = prompt.filter(|_| claim == Claim::New);
+        if let (Some(prompt), Some(workspace)) = (counted, &req.workspace) {
             let key = WorkspaceKey::of(workspace);
             self.quota.given(key, prompt.cost(), now);
         }
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -24,6 +24,7 @@
     },
     engine::{
         Candidate,
+        Claim,
         Part,
         Prompt, //
     },
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -4,6 +4,7 @@
     super::{
         tuning::Fullness,
         Candidate,
+        Claim,
         Prompt,
         ReplicaKey,
         Tuning, //
@@ -27,6 +28,8 @@
 pub struct Wish<'a> {
     /// The prompt.
     pub prompt: &'a Prompt,
+    /// What it has of its answer.
+    pub claim: Claim,
     /// The time to the first event that is aimed at.
     pub target: Span,
     /// The shortest such time among all requests to these engines.
@@ -116,6 +119,9 @@
 /// whichever is expected to read it first; elsewhere only where an engine is half idle. Once
 /// a free place anywhere is taken, each request finds nothing cached, and reading eats the
 /// engines.
+///
+/// A stream that has begun was let through once, and refusing it would throw away what its caller
+/// has. It goes where it waits least.
 pub fn pick(engines: &[Candidate], wish: &Wish<'_>) -> Pick {
     let home = wish.prompt.home().unwrap_or_default();
     let rated: Vec<Rated<'_>> = rendezvous::of_hash(home, engines, |e| e.id.as_str())
@@ -123,6 +129,11 @@
         .enumerate()
         .map(|(rank, engine)| rate(engine, rank, wish))
         .collect();
+    if wish.claim == Claim::Begun {
+        if let Some(best) = shortest_queue(&rated) {
+            return Pick::Run(chosen(&rated, best));
+        }
+    }
     let tuning = wish.tuning;
     let limit = tuning.limit(wish.standing, wish.words);
     let (homes, others) = rated.split_at(tuning.homes.min(rated.len()));
@@ -209,13 +220,26 @@
 fn cheapest(all: &[Rated<'_>], among: &[Rated<'_>], limit: Fullness) -> Option<Choice> {
     let fits = among.iter().filter(|r| r.full.within(limit));
     let best = fits.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
-    Some(Choice {
+    Some(chosen(all, best))
+}
+
+/// Returns the engine at which fewest requests wait for a place, the cheapest of several.
+fn shortest_queue<'a, 'b>(rated: &'b [Rated<'a>]) -> Option<&'b Rated<'a>> {
+    let queue = |r: &Rated<'_>| (r.full.places - 1.0).max(0.0);
+    rated.iter().min_by(|a, b| {
+        let by_queue = queue(a).total_cmp(&queue(b));
+        by_queue.then(a.cost.total_cmp(&b.cost))
+    })
+}
+
+fn chosen(all: &[Rated<'_>], best: &Rated<'_>) -> Choice {
+    Choice {
         replica: best.engine.id.clone(),
         key: best.engine.key,
         uncached: best.uncached,
         unread: best.engine.load.unread + u64::from(best.uncached),
         source: source(all, best),
-    })
+    }
 }
 
 /// Returns when a place at a home is likely: once what is to be read before has been read.
--- a/crates/policy/src/placement/plain.rs
+++ b/crates/policy/src/placement/plain.rs
@@ -4,6 +4,7 @@
     super::{
         Bound,
         Choice,
+        Claim,
         Load,
         Pick,
         ReplicaKey, //
@@ -50,16 +51,18 @@
     pub penalty: f64,
 }
 
-/// Chooses the replica that is expected to answer first, or refuses where all are full.
+/// Chooses the replica that is expected to answer first, or refuses a new request where all are
+/// full.
 ///
 /// The expected time is the replica's mean time, stretched by the work that stands before
 /// the request. `roll` decides between equal ones, so that routers which see the same don't
 /// all choose the same.
-pub fn pick_plain(servers: &[Server], roll: u64) -> Pick {
+pub fn pick_plain(servers: &[Server], claim: Claim, roll: u64) -> Pick {
     let mut best: Option<(f64, &Server)> = None;
     let start = roll as usize % servers.len().max(1);
     for server in servers.iter().cycle().skip(start).take(servers.len()) {
-        if f64::from(server.load.running) >= f64::from(server.slots) * FULL {
+        let full = f64::from(server.load.running) >= f64::from(server.slots) * FULL;
+        if full && claim == Claim::New {
             continue;
         }
         let expected = expected(server);
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -10,6 +10,7 @@
             pick,
             Board,
             Candidate,
+            Claim,
             Load,
             Part,
             Pick,
@@ -186,6 +187,7 @@
             })
             .collect();
         let wish = Wish {
+            claim: Claim::New,
             prompt,
             target: Span::millis(400),
             shortest: Span::millis(250),
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -6,6 +6,7 @@
         Bound,
         Candidate,
         Choice,
+        Claim,
         Load,
         Part,
         Pick,
@@ -48,8 +49,13 @@
 }
 
 fn choose(engines: &[Candidate], standing: f64) -> Pick {
+    choose_for(engines, standing, Claim::New)
+}
+
+fn choose_for(engines: &[Candidate], standing: f64, claim: Claim) -> Pick {
     let wish = Wish {
         prompt: &prompt(),
+        claim,
         target: Span::millis(400),
         shortest: Span::millis(250),
         standing: Standing {
@@ -217,6 +223,7 @@
             let mut prompt = prompt();
             prompt.parts[1].id = id;
             let wish = Wish {
+                claim: Claim::New,
                 prompt: &prompt,
                 target: Span::millis(400),
                 shortest: Span::millis(250),
@@ -252,6 +259,7 @@
         output: 100,
     };
     let wish = Wish {
+        claim: Claim::New,
         prompt: &short,
         target: Span::millis(400),
         shortest: Span::millis(250),
@@ -266,3 +274,32 @@
     let picked = pick(&all, &wish);
     assert!(matches!(picked, Pick::Run(_)), "{picked:?}");
 }
+
+/// Guards against a stream that is cut in the middle as its workspace had its share and engines are
+/// full.
+#[test]
+fn pick_begun_where_all_are_full() {
+    let mut all = engines(3);
+    for engine in &mut all {
+        engine.load.running = 60;
+        engine.load.unread = 200_000;
+    }
+    assert!(matches!(choose(&all, 5.0), Pick::Refuse { .. }));
+    assert!(matches!(choose_for(&all, 5.0, Claim::Begun), Pick::Run(_)));
+}
+
+/// Guards against a stream that waits at the home of its prompt while another engine has a place.
+#[test]
+fn pick_begun_shortest_queue() {
+    let mut all = engines(6);
+    let home = run(&all, 0.0).replica;
+    for engine in &mut all {
+        engine.load.running = 60;
+    }
+    let free = all.iter().find(|e| e.id != home).unwrap().id.clone();
+    fill(&mut all, &free, 40);
+    let Pick::Run(choice) = choose_for(&all, 5.0, Claim::Begun) else {
+        panic!("refused");
+    };
+    assert_eq!(choice.replica, free);
+}
--- a/crates/policy/tests/placement/plain.rs
+++ b/crates/policy/tests/placement/plain.rs
@@ -3,6 +3,7 @@
 use policy::{
     placement::{
         pick_plain,
+        Claim,
         Latencies,
         Load,
         Pick,
@@ -30,7 +31,7 @@
 }
 
 fn chosen(servers: &[Server], roll: u64) -> String {
-    match pick_plain(servers, roll) {
+    match pick_plain(servers, Claim::New, roll) {
         Pick::Run(choice) => choice.replica.to_string(),
         Pick::Refuse { .. } => "none".to_owned(),
     }
@@ -90,3 +91,14 @@
     }
     assert_eq!(chosen(&servers, 0), "new");
 }
+
+/// Guards against an answer that has begun and finds no replica as all are full.
+#[test]
+fn plain_begun_where_all_are_full() {
+    let servers = [server("a", 20), server("b", 15)];
+    assert_eq!(chosen(&servers, 0), "none");
+    let Pick::Run(choice) = pick_plain(&servers, Claim::Begun, 0) else {
+        panic!("refused");
+    };
+    assert_eq!(choice.replica.as_str(), "b");
+}
