gateway: a stream that has begun waits for a replica while its time lasts

What callers saw: a stream was cut in the middle when, at the moment its replica broke off, no other was to be had: none known or open, each that was asked turned the request away, two attempts counted though one of them never ran, or the retry budget was spent. All of these pass within milliseconds to seconds.

Cause: a stream that had begun ended where a new request is refused, by the same code. A refusal costs a new request nothing; here it throws away what the caller has and what an engine did.

Change: serve/resume.rs. A begun stream looks again every 50 ms until a replica takes it or its time is over. Only replicas that may have run it count as attempts and stay excluded; one that turned it away or could not be reached may be asked again once no other is left, after pauses from 50 to 400 ms, as each try is taken from the budget. It ends at once only where it can't go on: the route forbids it, its attempts are used up, replicas end under it. The queue is bounded by the connections that callers may have, and leaves with them: a caller who hangs up ends the wait. serve/source.rs reads one replica's stream, serve/ask.rs makes one try; both were parts of attempts.rs and stream.rs.

Ruled out: a queue with its own bound (a second number that cuts streams, while each waiting one holds no more than its connection and its body, which are bounded already); waking on each place that falls free (begun streams wait for replicas and budget, not for places).

--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -37,6 +37,8 @@
 pub(crate) struct Course {
     /// Replicas that were tried.
     pub(crate) tried: Vec<ReplicaId>,
+    /// Those that may have run it, or may be running it.
+    pub(crate) ran: Vec<ReplicaId>,
     /// Tries of which a byte was sent, without the one under way.
     pub(crate) sends: u32,
     /// How far the try under way has got.
@@ -60,6 +62,52 @@
 }
 
 impl Course {
+    /// Notes that a replica is tried.
+    pub(crate) fn start(&mut self, replica: &ReplicaId) {
+        self.tried.push(replica.clone());
+        self.ran.push(replica.clone());
+    }
+
+    /// Notes that a replica which was tried surely did not run the request.
+    pub(crate) fn did_not_run(&mut self, replica: &ReplicaId) {
+        self.ran.retain(|id| id != replica);
+    }
+
+    /// Lets replicas that surely did not run the request be tried again.
+    pub(crate) fn forget_unrun(&mut self) {
+        let ran = &self.ran;
+        self.tried.retain(|id| ran.contains(id));
+    }
+
+    /// Tells whether a stream that has begun may go on at one more replica, budget apart.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub(crate) fn may_resume(&self, req: &Request) -> Result<(), NoRetry> {
+        if !req.route.repeatable() {
+            return Err(NoRetry::MayHaveRun);
+        }
+        if self.ran.len() as u32 >= req.route.attempts {
+            return Err(NoRetry::Attempts);
+        }
+        if !has_time(req.until) {
+            return Err(NoRetry::Time);
+        }
+        Ok(())
+    }
+
+    /// Tells whether the retry budget has something left.
+    pub(crate) fn has_budget(&self, gw: &Shared, req: &Request) -> bool {
+        budget_left(gw, req) > 0
+    }
+
+    /// Takes one retry from the budget.
+    pub(crate) fn take_retry(&self, gw: &Shared, req: &Request) -> bool {
+        metrics::counter!("chervilwind_retries").increment(1);
+        budget(gw, req, Budget::take)
+    }
+
     /// Tells whether a try that reached nobody may be followed by another.
     ///
     /// # Errors
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,15 +3,18 @@
 mod addresses;
 mod admit;
 mod answer;
+mod ask;
 mod attempts;
 mod choose;
 mod connection;
 mod course;
 mod place;
 mod plain;
+mod resume;
 mod server;
 mod silence;
 pub(crate) mod small;
+mod source;
 mod step;
 mod stream;
 mod trail;
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -57,6 +57,25 @@
     since: Time,
 }
 
+/// Tells how long a replica is silent while it has a request.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    gw: Arc<Shared>,
+    key: ReplicaKey,
+    /// When it got the request.
+    since: Time,
+}
+
+impl Watch {
+    /// Returns how long the replica has sent nothing to this router, to any request.
+    pub(crate) fn silent(&self) -> Duration {
+        let now = self.gw.now();
+        let tables = self.gw.tables();
+        let heard = tables.heard.get(&self.key).copied().unwrap_or_default();
+        now.since(heard.max(self.since)).into()
+    }
+}
+
 impl Tables {
     /// Takes a place for a request at the replica that was chosen.
     pub(super) fn take(
@@ -135,12 +154,13 @@
         }
     }
 
-    /// Returns how long the replica has sent nothing to this router, to any request.
-    pub(crate) fn silent(&self) -> Duration {
-        let now = self.gw.now();
-        let tables = self.gw.tables();
-        let heard = tables.heard.get(&self.key).copied().unwrap_or_default();
-        now.since(heard.max(self.since)).into()
+    /// Returns a watch on how long the replica is silent.
+    pub(crate) fn watch(&self) -> Watch {
+        Watch {
+            gw: self.gw.clone(),
+            key: self.key,
+            since: self.since,
+        }
     }
 
     /// Notes an answer of the replica, good or a failure.
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -47,10 +47,11 @@
     course: &mut Course,
 ) -> Result<Step, TryError> {
     let status = reply.head.status();
+    let watch = place.watch();
     let held = hold(&mut reply);
     let (body, whole) = match req.route.kind {
         RouteKind::Idempotent => {
-            let silent = silence(req, place, course.is_last(req));
+            let silent = silence(req, &watch, course.is_last(req));
             or(async { Ok(held.await?) }, silent).await?
         }
         _ => held.await?,
--- a/crates/gateway/src/serve/silence.rs
+++ b/crates/gateway/src/serve/silence.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         admit::Request,
-        place::Place,
+        place::Watch,
         step::TryError, //
     },
     crate::model::RouteKind,
@@ -24,12 +24,12 @@
 
 /// Waits until a replica counts as silent; for good where the request can't be repeated, and
 /// where this is its last try: giving that up would only lose its answer.
-pub(super) async fn silence<T>(req: &Request, place: &Place, last: bool) -> Result<T, TryError> {
+pub(super) async fn silence<T>(req: &Request, watch: &Watch, last: bool) -> Result<T, TryError> {
     if last {
         return futures_lite::future::pending().await;
     }
     match req.route.kind {
-        RouteKind::Stream { resume: true } => quiet(place).await,
+        RouteKind::Stream { resume: true } => quiet(watch).await,
         RouteKind::Idempotent => {
             let left = req.until.saturating_duration_since(Instant::now());
             task::sleep((req.route.target * PATIENCE).min(left / 2)).await;
@@ -43,10 +43,10 @@
 }
 
 /// Waits until a replica has sent nothing to anybody for too long.
-async fn quiet<T>(place: &Place) -> Result<T, TryError> {
+async fn quiet<T>(watch: &Watch) -> Result<T, TryError> {
     loop {
         task::sleep(LOOK).await;
-        if place.silent() >= SILENT {
+        if watch.silent() >= SILENT {
             return Err(TryError::Silent);
         }
     }
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -3,115 +3,90 @@
 use {
     super::{
         admit::Request,
+        ask::failed,
         course::Course,
-        place::Place,
         plain::chunked_head,
+        resume::resume,
         silence::silence,
+        source::Source,
         step::{
             Cut,
             Flow,
+            Step,
             TryError, //
-        }, //
+        },
     },
     crate::{
         http::{
             chunk,
-            ReadError,
             LAST_CHUNK, //
         },
         state::Shared,
-        upstream::{
-            Events,
-            EventsError,
-            Reply, //
-        },
     },
     async_std::net::TcpStream,
     futures_lite::{
         future::or,
         AsyncWriteExt, //
     },
+    std::sync::Arc,
 };
 
-/// Passes on the whole events of a replica's stream as they come.
+/// Passes on the whole events of a stream as they come, from one replica after the other.
 ///
 /// The head goes with the first event: until then a try that breaks can be followed by
-/// another unseen.
-///
-/// # Errors
-///
-/// Where the replica's stream breaks; `events` tells what the caller has.
+/// another unseen. Later the stream goes on at another replica, where the route allows it.
 pub(super) async fn pass_stream(
-    gw: &Shared,
+    gw: &Arc<Shared>,
     req: &Request,
-    place: &mut Place,
-    mut reply: Reply,
+    mut source: Source,
     writer: &mut TcpStream,
     course: &mut Course,
-    events: &mut Events,
-) -> Result<Flow, TryError> {
-    *events = Events::after(events.last());
-    let mut first = true;
-    loop {
-        let piece = next(req, place, &mut reply, course.is_last(req)).await?;
-        let Some(piece) = piece else {
-            break;
-        };
-        let whole = events.push(&piece).map_err(broken)?;
-        if first && events.count() > 0 {
-            first = false;
-            place.first_event();
-        } else {
-            place.heard();
+) -> Step {
+    while !source.ended() {
+        if let Err(e) = next(req, &mut source, course).await {
+            failed(gw, req, &source.place, course, "broken", &e).await;
+            course.may_have_run = true;
+            if !course.begun {
+                return Step::Lost;
+            }
+            let after = source.last();
+            drop(source);
+            source = match resume(gw, req, course, after).await {
+                Ok(source) => source,
+                Err(cut) => return Step::End(Flow::Cut(cut)),
+            };
         }
+        let whole = source.take();
         if whole.is_empty() {
             continue;
         }
-        let mut out = begin(gw, &reply, course);
+        let mut out = begin(gw, &source, course);
         chunk(&mut out, &whole);
         if writer.write_all(&out).await.is_err() {
-            return Ok(Flow::Cut(Cut::Caller));
+            return Step::End(Flow::Cut(Cut::Caller));
         }
         course.passed();
     }
-    if events.inside() {
-        // The replica stopped in the middle of an event and ended the body all the same.
-        return Err(TryError::from(ReadError::Body("it ends within an event")));
-    }
-    let mut out = begin(gw, &reply, course);
+    let mut out = begin(gw, &source, course);
     out.extend_from_slice(LAST_CHUNK);
     let written = writer.write_all(&out).await;
-    reply.recycle(&gw.pool, &place.replica);
-    if written.is_err() {
-        return Ok(Flow::Cut(Cut::Caller));
-    }
-    place.answered(true);
-    Ok(Flow::Passed)
+    source.finish(gw);
+    Step::End(match written {
+        Ok(()) => Flow::Passed,
+        Err(_) => Flow::Cut(Cut::Caller),
+    })
 }
 
-/// Waits for bytes of the stream, or until the replica counts as silent.
-async fn next(
-    req: &Request,
-    place: &Place,
-    reply: &mut Reply,
-    last: bool,
-) -> Result<Option<Vec<u8>>, TryError> {
-    let piece = async { Ok(reply.body.piece(&mut reply.conn).await?) };
-    or(piece, silence(req, place, last)).await
+/// Waits for more of the stream, or until the replica counts as silent.
+async fn next(req: &Request, source: &mut Source, course: &Course) -> Result<(), TryError> {
+    let watch = source.place.watch();
+    or(source.read(), silence(req, &watch, course.is_last(req))).await
 }
 
 /// Returns the head of the answer where the caller does not have it yet.
-fn begin(gw: &Shared, reply: &Reply, course: &mut Course) -> Vec<u8> {
+fn begin(gw: &Shared, source: &Source, course: &mut Course) -> Vec<u8> {
     if course.begun {
         return Vec::new();
     }
-    chunked_head(gw, reply, course)
-}
-
-fn broken(e: EventsError) -> TryError {
-    log::debug!("event=stream outcome=broken cause={e:?}");
-    TryError::from(ReadError::Body(match e {
-        EventsError::TooLong => "an event is too long",
-        EventsError::Gap(..) => "events are missing",
-    }))
+    chunked_head(gw, &source.reply, course)
 }
