retry: a quarter of the allowance besides is kept for answers that have begun

What callers saw: a stream that broke off was cut, or stood still for up to ten seconds until the window of the budget had slid on, since retries of new requests had spent the budget of its service. A replica that fails every request at once spends it in a moment.

Cause: one allowance for retries that cost their callers nothing when they are refused and for those without which an answer is lost. Change: Spend.reserve; Claim moves to the root of policy, as budget and placement ask by it. New requests have 0.6 of what the users allow as before, begun answers up to 0.75; the rest is left for routers that count late.

Ruled out: taking the quarter from new requests (what is unused would be lost to them); begun answers without a budget (an outage that breaks all streams at once would multiply them).

Why it holds: new requests can't take the reserve whatever they do.

--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -23,7 +23,7 @@
     },
     crate::state::Shared,
     async_std::net::TcpStream,
-    policy::placement::Claim,
+    policy::Claim,
     std::{
         sync::Arc,
         time::Duration, //
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -21,7 +21,6 @@
             pick,
             pick_plain,
             Candidate,
-            Claim,
             Pick,
             Prompt,
             ReplicaKey,
@@ -33,6 +32,7 @@
             Standing,
             WorkspaceKey, //
         },
+        Claim,
         ReplicaId,
         Span,
         Time, //
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -11,12 +11,13 @@
         upstream::Sent, //
     },
     policy::{
-        placement::Claim,
         retry::{
             Budget,
             Spend, //
         },
-        ReplicaId, //
+        Claim,
+        ReplicaId,
+        Time, //
     },
     std::time::{
         Duration,
@@ -29,6 +30,8 @@
 /// Part of what the users allow of retries that the routers use. What each counts is its own
 /// and late, and the bound holds for the sum in any window.
 const RETRY_PART: f64 = 0.6;
+/// Part of that which only answers that have begun may use besides.
+const RESERVE: f64 = 0.25;
 /// A try is not begun with less time left than this.
 const LEAST: Duration = Duration::from_millis(20);
 
@@ -99,13 +102,15 @@
 
     /// Tells whether the retry budget has something left.
     pub(crate) fn has_budget(&self, gw: &Shared, req: &Request) -> bool {
-        budget_left(gw, req) > 0
+        let claim = self.claim();
+        budget(gw, req, |b, now| b.left(claim, now)) > 0
     }
 
     /// Takes one retry from the budget.
     pub(crate) fn take_retry(&self, gw: &Shared, req: &Request) -> bool {
         metrics::counter!("chervilwind_retries").increment(1);
-        budget(gw, req, Budget::take)
+        let claim = self.claim();
+        budget(gw, req, |b, now| b.take(claim, now))
     }
 
     /// Tells whether a try that reached nobody may be followed by another.
@@ -152,7 +157,7 @@
         if !has_time(req.until) {
             return Err(NoRetry::Time);
         }
-        if !budget(gw, req, Budget::take) {
+        if !budget(gw, req, |b, now| b.take(Claim::New, now)) {
             return Err(NoRetry::Budget);
         }
         Ok(())
@@ -214,19 +219,20 @@
 /// Counts a request that this router takes, also for the retry budget of its service.
 pub(crate) fn count_first(gw: &Shared, req: &Request) {
     gw.tables().fleet.count_request();
-    budget(gw, req, Budget::first);
+    budget(gw, req, |b, now| b.first(now));
 }
 
-/// Returns how many retries the budget of a request's service has left at this router.
+/// Returns how many retries of answers that have begun the budget of a request's service has left
+/// at this router.
 pub(super) fn budget_left(gw: &Shared, req: &Request) -> u32 {
-    budget(gw, req, Budget::left)
+    budget(gw, req, |b, now| b.left(Claim::Begun, now))
 }
 
 /// Runs a step of the retry budget of a request's service.
 ///
 /// Each router spends a part of what the users allow over the fleet: the ratio of its own
 /// requests, and an even part among all that have requests of what is allowed besides.
-fn budget<R>(gw: &Shared, req: &Request, step: fn(&mut Budget, policy::Time) -> R) -> R {
+fn budget<R>(gw: &Shared, req: &Request, step: impl FnOnce(&mut Budget, Time) -> R) -> R {
     let now = gw.now();
     let bounds = gw.settings.bounds;
     let mut tables = gw.tables();
@@ -238,6 +244,7 @@
     budget.set(Spend {
         fraction: bounds.retry_ratio * RETRY_PART,
         floor: bounds.retry_slack * RETRY_PART / bounds.retry_window_s / routers,
+        reserve: RESERVE,
     });
     step(budget, now)
 }
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -12,13 +12,13 @@
     policy::{
         placement::{
             Choice,
-            Claim,
             Load,
             Prompt,
             ReplicaKey, //
         },
         quarantine::RequestDigest,
         quota::WorkspaceKey,
+        Claim,
         Span,
         Time, //
     },
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! an oracle, replayed from a golden file and measured without a network.
 
 pub mod actives;
+mod claim;
 mod dispatch;
 mod entry;
 pub mod head;
@@ -28,6 +29,7 @@
 mod watch;
 
 pub use self::{
+    claim::Claim,
     dispatch::{
         Action,
         BorrowerDump,
--- a/crates/policy/src/placement/engine.rs
+++ b/crates/policy/src/placement/engine.rs
@@ -17,15 +17,6 @@
     pub tokens: u32,
 }
 
-/// What a request has of its answer when a replica is chosen for it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Claim {
-    /// Nothing. Where replicas are full it is refused.
-    New,
-    /// Its caller has the beginning. It goes to the best replica there is, however full.
-    Begun,
-}
-
 /// A prompt and what it will cost.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Prompt {
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -24,7 +24,6 @@
     },
     engine::{
         Candidate,
-        Claim,
         Part,
         Prompt, //
     },
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -4,7 +4,6 @@
     super::{
         tuning::Fullness,
         Candidate,
-        Claim,
         Prompt,
         ReplicaKey,
         Tuning, //
@@ -12,6 +11,7 @@
     crate::{
         quota::Standing,
         rendezvous,
+        Claim,
         ReplicaId,
         Span, //
     },
--- a/crates/policy/src/placement/plain.rs
+++ b/crates/policy/src/placement/plain.rs
@@ -4,12 +4,12 @@
     super::{
         Bound,
         Choice,
-        Claim,
         Load,
         Pick,
         ReplicaKey, //
     },
     crate::{
+        Claim,
         ReplicaId,
         Span, //
     },
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        Claim,
         Span,
         Time, //
     },
@@ -20,6 +21,9 @@
     pub fraction: f64,
     /// Retries in a second that are allowed besides, so that a quiet router can retry.
     pub floor: f64,
+    /// Part of all these that is allowed besides to answers that have begun, so that retries of
+    /// new requests can't use up what keeps those from being cut.
+    pub reserve: f64,
 }
 
 impl Default for Spend {
@@ -27,6 +31,7 @@
         Spend {
             fraction: 0.1,
             floor: 0.5,
+            reserve: 0.25,
         }
     }
 }
@@ -39,15 +44,17 @@
 /// # Examples
 ///
 /// ```
-/// use policy::{retry::{Budget, Spend}, Time};
+/// use policy::{retry::{Budget, Spend}, Claim, Time};
 ///
-/// let mut budget = Budget::new(Spend { fraction: 0.1, floor: 0.0 });
+/// let mut budget = Budget::new(Spend { fraction: 0.1, floor: 0.0, reserve: 0.5 });
 /// for _ in 0..20 {
 ///     budget.first(Time(0));
 /// }
-/// assert!(budget.take(Time(1)));
-/// assert!(budget.take(Time(2)));
-/// assert!(!budget.take(Time(3)));
+/// assert!(budget.take(Claim::New, Time(1)));
+/// assert!(budget.take(Claim::New, Time(2)));
+/// assert!(!budget.take(Claim::New, Time(3)));
+/// assert!(budget.take(Claim::Begun, Time(4)));
+/// assert!(!budget.take(Claim::Begun, Time(5)));
 /// ```
 #[derive(Debug)]
 pub struct Budget {
@@ -82,21 +89,25 @@
     }
 
     /// Takes one retry from the budget, if there is one left.
-    pub fn take(&mut self, now: Time) -> bool {
-        if self.left(now) == 0 {
-            return false;
+    pub fn take(&mut self, claim: Claim, now: Time) -> bool {
+        let left = self.left(claim, now) > 0;
+        if left {
+            self.step(now).retries += 1;
         }
-        self.step(now).retries += 1;
-        true
+        left
     }
 
     /// Returns how many retries are left.
-    pub fn left(&mut self, now: Time) -> u32 {
+    pub fn left(&mut self, claim: Claim, now: Time) -> u32 {
         self.step(now);
         let firsts: u32 = self.steps.iter().map(|s| s.firsts).sum();
         let retries: u32 = self.steps.iter().map(|s| s.retries).sum();
         let allowed = f64::from(firsts) * self.spend.fraction + self.spend.floor * WINDOW.as_secs();
-        (allowed as u32).saturating_sub(retries)
+        let part = match claim {
+            Claim::New => 1.0,
+            Claim::Begun => 1.0 + self.spend.reserve,
+        };
+        ((allowed * part) as u32).saturating_sub(retries)
     }
 
     /// Returns the present step, after dropping those that left the window.
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -10,7 +10,6 @@
             pick,
             Board,
             Candidate,
-            Claim,
             Load,
             Part,
             Pick,
@@ -23,6 +22,7 @@
             Quota,
             WorkspaceKey, //
         },
+        Claim,
         ReplicaId,
         RouterId,
         Span,
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -6,7 +6,6 @@
         Bound,
         Candidate,
         Choice,
-        Claim,
         Load,
         Part,
         Pick,
@@ -16,6 +15,7 @@
         Wish, //
     },
     quota::Standing,
+    Claim,
     ReplicaId,
     Span, //
 };
--- a/crates/policy/tests/placement/plain.rs
+++ b/crates/policy/tests/placement/plain.rs
@@ -3,13 +3,13 @@
 use policy::{
     placement::{
         pick_plain,
-        Claim,
         Latencies,
         Load,
         Pick,
         ReplicaKey,
         Server, //
     },
+    Claim,
     ReplicaId,
     Span, //
 };
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -5,6 +5,7 @@
         Budget,
         Spend, //
     },
+    Claim,
     Span,
     Time, //
 };
@@ -22,7 +23,7 @@
         budget.first(now);
         firsts += 1;
         let mut fails = rng.bool();
-        while fails && budget.take(now) {
+        while fails && budget.take(Claim::New, now) {
             retries += 1;
             fails = rng.bool();
         }
@@ -37,7 +38,30 @@
 fn take_at_a_quiet_router() {
     let mut budget = Budget::new(Spend::default());
     budget.first(Time(0));
-    let taken = (0..20).filter(|i| budget.take(Time(*i))).count();
+    let taken = (0..20)
+        .filter(|i| budget.take(Claim::New, Time(*i)))
+        .count();
     assert_eq!(taken, 5);
-    assert!(budget.take(Time(0) + Span::secs(11)));
+    assert!(budget.take(Claim::New, Time(0) + Span::secs(11)));
+}
+
+/// Guards against an answer that is cut as retries of new requests have spent the budget.
+#[test]
+fn take_begun_when_new_ones_spent_all() {
+    let mut budget = Budget::new(Spend {
+        fraction: 0.2,
+        floor: 0.0,
+        reserve: 0.25,
+    });
+    for _ in 0..100 {
+        budget.first(Time(0));
+    }
+    let new = (0..40)
+        .filter(|i| budget.take(Claim::New, Time(*i)))
+        .count();
+    assert_eq!(new, 20);
+    let begun = (0..40)
+        .filter(|i| budget.take(Claim::Begun, Time(*i)))
+        .count();
+    assert_eq!(begun, 5);
 }
--- a/src/router/running.rs
+++ b/src/router/running.rs
@@ -34,6 +34,7 @@
     futures_lite::future::or,
     policy::{
         tickets::Grant,
+        Claim,
         Finish,
         JobId,
         Outcome,
@@ -268,7 +269,10 @@
         };
         let again = safe && self.tries < TRIES && Instant::now() < self.work.deadline;
         let service = &self.work.job.service;
-        again && self.router.budget(service, |b, now| b.take(now))
+        again
+            && self
+                .router
+                .budget(service, |b, now| b.take(Claim::New, now))
     }
 
     fn answer(&mut self, held: Held, end: End) -> Response {
