gateway: a silent replica is left only when another has sent the next event

A stream of a replica that had sent nothing to the instance for a second was taken from it: the connection was dropped, and then a place was looked for. Where the others were full the answer was cut, or a 502 given where it had not begun, although the replica would have gone on. At 85 instances before 60 engines an instance often has one stream at an engine, so that a pause of this one stream counts as the replica's silence.

Cause: silence was taken for a failure. It is only a reason to ask another. After the same second another replica is sought under the bounds of a retry, while the first is still read. The first to send the next event goes on and the other is left; events are numbered, so nothing comes twice. Where no other takes it, the first is waited for as long as the request lasts. Where the first breaks while the other has the request, the other is waited for. The same holds before the first event. serve/seek.rs finds the other for both a hedge and a stream that broke. Sent is shared, as two tries may be under way.

Ruled out: a longer bound on silence (callers leave after 2.4 s of it, and a replica that is dark would be noticed too late); a probe on a new connection (it tells that the host lives, not whether this stream goes on); taking a place first and then dropping the first (a replica that accepts and sends nothing ends the answer).

Why it holds: an answer ends early only where what its replica sends breaks and none may follow, and that no longer depends on how long it is quiet.

--- a/crates/gateway/src/serve/ask.rs
+++ b/crates/gateway/src/serve/ask.rs
@@ -5,7 +5,6 @@
         admit::Request,
         course::Course,
         place::Place,
-        silence::silence,
         step::{
             Step,
             TryError, //
@@ -22,53 +21,74 @@
             Sent, //
         },
     },
-    futures_lite::future::or,
 };
 
-/// Sends a request to the replica of a place, and returns the head of an answer that counts.
+/// Sends a request to the replica of a place, from behind an event on, and reads the head of an
+/// answer.
 ///
 /// # Errors
 ///
-/// What came of the try, where it gave none.
-pub(super) async fn ask(
+/// `sent` tells whether the replica may have got it.
+pub(super) async fn send(
     gw: &Shared,
     req: &Request,
-    place: Place,
-    course: &mut Course,
+    place: &Place,
     after: Option<u64>,
-) -> Result<(Place, Reply), Step> {
-    course.start(&place.replica.id);
-    let last = course.is_last(req);
-    let called = called(gw, req, &place, after, last, &mut course.sent).await;
-    let reached = std::mem::take(&mut course.sent).any;
-    course.sends += u32::from(reached);
+    sent: &Sent,
+) -> Result<Reply, TryError> {
+    let out = Outgoing {
+        id: &req.id,
+        method: &req.method,
+        target: &req.target,
+        headers: &req.headers,
+        workspace: req.workspace.as_ref().map(|w| w.as_str()),
+        last_event: after,
+        source: place.source,
+        body: &req.body,
+        until: req.until,
+        kind: req.route.kind,
+    };
+    Ok(call(&gw.pool, &gw.dialect, &place.replica, &out, sent).await?)
+}
+
+/// Returns an answer that counts, and notes what became of the try where it gave none.
+///
+/// # Errors
+///
+/// What came of the try.
+pub(super) async fn judge(
+    gw: &Shared,
+    req: &Request,
+    place: &Place,
+    course: &mut Course,
+    sent: &Sent,
+    called: Result<Reply, TryError>,
+) -> Result<Reply, Step> {
     let reply = match called {
         Ok(reply) => reply,
         Err(e) => {
-            failed(gw, req, &place, course, "lost", &e).await;
-            course.may_have_run |= reached;
-            return match reached {
-                true => Err(Step::Lost),
-                false => {
-                    course.did_not_run(&place.replica.id);
-                    Err(Step::Unreached)
-                }
-            };
+            failed(gw, req, place, course, "lost", &e).await;
+            if sent.any() {
+                course.may_have_run = true;
+                return Err(Step::Lost);
+            }
+            course.did_not_run(&place.replica.id);
+            return Err(Step::Unreached);
         }
     };
-    let status = reply.head.status();
     if reply.not_run(&gw.dialect) {
-        note(req, &place, course, "turned-away", &status.to_string());
+        let status = reply.head.status().to_string();
+        note(req, place, course, "turned-away", &status);
         reply.recycle(&gw.pool, &place.replica);
         course.did_not_run(&place.replica.id);
         return Err(Step::TurnedAway);
     }
     if !reply.signed(&gw.dialect) {
-        failed(gw, req, &place, course, "broken", &TryError::Unsigned).await;
+        failed(gw, req, place, course, "broken", &TryError::Unsigned).await;
         course.may_have_run = true;
         return Err(Step::Lost);
     }
-    Ok((place, reply))
+    Ok(reply)
 }
 
 /// Notes why a try gave no answer, and what that says of the replica.
@@ -87,33 +107,6 @@
     }
 }
 
-async fn called(
-    gw: &Shared,
-    req: &Request,
-    place: &Place,
-    after: Option<u64>,
-    last: bool,
-    sent: &mut Sent,
-) -> Result<Reply, TryError> {
-    let out = Outgoing {
-        id: &req.id,
-        method: &req.method,
-        target: &req.target,
-        headers: &req.headers,
-        workspace: req.workspace.as_ref().map(|w| w.as_str()),
-        last_event: after,
-        source: place.source,
-        body: &req.body,
-        until: req.until,
-        kind: req.route.kind,
-    };
-    let call = async {
-        let reply = call(&gw.pool, &gw.dialect, &place.replica, &out, sent).await?;
-        Ok(reply)
-    };
-    or(call, silence(req, &place.watch(), last)).await
-}
-
 /// Tells whether an answer is a stream of events, as its request asked for.
 pub(super) fn is_stream(req: &Request, reply: &Reply) -> bool {
     let kind = reply.head.headers.get("content-type").unwrap_or_default();
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -4,7 +4,6 @@
     super::{
         admit::Request,
         ask::{
-            ask,
             failed,
             is_stream, //
         },
@@ -12,6 +11,10 @@
             count_first,
             Course, //
         },
+        hedge::{
+            ask,
+            Asked, //
+        },
         place::Place,
         plain::pass_plain,
         source::Source,
@@ -75,7 +78,8 @@
     course: &mut Course,
 ) -> Step {
     let (place, reply) = match ask(gw, req, place, course, req.last_event).await {
-        Ok(asked) => asked,
+        Ok(Asked::Reply(place, reply)) => (place, reply),
+        Ok(Asked::Stream(source)) => return pass_stream(gw, req, source, writer, course).await,
         Err(step) => return step,
     };
     if is_stream(req, &reply) {
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -19,9 +19,12 @@
         ReplicaId,
         Time, //
     },
-    std::time::{
-        Duration,
-        Instant, //
+    std::{
+        sync::Arc,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
@@ -45,7 +48,7 @@
     /// Tries of which a byte was sent, without the one under way.
     pub(crate) sends: u32,
     /// How far the try under way has got.
-    pub(crate) sent: Sent,
+    pub(crate) sent: Arc<Sent>,
     /// Tries that reached nobody.
     pub(crate) unreached: u32,
     /// A try may have run, and its answer is not known.
@@ -65,10 +68,11 @@
 }
 
 impl Course {
-    /// Notes that a replica is tried.
-    pub(crate) fn start(&mut self, replica: &ReplicaId) {
+    /// Notes that a replica is tried, and returns what tells how far the try gets.
+    pub(crate) fn start(&mut self, replica: &ReplicaId) -> Arc<Sent> {
         self.tried.push(replica.clone());
         self.ran.push(replica.clone());
+        self.sent.clone()
     }
 
     /// Notes that a replica which was tried surely did not run the request.
@@ -208,7 +212,7 @@
     /// The time of a request may end while a try is under way. Its answer must not say then
     /// that the request did not run.
     pub(crate) fn reached_any(&self) -> bool {
-        self.sends > 0 || self.sent.any || self.may_have_run
+        self.sends > 0 || self.sent.any() || self.may_have_run
     }
 }
 
--- a/crates/gateway/src/serve/place.rs
+++ b/crates/gateway/src/serve/place.rs
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct Watch {
     gw: Arc<Shared>,
+    pub(crate) replica: Arc<Replica>,
     key: ReplicaKey,
     /// When it got the request.
     since: Time,
@@ -74,6 +75,15 @@
         let heard = tables.heard.get(&self.key).copied().unwrap_or_default();
         now.since(heard.max(self.since)).into()
     }
+
+    /// Notes that the replica could not be reached, or fell silent.
+    pub(crate) fn unreachable(&self) {
+        let now = self.gw.now();
+        let mut tables = self.gw.tables();
+        tables.health.entry(self.key).or_default().unreachable(now);
+        drop(tables);
+        self.gw.pool.forget(&self.replica.id);
+    }
 }
 
 impl Tables {
@@ -158,6 +168,7 @@
     pub(crate) fn watch(&self) -> Watch {
         Watch {
             gw: self.gw.clone(),
+            replica: self.replica.clone(),
             key: self.key,
             since: self.since,
         }
@@ -180,11 +191,7 @@
 
     /// Notes that the replica could not be reached, or fell silent.
     pub(crate) fn unreachable(&self) {
-        let now = self.gw.now();
-        let mut tables = self.gw.tables();
-        tables.health.entry(self.key).or_default().unreachable(now);
-        drop(tables);
-        self.gw.pool.forget(&self.replica.id);
+        self.watch().unreachable();
     }
 
     /// Notes that the replica broke off its answer, or sent one that can't be used.
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -5,7 +5,7 @@
         admit::Request,
         course::Course,
         place::Place,
-        silence::silence,
+        silence::patience,
         step::{
             Cut,
             Flow,
@@ -47,12 +47,11 @@
     course: &mut Course,
 ) -> Result<Step, TryError> {
     let status = reply.head.status();
-    let watch = place.watch();
     let held = hold(&mut reply);
     let (body, whole) = match req.route.kind {
         RouteKind::Idempotent => {
-            let silent = silence(req, &watch, course.is_last(req));
-            or(async { Ok(held.await?) }, silent).await?
+            let patience = patience(req, course.is_last(req));
+            or(async { Ok(held.await?) }, patience).await?
         }
         _ => held.await?,
     };
--- /dev/null
+++ b/crates/gateway/src/serve/seek.rs
@@ -0,0 +1,61 @@
+//! Another replica for a request that was sent before.
+
+use {
+    super::{
+        admit::Request,
+        course::Course,
+        place::Place,
+        step::{
+            Cut,
+            Refusal, //
+        },
+    },
+    crate::state::Shared,
+    async_std::task,
+    std::{
+        sync::Arc,
+        time::Duration, //
+    },
+};
+
+/// Pause before a replica is looked for again.
+pub(super) const PAUSE: Duration = Duration::from_millis(50);
+
+/// Waits for a place at a replica that did not run the request, and for a retry of the budget.
+///
+/// # Errors
+///
+/// Why the request may not be sent to another.
+pub(super) async fn seek(
+    gw: &Arc<Shared>,
+    req: &Request,
+    course: &mut Course,
+) -> Result<Place, Cut> {
+    loop {
+        course.may_resume(req).map_err(Cut::NoRetry)?;
+        if let Some(place) = find(gw, req, course)? {
+            return Ok(place);
+        }
+        task::sleep(PAUSE).await;
+    }
+}
+
+fn find(gw: &Arc<Shared>, req: &Request, course: &mut Course) -> Result<Option<Place>, Cut> {
+    if !course.has_budget(gw, req) {
+        course.cause = "the retry budget is spent".to_owned();
+        return Ok(None);
+    }
+    match gw.place(req, &course.tried, course.claim()) {
+        Ok(place) => {
+            course.take_retry(gw, req);
+            Ok(Some(place))
+        }
+        Err(refused) if refused.why == Refusal::Held => Err(Cut::Refused(refused.why)),
+        Err(refused) => {
+            course.cause = refused.why.text().to_owned();
+            // Those that had no place or could not be reached a moment ago may take it now.
+            course.forget_unrun();
+            Ok(None)
+        }
+    }
+}
--- a/crates/gateway/src/serve/source.rs
+++ b/crates/gateway/src/serve/source.rs
@@ -49,6 +49,11 @@
         self.ended
     }
 
+    /// Tells whether whole events have come that were not passed on yet.
+    pub(super) fn has_more(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
     /// Takes the whole events that were not passed on yet.
     pub(super) fn take(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.ready)
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -5,9 +5,12 @@
         admit::Request,
         ask::failed,
         course::Course,
+        hedge::{
+            hedge,
+            Hedged, //
+        },
         plain::chunked_head,
         resume::resume,
-        silence::silence,
         source::Source,
         step::{
             Cut,
@@ -24,10 +27,7 @@
         state::Shared,
     },
     async_std::net::TcpStream,
-    futures_lite::{
-        future::or,
-        AsyncWriteExt, //
-    },
+    futures_lite::AsyncWriteExt,
     std::sync::Arc,
 };
 
@@ -42,30 +42,36 @@
     writer: &mut TcpStream,
     course: &mut Course,
 ) -> Step {
-    while !source.ended() {
-        if let Err(e) = next(req, &mut source, course).await {
-            failed(gw, req, &source.place, course, "broken", &e).await;
-            course.may_have_run = true;
-            if !course.begun {
-                return Step::Lost;
+    loop {
+        let whole = source.take();
+        if !whole.is_empty() {
+            let mut out = begin(gw, &source, course);
+            chunk(&mut out, &whole);
+            if writer.write_all(&out).await.is_err() {
+                return Step::End(Flow::Cut(Cut::Caller));
             }
-            let after = source.last();
-            drop(source);
-            source = match resume(gw, req, course, after).await {
-                Ok(source) => source,
-                Err(cut) => return Step::End(Flow::Cut(cut)),
-            };
+            course.passed();
         }
-        let whole = source.take();
-        if whole.is_empty() {
-            continue;
+        if source.ended() {
+            break;
         }
-        let mut out = begin(gw, &source, course);
-        chunk(&mut out, &whole);
-        if writer.write_all(&out).await.is_err() {
-            return Step::End(Flow::Cut(Cut::Caller));
+        let after = source.last();
+        match next(gw, req, &mut source, course).await {
+            Ok(None) => {}
+            Ok(Some(other)) => source = *other,
+            Err(e) => {
+                failed(gw, req, &source.place, course, "broken", &e).await;
+                course.may_have_run = true;
+                if !course.begun {
+                    return Step::Lost;
+                }
+                drop(source);
+                source = match Box::pin(resume(gw, req, course, after)).await {
+                    Ok(source) => source,
+                    Err(cut) => return Step::End(Flow::Cut(cut)),
+                };
+            }
         }
-        course.passed();
     }
     let mut out = begin(gw, &source, course);
     out.extend_from_slice(LAST_CHUNK);
@@ -77,10 +83,22 @@
     })
 }
 
-/// Waits for more of the stream, or until the replica counts as silent.
-async fn next(req: &Request, source: &mut Source, course: &Course) -> Result<(), TryError> {
-    let watch = source.place.watch();
-    or(source.read(), silence(req, &watch, course.is_last(req))).await
+/// Waits for more of a stream, and returns that of another replica where it was first.
+async fn next(
+    gw: &Arc<Shared>,
+    req: &Request,
+    source: &mut Source,
+    course: &mut Course,
+) -> Result<Option<Box<Source>>, TryError> {
+    if !req.route.repeatable() {
+        source.read().await?;
+        return Ok(None);
+    }
+    let (watch, after) = (source.place.watch(), source.last());
+    match hedge(gw, req, &watch, course, after, source.read()).await? {
+        Hedged::Own(()) => Ok(None),
+        Hedged::Other(other) => Ok(Some(other)),
+    }
 }
 
 /// Returns the head of the answer where the caller does not have it yet.
--- a/crates/gateway/src/serve/trail.rs
+++ b/crates/gateway/src/serve/trail.rs
@@ -8,7 +8,10 @@
             budget_left,
             Course, //
         },
-        place::Place,
+        place::{
+            Place,
+            Watch, //
+        },
         step::Cut, //
     },
     crate::state::Shared,
@@ -107,3 +110,16 @@
     );
     course.cause = cause.to_owned();
 }
+
+/// Logs that a replica is silent while it has a stream that may go on elsewhere.
+pub(super) fn note_silent(req: &Request, watch: &Watch, course: &Course) {
+    log::info!(
+        "event=try outcome=silent id={} digest={} replica={} send={} ms={} begun={}",
+        req.id,
+        req.digest,
+        watch.replica.id,
+        course.sends,
+        watch.silent().as_millis(),
+        course.begun
+    );
+}
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -25,6 +25,10 @@
     std::{
         io,
         net::SocketAddr,
+        sync::atomic::{
+            AtomicBool,
+            Ordering, //
+        },
         time::{
             Duration,
             Instant, //
@@ -72,9 +76,17 @@
 
 /// How far a request got, also where its call was dropped.
 #[derive(Debug, Default)]
-pub(crate) struct Sent {
-    /// A byte of it may have reached the replica.
-    pub(crate) any: bool,
+pub(crate) struct Sent(AtomicBool);
+
+impl Sent {
+    /// Tells whether a byte of it may have reached the replica.
+    pub(crate) fn any(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn begin(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
 }
 
 /// An answer whose head was read and is that of this request.
@@ -110,7 +122,7 @@
     dialect: &Dialect,
     replica: &Replica,
     out: &Outgoing<'_>,
-    sent: &mut Sent,
+    sent: &Sent,
 ) -> Result<Reply, CallError> {
     let most = match out.kind {
         RouteKind::Single => FRESH,
@@ -122,7 +134,7 @@
         None => open(replica, out.until).await?,
     };
     let head = head(dialect, replica, out);
-    sent.any = true;
+    sent.begin();
     let mut whole = false;
     let mut writer = conn.writer();
     let write = async {
