gateway: a plain request whose answer is late keeps its replica while another is asked

What callers saw: a lookup that may be repeated got 502 although its replica was only late. After three latency targets its connection was dropped and another place was looked for; where the others were full, or the one that was asked turned it away, the caller got a failure with most of its time left.

Cause: the same as with streams, found by looking for it: a replica's lateness was taken for its failure. Change: the hedge serves both. Hedge asks another replica when its caller's bound is over, a second of silence for a stream, three latency targets for a plain request, and whichever answers first counts. A failure (5xx) of the second is no answer while the first may still give one. What may not be repeated is waited for as before. TryError::Silent is gone: no try ends for silence. A replica that turns a request away is followed by a growing pause in hedges too, as each try is taken from the budget.

Ruled out: looking for a place before the first is given up (the place that was seen may be gone, or the replica turns the request away).

again_late_answer_when_others_are_full and again_late_answer_when_the_other_turns_it_away got 502 before ('the replicas of its service are full', 'no replica answered it') and the late answer now.

--- a/crates/gateway/src/serve/ask.rs
+++ b/crates/gateway/src/serve/ask.rs
@@ -1,4 +1,4 @@
-//! One try of a request, up to the head of an answer.
+//! One try of a request at one replica.
 
 use {
     super::{
@@ -23,6 +23,18 @@
     },
 };
 
+/// One try of a request at one replica.
+pub(super) struct Try<'a> {
+    pub(super) gw: &'a Shared,
+    pub(super) req: &'a Request,
+    pub(super) place: Place,
+    pub(super) course: &'a mut Course,
+    /// The event behind which a stream is to go on.
+    pub(super) after: Option<u64>,
+    /// How far it gets.
+    pub(super) sent: &'a Sent,
+}
+
 /// Sends a request to the replica of a place, from behind an event on, and reads the head of an
 /// answer.
 ///
@@ -51,44 +63,71 @@
     Ok(call(&gw.pool, &gw.dialect, &place.replica, &out, sent).await?)
 }
 
-/// Returns an answer that counts, and notes what became of the try where it gave none.
-///
-/// # Errors
-///
-/// What came of the try.
-pub(super) async fn judge(
-    gw: &Shared,
-    req: &Request,
-    place: &Place,
-    course: &mut Course,
-    sent: &Sent,
-    called: Result<Reply, TryError>,
-) -> Result<Reply, Step> {
-    let reply = match called {
-        Ok(reply) => reply,
-        Err(e) => {
-            failed(gw, req, place, course, "lost", &e).await;
-            if sent.any() {
-                course.may_have_run = true;
-                return Err(Step::Lost);
-            }
-            course.did_not_run(&place.replica.id);
-            return Err(Step::Unreached);
+impl Try<'_> {
+    /// Sends the request and reads the head of an answer.
+    pub(super) async fn send(&self) -> Result<Reply, TryError> {
+        send(self.gw, self.req, &self.place, self.after, self.sent).await
+    }
+
+    /// Returns an answer that counts, and notes what became of the try where it gave none.
+    ///
+    /// # Errors
+    ///
+    /// What came of the try.
+    pub(super) async fn judge<R>(&mut self, called: Result<R, TryError>) -> Result<R, Step>
+    where
+        R: AsRef<Reply> + Into<Reply>,
+    {
+        let answer = match called {
+            Ok(answer) => answer,
+            Err(e) => return Err(self.lost(&e).await),
+        };
+        let reply = answer.as_ref();
+        if reply.not_run(&self.gw.dialect) {
+            let status = reply.head.status().to_string();
+            self.note("turned-away", &status);
+            answer.into().recycle(&self.gw.pool, &self.place.replica);
+            self.course.did_not_run(&self.place.replica.id);
+            return Err(Step::TurnedAway);
         }
-    };
-    if reply.not_run(&gw.dialect) {
-        let status = reply.head.status().to_string();
-        note(req, place, course, "turned-away", &status);
-        reply.recycle(&gw.pool, &place.replica);
-        course.did_not_run(&place.replica.id);
-        return Err(Step::TurnedAway);
+        if !reply.signed(&self.gw.dialect) {
+            return Err(self.broken(&TryError::Unsigned).await);
+        }
+        Ok(answer)
+    }
+
+    async fn lost(&mut self, e: &TryError) -> Step {
+        self.failed("lost", e).await;
+        if self.sent.any() {
+            self.course.may_have_run = true;
+            return Step::Lost;
+        }
+        self.course.did_not_run(&self.place.replica.id);
+        Step::Unreached
+    }
+
+    /// Notes that the replica broke off its answer, or sent one that can't be used.
+    pub(super) async fn broken(&mut self, e: &TryError) -> Step {
+        self.failed("broken", e).await;
+        self.course.may_have_run = true;
+        Step::Lost
+    }
+
+    /// Notes an answer of the replica that another replica may better.
+    pub(super) fn answered_badly(&mut self, status: u16) -> Step {
+        self.place.answered(status < 500);
+        self.note("failed", &status.to_string());
+        self.course.may_have_run = true;
+        Step::Lost
     }
-    if !reply.signed(&gw.dialect) {
-        failed(gw, req, place, course, "broken", &TryError::Unsigned).await;
-        course.may_have_run = true;
-        return Err(Step::Lost);
+
+    async fn failed(&mut self, outcome: &str, e: &TryError) {
+        failed(self.gw, self.req, &self.place, self.course, outcome, e).await;
+    }
+
+    fn note(&mut self, outcome: &str, cause: &str) {
+        note(self.req, &self.place, self.course, outcome, cause);
     }
-    Ok(reply)
 }
 
 /// Notes why a try gave no answer, and what that says of the replica.
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -7,16 +7,20 @@
             failed,
             is_stream, //
         },
+        asked::{
+            ask,
+            Asked,
+            Whole, //
+        },
         course::{
             count_first,
             Course, //
         },
-        hedge::{
-            ask,
-            Asked, //
-        },
         place::Place,
-        plain::pass_plain,
+        plain::{
+            hold,
+            pass_plain, //
+        },
         source::Source,
         step::{
             Flow,
@@ -80,16 +84,19 @@
     let (place, reply) = match ask(gw, req, place, course, req.last_event).await {
         Ok(Asked::Reply(place, reply)) => (place, reply),
         Ok(Asked::Stream(source)) => return pass_stream(gw, req, source, writer, course).await,
+        Ok(Asked::Whole(Whole { place, held })) => {
+            return pass_plain(gw, req, &place, held, writer, course).await;
+        }
         Err(step) => return step,
     };
     if is_stream(req, &reply) {
         let source = Source::new(place, reply, req.last_event);
         return pass_stream(gw, req, source, writer, course).await;
     }
-    match pass_plain(gw, req, &place, reply, writer, course).await {
-        Ok(step) => step,
+    match hold(reply).await {
+        Ok(held) => pass_plain(gw, req, &place, held, writer, course).await,
         Err(e) => {
-            failed(gw, req, &place, course, "broken", &e).await;
+            failed(gw, req, &place, course, "broken", &e.into()).await;
             course.may_have_run = true;
             Step::Lost
         }
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -75,6 +75,12 @@
         self.sent.clone()
     }
 
+    /// Notes how far a try got that has ended.
+    pub(crate) fn end(&mut self, sent: &Sent) {
+        self.sends += u32::from(sent.any());
+        self.sent = Arc::default();
+    }
+
     /// Notes that a replica which was tried surely did not run the request.
     pub(crate) fn did_not_run(&mut self, replica: &ReplicaId) {
         self.ran.retain(|id| id != replica);
@@ -167,11 +173,6 @@
         Ok(())
     }
 
-    /// Tells whether the try that begins, or is under way, is the last that the route allows.
-    pub(crate) fn is_last(&self, req: &Request) -> bool {
-        self.tried.len() as u32 >= req.route.attempts
-    }
-
     /// Returns what the request has of its answer.
     pub(crate) fn claim(&self) -> Claim {
         match self.begun {
--- a/crates/gateway/src/serve/hedge.rs
+++ b/crates/gateway/src/serve/hedge.rs
@@ -1,41 +1,27 @@
-//! A second replica for a stream whose replica is silent.
+//! A second replica for a request whose replica is silent.
 
 use {
     super::{
         admit::Request,
-        ask::{
-            failed,
-            is_stream,
-            judge,
-            send, //
-        },
+        ask::Try,
         course::Course,
         place::{
             Place,
             Watch, //
         },
-        seek::seek,
-        silence::{
-            patience,
-            quiet, //
+        seek::{
+            seek,
+            Backoff, //
         },
-        source::Source,
         step::{
             Step,
             TryError, //
         },
-        trail::{
-            note,
-            note_silent, //
-        },
+        trail::note_silent,
     },
     crate::{
-        model::RouteKind,
         state::Shared,
-        upstream::{
-            Reply,
-            Sent, //
-        },
+        upstream::Sent, //
     },
     futures_lite::{
         future::or,
@@ -43,156 +29,162 @@
     },
     std::{
         future::Future,
+        pin::Pin,
         sync::Arc, //
     },
 };
 
-/// What a try gave.
-pub(super) enum Asked {
-    /// The head of an answer.
-    Reply(Place, Reply),
-    /// The stream of another replica, as the one that was asked first is silent.
-    Stream(Source),
-}
+/// What another replica gives in place of a silent one, or what came of the try.
+///
+/// Boxed, so that requests without a silent replica don't hold its room.
+pub(super) type Opening<'a, O> = Pin<Box<dyn Future<Output = Result<O, Step>> + Send + 'a>>;
 
-/// What a replica sent, or the stream of another that went on first.
-pub(super) enum Hedged<T> {
+/// How another replica is asked.
+pub(super) type Open<O> = for<'a> fn(Try<'a>) -> Opening<'a, O>;
+
+/// What a replica sent, or what another gave first.
+pub(super) enum Hedged<T, O> {
     Own(T),
-    Other(Box<Source>),
+    Other(O),
+}
+
+/// A request that may be sent to a second replica.
+pub(super) struct Hedge<'a> {
+    gw: &'a Arc<Shared>,
+    req: &'a Request,
+    /// The first replica.
+    pub(super) watch: Watch,
+    /// The event behind which the second is to go on.
+    after: Option<u64>,
 }
 
 /// Which of two replicas was first.
-enum Race<T> {
+enum Race<T, O> {
     Own(Result<T, TryError>),
-    Other(Box<Source>),
-    /// The other one did not take the request, or broke off.
-    OtherFailed,
+    Other(O),
+    /// The other one gave nothing.
+    OtherFailed(Step),
     /// No other one may be tried.
     NoOther,
 }
 
-/// Sends a request to the replica of a place, and returns the head of an answer that counts.
-///
-/// # Errors
-///
-/// What came of the try, where it gave none.
-pub(super) async fn ask(
-    gw: &Arc<Shared>,
-    req: &Request,
-    place: Place,
-    course: &mut Course,
-    after: Option<u64>,
-) -> Result<Asked, Step> {
-    let sent = course.start(&place.replica.id);
-    let call = send(gw, req, &place, after, &sent);
-    let called = match req.route.kind {
-        RouteKind::Stream { resume: true } => {
-            hedge(gw, req, &place.watch(), course, after, call).await
-        }
-        _ => {
-            let call = async { Ok(Hedged::Own(call.await?)) };
-            or(call, patience(req, course.is_last(req))).await
+impl<'a> Hedge<'a> {
+    /// Prepares for a replica that may fall silent.
+    pub(super) fn new(
+        gw: &'a Arc<Shared>,
+        req: &'a Request,
+        place: &Place,
+        after: Option<u64>,
+    ) -> Hedge<'a> {
+        Hedge {
+            gw,
+            req,
+            watch: place.watch(),
+            after,
         }
-    };
-    course.sends += u32::from(sent.any());
-    course.sent = Arc::default();
-    let called = match called {
-        Ok(Hedged::Other(source)) => return Ok(Asked::Stream(*source)),
-        Ok(Hedged::Own(reply)) => Ok(reply),
-        Err(e) => Err(e),
-    };
-    let reply = judge(gw, req, &place, course, &sent, called).await?;
-    Ok(Asked::Reply(place, reply))
-}
+    }
 
-/// Waits for what a replica is to send next, and once it is silent tries others meanwhile.
-///
-/// A replica is silent while it is stopped for a moment, and also where something on the way lost
-/// track of the connection; nothing tells which. So it is left only when another has sent the
-/// next event. What it sends before that goes on, and the other is left.
-///
-/// # Errors
-///
-/// Where what the replica sends breaks, and no other has the request.
-pub(super) async fn hedge<T>(
-    gw: &Arc<Shared>,
-    req: &Request,
-    watch: &Watch,
-    course: &mut Course,
-    after: Option<u64>,
-    own: impl Future<Output = Result<T, TryError>>,
-) -> Result<Hedged<T>, TryError> {
-    pin!(own);
-    let until_quiet = async {
-        quiet(watch).await;
-        None
-    };
-    if let Some(done) = or(async { Some(own.as_mut().await) }, until_quiet).await {
-        return Ok(Hedged::Own(done?));
+    /// Waits for what a replica is to send next, and once it is silent tries others meanwhile.
+    ///
+    /// A replica is silent while it is stopped for a moment, and also where something on the way
+    /// lost track of the connection; nothing tells which. So it is left only when another has
+    /// sent what comes next. What it sends before that counts, and the other is left.
+    ///
+    /// # Errors
+    ///
+    /// Where what the replica sends breaks, and no other has the request.
+    pub(super) async fn run<T, O>(
+        &self,
+        course: &mut Course,
+        silent: impl Future<Output = ()>,
+        own: impl Future<Output = Result<T, TryError>>,
+        open: Open<O>,
+    ) -> Result<Hedged<T, O>, TryError> {
+        pin!(own);
+        let silent = async {
+            silent.await;
+            None
+        };
+        if let Some(done) = or(async { Some(own.as_mut().await) }, silent).await {
+            return Ok(Hedged::Own(done?));
+        }
+        if course.may_resume(self.req).is_err() {
+            return Ok(Hedged::Own(own.await?));
+        }
+        self.watch.unreachable();
+        note_silent(self.req, &self.watch, course);
+        course.may_have_run = true;
+        let mut backoff = Backoff::default();
+        loop {
+            match self.race(course, own.as_mut(), open, &backoff).await {
+                Race::Own(done) => return self.done(course, Hedged::Own(done?)),
+                Race::Other(other) => return self.done(course, Hedged::Other(other)),
+                Race::OtherFailed(step) => backoff.after(&step),
+                Race::NoOther => return self.done(course, Hedged::Own(own.await?)),
+            }
+        }
     }
-    watch.unreachable();
-    note_silent(req, watch, course);
-    course.may_have_run = true;
-    loop {
+
+    async fn race<T, O>(
+        &self,
+        course: &mut Course,
+        mut own: Pin<&mut impl Future<Output = Result<T, TryError>>>,
+        open: Open<O>,
+        backoff: &Backoff,
+    ) -> Race<T, O> {
         let sent = Sent::default();
-        let race = {
-            // Boxed, so that connections without a silent replica don't hold its room.
-            let mut other = Box::pin(other(gw, req, course, after, &sent));
-            let first = or(async { Race::Own(own.as_mut().await) }, other.as_mut()).await;
-            match first {
-                Race::Own(Err(e)) if sent.any() => match other.await {
-                    Race::Other(source) => Race::Other(source),
-                    _ => Race::Own(Err(e)),
-                },
-                first => first,
-            }
+        let mut other = Box::pin(self.other(course, open, backoff, &sent));
+        let first = or(async { Race::Own(own.as_mut().await) }, other.as_mut()).await;
+        let race = match first {
+            Race::Own(Err(e)) if sent.any() => match other.as_mut().await {
+                Race::Other(other) => Race::Other(other),
+                _ => Race::Own(Err(e)),
+            },
+            first => first,
         };
+        drop(other);
         course.sends += u32::from(sent.any());
-        let hedged = match race {
-            Race::OtherFailed => continue,
-            Race::Own(done) => Hedged::Own(done?),
-            Race::Other(source) => Hedged::Other(source),
-            Race::NoOther => Hedged::Own(own.await?),
+        race
+    }
+
+    /// Waits for a place at another replica, and for what that one gives.
+    async fn other<T, O>(
+        &self,
+        course: &mut Course,
+        open: Open<O>,
+        backoff: &Backoff,
+        sent: &Sent,
+    ) -> Race<T, O> {
+        backoff.wait().await;
+        let Ok(place) = seek(self.gw, self.req, course).await else {
+            return Race::NoOther;
         };
+        course.start(&place.replica.id);
+        let opening = open(Try {
+            gw: self.gw,
+            req: self.req,
+            place,
+            course,
+            after: self.after,
+            sent,
+        });
+        match opening.await {
+            Ok(other) => Race::Other(other),
+            Err(step) => Race::OtherFailed(step),
+        }
+    }
+
+    fn done<T, O>(
+        &self,
+        course: &mut Course,
+        hedged: Hedged<T, O>,
+    ) -> Result<Hedged<T, O>, TryError> {
         course.cause.clear();
         let outcome = match &hedged {
             Hedged::Own(_) => "went-on",
             Hedged::Other(_) => "replaced",
         };
-        metrics::counter!("chervilwind_silent_streams", "outcome" => outcome).increment(1);
-        return Ok(hedged);
-    }
-}
-
-/// Waits for a place at another replica, and for its next event.
-async fn other<T>(
-    gw: &Arc<Shared>,
-    req: &Request,
-    course: &mut Course,
-    after: Option<u64>,
-    sent: &Sent,
-) -> Race<T> {
-    let Ok(place) = seek(gw, req, course).await else {
-        return Race::NoOther;
-    };
-    course.start(&place.replica.id);
-    let called = send(gw, req, &place, after, sent).await;
-    let reply = match judge(gw, req, &place, course, sent, called).await {
-        Ok(reply) => reply,
-        Err(_) => return Race::OtherFailed,
-    };
-    if !is_stream(req, &reply) {
-        let status = reply.head.status();
-        place.answered(status < 500);
-        note(req, &place, course, "failed", &status.to_string());
-        return Race::OtherFailed;
-    }
-    let mut source = Source::new(place, reply, after);
-    while !source.ended() && !source.has_more() {
-        if let Err(e) = source.read().await {
-            failed(gw, req, &source.place, course, "broken", &e).await;
-            return Race::OtherFailed;
-        }
+        metrics::counter!("chervilwind_silent_replicas", "outcome" => outcome).increment(1);
+        Ok(hedged)
     }
-    Race::Other(Box::new(source))
 }
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod answer;
 mod ask;
+mod asked;
 mod attempts;
 mod choose;
 mod connection;
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -5,13 +5,11 @@
         admit::Request,
         course::Course,
         place::Place,
-        silence::patience,
         step::{
             Cut,
             Flow,
             NoRetry,
-            Step,
-            TryError, //
+            Step, //
         },
         trail::note, //
     },
@@ -27,38 +25,61 @@
         upstream::Reply, //
     },
     async_std::net::TcpStream,
-    futures_lite::{
-        future::or,
-        AsyncWriteExt, //
-    },
+    futures_lite::AsyncWriteExt,
 };
 
 /// Longest answer that is held until it is whole, in bytes. Until then a try that breaks can
 /// be followed by another unseen; a longer one is cut where it breaks.
 const WHOLE_MAX: usize = 1 << 20;
 
+/// An answer that is held until it is whole.
+#[derive(Debug)]
+pub(super) struct Held {
+    reply: Reply,
+    body: Vec<u8>,
+    /// Nothing of it is left to be read.
+    whole: bool,
+}
+
+impl AsRef<Reply> for Held {
+    fn as_ref(&self) -> &Reply {
+        &self.reply
+    }
+}
+
+impl From<Held> for Reply {
+    fn from(held: Held) -> Reply {
+        held.reply
+    }
+}
+
+/// Reads an answer until it is whole, or too long to be held.
+pub(super) async fn hold(mut reply: Reply) -> Result<Held, ReadError> {
+    let mut body = Vec::new();
+    let mut whole = true;
+    while let Some(piece) = reply.body.piece(&mut reply.conn).await? {
+        body.extend_from_slice(&piece);
+        if body.len() > WHOLE_MAX {
+            whole = false;
+            break;
+        }
+    }
+    Ok(Held { reply, body, whole })
+}
+
 /// Passes on an answer that is no stream.
 pub(super) async fn pass_plain(
     gw: &Shared,
     req: &Request,
     place: &Place,
-    mut reply: Reply,
+    held: Held,
     writer: &mut TcpStream,
     course: &mut Course,
-) -> Result<Step, TryError> {
+) -> Step {
+    let Held { reply, body, whole } = held;
     let status = reply.head.status();
-    let held = hold(&mut reply);
-    let (body, whole) = match req.route.kind {
-        RouteKind::Idempotent => {
-            let patience = patience(req, course.is_last(req));
-            or(async { Ok(held.await?) }, patience).await?
-        }
-        _ => held.await?,
-    };
     if !whole {
-        return Ok(Step::End(
-            pass_long(gw, place, reply, body, writer, course).await,
-        ));
+        return Step::End(pass_long(gw, place, reply, body, writer, course).await);
     }
     place.answered(status < 500);
     let head = reply.head.clone();
@@ -68,7 +89,7 @@
         if course.may_send(gw, req, false).is_ok() {
             note(req, place, course, "failed", &status.to_string());
             course.may_have_run = true;
-            return Ok(Step::Again);
+            return Step::Again;
         }
     }
     let length = match req.method.as_str() {
@@ -78,22 +99,10 @@
     let mut bytes = head.line.head(&passed(gw, head.headers, length));
     bytes.extend_from_slice(&body);
     course.begin(status);
-    Ok(Step::End(match writer.write_all(&bytes).await {
+    Step::End(match writer.write_all(&bytes).await {
         Ok(()) => Flow::Passed,
         Err(_) => Flow::Cut(Cut::Caller),
-    }))
-}
-
-/// Reads an answer until it is whole, or too long to be held; tells which.
-async fn hold(reply: &mut Reply) -> Result<(Vec<u8>, bool), ReadError> {
-    let mut held = Vec::new();
-    while let Some(piece) = reply.body.piece(&mut reply.conn).await? {
-        held.extend_from_slice(&piece);
-        if held.len() > WHOLE_MAX {
-            return Ok((held, false));
-        }
-    }
-    Ok((held, true))
+    })
 }
 
 /// Passes on a long answer while it comes.
--- a/crates/gateway/src/serve/resume.rs
+++ b/crates/gateway/src/serve/resume.rs
@@ -4,34 +4,23 @@
     super::{
         admit::Request,
         ask::is_stream,
-        course::Course,
-        hedge::{
+        asked::{
             ask,
             Asked, //
         },
+        course::Course,
         seek::{
             seek,
-            PAUSE, //
+            Backoff, //
         },
         source::Source,
-        step::{
-            Cut,
-            Step, //
-        },
+        step::Cut,
         trail::note,
     },
     crate::state::Shared,
-    async_std::task,
-    std::{
-        sync::Arc,
-        time::Duration, //
-    },
+    std::sync::Arc,
 };
 
-/// Longest pause after a replica turned the request away. Pauses double up to it, as each try is
-/// taken from the retry budget.
-const PAUSE_MAX: Duration = Duration::from_millis(400);
-
 /// Lets a stream that has begun go on behind an event, at whichever replica takes it first.
 ///
 /// Its caller has a part of the answer, and places fall free all the time. So it waits for one
@@ -46,24 +35,23 @@
     course: &mut Course,
     after: Option<u64>,
 ) -> Result<Source, Cut> {
-    let mut pause = PAUSE;
+    let mut backoff = Backoff::default();
     loop {
+        backoff.wait().await;
         let place = seek(gw, req, course).await?;
-        let (place, reply) = match ask(gw, req, place, course, after).await {
-            Ok(Asked::Reply(place, reply)) => (place, reply),
+        match ask(gw, req, place, course, after).await {
             Ok(Asked::Stream(source)) => return Ok(source),
-            Err(Step::TurnedAway) => {
-                task::sleep(pause).await;
-                pause = PAUSE_MAX.min(pause * 2);
-                continue;
+            Ok(Asked::Reply(place, reply)) if is_stream(req, &reply) => {
+                course.cause.clear();
+                return Ok(Source::new(place, reply, after));
+            }
+            Ok(Asked::Reply(place, reply)) => {
+                let status = reply.head.status();
+                place.answered(status < 500);
+                note(req, &place, course, "failed", &status.to_string());
             }
-            Err(_) => continue,
-        };
-        if is_stream(req, &reply) {
-            return Ok(Source::new(place, reply, after));
+            Ok(Asked::Whole(_)) => {}
+            Err(step) => backoff.after(&step),
         }
-        let status = reply.head.status();
-        place.answered(status < 500);
-        note(req, &place, course, "failed", &status.to_string());
     }
 }
--- a/crates/gateway/src/serve/seek.rs
+++ b/crates/gateway/src/serve/seek.rs
@@ -7,7 +7,8 @@
         place::Place,
         step::{
             Cut,
-            Refusal, //
+            Refusal,
+            Step, //
         },
     },
     crate::state::Shared,
@@ -19,7 +20,30 @@
 };
 
 /// Pause before a replica is looked for again.
-pub(super) const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after a replica turned the request away.
+const PAUSE_MAX: Duration = Duration::from_millis(400);
+
+/// The pause before a request is sent again, doubled each time that a replica turns it away, as
+/// each try is taken from the retry budget.
+#[derive(Debug, Default)]
+pub(super) struct Backoff(Option<Duration>);
+
+impl Backoff {
+    /// Notes what came of a try.
+    pub(super) fn after(&mut self, step: &Step) {
+        if matches!(step, Step::TurnedAway) {
+            self.0 = Some(self.0.map_or(PAUSE, |pause| PAUSE_MAX.min(pause * 2)));
+        }
+    }
+
+    /// Waits for as long as the tries before suggest.
+    pub(super) async fn wait(&self) {
+        if let Some(pause) = self.0 {
+            task::sleep(pause).await;
+        }
+    }
+}
 
 /// Waits for a place at a replica that did not run the request, and for a retry of the budget.
 ///
--- a/crates/gateway/src/serve/source.rs
+++ b/crates/gateway/src/serve/source.rs
@@ -16,10 +16,16 @@
     },
 };
 
-/// A stream that a replica has begun to send.
+/// A replica's stream, and the place that it takes there.
 #[derive(Debug)]
 pub(super) struct Source {
     pub(super) place: Place,
+    pub(super) stream: Stream,
+}
+
+/// A stream that a replica has begun to send.
+#[derive(Debug)]
+pub(super) struct Stream {
     pub(super) reply: Reply,
     events: Events,
     /// Whole events that were not passed on yet.
@@ -30,8 +36,30 @@
 impl Source {
     /// Takes over a stream that goes on behind an event.
     pub(super) fn new(place: Place, reply: Reply, after: Option<u64>) -> Source {
-        Source {
-            place,
+        let stream = Stream::new(reply, after);
+        Source { place, stream }
+    }
+
+    /// Reads some more of the stream.
+    ///
+    /// # Errors
+    ///
+    /// Where it breaks, or is no row of events.
+    pub(super) async fn read(&mut self) -> Result<(), TryError> {
+        self.stream.read(&mut self.place).await
+    }
+
+    /// Gives the place back after the whole stream.
+    pub(super) fn finish(self, gw: &Shared) {
+        self.place.answered(true);
+        self.stream.reply.recycle(&gw.pool, &self.place.replica);
+    }
+}
+
+impl Stream {
+    /// Takes over a stream that goes on behind an event.
+    pub(super) fn new(reply: Reply, after: Option<u64>) -> Stream {
+        Stream {
             reply,
             events: Events::after(after),
             ready: Vec::new(),
@@ -59,21 +87,21 @@
         std::mem::take(&mut self.ready)
     }
 
-    /// Reads some more of it.
+    /// Reads some more, and notes at the replica's place that it came.
     ///
     /// # Errors
     ///
     /// Where it breaks, or is no row of events.
-    pub(super) async fn read(&mut self) -> Result<(), TryError> {
+    pub(super) async fn read(&mut self, place: &mut Place) -> Result<(), TryError> {
         let piece = self.reply.body.piece(&mut self.reply.conn).await?;
         let Some(piece) = piece else {
             return self.end();
         };
         let whole = self.events.push(&piece).map_err(broken)?;
-        if self.place.since_first().is_none() && self.events.count() > 0 {
-            self.place.first_event();
+        if place.since_first().is_none() && self.events.count() > 0 {
+            place.first_event();
         } else {
-            self.place.heard();
+            place.heard();
         }
         self.ready.extend_from_slice(&whole);
         Ok(())
@@ -87,12 +115,6 @@
         self.ended = true;
         Ok(())
     }
-
-    /// Gives the place back after the whole stream.
-    pub(super) fn finish(self, gw: &Shared) {
-        self.place.answered(true);
-        self.reply.recycle(&gw.pool, &self.place.replica);
-    }
 }
 
 fn broken(e: EventsError) -> TryError {
--- a/crates/gateway/src/serve/step.rs
+++ b/crates/gateway/src/serve/step.rs
@@ -95,8 +95,6 @@
 pub(super) enum TryError {
     #[error("{0}")]
     Call(#[from] CallError),
-    #[error("the replica is silent")]
-    Silent,
     #[error("the answer is not signed")]
     Unsigned,
 }
@@ -111,7 +109,7 @@
     /// Notes what it says of the replica.
     pub(super) fn note(&self, place: &Place) {
         match self {
-            TryError::Silent | TryError::Call(CallError::Connect(_)) => place.unreachable(),
+            TryError::Call(CallError::Connect(_)) => place.unreachable(),
             TryError::Call(_) | TryError::Unsigned => place.broken(),
         }
     }
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -4,13 +4,15 @@
     super::{
         admit::Request,
         ask::failed,
+        asked::open_stream,
         course::Course,
         hedge::{
-            hedge,
+            Hedge,
             Hedged, //
         },
         plain::chunked_head,
         resume::resume,
+        silence::quiet,
         source::Source,
         step::{
             Cut,
@@ -43,7 +45,7 @@
     course: &mut Course,
 ) -> Step {
     loop {
-        let whole = source.take();
+        let whole = source.stream.take();
         if !whole.is_empty() {
             let mut out = begin(gw, &source, course);
             chunk(&mut out, &whole);
@@ -52,13 +54,13 @@
             }
             course.passed();
         }
-        if source.ended() {
+        if source.stream.ended() {
             break;
         }
-        let after = source.last();
+        let after = source.stream.last();
         match next(gw, req, &mut source, course).await {
             Ok(None) => {}
-            Ok(Some(other)) => source = *other,
+            Ok(Some(other)) => source = other,
             Err(e) => {
                 failed(gw, req, &source.place, course, "broken", &e).await;
                 course.may_have_run = true;
@@ -89,13 +91,17 @@
     req: &Request,
     source: &mut Source,
     course: &mut Course,
-) -> Result<Option<Box<Source>>, TryError> {
+) -> Result<Option<Source>, TryError> {
     if !req.route.repeatable() {
         source.read().await?;
         return Ok(None);
     }
-    let (watch, after) = (source.place.watch(), source.last());
-    match hedge(gw, req, &watch, course, after, source.read()).await? {
+    let hedge = Hedge::new(gw, req, &source.place, source.stream.last());
+    let silent = quiet(&hedge.watch);
+    match hedge
+        .run(course, silent, source.read(), open_stream)
+        .await?
+    {
         Hedged::Own(()) => Ok(None),
         Hedged::Other(other) => Ok(Some(other)),
     }
@@ -106,5 +112,5 @@
     if course.begun {
         return Vec::new();
     }
-    chunked_head(gw, &source.reply, course)
+    chunked_head(gw, &source.stream.reply, course)
 }
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -219,6 +219,12 @@
     }
 }
 
+impl AsRef<Reply> for Reply {
+    fn as_ref(&self) -> &Reply {
+        self
+    }
+}
+
 impl Reply {
     /// Tells whether the replica says that it did not run the request.
     ///
--- a/crates/gateway/tests/gateway/resume.rs
+++ b/crates/gateway/tests/gateway/resume.rs
@@ -1,4 +1,4 @@
-//! Streams that have begun and need another replica.
+//! Requests whose replica is silent or broke off, and that need another one.
 
 use {
     crate::{
@@ -11,6 +11,7 @@
             answer,
             event,
             events,
+            good,
             stream_head,
             Replica,
             Seen,
@@ -87,18 +88,14 @@
     stage.world.lock().unwrap().replicas.push(entry);
 }
 
-/// Asks for a stream at the replica that joins beside the full one.
-fn ask_beside(stage: &Stage, replica: &Replica) -> Got {
+/// Asks the replica that joins beside the full one.
+fn ask_beside(stage: &Stage, replica: &Replica, target: &str) -> Got {
     join(stage, "i-1", replica);
     let mut caller = stage.caller();
     let mut asked = 0;
     loop {
         asked += 1;
-        let got = caller.get(
-            "/resume/a",
-            &format!("asked-{asked}"),
-            "X-Deadline: 15000\r\n",
-        );
+        let got = caller.get(target, &format!("asked-{asked}"), "X-Deadline: 15000\r\n");
         // Until the router knows the new replica, all are full.
         if got.status != 503 || !replica.seen().is_empty() {
             return got;
@@ -126,7 +123,7 @@
     });
     let full = busy(|_, seen| turned_away(seen));
     let (stage, _held) = filled(&full);
-    assert_whole(&ask_beside(&stage, &pauses));
+    assert_whole(&ask_beside(&stage, &pauses, "/resume/a"));
 }
 
 /// Guards against a failure that is given for an answer which had only not begun yet.
@@ -139,7 +136,7 @@
     });
     let full = busy(|_, seen| turned_away(seen));
     let (stage, _held) = filled(&full);
-    assert_whole(&ask_beside(&stage, &pauses));
+    assert_whole(&ask_beside(&stage, &pauses, "/resume/a"));
 }
 
 /// Guards against a silent replica that is left for another which then sends nothing either.
@@ -172,7 +169,7 @@
         _ => rest(seen),
     });
     let (stage, _held) = filled(&full);
-    assert_whole(&ask_beside(&stage, &breaks));
+    assert_whole(&ask_beside(&stage, &breaks, "/resume/a"));
 }
 
 /// Guards against a stream that is cut as no other replica is known at that moment.
@@ -215,3 +212,28 @@
             .get("/resume/a", "r", "X-Deadline: 15000\r\n"),
     );
 }
+
+/// Guards against a failure that is given for an answer which is late, as the others are full.
+#[test]
+fn again_late_answer_when_others_are_full() {
+    let late = Replica::start(|_, seen| vec![Step::Pause(PAUSE), Step::Send(good(seen, "late"))]);
+    let full = busy(|_, seen| turned_away(seen));
+    let (stage, _held) = filled(&full);
+    let got = ask_beside(&stage, &late, "/again/a");
+    assert_eq!((got.status, got.body.as_str()), (200, "late"));
+}
+
+/// Guards against a failure that is given for an answer which is late, as the other replica turns
+/// the request away.
+#[test]
+fn again_late_answer_when_the_other_turns_it_away() {
+    let late = Replica::start(|_, seen| vec![Step::Pause(PAUSE), Step::Send(good(seen, "late"))]);
+    let other = Replica::start(|_, seen| turned_away(seen));
+    let stage = Stage::start(&[("i-1", &late)]);
+    let mut caller = stage.caller();
+    caller.send(get("/again/a", "1", "X-Deadline: 15000\r\n").as_bytes());
+    wait(|| late.seen().len() == 1);
+    join(&stage, "i-2", &other);
+    let got = caller.answer();
+    assert_eq!((got.status, got.body.as_str()), (200, "late"));
+}
