gateway: idle connections don't hold the room of a request under way

The task of a caller's connection was as large as its largest state: 6,096 bytes on, and 16,888 with hedged tries in it, for idle connections too. The path of a request is boxed now, so the task takes 1,992 bytes and a request under way has the rest for as long as it lasts (measured with size_of_val at the spawn, in a build that is not kept).

Ruled out: boxing each step of a request (more allocations for the same room).

--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -235,7 +235,9 @@
         let left = req.until.saturating_duration_since(Instant::now());
         let gw = self.gw.clone();
         let (flow, gone) = {
-            let work = timeout(left, serve(&gw, &req, &mut writer, &mut course));
+            // Boxed, so that idle connections don't hold its room.
+            let work = Box::pin(serve(&gw, &req, &mut writer, &mut course));
+            let work = timeout(left, work);
             pin!(work);
             let conn = &mut self.conn;
             let done = or(async { Some(work.as_mut().await) }, async {
