gateway: a connection is closed only once its caller has the last answer

What callers saw, found by asking what else cuts an answer that is whole here: an answer that says 'Connection: close' lost its end where the caller had sent more than was read. Closing a socket with bytes unread resets it, and the kernel drops what it had still to send.

Change: Conn::close shuts down the sending side and drops what comes until the caller closes, 2 s at most. It is used where the answer announced the close, so no request can be dropped that its caller was not told of. Other closes, of idle connections and in the middle of an answer, are as before: there a reset tells the caller that what it sends was not read. A connection that is being closed counts as active, so an instance that is shutting down waits for it within its grace period.

Ruled out: doing so at each close (a request that crosses the close of an idle connection would be read and dropped, and its caller could not tell).

--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -21,7 +21,10 @@
     },
     std::{
         io,
-        net::SocketAddr,
+        net::{
+            Shutdown,
+            SocketAddr, //
+        },
         pin::Pin,
         task::{
             Context,
@@ -39,6 +42,8 @@
 /// When a silent connection is first probed, and how often then.
 const PROBE_AFTER: Duration = Duration::from_secs(5);
 const PROBE_EVERY: Duration = Duration::from_secs(2);
+/// How long the other end may take to read the last answer and to close.
+const LINGER: Duration = Duration::from_secs(2);
 /// How long what was sent may stay unacknowledged before the connection counts as dead.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(4);
 
@@ -172,6 +177,22 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Closes the connection behind the last answer, after which nothing is read from it.
+    ///
+    /// A socket that is closed with bytes unread is reset, and what was written and is still on its
+    /// way is lost. So what comes is dropped until the other end closes, for a while.
+    pub(crate) async fn close(mut self) {
+        if self.stream.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let drained = async {
+            while let Ok(1..) = self.fill().await {
+                self.used(self.held().len());
+            }
+        };
+        let _ = timeout(LINGER, drained).await;
+    }
+
     /// Returns another handle for writing, so that both ways can go on at once.
     pub(crate) fn writer(&self) -> TcpStream {
         self.stream.clone()
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -77,6 +77,8 @@
     pub(crate) conn: Conn,
     /// Closed when idle connections are to end.
     pub(crate) stop: Receiver<()>,
+    /// The last answer says that the connection is closed behind it.
+    pub(crate) closes: bool,
 }
 
 /// Why no request could be read.
@@ -113,13 +115,17 @@
             };
             match self.one(limits).await {
                 Ok(true) => {}
-                Ok(false) | Err(Stop::Closed) => return,
+                Ok(false) | Err(Stop::Closed) => break,
                 Err(Stop::Told(own)) => {
                     self.tell(&own, None).await;
-                    return;
+                    break;
                 }
             }
         }
+        if self.closes {
+            let _active = Count::up(&self.gw.active, 1);
+            self.conn.close().await;
+        }
     }
 
     /// Serves one request. Returns whether the connection is kept.
@@ -135,6 +141,7 @@
         let (body, arrived) = self.body(&head, &limits).await?;
         let _held = Count::up(&gw.bodies, body.len());
         let keep = head.keeps();
+        self.closes = !keep;
         let id = head.headers.get(gw.dialect.id).map(str::to_owned);
         let admitted = match gw.refuses.load(Ordering::Relaxed) {
             true => Err(Own::not_run(
@@ -260,6 +267,7 @@
         if let Some(cut) = cut.filter(|_| course.begun && !gone) {
             was_cut(&self.gw, &req, &mut course, cut);
         }
+        self.closes |= course.closes;
         let kept = match flow {
             Ok(Flow::Passed) => !gone,
             Ok(Flow::Cut(_)) => false,
@@ -288,6 +296,7 @@
     async fn tell(&mut self, own: &Own, id: Option<&str>) -> bool {
         let mut own = own.clone();
         own.close |= self.gw.is_leaving() || self.crowd() > MANY;
+        self.closes |= own.close;
         let bytes = own.bytes(&self.gw.dialect, id);
         let written = timeout(WRITE_TIME, self.conn.write(&bytes)).await;
         matches!(written, Ok(Ok(()))) && !own.close
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -55,6 +55,8 @@
     pub(crate) may_have_run: bool,
     /// The caller has the head of an answer.
     pub(crate) begun: bool,
+    /// The answer says that the connection is closed behind it.
+    pub(crate) closes: bool,
     /// When the caller got the first event, or the answer.
     pub(crate) first: Option<Instant>,
     /// When the caller last got some of its answer.
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -96,7 +96,7 @@
         "HEAD" => head.headers.get("content-length").map(str::to_owned),
         _ => Some(body.len().to_string()),
     };
-    let mut bytes = head.line.head(&passed(gw, head.headers, length));
+    let mut bytes = head.line.head(&passed(gw, head.headers, length, course));
     bytes.extend_from_slice(&body);
     course.begin(status);
     Step::End(match writer.write_all(&bytes).await {
@@ -146,19 +146,25 @@
 /// Begins the caller's answer, and returns the head of one that comes in chunks.
 pub(super) fn chunked_head(gw: &Shared, reply: &Reply, course: &mut Course) -> Vec<u8> {
     course.begin(reply.head.status());
-    let mut headers = passed(gw, reply.head.headers.clone(), None);
+    let mut headers = passed(gw, reply.head.headers.clone(), None, course);
     headers.push("Transfer-Encoding", "chunked");
     reply.head.line.head(&headers)
 }
 
 /// Returns the headers that the caller gets.
-fn passed(gw: &Shared, mut headers: Headers, length: Option<String>) -> Headers {
+fn passed(
+    gw: &Shared,
+    mut headers: Headers,
+    length: Option<String>,
+    course: &mut Course,
+) -> Headers {
     headers.strip();
     if let Some(length) = length {
         headers.push("Content-Length", length);
     }
     if gw.is_leaving() {
         headers.push("Connection", "close");
+        course.closes = true;
     }
     headers
 }
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -63,6 +63,7 @@
             gw: gw.clone(),
             conn,
             stop: stop.clone(),
+            closes: false,
         };
         gw.callers.fetch_add(1, Ordering::Relaxed);
         let gw = gw.clone();
--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        caller::get,
         replica::{
             answer,
             good,
@@ -10,7 +11,15 @@
         },
         stage::Stage,
     },
-    std::time::Duration,
+    std::{
+        io::{
+            Read,
+            Write, //
+        },
+        net::TcpStream,
+        thread,
+        time::Duration, //
+    },
 };
 
 #[test]
@@ -138,3 +147,26 @@
     let cut = stage.get("/once/a", "2");
     assert_eq!((cut.status, cut.whole), (200, false));
 }
+
+/// Guards against an end of an answer that is lost as its caller had sent more than was read.
+#[test]
+fn answer_whole_beside_unread_bytes() {
+    let long = "z".repeat(900_000);
+    let sent = long.clone();
+    let replica = Replica::start(move |_, seen| vec![Step::Send(good(seen, &sent))]);
+    let stage = Stage::start(&[("i-1", &replica)]);
+    let mut caller = TcpStream::connect(stage.settings.listen.callers).unwrap();
+    let request = get("/again/a", "1", "Connection: close\r\n") + &"x".repeat(200_000);
+    caller.write_all(request.as_bytes()).unwrap();
+    let mut got = Vec::new();
+    let mut part = [0; 8192];
+    loop {
+        thread::sleep(Duration::from_millis(1));
+        match caller.read(&mut part) {
+            Ok(n) if n > 0 => got.extend_from_slice(&part[..n]),
+            _ => break,
+        }
+    }
+    let got = String::from_utf8(got).unwrap();
+    assert!(got.ends_with(&long), "{} bytes", got.len());
+}
