store: revisions and leases belong to an era, and none of an older one is used

What operators would have seen after the store came back from an older copy: a router renewed a lease that was another's by then, never registered again, and at its shutdown ended the other router's lease and entry.

Cause: a number was taken for a name. After the store goes back it gives revisions and leases out again; the number alone can't tell whose it is.

A watch whose answer is of another era is read whole; a lease of an older era than any answer named is dropped and the entry written again; at shutdown a lease is ended only after an answer of its own era. event=store outcome=went-back tells both eras.

Ruled out: comparing what stands under the entry's key (another start of the same router writes the same); ending nothing at shutdown (entries of routers that left would stand for 15 s, in each roll).

--- a/crates/gateway/src/follow/config.rs
+++ b/crates/gateway/src/follow/config.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         state::Shared,
+        Revision,
         StoreError, //
     },
     async_std::task,
@@ -73,7 +74,7 @@
 }
 
 /// Reads the configuration. Returns the revision to watch from.
-async fn read(gw: &Shared) -> Option<u64> {
+async fn read(gw: &Shared) -> Option<Revision> {
     let read = (gw.store.config)().await;
     gw.note_store("config", read.as_ref().err());
     if read == Ok(None) {
@@ -89,7 +90,7 @@
 }
 
 /// Watches from a revision on, until the store fails or another router does it.
-async fn watch(gw: &Shared, mut revision: u64) {
+async fn watch(gw: &Shared, mut revision: Revision) {
     log::info!("event=watch outcome=begun revision={revision}");
     let cause = loop {
         let watched = (gw.store.watch)(revision, Watch::WAIT.into()).await;
@@ -100,7 +101,7 @@
                 if let Some(value) = watched.value {
                     take(gw, value);
                 }
-                revision = watched.revision.max(revision);
+                revision.number = watched.revision.number.max(revision.number);
             }
             // What changed meanwhile is read whole.
             Err(StoreError::Compacted) => match read(gw).await {
--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -3,7 +3,8 @@
 use {
     crate::{
         clock::unix_ms,
-        state::Shared, //
+        state::Shared,
+        Lease, //
     },
     async_std::task,
     policy::{
@@ -101,7 +102,7 @@
     looked: Option<Instant>,
     looks: usize,
     /// The lease of its entry, and when that was renewed.
-    lease: Option<(u64, Instant)>,
+    lease: Option<(Lease, Instant)>,
     /// The entry lacks a request that this router holds back.
     behind: bool,
 }
@@ -129,8 +130,7 @@
         task::sleep(TICK).await;
     }
     if let Some((lease, _)) = own.lease {
-        let ended = (gw.store.release)(lease).await;
-        gw.note_store("release", ended.as_ref().err());
+        release(&gw, lease).await;
     }
 }
 
@@ -153,6 +153,10 @@
             let now = gw.now();
             gw.tables().fleet.active_for(now) >= SETTLED
         };
+        let era = (gw.store.era)();
+        if let Some((lease, _)) = self.lease.take_if(|(lease, _)| lease.era < era) {
+            log::info!("event=register outcome=lost lease={lease} era={era}");
+        }
         match self.lease {
             None if settled => {
                 let taken = take_out(gw).await;
@@ -173,8 +177,21 @@
     }
 }
 
+/// Ends the lease, unless the store came back from an older copy and may have given it to another.
+async fn release(gw: &Shared, lease: Lease) {
+    // Its answer names the era, which may have changed since the last call.
+    let listed = (gw.store.routers)().await;
+    gw.note_store("routers", listed.as_ref().err());
+    if listed.is_err() || lease.era != (gw.store.era)() {
+        log::info!("event=register outcome=left lease={lease}");
+        return;
+    }
+    let ended = (gw.store.release)(lease).await;
+    gw.note_store("release", ended.as_ref().err());
+}
+
 /// Renews the lease. Returns false where it has ended.
-async fn renew(gw: &Shared, lease: u64) -> bool {
+async fn renew(gw: &Shared, lease: Lease) -> bool {
     let renewed = (gw.store.renew)(lease).await;
     gw.note_store("renew", renewed.as_ref().err());
     // Where the answer was lost the lease may still run, so it is tried again.
@@ -185,7 +202,7 @@
     !ended
 }
 
-async fn take_out(gw: &Shared) -> Option<u64> {
+async fn take_out(gw: &Shared) -> Option<Lease> {
     let lease = (gw.store.lease)(LEASE).await;
     gw.note_store("lease", lease.as_ref().err());
     let lease = lease.ok()?;
@@ -197,7 +214,7 @@
 }
 
 /// Writes this router's entry. Returns whether it stands there.
-async fn write(gw: &Shared, lease: u64) -> bool {
+async fn write(gw: &Shared, lease: Lease) -> bool {
     let held = gw.tables().quarantine.holds(gw.now()).held;
     let settings = &gw.settings;
     let entry = Entry::new(
--- a/crates/gateway/src/http/exchange.rs
+++ b/crates/gateway/src/http/exchange.rs
@@ -46,6 +46,8 @@
 pub struct Answer {
     /// Its status.
     pub status: u16,
+    /// Its headers.
+    pub headers: Headers,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -126,6 +128,7 @@
     let keep = head.keeps() && body.reusable();
     let answer = Answer {
         status: head.status(),
+        headers: head.headers,
         body: whole,
     };
     Ok((answer, keep))
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -23,7 +23,9 @@
         State, //
     },
     store::{
+        Lease,
         Pending,
+        Revision,
         Store,
         StoreError,
         Versioned,
--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -2,6 +2,7 @@
 
 use {
     super::Replica,
+    policy::Era,
     std::{
         fmt,
         future::Future,
@@ -19,19 +20,51 @@
     /// Reads the configuration.
     pub config: Box<dyn Fn() -> Pending<Option<Versioned>> + Send + Sync>,
     /// Waits for a change of the configuration after a revision.
-    pub watch: Box<dyn Fn(u64, Duration) -> Pending<Watched> + Send + Sync>,
+    pub watch: Box<dyn Fn(Revision, Duration) -> Pending<Watched> + Send + Sync>,
     /// Lists all replicas as they are now.
     pub replicas: Box<dyn Fn() -> Pending<Vec<Replica>> + Send + Sync>,
     /// Lists what routers have registered; may be seconds old.
     pub routers: Box<dyn Fn() -> Pending<Vec<Vec<u8>>> + Send + Sync>,
     /// Takes out a lease of this length, and returns it.
-    pub lease: Box<dyn Fn(Duration) -> Pending<u64> + Send + Sync>,
+    pub lease: Box<dyn Fn(Duration) -> Pending<Lease> + Send + Sync>,
     /// Renews a lease; false where it has ended.
-    pub renew: Box<dyn Fn(u64) -> Pending<bool> + Send + Sync>,
+    pub renew: Box<dyn Fn(Lease) -> Pending<bool> + Send + Sync>,
     /// Ends a lease with what stands under it.
-    pub release: Box<dyn Fn(u64) -> Pending<()> + Send + Sync>,
+    pub release: Box<dyn Fn(Lease) -> Pending<()> + Send + Sync>,
     /// Registers a router of this name under a lease.
-    pub register: Box<dyn Fn(String, Vec<u8>, u64) -> Pending<()> + Send + Sync>,
+    pub register: Box<dyn Fn(String, Vec<u8>, Lease) -> Pending<()> + Send + Sync>,
+    /// Returns the newest era that an answer named.
+    pub era: Box<dyn Fn() -> Era + Send + Sync>,
+}
+
+/// How often the store has changed, in one of its eras.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Revision {
+    /// The era that the number belongs to.
+    pub era: Era,
+    /// How often it had changed.
+    pub number: u64,
+}
+
+/// A lease, in the era in which it was given out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lease {
+    /// The era that the number belongs to.
+    pub era: Era,
+    /// Its number.
+    pub id: u64,
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
+impl fmt::Display for Lease {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.id)
+    }
 }
 
 /// A value and the revision at which it was read.
@@ -40,7 +73,7 @@
     /// The bytes as they were stored.
     pub value: Vec<u8>,
     /// The store's revision, from which a watch goes on.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// What a watch told.
@@ -49,7 +82,7 @@
     /// The newest value among the changes, if there was any.
     pub value: Option<Vec<u8>>,
     /// The revision to go on from.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Why the store gave no answer.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,7 @@
         quarantine::Quarantine,
         quota::Quota,
         retry::Budget,
+        Era,
         Incarnation,
         Roster,
         ServiceId,
@@ -93,7 +94,7 @@
 
 /// One gateway.
 ///
-/// Lock order: `force`, then `tables`. Neither is held across an await.
+/// Lock order: `force`, then `tables`; `era` alone. None is held across an await.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -119,6 +120,8 @@
     pub(crate) listed: AtomicBool,
     /// The store did not answer this instance's last call.
     pub(crate) store_lost: AtomicBool,
+    /// The newest era of the store that was noted.
+    era: Mutex<Option<Era>>,
     /// Requests that are being served.
     pub(crate) active: AtomicUsize,
     /// Connections of callers.
@@ -161,6 +164,7 @@
             refuses: AtomicBool::new(false),
             listed: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
+            era: Mutex::new(None),
             active: AtomicUsize::new(0),
             callers: AtomicUsize::new(0),
             bodies: AtomicUsize::new(0),
@@ -261,6 +265,11 @@
     /// Notes whether the store answers, and logs the change.
     pub(crate) fn note_store(&self, call: &str, error: Option<&crate::StoreError>) {
         metrics::counter!("chervilwind_store_calls", "call" => call.to_owned()).increment(1);
+        let era = (self.store.era)();
+        let before = lock(&self.era).replace(era);
+        if let Some(before) = before.filter(|before| *before < era) {
+            log::warn!("event=store outcome=went-back era={era} before={before} call={call}");
+        }
         let was = self.store_lost.swap(error.is_some(), Ordering::Relaxed);
         match error {
             Some(e) if !was => log::warn!("event=store outcome=lost call={call} cause={e:?}"),
--- a/crates/gateway/tests/gateway/drill.rs
+++ b/crates/gateway/tests/gateway/drill.rs
@@ -21,6 +21,7 @@
     wait(|| stage.world.lock().unwrap().registered.contains_key("g1"));
     let mut world = stage.world.lock().unwrap();
     let lease = lease_of(&world, "g1");
+    world.era += 1;
     world.leases = BTreeMap::from([(lease, "g9".to_owned())]);
     world.registered = BTreeMap::from([("g9".to_owned(), Vec::new())]);
     drop(world);
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -15,8 +15,10 @@
         Dialect,
         Gateway,
         Headers,
+        Lease,
         Limits,
         Pending,
+        Revision,
         Route,
         RouteKind,
         Service,
@@ -27,7 +29,10 @@
         Versioned,
         Watched, //
     },
-    policy::placement::Prompt,
+    policy::{
+        placement::Prompt,
+        Era, //
+    },
     serde_json::Value,
     std::{
         collections::{
@@ -78,6 +83,10 @@
     pub(crate) told: u64,
     /// What routers have registered, by their names.
     pub(crate) registered: BTreeMap<String, Vec<u8>>,
+    /// How often the store came back from an older copy.
+    pub(crate) era: u64,
+    /// The era that the last answer named.
+    pub(crate) era_told: u64,
     /// The leases that run, and the names registered under them.
     pub(crate) leases: BTreeMap<u64, String>,
 }
@@ -219,7 +228,11 @@
                 world.lock().unwrap().failed += 1;
                 Err(how.fail().await)
             }
-            None => Ok(read(&world.lock().unwrap())),
+            None => {
+                let mut world = world.lock().unwrap();
+                world.era_told = world.era;
+                Ok(read(&world))
+            }
         }
     })
 }
@@ -227,24 +240,27 @@
 fn versioned(world: &World) -> Option<Versioned> {
     Some(Versioned {
         value: world.config.clone(),
-        revision: world.revision,
+        revision: Revision {
+            era: Era(world.era),
+            number: world.revision,
+        },
     })
 }
 
-fn watch(world: &Held, after: u64, wait: Duration) -> Pending<Watched> {
+fn watch(world: &Held, after: Revision, wait: Duration) -> Pending<Watched> {
     let world = world.clone();
     Box::pin(async move {
         let until = Instant::now() + wait;
         loop {
             let read = from(&world, versioned).await?.unwrap();
             let written = world.lock().unwrap().written;
-            if after > read.revision {
+            if after.era != read.revision.era || after.number > read.revision.number {
                 return Err(StoreError::Compacted);
             }
-            if written > after || Instant::now() >= until {
-                world.lock().unwrap().told = read.revision;
+            if written > after.number || Instant::now() >= until {
+                world.lock().unwrap().told = read.revision.number;
                 return Ok(Watched {
-                    value: (written > after).then_some(read.value),
+                    value: (written > after.number).then_some(read.value),
                     revision: read.revision,
                 });
             }
@@ -253,34 +269,40 @@
     })
 }
 
-fn register(world: &Held, name: String, value: Vec<u8>, lease: u64) -> Pending<()> {
+fn register(world: &Held, name: String, value: Vec<u8>, lease: Lease) -> Pending<()> {
     let world = world.clone();
     Box::pin(async move {
         from(&world, |_| ()).await?;
         let mut world = world.lock().unwrap();
-        world.leases.insert(lease, name.clone());
+        world.leases.insert(lease.id, name.clone());
         world.registered.insert(name, value);
         Ok(())
     })
 }
 
-fn take_lease(world: &Held) -> Pending<u64> {
+fn take_lease(world: &Held) -> Pending<Lease> {
     let world = world.clone();
     Box::pin(async move {
         from(&world, |_| ()).await?;
         let mut world = world.lock().unwrap();
-        let lease = world.leases.keys().last().map_or(1, |last| last + 1);
-        world.leases.insert(lease, String::new());
-        Ok(lease)
+        let id = world.leases.keys().last().map_or(1, |last| last + 1);
+        world.leases.insert(id, String::new());
+        let era = Era(world.era);
+        Ok(Lease { era, id })
     })
 }
 
-fn release(world: &Held, lease: u64) -> Pending<()> {
+/// Renews whatever lease has that number, and tells whether it is the one that was meant.
+fn renew(world: &World, lease: Lease) -> bool {
+    world.leases.contains_key(&lease.id) && lease.era == Era(world.era)
+}
+
+fn release(world: &Held, lease: Lease) -> Pending<()> {
     let world = world.clone();
     Box::pin(async move {
         from(&world, |_| ()).await?;
         let mut world = world.lock().unwrap();
-        if let Some(name) = world.leases.remove(&lease) {
+        if let Some(name) = world.leases.remove(&lease.id) {
             world.registered.remove(&name);
         }
         Ok(())
@@ -289,16 +311,17 @@
 
 fn store(world: &Held) -> Store {
     let of = || world.clone();
-    let (a, b, c, d, e, f, g, h) = (of(), of(), of(), of(), of(), of(), of(), of());
+    let (a, b, c, d, e, f, g, h, i) = (of(), of(), of(), of(), of(), of(), of(), of(), of());
     Store {
         config: Box::new(move || from(&a, versioned)),
         watch: Box::new(move |after, wait| watch(&b, after, wait)),
         replicas: Box::new(move || from(&c, |w| w.replicas.clone())),
         routers: Box::new(move || from(&d, |w| w.registered.values().cloned().collect())),
         lease: Box::new(move |_| take_lease(&e)),
-        renew: Box::new(move |lease| from(&f, move |w| w.leases.contains_key(&lease))),
+        renew: Box::new(move |lease| from(&f, move |w| renew(w, lease))),
         release: Box::new(move |lease| release(&g, lease)),
         register: Box::new(move |name, value, lease| register(&h, name, value, lease)),
+        era: Box::new(move || Era(i.lock().unwrap().era_told)),
     }
 }
 
@@ -428,6 +451,7 @@
         world.config = config;
         world.written = revision + 1;
         world.revision = now;
+        world.era += 1;
     }
 
     /// Waits until the gateway was told of what the store holds.
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -7,6 +7,7 @@
     },
     std::{
         fmt,
+        num::ParseIntError,
         str::FromStr,
         sync::Arc, //
     },
@@ -149,3 +150,42 @@
         write!(f, "{}", self.0)
     }
 }
+
+/// Which life of the store an answer is of.
+///
+/// It rises each time that the store comes back from an older copy. Revisions and leases of
+/// different eras have nothing to do with each other: their numbers are given out again.
+///
+/// # Examples
+///
+/// ```
+/// use policy::Era;
+///
+/// let era: Era = "3".parse()?;
+/// assert!(era > Era::default());
+/// assert_eq!(era.to_string(), "3");
+/// # Ok::<(), std::num::ParseIntError>(())
+/// ```
+///
+/// # Errors
+///
+/// Parsing fails on what is no whole number.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Era {
+    type Err = ParseIntError;
+
+    fn from_str(s: &str) -> Result<Era, ParseIntError> {
+        s.parse().map(Era)
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -56,6 +56,7 @@
     },
     ids::{
         Born,
+        Era,
         IdError,
         Incarnation,
         ProfileName,
