store: an answer that names no era voids no lease

An answer without the header, such as a refusal that something before the store gave, was taken for one of the first era. A renewal that got it dropped its lease and wrote the entry anew. Only a newer era voids now. Read in the code, not seen; the tests of eras pass as before.

--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -182,7 +182,7 @@
     // Its answer names the era, which may have changed since the last call.
     let listed = (gw.store.routers)().await;
     gw.note_store("routers", listed.as_ref().err());
-    if listed.is_err() || lease.era != (gw.store.era)() {
+    if listed.is_err() || lease.era < (gw.store.era)() {
         log::info!("event=register outcome=left lease={lease}");
         return;
     }
