gateway: a seeded test of streams before replicas with any faults

48 streams at once before four replicas that pause up to 1.8 s, break off, stop in the middle of an event, repeat events, send nothing more and turn requests away, each by a seed. Checked is what callers see: each body is a prefix of the right events in order, and whole only where all have come. It guards the hedge and the resume, where events of two replicas meet.

--- a/crates/gateway/tests/gateway/resume.rs
+++ b/crates/gateway/tests/gateway/resume.rs
@@ -9,6 +9,7 @@
         },
         replica::{
             answer,
+            chunk,
             event,
             events,
             good,
@@ -237,3 +238,85 @@
     let got = caller.answer();
     assert_eq!((got.status, got.body.as_str()), (200, "late"));
 }
+
+/// What a faulty replica does with a stream, drawn from a seed.
+fn faulty(rng: &mut fastrand::Rng, seen: &Seen) -> Vec<Step> {
+    let last: u64 = seen.header("x-last").map_or(0, |n| n.parse().unwrap());
+    if rng.u8(..4) == 0 {
+        return turned_away(seen);
+    }
+    // Some send events again that the router has, as replicas may.
+    let mut next = (last + 1).saturating_sub(rng.u64(..2)).max(1);
+    let mut steps = Vec::new();
+    pause(rng, &mut steps);
+    steps.push(Step::Send(stream_head(seen)));
+    while next <= 6 {
+        match rng.u8(..8) {
+            0 => return end_early(steps, Step::Close),
+            1 => return end_early(steps, Step::UntilClosed),
+            2 => pause(rng, &mut steps),
+            3 => {
+                steps.push(Step::Send(chunk("id: 9\nda")));
+                return end_early(steps, Step::Close);
+            }
+            _ => {
+                let to = rng.u64(next..=6);
+                steps.push(Step::Send(events(next, to)));
+                next = to + 1;
+            }
+        }
+    }
+    steps.push(Step::Send(b"0\r\n\r\n".to_vec()));
+    steps
+}
+
+fn pause(rng: &mut fastrand::Rng, steps: &mut Vec<Step>) {
+    if rng.u8(..4) == 0 {
+        steps.push(Step::Pause(Duration::from_millis(rng.u64(1..1_800))));
+    }
+}
+
+fn end_early(mut steps: Vec<Step>, how: Step) -> Vec<Step> {
+    steps.push(how);
+    steps
+}
+
+/// Guards against events that are lost, doubled or joined where replicas pause, break off, repeat
+/// themselves and turn requests away while others are asked.
+#[test]
+fn resume_any_faults_keep_order() {
+    let replicas: Vec<Replica> = (0..4u64)
+        .map(|n| {
+            Replica::start(move |number, seen| {
+                let id: u64 = seen.header("x-id").unwrap().parse().unwrap();
+                let mut rng = fastrand::Rng::with_seed(id << 32 | (number as u64) << 8 | n);
+                faulty(&mut rng, seen)
+            })
+        })
+        .collect();
+    let names = ["i-0", "i-1", "i-2", "i-3"];
+    let list: Vec<(&str, &Replica)> = names.into_iter().zip(&replicas).collect();
+    let stage = Stage::start(&list);
+    let callers: Vec<Caller> = (0..48u32)
+        .map(|id| {
+            let mut caller = stage.caller();
+            let request = get("/resume/a", &id.to_string(), "X-Deadline: 5000\r\n");
+            caller.send(request.as_bytes());
+            caller
+        })
+        .collect();
+    let mut whole = 0;
+    for mut caller in callers {
+        let got = caller.answer();
+        if got.status != 200 {
+            assert!([502, 503, 504].contains(&got.status), "{got:?}");
+            continue;
+        }
+        let all: String = (1..=6).map(event).collect();
+        assert!(all.starts_with(&got.body), "{got:?}");
+        assert!(!got.whole || got.body == all, "{got:?}");
+        whole += u32::from(got.whole);
+    }
+    println!("{whole} of 48 whole");
+    assert!(whole > 0);
+}
