gateway: names of the tries say what each module does

serve/ask.rs asks a replica and gives an answer that counts, serve/sending.rs is one try of it; they were asked.rs and ask.rs. What a resumable stream's replica gives is a type of its own, so that resume has no case that can't happen. A place that is found as the last retry is taken by another request is given back.

--- a/crates/gateway/src/serve/ask.rs
+++ b/crates/gateway/src/serve/ask.rs
@@ -1,154 +1,220 @@
-//! One try of a request at one replica.
+//! The first answer to a request, of the replica that was chosen or of another where that one is
+//! silent.
 
 use {
     super::{
         admit::Request,
         course::Course,
+        hedge::{
+            Hedge,
+            Hedged,
+            Opening, //
+        },
         place::Place,
-        step::{
-            Step,
-            TryError, //
+        plain::{
+            hold,
+            Held, //
+        },
+        sending::{
+            is_stream,
+            send,
+            Try, //
+        },
+        silence::{
+            patience,
+            quiet, //
         },
-        trail::note, //
+        source::{
+            Source,
+            Stream, //
+        },
+        step::Step,
     },
     crate::{
+        model::RouteKind,
         state::Shared,
-        upstream::{
-            call,
-            has_ended,
-            Outgoing,
-            Reply,
-            Sent, //
-        },
+        upstream::Reply, //
     },
+    std::sync::Arc,
 };
 
-/// One try of a request at one replica.
-pub(super) struct Try<'a> {
-    pub(super) gw: &'a Shared,
-    pub(super) req: &'a Request,
+/// What a try gave.
+pub(super) enum Asked {
+    /// The head of an answer.
+    Reply(Place, Reply),
+    /// A stream that has begun.
+    Stream(Source),
+    /// An answer that is no stream.
+    Whole(Whole),
+}
+
+/// What a replica gave that was asked for a stream.
+pub(super) enum Streamed {
+    Source(Source),
+    /// The head of an answer that is no stream.
+    Reply(Place, Reply),
+}
+
+/// An answer that is no stream, and its replica.
+pub(super) struct Whole {
     pub(super) place: Place,
-    pub(super) course: &'a mut Course,
-    /// The event behind which a stream is to go on.
-    pub(super) after: Option<u64>,
-    /// How far it gets.
-    pub(super) sent: &'a Sent,
+    pub(super) held: Held,
 }
 
-/// Sends a request to the replica of a place, from behind an event on, and reads the head of an
-/// answer.
+/// Sends a request to the replica of a place, and returns an answer that counts.
 ///
 /// # Errors
 ///
-/// `sent` tells whether the replica may have got it.
-pub(super) async fn send(
-    gw: &Shared,
+/// What came of the try, where it gave none.
+pub(super) async fn ask(
+    gw: &Arc<Shared>,
     req: &Request,
-    place: &Place,
+    place: Place,
+    course: &mut Course,
     after: Option<u64>,
-    sent: &Sent,
-) -> Result<Reply, TryError> {
-    let out = Outgoing {
-        id: &req.id,
-        method: &req.method,
-        target: &req.target,
-        headers: &req.headers,
-        workspace: req.workspace.as_ref().map(|w| w.as_str()),
-        last_event: after,
-        source: place.source,
-        body: &req.body,
-        until: req.until,
-        kind: req.route.kind,
-    };
-    Ok(call(&gw.pool, &gw.dialect, &place.replica, &out, sent).await?)
-}
-
-impl Try<'_> {
-    /// Sends the request and reads the head of an answer.
-    pub(super) async fn send(&self) -> Result<Reply, TryError> {
-        send(self.gw, self.req, &self.place, self.after, self.sent).await
-    }
-
-    /// Returns an answer that counts, and notes what became of the try where it gave none.
-    ///
-    /// # Errors
-    ///
-    /// What came of the try.
-    pub(super) async fn judge<R>(&mut self, called: Result<R, TryError>) -> Result<R, Step>
-    where
-        R: AsRef<Reply> + Into<Reply>,
-    {
-        let answer = match called {
-            Ok(answer) => answer,
-            Err(e) => return Err(self.lost(&e).await),
-        };
-        let reply = answer.as_ref();
-        if reply.not_run(&self.gw.dialect) {
-            let status = reply.head.status().to_string();
-            self.note("turned-away", &status);
-            answer.into().recycle(&self.gw.pool, &self.place.replica);
-            self.course.did_not_run(&self.place.replica.id);
-            return Err(Step::TurnedAway);
+) -> Result<Asked, Step> {
+    match req.route.kind {
+        RouteKind::Stream { resume: true } => {
+            match ask_resumable(gw, req, place, course, after).await? {
+                Streamed::Source(source) => Ok(Asked::Stream(source)),
+                Streamed::Reply(place, reply) => Ok(Asked::Reply(place, reply)),
+            }
         }
-        if !reply.signed(&self.gw.dialect) {
-            return Err(self.broken(&TryError::Unsigned).await);
-        }
-        Ok(answer)
-    }
-
-    async fn lost(&mut self, e: &TryError) -> Step {
-        self.failed("lost", e).await;
-        if self.sent.any() {
-            self.course.may_have_run = true;
-            return Step::Lost;
+        RouteKind::Idempotent => ask_idempotent(gw, req, place, course).await,
+        RouteKind::Stream { resume: false } | RouteKind::Single => {
+            ask_once(gw, req, place, course, after).await
         }
-        self.course.did_not_run(&self.place.replica.id);
-        Step::Unreached
-    }
-
-    /// Notes that the replica broke off its answer, or sent one that can't be used.
-    pub(super) async fn broken(&mut self, e: &TryError) -> Step {
-        self.failed("broken", e).await;
-        self.course.may_have_run = true;
-        Step::Lost
-    }
-
-    /// Notes an answer of the replica that another replica may better.
-    pub(super) fn answered_badly(&mut self, status: u16) -> Step {
-        self.place.answered(status < 500);
-        self.note("failed", &status.to_string());
-        self.course.may_have_run = true;
-        Step::Lost
     }
+}
 
-    async fn failed(&mut self, outcome: &str, e: &TryError) {
-        failed(self.gw, self.req, &self.place, self.course, outcome, e).await;
-    }
+/// Asks for a stream that may go on at another replica.
+///
+/// # Errors
+///
+/// What came of the try, where it gave no answer.
+pub(super) async fn ask_resumable(
+    gw: &Arc<Shared>,
+    req: &Request,
+    place: Place,
+    course: &mut Course,
+    after: Option<u64>,
+) -> Result<Streamed, Step> {
+    let sent = course.start(&place.replica.id);
+    let own = send(gw, req, &place, after, &sent);
+    let hedge = Hedge::new(gw, req, &place, after);
+    let silent = quiet(&hedge.watch);
+    let first = hedge.run(course, silent, own, open_stream).await;
+    course.end(&sent);
+    let called = match first {
+        Ok(Hedged::Other(source)) => return Ok(Streamed::Source(source)),
+        Ok(Hedged::Own(reply)) => Ok(reply),
+        Err(e) => Err(e),
+    };
+    let mut own = Try {
+        gw,
+        req,
+        place,
+        course,
+        after,
+        sent: &sent,
+    };
+    let reply = own.judge(called).await?;
+    let place = own.place;
+    Ok(match is_stream(req, &reply) {
+        true => Streamed::Source(Source::new(place, reply, after)),
+        false => Streamed::Reply(place, reply),
+    })
+}
 
-    fn note(&mut self, outcome: &str, cause: &str) {
-        note(self.req, &self.place, self.course, outcome, cause);
-    }
+async fn ask_idempotent(
+    gw: &Arc<Shared>,
+    req: &Request,
+    place: Place,
+    course: &mut Course,
+) -> Result<Asked, Step> {
+    let sent = course.start(&place.replica.id);
+    let call = send(gw, req, &place, None, &sent);
+    let own = async { Ok(hold(call.await?).await?) };
+    let hedge = Hedge::new(gw, req, &place, None);
+    let first = hedge.run(course, patience(req), own, open_whole).await;
+    course.end(&sent);
+    let called = match first {
+        Ok(Hedged::Other(whole)) => return Ok(Asked::Whole(whole)),
+        Ok(Hedged::Own(held)) => Ok(held),
+        Err(e) => Err(e),
+    };
+    let mut own = Try {
+        gw,
+        req,
+        place,
+        course,
+        after: None,
+        sent: &sent,
+    };
+    let held = own.judge(called).await?;
+    let place = own.place;
+    Ok(Asked::Whole(Whole { place, held }))
 }
 
-/// Notes why a try gave no answer, and what that says of the replica.
-pub(super) async fn failed(
-    gw: &Shared,
+/// Asks for what must not run twice: its replica is waited for as long as there is time.
+async fn ask_once(
+    gw: &Arc<Shared>,
     req: &Request,
-    place: &Place,
+    place: Place,
     course: &mut Course,
-    outcome: &str,
-    e: &TryError,
-) {
-    e.note(place);
-    note(req, place, course, outcome, &e.to_string());
-    if e.lost_connection() && place.is_early() && has_ended(&place.replica, &gw.pool).await {
-        place.ended();
-    }
+    after: Option<u64>,
+) -> Result<Asked, Step> {
+    let sent = course.start(&place.replica.id);
+    let called = send(gw, req, &place, after, &sent).await;
+    course.end(&sent);
+    let mut own = Try {
+        gw,
+        req,
+        place,
+        course,
+        after,
+        sent: &sent,
+    };
+    let reply = own.judge(called).await?;
+    Ok(Asked::Reply(own.place, reply))
 }
 
-/// Tells whether an answer is a stream of events, as its request asked for.
-pub(super) fn is_stream(req: &Request, reply: &Reply) -> bool {
-    let kind = reply.head.headers.get("content-type").unwrap_or_default();
-    let good = (200..300).contains(&reply.head.status());
-    req.route.streams() && good && kind.starts_with("text/event-stream")
+/// Opens the stream of another replica, and waits for its next event.
+pub(super) fn open_stream(mut other: Try<'_>) -> Opening<'_, Source> {
+    Box::pin(async move {
+        let called = other.send().await;
+        let reply = other.judge(called).await?;
+        if !is_stream(other.req, &reply) {
+            return Err(other.answered_badly(reply.head.status()));
+        }
+        let mut stream = Stream::new(reply, other.after);
+        while !stream.ended() && !stream.has_more() {
+            if let Err(e) = stream.read(&mut other.place).await {
+                return Err(other.broken(&e).await);
+            }
+        }
+        Ok(Source {
+            place: other.place,
+            stream,
+        })
+    })
+}
+
+/// Takes the whole answer of another replica, unless it is a failure.
+fn open_whole(mut other: Try<'_>) -> Opening<'_, Whole> {
+    Box::pin(async move {
+        let called = other.send().await;
+        let reply = other.judge(called).await?;
+        let status = reply.head.status();
+        if status >= 500 {
+            return Err(other.answered_badly(status));
+        }
+        match hold(reply).await {
+            Ok(held) => Ok(Whole {
+                place: other.place,
+                held,
+            }),
+            Err(e) => Err(other.broken(&e.into()).await),
+        }
+    })
 }
--- a/crates/gateway/src/serve/attempts.rs
+++ b/crates/gateway/src/serve/attempts.rs
@@ -4,10 +4,6 @@
     super::{
         admit::Request,
         ask::{
-            failed,
-            is_stream, //
-        },
-        asked::{
             ask,
             Asked,
             Whole, //
@@ -21,6 +17,10 @@
             hold,
             pass_plain, //
         },
+        sending::{
+            failed,
+            is_stream, //
+        },
         source::Source,
         step::{
             Flow,
--- a/crates/gateway/src/serve/course.rs
+++ b/crates/gateway/src/serve/course.rs
@@ -94,12 +94,12 @@
         self.tried.retain(|id| ran.contains(id));
     }
 
-    /// Tells whether a stream that has begun may go on at one more replica, budget apart.
+    /// Tells whether one more replica may run the request, budget apart.
     ///
     /// # Errors
     ///
     /// Why it may not.
-    pub(crate) fn may_resume(&self, req: &Request) -> Result<(), NoRetry> {
+    pub(crate) fn may_run_again(&self, req: &Request) -> Result<(), NoRetry> {
         if !req.route.repeatable() {
             return Err(NoRetry::MayHaveRun);
         }
@@ -118,11 +118,14 @@
         budget(gw, req, |b, now| b.left(claim, now)) > 0
     }
 
-    /// Takes one retry from the budget.
+    /// Takes one retry from the budget. Returns whether there was one.
     pub(crate) fn take_retry(&self, gw: &Shared, req: &Request) -> bool {
-        metrics::counter!("chervilwind_retries").increment(1);
         let claim = self.claim();
-        budget(gw, req, |b, now| b.take(claim, now))
+        let taken = budget(gw, req, |b, now| b.take(claim, now));
+        if taken {
+            metrics::counter!("chervilwind_retries").increment(1);
+        }
+        taken
     }
 
     /// Tells whether a try that reached nobody may be followed by another.
--- a/crates/gateway/src/serve/hedge.rs
+++ b/crates/gateway/src/serve/hedge.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         admit::Request,
-        ask::Try,
         course::Course,
         place::{
             Place,
@@ -13,6 +12,7 @@
             seek,
             Backoff, //
         },
+        sending::Try,
         step::{
             Step,
             TryError, //
@@ -108,7 +108,7 @@
         if let Some(done) = or(async { Some(own.as_mut().await) }, silent).await {
             return Ok(Hedged::Own(done?));
         }
-        if course.may_resume(self.req).is_err() {
+        if course.may_run_again(self.req).is_err() {
             return Ok(Hedged::Own(own.await?));
         }
         self.watch.unreachable();
--- a/crates/gateway/src/serve/resume.rs
+++ b/crates/gateway/src/serve/resume.rs
@@ -3,10 +3,9 @@
 use {
     super::{
         admit::Request,
-        ask::is_stream,
-        asked::{
-            ask,
-            Asked, //
+        ask::{
+            ask_resumable,
+            Streamed, //
         },
         course::Course,
         seek::{
@@ -39,18 +38,16 @@
     loop {
         backoff.wait().await;
         let place = seek(gw, req, course).await?;
-        match ask(gw, req, place, course, after).await {
-            Ok(Asked::Stream(source)) => return Ok(source),
-            Ok(Asked::Reply(place, reply)) if is_stream(req, &reply) => {
+        match ask_resumable(gw, req, place, course, after).await {
+            Ok(Streamed::Source(source)) => {
                 course.cause.clear();
-                return Ok(Source::new(place, reply, after));
+                return Ok(source);
             }
-            Ok(Asked::Reply(place, reply)) => {
+            Ok(Streamed::Reply(place, reply)) => {
                 let status = reply.head.status();
                 place.answered(status < 500);
                 note(req, &place, course, "failed", &status.to_string());
             }
-            Ok(Asked::Whole(_)) => {}
             Err(step) => backoff.after(&step),
         }
     }
--- a/crates/gateway/src/serve/seek.rs
+++ b/crates/gateway/src/serve/seek.rs
@@ -56,7 +56,7 @@
     course: &mut Course,
 ) -> Result<Place, Cut> {
     loop {
-        course.may_resume(req).map_err(Cut::NoRetry)?;
+        course.may_run_again(req).map_err(Cut::NoRetry)?;
         if let Some(place) = find(gw, req, course)? {
             return Ok(place);
         }
@@ -70,10 +70,7 @@
         return Ok(None);
     }
     match gw.place(req, &course.tried, course.claim()) {
-        Ok(place) => {
-            course.take_retry(gw, req);
-            Ok(Some(place))
-        }
+        Ok(place) => Ok(course.take_retry(gw, req).then_some(place)),
         Err(refused) if refused.why == Refusal::Held => Err(Cut::Refused(refused.why)),
         Err(refused) => {
             course.cause = refused.why.text().to_owned();
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -3,8 +3,7 @@
 use {
     super::{
         admit::Request,
-        ask::failed,
-        asked::open_stream,
+        ask::open_stream,
         course::Course,
         hedge::{
             Hedge,
@@ -12,6 +11,7 @@
         },
         plain::chunked_head,
         resume::resume,
+        sending::failed,
         silence::quiet,
         source::Source,
         step::{
