--- a/crates/gateway/tests/gateway/drill.rs
+++ b/crates/gateway/tests/gateway/drill.rs
@@ -27,13 +27,19 @@
     wait(|| stage.world.lock().unwrap().registered.contains_key("g1"));
     let mut world = stage.world.lock().unwrap();
     let lease = lease_of(&world, "g1").unwrap();
-    world.era += 1;
     world.leases = BTreeMap::from([(lease, "g9".to_owned())]);
     world.registered = BTreeMap::from([("g9".to_owned(), Vec::new())]);
     drop(world);
     stage
 }
 
+/// Does the same with a store that tells routers that it came back.
+fn lease_of_another_era(replica: &Replica) -> Stage {
+    let stage = lease_given_twice(replica);
+    stage.world.lock().unwrap().era += 1;
+    stage
+}
+
 fn lease_of(world: &World, name: &str) -> Option<u64> {
     let held = world.leases.iter().filter(|(_, holder)| *holder == name);
     held.map(|(lease, _)| *lease).max()
@@ -68,6 +74,14 @@
     wait(|| stage.world.lock().unwrap().registered.contains_key("g1"));
 }
 
+/// Guards against an entry that is lost for good, though the store tells that it came back.
+#[test]
+fn entry_of_a_lease_of_another_era() {
+    let replica = echo();
+    let stage = lease_of_another_era(&replica);
+    wait(|| stage.world.lock().unwrap().registered.contains_key("g1"));
+}
+
 /// Guards against an entry that stays lost where only a peer has heard from the store since it went
 /// back.
 #[test]
@@ -102,3 +116,13 @@
     stage.end().join().unwrap();
     assert!(stage.world.lock().unwrap().registered.contains_key("g9"));
 }
+
+/// Guards against a router that ends another one's lease when it shuts down, though the store tells
+/// that it came back.
+#[test]
+fn shutdown_with_a_lease_of_another_era() {
+    let replica = echo();
+    let mut stage = lease_of_another_era(&replica);
+    stage.end().join().unwrap();
+    assert!(stage.world.lock().unwrap().registered.contains_key("g9"));
+}
