register: a router that shuts down deletes its own key and ends no lease by number

What operators saw: after the store came back from an older copy, a router that shut down could end the lease of another that lives, and take that one's entry out of the store. Routers that started meanwhile did not find it there.

Cause: a number was taken for a name. A lease's number is given out again after the store went back, and the shutdown ended the lease by its number alone. The read before it was to show a new era; it may be seconds old, the store may go back between the two calls, and a store that names no era shows nothing.

Change: one transaction deletes this router's key, on the revision at which it wrote it; the lease is left to run out. Register returns that revision. One write in place of a read and an end of a lease, so a roll costs the store less, not more: of a fleet that leaves at once only active routers have an entry.

Ruled out: comparing eras more carefully (needs the header, and the store can go back between any two calls); not deleting at all (an entry would stand 15 s after each shutdown).

--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -4,7 +4,8 @@
     crate::{
         clock::unix_ms,
         state::Shared,
-        Lease, //
+        Lease,
+        Revision, //
     },
     async_std::task,
     policy::{
@@ -102,8 +103,8 @@
     /// When it last looked for others, and how often it did.
     looked: Option<Instant>,
     looks: usize,
-    /// The lease of its entry, and when that was renewed.
-    lease: Option<(Lease, Instant)>,
+    /// Its entry, where one stands.
+    standing: Option<Standing>,
     /// The newest era for which it was seen to that its lease is of it. A lease is given up once for
     /// each: a peer may name an era that the store does not.
     era: Era,
@@ -111,6 +112,16 @@
     behind: bool,
 }
 
+/// This router's entry, as it wrote it.
+#[derive(Debug, Clone, Copy)]
+struct Standing {
+    lease: Lease,
+    /// When the lease was renewed.
+    renewed: Instant,
+    /// At which revision it was written.
+    written: Revision,
+}
+
 /// Keeps this router's entry while it is active, and looks for the others'.
 ///
 /// Those who start need to hear of a few routers only, who tell them of the rest. With an entry of
@@ -121,7 +132,7 @@
         started: Instant::now(),
         looked: None,
         looks: 0,
-        lease: None,
+        standing: None,
         era: gw.era(),
         behind: false,
     };
@@ -134,8 +145,8 @@
         own.keep_entry(&gw).await;
         task::sleep(TICK).await;
     }
-    if let Some((lease, _)) = own.lease {
-        release(&gw, lease).await;
+    if let Some(standing) = own.standing {
+        unregister(&gw, standing).await;
     }
 }
 
@@ -161,41 +172,45 @@
         let era = gw.era();
         if era > self.era {
             self.era = era;
-            if let Some((lease, _)) = self.lease.take_if(|(lease, _)| lease.era < era) {
-                log::info!("event=register outcome=lost lease={lease} era={era}");
+            if let Some(lost) = self.standing.take_if(|s| s.lease.era < era) {
+                log::info!("event=register outcome=lost lease={} era={era}", lost.lease);
             }
         }
-        match self.lease {
-            None if settled => {
-                let taken = take_out(gw).await;
-                self.lease = taken.map(|lease| (lease, Instant::now()));
-            }
+        match self.standing {
+            None if settled => self.standing = take_out(gw).await,
             // The entry of one that only stands by ends with its lease.
-            Some((lease, at)) if settled && at.elapsed() >= RENEW => {
-                let goes_on = renew(gw, lease).await;
-                self.lease = goes_on.then(|| (lease, Instant::now()));
+            Some(standing) if settled && standing.renewed.elapsed() >= RENEW => {
+                let goes_on = renew(gw, standing.lease).await;
+                self.standing = goes_on.then(|| Standing {
+                    renewed: Instant::now(),
+                    ..standing
+                });
             }
-            Some((_, at)) if at.elapsed() >= LEASE => self.lease = None,
+            Some(standing) if standing.renewed.elapsed() >= LEASE => self.standing = None,
             _ => {}
         }
         self.behind |= gw.tables().quarantine.takes_begun();
-        if let Some((lease, _)) = self.lease.filter(|_| self.behind) {
-            self.behind = !write(gw, lease).await;
+        if let Some(standing) = self.standing.as_mut().filter(|_| self.behind) {
+            if let Some(written) = write(gw, standing.lease).await {
+                standing.written = written;
+                self.behind = false;
+            }
         }
     }
 }
 
-/// Ends the lease, unless the store came back from an older copy and may have given it to another.
-async fn release(gw: &Shared, lease: Lease) {
-    // Its answer names the era, which may have changed since the last call.
-    let listed = (gw.store.routers)().await;
-    gw.note_store("routers", listed.as_ref().err());
-    if listed.is_err() || lease.era < gw.era() {
-        log::info!("event=register outcome=left lease={lease}");
-        return;
+/// Deletes the entry and leaves its lease to run out.
+///
+/// A lease is ended by its number, which is another router's where the store came back from an older
+/// copy. Whatever the number stands for, this router's key at the revision that it wrote is its own.
+async fn unregister(gw: &Shared, standing: Standing) {
+    let name = gw.settings.name.to_string();
+    let deleted = (gw.store.unregister)(name, standing.written).await;
+    gw.note_store("unregister", deleted.as_ref().err());
+    if deleted != Ok(true) {
+        let Standing { lease, written, .. } = standing;
+        log::info!("event=register outcome=left lease={lease} written={written}");
     }
-    let ended = (gw.store.release)(lease).await;
-    gw.note_store("release", ended.as_ref().err());
 }
 
 /// Renews the lease. Returns false where it has ended.
@@ -210,19 +225,22 @@
     !ended
 }
 
-async fn take_out(gw: &Shared) -> Option<Lease> {
+async fn take_out(gw: &Shared) -> Option<Standing> {
     let lease = (gw.store.lease)(LEASE).await;
     gw.note_store("lease", lease.as_ref().err());
     let lease = lease.ok()?;
-    if !write(gw, lease).await {
-        return None;
-    }
+    let renewed = Instant::now();
+    let written = write(gw, lease).await?;
     log::info!("event=register outcome=done lease={lease}");
-    Some(lease)
+    Some(Standing {
+        lease,
+        renewed,
+        written,
+    })
 }
 
-/// Writes this router's entry. Returns whether it stands there.
-async fn write(gw: &Shared, lease: Lease) -> bool {
+/// Writes this router's entry. Returns its revision where it stands there.
+async fn write(gw: &Shared, lease: Lease) -> Option<Revision> {
     let held = gw.tables().quarantine.holds(gw.now()).held;
     let settings = &gw.settings;
     let entry = Entry::new(
@@ -235,12 +253,12 @@
         Ok(bytes) => bytes,
         Err(e) => {
             log::error!("event=register outcome=not-encoded cause={e:?}");
-            return false;
+            return None;
         }
     };
     let written = (gw.store.register)(entry.name.to_string(), bytes, lease).await;
     gw.note_store("register", written.as_ref().err());
-    written.is_ok()
+    written.ok()
 }
 
 async fn look(gw: &Shared) {
--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -29,10 +29,11 @@
     pub lease: Box<dyn Fn(Duration) -> Pending<Lease> + Send + Sync>,
     /// Renews a lease; false where it has ended.
     pub renew: Box<dyn Fn(Lease) -> Pending<bool> + Send + Sync>,
-    /// Ends a lease with what stands under it.
-    pub release: Box<dyn Fn(Lease) -> Pending<()> + Send + Sync>,
-    /// Registers a router of this name under a lease.
-    pub register: Box<dyn Fn(String, Vec<u8>, Lease) -> Pending<()> + Send + Sync>,
+    /// Registers a router of this name under a lease. Returns the revision of its entry.
+    pub register: Box<dyn Fn(String, Vec<u8>, Lease) -> Pending<Revision> + Send + Sync>,
+    /// Deletes the entry of a router of this name, if it is still as it was written at this revision;
+    /// false where it is not.
+    pub unregister: Box<dyn Fn(String, Revision) -> Pending<bool> + Send + Sync>,
     /// Returns the newest era that an answer named.
     pub era: Box<dyn Fn() -> Era + Send + Sync>,
 }
--- a/crates/gateway/tests/gateway/drill.rs
+++ b/crates/gateway/tests/gateway/drill.rs
@@ -117,6 +117,16 @@
     assert!(stage.world.lock().unwrap().registered.contains_key("g9"));
 }
 
+/// Guards against an entry that stands on for as long as its lease after its router shut down.
+#[test]
+fn shutdown_deletes_own_entry() {
+    let replica = echo();
+    let mut stage = Stage::start(&[("i-1", &replica)]);
+    wait(|| stage.world.lock().unwrap().registered.contains_key("g1"));
+    stage.end().join().unwrap();
+    assert!(!stage.world.lock().unwrap().registered.contains_key("g1"));
+}
+
 /// Guards against a router that ends another one's lease when it shuts down, though the store tells
 /// that it came back.
 #[test]
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -83,6 +83,8 @@
     pub(crate) told: u64,
     /// What routers have registered, by their names.
     pub(crate) registered: BTreeMap<String, Vec<u8>>,
+    /// The revisions at which they did so last; a number is given out once.
+    pub(crate) entry_revisions: BTreeMap<String, u64>,
     /// How often the store came back from an older copy.
     pub(crate) era: u64,
     /// The era that the last answer named.
@@ -281,14 +283,27 @@
     })
 }
 
-fn register(world: &Held, name: String, value: Vec<u8>, lease: Lease) -> Pending<()> {
+fn register(world: &Held, name: String, value: Vec<u8>, lease: Lease) -> Pending<Revision> {
     let world = world.clone();
     Box::pin(async move {
         from(&world, |_| ()).await?;
         let mut world = world.lock().unwrap();
         world.leases.insert(lease.id, name.clone());
+        let number = world.entry_revisions.values().max().unwrap_or(&0) + 1;
+        world.entry_revisions.insert(name.clone(), number);
         world.registered.insert(name, value);
-        Ok(())
+        let era = Era(world.era);
+        Ok(Revision { era, number })
+    })
+}
+
+fn unregister(world: &Held, name: String, written: Revision) -> Pending<bool> {
+    let world = world.clone();
+    Box::pin(async move {
+        from(&world, |_| ()).await?;
+        let mut world = world.lock().unwrap();
+        let as_written = world.entry_revisions.get(&name) == Some(&written.number);
+        Ok(as_written && world.registered.remove(&name).is_some())
     })
 }
 
@@ -309,18 +324,6 @@
     world.leases.contains_key(&lease.id) && lease.era == Era(world.era)
 }
 
-fn release(world: &Held, lease: Lease) -> Pending<()> {
-    let world = world.clone();
-    Box::pin(async move {
-        from(&world, |_| ()).await?;
-        let mut world = world.lock().unwrap();
-        if let Some(name) = world.leases.remove(&lease.id) {
-            world.registered.remove(&name);
-        }
-        Ok(())
-    })
-}
-
 fn store(world: &Held) -> Store {
     let of = || world.clone();
     let (a, b, c, d, e, f, g, h, i) = (of(), of(), of(), of(), of(), of(), of(), of(), of());
@@ -331,8 +334,8 @@
         routers: Box::new(move || from(&d, |w| w.registered.values().cloned().collect())),
         lease: Box::new(move |_| take_lease(&e)),
         renew: Box::new(move |lease| from(&f, move |w| renew(w, lease))),
-        release: Box::new(move |lease| release(&g, lease)),
-        register: Box::new(move |name, value, lease| register(&h, name, value, lease)),
+        register: Box::new(move |name, value, lease| register(&g, name, value, lease)),
+        unregister: Box::new(move |name, written| unregister(&h, name, written)),
         era: Box::new(move || Era(i.lock().unwrap().era_told)),
     }
 }
