register: a router sees from the list that its entry is gone, and writes it again

What operators saw: after the store came back from an older copy, a router's entry was missing for good. The router went on renewing a lease that was another's by then, so it took its entry for standing. Routers that started did not find it; with all others gone, a fleet could start in two parts.

Cause: a copy was taken for the truth. The only sign that an entry stands was that its lease's number could be renewed, and the number is given out again after the store went back. The entry itself was never looked for, though active routers list all entries every 15 s, and one that is alone every second.

Change: policy::entry_state tells from a list, with the lease that each entry stands under, whether a router's own entry stands, is lost (missing, or under a lease of an older copy), or shares its lease with another router's. In the last two cases it takes out a new lease and writes anew. A list that was asked for within 5 s of the write shows nothing, as it may be older. No call more; a wrong guess costs one write. event=register outcome=lost tells the cause. Of two that share a lease both leave it, so the entry of one that is dead ends too: before, whoever lived renewed it for good.

Ruled out: an era that the store names makes it faster (at once), but does not show an entry that was written with a lease of before, nor a store that names none.

Not shown in a run: two real gateways under one lease (entry_under_a_shared_lease, pure).

--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -5,18 +5,23 @@
         clock::unix_ms,
         state::Shared,
         Lease,
+        Registered,
         Revision, //
     },
     async_std::task,
     policy::{
+        entry_state,
         quarantine::{
             Held,
             Notes,
             RequestDigest, //
         },
+        EntrySeen,
+        EntryState,
         Era,
         RouterId,
-        Span, //
+        Span,
+        Time, //
     },
     serde::{
         Deserialize,
@@ -118,8 +123,9 @@
     lease: Lease,
     /// When the lease was renewed.
     renewed: Instant,
-    /// At which revision it was written.
-    written: Revision,
+    /// At which revision it was written, and when.
+    revision: Revision,
+    written: Time,
 }
 
 /// Keeps this router's entry while it is active, and looks for the others'.
@@ -140,7 +146,7 @@
         if own.is_to_look(&gw) {
             own.looked = Some(Instant::now());
             own.looks += 1;
-            look(&gw).await;
+            own.look(&gw).await;
         }
         own.keep_entry(&gw).await;
         task::sleep(TICK).await;
@@ -191,12 +197,42 @@
         }
         self.behind |= gw.tables().quarantine.takes_begun();
         if let Some(standing) = self.standing.as_mut().filter(|_| self.behind) {
-            if let Some(written) = write(gw, standing.lease).await {
-                standing.written = written;
+            if let Some(revision) = write(gw, standing.lease).await {
+                standing.revision = revision;
+                standing.written = gw.now();
                 self.behind = false;
             }
         }
     }
+
+    /// Takes the others' entries, and sees whether its own still stands among them.
+    async fn look(&mut self, gw: &Shared) {
+        let asked = gw.now();
+        let listed = (gw.store.routers)().await;
+        gw.note_store("routers", listed.as_ref().err());
+        let Ok(listed) = listed else { return };
+        let entries = decoded(&listed);
+        for (entry, _) in &entries {
+            take(gw, entry);
+        }
+        let seen = entries.iter().map(|(entry, lease)| EntrySeen {
+            name: &entry.name,
+            lease: *lease,
+        });
+        self.check(gw, &seen.collect::<Vec<_>>(), asked);
+    }
+
+    /// Gives the entry up, to write it anew, where a list shows that it no longer stands.
+    fn check(&mut self, gw: &Shared, seen: &[EntrySeen<'_>], asked: Time) {
+        let Some(Standing { lease, written, .. }) = self.standing else {
+            return;
+        };
+        let state = entry_state(&gw.settings.name, lease.id, written, seen, asked);
+        if state != EntryState::Stands {
+            log::warn!("event=register outcome=lost lease={lease} cause={state:?}");
+            self.standing = None;
+        }
+    }
 }
 
 /// Deletes the entry and leaves its lease to run out.
@@ -205,11 +241,13 @@
 /// copy. Whatever the number stands for, this router's key at the revision that it wrote is its own.
 async fn unregister(gw: &Shared, standing: Standing) {
     let name = gw.settings.name.to_string();
-    let deleted = (gw.store.unregister)(name, standing.written).await;
+    let deleted = (gw.store.unregister)(name, standing.revision).await;
     gw.note_store("unregister", deleted.as_ref().err());
     if deleted != Ok(true) {
-        let Standing { lease, written, .. } = standing;
-        log::info!("event=register outcome=left lease={lease} written={written}");
+        let Standing {
+            lease, revision, ..
+        } = standing;
+        log::info!("event=register outcome=left lease={lease} revision={revision}");
     }
 }
 
@@ -230,12 +268,13 @@
     gw.note_store("lease", lease.as_ref().err());
     let lease = lease.ok()?;
     let renewed = Instant::now();
-    let written = write(gw, lease).await?;
+    let revision = write(gw, lease).await?;
     log::info!("event=register outcome=done lease={lease}");
     Some(Standing {
         lease,
         renewed,
-        written,
+        revision,
+        written: gw.now(),
     })
 }
 
@@ -261,16 +300,16 @@
     written.ok()
 }
 
-async fn look(gw: &Shared) {
-    let listed = (gw.store.routers)().await;
-    gw.note_store("routers", listed.as_ref().err());
-    let Ok(listed) = listed else { return };
-    for bytes in listed {
-        match rmp_serde::from_slice::<Entry>(&bytes) {
-            Ok(entry) => take(gw, &entry),
-            Err(e) => log::warn!("event=register outcome=not-understood cause={e:?}"),
+/// Reads the entries that can be read, each with the number of its lease.
+fn decoded(listed: &[Registered]) -> Vec<(Entry, u64)> {
+    let read = |r: &Registered| match rmp_serde::from_slice::<Entry>(&r.value) {
+        Ok(entry) => Some((entry, r.lease)),
+        Err(e) => {
+            log::warn!("event=register outcome=not-understood cause={e:?}");
+            None
         }
-    }
+    };
+    listed.iter().filter_map(read).collect()
 }
 
 fn take(gw: &Shared, entry: &Entry) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
         Lease,
         Limits,
         Pending,
+        Registered,
         Replica,
         Revision,
         Route,
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -25,6 +25,7 @@
     store::{
         Lease,
         Pending,
+        Registered,
         Revision,
         Store,
         StoreError,
--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -24,7 +24,7 @@
     /// Lists all replicas as they are now.
     pub replicas: Box<dyn Fn() -> Pending<Vec<Replica>> + Send + Sync>,
     /// Lists what routers have registered; may be seconds old.
-    pub routers: Box<dyn Fn() -> Pending<Vec<Vec<u8>>> + Send + Sync>,
+    pub routers: Box<dyn Fn() -> Pending<Vec<Registered>> + Send + Sync>,
     /// Takes out a lease of this length, and returns it.
     pub lease: Box<dyn Fn(Duration) -> Pending<Lease> + Send + Sync>,
     /// Renews a lease; false where it has ended.
@@ -56,6 +56,15 @@
     pub id: u64,
 }
 
+/// What a router has registered, as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Registered {
+    /// The bytes as they were stored.
+    pub value: Vec<u8>,
+    /// Number of the lease that it stands under.
+    pub lease: u64,
+}
+
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.era, self.number)
--- a/crates/gateway/tests/gateway/drill.rs
+++ b/crates/gateway/tests/gateway/drill.rs
@@ -41,8 +41,7 @@
 }
 
 fn lease_of(world: &World, name: &str) -> Option<u64> {
-    let held = world.leases.iter().filter(|(_, holder)| *holder == name);
-    held.map(|(lease, _)| *lease).max()
+    world.lease_of(name)
 }
 
 fn lease_under(stage: &Stage, name: &str) -> Option<u64> {
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -18,6 +18,7 @@
         Lease,
         Limits,
         Pending,
+        Registered,
         Revision,
         Route,
         RouteKind,
@@ -94,6 +95,12 @@
 }
 
 impl World {
+    /// Returns the newest lease of a router.
+    pub(crate) fn lease_of(&self, name: &str) -> Option<u64> {
+        let held = self.leases.iter().filter(|(_, holder)| *holder == name);
+        held.map(|(lease, _)| *lease).max()
+    }
+
     /// A world with a configuration and one replica.
     pub(crate) fn of(replica: &Replica) -> World {
         World {
@@ -319,6 +326,15 @@
     })
 }
 
+fn list_routers(world: &World) -> Vec<Registered> {
+    let entries = world.registered.iter();
+    let entries = entries.map(|(name, value)| Registered {
+        value: value.clone(),
+        lease: world.lease_of(name).unwrap_or(0),
+    });
+    entries.collect()
+}
+
 /// Renews whatever lease has that number, and tells whether it is the one that was meant.
 fn renew(world: &World, lease: Lease) -> bool {
     world.leases.contains_key(&lease.id) && lease.era == Era(world.era)
@@ -331,7 +347,7 @@
         config: Box::new(move || from(&a, versioned)),
         watch: Box::new(move |after, wait| watch(&b, after, wait)),
         replicas: Box::new(move || from(&c, |w| w.replicas.clone())),
-        routers: Box::new(move || from(&d, |w| w.registered.values().cloned().collect())),
+        routers: Box::new(move || from(&d, list_routers)),
         lease: Box::new(move |_| take_lease(&e)),
         renew: Box::new(move |lease| from(&f, move |w| renew(w, lease))),
         register: Box::new(move |name, value, lease| register(&g, name, value, lease)),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod pool;
 pub mod quarantine;
 pub mod quota;
+mod registration;
 pub mod rendezvous;
 pub mod retry;
 mod roster;
@@ -71,6 +72,11 @@
         OutcomeError,
         Refusal, //
     },
+    registration::{
+        entry_state,
+        EntrySeen,
+        EntryState, //
+    },
     roster::{
         Listed,
         Roster, //
