roster: replicas missing from the list of a store that came back from an older copy stay

What callers would have seen: the store is away for less than a second and comes back from a copy some seconds old, as after a drill. Replicas that registered since are not in the next list. Every router dropped them at once and told its peers that they had left; after a rollout or a scale-up that is the greater part of the engines, and requests were refused ("no replica of its service takes work"). They were in the list a heartbeat later, but what peers had said kept them out or doubted for 2.4 to 6 s. The other way round, one that had left stood in the list again and got work.

Cause: a copy was taken for news. The grace for missing entries began only after reads that failed or a pause of 1.2 s, which such a return need not bring.

Evidence: with the change taken out (went_back does nothing, lists of any era are taken) these fail: roster_store_went_back, roster_revision_fell, roster_peer_named_a_newer_era, roster_peers_list_of_an_older_era, roster_peer_named_a_wrong_era, roster_left_one_in_an_older_copy and, with a real gateway, drill::replicas_of_a_store_that_went_back (503 in place of 200).

Change: each list comes with the store's revision, era and number. A newer era, or a number that falls where none is named, opens the same 2.3 s in which what is missing stays as after an outage. A peer's word on a newer era opens it too, once for each era; policy::Eras keeps what the store said apart from what peers said, so a peer that names an era far too high neither hides a later return nor keeps the dead for good. A peer's list tells its era, and one of an older era is not taken. A start that left gets no work for 6 s after the return, though the copy has it.

Ruled out: a longer grace after each pause (a leaving replica would get requests then).

--- a/crates/gateway/src/fleet/hear.rs
+++ b/crates/gateway/src/fleet/hear.rs
@@ -213,6 +213,7 @@
         let now = gw.now();
         let mut tables = gw.tables();
         tables.watch.peer(from, about.config_age(), now);
+        tables.roster.named_era(about.era, now);
         let newer = tables.roster.peer_list(about.list_age(), about.list, now);
         drop(tables);
         gw.note_era(about.era, from.as_str());
--- a/crates/gateway/src/fleet/lists.rs
+++ b/crates/gateway/src/fleet/lists.rs
@@ -15,7 +15,10 @@
         },
         state::Shared, //
     },
-    policy::Span,
+    policy::{
+        Era,
+        Span, //
+    },
     serde::{
         Deserialize,
         Serialize, //
@@ -29,6 +32,9 @@
     /// How long ago it was made.
     age: Span,
     replicas: Vec<Replica>,
+    /// The era of the store that it is of.
+    #[serde(default)]
+    era: Era,
 }
 
 /// Returns this router's list, once it has one.
@@ -46,12 +52,13 @@
     Some(List {
         age,
         replicas: replicas.collect(),
+        era: tables.roster.era(),
     })
 }
 
 /// Gets the list of a peer, and takes it where it is newer.
 pub(super) async fn fetch(gw: &Shared, addr: SocketAddr) {
     if let Some(list) = documents::get::<List>(addr, documents::LIST_PATH).await {
-        follow::take_from_peer(gw, list.replicas, list.age, addr);
+        follow::take_from_peer(gw, list.replicas, list.era, list.age, addr);
     }
 }
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -4,6 +4,7 @@
     crate::{
         model::{
             Replica,
+            ReplicaList,
             State, //
         },
         state::Shared, //
@@ -11,6 +12,7 @@
     async_std::task,
     policy::{
         placement::ReplicaKey,
+        Era,
         Listed,
         ReplicaId,
         Roster,
@@ -62,9 +64,13 @@
 }
 
 /// Takes a list that the store gave.
-fn take(gw: &Shared, list: Vec<Replica>) {
+fn take(gw: &Shared, list: ReplicaList) {
     let now = gw.now();
-    let gone = gw.tables().roster.listed(entries(list), now);
+    let gone = {
+        let roster = &mut gw.tables().roster;
+        roster.read_at(list.revision, now);
+        roster.listed(entries(list.replicas), now)
+    };
     note(gw, &gone, "store");
     // Until the peers hear of it, they draw who reads next: 85 routers, who speak every 0.4 s,
     // read 13 times a second in place of 3.
@@ -72,9 +78,21 @@
 }
 
 /// Takes the list of a peer, as it was `age` ago.
-pub(crate) fn take_from_peer(gw: &Shared, list: Vec<Replica>, age: Span, from: SocketAddr) {
+pub(crate) fn take_from_peer(
+    gw: &Shared,
+    list: Vec<Replica>,
+    era: Era,
+    age: Span,
+    from: SocketAddr,
+) {
     let now = gw.now();
-    let gone = gw.tables().roster.listed_by_peer(entries(list), age, now);
+    let gone = {
+        let roster = &mut gw.tables().roster;
+        if !roster.takes_list_of(era, now) {
+            return;
+        }
+        roster.listed_by_peer(entries(list), age, now)
+    };
     note(gw, &gone, &from.to_string());
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
         Pending,
         Registered,
         Replica,
+        ReplicaList,
         Revision,
         Route,
         RouteKind,
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -26,6 +26,7 @@
         Lease,
         Pending,
         Registered,
+        ReplicaList,
         Revision,
         Store,
         StoreError,
--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -12,6 +12,8 @@
     thiserror::Error, //
 };
 
+pub use policy::Revision;
+
 /// An answer that is on its way.
 pub type Pending<T> = Pin<Box<dyn Future<Output = Result<T, StoreError>> + Send>>;
 
@@ -22,7 +24,7 @@
     /// Waits for a change of the configuration after a revision.
     pub watch: Box<dyn Fn(Revision, Duration) -> Pending<Watched> + Send + Sync>,
     /// Lists all replicas as they are now.
-    pub replicas: Box<dyn Fn() -> Pending<Vec<Replica>> + Send + Sync>,
+    pub replicas: Box<dyn Fn() -> Pending<ReplicaList> + Send + Sync>,
     /// Lists what routers have registered; may be seconds old.
     pub routers: Box<dyn Fn() -> Pending<Vec<Registered>> + Send + Sync>,
     /// Takes out a lease of this length, and returns it.
@@ -38,15 +40,6 @@
     pub era: Box<dyn Fn() -> Era + Send + Sync>,
 }
 
-/// How often the store has changed, in one of its eras.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Revision {
-    /// The era that the number belongs to.
-    pub era: Era,
-    /// How often it had changed.
-    pub number: u64,
-}
-
 /// A lease, in the era in which it was given out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Lease {
@@ -56,6 +49,15 @@
     pub id: u64,
 }
 
+/// All replicas, and the store's revision at which they were read.
+#[derive(Debug, Clone)]
+pub struct ReplicaList {
+    /// The replicas.
+    pub replicas: Vec<Replica>,
+    /// The revision of the first page.
+    pub revision: Revision,
+}
+
 /// What a router has registered, as the store has it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Registered {
@@ -65,12 +67,6 @@
     pub lease: u64,
 }
 
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.era, self.number)
-    }
-}
-
 impl fmt::Display for Lease {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.era, self.id)
--- a/crates/gateway/tests/gateway/drill.rs
+++ b/crates/gateway/tests/gateway/drill.rs
@@ -17,6 +17,11 @@
             Arc,
             Mutex, //
         },
+        thread,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
@@ -135,3 +140,24 @@
     stage.end().join().unwrap();
     assert!(stage.world.lock().unwrap().registered.contains_key("g9"));
 }
+
+/// Guards against requests that are refused after the store came back from a copy in which the replicas
+/// do not stand yet.
+#[test]
+fn replicas_of_a_store_that_went_back() {
+    let replica = echo();
+    let stage = Stage::start(&[("i-1", &replica)]);
+    assert_eq!(stage.get("/again/a", "1").status, 200);
+    let replicas = {
+        let mut world = stage.world.lock().unwrap();
+        world.era += 1;
+        std::mem::take(&mut world.replicas)
+    };
+    let went_back = Instant::now();
+    while went_back.elapsed() < Duration::from_millis(1_500) {
+        assert_eq!(stage.get("/again/a", "2").status, 200);
+        thread::sleep(Duration::from_millis(20));
+    }
+    stage.world.lock().unwrap().replicas = replicas;
+    assert_eq!(stage.get("/again/a", "3").status, 200);
+}
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -19,6 +19,7 @@
         Limits,
         Pending,
         Registered,
+        ReplicaList,
         Revision,
         Route,
         RouteKind,
@@ -326,6 +327,16 @@
     })
 }
 
+fn list_replicas(world: &World) -> ReplicaList {
+    ReplicaList {
+        replicas: world.replicas.clone(),
+        revision: Revision {
+            era: Era(world.era),
+            number: world.revision,
+        },
+    }
+}
+
 fn list_routers(world: &World) -> Vec<Registered> {
     let entries = world.registered.iter();
     let entries = entries.map(|(name, value)| Registered {
@@ -346,7 +357,7 @@
     Store {
         config: Box::new(move || from(&a, versioned)),
         watch: Box::new(move |after, wait| watch(&b, after, wait)),
-        replicas: Box::new(move || from(&c, |w| w.replicas.clone())),
+        replicas: Box::new(move || from(&c, list_replicas)),
         routers: Box::new(move || from(&d, list_routers)),
         lease: Box::new(move |_| take_lease(&e)),
         renew: Box::new(move |lease| from(&f, move |w| renew(w, lease))),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod dispatch;
 mod entry;
+mod eras;
 pub mod head;
 mod ids;
 pub mod limit;
@@ -20,6 +21,7 @@
 mod registration;
 pub mod rendezvous;
 pub mod retry;
+mod revision;
 mod roster;
 mod shares;
 pub mod tickets;
@@ -55,6 +57,7 @@
         Unit,
         WorkspaceShare, //
     },
+    eras::Eras,
     ids::{
         Born,
         Era,
@@ -77,6 +80,7 @@
         EntrySeen,
         EntryState, //
     },
+    revision::Revision,
     roster::{
         Listed,
         Roster, //
--- /dev/null
+++ b/crates/policy/src/revision.rs
@@ -0,0 +1,40 @@
+//! How far the platform's store has come.
+
+use {
+    crate::Era,
+    std::fmt, //
+};
+
+/// How often the store has changed, in one of its eras.
+///
+/// # Examples
+///
+/// ```
+/// use policy::{Era, Revision};
+///
+/// let before = Revision { era: Era(1), number: 40 };
+/// assert!(Revision { number: 12, ..before }.fell_since(before));
+/// assert!(!Revision { era: Era(2), number: 12 }.fell_since(before));
+/// assert_eq!(before.to_string(), "1.40");
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Revision {
+    /// The era that the number belongs to.
+    pub era: Era,
+    /// How often it had changed.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Tells whether the number is lower than in an earlier answer of the same era: the store came
+    /// back from an older copy and names no era.
+    pub fn fell_since(self, before: Revision) -> bool {
+        self.era == before.era && self.number < before.number
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
--- a/crates/policy/src/roster/mod.rs
+++ b/crates/policy/src/roster/mod.rs
@@ -18,7 +18,10 @@
     crate::{
         placement::ReplicaKey,
         turn,
+        Era,
+        Eras,
         ReplicaId,
+        Revision,
         Span,
         Time, //
     },
@@ -54,6 +57,11 @@
     outage: Outage,
     left: BTreeMap<ReplicaKey, Time>,
     turns: Turns,
+    eras: Eras,
+    /// The store's revision when this router last read the list.
+    revision: Option<Revision>,
+    /// When the store last came back from an older copy.
+    returned: Option<Time>,
 }
 
 impl<T> Default for Roster<T> {
@@ -63,6 +71,9 @@
             outage: Outage::default(),
             left: BTreeMap::new(),
             turns: Turns::default(),
+            eras: Eras::default(),
+            revision: None,
+            returned: None,
         }
     }
 }
@@ -84,6 +95,45 @@
         self.merge(list, Whose::Own, now, now)
     }
 
+    /// Notes the store's revision at which the list was read that is taken next.
+    ///
+    /// A store that came back from an older copy misses replicas that registered since, and has some
+    /// again that left. All of them refresh their entries within seconds, or lapse.
+    pub fn read_at(&mut self, revision: Revision, now: Time) {
+        let before = self.revision.replace(revision);
+        let fell = before.is_some_and(|before| revision.fell_since(before));
+        if self.eras.answered(revision.era) || fell {
+            self.went_back(now);
+        }
+    }
+
+    /// Takes the era of the store that a peer names.
+    pub fn named_era(&mut self, era: Era, now: Time) {
+        if self.eras.named(era) {
+            self.went_back(now);
+        }
+    }
+
+    /// Returns the era of the store that this router's list is of, to tell the peers.
+    pub fn era(&self) -> Era {
+        self.eras.told()
+    }
+
+    /// Takes the era of a peer's list. Returns whether the list may be used: one of an older era is
+    /// from before the store came back, however late it comes.
+    pub fn takes_list_of(&mut self, era: Era, now: Time) -> bool {
+        self.named_era(era, now);
+        era >= self.eras.told()
+    }
+
+    fn went_back(&mut self, now: Time) {
+        self.outage.went_back(now);
+        self.returned = Some(now);
+        for at in self.left.values_mut() {
+            *at = now;
+        }
+    }
+
     /// Takes the whole list of a peer, as it was `age` ago. Returns those that no longer take
     /// work.
     ///
@@ -127,6 +177,9 @@
             let key = listed.key;
             let late = self.left.get(&key).is_some_and(|at| now.since(*at) < LATE);
             let known = self.entries.get(&id);
+            if known.is_none() && self.is_of_older_copy(key, now) {
+                continue;
+            }
             // After an outage of the store an entry from before may stand there for a while. A
             // start that was read as leaving would get requests that it can't finish. What a
             // peer told may be a mistake of the peer's, and counts while the list may be older.
@@ -164,6 +217,13 @@
         left
     }
 
+    /// Tells whether a start that left before the store came back stands in the list only because the
+    /// store's copy is older. It gets no work until its entry has had the time to lapse.
+    fn is_of_older_copy(&self, key: ReplicaKey, now: Time) -> bool {
+        let returned = self.returned.is_some_and(|at| now.since(at) < TELL);
+        returned && self.left.contains_key(&key)
+    }
+
     /// Removes the starts that a list no longer tells of, and returns their ids.
     ///
     /// A replica that starts again under its id is a new one. Kept as the entry of before, it
--- a/crates/policy/src/roster/outage.rs
+++ b/crates/policy/src/roster/outage.rs
@@ -43,6 +43,14 @@
         self.back_from = None;
     }
 
+    /// Notes that the store came back from an older copy, which lacks what was written since.
+    pub(super) fn went_back(&mut self, now: Time) {
+        self.on = true;
+        self.peers_read = false;
+        self.resumed = None;
+        self.back_from = Some(now);
+    }
+
     /// Notes that a router reads the list, when any last did so at `before`.
     pub(super) fn any_read(&mut self, before: Option<Time>, at: Time) {
         if before.is_some_and(|before| at > before + PAUSE) {
--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -3,8 +3,10 @@
 use policy::{
     placement::ReplicaKey,
     Born,
+    Era,
     Listed,
     ReplicaId,
+    Revision,
     Roster,
     Span,
     Time, //
@@ -367,3 +369,98 @@
     assert_eq!(ready(&roster), ["a", "b"]);
     assert_eq!(list(&mut roster, &["a"], 6_400), [id("b")]);
 }
+
+/// Takes a list that was read from the store at a revision.
+fn list_at(
+    roster: &mut Roster<()>,
+    era: u64,
+    number: u64,
+    names: &[&str],
+    ms: u64,
+) -> Vec<ReplicaId> {
+    let era = Era(era);
+    roster.read_at(Revision { era, number }, at(ms));
+    list(roster, names, ms)
+}
+
+/// Guards against replicas that get no work for seconds after the store came back from a copy which
+/// lacks them, without any read that failed.
+#[test]
+fn roster_store_went_back() {
+    let mut roster = Roster::default();
+    list_at(&mut roster, 1, 90, &["a", "b", "c"], 0);
+    assert!(list_at(&mut roster, 2, 60, &["a"], 500).is_empty());
+    assert!(list_at(&mut roster, 2, 61, &["a"], 1_000).is_empty());
+    assert_eq!(ready(&roster), ["a", "b", "c"]);
+    assert!(roster.left(at(1_000)).is_empty());
+    // One that is still missing when all that live are back is gone.
+    assert_eq!(list_at(&mut roster, 2, 70, &["a", "b"], 2_900), [id("c")]);
+    assert_eq!(ready(&roster), ["a", "b"]);
+}
+
+/// Guards against the same where the store names no era: its revision falls.
+#[test]
+fn roster_revision_fell() {
+    let mut roster = Roster::default();
+    list_at(&mut roster, 0, 90, &["a", "b"], 0);
+    assert!(list_at(&mut roster, 0, 60, &["a"], 500).is_empty());
+    assert_eq!(ready(&roster), ["a", "b"]);
+    assert_eq!(list_at(&mut roster, 0, 70, &["a"], 2_900), [id("b")]);
+}
+
+/// Guards against replicas that a router drops by the list of a peer that read it first after the store
+/// came back, and by its own next one.
+#[test]
+fn roster_peer_named_a_newer_era() {
+    let mut roster = Roster::default();
+    list_at(&mut roster, 1, 90, &["a", "b"], 0);
+    roster.named_era(Era(2), at(500));
+    let peers = [(id("a"), (), false)];
+    assert!(roster.takes_list_of(Era(2), at(600)));
+    assert!(roster
+        .listed_by_peer(peers, Span::millis(50), at(600))
+        .is_empty());
+    assert!(list_at(&mut roster, 2, 61, &["a"], 1_000).is_empty());
+    assert_eq!(ready(&roster), ["a", "b"]);
+    assert_eq!(list_at(&mut roster, 2, 70, &["a"], 2_900), [id("b")]);
+}
+
+/// Guards against a peer's list from before the store came back, which comes after one from later.
+#[test]
+fn roster_peers_list_of_an_older_era() {
+    let mut roster = Roster::default();
+    list_at(&mut roster, 2, 60, &["a"], 0);
+    assert!(!roster.takes_list_of(Era(1), at(100)));
+    assert!(roster.takes_list_of(Era(2), at(100)));
+}
+
+/// Guards against a peer that names an era far too high: a later return of the store would not be
+/// noticed, or missing replicas would be kept for good.
+#[test]
+fn roster_peer_named_a_wrong_era() {
+    let mut roster = Roster::default();
+    list_at(&mut roster, 1, 90, &["a", "b"], 0);
+    for ms in (100..4_000).step_by(100) {
+        roster.named_era(Era(u64::MAX), at(ms));
+    }
+    assert_eq!(list_at(&mut roster, 1, 95, &["a"], 4_000), [id("b")]);
+    list_at(&mut roster, 1, 96, &["a", "c"], 4_500);
+    assert!(list_at(&mut roster, 2, 60, &["a"], 5_000).is_empty());
+    assert_eq!(ready(&roster), ["a", "c"]);
+}
+
+/// Guards against requests to a replica that has left, as the store came back from a copy in which it
+/// still stands.
+#[test]
+fn roster_left_one_in_an_older_copy() {
+    let mut roster = Roster::default();
+    list_at(&mut roster, 1, 80, &["a", "b"], 0);
+    assert_eq!(list_at(&mut roster, 1, 90, &["a"], 500), [id("b")]);
+    for ms in (3_000..6_600).step_by(400) {
+        list_at(&mut roster, 2, 60, &["a", "b"], ms);
+        assert_eq!(ready(&roster), ["a"], "{ms}");
+    }
+    // It lives if its entry is still there when those of the dead have lapsed.
+    list_at(&mut roster, 2, 70, &["a", "b"], 9_100);
+    assert_eq!(ready(&roster), ["a", "b"]);
+}
