gateway: a peer's word on the store's era is a hint, and only the store's answer decides

What operators would have seen: one peer names an era far too high (a broken word, a mixed version). It became the era of the whole fleet for good: no later return of the store from an older copy was noticed or logged at once, and entries were lost until a renewal failed.

Cause: Shared kept one number for what the store answers and what peers say, the highest of both.

Change: Shared holds policy::Eras, as the roster does. A newer era from a peer still has the entry written again once, as the peer may be the only one that the store answers; an answer of the store with a newer era than its own last one counts whatever peers said.

Evidence: eras_after_a_wrong_one fails where answered() compares with the newest era that anybody named, and passes now; the eight drill tests pass, entry_after_a_peer_named_the_era among them.

Ruled out: taking an era only where two peers name it (a fleet of which one router is served by the store would wait for a renewal), and no word of peers at all (the same). Left: words carry the highest era that anybody named, so after a wrong one peers no longer tell each other of a later return; each learns of it from its own next answer, within 5 s if it has an entry.

--- a/crates/gateway/src/fleet/hear.rs
+++ b/crates/gateway/src/fleet/hear.rs
@@ -216,7 +216,7 @@
         tables.roster.named_era(about.era, now);
         let newer = tables.roster.peer_list(about.list_age(), about.list, now);
         drop(tables);
-        gw.note_era(about.era, from.as_str());
+        gw.note_named_era(about.era, from);
         if newer {
             let gw = gw.clone();
             self.listing
--- a/crates/gateway/src/fleet/talk.rs
+++ b/crates/gateway/src/fleet/talk.rs
@@ -179,7 +179,7 @@
             list: self.roster.digest(),
             config,
             config_age: self.watch.age(now),
-            era: gw.era(),
+            era: gw.eras().newest(),
         }
     }
 
--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -19,6 +19,7 @@
         EntrySeen,
         EntryState,
         Era,
+        Eras,
         RouterId,
         Span,
         Time, //
@@ -110,8 +111,8 @@
     looks: usize,
     /// Its entry, where one stands.
     standing: Option<Standing>,
-    /// The newest era for which it was seen to that its lease is of it. A lease is given up once for
-    /// each: a peer may name an era that the store does not.
+    /// The newest era that was named. A lease is given up once for each that only peers name: the store
+    /// may give out none of it.
     era: Era,
     /// The entry lacks a request that this router holds back.
     behind: bool,
@@ -139,7 +140,7 @@
         looked: None,
         looks: 0,
         standing: None,
-        era: gw.era(),
+        era: gw.eras().newest(),
         behind: false,
     };
     while !gw.is_leaving() {
@@ -175,13 +176,7 @@
             let now = gw.now();
             gw.tables().fleet.active_for(now) >= SETTLED
         };
-        let era = gw.era();
-        if era > self.era {
-            self.era = era;
-            if let Some(lost) = self.standing.take_if(|s| s.lease.era < era) {
-                log::info!("event=register outcome=lost lease={} era={era}", lost.lease);
-            }
-        }
+        self.leave_older_lease(gw.eras());
         match self.standing {
             None if settled => self.standing = take_out(gw).await,
             // The entry of one that only stands by ends with its lease.
@@ -205,6 +200,18 @@
         }
     }
 
+    /// Gives up a lease from before the store came back from an older copy.
+    fn leave_older_lease(&mut self, eras: Eras) {
+        let mut era = eras.told();
+        if eras.newest() > self.era {
+            self.era = eras.newest();
+            era = self.era;
+        }
+        if let Some(lost) = self.standing.take_if(|s| s.lease.era < era) {
+            log::info!("event=register outcome=lost lease={} era={era}", lost.lease);
+        }
+    }
+
     /// Takes the others' entries, and sees whether its own still stands among them.
     async fn look(&mut self, gw: &Shared) {
         let asked = gw.now();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,8 +33,10 @@
         quota::Quota,
         retry::Budget,
         Era,
+        Eras,
         Incarnation,
         Roster,
+        RouterId,
         ServiceId,
         Span,
         Time,
@@ -94,7 +96,7 @@
 
 /// One gateway.
 ///
-/// Lock order: `force`, `tables`, `era`. None is held across an await.
+/// Lock order: `force`, `tables`, `eras`. None is held across an await.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
@@ -120,8 +122,8 @@
     pub(crate) listed: AtomicBool,
     /// The store did not answer this instance's last call.
     pub(crate) store_lost: AtomicBool,
-    /// The newest era of the store that an answer or a peer named.
-    era: Mutex<Option<Era>>,
+    /// The eras of the store that its answers and peers named.
+    eras: Mutex<Eras>,
     /// Requests that are being served.
     pub(crate) active: AtomicUsize,
     /// Connections of callers.
@@ -164,7 +166,7 @@
             refuses: AtomicBool::new(false),
             listed: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
-            era: Mutex::new(None),
+            eras: Mutex::default(),
             active: AtomicUsize::new(0),
             callers: AtomicUsize::new(0),
             bodies: AtomicUsize::new(0),
@@ -262,28 +264,34 @@
         true
     }
 
-    /// Returns the newest era of the store that an answer or a peer named.
-    pub(crate) fn era(&self) -> Era {
-        lock(&self.era).unwrap_or_default()
+    /// Returns what the store and the peers said of the store's era.
+    pub(crate) fn eras(&self) -> Eras {
+        *lock(&self.eras)
     }
 
-    /// Notes an era of the store, and logs that it came back from an older copy.
-    pub(crate) fn note_era(&self, era: Era, from: &str) {
-        let mut known = lock(&self.era);
-        let before = *known;
-        if before.is_some_and(|before| before >= era) {
-            return;
+    /// Notes the era of an answer of the store.
+    fn note_era(&self) {
+        let era = (self.store.era)();
+        let mut eras = lock(&self.eras);
+        let before = *eras;
+        if eras.answered(era) {
+            log_return(era, before, "store");
         }
-        *known = Some(era);
-        if let Some(before) = before {
-            log::warn!("event=store outcome=went-back era={era} before={before} from={from}");
+    }
+
+    /// Notes the era of the store that a peer names.
+    pub(crate) fn note_named_era(&self, era: Era, from: &RouterId) {
+        let mut eras = lock(&self.eras);
+        let before = *eras;
+        if eras.named(era) {
+            log_return(era, before, from.as_str());
         }
     }
 
     /// Notes whether the store answers, and logs the change.
     pub(crate) fn note_store(&self, call: &str, error: Option<&crate::StoreError>) {
         metrics::counter!("chervilwind_store_calls", "call" => call.to_owned()).increment(1);
-        self.note_era((self.store.era)(), "store");
+        self.note_era();
         let was = self.store_lost.swap(error.is_some(), Ordering::Relaxed);
         match error {
             Some(e) if !was => log::warn!("event=store outcome=lost call={call} cause={e:?}"),
@@ -293,6 +301,11 @@
     }
 }
 
+fn log_return(era: Era, before: Eras, from: &str) {
+    let before = before.told();
+    log::warn!("event=store outcome=went-back era={era} before={before} from={from}");
+}
+
 /// Makes the table of the other routers, of whom none is known yet.
 fn own_fleet(settings: &Settings, incarnation: Incarnation) -> Actives {
     let intro = Intro {
--- a/crates/policy/src/eras.rs
+++ b/crates/policy/src/eras.rs
@@ -54,3 +54,6 @@
         self.newest.unwrap_or_default()
     }
 }
+
+#[cfg(test)]
+mod tests;
