gateway: a test that an entry does not stay under a lease from before the store came back

Suspected: a router takes out a lease, the store comes back from an older copy, and the router writes its entry under the number, which may be another's by then; the era of the write's answer is compared with nothing.

Refuted: the era of every answer is noted, also that of the write, and a lease of an older one is given up at the next look, 0.5 s later. The stand-in goes back between the two calls, and the entry stands under a newer lease after that. Where the store names no era, the list of entries shows it (entry_state, Lost or Shared).

--- a/crates/gateway/tests/gateway/drill.rs
+++ b/crates/gateway/tests/gateway/drill.rs
@@ -161,3 +161,16 @@
     stage.world.lock().unwrap().replicas = replicas;
     assert_eq!(stage.get("/again/a", "3").status, 200);
 }
+
+/// Guards against an entry that stays under a lease which was taken out before the store came back, and
+/// may be another's.
+#[test]
+fn entry_written_after_the_store_went_back() {
+    let replica = echo();
+    let world = World {
+        returns_after_lease: true,
+        ..World::of(&replica)
+    };
+    let stage = Stage::within(Arc::new(Mutex::new(world)), "g1", |_| {});
+    wait(|| lease_under(&stage, "g1").is_some_and(|lease| lease > 1));
+}
--- a/crates/gateway/tests/gateway/stage.rs
+++ b/crates/gateway/tests/gateway/stage.rs
@@ -91,6 +91,8 @@
     pub(crate) era: u64,
     /// The era that the last answer named.
     pub(crate) era_told: u64,
+    /// The store comes back from an older copy as soon as it has given out a lease.
+    pub(crate) returns_after_lease: bool,
     /// The leases that run, and the names registered under them.
     pub(crate) leases: BTreeMap<u64, String>,
 }
@@ -323,6 +325,9 @@
         let id = world.leases.keys().last().map_or(1, |last| last + 1);
         world.leases.insert(id, String::new());
         let era = Era(world.era);
+        if std::mem::take(&mut world.returns_after_lease) {
+            world.era += 1;
+        }
         Ok(Lease { era, id })
     })
 }
