gateway: refusals of each workspace by cause are logged each second

What on-call engineers could not tell: whether a workspace that got less than another was refused by its even part, by slots after it, or by time to be read.

Change: policy::quota::Tally sums the tokens of each workspace by what became of them; event=shares tells the eight with most refused, once a second, as a warning, so it is not left out in a flood.

No decision changes. tally_tells_refusals_apart.

--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -111,13 +111,11 @@
             (Some(prompt), Some(engine)) => {
                 let (pick, basis) =
                     tables.pick_engine(self, req, (prompt, engine), tried, claim, now);
-                (pick, basis.to_string())
+                (pick, Some(basis))
             }
-            _ => (
-                tables.pick_server(self, req, tried, claim, now),
-                String::new(),
-            ),
+            _ => (tables.pick_server(self, req, tried, claim, now), None),
         };
+        let inputs = basis.as_ref().map_or(String::new(), Basis::to_string);
         let choice = match picked {
             None => {
                 return Err(Refused {
@@ -127,16 +125,24 @@
                 })
             }
             Some(Pick::Refuse { after, full, bound }) => {
+                if let (Some(prompt), Some(workspace), Some(basis)) =
+                    (prompt, &req.workspace, basis)
+                {
+                    let tokens = prompt.cost() as u64;
+                    tables
+                        .tally
+                        .refused(workspace, tokens, basis.standing, bound);
+                }
                 return Err(Refused {
                     why: Refusal::Full,
                     after: after.into(),
-                    inputs: format!("full={full:.2} bound={bound} {basis}"),
-                })
+                    inputs: format!("full={full:.2} bound={bound} {inputs}"),
+                });
             }
             Some(Pick::Run(choice)) => choice,
         };
         let mut place = tables.take(self, req, choice, claim, now);
-        place.inputs = basis;
+        place.inputs = inputs;
         Ok(place)
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -31,6 +31,7 @@
         PrometheusBuilder,
         PrometheusHandle, //
     },
+    policy::quota::Outcomes,
     std::{
         io,
         path::Path,
@@ -41,6 +42,8 @@
 
 /// How often idle connections and old counts are tidied up.
 const TIDY: Duration = Duration::from_secs(1);
+/// Most workspaces whose refusals are logged at a time.
+const MOST_REFUSED: usize = 8;
 /// Upper bounds of the histogram of times to the first byte, in seconds.
 const BUCKETS: [f64; 12] = [
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
@@ -138,6 +141,29 @@
     loop {
         task::sleep(TIDY).await;
         gw.pool.tidy();
+        log_shares(&gw);
+    }
+}
+
+/// Logs what was refused to whom in the last second, in tokens.
+///
+/// As a warning, it is not left out where a flood of requests uses up the lines of a second.
+fn log_shares(gw: &Shared) {
+    let (refused, active) = {
+        let mut tables = gw.tables();
+        (tables.tally.take(MOST_REFUSED), tables.fleet.is_active())
+    };
+    for (workspace, outcomes) in refused {
+        let Outcomes {
+            begun,
+            slots,
+            time,
+            beyond,
+        } = outcomes;
+        log::warn!(
+            "event=shares workspace={workspace} begun={begun} slots={slots} time={time} \
+             beyond={beyond} active={active}"
+        );
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -30,7 +30,10 @@
             Speeds, //
         },
         quarantine::Quarantine,
-        quota::Quota,
+        quota::{
+            Quota,
+            Tally, //
+        },
         retry::Budget,
         Era,
         Eras,
@@ -86,6 +89,8 @@
     /// When a replica last sent anything.
     pub(crate) heard: ReplicaMap<Time>,
     pub(crate) quota: Quota,
+    /// What became of the requests of each workspace, since it was last logged.
+    pub(crate) tally: Tally,
     pub(crate) budgets: HashMap<ServiceId, Budget>,
     /// Requests under which replicas end.
     pub(crate) quarantine: Quarantine,
@@ -152,6 +157,7 @@
                 cached: HashMap::default(),
                 heard: ReplicaMap::default(),
                 quota: Quota::new(window),
+                tally: Tally::default(),
                 budgets: HashMap::new(),
                 quarantine: Quarantine::default(),
                 fleet: own_fleet(&settings, incarnation),
--- a/crates/policy/src/quota/mod.rs
+++ b/crates/policy/src/quota/mod.rs
@@ -2,6 +2,7 @@
 
 mod level;
 mod table;
+mod tally;
 mod window;
 
 pub use self::{
@@ -12,4 +13,8 @@
         Standing,
         WorkspaceKey, //
     },
+    tally::{
+        Outcomes,
+        Tally, //
+    },
 };
--- /dev/null
+++ b/crates/policy/src/quota/tally.rs
@@ -0,0 +1,88 @@
+//! What became of the requests of each workspace at one router, for operators.
+
+use {
+    super::Standing,
+    crate::{
+        placement::Bound,
+        WorkspaceId, //
+    },
+    std::{
+        cmp::Reverse,
+        collections::HashMap, //
+    },
+};
+
+/// Tokens of a workspace by what became of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Outcomes {
+    /// Begun.
+    pub begun: u64,
+    /// Refused though the request was within its workspace's even part, as slots were taken.
+    pub slots: u64,
+    /// The same for any other reason, such as time to be read.
+    pub time: u64,
+    /// Refused beyond the even part.
+    pub beyond: u64,
+}
+
+impl Outcomes {
+    /// Returns the tokens that were refused.
+    pub fn refused(&self) -> u64 {
+        self.slots + self.time + self.beyond
+    }
+}
+
+/// Counts outcomes until they are taken.
+///
+/// # Examples
+///
+/// ```
+/// use policy::{placement::Bound, quota::{Standing, Tally}};
+///
+/// let mut tally = Tally::default();
+/// let workspace = "w1".parse()?;
+/// tally.begun(&workspace, 100);
+/// tally.refused(&workspace, 900, Standing::default(), Bound::Slots);
+/// let (_, outcomes) = &tally.take(8)[0];
+/// assert_eq!((outcomes.begun, outcomes.slots), (100, 900));
+/// assert!(tally.take(8).is_empty());
+/// # Ok::<(), policy::IdError>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct Tally {
+    counts: HashMap<WorkspaceId, Outcomes>,
+}
+
+impl Tally {
+    /// Counts a request that begins.
+    pub fn begun(&mut self, workspace: &WorkspaceId, tokens: u64) {
+        self.of(workspace).begun += tokens;
+    }
+
+    /// Counts a request that is refused, by what its best engine had least left of.
+    pub fn refused(&mut self, workspace: &WorkspaceId, tokens: u64, at: Standing, bound: Bound) {
+        let counts = self.of(workspace);
+        let count = match (at.even > 1.0, bound) {
+            (true, _) => &mut counts.beyond,
+            (false, Bound::Slots) => &mut counts.slots,
+            (false, _) => &mut counts.time,
+        };
+        *count += tokens;
+    }
+
+    /// Returns the workspaces that had most refused, so many at the most, and begins anew.
+    pub fn take(&mut self, most: usize) -> Vec<(WorkspaceId, Outcomes)> {
+        let refused = self.counts.drain().filter(|(_, o)| o.refused() > 0);
+        let mut all: Vec<_> = refused.collect();
+        all.sort_by(|(a, x), (b, y)| {
+            let key = |o: &Outcomes| Reverse(o.refused());
+            key(x).cmp(&key(y)).then_with(|| a.cmp(b))
+        });
+        all.truncate(most);
+        all
+    }
+
+    fn of(&mut self, workspace: &WorkspaceId) -> &mut Outcomes {
+        self.counts.entry(workspace.clone()).or_default()
+    }
+}
--- a/crates/policy/tests/placement/quota.rs
+++ b/crates/policy/tests/placement/quota.rs
@@ -1,10 +1,14 @@
 //! Shares of the capacity.
 
 use policy::{
+    placement::Bound,
     quota::{
         level,
         Asked,
+        Outcomes,
         Quota,
+        Standing,
+        Tally,
         WorkspaceKey, //
     },
     Span,
@@ -143,3 +147,28 @@
     );
     assert!(new <= old * 1.5, "{new} {old}");
 }
+
+/// Guards against a refusal by slots that looks like one by the even part, so that nobody can tell why a
+/// workspace got less than another.
+#[test]
+fn tally_tells_refusals_apart() {
+    let mut tally = Tally::default();
+    let (large, small) = ("w1".parse().unwrap(), "w2".parse().unwrap());
+    let at = |even| Standing {
+        even,
+        ..Standing::default()
+    };
+    tally.begun(&large, 10);
+    tally.refused(&large, 20, at(0.5), Bound::Slots);
+    tally.refused(&large, 30, at(0.5), Bound::Backlog);
+    tally.refused(&large, 40, at(1.5), Bound::Slots);
+    tally.refused(&small, 5, at(0.0), Bound::Slots);
+    let outcomes = Outcomes {
+        begun: 10,
+        slots: 20,
+        time: 30,
+        beyond: 40,
+    };
+    assert_eq!(tally.take(1), [(large, outcomes)]);
+    assert!(tally.take(1).is_empty());
+}
