policy: a failing test of a workspace of one document beside one of many

Two workspaces flood with as many requests each before six engines; the prompts of the first share one document, those of the second 40. Over six seconds the first gets 0.40, 0.42, 0.49 and 0.62 of what it is owed (two sizes of prompts, three rates): its two homes refuse it at 0.6 of their slots, other engines take it up to 0.3 only, and the second, whose homes are all engines, takes what is left beyond its even part. The bound is the users' half.

--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -236,6 +236,17 @@
     rates: &[u32],
     begins: &[u64],
     own: impl Fn(u32, u32) -> u32,
+) -> HashMap<u32, Served> {
+    play_documents(fleet, rates, begins, own, |_, turn| u64::from(turn % 40))
+}
+
+/// The same where `document` names the part of a prompt that others share.
+fn play_documents(
+    fleet: Fleet,
+    rates: &[u32],
+    begins: &[u64],
+    own: impl Fn(u32, u32) -> u32,
+    document: impl Fn(u32, u32) -> u64,
 ) -> HashMap<u32, Served> {
     let mut world = World::new(fleet);
     let mut served: HashMap<u32, Served> = HashMap::new();
@@ -265,7 +276,7 @@
         let prompt = Prompt {
             parts: vec![
                 Part {
-                    id: u64::from(turn % 40),
+                    id: document(who, turn),
                     tokens: 4_000,
                 },
                 Part {
@@ -461,3 +472,19 @@
     let worst = worst_part(&served);
     assert!(worst >= 0.6, "{worst:.2} {served:?}");
 }
+
+/// Guards against a workspace whose prompts share one document being refused by the slots of its homes,
+/// while engines stand idle and another workspace of many documents is served.
+#[test]
+fn load_floods_of_one_and_of_many_documents() {
+    let document = |who, turn| match who {
+        0 => 1_000_000,
+        _ => u64::from(turn % 40),
+    };
+    for (own, rate) in [(500, 300), (500, 120), (3_000, 120), (3_000, 60)] {
+        let rates = [rate, rate, 3, 3, 3];
+        let served = play_documents(SMALL, &rates, &[], |_, _| own, document);
+        let worst = worst_part(&served);
+        assert!(worst >= 0.5, "{own} {rate}: {worst:.2} {served:?}");
+    }
+}
