placement: a refusal names the limit that the request exceeds, not the engine's fullest part

What misled: `bound` on refusals was the part of an engine that is fullest in itself. Each part has a limit of its own (places 0.6, backlog 0.2, reading 0.55 for a flood), so a request refused for others' prompts before it, or for an engine that had failed requests, was logged as bound=slots.

Change: Bound is the limit exceeded most; Bound::Failures where only the penalty of a failing engine exceeds it. event=shares counts these by themselves. The choice itself is unchanged.

pick_refusal_tells_the_limit_exceeded; tally_tells_refusals_apart counts failures. Placement tests pass but for the known red one.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -157,12 +157,13 @@
         let Outcomes {
             begun,
             slots,
+            failures,
             time,
             beyond,
         } = outcomes;
         log::warn!(
-            "event=shares workspace={workspace} begun={begun} slots={slots} time={time} \
-             beyond={beyond} active={active}"
+            "event=shares workspace={workspace} begun={begun} slots={slots} \
+             failures={failures} time={time} beyond={beyond} active={active}"
         );
     }
 }
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -57,7 +57,7 @@
     pub source: Option<ReplicaId>,
 }
 
-/// What an engine has least left of.
+/// Why an engine does not take a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Bound {
     /// Places for requests.
@@ -68,6 +68,8 @@
     Backlog,
     /// Time, as the prompt itself takes long to read.
     Reading,
+    /// It has failed more requests than is usual, and counts as fuller than it is.
+    Failures,
     /// It is not known, or nothing is there.
     None,
 }
@@ -79,6 +81,7 @@
             Bound::Memory => "memory",
             Bound::Backlog => "backlog",
             Bound::Reading => "reading",
+            Bound::Failures => "failures",
             Bound::None => "none",
         })
     }
@@ -95,7 +98,7 @@
         after: Span,
         /// How full the best of its homes is.
         full: f64,
-        /// What that engine has least left of.
+        /// Why that engine does not take it.
         bound: Bound,
     },
 }
@@ -105,8 +108,8 @@
     uncached: u32,
     /// How full the engine is with the request.
     full: Fullness,
-    /// What the engine has least left of.
-    bound: Bound,
+    /// The larger of the places.
+    place: Bound,
     /// Time to read all that stands before the first event, in milliseconds.
     wait: f64,
     cost: f64,
@@ -149,7 +152,26 @@
     Pick::Refuse {
         after: after(homes, wish),
         full: least.map_or(0.0, |r| r.full.most()),
-        bound: least.map_or(Bound::None, |r| r.bound),
+        bound: least.map_or(Bound::None, |r| r.exceeds(limit)),
+    }
+}
+
+impl Rated<'_> {
+    /// Returns which limit the engine exceeds most. Where it exceeds none but for its failures, these
+    /// are the reason.
+    fn exceeds(&self, limit: Fullness) -> Bound {
+        let penalty = self.engine.penalty;
+        let parts = [
+            (self.full.places - limit.places, self.place),
+            (self.full.backlog - limit.backlog, Bound::Backlog),
+            (self.full.own - limit.own, Bound::Reading),
+        ];
+        let most = parts.into_iter().max_by(|a, b| a.0.total_cmp(&b.0));
+        match most {
+            Some((over, _)) if over > 0.0 && over <= penalty => Bound::Failures,
+            Some((_, bound)) => bound,
+            None => Bound::None,
+        }
     }
 }
 
@@ -198,20 +220,16 @@
         backlog: before + engine.penalty,
         own: own + engine.penalty,
     };
-    let parts = [
-        (slots, Bound::Slots),
-        (memory, Bound::Memory),
-        (before, Bound::Backlog),
-        (own, Bound::Reading),
-    ];
-    let most = parts.into_iter().max_by(|a, b| a.0.total_cmp(&b.0));
-    let bound = most.map_or(Bound::None, |(_, bound)| bound);
+    let place = match slots >= memory {
+        true => Bound::Slots,
+        false => Bound::Memory,
+    };
     let cost = wait + (tuning.again_cost * f64::from(again) + copied) / engine.speed;
     Rated {
         engine,
         uncached,
         full,
-        bound,
+        place,
         wait,
         cost,
     }
--- a/crates/policy/src/quota/tally.rs
+++ b/crates/policy/src/quota/tally.rs
@@ -19,6 +19,8 @@
     pub begun: u64,
     /// Refused though the request was within its workspace's even part, as slots were taken.
     pub slots: u64,
+    /// The same, as their best engines fail requests.
+    pub failures: u64,
     /// The same for any other reason, such as time to be read.
     pub time: u64,
     /// Refused beyond the even part.
@@ -28,7 +30,7 @@
 impl Outcomes {
     /// Returns the tokens that were refused.
     pub fn refused(&self) -> u64 {
-        self.slots + self.time + self.beyond
+        self.slots + self.failures + self.time + self.beyond
     }
 }
 
@@ -59,12 +61,13 @@
         self.of(workspace).begun += tokens;
     }
 
-    /// Counts a request that is refused, by what its best engine had least left of.
+    /// Counts a request that is refused, by why its best engine does not take it.
     pub fn refused(&mut self, workspace: &WorkspaceId, tokens: u64, at: Standing, bound: Bound) {
         let counts = self.of(workspace);
         let count = match (at.even > 1.0, bound) {
             (true, _) => &mut counts.beyond,
             (false, Bound::Slots) => &mut counts.slots,
+            (false, Bound::Failures) => &mut counts.failures,
             (false, _) => &mut counts.time,
         };
         *count += tokens;
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -161,6 +161,26 @@
     assert_eq!(bound, Bound::Slots);
 }
 
+/// Guards against a refusal that is put down to slots, of which half are free, where others' prompts or
+/// failures of the engine are the reason.
+#[test]
+fn pick_refusal_tells_the_limit_exceeded() {
+    let bound = |change: &dyn Fn(&mut Candidate), standing| {
+        let mut all = engines(12);
+        for engine in &mut all {
+            engine.load.running = 22;
+            change(engine);
+        }
+        match choose(&all, standing) {
+            Pick::Refuse { bound, .. } => Some(bound),
+            Pick::Run(_) => None,
+        }
+    };
+    assert_eq!(bound(&|e| e.penalty = 0.9, 0.0), Some(Bound::Failures));
+    assert_eq!(bound(&|e| e.load.unread = 9_000, 5.0), Some(Bound::Backlog));
+    assert_eq!(bound(&|e| e.load.running = 58, 0.0), Some(Bound::Slots));
+}
+
 #[test]
 fn pick_flood_first_refused() {
     // One workspace floods the fleet. Everybody was refused alike then, and a small
--- a/crates/policy/tests/placement/quota.rs
+++ b/crates/policy/tests/placement/quota.rs
@@ -161,11 +161,13 @@
     tally.begun(&large, 10);
     tally.refused(&large, 20, at(0.5), Bound::Slots);
     tally.refused(&large, 30, at(0.5), Bound::Backlog);
+    tally.refused(&large, 35, at(0.5), Bound::Failures);
     tally.refused(&large, 40, at(1.5), Bound::Slots);
     tally.refused(&small, 5, at(0.0), Bound::Slots);
     let outcomes = Outcomes {
         begun: 10,
         slots: 20,
+        failures: 35,
         time: 30,
         beyond: 40,
     };
