policy: a fleet test of replicas after the store came back, at 1 to 370 routers

One, 8, 60, 300 and 370 routers read the list in turns and tell each other of it, its age, its era and who left. At 5 s the store is back from a copy with one of six replicas, without a read that failed; four come back within two seconds, one never. No router may lack a living replica at any moment, and none may still have the dead one at 14 s.

All hear all here; who hears whom in a real fleet is not in it.

--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -464,3 +464,70 @@
     list_at(&mut roster, 2, 70, &["a", "b"], 9_100);
     assert_eq!(ready(&roster), ["a", "b"]);
 }
+
+/// Replicas of [`after_a_return`]; the last of them is gone for good when the store is back.
+const REPLICAS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// Returns what the store lists: from 5 s on it is back from a copy with one replica, the others come
+/// back one after the other within two seconds, and the last never does.
+fn stored(ms: u64) -> Vec<&'static str> {
+    let back = match ms {
+        0..5_000 => REPLICAS.len(),
+        _ => (1 + (ms - 5_000) as usize / 450).min(REPLICAS.len() - 1),
+    };
+    REPLICAS[..back].to_vec()
+}
+
+/// Plays routers that read the list in turns and tell each other of it while the store comes back from
+/// an older copy, without a read that fails. Returns the most that any of them lacked of those that
+/// live, and how many still had the dead one at the end.
+fn after_a_return(routers: usize, every: u64) -> (usize, usize) {
+    let mut all: Vec<Roster<()>> = (0..routers).map(|_| Roster::default()).collect();
+    let living = &REPLICAS[..REPLICAS.len() - 1];
+    let mut lacked = 0;
+    for ms in (0..14_000).step_by(10) {
+        let now = at(ms);
+        for (n, router) in all.iter_mut().enumerate() {
+            let looks = (ms + n as u64 * 10) % Roster::<()>::LOOK.as_millis() == 0;
+            if looks && router.is_due(roll(n, ms), routers, now) {
+                let (era, number) = if ms < 5_000 {
+                    (1, 90)
+                } else {
+                    (2, 60 + ms / 100)
+                };
+                list_at(router, era, number, &stored(ms), ms);
+            }
+        }
+        for speaker in (0..routers).filter(|n| (ms + *n as u64 * 10) % every == 0) {
+            let Some(age) = all[speaker].age(now) else {
+                continue;
+            };
+            let (digest, era) = (all[speaker].digest(), all[speaker].era());
+            let (list, left) = (whole(&all[speaker]), all[speaker].left(now));
+            for other in (0..routers).filter(|n| *n != speaker) {
+                let router = &mut all[other];
+                router.named_era(era, now);
+                router.told(&left, now);
+                if router.peer_list(age, digest, now) && router.takes_list_of(era, now) {
+                    router.listed_by_peer(list.clone(), age, now);
+                }
+            }
+        }
+        for router in all.iter().filter(|r| r.age(now).is_some() && ms > 1_000) {
+            let has = living.iter().filter(|name| router.takes_work(&id(name)));
+            lacked = lacked.max(living.len() - has.count());
+        }
+    }
+    let dead = id(REPLICAS[REPLICAS.len() - 1]);
+    let keep = all.iter().filter(|r| r.takes_work(&dead)).count();
+    (lacked, keep)
+}
+
+/// Guards against any router of a fleet dropping replicas that live, or keeping one that does not, as its
+/// peers learn of the store's return at other moments.
+#[test]
+fn roster_store_went_back_for_all() {
+    for (routers, every) in [(1, 100), (8, 100), (60, 300), (300, 400), (370, 400)] {
+        assert_eq!(after_a_return(routers, every), (0, 0), "{routers}");
+    }
+}
