register: the router's own entry is an OwnEntry, as standing is a word of shares

quota::Standing tells where a request stands among its workspace's; the entry in the store had the same name in another module. No behaviour changes.

--- a/crates/gateway/src/follow/register.rs
+++ b/crates/gateway/src/follow/register.rs
@@ -110,7 +110,7 @@
     looked: Option<Instant>,
     looks: usize,
     /// Its entry, where one stands.
-    standing: Option<Standing>,
+    entry: Option<OwnEntry>,
     /// The newest era that was named. A lease is given up once for each that only peers name: the store
     /// may give out none of it.
     era: Era,
@@ -120,7 +120,7 @@
 
 /// This router's entry, as it wrote it.
 #[derive(Debug, Clone, Copy)]
-struct Standing {
+struct OwnEntry {
     lease: Lease,
     /// When the lease was renewed.
     renewed: Instant,
@@ -139,7 +139,7 @@
         started: Instant::now(),
         looked: None,
         looks: 0,
-        standing: None,
+        entry: None,
         era: gw.eras().newest(),
         behind: false,
     };
@@ -152,8 +152,8 @@
         own.keep_entry(&gw).await;
         task::sleep(TICK).await;
     }
-    if let Some(standing) = own.standing {
-        unregister(&gw, standing).await;
+    if let Some(entry) = own.entry {
+        unregister(&gw, entry).await;
     }
 }
 
@@ -177,24 +177,24 @@
             gw.tables().fleet.active_for(now) >= SETTLED
         };
         self.leave_older_lease(gw.eras());
-        match self.standing {
-            None if settled => self.standing = take_out(gw).await,
+        match self.entry {
+            None if settled => self.entry = take_out(gw).await,
             // The entry of one that only stands by ends with its lease.
-            Some(standing) if settled && standing.renewed.elapsed() >= RENEW => {
-                let goes_on = renew(gw, standing.lease).await;
-                self.standing = goes_on.then(|| Standing {
+            Some(entry) if settled && entry.renewed.elapsed() >= RENEW => {
+                let goes_on = renew(gw, entry.lease).await;
+                self.entry = goes_on.then(|| OwnEntry {
                     renewed: Instant::now(),
-                    ..standing
+                    ..entry
                 });
             }
-            Some(standing) if standing.renewed.elapsed() >= LEASE => self.standing = None,
+            Some(entry) if entry.renewed.elapsed() >= LEASE => self.entry = None,
             _ => {}
         }
         self.behind |= gw.tables().quarantine.takes_begun();
-        if let Some(standing) = self.standing.as_mut().filter(|_| self.behind) {
-            if let Some(revision) = write(gw, standing.lease).await {
-                standing.revision = revision;
-                standing.written = gw.now();
+        if let Some(entry) = self.entry.as_mut().filter(|_| self.behind) {
+            if let Some(revision) = write(gw, entry.lease).await {
+                entry.revision = revision;
+                entry.written = gw.now();
                 self.behind = false;
             }
         }
@@ -207,7 +207,7 @@
             self.era = eras.newest();
             era = self.era;
         }
-        if let Some(lost) = self.standing.take_if(|s| s.lease.era < era) {
+        if let Some(lost) = self.entry.take_if(|e| e.lease.era < era) {
             log::info!("event=register outcome=lost lease={} era={era}", lost.lease);
         }
     }
@@ -231,13 +231,13 @@
 
     /// Gives the entry up, to write it anew, where a list shows that it no longer stands.
     fn check(&mut self, gw: &Shared, seen: &[EntrySeen<'_>], asked: Time) {
-        let Some(Standing { lease, written, .. }) = self.standing else {
+        let Some(OwnEntry { lease, written, .. }) = self.entry else {
             return;
         };
         let state = entry_state(&gw.settings.name, lease.id, written, seen, asked);
         if state != EntryState::Stands {
             log::warn!("event=register outcome=lost lease={lease} cause={state:?}");
-            self.standing = None;
+            self.entry = None;
         }
     }
 }
@@ -246,14 +246,14 @@
 ///
 /// A lease is ended by its number, which is another router's where the store came back from an older
 /// copy. Whatever the number stands for, this router's key at the revision that it wrote is its own.
-async fn unregister(gw: &Shared, standing: Standing) {
+async fn unregister(gw: &Shared, entry: OwnEntry) {
     let name = gw.settings.name.to_string();
-    let deleted = (gw.store.unregister)(name, standing.revision).await;
+    let deleted = (gw.store.unregister)(name, entry.revision).await;
     gw.note_store("unregister", deleted.as_ref().err());
     if deleted != Ok(true) {
-        let Standing {
+        let OwnEntry {
             lease, revision, ..
-        } = standing;
+        } = entry;
         log::info!("event=register outcome=left lease={lease} revision={revision}");
     }
 }
@@ -270,14 +270,14 @@
     !ended
 }
 
-async fn take_out(gw: &Shared) -> Option<Standing> {
+async fn take_out(gw: &Shared) -> Option<OwnEntry> {
     let lease = (gw.store.lease)(LEASE).await;
     gw.note_store("lease", lease.as_ref().err());
     let lease = lease.ok()?;
     let renewed = Instant::now();
     let revision = write(gw, lease).await?;
     log::info!("event=register outcome=done lease={lease}");
-    Some(Standing {
+    Some(OwnEntry {
         lease,
         renewed,
         revision,
