placement: a workspace that gets far less than another finds slots beyond its preferred replicas

Cause: what a workspace is let through is decided by what it asks; nothing compared what it was given with what others were given.

Change: the standing of a request has the shortfall of its workspace: by how much less it was served than the best served one, or than it asked if that is less. With a shortfall above 0.25, requests within the max-min share go to engines up to 0.6 full, as those of workspaces within their fair share do. It fades with the interval of the load reports, as before with penalties.

New: standing_shortfall_against_the_best_served, spill_limit_of_a_workspace_that_lags.

--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -8,6 +8,9 @@
     serde::Deserialize, //
 };
 
+/// Shortfall from which a workspace finds slots beyond its preferred replicas. A workspace is to get
+/// no less than half of what others get.
+const SHORTFALL_MAX: f64 = 0.25;
 /// Load report interval at which the penalties for excess requests apply once.
 const BASE_LOAD_INTERVAL: Span = Span::millis(100);
 
@@ -44,7 +47,9 @@
     #[serde(rename = "spare")]
     pub spill_limit: f64,
     /// The same for a workspace within its fair share, so that it finds a slot anywhere before a
-    /// workspace that floods finds a second one.
+    /// workspace that floods finds a second one. It also holds for requests within the max-min
+    /// share of a workspace that gets far less than others, as it does if most of its requests
+    /// share a document and thus the preferred replicas.
     #[serde(rename = "spare-within")]
     pub spill_within: f64,
     /// Fullness from which requests of a workspace within its fair share are rejected.
@@ -131,10 +136,7 @@
     /// a workspace.
     pub fn spill_limit(&self, standing: UsageStanding, load_interval: Span) -> Fullness {
         let limit = self.limit(standing, load_interval);
-        let spill = match standing.share < self.over_from {
-            true => self.spill_within,
-            false => self.spill_limit,
-        };
+        let spill = self.spill(standing, load_interval);
         Fullness {
             occupancy: limit.occupancy.min(spill),
             backlog: limit.backlog.min(spill),
@@ -142,6 +144,19 @@
         }
     }
 
+    fn spill(&self, standing: UsageStanding, load_interval: Span) -> f64 {
+        if standing.share < self.over_from {
+            return self.spill_within;
+        }
+        let lags = standing.shortfall > SHORTFALL_MAX && standing.max_min_ratio <= 1.0;
+        if !lags {
+            return self.spill_limit;
+        }
+        // With late reports many routers would fill the same idle engine at once.
+        let timely = (2.0 - interval_factor(load_interval)).max(0.0);
+        self.spill_limit + (self.spill_within - self.spill_limit) * timely
+    }
+
     /// Returns the fullness up to which requests of a workspace are taken.
     ///
     /// A workspace that floods is rejected first, while those within their share still find slots.
@@ -160,9 +175,8 @@
         let over = over.clamp(excess, 1.0);
         let tail_start = 1.0 + self.excess_range;
         let tail = (standing.max_min_ratio - tail_start) / (self.tail_end - tail_start).max(0.01);
-        let scale = (load_interval.as_secs() / BASE_LOAD_INTERVAL.as_secs()).max(1.0);
-        let penalty =
-            scale * (self.excess_penalty * excess + self.tail_penalty * tail.clamp(0.0, 1.0));
+        let penalty = interval_factor(load_interval)
+            * (self.excess_penalty * excess + self.tail_penalty * tail.clamp(0.0, 1.0));
         let falls_to = |least: f64| self.full - (self.full - least) * over - penalty;
         Fullness {
             occupancy: falls_to(self.full_over),
@@ -172,6 +186,11 @@
     }
 }
 
+/// Returns how many times the base interval lies between two load reports, and at least 1.
+fn interval_factor(load_interval: Span) -> f64 {
+    (load_interval.as_secs() / BASE_LOAD_INTERVAL.as_secs()).max(1.0)
+}
+
 /// How full an engine is, or the fullness up to which it takes a request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Fullness {
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -101,6 +101,8 @@
     configured: f64,
     /// Of what was actually served to all workspaces, per second.
     max_min: f64,
+    /// What the best served workspace got over the window.
+    best: f64,
 }
 
 /// A request's position within the usage of its workspace, measured against the fair shares.
@@ -119,6 +121,9 @@
     pub demand: f64,
     /// The max-min share in tokens per second; 0 if the capacity is unknown.
     pub max_min_share: f64,
+    /// By which fraction the workspace was served less than the best served one, or than it
+    /// requested if that is less.
+    pub shortfall: f64,
 }
 
 impl WorkspaceKey {
@@ -340,6 +345,7 @@
         let fair_shares = self.fair_shares(now);
         let sum = self.sum(workspace, now);
         let recent = f64::from(sum.recent);
+        let owed = fair_shares.best.min(f64::from(sum.requested));
         UsageStanding {
             share: f64::from(sum.served) / fair_shares.configured.max(1.0),
             max_min_ratio: match recent <= fair_shares.max_min {
@@ -348,6 +354,7 @@
             },
             demand: recent,
             max_min_share: fair_shares.max_min,
+            shortfall: 1.0 - (f64::from(sum.served) / owed.max(1.0)).min(1.0),
         }
     }
 
@@ -365,12 +372,14 @@
         }
         let demands: Vec<f64> = all.values().map(|a| f64::from(a.requested)).collect();
         let recent: Vec<f64> = all.values().map(|a| f64::from(a.recent)).collect();
-        let given: f64 = all.values().map(|a| f64::from(a.served)).sum();
+        let served = || all.values().map(|a| f64::from(a.served));
+        let given: f64 = served().sum();
         let configured = self.capacity * self.local.length().as_secs();
         let part = RECENT_SPAN.as_secs() / self.local.length().as_secs();
         let fair_shares = FairShares {
             configured: max_min_share(&demands, configured),
             max_min: max_min_share(&recent, given.max(configured) * part),
+            best: served().fold(0.0, f64::max),
         };
         self.fair_shares = Some((now, fair_shares));
         fair_shares
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -274,6 +274,28 @@
 }
 
 /// Guards against a workspace being rejected within its max-min share while engines are half idle.
+/// Guards against rejecting a workspace that gets less than others while engines other than its
+/// preferred ones are half idle.
+#[test]
+fn spill_limit_of_a_workspace_that_lags() {
+    let tuning = Tuning::default();
+    let limit = |shortfall, max_min_ratio, interval| {
+        let standing = UsageStanding {
+            share: 3.0,
+            max_min_ratio,
+            shortfall,
+            ..UsageStanding::default()
+        };
+        tuning
+            .spill_limit(standing, Span::millis(interval))
+            .occupancy
+    };
+    assert!(limit(0.5, 0.9, 100) > 0.5);
+    assert!(limit(0.1, 0.9, 100) <= 0.3);
+    assert!(limit(0.5, 1.2, 100) <= 0.3);
+    assert!(limit(0.5, 0.9, 300) <= 0.3);
+}
+
 #[test]
 fn pick_max_min_share_at_a_half_idle_engine() {
     let mut all = engines(4);
--- a/crates/policy/tests/placement/quota.rs
+++ b/crates/policy/tests/placement/quota.rs
@@ -53,6 +53,24 @@
     assert!(quota.standing(LARGE, ROLL, at(100)).share <= 1.0);
 }
 
+/// Guards against a workspace that gets far less than another one without any router noticing.
+#[test]
+fn standing_shortfall_against_the_best_served() {
+    let mut quota = quota();
+    quota.record_requested(LARGE, 40_000.0, at(0));
+    quota.record_requested(SMALL, 3_000.0, at(0));
+    let served = UsageCounts {
+        served: 4_000.0,
+        ..UsageCounts::default()
+    };
+    quota.set_peer(&"r2".parse().unwrap(), &[(LARGE, served)], at(0));
+    quota.record_served(SMALL, 1_200.0, at(0));
+    assert_eq!(quota.standing(LARGE, ROLL, at(60)).shortfall, 0.0);
+    // It requested less than the best served one got.
+    let shortfall = quota.standing(SMALL, ROLL, at(60)).shortfall;
+    assert!((shortfall - 0.6).abs() < 1e-6, "{shortfall}");
+}
+
 /// Guards against a flood going first at a router that sees little of it.
 #[test]
 fn quota_flood_at_another_router() {
