evacuation: replicas of a zone that operators evacuate get no more requests

Nothing in the code knew of the order: only the configuration's key was watched.

Change. policy: `Evacuations` holds the orders with the store's revision at which they were complete. What the store or a peer reports is taken by revision and era, so the end of an earlier order undoes no later one, whatever comes first. A store that comes back from an older copy may lack an order: it is obeyed for 6 s more, in which the operators write it again. Orders that nothing has confirmed for 10 s are read from the store. platform: one range and one watch over all that operators write, decoded into the configuration and zones. gateway: one router watches for all; the orders follow each hello in the same datagram (32 bytes where there are none), and changes go to all at once. A datagram now holds messages one after the other; a router of an earlier version reads the hello and leaves the rest (decode_up_to_an_unknown_message). An instance is ready only once it knows the orders. Replicas are left out in the one place where first attempts, repeats, hedges, resumed streams and sources of copied prompt parts are chosen; what runs there goes on to its end. Log line event=evacuation, gauge chervilwind_zones_evacuated.

Ruled out: orders as fields of the hello or of the list of replicas, which earlier versions could not decode (rmp-serde checks the length of arrays).

Tests: policy tests/evacuation.rs (9), gateway tests/gateway/evacuation.rs (7). Without the filter in `available`, 6 of the 7 fail (evacuation_lets_streams_end holds either way). The empty datagram is an error as before; round trips of messages go through datagrams.

--- a/crates/gateway/src/fleet/messages.rs
+++ b/crates/gateway/src/fleet/messages.rs
@@ -13,6 +13,7 @@
             WorkspaceKey, //
         },
         Era,
+        EvacuationOrders,
         RouterId,
         Span, //
     },
@@ -47,6 +48,8 @@
     Summary(SummaryMessage),
     /// Everything that changes rarely; sent a few times a second.
     Hello(Box<HelloMessage>),
+    /// The zones to evacuate; follows a hello in the same datagram.
+    Evacuations(EvacuationOrders),
 }
 
 /// Fields that all messages have in common.
@@ -258,14 +261,39 @@
     }
 }
 
-impl PeerMessage {
-    /// Encodes the message as one datagram.
+/// Messages that are sent as one datagram, one after the other.
+///
+/// A router of an earlier version reads those that it knows, up to the first that it doesn't.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Datagram(pub(crate) Vec<PeerMessage>);
+
+impl Datagram {
     pub(crate) fn encode(&self) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-        rmp_serde::to_vec(self)
+        let mut bytes = Vec::new();
+        for message in &self.0 {
+            rmp_serde::encode::write(&mut bytes, message)?;
+        }
+        Ok(bytes)
     }
 
-    pub(crate) fn decode(bytes: &[u8]) -> Result<PeerMessage, rmp_serde::decode::Error> {
-        rmp_serde::from_slice(bytes)
+    /// Decodes the messages up to the first one that is not understood, and returns its error too.
+    pub(crate) fn decode(mut bytes: &[u8]) -> (Datagram, Option<rmp_serde::decode::Error>) {
+        let mut messages = Vec::new();
+        loop {
+            match rmp_serde::from_read(&mut bytes) {
+                Ok(message) => messages.push(message),
+                Err(e) => return (Datagram(messages), Some(e)),
+            }
+            if bytes.is_empty() {
+                return (Datagram(messages), None);
+            }
+        }
+    }
+}
+
+impl From<PeerMessage> for Datagram {
+    fn from(message: PeerMessage) -> Datagram {
+        Datagram(vec![message])
     }
 }
 
--- a/crates/gateway/src/fleet/messages/tests.rs
+++ b/crates/gateway/src/fleet/messages/tests.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        Datagram,
         HelloMessage,
         LoadMessage,
         MessageHeader,
@@ -21,7 +22,9 @@
             WorkspaceKey, //
         },
         Era,
+        EvacuationOrders,
         Incarnation,
+        Revision,
         Span, //
     },
 };
@@ -50,10 +53,21 @@
         .collect()
 }
 
+/// Encodes a message as one datagram and decodes it.
+fn round_trip(message: PeerMessage) -> PeerMessage {
+    let (Datagram(mut messages), error) = Datagram::decode(&encode(message));
+    assert!(error.is_none() && messages.len() == 1, "{error:?}");
+    messages.remove(0)
+}
+
+fn encode(message: PeerMessage) -> Vec<u8> {
+    Datagram::from(message).encode().unwrap()
+}
+
 #[test]
 fn loads_round_trip() {
     let message = PeerMessage::Loads(LoadMessage::new(header(7), &loads(3)));
-    let PeerMessage::Loads(back) = PeerMessage::decode(&message.encode().unwrap()).unwrap() else {
+    let PeerMessage::Loads(back) = round_trip(message) else {
         panic!("decoded as another message");
     };
     let header = back.header;
@@ -76,9 +90,10 @@
 fn load_message_is_small() {
     // Routers send load messages to each other many times a second, and all messages of a router
     // together may take 21 KB/s.
-    let bytes = PeerMessage::Loads(LoadMessage::new(header(u32::MAX), &loads(12)))
-        .encode()
-        .unwrap();
+    let bytes = encode(PeerMessage::Loads(LoadMessage::new(
+        header(u32::MAX),
+        &loads(12),
+    )));
     assert!(bytes.len() <= 200, "{}", bytes.len());
 }
 
@@ -96,8 +111,7 @@
 #[test]
 fn summary_round_trip() {
     let message = PeerMessage::Summary(SummaryMessage::new(header(7), 40, loads(3), counts(2)));
-    let PeerMessage::Summary(back) = PeerMessage::decode(&message.encode().unwrap()).unwrap()
-    else {
+    let PeerMessage::Summary(back) = round_trip(message) else {
         panic!("decoded as another message");
     };
     assert_eq!((back.header.from, back.sharers), (7, 40));
@@ -114,7 +128,7 @@
         loads(12_000),
         counts(6_100),
     ));
-    let bytes = message.encode().unwrap();
+    let bytes = encode(message);
     assert!(
         bytes.len() <= crate::fleet::receiver::MAX_DATAGRAM_BYTES,
         "{}",
@@ -122,10 +136,7 @@
     );
 }
 
-#[test]
-fn hello_message_is_small() {
-    // In a fleet of 370 an active router sends 100 hello messages per second. Most of its 21 KB/s
-    // must remain for load messages to the other active routers.
+fn hello() -> HelloMessage {
     let intro = RouterInfo {
         incarnation: Incarnation(u64::MAX),
         peers: "10.250.250.250:7400".parse().unwrap(),
@@ -134,7 +145,7 @@
         processor: 0.12,
         ready: true,
     };
-    let hello = HelloMessage {
+    HelloMessage {
         header: header(u32::MAX),
         name: "edge-richmond-c-100".parse().unwrap(),
         intro,
@@ -145,14 +156,61 @@
         silent: Vec::new(),
         wants_peers: false,
         known_peers: Vec::new(),
-    };
-    let bytes = PeerMessage::Hello(Box::new(hello)).encode().unwrap();
+    }
+}
+
+#[test]
+fn hello_message_is_small() {
+    // In a fleet of 370 an active router sends 100 hello messages per second. Most of its 21 KB/s
+    // must remain for load messages to the other active routers.
+    let bytes = encode(PeerMessage::Hello(Box::new(hello())));
     assert!(bytes.len() <= 140, "{}", bytes.len());
+    let none = EvacuationOrders {
+        revision: Revision {
+            era: Era(9),
+            number: u64::from(u32::MAX),
+        },
+        ..EvacuationOrders::default()
+    };
+    let more = encode(PeerMessage::Evacuations(none)).len();
+    assert!(more <= 32, "{more}");
+}
+
+/// Guards against a router of an earlier version that reads nothing of a datagram which also has a
+/// message that it doesn't know.
+#[test]
+fn decode_up_to_an_unknown_message() {
+    let mut bytes = encode(PeerMessage::Hello(Box::new(hello())));
+    bytes.extend(rmp_serde::to_vec(&("Later", 7)).unwrap());
+    let (Datagram(messages), error) = Datagram::decode(&bytes);
+    assert_eq!(messages, [PeerMessage::Hello(Box::new(hello()))]);
+    assert!(error.is_some());
+    let first: PeerMessage = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!(first, messages[0]);
+}
+
+#[test]
+fn evacuations_follow_a_hello() {
+    let orders = EvacuationOrders {
+        revision: Revision {
+            era: Era(1),
+            number: 40,
+        },
+        zones: ["hall-a".parse().unwrap()].into(),
+    };
+    let sent = Datagram(vec![
+        PeerMessage::Hello(Box::new(hello())),
+        PeerMessage::Evacuations(orders),
+    ]);
+    let (received, error) = Datagram::decode(&sent.encode().unwrap());
+    assert!(error.is_none());
+    assert_eq!(received, sent);
 }
 
 #[test]
 fn decode_rejects_garbage() {
     for bytes in [&b""[..], b"GET / HTTP/1.1", &[0xc1; 40]] {
-        assert!(PeerMessage::decode(bytes).is_err());
+        let (Datagram(messages), error) = Datagram::decode(bytes);
+        assert!(messages.is_empty() && error.is_some());
     }
 }
--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -4,6 +4,7 @@
     super::{
         documents,
         messages::{
+            Datagram,
             HelloMessage,
             LoadMessage,
             MessageHeader,
@@ -86,29 +87,41 @@
     };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let n = match receiver.socket.recv_from(&mut buf).await {
-            Ok((n, _)) => n,
+        let (n, from) = match receiver.socket.recv_from(&mut buf).await {
+            Ok(received) => received,
             Err(e) => {
                 log::warn!("event=peers outcome=receive-failed cause={e:?}");
                 task::sleep(RECEIVE_RETRY_DELAY).await;
                 continue;
             }
         };
-        match PeerMessage::decode(&buf[..n]) {
-            Ok(PeerMessage::Hello(hello)) if hello.name != receiver.gw.settings.name => {
-                if receiver.apply_hello(&hello) == HelloKind::First && hello.wants_peers {
-                    receiver.send_hello(hello.intro.peers).await;
-                }
-            }
-            Ok(PeerMessage::Hello(_)) => {}
-            Ok(PeerMessage::Loads(loads)) => receiver.apply_loads(&loads),
-            Ok(PeerMessage::Summary(summary)) => receiver.apply_summary(&summary),
-            Err(e) => log::debug!("event=peers outcome=not-understood cause={e:?}"),
+        let (Datagram(messages), error) = Datagram::decode(&buf[..n]);
+        for message in messages {
+            receiver.apply(message, from).await;
+        }
+        if let Some(e) = error {
+            log::debug!("event=peers outcome=not-understood cause={e:?}");
         }
     }
 }
 
 impl MessageReceiver {
+    async fn apply(&self, message: PeerMessage, from: SocketAddr) {
+        match message {
+            PeerMessage::Hello(hello) if hello.name != self.gw.settings.name => {
+                if self.apply_hello(&hello) == HelloKind::First && hello.wants_peers {
+                    self.send_hello(hello.intro.peers).await;
+                }
+            }
+            PeerMessage::Hello(_) => {}
+            PeerMessage::Loads(loads) => self.apply_loads(&loads),
+            PeerMessage::Summary(summary) => self.apply_summary(&summary),
+            PeerMessage::Evacuations(orders) => {
+                self.gw.apply_evacuations(orders, &from.to_string());
+            }
+        }
+    }
+
     fn apply_loads(&self, message: &LoadMessage) {
         let header = &message.header;
         let now = self.gw.now();
@@ -200,22 +213,16 @@
         let now = self.gw.now();
         let config = self.gw.config_version();
         let number = self.gw.next_message_number();
-        let hello = {
+        let datagram = {
             let tables = self.gw.tables();
             let state = tables.sender_state(&self.gw, number, config);
             let mut hello = tables.hello(&state, tables.fleet.hello_interval(), now);
             hello.known_peers = tables
                 .fleet
                 .sample_addresses(MAX_KNOWN_PEERS, fastrand::usize(..));
-            hello
+            tables.with_orders(hello)
         };
-        send(
-            &self.socket,
-            &PeerMessage::Hello(Box::new(hello)),
-            &[to],
-            false,
-        )
-        .await;
+        send(&self.socket, &datagram, &[to], false).await;
     }
 
     /// Applies the header of a message, and fetches what the sender has in a newer version.
--- a/crates/gateway/src/fleet/sender.rs
+++ b/crates/gateway/src/fleet/sender.rs
@@ -2,6 +2,7 @@
 
 use {
     super::messages::{
+        Datagram,
         HelloMessage,
         LoadMessage,
         MessageHeader,
@@ -40,8 +41,8 @@
 /// the operators' requests every second; reported by 270 routers, these would cause most messages.
 pub(super) const BUSY_REQUESTS: u32 = 4;
 
-/// A message and its receivers.
-type Addressed = (PeerMessage, Vec<SocketAddr>);
+/// A datagram and its receivers.
+type Addressed = (Datagram, Vec<SocketAddr>);
 
 /// What the sender remembers between two sends.
 #[derive(Debug, Clone, Copy)]
@@ -80,9 +81,9 @@
     };
     loop {
         state.intervals += 1;
-        let (messages, pause) = due_messages(&gw, &mut state);
-        for (message, to) in messages {
-            failed = send(&socket, &message, &to, failed).await;
+        let (datagrams, pause) = due_datagrams(&gw, &mut state);
+        for (datagram, to) in datagrams {
+            failed = send(&socket, &datagram, &to, failed).await;
         }
         state.woken = or(
             async {
@@ -95,15 +96,15 @@
     }
 }
 
-/// Sends a message to all receivers. Returns whether the last send failed; a failure is logged
+/// Sends a datagram to all receivers. Returns whether the last send failed; a failure is logged
 /// unless the previous send failed too.
 pub(super) async fn send(
     socket: &UdpSocket,
-    message: &PeerMessage,
+    datagram: &Datagram,
     to: &[SocketAddr],
     mut failed: bool,
 ) -> bool {
-    let bytes = match message.encode() {
+    let bytes = match datagram.encode() {
         Ok(bytes) => bytes,
         Err(e) => {
             log::error!("event=peers outcome=not-encoded cause={e:?}");
@@ -121,8 +122,8 @@
     failed
 }
 
-/// Returns the messages that are due now, and the time until the next ones.
-fn due_messages(gw: &Shared, state: &mut SendState) -> (Vec<Addressed>, Duration) {
+/// Returns the datagrams that are due now, and the time until the next ones.
+fn due_datagrams(gw: &Shared, state: &mut SendState) -> (Vec<Addressed>, Duration) {
     let now = gw.now();
     let ready = gw.is_ready();
     let config = gw.config_version();
@@ -146,21 +147,21 @@
     tables.quota.forget(now);
     tables.quarantine.forget(now);
     let header_state = tables.sender_state(gw, number, config);
-    let mut messages = Vec::new();
+    let mut datagrams = Vec::new();
     // The quarantine can't wait for the next hello: a request that ends replicas is sent to the
     // next replica within about 100 ms.
     let unreported = tables.quarantine.take_unreported();
     if unreported || state.intervals % HELLO_EVERY == 1 {
-        messages.extend(tables.hellos(&header_state, &due, now));
+        datagrams.extend(tables.hellos(&header_state, &due, now));
     }
-    messages.extend(tables.summaries(&header_state, &due, now));
+    datagrams.extend(tables.summaries(&header_state, &due, now));
     for (to, next) in [
         (due.remote, due.remote_next),
         (due.standbys, due.standbys_next),
     ] {
         if !to.is_empty() {
             let hello = tables.hello(&header_state, next, now);
-            messages.push((PeerMessage::Hello(Box::new(hello)), to));
+            datagrams.push((tables.with_orders(hello), to));
         }
     }
     drop(tables);
@@ -170,10 +171,10 @@
             let mut message = LoadMessage::new(header, &loads);
             message.to_active = to_active;
             message.from_active = acts_active;
-            messages.push((PeerMessage::Loads(message), to));
+            datagrams.push((PeerMessage::Loads(message).into(), to));
         }
     }
-    (messages, interval.into())
+    (datagrams, interval.into())
 }
 
 impl Tables {
@@ -209,7 +210,7 @@
                 let mut hello = self.hello(state, next, now);
                 hello.quarantine = self.quarantine.full_update(now);
                 hello.counts = counts.clone();
-                all.push((PeerMessage::Hello(Box::new(hello)), to));
+                all.push((self.with_orders(hello), to));
             }
         }
         all
@@ -222,14 +223,20 @@
             let header = MessageHeader::new(state, due.active_next);
             let loads = self.board.loads_except(name, now);
             let counts = self.quota.counts_except(name, now);
-            (
-                PeerMessage::Summary(SummaryMessage::new(header, sharers, loads, counts)),
-                vec![*addr],
-            )
+            let message = SummaryMessage::new(header, sharers, loads, counts);
+            (PeerMessage::Summary(message).into(), vec![*addr])
         };
         due.relayed.iter().map(summary).collect()
     }
 
+    /// Returns a datagram with a hello and the zones to evacuate.
+    pub(super) fn with_orders(&self, hello: HelloMessage) -> Datagram {
+        let mut messages = vec![PeerMessage::Hello(Box::new(hello))];
+        let orders = self.evacuations.orders().cloned();
+        messages.extend(orders.map(PeerMessage::Evacuations));
+        Datagram(messages)
+    }
+
     /// Returns a hello message whose successor is sent after `next`.
     pub(super) fn hello(&self, state: &SenderState, next: Span, now: Time) -> HelloMessage {
         HelloMessage {
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -1,11 +1,11 @@
 //! Keeps up with the platform's store: configuration, replicas and registered routers.
 
-mod config;
+mod operators;
 mod registration;
 mod replicas;
 
 pub(crate) use self::{
-    config::follow_config,
+    operators::follow_operators,
     registration::maintain_registration,
     replicas::{
         apply_peer_list,
--- a/crates/gateway/src/follow/operators.rs
+++ b/crates/gateway/src/follow/operators.rs
@@ -1,8 +1,9 @@
-//! Reads and watches the configuration in the store.
+//! Reads and watches what operators write to the store: the configuration, and zones to evacuate.
 
 use {
     crate::{
         state::Shared,
+        OperatorData,
         Revision,
         StoreError, //
     },
@@ -11,12 +12,12 @@
     std::sync::Arc, //
 };
 
-/// Source of a configuration, in log lines.
+/// Source of the operators' data, in log lines.
 const SOURCE: &str = "store";
 
-/// Puts each new configuration of the store in force while this router watches the store. A few
-/// routers watch at a time, and the others fetch the configuration from them.
-pub(crate) async fn follow_config(gw: Arc<Shared>) {
+/// Puts what operators write in force while this router watches the store. A few routers watch at a
+/// time, and the others get it from them.
+pub(crate) async fn follow_operators(gw: Arc<Shared>) {
     // Read once at startup: peers may not know this router yet, or have no configuration.
     if read(&gw).await.is_none() {
         back_off(&gw).await;
@@ -39,6 +40,9 @@
     let tables = gw.tables();
     let routers = tables.fleet.eligible_count();
     let delay = tables.fleet.standby_delay();
+    if tables.evacuations.needs_reading(now) {
+        return !gw.is_leaving();
+    }
     if tables.watch.confirmed_within(delay, now) {
         return false;
     }
@@ -67,7 +71,7 @@
 }
 
 /// Puts a configuration in force, and announces a new one to all peers at once.
-fn apply(gw: &Shared, document: Vec<u8>) {
+fn apply_config(gw: &Shared, document: Vec<u8>) {
     let before = gw.config_version();
     gw.apply_config(document, SOURCE);
     if gw.config_version() > before {
@@ -75,37 +79,46 @@
     }
 }
 
-/// Reads the configuration and applies it. Returns the revision to watch from.
+/// Reads all that operators have written and applies it. Returns the revision to watch from.
 async fn read(gw: &Shared) -> Option<Revision> {
-    let read = (gw.store.read_config)().await;
+    let read = (gw.store.read_operators)().await;
     gw.record_store_call("config", read.as_ref().err());
-    if read == Ok(None) {
+    let Ok(OperatorData {
+        config,
+        evacuations,
+    }) = read
+    else {
+        gw.tables().watch.failed();
+        return None;
+    };
+    let revision = evacuations.revision;
+    gw.apply_evacuations(evacuations, SOURCE);
+    let Some(config) = config else {
         log::debug!("event=config outcome=none from={SOURCE}");
-    }
-    let Ok(Some(read)) = read else {
         gw.tables().watch.failed();
         return None;
     };
     gw.tables().watch.confirmed(gw.now());
-    apply(gw, read.value);
-    Some(read.revision)
+    apply_config(gw, config);
+    Some(revision)
 }
 
 /// Watches for changes after a revision, until the store fails or another router watches.
 async fn watch(gw: &Shared, mut revision: Revision) {
     log::info!("event=watch outcome=begun revision={revision}");
     let cause = loop {
-        let watched = (gw.store.watch_config)(revision, Watch::LONG_POLL_TIMEOUT.into()).await;
+        let watched = (gw.store.watch_operators)(revision, Watch::LONG_POLL_TIMEOUT.into()).await;
         gw.record_store_call("watch", watched.as_ref().err());
         match watched {
-            Ok(watched) => {
+            Ok(changes) => {
                 gw.tables().watch.confirmed(gw.now());
-                if let Some(value) = watched.value {
-                    apply(gw, value);
+                revision.number = changes.revision.number.max(revision.number);
+                gw.apply_zone_changes(&changes.zones, revision, SOURCE);
+                if let Some(config) = changes.config {
+                    apply_config(gw, config);
                 }
-                revision.number = watched.revision.number.max(revision.number);
             }
-            // The changes since the revision are no longer available, so read the full value.
+            // The changes since the revision are no longer available, so read everything.
             Err(StoreError::Compacted) => match read(gw).await {
                 Some(newest) => revision = newest,
                 None => break "the store no longer answers",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,8 @@
         Engine,
         Lease,
         Limits,
+        OperatorChanges,
+        OperatorData,
         RegisteredRouter,
         Replica,
         ReplicaList,
@@ -45,9 +47,7 @@
         State,
         Store,
         StoreError,
-        StoreFuture,
-        Versioned,
-        WatchResult, //
+        StoreFuture, //
     },
     settings::{
         Bounds,
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -24,13 +24,13 @@
     },
     store::{
         Lease,
+        OperatorChanges,
+        OperatorData,
         RegisteredRouter,
         ReplicaList,
         Revision,
         Store,
         StoreError,
-        StoreFuture,
-        Versioned,
-        WatchResult, //
+        StoreFuture, //
     },
 };
--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -2,7 +2,11 @@
 
 use {
     super::Replica,
-    policy::Era,
+    policy::{
+        Era,
+        EvacuationOrders,
+        ZoneChange, //
+    },
     std::{
         fmt,
         future::Future,
@@ -19,10 +23,11 @@
 
 /// Calls to the store. Each sends one request, or one for each page, and never retries.
 pub struct Store {
-    /// Reads the configuration.
-    pub read_config: Box<dyn Fn() -> StoreFuture<Option<Versioned>> + Send + Sync>,
-    /// Waits for a change of the configuration after a revision, for at most the given time.
-    pub watch_config: Box<dyn Fn(Revision, Duration) -> StoreFuture<WatchResult> + Send + Sync>,
+    /// Reads all that operators have written.
+    pub read_operators: Box<dyn Fn() -> StoreFuture<OperatorData> + Send + Sync>,
+    /// Waits for operators' changes after a revision, for at most the given time.
+    pub watch_operators:
+        Box<dyn Fn(Revision, Duration) -> StoreFuture<OperatorChanges> + Send + Sync>,
     /// Lists all replicas, up to date.
     pub list_replicas: Box<dyn Fn() -> StoreFuture<ReplicaList> + Send + Sync>,
     /// Lists the entries of routers, which may be outdated by seconds.
@@ -73,20 +78,22 @@
     }
 }
 
-/// A value and the revision at which it was read.
+/// What operators have written.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Versioned {
-    /// The bytes as they were stored.
-    pub value: Vec<u8>,
-    /// The store's revision at the time, from which a watch can continue.
-    pub revision: Revision,
+pub struct OperatorData {
+    /// The configuration as it was stored, if there is one.
+    pub config: Option<Vec<u8>>,
+    /// The zones to evacuate, and the revision from which a watch can continue.
+    pub evacuations: EvacuationOrders,
 }
 
-/// The result of a watch.
+/// What operators have changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WatchResult {
-    /// The newest value among the changes, if there were any.
-    pub value: Option<Vec<u8>>,
+pub struct OperatorChanges {
+    /// The newest configuration, if it changed.
+    pub config: Option<Vec<u8>>,
+    /// Changes of the zones to evacuate, in order.
+    pub zones: Vec<ZoneChange>,
     /// The revision to continue from.
     pub revision: Revision,
 }
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -76,7 +76,7 @@
     body: Vec<u8>,
     arrived: Instant,
 ) -> Result<Request, LocalAnswer> {
-    let Some(force) = gw.current_config() else {
+    let Some(force) = gw.served_config() else {
         return Err(LocalAnswer::not_run(
             "this instance has no configuration yet; ask another",
             NOT_READY_RETRY_DELAY,
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -237,8 +237,8 @@
         (!candidates.is_empty()).then(|| pick_plain(&candidates, answer_state, fastrand::u64(..)))
     }
 
-    /// Returns the replicas of the request's service that take work and are not avoided because of
-    /// failures.
+    /// Returns the replicas of the request's service that take work, are in no evacuated zone and
+    /// are not avoided because of failures.
     fn available<'a>(
         &'a self,
         req: &'a Request,
@@ -248,6 +248,7 @@
         let ready = self.roster.ready();
         ready
             .filter(|(id, r)| r.service == req.service && !tried.contains(id))
+            .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
             .map(|(_, r)| (r.key(), r))
             .filter(move |(key, _)| self.health.get(key).is_none_or(|h| h.is_available(now)))
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -129,7 +129,7 @@
     task::spawn(fleet::serve_documents(gw.clone(), documents));
     task::spawn(fleet::receive_messages(gw.clone(), peers.clone()));
     task::spawn(fleet::send_messages(gw.clone(), peers));
-    task::spawn(follow::follow_config(gw.clone()));
+    task::spawn(follow::follow_operators(gw.clone()));
     task::spawn(follow::follow_replicas(gw.clone()));
     task::spawn(follow::maintain_registration(gw.clone()));
     task::spawn(serve::accept(gw.clone(), callers, stopped));
@@ -141,6 +141,7 @@
     loop {
         task::sleep(MAINTENANCE_INTERVAL).await;
         gw.pool.close_expired();
+        gw.forget_evacuations();
         log_rejections(&gw);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,13 +37,18 @@
         retry::Budget,
         Era,
         Eras,
+        EvacuationOrders,
+        EvacuationUpdate,
+        Evacuations,
         Incarnation,
+        Revision,
         Roster,
         RouterId,
         ServiceId,
         Span,
         Time,
-        Watch, //
+        Watch,
+        ZoneChange, //
     },
     rustc_hash::FxBuildHasher,
     std::{
@@ -96,6 +101,8 @@
     /// The other routers.
     pub(crate) fleet: Actives,
     pub(crate) watch: Watch,
+    /// Zones whose replicas get no requests.
+    pub(crate) evacuations: Evacuations,
 }
 
 /// State that all tasks of one gateway share.
@@ -124,6 +131,8 @@
     pub(crate) rejecting: AtomicBool,
     /// The list of replicas was received at least once.
     pub(crate) replicas_listed: AtomicBool,
+    /// The zones to evacuate were received at least once.
+    evacuations_known: AtomicBool,
     /// The last call to the store failed.
     pub(crate) store_lost: AtomicBool,
     /// The eras of the store that its answers and the peers reported.
@@ -161,6 +170,7 @@
                 quarantine: Quarantine::default(),
                 fleet: new_fleet(&settings, incarnation),
                 watch: Watch::default(),
+                evacuations: Evacuations::default(),
             }),
             pool: Pool::default(),
             wake,
@@ -170,6 +180,7 @@
             leaving: AtomicBool::new(false),
             rejecting: AtomicBool::new(false),
             replicas_listed: AtomicBool::new(false),
+            evacuations_known: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
             eras: Mutex::default(),
             active_requests: AtomicUsize::new(0),
@@ -239,7 +250,13 @@
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_leaving()
             && self.replicas_listed.load(Ordering::Relaxed)
-            && self.current_config().is_some()
+            && self.served_config().is_some()
+    }
+
+    /// Returns the configuration in force, once it is also known which zones get no requests.
+    pub(crate) fn served_config(&self) -> Option<Arc<CurrentConfig>> {
+        let known = self.evacuations_known.load(Ordering::Relaxed);
+        known.then(|| self.current_config()).flatten()
     }
 
     /// Puts a configuration in force if it is valid and newer than the one in force.
@@ -272,6 +289,43 @@
         true
     }
 
+    /// Applies the zones to evacuate that the store or a peer reports.
+    pub(crate) fn apply_evacuations(&self, orders: EvacuationOrders, from: &str) {
+        let now = self.now();
+        let update = self.tables().evacuations.apply(orders, now);
+        self.evacuations_known.store(true, Ordering::Relaxed);
+        self.finish_evacuations(&update, from);
+    }
+
+    /// Applies changes of the zones to evacuate that the store reports up to a revision.
+    pub(crate) fn apply_zone_changes(&self, changes: &[ZoneChange], at: Revision, from: &str) {
+        let now = self.now();
+        let update = self.tables().evacuations.apply_changes(changes, at, now);
+        self.finish_evacuations(&update, from);
+    }
+
+    /// Ends evacuations that were only held after the store came back from an older copy.
+    pub(crate) fn forget_evacuations(&self) {
+        let now = self.now();
+        let update = self.tables().evacuations.forget(now);
+        self.finish_evacuations(&update, "hold");
+    }
+
+    /// Logs changes of the zones to evacuate, and passes them on to all peers at once.
+    fn finish_evacuations(&self, update: &EvacuationUpdate, from: &str) {
+        let EvacuationUpdate { begun, ended } = update;
+        for (zones, outcome) in [(begun, "begun"), (ended, "ended")] {
+            for zone in zones {
+                log::warn!("event=evacuation outcome={outcome} zone={zone} from={from}");
+            }
+        }
+        if !begun.is_empty() || !ended.is_empty() {
+            let covered = self.tables().evacuations.covered(self.now()).len();
+            metrics::gauge!("chervilwind_zones_evacuated").set(covered as f64);
+            self.announce_to_all();
+        }
+    }
+
     /// Returns the eras of the store that its answers and the peers reported.
     pub(crate) fn eras(&self) -> Eras {
         *lock(&self.eras)
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -17,6 +17,8 @@
         Headers,
         Lease,
         Limits,
+        OperatorChanges,
+        OperatorData,
         RegisteredRouter,
         ReplicaList,
         Revision,
@@ -27,18 +29,20 @@
         State,
         Store,
         StoreError,
-        StoreFuture,
-        Versioned,
-        WatchResult, //
+        StoreFuture, //
     },
     policy::{
         placement::Prompt,
-        Era, //
+        Era,
+        EvacuationOrders,
+        Zone,
+        ZoneChange, //
     },
     serde_json::Value,
     std::{
         collections::{
             BTreeMap,
+            BTreeSet,
             HashMap, //
         },
         net::{
@@ -76,6 +80,10 @@
     pub(crate) revision: u64,
     /// The revision at which the configuration was written.
     pub(crate) config_revision: u64,
+    /// Zones that the operators evacuate.
+    pub(crate) evacuated: BTreeSet<Zone>,
+    /// Changes of these, with their revisions.
+    pub(crate) zone_changes: Vec<(u64, ZoneChange)>,
     pub(crate) replicas: Vec<gateway::Replica>,
     /// The way in which calls fail, if the store is down.
     pub(crate) fault: Option<StoreFault>,
@@ -266,31 +274,42 @@
     })
 }
 
-fn versioned(store: &FakeStore) -> Option<Versioned> {
-    Some(Versioned {
-        value: store.config.clone(),
-        revision: Revision {
-            era: Era(store.era),
-            number: store.revision,
+fn operator_data(store: &FakeStore) -> OperatorData {
+    OperatorData {
+        config: Some(store.config.clone()),
+        evacuations: EvacuationOrders {
+            revision: Revision {
+                era: Era(store.era),
+                number: store.revision,
+            },
+            zones: store.evacuated.clone(),
         },
-    })
+    }
 }
 
-fn watch(store: &SharedStore, after: Revision, wait: Duration) -> StoreFuture<WatchResult> {
+fn watch(store: &SharedStore, after: Revision, wait: Duration) -> StoreFuture<OperatorChanges> {
     let store = store.clone();
     Box::pin(async move {
         let until = Instant::now() + wait;
         loop {
-            let read = respond(&store, versioned).await?.unwrap();
-            let config_revision = store.lock().unwrap().config_revision;
-            if after.era != read.revision.era || after.number > read.revision.number {
+            let read = respond(&store, operator_data).await?;
+            let revision = read.evacuations.revision;
+            let (config_revision, changes) = {
+                let store = store.lock().unwrap();
+                (store.config_revision, store.zone_changes.clone())
+            };
+            if after.era != revision.era || after.number > revision.number {
                 return Err(StoreError::Compacted);
             }
-            if config_revision > after.number || Instant::now() >= until {
-                store.lock().unwrap().reported = read.revision.number;
-                return Ok(WatchResult {
-                    value: (config_revision > after.number).then_some(read.value),
-                    revision: read.revision,
+            let changes = changes.into_iter().filter(|(at, _)| *at > after.number);
+            let zones: Vec<ZoneChange> = changes.map(|(_, change)| change).collect();
+            let changed = config_revision > after.number || !zones.is_empty();
+            if changed || Instant::now() >= until {
+                store.lock().unwrap().reported = revision.number;
+                return Ok(OperatorChanges {
+                    config: read.config.filter(|_| config_revision > after.number),
+                    zones,
+                    revision,
                 });
             }
             task::sleep(Duration::from_millis(5)).await;
@@ -380,8 +399,8 @@
         handle(),
     );
     Store {
-        read_config: Box::new(move || respond(&a, versioned)),
-        watch_config: Box::new(move |after, wait| watch(&b, after, wait)),
+        read_operators: Box::new(move || respond(&a, operator_data)),
+        watch_operators: Box::new(move |after, wait| watch(&b, after, wait)),
         list_replicas: Box::new(move || respond(&c, list_replicas)),
         list_routers: Box::new(move || respond(&d, list_routers)),
         grant_lease: Box::new(move |_| take_lease(&e)),
@@ -515,6 +534,19 @@
         store.config_revision = store.revision;
     }
 
+    /// Begins or ends the evacuation of a zone.
+    pub(crate) fn evacuate(&self, zone: &str, evacuated: bool) {
+        let mut store = self.store.lock().unwrap();
+        let zone: Zone = zone.parse().unwrap();
+        match evacuated {
+            true => store.evacuated.insert(zone.clone()),
+            false => store.evacuated.remove(&zone),
+        };
+        store.revision += 1;
+        let change = (store.revision, ZoneChange { zone, evacuated });
+        store.zone_changes.push(change);
+    }
+
     /// Restores the store from a backup of `revision`, after which other keys than the
     /// configuration were written up to revision `now`.
     pub(crate) fn restore(&self, revision: u64, config: Vec<u8>, now: u64) {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod evacuation;
 mod fleet;
 mod harness;
 mod leaving;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer_state;
 mod dispatch;
 mod eras;
+mod evacuation;
 pub mod head;
 mod ids;
 pub mod limit;
@@ -58,6 +59,12 @@
         WorkspaceShare, //
     },
     eras::Eras,
+    evacuation::{
+        EvacuationOrders,
+        EvacuationUpdate,
+        Evacuations,
+        ZoneChange, //
+    },
     ids::{
         Era,
         IdError,
--- a/crates/policy/src/revision.rs
+++ b/crates/policy/src/revision.rs
@@ -2,6 +2,10 @@
 
 use {
     crate::Era,
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
     std::fmt, //
 };
 
@@ -16,8 +20,12 @@
 /// assert!(Revision { number: 12, ..before }.fell_since(before));
 /// assert!(!Revision { era: Era(2), number: 12 }.fell_since(before));
 /// assert_eq!(before.to_string(), "1.40");
+/// // Revisions of a later era come after all of an earlier one.
+/// assert!(Revision { era: Era(2), number: 12 } > before);
 /// ```
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct Revision {
     /// The era that the number belongs to.
     pub era: Era,
