warmup: cold replicas are assigned to a few routers, each with a fixed part of the limit

Nothing knew that replicas can be cold.

Change. policy::warmup: a replica is cold after its report says so, after it appears in a list that is not the router's first, and after the evacuation of its zone ends; for longer rather than shorter. It is assigned, by rendezvous hash, to four of the routers that are active or were within the last minute. Each sends it at most an eighth of the limit in any second, without asking: half of the limit in all, since while routers fail, restart or are cut off up to twice as many take it for theirs. A router that was killed or is out of reach keeps its part reserved. One that has been active for less than 2 s, or knows of others and reaches none, sends none. Routers report the cold replicas that they observed, not those that they were told of, after their hellos. The rate and time come with the configuration, the multiple and the slack with the settings; without these nothing is limited, as on the earlier deployments. observe_cold does not wait for the configuration: with the list first, all replicas counted as just started (warmup_at_a_router_that_starts failed so).

Ways weighed: an equal part for each router (62 of 32 requests: no whole one); parts by the rate that each router reports (a flood that begins at many at once makes each overrate its own); grants by an owner (a round trip of 100 ms for a state of 3 s).

Tests: policy tests/warmup.rs in virtual time at 8, 60, 300 and 370 routers (half killed and restarted, two halves, all killed, calm), gateway tests/gateway/warmup.rs (3). platform/src/tests.rs reads what is new.

--- a/crates/gateway/src/fleet/messages.rs
+++ b/crates/gateway/src/fleet/messages.rs
@@ -12,6 +12,7 @@
             UsageCounts,
             WorkspaceKey, //
         },
+        warmup::ColdReplica,
         Era,
         EvacuationOrders,
         RouterId,
@@ -50,6 +51,8 @@
     Hello(Box<HelloMessage>),
     /// The zones to evacuate; follows a hello in the same datagram.
     Evacuations(EvacuationOrders),
+    /// Replicas that the sender has seen to be cold; follows a hello in the same datagram.
+    ColdReplicas(Vec<ColdReplica>),
 }
 
 /// Fields that all messages have in common.
--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -119,6 +119,10 @@
             PeerMessage::Evacuations(orders) => {
                 self.gw.apply_evacuations(orders, &from.to_string());
             }
+            PeerMessage::ColdReplicas(replicas) => {
+                let now = self.gw.now();
+                self.gw.tables().warmup.apply_peer(&replicas, now);
+            }
         }
     }
 
@@ -220,7 +224,7 @@
             hello.known_peers = tables
                 .fleet
                 .sample_addresses(MAX_KNOWN_PEERS, fastrand::usize(..));
-            tables.with_orders(hello)
+            tables.datagram(hello, now)
         };
         send(&self.socket, &datagram, &[to], false).await;
     }
--- a/crates/gateway/src/fleet/sender.rs
+++ b/crates/gateway/src/fleet/sender.rs
@@ -31,6 +31,7 @@
         Time, //
     },
     std::{
+        cmp::Reverse,
         net::SocketAddr,
         sync::Arc,
         time::Duration, //
@@ -41,6 +42,9 @@
 /// the operators' requests every second; reported by 270 routers, these would cause most messages.
 pub(super) const BUSY_REQUESTS: u32 = 4;
 
+/// How many cold replicas a datagram names; a hello, and these, fit into the receiver's buffer.
+const MAX_COLD_REPLICAS: usize = 300;
+
 /// A datagram and its receivers.
 type Addressed = (Datagram, Vec<SocketAddr>);
 
@@ -137,6 +141,7 @@
     state.was_busy = busy;
     let due = tables.fleet.due(reports, urgent, now);
     state.record_active(&tables.fleet);
+    tables.observe_active(now);
     let acts_active = tables.fleet.acts_active(now);
     let interval = tables.fleet.gossip_interval();
     tables.board.set_report_interval(interval);
@@ -161,7 +166,7 @@
     ] {
         if !to.is_empty() {
             let hello = tables.hello(&header_state, next, now);
-            datagrams.push((tables.with_orders(hello), to));
+            datagrams.push((tables.datagram(hello, now), to));
         }
     }
     drop(tables);
@@ -178,6 +183,12 @@
 }
 
 impl Tables {
+    /// Records the routers among which cold replicas are assigned.
+    fn observe_active(&mut self, now: Time) {
+        let names = self.fleet.active_names();
+        self.warmup.assignment.observe_active(names, now);
+    }
+
     pub(super) fn sender_state(&self, gw: &Shared, number: u32, config: u64) -> SenderState {
         let now = gw.now();
         SenderState {
@@ -210,7 +221,7 @@
                 let mut hello = self.hello(state, next, now);
                 hello.quarantine = self.quarantine.full_update(now);
                 hello.counts = counts.clone();
-                all.push((self.with_orders(hello), to));
+                all.push((self.datagram(hello, now), to));
             }
         }
         all
@@ -229,11 +240,17 @@
         due.relayed.iter().map(summary).collect()
     }
 
-    /// Returns a datagram with a hello and the zones to evacuate.
-    pub(super) fn with_orders(&self, hello: HelloMessage) -> Datagram {
+    /// Returns a datagram with a hello, the zones to evacuate and the cold replicas.
+    pub(super) fn datagram(&self, hello: HelloMessage, now: Time) -> Datagram {
         let mut messages = vec![PeerMessage::Hello(Box::new(hello))];
         let orders = self.evacuations.orders().cloned();
         messages.extend(orders.map(PeerMessage::Evacuations));
+        let mut cold = self.warmup.report(now);
+        if !cold.is_empty() {
+            cold.sort_by_key(|c| Reverse(c.remaining));
+            cold.truncate(MAX_COLD_REPLICAS);
+            messages.push(PeerMessage::ColdReplicas(cold));
+        }
         Datagram(messages)
     }
 
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -16,7 +16,8 @@
         Listed,
         ReplicaId,
         Roster,
-        Span, //
+        Span,
+        Time, //
     },
     std::{
         collections::HashSet,
@@ -65,6 +66,7 @@
 /// Applies a list that was read from the store.
 fn apply_store_list(gw: &Shared, list: ReplicaList) {
     let now = gw.now();
+    observe_cold(gw, &list.replicas, now);
     let departed = {
         let roster = &mut gw.tables().roster;
         roster.set_revision(list.revision, now);
@@ -86,15 +88,36 @@
 ) {
     let now = gw.now();
     let departed = {
-        let roster = &mut gw.tables().roster;
+        let mut tables = gw.tables();
+        let roster = &mut tables.roster;
         if !roster.accepts_list_of(era, now) {
             return;
         }
+        drop(tables);
+        observe_cold(gw, &list, now - age);
+        let roster = &mut gw.tables().roster;
         roster.apply_peer_list(listed_replicas(list), age, now)
     };
     finish_update(gw, &departed, &from.to_string());
 }
 
+/// Records which replicas of a list are cold. One that was not listed before has just started,
+/// unless this is the first list.
+fn observe_cold(gw: &Shared, list: &[Replica], made: Time) {
+    let current = gw.current_config();
+    let now = gw.now();
+    let first = !gw.replicas_listed.load(Ordering::Relaxed);
+    let mut tables = gw.tables();
+    for replica in list {
+        let known = tables.warmup.listed(replica.key(), replica.cold, made);
+        let current = current.as_ref().filter(|_| !known && !first);
+        let start = current.and_then(|c| gw.cold_start(&c.config, &replica.service));
+        if let Some(start) = start {
+            tables.warmup.started(replica.key(), start, now);
+        }
+    }
+}
+
 fn listed_replicas(list: Vec<Replica>) -> impl Iterator<Item = Listed<Arc<Replica>>> {
     list.into_iter().map(|r| Listed {
         id: r.id.clone(),
@@ -114,6 +137,7 @@
     tables.latencies.retain(|key| known.contains(&key));
     tables.health.retain(|key, _| known.contains(key));
     tables.last_received.retain(|key, _| known.contains(key));
+    tables.warmup.retain(|key| known.contains(&key), now);
     tables
         .cached_prefixes
         .retain(|(key, _), at| known.contains(key) && now.since(*at).as_secs() < CACHE_RETENTION_S);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,7 +47,8 @@
         State,
         Store,
         StoreError,
-        StoreFuture, //
+        StoreFuture,
+        WarmupRate, //
     },
     settings::{
         Bounds,
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -70,6 +70,17 @@
 pub struct Service {
     /// Properties of its engines; none for a plain service.
     pub engine: Option<Engine>,
+    /// How its replicas behave after they started; none if they take any number of requests at once.
+    pub warmup: Option<WarmupRate>,
+}
+
+/// What the replicas of a service stand while they are cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmupRate {
+    /// How long a replica is cold after it started.
+    pub lasts: Duration,
+    /// Requests per second that a cold replica stands.
+    pub requests: f64,
 }
 
 /// Properties of a service's inference engines.
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -12,7 +12,8 @@
         Limits,
         Route,
         RouteKind,
-        Service, //
+        Service,
+        WarmupRate, //
     },
     dialect::{
         AddressQuery,
--- a/crates/gateway/src/model/replica.rs
+++ b/crates/gateway/src/model/replica.rs
@@ -3,6 +3,7 @@
 use {
     policy::{
         placement::ReplicaKey,
+        warmup::ColdReport,
         ReplicaId,
         ServiceId,
         StartedAt,
@@ -33,6 +34,10 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub state: State,
+    /// What it last reported about being cold. Lists of peers don't tell, as peers report cold
+    /// replicas by themselves.
+    #[serde(skip)]
+    pub cold: Option<ColdReport>,
 }
 
 impl Replica {
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -26,6 +26,7 @@
             PlainCandidate,
             Prompt,
             ReplicaKey,
+            ReplicaSet,
             View, //
         },
         quota::{
@@ -180,9 +181,10 @@
             active: self.fleet.is_active(),
         };
         let baseline = self.baseline_failures(req);
+        let barred = self.barred(gw, req, now);
         let affinity_key = prompt.affinity_key().unwrap_or_default();
         let candidates: Vec<Candidate> = self
-            .available(req, tried, now)
+            .available(req, tried, &barred, now)
             .map(|(key, replica)| Candidate {
                 id: replica.id.clone(),
                 key,
@@ -222,8 +224,9 @@
         now: Time,
     ) -> Option<Pick> {
         let baseline = self.baseline_failures(req);
+        let barred = self.barred(gw, req, now);
         let candidates: Vec<PlainCandidate> = self
-            .available(req, tried, now)
+            .available(req, tried, &barred, now)
             .map(|(key, replica)| PlainCandidate {
                 id: replica.id.clone(),
                 key,
@@ -237,12 +240,25 @@
         (!candidates.is_empty()).then(|| pick_plain(&candidates, answer_state, fastrand::u64(..)))
     }
 
+    /// Returns the cold replicas of the request's service that get no more requests from here now.
+    fn barred(&mut self, gw: &Shared, req: &Request, now: Time) -> ReplicaSet {
+        match gw.settings.bounds.cold_start(req.service_info.warmup) {
+            Some(start) => {
+                let joined_for = self.fleet.joined_for(now);
+                self.warmup
+                    .barred(start, self.fleet.name(), joined_for, now)
+            }
+            None => ReplicaSet::default(),
+        }
+    }
+
     /// Returns the replicas of the request's service that take work, are in no evacuated zone and
-    /// are not avoided because of failures.
+    /// are not avoided, because of failures or because they are cold.
     fn available<'a>(
         &'a self,
         req: &'a Request,
         tried: &'a [ReplicaId],
+        barred: &'a ReplicaSet,
         now: Time,
     ) -> impl Iterator<Item = (ReplicaKey, &'a Arc<Replica>)> {
         let ready = self.roster.ready();
@@ -250,6 +266,7 @@
             .filter(|(id, r)| r.service == req.service && !tried.contains(id))
             .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
             .map(|(_, r)| (r.key(), r))
+            .filter(|(key, _)| !barred.contains(key))
             .filter(move |(key, _)| self.health.get(key).is_none_or(|h| h.is_available(now)))
     }
 
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -107,6 +107,7 @@
             memory: prompt.map_or(0, |p| u64::from(p.total + p.output)),
         };
         self.board.start(choice.key, load);
+        self.warmup.record_sent(choice.key, now);
         self.health.entry(choice.key).or_default().sent(now);
         if let Some(affinity_key) = prompt.and_then(Prompt::affinity_key) {
             self.cached_prefixes.insert((choice.key, affinity_key), now);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,9 +1,11 @@
 //! The settings of one instance.
 
 use {
+    crate::WarmupRate,
     miette::Diagnostic,
     policy::{
         placement::Tuning,
+        warmup::ColdStart,
         RouterId,
         Zone, //
     },
@@ -107,6 +109,13 @@
     pub retry_window_s: f64,
     /// The window over which workspaces have fair shares.
     pub fair_window_s: f64,
+    /// Requests that all routers together may send to a cold replica in any second, as a multiple of
+    /// the rate that it stands. Without it, cold replicas get as many as others.
+    #[serde(default)]
+    pub cold_excess: Option<f64>,
+    /// Requests allowed in addition to that.
+    #[serde(default)]
+    pub cold_slack: f64,
 }
 
 /// Resources of the instance.
@@ -199,6 +208,8 @@
         let non_negative = [
             ("retry-ratio", self.retry_ratio),
             ("retry-slack", self.retry_slack),
+            ("cold-excess", self.cold_excess.unwrap_or_default()),
+            ("cold-slack", self.cold_slack),
         ];
         for (name, value) in non_negative {
             if !(value.is_finite() && value >= 0.0) {
@@ -208,6 +219,15 @@
         Ok(())
     }
 
+    /// Returns how replicas of a service start, if the number of requests to cold ones is limited.
+    pub(crate) fn cold_start(&self, rate: Option<WarmupRate>) -> Option<ColdStart> {
+        let (rate, excess) = (rate?, self.cold_excess?);
+        Some(ColdStart {
+            lasts: rate.lasts.into(),
+            requests: (rate.requests * excess + self.cold_slack) as u32,
+        })
+    }
+
     /// Returns the time from SIGTERM to SIGKILL.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,6 +35,10 @@
             Tally, //
         },
         retry::Budget,
+        warmup::{
+            ColdStart,
+            Warmup, //
+        },
         Era,
         Eras,
         EvacuationOrders,
@@ -48,6 +52,7 @@
         Span,
         Time,
         Watch,
+        Zone,
         ZoneChange, //
     },
     rustc_hash::FxBuildHasher,
@@ -103,6 +108,8 @@
     pub(crate) watch: Watch,
     /// Zones whose replicas get no requests.
     pub(crate) evacuations: Evacuations,
+    /// Replicas that are cold.
+    pub(crate) warmup: Warmup,
 }
 
 /// State that all tasks of one gateway share.
@@ -171,6 +178,7 @@
                 fleet: new_fleet(&settings, incarnation),
                 watch: Watch::default(),
                 evacuations: Evacuations::default(),
+                warmup: Warmup::default(),
             }),
             pool: Pool::default(),
             wake,
@@ -311,6 +319,28 @@
         self.finish_evacuations(&update, "hold");
     }
 
+    /// Returns how replicas of a service start, if the number of requests to cold ones is limited.
+    pub(crate) fn cold_start(&self, config: &Config, service: &ServiceId) -> Option<ColdStart> {
+        let rate = config.services.get(service).and_then(|s| s.warmup);
+        self.settings.bounds.cold_start(rate)
+    }
+
+    /// Records that the replicas of these zones are cold, as they got no requests for some time.
+    fn mark_cold(&self, zones: &[Zone]) {
+        let now = self.now();
+        let Some(current) = self.current_config() else {
+            return;
+        };
+        let mut tables = self.tables();
+        let tables = &mut *tables;
+        for (_, replica) in tables.roster.known() {
+            let start = self.cold_start(&current.config, &replica.service);
+            if let Some(start) = start.filter(|_| zones.contains(&replica.zone)) {
+                tables.warmup.started(replica.key(), start, now);
+            }
+        }
+    }
+
     /// Logs changes of the zones to evacuate, and passes them on to all peers at once.
     fn finish_evacuations(&self, update: &EvacuationUpdate, from: &str) {
         let EvacuationUpdate { begun, ended } = update;
@@ -320,6 +350,7 @@
             }
         }
         if !begun.is_empty() || !ended.is_empty() {
+            self.mark_cold(ended);
             let covered = self.tables().evacuations.covered(self.now()).len();
             metrics::gauge!("chervilwind_zones_evacuated").set(covered as f64);
             self.announce_to_all();
--- a/crates/gateway/tests/gateway/evacuation.rs
+++ b/crates/gateway/tests/gateway/evacuation.rs
@@ -6,7 +6,10 @@
             get_request,
             Answer, //
         },
-        fleet::echo,
+        fleet::{
+            echo,
+            start_pair_with, //
+        },
         harness::{
             config,
             entry,
@@ -57,16 +60,11 @@
 
 /// Starts a second gateway, with a store of its own that fails.
 fn start_peer(first: &TestGateway, replicas: [&Replica; 2], fault: StoreFault) -> TestGateway {
-    let seed = first.settings.listen.peers;
     let store = FakeStore {
         fault: Some(fault),
         ..store_of(replicas)
     };
-    TestGateway::start_with(Arc::new(Mutex::new(store)), "g2", |settings| {
-        settings.listen.peers.set_ip("127.0.0.2".parse().unwrap());
-        settings.listen.peers.set_port(seed.port());
-        settings.fleet.seeds = vec![seed];
-    })
+    start_pair_with(first, store, |_| {})
 }
 
 /// Sends requests until a dozen in a row leave the replica out.
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -4,6 +4,7 @@
     crate::{
         harness::{
             wait_until,
+            FakeStore,
             StoreFault,
             TestGateway, //
         },
@@ -13,7 +14,10 @@
             Step, //
         },
     },
-    gateway::State,
+    gateway::{
+        Settings,
+        State, //
+    },
     std::{
         sync::{
             Arc,
@@ -25,23 +29,33 @@
 
 pub(crate) fn start_pair(replica: &Replica) -> (TestGateway, TestGateway) {
     let first = TestGateway::start(&[("i-1", replica)]);
-    let seed = first.settings.listen.peers;
     let store = {
         let store = first.store.lock().unwrap();
-        crate::harness::FakeStore {
+        FakeStore {
             config: store.config.clone(),
             replicas: store.replicas.clone(),
-            ..crate::harness::FakeStore::default()
+            ..FakeStore::default()
         }
     };
+    let second = start_pair_with(&first, store, |_| {});
+    second.wait_ready();
+    (first, second)
+}
+
+/// Starts a second gateway beside a first one, with a store of its own.
+pub(crate) fn start_pair_with(
+    first: &TestGateway,
+    store: FakeStore,
+    change: impl FnOnce(&mut Settings),
+) -> TestGateway {
+    let seed = first.settings.listen.peers;
     // Instances receive messages at the same port of different addresses.
-    let second = TestGateway::start_with(Arc::new(Mutex::new(store)), "g2", |settings| {
+    TestGateway::start_with(Arc::new(Mutex::new(store)), "g2", |settings| {
         settings.listen.peers.set_ip("127.0.0.2".parse().unwrap());
         settings.listen.peers.set_port(seed.port());
         settings.fleet.seeds = vec![seed];
-    });
-    second.wait_ready();
-    (first, second)
+        change(settings);
+    })
 }
 
 /// Returns the addresses that an instance lists for callers.
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -29,7 +29,8 @@
         State,
         Store,
         StoreError,
-        StoreFuture, //
+        StoreFuture,
+        WarmupRate, //
     },
     policy::{
         placement::Prompt,
@@ -199,9 +200,15 @@
         };
         config.add_route("a.example", route);
     }
-    config
-        .services
-        .insert("s".parse().unwrap(), Service::default());
+    let warmup = json["cold-requests"].as_f64().map(|requests| WarmupRate {
+        lasts: Duration::from_secs(3),
+        requests,
+    });
+    let service = Service {
+        warmup,
+        ..Service::default()
+    };
+    config.services.insert("s".parse().unwrap(), service);
     let keys = json["keys"].as_object().ok_or("no keys")?;
     let holders = keys.iter().map(|(key, name)| {
         let name = name.as_str().unwrap();
@@ -470,6 +477,7 @@
         zone: "z1".parse().unwrap(),
         slots: 6,
         state: State::Ready,
+        cold: None,
     }
 }
 
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,3 +14,4 @@
 mod standby;
 mod store_restore;
 mod streams;
+mod warmup;
--- a/crates/policy/src/actives/set.rs
+++ b/crates/policy/src/actives/set.rs
@@ -139,6 +139,21 @@
         self.active_since.map_or(Span::ZERO, |at| now.since(at))
     }
 
+    /// Returns for how long this router has been active while it had contact to others, if there
+    /// are any.
+    pub fn joined_for(&self, now: Time) -> Span {
+        match self.contacts.len() > 0 && self.live(now).next().is_none() {
+            true => Span::ZERO,
+            false => self.active_for(now),
+        }
+    }
+
+    /// Returns the names of the active routers, including this one if it is active.
+    pub fn active_names(&self) -> impl Iterator<Item = &RouterId> {
+        let local = self.is_active().then_some(&self.name);
+        self.active.iter().chain(local)
+    }
+
     /// Returns the number of active routers, including this one if it is active.
     pub fn active_count(&self) -> usize {
         self.active.len() + usize::from(self.is_active())
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 mod turn;
 mod units;
 mod validity;
+pub mod warmup;
 mod watch;
 
 pub use self::{
--- a/crates/policy/src/placement/board.rs
+++ b/crates/policy/src/placement/board.rs
@@ -16,7 +16,8 @@
     },
     std::collections::{
         BTreeSet,
-        HashMap, //
+        HashMap,
+        HashSet, //
     },
     xxhash_rust::xxh3::xxh3_64_with_seed, //
 };
@@ -44,6 +45,9 @@
 /// hasher protects against keys that callers choose, which these are not.
 pub type ReplicaMap<V> = HashMap<ReplicaKey, V, FxBuildHasher>;
 
+/// A set of replicas.
+pub type ReplicaSet = HashSet<ReplicaKey, FxBuildHasher>;
+
 /// What a router knows of the requests at all replicas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct View {
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -20,6 +20,7 @@
         Load,
         ReplicaKey,
         ReplicaMap,
+        ReplicaSet,
         View, //
     },
     engine::{
