gateway: what has arrived of a stream is forwarded with one write, its end included

One that is late finds several chunks of a stream at once, and wrote each to the caller by itself, and the end of the body once more.

Change: ChunkDecoder decodes from the buffer without waiting, so a read takes all parts that are there, and the end of the stream goes out with the last events. Events that are complete before a failure are forwarded before it counts. The head of a request and a body of up to 64 KiB go to the replica together.

Tests: http/body/tests.rs (3), stream_with_a_gap_is_cut holds unchanged (what came before the failure is delivered).

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -1,7 +1,10 @@
 //! Message bodies, read in parts.
 
 use super::{
-    chunk::ChunkDecoder,
+    chunk::{
+        ChunkDecoder,
+        Decoded, //
+    },
     Conn,
     Head,
     HeadError,
@@ -88,6 +91,27 @@
         Ok(part)
     }
 
+    /// Returns the next part of a chunked body that is buffered already; none if there is none, or if
+    /// the body has ended.
+    pub(crate) fn buffered_part(&mut self, conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadError> {
+        if self.ended || self.framing != Framing::Chunked {
+            return Ok(None);
+        }
+        match self.chunks.decode(conn)? {
+            Decoded::Part(part) => Ok(Some(part)),
+            Decoded::Incomplete => Ok(None),
+            Decoded::Ended => {
+                self.ended = true;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Returns whether the body was read to its end.
+    pub(crate) fn ended(&self) -> bool {
+        self.ended
+    }
+
     async fn read_sized(&mut self, conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadError> {
         let part = conn.read_some(self.left).await?;
         self.left -= part.len() as u64;
@@ -124,3 +148,6 @@
         Err(e) => Err(e),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/http/chunk.rs
+++ b/crates/gateway/src/http/chunk.rs
@@ -19,84 +19,103 @@
     Inside(u64),
     /// Before the line end that closes a chunk.
     LineEnd,
-    /// In the trailer after the last chunk.
-    Trailer,
+    /// In the trailer after the last chunk, of which this many bytes were read.
+    Trailer(usize),
+    Ended,
+}
+
+/// What the buffered bytes hold of a body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Decoded {
+    /// A part of the body.
+    Part(Vec<u8>),
+    /// Nothing without more bytes.
+    Incomplete,
+    /// The end of the body.
     Ended,
 }
 
 impl ChunkDecoder {
     /// Reads the next part of the body; none at its end.
+    ///
+    /// Cancel safe: if the future is dropped, no bytes are lost.
     pub(crate) async fn read_part(
         &mut self,
         conn: &mut Conn,
     ) -> Result<Option<Vec<u8>>, ReadError> {
         loop {
-            match *self {
-                ChunkDecoder::Length => *self = read_length(conn).await?,
+            match self.decode(conn)? {
+                Decoded::Part(part) => return Ok(Some(part)),
+                Decoded::Incomplete => conn.read_more().await?,
+                Decoded::Ended => return Ok(None),
+            }
+        }
+    }
+
+    /// Decodes the next part of the body from the buffered bytes.
+    pub(crate) fn decode(&mut self, conn: &mut Conn) -> Result<Decoded, ReadError> {
+        loop {
+            let next = match *self {
+                ChunkDecoder::Length => decode_length(conn)?,
+                ChunkDecoder::Inside(_) if conn.buffered().is_empty() => None,
                 ChunkDecoder::Inside(left) => {
-                    let part = conn.read_some(left).await?;
+                    let part = conn.take_buffered(left);
                     *self = match left - part.len() as u64 {
                         0 => ChunkDecoder::LineEnd,
                         left => ChunkDecoder::Inside(left),
                     };
-                    return Ok(Some(part));
-                }
-                ChunkDecoder::LineEnd => {
-                    while conn.buffered().len() < 2 {
-                        conn.read_more().await?;
-                    }
-                    if !conn.buffered().starts_with(b"\r\n") {
-                        return Err(ReadError::Body("a chunk is longer than its stated size"));
-                    }
-                    conn.consume(2);
-                    *self = ChunkDecoder::Length;
-                }
-                ChunkDecoder::Trailer => {
-                    read_trailer(conn).await?;
-                    *self = ChunkDecoder::Ended;
+                    return Ok(Decoded::Part(part));
                 }
-                ChunkDecoder::Ended => return Ok(None),
+                ChunkDecoder::LineEnd => decode_line_end(conn)?,
+                ChunkDecoder::Trailer(read) => decode_trailer(conn, read)?,
+                ChunkDecoder::Ended => return Ok(Decoded::Ended),
+            };
+            match next {
+                Some(next) => *self = next,
+                None => return Ok(Decoded::Incomplete),
             }
         }
     }
 }
 
-async fn read_length(conn: &mut Conn) -> Result<ChunkDecoder, ReadError> {
-    loop {
-        match httparse::parse_chunk_size(conn.buffered()) {
-            Ok(httparse::Status::Complete((len, size))) => {
-                conn.consume(len);
-                return Ok(match size {
-                    0 => ChunkDecoder::Trailer,
-                    size => ChunkDecoder::Inside(size),
-                });
-            }
-            Ok(httparse::Status::Partial) if conn.buffered().len() < LINE_MAX => {
-                conn.read_more().await?
-            }
-            _ => return Err(ReadError::Body("invalid chunk size")),
+fn decode_length(conn: &mut Conn) -> Result<Option<ChunkDecoder>, ReadError> {
+    match httparse::parse_chunk_size(conn.buffered()) {
+        Ok(httparse::Status::Complete((len, size))) => {
+            conn.consume(len);
+            Ok(Some(match size {
+                0 => ChunkDecoder::Trailer(0),
+                size => ChunkDecoder::Inside(size),
+            }))
         }
+        Ok(httparse::Status::Partial) if conn.buffered().len() < LINE_MAX => Ok(None),
+        _ => Err(ReadError::Body("invalid chunk size")),
     }
 }
 
-/// Reads the trailer and discards it.
-async fn read_trailer(conn: &mut Conn) -> Result<(), ReadError> {
-    let mut read = 0;
-    loop {
-        let end = conn.buffered().windows(2).position(|w| w == b"\r\n");
-        match end {
-            Some(0) => {
-                conn.consume(2);
-                return Ok(());
-            }
-            Some(n) => {
-                read += n;
-                conn.consume(n + 2);
-            }
-            None => conn.read_more().await?,
-        }
-        if read > TRAILER_MAX || conn.buffered().len() > TRAILER_MAX && end.is_none() {
-            return Err(ReadError::Body("the trailer is too long"));
-        }
+fn decode_line_end(conn: &mut Conn) -> Result<Option<ChunkDecoder>, ReadError> {
+    if conn.buffered().len() < 2 {
+        return Ok(None);
+    }
+    if !conn.buffered().starts_with(b"\r\n") {
+        return Err(ReadError::Body("a chunk is longer than its stated size"));
+    }
+    conn.consume(2);
+    Ok(Some(ChunkDecoder::Length))
+}
+
+/// Discards a line of the trailer, of which `read` bytes came before.
+fn decode_trailer(conn: &mut Conn, read: usize) -> Result<Option<ChunkDecoder>, ReadError> {
+    let end = conn.buffered().windows(2).position(|w| w == b"\r\n");
+    let read = read + end.unwrap_or(conn.buffered().len());
+    if read > TRAILER_MAX {
+        return Err(ReadError::Body("the trailer is too long"));
     }
+    let Some(n) = end else {
+        return Ok(None);
+    };
+    conn.consume(n + 2);
+    Ok(Some(match n {
+        0 => ChunkDecoder::Ended,
+        _ => ChunkDecoder::Trailer(read),
+    }))
 }
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -149,11 +149,16 @@
         if self.buffered().is_empty() {
             self.read_more().await?;
         }
+        Ok(self.take_buffered(max))
+    }
+
+    /// Returns up to `max` buffered bytes.
+    pub(crate) fn take_buffered(&mut self, max: u64) -> Vec<u8> {
         let max = usize::try_from(max).unwrap_or(usize::MAX);
         let n = self.buffered().len().min(max);
         let bytes = self.buffered()[..n].to_vec();
         self.consume(n);
-        Ok(bytes)
+        bytes
     }
 
     /// Reads a head with `parse`, of at most `max` bytes.
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -45,6 +45,9 @@
 ) -> AttemptOutcome {
     loop {
         let events = source.stream.take_pending();
+        if source.stream.ended() {
+            return finish_stream(gw, source, &events, writer, progress).await;
+        }
         if !events.is_empty() {
             let mut out = answer_head(gw, &source, progress);
             write_chunk(&mut out, &events);
@@ -53,9 +56,6 @@
             }
             progress.record_forwarded();
         }
-        if source.stream.ended() {
-            break;
-        }
         let after = source.stream.last_event();
         match read_next(gw, req, &mut source, progress).await {
             Ok(None) => {}
@@ -74,9 +74,23 @@
             }
         }
     }
+}
+
+/// Forwards the last events of a stream together with its end.
+async fn finish_stream(
+    gw: &Shared,
+    source: StreamSource,
+    events: &[u8],
+    writer: &Writer,
+    progress: &mut RequestProgress,
+) -> AttemptOutcome {
     let mut out = answer_head(gw, &source, progress);
+    if !events.is_empty() {
+        write_chunk(&mut out, events);
+    }
     out.extend_from_slice(LAST_CHUNK);
     let written = writer.write_all(&out).await;
+    progress.record_forwarded();
     source.finish(gw);
     AttemptOutcome::Done(match written {
         Ok(()) => Delivery::Complete,
--- a/crates/gateway/src/serve/stream_source.rs
+++ b/crates/gateway/src/serve/stream_source.rs
@@ -33,6 +33,8 @@
     /// Complete events that were not forwarded yet.
     pending: Vec<u8>,
     ended: bool,
+    /// Why the stream breaks off after the pending events.
+    failure: Option<AttemptError>,
 }
 
 impl StreamSource {
@@ -74,6 +76,7 @@
             events: EventSplitter::after(after),
             pending: Vec::new(),
             ended: false,
+            failure: None,
         }
     }
 
@@ -97,26 +100,48 @@
         std::mem::take(&mut self.pending)
     }
 
-    /// Reads more of the stream, and records with the permit that the replica is alive.
+    /// Reads more of the stream, with all that has arrived, and records with the permit that the
+    /// replica is alive.
     ///
     /// # Errors
     ///
     /// The stream breaks off, or is not a valid sequence of events.
     pub(super) async fn read(&mut self, permit: &mut SlotPermit) -> Result<(), AttemptError> {
-        let part = self.reply.body.read_part(&mut self.reply.conn).await?;
-        let Some(part) = part else {
+        if let Some(failure) = self.failure.take() {
+            return Err(failure);
+        }
+        let Reply { body, conn, .. } = &mut self.reply;
+        let Some(part) = body.read_part(conn).await? else {
             return self.finish_events();
         };
-        let complete = self.events.push(&part).map_err(event_error)?;
+        let split = self.split_available(part);
         if permit.since_first_event().is_none() && self.events.count() > 0 {
             permit.record_first_event();
         } else {
             permit.record_output();
         }
-        self.pending.extend_from_slice(&complete);
+        match split {
+            // Complete events are forwarded before the failure counts.
+            Err(e) if self.has_pending() => self.failure = Some(e),
+            split => return split,
+        }
         Ok(())
     }
 
+    /// Splits a part, and those that are buffered after it, into events.
+    fn split_available(&mut self, part: Vec<u8>) -> Result<(), AttemptError> {
+        let mut next = Some(part);
+        while let Some(part) = next {
+            let complete = self.events.push(&part).map_err(event_error)?;
+            self.pending.extend_from_slice(&complete);
+            next = self.reply.body.buffered_part(&mut self.reply.conn)?;
+        }
+        match self.reply.body.ended() {
+            true => self.finish_events(),
+            false => Ok(()),
+        }
+    }
+
     fn finish_events(&mut self) -> Result<(), AttemptError> {
         if self.events.is_mid_event() {
             // The replica stopped in the middle of an event but ended the body properly.
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -39,6 +39,8 @@
 /// Time limit for opening a connection: a hundred round trips between zones. If that is not enough,
 /// the replica's accept queue is full, or the replica is unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest body that is sent together with its head. A longer one is not copied.
+const JOIN_MAX_BYTES: usize = 64 * 1024;
 /// Answers to other requests that are skipped before the connection is closed.
 const EXTRA_ANSWERS_MAX: usize = 2;
 /// Longest such answer, in bytes.
@@ -131,14 +133,19 @@
         Some(conn) => conn,
         None => connect(replica, request.until).await?,
     };
-    let head = request_head(dialect, replica, request);
+    let mut start = request_head(dialect, replica, request);
+    let mut rest = request.body;
+    if rest.len() <= JOIN_MAX_BYTES {
+        start.extend_from_slice(rest);
+        rest = &[];
+    }
     sent.mark_started();
     let mut request_written = false;
     let writer = conn.writer();
     let write = async {
         let written = async {
-            writer.write_all(&head).await?;
-            writer.write_all(request.body).await
+            writer.write_all(&start).await?;
+            writer.write_all(rest).await
         };
         // A replica may answer early and not read the rest of the request. Its answer counts, so
         // write errors are ignored here; if the connection broke, the read fails too.
