--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -114,6 +114,7 @@
         let start = current.and_then(|c| gw.cold_start(&c.config, &replica.service));
         if let Some(start) = start {
             tables.warmup.started(replica.key(), start, now);
+            log::info!("event=replica outcome=cold replica={}", replica.id);
         }
     }
 }
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -107,12 +107,13 @@
 
 fn update_gauges(gw: &Shared) {
     let now = gw.now();
-    let (peers, active, held, view) = {
+    let (peers, active, held, cold, view) = {
         let tables = gw.tables();
         (
             tables.fleet.live(now).count(),
             tables.fleet.active_count(),
             tables.quarantine.count(now),
+            tables.warmup.cold_count(now),
             tables.board.view(now),
         )
     };
@@ -132,6 +133,7 @@
         ("chervilwind_peers", peers),
         ("chervilwind_active_routers", active),
         ("chervilwind_requests_held", held),
+        ("chervilwind_cold_replicas", cold),
         ("chervilwind_known_requests", view.running as usize),
         ("chervilwind_known_peers", view.peers),
     ];
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -333,10 +333,11 @@
         };
         let mut tables = self.tables();
         let tables = &mut *tables;
-        for (_, replica) in tables.roster.known() {
+        for (id, replica) in tables.roster.known() {
             let start = self.cold_start(&current.config, &replica.service);
             if let Some(start) = start.filter(|_| zones.contains(&replica.zone)) {
                 tables.warmup.started(replica.key(), start, now);
+                log::info!("event=replica outcome=cold replica={id}");
             }
         }
     }
