overload: an instance that is short of processor time rejects a part of the new requests at once

Cause: nothing bounded what an instance takes by its own processor. What waits for its turn is the queue of ready tasks; connections beyond it overflow.

Change: a task measures every 25 ms how late it runs. Beyond 30 ms a growing fraction of new requests is rejected right after they were read (503 as not run, with a time to come back that is spread over a second), before prompt, digest and placement; within it the fraction falls. Who is rejected follows the max-min share of the requests at this instance: small workspaces are admitted, the flood is not. Log line event=overload, gauge chervilwind_overload.

--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -35,6 +35,8 @@
 
 /// Retry delay for callers of an instance that has no usable configuration yet.
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Mean retry delay for callers of an instance that is short of processor time.
+const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 /// A request with less time left is rejected at once, as no replica could answer it.
 const MIN_REQUEST_TIME: Duration = Duration::from_millis(5);
 
@@ -141,6 +143,32 @@
     })
 }
 
+/// Rejects some requests while this instance is short of processor time.
+///
+/// # Errors
+///
+/// The answer to the caller of a request that is rejected.
+pub(crate) fn check_overload(gw: &Shared, head: &Head) -> Result<(), LocalAnswer> {
+    let Some(force) = gw.current_config() else {
+        return Ok(());
+    };
+    let key = head.headers.get(gw.dialect.key);
+    let Some(workspace) = key.and_then(|key| force.config.keys.as_ref()?.get(key)) else {
+        return Ok(());
+    };
+    let now = gw.now();
+    let overload = &mut gw.tables().overload;
+    overload.record_request(workspace, now);
+    if overload.admits(workspace, fastrand::f64(), now) {
+        return Ok(());
+    }
+    metrics::counter!("chervilwind_overload_rejections").increment(1);
+    Err(LocalAnswer::not_run(
+        "this instance is short of processor time",
+        OVERLOAD_RETRY_DELAY.mul_f64(0.5 + fastrand::f64()),
+    ))
+}
+
 /// Finds the workspace that the caller's key belongs to.
 fn find_workspace(
     force: &CurrentConfig,
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -4,6 +4,7 @@
     super::{
         admit::{
             admit,
+            check_overload,
             Request, //
         },
         local_answer::LocalAnswer,
@@ -149,7 +150,7 @@
                 "this instance is shutting down",
                 Duration::ZERO,
             )),
-            false => admit(&gw, head, body, arrived),
+            false => check_overload(&gw, &head).and_then(|()| admit(&gw, head, body, arrived)),
         };
         let request = match admitted {
             Ok(request) => request,
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -117,6 +117,8 @@
             tables.board.view(now),
         )
     };
+    let rejected = gw.tables().overload.rejected();
+    metrics::gauge!("chervilwind_overload").set(rejected);
     let values = [
         (
             "chervilwind_active_requests",
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -34,10 +34,15 @@
         io,
         path::Path,
         sync::Arc,
-        time::Duration, //
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
+/// How often it is measured how late tasks run.
+const DELAY_INTERVAL: Duration = Duration::from_millis(25);
 /// How often idle connections are closed and rejections are logged.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Rejections are logged for at most this many workspaces at a time.
@@ -132,6 +137,7 @@
     task::spawn(follow::maintain_registration(gw.clone()));
     task::spawn(serve::accept(gw.clone(), callers, stopped));
     task::spawn(run_maintenance(gw.clone()));
+    task::spawn(measure_delay(gw.clone()));
     Ok(Gateway { shared: gw, stop })
 }
 
@@ -144,11 +150,25 @@
     }
 }
 
+/// Measures how late tasks run.
+async fn measure_delay(gw: Arc<Shared>) {
+    loop {
+        let begun = Instant::now();
+        task::sleep(DELAY_INTERVAL).await;
+        let delay = begun.elapsed().saturating_sub(DELAY_INTERVAL);
+        gw.tables().overload.record_delay(delay.into());
+    }
+}
+
 /// Logs the tokens of rejected requests by workspace, once a second.
 ///
 /// These lines are warnings, so that they are not dropped when a flood of requests exhausts the
 /// limit on log lines.
 fn log_rejections(gw: &Shared) {
+    let overload = gw.tables().overload.rejected();
+    if overload > 0.0 {
+        log::warn!("event=overload rejected={overload:.2}");
+    }
     let (rejected, active) = {
         let mut tables = gw.tables();
         (
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -45,6 +45,7 @@
         EvacuationUpdate,
         Evacuations,
         Incarnation,
+        Overload,
         Revision,
         Roster,
         RouterId,
@@ -110,6 +111,8 @@
     pub(crate) evacuations: Evacuations,
     /// Replicas that are cold.
     pub(crate) warmup: Warmup,
+    /// How short this instance is of processor time.
+    pub(crate) overload: Overload,
 }
 
 /// State that all tasks of one gateway share.
@@ -179,6 +182,7 @@
                 watch: Watch::default(),
                 evacuations: Evacuations::default(),
                 warmup: Warmup::default(),
+                overload: Overload::default(),
             }),
             pool: Pool::default(),
             wake,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod members;
 mod outcome;
+mod overload;
 pub mod placement;
 mod pool;
 pub mod quarantine;
@@ -84,6 +85,7 @@
         OutcomeError,
         Refusal, //
     },
+    overload::Overload,
     registration::{
         entry_state,
         EntrySeen,
