--- a/crates/operators/src/document.rs
+++ b/crates/operators/src/document.rs
@@ -32,78 +32,78 @@
     toml::de::DeValue, //
 };
 
-/// Most requests that one workspace may be allowed to queue at a router.
-const QUEUE_MAX: u64 = 100_000;
-/// Most slots that a replica may be started with.
-const START_MAX: u64 = 10_000;
-/// Queued requests allowed for each workspace at a router where nothing is said.
-const QUEUE: u32 = 200;
-/// Slots that a new replica starts with where nothing is said.
-const START: u32 = 8;
-/// Time that a caller has where neither it nor the profile says.
-const DEADLINE: Span = Span::secs(20);
-/// Rough cost of a request in tokens where the profile says nothing.
-const HINT: f64 = 300.0;
+/// Largest queue that may be configured for a workspace at one router, in requests.
+const MAX_QUEUED_REQUESTS: u64 = 100_000;
+/// Largest number of slots that a new replica may be configured to start with.
+const MAX_START_SLOTS: u64 = 10_000;
+/// Queue of a workspace at one router if none is configured, in requests.
+const DEFAULT_QUEUED_REQUESTS: u32 = 200;
+/// Slots that a new replica starts with if none are configured.
+const DEFAULT_START_SLOTS: u32 = 8;
+/// Deadline of a request if neither the caller nor the profile sets one.
+const DEFAULT_DEADLINE: Span = Span::secs(20);
+/// Estimated cost of a request if its profile has no hint, in tokens.
+const DEFAULT_HINT_TOKENS: f64 = 300.0;
 
 /// The whole configuration of a fleet.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Document {
-    /// How the fleet shares out its capacity.
+    /// How the fleet allocates its capacity.
     pub policy: Policy,
     /// The services that endpoints offer.
     pub services: BTreeMap<ServiceId, Service>,
-    /// The classes of work.
+    /// The profiles, which set how classes of requests are treated.
     pub profiles: BTreeMap<ProfileName, Profile>,
-    /// Those that share the capacity.
+    /// The workspaces that share the capacity.
     pub workspaces: BTreeMap<WorkspaceId, Workspace>,
 }
 
-/// How the fleet shares out its capacity.
+/// How the fleet allocates its capacity.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Policy {
-    /// Who decides which request runs next.
+    /// Which routers decide what runs next.
     pub mode: Mode,
 }
 
-/// Who decides which request runs next. Only `Fleet` is meant for use.
+/// Which routers decide what runs next. Only `Fleet` is meant for production.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Mode {
-    /// The fleet as a whole.
+    /// All routers together.
     #[default]
     Fleet,
-    /// Every router for itself. Kept to measure against.
+    /// Every router by itself, as a baseline for measurements.
     Alone,
-    /// Every router, each with a fixed part of the capacity. Kept to measure against.
+    /// Every router, each with a fixed part of the capacity, as a baseline for measurements.
     Static,
 }
 
 /// A service and how its capacity is shared.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
-    /// What its endpoints speak.
+    /// The protocol of its endpoints.
     pub kind: Kind,
-    /// What counts as service received.
+    /// The unit in which service is counted.
     pub unit: Unit,
-    /// How far an urgent request may go ahead of a workspace that got less, in units.
+    /// How far an urgent request may overtake those of a workspace that received less, in units.
     pub window: Units,
-    /// How much an idle workspace may save up, in units.
+    /// How much credit an idle workspace may accumulate, in units.
     pub credit: Units,
     /// How many requests one workspace may queue at one router.
     pub queue: u32,
-    /// How many requests a new replica starts with at once.
+    /// Concurrent requests of a new replica until its limit is learnt.
     pub start: Slots,
 }
 
-/// What the endpoints of a service speak.
+/// The protocol of a service's endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
     /// Streamed chat completions.
     Model,
-    /// Any HTTP, passed through.
+    /// Any HTTP, forwarded unchanged.
     Plain,
 }
 
-/// What counts as service received.
+/// The unit in which service is counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unit {
     /// Tokens.
@@ -112,29 +112,29 @@
     Requests,
 }
 
-/// How a class of work is treated.
+/// How a class of requests is treated.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Profile {
-    /// Its part of the service relative to other work of its workspace.
+    /// Its share of the service relative to other profiles of the workspace.
     pub share: Share,
-    /// From 0 to 9; the highest goes first, within the service's window.
+    /// From 0 to 9; higher goes first, within the service's window.
     pub urgency: u8,
-    /// A request may be run again.
+    /// Whether a request may run more than once.
     pub idempotent: bool,
     /// Service counted for one answered request.
     pub weight: Units,
-    /// Time that a caller has if it doesn't say.
+    /// Deadline of requests whose caller sets none.
     pub deadline: Span,
-    /// Rough cost of a request, in units.
+    /// Estimated cost of a request, in units.
     pub hint: Units,
 }
 
-/// One of those that share the capacity.
+/// A workspace, which gets a share of the capacity.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Workspace {
-    /// Its part of the service relative to other workspaces.
+    /// Its share of the service relative to other workspaces.
     pub share: Share,
-    /// How many requests it may queue at one router, where it differs from the service's.
+    /// How many requests it may queue at one router, if that differs from the service's setting.
     pub queue: Option<u32>,
 }
 
@@ -143,7 +143,7 @@
     ///
     /// # Errors
     ///
-    /// Every problem that was found, each with its line and remedy.
+    /// All problems found, each with its line and remedy.
     ///
     /// # Examples
     ///
@@ -172,10 +172,10 @@
         })
     }
 
-    /// Checks a piece of a document, which need not have a service, profile or workspace.
+    /// Parses a part of a document, which need not have a service, profile or workspace.
     ///
-    /// Returns also whether it has a policy.
-    pub(crate) fn parse_piece(source: &Source) -> Result<(Document, bool), CheckError> {
+    /// Also returns whether it has a policy.
+    pub(crate) fn parse_part(source: &Source) -> Result<(Document, bool), CheckError> {
         parse(source, "document", |root| {
             let policy = root.place_of("policy").is_some();
             Some((read_document(root), policy))
@@ -260,8 +260,12 @@
         unit,
         window: Units(s.take_or("window", window, number(0.0, false))),
         credit: Units(s.take_or("credit", credit, number(0.0, false))),
-        queue: read_queue(s).unwrap_or(QUEUE),
-        start: Slots(s.take_or("start", START.into(), integer(1..=START_MAX)) as u32),
+        queue: read_queue(s).unwrap_or(DEFAULT_QUEUED_REQUESTS),
+        start: Slots(s.take_or(
+            "start",
+            DEFAULT_START_SLOTS.into(),
+            integer(1..=MAX_START_SLOTS),
+        ) as u32),
     };
     if service.kind == Kind::Plain && service.unit == Unit::Tokens {
         s.wrong_at(
@@ -279,8 +283,8 @@
         urgency: s.take_or("urgency", 0, integer(0..=9)) as u8,
         idempotent: s.take_or("idempotent", false, flag),
         weight: Units(s.take_or("weight", 1.0, number(0.0, true))),
-        deadline: s.take_or("deadline", DEADLINE, span),
-        hint: Units(s.take_or("hint", HINT, number(0.0, true))),
+        deadline: s.take_or("deadline", DEFAULT_DEADLINE, span),
+        hint: Units(s.take_or("hint", DEFAULT_HINT_TOKENS, number(0.0, true))),
     }
 }
 
@@ -292,7 +296,8 @@
 }
 
 fn read_queue(s: &mut Section<'_>) -> Option<u32> {
-    s.take("queue", integer(1..=QUEUE_MAX)).map(|n| n as u32)
+    s.take("queue", integer(1..=MAX_QUEUED_REQUESTS))
+        .map(|n| n as u32)
 }
 
 fn read_share(s: &mut Section<'_>, what: &str) -> Share {
--- a/crates/operators/src/fleet.rs
+++ b/crates/operators/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The configuration as a router looks things up in it.
+//! The configuration with the lookups that routers need.
 
 use {
     crate::document::{
@@ -16,13 +16,13 @@
     thiserror::Error, //
 };
 
-/// A checked configuration with the look-ups that serving a request needs.
+/// A checked configuration with the lookups that serving a request needs.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Fleet {
     document: Document,
 }
 
-/// A caller named something that the configuration doesn't have.
+/// A caller used a name that is not in the configuration.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum UnknownName {
     /// No such service.
@@ -53,12 +53,12 @@
         Fleet { document }
     }
 
-    /// Returns the document as operators wrote it.
+    /// Returns the document that operators wrote.
     pub fn document(&self) -> &Document {
         &self.document
     }
 
-    /// Returns who decides which request runs next.
+    /// Returns which routers decide what runs next.
     pub fn mode(&self) -> Mode {
         self.document.policy.mode
     }
@@ -113,7 +113,7 @@
 }
 
 impl Service {
-    /// Returns the rough cost of one request of a profile, in this service's units.
+    /// Returns the estimated cost of one request of a profile, in this service's units.
     pub fn hint(&self, profile: &Profile) -> Units {
         match self.unit {
             Unit::Tokens => profile.hint,
@@ -127,7 +127,7 @@
     }
 }
 
-/// Cuts a name that a caller sent to a length fit for an error.
+/// Truncates a name that a caller sent, for an error message.
 fn clip(name: &str) -> String {
     name.chars().take(64).collect()
 }
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,6 +1,5 @@
-//! The operators' side: configuration documents and their checks, dumps and metrics.
+//! What operators use: configuration documents and their checks, views, dumps and metrics.
 
-mod ask;
 mod defaults;
 mod document;
 mod fleet;
@@ -8,6 +7,7 @@
 mod metrics;
 mod nearest;
 mod problem;
+mod query;
 mod section;
 mod server;
 mod source;
@@ -16,12 +16,6 @@
 mod views;
 
 pub use self::{
-    ask::{
-        ask,
-        post,
-        read_view,
-        AskError, //
-    },
     defaults::FLEET,
     document::{
         Document,
@@ -47,6 +41,12 @@
         CheckError,
         Problem, //
     },
+    query::{
+        post,
+        query,
+        read_view,
+        QueryError, //
+    },
     section::{
         parse,
         Section, //
@@ -58,7 +58,7 @@
     source::{
         FileError,
         Source,
-        FILE_MAX, //
+        MAX_FILE_BYTES, //
     },
     values::{
         choice,
--- a/crates/operators/src/loader.rs
+++ b/crates/operators/src/loader.rs
@@ -1,4 +1,4 @@
-//! Loading the configuration from its parts, again and again as it changes.
+//! Loads the configuration from its parts, and reloads the parts that changed.
 
 use {
     crate::{
@@ -19,20 +19,20 @@
     },
 };
 
-/// Loads configurations and remembers the parts of the last one.
+/// Loads configurations, and caches the parsed parts of the last one.
 ///
-/// A change of one workspace changes a part or two out of many, so only these are parsed
-/// again. The result is always that of parsing the whole text.
+/// A change of one workspace changes one or two of many parts, and only these are parsed again. The
+/// result is always the same as that of parsing the whole text.
 #[derive(Debug, Clone, Default)]
 pub struct Loader {
-    pieces: BTreeMap<PartHash, Arc<Piece>>,
+    cached: BTreeMap<PartHash, Arc<ParsedPart>>,
 }
 
-/// What one part says.
+/// A part that was parsed by itself.
 #[derive(Debug)]
-struct Piece {
+struct ParsedPart {
     document: Document,
-    /// The part has a `[policy]`.
+    /// Whether the part has a `[policy]`.
     policy: bool,
 }
 
@@ -41,7 +41,7 @@
     ///
     /// # Errors
     ///
-    /// Every problem that was found. The one loaded before stays good.
+    /// All problems found. The configuration loaded before stays valid.
     ///
     /// # Examples
     ///
@@ -59,67 +59,67 @@
     /// assert!(fleet.workspace("bristol").is_ok());
     /// ```
     pub fn load(&mut self, config: &Config) -> Result<Fleet, CheckError> {
-        let pieces = self.parse_pieces(&config.parts);
-        let document = match pieces.as_ref().and_then(|p| merge(p)) {
+        let parsed = self.parse_parts(&config.parts);
+        let document = match parsed.as_ref().and_then(|p| merge(p)) {
             Some(document) => document,
             None => parse_whole(config)?,
         };
         let hashes = config.parts.iter().map(Part::hash);
-        self.pieces = hashes.zip(pieces.unwrap_or_default()).collect();
+        self.cached = hashes.zip(parsed.unwrap_or_default()).collect();
         Ok(Fleet::new(document))
     }
 
-    /// Parses the parts that are not known yet; none where one of them can't stand alone.
-    fn parse_pieces(&self, parts: &[Part]) -> Option<Vec<Arc<Piece>>> {
-        let mut pieces = Vec::with_capacity(parts.len());
+    /// Parses the parts that are not cached; none if one of them can't be parsed by itself.
+    fn parse_parts(&self, parts: &[Part]) -> Option<Vec<Arc<ParsedPart>>> {
+        let mut parsed = Vec::with_capacity(parts.len());
         for part in parts {
-            let piece = match self.pieces.get(&part.hash()) {
-                Some(piece) => piece.clone(),
-                None => Arc::new(Piece::parse(part)?),
+            let one = match self.cached.get(&part.hash()) {
+                Some(one) => one.clone(),
+                None => Arc::new(ParsedPart::parse(part)?),
             };
-            pieces.push(piece);
+            parsed.push(one);
         }
-        Some(pieces)
+        Some(parsed)
     }
 }
 
-impl Piece {
-    fn parse(part: &Part) -> Option<Piece> {
-        if !stands_alone(&part.text) {
+impl ParsedPart {
+    fn parse(part: &Part) -> Option<ParsedPart> {
+        if !is_self_contained(&part.text) {
             return None;
         }
         let source = Source::from_text(&part.name, &part.text);
-        let (document, policy) = Document::parse_piece(&source).ok()?;
-        Some(Piece { document, policy })
+        let (document, policy) = Document::parse_part(&source).ok()?;
+        Some(ParsedPart { document, policy })
     }
 }
 
-/// Says whether a part means the same by itself as among the others.
+/// Returns whether a part has the same meaning by itself as within the whole text.
 ///
-/// A part that was cut out of the middle of a table begins with keys of a table that the part
-/// before names; it would show as keys in the wrong table. A header such as `[workspace]` may
-/// stand once in the whole text. So every part must begin with a header, and all headers but
-/// that of the policy must name a table within another.
-fn stands_alone(text: &str) -> bool {
+/// A part cut out of the middle of a table begins with keys whose table header is in the part
+/// before, so they would be parsed as keys of another table. A header such as `[workspace]` may occur
+/// once in the whole text. So every part must begin with a header, and all headers but that of the
+/// policy must name a nested table.
+fn is_self_contained(text: &str) -> bool {
     let mut lines = text.lines().map(str::trim_start);
     let mut significant = lines
         .clone()
         .filter(|l| !l.is_empty() && !l.starts_with('#'));
-    let begins = significant.next().is_none_or(|l| l.starts_with('['));
-    let names_inner = |l: &str| {
+    let starts_with_header = significant.next().is_none_or(|l| l.starts_with('['));
+    let names_nested_table = |l: &str| {
         let name = l[1..].split(']').next().unwrap_or_default();
         name.contains('.') || name.trim() == "policy"
     };
-    begins && lines.all(|l| !l.starts_with('[') || names_inner(l))
+    starts_with_header && lines.all(|l| !l.starts_with('[') || names_nested_table(l))
 }
 
-/// Puts pieces together; none where they don't fit, so that the whole must tell why.
-fn merge(pieces: &[Arc<Piece>]) -> Option<Document> {
+/// Merges parsed parts; none if they conflict, so that the whole text is parsed to report why.
+fn merge(parsed: &[Arc<ParsedPart>]) -> Option<Document> {
     let mut whole = Document::default();
     let mut policies = 0;
-    for piece in pieces {
-        let part = &piece.document;
-        if piece.policy {
+    for one in parsed {
+        let part = &one.document;
+        if one.policy {
             policies += 1;
             whole.policy = part.policy;
         }
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -1,4 +1,4 @@
-//! The process's metrics in the usual text form.
+//! The process's metrics in the Prometheus text format.
 
 use {
     crate::views::{
@@ -97,7 +97,7 @@
     ),
 ];
 
-/// Starts to record metrics. A second start in the same process changes nothing.
+/// Installs the recorder of metrics. A second call in the same process has no effect.
 pub fn start_metrics() {
     HANDLE.get_or_init(|| {
         let recorder = PrometheusBuilder::new().build_recorder();
@@ -112,7 +112,7 @@
     });
 }
 
-/// Returns the metrics recorded so far, as text.
+/// Returns the metrics in the text format.
 ///
 /// # Examples
 ///
@@ -129,7 +129,7 @@
     handle.render()
 }
 
-/// Records what a router's status tells. Workspaces are left out, as there may be thousands.
+/// Sets the gauges from a router's status. Workspaces are left out, as there may be thousands.
 pub(crate) fn record(status: &Status) {
     counter!("chervilwind_peers_bytes").absolute(status.control);
     let states = [
--- a/crates/operators/src/nearest.rs
+++ b/crates/operators/src/nearest.rs
@@ -1,21 +1,21 @@
-//! The known name that is nearest to a mistyped one.
+//! Suggests a known name for a mistyped one.
 
-/// Most changes at which a name still counts as a mistyped one.
-const CHANGES_MAX: usize = 3;
+/// Largest edit distance at which a known name is suggested.
+const MAX_EDIT_DISTANCE: usize = 3;
 
-/// Returns the known name that `name` was probably meant to be.
+/// Returns the known name with the smallest edit distance to `name`, if it is small enough.
 pub(crate) fn nearest<'k>(name: &str, known: &[&'k str]) -> Option<&'k str> {
-    let limit = CHANGES_MAX.min(name.len().div_ceil(2));
+    let limit = MAX_EDIT_DISTANCE.min(name.len().div_ceil(2));
     known
         .iter()
-        .map(|k| (changes(name, k), *k))
+        .map(|k| (edit_distance(name, k), *k))
         .filter(|(n, _)| *n <= limit)
         .min()
         .map(|(_, k)| k)
 }
 
-/// Counts the letters to insert, remove or replace to get from `a` to `b`.
-fn changes(a: &str, b: &str) -> usize {
+/// Returns the Levenshtein distance of two names.
+fn edit_distance(a: &str, b: &str) -> usize {
     let b: Vec<char> = b.chars().collect();
     let mut row: Vec<usize> = (0..=b.len()).collect();
     for (i, x) in a.chars().enumerate() {
--- a/crates/operators/src/problem.rs
+++ b/crates/operators/src/problem.rs
@@ -1,4 +1,4 @@
-//! What is wrong with a file, where, and the remedy.
+//! Problems in a file, with their location and remedy.
 
 use {
     crate::source::Source,
@@ -16,24 +16,24 @@
 };
 
 /// Width of a rendered error, in columns.
-const WIDTH: usize = 100;
+const RENDER_COLUMNS: usize = 100;
 
-/// One thing that is wrong in a file.
+/// A problem in a file.
 #[derive(Debug, Clone)]
 pub struct Problem {
-    /// What is wrong.
+    /// Description of the problem.
     pub message: String,
-    /// What to do about it.
+    /// How to fix it.
     pub remedy: String,
-    /// The bytes of the file that it concerns.
+    /// Byte range in the file.
     pub place: Range<usize>,
     source: Source,
 }
 
-/// Everything that is wrong in one file.
+/// All problems of one file.
 #[derive(Debug, Clone)]
 pub struct CheckError {
-    /// The problems, in the file's order. There is at least one.
+    /// The problems, in the order of the file; at least one.
     pub problems: Vec<Problem>,
     file: String,
 }
@@ -92,7 +92,7 @@
     }
 }
 
-/// One line a problem, for logs: `FILE:LINE: what is wrong; the remedy`.
+/// One line per problem, for logs: `FILE:LINE: problem; remedy`.
 impl fmt::Display for CheckError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (i, p) in self.problems.iter().enumerate() {
@@ -113,7 +113,7 @@
     }
 }
 
-/// Renders an error for a person, with the lines of the file that it concerns.
+/// Renders an error for a terminal, with an excerpt of the file.
 ///
 /// A [`CheckError`] is rendered problem by problem.
 pub fn render(error: &dyn Diagnostic, colour: bool) -> String {
@@ -123,7 +123,7 @@
         GraphicalTheme::unicode_nocolor()
     };
     let handler = GraphicalReportHandler::new_themed(theme)
-        .with_width(WIDTH)
+        .with_width(RENDER_COLUMNS)
         .with_links(false);
     let mut out = String::new();
     let mut one = |d: &dyn Diagnostic| {
--- a/crates/operators/src/ask.rs
+++ b/crates/operators/src/query.rs
@@ -1,4 +1,4 @@
-//! Asking a router at its operators' address.
+//! Requests to a router's operators' address.
 
 use {
     async_std::{
@@ -18,62 +18,58 @@
     thiserror::Error, //
 };
 
-/// Time within which the whole answer must be there.
-const ANSWER_TIME: Duration = Duration::from_secs(3);
+/// Time limit for the complete answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Why a router's answer isn't known.
+/// Why there is no usable answer.
 #[derive(Debug, Error)]
-pub enum AskError {
-    /// Nobody listens there, or what does is no router's operators' address.
+pub enum QueryError {
+    /// Nothing listens at the address, or it is not an operators' address.
     #[error("no router answered at {address}: {cause}")]
     NotReached {
-        /// The address that was asked.
+        /// The address of the request.
         address: SocketAddr,
         /// What went wrong.
         cause: String,
     },
-    /// The answer says that something is wrong.
+    /// The answer has an error status.
     #[error("{address} answered `{path}` with status {status}")]
     Refused {
-        /// The address that was asked.
+        /// The address of the request.
         address: SocketAddr,
-        /// What was asked for.
+        /// The path of the request.
         path: String,
         /// The status of the answer.
         status: u16,
     },
 }
 
-/// Asks a router's operators' address and returns the body of the answer.
+/// Sends a GET request to a router's operators' address and returns the body of the answer.
 ///
 /// # Errors
 ///
-/// When there is no answer within a few seconds, or one that isn't good.
-pub async fn ask(address: SocketAddr, path: &str) -> Result<String, AskError> {
-    bounded(address, path, None).await
+/// If there is no answer within a few seconds, or it has an error status.
+pub async fn query(address: SocketAddr, path: &str) -> Result<String, QueryError> {
+    send(address, path, None).await
 }
 
 /// Posts JSON, such as to a stand-in's admin address, and returns the body of the answer.
 ///
 /// # Errors
 ///
-/// When there is no answer within a few seconds, or one that isn't good.
-pub async fn post(address: SocketAddr, path: &str, json: String) -> Result<String, AskError> {
-    bounded(address, path, Some(json)).await
+/// If there is no answer within a few seconds, or it has an error status.
+pub async fn post(address: SocketAddr, path: &str, json: String) -> Result<String, QueryError> {
+    send(address, path, Some(json)).await
 }
 
-async fn bounded(
-    address: SocketAddr,
-    path: &str,
-    json: Option<String>,
-) -> Result<String, AskError> {
-    let fail = |cause: String| AskError::NotReached { address, cause };
-    let exchange = timeout(ANSWER_TIME, exchange(address, path, json)).await;
+async fn send(address: SocketAddr, path: &str, json: Option<String>) -> Result<String, QueryError> {
+    let fail = |cause: String| QueryError::NotReached { address, cause };
+    let exchange = timeout(ANSWER_TIMEOUT, exchange(address, path, json)).await;
     let (status, body) = exchange
-        .map_err(|_| fail(format!("no answer within {ANSWER_TIME:?}")))?
+        .map_err(|_| fail(format!("no answer within {ANSWER_TIMEOUT:?}")))?
         .map_err(|e| fail(e.to_string()))?;
     if status != 200 {
-        return Err(AskError::Refused {
+        return Err(QueryError::Refused {
             address,
             path: path.to_owned(),
             status,
@@ -103,16 +99,16 @@
     Ok((status, body))
 }
 
-/// Reads a view from the body of an answer.
+/// Parses a view from the body of an answer.
 ///
 /// # Errors
 ///
-/// When the body isn't that view, as from a router of another release.
+/// If the body is not that view, for example because the router is of another release.
 pub fn read_view<T: serde::de::DeserializeOwned>(
     address: SocketAddr,
     body: &str,
-) -> Result<T, AskError> {
-    serde_json::from_str(body).map_err(|e| AskError::NotReached {
+) -> Result<T, QueryError> {
+    serde_json::from_str(body).map_err(|e| QueryError::NotReached {
         address,
         cause: format!("the answer can't be read: {e}"),
     })
--- a/crates/operators/src/section.rs
+++ b/crates/operators/src/section.rs
@@ -1,4 +1,4 @@
-//! Reading a TOML file table by table, so that every problem is found in one go.
+//! Reads a TOML file table by table, and finds all its problems in one pass.
 
 use {
     crate::{
@@ -20,18 +20,18 @@
     },
 };
 
-/// Most problems reported of one file.
-pub(crate) const PROBLEMS_MAX: usize = 100;
+/// Maximum number of problems reported for one file.
+pub(crate) const MAX_PROBLEMS: usize = 100;
 
-/// One table of a file, and what was wrong in it so far.
+/// A table of a file, and the problems found in it so far.
 ///
-/// Each key is taken once; [`Section::finish`] reports the keys that nobody took.
+/// Each key is taken once; [`Section::finish`] reports the keys that were not taken.
 #[derive(Debug)]
 pub struct Section<'t> {
     name: String,
     place: Range<usize>,
     table: Option<&'t DeTable<'t>>,
-    /// Something other than a table stands here, which was reported.
+    /// The value is not a table, which was reported.
     wrong: bool,
     taken: Vec<&'static str>,
     findings: &'t Findings<'t>,
@@ -41,15 +41,15 @@
 struct Findings<'t> {
     source: &'t Source,
     problems: RefCell<Vec<Problem>>,
-    /// The file is no valid TOML: what is missing may just not have been understood.
+    /// The file is not valid TOML, so keys that seem to be missing may not have been parsed.
     broken: bool,
 }
 
-/// Parses a file and hands its root table to `read`.
+/// Parses a file and passes its root table to `read`.
 ///
 /// # Errors
 ///
-/// All problems that TOML's parser and `read` found.
+/// All problems found by the TOML parser and by `read`.
 ///
 /// # Examples
 ///
@@ -96,7 +96,7 @@
 }
 
 impl<'t> Section<'t> {
-    /// Takes a value; `read` gives it or the remedy.
+    /// Takes a value; `read` returns it, or the remedy if it is invalid.
     pub fn take<T>(
         &mut self,
         key: &'static str,
@@ -115,9 +115,9 @@
         }
     }
 
-    /// Takes a value, or the default where the key is missing or wrong.
+    /// Takes a value, or the default if the key is missing or its value is invalid.
     ///
-    /// A wrong value was reported, so that the default is never used for long.
+    /// An invalid value was reported, so the default does not take effect.
     pub fn take_or<T>(
         &mut self,
         key: &'static str,
@@ -127,7 +127,7 @@
         self.take(key, read).unwrap_or(default)
     }
 
-    /// Takes a value that has no default; `example` shows how to write it.
+    /// Takes a required value; `example` shows how to write it.
     pub fn need<T>(
         &mut self,
         key: &'static str,
@@ -141,7 +141,7 @@
         self.take(key, read)
     }
 
-    /// Takes a table of this table. A missing one reads like an empty one.
+    /// Takes a nested table. A missing one is treated as an empty one.
     pub fn section(&mut self, key: &'static str) -> Section<'t> {
         self.taken.push(key);
         let found = self.table.and_then(|t| t.get_key_value(key));
@@ -182,31 +182,31 @@
         named.collect()
     }
 
-    /// Returns where a value stands in the file.
+    /// Returns the byte range of a value in the file.
     pub fn place_of(&self, key: &str) -> Option<Range<usize>> {
         Some(self.table?.get(key)?.span())
     }
 
-    /// Returns the line where a value stands in the file, counted from 1.
+    /// Returns the line of a value in the file, counted from 1.
     pub fn line_of(&self, key: &str) -> Option<usize> {
         let place = self.place_of(key)?;
         Some(self.findings.source.line(place.start))
     }
 
-    /// Reports a problem of the whole table; `says` follows its name.
+    /// Reports a problem of the whole table; the message is its name and `says`.
     pub fn wrong(&self, says: &str, remedy: &str) {
         let message = format!("{} {says}", self.name);
         self.report(self.place.clone(), message, remedy.to_owned());
     }
 
-    /// Reports a problem of one value; `says` follows the table's name.
+    /// Reports a problem of one value; the message is the table's name and `says`.
     pub fn wrong_at(&self, key: &str, says: &str, remedy: &str) {
         let place = self.place_of(key).unwrap_or(self.place.clone());
         let message = format!("{} {says}", self.name);
         self.report(place, message, remedy.to_owned());
     }
 
-    /// Reports what is missing, unless the file could not be understood anyway.
+    /// Reports a missing key or table, unless the file could not be parsed.
     pub fn missing(&self, what: &str, example: &str) {
         let says = match self.table {
             Some(_) => format!("has no {what}"),
@@ -217,7 +217,7 @@
         }
     }
 
-    /// Reports the keys that nobody took.
+    /// Reports the keys that were not taken.
     pub fn finish(&self) {
         for (key, _) in self.table.into_iter().flatten() {
             let name = key.get_ref().as_ref();
@@ -248,7 +248,7 @@
     fn report(&self, place: Range<usize>, message: String, remedy: String) {
         let problem = Problem::new(self.findings.source, place, message, remedy);
         let mut problems = self.findings.problems.borrow_mut();
-        if problems.len() < PROBLEMS_MAX {
+        if problems.len() < MAX_PROBLEMS {
             problems.push(problem);
         }
     }
--- a/crates/operators/src/server.rs
+++ b/crates/operators/src/server.rs
@@ -1,4 +1,4 @@
-//! Answers operators' questions over HTTP.
+//! Serves views of a router to operators over HTTP.
 
 use {
     crate::{
@@ -38,18 +38,18 @@
     },
 };
 
-/// Connections open at once.
-const CONNECTIONS_MAX: usize = 64;
-/// A connection is closed after this time, whatever it does.
-const CONNECTION_TIME: Duration = Duration::from_secs(30);
-/// Pause after a failed accept, so that a lack of file descriptors costs no processor time.
+/// Maximum number of open connections.
+const MAX_CONNECTIONS: usize = 64;
+/// A connection is closed after this time, even if it is in use.
+const CONNECTION_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause after a failed accept, so that a lack of file descriptors does not cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
-/// Content type of the metrics, as their readers expect it.
+/// Content type of the Prometheus text format.
 const METRICS_TYPE: &str = "text/plain; version=0.0.4; charset=utf-8";
 
-/// Where the answers come from. Each is called once a question.
+/// Functions that return the views. Each is called once per request.
 pub struct Views {
-    /// How the router is doing.
+    /// Status of the router.
     pub status: Box<dyn Fn() -> Status + Send + Sync>,
     /// The revision in force.
     pub revision: Box<dyn Fn() -> InForce + Send + Sync>,
@@ -59,7 +59,7 @@
     pub profiles: Box<dyn Fn() -> Profiles + Send + Sync>,
     /// The configuration in force, where there is one.
     pub config: Box<dyn Fn() -> Option<Arc<Config>> + Send + Sync>,
-    /// All that the router knows.
+    /// Dump of the router's state.
     pub dump: Box<dyn Fn() -> serde_json::Value + Send + Sync>,
     /// Whether it takes requests.
     pub ready: Box<dyn Fn() -> bool + Send + Sync>,
@@ -70,7 +70,7 @@
 ///
 /// # Errors
 ///
-/// When the listener can't be used.
+/// If the listener can't be used.
 pub async fn serve(listener: net::TcpListener, views: Views) -> io::Result<()> {
     let app = app(views);
     let listener = TcpListener::from(listener);
@@ -84,10 +84,10 @@
                 continue;
             }
         };
-        open.push_back(task::spawn(talk(stream, app.clone())));
-        // Connections that never say a word could hold all places. It shows as a status that
-        // can't be asked for. The oldest gives way, so that a new one always finds a place.
-        if open.len() > CONNECTIONS_MAX {
+        open.push_back(task::spawn(serve_connection(stream, app.clone())));
+        // Idle connections could otherwise exhaust the limit, and the status could not be requested.
+        // The oldest connection is closed, so that a new one is always accepted.
+        if open.len() > MAX_CONNECTIONS {
             if let Some(oldest) = open.pop_front() {
                 oldest.cancel().await;
             }
@@ -95,18 +95,21 @@
     }
 }
 
-async fn talk(stream: TcpStream, app: Server<Arc<Views>>) {
-    if timeout(CONNECTION_TIME, answer(stream, app)).await.is_err() {
-        log::debug!("router: closed an operators' connection after {CONNECTION_TIME:?}");
+async fn serve_connection(stream: TcpStream, app: Server<Arc<Views>>) {
+    if timeout(CONNECTION_TIMEOUT, serve_requests(stream, app))
+        .await
+        .is_err()
+    {
+        log::debug!("router: closed an operators' connection after {CONNECTION_TIMEOUT:?}");
     }
 }
 
-async fn answer(stream: TcpStream, app: Server<Arc<Views>>) {
-    let talked = match stream.set_nodelay(true) {
+async fn serve_requests(stream: TcpStream, app: Server<Arc<Views>>) {
+    let served = match stream.set_nodelay(true) {
         Ok(()) => async_h1::accept(stream, |request| app.respond(request)).await,
         Err(error) => Err(error.into()),
     };
-    if let Err(error) = talked {
+    if let Err(error) = served {
         log::debug!("router: an operators' connection ended: {error}");
     }
 }
--- a/crates/operators/src/source.rs
+++ b/crates/operators/src/source.rs
@@ -1,4 +1,4 @@
-//! The text of a file and its name, for errors that point into it.
+//! A text with the name of its file, which errors refer to.
 
 use {
     miette::{
@@ -17,10 +17,10 @@
     thiserror::Error, //
 };
 
-/// Largest file read, in bytes.
-pub const FILE_MAX: u64 = 4 << 20;
+/// Largest file that is read, in bytes.
+pub const MAX_FILE_BYTES: u64 = 4 << 20;
 
-/// A named text.
+/// A text with a name.
 #[derive(Debug, Clone)]
 pub struct Source {
     code: Arc<NamedSource<String>>,
@@ -29,30 +29,30 @@
 /// Why a file could not be read.
 #[derive(Debug, Error, Diagnostic)]
 pub enum FileError {
-    /// There is no such file.
+    /// The file does not exist.
     #[error("{0} does not exist")]
     #[diagnostic(help("check the path; `chervilwind defaults` prints files to start from"))]
     Missing(String),
-    /// The system refused to read it.
+    /// The operating system reported an error.
     #[error("{0} can't be read: {1}")]
     #[diagnostic(help("give a regular file that this user may read"))]
     Unreadable(String, io::Error),
-    /// It holds nothing but white space.
+    /// It has no content but white space.
     #[error("{0} is empty")]
     #[diagnostic(help("write it anew; `chervilwind defaults` prints files to start from"))]
     Empty(String),
-    /// It is larger than any document may be.
-    #[error("{0} has more than {FILE_MAX} bytes")]
+    /// It is larger than [`MAX_FILE_BYTES`].
+    #[error("{0} has more than {MAX_FILE_BYTES} bytes")]
     #[diagnostic(help("check that this is the right file; shorten it to at most 4 MiB"))]
     Large(String),
-    /// It isn't text.
+    /// It is not UTF-8 text.
     #[error("{0} is not UTF-8 text: byte {1} is wrong")]
     #[diagnostic(help("check that this is the right file; save it as UTF-8"))]
     Text(String, usize),
 }
 
 impl Source {
-    /// Makes a source of a text that is at hand.
+    /// Creates a source from a text in memory.
     pub fn from_text(name: &str, text: &str) -> Source {
         let code = NamedSource::new(name, text.to_owned());
         Source {
@@ -64,7 +64,7 @@
     ///
     /// # Errors
     ///
-    /// When the file is missing, unreadable, empty, too large or no text.
+    /// If the file is missing, unreadable, empty, too large or not text.
     pub fn from_file(path: &Path) -> Result<Source, FileError> {
         let name = path.display().to_string();
         let text = read(path, &name)?;
@@ -84,7 +84,7 @@
         self.code.inner()
     }
 
-    /// Returns the line that a byte stands in, counted from 1.
+    /// Returns the line that contains a byte, counted from 1.
     pub fn line(&self, byte: usize) -> usize {
         let end = byte.min(self.text().len());
         let before = &self.text().as_bytes()[..end];
@@ -103,10 +103,10 @@
     };
     let file = File::open(path).map_err(fail)?;
     let mut bytes = Vec::new();
-    file.take(FILE_MAX + 1)
+    file.take(MAX_FILE_BYTES + 1)
         .read_to_end(&mut bytes)
         .map_err(fail)?;
-    if bytes.len() as u64 > FILE_MAX {
+    if bytes.len() as u64 > MAX_FILE_BYTES {
         return Err(FileError::Large(name.to_owned()));
     }
     String::from_utf8(bytes)
--- a/crates/operators/src/syntax.rs
+++ b/crates/operators/src/syntax.rs
@@ -1,22 +1,22 @@
-//! What TOML's parser says, as problems with a remedy.
+//! Converts errors of the TOML parser to problems with a remedy.
 
 use {
     crate::{
         problem::Problem,
-        section::PROBLEMS_MAX,
+        section::MAX_PROBLEMS,
         source::Source, //
     },
     std::ops::Range,
 };
 
-/// Turns the parser's errors into problems.
+/// Converts the parser's errors to problems.
 ///
-/// After a table that is given twice, its keys are reported by the parser as given twice
-/// too; the table's own problem says enough.
+/// For a duplicate table the parser also reports each of its keys as a duplicate; only the problem
+/// of the table itself is kept.
 pub(crate) fn syntax_problems(source: &Source, errors: &[toml::de::Error]) -> Vec<Problem> {
     let mut problems: Vec<Problem> = Vec::new();
     let mut twice = None;
-    for error in errors.iter().take(PROBLEMS_MAX) {
+    for error in errors.iter().take(MAX_PROBLEMS) {
         let place = error.span().unwrap_or(0..0);
         if !error.message().contains("duplicate key") {
             problems.push(syntax_problem(source, place, error.message()));
@@ -52,7 +52,7 @@
     Problem::new(source, place, message, remedy)
 }
 
-/// Returns the place of the last line up to a byte that is a table's header.
+/// Returns the range of the last table header at or before a byte.
 fn header_before(text: &str, byte: usize) -> Option<Range<usize>> {
     let mut start = 0;
     let mut last = None;
--- a/crates/operators/src/values.rs
+++ b/crates/operators/src/values.rs
@@ -1,4 +1,4 @@
-//! Readers of single values. Each gives the value, or the remedy for a wrong one.
+//! Parsers of single values. Each returns the value, or the remedy for an invalid one.
 
 use {
     policy::Span,
@@ -9,7 +9,7 @@
     toml::de::DeValue, //
 };
 
-/// Reads text that parses as `T`, such as an address.
+/// Parses text as `T`, such as an address.
 ///
 /// # Examples
 ///
@@ -27,13 +27,13 @@
     }
 }
 
-/// Reads `true` or `false`.
+/// Parses a boolean.
 pub fn flag(v: &DeValue<'_>) -> Result<bool, String> {
     v.as_bool()
         .ok_or_else(|| "write `true` or `false`, without quotes".to_owned())
 }
 
-/// Reads a length of time with its unit.
+/// Parses a time span with its unit.
 pub fn span(v: &DeValue<'_>) -> Result<Span, String> {
     let remedy = match v {
         DeValue::Integer(n) => format!("add a unit, in quotes: `\"{}s\"` or `\"{}ms\"`", n, n),
@@ -49,7 +49,7 @@
     Ok(span)
 }
 
-/// Reads a number of at least `least`, or above it where `above` is set.
+/// Parses a number of at least `least`, or greater than it if `above` is set.
 pub fn number(least: f64, above: bool) -> impl Fn(&DeValue<'_>) -> Result<f64, String> {
     move |v| {
         let n = match v {
@@ -64,7 +64,7 @@
     }
 }
 
-/// Reads a whole number within a range.
+/// Parses an integer within a range.
 pub fn integer(range: RangeInclusive<u64>) -> impl Fn(&DeValue<'_>) -> Result<u64, String> {
     move |v| {
         let remedy = || {
--- a/crates/operators/src/views/mod.rs
+++ b/crates/operators/src/views/mod.rs
@@ -1,4 +1,4 @@
-//! What a router shows to operators.
+//! Views of a router for operators.
 
 mod profiles;
 mod status;
--- a/crates/operators/src/views/profiles.rs
+++ b/crates/operators/src/views/profiles.rs
@@ -14,7 +14,7 @@
     },
 };
 
-/// The profiles in force at a router, as `GET /profiles` tells them.
+/// The profiles in force at a router, as `GET /profiles` returns them.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Profiles {
     /// Revision of the configuration that has them; 0 where there is none yet.
@@ -28,17 +28,17 @@
 pub struct ProfileView {
     /// Its name.
     pub name: ProfileName,
-    /// Its part of the service relative to other work of its workspace.
+    /// Its share of the service relative to other profiles of the workspace.
     pub share: Share,
-    /// From 0 to 9; the highest goes first.
+    /// From 0 to 9; higher goes first.
     pub urgency: u8,
-    /// A request may be run again.
+    /// Whether a request may run more than once.
     pub idempotent: bool,
     /// Service counted for one answered request.
     pub weight: Units,
-    /// Time that a caller has if it doesn't say, in microseconds.
+    /// Deadline of requests whose caller sets none, in microseconds.
     pub deadline: Span,
-    /// Rough cost of a request, in units.
+    /// Estimated cost of a request, in units.
     pub hint: Units,
 }
 
--- a/crates/operators/src/views/status.rs
+++ b/crates/operators/src/views/status.rs
@@ -1,4 +1,4 @@
-//! How a router is doing.
+//! The status of a router.
 
 use {
     policy::{
@@ -21,14 +21,14 @@
     },
 };
 
-/// How a router is doing, as `GET /status` tells it.
+/// The status of a router, as `GET /status` returns it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// Its name.
     pub name: RouterId,
-    /// This start of it.
+    /// Its incarnation.
     pub incarnation: Incarnation,
-    /// The availability zone it stands in.
+    /// Its availability zone.
     pub zone: Zone,
     /// Whether it takes requests.
     pub state: State,
@@ -36,7 +36,7 @@
     pub revision: u64,
     /// Who wrote that revision.
     pub writer: String,
-    /// The platform answered lately.
+    /// Whether the platform answered recently.
     pub platform: bool,
     /// Time since this router started, in microseconds.
     pub uptime: Span,
@@ -46,16 +46,16 @@
     pub members: Vec<Member>,
     /// The services and their capacity.
     pub services: Vec<ServiceStatus>,
-    /// The workspaces that have asked this router for something.
+    /// The workspaces that have sent requests to this router.
     pub workspaces: Vec<WorkspaceStatus>,
 }
 
-/// What a router has in force, as `GET /revision` tells it: small, as it is asked often.
+/// The revision in force at a router, as `GET /revision` returns it. Small, as it is polled often.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct InForce {
     /// Its name.
     pub name: RouterId,
-    /// This start of it.
+    /// Its incarnation.
     pub incarnation: Incarnation,
     /// Revision of the configuration in force here; 0 where it has none yet.
     pub revision: u64,
@@ -73,40 +73,40 @@
     Leaving,
 }
 
-/// A router as another one sees it.
+/// A router as known to another one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: RouterId,
-    /// The start of it that was heard last.
+    /// Its incarnation, according to its last heartbeat.
     pub incarnation: Incarnation,
-    /// The availability zone it stands in.
+    /// Its availability zone.
     pub zone: Zone,
-    /// Whether it was heard lately.
+    /// Whether its heartbeats arrive.
     pub state: MemberState,
-    /// Where its `/status` answers, where it said so.
+    /// Address of its `/status`, if it reported one.
     pub operators: Option<SocketAddr>,
-    /// The revision that it has in force, as it said last.
+    /// The revision in force there, according to its last heartbeat.
     pub revision: u64,
-    /// Time since it was heard last, in microseconds.
+    /// Time since its last heartbeat, in microseconds.
     pub silent: Span,
 }
 
-/// Whether a router was heard lately.
+/// Whether a router's heartbeats arrive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum MemberState {
-    /// It was.
+    /// They arrive in time.
     Live,
     /// Its heartbeat is late.
     Suspect,
-    /// It said that it is shutting down.
+    /// It reported that it is shutting down.
     Leaving,
-    /// It was silent for so long that it counts as gone.
+    /// It has been silent for so long that it is considered dead.
     Gone,
 }
 
-/// A service's capacity as a router sees it.
+/// A service's capacity as known to a router.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceStatus {
     /// Its name.
--- a/crates/operators/tests/files.rs
+++ b/crates/operators/tests/files.rs
@@ -8,7 +8,7 @@
     operators::{
         render,
         Source,
-        FILE_MAX, //
+        MAX_FILE_BYTES, //
     },
     std::{
         fs,
@@ -68,7 +68,7 @@
 
 #[test]
 fn from_file_too_large() {
-    let bytes = vec![b'#'; FILE_MAX as usize + 1];
+    let bytes = vec![b'#'; MAX_FILE_BYTES as usize + 1];
     check(
         file("large.toml", &bytes),
         expect![[r#"
@@ -81,9 +81,9 @@
 
 #[test]
 fn from_file_largest() {
-    let bytes = vec![b'#'; FILE_MAX as usize];
+    let bytes = vec![b'#'; MAX_FILE_BYTES as usize];
     let source = Source::from_file(&file("largest.toml", &bytes)).unwrap();
-    assert_eq!(source.text().len() as u64, FILE_MAX);
+    assert_eq!(source.text().len() as u64, MAX_FILE_BYTES);
 }
 
 #[test]
--- a/crates/operators/tests/server.rs
+++ b/crates/operators/tests/server.rs
@@ -8,17 +8,17 @@
         Revision, //
     },
     operators::{
-        ask,
+        query,
         read_view,
         serve,
         start_metrics,
-        AskError,
         Document,
         Fleet,
         InForce,
         Member,
         MemberState,
         Profiles,
+        QueryError,
         ServiceStatus,
         Source,
         State,
@@ -126,36 +126,39 @@
 #[async_std::test]
 async fn serve_views() {
     let address = start();
-    let body = ask(address, "/status").await.unwrap();
+    let body = query(address, "/status").await.unwrap();
     assert_eq!(read_view::<Status>(address, &body).unwrap(), status());
-    let body = ask(address, "/profiles").await.unwrap();
+    let body = query(address, "/profiles").await.unwrap();
     assert_eq!(read_view::<Profiles>(address, &body).unwrap(), profiles());
-    let body = ask(address, "/revision").await.unwrap();
+    let body = query(address, "/revision").await.unwrap();
     assert_eq!(read_view::<InForce>(address, &body).unwrap(), in_force());
-    let body = ask(address, "/members").await.unwrap();
+    let body = query(address, "/members").await.unwrap();
     assert_eq!(
         read_view::<Vec<Member>>(address, &body).unwrap(),
         [member()]
     );
-    let body = ask(address, "/config").await.unwrap();
+    let body = query(address, "/config").await.unwrap();
     assert_eq!(read_view::<Config>(address, &body).unwrap(), config());
-    let body = ask(address, "/dump").await.unwrap();
+    let body = query(address, "/dump").await.unwrap();
     assert_eq!(body, "{\"tickets\":[]}");
 }
 
 #[async_std::test]
 async fn serve_ready() {
     let address = start();
-    let first = ask(address, "/ready").await;
-    assert!(matches!(first, Err(AskError::Refused { status: 503, .. })));
-    assert_eq!(ask(address, "/ready").await.unwrap(), "ready\n");
+    let first = query(address, "/ready").await;
+    assert!(matches!(
+        first,
+        Err(QueryError::Refused { status: 503, .. })
+    ));
+    assert_eq!(query(address, "/ready").await.unwrap(), "ready\n");
 }
 
 #[async_std::test]
 async fn serve_metrics() {
     start_metrics();
     metrics::counter!("chervilwind_test_count", "part" => "server").increment(3);
-    let text = ask(start(), "/metrics").await.unwrap();
+    let text = query(start(), "/metrics").await.unwrap();
     let lines = [
         "chervilwind_test_count{part=\"server\"} 3",
         "# TYPE chervilwind_peers_bytes counter",
@@ -172,8 +175,11 @@
 
 #[async_std::test]
 async fn serve_unknown_path() {
-    let asked = ask(start(), "/stauts").await;
-    assert!(matches!(asked, Err(AskError::Refused { status: 404, .. })));
+    let asked = query(start(), "/stauts").await;
+    assert!(matches!(
+        asked,
+        Err(QueryError::Refused { status: 404, .. })
+    ));
 }
 
 #[async_std::test]
@@ -185,7 +191,7 @@
     let silent: Vec<TcpStream> = (0..200)
         .map(|_| TcpStream::connect(address).unwrap())
         .collect();
-    assert!(ask(address, "/status").await.is_ok());
+    assert!(query(address, "/status").await.is_ok());
     drop(silent);
 }
 
@@ -194,14 +200,14 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    let asked = ask(address, "/status").await;
-    assert!(matches!(asked, Err(AskError::NotReached { .. })));
+    let asked = query(address, "/status").await;
+    assert!(matches!(asked, Err(QueryError::NotReached { .. })));
 }
 
 #[async_std::test]
 async fn ask_silent() {
     // The connection opens, as the process behind it is paused, and no answer ever comes.
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let asked = ask(listener.local_addr().unwrap(), "/status").await;
-    assert!(matches!(asked, Err(AskError::NotReached { .. })));
+    let asked = query(listener.local_addr().unwrap(), "/status").await;
+    assert!(matches!(asked, Err(QueryError::NotReached { .. })));
 }
--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -26,7 +26,7 @@
         Options, //
     },
     operators::{
-        ask,
+        query,
         read_view,
         Document,
         Member,
@@ -88,7 +88,7 @@
     let Some(router) = router else {
         return Revision::NONE;
     };
-    let asked = ask(router, "/members").await;
+    let asked = query(router, "/members").await;
     let members = asked.and_then(|body| read_view::<Vec<Member>>(router, &body));
     match members {
         Ok(members) => {
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -21,7 +21,7 @@
         Options, //
     },
     operators::{
-        ask,
+        query,
         read_view, //
     },
     serde_json::json,
@@ -62,7 +62,7 @@
 
 /// Asks a router, which knows the latest also while the platform is down or was restored.
 async fn in_force(router: SocketAddr) -> Result<Option<Config>, Error> {
-    let body = ask(router, "/config").await?;
+    let body = query(router, "/config").await?;
     Ok(read_view(router, &body)?)
 }
 
--- a/src/cli/views.rs
+++ b/src/cli/views.rs
@@ -16,7 +16,7 @@
     },
     crate::errors::Error,
     operators::{
-        ask,
+        query,
         read_view,
         Profiles,
         Status, //
@@ -25,7 +25,7 @@
 
 /// Shows the profiles in force.
 pub(crate) async fn profiles(flags: &ProfilesFlags) -> Result<(), Error> {
-    let body = ask(flags.router, "/profiles").await?;
+    let body = query(flags.router, "/profiles").await?;
     if flags.json {
         return line(body);
     }
@@ -56,7 +56,7 @@
 
 /// Shows how a router is doing.
 pub(crate) async fn status(flags: &StatusFlags) -> Result<(), Error> {
-    let body = ask(flags.router, "/status").await?;
+    let body = query(flags.router, "/status").await?;
     if flags.json {
         return line(body);
     }
@@ -74,7 +74,7 @@
 
 /// Prints all that a router knows.
 pub(crate) async fn dump(flags: &Dump) -> Result<(), Error> {
-    line(ask(flags.router, "/dump").await?)
+    line(query(flags.router, "/dump").await?)
 }
 
 fn summary(view: &Status) -> String {
--- a/src/cli/wait.rs
+++ b/src/cli/wait.rs
@@ -7,12 +7,12 @@
         task, //
     },
     operators::{
-        ask,
+        query,
         read_view,
-        AskError,
         InForce,
         Member,
         MemberState, //
+        QueryError,
     },
     policy::{
         Incarnation,
@@ -74,7 +74,7 @@
 
 impl Wait {
     /// Asks the routers that are not done and returns those that don't have the revision.
-    async fn round(&mut self) -> Result<Vec<String>, AskError> {
+    async fn round(&mut self) -> Result<Vec<String>, QueryError> {
         let first = in_force(self.router).await?;
         let members: Vec<Member> = view(self.router, "/members").await?;
         let mut left = Vec::new();
@@ -105,16 +105,16 @@
     }
 
     /// Says whether that router has the revision; another one behind its address doesn't count.
-    fn has(&self, name: &RouterId, answer: Result<InForce, AskError>) -> bool {
+    fn has(&self, name: &RouterId, answer: Result<InForce, QueryError>) -> bool {
         answer.is_ok_and(|a| a.name == *name && a.revision >= self.revision)
     }
 }
 
-async fn in_force(router: SocketAddr) -> Result<InForce, AskError> {
+async fn in_force(router: SocketAddr) -> Result<InForce, QueryError> {
     view(router, "/revision").await
 }
 
-async fn view<T: DeserializeOwned>(router: SocketAddr, path: &str) -> Result<T, AskError> {
-    let body = ask(router, path).await?;
+async fn view<T: DeserializeOwned>(router: SocketAddr, path: &str) -> Result<T, QueryError> {
+    let body = query(router, path).await?;
     read_view(router, &body)
 }
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -15,9 +15,9 @@
     },
     miette::Diagnostic,
     operators::{
-        AskError,
         CheckError,
         FileError, //
+        QueryError,
     },
     policy::Outcome,
     std::{
@@ -65,7 +65,7 @@
     /// A router's operators' address gave no answer.
     #[error(transparent)]
     #[diagnostic(help("give the operators' address of a running router, such as 127.0.0.1:7402"))]
-    Ask(#[from] AskError),
+    Ask(#[from] QueryError),
     /// The platform's configuration could not be read.
     #[error(transparent)]
     #[diagnostic(help("nothing was changed; check the platform's address and try again"))]
--- a/src/measure/process.rs
+++ b/src/measure/process.rs
@@ -4,7 +4,7 @@
     super::setup::Ports,
     crate::errors::Error,
     operators::{
-        ask,
+        query,
         read_view,
         Status, //
     },
@@ -106,7 +106,7 @@
 
 /// Asks a router how it is doing.
 pub(crate) async fn status_of(operators: SocketAddr) -> Result<Status, Error> {
-    let body = ask(operators, "/status").await?;
+    let body = query(operators, "/status").await?;
     Ok(read_view(operators, &body)?)
 }
 
--- a/src/measure/snapshot.rs
+++ b/src/measure/snapshot.rs
@@ -3,7 +3,7 @@
 use {
     super::stage::Stage,
     crate::errors::Error,
-    operators::ask,
+    operators::query,
     serde::Serialize,
     serde_json::Value,
     std::{
@@ -84,6 +84,6 @@
 
 /// Reads a router's dump.
 pub(crate) async fn dump(operators: SocketAddr) -> Result<Value, Error> {
-    let body = ask(operators, "/dump").await?;
+    let body = query(operators, "/dump").await?;
     Ok(operators::read_view(operators, &body)?)
 }
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -2,7 +2,7 @@
 
 use {
     chervilwind::DEFAULT_SETTINGS,
-    operators::ask,
+    operators::query,
     std::{
         fs,
         io::{
@@ -65,7 +65,7 @@
     drop(ours);
     let (mut router, operators) = start(Ipv4Addr::new(127, 77, 0, 2), theirs);
     for _ in 0..TRIES {
-        if ask(operators, "/status").await.is_ok() {
+        if query(operators, "/status").await.is_ok() {
             return;
         }
         let ended = router.0.try_wait().unwrap();
--- a/tests/proofs/members.rs
+++ b/tests/proofs/members.rs
@@ -102,7 +102,7 @@
 
 /// Returns who owns each service's slots, as a router knows it.
 fn owners(fleet: &Fleet, r: usize) -> Option<BTreeMap<String, Option<RouterId>>> {
-    let body = block_on(operators::ask(fleet.routers[r].operators, "/dump")).ok()?;
+    let body = block_on(operators::query(fleet.routers[r].operators, "/dump")).ok()?;
     let mut dump: serde_json::Value = serde_json::from_str(&body).ok()?;
     let dispatch: DispatchDump = serde_json::from_value(dump["dispatch"].take()).ok()?;
     let services = dispatch.services.into_iter();
--- a/tests/proofs/stage/eye.rs
+++ b/tests/proofs/stage/eye.rs
@@ -128,6 +128,6 @@
 }
 
 async fn status(router: SocketAddr) -> Option<Status> {
-    let body = timeout(ANSWER, operators::ask(router, "/status")).await;
+    let body = timeout(ANSWER, operators::query(router, "/status")).await;
     serde_json::from_str(&body.ok()?.ok()?).ok()
 }
--- a/tests/proofs/stage/router.rs
+++ b/tests/proofs/stage/router.rs
@@ -157,7 +157,7 @@
 
     /// Asks it how it is doing.
     pub(crate) fn status(&self) -> Option<Status> {
-        let body = block_on(operators::ask(self.operators, "/status")).ok()?;
+        let body = block_on(operators::query(self.operators, "/status")).ok()?;
         serde_json::from_str(&body).ok()
     }
 }
