overload: a workspace that gets far less than others is not rejected for want of processor time

Cause: its callers keep to one instance, edge-akl-b-3, which was short of processor and rejected 0.89 of its requests (event=overload), while event=shares of the workspace shows no refusal by slots there.

Change: a request that would be rejected is admitted where the shortfall of its workspace is above 0.4: it is served late rather than not at all. What is rejected counts for the shortfall, at this router, but not as demand for engines.

Tests: admits_a_workspace_that_lags, standing_shortfall_counts_rejected_requests.

--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -15,12 +15,14 @@
         },
         state::{
             CurrentConfig,
-            Shared, //
+            Shared,
+            Tables, //
         },
     },
     policy::{
         placement::Prompt,
         quarantine::RequestDigest,
+        quota::WorkspaceKey,
         ServiceId,
         WorkspaceId, //
     },
@@ -157,11 +159,20 @@
         return Ok(());
     };
     let now = gw.now();
-    let overload = &mut gw.tables().overload;
+    let key = WorkspaceKey::of(workspace);
+    let mut tables = gw.tables();
+    let Tables {
+        overload, quota, ..
+    } = &mut *tables;
     overload.record_request(workspace, now);
-    if overload.admits(workspace, fastrand::f64(), now) {
+    let shortfall = || quota.standing(key, 0.0, now).shortfall;
+    if overload.admits(workspace, fastrand::f64(), shortfall, now) {
         return Ok(());
     }
+    if let Some(prompt) = (gw.dialect.parse_prompt)(&head.headers) {
+        quota.record_rejected(key, prompt.cost(), now);
+    }
+    drop(tables);
     metrics::counter!("chervilwind_overload_rejections").increment(1);
     Err(LocalAnswer::not_run(
         "this instance is short of processor time",
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -22,6 +22,8 @@
 const FALL: f64 = 0.01;
 /// The most that is rejected. What is admitted shows whether the shortage lasts.
 const REJECTED_MAX: f64 = 0.9;
+/// Shortfall from which a workspace is not rejected. None may get less than half of what others get.
+const SHORTFALL_MAX: f64 = 0.4;
 /// Span over which requests are counted.
 const WINDOW: Span = Span::millis(250);
 
@@ -46,8 +48,8 @@
 ///         overload.record_delay(Span::millis(60));
 ///     }
 /// }
-/// assert!(!overload.admits(&flood, 0.9, now));
-/// assert!(overload.admits(&small, 0.9, now));
+/// assert!(!overload.admits(&flood, 0.9, || 0.0, now));
+/// assert!(overload.admits(&small, 0.9, || 0.0, now));
 /// # Ok::<(), policy::IdError>(())
 /// ```
 #[derive(Debug, Default)]
@@ -97,12 +99,21 @@
 
     /// Returns whether a request of a workspace is admitted. `roll` is a random number from 0 to 1
     /// that is drawn for it.
-    pub fn admits(&self, workspace: &WorkspaceId, roll: f64, now: Time) -> bool {
+    ///
+    /// `shortfall` tells by which fraction the workspace gets less than others in the fleet. With a
+    /// large one it is served late rather than not at all, as its callers may use this instance only.
+    pub fn admits(
+        &self,
+        workspace: &WorkspaceId,
+        roll: f64,
+        shortfall: impl FnOnce() -> f64,
+        now: Time,
+    ) -> bool {
         if self.rejected == 0.0 || now.since(self.window_begun) >= WINDOW * 2.0 {
             return true;
         }
         let demand = self.last.get(workspace).copied().unwrap_or_default();
-        roll * f64::from(demand) < self.share.max(1.0)
+        roll * f64::from(demand) < self.share.max(1.0) || shortfall() > SHORTFALL_MAX
     }
 
     /// Returns the fraction of all requests that is rejected.
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -8,9 +8,6 @@
     serde::Deserialize, //
 };
 
-/// Shortfall from which a workspace finds slots beyond its preferred replicas. A workspace is to get
-/// no less than half of what others get.
-const SHORTFALL_MAX: f64 = 0.25;
 /// Load report interval at which the penalties for excess requests apply once.
 const BASE_LOAD_INTERVAL: Span = Span::millis(100);
 
@@ -148,7 +145,7 @@
         if standing.share < self.over_from {
             return self.spill_within;
         }
-        let lags = standing.shortfall > SHORTFALL_MAX && standing.max_min_ratio <= 1.0;
+        let lags = standing.lags() && standing.max_min_ratio <= 1.0;
         if !lags {
             return self.spill_limit;
         }
--- a/crates/policy/src/quota/table.rs
+++ b/crates/policy/src/quota/table.rs
@@ -36,6 +36,8 @@
 #[serde(transparent)]
 pub struct WorkspaceKey(pub u32);
 
+/// Shortfall from which a workspace is preferred.
+const SHORTFALL_MAX: f64 = 0.25;
 /// Standard deviations that a request count must grow by to count as real growth.
 const GROWTH_DEVIATIONS: f64 = 2.0;
 /// Weight, in requests, of the assumption that all routers receive equal parts, against the
@@ -126,6 +128,14 @@
     pub shortfall: f64,
 }
 
+impl UsageStanding {
+    /// Returns whether the workspace gets so much less than another one that it is to be preferred.
+    /// No workspace may get less than half of what others get.
+    pub fn lags(&self) -> bool {
+        self.shortfall > SHORTFALL_MAX
+    }
+}
+
 impl WorkspaceKey {
     /// Returns the key of a workspace.
     pub fn of(id: &WorkspaceId) -> WorkspaceKey {
@@ -194,6 +204,12 @@
         self.local.record_requested(workspace, tokens, now);
     }
 
+    /// Counts the tokens of a request that is rejected for want of processor time. They add to the
+    /// shortfall of the workspace, but not to its demand for engines.
+    pub fn record_rejected(&mut self, workspace: WorkspaceKey, tokens: f64, now: Time) {
+        self.local.record_rejected(workspace, tokens, now);
+    }
+
     /// Counts the tokens that a workspace is served, when its request starts.
     pub fn record_served(&mut self, workspace: WorkspaceKey, tokens: f64, now: Time) {
         self.local.record_served(workspace, tokens, now);
@@ -345,7 +361,8 @@
         let fair_shares = self.fair_shares(now);
         let sum = self.sum(workspace, now);
         let recent = f64::from(sum.recent);
-        let owed = fair_shares.best.min(f64::from(sum.requested));
+        let requested = f64::from(sum.requested) + self.local.rejected(workspace, now);
+        let owed = fair_shares.best.min(requested);
         UsageStanding {
             share: f64::from(sum.served) / fair_shares.configured.max(1.0),
             max_min_ratio: match recent <= fair_shares.max_min {
--- a/crates/policy/src/quota/window.rs
+++ b/crates/policy/src/quota/window.rs
@@ -35,6 +35,8 @@
     counts: UsageCounts,
     /// Number of requests.
     requests: u32,
+    /// Tokens of requests that this router rejected before it counted them as requested.
+    rejected: f32,
 }
 
 /// Demand of a workspace in the last second.
@@ -63,6 +65,17 @@
         step.requests += 1;
     }
 
+    /// Counts the tokens of a request that is rejected before it counts as requested.
+    pub(super) fn record_rejected(&mut self, workspace: WorkspaceKey, tokens: f64, now: Time) {
+        self.step(workspace, now).rejected += tokens as f32;
+    }
+
+    /// Returns these tokens of a workspace over the window.
+    pub(super) fn rejected(&self, workspace: WorkspaceKey, now: Time) -> f64 {
+        let steps = self.since(workspace, self.length, now);
+        steps.map(|step| f64::from(step.rejected)).sum()
+    }
+
     /// Counts tokens that are served.
     pub(super) fn record_served(&mut self, workspace: WorkspaceKey, tokens: f64, now: Time) {
         self.step(workspace, now).counts.served += tokens as f32;
@@ -79,6 +92,7 @@
                 at: now,
                 counts: UsageCounts::default(),
                 requests: 0,
+                rejected: 0.0,
             });
         }
         let last = steps.len() - 1;
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -44,7 +44,7 @@
         self.overload.record_request(workspace, now);
         let begun = self.busy_until.max(now);
         outcome.requests += 1;
-        let cost = match self.overload.admits(workspace, roll, now) {
+        let cost = match self.overload.admits(workspace, roll, || 0.0, now) {
             true => {
                 outcome.served += 1;
                 outcome.late += u32::from(begun.since(now) > Span::millis(100));
@@ -109,6 +109,22 @@
     }
 }
 
+/// Guards against a workspace whose callers keep to an overloaded instance and that gets less than
+/// half of what another one gets elsewhere.
+#[test]
+fn admits_a_workspace_that_lags() {
+    let (_, _, instance) = run(1_200, Span::secs(10));
+    let (flood, now) = ("flood".parse().unwrap(), Time(0) + Span::secs(10));
+    let admitted = |shortfall: f64| {
+        let rolls = (0..100).map(|n| f64::from(n) / 100.0);
+        let admitted =
+            rolls.filter(|roll| instance.overload.admits(&flood, *roll, || shortfall, now));
+        admitted.count()
+    };
+    assert!(admitted(0.3) < 60, "{}", admitted(0.3));
+    assert_eq!(admitted(0.45), 100);
+}
+
 /// Guards against rejections by an instance that has time enough, also after a burst.
 #[test]
 fn overload_within_capacity() {
--- a/crates/policy/tests/placement/quota.rs
+++ b/crates/policy/tests/placement/quota.rs
@@ -65,10 +65,26 @@
     };
     quota.set_peer(&"r2".parse().unwrap(), &[(LARGE, served)], at(0));
     quota.record_served(SMALL, 1_200.0, at(0));
-    assert_eq!(quota.standing(LARGE, ROLL, at(60)).shortfall, 0.0);
+    let best = quota.standing(LARGE, ROLL, at(60));
+    assert!(best.shortfall == 0.0 && !best.lags());
     // It requested less than the best served one got.
-    let shortfall = quota.standing(SMALL, ROLL, at(60)).shortfall;
-    assert!((shortfall - 0.6).abs() < 1e-6, "{shortfall}");
+    let small = quota.standing(SMALL, ROLL, at(60));
+    assert!((small.shortfall - 0.6).abs() < 1e-6 && small.lags());
+}
+
+/// Guards against a workspace that seems to get what it asks, as its requests are rejected for want
+/// of processor time before they are counted.
+#[test]
+fn standing_shortfall_counts_rejected_requests() {
+    let mut quota = quota();
+    quota.record_requested(LARGE, 9_000.0, at(0));
+    quota.record_served(LARGE, 4_000.0, at(0));
+    quota.record_requested(SMALL, 1_000.0, at(0));
+    quota.record_served(SMALL, 1_000.0, at(0));
+    quota.record_rejected(SMALL, 4_000.0, at(0));
+    let small = quota.standing(SMALL, ROLL, at(60));
+    assert!((small.shortfall - 0.75).abs() < 1e-6, "{}", small.shortfall);
+    assert_eq!(small.demand, 1_000.0);
 }
 
 /// Guards against a flood going first at a router that sees little of it.
