gateway: what replicas announce in their answers is decoded, logged and counted

Of the incident with leaving and resting replicas. Neither header was decoded anywhere, and no line or counter showed that an announcement had arrived, so the logs could not tell a header that is not read from a mark that is lost again.

platform/ decodes both headers of a replica's answer into a Notice: whether it leaves, and for how long it wants no requests (with a 503 only; a date, a negative number or no number is kept as text). Every head is looked at, also that of an extra answer to an earlier request; 421 is another replica's word. event=notice and chervilwind_replica_notices show them. Nothing is decided by it yet.

Tests: notice_of_a_leaving_replica, notice_of_a_time_to_wait, notice_of_an_invalid_time in platform/.

--- a/crates/gateway/benches/request_cost/gateway_side.rs
+++ b/crates/gateway/benches/request_cost/gateway_side.rs
@@ -12,6 +12,7 @@
         Headers,
         Lease,
         Limits,
+        Notice,
         OperatorChanges,
         OperatorData,
         Replica,
@@ -196,6 +197,7 @@
         parse_prompt,
         parse_config,
         parse_replica: |_, _| Err("the store lists parsed replicas".to_owned()),
+        parse_notice: |_, _| Notice::default(),
         parse_address_query: |_| Some(AddressQuery::default()),
         encode_addresses: |_, _| Vec::new(),
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
         Engine,
         Lease,
         Limits,
+        Notice,
         OperatorChanges,
         OperatorData,
         RegisteredRouter,
--- a/crates/gateway/src/model/dialect.rs
+++ b/crates/gateway/src/model/dialect.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Config,
+        Notice,
         Replica, //
     },
     crate::Headers,
@@ -48,6 +49,8 @@
     pub parse_config: fn(&[u8]) -> Result<Config, String>,
     /// Parses the entry of a replica, given its id.
     pub parse_replica: fn(&str, &[u8]) -> Result<Replica, String>,
+    /// Parses what a replica announces in the head of an answer, given its status.
+    pub parse_notice: fn(u16, &Headers) -> Notice,
     /// Parses the target of a caller's request for addresses; none if it is another request.
     pub parse_address_query: fn(&str) -> Option<AddressQuery>,
     /// Encodes the answer to it: addresses, and how long callers may keep them.
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod dialect;
+mod notice;
 mod replica;
 mod store;
 
@@ -19,6 +20,7 @@
         AddressQuery,
         Dialect, //
     },
+    notice::Notice,
     replica::{
         Replica,
         State, //
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -12,6 +12,7 @@
         request_log::log_attempt, //
     },
     crate::{
+        http::Head,
         state::Shared,
         upstream::{
             call,
@@ -60,7 +61,16 @@
         until: req.until,
         kind: req.route.kind,
     };
-    Ok(call(&gw.pool, &gw.dialect, &permit.replica, &request, sent).await?)
+    let on_head = |head: &Head| permit.record_head(gw, head);
+    let called = call(
+        &gw.pool,
+        &gw.dialect,
+        &permit.replica,
+        &request,
+        sent,
+        &on_head,
+    );
+    Ok(called.await?)
 }
 
 impl Attempt<'_> {
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod hedge;
 mod local_answer;
 mod next_replica;
+mod notice;
 mod outcome;
 mod permit;
 mod plain;
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -114,6 +114,9 @@
 
 /// Sends a request to a replica and reads the head of its answer.
 ///
+/// `on_head` is called with every head that the replica sends meanwhile, also with those of extra
+/// answers to earlier requests.
+///
 /// # Errors
 ///
 /// If there is no answer; `sent` tells whether the replica may have received the request.
@@ -123,6 +126,7 @@
     replica: &Replica,
     request: &UpstreamRequest<'_>,
     sent: &SendMarker,
+    on_head: &(dyn Fn(&Head) + Sync),
 ) -> Result<Reply, CallError> {
     let max_idle = match request.kind {
         RouteKind::Single => SINGLE_IDLE_MAX,
@@ -152,7 +156,7 @@
         request_written = written.await.is_ok();
         futures_lite::future::pending().await
     };
-    let read = async { read_answer(&mut conn, dialect, request).await };
+    let read = async { read_answer(&mut conn, dialect, request, on_head).await };
     let (head, body) = or(read, write).await?;
     Ok(Reply {
         head,
@@ -203,10 +207,12 @@
     conn: &mut Conn,
     dialect: &Dialect,
     request: &UpstreamRequest<'_>,
+    on_head: &(dyn Fn(&Head) + Sync),
 ) -> Result<(Head, Body), CallError> {
     let mut extra = 0;
     loop {
         let head = conn.read_head(HEAD_MAX, Head::response).await?;
+        on_head(&head);
         if (100..200).contains(&head.status()) {
             continue;
         }
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -17,6 +17,7 @@
         Headers,
         Lease,
         Limits,
+        Notice,
         OperatorChanges,
         OperatorData,
         RegisteredRouter,
@@ -244,6 +245,16 @@
     all.join(" ").into_bytes()
 }
 
+/// Announcements of replicas: `X-Leaving: 1`, and `Retry-After` in whole seconds.
+fn notice(status: u16, headers: &Headers) -> Notice {
+    let seconds = headers.get("retry-after").filter(|_| status == 503);
+    Notice {
+        leaving: headers.get("x-leaving") == Some("1"),
+        retry_after: seconds.map(|s| Duration::from_secs(s.parse().unwrap())),
+        ..Notice::default()
+    }
+}
+
 fn dialect() -> Dialect {
     Dialect {
         id: "X-Id",
@@ -261,6 +272,7 @@
         parse_prompt: no_prompt,
         parse_config: read_config,
         parse_replica: no_replica,
+        parse_notice: notice,
         parse_address_query: query,
         encode_addresses: addresses,
     }
