--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod harness;
 mod leaving;
+mod notices;
 mod once;
 mod quarantine;
 mod replica;
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -35,6 +35,7 @@
 pub(crate) struct SeenRequest {
     pub(crate) head: String,
     pub(crate) body: Vec<u8>,
+    pub(crate) arrived: Instant,
 }
 
 /// A step of a script.
@@ -193,6 +194,7 @@
             let mut seen = SeenRequest {
                 head,
                 body: Vec::new(),
+                arrived: Instant::now(),
             };
             let length = if early { 0 } else { seen.length() };
             if buf.len() >= end + 4 + length {
