gateway: a replica that announces in an answer that it leaves gets no more requests

Cause: what a replica says of itself was known by the list alone. Class: a thing that is told firsthand is taken from a copy that may be older.

Change: each head of an answer is applied when it is read, so also that of a rejection, an error, an unsigned or extra answer, and of an attempt that is abandoned afterwards. Roster keeps the incarnations that are leaving apart from its entries: neither an older list, a peer's list, a restored store nor an entry that lapses and returns takes the mark back, and a later start under the same id has another key. The same holds now for those that the list said to be draining, whose mark went with the entry before (roster_listed_leaving_outlives_its_entry).

Why it holds: the mark is set before the answer is forwarded, and every choice of a replica, first, retried, hedged or resumed, goes through Roster::ready.

--- a/crates/gateway/src/fleet/messages.rs
+++ b/crates/gateway/src/fleet/messages.rs
@@ -53,6 +53,9 @@
     Evacuations(EvacuationOrders),
     /// Replicas that the sender has seen to be cold; follows a hello in the same datagram.
     ColdReplicas(Vec<ColdReplica>),
+    /// Replicas that recently announced that they are leaving, to the sender or to a peer; follows a
+    /// hello in the same datagram.
+    LeavingReplicas(Vec<ReplicaKey>),
 }
 
 /// Fields that all messages have in common.
--- a/crates/gateway/src/fleet/messages/tests.rs
+++ b/crates/gateway/src/fleet/messages/tests.rs
@@ -207,6 +207,20 @@
     assert_eq!(received, sent);
 }
 
+#[test]
+fn leaving_replicas_follow_a_hello() {
+    let keys: Vec<ReplicaKey> = (0..300).map(|n| ReplicaKey(u32::MAX - n)).collect();
+    let sent = Datagram(vec![
+        PeerMessage::Hello(Box::new(hello())),
+        PeerMessage::LeavingReplicas(keys),
+    ]);
+    let bytes = sent.encode().unwrap();
+    assert!(bytes.len() <= 2_048, "{}", bytes.len());
+    let (received, error) = Datagram::decode(&bytes);
+    assert!(error.is_none());
+    assert_eq!(received, sent);
+}
+
 #[test]
 fn decode_rejects_garbage() {
     for bytes in [&b""[..], b"GET / HTTP/1.1", &[0xc1; 40]] {
--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -27,6 +27,7 @@
             HelloKind,
             LoadFlags, //
         },
+        placement::ReplicaKey,
         RouterId, //
     },
     std::{
@@ -123,6 +124,20 @@
                 let now = self.gw.now();
                 self.gw.tables().warmup.apply_peer(&replicas, now);
             }
+            PeerMessage::LeavingReplicas(replicas) => self.apply_leaving(&replicas, from),
+        }
+    }
+
+    fn apply_leaving(&self, replicas: &[ReplicaKey], from: SocketAddr) {
+        let now = self.gw.now();
+        let mut tables = self.gw.tables();
+        for key in replicas {
+            if !tables.roster.announce_leaving(*key, now) {
+                continue;
+            }
+            if let Some(id) = tables.roster.id_of(*key) {
+                log::info!("event=replica outcome=leaving replica={id} from={from}");
+            }
         }
     }
 
--- a/crates/gateway/src/fleet/sender.rs
+++ b/crates/gateway/src/fleet/sender.rs
@@ -44,6 +44,8 @@
 
 /// How many cold replicas a datagram names; a hello, and these, fit into the receiver's buffer.
 const MAX_COLD_REPLICAS: usize = 300;
+/// How many leaving replicas a datagram names. The list tells of others.
+const MAX_LEAVING_REPLICAS: usize = 300;
 
 /// A datagram and its receivers.
 type Addressed = (Datagram, Vec<SocketAddr>);
@@ -240,7 +242,7 @@
         due.relayed.iter().map(summary).collect()
     }
 
-    /// Returns a datagram with a hello, the zones to evacuate and the cold replicas.
+    /// Returns a datagram with a hello, the zones to evacuate, and the cold and leaving replicas.
     pub(super) fn datagram(&self, hello: HelloMessage, now: Time) -> Datagram {
         let mut messages = vec![PeerMessage::Hello(Box::new(hello))];
         let orders = self.evacuations.orders().cloned();
@@ -251,6 +253,11 @@
             cold.truncate(MAX_COLD_REPLICAS);
             messages.push(PeerMessage::ColdReplicas(cold));
         }
+        let mut leaving = self.roster.announced_leaving(now);
+        if !leaving.is_empty() {
+            leaving.truncate(MAX_LEAVING_REPLICAS);
+            messages.push(PeerMessage::LeavingReplicas(leaving));
+        }
         Datagram(messages)
     }
 
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -61,7 +61,7 @@
         until: req.until,
         kind: req.route.kind,
     };
-    let on_head = |head: &Head| permit.record_head(gw, head);
+    let on_head = |head: &Head| permit.apply_head(gw, head);
     let called = call(
         &gw.pool,
         &gw.dialect,
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -171,6 +171,11 @@
         }
     }
 
+    /// Returns the key of the replica's incarnation.
+    pub(super) fn key(&self) -> ReplicaKey {
+        self.key
+    }
+
     /// Returns a monitor of the replica's silence.
     pub(crate) fn monitor(&self) -> SilenceMonitor {
         SilenceMonitor {
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -21,6 +21,7 @@
             Step, //
         },
     },
+    policy::StartedAt,
     std::{
         thread,
         time::{
@@ -207,6 +208,20 @@
     assert_eq!(a.seen().len(), before);
 }
 
+/// Guards against a replica without requests after it restarted under its id.
+#[test]
+fn leaving_of_an_earlier_start() {
+    let a = quick(|seen| vec![leaving(&ok_answer(seen, "ok"))]);
+    let b = slow();
+    let gw = TestGateway::start(&[("i-1", &a), ("i-2", &b)]);
+    let before = announce(&gw, &a, "/again/a");
+    gw.store.lock().unwrap().replicas[0].started_at = Some(StartedAt(1_700_000_000_000));
+    wait_until(|| {
+        gw.get("/again/a", "1");
+        a.seen().len() > before
+    });
+}
+
 /// Guards against a flood of requests to a replica that rejects them and asks for a pause.
 #[test]
 fn pause_after_a_rejection() {
--- a/crates/policy/src/roster/entry.rs
+++ b/crates/policy/src/roster/entry.rs
@@ -34,10 +34,8 @@
 pub(super) struct Entry<T> {
     pub(super) key: ReplicaKey,
     pub(super) value: T,
-    /// It takes no requests, according to the list or a peer.
+    /// It takes no requests, according to the list, a peer or itself.
     pub(super) draining: bool,
-    /// This router itself read that it is leaving, which an incarnation never reverts.
-    pub(super) leaving: bool,
 }
 
 /// The origin of a list.
--- a/crates/policy/src/roster/mod.rs
+++ b/crates/policy/src/roster/mod.rs
@@ -1,6 +1,7 @@
 //! Which replicas take requests, based on a list that can be read only now and then.
 
 mod entry;
+mod leaving;
 mod outage;
 mod turns;
 
@@ -12,6 +13,7 @@
             Entry,
             ListOrigin, //
         },
+        leaving::LeavingReplicas,
         outage::Outage,
         turns::Turns, //
     },
@@ -57,6 +59,7 @@
     entries: BTreeMap<ReplicaId, Entry<T>>,
     outage: Outage,
     departed: BTreeMap<ReplicaKey, Time>,
+    leaving: LeavingReplicas,
     turns: Turns,
     eras: Eras,
     /// The store's revision when this router last read the list.
@@ -71,6 +74,7 @@
             entries: BTreeMap::new(),
             outage: Outage::default(),
             departed: BTreeMap::new(),
+            leaving: LeavingReplicas::default(),
             turns: Turns::default(),
             eras: Eras::default(),
             revision: None,
@@ -184,13 +188,14 @@
             if known.is_none() && self.is_of_older_copy(key, now) {
                 continue;
             }
-            // After an outage of the store an earlier entry may reappear for a while. An
-            // incarnation that was read as leaving would get requests that it can't finish. A peer
-            // may be mistaken, so its report counts only while the list may be older.
-            let leaving =
-                known.is_some_and(|e| e.leaving) || origin == ListOrigin::Local && listed.draining;
+            // A list may be older than what is known, also after it lacked the incarnation. One
+            // that is leaving would get requests that it can't finish. A peer's report of a
+            // departure may be mistaken, so it counts only while the list may be older.
+            if origin == ListOrigin::Local && listed.draining {
+                self.leaving.mark_listed(key, now);
+            }
             let reported = stale && known.is_some_and(|e| e.draining);
-            let draining = listed.draining || leaving || reported;
+            let draining = listed.draining || self.leaving.contains(key) || reported;
             if draining {
                 match known.map(|e| e.draining) {
                     Some(false) => {
@@ -213,12 +218,13 @@
                     key,
                     value,
                     draining,
-                    leaving,
                 },
             );
         }
         self.departed
             .retain(|_, at| now.since(*at) < DEPARTURE_SPAN);
+        let listed = self.entries.values().map(|e| e.key);
+        self.leaving.observe_listed(listed, now);
         departed
     }
 
@@ -331,6 +337,42 @@
         changed
     }
 
+    /// Records that an incarnation announced in an answer that it is leaving, to this router or to a
+    /// peer. Returns whether that is new.
+    ///
+    /// It holds whatever a list says, as lists may be older, and not for a later incarnation under
+    /// the same id.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use policy::{placement::ReplicaKey, ReplicaId, Roster, Time};
+    ///
+    /// let id: ReplicaId = "i-1".parse()?;
+    /// let mut roster: Roster<&str> = Roster::default();
+    /// roster.apply_list([(id.clone(), "a", false)], Time(0));
+    /// assert!(roster.announce_leaving(ReplicaKey::of(&id), Time(1)));
+    /// roster.apply_list([(id, "a", false)], Time(2));
+    /// assert_eq!(roster.ready().count(), 0);
+    /// # Ok::<(), policy::IdError>(())
+    /// ```
+    pub fn announce_leaving(&mut self, key: ReplicaKey, now: Time) -> bool {
+        let new = self.leaving.mark_announced(key, now);
+        if new {
+            self.departed.insert(key, now);
+        }
+        for entry in self.entries.values_mut().filter(|e| e.key == key) {
+            entry.draining = true;
+        }
+        new
+    }
+
+    /// Returns the incarnations that recently announced that they are leaving, to report them to
+    /// the peers.
+    pub fn announced_leaving(&self, now: Time) -> Vec<ReplicaKey> {
+        self.leaving.announced(now).collect()
+    }
+
     /// Returns the replicas that departed recently, to report them to the peers.
     pub fn departures(&self, now: Time) -> Vec<ReplicaKey> {
         let recent = self
@@ -356,6 +398,12 @@
         self.entries.get(id).map(|e| &e.value)
     }
 
+    /// Returns the id of a known incarnation.
+    pub fn id_of(&self, key: ReplicaKey) -> Option<&ReplicaId> {
+        let mut entries = self.entries.iter();
+        entries.find(|(_, e)| e.key == key).map(|(id, _)| id)
+    }
+
     /// Returns every known replica, including draining ones.
     pub fn known(&self) -> impl Iterator<Item = (&ReplicaId, &T)> {
         self.entries.iter().map(|(id, e)| (id, &e.value))
--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -272,3 +272,18 @@
         assert!(knowing * 100 >= n * 95, "{knowing} of {n} know after 4 s");
     }
 }
+
+/// Guards against routers, active, standing by or busy, that send requests to a leaving replica as
+/// only another one, a standby, got its announcement.
+#[test]
+fn announced_leaving_reaches_all() {
+    for n in SIZES {
+        let mut world = settled(n, 7);
+        let (first, busy) = (n - 1, n - 2);
+        world.start_requests(busy, 12);
+        world.announce_leaving(first);
+        world.run(Span::secs(5));
+        let unaware = (0..n).filter(|i| !world.knows_leaving(*i)).count();
+        assert_eq!(unaware, 0, "of {n} routers");
+    }
+}
--- a/crates/policy/tests/actives/world.rs
+++ b/crates/policy/tests/actives/world.rs
@@ -17,6 +17,8 @@
         },
         Era,
         Incarnation,
+        Listed,
+        Roster,
         RouterId,
         Span,
         Time, //
@@ -75,6 +77,7 @@
     u32,
     Incarnation,
     Era,
+    Vec<ReplicaKey>,
     Payload,
 );
 
@@ -87,6 +90,8 @@
     next_send: Time,
     /// The newest era of the store that it knows of, which each of its messages contains.
     era: Era,
+    /// The replicas, of which its hellos name those that announced they are leaving.
+    roster: Roster<()>,
 }
 
 /// The fleet, and the network between its routers.
@@ -149,6 +154,7 @@
                 number: 0,
                 next_send,
                 era: Era::default(),
+                roster: Roster::default(),
             });
             world.seed(i);
         }
@@ -195,6 +201,26 @@
         self.routers[i].era
     }
 
+    /// Lets a replica announce to a router that it is leaving.
+    pub(crate) fn announce_leaving(&mut self, i: usize) {
+        let now = self.now;
+        self.routers[i].roster.announce_leaving(REPLICA, now);
+    }
+
+    /// Returns whether a router knows that the replica is leaving, though the list doesn't say so.
+    pub(crate) fn knows_leaving(&mut self, i: usize) -> bool {
+        let replica = Listed {
+            id: "i-1".parse().unwrap(),
+            key: REPLICA,
+            value: (),
+            draining: false,
+        };
+        let now = self.now;
+        let roster = &mut self.routers[i].roster;
+        roster.apply_list([replica], now);
+        roster.ready().count() == 0
+    }
+
     /// Returns among how many routers a router divides the retry budget.
     pub(crate) fn sharers(&self, i: usize) -> usize {
         self.routers[i].fleet.sharers(self.now)
@@ -216,6 +242,7 @@
             number: 0,
             next_send: self.now + Span::millis(self.rng.u64(0..300)),
             era: Era::default(),
+            roster: Roster::default(),
         };
         self.seed(i);
     }
@@ -327,6 +354,10 @@
         self.sequence += 1;
         let incarnation = self.routers[from].fleet.local().incarnation;
         self.received[to] += bytes;
+        let leaving = match &payload {
+            Payload::Hello { .. } => self.routers[from].roster.announced_leaving(self.now),
+            _ => Vec::new(),
+        };
         self.messages.push((
             Reverse((at, self.sequence)),
             from,
@@ -334,6 +365,7 @@
             number,
             incarnation,
             self.routers[from].era,
+            leaving,
             payload,
         ));
     }
@@ -345,12 +377,16 @@
 
     fn deliver(&mut self) {
         while self.messages.peek().is_some_and(|w| w.0 .0 .0 <= self.now) {
-            let (_, from, to, number, incarnation, era, payload) = self.messages.pop().unwrap();
+            let (_, from, to, number, incarnation, era, leaving, payload) =
+                self.messages.pop().unwrap();
             if !self.routers[to].up || !self.reaches(from, to) {
                 continue;
             }
             let known = &mut self.routers[to].era;
             *known = era.max(*known);
+            for key in leaving {
+                self.routers[to].roster.announce_leaving(key, self.now);
+            }
             match payload {
                 Payload::Hello { next, known } => {
                     self.hello(from, to, number, incarnation, next, &known)
--- a/crates/policy/tests/placement/roster.rs
+++ b/crates/policy/tests/placement/roster.rs
@@ -545,3 +545,89 @@
         assert_eq!(after_a_return(routers, interval), (0, 0), "{routers}");
     }
 }
+
+/// Guards against lists, of this router or of peers, that are older than a replica's own
+/// announcement and bring it back, however long after it.
+#[test]
+fn roster_announced_leaving_outlives_lists() {
+    let mut roster = Roster::default();
+    list(&mut roster, &["a", "b"], 0);
+    assert!(roster.announce_leaving(ReplicaKey::of(&id("a")), at(100)));
+    assert!(!roster.announce_leaving(ReplicaKey::of(&id("a")), at(200)));
+    for ms in (300..60_000).step_by(700) {
+        list(&mut roster, &["a", "b"], ms);
+        assert_eq!(ready(&roster), ["b"], "{ms}");
+        let peers = [(id("a"), (), false), (id("b"), (), false)];
+        roster.apply_peer_list(peers, Span::millis(10), at(ms + 300));
+        assert_eq!(ready(&roster), ["b"], "{ms}");
+    }
+}
+
+/// Guards against a leaving replica that gets requests again as its entry lapses while the store is
+/// down, or is missing from a restored store, and is written again.
+#[test]
+fn roster_announced_leaving_outlives_its_entry() {
+    let mut roster = Roster::default();
+    list(&mut roster, &["a", "b"], 0);
+    roster.announce_leaving(ReplicaKey::of(&id("a")), at(100));
+    list(&mut roster, &["b"], 10_000);
+    list(&mut roster, &["a", "b"], 200_000);
+    assert_eq!(ready(&roster), ["b"]);
+    list_at(&mut roster, 2, 1, &["b"], 201_000);
+    list_at(&mut roster, 2, 2, &["a", "b"], 210_000);
+    assert_eq!(ready(&roster), ["b"]);
+}
+
+/// Guards against a mark that is lost as the entry which was read as draining lapses and returns.
+#[test]
+fn roster_listed_leaving_outlives_its_entry() {
+    let mut roster: Roster<()> = Roster::default();
+    roster.apply_list([(id("a"), (), true), (id("b"), (), false)], at(0));
+    list(&mut roster, &["b"], 10_000);
+    list(&mut roster, &["a", "b"], 30_000);
+    assert_eq!(ready(&roster), ["b"]);
+}
+
+/// Guards against a replica without requests, as an earlier start under its id announced that it
+/// leaves, in an answer that came before or after the list with the new start.
+#[test]
+fn roster_announced_leaving_of_an_earlier_start() {
+    let mut roster = Roster::default();
+    roster.apply_list([start("a", 1, false)], at(0));
+    roster.announce_leaving(key("a", 1), at(100));
+    roster.apply_list([start("a", 2, false)], at(700));
+    assert_eq!(ready(&roster), ["a"]);
+    roster.apply_list([start("a", 3, false)], at(1_400));
+    roster.announce_leaving(key("a", 2), at(1_500));
+    assert_eq!(ready(&roster), ["a"]);
+}
+
+/// Guards against an announcement that arrives before the first list with the replica.
+#[test]
+fn roster_announced_leaving_before_it_is_listed() {
+    let mut roster = Roster::default();
+    roster.announce_leaving(ReplicaKey::of(&id("a")), at(0));
+    list(&mut roster, &["a", "b"], 100);
+    assert_eq!(ready(&roster), ["b"]);
+}
+
+/// Guards against announcements that routers go on telling each other for ever.
+#[test]
+fn roster_announced_leaving_is_reported_for_a_while() {
+    let (mut first, mut second) = (Roster::default(), Roster::default());
+    for roster in [&mut first, &mut second] {
+        list(roster, &["a", "b"], 0);
+    }
+    first.announce_leaving(ReplicaKey::of(&id("a")), at(0));
+    for ms in (0..30_000).step_by(100) {
+        for key in first.announced_leaving(at(ms)) {
+            second.announce_leaving(key, at(ms));
+        }
+        for key in second.announced_leaving(at(ms)) {
+            first.announce_leaving(key, at(ms));
+        }
+    }
+    assert_eq!(ready(&second), ["b"]);
+    assert!(first.announced_leaving(at(30_000)).is_empty());
+    assert!(second.announced_leaving(at(30_000)).is_empty());
+}
