gateway: a replica that asks for a pause gets no requests until it is over

What callers and replicas saw: three replicas rejected every request with 503 and Retry-After: 3, and got up to 23 requests from one router within that time. Each rejection cost a retry, and callers got 503 after two replicas had rejected a request though six others worked.

Cause: a rejection that says 'not run' left no mark on the replica, and the header was not read. Class: a refusal that names its time is treated as a failure of one request. Ruled out: a backoff in Health that is cleared by the next answer (nothing was begun); it would have been the next fault, so the pauses are kept apart, and only the answer to a request that was sent after the end of the pause ends them.

Change: policy::placement::Cooldowns. The pause that ends last counts; then one probe at a time goes out until the replica answers one without asking again. Five minutes at most. Replicas in a cooldown are no candidates, for first attempts, retries, hedges and resumed streams alike. A request that waited for a connection meanwhile is withdrawn before its first byte, without a retry from the budget. If all replicas of a service are in a cooldown, a request is rejected at once with the end of the first one, spread by up to a quarter of the rest (0.2 to 2 s). Only 503 counts: in a 429 the time would be about one request or workspace. A peer's cooldown is not shared, as the time is asked of one router.

Why it holds: the cooldown begins when the head is read, and what was chosen before is checked again once it has a connection; so only requests whose bytes are on their way still arrive.

--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -137,6 +137,7 @@
     tables.speeds.retain(|key| known.contains(&key));
     tables.latencies.retain(|key| known.contains(&key));
     tables.health.retain(|key, _| known.contains(key));
+    tables.cooldowns.forget(now);
     tables.last_received.retain(|key, _| known.contains(key));
     tables.warmup.retain(|key| known.contains(&key), now);
     tables
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -17,6 +17,7 @@
         upstream::{
             call,
             has_ended,
+            CallHooks,
             Reply,
             SendMarker,
             UpstreamRequest, //
@@ -61,14 +62,17 @@
         until: req.until,
         kind: req.route.kind,
     };
-    let on_head = |head: &Head| permit.apply_head(gw, head);
+    let hooks = CallHooks {
+        may_send: &|| permit.may_send(),
+        on_head: &|head: &Head| permit.apply_head(gw, head),
+    };
     let called = call(
         &gw.pool,
         &gw.dialect,
         &permit.replica,
         &request,
         sent,
-        &on_head,
+        &hooks,
     );
     Ok(called.await?)
 }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -20,6 +20,7 @@
         placement::{
             pick,
             pick_plain,
+            retry_after_cooldown,
             Candidate,
             Pick,
             PlacementRequest,
@@ -124,10 +125,17 @@
         let inputs = basis.as_ref().map_or(String::new(), Basis::to_string);
         let choice = match picked {
             None => {
-                return Err(Refused {
-                    refusal: Refusal::NoReplica,
-                    retry_delay: NO_REPLICA_RETRY_DELAY,
-                    inputs: String::new(),
+                return Err(match tables.cooldown(req, now) {
+                    Some(left) => Refused {
+                        refusal: Refusal::Cooldown,
+                        retry_delay: retry_after_cooldown(left, fastrand::f64()).into(),
+                        inputs: String::new(),
+                    },
+                    None => Refused {
+                        refusal: Refusal::NoReplica,
+                        retry_delay: NO_REPLICA_RETRY_DELAY,
+                        inputs: String::new(),
+                    },
                 })
             }
             Some(Pick::Reject {
@@ -157,6 +165,16 @@
     }
 }
 
+impl Shared {
+    /// Returns when the caller of a request that is given up should retry.
+    pub(super) fn retry_delay(&self, req: &Request, default: Duration) -> Duration {
+        let cooldown = self.tables().cooldown(req, self.now());
+        cooldown.map_or(default, |left| {
+            retry_after_cooldown(left, fastrand::f64()).into()
+        })
+    }
+}
+
 impl Tables {
     fn choose_engine(
         &mut self,
@@ -252,8 +270,31 @@
         }
     }
 
-    /// Returns the replicas of the request's service that take work, are in no evacuated zone and
-    /// are not avoided, because of failures or because they are cold.
+    /// Returns the replicas of the request's service that take work and are in no evacuated zone.
+    fn ready<'a>(
+        &'a self,
+        req: &'a Request,
+        now: Time,
+    ) -> impl Iterator<Item = (&'a ReplicaId, &'a Arc<Replica>)> {
+        let ready = self.roster.ready();
+        ready
+            .filter(|(_, r)| r.service == req.service)
+            .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
+    }
+
+    /// Returns the time until the first replica of the request's service takes requests again, if
+    /// all of them asked for a pause.
+    fn cooldown(&self, req: &Request, now: Time) -> Option<Span> {
+        let mut first: Option<Span> = None;
+        for (_, replica) in self.ready(req, now) {
+            let left = self.cooldowns.remaining(replica.key(), now)?;
+            first = Some(first.map_or(left, |first| first.min(left)));
+        }
+        first
+    }
+
+    /// Returns the replicas of the request's service that are ready and not avoided, because of
+    /// failures, because they asked for a pause or because they are cold.
     fn available<'a>(
         &'a self,
         req: &'a Request,
@@ -261,12 +302,11 @@
         barred: &'a ReplicaSet,
         now: Time,
     ) -> impl Iterator<Item = (ReplicaKey, &'a Arc<Replica>)> {
-        let ready = self.roster.ready();
-        ready
-            .filter(|(id, r)| r.service == req.service && !tried.contains(id))
-            .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
+        self.ready(req, now)
+            .filter(|(id, _)| !tried.contains(id))
             .map(|(_, r)| (r.key(), r))
             .filter(|(key, _)| !barred.contains(key))
+            .filter(move |(key, _)| self.cooldowns.is_available(*key, now))
             .filter(move |(key, _)| self.health.get(key).is_none_or(|h| h.is_available(now)))
     }
 
--- a/crates/gateway/src/serve/notice.rs
+++ b/crates/gateway/src/serve/notice.rs
@@ -6,6 +6,8 @@
         http::Head,
         state::Shared, //
     },
+    policy::Span,
+    std::time::Duration,
 };
 
 impl SlotPermit {
@@ -23,10 +25,12 @@
             count("leaving");
             self.apply_leaving(gw);
         }
-        if let Some(time) = notice.retry_after {
-            count("retry-after");
-            let (replica, ms) = (&self.replica.id, time.as_millis());
-            log::info!("event=notice outcome=retry-after replica={replica} ms={ms}");
+        match notice.retry_after {
+            Some(time) => {
+                count("retry-after");
+                self.start_cooldown(gw, time);
+            }
+            None => self.end_cooldown(gw),
         }
         if let Some(text) = &notice.invalid_time {
             count("invalid-time");
@@ -46,6 +50,32 @@
     }
 }
 
+impl SlotPermit {
+    fn start_cooldown(&self, gw: &Shared, time: Duration) {
+        let now = gw.now();
+        let started = gw
+            .tables()
+            .cooldowns
+            .start(self.key(), Span::from(time), now);
+        if let Some(span) = started {
+            log::info!(
+                "event=cooldown outcome=begun replica={} asked-ms={} ms={}",
+                self.replica.id,
+                time.as_millis(),
+                span.as_millis()
+            );
+        }
+    }
+
+    fn end_cooldown(&self, gw: &Shared) {
+        let (key, sent_at) = (self.key(), self.sent_at());
+        if gw.tables().cooldowns.record_answered(key, sent_at) {
+            let replica = &self.replica.id;
+            log::info!("event=cooldown outcome=ended replica={replica}");
+        }
+    }
+}
+
 fn count(kind: &'static str) {
     metrics::counter!("chervilwind_replica_notices", "kind" => kind).increment(1);
 }
--- a/crates/gateway/src/serve/outcome.rs
+++ b/crates/gateway/src/serve/outcome.rs
@@ -58,6 +58,8 @@
     Quarantined,
     /// No replica of its service takes work.
     NoReplica,
+    /// All replicas of its service asked for a pause.
+    Cooldown,
     /// The replicas of its service are full.
     Full,
 }
@@ -74,6 +76,7 @@
             AbortCause::NoRetry(NoRetry::Unreached) => "unreached",
             AbortCause::Refused(Refusal::Quarantined) => "held",
             AbortCause::Refused(Refusal::NoReplica) => "no-replica",
+            AbortCause::Refused(Refusal::Cooldown) => "cooldown",
             AbortCause::Refused(Refusal::Full) => "full",
         }
     }
@@ -85,6 +88,7 @@
         match self {
             Refusal::Quarantined => "replicas end when they run this request",
             Refusal::NoReplica => "no replica of its service takes work",
+            Refusal::Cooldown => "the replicas of its service asked for a pause",
             Refusal::Full => "the replicas of its service are full",
         }
     }
@@ -109,6 +113,7 @@
     /// Records what the error says about the replica.
     pub(super) fn record(&self, permit: &SlotPermit) {
         match self {
+            AttemptError::Call(CallError::Withdrawn) => {}
             AttemptError::Call(CallError::Connect(_)) => permit.record_unreachable(),
             AttemptError::Call(_) | AttemptError::Unsigned => permit.record_broken(),
         }
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -109,6 +109,7 @@
         self.board.start(choice.key, load);
         self.warmup.record_sent(choice.key, now);
         self.health.entry(choice.key).or_default().sent(now);
+        self.cooldowns.record_sent(choice.key, now);
         if let Some(affinity_key) = prompt.and_then(Prompt::affinity_key) {
             self.cached_prefixes.insert((choice.key, affinity_key), now);
         }
@@ -176,6 +177,19 @@
         self.key
     }
 
+    /// Returns when the request took the slot.
+    pub(super) fn sent_at(&self) -> Time {
+        self.sent_at
+    }
+
+    /// Returns whether the replica still takes requests since it was chosen.
+    pub(super) fn may_send(&self) -> bool {
+        let now = self.gw.now();
+        let tables = self.gw.tables();
+        let paused = tables.cooldowns.remaining(self.key, now).is_some();
+        !paused && !tables.roster.is_leaving(self.key)
+    }
+
     /// Returns a monitor of the replica's silence.
     pub(crate) fn monitor(&self) -> SilenceMonitor {
         SilenceMonitor {
@@ -242,6 +256,8 @@
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        self.gw.tables().board.end(self.key, self.load);
+        let mut tables = self.gw.tables();
+        tables.board.end(self.key, self.load);
+        tables.cooldowns.record_ended(self.key, self.sent_at);
     }
 }
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -74,9 +74,8 @@
             AttemptOutcome::Lost => progress.take_resend(gw, req, false),
         };
         if retry.is_err() {
-            return Delivery::Local(
-                progress.give_up("no replica answered it", NO_ANSWER_RETRY_DELAY),
-            );
+            let retry_delay = gw.retry_delay(req, NO_ANSWER_RETRY_DELAY);
+            return Delivery::Local(progress.give_up("no replica answered it", retry_delay));
         }
         metrics::counter!("chervilwind_retries").increment(1);
     }
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -107,13 +107,14 @@
 
 fn update_gauges(gw: &Shared) {
     let now = gw.now();
-    let (peers, active, held, cold, view) = {
+    let (peers, active, held, cold, paused, view) = {
         let tables = gw.tables();
         (
             tables.fleet.live(now).count(),
             tables.fleet.active_count(),
             tables.quarantine.count(now),
             tables.warmup.cold_count(now),
+            tables.cooldowns.count(now),
             tables.board.view(now),
         )
     };
@@ -136,6 +137,7 @@
         ("chervilwind_active_routers", active),
         ("chervilwind_requests_held", held),
         ("chervilwind_cold_replicas", cold),
+        ("chervilwind_replica_cooldowns", paused),
         ("chervilwind_known_requests", view.running as usize),
         ("chervilwind_known_peers", view.peers),
     ];
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -23,6 +23,7 @@
         },
         placement::{
             Board,
+            Cooldowns,
             Health,
             Latencies,
             ReplicaKey,
@@ -92,6 +93,8 @@
     pub(crate) roster: Roster<Arc<Replica>>,
     pub(crate) board: Board,
     pub(crate) health: ReplicaMap<Health>,
+    /// Replicas that asked this router for a pause.
+    pub(crate) cooldowns: Cooldowns,
     pub(crate) speeds: Speeds,
     pub(crate) latencies: Latencies,
     /// When the shared part of a prompt was last sent to a replica.
@@ -170,6 +173,7 @@
                 roster: Roster::default(),
                 board: Board::default(),
                 health: ReplicaMap::default(),
+                cooldowns: Cooldowns::default(),
                 speeds: Speeds::default(),
                 latencies: Latencies::default(),
                 cached_prefixes: HashMap::default(),
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -110,13 +110,20 @@
     Foreign,
     #[error("an answer without the request's id")]
     MissingId,
+    #[error("the replica takes no more requests since it was chosen")]
+    Withdrawn,
+}
+
+/// What the caller of [`call`] decides and observes during it.
+pub(crate) struct CallHooks<'a> {
+    /// Whether the request may still be sent, asked when there is a connection.
+    pub(crate) may_send: &'a (dyn Fn() -> bool + Sync),
+    /// Called with each head that the replica sends, also of extra answers to earlier requests.
+    pub(crate) on_head: &'a (dyn Fn(&Head) + Sync),
 }
 
 /// Sends a request to a replica and reads the head of its answer.
 ///
-/// `on_head` is called with every head that the replica sends meanwhile, also with those of extra
-/// answers to earlier requests.
-///
 /// # Errors
 ///
 /// If there is no answer; `sent` tells whether the replica may have received the request.
@@ -126,17 +133,9 @@
     replica: &Replica,
     request: &UpstreamRequest<'_>,
     sent: &SendMarker,
-    on_head: &(dyn Fn(&Head) + Sync),
+    hooks: &CallHooks<'_>,
 ) -> Result<Reply, CallError> {
-    let max_idle = match request.kind {
-        RouteKind::Single => SINGLE_IDLE_MAX,
-        RouteKind::Stream { resume: false } => STREAM_IDLE_MAX,
-        RouteKind::Idempotent | RouteKind::Stream { resume: true } => Duration::MAX,
-    };
-    let mut conn = match pool.take(&replica.id, max_idle).await {
-        Some(conn) => conn,
-        None => connect(replica, request.until).await?,
-    };
+    let mut conn = open(pool, replica, request, hooks).await?;
     let mut start = request_head(dialect, replica, request);
     let mut rest = request.body;
     if rest.len() <= JOIN_MAX_BYTES {
@@ -156,7 +155,7 @@
         request_written = written.await.is_ok();
         futures_lite::future::pending().await
     };
-    let read = async { read_answer(&mut conn, dialect, request, on_head).await };
+    let read = async { read_answer(&mut conn, dialect, request, hooks).await };
     let (head, body) = or(read, write).await?;
     Ok(Reply {
         head,
@@ -166,6 +165,28 @@
     })
 }
 
+/// Takes or opens a connection for a request that may still be sent.
+async fn open(
+    pool: &Pool,
+    replica: &Replica,
+    request: &UpstreamRequest<'_>,
+    hooks: &CallHooks<'_>,
+) -> Result<Conn, CallError> {
+    let max_idle = match request.kind {
+        RouteKind::Single => SINGLE_IDLE_MAX,
+        RouteKind::Stream { resume: false } => STREAM_IDLE_MAX,
+        RouteKind::Idempotent | RouteKind::Stream { resume: true } => Duration::MAX,
+    };
+    let conn = match pool.take(&replica.id, max_idle).await {
+        Some(conn) => conn,
+        None => connect(replica, request.until).await?,
+    };
+    match (hooks.may_send)() {
+        true => Ok(conn),
+        false => Err(CallError::Withdrawn),
+    }
+}
+
 async fn connect(replica: &Replica, until: Instant) -> Result<Conn, CallError> {
     let left = until.saturating_duration_since(Instant::now());
     metrics::counter!("chervilwind_replica_connections").increment(1);
@@ -207,12 +228,12 @@
     conn: &mut Conn,
     dialect: &Dialect,
     request: &UpstreamRequest<'_>,
-    on_head: &(dyn Fn(&Head) + Sync),
+    hooks: &CallHooks<'_>,
 ) -> Result<(Head, Body), CallError> {
     let mut extra = 0;
     loop {
         let head = conn.read_head(HEAD_MAX, Head::response).await?;
-        on_head(&head);
+        (hooks.on_head)(&head);
         if (100..200).contains(&head.status()) {
             continue;
         }
@@ -267,3 +288,6 @@
         pool.put(&replica.id, self.conn, keep);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -9,6 +9,7 @@
     call::{
         call,
         CallError,
+        CallHooks,
         Reply,
         SendMarker,
         UpstreamRequest, //
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! Each router decides by itself, from its own requests and the latest reports of its peers, so a
 //! decision needs no round trip. [`Board`] sums up the load, [`Health`] detects replicas that fail
-//! or are silent, [`Speeds`] learns how fast engines read prompts, and [`pick`] and [`pick_plain`]
-//! choose.
+//! or are silent, [`Cooldowns`] knows those that asked for a pause, [`Speeds`] learns how fast engines
+//! read prompts, and [`pick`] and [`pick_plain`] choose.
 
 mod board;
+mod cooldown;
 mod engine;
 mod health;
 mod latency;
@@ -23,6 +24,10 @@
         ReplicaSet,
         View, //
     },
+    cooldown::{
+        retry_after_cooldown,
+        Cooldowns, //
+    },
     engine::{
         Candidate,
         Part,
--- a/crates/policy/src/roster/mod.rs
+++ b/crates/policy/src/roster/mod.rs
@@ -367,6 +367,11 @@
         new
     }
 
+    /// Returns whether an incarnation is certain to be leaving.
+    pub fn is_leaving(&self, key: ReplicaKey) -> bool {
+        self.leaving.contains(key)
+    }
+
     /// Returns the incarnations that recently announced that they are leaving, to report them to
     /// the peers.
     pub fn announced_leaving(&self, now: Time) -> Vec<ReplicaKey> {
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -104,7 +104,7 @@
 
 impl From<Duration> for Span {
     fn from(d: Duration) -> Span {
-        Span(d.as_micros() as u64)
+        Span(u64::try_from(d.as_micros()).unwrap_or(u64::MAX))
     }
 }
 
--- a/crates/policy/tests/placement/main.rs
+++ b/crates/policy/tests/placement/main.rs
@@ -1,6 +1,7 @@
 //! Where requests go, which are rejected, and which replicas are available.
 
 mod board;
+mod cooldown;
 mod health;
 mod load;
 mod pick;
