gateway: only an answer to its own request ends a replica's cooldown

What callers would see: the first request after a replica's pause reads an extra answer to an earlier request on its connection; the pause counts as over, and all waiting requests go out to a replica that has not answered one yet.

Cause: every head was taken for an answer to the probe, also that of an extra or an interim answer. Announcements still count in any head; the end of a cooldown is recorded for the request's own answer, and not for 421, which is another replica's.

Test: pause_outlives_extra_answers, red before (200 in place of 503).

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -66,15 +66,10 @@
         may_send: &|| permit.may_send(),
         on_head: &|head: &Head| permit.apply_head(gw, head),
     };
-    let called = call(
-        &gw.pool,
-        &gw.dialect,
-        &permit.replica,
-        &request,
-        sent,
-        &hooks,
-    );
-    Ok(called.await?)
+    let replica = &permit.replica;
+    let reply = call(&gw.pool, &gw.dialect, replica, &request, sent, &hooks).await?;
+    permit.record_own_answer(gw, reply.head.status());
+    Ok(reply)
 }
 
 impl Attempt<'_> {
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -124,20 +124,7 @@
         };
         let inputs = basis.as_ref().map_or(String::new(), Basis::to_string);
         let choice = match picked {
-            None => {
-                return Err(match tables.cooldown(req, now) {
-                    Some(left) => Refused {
-                        refusal: Refusal::Cooldown,
-                        retry_delay: retry_after_cooldown(left, fastrand::f64()).into(),
-                        inputs: String::new(),
-                    },
-                    None => Refused {
-                        refusal: Refusal::NoReplica,
-                        retry_delay: NO_REPLICA_RETRY_DELAY,
-                        inputs: String::new(),
-                    },
-                })
-            }
+            None => return Err(tables.refuse_unavailable(req, now)),
             Some(Pick::Reject {
                 retry_after,
                 fullness,
@@ -169,9 +156,7 @@
     /// Returns when the caller of a request that is given up should retry.
     pub(super) fn retry_delay(&self, req: &Request, default: Duration) -> Duration {
         let cooldown = self.tables().cooldown(req, self.now());
-        cooldown.map_or(default, |left| {
-            retry_after_cooldown(left, fastrand::f64()).into()
-        })
+        cooldown.map_or(default, spread_return)
     }
 }
 
@@ -282,6 +267,19 @@
             .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
     }
 
+    /// Rejects a request for which no replica is available.
+    fn refuse_unavailable(&self, req: &Request, now: Time) -> Refused {
+        let (refusal, retry_delay) = match self.cooldown(req, now) {
+            Some(left) => (Refusal::Cooldown, spread_return(left)),
+            None => (Refusal::NoReplica, NO_REPLICA_RETRY_DELAY),
+        };
+        Refused {
+            refusal,
+            retry_delay,
+            inputs: String::new(),
+        }
+    }
+
     /// Returns the time until the first replica of the request's service takes requests again, if
     /// all of them asked for a pause.
     fn cooldown(&self, req: &Request, now: Time) -> Option<Span> {
@@ -330,6 +328,11 @@
     }
 }
 
+/// Returns when a caller should retry if the first cooldown ends in this time.
+fn spread_return(left: Span) -> Duration {
+    retry_after_cooldown(left, fastrand::f64()).into()
+}
+
 /// Maps a request id to a number from 0 to 1, always the same for the same id.
 fn id_fraction(id: &str) -> f64 {
     xxh3_64(id.as_bytes()) as f64 / u64::MAX as f64
--- a/crates/gateway/src/serve/notice.rs
+++ b/crates/gateway/src/serve/notice.rs
@@ -25,12 +25,9 @@
             count("leaving");
             self.apply_leaving(gw);
         }
-        match notice.retry_after {
-            Some(time) => {
-                count("retry-after");
-                self.start_cooldown(gw, time);
-            }
-            None => self.end_cooldown(gw),
+        if let Some(time) = notice.retry_after {
+            count("retry-after");
+            self.start_cooldown(gw, time);
         }
         if let Some(text) = &notice.invalid_time {
             count("invalid-time");
@@ -39,6 +36,15 @@
         }
     }
 
+    /// Records an answer to the permit's own request, which may end a cooldown of the replica.
+    pub(super) fn record_own_answer(&self, gw: &Shared, status: u16) {
+        let (key, sent_at) = (self.key(), self.sent_at());
+        if status != 421 && gw.tables().cooldowns.record_answered(key, sent_at) {
+            let replica = &self.replica.id;
+            log::info!("event=cooldown outcome=ended replica={replica}");
+        }
+    }
+
     fn apply_leaving(&self, gw: &Shared) {
         let now = gw.now();
         if !gw.tables().roster.announce_leaving(self.key(), now) {
@@ -48,9 +54,7 @@
         gw.pool.forget(replica);
         log::info!("event=replica outcome=leaving replica={replica} from=answer");
     }
-}
 
-impl SlotPermit {
     fn start_cooldown(&self, gw: &Shared, time: Duration) {
         let now = gw.now();
         let started = gw
@@ -66,14 +70,6 @@
             );
         }
     }
-
-    fn end_cooldown(&self, gw: &Shared) {
-        let (key, sent_at) = (self.key(), self.sent_at());
-        if gw.tables().cooldowns.record_answered(key, sent_at) {
-            let replica = &self.replica.id;
-            log::info!("event=cooldown outcome=ended replica={replica}");
-        }
-    }
 }
 
 fn count(kind: &'static str) {
--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -285,3 +285,29 @@
     assert_eq!(gw.get("/once/a", "6").status, 503);
     assert_eq!(a.seen().len(), 2);
 }
+
+/// Guards against a pause that ends with an extra answer to an earlier request, on the connection of
+/// the first request after it.
+#[test]
+fn pause_outlives_extra_answers() {
+    let a = Replica::start(|n, seen| match n {
+        0 => vec![rejected(seen, 1)],
+        1 => vec![
+            Step::Send(answer("earlier", "200 OK", "")),
+            Step::UntilClosed,
+        ],
+        _ => vec![Step::Send(ok_answer(seen, "ok"))],
+    });
+    let gw = TestGateway::start(&[("i-1", &a)]);
+    assert_eq!(gw.get("/once/a", "0").status, 503);
+    thread::sleep(Duration::from_millis(1_050));
+    let mut probe = gw.caller();
+    probe.send(get_request("/again/a", "1", "").as_bytes());
+    wait_until(|| a.seen().len() == 2);
+    thread::sleep(Duration::from_millis(100));
+    assert_eq!(gw.get("/once/a", "2").status, 503);
+    assert_eq!(a.seen().len(), 2);
+    // Without an answer to the probe, the next request is one.
+    drop(probe);
+    wait_until(|| gw.get("/once/a", "3").status == 200);
+}
