tests: a seeded soak of real gateways before replicas that leave and ask for pauses

Three gateways run as processes before stand-ins of the store (busy, resetting or silent at times) and of eight replicas of two services, which leave with a list that lags, ask for pauses, alone or all at once, answer 500, lose answers, send extra ones, end and start again under their id. Routers are killed, stopped and ended meanwhile, and configurations come. Nine callers send streams, idempotent requests and such that must not run twice.

Checked from what callers and replicas saw, never from the routers' word: no request that was sent after its router had forwarded an announcement reaches that start of the replica (no time in between, as it is applied before the answer is forwarded); none sent after the answer to a rejected one reaches the replica within its pause; at most two of any kind from half a second on; nothing that must not run twice does, and 'not run' is true; every answer is the own and whole; at the end each router serves again. Stops of a router, and moments in which the machine was too busy, excuse the check by the clock.

--- /dev/null
+++ b/tests/soak/http.rs
@@ -0,0 +1,222 @@
+//! Blocking HTTP/1.1 of the stand-ins and callers.
+
+use std::{
+    io::{
+        self,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    sync::Arc,
+    thread,
+    time::Duration, //
+};
+
+/// Maximum number of headers in a head.
+const HEADERS_MAX: usize = 64;
+/// Time limit that only a hang exceeds.
+const HANG_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A request or an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Message {
+    /// Target of a request.
+    pub(crate) target: String,
+    /// Status of an answer.
+    pub(crate) status: u16,
+    headers: Vec<(String, String)>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Message {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// A connection with the bytes that were read ahead.
+#[derive(Debug)]
+pub(crate) struct Conn {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+fn invalid(text: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, text)
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+fn pairs(headers: &[httparse::Header<'_>]) -> Vec<(String, String)> {
+    let headers = headers.iter();
+    headers
+        .map(|h| (h.name.to_owned(), text(h.value)))
+        .collect()
+}
+
+fn parse_request(bytes: &[u8]) -> io::Result<Option<(Message, usize)>> {
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Request::new(&mut slots);
+    let status = parsed.parse(bytes).map_err(|e| invalid(&e.to_string()))?;
+    let httparse::Status::Complete(end) = status else {
+        return Ok(None);
+    };
+    let message = Message {
+        target: parsed.path.unwrap_or_default().to_owned(),
+        status: 0,
+        headers: pairs(parsed.headers),
+        body: Vec::new(),
+    };
+    Ok(Some((message, end)))
+}
+
+fn parse_answer(bytes: &[u8]) -> io::Result<Option<(Message, usize)>> {
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Response::new(&mut slots);
+    let status = parsed.parse(bytes).map_err(|e| invalid(&e.to_string()))?;
+    let httparse::Status::Complete(end) = status else {
+        return Ok(None);
+    };
+    let message = Message {
+        target: String::new(),
+        status: parsed.code.unwrap_or_default(),
+        headers: pairs(parsed.headers),
+        body: Vec::new(),
+    };
+    Ok(Some((message, end)))
+}
+
+type ParseHead = fn(&[u8]) -> io::Result<Option<(Message, usize)>>;
+
+impl Conn {
+    pub(crate) fn open(addr: SocketAddr) -> io::Result<Conn> {
+        Conn::new(TcpStream::connect_timeout(&addr, HANG_TIMEOUT)?)
+    }
+
+    fn new(stream: TcpStream) -> io::Result<Conn> {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(HANG_TIMEOUT))?;
+        Ok(Conn {
+            stream,
+            buf: Vec::new(),
+        })
+    }
+
+    /// Reads a request.
+    pub(crate) fn read_request(&mut self) -> io::Result<Message> {
+        self.read_message(parse_request)
+    }
+
+    /// Reads a complete answer.
+    pub(crate) fn read_answer(&mut self) -> io::Result<Message> {
+        self.read_message(parse_answer)
+    }
+
+    fn read_message(&mut self, parse: ParseHead) -> io::Result<Message> {
+        let (mut message, end) = loop {
+            if let Some(parsed) = parse(&self.buf)? {
+                break parsed;
+            }
+            self.read_more()?;
+        };
+        self.buf.drain(..end);
+        message.body = match message.header("transfer-encoding") {
+            Some(_) => self.read_chunks()?,
+            None => {
+                let length = message.header("content-length").unwrap_or("0");
+                let length = length.parse().map_err(|_| invalid("content-length"))?;
+                self.take(length)?
+            }
+        };
+        Ok(message)
+    }
+
+    fn read_chunks(&mut self) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let status = httparse::parse_chunk_size(&self.buf).map_err(|_| invalid("chunk"))?;
+            let httparse::Status::Complete((start, size)) = status else {
+                self.read_more()?;
+                continue;
+            };
+            self.buf.drain(..start);
+            let part = self.take(size as usize)?;
+            self.take(2)?;
+            if size == 0 {
+                return Ok(body);
+            }
+            body.extend_from_slice(&part);
+        }
+    }
+
+    fn take(&mut self, length: usize) -> io::Result<Vec<u8>> {
+        while self.buf.len() < length {
+            self.read_more()?;
+        }
+        Ok(self.buf.drain(..length).collect())
+    }
+
+    fn read_more(&mut self) -> io::Result<()> {
+        let mut part = [0; 8192];
+        match self.stream.read(&mut part)? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            n => {
+                self.buf.extend_from_slice(&part[..n]);
+                Ok(())
+            }
+        }
+    }
+
+    pub(crate) fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+}
+
+/// Encodes an answer with a body of known length.
+pub(crate) fn answer(status: u16, headers: &[(&str, &str)], body: &str) -> Vec<u8> {
+    let length = body.len().to_string();
+    let mut bytes = head(status, headers);
+    bytes.push_str(&format!("Content-Length: {length}\r\n\r\n{body}"));
+    bytes.into_bytes()
+}
+
+/// Encodes the first line and the headers of an answer.
+pub(crate) fn head(status: u16, headers: &[(&str, &str)]) -> String {
+    let lines = headers.iter();
+    let lines: String = lines
+        .map(|(name, value)| format!("{name}: {value}\r\n"))
+        .collect();
+    format!("HTTP/1.1 {status} Status\r\n{lines}")
+}
+
+/// Handles one request on its connection; an error closes the connection.
+pub(crate) type Handler = dyn Fn(&Message, &mut Conn) -> io::Result<()> + Send + Sync;
+
+/// Serves a listener for as long as the process runs, with a thread for each connection.
+pub(crate) fn serve(listener: TcpListener, handler: Arc<Handler>) {
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handler = handler.clone();
+            thread::spawn(move || {
+                let Ok(mut conn) = Conn::new(stream) else {
+                    return;
+                };
+                while let Ok(request) = conn.read_request() {
+                    if handler(&request, &mut conn).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+}
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,357 @@
+//! A soak of real gateway processes before stand-ins, with overlapping faults and checks of what
+//! callers and replicas saw.
+//!
+//! `SOAK_SEEDS=1..51 cargo test --test soak` runs other seeds than the two of the test run.
+//! `SOAK_PROGRAM` names another build to run, and `SOAK_LOGS` a directory for the routers' logs.
+
+mod caller;
+mod check;
+mod history;
+mod http;
+mod replica;
+mod router;
+mod schedule;
+mod store;
+
+use {
+    self::{
+        caller::Caller,
+        history::{
+            History,
+            Stall, //
+        },
+        replica::FakeReplica,
+        router::{
+            Router,
+            Signal, //
+        },
+        schedule::{
+            steps,
+            Sizes,
+            Step,
+            LENGTH, //
+        },
+        store::FakeStore,
+    },
+    serde_json::json,
+    std::{
+        collections::HashMap,
+        env, fmt,
+        ops::Range,
+        process,
+        sync::{
+            atomic::{
+                AtomicBool,
+                AtomicU64,
+                Ordering, //
+            },
+            Arc, //
+        },
+        thread::{
+            self,
+            JoinHandle, //
+        },
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+const SIZES: Sizes = Sizes {
+    routers: 3,
+    replicas: 8,
+};
+/// Replicas of the engines' service; the others offer the plain one.
+const ENGINES: usize = 5;
+const CALLERS_PER_ROUTER: usize = 3;
+/// Time limit that only a hang exceeds.
+const HANG_TIMEOUT: Duration = Duration::from_secs(40);
+/// Replicas write to the store when it is back at last after this long.
+const STORE_RETRY_MS: u64 = 200;
+/// A sleep that takes this much longer than asked for shows that the machine is too busy to tell
+/// what is late.
+const STALL: Duration = Duration::from_millis(150);
+const STALL_CHECK: Duration = Duration::from_millis(20);
+/// Requests in a row that each router answers after the faults.
+const ANSWERED_IN_A_ROW: usize = 20;
+
+/// A fleet with its callers and stand-ins.
+struct Soak {
+    store: FakeStore,
+    replicas: Vec<FakeReplica>,
+    routers: Vec<Router>,
+    history: Arc<History>,
+    /// When stopped routers were stopped.
+    stopped: HashMap<usize, Instant>,
+    version: u64,
+}
+
+/// Numbers that show whether a run had anything to check.
+#[derive(Debug, Default)]
+struct Counts {
+    requests: usize,
+    answered: usize,
+    leaving: usize,
+    pauses: usize,
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Counts {
+            requests,
+            answered,
+            leaving,
+            pauses,
+        } = self;
+        write!(
+            f,
+            "{requests} requests, {answered} answered, {leaving} answers of leaving replicas, \
+             {pauses} pauses"
+        )
+    }
+}
+
+fn configuration(version: u64) -> serde_json::Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({"name": name, "host": "a.example", "prefix": format!("/{name}/"),
+            "route_type": kind, "timeout_ms": 4_000, "target_latency_ms": 300,
+            "service": service, "max_attempts": 3, "auth_exempt": true, "stream_resume": true})
+    };
+    json!({"version": version,
+        "routes": [route("single", "non_idempotent", "desk"), route("again", "idempotent", "desk"),
+            route("stream", "streaming", "llm")],
+        "services": [{"name": "desk"}, {"name": "llm", "engine": {"slots": 8, "kv_token_cap": 100_000}}],
+        "limits": {"tokens_per_s": 100_000.0}})
+}
+
+impl Soak {
+    /// Starts everything and waits until each router is ready.
+    fn start(seed: u64) -> Soak {
+        let (store, history) = (FakeStore::start(), Arc::new(History::default()));
+        store.put("op/config", &configuration(1));
+        let replicas = (0..SIZES.replicas).map(|n| {
+            let service = if n < ENGINES { "llm" } else { "desk" };
+            FakeReplica::start(n, service, &history, &store)
+        });
+        let replicas = replicas.collect();
+        let net = format!("127.{}.{}", 20 + process::id() % 200, seed % 250);
+        let soak = Soak {
+            routers: Router::start_all(SIZES.routers, &net, store.addr),
+            replicas,
+            store,
+            history,
+            stopped: HashMap::new(),
+            version: 1,
+        };
+        wait_until("the routers are ready", || {
+            soak.routers.iter().all(Router::is_ready)
+        });
+        soak
+    }
+
+    fn start_callers(&self, seed: u64, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+        let numbers = Arc::new(AtomicU64::new(0));
+        let callers = (0..SIZES.routers * CALLERS_PER_ROUTER).map(|n| {
+            let router = n % SIZES.routers;
+            let caller = Caller {
+                router,
+                handle: self.routers[router].handle(),
+                history: self.history.clone(),
+                numbers: numbers.clone(),
+                stop: stop.clone(),
+                rng: fastrand::Rng::with_seed(seed * 1_000 + n as u64),
+            };
+            caller.start()
+        });
+        callers.collect()
+    }
+
+    /// Applies a step. Returns whether it has to be done later, as the store is unavailable.
+    fn apply(&mut self, step: Step) -> bool {
+        let needs_store = matches!(
+            step,
+            Step::ListLeaving(_) | Step::Unlist(_) | Step::RestartReplica(_) | Step::Configure
+        );
+        if needs_store && !self.store.is_available() {
+            return true;
+        }
+        match step {
+            Step::Leave(n) => self.replicas[n].set_leaving(),
+            Step::ListLeaving(n) => self.replicas[n].register("draining"),
+            Step::Unlist(n) => self.replicas[n].unregister(),
+            Step::EndReplica(n) => self.replicas[n].end(),
+            Step::RestartReplica(n) => {
+                self.replicas[n].restart();
+                self.replicas[n].register("ready");
+            }
+            Step::Pause(n, time) => self.replicas[n].set_pause(time),
+            Step::Failing(n, failing) => self.replicas[n].set_failing(failing),
+            Step::Store(fault) => self.store.set_fault(fault),
+            Step::Kill(n) => {
+                self.resume(n);
+                self.routers[n].kill();
+            }
+            Step::Term(n) => {
+                self.resume(n);
+                self.routers[n].signal(Signal::Term);
+            }
+            Step::StartRouter(n) => {
+                self.resume(n);
+                self.routers[n].wait();
+                self.routers[n].start();
+            }
+            Step::Stop(n) => {
+                self.routers[n].signal(Signal::Stop);
+                self.stopped.entry(n).or_insert(Instant::now());
+            }
+            Step::Cont(n) => self.resume(n),
+            Step::Configure => {
+                self.version += 1;
+                self.store.put("op/config", &configuration(self.version));
+            }
+        }
+        false
+    }
+
+    /// Lets a router's process run again, if it was stopped.
+    fn resume(&mut self, n: usize) {
+        let Some(from) = self.stopped.remove(&n) else {
+            return;
+        };
+        self.routers[n].signal(Signal::Cont);
+        let stall = Stall {
+            router: Some(n),
+            from,
+            until: Instant::now(),
+        };
+        self.history.stalls.lock().unwrap().push(stall);
+    }
+
+    /// Runs the steps of a seed.
+    fn run(&mut self, seed: u64) {
+        let begun = Instant::now();
+        let mut todo = steps(seed, SIZES);
+        while !todo.is_empty() {
+            let (at, step) = todo.remove(0);
+            let at_time = begun + Duration::from_millis(at);
+            thread::sleep(at_time.saturating_duration_since(Instant::now()));
+            if self.apply(step) {
+                let later = at + STORE_RETRY_MS;
+                let next = todo.iter().position(|(t, _)| *t > later);
+                todo.insert(next.unwrap_or(todo.len()), (later, step));
+            }
+        }
+        for n in 0..SIZES.routers {
+            self.resume(n);
+        }
+        thread::sleep((begun + LENGTH).saturating_duration_since(Instant::now()));
+    }
+
+    /// Waits until each router answers requests again, one after the other.
+    fn wait_recovered(&self) {
+        assert!(self.replicas.iter().all(FakeReplica::is_well));
+        for router in 0..SIZES.routers {
+            wait_until("a router serves again", || {
+                let exchanges = self.history.exchanges.lock().unwrap();
+                let own = exchanges.iter().rev();
+                let own = own.filter(|e| e.request.router == router);
+                let last: Vec<bool> = own
+                    .take(ANSWERED_IN_A_ROW)
+                    .map(|e| e.answer.is_some_and(|a| a.status == 200))
+                    .collect();
+                last.len() == ANSWERED_IN_A_ROW && last.iter().all(|ok| *ok)
+            });
+        }
+    }
+
+    fn counts(&self) -> Counts {
+        let exchanges = self.history.exchanges.lock().unwrap();
+        let answers = || exchanges.iter().filter_map(|e| e.answer);
+        Counts {
+            requests: exchanges.len(),
+            answered: answers().filter(|a| a.status == 200).count(),
+            leaving: answers().filter(|a| a.leaving).count(),
+            pauses: self.history.pauses.lock().unwrap().len(),
+        }
+    }
+}
+
+/// Waits until a condition holds.
+fn wait_until(what: &str, holds: impl Fn() -> bool) {
+    let until = Instant::now() + HANG_TIMEOUT;
+    while !holds() {
+        assert!(
+            Instant::now() < until,
+            "not within {HANG_TIMEOUT:?}: {what}"
+        );
+        thread::sleep(STALL_CHECK);
+    }
+}
+
+/// Records when the machine is too busy, until it is told to stop.
+fn watch_stalls(history: Arc<History>, stop: Arc<AtomicBool>) -> JoinHandle<()> {
+    thread::spawn(move || {
+        while !stop.load(Ordering::SeqCst) {
+            let from = Instant::now();
+            thread::sleep(STALL_CHECK);
+            let until = Instant::now();
+            if until - from > STALL_CHECK + STALL {
+                let stall = Stall {
+                    router: None,
+                    from,
+                    until,
+                };
+                history.stalls.lock().unwrap().push(stall);
+            }
+        }
+    })
+}
+
+/// Runs a seed, and returns what went wrong.
+fn soak(seed: u64) -> (Counts, Vec<String>) {
+    let mut soak = Soak::start(seed);
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut threads = soak.start_callers(seed, &stop);
+    threads.push(watch_stalls(soak.history.clone(), stop.clone()));
+    soak.run(seed);
+    soak.wait_recovered();
+    stop.store(true, Ordering::SeqCst);
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    let violations = check::violations(&soak.history);
+    (soak.counts(), violations)
+}
+
+/// Returns the seeds to run: `SOAK_SEEDS` as `FIRST..END`, or two.
+fn seeds() -> Range<u64> {
+    let Ok(text) = env::var("SOAK_SEEDS") else {
+        return 1..3;
+    };
+    let (first, end) = text.split_once("..").expect("SOAK_SEEDS is FIRST..END");
+    let number = |text: &str| text.parse().expect("SOAK_SEEDS has whole numbers");
+    number(first)..number(end)
+}
+
+/// Guards against requests to replicas that leave or asked for a pause, requests that run twice or
+/// ran though they were rejected, and answers of other requests, while everything fails at once.
+#[test]
+fn soak_of_seeds() {
+    let mut failed = Vec::new();
+    let (mut leaving, mut pauses) = (0, 0);
+    for seed in seeds() {
+        let (counts, violations) = soak(seed);
+        println!("seed {seed}: {counts}, {} violations", violations.len());
+        for violation in violations.iter().take(8) {
+            println!("    {violation}");
+        }
+        leaving += counts.leaving;
+        pauses += counts.pauses;
+        if !violations.is_empty() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds with violations: {failed:?}");
+    assert!(leaving > 0 && pauses > 0, "no replica announced anything");
+}
--- /dev/null
+++ b/tests/soak/schedule.rs
@@ -0,0 +1,124 @@
+//! Seeded schedules of overlapping faults.
+
+use {
+    super::store::StoreFault,
+    std::time::Duration, //
+};
+
+/// Length of a run without its start and its end.
+pub(crate) const LENGTH: Duration = Duration::from_secs(14);
+/// Faults begin only this long before the end, so that each of them ends within the run.
+const FAULTS_END: u64 = 9_000;
+/// Faults of a run.
+const FAULTS: usize = 16;
+
+/// A change of one process or stand-in.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Step {
+    /// The replica says in its answers that it is leaving.
+    Leave(usize),
+    /// The list says so too.
+    ListLeaving(usize),
+    Unlist(usize),
+    EndReplica(usize),
+    /// It starts again under its id and address, and is listed.
+    RestartReplica(usize),
+    Pause(usize, Option<Duration>),
+    Failing(usize, bool),
+    Store(Option<StoreFault>),
+    Kill(usize),
+    Term(usize),
+    StartRouter(usize),
+    Stop(usize),
+    Cont(usize),
+    Configure,
+}
+
+/// A step and when it is done, in milliseconds.
+pub(crate) type Timed = (u64, Step);
+
+/// Numbers of the processes that a schedule may disturb.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sizes {
+    pub(crate) routers: usize,
+    pub(crate) replicas: usize,
+}
+
+/// Returns the steps of a seed, in order.
+pub(crate) fn steps(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut steps = Vec::new();
+    // A replica or router that leaves or restarts is not made to do so again in the same run.
+    let mut restarted = vec![false; sizes.replicas];
+    let mut ended = vec![false; sizes.routers];
+    for _ in 0..FAULTS {
+        let at = rng.u64(500..FAULTS_END);
+        let replica = rng.usize(..sizes.replicas);
+        let router = rng.usize(..sizes.routers);
+        match rng.u32(..10) {
+            0..=2 if !std::mem::replace(&mut restarted[replica], true) => {
+                steps.extend(leave(&mut rng, replica, at));
+            }
+            0..=2 => {}
+            3 | 4 => {
+                let time = Duration::from_millis(rng.u64(300..3_000));
+                let until = at + rng.u64(300..3_000);
+                steps.push((at, Step::Pause(replica, Some(time))));
+                steps.push((until, Step::Pause(replica, None)));
+            }
+            5 => {
+                // All replicas of both services, one after the other.
+                for replica in 0..sizes.replicas {
+                    let time = Duration::from_millis(rng.u64(300..2_000));
+                    let at = at + rng.u64(..300);
+                    steps.push((at, Step::Pause(replica, Some(time))));
+                    steps.push((at + rng.u64(300..1_500), Step::Pause(replica, None)));
+                }
+            }
+            6 => {
+                let fault = [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent];
+                let fault = fault[rng.usize(..fault.len())];
+                steps.push((at, Step::Store(Some(fault))));
+                steps.push((at + rng.u64(500..4_000), Step::Store(None)));
+            }
+            7 => {
+                steps.push((at, Step::Failing(replica, true)));
+                steps.push((at + rng.u64(500..3_000), Step::Failing(replica, false)));
+            }
+            8 if !std::mem::replace(&mut ended[router], true) => {
+                let (step, pause) = match rng.bool() {
+                    true => (Step::Kill(router), rng.u64(200..1_500)),
+                    false => (Step::Term(router), 5_000),
+                };
+                steps.push((at, step));
+                steps.push((at + pause, Step::StartRouter(router)));
+            }
+            8 => {
+                steps.push((at, Step::Stop(router)));
+                steps.push((at + rng.u64(100..1_500), Step::Cont(router)));
+            }
+            _ => steps.push((at, Step::Configure)),
+        }
+    }
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
+/// A replica leaves, is listed as leaving some time later, ends and starts again.
+fn leave(rng: &mut fastrand::Rng, replica: usize, at: u64) -> Vec<Timed> {
+    let listed = at + rng.u64(..3_000);
+    let ended = listed.max(at + 2_000) + rng.u64(..1_000);
+    let mut steps = vec![
+        (at, Step::Leave(replica)),
+        (ended, Step::EndReplica(replica)),
+    ];
+    steps.push((
+        listed,
+        match rng.bool() {
+            true => Step::ListLeaving(replica),
+            false => Step::Unlist(replica),
+        },
+    ));
+    steps.push((ended + rng.u64(200..2_000), Step::RestartReplica(replica)));
+    steps
+}
