--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,53 +1,40 @@
 //! The gateway as a process of its own: its settings, metrics, dump and end.
 
-use std::{
-    fs,
-    io::{
-        Read,
-        Write, //
-    },
-    net::{
-        SocketAddr,
-        TcpStream, //
-    },
-    path::PathBuf,
-    process::{
-        Child,
-        Command,
-        Output,
-        Stdio, //
+#[path = "common/settings.rs"]
+mod settings;
+
+use {
+    settings::gateway_settings,
+    std::{
+        fs,
+        io::{
+            Read,
+            Write, //
+        },
+        net::{
+            SocketAddr,
+            TcpStream, //
+        },
+        path::PathBuf,
+        process::{
+            Child,
+            Command,
+            Output,
+            Stdio, //
+        },
+        thread,
+        time::Duration, //
     },
-    thread,
-    time::Duration, //
 };
 
 /// Pauses between two questions, and how many there are before a gateway counts as hanging.
 const PAUSE: Duration = Duration::from_millis(50);
 const TRIES: u32 = 600;
 
-/// Settings of an instance whose store can't be reached.
-const SETTINGS: &str = r#"name = "edge-1"
-zone = "hall-a"
-[listen]
-callers = "IP:7600"
-ready = "IP:7601"
-addresses = "IP:7602"
-peers = "IP:7603"
-metrics = "IP:7604"
-[fleet]
-seeds = []
-[store]
-address = "IP:9"
-[bounds]
-grace-s = 8
-retry-ratio = 0.2
-retry-slack = 50
-retry-window-s = 10
-fair-window-s = 4
-[instance]
-memory-mb = 100
-descriptors = 4000
-"#;
+/// Returns the settings of an instance whose store can't be reached; `IP` stands for its address.
+fn unreachable_store() -> String {
+    gateway_settings("edge-1", "hall-a", "IP", &[], "IP:9")
+}
 
 /// A process that is killed at the end of its test.
 struct Process(Child);
@@ -113,7 +100,7 @@
             "bounds.retry-ratio is -1",
         ),
     ] {
-        let output = ended(&write("127.0.76.1", &SETTINGS.replace(from, to)));
+        let output = ended(&write("127.0.76.1", &unreachable_store().replace(from, to)));
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
         assert!(!output.status.success(), "{to}");
         assert!(said.contains(named), "{said}");
@@ -123,7 +110,7 @@
 
 #[test]
 fn gateway_unknown_settings_are_ignored() {
-    let file = write("127.0.76.2", &format!("shade = 3\n{SETTINGS}"));
+    let file = write("127.0.76.2", &format!("shade = 3\n{}", unreachable_store()));
     let _process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
     wait("127.0.76.2:7604", "/metrics", "200 OK");
 }
@@ -132,7 +119,7 @@
 fn gateway_metrics_and_dump() {
     // After a complaint there is nothing but logs and metrics. An instance whose store is away
     // must show just that, and count its calls.
-    let file = write("127.0.76.3", SETTINGS);
+    let file = write("127.0.76.3", &unreachable_store());
     let _process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
     let metrics = wait(
         "127.0.76.3:7604",
@@ -149,7 +136,7 @@
 #[test]
 fn gateway_ends_by_itself() {
     // SIGTERM with nothing to finish: it ends with success well before the grace period does.
-    let file = write("127.0.76.4", SETTINGS);
+    let file = write("127.0.76.4", &unreachable_store());
     let mut process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
     wait("127.0.76.4:7604", "/metrics", "200 OK");
     let pid = process.0.id().to_string();
--- a/tests/proofs/stage/mod.rs
+++ b/tests/proofs/stage/mod.rs
@@ -5,6 +5,8 @@
 mod fleet;
 mod load;
 mod router;
+#[path = "../../common/signal.rs"]
+mod signal;
 mod slots;
 mod wait;
 
@@ -29,9 +31,7 @@
         Plan, //
     },
     load::Load,
-    router::{
-        Router,
-        Signal, //
-    },
+    router::Router,
+    signal::Signal,
     wait::wait_for,
 };
--- a/tests/proofs/stage/router.rs
+++ b/tests/proofs/stage/router.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        signal::Signal,
         slots::Slot,
         wait::wait_for, //
     },
@@ -42,14 +43,6 @@
     child: Option<Child>,
 }
 
-/// A signal to a router's process.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum Signal {
-    Term,
-    Stop,
-    Cont,
-}
-
 impl Router {
     /// Prepares a router, without starting its process.
     pub(crate) fn new(slot: &Slot, n: usize, platform: SocketAddr) -> Router {
@@ -134,17 +127,9 @@
 
     /// Sends its process a signal, if it runs.
     pub(crate) fn signal(&self, signal: Signal) {
-        let name = match signal {
-            Signal::Term => "-TERM",
-            Signal::Stop => "-STOP",
-            Signal::Cont => "-CONT",
-        };
-        let Some(child) = &self.child else {
-            return;
-        };
-        let id = child.id().to_string();
-        let sent = Command::new("kill").args([name, &id]).status().unwrap();
-        assert!(sent.success());
+        if let Some(child) = &self.child {
+            signal.send(child);
+        }
     }
 
     /// Waits until its process has ended by itself, and returns whether it ended well.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -11,6 +11,10 @@
 mod replica;
 mod router;
 mod schedule;
+#[path = "../common/settings.rs"]
+mod settings;
+#[path = "../common/signal.rs"]
+mod signal;
 mod store;
 
 use {
@@ -21,17 +25,15 @@
             Stall, //
         },
         replica::FakeReplica,
-        router::{
-            Router,
-            Signal, //
-        },
+        router::Router,
         schedule::{
             steps,
             Sizes,
             Step,
             LENGTH, //
         },
-        store::FakeStore,
+        signal::Signal,
+        store::FakeStore, //
     },
     serde_json::json,
     std::{
--- a/tests/soak/router.rs
+++ b/tests/soak/router.rs
@@ -1,9 +1,13 @@
 //! Routers as processes of their own.
 
 use {
-    super::http::{
-        Conn,
-        Message, //
+    super::{
+        http::{
+            Conn,
+            Message, //
+        },
+        settings::gateway_settings,
+        signal::Signal, //
     },
     std::{
         env, fs, io,
@@ -24,14 +28,6 @@
     },
 };
 
-/// A signal to a router's process.
-#[derive(Debug, Clone, Copy)]
-pub(crate) enum Signal {
-    Term,
-    Stop,
-    Cont,
-}
-
 /// A router.
 #[derive(Debug)]
 pub(crate) struct Router {
@@ -56,33 +52,6 @@
     }
 }
 
-fn settings(name: &str, zone: usize, ip: &str, seeds: &[String], store: SocketAddr) -> String {
-    format!(
-        r#"name = "{name}"
-zone = "hall-{zone}"
-[listen]
-callers = "{ip}:7600"
-ready = "{ip}:7601"
-addresses = "{ip}:7602"
-peers = "{ip}:7603"
-metrics = "{ip}:7604"
-[fleet]
-seeds = {seeds:?}
-[store]
-address = "{store}"
-[bounds]
-grace-s = 8
-retry-ratio = 0.2
-retry-slack = 50
-retry-window-s = 10
-fair-window-s = 4
-[instance]
-memory-mb = 100
-descriptors = 4000
-"#
-    )
-}
-
 impl Router {
     /// Starts `count` routers in a loopback network of their own.
     pub(crate) fn start_all(count: usize, net: &str, store: SocketAddr) -> Vec<Router> {
@@ -91,7 +60,8 @@
         let routers = (0..count).map(|n| {
             let ip = ip(n);
             let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{ip}.toml"));
-            let text = settings(&format!("r{n}"), n % 2, &ip, &seeds, store);
+            let (name, zone) = (format!("r{n}"), format!("hall-{}", n % 2));
+            let text = gateway_settings(&name, &zone, &ip, &seeds, &store.to_string());
             fs::write(&file, text).unwrap();
             let mut router = Router {
                 ip,
@@ -150,17 +120,9 @@
     }
 
     pub(crate) fn signal(&self, signal: Signal) {
-        let name = match signal {
-            Signal::Term => "-TERM",
-            Signal::Stop => "-STOP",
-            Signal::Cont => "-CONT",
-        };
-        let Some(child) = &self.child else {
-            return;
-        };
-        let id = child.id().to_string();
-        let sent = Command::new("kill").args([name, &id]).status().unwrap();
-        assert!(sent.success());
+        if let Some(child) = &self.child {
+            signal.send(child);
+        }
     }
 
     /// Returns whether it is ready for callers.
