--- a/crates/gateway/tests/gateway/notices.rs
+++ b/crates/gateway/tests/gateway/notices.rs
@@ -311,3 +311,82 @@
     drop(probe);
     wait_until(|| gw.get("/once/a", "3").status == 200);
 }
+
+/// What the first replica of a gateway announces before others are listed.
+#[derive(Debug, Clone, Copy)]
+enum Announced {
+    Leaving,
+    Pause,
+}
+
+impl Announced {
+    const ALL: [Announced; 2] = [Announced::Leaving, Announced::Pause];
+
+    /// Starts a replica that announces this, and a gateway that was told by it.
+    fn start(self) -> (Replica, TestGateway) {
+        let replica = Replica::start(move |_, seen| match self {
+            Announced::Leaving => vec![leaving(&ok_answer(seen, "ok"))],
+            Announced::Pause => vec![rejected(seen, 60)],
+        });
+        let gw = TestGateway::start(&[("i-1", &replica)]);
+        gw.get("/once/a", "told");
+        (replica, gw)
+    }
+}
+
+fn add_replica(gw: &TestGateway, name: &str, replica: &Replica) {
+    let mut store = gw.store.lock().unwrap();
+    store.replicas.push(entry(name, replica));
+}
+
+/// Guards against streams that are resumed at a replica which announced that it leaves, or that it
+/// wants no requests, while they wait for another one.
+#[test]
+fn resumed_stream_waits_for_another_replica() {
+    for announced in Announced::ALL {
+        let (told, gw) = announced.start();
+        let broken = Replica::start(|_, seen| {
+            vec![
+                Step::Send(stream_head(seen)),
+                Step::Send(events(1, 2)),
+                Step::Close,
+            ]
+        });
+        add_replica(&gw, "i-2", &broken);
+        let mut caller = gw.caller();
+        wait_until(|| gw.get("/open/a", "1").status != 503);
+        caller.send(get_request("/resume/a", "s", "").as_bytes());
+        caller.read_until("word-2");
+        thread::sleep(IN_FLIGHT);
+        assert_eq!(told.seen().len(), 1, "{announced:?}");
+        let last = Replica::start(|_, seen| {
+            vec![
+                Step::Send(stream_head(seen)),
+                Step::Send(events(3, 6)),
+                Step::Send(b"0\r\n\r\n".to_vec()),
+            ]
+        });
+        add_replica(&gw, "i-3", &last);
+        let got = caller.answer();
+        assert!(got.complete && got.body.contains("word-6"), "{announced:?}");
+        assert_eq!(told.seen().len(), 1, "{announced:?}");
+    }
+}
+
+/// Guards against hedges at a replica which announced that it leaves, or that it wants no requests.
+#[test]
+fn hedge_waits_for_another_replica() {
+    for announced in Announced::ALL {
+        let (told, gw) = announced.start();
+        let late = Replica::start(|_, seen| {
+            vec![
+                Step::Pause(Duration::from_millis(1_500)),
+                Step::Send(ok_answer(seen, "late")),
+            ]
+        });
+        add_replica(&gw, "i-2", &late);
+        wait_until(|| gw.get("/again/a", "1").body == "late");
+        assert_eq!(gw.get("/again/a", "2").body, "late");
+        assert_eq!(told.seen().len(), 1, "{announced:?}");
+    }
+}
