--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -43,6 +43,8 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 /// Duration of a request that is not a stream.
 const WORK: Duration = Duration::from_millis(3);
+/// Step of the delay after which an extra answer follows.
+const EXTRA_DELAY: Duration = Duration::from_millis(5);
 const SLOTS: u32 = 8;
 /// Start of the first replicas, in Unix milliseconds.
 const FIRST_START: u64 = 1_700_000_000_000;
@@ -226,7 +228,11 @@
             }
         }
         match fate {
-            Fate::Doubled => conn.send(&extra_answer(&seal)),
+            Fate::Doubled => {
+                // Often only after the router has sent the next request on this connection.
+                thread::sleep(EXTRA_DELAY * (request.number % 5) as u32);
+                conn.send(&extra_answer(&seal))
+            }
             _ => Ok(()),
         }
     }
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -9,6 +9,11 @@
 pub(crate) const LENGTH: Duration = Duration::from_secs(14);
 /// Faults begin only this long before the end, so that each of them ends within the run.
 const FAULTS_END: u64 = 9_000;
+/// Replicas begin to leave by then, as it takes them longer to be back.
+const LEAVE_END: u64 = 3_000;
+/// How much later than a replica the list says that it is leaving: twice as long as routers tell
+/// each other of it.
+const LIST_LAG_MAX: u64 = 12_000;
 /// Faults of a run.
 const FAULTS: usize = 16;
 
@@ -57,6 +62,7 @@
         let router = rng.usize(..sizes.routers);
         match rng.u32(..10) {
             0..=2 if !std::mem::replace(&mut restarted[replica], true) => {
+                let at = at.min(LEAVE_END);
                 steps.extend(leave(&mut rng, replica, at));
             }
             0..=2 => {}
@@ -82,8 +88,11 @@
                 steps.push((at + rng.u64(500..4_000), Step::Store(None)));
             }
             7 => {
-                steps.push((at, Step::Failing(replica, true)));
-                steps.push((at + rng.u64(500..3_000), Step::Failing(replica, false)));
+                let until = at + rng.u64(500..3_000);
+                for replica in [replica, rng.usize(..sizes.replicas)] {
+                    steps.push((at, Step::Failing(replica, true)));
+                    steps.push((until, Step::Failing(replica, false)));
+                }
             }
             8 if !std::mem::replace(&mut ended[router], true) => {
                 let (step, pause) = match rng.bool() {
@@ -106,7 +115,7 @@
 
 /// A replica leaves, is listed as leaving some time later, ends and starts again.
 fn leave(rng: &mut fastrand::Rng, replica: usize, at: u64) -> Vec<Timed> {
-    let listed = at + rng.u64(..3_000);
+    let listed = at + rng.u64(..LIST_LAG_MAX);
     let ended = listed.max(at + 2_000) + rng.u64(..1_000);
     let mut steps = vec![
         (at, Step::Leave(replica)),
