tests: a pause in the soak counts from the arrival of the rejected request

The stand-in noted the time after it had written the rejection. Where it was descheduled in between, the router's pause, counted from when it read the answer, ended before the one in the record, and a probe that was right would have counted as a violation. The bound is the earliest time now, from which the router's pause can only end later.

--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -109,7 +109,8 @@
 /// A rejection by a replica that asks for a pause.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Pause {
-    /// When the answer was written.
+    /// When the rejected request arrived. The router gets the answer later, so its pause ends no
+    /// sooner than this plus the time.
     pub(crate) at: Instant,
     pub(crate) replica: ReplicaStart,
     pub(crate) request: RequestId,
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -202,7 +202,6 @@
             headers.push(("Chervilwind-Not-Executed", "1"));
             headers.push(("Retry-After", &seconds));
             conn.send(&answer(503, &headers, ""))?;
-            let at = Instant::now();
             let pause = Pause {
                 at,
                 replica,
