gateway: versions of replicas and streams that go on are logged and counted

Nothing is decided by it yet. Logs had no line where a stream goes on, so that streams joined by one router (after a break, or beside a silent replica) could not be told from those that a caller took up elsewhere, nor from versions that are known wrong.

- `event=resume outcome=goes-on` for each stream that goes on, with the cause (broken, silent, caller), what began it (service and version), and the replica and version at which it goes on; chervilwind_streams_resumed by cause and by version (same, other, unknown).
- Routers fetch lists of replicas from each other with the names of the fields, as they do configurations, so that a router of the version before reads one with a field more.

--- a/crates/gateway/benches/request_cost/gateway_side.rs
+++ b/crates/gateway/benches/request_cost/gateway_side.rs
@@ -131,6 +131,7 @@
         zone: "z1".parse().unwrap(),
         slots: SLOTS,
         state: State::Ready,
+        version: None,
         cold: None,
     };
     engines.addrs.iter().enumerate().map(replica).collect()
@@ -190,6 +191,7 @@
         not_run: "X-Not-Run",
         signature: "X-Signature",
         last_event: "X-Last",
+        resumes: "X-Resumes",
         copy_from: "X-Copy",
         engine_controls: &[],
         retry_after: "Retry-After",
--- a/crates/gateway/src/fleet/documents.rs
+++ b/crates/gateway/src/fleet/documents.rs
@@ -55,7 +55,9 @@
                     bytes: current.document.clone(),
                 })
             }),
-            REPLICAS_PATH => replica_list::local_list(&gw).map(|list| rmp_serde::to_vec(&list)),
+            REPLICAS_PATH => {
+                replica_list::local_list(&gw).map(|list| rmp_serde::to_vec_named(&list))
+            }
             _ => None,
         };
         match encoded {
--- a/crates/gateway/src/model/dialect.rs
+++ b/crates/gateway/src/model/dialect.rs
@@ -33,6 +33,9 @@
     pub signature: &'static str,
     /// Header with the id of the last stream event that the caller received.
     pub last_event: &'static str,
+    /// Header with the id of the attempt that brought the first event of a stream, sent by a caller
+    /// that takes the stream up again.
+    pub resumes: &'static str,
     /// Header with the address of a replica that has parts of the prompt cached.
     pub copy_from: &'static str,
     /// Other headers with which a router tells an engine what to keep, reserve or hand over. They
--- a/crates/gateway/src/model/replica.rs
+++ b/crates/gateway/src/model/replica.rs
@@ -3,9 +3,11 @@
 use {
     policy::{
         placement::ReplicaKey,
+        streams::StreamOrigin,
         warmup::ColdReport,
         ReplicaId,
         ServiceId,
+        SoftwareVersion,
         StartedAt,
         Zone, //
     },
@@ -34,6 +36,9 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub state: State,
+    /// The version of its software, if it reports one.
+    #[serde(default)]
+    pub version: Option<SoftwareVersion>,
     /// What it last reported about being cold. Lists of peers don't tell, as peers report cold
     /// replicas by themselves.
     #[serde(skip)]
@@ -57,6 +62,14 @@
     pub fn key(&self) -> ReplicaKey {
         ReplicaKey::of_start(&self.id, self.started_at)
     }
+
+    /// Returns what a stream that this replica begins is bound to.
+    pub(crate) fn origin(&self) -> StreamOrigin {
+        StreamOrigin {
+            service: self.service.clone(),
+            version: self.version.clone(),
+        }
+    }
 }
 
 /// Whether a replica accepts new requests.
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -62,6 +62,8 @@
     pub(crate) prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub(crate) last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of the stream that the caller resumes.
+    pub(crate) resumes: Option<String>,
     pub(crate) arrived: Instant,
     /// When the caller's deadline or the route's timeout expires, whichever is first.
     pub(crate) until: Instant,
@@ -115,6 +117,7 @@
     };
     let prompt = (dialect.parse_prompt)(&headers);
     let last_event = headers.get(dialect.last_event).and_then(|v| v.parse().ok());
+    let resumes = headers.get(dialect.resumes).map(str::to_owned);
     strip_headers(&mut headers, dialect);
     let digest_parts = [method.as_bytes(), host.as_bytes(), target.as_bytes()];
     Ok(Request {
@@ -138,6 +141,7 @@
         workspace,
         prompt,
         last_event,
+        resumes,
         arrived,
         until: arrived + left,
         version: force.config.version,
--- a/crates/gateway/src/serve/progress.rs
+++ b/crates/gateway/src/serve/progress.rs
@@ -15,6 +15,7 @@
             Budget,
             BudgetLimits, //
         },
+        streams::StreamOrigin,
         AnswerState,
         ReplicaId,
         Time, //
@@ -55,6 +56,8 @@
     pub(crate) may_have_run: bool,
     /// The caller was sent the head of an answer.
     pub(crate) answer_started: bool,
+    /// What began the stream of which the caller has events.
+    pub(crate) origin: Option<StreamOrigin>,
     /// The answer announced that the connection is closed after it.
     pub(crate) closes: bool,
     /// When the first event, or the answer, was forwarded to the caller.
--- a/crates/gateway/src/serve/request_log.rs
+++ b/crates/gateway/src/serve/request_log.rs
@@ -127,6 +127,55 @@
     progress.cause = cause.to_owned();
 }
 
+/// Why a stream goes on at another replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ResumeCause {
+    /// Its replica broke it off.
+    Broken,
+    /// Its replica is silent.
+    Silent,
+    /// Its caller sent another attempt.
+    Caller,
+}
+
+impl ResumeCause {
+    fn label(self) -> &'static str {
+        match self {
+            ResumeCause::Broken => "broken",
+            ResumeCause::Silent => "silent",
+            ResumeCause::Caller => "caller",
+        }
+    }
+}
+
+/// Logs and counts that a stream goes on at the permit's replica.
+pub(super) fn log_resumed(
+    req: &Request,
+    permit: &SlotPermit,
+    progress: &RequestProgress,
+    cause: ResumeCause,
+) {
+    let own = permit.replica.origin();
+    let version = match &progress.origin {
+        None => "unknown",
+        Some(origin) if *origin == own => "same",
+        Some(_) => "other",
+    };
+    let cause = cause.label();
+    metrics::counter!("chervilwind_streams_resumed", "cause" => cause, "version" => version)
+        .increment(1);
+    let origin = progress.origin.as_ref().map(ToString::to_string);
+    log::info!(
+        "event=resume outcome=goes-on cause={cause} id={} resumes={} after={} origin={} \
+         version={version} replica={} of={own}",
+        req.id,
+        req.resumes.as_deref().unwrap_or("-"),
+        req.last_event.map_or(-1, |n| n as i64),
+        origin.as_deref().unwrap_or("-"),
+        permit.replica.id,
+    );
+}
+
 /// Logs that a replica is silent while it has a request that may be hedged.
 pub(super) fn log_silent(req: &Request, monitor: &SilenceMonitor, progress: &RequestProgress) {
     log::info!(
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -17,6 +17,10 @@
         },
         plain::chunked_head,
         progress::RequestProgress,
+        request_log::{
+            log_resumed,
+            ResumeCause, //
+        },
         resume::resume,
         stream_source::StreamSource,
     },
@@ -46,10 +50,10 @@
     loop {
         let events = source.stream.take_pending();
         if source.stream.ended() {
-            return finish_stream(gw, source, &events, writer, progress).await;
+            return finish_stream(gw, req, source, &events, writer, progress).await;
         }
         if !events.is_empty() {
-            let mut out = answer_head(gw, &source, progress);
+            let mut out = answer_head(gw, req, &source, progress);
             write_chunk(&mut out, &events);
             if writer.write_all(&out).await.is_err() {
                 return AttemptOutcome::Done(Delivery::Aborted(AbortCause::Caller));
@@ -59,7 +63,12 @@
         let after = source.stream.last_event();
         match read_next(gw, req, &mut source, progress).await {
             Ok(None) => {}
-            Ok(Some(backup)) => source = backup,
+            Ok(Some(backup)) => {
+                if progress.answer_started {
+                    log_resumed(req, &backup.permit, progress, ResumeCause::Silent);
+                }
+                source = backup;
+            }
             Err(e) => {
                 record_failure(gw, req, &source.permit, progress, "broken", &e).await;
                 progress.may_have_run = true;
@@ -68,7 +77,10 @@
                 }
                 drop(source);
                 source = match Box::pin(resume(gw, req, progress, after)).await {
-                    Ok(source) => source,
+                    Ok(source) => {
+                        log_resumed(req, &source.permit, progress, ResumeCause::Broken);
+                        source
+                    }
                     Err(cause) => return AttemptOutcome::Done(Delivery::Aborted(cause)),
                 };
             }
@@ -79,12 +91,13 @@
 /// Forwards the last events of a stream together with its end.
 async fn finish_stream(
     gw: &Shared,
+    req: &Request,
     source: StreamSource,
     events: &[u8],
     writer: &Writer,
     progress: &mut RequestProgress,
 ) -> AttemptOutcome {
-    let mut out = answer_head(gw, &source, progress);
+    let mut out = answer_head(gw, req, &source, progress);
     if !events.is_empty() {
         write_chunk(&mut out, events);
     }
@@ -126,9 +139,19 @@
 }
 
 /// Returns the head of the answer if it was not sent yet.
-fn answer_head(gw: &Shared, source: &StreamSource, progress: &mut RequestProgress) -> Vec<u8> {
+fn answer_head(
+    gw: &Shared,
+    req: &Request,
+    source: &StreamSource,
+    progress: &mut RequestProgress,
+) -> Vec<u8> {
     if progress.answer_started {
         return Vec::new();
     }
+    if req.last_event.is_some() {
+        log_resumed(req, &source.permit, progress, ResumeCause::Caller);
+    }
+    let origin = || source.permit.replica.origin();
+    progress.origin.get_or_insert_with(origin);
     chunked_head(gw, &source.stream.reply, progress)
 }
--- a/crates/gateway/src/upstream/call/tests.rs
+++ b/crates/gateway/src/upstream/call/tests.rs
@@ -39,6 +39,7 @@
         zone: "z1".parse().unwrap(),
         slots: 1,
         state: State::Ready,
+        version: None,
         cold: None,
     }
 }
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -265,6 +265,7 @@
         not_run: "X-Not-Run",
         signature: "X-Signature",
         last_event: "X-Last",
+        resumes: "X-Resumes",
         copy_from: "X-Copy",
         engine_controls: &["X-Reserve", "X-Keep-Ms"],
         retry_after: "Retry-After",
@@ -499,6 +500,7 @@
         zone: "z1".parse().unwrap(),
         slots: 6,
         state: State::Ready,
+        version: None,
         cold: None,
     }
 }
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -142,6 +142,64 @@
     }
 }
 
+/// The version of a replica's software. Versions are not ordered.
+///
+/// # Examples
+///
+/// ```
+/// use policy::SoftwareVersion;
+///
+/// let version: SoftwareVersion = "v1.2+build 7".parse()?;
+/// assert_eq!(version.to_string(), "v1.2+build 7");
+/// assert!("".parse::<SoftwareVersion>().is_err());
+/// # Ok::<(), policy::IdError>(())
+/// ```
+///
+/// # Errors
+///
+/// Parsing fails if the text is empty.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = IdError;
+
+    fn from_str(s: &str) -> Result<SoftwareVersion, IdError> {
+        match s.is_empty() {
+            true => Err(IdError::Empty),
+            false => Ok(SoftwareVersion(Arc::from(s))),
+        }
+    }
+}
+
+impl TryFrom<String> for SoftwareVersion {
+    type Error = IdError;
+
+    fn try_from(s: String) -> Result<SoftwareVersion, IdError> {
+        s.parse()
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> String {
+        version.as_str().to_owned()
+    }
+}
+
 /// When a replica started, in Unix milliseconds of its own clock.
 ///
 /// It distinguishes two incarnations under one id, but doesn't order them, as clocks may be reset.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod roster;
 mod service;
 mod shares;
+pub mod streams;
 pub mod tickets;
 mod time;
 mod turn;
@@ -76,6 +77,7 @@
         ReplicaId,
         RouterId,
         ServiceId,
+        SoftwareVersion,
         StartedAt,
         WorkspaceId,
         Zone, //
