--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -38,6 +38,7 @@
         Era,
         EvacuationOrders,
         Region,
+        ServiceId,
         Zone,
         ZoneChange, //
     },
@@ -167,8 +168,8 @@
     gateway: Option<Gateway>,
 }
 
-/// Routes of the tests: `/once/`, `/again/`, `/stream/` and `/resume/`, all with service `s`, and
-/// `/open/`, which needs no key.
+/// Routes of the tests: `/once/`, `/again/`, `/stream/` and `/resume/`, all with service `s`,
+/// `/open/`, which needs no key, and `/split/`, which is split between the services `s` and `t`.
 pub(crate) fn config(version: u64) -> Vec<u8> {
     format!(r#"{{"version":{version},"keys":{{"k1":"w1","k2":"w2"}},"timeout":60000}}"#)
         .into_bytes()
@@ -188,6 +189,7 @@
         ("/stream/", RouteKind::Stream { resume: false }, 1, false),
         ("/resume/", RouteKind::Stream { resume: true }, 2, false),
         ("/open/", RouteKind::Idempotent, 2, true),
+        ("/split/", RouteKind::Stream { resume: true }, 2, false),
     ];
     for (prefix, kind, max_attempts, public) in routes {
         let route = Route {
@@ -196,7 +198,7 @@
             kind,
             timeout: Duration::from_millis(json["timeout"].as_u64().unwrap()),
             latency_target: Duration::from_millis(300),
-            split: vec![("s".parse().unwrap(), 1)],
+            split: split(prefix),
             max_attempts,
             public,
             regions: regions(&json[prefix]),
@@ -221,6 +223,15 @@
     Ok(config)
 }
 
+fn split(prefix: &str) -> Vec<(ServiceId, u32)> {
+    let names: &[&str] = match prefix {
+        "/split/" => &["s", "t"],
+        _ => &["s"],
+    };
+    let names = names.iter().map(|name| (name.parse().unwrap(), 1));
+    names.collect()
+}
+
 fn regions(names: &Value) -> Vec<Region> {
     let names = names.as_array().into_iter().flatten();
     names
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -15,4 +15,5 @@
 mod standby;
 mod store_restore;
 mod streams;
+mod versions;
 mod warmup;
