gateway: an answer goes on only at the service and version that began it

What callers saw: one answer with events of two software versions (in the users' record the second one is reached 0.14 s before the first breaks off: a hedge).

The choice among replicas knew the service only. After a break, and for a backup beside a silent replica, any replica of the service was taken. Class: what has begun is bound by what began it, and the binding was not carried along.

Change: the first event that is forwarded binds the request to the service and version of its replica; every later choice for it, and the time of a cooldown, look at these only. Before the first event any version may be tried. Where the version is gone (no replica of it takes work, none that vanished is expected back, another version serves) the answer is ended at once rather than at its deadline. With one version nothing changes: an answer waits for a replica as before.

Not measured: for how long callers would rather wait for a crashed replica of the version (3 s now, in the users' record it is back after 2.1 s).

--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -7,11 +7,15 @@
             ReplicaList,
             State, //
         },
-        state::Shared, //
+        state::{
+            Shared,
+            Tables, //
+        },
     },
     async_std::task,
     policy::{
         placement::ReplicaKey,
+        streams::ListedVersion,
         Era,
         Listed,
         ReplicaId,
@@ -81,7 +85,7 @@
 /// Applies the list of a peer, which was read from the store `age` ago.
 pub(crate) fn apply_peer_list(
     gw: &Shared,
-    list: Vec<Replica>,
+    mut list: Vec<Replica>,
     era: Era,
     age: Span,
     from: SocketAddr,
@@ -93,6 +97,7 @@
         if !roster.accepts_list_of(era, now) {
             return;
         }
+        add_known_versions(roster, &mut list);
         drop(tables);
         observe_cold(gw, &list, now - age);
         let roster = &mut gw.tables().roster;
@@ -101,6 +106,14 @@
     finish_update(gw, &departed, &from.to_string());
 }
 
+/// Adds the versions that are known to the list of a router whose build doesn't read them.
+fn add_known_versions(roster: &Roster<Arc<Replica>>, list: &mut [Replica]) {
+    for replica in list.iter_mut().filter(|r| r.version.is_none()) {
+        let known = roster.get(&replica.id).filter(|k| k.key() == replica.key());
+        replica.version = known.and_then(|k| k.version.clone());
+    }
+}
+
 /// Records which replicas of a list are cold. One that was not listed before has just started,
 /// unless this is the first list.
 fn observe_cold(gw: &Shared, list: &[Replica], made: Time) {
@@ -128,11 +141,27 @@
     })
 }
 
+impl Tables {
+    /// Records the software versions of the known replicas.
+    fn observe_versions(&mut self, now: Time) {
+        let listed = self
+            .roster
+            .all()
+            .map(|(_, replica, draining)| ListedVersion {
+                key: replica.key(),
+                origin: replica.origin(),
+                draining,
+            });
+        self.versions.observe(listed, now);
+    }
+}
+
 /// Finishes an update of the roster: drops all data on replicas that departed, logs them, and marks
 /// the list as present.
 fn finish_update(gw: &Shared, departed: &[ReplicaId], from: &str) {
     let now = gw.now();
     let mut tables = gw.tables();
+    tables.observe_versions(now);
     let known: HashSet<ReplicaKey> = tables.roster.known().map(|(_, r)| r.key()).collect();
     tables.speeds.retain(|key| known.contains(&key));
     tables.latencies.retain(|key| known.contains(&key));
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -34,6 +34,7 @@
             UsageStanding,
             WorkspaceKey, //
         },
+        streams::StreamOrigin,
         AnswerState,
         ReplicaId,
         Span,
@@ -50,6 +51,18 @@
 /// Retry delay if no replica takes work: about as long as a replica is avoided after its first
 /// failure.
 const NO_REPLICA_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Retry delay if the version that began a stream is gone. It is back only if a release is reverted.
+const VERSION_GONE_RETRY_DELAY: Duration = Duration::from_secs(2);
+
+/// What the choice of a replica has to respect, apart from the request itself.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Selection<'a> {
+    /// Replicas that were tried before.
+    pub(crate) tried: &'a [ReplicaId],
+    pub(crate) answer: AnswerState,
+    /// What began the stream, if it goes on.
+    pub(crate) origin: Option<&'a StreamOrigin>,
+}
 
 /// A request for which no replica was chosen.
 #[derive(Debug)]
@@ -98,8 +111,7 @@
     pub(crate) fn acquire_slot(
         self: &Arc<Shared>,
         req: &Request,
-        tried: &[ReplicaId],
-        answer_state: AnswerState,
+        selection: Selection<'_>,
     ) -> Result<SlotPermit, Refused> {
         let now = self.now();
         let mut tables = self.tables();
@@ -114,17 +126,14 @@
         let (picked, basis) = match (prompt, engine) {
             (Some(prompt), Some(engine)) => {
                 let (pick, basis) =
-                    tables.choose_engine(self, req, (prompt, engine), tried, answer_state, now);
+                    tables.choose_engine(self, req, (prompt, engine), selection, now);
                 (pick, Some(basis))
             }
-            _ => (
-                tables.choose_plain(self, req, tried, answer_state, now),
-                None,
-            ),
+            _ => (tables.choose_plain(self, req, selection, now), None),
         };
         let inputs = basis.as_ref().map_or(String::new(), Basis::to_string);
         let choice = match picked {
-            None => return Err(tables.refuse_unavailable(req, now)),
+            None => return Err(tables.refuse_unavailable(req, selection.origin, now)),
             Some(Pick::Reject {
                 retry_after,
                 fullness,
@@ -146,7 +155,7 @@
             }
             Some(Pick::Run(choice)) => choice,
         };
-        let mut permit = tables.take_slot(self, req, choice, answer_state, now);
+        let mut permit = tables.take_slot(self, req, choice, selection.answer, now);
         permit.inputs = inputs;
         Ok(permit)
     }
@@ -154,8 +163,13 @@
 
 impl Shared {
     /// Returns when the caller of a request that is given up should retry.
-    pub(super) fn retry_delay(&self, req: &Request, default: Duration) -> Duration {
-        let cooldown = self.tables().cooldown(req, self.now());
+    pub(super) fn retry_delay(
+        &self,
+        req: &Request,
+        origin: Option<&StreamOrigin>,
+        default: Duration,
+    ) -> Duration {
+        let cooldown = self.tables().cooldown(req, origin, self.now());
         cooldown.map_or(default, spread_return)
     }
 }
@@ -166,13 +180,12 @@
         gw: &Shared,
         req: &Request,
         (prompt, engine): (&Prompt, Engine),
-        tried: &[ReplicaId],
-        answer_state: AnswerState,
+        selection: Selection<'_>,
         now: Time,
     ) -> (Option<Pick>, Basis) {
         let workspace = req.workspace.as_ref().map(WorkspaceKey::of);
         let usage = workspace.map_or(UsageStanding::default(), |key| {
-            if tried.is_empty() {
+            if selection.tried.is_empty() {
                 self.quota.record_requested(key, prompt.cost(), now);
             }
             self.quota.standing(key, id_fraction(&req.id), now)
@@ -187,7 +200,7 @@
         let barred = self.barred(gw, req, now);
         let affinity_key = prompt.affinity_key().unwrap_or_default();
         let candidates: Vec<Candidate> = self
-            .available(req, tried, &barred, now)
+            .available(req, selection, &barred, now)
             .map(|(key, replica)| Candidate {
                 id: replica.id.clone(),
                 key,
@@ -208,7 +221,7 @@
         }
         let request = PlacementRequest {
             prompt,
-            answer: answer_state,
+            answer: selection.answer,
             target: Span::from(req.route.latency_target),
             shortest_target: Span::from(req.min_target),
             usage,
@@ -222,14 +235,13 @@
         &mut self,
         gw: &Shared,
         req: &Request,
-        tried: &[ReplicaId],
-        answer_state: AnswerState,
+        selection: Selection<'_>,
         now: Time,
     ) -> Option<Pick> {
         let baseline = self.baseline_failures(req);
         let barred = self.barred(gw, req, now);
         let candidates: Vec<PlainCandidate> = self
-            .available(req, tried, &barred, now)
+            .available(req, selection, &barred, now)
             .map(|(key, replica)| PlainCandidate {
                 id: replica.id.clone(),
                 key,
@@ -240,7 +252,8 @@
                 penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(baseline)),
             })
             .collect();
-        (!candidates.is_empty()).then(|| pick_plain(&candidates, answer_state, fastrand::u64(..)))
+        (!candidates.is_empty())
+            .then(|| pick_plain(&candidates, selection.answer, fastrand::u64(..)))
     }
 
     /// Returns the cold replicas of the request's service that get no more requests from here now.
@@ -255,21 +268,42 @@
         }
     }
 
-    /// Returns the replicas of the request's service that take work and are in no evacuated zone.
+    /// Returns the replicas of the request's service that take work and are in no evacuated zone,
+    /// and if a stream goes on, only those of its version.
     fn ready<'a>(
         &'a self,
         req: &'a Request,
+        origin: Option<&'a StreamOrigin>,
         now: Time,
     ) -> impl Iterator<Item = (&'a ReplicaId, &'a Arc<Replica>)> {
         let ready = self.roster.ready();
         ready
             .filter(|(_, r)| r.service == req.service)
+            .filter(move |(_, r)| origin.is_none_or(|o| o.version == r.version))
             .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
     }
 
+    /// Returns whether the service goes on without the version that began a stream: none of its
+    /// replicas takes work, none is expected back, and those of another version take work.
+    fn is_gone(&self, origin: &StreamOrigin, now: Time) -> bool {
+        let own = |r: &Replica| r.service == origin.service;
+        let mut ready = self.roster.ready().filter(|(_, r)| own(r)).peekable();
+        let replaced = ready.peek().is_some();
+        replaced
+            && ready.all(|(_, r)| r.version != origin.version)
+            && !self.versions.may_return(origin, now)
+    }
+
     /// Rejects a request for which no replica is available.
-    fn refuse_unavailable(&self, req: &Request, now: Time) -> Refused {
-        let (refusal, retry_delay) = match self.cooldown(req, now) {
+    fn refuse_unavailable(
+        &self,
+        req: &Request,
+        origin: Option<&StreamOrigin>,
+        now: Time,
+    ) -> Refused {
+        let gone = origin.is_some_and(|o| self.is_gone(o, now));
+        let (refusal, retry_delay) = match self.cooldown(req, origin, now) {
+            _ if gone => (Refusal::VersionGone, VERSION_GONE_RETRY_DELAY),
             Some(left) => (Refusal::Cooldown, spread_return(left)),
             None => (Refusal::NoReplica, NO_REPLICA_RETRY_DELAY),
         };
@@ -282,9 +316,9 @@
 
     /// Returns the time until the first replica of the request's service takes requests again, if
     /// all of them asked for a pause.
-    fn cooldown(&self, req: &Request, now: Time) -> Option<Span> {
+    fn cooldown(&self, req: &Request, origin: Option<&StreamOrigin>, now: Time) -> Option<Span> {
         let mut first: Option<Span> = None;
-        for (_, replica) in self.ready(req, now) {
+        for (_, replica) in self.ready(req, origin, now) {
             let left = self.cooldowns.remaining(replica.key(), now)?;
             first = Some(first.map_or(left, |first| first.min(left)));
         }
@@ -296,12 +330,12 @@
     fn available<'a>(
         &'a self,
         req: &'a Request,
-        tried: &'a [ReplicaId],
+        selection: Selection<'a>,
         barred: &'a ReplicaSet,
         now: Time,
     ) -> impl Iterator<Item = (ReplicaKey, &'a Arc<Replica>)> {
-        self.ready(req, now)
-            .filter(|(id, _)| !tried.contains(id))
+        self.ready(req, selection.origin, now)
+            .filter(move |(id, _)| !selection.tried.contains(id))
             .map(|(_, r)| (r.key(), r))
             .filter(|(key, _)| !barred.contains(key))
             .filter(move |(key, _)| self.cooldowns.is_available(*key, now))
--- a/crates/gateway/src/serve/next_replica.rs
+++ b/crates/gateway/src/serve/next_replica.rs
@@ -5,8 +5,7 @@
         admit::Request,
         outcome::{
             AbortCause,
-            AttemptOutcome,
-            Refusal, //
+            AttemptOutcome, //
         },
         permit::SlotPermit,
         progress::RequestProgress,
@@ -76,11 +75,9 @@
         progress.cause = "the retry budget is spent".to_owned();
         return Ok(None);
     }
-    match gw.acquire_slot(req, &progress.tried, progress.answer_state()) {
+    match gw.acquire_slot(req, progress.selection(progress.answer_state())) {
         Ok(permit) => Ok(progress.take_retry(gw, req).then_some(permit)),
-        Err(refused) if refused.refusal == Refusal::Quarantined => {
-            Err(AbortCause::Refused(refused.refusal))
-        }
+        Err(refused) if refused.refusal.is_final() => Err(AbortCause::Refused(refused.refusal)),
         Err(refused) => {
             progress.cause = refused.refusal.text().to_owned();
             // Replicas that were full or unreachable a moment ago may take the request now.
--- a/crates/gateway/src/serve/outcome.rs
+++ b/crates/gateway/src/serve/outcome.rs
@@ -62,6 +62,8 @@
     Cooldown,
     /// The replicas of its service are full.
     Full,
+    /// No replica is left of the version that began the stream.
+    VersionGone,
 }
 
 impl AbortCause {
@@ -78,11 +80,17 @@
             AbortCause::Refused(Refusal::NoReplica) => "no-replica",
             AbortCause::Refused(Refusal::Cooldown) => "cooldown",
             AbortCause::Refused(Refusal::Full) => "full",
+            AbortCause::Refused(Refusal::VersionGone) => "version-gone",
         }
     }
 }
 
 impl Refusal {
+    /// Returns whether it won't change while the request waits.
+    pub(crate) fn is_final(self) -> bool {
+        matches!(self, Refusal::Quarantined | Refusal::VersionGone)
+    }
+
     /// Returns the text for callers and logs.
     pub(crate) fn text(self) -> &'static str {
         match self {
@@ -90,6 +98,9 @@
             Refusal::NoReplica => "no replica of its service takes work",
             Refusal::Cooldown => "the replicas of its service asked for a pause",
             Refusal::Full => "the replicas of its service are full",
+            Refusal::VersionGone => {
+                "no replica is left of the version that began this stream; start a new one"
+            }
         }
     }
 }
--- a/crates/gateway/src/serve/progress.rs
+++ b/crates/gateway/src/serve/progress.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         admit::Request,
+        choose::Selection,
         local_answer::LocalAnswer,
         outcome::NoRetry, //
     },
@@ -184,6 +185,15 @@
         Ok(())
     }
 
+    /// Returns what the choice of the next replica has to respect.
+    pub(crate) fn selection(&self, answer: AnswerState) -> Selection<'_> {
+        Selection {
+            tried: &self.tried,
+            answer,
+            origin: self.origin.as_ref(),
+        }
+    }
+
     /// Returns whether the caller's answer has started; such requests come first.
     pub(crate) fn answer_state(&self) -> AnswerState {
         match self.answer_started {
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -54,7 +54,7 @@
 ) -> Delivery {
     record_request(gw, req);
     loop {
-        let permit = match gw.acquire_slot(req, &progress.tried, AnswerState::NotStarted) {
+        let permit = match gw.acquire_slot(req, progress.selection(AnswerState::NotStarted)) {
             Ok(mut permit) => {
                 progress.inputs = std::mem::take(&mut permit.inputs);
                 permit
@@ -74,7 +74,8 @@
             AttemptOutcome::Lost => progress.take_resend(gw, req, false),
         };
         if retry.is_err() {
-            let retry_delay = gw.retry_delay(req, NO_ANSWER_RETRY_DELAY);
+            let origin = progress.origin.as_ref();
+            let retry_delay = gw.retry_delay(req, origin, NO_ANSWER_RETRY_DELAY);
             return Delivery::Local(progress.give_up("no replica answered it", retry_delay));
         }
         metrics::counter!("chervilwind_retries").increment(1);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,6 +36,7 @@
             Tally, //
         },
         retry::Budget,
+        streams::VersionHistory,
         warmup::{
             ColdStart,
             Warmup, //
@@ -116,6 +117,8 @@
     pub(crate) warmup: Warmup,
     /// How short this instance is of processor time.
     pub(crate) overload: Overload,
+    /// The software versions that were listed lately.
+    pub(crate) versions: VersionHistory,
 }
 
 /// State that all tasks of one gateway share.
@@ -187,6 +190,7 @@
                 evacuations: Evacuations::default(),
                 warmup: Warmup::default(),
                 overload: Overload::default(),
+                versions: VersionHistory::default(),
             }),
             pool: Pool::default(),
             wake,
--- /dev/null
+++ b/crates/policy/src/streams/history.rs
@@ -0,0 +1,132 @@
+//! Which software versions of each service were listed lately.
+
+use {
+    super::StreamOrigin,
+    crate::{
+        placement::{
+            ReplicaKey,
+            ReplicaMap, //
+        },
+        ServiceId,
+        Span,
+        Time, //
+    },
+    std::collections::BTreeMap, //
+};
+
+/// How long a version is remembered after it was last listed.
+const RETENTION: Span = Span::secs(600);
+/// How long a replica that vanished without having announced that it leaves may take to be back.
+const RETURN_SPAN: Span = Span::secs(3);
+
+/// The versions of each service, as this router has known them since it first had a list.
+///
+/// # Examples
+///
+/// ```
+/// use policy::{placement::ReplicaKey, streams::{ListedVersion, StreamOrigin, VersionHistory}};
+/// use policy::{Span, Time};
+///
+/// let origin = |version: &str| StreamOrigin {
+///     service: "drafting-llm".parse().unwrap(),
+///     version: version.parse().ok(),
+/// };
+/// let listed = |key, version| ListedVersion {
+///     key: ReplicaKey(key),
+///     origin: origin(version),
+///     draining: false,
+/// };
+/// let span = Span::secs(30);
+/// let mut history = VersionHistory::default();
+/// history.observe([listed(1, "v1")], Time(0));
+/// let later = Time(0) + Span::secs(60);
+/// history.observe([listed(1, "v1"), listed(2, "v2")], later);
+/// assert_eq!(history.recent(&origin("v1").service, span, later).len(), 2);
+/// assert!(!history.is_settled(&origin("v1").service, span, later));
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct VersionHistory {
+    /// When the first list was observed.
+    since: Option<Time>,
+    versions: BTreeMap<StreamOrigin, Seen>,
+    /// The replicas of the last list.
+    replicas: ReplicaMap<ListedVersion>,
+}
+
+/// A replica in a list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedVersion {
+    /// The key of its incarnation.
+    pub key: ReplicaKey,
+    /// Its service and version.
+    pub origin: StreamOrigin,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    /// Whether the last list has a replica of it.
+    current: bool,
+    /// When a list with a replica of it was last observed.
+    listed: Time,
+    /// When one of its replicas last vanished without having announced that it leaves.
+    lost: Option<Time>,
+}
+
+impl VersionHistory {
+    /// Records the replicas of a list.
+    pub fn observe(&mut self, list: impl IntoIterator<Item = ListedVersion>, now: Time) {
+        self.since.get_or_insert(now);
+        for seen in self.versions.values_mut().filter(|seen| seen.current) {
+            // The last list held until this one.
+            seen.listed = now;
+            seen.current = false;
+        }
+        let mut replicas = ReplicaMap::default();
+        for listed in list {
+            let new = Seen {
+                current: true,
+                listed: now,
+                lost: None,
+            };
+            let known = self.versions.entry(listed.origin.clone());
+            known.or_insert(new).current = true;
+            replicas.insert(listed.key, listed);
+        }
+        let before = std::mem::replace(&mut self.replicas, replicas);
+        for (key, listed) in before {
+            let vanished = !listed.draining && !self.replicas.contains_key(&key);
+            let seen = self.versions.get_mut(&listed.origin);
+            if let Some(seen) = seen.filter(|_| vanished) {
+                seen.lost = Some(now);
+            }
+        }
+        self.versions
+            .retain(|_, seen| seen.current || now.since(seen.listed) < RETENTION);
+    }
+
+    /// Returns for how long this router has known the versions.
+    pub fn known_for(&self, now: Time) -> Span {
+        self.since.map_or(Span::ZERO, |since| now.since(since))
+    }
+
+    /// Returns the versions of a service that were listed within the last `span`.
+    pub fn recent(&self, service: &ServiceId, span: Span, now: Time) -> Vec<StreamOrigin> {
+        let own = self.versions.iter().filter(|(o, _)| o.service == *service);
+        let recent = own.filter(|(_, seen)| seen.current || now.since(seen.listed) < span);
+        recent.map(|(origin, _)| origin.clone()).collect()
+    }
+
+    /// Returns whether a service is known to have had at most one version in the last `span`.
+    pub fn is_settled(&self, service: &ServiceId, span: Span, now: Time) -> bool {
+        self.known_for(now) >= span && self.recent(service, span, now).len() <= 1
+    }
+
+    /// Returns whether a replica of this version that vanished without an announcement may still
+    /// come back.
+    pub fn may_return(&self, origin: &StreamOrigin, now: Time) -> bool {
+        let lost = self.versions.get(origin).and_then(|seen| seen.lost);
+        lost.is_some_and(|at| now.since(at) < RETURN_SPAN)
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/streams/main.rs
@@ -0,0 +1,3 @@
+//! Streams that go on while replicas of several software versions serve.
+
+mod history;
