gateway: a stream that its caller takes up goes on at what began it, or is rejected

A caller's next attempt has a new id, and what began its stream was not kept.

Change: the first event that is forwarded is recorded by workspace and by the id that the caller will name in Resumes, for as long as the caller waits; bounded in number, and for each workspace. A request that goes on is bound to the recorded service and version before a replica is chosen. Where the stream is not known it is rejected at once, as not run, unless there has been one version only for longer than any stream lasts, as far as this router knows, by a list that is not old. A caller that names no attempt goes on while one version was listed lately, as before, and is rejected otherwise. A stream whose route no longer leads to its service is rejected too.

Other routers are not told and not asked yet: until then a stream of another router is rejected where it may be of several versions.

--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -14,6 +14,10 @@
     xxhash_rust::xxh3::xxh3_64, //
 };
 
+/// A caller that comes back has another timeout for the rest of its stream.
+const STREAM_TIMEOUTS: u32 = 2;
+const STREAM_SPAN_MIN: Duration = Duration::from_secs(10);
+
 /// One version of the configuration.
 #[derive(Debug, Clone, Default)]
 pub struct Config {
@@ -31,6 +35,8 @@
     pub limits: Limits,
     /// The shortest_targets latency target among the streams that go to a service.
     shortest_targets: HashMap<ServiceId, Duration>,
+    /// The longest timeout among the streams that may be resumed.
+    longest_stream: Duration,
 }
 
 /// A route of requests with a certain host and path prefix.
@@ -138,6 +144,9 @@
                 *shortest = route.latency_target.min(*shortest);
             }
         }
+        if route.is_resumable() {
+            self.longest_stream = self.longest_stream.max(route.timeout);
+        }
         let routes = self.routes.entry(host.to_ascii_lowercase()).or_default();
         routes.push(Arc::new(route));
         routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
@@ -186,7 +195,20 @@
     }
 }
 
+impl Config {
+    /// Returns a time that is longer than a stream may last with all attempts of its caller.
+    pub fn stream_span(&self) -> Duration {
+        (self.longest_stream * STREAM_TIMEOUTS).max(STREAM_SPAN_MIN)
+    }
+}
+
 impl Route {
+    /// Returns the services that requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        let weighted = self.split.iter().filter(|(_, weight)| *weight > 0);
+        weighted.map(|(service, _)| service)
+    }
+
     /// Chooses a service according to the weights. A request id always gets the same service.
     pub fn service(&self, id: &str) -> Option<&ServiceId> {
         let total: u64 = self.split.iter().map(|(_, w)| u64::from(*w)).sum();
@@ -209,6 +231,11 @@
         )
     }
 
+    /// Returns whether requests are answered with streams that may go on at another replica.
+    pub fn is_resumable(&self) -> bool {
+        self.kind == RouteKind::Stream { resume: true }
+    }
+
     /// Returns whether requests are answered with streams.
     pub fn is_stream(&self) -> bool {
         matches!(self.kind, RouteKind::Stream { .. })
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -9,6 +9,7 @@
             StartLine, //
         },
         model::{
+            Config,
             Dialect,
             Route,
             Service, //
@@ -23,6 +24,10 @@
         placement::Prompt,
         quarantine::RequestDigest,
         quota::WorkspaceKey,
+        streams::{
+            StreamKey,
+            StreamOrigin, //
+        },
         ServiceId,
         WorkspaceId, //
     },
@@ -42,6 +47,9 @@
 /// A request with less time left is rejected at once, as no replica could answer it.
 const MIN_REQUEST_TIME: Duration = Duration::from_millis(5);
 
+/// Longest time for which callers are expected to wait.
+const PATIENCE_MAX: Duration = Duration::from_secs(600);
+
 /// A validated request, ready to be sent to a replica.
 #[derive(Debug)]
 pub(crate) struct Request {
@@ -64,13 +72,47 @@
     pub(crate) last_event: Option<u64>,
     /// Id of the attempt that brought the first event of the stream that the caller resumes.
     pub(crate) resumes: Option<String>,
+    /// What began that stream.
+    pub(crate) origin: Option<StreamOrigin>,
     pub(crate) arrived: Instant,
     /// When the caller's deadline or the route's timeout expires, whichever is first.
     pub(crate) until: Instant,
+    /// When the caller gives up, with all of its attempts.
+    pub(crate) caller_until: Instant,
     /// Version of the configuration that the request is served by.
     pub(crate) version: u64,
 }
 
+impl Request {
+    /// Returns the id of the attempt that brought the first event of the request's stream.
+    pub(crate) fn first_attempt(&self) -> &str {
+        let resumes = self
+            .resumes
+            .as_deref()
+            .filter(|_| self.last_event.is_some());
+        resumes.unwrap_or(&self.id)
+    }
+
+    /// Returns the key of the request's stream.
+    pub(crate) fn stream_key(&self) -> StreamKey {
+        StreamKey::of(self.workspace.as_ref(), self.first_attempt())
+    }
+
+    /// Returns whether the request goes on with a stream of which its caller has a part.
+    pub(crate) fn goes_on(&self) -> bool {
+        self.route.is_resumable() && self.last_event.is_some()
+    }
+
+    /// Sends the request to another service of its route.
+    pub(crate) fn set_service(&mut self, config: &Config, service: ServiceId) {
+        let info = config.services.get(&service).cloned();
+        let target = config.shortest_target(&service);
+        self.service_info = info.unwrap_or_default();
+        self.min_target = target.unwrap_or(self.route.latency_target);
+        self.service = service;
+    }
+}
+
 /// Validates a request against the configuration in force.
 ///
 /// # Errors
@@ -102,7 +144,8 @@
     let Some(id) = headers.get(dialect.id).map(str::to_owned) else {
         return Err(LocalAnswer::status(400, "the request has no id; send one"));
     };
-    let left = deadline(dialect, &headers)?.map_or(route.timeout, |d| d.min(route.timeout));
+    let patience = deadline(dialect, &headers)?.unwrap_or(route.timeout);
+    let left = patience.min(route.timeout);
     if left < MIN_REQUEST_TIME {
         return Err(LocalAnswer::not_run(
             "its deadline has passed",
@@ -142,8 +185,10 @@
         prompt,
         last_event,
         resumes,
+        origin: None,
         arrived,
         until: arrived + left,
+        caller_until: arrived + patience.min(PATIENCE_MAX),
         version: force.config.version,
         route,
     })
--- /dev/null
+++ b/crates/gateway/src/serve/bind.rs
@@ -0,0 +1,190 @@
+//! Binds a request that takes a stream up again to the service and version that began the stream.
+
+use {
+    super::{
+        admit::Request,
+        local_answer::LocalAnswer, //
+    },
+    crate::state::{
+        Shared,
+        Tables, //
+    },
+    policy::{
+        quota::WorkspaceKey,
+        streams::{
+            Knowledge,
+            Lookup,
+            StreamOrigin,
+            StreamRecord,
+            Unknown, //
+        },
+        ServiceId,
+        Span,
+        Time, //
+    },
+    std::{
+        sync::Arc,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Retry delay if no router could be asked for a stream.
+const UNREACHED_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Retry delay if no router knows a stream, which hardly changes.
+const UNKNOWN_RETRY_DELAY: Duration = Duration::from_secs(2);
+
+/// Binds a request to what began the stream that it takes up again.
+///
+/// # Errors
+///
+/// The answer to the caller if that is not known, or if the route no longer leads there.
+pub(super) async fn bind_resumed(
+    gw: &Arc<Shared>,
+    mut req: Request,
+) -> Result<Request, LocalAnswer> {
+    if !req.goes_on() {
+        return Ok(req);
+    }
+    let origin = match req.resumes {
+        Some(_) => look_up(gw, &req).await?,
+        None => only_version(gw, &req)?,
+    };
+    if let Some(origin) = origin {
+        bind(gw, &mut req, origin)?;
+    }
+    Ok(req)
+}
+
+/// Finds out what began the stream that the request names.
+async fn look_up(gw: &Arc<Shared>, req: &Request) -> Result<Option<StreamOrigin>, LocalAnswer> {
+    let services: Vec<ServiceId> = req.route.services().cloned().collect();
+    let own = gw.stream_knowledge(req.stream_key(), &services);
+    let lookup = Lookup::new(own, 0, gw.stream_span());
+    match lookup.finish() {
+        Ok((origin, source)) => {
+            count(&source.to_string());
+            log::info!(
+                "event=resume outcome=known id={} resumes={} origin={origin} from={source}",
+                req.id,
+                req.first_attempt(),
+            );
+            Ok(Some(origin))
+        }
+        Err(Unknown::Unreached) => Err(reject(
+            req,
+            "unreached",
+            "no router could be asked what began this stream",
+            UNREACHED_RETRY_DELAY,
+        )),
+        Err(Unknown::NotRecorded) => Err(reject(
+            req,
+            "not-recorded",
+            "no router knows what began this stream; start a new one",
+            UNKNOWN_RETRY_DELAY,
+        )),
+    }
+}
+
+/// Returns the only version of the request's service, for a caller that doesn't name its stream;
+/// none if there is no replica.
+fn only_version(gw: &Shared, req: &Request) -> Result<Option<StreamOrigin>, LocalAnswer> {
+    let recent = gw.recent_versions(std::slice::from_ref(&req.service));
+    match recent.len() {
+        0 | 1 => Ok(recent.into_iter().next()),
+        _ => Err(reject(
+            req,
+            "unnamed",
+            "several versions serve; name the attempt that brought the first event",
+            UNKNOWN_RETRY_DELAY,
+        )),
+    }
+}
+
+fn bind(gw: &Shared, req: &mut Request, origin: StreamOrigin) -> Result<(), LocalAnswer> {
+    if origin.service != req.service {
+        let current = gw.current_config();
+        let leads = req.route.services().any(|s| *s == origin.service);
+        let Some(current) = current.filter(|_| leads) else {
+            return Err(reject(
+                req,
+                "rerouted",
+                "its route no longer leads to the service that began this stream; start a new one",
+                UNKNOWN_RETRY_DELAY,
+            ));
+        };
+        req.set_service(&current.config, origin.service.clone());
+    }
+    req.origin = Some(origin);
+    Ok(())
+}
+
+fn reject(req: &Request, cause: &str, message: &'static str, retry_delay: Duration) -> LocalAnswer {
+    count(cause);
+    log::info!(
+        "event=resume outcome=refused cause={cause} id={} resumes={} after={} service={}",
+        req.id,
+        req.resumes.as_deref().unwrap_or("-"),
+        req.last_event.map_or(-1, |n| n as i64),
+        req.service,
+    );
+    LocalAnswer::not_run(message, retry_delay)
+}
+
+fn count(result: &str) {
+    metrics::counter!("chervilwind_stream_lookups", "result" => result.to_owned()).increment(1);
+}
+
+impl Shared {
+    /// Returns a time that is longer than any stream lasts.
+    pub(crate) fn stream_span(&self) -> Span {
+        let current = self.current_config();
+        current.map_or(Span::ZERO, |c| c.config.stream_span().into())
+    }
+
+    /// Returns what this router knows of a stream of one of these services.
+    fn stream_knowledge(
+        &self,
+        key: policy::streams::StreamKey,
+        services: &[ServiceId],
+    ) -> Knowledge {
+        let span = self.stream_span();
+        let now = self.now();
+        let tables = self.tables();
+        Knowledge {
+            origin: tables.streams.get(key, now).map(|known| known.origin),
+            recent: tables.recent_versions(services, span, now),
+            known_for: tables.versions.known_for(now),
+            list_age: tables.roster.age(now),
+        }
+    }
+
+    fn recent_versions(&self, services: &[ServiceId]) -> Vec<StreamOrigin> {
+        let span = self.stream_span();
+        let now = self.now();
+        self.tables().recent_versions(services, span, now)
+    }
+
+    /// Records what began a stream, before its first event is forwarded.
+    pub(super) fn record_stream(&self, req: &Request, origin: &StreamOrigin) {
+        let now = self.now();
+        let lasts = req.caller_until.saturating_duration_since(Instant::now());
+        let record = StreamRecord {
+            key: req.stream_key(),
+            workspace: req.workspace.as_ref().map(WorkspaceKey::of),
+            origin: origin.clone(),
+            lasts: lasts.into(),
+        };
+        self.tables().streams.record_own(&record, now);
+    }
+}
+
+impl Tables {
+    fn recent_versions(&self, services: &[ServiceId], span: Span, now: Time) -> Vec<StreamOrigin> {
+        let services = services.iter();
+        let recent = services.flat_map(|s| self.versions.recent(s, span, now));
+        recent.collect()
+    }
+}
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -7,6 +7,7 @@
             check_overload,
             Request, //
         },
+        bind::bind_resumed,
         local_answer::LocalAnswer,
         outcome::{
             AbortCause,
@@ -152,6 +153,10 @@
             )),
             false => check_overload(&gw, &head).and_then(|()| admit(&gw, head, body, arrived)),
         };
+        let admitted = match admitted {
+            Ok(request) => bind_resumed(&gw, request).await,
+            Err(answer) => Err(answer),
+        };
         let request = match admitted {
             Ok(request) => request,
             Err(answer) => {
@@ -240,7 +245,10 @@
     /// given up. Before the request goes to a replica, the connection is checked for a close that
     /// arrived after it, so that no replica works for a caller that is gone.
     async fn serve(&mut self, req: Request) -> bool {
-        let mut progress = RequestProgress::default();
+        let mut progress = RequestProgress {
+            origin: req.origin.clone(),
+            ..RequestProgress::default()
+        };
         if self.conn.is_closed().await {
             log_end(&req, &progress, true, false);
             return false;
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod admit;
 mod attempt;
+mod bind;
 mod choose;
 mod connection;
 mod dispatch;
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -152,6 +152,9 @@
         log_resumed(req, &source.permit, progress, ResumeCause::Caller);
     }
     let origin = || source.permit.replica.origin();
-    progress.origin.get_or_insert_with(origin);
+    let origin = progress.origin.get_or_insert_with(origin);
+    if req.route.is_resumable() {
+        gw.record_stream(req, origin);
+    }
     chunked_head(gw, &source.stream.reply, progress)
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -145,6 +145,7 @@
     loop {
         task::sleep(MAINTENANCE_INTERVAL).await;
         gw.pool.close_expired();
+        gw.tables().streams.forget(gw.now());
         gw.forget_evacuations();
         log_rejections(&gw);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -36,7 +36,10 @@
             Tally, //
         },
         retry::Budget,
-        streams::VersionHistory,
+        streams::{
+            StreamTable,
+            VersionHistory, //
+        },
         warmup::{
             ColdStart,
             Warmup, //
@@ -119,6 +122,8 @@
     pub(crate) overload: Overload,
     /// The software versions that were listed lately.
     pub(crate) versions: VersionHistory,
+    /// What began the streams that may be taken up again.
+    pub(crate) streams: StreamTable,
 }
 
 /// State that all tasks of one gateway share.
@@ -191,6 +196,7 @@
                 warmup: Warmup::default(),
                 overload: Overload::default(),
                 versions: VersionHistory::default(),
+                streams: StreamTable::default(),
             }),
             pool: Pool::default(),
             wake,
--- a/crates/policy/src/actives/mod.rs
+++ b/crates/policy/src/actives/mod.rs
@@ -13,6 +13,7 @@
 
 mod choice;
 mod contacts;
+mod holders;
 mod peer;
 mod rate;
 mod recipients;
--- /dev/null
+++ b/crates/policy/src/streams/lookup.rs
@@ -0,0 +1,152 @@
+//! Finds out what began a stream that is taken up at this router.
+
+use {
+    super::StreamOrigin,
+    crate::Span,
+    std::{
+        collections::BTreeSet,
+        fmt, //
+    },
+};
+
+/// A list of replicas that was made longer ago may lack a version.
+const LIST_AGE_MAX: Span = Span::secs(10);
+
+/// What one router knows of a stream, and of the versions that may have begun it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Knowledge {
+    /// What began it, if the router has a record of it.
+    pub origin: Option<StreamOrigin>,
+    /// The services and versions that may have begun a stream that still goes on.
+    pub recent: Vec<StreamOrigin>,
+    /// For how long the router has known the versions.
+    pub known_for: Span,
+    /// How long ago its list of replicas was made, if it has one.
+    pub list_age: Option<Span>,
+}
+
+/// How it is known what began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginSource {
+    /// This router recorded it.
+    Own,
+    /// Another router recorded it.
+    Peer,
+    /// There has been one version only for longer than any stream lasts.
+    OnlyVersion,
+}
+
+/// Why it is not known what began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unknown {
+    /// No router that may have a record of the stream answered.
+    Unreached,
+    /// No router that answered has a record of it, and there may have been several versions.
+    NotRecorded,
+}
+
+/// The answers to the question what began a stream.
+///
+/// A guess would join what two versions write, so it is only decided by a record, or if there was
+/// nothing else that could have begun the stream.
+///
+/// # Examples
+///
+/// ```
+/// use policy::streams::{Knowledge, Lookup, OriginSource, StreamOrigin};
+/// use policy::Span;
+///
+/// let origin = StreamOrigin { service: "drafting-llm".parse()?, version: None };
+/// let mut lookup = Lookup::new(Knowledge::default(), 2, Span::secs(30));
+/// lookup.add(Knowledge { origin: Some(origin.clone()), ..Knowledge::default() });
+/// assert!(lookup.is_complete());
+/// assert_eq!(lookup.finish(), Ok((origin, OriginSource::Peer)));
+/// # Ok::<(), policy::IdError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct Lookup {
+    known: Option<(StreamOrigin, OriginSource)>,
+    recent: BTreeSet<StreamOrigin>,
+    known_for: Span,
+    list_age: Option<Span>,
+    /// Routers that were asked, and those of them that answered.
+    asked: usize,
+    answered: usize,
+    /// Longer than any stream lasts.
+    span: Span,
+}
+
+impl Lookup {
+    /// Starts with what this router knows. `asked` is the number of other routers that are asked,
+    /// and `span` longer than any stream lasts.
+    pub fn new(own: Knowledge, asked: usize, span: Span) -> Lookup {
+        Lookup {
+            known: own.origin.map(|origin| (origin, OriginSource::Own)),
+            recent: own.recent.into_iter().collect(),
+            known_for: own.known_for,
+            list_age: own.list_age,
+            asked,
+            answered: 0,
+            span,
+        }
+    }
+
+    /// Adds the answer of another router.
+    pub fn add(&mut self, answer: Knowledge) {
+        self.answered += 1;
+        let found = answer.origin.map(|origin| (origin, OriginSource::Peer));
+        self.known = self.known.take().or(found);
+        self.recent.extend(answer.recent);
+        self.known_for = self.known_for.max(answer.known_for);
+        self.list_age = match (self.list_age, answer.list_age) {
+            (Some(own), Some(other)) => Some(own.min(other)),
+            (own, other) => own.or(other),
+        };
+    }
+
+    /// Returns whether further answers would change nothing.
+    pub fn is_complete(&self) -> bool {
+        self.known.is_some() || self.answered >= self.asked
+    }
+
+    /// Returns what began the stream, and how that is known.
+    ///
+    /// # Errors
+    ///
+    /// Why it is not known.
+    pub fn finish(self) -> Result<(StreamOrigin, OriginSource), Unknown> {
+        if let Some(known) = self.known {
+            return Ok(known);
+        }
+        if self.asked > 0 && self.answered == 0 {
+            return Err(Unknown::Unreached);
+        }
+        let fresh = self.list_age.is_some_and(|age| age <= LIST_AGE_MAX);
+        let mut recent = self.recent.into_iter();
+        match (recent.next(), recent.next()) {
+            (Some(only), None) if fresh && self.known_for >= self.span => {
+                Ok((only, OriginSource::OnlyVersion))
+            }
+            _ => Err(Unknown::NotRecorded),
+        }
+    }
+}
+
+impl fmt::Display for OriginSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            OriginSource::Own => "own",
+            OriginSource::Peer => "peer",
+            OriginSource::OnlyVersion => "only-version",
+        })
+    }
+}
+
+impl fmt::Display for Unknown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            Unknown::Unreached => "unreached",
+            Unknown::NotRecorded => "not-recorded",
+        })
+    }
+}
