gateway: what began a stream is known at other routers

Ways weighed: told to all routers (70 streams a second, 370 routers: over 400 KB/s a router); told only when a stream breaks (a killed router tells nothing); computed from the id alone (wrong as soon as the shares of versions move); the store (priced, limited, away at times; two calls a stream). Chosen: two routers, found by rendezvous hashing of the stream's key, in two zones where there are as many, are told before the first event is forwarded, in one datagram each. A router that doesn't know a stream asks the first eight of the same order, three times within 250 ms, until one has a record or all have answered.

When a list shows a further version, the running streams of the service are told at once; so one that began while there was one version is known when there are two.

Nobody knows: a router that has just started learns with the answers for how long its peers have known the versions. One that no peer answers, or that has an old list, rejects.

--- a/crates/gateway/src/fleet/messages.rs
+++ b/crates/gateway/src/fleet/messages.rs
@@ -12,10 +12,16 @@
             UsageCounts,
             WorkspaceKey, //
         },
+        streams::{
+            Knowledge,
+            StreamKey,
+            StreamRecord, //
+        },
         warmup::ColdReplica,
         Era,
         EvacuationOrders,
         RouterId,
+        ServiceId,
         Span, //
     },
     serde::{
@@ -56,6 +62,31 @@
     /// Replicas that recently announced that they are leaving, to the sender or to a peer; follows a
     /// hello in the same datagram.
     LeavingReplicas(Vec<ReplicaKey>),
+    /// What began some streams.
+    StreamRecords(Vec<StreamRecord>),
+    /// Asks what began a stream.
+    StreamQuery(StreamQuery),
+    /// Answers a query.
+    StreamAnswer(StreamAnswer),
+}
+
+/// The question what began a stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct StreamQuery {
+    /// Number of the lookup at the sender.
+    pub(crate) number: u32,
+    pub(crate) key: StreamKey,
+    /// The services that may have begun it.
+    pub(crate) services: Vec<ServiceId>,
+}
+
+/// What a router knows of a stream that another one asked for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct StreamAnswer {
+    /// Number and stream of the query.
+    pub(crate) number: u32,
+    pub(crate) key: StreamKey,
+    pub(crate) knowledge: Knowledge,
 }
 
 /// Fields that all messages have in common.
--- a/crates/gateway/src/fleet/messages/tests.rs
+++ b/crates/gateway/src/fleet/messages/tests.rs
@@ -8,6 +8,8 @@
         MessageHeader,
         PeerMessage,
         SenderState,
+        StreamAnswer,
+        StreamQuery,
         SummaryMessage, //
     },
     policy::{
@@ -21,6 +23,13 @@
             UsageCounts,
             WorkspaceKey, //
         },
+        streams::{
+            Knowledge,
+            KnownStream,
+            StreamKey,
+            StreamOrigin,
+            StreamRecord, //
+        },
         Era,
         EvacuationOrders,
         Incarnation,
@@ -221,6 +230,57 @@
     assert_eq!(received, sent);
 }
 
+fn stream_record(key: u64) -> StreamRecord {
+    StreamRecord {
+        key: StreamKey(u64::MAX - key),
+        workspace: Some(WorkspaceKey(u32::MAX)),
+        origin: StreamOrigin {
+            service: "drafting-llm".parse().unwrap(),
+            version: "v1.2".parse().ok(),
+        },
+        lasts: Span::secs(15),
+    }
+}
+
+#[test]
+fn stream_records_are_small() {
+    // With the headers of the packets, two for each of 70 streams a second take 13 KB/s.
+    let one = PeerMessage::StreamRecords(vec![stream_record(0)]);
+    let bytes = encode(one.clone());
+    assert!(bytes.len() <= 64, "{}", bytes.len());
+    assert_eq!(
+        round_trip(one),
+        PeerMessage::StreamRecords(vec![stream_record(0)])
+    );
+    let many = PeerMessage::StreamRecords((0..100).map(stream_record).collect());
+    assert!(encode(many).len() <= 16 * 1024);
+}
+
+#[test]
+fn stream_query_round_trip() {
+    let query = PeerMessage::StreamQuery(StreamQuery {
+        number: 7,
+        key: StreamKey(u64::MAX),
+        services: vec!["drafting-llm".parse().unwrap()],
+    });
+    assert_eq!(round_trip(query.clone()), query);
+    let StreamRecord { origin, .. } = stream_record(0);
+    let answer = PeerMessage::StreamAnswer(StreamAnswer {
+        number: 7,
+        key: StreamKey(u64::MAX),
+        knowledge: Knowledge {
+            record: Some(KnownStream {
+                origin: origin.clone(),
+                age: Span::millis(1_500),
+            }),
+            recent: vec![origin],
+            known_for: Span::secs(600),
+            list_age: None,
+        },
+    });
+    assert_eq!(round_trip(answer.clone()), answer);
+}
+
 #[test]
 fn decode_rejects_garbage() {
     for bytes in [&b""[..], b"GET / HTTP/1.1", &[0xc1; 40]] {
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,7 +5,15 @@
 mod receiver;
 mod replica_list;
 mod sender;
+mod streams;
 
 pub(crate) use self::{
-    documents::serve_documents, receiver::receive_messages, sender::send_messages,
+    documents::serve_documents,
+    receiver::receive_messages,
+    sender::send_messages,
+    streams::{
+        ask,
+        tell,
+        Lookups, //
+    },
 };
--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -15,19 +15,18 @@
         sender::{
             send,
             BUSY_REQUESTS, //
-        }, //
+        },
+        streams,
     },
     crate::state::Shared,
-    async_std::{
-        net::UdpSocket,
-        task, //
-    },
+    async_std::task,
     policy::{
         actives::{
             HelloKind,
             LoadFlags, //
         },
         placement::ReplicaKey,
+        streams::StreamRecord,
         RouterId, //
     },
     std::{
@@ -73,22 +72,20 @@
 #[derive(Debug)]
 struct MessageReceiver {
     gw: Arc<Shared>,
-    socket: Arc<UdpSocket>,
     config_fetch: SingleFlight,
     list_fetch: SingleFlight,
 }
 
 /// Receives messages from peers for as long as the process runs.
-pub(crate) async fn receive_messages(gw: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn receive_messages(gw: Arc<Shared>) {
     let receiver = MessageReceiver {
         gw,
-        socket,
         config_fetch: SingleFlight::default(),
         list_fetch: SingleFlight::default(),
     };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let (n, from) = match receiver.socket.recv_from(&mut buf).await {
+        let (n, from) = match receiver.gw.peer_socket.recv_from(&mut buf).await {
             Ok(received) => received,
             Err(e) => {
                 log::warn!("event=peers outcome=receive-failed cause={e:?}");
@@ -125,6 +122,17 @@
                 self.gw.tables().warmup.apply_peer(&replicas, now);
             }
             PeerMessage::LeavingReplicas(replicas) => self.apply_leaving(&replicas, from),
+            PeerMessage::StreamRecords(records) => self.apply_streams(&records),
+            PeerMessage::StreamQuery(query) => streams::answer(&self.gw, query, from).await,
+            PeerMessage::StreamAnswer(answer) => self.gw.lookups.receive(answer, from),
+        }
+    }
+
+    fn apply_streams(&self, records: &[StreamRecord]) {
+        let now = self.gw.now();
+        let mut tables = self.gw.tables();
+        for record in records {
+            tables.streams.record_peer(record, now);
         }
     }
 
@@ -241,7 +249,7 @@
                 .sample_addresses(MAX_KNOWN_PEERS, fastrand::usize(..));
             tables.datagram(hello, now)
         };
-        send(&self.socket, &datagram, &[to], false).await;
+        send(&self.gw.peer_socket, &datagram, &[to], false).await;
     }
 
     /// Applies the header of a message, and fetches what the sender has in a newer version.
--- a/crates/gateway/src/fleet/replica_list.rs
+++ b/crates/gateway/src/fleet/replica_list.rs
@@ -62,6 +62,6 @@
     if let Some(list) =
         documents::fetch_document::<ReplicaListDocument>(addr, documents::REPLICAS_PATH).await
     {
-        follow::apply_peer_list(gw, list.replicas, list.era, list.age, addr);
+        follow::apply_peer_list(gw, list.replicas, list.era, list.age, addr).await;
     }
 }
--- a/crates/gateway/src/fleet/sender.rs
+++ b/crates/gateway/src/fleet/sender.rs
@@ -77,7 +77,7 @@
 }
 
 /// Sends messages to peers for as long as the process runs.
-pub(crate) async fn send_messages(gw: Arc<Shared>, socket: Arc<UdpSocket>) {
+pub(crate) async fn send_messages(gw: Arc<Shared>) {
     let mut failed = false;
     let mut state = SendState {
         intervals: 0,
@@ -89,7 +89,7 @@
         state.intervals += 1;
         let (datagrams, pause) = due_datagrams(&gw, &mut state);
         for (datagram, to) in datagrams {
-            failed = send(&socket, &datagram, &to, failed).await;
+            failed = send(&gw.peer_socket, &datagram, &to, failed).await;
         }
         state.woken = or(
             async {
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -49,7 +49,10 @@
         let read = (gw.store.list_replicas)().await;
         gw.record_store_call("replicas", read.as_ref().err());
         match read {
-            Ok(list) => apply_store_list(&gw, list),
+            Ok(list) => {
+                apply_store_list(&gw, list);
+                gw.tell_untold_streams().await;
+            }
             Err(_) => {
                 gw.tables().roster.read_failed();
                 task::sleep(READ_RETRY_DELAY).await;
@@ -83,7 +86,7 @@
 }
 
 /// Applies the list of a peer, which was read from the store `age` ago.
-pub(crate) fn apply_peer_list(
+pub(crate) async fn apply_peer_list(
     gw: &Shared,
     mut list: Vec<Replica>,
     era: Era,
@@ -104,6 +107,7 @@
         roster.apply_peer_list(listed_replicas(list), age, now)
     };
     finish_update(gw, &departed, &from.to_string());
+    gw.tell_untold_streams().await;
 }
 
 /// Adds the versions that are known to the list of a router whose build doesn't read them.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod shutdown;
 mod start;
 mod state;
+mod streams;
 mod upstream;
 
 pub use self::{
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -26,7 +26,8 @@
         quota::WorkspaceKey,
         streams::{
             StreamKey,
-            StreamOrigin, //
+            StreamOrigin,
+            StreamRecord, //
         },
         ServiceId,
         WorkspaceId, //
@@ -98,6 +99,17 @@
         StreamKey::of(self.workspace.as_ref(), self.first_attempt())
     }
 
+    /// Returns the record of the request's stream, which this began.
+    pub(crate) fn stream_record(&self, origin: StreamOrigin) -> StreamRecord {
+        let lasts = self.caller_until.saturating_duration_since(Instant::now());
+        StreamRecord {
+            key: self.stream_key(),
+            workspace: self.workspace.as_ref().map(WorkspaceKey::of),
+            origin,
+            lasts: lasts.into(),
+        }
+    }
+
     /// Returns whether the request goes on with a stream of which its caller has a part.
     pub(crate) fn goes_on(&self) -> bool {
         self.route.is_resumable() && self.last_event.is_some()
--- a/crates/gateway/src/serve/bind.rs
+++ b/crates/gateway/src/serve/bind.rs
@@ -5,29 +5,21 @@
         admit::Request,
         local_answer::LocalAnswer, //
     },
-    crate::state::{
-        Shared,
-        Tables, //
+    crate::{
+        fleet::ask,
+        state::Shared, //
     },
     policy::{
-        quota::WorkspaceKey,
         streams::{
-            Knowledge,
-            Lookup,
+            Found,
             StreamOrigin,
-            StreamRecord,
             Unknown, //
         },
         ServiceId,
-        Span,
-        Time, //
     },
     std::{
         sync::Arc,
-        time::{
-            Duration,
-            Instant, //
-        },
+        time::Duration, //
     },
 };
 
@@ -60,18 +52,13 @@
 
 /// Finds out what began the stream that the request names.
 async fn look_up(gw: &Arc<Shared>, req: &Request) -> Result<Option<StreamOrigin>, LocalAnswer> {
+    let key = req.stream_key();
     let services: Vec<ServiceId> = req.route.services().cloned().collect();
-    let own = gw.stream_knowledge(req.stream_key(), &services);
-    let lookup = Lookup::new(own, 0, gw.stream_span());
-    match lookup.finish() {
-        Ok((origin, source)) => {
-            count(&source.to_string());
-            log::info!(
-                "event=resume outcome=known id={} resumes={} origin={origin} from={source}",
-                req.id,
-                req.first_attempt(),
-            );
-            Ok(Some(origin))
+    let own = gw.stream_knowledge(key, &services);
+    match ask(gw, key, &services, own).await.finish() {
+        Ok(found) => {
+            log_found(req, &found);
+            Ok(Some(found.origin))
         }
         Err(Unknown::Unreached) => Err(reject(
             req,
@@ -91,7 +78,7 @@
 /// Returns the only version of the request's service, for a caller that doesn't name its stream;
 /// none if there is no replica.
 fn only_version(gw: &Shared, req: &Request) -> Result<Option<StreamOrigin>, LocalAnswer> {
-    let recent = gw.recent_versions(std::slice::from_ref(&req.service));
+    let recent = gw.recent_versions(&req.service);
     match recent.len() {
         0 | 1 => Ok(recent.into_iter().next()),
         _ => Err(reject(
@@ -133,58 +120,21 @@
     LocalAnswer::not_run(message, retry_delay)
 }
 
-fn count(result: &str) {
-    metrics::counter!("chervilwind_stream_lookups", "result" => result.to_owned()).increment(1);
-}
-
-impl Shared {
-    /// Returns a time that is longer than any stream lasts.
-    pub(crate) fn stream_span(&self) -> Span {
-        let current = self.current_config();
-        current.map_or(Span::ZERO, |c| c.config.stream_span().into())
-    }
-
-    /// Returns what this router knows of a stream of one of these services.
-    fn stream_knowledge(
-        &self,
-        key: policy::streams::StreamKey,
-        services: &[ServiceId],
-    ) -> Knowledge {
-        let span = self.stream_span();
-        let now = self.now();
-        let tables = self.tables();
-        Knowledge {
-            origin: tables.streams.get(key, now).map(|known| known.origin),
-            recent: tables.recent_versions(services, span, now),
-            known_for: tables.versions.known_for(now),
-            list_age: tables.roster.age(now),
-        }
-    }
-
-    fn recent_versions(&self, services: &[ServiceId]) -> Vec<StreamOrigin> {
-        let span = self.stream_span();
-        let now = self.now();
-        self.tables().recent_versions(services, span, now)
-    }
-
-    /// Records what began a stream, before its first event is forwarded.
-    pub(super) fn record_stream(&self, req: &Request, origin: &StreamOrigin) {
-        let now = self.now();
-        let lasts = req.caller_until.saturating_duration_since(Instant::now());
-        let record = StreamRecord {
-            key: req.stream_key(),
-            workspace: req.workspace.as_ref().map(WorkspaceKey::of),
-            origin: origin.clone(),
-            lasts: lasts.into(),
-        };
-        self.tables().streams.record_own(&record, now);
-    }
+fn log_found(req: &Request, found: &Found) {
+    let Found {
+        origin,
+        source,
+        age,
+    } = found;
+    count(&source.to_string());
+    log::info!(
+        "event=resume outcome=known id={} resumes={} after={} origin={origin} from={source} age={age}",
+        req.id,
+        req.first_attempt(),
+        req.last_event.map_or(-1, |n| n as i64),
+    );
 }
 
-impl Tables {
-    fn recent_versions(&self, services: &[ServiceId], span: Span, now: Time) -> Vec<StreamOrigin> {
-        let services = services.iter();
-        let recent = services.flat_map(|s| self.versions.recent(s, span, now));
-        recent.collect()
-    }
+fn count(result: &str) {
+    metrics::counter!("chervilwind_stream_lookups", "result" => result.to_owned()).increment(1);
 }
--- a/crates/gateway/src/serve/stream.rs
+++ b/crates/gateway/src/serve/stream.rs
@@ -53,7 +53,7 @@
             return finish_stream(gw, req, source, &events, writer, progress).await;
         }
         if !events.is_empty() {
-            let mut out = answer_head(gw, req, &source, progress);
+            let mut out = start_answer(gw, req, &source, progress).await;
             write_chunk(&mut out, &events);
             if writer.write_all(&out).await.is_err() {
                 return AttemptOutcome::Done(Delivery::Aborted(AbortCause::Caller));
@@ -97,7 +97,7 @@
     writer: &Writer,
     progress: &mut RequestProgress,
 ) -> AttemptOutcome {
-    let mut out = answer_head(gw, req, &source, progress);
+    let mut out = start_answer(gw, req, &source, progress).await;
     if !events.is_empty() {
         write_chunk(&mut out, events);
     }
@@ -105,6 +105,9 @@
     let written = writer.write_all(&out).await;
     progress.record_forwarded();
     source.finish(gw);
+    if written.is_ok() && req.route.is_resumable() {
+        gw.tables().streams.mark_told(req.stream_key());
+    }
     AttemptOutcome::Done(match written {
         Ok(()) => Delivery::Complete,
         Err(_) => Delivery::Aborted(AbortCause::Caller),
@@ -138,8 +141,8 @@
     }
 }
 
-/// Returns the head of the answer if it was not sent yet.
-fn answer_head(
+/// Returns the head of the answer if it was not sent yet, and records what began the stream.
+async fn start_answer(
     gw: &Shared,
     req: &Request,
     source: &StreamSource,
@@ -154,7 +157,8 @@
     let origin = || source.permit.replica.origin();
     let origin = progress.origin.get_or_insert_with(origin);
     if req.route.is_resumable() {
-        gw.record_stream(req, origin);
+        let record = req.stream_record(origin.clone());
+        gw.record_stream(record).await;
     }
     chunked_head(gw, &source.stream.reply, progress)
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -121,7 +121,7 @@
         settings.name,
         listen.callers
     );
-    let gw = Arc::new(Shared::new(settings, dialect, store));
+    let gw = Arc::new(Shared::new(settings, dialect, store, peers));
     for seed in seeds {
         gw.tables().fleet.add_address(seed, gw.now());
     }
@@ -130,8 +130,8 @@
     task::spawn(serve::serve_addresses(gw.clone(), addresses));
     task::spawn(serve::serve_metrics(gw.clone(), metrics, handle));
     task::spawn(fleet::serve_documents(gw.clone(), documents));
-    task::spawn(fleet::receive_messages(gw.clone(), peers.clone()));
-    task::spawn(fleet::send_messages(gw.clone(), peers));
+    task::spawn(fleet::receive_messages(gw.clone()));
+    task::spawn(fleet::send_messages(gw.clone()));
     task::spawn(follow::follow_operators(gw.clone()));
     task::spawn(follow::follow_replicas(gw.clone()));
     task::spawn(follow::maintain_registration(gw.clone()));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        fleet::Lookups,
         model::{
             Config,
             Dialect,
@@ -11,10 +12,13 @@
         upstream::Pool,
         Settings, //
     },
-    async_std::channel::{
-        bounded,
-        Receiver,
-        Sender, //
+    async_std::{
+        channel::{
+            bounded,
+            Receiver,
+            Sender, //
+        },
+        net::UdpSocket, //
     },
     policy::{
         actives::{
@@ -134,6 +138,10 @@
     pub(crate) settings: Settings,
     pub(crate) dialect: Dialect,
     pub(crate) store: Store,
+    /// Sends messages to peers and receives theirs.
+    pub(crate) peer_socket: Arc<UdpSocket>,
+    /// Questions to peers about streams.
+    pub(crate) lookups: Lookups,
     pub(crate) incarnation: Incarnation,
     started: Instant,
     current_config: Mutex<Option<Arc<CurrentConfig>>>,
@@ -167,13 +175,20 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: Settings, dialect: Dialect, store: Store) -> Shared {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Dialect,
+        store: Store,
+        peer_socket: Arc<UdpSocket>,
+    ) -> Shared {
         let (wake, woken) = bounded(1);
         let incarnation = Incarnation(fastrand::u64(..));
         let window = Span((settings.bounds.fair_window_s * 1e6) as u64);
         Shared {
             dialect,
             store,
+            peer_socket,
+            lookups: Lookups::default(),
             incarnation,
             started: Instant::now(),
             current_config: Mutex::new(None),
--- a/crates/policy/src/streams/lookup.rs
+++ b/crates/policy/src/streams/lookup.rs
@@ -1,8 +1,15 @@
 //! Finds out what began a stream that is taken up at this router.
 
 use {
-    super::StreamOrigin,
+    super::{
+        KnownStream,
+        StreamOrigin, //
+    },
     crate::Span,
+    serde::{
+        Deserialize,
+        Serialize, //
+    },
     std::{
         collections::BTreeSet,
         fmt, //
@@ -13,10 +20,10 @@
 const LIST_AGE_MAX: Span = Span::secs(10);
 
 /// What one router knows of a stream, and of the versions that may have begun it.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Knowledge {
-    /// What began it, if the router has a record of it.
-    pub origin: Option<StreamOrigin>,
+    /// The router's record of it, if there is one.
+    pub record: Option<KnownStream>,
     /// The services and versions that may have begun a stream that still goes on.
     pub recent: Vec<StreamOrigin>,
     /// For how long the router has known the versions.
@@ -36,6 +43,17 @@
     OnlyVersion,
 }
 
+/// What began a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Found {
+    /// The service and version.
+    pub origin: StreamOrigin,
+    /// How that is known.
+    pub source: OriginSource,
+    /// How long ago the stream was recorded, or for how long there has been no other version.
+    pub age: Span,
+}
+
 /// Why it is not known what began a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unknown {
@@ -53,19 +71,21 @@
 /// # Examples
 ///
 /// ```
-/// use policy::streams::{Knowledge, Lookup, OriginSource, StreamOrigin};
+/// use policy::streams::{KnownStream, Knowledge, Lookup, OriginSource, StreamOrigin};
 /// use policy::Span;
 ///
 /// let origin = StreamOrigin { service: "drafting-llm".parse()?, version: None };
+/// let record = KnownStream { origin: origin.clone(), age: Span::secs(1) };
 /// let mut lookup = Lookup::new(Knowledge::default(), 2, Span::secs(30));
-/// lookup.add(Knowledge { origin: Some(origin.clone()), ..Knowledge::default() });
+/// lookup.add(Knowledge { record: Some(record), ..Knowledge::default() });
 /// assert!(lookup.is_complete());
-/// assert_eq!(lookup.finish(), Ok((origin, OriginSource::Peer)));
+/// let found = lookup.finish().unwrap();
+/// assert_eq!((found.origin, found.source), (origin, OriginSource::Peer));
 /// # Ok::<(), policy::IdError>(())
 /// ```
 #[derive(Debug, Clone)]
 pub struct Lookup {
-    known: Option<(StreamOrigin, OriginSource)>,
+    found: Option<Found>,
     recent: BTreeSet<StreamOrigin>,
     known_for: Span,
     list_age: Option<Span>,
@@ -81,7 +101,9 @@
     /// and `span` longer than any stream lasts.
     pub fn new(own: Knowledge, asked: usize, span: Span) -> Lookup {
         Lookup {
-            known: own.origin.map(|origin| (origin, OriginSource::Own)),
+            found: own
+                .record
+                .map(|record| Found::of(record, OriginSource::Own)),
             recent: own.recent.into_iter().collect(),
             known_for: own.known_for,
             list_age: own.list_age,
@@ -94,8 +116,8 @@
     /// Adds the answer of another router.
     pub fn add(&mut self, answer: Knowledge) {
         self.answered += 1;
-        let found = answer.origin.map(|origin| (origin, OriginSource::Peer));
-        self.known = self.known.take().or(found);
+        let found = answer.record.map(|r| Found::of(r, OriginSource::Peer));
+        self.found = self.found.take().or(found);
         self.recent.extend(answer.recent);
         self.known_for = self.known_for.max(answer.known_for);
         self.list_age = match (self.list_age, answer.list_age) {
@@ -106,17 +128,17 @@
 
     /// Returns whether further answers would change nothing.
     pub fn is_complete(&self) -> bool {
-        self.known.is_some() || self.answered >= self.asked
+        self.found.is_some() || self.answered >= self.asked
     }
 
-    /// Returns what began the stream, and how that is known.
+    /// Returns what began the stream.
     ///
     /// # Errors
     ///
     /// Why it is not known.
-    pub fn finish(self) -> Result<(StreamOrigin, OriginSource), Unknown> {
-        if let Some(known) = self.known {
-            return Ok(known);
+    pub fn finish(self) -> Result<Found, Unknown> {
+        if let Some(found) = self.found {
+            return Ok(found);
         }
         if self.asked > 0 && self.answered == 0 {
             return Err(Unknown::Unreached);
@@ -124,14 +146,26 @@
         let fresh = self.list_age.is_some_and(|age| age <= LIST_AGE_MAX);
         let mut recent = self.recent.into_iter();
         match (recent.next(), recent.next()) {
-            (Some(only), None) if fresh && self.known_for >= self.span => {
-                Ok((only, OriginSource::OnlyVersion))
-            }
+            (Some(origin), None) if fresh && self.known_for >= self.span => Ok(Found {
+                origin,
+                source: OriginSource::OnlyVersion,
+                age: self.known_for,
+            }),
             _ => Err(Unknown::NotRecorded),
         }
     }
 }
 
+impl Found {
+    fn of(record: KnownStream, source: OriginSource) -> Found {
+        Found {
+            origin: record.origin,
+            source,
+            age: record.age,
+        }
+    }
+}
+
 impl fmt::Display for OriginSource {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(match self {
--- a/crates/policy/src/streams/mod.rs
+++ b/crates/policy/src/streams/mod.rs
@@ -18,6 +18,7 @@
     },
     key::StreamKey,
     lookup::{
+        Found,
         Knowledge,
         Lookup,
         OriginSource,
--- a/crates/policy/src/streams/table.rs
+++ b/crates/policy/src/streams/table.rs
@@ -44,7 +44,7 @@
 }
 
 /// What is known of a stream.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownStream {
     /// What began it.
     pub origin: StreamOrigin,
--- a/crates/policy/tests/streams/lookup.rs
+++ b/crates/policy/tests/streams/lookup.rs
@@ -3,6 +3,7 @@
 use policy::{
     streams::{
         Knowledge,
+        KnownStream,
         Lookup,
         OriginSource,
         StreamOrigin,
@@ -24,7 +25,7 @@
 /// What a router knows that has no record of the stream, and that has known these versions for long.
 fn knows(versions: &[&str]) -> Knowledge {
     Knowledge {
-        origin: None,
+        record: None,
         recent: versions.iter().map(|v| origin(v)).collect(),
         known_for: Span::secs(60),
         list_age: Some(Span::secs(1)),
@@ -33,7 +34,10 @@
 
 fn recorded(version: &str) -> Knowledge {
     Knowledge {
-        origin: Some(origin(version)),
+        record: Some(KnownStream {
+            origin: origin(version),
+            age: Span::secs(2),
+        }),
         ..knows(&["v1", "v2"])
     }
 }
@@ -45,7 +49,7 @@
 ) -> Result<(StreamOrigin, OriginSource), Unknown> {
     let mut lookup = Lookup::new(own, asked, SPAN);
     answers.iter().for_each(|a| lookup.add(a.clone()));
-    lookup.finish()
+    lookup.finish().map(|found| (found.origin, found.source))
 }
 
 #[test]
