gateway: streams that go on come before new requests

Change: AnswerState::Resumed. Such a request counts as a new one for fairness, the retry budget and max_attempts as before, and is placed like one whose answer has begun: at the shortest queue, without the limits of new requests. New requests leave room for streams: engines of any version but the one that has most are filled up to n/(n+1) by them, n being the engines of their version, so that the streams of one more engine fit. Plain services are not limited so.

Weighed: to begin new streams only at the version that stays. Nobody tells which one that is, as a release may be taken back.

versions_taken_up_at_a_full_replica failed before and passes unchanged; pick_resumed_where_all_are_full, pick_leaves_room_for_streams and stream_room_of_one_more_engine are new.

--- a/crates/gateway/benches/request_cost/placement.rs
+++ b/crates/gateway/benches/request_cost/placement.rs
@@ -72,6 +72,7 @@
             memory: 200_000,
         },
         penalty: 0.0,
+        room: 0.0,
         can_copy: true,
         cached_age_s: None,
     }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -21,6 +21,7 @@
             pick,
             pick_plain,
             retry_after_cooldown,
+            stream_room,
             Candidate,
             Pick,
             PlacementRequest,
@@ -37,10 +38,12 @@
         streams::StreamOrigin,
         AnswerState,
         ReplicaId,
+        SoftwareVersion,
         Span,
         Time, //
     },
     std::{
+        collections::BTreeMap,
         fmt,
         sync::Arc,
         time::Duration, //
@@ -198,6 +201,7 @@
         };
         let baseline = self.baseline_failures(req);
         let barred = self.barred(gw, req, now);
+        let rooms = self.stream_rooms(req, selection.answer, now);
         let affinity_key = prompt.affinity_key().unwrap_or_default();
         let candidates: Vec<Candidate> = self
             .available(req, selection, &barred, now)
@@ -210,6 +214,7 @@
                 speed: self.speeds.of(key),
                 load: self.board.load(key, now),
                 penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(baseline)),
+                room: rooms.get(&replica.version).copied().unwrap_or(0.0),
                 cached_age_s: self
                     .cached_prefixes
                     .get(&(key, affinity_key))
@@ -283,6 +288,31 @@
             .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
     }
 
+    /// Returns what a new request leaves to streams that go on, by version; nothing if there is only
+    /// one version.
+    fn stream_rooms(
+        &self,
+        req: &Request,
+        answer: AnswerState,
+        now: Time,
+    ) -> BTreeMap<Option<SoftwareVersion>, f64> {
+        let replicas = || self.ready(req, None, now).map(|(_, r)| &r.version);
+        let first = replicas().next();
+        let several = first.is_some_and(|first| replicas().any(|v| v != first));
+        if !several || answer != AnswerState::NotStarted {
+            return BTreeMap::new();
+        }
+        let mut counts = BTreeMap::new();
+        for version in replicas() {
+            *counts.entry(version).or_insert(0) += 1;
+        }
+        let largest = counts.values().copied().max().unwrap_or(0);
+        let rooms = counts.into_iter();
+        rooms
+            .map(|(version, own)| (version.clone(), stream_room(own, largest)))
+            .collect()
+    }
+
     /// Returns whether the service goes on without the version that began a stream: none of its
     /// replicas takes work, none is expected back, and those of another version take work.
     fn is_gone(&self, origin: &StreamOrigin, now: Time) -> bool {
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -113,7 +113,7 @@
         if let Some(affinity_key) = prompt.and_then(Prompt::affinity_key) {
             self.cached_prefixes.insert((choice.key, affinity_key), now);
         }
-        let counted = prompt.filter(|_| answer_state == AnswerState::NotStarted);
+        let counted = prompt.filter(|_| answer_state != AnswerState::Started);
         if let (Some(prompt), Some(workspace)) = (counted, &req.workspace) {
             let key = WorkspaceKey::of(workspace);
             self.quota.record_served(key, prompt.cost(), now);
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -53,8 +53,12 @@
     progress: &mut RequestProgress,
 ) -> Delivery {
     record_request(gw, req);
+    let answer = match req.goes_on() {
+        true => AnswerState::Resumed,
+        false => AnswerState::NotStarted,
+    };
     loop {
-        let permit = match gw.acquire_slot(req, progress.selection(AnswerState::NotStarted)) {
+        let permit = match gw.acquire_slot(req, progress.selection(answer)) {
             Ok(mut permit) => {
                 progress.inputs = std::mem::take(&mut permit.inputs);
                 permit
--- a/crates/policy/src/placement/engine.rs
+++ b/crates/policy/src/placement/engine.rs
@@ -45,12 +45,35 @@
     pub load: Load,
     /// Added to its fullness where it fails often; 0 for a healthy engine.
     pub penalty: f64,
+    /// Fraction of it that this request leaves to streams that go on; see [`stream_room`].
+    pub room: f64,
     /// Whether it can copy cached parts from another engine.
     pub can_copy: bool,
     /// Seconds since this router last sent it a request with the same last shared part.
     pub cached_age_s: Option<f64>,
 }
 
+/// Returns the fraction of an engine that new requests leave to streams that go on, where `own`
+/// engines are of its version and `largest` of the version that has most.
+///
+/// A stream may go on only at the version that began it. If a version has few engines left, the
+/// streams of one that leaves or fails need the others, and new requests can go to another version.
+///
+/// # Examples
+///
+/// ```
+/// use policy::placement::stream_room;
+///
+/// assert_eq!(stream_room(8, 8), 0.0);
+/// assert_eq!(stream_room(1, 8), 0.5);
+/// ```
+pub fn stream_room(own: usize, largest: usize) -> f64 {
+    match own < largest {
+        true => 1.0 / (own as f64 + 1.0),
+        false => 0.0,
+    }
+}
+
 impl Prompt {
     /// Returns the id by which requests with the same cached parts get the same preferred replicas.
     ///
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -29,6 +29,7 @@
         Cooldowns, //
     },
     engine::{
+        stream_room,
         Candidate,
         Part,
         Prompt, //
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -124,7 +124,8 @@
 /// up the engines.
 ///
 /// A stream that has started was admitted once, and rejecting it would waste what its caller
-/// already has. It goes to the engine with the shortest queue.
+/// already has. It goes to the engine with the shortest queue, and into the room that new requests
+/// leave there.
 pub fn pick(engines: &[Candidate], request: &PlacementRequest<'_>) -> Pick {
     let affinity_key = request.prompt.affinity_key().unwrap_or_default();
     let rated: Vec<Rated<'_>> = rendezvous::rank_by_hash(affinity_key, engines, |e| e.id.as_str())
@@ -132,7 +133,7 @@
         .enumerate()
         .map(|(rank, engine)| rate(engine, rank, request))
         .collect();
-    if request.answer == AnswerState::Started {
+    if request.answer != AnswerState::NotStarted {
         if let Some(best) = shortest_queue(&rated) {
             return Pick::Run(choice_of(&rated, best));
         }
@@ -222,8 +223,9 @@
     let queued = load.unread as f64 / engine.speed / shortest;
     // A prompt that takes long to read by itself is late at any engine.
     let reading = tuning.reading_weight * wait_ms / target;
+    let occupied = slots.max(memory) / (1.0 - engine.room);
     let fullness = Fullness {
-        occupancy: slots.max(memory) + engine.penalty,
+        occupancy: occupied + engine.penalty,
         backlog: queued + engine.penalty,
         reading: reading + engine.penalty,
     };
--- a/crates/policy/src/retry/budget.rs
+++ b/crates/policy/src/retry/budget.rs
@@ -105,7 +105,7 @@
         let allowed =
             f64::from(first_attempts) * self.limits.fraction + self.limits.floor * WINDOW.as_secs();
         let factor = match answer {
-            AnswerState::NotStarted => 1.0,
+            AnswerState::NotStarted | AnswerState::Resumed => 1.0,
             AnswerState::Started => 1.0 + self.limits.reserve,
         };
         ((allowed * factor) as u32).saturating_sub(retries)
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -182,6 +182,7 @@
                 speed: TOKENS_PER_MS,
                 load: board.load(ReplicaKey::of(id), now),
                 penalty: 0.0,
+                room: 0.0,
                 can_copy: true,
                 cached_age_s: None,
             })
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -3,6 +3,7 @@
 use policy::{
     placement::{
         pick,
+        stream_room,
         Bound,
         Candidate,
         Choice,
@@ -30,6 +31,7 @@
         speed: 100.0,
         load: Load::default(),
         penalty: 0.0,
+        room: 0.0,
         can_copy: true,
         cached_age_s: None,
     }
@@ -357,3 +359,43 @@
     };
     assert_eq!(choice.replica, free);
 }
+
+/// Guards against rejecting a stream that its caller takes up again as if it were a new one.
+#[test]
+fn pick_resumed_where_all_are_full() {
+    let mut all = engines(3);
+    for engine in &mut all {
+        engine.load.running = 60;
+    }
+    assert!(matches!(choose(&all, 5.0), Pick::Reject { .. }));
+    assert!(matches!(
+        choose_for(&all, 5.0, AnswerState::Resumed),
+        Pick::Run(_)
+    ));
+}
+
+/// Guards against new requests that take the room which streams of a version with few engines need.
+#[test]
+fn pick_leaves_room_for_streams() {
+    let mut all = engines(1);
+    all[0].room = stream_room(1, 8);
+    all[0].load.running = 24;
+    assert!(matches!(choose(&all, 0.0), Pick::Run(_)));
+    // Half of 48 slots, and the fifth more that a workspace within its share may queue.
+    all[0].load.running = 29;
+    assert!(matches!(choose(&all, 0.0), Pick::Reject { .. }));
+    all[0].room = 0.0;
+    assert!(matches!(choose(&all, 0.0), Pick::Run(_)));
+}
+
+/// The streams of one more engine fit into what the engines of a version leave.
+#[test]
+fn stream_room_of_one_more_engine() {
+    for own in 1..8 {
+        let room = stream_room(own, 8);
+        let streams = (own as f64) * (1.0 - room);
+        let moved = 1.0 - room;
+        assert!(streams + moved <= own as f64 + 1e-9, "{own} engines");
+    }
+    assert_eq!(stream_room(8, 8), 0.0);
+}
