gateway: parts of prompts are copied between engines of one version only

Found while looking for the same cause elsewhere: a request could be sent with the address of an engine of another software version, from which the chosen one then copies what it has cached of the prompt. The platform's page says nothing on versions there; it says that what two versions write doesn't fit together, and what is copied is what the other one wrote. So the cautious reading is taken: the source is of the same version. It costs reading a shared part anew at the first engine of a version; with one version nothing changes.

pick_copies_from_its_own_version fails without it.

--- a/crates/gateway/benches/request_cost/placement.rs
+++ b/crates/gateway/benches/request_cost/placement.rs
@@ -73,6 +73,7 @@
         },
         penalty: 0.0,
         room: 0.0,
+        version: None,
         can_copy: true,
         cached_age_s: None,
     }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -208,6 +208,7 @@
             .map(|(key, replica)| Candidate {
                 id: replica.id.clone(),
                 key,
+                version: replica.version.clone(),
                 slots: engine.slots,
                 can_copy: engine.copies_cache,
                 memory: engine.memory_tokens,
--- a/crates/policy/src/placement/engine.rs
+++ b/crates/policy/src/placement/engine.rs
@@ -5,7 +5,10 @@
         Load,
         ReplicaKey, //
     },
-    crate::ReplicaId,
+    crate::{
+        ReplicaId,
+        SoftwareVersion, //
+    },
 };
 
 /// A part of a prompt, which engines cache by its id.
@@ -35,6 +38,8 @@
     pub id: ReplicaId,
     /// Its key in messages between routers.
     pub key: ReplicaKey,
+    /// The version of its software, if it reports one.
+    pub version: Option<SoftwareVersion>,
     /// Requests that it runs at the same time.
     pub slots: u32,
     /// Its memory in tokens.
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -183,13 +183,18 @@
     }
 }
 
-/// Returns the engine that most likely has the shared parts that `best` lacks.
+/// Returns the engine of the same version that most likely has the shared parts that `best` lacks.
 ///
 /// A router only knows of its own requests, and the first request with a part may have gone to
 /// either preferred replica through any router. If it knows of none, the other preferred replica is
 /// asked, which takes an engine far less time than reading the parts again.
 fn copy_source(rated: &[Rated<'_>], best: &Rated<'_>) -> Option<ReplicaId> {
-    let used = rated.iter().filter(|r| r.engine.cached_age_s.is_some());
+    let rated = || {
+        rated
+            .iter()
+            .filter(|r| r.engine.version == best.engine.version)
+    };
+    let used = rated().filter(|r| r.engine.cached_age_s.is_some());
     let last = used.min_by(|a, b| {
         let ago = |r: &Rated<'_>| r.engine.cached_age_s.unwrap_or(f64::MAX);
         ago(a).total_cmp(&ago(b))
@@ -197,7 +202,7 @@
     let other = |r: &&Rated<'_>| r.engine.key != best.engine.key;
     let from = match last {
         Some(last) => Some(last).filter(other),
-        None => rated.iter().find(other),
+        None => rated().find(other),
     };
     from.filter(|_| best.engine.can_copy)
         .map(|r| r.engine.id.clone())
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -183,6 +183,7 @@
                 load: board.load(ReplicaKey::of(id), now),
                 penalty: 0.0,
                 room: 0.0,
+                version: None,
                 can_copy: true,
                 cached_age_s: None,
             })
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -32,6 +32,7 @@
         load: Load::default(),
         penalty: 0.0,
         room: 0.0,
+        version: None,
         can_copy: true,
         cached_age_s: None,
     }
@@ -399,3 +400,24 @@
     }
     assert_eq!(stream_room(8, 8), 0.0);
 }
+
+/// Guards against an engine that continues a prompt with what another software version has cached.
+#[test]
+fn pick_copies_from_its_own_version() {
+    let mut all = engines(6);
+    for engine in &mut all {
+        engine.version = "v1".parse().ok();
+    }
+    let (best, source) = {
+        let choice = run(&all, 0.0);
+        (choice.replica, choice.source.unwrap())
+    };
+    for engine in all.iter_mut().filter(|e| e.id != best) {
+        engine.version = "v2".parse().ok();
+    }
+    assert_eq!(run(&all, 0.0).source, None);
+    for engine in all.iter_mut().filter(|e| e.id == source) {
+        engine.version = "v1".parse().ok();
+    }
+    assert_eq!(run(&all, 0.0).source, Some(source));
+}
