gateway: a request is not sent to a replica that was replaced under its id

Between the choice of a replica and the first byte a list may arrive whose entry under the same id stands for another start, perhaps of another version or service; Expect-Replica guards the id only. The look right before the first byte asks for that now too. The platform gives each start a new id; without a start time in the entry a restart shows by its version or service.

That the look asks for it is read, not run: no test holds a connection up between the choice and the first byte.

--- a/crates/gateway/src/model/replica.rs
+++ b/crates/gateway/src/model/replica.rs
@@ -63,6 +63,13 @@
         ReplicaKey::of_start(&self.id, self.started_at)
     }
 
+    /// Returns whether another entry under the same id stands for the same process.
+    ///
+    /// An entry without a start time shows a restart only by what else differs.
+    pub(crate) fn is_same_start(&self, other: &Replica) -> bool {
+        self.key() == other.key() && self.service == other.service && self.version == other.version
+    }
+
     /// Returns what a stream that this replica begins is bound to.
     pub(crate) fn origin(&self) -> StreamOrigin {
         StreamOrigin {
@@ -80,3 +87,6 @@
     /// It finishes its running requests and then ends.
     Draining,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -182,12 +182,15 @@
         self.sent_at
     }
 
-    /// Returns whether the replica still takes requests since it was chosen.
+    /// Returns whether the replica still takes requests since it was chosen, and has not been
+    /// replaced under its id, perhaps by another version.
     pub(super) fn may_send(&self) -> bool {
         let now = self.gw.now();
         let tables = self.gw.tables();
         let paused = tables.cooldowns.remaining(self.key, now).is_some();
-        !paused && !tables.roster.is_leaving(self.key)
+        let listed = tables.roster.get(&self.replica.id);
+        let replaced = listed.is_some_and(|r| !r.is_same_start(&self.replica));
+        !paused && !replaced && !tables.roster.is_leaving(self.key)
     }
 
     /// Returns a monitor of the replica's silence.
