tests: the soak has versions, releases, and callers that take streams up again

A second plan of the soak beside the one that stands (whose processes, load and faults are unchanged): four routers, eleven replicas of three services, a route of streams that is split between two of them, 20 callers. Releases of both engines' services, back to the first version or on to a third; each replacement has a new id, as on the platform. Replicas that break streams off, fall silent, or are full; callers that leave streams and take them up again, with Resumes, at any router; and all faults of the other plan: routers that are killed, stopped and ended, a store that is away, replicas that leave, pause and fail.

Checked from what callers and replicas saw: each event names what wrote it, and no stream is of two versions or services; its events follow on over all attempts; of the streams that are taken up again at routers in contact while two replicas of their version serve, the share that goes on is at least half of the share of new streams that begin.

What the stand-ins speak of the platform's stands in platform/ now (adapter::testing, a feature for tests), with the names that the adapter has; it was written a second time in tests/soak before.

--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -9,10 +9,17 @@
         Pause,
         ReplicaStart,
         RequestId,
-        Stall, //
+        RouterStarted,
+        Serving,
+        Stall,
+        StreamAttempts,
+        StreamPart, //
     },
     std::{
-        collections::HashMap,
+        collections::{
+            BTreeSet,
+            HashMap, //
+        },
         time::{
             Duration,
             Instant, //
@@ -24,6 +31,10 @@
 const IN_FLIGHT: Duration = Duration::from_millis(500);
 /// Requests that may arrive between that and the end of the pause.
 const MAX_LATE: usize = 2;
+/// A router is in contact once it has run undisturbed for this long.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Streams that are taken up again, from which on their share counts.
+const MIN_TAKEN_UP: usize = 12;
 /// Statuses that promise a request was not run and never will be.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -36,28 +47,65 @@
     arrivals: &'a [Arrival],
     pauses: &'a [Pause],
     stalls: &'a [Stall],
+    streams: &'a [StreamAttempts],
+    serving: &'a [Serving],
+    starts: &'a [RouterStarted],
+}
+
+/// How many streams began, and how many of those that were taken up again went on.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Shares {
+    pub(crate) new: usize,
+    pub(crate) begun: usize,
+    pub(crate) taken: usize,
+    pub(crate) went_on: usize,
 }
 
 /// Returns what went wrong in a run, one line each.
-pub(crate) fn violations(history: &History) -> Vec<String> {
+pub(crate) fn violations(history: &History) -> (Shares, Vec<String>) {
     let exchanges = history.exchanges.lock().unwrap();
     let (arrivals, pauses) = (
         history.arrivals.lock().unwrap(),
         history.pauses.lock().unwrap(),
     );
     let stalls = history.stalls.lock().unwrap();
+    let (streams, serving) = (
+        history.streams.lock().unwrap(),
+        history.serving.lock().unwrap(),
+    );
+    let starts = history.router_starts.lock().unwrap();
     let record = Record {
         exchanges: exchanges.iter().map(|e| (e.request, e)).collect(),
         arrivals: &arrivals,
         pauses: &pauses,
         stalls: &stalls,
+        streams: &streams,
+        serving: &serving,
+        starts: &starts,
     };
+    let shares = record.shares();
     let mut found = history.violations.lock().unwrap().clone();
     found.extend(record.after_leaving());
     found.extend(record.after_pauses());
     found.extend(record.late_in_pauses());
     found.extend(record.run_twice());
-    found
+    found.extend(record.mixed_streams());
+    found.extend(too_few_go_on(shares));
+    (shares, found)
+}
+
+/// Fewer streams that were taken up again went on than half of the share of new ones that began.
+fn too_few_go_on(shares: Shares) -> Option<String> {
+    let Shares {
+        new,
+        begun,
+        taken,
+        went_on,
+    } = shares;
+    let share = |n: usize, of: usize| n as f64 / of.max(1) as f64;
+    let few = share(went_on, taken) < share(begun, new) / 2.0;
+    (taken >= MIN_TAKEN_UP && few)
+        .then(|| format!("{went_on} of {taken} streams went on, where {begun} of {new} began"))
 }
 
 /// Returns the process that handled a request, if it is certain.
@@ -187,4 +235,60 @@
         });
         found.collect()
     }
+
+    /// A stream with events of several versions, or of several services.
+    fn mixed_streams(&self) -> Vec<String> {
+        let mixed = self.streams.iter().filter_map(|parts| {
+            let written = parts.iter().flat_map(|p| &p.written);
+            let software: BTreeSet<&String> = written.collect();
+            let requests: Vec<String> = parts.iter().map(|p| p.request.to_string()).collect();
+            (software.len() > 1).then(|| format!("{software:?} wrote the stream of {requests:?}"))
+        });
+        mixed.collect()
+    }
+
+    /// Returns whether the router that got an attempt had run undisturbed for long enough, and still
+    /// did when the attempt ended.
+    fn in_contact(&self, part: &StreamPart) -> bool {
+        let router = part.request.router;
+        let from = part.sent - CONTACT;
+        let mut starts = self.starts.iter().filter(|s| s.router == router);
+        let started = starts.any(|s| s.at > from && s.at <= part.sent);
+        part.starts.0 == part.starts.1 && !started && !self.stalled(router, from, part.sent)
+    }
+
+    /// Returns how many replicas of this software served new requests throughout a time.
+    fn serving(&self, software: &str, from: Instant, until: Instant) -> usize {
+        let mut serving: HashMap<usize, bool> = HashMap::new();
+        for change in self.serving.iter().filter(|c| c.at <= until) {
+            let serves = change.software.is_some_and(|s| s.to_string() == software);
+            let throughout = match change.at <= from {
+                true => serves,
+                false => serves && serving.get(&change.replica) == Some(&true),
+            };
+            serving.insert(change.replica, throughout);
+        }
+        serving.values().filter(|serves| **serves).count()
+    }
+
+    fn shares(&self) -> Shares {
+        let mut shares = Shares::default();
+        for parts in self.streams {
+            let first = parts.first().filter(|p| self.in_contact(p));
+            shares.new += usize::from(first.is_some());
+            shares.begun += usize::from(first.is_some_and(|p| !p.written.is_empty()));
+            let software = parts.iter().flat_map(|p| &p.written).next();
+            let Some(software) = software else {
+                continue;
+            };
+            let two_serve = |p: &&StreamPart| {
+                self.serving(software, p.sent - CONTACT / 3, p.sent) >= 2 && self.in_contact(p)
+            };
+            let taken = parts.iter().filter(|p| p.after > 0).filter(two_serve);
+            let taken: Vec<&StreamPart> = taken.collect();
+            shares.taken += usize::from(!taken.is_empty());
+            shares.went_on += usize::from(taken.iter().any(|p| !p.written.is_empty()));
+        }
+        shares
+    }
 }
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -84,6 +84,8 @@
     pub(crate) starts: (u32, u32),
     /// None if the connection was closed without a complete answer.
     pub(crate) answer: Option<Answered>,
+    /// Whether its caller left before the end.
+    pub(crate) left: bool,
 }
 
 /// An answer that a caller received.
@@ -126,9 +128,56 @@
     pub(crate) until: Instant,
 }
 
+/// The software of a replica, named in each of its events.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct Software {
+    pub(crate) service: &'static str,
+    pub(crate) version: u32,
+}
+
+impl fmt::Display for Software {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@v{}", self.service, self.version)
+    }
+}
+
+/// What one attempt of a caller brought of a stream.
+#[derive(Debug, Clone)]
+pub(crate) struct StreamPart {
+    pub(crate) request: RequestId,
+    pub(crate) sent: Instant,
+    /// The starts of its router's process before it was sent and after it ended.
+    pub(crate) starts: (u32, u32),
+    /// The last event that its caller had before.
+    pub(crate) after: u64,
+    /// What wrote its events, as text, in order.
+    pub(crate) written: Vec<String>,
+}
+
+/// The attempts of a caller at one stream.
+pub(crate) type StreamAttempts = Vec<StreamPart>;
+
+/// A replica begins or ceases to serve new requests.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Serving {
+    pub(crate) at: Instant,
+    pub(crate) replica: usize,
+    pub(crate) software: Option<Software>,
+}
+
+/// A start of a router's process.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RouterStarted {
+    pub(crate) at: Instant,
+    pub(crate) router: usize,
+}
+
 /// Everything that happened in a run.
 #[derive(Debug, Default)]
 pub(crate) struct History {
+    pub(crate) streams: Mutex<Vec<StreamAttempts>>,
+    pub(crate) serving: Mutex<Vec<Serving>>,
+    pub(crate) router_starts: Mutex<Vec<RouterStarted>>,
     pub(crate) exchanges: Mutex<Vec<Exchange>>,
     pub(crate) arrivals: Mutex<Vec<Arrival>>,
     pub(crate) pauses: Mutex<Vec<Pause>>,
--- a/tests/soak/http.rs
+++ b/tests/soak/http.rs
@@ -30,6 +30,8 @@
     pub(crate) status: u16,
     headers: Vec<(String, String)>,
     pub(crate) body: Vec<u8>,
+    /// Whether all of the body was read.
+    pub(crate) complete: bool,
 }
 
 impl Message {
@@ -76,6 +78,7 @@
         status: 0,
         headers: pairs(parsed.headers),
         body: Vec::new(),
+        complete: false,
     };
     Ok(Some((message, end)))
 }
@@ -92,6 +95,7 @@
         status: parsed.code.unwrap_or_default(),
         headers: pairs(parsed.headers),
         body: Vec::new(),
+        complete: false,
     };
     Ok(Some((message, end)))
 }
@@ -122,27 +126,47 @@
         self.read_message(parse_answer)
     }
 
+    /// Reads an answer up to where it breaks off, or up to the given number of chunks of its body.
+    pub(crate) fn read_part(&mut self, chunks: usize) -> io::Result<Message> {
+        let mut message = self.read_start(parse_answer)?;
+        message.complete = match message.header("transfer-encoding") {
+            Some(_) => matches!(self.read_chunks(&mut message.body, chunks), Ok(true)),
+            None => self.read_sized(&mut message).is_ok(),
+        };
+        Ok(message)
+    }
+
     fn read_message(&mut self, parse: ParseHead) -> io::Result<Message> {
-        let (mut message, end) = loop {
+        let mut message = self.read_start(parse)?;
+        match message.header("transfer-encoding") {
+            Some(_) => drop(self.read_chunks(&mut message.body, usize::MAX)?),
+            None => self.read_sized(&mut message)?,
+        }
+        message.complete = true;
+        Ok(message)
+    }
+
+    fn read_start(&mut self, parse: ParseHead) -> io::Result<Message> {
+        let (message, end) = loop {
             if let Some(parsed) = parse(&self.buf)? {
                 break parsed;
             }
             self.read_more()?;
         };
         self.buf.drain(..end);
-        message.body = match message.header("transfer-encoding") {
-            Some(_) => self.read_chunks()?,
-            None => {
-                let length = message.header("content-length").unwrap_or("0");
-                let length = length.parse().map_err(|_| invalid("content-length"))?;
-                self.take(length)?
-            }
-        };
         Ok(message)
     }
 
-    fn read_chunks(&mut self) -> io::Result<Vec<u8>> {
-        let mut body = Vec::new();
+    fn read_sized(&mut self, message: &mut Message) -> io::Result<()> {
+        let length = message.header("content-length").unwrap_or("0");
+        let length = length.parse().map_err(|_| invalid("content-length"))?;
+        message.body = self.take(length)?;
+        Ok(())
+    }
+
+    /// Reads up to `most` chunks. Returns whether the body is complete.
+    fn read_chunks(&mut self, body: &mut Vec<u8>, most: usize) -> io::Result<bool> {
+        let mut count = 0;
         loop {
             let status = httparse::parse_chunk_size(&self.buf).map_err(|_| invalid("chunk"))?;
             let httparse::Status::Complete((start, size)) = status else {
@@ -153,9 +177,13 @@
             let part = self.take(size as usize)?;
             self.take(2)?;
             if size == 0 {
-                return Ok(body);
+                return Ok(true);
             }
             body.extend_from_slice(&part);
+            count += 1;
+            if count >= most {
+                return Ok(false);
+            }
         }
     }
 
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod history;
 mod http;
+mod plan;
 mod replica;
 mod router;
 mod schedule;
@@ -20,22 +21,34 @@
 use {
     self::{
         caller::Caller,
+        check::Shares,
         history::{
             History,
             Stall, //
         },
+        plan::{
+            Plan,
+            FAULTS,
+            RELEASES, //
+        },
         replica::FakeReplica,
-        router::Router,
+        router::{
+            Router,
+            RouterHandle, //
+        },
         schedule::{
             steps,
-            Sizes,
             Step,
             LENGTH, //
         },
         signal::Signal,
         store::FakeStore, //
     },
-    serde_json::json,
+    adapter::testing::{
+        config,
+        RouteEntry,
+        CONFIG_KEY, //
+    },
     std::{
         collections::HashMap,
         env, fmt,
@@ -60,13 +73,6 @@
     },
 };
 
-const SIZES: Sizes = Sizes {
-    routers: 3,
-    replicas: 8,
-};
-/// Replicas of the engines' service; the others offer the plain one.
-const ENGINES: usize = 5;
-const CALLERS_PER_ROUTER: usize = 3;
 /// Time limit that only a hang exceeds.
 const HANG_TIMEOUT: Duration = Duration::from_secs(40);
 /// Replicas write to the store when it is back at last after this long.
@@ -80,6 +86,7 @@
 
 /// A fleet with its callers and stand-ins.
 struct Soak {
+    plan: &'static Plan,
     store: FakeStore,
     replicas: Vec<FakeReplica>,
     routers: Vec<Router>,
@@ -89,6 +96,9 @@
     version: u64,
 }
 
+/// Networks of the seeds of one plan.
+const NETS: u64 = 125;
+
 /// Numbers that show whether a run had anything to check.
 #[derive(Debug, Default)]
 struct Counts {
@@ -96,6 +106,7 @@
     answered: usize,
     leaving: usize,
     pauses: usize,
+    streams: Shares,
 }
 
 impl fmt::Display for Counts {
@@ -105,41 +116,54 @@
             answered,
             leaving,
             pauses,
+            streams,
         } = self;
+        let Shares {
+            new,
+            begun,
+            taken,
+            went_on,
+        } = streams;
         write!(
             f,
             "{requests} requests, {answered} answered, {leaving} answers of leaving replicas, \
-             {pauses} pauses"
+             {pauses} pauses, {begun} of {new} streams began, {went_on} of {taken} went on"
         )
     }
 }
 
-fn configuration(version: u64) -> serde_json::Value {
-    let route = |name: &str, kind: &str, service: &str| {
-        json!({"name": name, "host": "a.example", "prefix": format!("/{name}/"),
-            "route_type": kind, "timeout_ms": 4_000, "target_latency_ms": 300,
-            "service": service, "max_attempts": 3, "auth_exempt": true, "stream_resume": true})
+fn configuration(plan: &Plan, version: u64) -> serde_json::Value {
+    let route = |name, route_type, split: &[(&'static str, u32)]| RouteEntry {
+        name,
+        host: "a.example",
+        route_type,
+        timeout_ms: 4_000,
+        max_attempts: 3,
+        split: split.to_vec(),
     };
-    json!({"version": version,
-        "routes": [route("single", "non_idempotent", "desk"), route("again", "idempotent", "desk"),
-            route("stream", "streaming", "llm")],
-        "services": [{"name": "desk"}, {"name": "llm", "engine": {"slots": 8, "kv_token_cap": 100_000}}],
-        "limits": {"tokens_per_s": 100_000.0}})
+    let routes = [
+        route("single", "non_idempotent", &[("desk", 1)]),
+        route("again", "idempotent", &[("desk", 1)]),
+        route("stream", "streaming", plan.split),
+    ];
+    let (plain, engines) = (plan.service_names(false), plan.service_names(true));
+    config(version, &routes, &plain, &engines, plan.slots)
 }
 
 impl Soak {
     /// Starts everything and waits until each router is ready.
-    fn start(seed: u64) -> Soak {
+    fn start(plan: &'static Plan, seed: u64) -> Soak {
         let (store, history) = (FakeStore::start(), Arc::new(History::default()));
-        store.put("op/config", &configuration(1));
-        let replicas = (0..SIZES.replicas).map(|n| {
-            let service = if n < ENGINES { "llm" } else { "desk" };
-            FakeReplica::start(n, service, &history, &store)
-        });
+        store.put(CONFIG_KEY, &configuration(plan, 1));
+        let services = plan.replica_services().enumerate();
+        let replicas =
+            services.map(|(n, service)| FakeReplica::start(n, service, plan, &history, &store));
         let replicas = replicas.collect();
-        let net = format!("127.{}.{}", 20 + process::id() % 200, seed % 250);
+        let third = plan.net + seed % NETS;
+        let net = format!("127.{}.{third}", 20 + process::id() % 200);
         let soak = Soak {
-            routers: Router::start_all(SIZES.routers, &net, store.addr),
+            plan,
+            routers: Router::start_all(plan.routers, &net, store.addr, &history),
             replicas,
             store,
             history,
@@ -154,11 +178,12 @@
 
     fn start_callers(&self, seed: u64, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
         let numbers = Arc::new(AtomicU64::new(0));
-        let callers = (0..SIZES.routers * CALLERS_PER_ROUTER).map(|n| {
-            let router = n % SIZES.routers;
+        let handles: Vec<RouterHandle> = self.routers.iter().map(Router::handle).collect();
+        let callers = (0..self.plan.callers).map(|n| {
             let caller = Caller {
-                router,
-                handle: self.routers[router].handle(),
+                router: n % self.plan.routers,
+                handles: handles.clone(),
+                plan: *self.plan,
                 history: self.history.clone(),
                 numbers: numbers.clone(),
                 stop: stop.clone(),
@@ -173,7 +198,11 @@
     fn apply(&mut self, step: Step) -> bool {
         let needs_store = matches!(
             step,
-            Step::ListLeaving(_) | Step::Unlist(_) | Step::RestartReplica(_) | Step::Configure
+            Step::ListLeaving(_)
+                | Step::Unlist(_)
+                | Step::RestartReplica(_)
+                | Step::Replace(..)
+                | Step::Configure
         );
         if needs_store && !self.store.is_available() {
             return true;
@@ -189,6 +218,12 @@
             }
             Step::Pause(n, time) => self.replicas[n].set_pause(time),
             Step::Failing(n, failing) => self.replicas[n].set_failing(failing),
+            Step::Breaking(n, breaking) => self.replicas[n].set_breaking(breaking),
+            Step::Silent(n, time) => self.replicas[n].fall_silent(time),
+            Step::Replace(n, version) => {
+                self.replicas[n].replace(version);
+                self.replicas[n].register("ready");
+            }
             Step::Store(fault) => self.store.set_fault(fault),
             Step::Kill(n) => {
                 self.resume(n);
@@ -210,7 +245,8 @@
             Step::Cont(n) => self.resume(n),
             Step::Configure => {
                 self.version += 1;
-                self.store.put("op/config", &configuration(self.version));
+                let config = configuration(self.plan, self.version);
+                self.store.put(CONFIG_KEY, &config);
             }
         }
         false
@@ -233,7 +269,7 @@
     /// Runs the steps of a seed.
     fn run(&mut self, seed: u64) {
         let begun = Instant::now();
-        let mut todo = steps(seed, SIZES);
+        let mut todo = steps(seed, self.plan);
         while !todo.is_empty() {
             let (at, step) = todo.remove(0);
             let at_time = begun + Duration::from_millis(at);
@@ -244,7 +280,7 @@
                 todo.insert(next.unwrap_or(todo.len()), (later, step));
             }
         }
-        for n in 0..SIZES.routers {
+        for n in 0..self.plan.routers {
             self.resume(n);
         }
         thread::sleep((begun + LENGTH).saturating_duration_since(Instant::now()));
@@ -253,21 +289,27 @@
     /// Waits until each router answers requests again, one after the other.
     fn wait_recovered(&self) {
         assert!(self.replicas.iter().all(FakeReplica::is_well));
-        for router in 0..SIZES.routers {
+        for router in 0..self.plan.routers {
             wait_until("a router serves again", || {
                 let exchanges = self.history.exchanges.lock().unwrap();
                 let own = exchanges.iter().rev();
-                let own = own.filter(|e| e.request.router == router);
-                let last: Vec<bool> = own
+                let own = own.filter(|e| e.request.router == router && !e.left);
+                let last: Vec<Option<u16>> = own
                     .take(ANSWERED_IN_A_ROW)
-                    .map(|e| e.answer.is_some_and(|a| a.status == 200))
+                    .map(|e| e.answer.map(|a| a.status))
                     .collect();
-                last.len() == ANSWERED_IN_A_ROW && last.iter().all(|ok| *ok)
+                let served = last.iter().filter(|s| **s == Some(200)).count();
+                let rejected = last.iter().filter(|s| **s == Some(503)).count();
+                match self.plan.rejects {
+                    // Its replicas may be full.
+                    true => served + rejected == ANSWERED_IN_A_ROW && served > rejected,
+                    false => served == ANSWERED_IN_A_ROW,
+                }
             });
         }
     }
 
-    fn counts(&self) -> Counts {
+    fn counts(&self, streams: Shares) -> Counts {
         let exchanges = self.history.exchanges.lock().unwrap();
         let answers = || exchanges.iter().filter_map(|e| e.answer);
         Counts {
@@ -275,6 +317,7 @@
             answered: answers().filter(|a| a.status == 200).count(),
             leaving: answers().filter(|a| a.leaving).count(),
             pauses: self.history.pauses.lock().unwrap().len(),
+            streams,
         }
     }
 }
@@ -311,8 +354,8 @@
 }
 
 /// Runs a seed, and returns what went wrong.
-fn soak(seed: u64) -> (Counts, Vec<String>) {
-    let mut soak = Soak::start(seed);
+fn soak(plan: &'static Plan, seed: u64) -> (Counts, Vec<String>) {
+    let mut soak = Soak::start(plan, seed);
     let stop = Arc::new(AtomicBool::new(false));
     let mut threads = soak.start_callers(seed, &stop);
     threads.push(watch_stalls(soak.history.clone(), stop.clone()));
@@ -322,8 +365,8 @@
     for thread in threads {
         thread.join().unwrap();
     }
-    let violations = check::violations(&soak.history);
-    (soak.counts(), violations)
+    let (shares, violations) = check::violations(&soak.history);
+    (soak.counts(shares), violations)
 }
 
 /// Returns the seeds to run: `SOAK_SEEDS` as `FIRST..END`, or two.
@@ -336,24 +379,40 @@
     number(first)..number(end)
 }
 
-/// Guards against requests to replicas that leave or asked for a pause, requests that run twice or
-/// ran though they were rejected, and answers of other requests, while everything fails at once.
-#[test]
-fn soak_of_seeds() {
+/// Runs the seeds of a plan, which have no violations, and returns their counts.
+fn soak_seeds(plan: &'static Plan) -> Vec<Counts> {
     let mut failed = Vec::new();
-    let (mut leaving, mut pauses) = (0, 0);
+    let mut all = Vec::new();
     for seed in seeds() {
-        let (counts, violations) = soak(seed);
+        let (counts, violations) = soak(plan, seed);
         println!("seed {seed}: {counts}, {} violations", violations.len());
         for violation in violations.iter().take(8) {
             println!("    {violation}");
         }
-        leaving += counts.leaving;
-        pauses += counts.pauses;
+        all.push(counts);
         if !violations.is_empty() {
             failed.push(seed);
         }
     }
     assert!(failed.is_empty(), "seeds with violations: {failed:?}");
+    all
+}
+
+/// Guards against requests to replicas that leave or asked for a pause, requests that run twice or
+/// ran though they were rejected, and answers of other requests, while everything fails at once.
+#[test]
+fn soak_of_seeds() {
+    let all = soak_seeds(&FAULTS);
+    let leaving: usize = all.iter().map(|c| c.leaving).sum();
+    let pauses: usize = all.iter().map(|c| c.pauses).sum();
     assert!(leaving > 0 && pauses > 0, "no replica announced anything");
 }
+
+/// Guards against streams of two versions, and against rejecting those that are taken up again, while
+/// versions come and go and routers are killed, stopped and restarted.
+#[test]
+fn soak_of_releases() {
+    let all = soak_seeds(&RELEASES);
+    let taken: usize = all.iter().map(|c| c.streams.taken).sum();
+    assert!(taken > 0, "no stream was taken up again");
+}
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -7,7 +7,9 @@
             History,
             Pause,
             ReplicaStart,
-            RequestId, //
+            RequestId,
+            Serving,
+            Software, //
         },
         http::{
             answer,
@@ -16,9 +18,24 @@
             Conn,
             Message, //
         },
+        plan::{
+            Plan,
+            StreamShape, //
+        },
         store::FakeStore,
     },
-    serde_json::json,
+    adapter::testing::{
+        replica_key,
+        ReplicaEntry,
+        ATTEMPT_ID,
+        EXPECT_REPLICA,
+        LAST_EVENT_ID,
+        NOT_EXECUTED,
+        REPLICA_SEAL,
+        RETRY_AFTER,
+        SERVER_LEAVING, //
+    },
+    serde_json::to_value,
     std::{
         io,
         net::{
@@ -37,15 +54,14 @@
     },
 };
 
-/// Events of a stream.
-pub(crate) const STREAM_EVENTS: u64 = 8;
-/// Time between two of them.
-const EVENT_INTERVAL: Duration = Duration::from_millis(10);
 /// Duration of a request that is not a stream.
 const WORK: Duration = Duration::from_millis(3);
 /// Step of the delay after which an extra answer follows.
 const EXTRA_DELAY: Duration = Duration::from_millis(5);
-const SLOTS: u32 = 8;
+/// Requests of a replica, in multiples of its slots, from which it rejects more.
+const REJECT_FACTOR: u32 = 2;
+/// How often a silent replica looks whether it may go on.
+const SILENCE_POLL: Duration = Duration::from_millis(10);
 /// Start of the first replicas, in Unix milliseconds.
 const FIRST_START: u64 = 1_700_000_000_000;
 
@@ -61,6 +77,24 @@
     pause: Option<Duration>,
     /// Some requests fail in one of these ways.
     failing: bool,
+    /// It breaks some streams off.
+    breaking: bool,
+    /// It sends nothing until then.
+    silent_until: Option<Instant>,
+    version: u32,
+    /// Number of its current id.
+    generation: u32,
+    /// Requests that it runs.
+    running: u32,
+}
+
+/// A request that a replica runs, until this is dropped.
+struct RunGuard<'a>(&'a FakeReplica);
+
+impl Drop for RunGuard<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().unwrap().running -= 1;
+    }
 }
 
 /// What becomes of a request.
@@ -91,6 +125,9 @@
     number: usize,
     service: &'static str,
     addr: SocketAddr,
+    shape: StreamShape,
+    slots: u32,
+    rejects: bool,
     state: Arc<Mutex<State>>,
     history: Arc<History>,
     store: FakeStore,
@@ -101,6 +138,7 @@
     pub(crate) fn start(
         number: usize,
         service: &'static str,
+        plan: &Plan,
         history: &Arc<History>,
         store: &FakeStore,
     ) -> FakeReplica {
@@ -108,8 +146,14 @@
         let replica = FakeReplica {
             number,
             service,
+            shape: plan.streams,
+            slots: plan.slots,
+            rejects: plan.rejects,
             addr: listener.local_addr().unwrap(),
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(State {
+                version: 1,
+                ..State::default()
+            })),
             history: history.clone(),
             store: store.clone(),
         };
@@ -122,66 +166,141 @@
         replica
     }
 
-    fn key(&self) -> String {
-        format!("servers/i-{}", self.number)
+    fn id(&self) -> String {
+        let generation = self.state.lock().unwrap().generation;
+        format!("i-{}-{generation}", self.number)
     }
 
     /// Writes the replica's entry.
     pub(crate) fn register(&self, state: &str) {
-        let start = self.state.lock().unwrap().start;
-        let entry = json!({"service": self.service, "address": self.addr.to_string(),
-            "zone": format!("hall-{}", self.number % 2), "slots": SLOTS, "state": state,
-            "born": FIRST_START + u64::from(start), "seq": 1});
-        self.store.put(&self.key(), &entry);
+        let State { start, version, .. } = *self.state.lock().unwrap();
+        let entry = ReplicaEntry {
+            service: self.service,
+            address: self.addr.to_string(),
+            zone: format!("hall-{}", self.number % 2),
+            version: &format!("v{version}"),
+            slots: self.slots,
+            state,
+            born: FIRST_START + u64::from(start),
+            seq: 1,
+        };
+        let entry = to_value(entry).unwrap();
+        self.store.put(&replica_key(&self.id()), &entry);
     }
 
     /// Removes the replica's entry.
     pub(crate) fn unregister(&self) {
-        self.store.remove(&self.key());
+        self.store.remove(&replica_key(&self.id()));
+    }
+
+    /// Changes the replica's state, and records whether it serves new requests.
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        let mut state = self.state.lock().unwrap();
+        change(&mut state);
+        let serves = !state.down && !state.leaving && state.pause.is_none();
+        let software = Software {
+            service: self.service,
+            version: state.version,
+        };
+        let serving = Serving {
+            at: Instant::now(),
+            replica: self.number,
+            software: serves.then_some(software),
+        };
+        self.history.serving.lock().unwrap().push(serving);
     }
 
     pub(crate) fn set_leaving(&self) {
-        self.state.lock().unwrap().leaving = true;
+        self.change(|state| state.leaving = true);
     }
 
     pub(crate) fn set_pause(&self, pause: Option<Duration>) {
-        self.state.lock().unwrap().pause = pause;
+        self.change(|state| state.pause = pause);
     }
 
     pub(crate) fn set_failing(&self, failing: bool) {
-        self.state.lock().unwrap().failing = failing;
+        self.change(|state| state.failing = failing);
+    }
+
+    pub(crate) fn set_breaking(&self, breaking: bool) {
+        self.change(|state| state.breaking = breaking);
+    }
+
+    /// Sends nothing for this long, and goes on then.
+    pub(crate) fn fall_silent(&self, time: Duration) {
+        self.change(|state| state.silent_until = Some(Instant::now() + time));
     }
 
     pub(crate) fn end(&self) {
-        self.state.lock().unwrap().down = true;
+        self.change(|state| state.down = true);
     }
 
     /// Starts the replica again, under the same id and address.
     pub(crate) fn restart(&self) {
-        let mut state = self.state.lock().unwrap();
-        *state = State {
-            start: state.start + 1,
-            ..State::default()
-        };
+        self.change(|state| {
+            *state = State {
+                start: state.start + 1,
+                version: state.version,
+                generation: state.generation,
+                running: state.running,
+                ..State::default()
+            };
+        });
+    }
+
+    /// Starts the replica again with another version, under a new id.
+    pub(crate) fn replace(&self, version: u32) {
+        self.unregister();
+        self.change(|state| {
+            *state = State {
+                start: state.start + 1,
+                version,
+                generation: state.generation + 1,
+                running: state.running,
+                ..State::default()
+            };
+        });
     }
 
     /// Returns whether it runs, and does nothing out of the ordinary.
     pub(crate) fn is_well(&self) -> bool {
         let state = *self.state.lock().unwrap();
-        !state.down && !state.leaving && state.pause.is_none() && !state.failing
+        let told = state.leaving || state.pause.is_some();
+        !state.down && !told && !state.failing && !state.breaking
+    }
+
+    /// Begins to run a request, unless there are too many.
+    fn run(&self) -> Option<RunGuard<'_>> {
+        let mut state = self.state.lock().unwrap();
+        if self.rejects && state.running >= self.slots * REJECT_FACTOR {
+            return None;
+        }
+        state.running += 1;
+        Some(RunGuard(self))
+    }
+
+    /// Waits while it is silent.
+    fn wait_silent(&self) {
+        let is_silent = || {
+            let until = self.state.lock().unwrap().silent_until;
+            until.is_some_and(|at| Instant::now() < at)
+        };
+        while is_silent() {
+            thread::sleep(SILENCE_POLL);
+        }
     }
 
     fn handle(&self, req: &Message, conn: &mut Conn) -> io::Result<()> {
         let at = Instant::now();
         let state = *self.state.lock().unwrap();
-        let id = req.header("Chervilwind-Attempt-Id").unwrap_or_default();
+        let id = req.header(ATTEMPT_ID).unwrap_or_default();
         let (false, Ok(request)) = (state.down, id.parse::<RequestId>()) else {
             return Err(io::ErrorKind::ConnectionReset.into());
         };
-        let own = format!("i-{}", self.number);
-        if req.header("Chervilwind-Expect-Replica") != Some(&own) {
-            return conn.send(&answer(421, &[("Chervilwind-Attempt-Id", id)], ""));
+        if req.header(EXPECT_REPLICA) != Some(&self.id()) {
+            return conn.send(&answer(421, &[(ATTEMPT_ID, id)], ""));
         }
+        let run = self.run();
         let replica = ReplicaStart {
             replica: self.number,
             start: state.start,
@@ -190,17 +309,17 @@
             at,
             replica,
             request,
-            ran: state.pause.is_none(),
+            ran: state.pause.is_none() && run.is_some(),
         };
         self.history.arrivals.lock().unwrap().push(arrival);
-        let mut headers = vec![("Chervilwind-Attempt-Id", id)];
+        let mut headers = vec![(ATTEMPT_ID, id)];
         if state.leaving {
-            headers.push(("Server-Leaving", "1"));
+            headers.push((SERVER_LEAVING, "1"));
         }
         if let Some(time) = state.pause {
             let seconds = time.as_secs_f64().to_string();
-            headers.push(("Chervilwind-Not-Executed", "1"));
-            headers.push(("Retry-After", &seconds));
+            headers.push((NOT_EXECUTED, "1"));
+            headers.push((RETRY_AFTER, &seconds));
             conn.send(&answer(503, &headers, ""))?;
             let pause = Pause {
                 at,
@@ -211,8 +330,13 @@
             self.history.pauses.lock().unwrap().push(pause);
             return Ok(());
         }
+        if run.is_none() {
+            headers.push((NOT_EXECUTED, "1"));
+            return conn.send(&answer(503, &headers, ""));
+        }
         let seal = replica.to_string();
-        headers.push(("Chervilwind-Replica-Seal", &seal));
+        headers.push((REPLICA_SEAL, &seal));
+        self.wait_silent();
         let fate = state.fate(request);
         match fate {
             Fate::Failed => return conn.send(&answer(500, &headers, "")),
@@ -243,17 +367,26 @@
         id: &str,
         conn: &mut Conn,
     ) -> io::Result<()> {
-        let last = req.header("Last-Event-Id").and_then(|n| n.parse().ok());
+        let last = req.header(LAST_EVENT_ID).and_then(|n| n.parse().ok());
+        let state = *self.state.lock().unwrap();
+        let software = Software {
+            service: self.service,
+            version: state.version,
+        };
+        let number = id.parse::<RequestId>().map_or(0, |request| request.number);
+        let broken_at = (state.breaking && number % 3 == 0).then_some(number % self.shape.events);
         let mut headers = headers.to_vec();
         headers.push(("Content-Type", "text/event-stream"));
         headers.push(("Transfer-Encoding", "chunked"));
         conn.send(format!("{}\r\n", head(200, &headers)).as_bytes())?;
-        for n in last.unwrap_or(0) + 1..=STREAM_EVENTS {
-            thread::sleep(EVENT_INTERVAL);
-            if self.state.lock().unwrap().down {
+        for n in last.unwrap_or(0) + 1..=self.shape.events {
+            thread::sleep(self.shape.interval);
+            self.wait_silent();
+            let now = *self.state.lock().unwrap();
+            if now.down || now.start != state.start || broken_at == Some(n) {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            let event = event(n, id);
+            let event = event(n, id, &software.to_string());
             conn.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
         conn.send(b"0\r\n\r\n")
@@ -262,14 +395,11 @@
 
 /// An answer to a request that nobody waits for.
 fn extra_answer(seal: &str) -> Vec<u8> {
-    let headers = [
-        ("Chervilwind-Attempt-Id", "r9-0"),
-        ("Chervilwind-Replica-Seal", seal),
-    ];
+    let headers = [(ATTEMPT_ID, "r9-0"), (REPLICA_SEAL, seal)];
     answer(200, &headers, "r9-0")
 }
 
-/// An event of a request's stream.
-pub(crate) fn event(n: u64, id: &str) -> String {
-    format!("id: {n}\ndata: {id}\n\n")
+/// An event of a request's stream, which names the software that wrote it.
+pub(crate) fn event(n: u64, id: &str, software: &str) -> String {
+    format!("id: {n}\ndata: {id} {software}\n\n")
 }
--- a/tests/soak/router.rs
+++ b/tests/soak/router.rs
@@ -2,6 +2,10 @@
 
 use {
     super::{
+        history::{
+            History,
+            RouterStarted, //
+        },
         http::{
             Conn,
             Message, //
@@ -9,6 +13,7 @@
         settings::gateway_settings,
         signal::Signal, //
     },
+    adapter::testing::READY_PATH,
     std::{
         env, fs, io,
         net::SocketAddr,
@@ -25,12 +30,15 @@
             },
             Arc, //
         },
+        time::Instant,
     },
 };
 
 /// A router.
 #[derive(Debug)]
 pub(crate) struct Router {
+    number: usize,
+    history: Arc<History>,
     ip: String,
     file: PathBuf,
     child: Option<Child>,
@@ -54,7 +62,12 @@
 
 impl Router {
     /// Starts `count` routers in a loopback network of their own.
-    pub(crate) fn start_all(count: usize, net: &str, store: SocketAddr) -> Vec<Router> {
+    pub(crate) fn start_all(
+        count: usize,
+        net: &str,
+        store: SocketAddr,
+        history: &Arc<History>,
+    ) -> Vec<Router> {
         let ip = |n: usize| format!("{net}.{}", n + 1);
         let seeds: Vec<String> = (0..count).map(|n| format!("{}:7603", ip(n))).collect();
         let routers = (0..count).map(|n| {
@@ -64,6 +77,8 @@
             let text = gateway_settings(&name, &zone, &ip, &seeds, &store.to_string());
             fs::write(&file, text).unwrap();
             let mut router = Router {
+                number: n,
+                history: history.clone(),
                 ip,
                 file,
                 child: None,
@@ -100,6 +115,11 @@
             .stdout(log)
             .spawn();
         self.child = Some(child.unwrap());
+        let started = RouterStarted {
+            at: Instant::now(),
+            router: self.number,
+        };
+        self.history.router_starts.lock().unwrap().push(started);
     }
 
     /// Kills its process.
@@ -130,7 +150,8 @@
         let ask = || -> io::Result<Message> {
             let addr: SocketAddr = format!("{}:7601", self.ip).parse().unwrap();
             let mut conn = Conn::open(addr)?;
-            conn.send(b"GET /v1/ready HTTP/1.1\r\nHost: a\r\n\r\n")?;
+            let request = format!("GET {READY_PATH} HTTP/1.1\r\nHost: a\r\n\r\n");
+            conn.send(request.as_bytes())?;
             conn.read_answer()
         };
         ask().is_ok_and(|answer| answer.status == 200)
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -1,8 +1,11 @@
 //! Seeded schedules of overlapping faults.
 
 use {
-    super::store::StoreFault,
-    std::time::Duration, //
+    super::{
+        plan::Plan,
+        store::StoreFault, //
+    },
+    std::time::Duration,
 };
 
 /// Length of a run without its start and its end.
@@ -16,6 +19,8 @@
 const LIST_LAG_MAX: u64 = 12_000;
 /// Faults of a run.
 const FAULTS: usize = 16;
+/// Replicas that break streams off or fall silent, besides.
+const BREAKS: usize = 10;
 
 /// A change of one process or stand-in.
 #[derive(Debug, Clone, Copy)]
@@ -30,6 +35,12 @@
     RestartReplica(usize),
     Pause(usize, Option<Duration>),
     Failing(usize, bool),
+    /// Some of its streams break off.
+    Breaking(usize, bool),
+    /// It sends nothing for this long.
+    Silent(usize, Duration),
+    /// It starts again with another version, under a new id, and is listed.
+    Replace(usize, u32),
     Store(Option<StoreFault>),
     Kill(usize),
     Term(usize),
@@ -42,24 +53,21 @@
 /// A step and when it is done, in milliseconds.
 pub(crate) type Timed = (u64, Step);
 
-/// Numbers of the processes that a schedule may disturb.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Sizes {
-    pub(crate) routers: usize,
-    pub(crate) replicas: usize,
-}
-
 /// Returns the steps of a seed, in order.
-pub(crate) fn steps(seed: u64, sizes: Sizes) -> Vec<Timed> {
+pub(crate) fn steps(seed: u64, plan: &Plan) -> Vec<Timed> {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut steps = Vec::new();
+    let (replicas, routers) = (plan.replicas(), plan.routers);
+    let mut steps = match plan.releases {
+        true => releases(&mut rng, plan),
+        false => Vec::new(),
+    };
     // A replica or router that leaves or restarts is not made to do so again in the same run.
-    let mut restarted = vec![false; sizes.replicas];
-    let mut ended = vec![false; sizes.routers];
+    let mut restarted: Vec<bool> = (0..replicas).map(|n| is_replaced(&steps, n)).collect();
+    let mut ended = vec![false; routers];
     for _ in 0..FAULTS {
         let at = rng.u64(500..FAULTS_END);
-        let replica = rng.usize(..sizes.replicas);
-        let router = rng.usize(..sizes.routers);
+        let replica = rng.usize(..replicas);
+        let router = rng.usize(..routers);
         match rng.u32(..10) {
             0..=2 if !std::mem::replace(&mut restarted[replica], true) => {
                 let at = at.min(LEAVE_END);
@@ -74,7 +82,7 @@
             }
             5 => {
                 // All replicas of both services, one after the other.
-                for replica in 0..sizes.replicas {
+                for replica in 0..replicas {
                     let time = Duration::from_millis(rng.u64(300..2_000));
                     let at = at + rng.u64(..300);
                     steps.push((at, Step::Pause(replica, Some(time))));
@@ -89,7 +97,7 @@
             }
             7 => {
                 let until = at + rng.u64(500..3_000);
-                for replica in [replica, rng.usize(..sizes.replicas)] {
+                for replica in [replica, rng.usize(..replicas)] {
                     steps.push((at, Step::Failing(replica, true)));
                     steps.push((until, Step::Failing(replica, false)));
                 }
@@ -113,6 +121,62 @@
     steps
 }
 
+fn is_replaced(steps: &[Timed], replica: usize) -> bool {
+    let of_replica = |step: &Step| matches!(step, Step::Replace(n, _) if *n == replica);
+    steps.iter().any(|(_, step)| of_replica(step))
+}
+
+/// Two releases of the first service, the second of which is reverted for some replicas or goes on to
+/// a third version, one of another service, and streams that break off meanwhile.
+fn releases(rng: &mut fastrand::Rng, plan: &Plan) -> Vec<Timed> {
+    let mut steps = Vec::new();
+    let first = plan.services[0].replicas;
+    let second = plan.services[1].replicas;
+    let back = rng.u32(1..=3);
+    let mut at = rng.u64(300..1_000);
+    for replica in 0..first {
+        steps.extend(replace(rng, replica, at, 2));
+        at += rng.u64(150..500);
+    }
+    let mut at = rng.u64(6_000..7_000);
+    for replica in 0..rng.usize(1..=first) {
+        steps.extend(replace(rng, replica, at, back));
+        at += rng.u64(100..400);
+    }
+    let mut at = rng.u64(1_000..6_000);
+    for replica in first..first + rng.usize(1..=second) {
+        steps.extend(replace(rng, replica, at, 2));
+        at += rng.u64(100..900);
+    }
+    for _ in 0..BREAKS {
+        let at = rng.u64(500..FAULTS_END);
+        let replica = rng.usize(..first + second);
+        match rng.bool() {
+            true => {
+                let until = at + rng.u64(300..2_000);
+                steps.push((at, Step::Breaking(replica, true)));
+                steps.push((until, Step::Breaking(replica, false)));
+            }
+            false => {
+                let time = Duration::from_millis(rng.u64(1_100..2_200));
+                steps.push((at, Step::Silent(replica, time)));
+            }
+        }
+    }
+    steps
+}
+
+/// A replica leaves, ends, and another one with another version takes its place.
+fn replace(rng: &mut fastrand::Rng, replica: usize, at: u64, version: u32) -> Vec<Timed> {
+    let ended = at + rng.u64(2_000..2_400);
+    vec![
+        (at, Step::Leave(replica)),
+        (at + rng.u64(..50), Step::ListLeaving(replica)),
+        (ended, Step::EndReplica(replica)),
+        (ended + rng.u64(50..400), Step::Replace(replica, version)),
+    ]
+}
+
 /// A replica leaves, is listed as leaving some time later, ends and starts again.
 fn leave(rng: &mut fastrand::Rng, replica: usize, at: u64) -> Vec<Timed> {
     let listed = at + rng.u64(..LIST_LAG_MAX);
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -7,14 +7,19 @@
         Conn,
         Message, //
     },
-    base64::{
-        engine::general_purpose::STANDARD,
-        Engine, //
-    },
-    serde_json::{
-        json,
-        Value, //
+    adapter::testing::{
+        encode_value,
+        lease_answer,
+        range_answer,
+        refused_transaction_answer,
+        transaction_answer,
+        watch_answer,
+        StoreCall,
+        StoredItem,
+        TransactionCall,
+        STORE_ERA, //
     },
+    serde_json::Value,
     std::{
         collections::BTreeMap,
         io,
@@ -38,6 +43,7 @@
 const WATCH_POLL: Duration = Duration::from_millis(20);
 /// How long a silent store holds a call before it closes the connection.
 const SILENCE: Duration = Duration::from_secs(3);
+const LEASE_TTL: Duration = Duration::from_secs(10);
 
 /// How calls fail while the store is unavailable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -90,38 +96,33 @@
     }
 
     /// Returns the items of a prefix that were written after a revision.
-    fn changed(&self, prefix: &str, after: u64) -> Vec<Value> {
+    fn changed(&self, prefix: &str, after: u64) -> Vec<StoredItem> {
         let items = self.items.iter();
         let items = items.filter(|(key, item)| key.starts_with(prefix) && item.revision > after);
         items
-            .map(|(key, item)| {
-                json!({"key": key, "value": item.value, "revision": item.revision,
-                       "created": item.revision, "lease": item.lease})
+            .map(|(key, item)| StoredItem {
+                key: key.clone(),
+                value: item.value.clone(),
+                revision: item.revision,
+                lease: item.lease,
             })
             .collect()
     }
 
-    fn commit(&mut self, body: &[u8]) -> (u16, Value) {
-        let Ok(change) = serde_json::from_slice::<Value>(body) else {
-            return (400, json!({}));
-        };
-        let rows = |name: &str| change[name].as_array().cloned().unwrap_or_default();
-        for expected in rows("expected_rev") {
-            let key = expected["key"].as_str().unwrap_or_default();
+    fn commit(&mut self, change: TransactionCall) -> (u16, Value) {
+        for (key, revision) in &change.expected {
             let current = self.items.get(key).map_or(0, |item| item.revision);
-            if expected["revision"].as_u64() != Some(current) {
-                return (412, json!({"items": []}));
+            if *revision != current {
+                return (412, refused_transaction_answer());
             }
         }
-        for put in rows("puts") {
-            let value = put["value"].as_str().unwrap_or_default().to_owned();
-            let lease = put["lease"].as_u64().unwrap_or(0);
-            self.put(put["key"].as_str().unwrap_or_default(), value, lease);
+        for (key, value, lease) in change.puts {
+            self.put(&key, value, lease);
         }
-        for key in rows("deletes") {
-            self.remove(key.as_str().unwrap_or_default());
+        for key in change.deletes {
+            self.remove(&key);
         }
-        (200, json!({"revision": self.revision}))
+        (200, transaction_answer(self.revision))
     }
 }
 
@@ -150,7 +151,7 @@
 
     /// Writes a key, as operators and replicas do.
     pub(crate) fn put(&self, key: &str, value: &Value) {
-        let value = STANDARD.encode(value.to_string());
+        let value = encode_value(value);
         self.state.lock().unwrap().put(key, value, 0);
     }
 
@@ -170,40 +171,30 @@
             None => {}
         }
         let (status, body) = self.answer(req);
-        let headers = [("Store-Era", "1"), ("Content-Type", "application/json")];
+        let headers = [(STORE_ERA, "1"), ("Content-Type", "application/json")];
         conn.send(&answer(status, &headers, &body.to_string()))
     }
 
     fn answer(&self, req: &Message) -> (u16, Value) {
-        let (path, query) = req.target.split_once('?').unwrap_or((&req.target, ""));
-        let find = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let mut found = pairs.filter(|(n, _)| *n == name);
-            found.next().map_or("", |(_, value)| value)
-        };
-        match path {
-            "/v1/kv-range" => {
+        match StoreCall::parse(&req.target, &req.body) {
+            StoreCall::Range { prefix } => {
                 let state = self.state.lock().unwrap();
-                let items = state.changed(find("prefix"), 0);
-                (
-                    200,
-                    json!({"items": items, "has_more": false, "store_revision": state.revision}),
-                )
-            }
-            "/v1/kv-watch" => {
-                let after = find("after").parse().unwrap_or(0);
-                let wait = Duration::from_millis(find("wait_ms").parse().unwrap_or(0));
-                self.watch(find("prefix"), after, wait)
+                let items = state.changed(&prefix, 0);
+                (200, range_answer(&items, state.revision))
             }
-            "/v1/kv-txn" => self.state.lock().unwrap().commit(&req.body),
-            "/v1/kv-lease" => {
+            StoreCall::Watch {
+                prefix,
+                after,
+                wait,
+            } => self.watch(&prefix, after, wait),
+            StoreCall::Transaction(change) => self.state.lock().unwrap().commit(change),
+            StoreCall::Grant => {
                 let mut state = self.state.lock().unwrap();
                 state.leases += 1;
-                (200, json!({"lease": state.leases, "ttl_ms": 10_000}))
+                (200, lease_answer(state.leases, LEASE_TTL))
             }
-            path if path.starts_with("/v1/kv-keep/") => (200, json!({"ttl_ms": 10_000})),
-            path if path.starts_with("/v1/kv-lease-end/") => (200, json!({})),
-            _ => (404, json!({})),
+            StoreCall::Lease => (200, lease_answer(0, LEASE_TTL)),
+            StoreCall::Unknown => (404, Value::Null),
         }
     }
 
@@ -213,10 +204,7 @@
             let state = self.state.lock().unwrap();
             let events = state.changed(prefix, after);
             if !events.is_empty() || Instant::now() >= until || state.fault.is_some() {
-                return (
-                    200,
-                    json!({"events": events, "store_revision": state.revision}),
-                );
+                return (200, watch_answer(&events, state.revision));
             }
             drop(state);
             thread::sleep(WATCH_POLL);
