gateway: tests of queries for streams that get lost

A query or an answer between routers is a datagram, and the soak's processes on loopback lose none. The exchange is apart from the router's state now, so that it is run with sockets alone: a silent router beside one that knows, a lost query, no answer at all, answers to other lookups, and doubled ones. A stream that is known here is not asked for.

--- a/crates/gateway/src/fleet/streams.rs
+++ b/crates/gateway/src/fleet/streams.rs
@@ -21,7 +21,8 @@
             Receiver,
             Sender, //
         },
-        future::timeout, //
+        future::timeout,
+        net::UdpSocket, //
     },
     policy::{
         streams::{
@@ -144,34 +145,41 @@
     services: &[ServiceId],
     own: Knowledge,
 ) -> Lookup {
-    let mut unanswered = gw.tables().fleet.stream_sources(key, gw.now());
-    let asked = match gw.tables().fleet.is_isolated(gw.now()) {
-        true => 1,
-        false => unanswered.len(),
-    };
-    let mut lookup = Lookup::new(own, asked, gw.stream_span());
-    if lookup.is_complete() {
-        return lookup;
+    if own.record.is_some() {
+        return Lookup::new(own, 0, gw.stream_span());
     }
+    let now = gw.now();
+    let (sources, isolated) = {
+        let fleet = &gw.tables().fleet;
+        (fleet.stream_sources(key, now), fleet.is_isolated(now))
+    };
+    let asked = if isolated { 1 } else { sources.len() };
+    let lookup = Lookup::new(own, asked, gw.stream_span());
     let pending = gw.lookups.start(key);
     let query = StreamQuery {
         number: pending.number,
         key,
         services: services.to_vec(),
     };
+    exchange(&gw.peer_socket, query, &pending, sources, lookup).await
+}
+
+/// Sends a query until the lookup is complete, or a few times.
+async fn exchange(
+    socket: &UdpSocket,
+    query: StreamQuery,
+    pending: &LookupGuard<'_>,
+    mut unanswered: Vec<SocketAddr>,
+    mut lookup: Lookup,
+) -> Lookup {
     let query: Datagram = PeerMessage::StreamQuery(query).into();
     for span in ANSWER_TIMEOUTS {
-        send(&gw.peer_socket, &query, &unanswered, false).await;
-        receive_answers(
-            &pending,
-            &mut unanswered,
-            &mut lookup,
-            Instant::now() + span,
-        )
-        .await;
         if lookup.is_complete() {
             break;
         }
+        send(socket, &query, &unanswered, false).await;
+        let until = Instant::now() + span;
+        receive_answers(pending, &mut unanswered, &mut lookup, until).await;
     }
     lookup
 }
@@ -211,3 +219,6 @@
     let message = PeerMessage::StreamAnswer(answer);
     send(&gw.peer_socket, &message.into(), &[from], false).await;
 }
+
+#[cfg(test)]
+mod tests;
