gateway: a version that this router has not seen yet is not gone

Found by reading: a stream that another router began at a new version, and that is taken up here before this router has read the list that has the version, was rejected as one whose version is gone, with two seconds to wait. It is one for which no replica is known yet.

is_expected_before_it_is_listed fails without it.

--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -322,7 +322,7 @@
         let replaced = ready.peek().is_some();
         replaced
             && ready.all(|(_, r)| r.version != origin.version)
-            && !self.versions.may_return(origin, now)
+            && !self.versions.is_expected(origin, now)
     }
 
     /// Rejects a request for which no replica is available.
--- a/crates/policy/src/streams/history.rs
+++ b/crates/policy/src/streams/history.rs
@@ -123,10 +123,12 @@
         self.known_for(now) >= span && self.recent(service, span, now).len() <= 1
     }
 
-    /// Returns whether a replica of this version that vanished without an announcement may still
-    /// come back.
-    pub fn may_return(&self, origin: &StreamOrigin, now: Time) -> bool {
-        let lost = self.versions.get(origin).and_then(|seen| seen.lost);
-        lost.is_some_and(|at| now.since(at) < RETURN_SPAN)
+    /// Returns whether a replica of this version is expected though none is listed: one has vanished
+    /// without an announcement, or the version is so new that no list had it yet.
+    pub fn is_expected(&self, origin: &StreamOrigin, now: Time) -> bool {
+        let Some(seen) = self.versions.get(origin) else {
+            return true;
+        };
+        seen.lost.is_some_and(|at| now.since(at) < RETURN_SPAN)
     }
 }
--- a/crates/policy/tests/streams/history.rs
+++ b/crates/policy/tests/streams/history.rs
@@ -94,18 +94,26 @@
 }
 
 #[test]
-fn may_return_after_a_crash() {
+fn is_expected_after_a_crash() {
     let mut history = VersionHistory::default();
     history.observe([listed(1, "v1"), listed(2, "v2")], at(0));
     history.observe([listed(2, "v2")], at(10));
-    assert!(history.may_return(&origin("v1"), at(12)));
-    assert!(!history.may_return(&origin("v1"), at(13)));
+    assert!(history.is_expected(&origin("v1"), at(12)));
+    assert!(!history.is_expected(&origin("v1"), at(13)));
 }
 
 #[test]
-fn may_return_after_an_announcement() {
+fn is_expected_after_an_announcement() {
     let mut history = VersionHistory::default();
     history.observe([leaving(1, "v1"), listed(2, "v2")], at(0));
     history.observe([listed(2, "v2")], at(10));
-    assert!(!history.may_return(&origin("v1"), at(10)));
+    assert!(!history.is_expected(&origin("v1"), at(10)));
+}
+
+/// Guards against giving up a stream of a version that another router has seen first.
+#[test]
+fn is_expected_before_it_is_listed() {
+    let mut history = VersionHistory::default();
+    history.observe([listed(1, "v1")], at(0));
+    assert!(history.is_expected(&origin("v2"), at(1)));
 }
