gateway: a stream that is taken up waits while its replicas are full

Found by a test: a stream that was taken up again was given up after two replicas had rejected it. Its caller loses what it has then, and where two replicas are left of a version both may be full for a moment, just when the streams of a third one come to them. An answer that has begun waits in the same place.

Rejected attempts count against the retry budget as before, and not as runs.

versions_taken_up_at_a_replica_that_rejects failed before.

--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -246,6 +246,7 @@
     /// arrived after it, so that no replica works for a caller that is gone.
     async fn serve(&mut self, req: Request) -> bool {
         let mut progress = RequestProgress {
+            resumed: req.goes_on(),
             origin: req.origin.clone(),
             ..RequestProgress::default()
         };
--- a/crates/gateway/src/serve/next_replica.rs
+++ b/crates/gateway/src/serve/next_replica.rs
@@ -75,7 +75,7 @@
         progress.cause = "the retry budget is spent".to_owned();
         return Ok(None);
     }
-    match gw.acquire_slot(req, progress.selection(progress.answer_state())) {
+    match gw.acquire_slot(req, progress.selection()) {
         Ok(permit) => Ok(progress.take_retry(gw, req).then_some(permit)),
         Err(refused) if refused.refusal.is_final() => Err(AbortCause::Refused(refused.refusal)),
         Err(refused) => {
--- a/crates/gateway/src/serve/progress.rs
+++ b/crates/gateway/src/serve/progress.rs
@@ -32,6 +32,8 @@
 
 /// Attempts that reached no replica after which a request is given up.
 const UNREACHED_LIMIT: u32 = 3;
+/// Replicas that may reject a request which goes on with a stream before it is given up.
+const RESUMED_SENDS: u32 = 6;
 /// Fraction of the fleet's retry limit that the routers use together. Each router counts only its
 /// own retries, and with a delay, while the limit holds for the fleet's sum in any window.
 const ROUTERS_FRACTION: f64 = 0.6;
@@ -57,6 +59,8 @@
     pub(crate) may_have_run: bool,
     /// The caller was sent the head of an answer.
     pub(crate) answer_started: bool,
+    /// The request goes on with a stream that an earlier one began.
+    pub(crate) resumed: bool,
     /// What began the stream of which the caller has events.
     pub(crate) origin: Option<StreamOrigin>,
     /// The answer announced that the connection is closed after it.
@@ -166,6 +170,7 @@
     ) -> Result<(), NoRetry> {
         let limit = match known_not_run {
             // A replica that rejected the request has not used up an attempt.
+            true if self.resumed => req.route.max_attempts.max(RESUMED_SENDS),
             true => req.route.max_attempts.max(2),
             false => req.route.max_attempts,
         };
@@ -186,19 +191,20 @@
     }
 
     /// Returns what the choice of the next replica has to respect.
-    pub(crate) fn selection(&self, answer: AnswerState) -> Selection<'_> {
+    pub(crate) fn selection(&self) -> Selection<'_> {
         Selection {
             tried: &self.tried,
-            answer,
+            answer: self.answer_state(),
             origin: self.origin.as_ref(),
         }
     }
 
-    /// Returns whether the caller's answer has started; such requests come first.
+    /// Returns whether the caller has the start of its answer; such requests come first.
     pub(crate) fn answer_state(&self) -> AnswerState {
-        match self.answer_started {
-            true => AnswerState::Started,
-            false => AnswerState::NotStarted,
+        match (self.answer_started, self.resumed) {
+            (true, _) => AnswerState::Started,
+            (false, true) => AnswerState::Resumed,
+            (false, false) => AnswerState::NotStarted,
         }
     }
 
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -12,6 +12,7 @@
             BufferedAnswer,
             Dispatched, //
         },
+        next_replica::Backoff,
         outcome::{
             AttemptOutcome,
             Delivery, //
@@ -32,7 +33,6 @@
         http::Writer,
         state::Shared, //
     },
-    policy::AnswerState,
     std::{
         sync::Arc,
         time::Duration, //
@@ -53,12 +53,9 @@
     progress: &mut RequestProgress,
 ) -> Delivery {
     record_request(gw, req);
-    let answer = match req.goes_on() {
-        true => AnswerState::Resumed,
-        false => AnswerState::NotStarted,
-    };
+    let mut backoff = Backoff::default();
     loop {
-        let permit = match gw.acquire_slot(req, progress.selection(answer)) {
+        let permit = match gw.acquire_slot(req, progress.selection()) {
             Ok(mut permit) => {
                 progress.inputs = std::mem::take(&mut permit.inputs);
                 permit
@@ -74,7 +71,10 @@
             AttemptOutcome::Done(delivery) => return delivery,
             AttemptOutcome::Retry => Ok(()),
             AttemptOutcome::Unreached => progress.check_unreached_retry(req.until),
-            AttemptOutcome::Rejected => progress.take_resend(gw, req, true),
+            AttemptOutcome::Rejected => {
+                backoff.update(&AttemptOutcome::Rejected);
+                progress.take_resend(gw, req, true)
+            }
             AttemptOutcome::Lost => progress.take_resend(gw, req, false),
         };
         if retry.is_err() {
@@ -83,6 +83,11 @@
             return Delivery::Local(progress.give_up("no replica answered it", retry_delay));
         }
         metrics::counter!("chervilwind_retries").increment(1);
+        if progress.resumed {
+            // Its caller would lose what it has, and only a few replicas may be of its version.
+            backoff.wait().await;
+            progress.clear_not_run();
+        }
     }
 }
 
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -24,6 +24,10 @@
     },
     gateway::State,
     std::{
+        sync::atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
         thread,
         time::{
             Duration,
@@ -398,3 +402,32 @@
     assert_rejected(&take_up(&release.gw, "later", "first"));
     assert_eq!((streams(&release.same), streams(&release.other)), (0, 0));
 }
+
+/// Guards against rejecting a stream whose replicas are full for a moment: its caller would lose what
+/// it has.
+#[test]
+fn versions_taken_up_at_a_replica_that_rejects() {
+    let rejections = AtomicUsize::new(0);
+    let replica = Replica::start(move |_, seen| match seen.header("x-last") {
+        None => vec![
+            Step::Send(stream_head(seen)),
+            Step::Send(chunk(&written("v1", 1, 2))),
+            Step::UntilClosed,
+        ],
+        Some(_) if rejections.fetch_add(1, Ordering::SeqCst) < 3 => {
+            let id = seen.header("x-id").unwrap();
+            let head = format!(
+                "HTTP/1.1 503 Busy\r\nX-Id: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+            );
+            vec![Step::Send(head.into_bytes())]
+        }
+        Some(_) => vec![
+            Step::Send(stream_head(seen)),
+            Step::Send(chunk(&written("v1", 3, 6))),
+            Step::Send(b"0\r\n\r\n".to_vec()),
+        ],
+    });
+    let gw = TestGateway::start(&[("i-1", &replica)]);
+    drop(begin(&gw, "first", ""));
+    assert_goes_on(&take_up(&gw, "later", "first"), "v1");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -96,6 +96,8 @@
     version: u64,
 }
 
+/// Before the releases of half of the seeds there is one version for longer than any stream lasts.
+const CALM: Duration = Duration::from_secs(11);
 /// Networks of the seeds of one plan.
 const NETS: u64 = 125;
 
@@ -268,6 +270,9 @@
 
     /// Runs the steps of a seed.
     fn run(&mut self, seed: u64) {
+        if self.plan.releases && seed % 2 == 0 {
+            thread::sleep(CALM);
+        }
         let begun = Instant::now();
         let mut todo = steps(seed, self.plan);
         while !todo.is_empty() {
