--- a/crates/gateway/src/fleet/streams.rs
+++ b/crates/gateway/src/fleet/streams.rs
@@ -174,7 +174,7 @@
 ) -> Lookup {
     let query: Datagram = PeerMessage::StreamQuery(query).into();
     for span in ANSWER_TIMEOUTS {
-        if lookup.is_complete() {
+        if lookup.is_complete() || unanswered.is_empty() {
             break;
         }
         send(socket, &query, &unanswered, false).await;
--- a/crates/gateway/src/serve/bind.rs
+++ b/crates/gateway/src/serve/bind.rs
@@ -17,10 +17,7 @@
         },
         ServiceId,
     },
-    std::{
-        sync::Arc,
-        time::Duration, //
-    },
+    std::time::Duration,
 };
 
 /// Retry delay if no router could be asked for a stream.
@@ -33,15 +30,12 @@
 /// # Errors
 ///
 /// The answer to the caller if that is not known, or if the route no longer leads there.
-pub(super) async fn bind_resumed(
-    gw: &Arc<Shared>,
-    mut req: Request,
-) -> Result<Request, LocalAnswer> {
+pub(super) async fn bind_resumed(gw: &Shared, mut req: Request) -> Result<Request, LocalAnswer> {
     if !req.goes_on() {
         return Ok(req);
     }
     let origin = match req.resumes {
-        Some(_) => look_up(gw, &req).await?,
+        Some(_) => Some(look_up(gw, &req).await?),
         None => only_version(gw, &req)?,
     };
     if let Some(origin) = origin {
@@ -51,14 +45,14 @@
 }
 
 /// Finds out what began the stream that the request names.
-async fn look_up(gw: &Arc<Shared>, req: &Request) -> Result<Option<StreamOrigin>, LocalAnswer> {
+async fn look_up(gw: &Shared, req: &Request) -> Result<StreamOrigin, LocalAnswer> {
     let key = req.stream_key();
     let services: Vec<ServiceId> = req.route.services().cloned().collect();
     let own = gw.stream_knowledge(key, &services);
     match ask(gw, key, &services, own).await.finish() {
         Ok(found) => {
             log_found(req, &found);
-            Ok(Some(found.origin))
+            Ok(found.origin)
         }
         Err(Unknown::Unreached) => Err(reject(
             req,
--- a/crates/policy/src/streams/history.rs
+++ b/crates/policy/src/streams/history.rs
@@ -113,14 +113,23 @@
 
     /// Returns the versions of a service that were listed within the last `span`.
     pub fn recent(&self, service: &ServiceId, span: Span, now: Time) -> Vec<StreamOrigin> {
+        self.listed_since(service, span, now).cloned().collect()
+    }
+
+    fn listed_since<'a>(
+        &'a self,
+        service: &'a ServiceId,
+        span: Span,
+        now: Time,
+    ) -> impl Iterator<Item = &'a StreamOrigin> {
         let own = self.versions.iter().filter(|(o, _)| o.service == *service);
-        let recent = own.filter(|(_, seen)| seen.current || now.since(seen.listed) < span);
-        recent.map(|(origin, _)| origin.clone()).collect()
+        let recent = own.filter(move |(_, seen)| seen.current || now.since(seen.listed) < span);
+        recent.map(|(origin, _)| origin)
     }
 
     /// Returns whether a service is known to have had at most one version in the last `span`.
     pub fn is_settled(&self, service: &ServiceId, span: Span, now: Time) -> bool {
-        self.known_for(now) >= span && self.recent(service, span, now).len() <= 1
+        self.known_for(now) >= span && self.listed_since(service, span, now).nth(1).is_none()
     }
 
     /// Returns whether a replica of this version is expected though none is listed: one has vanished
--- a/crates/policy/tests/streams/lookup.rs
+++ b/crates/policy/tests/streams/lookup.rs
@@ -130,7 +130,7 @@
     };
     for own in [old.clone(), never] {
         let unknown = Err(Unknown::NotRecorded);
-        assert_eq!(decide(own.clone(), 1, &[old.clone()]), unknown);
+        assert_eq!(decide(own.clone(), 1, std::slice::from_ref(&old)), unknown);
         assert!(decide(own, 1, &[knows(&["v1"])]).is_ok());
     }
 }
