--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -107,7 +107,7 @@
 
 fn update_gauges(gw: &Shared) {
     let now = gw.now();
-    let (peers, active, held, cold, paused, view) = {
+    let (peers, active, held, cold, paused, streams, view) = {
         let tables = gw.tables();
         (
             tables.fleet.live(now).count(),
@@ -115,6 +115,7 @@
             tables.quarantine.count(now),
             tables.warmup.cold_count(now),
             tables.cooldowns.count(now),
+            tables.streams.len(),
             tables.board.view(now),
         )
     };
@@ -138,6 +139,7 @@
         ("chervilwind_requests_held", held),
         ("chervilwind_cold_replicas", cold),
         ("chervilwind_replica_cooldowns", paused),
+        ("chervilwind_streams", streams),
         ("chervilwind_known_requests", view.running as usize),
         ("chervilwind_known_peers", view.peers),
     ];
