--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -122,6 +122,15 @@
     }
 }
 
+/// Lists a replica of v1 and a faster one of v1.1, which each gateway uses from then on.
+fn add_versions(gateways: &[&TestGateway]) -> (Replica, Replica) {
+    let same = serves("v1", Duration::from_millis(100));
+    let other = serves("v1.1", Duration::ZERO);
+    add(gateways, versioned("i-3", &other, "v1.1"), &other);
+    add(gateways, versioned("i-2", &same, "v1"), &same);
+    (same, other)
+}
+
 /// Starts a stream and reads its first two events.
 fn begin(gw: &TestGateway, id: &str, headers: &str) -> Caller {
     let mut caller = gw.caller();
@@ -163,12 +172,7 @@
         let gw = TestGateway::start(&[]);
         add(&[&gw], versioned("i-1", &begun, "v1"), &begun);
         let caller = begin(&gw, "first", "");
-        let (same, other) = (
-            serves("v1", Duration::from_millis(100)),
-            serves("v1.1", Duration::ZERO),
-        );
-        add(&[&gw], versioned("i-3", &other, "v1.1"), &other);
-        add(&[&gw], versioned("i-2", &same, "v1"), &same);
+        let (same, other) = add_versions(&[&gw]);
         Release {
             gw,
             begun,
@@ -253,12 +257,7 @@
     let second = join(&first);
     add(&[&first, &second], versioned("i-1", &begun, "v1"), &begun);
     let caller = begin(&first, "first", "");
-    let (same, other) = (
-        serves("v1", Duration::from_millis(100)),
-        serves("v1.1", Duration::ZERO),
-    );
-    add(&[&first, &second], versioned("i-3", &other, "v1.1"), &other);
-    add(&[&first, &second], versioned("i-2", &same, "v1"), &same);
+    let (_same, other) = add_versions(&[&first, &second]);
     drop(caller);
     first.end().join().unwrap();
     for n in 0..ATTEMPTS {
@@ -445,12 +444,7 @@
     add(&[&first, &second], versioned("i-1", &begun, "v1"), &begun);
     thread::sleep(SETTLED);
     let caller = begin(&first, "first", "");
-    let (same, other) = (
-        serves("v1", Duration::from_millis(100)),
-        serves("v1.1", Duration::ZERO),
-    );
-    add(&[&first, &second], versioned("i-3", &other, "v1.1"), &other);
-    add(&[&first, &second], versioned("i-2", &same, "v1"), &same);
+    let (_same, other) = add_versions(&[&first, &second]);
     drop(caller);
     first.end().join().unwrap();
     assert_goes_on(&take_up(&second, "later", "first"), "v1");
