gateway: parts of prompts and checks of crashed replicas are logged and counted

No line told which parts the prompts had that were at the end of a replica, so the logs could not tell a part that crashes replicas from a request that does. event=try and event=replica outcome=ended name the shared parts, the latter also the request's id; chervilwind_crash_checks counts what the check after a lost connection found. No decision changes.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -152,8 +152,14 @@
 ) {
     e.record(permit);
     log_attempt(req, permit, progress, outcome, &e.to_string());
-    if e.lost_connection() && permit.is_early() && has_ended(&permit.replica, &gw.pool).await {
-        permit.record_crash();
+    if !(e.lost_connection() && permit.is_early()) {
+        return;
+    }
+    let ended = has_ended(&permit.replica, &gw.pool).await;
+    let outcome = if ended { "ended" } else { "alive" };
+    metrics::counter!("chervilwind_crash_checks", "outcome" => outcome).increment(1);
+    if ended {
+        permit.record_crash(req);
     }
 }
 
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -1,7 +1,10 @@
 //! A request's slot on a replica.
 
 use {
-    super::admit::Request,
+    super::{
+        admit::Request,
+        request_log::SharedParts, //
+    },
     crate::{
         model::Replica,
         state::{
@@ -232,7 +235,7 @@
 
     /// Records that the replica's process ended just after it started the request or was about to
     /// start it. A replica that is leaving doesn't count, as it ends anyway.
-    pub(crate) fn record_crash(&self) {
+    pub(crate) fn record_crash(&self, req: &Request) {
         let now = self.gw.now();
         let mut tables = self.gw.tables();
         let (id, digest) = (&self.replica.id, self.digest);
@@ -241,7 +244,11 @@
         }
         let held = tables.quarantine.ended(digest, self.key, now);
         drop(tables);
-        log::info!("event=replica outcome=ended replica={id} digest={digest}");
+        log::info!(
+            "event=replica outcome=ended replica={id} digest={digest} parts={} id={}",
+            SharedParts(req),
+            req.id
+        );
         match held {
             true => {
                 log::warn!("event=quarantine outcome=begun digest={digest} from=own");
--- a/crates/gateway/src/serve/request_log.rs
+++ b/crates/gateway/src/serve/request_log.rs
@@ -15,7 +15,10 @@
         }, //
     },
     crate::state::Shared,
-    std::time::Instant,
+    std::{
+        fmt,
+        time::Instant, //
+    },
 };
 
 /// Logs and counts a request that was rejected before a replica was chosen.
@@ -113,10 +116,11 @@
     cause: &str,
 ) {
     log::info!(
-        "event=try outcome={outcome} id={} digest={} replica={} send={} ms={} event-ms={} \
+        "event=try outcome={outcome} id={} digest={} parts={} replica={} send={} ms={} event-ms={} \
          cause={cause:?}",
         req.id,
         req.digest,
+        SharedParts(req),
         permit.replica.id,
         progress.sends,
         permit.held_for().as_millis(),
@@ -127,6 +131,27 @@
     progress.cause = cause.to_owned();
 }
 
+/// The ids of the parts that a request's prompt shares with others, for logs.
+pub(super) struct SharedParts<'a>(pub(super) &'a Request);
+
+/// Number of parts that are logged.
+const LOGGED_PARTS: usize = 8;
+
+impl fmt::Display for SharedParts<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let prompt = self.0.prompt.as_ref();
+        let parts = prompt.map_or(&[][..], |p| p.shared_parts());
+        if parts.is_empty() {
+            return f.write_str("-");
+        }
+        for (n, part) in parts.iter().take(LOGGED_PARTS).enumerate() {
+            let comma = if n == 0 { "" } else { "," };
+            write!(f, "{comma}{:x}", part.id)?;
+        }
+        Ok(())
+    }
+}
+
 /// Why a stream goes on at another replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ResumeCause {
--- a/crates/policy/src/placement/engine.rs
+++ b/crates/policy/src/placement/engine.rs
@@ -89,11 +89,27 @@
         self.parts.get(shared).map(|p| p.id)
     }
 
+    /// Returns the parts that other requests may have too: all but the last.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use policy::placement::{Part, Prompt};
+    ///
+    /// let part = |id| Part { id, tokens: 100 };
+    /// let prompt = Prompt {
+    ///     parts: vec![part(1), part(2), part(3)],
+    ///     ..Prompt::default()
+    /// };
+    /// assert_eq!(prompt.shared_parts(), [part(1), part(2)]);
+    /// ```
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the number of tokens that other requests share.
     pub fn shared_tokens(&self) -> u32 {
-        let unshared = self.parts.last().map_or(0, |p| p.tokens);
-        let all: u32 = self.parts.iter().map(|p| p.tokens).sum();
-        all.saturating_sub(unshared)
+        self.shared_parts().iter().map(|p| p.tokens).sum()
     }
 
     /// Returns the cost in terms of the capacity that workspaces share. The configuration counts
