gateway: failing tests of parts of prompts that crash replicas

Two routers, 16 requests with one deadly part and otherwise different content. The replicas that are replaced move to a module that both test files use; the checks of quarantine.rs are unchanged. The harness parses X-Prompt where it had no prompt; no other test sends it.

--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -34,7 +34,10 @@
         WarmupRate, //
     },
     policy::{
-        placement::Prompt,
+        placement::{
+            Part,
+            Prompt, //
+        },
         Era,
         EvacuationOrders,
         Region,
@@ -239,8 +242,16 @@
         .collect()
 }
 
-fn no_prompt(_: &Headers) -> Option<Prompt> {
-    None
+/// Parses the parts of a prompt: `X-Prompt: ID,ID`, in hexadecimal.
+fn prompt(headers: &Headers) -> Option<Prompt> {
+    let parts = headers.get("x-prompt")?.split(',').map(|id| Part {
+        id: u64::from_str_radix(id, 16).unwrap(),
+        tokens: 100,
+    });
+    Some(Prompt {
+        parts: parts.collect(),
+        ..Prompt::default()
+    })
 }
 
 fn no_replica(_: &str, _: &[u8]) -> Result<gateway::Replica, String> {
@@ -281,7 +292,7 @@
         engine_controls: &["X-Reserve", "X-Keep-Ms"],
         retry_after: "Retry-After",
         ready_path: "/ready",
-        parse_prompt: no_prompt,
+        parse_prompt: prompt,
         parse_config: read_config,
         parse_replica: no_replica,
         parse_notice: notice,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -9,6 +9,8 @@
 mod notices;
 mod once;
 mod quarantine;
+mod quarantine_parts;
+mod replacements;
 mod replica;
 mod requests;
 mod resume;
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -16,6 +16,10 @@
             FakeStore,
             TestGateway, //
         },
+        replacements::{
+            Replicas,
+            RUNNING, //
+        },
         replica::{
             ok_answer,
             Replica,
@@ -36,8 +40,6 @@
     },
 };
 
-/// Replicas running at any time.
-const RUNNING: usize = 3;
 /// Replicas that may crash under a request before it is quarantined.
 const QUARANTINED_FROM: usize = 3;
 /// Replicas that may crash after that, by the users' limit.
@@ -46,56 +48,6 @@
 /// Time between two closed connections, so that they don't count as simultaneous.
 const CLOSE_INTERVAL: Duration = Duration::from_millis(100);
 
-type Script = dyn Fn(&SeenRequest) -> Vec<Step> + Send + Sync;
-
-/// Replicas that are replaced by new ones, with other ids, when they crash.
-struct Replicas {
-    up: Vec<(String, Replica)>,
-    started: usize,
-    script: Arc<Script>,
-}
-
-impl Replicas {
-    fn start(script: impl Fn(&SeenRequest) -> Vec<Step> + Send + Sync + 'static) -> Replicas {
-        let mut replicas = Replicas {
-            up: Vec::new(),
-            started: 0,
-            script: Arc::new(script),
-        };
-        replicas.replace_crashed();
-        replicas
-    }
-
-    /// Starts new replicas for those that have crashed.
-    fn replace_crashed(&mut self) {
-        self.up.retain(|(_, replica)| !replica.has_crashed());
-        while self.up.len() < RUNNING {
-            self.started += 1;
-            let script = self.script.clone();
-            let replica = Replica::start(move |_, seen| script(seen));
-            self.up.push((format!("i-{}", self.started), replica));
-        }
-    }
-
-    fn crashed(&self) -> usize {
-        let up = self.up.iter().filter(|(_, r)| !r.has_crashed());
-        self.started - up.count()
-    }
-
-    /// Puts the running replicas into the list that the instances read, and waits until it was
-    /// read: an instance then serves a request.
-    fn list_running(&mut self, gateways: &[&TestGateway]) {
-        self.replace_crashed();
-        for gw in gateways {
-            let list = self.up.iter().map(|(id, r)| entry(id, r)).collect();
-            gw.store.lock().unwrap().replicas = list;
-        }
-        for gw in gateways {
-            wait_until(|| gw.get("/again/other", "o").status == 200);
-        }
-    }
-}
-
 /// Crashes the replica when it starts to run a request with this body; other requests are answered.
 fn crash_on(body: &'static str) -> impl Fn(&SeenRequest) -> Vec<Step> + Send + Sync {
     move |seen| match seen.body == body.as_bytes() {
