gateway: requests with a part of a prompt that crashes replicas are rejected

Cause: the quarantine kept its evidence on whole requests. Each of these has a digest of its own, so none was at more ends than its own attempts.

The quarantine now keeps it on suspects: a request with all its content, or a shared part of a prompt at a service. What was at an end, what was answered, reports, entries in the store, bounds: all is one mechanism. A part is held after four ends since it was last answered.

Which of the parts at an end is guilty: a popular one is cleared by answers. Of two that were always together a request is rejected only if it has both, so that a sound request with one goes on and shows which it is. Ends at which another held suspect was, one at more ends, count no more against a suspect; a hold ends when all but one of its ends turn out to be such. Routers report the ends of what they hold, in the messages and in their entries, so that one that starts later tells them apart too.

Tried and changed: ends explained by any held suspect hid the deadly part behind a rare one that reached four ends first, and released the deadly one for the sake of a part that never was without it (both in parts.rs).

--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -18,7 +18,10 @@
         },
         streams,
     },
-    crate::state::Shared,
+    crate::{
+        serve::log_held,
+        state::Shared, //
+    },
     async_std::task,
     policy::{
         actives::{
@@ -215,12 +218,7 @@
         let held = tables.quarantine.apply_update(&hello.quarantine, now);
         drop(tables);
         let at = hello.intro.peers;
-        for digest in held {
-            log::warn!(
-                "event=quarantine outcome=begun digest={digest} from={}",
-                hello.name
-            );
-        }
+        log_held(&held, hello.name.as_str());
         for id in departed {
             log::info!(
                 "event=replica outcome=left replica={id} from={}",
--- a/crates/gateway/src/follow/registration.rs
+++ b/crates/gateway/src/follow/registration.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         clock::unix_ms,
+        serve::log_held,
         state::Shared,
         Lease,
         RegisteredRouter,
@@ -11,10 +12,13 @@
     async_std::task,
     policy::{
         entry_state,
+        placement::ReplicaKey,
         quarantine::{
+            Ended,
             Held,
             QuarantineUpdate,
-            RequestDigest, //
+            Suspect,
+            HOLD_DURATION, //
         },
         EntrySeen,
         EntryState,
@@ -65,27 +69,40 @@
 pub(crate) struct RouterEntry {
     pub(crate) name: RouterId,
     pub(crate) peers: SocketAddr,
-    /// Quarantined requests. If all routers end at once, no peer is left to pass them on to routers
-    /// that start, and each such request would end three more replicas before it is quarantined
-    /// again.
+    /// Quarantined suspects. If all routers end at once, no peer is left to pass them on to routers
+    /// that start, and each suspect would end as many replicas again before it is quarantined.
     #[serde(default)]
     #[serde(rename = "held")]
     quarantined: Vec<QuarantinedUntil>,
 }
 
-/// A quarantined request and the wall-clock time at which its quarantine ends. Clocks of instances
+/// A quarantined suspect and the wall-clock time at which its quarantine ends. Clocks of instances
 /// differ, and are adjusted, by seconds in ten minutes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct QuarantinedUntil {
-    digest: RequestDigest,
+    #[serde(rename = "digest")]
+    suspect: Suspect,
     unix_ms: u64,
+    /// Replicas that ended under it.
+    #[serde(default)]
+    ended: Vec<ReplicaKey>,
 }
 
 impl RouterEntry {
-    fn new(name: RouterId, peers: SocketAddr, held: &[Held], unix_ms: u64) -> RouterEntry {
-        let quarantined = held.iter().map(|h| QuarantinedUntil {
-            digest: h.digest,
+    fn new(
+        name: RouterId,
+        peers: SocketAddr,
+        update: &QuarantineUpdate,
+        unix_ms: u64,
+    ) -> RouterEntry {
+        let ended_under = |suspect| {
+            let ended = update.ended.iter().filter(move |e| e.suspect == suspect);
+            ended.map(|e| e.replica).collect()
+        };
+        let quarantined = update.held.iter().map(|h| QuarantinedUntil {
+            suspect: h.suspect,
             unix_ms: unix_ms + h.left.as_millis(),
+            ended: ended_under(h.suspect),
         });
         RouterEntry {
             name,
@@ -94,13 +111,24 @@
         }
     }
 
-    /// Returns the requests that are still quarantined at this time.
-    fn quarantined_at(&self, unix_ms: u64) -> Vec<Held> {
-        let held = self.quarantined.iter().map(|h| Held {
-            digest: h.digest,
-            left: Span::millis(h.unix_ms.saturating_sub(unix_ms)),
-        });
-        held.filter(|h| h.left > Span::ZERO).collect()
+    /// Returns what is still quarantined at this time.
+    fn quarantined_at(&self, unix_ms: u64) -> QuarantineUpdate {
+        let mut update = QuarantineUpdate::default();
+        for entry in &self.quarantined {
+            let left = Span::millis(entry.unix_ms.saturating_sub(unix_ms));
+            if left == Span::ZERO {
+                continue;
+            }
+            let suspect = entry.suspect;
+            update.held.push(Held { suspect, left });
+            let age = Span(HOLD_DURATION.0.saturating_sub(left.0));
+            update.ended.extend(entry.ended.iter().map(|replica| Ended {
+                suspect,
+                replica: *replica,
+                age,
+            }));
+        }
+        update
     }
 }
 
@@ -116,7 +144,7 @@
     /// The newest era known. If only peers report an era, the store may never grant a lease of it,
     /// so the lease is given up only once for each such era.
     era: Era,
-    /// The entry in the store lacks a quarantined request.
+    /// The entry in the store lacks a quarantined suspect.
     outdated: bool,
 }
 
@@ -295,7 +323,7 @@
 
 /// Writes this router's entry. Returns its revision if that succeeded.
 async fn write_entry(gw: &Shared, lease: Lease) -> Option<Revision> {
-    let held = gw.tables().quarantine.held_update(gw.now()).held;
+    let held = gw.tables().quarantine.held_update(gw.now());
     let settings = &gw.settings;
     let entry = RouterEntry::new(
         settings.name.clone(),
@@ -328,20 +356,15 @@
     listed.iter().filter_map(decode).collect()
 }
 
-/// Takes over the address and the quarantined requests of another router's entry.
+/// Takes over the address and the quarantined suspects of another router's entry.
 fn apply_entry(gw: &Shared, entry: &RouterEntry) {
     let now = gw.now();
-    let notes = QuarantineUpdate {
-        held: entry.quarantined_at(unix_ms()),
-        ..QuarantineUpdate::default()
-    };
+    let quarantined = entry.quarantined_at(unix_ms());
     let mut tables = gw.tables();
     tables.fleet.add_address(entry.peers, now);
-    let begun = tables.quarantine.apply_update(&notes, now);
+    let begun = tables.quarantine.apply_update(&quarantined, now);
     drop(tables);
-    for digest in begun {
-        log::warn!("event=quarantine outcome=begun digest={digest} from=store");
-    }
+    log_held(&begun, "store");
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/follow/registration/tests.rs
+++ b/crates/gateway/src/follow/registration/tests.rs
@@ -6,11 +6,13 @@
         RouterEntry, //
     },
     policy::{
+        placement::ReplicaKey,
         quarantine::{
+            Ended,
             Held,
             Quarantine,
             QuarantineUpdate,
-            RequestDigest, //
+            Suspect, //
         },
         Span,
         Time, //
@@ -19,16 +21,25 @@
     std::net::SocketAddr,
 };
 
-const DIGEST: RequestDigest = RequestDigest(0xdead);
+const DIGEST: Suspect = Suspect(0xdead);
+const REPLICA: ReplicaKey = ReplicaKey(7);
 const WRITTEN_UNIX_MS: u64 = 1_800_000_000_000;
 
 fn entry(left: Span) -> RouterEntry {
-    let held = Held {
-        digest: DIGEST,
-        left,
+    let update = QuarantineUpdate {
+        held: vec![Held {
+            suspect: DIGEST,
+            left,
+        }],
+        ended: vec![Ended {
+            suspect: DIGEST,
+            replica: REPLICA,
+            age: Span::secs(100),
+        }],
+        ..QuarantineUpdate::default()
     };
     let addr = "10.1.0.3:7400".parse().unwrap();
-    RouterEntry::new("r1".parse().unwrap(), addr, &[held], WRITTEN_UNIX_MS)
+    RouterEntry::new("r1".parse().unwrap(), addr, &update, WRITTEN_UNIX_MS)
 }
 
 #[test]
@@ -37,12 +48,17 @@
     // again as soon as they are back, and only their entries still record its quarantine.
     let bytes = rmp_serde::to_vec_named(&entry(Span::secs(500))).unwrap();
     let read: RouterEntry = rmp_serde::from_slice(&bytes).unwrap();
-    let notes = QuarantineUpdate {
-        held: read.quarantined_at(WRITTEN_UNIX_MS + 12_000),
-        ..QuarantineUpdate::default()
-    };
+    let update = read.quarantined_at(WRITTEN_UNIX_MS + 12_000);
+    assert_eq!(
+        update.ended,
+        [Ended {
+            suspect: DIGEST,
+            replica: REPLICA,
+            age: Span::secs(112)
+        }]
+    );
     let mut started = Quarantine::default();
-    assert_eq!(started.apply_update(&notes, Time(0)), [DIGEST]);
+    assert_eq!(started.apply_update(&update, Time(0)), [DIGEST]);
     assert_eq!(started.remaining(DIGEST, Time(0)), Some(Span::secs(488)));
 }
 
@@ -52,12 +68,14 @@
     // an end, every router that starts would read it and quarantine the request for that time
     // again.
     let entry = entry(Span::secs(500));
-    assert_eq!(entry.quarantined_at(WRITTEN_UNIX_MS + 500_000), []);
+    let later = entry.quarantined_at(WRITTEN_UNIX_MS + 500_000);
+    assert_eq!(later, QuarantineUpdate::default());
     assert_eq!(
         entry.quarantined[0],
         QuarantinedUntil {
-            digest: DIGEST,
-            unix_ms: WRITTEN_UNIX_MS + 500_000
+            suspect: DIGEST,
+            unix_ms: WRITTEN_UNIX_MS + 500_000,
+            ended: vec![REPLICA],
         }
     );
 }
@@ -78,6 +96,6 @@
     let read: RouterEntry = rmp_serde::from_slice(&bytes).unwrap();
     assert_eq!(
         (read.peers, read.quarantined_at(WRITTEN_UNIX_MS)),
-        (earlier.peers, Vec::new())
+        (earlier.peers, QuarantineUpdate::default())
     );
 }
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -22,7 +22,7 @@
     },
     policy::{
         placement::Prompt,
-        quarantine::RequestDigest,
+        quarantine::Suspect,
         quota::WorkspaceKey,
         streams::{
             StreamKey,
@@ -51,12 +51,16 @@
 /// Longest time for which callers are expected to wait.
 const PATIENCE_MAX: Duration = Duration::from_secs(600);
 
+/// Parts of a prompt that are watched for crashes of replicas. Prompts have a few, and a caller may
+/// make up any number.
+const SUSPECT_PARTS_MAX: usize = 16;
+
 /// A validated request, ready to be sent to a replica.
 #[derive(Debug)]
 pub(crate) struct Request {
     pub(crate) id: String,
     /// Identifies the request across instances; the same each time a caller repeats it.
-    pub(crate) digest: RequestDigest,
+    pub(crate) digest: Suspect,
     pub(crate) method: String,
     pub(crate) target: String,
     /// The headers that are forwarded to the replica.
@@ -94,6 +98,15 @@
         resumes.unwrap_or(&self.id)
     }
 
+    /// Returns what may crash a replica that begins the request. The service counts for the parts of
+    /// its prompt, so the result changes with it.
+    pub(crate) fn suspects(&self) -> Vec<Suspect> {
+        let shared = self.prompt.as_ref().map_or(&[][..], |p| p.shared_parts());
+        let parts = shared.iter().take(SUSPECT_PARTS_MAX);
+        let parts = parts.map(|part| Suspect::prompt_part(&self.service, part.id));
+        std::iter::once(self.digest).chain(parts).collect()
+    }
+
     /// Returns the key of the request's stream.
     pub(crate) fn stream_key(&self) -> StreamKey {
         StreamKey::of(self.workspace.as_ref(), self.first_attempt())
@@ -177,7 +190,7 @@
     let digest_parts = [method.as_bytes(), host.as_bytes(), target.as_bytes()];
     Ok(Request {
         id,
-        digest: RequestDigest::of(workspace.as_ref(), &digest_parts, &body),
+        digest: Suspect::request(workspace.as_ref(), &digest_parts, &body),
         method,
         target,
         headers,
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -31,6 +31,7 @@
             ReplicaSet,
             View, //
         },
+        quarantine::Hold,
         quota::{
             UsageStanding,
             WorkspaceKey, //
@@ -103,10 +104,10 @@
 impl Shared {
     /// Chooses a replica for a request, other than those already tried, and takes one of its slots.
     ///
-    /// A quarantined request is rejected: every replica that runs it crashes, along with all other
-    /// requests running there, so one such request fails a tenth or more of a service's requests
-    /// while its caller repeats it. Quarantines are shared with all routers, so the rejection holds
-    /// for every attempt everywhere.
+    /// A request with a quarantined suspect is rejected: every replica that runs it crashes, along with
+    /// all other requests running there, so a few such requests fail a tenth or more of a service's
+    /// requests. Quarantines are shared with all routers, so the rejection holds for every attempt
+    /// everywhere.
     ///
     /// # Errors
     ///
@@ -118,12 +119,9 @@
     ) -> Result<SlotPermit, Refused> {
         let now = self.now();
         let mut tables = self.tables();
-        if let Some(left) = tables.quarantine.remaining(req.digest, now) {
-            return Err(Refused {
-                refusal: Refusal::Quarantined,
-                retry_delay: left.into(),
-                inputs: String::new(),
-            });
+        let suspects = req.suspects();
+        if let Some(hold) = tables.quarantine.find_hold(&suspects, now) {
+            return Err(refuse_held(hold));
         }
         let (prompt, engine) = (req.prompt.as_ref(), req.service_info.engine);
         let (picked, basis) = match (prompt, engine) {
@@ -393,6 +391,17 @@
     }
 }
 
+/// Rejects a request with a held suspect.
+fn refuse_held(hold: Hold) -> Refused {
+    let (suspect, kind) = (hold.suspect, hold.suspect.kind());
+    metrics::counter!("chervilwind_quarantine_rejections", "kind" => kind.to_string()).increment(1);
+    Refused {
+        refusal: Refusal::Quarantined,
+        retry_delay: hold.left.into(),
+        inputs: format!("held={suspect} kind={kind}"),
+    }
+}
+
 /// Returns when a caller should retry if the first cooldown ends in this time.
 fn spread_return(left: Span) -> Duration {
     retry_after_cooldown(left, fastrand::f64()).into()
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -26,6 +26,7 @@
 
 pub(crate) use self::{
     addresses::serve_addresses,
+    request_log::log_held,
     server::{
         accept,
         serve_metrics,
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -3,7 +3,10 @@
 use {
     super::{
         admit::Request,
-        request_log::SharedParts, //
+        request_log::{
+            log_held,
+            SharedParts, //
+        }, //
     },
     crate::{
         model::Replica,
@@ -19,7 +22,7 @@
             Prompt,
             ReplicaKey, //
         },
-        quarantine::RequestDigest,
+        quarantine::Suspect,
         quota::WorkspaceKey,
         AnswerState,
         Span,
@@ -39,11 +42,17 @@
 /// start.
 const CRASH_SUSPECT_TIME: Duration = Duration::from_secs(1);
 
+/// How often a long answer clears its suspects.
+const CLEAR_INTERVAL: Span = Span::secs(1);
+
 /// A request's slot on a replica, released when this is dropped.
 #[derive(Debug)]
 pub(crate) struct SlotPermit {
     gw: Arc<Shared>,
-    digest: RequestDigest,
+    /// What may crash the replica when it begins the request.
+    suspects: Vec<Suspect>,
+    /// When an answer last cleared the suspects.
+    cleared_at: Option<Time>,
     pub(crate) replica: Arc<Replica>,
     /// Address of a replica from which cached parts of the prompt can be copied.
     pub(crate) cache_source: Option<SocketAddr>,
@@ -94,6 +103,13 @@
 }
 
 impl Tables {
+    /// Records that a replica answered a request with these suspects.
+    fn clear_suspects(&mut self, suspects: &[Suspect], now: Time) {
+        for suspect in suspects {
+            self.quarantine.answered(*suspect, now);
+        }
+    }
+
     /// Takes a slot on the chosen replica for a request.
     pub(super) fn take_slot(
         &mut self,
@@ -126,7 +142,8 @@
         let source = choice.source.and_then(|id| self.roster.get(&id));
         SlotPermit {
             gw: gw.clone(),
-            digest: req.digest,
+            suspects: req.suspects(),
+            cleared_at: None,
             cache_source: source.map(|r| r.addr),
             inputs: String::new(),
             replica: replica.expect("the chosen replica is listed while the tables are locked"),
@@ -166,12 +183,17 @@
     }
 
     /// Records that the replica sent something.
-    pub(crate) fn record_output(&self) {
+    pub(crate) fn record_output(&mut self) {
         let now = self.gw.now();
+        let due = self
+            .cleared_at
+            .is_none_or(|at| now.since(at) >= CLEAR_INTERVAL);
+        let clears = due && !self.is_early();
         let mut tables = self.gw.tables();
         tables.last_received.insert(self.key, now);
-        if !self.is_early() {
-            tables.quarantine.answered(self.digest, now);
+        if clears {
+            self.cleared_at = Some(now);
+            tables.clear_suspects(&self.suspects, now);
         }
     }
 
@@ -214,7 +236,7 @@
         tables.health.entry(self.key).or_default().answered(ok);
         tables.last_received.insert(self.key, now);
         if ok {
-            tables.quarantine.answered(self.digest, now);
+            tables.clear_suspects(&self.suspects, now);
         }
         if self.load.memory == 0 {
             tables.latencies.record(self.key, took);
@@ -238,23 +260,25 @@
     pub(crate) fn record_crash(&self, req: &Request) {
         let now = self.gw.now();
         let mut tables = self.gw.tables();
-        let (id, digest) = (&self.replica.id, self.digest);
+        let id = &self.replica.id;
         if !tables.roster.takes_work(id) {
             return;
         }
-        let held = tables.quarantine.ended(digest, self.key, now);
+        let suspects = self.suspects.iter().copied();
+        let held: Vec<Suspect> = suspects
+            .filter(|s| tables.quarantine.ended(*s, self.key, now))
+            .collect();
         drop(tables);
         log::info!(
-            "event=replica outcome=ended replica={id} digest={digest} parts={} id={}",
+            "event=replica outcome=ended replica={id} digest={} parts={} id={}",
+            req.digest,
             SharedParts(req),
             req.id
         );
-        match held {
-            true => {
-                log::warn!("event=quarantine outcome=begun digest={digest} from=own");
-                self.gw.announce_to_all();
-            }
-            false => self.gw.announce(),
+        log_held(&held, "own");
+        match held.is_empty() {
+            true => self.gw.announce(),
+            false => self.gw.announce_to_all(),
         }
     }
 
--- a/crates/gateway/src/serve/request_log.rs
+++ b/crates/gateway/src/serve/request_log.rs
@@ -15,6 +15,7 @@
         }, //
     },
     crate::state::Shared,
+    policy::quarantine::Suspect,
     std::{
         fmt,
         time::Instant, //
@@ -131,6 +132,14 @@
     progress.cause = cause.to_owned();
 }
 
+/// Logs the suspects that are quarantined from now on, as this router or another one found out.
+pub(crate) fn log_held(held: &[Suspect], from: &str) {
+    for suspect in held {
+        let kind = suspect.kind();
+        log::warn!("event=quarantine outcome=begun digest={suspect} kind={kind} from={from}");
+    }
+}
+
 /// The ids of the parts that a request's prompt shares with others, for logs.
 pub(super) struct SharedParts<'a>(pub(super) &'a Request);
 
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -20,6 +20,7 @@
         task, //
     },
     metrics_exporter_prometheus::PrometheusHandle,
+    policy::quarantine::SuspectKind,
     std::{
         sync::{
             atomic::Ordering,
@@ -107,12 +108,13 @@
 
 fn update_gauges(gw: &Shared) {
     let now = gw.now();
-    let (peers, active, held, cold, paused, streams, view) = {
+    let (peers, active, held, held_parts, cold, paused, streams, view) = {
         let tables = gw.tables();
         (
             tables.fleet.live(now).count(),
             tables.fleet.active_count(),
-            tables.quarantine.count(now),
+            tables.quarantine.count(SuspectKind::Request, now),
+            tables.quarantine.count(SuspectKind::PromptPart, now),
             tables.warmup.cold_count(now),
             tables.cooldowns.count(now),
             tables.streams.len(),
@@ -137,6 +139,7 @@
         ("chervilwind_peers", peers),
         ("chervilwind_active_routers", active),
         ("chervilwind_requests_held", held),
+        ("chervilwind_prompt_parts_held", held_parts),
         ("chervilwind_cold_replicas", cold),
         ("chervilwind_replica_cooldowns", paused),
         ("chervilwind_streams", streams),
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -1,4 +1,4 @@
-//! The record of one suspected request.
+//! The record of one suspect.
 
 use crate::{
     placement::ReplicaKey,
@@ -14,8 +14,10 @@
 /// harmless request on hold. A request that does crash replicas is retried, and is there at other
 /// times too.
 const SIMULTANEOUS_MAX: usize = 2;
+/// Ends that are kept of one suspect, the newest.
+const ENDS_MAX: usize = 32;
 
-/// The end of a replica that had the request.
+/// The end of a replica that had the suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct End {
     pub(super) replica: ReplicaKey,
@@ -24,7 +26,7 @@
     pub(super) local: bool,
 }
 
-/// What is known of one request.
+/// What is known of one suspect.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Record {
     /// Ends since the last answer.
@@ -33,8 +35,8 @@
     pub(super) answered: Option<Time>,
     /// Whether this router saw that answer.
     pub(super) answer_is_local: bool,
-    /// End of the hold. Afterwards the request is let through, and the next end starts another
-    /// hold.
+    /// End of the hold. Afterwards requests with the suspect are let through, and the next end starts
+    /// another hold.
     pub(super) until: Option<Time>,
     /// Time of the last change.
     pub(super) changed: Time,
@@ -43,7 +45,7 @@
 impl Record {
     /// Adds the end of a replica. Returns whether it was unknown so far.
     pub(super) fn end(&mut self, end: End) -> bool {
-        // A later answer has cleared the request of this end.
+        // A later answer has cleared the suspect of this end.
         if self.answered.is_some_and(|at| at >= end.at) {
             return false;
         }
@@ -54,15 +56,38 @@
             None => self.ends.push(end),
         }
         self.ends.sort_by_key(|e| e.at);
+        let extra = self.ends.len().saturating_sub(ENDS_MAX);
+        self.ends.drain(..extra);
         is_new
     }
 
+    /// Returns whether the replica is one of those that ended.
+    pub(super) fn has_end(&self, replica: ReplicaKey) -> bool {
+        self.ends.iter().any(|e| e.replica == replica)
+    }
+
+    /// Returns whether the other suspect was there at each end of this one.
+    pub(super) fn is_always_with(&self, other: &Record) -> bool {
+        !self.ends.is_empty() && self.ends.iter().all(|e| other.has_end(e.replica))
+    }
+
     /// Returns whether this router saw one of the ends.
     pub(super) fn is_seen_locally(&self) -> bool {
         self.ends.iter().any(|e| e.local)
     }
 
-    /// Records an answer, which clears the request of everything before.
+    /// Returns whether the ends of another suspect may rather be those of this one, which is held.
+    ///
+    /// Nothing tells this if the other one was never without it. Otherwise the one with more ends is
+    /// the likelier cause. Of equal ones the one that was held first is, until the other one is at
+    /// one more end.
+    pub(super) fn explains(&self, other: &Record, other_is_held: bool) -> bool {
+        let (own, others) = (self.ends.len(), other.ends.len());
+        let likelier = own > others || (own == others && !other_is_held);
+        likelier && !other.is_always_with(self)
+    }
+
+    /// Records an answer, which clears the suspect of everything before.
     pub(super) fn answer(&mut self, at: Time, local: bool) {
         self.answered = self.answered.max(Some(at));
         self.answer_is_local = local;
@@ -70,12 +95,14 @@
         self.until = None;
     }
 
-    /// Counts the ends, with at most [`SIMULTANEOUS_MAX`] simultaneous ones.
-    pub(super) fn count(&self) -> usize {
+    /// Counts the ends at which none of the other suspects was, with at most [`SIMULTANEOUS_MAX`]
+    /// simultaneous ones.
+    pub(super) fn count_without(&self, others: &[&Record]) -> usize {
         let mut last: Option<Time> = None;
         let mut simultaneous = 0;
         let mut count = 0;
-        for end in &self.ends {
+        let explained = |e: &End| others.iter().any(|other| other.has_end(e.replica));
+        for end in self.ends.iter().filter(|e| !explained(e)) {
             let same = last.is_some_and(|at| end.at.since(at) < SIMULTANEOUS_SPAN);
             simultaneous = if same { simultaneous + 1 } else { 1 };
             count += usize::from(simultaneous <= SIMULTANEOUS_MAX);
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -1,4 +1,4 @@
-//! The suspected requests of the whole fleet.
+//! The suspects of the whole fleet.
 
 use {
     super::{
@@ -10,25 +10,34 @@
         Ended,
         Held,
         QuarantineUpdate,
-        RequestDigest, //
+        Suspect,
+        SuspectKind, //
     },
     crate::{
         placement::ReplicaKey,
         Span,
         Time, //
     },
-    std::collections::HashMap,
+    std::{
+        cmp::Reverse,
+        collections::HashMap, //
+    },
 };
 
 /// Number of replica ends from which a request is held. Two happen by chance: after a crash,
 /// requests with the same preferred replica move to the same other engine.
-const ENDS_LIMIT: usize = 3;
-/// Duration of a hold. Afterwards the request is let through once, and ends one more replica if
+const REQUEST_ENDS_LIMIT: usize = 3;
+/// The same for a part of prompts. Several requests have it at a time, so that it is at more ends by
+/// chance.
+const PART_ENDS_LIMIT: usize = 4;
+/// A hold ends if all but this many of the suspect's ends turn out to be those of another one.
+const CHANCE_ENDS: usize = 1;
+/// Duration of a hold. Afterwards requests are let through, and one of them ends one more replica if
 /// nothing has changed: with ten minutes this costs a replica's work for some seconds out of six
 /// hundred.
 pub const HOLD_DURATION: Span = Span::secs(600);
-/// A request that was answered this recently is not what ends a replica. A request that many
-/// callers send is at several replicas at any time, including most of those that crash.
+/// A suspect that was answered this recently is not what ends a replica. What many requests have in
+/// common is at several replicas at any time, including most of those that crash.
 const TRUST_SPAN: Span = Span::secs(10);
 /// How long a record is kept without changes. Callers retry within minutes.
 const RECORD_RETENTION: Span = Span::secs(3_600);
@@ -38,57 +47,69 @@
 /// latency of their messages. A reported time counts only if it exceeds the known one by more than
 /// this.
 const HOLD_MARGIN: Span = Span::secs(1);
-/// Maximum number of records. Each crash of a replica adds about ten.
+/// Maximum number of records. Each crash of a replica adds about thirty.
 const RECORDS_MAX: usize = 4_096;
-/// Maximum number of entries of each kind in one update, the newest first, so that it fits into a
-/// datagram.
+/// Maximum number of entries of each kind in one update, so that it fits into a datagram.
 const UPDATE_MAX: usize = 32;
+/// Ends of each held suspect in one update: enough to tell apart suspects that are often together.
+const HELD_ENDS_MAX: usize = 8;
+/// Entries in one update for the ends of all held suspects.
+const ALL_HELD_ENDS_MAX: usize = 16;
+
+/// Why a request is not sent to any replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    /// The suspect under which replicas ended.
+    pub suspect: Suspect,
+    /// Remaining time of the hold.
+    pub left: Span,
+}
 
-/// Requests that are not sent to any replica because replicas ended under them.
+/// Suspects whose requests are not sent to any replica, because replicas ended under them.
 ///
 /// # Examples
 ///
 /// ```
-/// use policy::{placement::ReplicaKey, quarantine::{Quarantine, RequestDigest}, Span, Time};
+/// use policy::{placement::ReplicaKey, quarantine::{Quarantine, Suspect}, Span, Time};
 ///
 /// let mut quarantine = Quarantine::default();
-/// let digest = RequestDigest(7);
+/// let suspect = Suspect(7);
 /// for n in 0..3 {
 ///     let now = Time(0) + Span::secs(n);
-///     assert_eq!(quarantine.remaining(digest, now), None);
-///     quarantine.ended(digest, ReplicaKey(n as u32), now);
+///     assert_eq!(quarantine.remaining(suspect, now), None);
+///     quarantine.ended(suspect, ReplicaKey(n as u32), now);
 /// }
-/// assert!(quarantine.remaining(digest, Time(0) + Span::secs(3)).is_some());
+/// assert!(quarantine.remaining(suspect, Time(0) + Span::secs(3)).is_some());
 /// ```
 #[derive(Debug, Default)]
 pub struct Quarantine {
-    records: HashMap<RequestDigest, Record>,
-    /// Requests that were answered here recently, suspected or not.
-    trusted: HashMap<RequestDigest, Time>,
+    records: HashMap<Suspect, Record>,
+    /// What was answered here recently, suspected or not.
+    trusted: HashMap<Suspect, Time>,
     /// This router saw an event that it has not reported yet.
     unreported: bool,
-    /// A request is held under which this router saw a replica end, and that is not written to the
+    /// A suspect is held under which this router saw a replica end, and that is not written to the
     /// store yet.
     new_holds: bool,
 }
 
 impl Quarantine {
-    /// Records that a replica ended which had just started a request, or was about to. Returns
-    /// whether this starts a hold of the request.
-    pub fn ended(&mut self, digest: RequestDigest, replica: ReplicaKey, now: Time) -> bool {
+    /// Records that a replica ended which had just started a request with a suspect, or was about to.
+    /// Returns whether this starts a hold.
+    pub fn ended(&mut self, suspect: Suspect, replica: ReplicaKey, now: Time) -> bool {
         let end = End {
             replica,
             at: now,
             local: true,
         };
         self.unreported = true;
-        self.take_end(digest, end, now)
+        self.take_end(suspect, end, now)
     }
 
-    /// Records that a replica answered a request.
-    pub fn answered(&mut self, digest: RequestDigest, now: Time) {
-        self.trusted.insert(digest, now);
-        let Some(record) = self.records.get_mut(&digest) else {
+    /// Records that a replica answered a request with a suspect.
+    pub fn answered(&mut self, suspect: Suspect, now: Time) {
+        self.trusted.insert(suspect, now);
+        let Some(record) = self.records.get_mut(&suspect) else {
             return;
         };
         if record.ends.is_empty() && record.until.is_none() {
@@ -99,13 +120,34 @@
         self.unreported = true;
     }
 
-    /// Returns the remaining time of the hold of a request, if it is held.
-    pub fn remaining(&self, digest: RequestDigest, now: Time) -> Option<Span> {
-        self.records.get(&digest)?.remaining(now)
+    /// Returns the remaining time of the hold of requests that have only this suspect.
+    pub fn remaining(&self, suspect: Suspect, now: Time) -> Option<Span> {
+        self.find_hold(&[suspect], now).map(|hold| hold.left)
+    }
+
+    /// Returns the hold that applies to a request with these suspects, if there is one.
+    ///
+    /// Nothing tells apart suspects that were always at the same ends, so they are held together: a
+    /// request that has only some of them is let through.
+    pub fn find_hold(&self, suspects: &[Suspect], now: Time) -> Option<Hold> {
+        let holds = suspects.iter().filter_map(|suspect| {
+            let record = self.records.get(suspect)?;
+            let left = record.remaining(now)?;
+            let mut together = self
+                .held(now)
+                .filter(|(_, other)| record.is_always_with(other));
+            together
+                .all(|(other, _)| suspects.contains(other))
+                .then_some(Hold {
+                    suspect: *suspect,
+                    left,
+                })
+        });
+        holds.max_by_key(|hold| hold.left)
     }
 
-    /// Applies the update of another router. Returns the requests that are held from now on.
-    pub fn apply_update(&mut self, update: &QuarantineUpdate, now: Time) -> Vec<RequestDigest> {
+    /// Applies the update of another router. Returns the suspects that are held from now on.
+    pub fn apply_update(&mut self, update: &QuarantineUpdate, now: Time) -> Vec<Suspect> {
         let mut new_holds = Vec::new();
         for answered in &update.answered {
             self.apply_answered(answered, now);
@@ -117,58 +159,67 @@
                 at,
                 local: false,
             };
-            if self.take_end(ended.digest, end, now) {
-                new_holds.push(ended.digest);
+            if self.take_end(ended.suspect, end, now) {
+                new_holds.push(ended.suspect);
             }
         }
         for held in &update.held {
             if self.apply_held(held, now) {
-                new_holds.push(held.digest);
+                new_holds.push(held.suspect);
             }
         }
         new_holds
     }
 
-    /// Returns the update for all routers: the holds, the newest first.
+    /// Returns the update for all routers: the holds, the newest first, and the ends under them.
     pub fn held_update(&self, now: Time) -> QuarantineUpdate {
-        let held = self.records.iter().filter_map(|(digest, record)| {
+        let held = self.held(now).filter_map(|(suspect, record)| {
             Some(Held {
-                digest: *digest,
+                suspect: *suspect,
                 left: record.remaining(now)?,
             })
         });
         let mut held: Vec<Held> = held.collect();
-        held.sort_by_key(|h| (std::cmp::Reverse(h.left), h.digest));
+        held.sort_by_key(|h| (Reverse(h.left), h.suspect));
         held.truncate(UPDATE_MAX);
+        let mut ended: Vec<Ended> = Vec::new();
+        for held in &held {
+            let ends = self.records.get(&held.suspect).map(|r| &r.ends);
+            let newest = ends.into_iter().flatten().rev().take(HELD_ENDS_MAX);
+            ended.extend(newest.map(|e| report_end(held.suspect, e, now)));
+        }
+        ended.truncate(ALL_HELD_ENDS_MAX);
         QuarantineUpdate {
             held,
+            ended,
             ..QuarantineUpdate::default()
         }
     }
 
     /// Returns the update for routers that serve callers: the holds, and what this router saw
-    /// recently.
+    /// recently, most ends first.
     pub fn full_update(&self, now: Time) -> QuarantineUpdate {
         let mut update = self.held_update(now);
-        for (digest, record) in &self.records {
+        let mut recent_ends = Vec::new();
+        for (suspect, record) in &self.records {
             let recent = |at: Time| now.since(at) < REPORT_SPAN;
             let local = record.ends.iter().filter(|e| e.local && recent(e.at));
-            update.ended.extend(local.map(|e| Ended {
-                digest: *digest,
-                replica: e.replica,
-                age: now.since(e.at),
-            }));
+            recent_ends.extend(local.map(|e| (record.ends.len(), report_end(*suspect, e, now))));
             let answered = record
                 .answered
                 .filter(|at| record.answer_is_local && recent(*at));
             update.answered.extend(answered.map(|at| Answered {
-                digest: *digest,
+                suspect: *suspect,
                 age: now.since(at),
             }));
         }
-        update.ended.sort_by_key(|e| (e.age, e.digest));
-        update.ended.truncate(UPDATE_MAX);
-        update.answered.sort_by_key(|a| (a.age, a.digest));
+        recent_ends.sort_by_key(|(count, e)| (Reverse(*count), e.age, e.suspect));
+        let recent_ends = recent_ends.into_iter().map(|(_, e)| e);
+        let missing = recent_ends.filter(|e| !update.ended.contains(e));
+        let room = UPDATE_MAX - update.ended.len();
+        let missing: Vec<Ended> = missing.take(room).collect();
+        update.ended.extend(missing);
+        update.answered.sort_by_key(|a| (a.age, a.suspect));
         update.answered.truncate(UPDATE_MAX);
         update
     }
@@ -178,7 +229,7 @@
         std::mem::take(&mut self.unreported)
     }
 
-    /// Returns whether a hold has started for a request under which this router saw a replica end,
+    /// Returns whether a hold has started for a suspect under which this router saw a replica end,
     /// and resets that.
     ///
     /// The routers that saw an end write the hold to the store. If two routers see an end at the
@@ -187,10 +238,9 @@
         std::mem::take(&mut self.new_holds)
     }
 
-    /// Returns the number of held requests.
-    pub fn count(&self, now: Time) -> usize {
-        let held = self.records.values().filter(|r| r.remaining(now).is_some());
-        held.count()
+    /// Returns the number of held suspects of a kind.
+    pub fn count(&self, kind: SuspectKind, now: Time) -> usize {
+        self.held(now).filter(|(s, _)| s.kind() == kind).count()
     }
 
     /// Drops records that are too old.
@@ -200,10 +250,15 @@
         self.trusted.retain(|_, at| now.since(*at) < TRUST_SPAN);
     }
 
-    fn take_end(&mut self, digest: RequestDigest, end: End, now: Time) -> bool {
-        self.make_room(digest);
-        let record = self.records.entry(digest).or_default();
-        let trusted = self.trusted.get(&digest);
+    fn held(&self, now: Time) -> impl Iterator<Item = (&Suspect, &Record)> {
+        let records = self.records.iter();
+        records.filter(move |(_, r)| r.remaining(now).is_some())
+    }
+
+    fn take_end(&mut self, suspect: Suspect, end: End, now: Time) -> bool {
+        self.make_room(suspect);
+        let record = self.records.entry(suspect).or_default();
+        let trusted = self.trusted.get(&suspect);
         if trusted.is_some_and(|at| now.since(*at) < TRUST_SPAN) {
             // Routers that haven't seen the answer need a report of it.
             record.answer(now, true);
@@ -215,27 +270,61 @@
             return false;
         }
         record.changed = now;
-        // A request that was held before is held again after a single end.
-        let proven = record.count() >= ENDS_LIMIT || record.until.is_some();
         let before = record.remaining(now).is_some();
-        if proven {
-            record.until = record.until.max(Some(end.at + HOLD_DURATION));
+        // A suspect that was held before is held again after a single end.
+        let proven = record.until.is_some() || self.unexplained(suspect, now) >= limit(suspect);
+        if !proven {
+            return false;
         }
-        let is_new = proven && !before;
-        self.new_holds |= is_new && record.is_seen_locally();
+        let Some(record) = self.records.get_mut(&suspect) else {
+            return false;
+        };
+        record.until = record.until.max(Some(end.at + HOLD_DURATION));
+        let local = record.is_seen_locally();
+        let is_new = !before && record.remaining(now).is_some();
+        self.new_holds |= is_new && local;
+        self.release_explained(now);
         is_new
     }
 
+    /// Counts the ends of a suspect that no other held suspect explains.
+    fn unexplained(&self, suspect: Suspect, now: Time) -> usize {
+        let Some(record) = self.records.get(&suspect) else {
+            return 0;
+        };
+        let is_held = record.remaining(now).is_some();
+        let others = self.held(now).filter(|(s, _)| **s != suspect);
+        let others = others.map(|(_, other)| other);
+        let explaining = others.filter(|other| other.explains(record, is_held));
+        record.count_without(&explaining.collect::<Vec<_>>())
+    }
+
+    /// Ends the holds of suspects whose ends turn out to be those of another one.
+    fn release_explained(&mut self, now: Time) {
+        let held = self.held(now).filter(|(_, r)| !r.ends.is_empty());
+        let held = held.map(|(suspect, _)| *suspect);
+        let explained = held.filter(|suspect| {
+            let all = self.records.get(suspect).map_or(0, |r| r.ends.len());
+            let unexplained = self.unexplained(*suspect, now);
+            unexplained <= CHANCE_ENDS && all > unexplained + CHANCE_ENDS
+        });
+        for suspect in explained.collect::<Vec<_>>() {
+            if let Some(record) = self.records.get_mut(&suspect) {
+                record.until = None;
+            }
+        }
+    }
+
     fn apply_answered(&mut self, answered: &Answered, now: Time) {
-        if let Some(record) = self.records.get_mut(&answered.digest) {
+        if let Some(record) = self.records.get_mut(&answered.suspect) {
             record.answer(now - answered.age, false);
             record.changed = now;
         }
     }
 
     fn apply_held(&mut self, held: &Held, now: Time) -> bool {
-        self.make_room(held.digest);
-        let record = self.records.entry(held.digest).or_default();
+        self.make_room(held.suspect);
+        let record = self.records.entry(held.suspect).or_default();
         // Routers that don't know of the answer yet still report the hold.
         if record
             .answered
@@ -244,25 +333,41 @@
             return false;
         }
         let before = record.remaining(now);
-        if held.left > before.unwrap_or_default() + HOLD_MARGIN {
-            record.until = Some(now + held.left.min(HOLD_DURATION));
-            record.changed = now;
+        if held.left <= before.unwrap_or_default() + HOLD_MARGIN {
+            return false;
         }
-        before.is_none() && record.remaining(now).is_some()
+        record.until = Some(now + held.left.min(HOLD_DURATION));
+        record.changed = now;
+        self.release_explained(now);
+        before.is_none() && self.records[&held.suspect].remaining(now).is_some()
     }
 
-    /// Drops the record that has not changed for longest, if there are too many.
-    fn make_room(&mut self, digest: RequestDigest) {
-        if self.records.len() < RECORDS_MAX || self.records.contains_key(&digest) {
+    /// Drops the record that matters least if there are too many: one that is not held and has few
+    /// ends, and of these the one that has not changed for longest.
+    fn make_room(&mut self, suspect: Suspect) {
+        if self.records.len() < RECORDS_MAX || self.records.contains_key(&suspect) {
             return;
         }
-        let held = |r: &Record| r.until.is_some();
-        let oldest = self
-            .records
-            .iter()
-            .min_by_key(|(d, r)| (held(r), r.changed, **d));
-        if let Some(oldest) = oldest.map(|(digest, _)| *digest) {
-            self.records.remove(&oldest);
+        let rank = |r: &Record| (r.until.is_some(), r.ends.len() > CHANCE_ENDS, r.changed);
+        let least = self.records.iter().min_by_key(|(s, r)| (rank(r), **s));
+        if let Some(least) = least.map(|(suspect, _)| *suspect) {
+            self.records.remove(&least);
         }
     }
 }
+
+/// Returns the number of ends from which a suspect is held.
+fn limit(suspect: Suspect) -> usize {
+    match suspect.kind() {
+        SuspectKind::Request => REQUEST_ENDS_LIMIT,
+        SuspectKind::PromptPart => PART_ENDS_LIMIT,
+    }
+}
+
+fn report_end(suspect: Suspect, end: &End, now: Time) -> Ended {
+    Ended {
+        suspect,
+        replica: end.replica,
+        age: now.since(end.at),
+    }
+}
--- a/crates/policy/src/quarantine/update.rs
+++ b/crates/policy/src/quarantine/update.rs
@@ -1,7 +1,7 @@
-//! Messages between routers about requests that crash replicas.
+//! Messages between routers about what crashes replicas.
 
 use {
-    super::RequestDigest,
+    super::Suspect,
     crate::{
         placement::ReplicaKey,
         Span, //
@@ -12,31 +12,34 @@
     },
 };
 
-/// A replica ended that had just started a request, or was about to.
+/// A replica ended that had just started a request with a suspect, or was about to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
-    /// The request.
-    pub digest: RequestDigest,
+    /// The suspect.
+    #[serde(rename = "digest")]
+    pub suspect: Suspect,
     /// The incarnation of the replica.
     pub replica: ReplicaKey,
     /// Time since it ended.
     pub age: Span,
 }
 
-/// A replica answered a suspected request.
+/// A replica answered a request with a suspect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answered {
-    /// The request.
-    pub digest: RequestDigest,
+    /// The suspect.
+    #[serde(rename = "digest")]
+    pub suspect: Suspect,
     /// Time since the answer.
     pub age: Span,
 }
 
-/// A request that no router sends to a replica.
+/// A suspect whose requests no router sends to a replica.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
-    /// The request.
-    pub digest: RequestDigest,
+    /// The suspect.
+    #[serde(rename = "digest")]
+    pub suspect: Suspect,
     /// Remaining time of the hold.
     pub left: Span,
 }
@@ -44,10 +47,10 @@
 /// What a router reports to the others.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct QuarantineUpdate {
-    /// Ends of replicas that it saw recently.
+    /// Ends of replicas that it saw recently, and those under held suspects.
     pub ended: Vec<Ended>,
-    /// Recent answers to suspected requests.
+    /// Recent answers to requests with suspects.
     pub answered: Vec<Answered>,
-    /// All requests that it holds.
+    /// All suspects that it holds.
     pub held: Vec<Held>,
 }
--- a/crates/policy/tests/quarantine/fleet.rs
+++ b/crates/policy/tests/quarantine/fleet.rs
@@ -5,7 +5,7 @@
     quarantine::{
         Quarantine,
         QuarantineUpdate,
-        RequestDigest, //
+        Suspect, //
     },
     Span,
     Time, //
@@ -26,9 +26,9 @@
 /// Replicas that a request may use per attempt of its caller.
 const ATTEMPTS_MAX: u32 = 2;
 /// The request that ends each replica that runs it.
-const DEADLY: RequestDigest = RequestDigest(1);
+const DEADLY: Suspect = Suspect(1);
 /// A harmless request that many callers send.
-const FREQUENT: RequestDigest = RequestDigest(2);
+const FREQUENT: Suspect = Suspect(2);
 /// Time after the third end from which a send of the deadly request is late.
 const LATE_AFTER: Span = Span::secs(3);
 
@@ -79,7 +79,7 @@
 /// A request at a replica.
 #[derive(Debug, Clone, Copy)]
 struct Run {
-    digest: RequestDigest,
+    digest: Suspect,
     router: usize,
     /// Replicas used in its current attempt, including this one.
     attempts: u32,
@@ -156,7 +156,7 @@
             .iter()
             .flat_map(|r| r.held_update(self.now).held);
         self.outcome.deadly = self.deadly_ends.len();
-        self.outcome.innocent = held.filter(|h| h.digest != DEADLY).count();
+        self.outcome.innocent = held.filter(|h| h.suspect != DEADLY).count();
         self.outcome
     }
 
@@ -182,18 +182,18 @@
             {
                 self.next += 1;
                 let router = self.rng.usize(..self.routers.len());
-                self.start(n, RequestDigest(self.next), router, 1);
+                self.start(n, Suspect(self.next), router, 1);
             }
         }
     }
 
-    fn attempt(&mut self, digest: RequestDigest) {
+    fn attempt(&mut self, digest: Suspect) {
         let router = self.rng.usize(..self.routers.len());
         self.send(digest, router, 1);
     }
 
     /// Sends a request to a random live replica, unless the router holds it.
-    fn send(&mut self, digest: RequestDigest, router: usize, attempts: u32) {
+    fn send(&mut self, digest: Suspect, router: usize, attempts: u32) {
         if self.routers[router].remaining(digest, self.now).is_some() {
             self.outcome.rejected += usize::from(digest != DEADLY);
             return;
@@ -206,7 +206,7 @@
         }
     }
 
-    fn start(&mut self, n: usize, digest: RequestDigest, router: usize, attempts: u32) {
+    fn start(&mut self, n: usize, digest: Suspect, router: usize, attempts: u32) {
         let began = self.now;
         let replica = &mut self.replicas[n];
         replica.runs.push(Run {
--- a/crates/policy/tests/quarantine/main.rs
+++ b/crates/policy/tests/quarantine/main.rs
@@ -1,6 +1,7 @@
 //! Requests that crash replicas: at single routers and in whole fleets.
 
 mod fleet;
+mod parts;
 
 use {
     self::fleet::{
@@ -13,7 +14,7 @@
             Held,
             Quarantine,
             QuarantineUpdate,
-            RequestDigest,
+            Suspect,
             HOLD_DURATION, //
         },
         Span,
@@ -21,8 +22,8 @@
     },
 };
 
-const DEADLY: RequestDigest = RequestDigest(0xdead);
-const OTHER: RequestDigest = RequestDigest(0x0123);
+const DEADLY: Suspect = Suspect(0xdead);
+const OTHER: Suspect = Suspect(0x0123);
 
 fn at(ms: u64) -> Time {
     Time(0) + Span::millis(ms)
@@ -200,7 +201,7 @@
     let mut quarantine = Quarantine::default();
     let update = QuarantineUpdate {
         held: vec![Held {
-            digest: DEADLY,
+            suspect: DEADLY,
             left: Span::secs(1_000_000),
         }],
         ..QuarantineUpdate::default()
@@ -215,7 +216,7 @@
     let mut quarantine = after_ends(&[0, 400, 800]);
     for n in 0..20_000 {
         let now = at(1_000 + n);
-        let digest = RequestDigest(1_000_000 + n);
+        let digest = Suspect(1_000_000 + n);
         quarantine.ended(digest, ReplicaKey(n as u32), now);
     }
     assert!(quarantine.remaining(DEADLY, at(25_000)).is_some());
