gateway: an answer without length that a crash ends is not a complete one

Callers got half an answer as a whole 200: an answer with neither a length nor chunks ends with its connection, and a crash closes that too. The same end counted as an answer and cleared what had crashed the replica; inside an event it was an error of the body, after which nobody looked whether the replica lives.

The end of a connection is now the end of an answer only while the replica goes on: the router opens a connection, which it keeps, and if that is refused the answer broke off. A replica that is known to leave may end right after its last answer. Inside an event such a stream counts as a lost connection. A long plain answer that breaks off is looked at as well.

A whole plain answer of a replica that crashes in the same moment is now lost too; nothing tells the two apart, and half an answer that passes for a whole one is worse.

Cost: a connection for each such answer, used for the next request.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -73,6 +73,11 @@
         self.ended && self.framing != Framing::Close
     }
 
+    /// Returns whether only the end of the connection marks the end of the body.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::Close
+    }
+
     /// Reads the next part; none at the end of the body.
     pub(crate) async fn read_part(
         &mut self,
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -9,11 +9,16 @@
         }, //
     },
     crate::{
+        http::ReadError,
         model::Replica,
         state::{
             Shared,
             Tables, //
         },
+        upstream::{
+            has_ended,
+            Reply, //
+        },
     },
     policy::{
         placement::{
@@ -255,6 +260,30 @@
         tables.health.entry(self.key).or_default().broken(now);
     }
 
+    /// Checks whether an answer that was read to its end is complete.
+    ///
+    /// One with neither a length nor chunks ends with its connection, which a crash closes too. A
+    /// replica that leaves may end right after its last answer.
+    ///
+    /// # Errors
+    ///
+    /// The replica's process has ended, so that the rest of the answer may be missing.
+    pub(crate) async fn check_complete(&self, reply: &Reply) -> Result<(), ReadError> {
+        if !reply.body.ends_with_connection() || !self.takes_work() {
+            return Ok(());
+        }
+        match has_ended(&self.replica, &self.gw.pool).await {
+            true => Err(ReadError::Closed),
+            false => Ok(()),
+        }
+    }
+
+    /// Returns whether the replica is expected to go on.
+    fn takes_work(&self) -> bool {
+        let tables = self.gw.tables();
+        !tables.roster.is_leaving(self.key) && tables.roster.takes_work(&self.replica.id)
+    }
+
     /// Records that the replica's process ended just after it started the request or was about to
     /// start it. A replica that is leaving doesn't count, as it ends anyway.
     pub(crate) fn record_crash(&self, req: &Request) {
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         admit::Request,
+        attempt::record_failure,
         outcome::{
             AbortCause,
             AttemptOutcome,
@@ -54,10 +55,17 @@
 }
 
 /// Reads an answer until it is complete, or too long to be buffered.
-pub(super) async fn buffer_reply(mut reply: Reply) -> Result<BufferedReply, ReadError> {
+///
+/// # Errors
+///
+/// The answer breaks off.
+pub(super) async fn buffer_reply(
+    permit: &SlotPermit,
+    mut reply: Reply,
+) -> Result<BufferedReply, ReadError> {
     let mut body = Vec::new();
     let mut complete = true;
-    while let Some(part) = reply.body.read_part(&mut reply.conn).await? {
+    while let Some(part) = read_more(permit, &mut reply).await? {
         body.extend_from_slice(&part);
         if body.len() > BUFFER_LIMIT_BYTES {
             complete = false;
@@ -87,7 +95,9 @@
     } = buffered;
     let status = reply.head.status();
     if !complete {
-        return AttemptOutcome::Done(forward_long(gw, permit, reply, body, writer, progress).await);
+        return AttemptOutcome::Done(
+            forward_long(gw, req, permit, reply, body, writer, progress).await,
+        );
     }
     permit.record_answer(status < 500);
     let head = reply.head.clone();
@@ -115,9 +125,19 @@
     })
 }
 
+/// Reads more of an answer; none at its end.
+async fn read_more(permit: &SlotPermit, reply: &mut Reply) -> Result<Option<Vec<u8>>, ReadError> {
+    let part = reply.body.read_part(&mut reply.conn).await?;
+    if part.is_none() {
+        permit.check_complete(reply).await?;
+    }
+    Ok(part)
+}
+
 /// Forwards a long answer as it arrives.
 async fn forward_long(
     gw: &Shared,
+    req: &Request,
     permit: &SlotPermit,
     mut reply: Reply,
     prefix: Vec<u8>,
@@ -132,15 +152,14 @@
             return Delivery::Aborted(AbortCause::Caller);
         }
         progress.record_forwarded();
-        match reply.body.read_part(&mut reply.conn).await {
+        match read_more(permit, &mut reply).await {
             Ok(Some(part)) => {
                 bytes.clear();
                 write_chunk(&mut bytes, &part);
             }
             Ok(None) => break,
             Err(e) => {
-                progress.cause = e.to_string();
-                permit.record_broken();
+                record_failure(gw, req, permit, progress, "broken", &e.into()).await;
                 return Delivery::Aborted(AbortCause::NoRetry(NoRetry::MayHaveRun));
             }
         }
--- a/crates/gateway/src/serve/stream_source.rs
+++ b/crates/gateway/src/serve/stream_source.rs
@@ -112,6 +112,7 @@
         }
         let Reply { body, conn, .. } = &mut self.reply;
         let Some(part) = body.read_part(conn).await? else {
+            permit.check_complete(&self.reply).await?;
             return self.finish_events();
         };
         let split = self.split_available(part);
@@ -144,10 +145,13 @@
 
     fn finish_events(&mut self) -> Result<(), AttemptError> {
         if self.events.is_mid_event() {
-            // The replica stopped in the middle of an event but ended the body properly.
-            return Err(AttemptError::from(ReadError::Body(
-                "it ends within an event",
-            )));
+            return Err(AttemptError::from(
+                match self.reply.body.ends_with_connection() {
+                    true => ReadError::Closed,
+                    // The replica stopped in the middle of an event but ended the body properly.
+                    false => ReadError::Body("it ends within an event"),
+                },
+            ));
         }
         self.ended = true;
         Ok(())
