policy: a fleet in virtual time before replicas that crash under one part

Routers report with delays and losses; sound requests share the first part of the deadly ones, replicas also crash by themselves and with their rack. Checked: sends later than three seconds after the fifth end, first attempts of sound requests with the same first part from six seconds after it on, and sound requests that are rejected.

--- a/crates/policy/tests/quarantine/main.rs
+++ b/crates/policy/tests/quarantine/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod parts;
+mod parts_fleet;
 
 use {
     self::fleet::{
--- a/crates/policy/tests/quarantine/parts.rs
+++ b/crates/policy/tests/quarantine/parts.rs
@@ -1,7 +1,14 @@
 //! Parts of prompts that crash replicas, beside parts that are there by chance.
 
 use {
-    super::at,
+    super::{
+        at,
+        parts_fleet::{
+            Fleet,
+            Outcome,
+            Plan, //
+        },
+    },
     policy::{
         placement::ReplicaKey,
         quarantine::{
@@ -198,3 +205,81 @@
     end(&mut quarantine, &[deadly], 50, later);
     assert!(holds(&quarantine, &[deadly], later));
 }
+
+/// Seconds after the fifth end from which on sound requests have to be served again.
+const BACK_AFTER: usize = 6;
+
+/// Plays a plan with several seeds, and checks each result.
+fn play(routers: usize, seeds: std::ops::Range<u64>, plan: &Plan, check: impl Fn(u64, &Outcome)) {
+    for seed in seeds {
+        let outcome = Fleet::new(routers, seed).run(plan);
+        println!(
+            "{routers} routers, seed {seed}: {} ends, {} late, {} of {} sound rejected, begun {:?}",
+            outcome.deadly_ends,
+            outcome.late,
+            outcome.rejected,
+            outcome.sound,
+            outcome
+                .beside
+                .iter()
+                .map(|s| 100 * s.begun / s.asked.max(1))
+                .collect::<Vec<_>>()
+        );
+        check(seed, &outcome);
+    }
+}
+
+/// Checks that few requests with the part are sent late, and that sound ones with the same first
+/// part begin as before.
+fn check_deadly(seed: u64, outcome: &Outcome) {
+    assert!(outcome.late <= 3, "seed {seed}: {} late", outcome.late);
+    let before = outcome.begun_share(2..10);
+    let Some(fifth) = outcome.fifth_end else {
+        return;
+    };
+    let from = fifth.since(Time(0)).as_secs() as usize + BACK_AFTER;
+    let after = outcome.begun_share(from..40);
+    assert!(
+        after >= before / 2.0,
+        "seed {seed}: {before:.2} to {after:.2}"
+    );
+    let rejected = outcome.rejected * 100;
+    assert!(rejected <= outcome.sound, "seed {seed}: {outcome:?}");
+}
+
+/// Guards against routers that know different things of a part, from one router to many.
+#[test]
+fn part_in_a_fleet() {
+    play(1, 0..12, &Plan::default(), check_deadly);
+    play(8, 0..12, &Plan::default(), check_deadly);
+    play(61, 0..2, &Plan::default(), check_deadly);
+}
+
+/// Guards against a part that is not found, or sound ones that are held, while replicas also crash
+/// by themselves.
+#[test]
+fn part_in_a_fleet_with_crashes() {
+    let plan = Plan {
+        crash_rate: 0.3,
+        rack_at: Some(Span::secs(11)),
+        ..Plan::default()
+    };
+    play(8, 100..116, &plan, check_deadly);
+}
+
+/// Guards against sound parts that are held because replicas crash by themselves.
+#[test]
+fn part_without_a_deadly_one() {
+    let plan = Plan {
+        deadly_rate: 0.0,
+        crash_rate: 0.5,
+        rack_at: Some(Span::secs(20)),
+        ..Plan::default()
+    };
+    let check = |seed: u64, outcome: &Outcome| {
+        let rejected = outcome.rejected * 100;
+        assert!(rejected <= outcome.sound, "seed {seed}: {outcome:?}");
+    };
+    play(1, 200..212, &plan, check);
+    play(8, 200..212, &plan, check);
+}
