tests: the soak has a part of prompts that crashes replicas

A third plan: eight engines that crash under one part of a prompt, as the first or after another, before they answer, after an event in chunks, inside one or at its end without a length, and by themselves; they come back under a new id and address. Routers are killed, ended and stopped meanwhile. Checked from outside: requests with the part that reach engines later than three seconds after the fifth crash, from routers in contact; the share of sound streams that begin from six seconds after it on; answers that pass for complete. The networks of the plans are spread anew, so that no two tests of one run share one.

--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -61,6 +61,13 @@
 /// One in so many streams is left after some events, and taken up again.
 const LEFT_STREAMS: u32 = 6;
 const DOCUMENTS: u32 = 12;
+/// The first parts of prompts where one part crashes replicas.
+const FIRST_PART: u32 = 20_000;
+const FIRST_PARTS: u32 = 3;
+/// The part that crashes replicas, in one of so many streams from then on.
+pub(crate) const DEADLY_PART: u32 = 30_000;
+const DEADLY_STREAMS: u32 = 25;
+const DEADLY_FROM: Duration = Duration::from_secs(2);
 
 /// A caller of one router, which takes streams up at all of them.
 #[derive(Debug)]
@@ -72,6 +79,10 @@
     pub(crate) numbers: Arc<AtomicU64>,
     pub(crate) stop: Arc<AtomicBool>,
     pub(crate) rng: fastrand::Rng,
+    /// When the run began.
+    pub(crate) begun: Instant,
+    /// Whether the deadly part is the first of its prompts.
+    pub(crate) deadly_first: bool,
 }
 
 /// Connections to routers that are kept for the next request.
@@ -81,7 +92,10 @@
 struct Attempt {
     request: RequestId,
     kind: Kind,
-    document: u32,
+    /// The parts that its prompt shares with others.
+    shared: Vec<u32>,
+    /// Whether no other request has its target.
+    unique: bool,
     deadline: Duration,
     /// The first attempt at the stream that is taken up, and the last event of it.
     resumes: Option<(RequestId, u64)>,
@@ -93,15 +107,18 @@
     fn encode(&self) -> String {
         let first = self.resumes.map(|(first, _)| first.to_string());
         let last = self.resumes.map_or(0, |(_, last)| last);
+        let id = self.request.to_string();
+        let target = match self.kind {
+            Kind::Single => "POST /single/a".to_owned(),
+            Kind::Idempotent => "GET /again/a".to_owned(),
+            Kind::Stream if self.unique => format!("POST /stream/{id}"),
+            Kind::Stream => "POST /stream/a".to_owned(),
+        };
         let request = CallerRequest {
-            target: match self.kind {
-                Kind::Single => "POST /single/a",
-                Kind::Idempotent => "GET /again/a",
-                Kind::Stream => "POST /stream/a",
-            },
-            id: &self.request.to_string(),
+            target: &target,
+            id: &id,
             deadline: self.deadline,
-            document: (self.kind == Kind::Stream).then_some(self.document),
+            shared: &self.shared,
             resumes: first.as_ref().map(|first| Resumed { first, last }),
         };
         request.encode("a.example")
@@ -133,7 +150,8 @@
         let attempt = Attempt {
             request: self.next_id(self.router),
             kind,
-            document: 0,
+            shared: Vec::new(),
+            unique: false,
             deadline: DEADLINE,
             resumes: None,
             chunks: usize::MAX,
@@ -156,7 +174,7 @@
     /// Sends a request for a stream, and takes it up again at any router until it is complete.
     fn stream(&mut self, conns: &mut Connections) {
         let until = Instant::now() + DEADLINE;
-        let document = self.rng.u32(..DOCUMENTS);
+        let shared = self.shared_parts();
         let mut parts = StreamAttempts::new();
         let (mut first, mut last) = (None, 0);
         for number in 0..self.plan.attempts {
@@ -172,7 +190,8 @@
             let attempt = Attempt {
                 request: self.next_id(router),
                 kind: Kind::Stream,
-                document,
+                shared: shared.clone(),
+                unique: self.plan.crashes,
                 deadline: left,
                 resumes: first.map(|first| (first, last)),
                 chunks: match leaves {
@@ -227,6 +246,22 @@
         written
     }
 
+    /// Returns the shared parts of the next prompt. The deadly one comes in their middle or as the
+    /// first, and sound prompts have the others.
+    fn shared_parts(&mut self) -> Vec<u32> {
+        let document = self.rng.u32(..DOCUMENTS);
+        if !self.plan.crashes {
+            return vec![document];
+        }
+        let first = FIRST_PART + document % FIRST_PARTS;
+        let deadly = self.begun.elapsed() >= DEADLY_FROM && self.rng.u32(..DEADLY_STREAMS) == 0;
+        match (deadly, self.deadly_first) {
+            (true, true) => vec![DEADLY_PART, document],
+            (true, false) => vec![first, DEADLY_PART],
+            (false, _) => vec![first, document],
+        }
+    }
+
     fn next_id(&self, router: usize) -> RequestId {
         RequestId {
             router,
@@ -261,6 +296,10 @@
             starts,
             answer,
             left: attempt.chunks < usize::MAX,
+            deadly: attempt.shared.contains(&DEADLY_PART),
+            begun: got
+                .as_ref()
+                .is_ok_and(|a| a.status == 200 && !a.body.is_empty()),
         };
         self.history.exchanges.lock().unwrap().push(exchange);
         let kept = complete.is_some_and(|a| a.header("Connection") != Some("close"));
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -20,6 +20,7 @@
             BTreeSet,
             HashMap, //
         },
+        fmt,
         time::{
             Duration,
             Instant, //
@@ -35,6 +36,11 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Streams that are taken up again, from which on their share counts.
 const MIN_TAKEN_UP: usize = 12;
+/// Crashes under a part from which on requests with it may no longer be sent, and how many may be.
+const ENDS_ALLOWED: usize = 5;
+const LATE_ALLOWED: usize = 3;
+/// Sound streams from which on their share counts.
+const MIN_SOUND: usize = 20;
 /// Statuses that promise a request was not run and never will be.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -50,6 +56,7 @@
     streams: &'a [StreamAttempts],
     serving: &'a [Serving],
     starts: &'a [RouterStarted],
+    crashes: &'a [Instant],
 }
 
 /// How many streams began, and how many of those that were taken up again went on.
@@ -61,8 +68,47 @@
     pub(crate) went_on: usize,
 }
 
+/// Replicas that crashed under a part of prompts, requests with it that were sent too late, and how
+/// many sound streams began before the first crash and long enough after.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Crashes {
+    pub(crate) crashed: usize,
+    late: usize,
+    before: usize,
+    begun_before: usize,
+    after: usize,
+    begun_after: usize,
+}
+
+impl fmt::Display for Crashes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Crashes {
+            crashed,
+            late,
+            before,
+            begun_before,
+            after,
+            begun_after,
+        } = self;
+        write!(
+            f,
+            "{crashed} crashed, {late} late, {begun_before} of {before} began before and \
+             {begun_after} of {after} after"
+        )
+    }
+}
+
+impl Crashes {
+    fn violations(&self) -> Option<String> {
+        let share = |begun: usize, of: usize| begun as f64 / of.max(1) as f64;
+        let enough = self.before >= MIN_SOUND && self.after >= MIN_SOUND;
+        let few = share(self.begun_after, self.after) < share(self.begun_before, self.before) / 2.0;
+        (self.late > LATE_ALLOWED || enough && few).then(|| self.to_string())
+    }
+}
+
 /// Returns what went wrong in a run, one line each.
-pub(crate) fn violations(history: &History) -> (Shares, Vec<String>) {
+pub(crate) fn violations(history: &History) -> ((Shares, Crashes), Vec<String>) {
     let exchanges = history.exchanges.lock().unwrap();
     let (arrivals, pauses) = (
         history.arrivals.lock().unwrap(),
@@ -74,6 +120,7 @@
         history.serving.lock().unwrap(),
     );
     let starts = history.router_starts.lock().unwrap();
+    let crashes = history.crashes.lock().unwrap();
     let record = Record {
         exchanges: exchanges.iter().map(|e| (e.request, e)).collect(),
         arrivals: &arrivals,
@@ -82,8 +129,10 @@
         streams: &streams,
         serving: &serving,
         starts: &starts,
+        crashes: &crashes,
     };
     let shares = record.shares();
+    let crashed = record.crashed();
     let mut found = history.violations.lock().unwrap().clone();
     found.extend(record.after_leaving());
     found.extend(record.after_pauses());
@@ -91,7 +140,8 @@
     found.extend(record.run_twice());
     found.extend(record.mixed_streams());
     found.extend(too_few_go_on(shares));
-    (shares, found)
+    found.extend(crashed.violations());
+    ((shares, crashed), found)
 }
 
 /// Fewer streams that were taken up again went on than half of the share of new ones that began.
@@ -250,11 +300,54 @@
     /// Returns whether the router that got an attempt had run undisturbed for long enough, and still
     /// did when the attempt ended.
     fn in_contact(&self, part: &StreamPart) -> bool {
-        let router = part.request.router;
-        let from = part.sent - CONTACT;
+        part.starts.0 == part.starts.1 && self.was_in_contact(part.request.router, part.sent)
+    }
+
+    /// Returns whether a router had run undisturbed for long enough at some time.
+    fn was_in_contact(&self, router: usize, at: Instant) -> bool {
+        let from = at - CONTACT;
         let mut starts = self.starts.iter().filter(|s| s.router == router);
-        let started = starts.any(|s| s.at > from && s.at <= part.sent);
-        part.starts.0 == part.starts.1 && !started && !self.stalled(router, from, part.sent)
+        let started = starts.any(|s| s.at > from && s.at <= at);
+        !started && !self.stalled(router, from, at)
+    }
+
+    /// Returns what became of requests with the part that crashes replicas, and of those beside them.
+    fn crashed(&self) -> Crashes {
+        let mut crashes = Crashes {
+            crashed: self.crashes.len(),
+            ..Crashes::default()
+        };
+        let mut times = self.crashes.to_vec();
+        times.sort();
+        let Some(first) = times.first() else {
+            return crashes;
+        };
+        let streams = self.exchanges.values().filter(|e| e.kind == Kind::Stream);
+        let of_router = |e: &&&Exchange| {
+            e.starts.0 == e.starts.1 && self.was_in_contact(e.request.router, e.sent)
+        };
+        let last = times.get(ENDS_ALLOWED - 1).or(times.last());
+        for exchange in streams.filter(|e| !e.deadly) {
+            let begun = usize::from(exchange.begun);
+            if exchange.sent < *first {
+                crashes.before += 1;
+                crashes.begun_before += begun;
+            } else if of_router(&exchange)
+                && last.is_some_and(|at| exchange.sent > *at + 2 * CONTACT)
+            {
+                crashes.after += 1;
+                crashes.begun_after += begun;
+            }
+        }
+        if let Some(fifth) = times.get(ENDS_ALLOWED - 1) {
+            let is_deadly = |a: &&Arrival| self.exchanges.get(&a.request).is_some_and(|e| e.deadly);
+            let late = self.arrivals.iter().filter(|a| a.at > *fifth + CONTACT);
+            let late = late.filter(is_deadly);
+            crashes.late = late
+                .filter(|a| self.was_in_contact(a.request.router, a.at))
+                .count();
+        }
+        crashes
     }
 
     /// Returns how many replicas of this software served new requests throughout a time.
--- a/tests/soak/handover.rs
+++ b/tests/soak/handover.rs
@@ -45,11 +45,12 @@
     },
     attempts: 0,
     releases: true,
+    crashes: false,
     net: 0,
 };
 /// The routers' networks; none is that of another test.
-const NET_OF_KILL: u64 = 120;
-const NET_OF_RELEASE: u64 = 121;
+const NET_OF_KILL: u64 = 250;
+const NET_OF_RELEASE: u64 = 251;
 const STREAMS: usize = 16;
 /// Longer than any of these tests runs.
 const DEADLINE: Duration = Duration::from_secs(60);
@@ -69,7 +70,7 @@
         target: "POST /stream/a",
         id: &id.to_string(),
         deadline: DEADLINE,
-        document: Some(id.number as u32),
+        shared: &[id.number as u32],
         resumes: first.as_ref().map(|first| Resumed { first, last }),
     };
     let mut conn = Conn::open(soak.routers[id.router].handle().callers)?;
--- a/tests/soak/history.rs
+++ b/tests/soak/history.rs
@@ -86,6 +86,10 @@
     pub(crate) answer: Option<Answered>,
     /// Whether its caller left before the end.
     pub(crate) left: bool,
+    /// Whether its prompt has the part that crashes replicas.
+    pub(crate) deadly: bool,
+    /// Whether an event of a stream was received.
+    pub(crate) begun: bool,
 }
 
 /// An answer that a caller received.
@@ -181,6 +185,8 @@
     pub(crate) exchanges: Mutex<Vec<Exchange>>,
     pub(crate) arrivals: Mutex<Vec<Arrival>>,
     pub(crate) pauses: Mutex<Vec<Pause>>,
+    /// When replicas crashed under a part of a prompt.
+    pub(crate) crashes: Mutex<Vec<Instant>>,
     pub(crate) stalls: Mutex<Vec<Stall>>,
     /// Violations that a caller sees in a single answer.
     pub(crate) violations: Mutex<Vec<String>>,
--- a/tests/soak/http.rs
+++ b/tests/soak/http.rs
@@ -1,23 +1,34 @@
 //! Blocking HTTP/1.1 of the stand-ins and callers.
 
 use std::{
+    collections::HashMap,
     io::{
         self,
         Read,
         Write, //
     },
     net::{
+        Shutdown,
         SocketAddr,
         TcpListener,
         TcpStream, //
     },
-    sync::Arc,
+    sync::{
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        },
+        Arc,
+        Mutex, //
+    },
     thread,
     time::Duration, //
 };
 
 /// Maximum number of headers in a head.
 const HEADERS_MAX: usize = 64;
+/// How often a crash looks whether the listener is closed.
+const CRASH_POLL: Duration = Duration::from_millis(1);
 /// Time limit that only a hang exceeds.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -230,21 +241,59 @@
 /// Handles one request on its connection; an error closes the connection.
 pub(crate) type Handler = dyn Fn(&Message, &mut Conn) -> io::Result<()> + Send + Sync;
 
-/// Serves a listener for as long as the process runs, with a thread for each connection.
-pub(crate) fn serve(listener: TcpListener, handler: Arc<Handler>) {
+/// A server, which may crash.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) addr: SocketAddr,
+    crashed: Arc<AtomicBool>,
+    /// Open connections, by peer address.
+    streams: Arc<Mutex<HashMap<SocketAddr, TcpStream>>>,
+}
+
+impl Server {
+    /// Closes the listener and all connections, like a process that crashes.
+    pub(crate) fn crash(&self) {
+        self.crashed.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread. The listener is closed before the connections are, so that a
+        // check of the process finds it gone.
+        while TcpStream::connect(self.addr).is_ok() {
+            thread::sleep(CRASH_POLL);
+        }
+        for (_, stream) in self.streams.lock().unwrap().drain() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Serves a listener until it crashes or the process ends, with a thread for each connection.
+pub(crate) fn serve(listener: TcpListener, handler: Arc<Handler>) -> Server {
+    let server = Server {
+        addr: listener.local_addr().unwrap(),
+        crashed: Arc::default(),
+        streams: Arc::default(),
+    };
+    let (crashed, streams) = (server.crashed.clone(), server.streams.clone());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handler = handler.clone();
+            if crashed.load(Ordering::SeqCst) {
+                return;
+            }
+            let (Ok(peer), Ok(kept)) = (stream.peer_addr(), stream.try_clone()) else {
+                continue;
+            };
+            streams.lock().unwrap().insert(peer, kept);
+            let (handler, streams) = (handler.clone(), streams.clone());
             thread::spawn(move || {
-                let Ok(mut conn) = Conn::new(stream) else {
-                    return;
-                };
-                while let Ok(request) = conn.read_request() {
-                    if handler(&request, &mut conn).is_err() {
-                        return;
+                if let Ok(mut conn) = Conn::new(stream) {
+                    while let Ok(request) = conn.read_request() {
+                        if handler(&request, &mut conn).is_err() {
+                            break;
+                        }
                     }
                 }
+                streams.lock().unwrap().remove(&peer);
             });
         }
     });
+    server
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -22,13 +22,17 @@
 use {
     self::{
         caller::Caller,
-        check::Shares,
+        check::{
+            Crashes,
+            Shares, //
+        },
         history::{
             History,
             Stall, //
         },
         plan::{
             Plan,
+            CRASHES,
             FAULTS,
             RELEASES, //
         },
@@ -100,7 +104,7 @@
 /// Before the releases of half of the seeds there is one version for longer than any stream lasts.
 const CALM: Duration = Duration::from_secs(11);
 /// Networks of the seeds of one plan.
-const NETS: u64 = 125;
+const NETS: u64 = 80;
 
 /// Numbers that show whether a run had anything to check.
 #[derive(Debug, Default)]
@@ -110,6 +114,7 @@
     leaving: usize,
     pauses: usize,
     streams: Shares,
+    crashes: Crashes,
 }
 
 impl fmt::Display for Counts {
@@ -120,6 +125,7 @@
             leaving,
             pauses,
             streams,
+            crashes,
         } = self;
         let Shares {
             new,
@@ -130,7 +136,7 @@
         write!(
             f,
             "{requests} requests, {answered} answered, {leaving} answers of leaving replicas, \
-             {pauses} pauses, {begun} of {new} streams began, {went_on} of {taken} went on"
+             {pauses} pauses, {begun} of {new} streams began, {went_on} of {taken} went on, {crashes}"
         )
     }
 }
@@ -191,6 +197,8 @@
                 numbers: numbers.clone(),
                 stop: stop.clone(),
                 rng: fastrand::Rng::with_seed(seed * 1_000 + n as u64),
+                begun: Instant::now(),
+                deadly_first: seed % 2 == 1,
             };
             caller.start()
         });
@@ -222,6 +230,7 @@
             Step::Pause(n, time) => self.replicas[n].set_pause(time),
             Step::Failing(n, failing) => self.replicas[n].set_failing(failing),
             Step::Breaking(n, breaking) => self.replicas[n].set_breaking(breaking),
+            Step::Crash(n) => self.replicas[n].crash(),
             Step::Silent(n, time) => self.replicas[n].fall_silent(time),
             Step::Replace(n, version) => {
                 self.replicas[n].replace(version);
@@ -315,7 +324,7 @@
         }
     }
 
-    fn counts(&self, streams: Shares) -> Counts {
+    fn counts(&self, (streams, crashes): (Shares, Crashes)) -> Counts {
         let exchanges = self.history.exchanges.lock().unwrap();
         let answers = || exchanges.iter().filter_map(|e| e.answer);
         Counts {
@@ -324,6 +333,7 @@
             leaving: answers().filter(|a| a.leaving).count(),
             pauses: self.history.pauses.lock().unwrap().len(),
             streams,
+            crashes,
         }
     }
 }
@@ -371,8 +381,8 @@
     for thread in threads {
         thread.join().unwrap();
     }
-    let (shares, violations) = check::violations(&soak.history);
-    (soak.counts(shares), violations)
+    let (found, violations) = check::violations(&soak.history);
+    (soak.counts(found), violations)
 }
 
 /// Returns the seeds to run: `SOAK_SEEDS` as `FIRST..END`, or two.
@@ -422,3 +432,13 @@
     let taken: usize = all.iter().map(|c| c.streams.taken).sum();
     assert!(taken > 0, "no stream was taken up again");
 }
+
+/// Guards against requests with a part that crashes replicas which go on long after the fifth crash,
+/// against sound ones with the same other parts that are rejected for it, and against answers that a
+/// crash cuts and that pass for complete ones, while routers are killed, stopped and restarted.
+#[test]
+fn soak_of_crashes() {
+    let all = soak_seeds(&CRASHES);
+    let crashes: usize = all.iter().map(|c| c.crashes.crashed).sum();
+    assert!(crashes > 0, "no replica crashed under the part");
+}
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -20,6 +20,8 @@
     pub(crate) attempts: u32,
     /// Whether replicas are replaced by others of other versions, and break streams.
     pub(crate) releases: bool,
+    /// Whether a part of some prompts crashes replicas, which also crash by themselves.
+    pub(crate) crashes: bool,
     /// Third octet of the addresses of the first seed.
     pub(crate) net: u64,
 }
@@ -67,6 +69,7 @@
     },
     attempts: 1,
     releases: false,
+    crashes: false,
     net: 0,
 };
 
@@ -101,7 +104,39 @@
     },
     attempts: 6,
     releases: true,
-    net: 125,
+    crashes: false,
+    net: 80,
+};
+
+/// Replicas that crash under one part of a prompt and by themselves, while routers are killed, stopped
+/// and restarted.
+pub(crate) const CRASHES: Plan = Plan {
+    routers: 4,
+    services: &[
+        Offer {
+            service: "llm",
+            replicas: 8,
+            engine: true,
+        },
+        Offer {
+            service: "desk",
+            replicas: 2,
+            engine: false,
+        },
+    ],
+    split: &[("llm", 1)],
+    slots: 8,
+    rejects: false,
+    callers: 20,
+    streams: StreamShape {
+        events: 8,
+        interval: Duration::from_millis(10),
+        breaks: None,
+    },
+    attempts: 1,
+    releases: false,
+    crashes: true,
+    net: 160,
 };
 
 impl Plan {
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        caller::DEADLY_PART,
         history::{
             Arrival,
             History,
@@ -16,7 +17,8 @@
             head,
             serve,
             Conn,
-            Message, //
+            Message,
+            Server, //
         },
         plan::{
             Plan,
@@ -31,6 +33,7 @@
         EXPECT_REPLICA,
         LAST_EVENT_ID,
         NOT_EXECUTED,
+        PROMPT_PREFIX,
         REPLICA_SEAL,
         RETRY_AFTER,
         SERVER_LEAVING, //
@@ -38,10 +41,7 @@
     serde_json::to_value,
     std::{
         io,
-        net::{
-            SocketAddr,
-            TcpListener, //
-        },
+        net::TcpListener,
         sync::{
             Arc,
             Mutex, //
@@ -64,6 +64,12 @@
 const BREAKING: u64 = 3;
 /// How often a silent replica looks whether it may go on.
 const SILENCE_POLL: Duration = Duration::from_millis(10);
+/// Time until a replica begins to answer a request with the deadly part, and from then until it
+/// crashes.
+const PREFILL: Duration = Duration::from_millis(20);
+const CRASH_DELAY: Duration = Duration::from_millis(60);
+/// Time from a crash until the replica is back.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 /// Start of the first replicas, in Unix milliseconds.
 const FIRST_START: u64 = 1_700_000_000_000;
 
@@ -126,7 +132,7 @@
 pub(crate) struct FakeReplica {
     number: usize,
     service: &'static str,
-    addr: SocketAddr,
+    server: Arc<Mutex<Option<Server>>>,
     shape: StreamShape,
     slots: u32,
     rejects: bool,
@@ -144,14 +150,13 @@
         history: &Arc<History>,
         store: &FakeStore,
     ) -> FakeReplica {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let replica = FakeReplica {
             number,
             service,
             shape: plan.streams,
             slots: plan.slots,
             rejects: plan.rejects,
-            addr: listener.local_addr().unwrap(),
+            server: Arc::default(),
             state: Arc::new(Mutex::new(State {
                 version: 1,
                 ..State::default()
@@ -159,13 +164,77 @@
             history: history.clone(),
             store: store.clone(),
         };
-        let handle = replica.clone();
-        serve(
+        replica.listen();
+        replica.register("ready");
+        replica
+    }
+
+    /// Accepts connections at a new address.
+    fn listen(&self) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let handle = self.clone();
+        let server = serve(
             listener,
             Arc::new(move |req, conn| handle.handle(req, conn)),
         );
-        replica.register("ready");
-        replica
+        *self.server.lock().unwrap() = Some(server);
+    }
+
+    /// Crashes, and starts again some time later under a new id and address. Its entry stays until
+    /// then, as after a crash nobody removes it.
+    pub(crate) fn crash(&self) {
+        let Some(server) = self.server.lock().unwrap().take() else {
+            return;
+        };
+        self.change(|state| state.down = true);
+        server.crash();
+        let replica = self.clone();
+        thread::spawn(move || {
+            thread::sleep(RESTART_DELAY);
+            replica.listen();
+            replica.replace(1);
+            replica.register("ready");
+        });
+    }
+
+    /// Begins the answer to a request with the deadly part in one of several ways, and crashes.
+    fn crash_under(
+        &self,
+        request: RequestId,
+        conn: &mut Conn,
+        headers: &[(&str, &str)],
+    ) -> io::Result<()> {
+        thread::sleep(PREFILL);
+        let mut headers = headers.to_vec();
+        headers.push(("Content-Type", "text/event-stream"));
+        let event = event(1, &request.to_string(), "llm@v1");
+        let until_close = format!("{}Connection: close\r\n\r\n{event}", head(200, &headers));
+        headers.push(("Transfer-Encoding", "chunked"));
+        let chunked = format!(
+            "{}\r\n{:x}\r\n{event}\r\n",
+            head(200, &headers),
+            event.len()
+        );
+        let output = match request.number % 4 {
+            0 => String::new(),
+            1 => chunked,
+            2 => until_close + "id: 2\nda",
+            _ => until_close,
+        };
+        conn.send(output.as_bytes())?;
+        thread::sleep(CRASH_DELAY);
+        if self.server.lock().unwrap().is_some() {
+            self.history.crashes.lock().unwrap().push(Instant::now());
+        }
+        self.crash();
+        Err(io::ErrorKind::ConnectionReset.into())
+    }
+
+    fn addr(&self) -> String {
+        let server = self.server.lock().unwrap();
+        server
+            .as_ref()
+            .map_or_else(String::new, |s| s.addr.to_string())
     }
 
     fn id(&self) -> String {
@@ -178,7 +247,7 @@
         let State { start, version, .. } = *self.state.lock().unwrap();
         let entry = ReplicaEntry {
             service: self.service,
-            address: self.addr.to_string(),
+            address: self.addr(),
             zone: format!("hall-{}", self.number % 2),
             version: &format!("v{version}"),
             slots: self.slots,
@@ -338,6 +407,9 @@
         }
         let seal = replica.to_string();
         headers.push((REPLICA_SEAL, &seal));
+        if has_deadly_part(req) {
+            return self.crash_under(request, conn, &headers);
+        }
         self.wait_silent();
         let fate = state.fate(request);
         match fate {
@@ -400,6 +472,13 @@
     }
 }
 
+/// Returns whether the prompt of a request has the part that crashes replicas.
+fn has_deadly_part(req: &Message) -> bool {
+    let parts = req.header(PROMPT_PREFIX).unwrap_or_default();
+    let deadly = format!("{DEADLY_PART:x}:");
+    parts.split(',').any(|part| part.starts_with(&deadly))
+}
+
 /// An answer to a request that nobody waits for.
 fn extra_answer(seal: &str) -> Vec<u8> {
     let headers = [(ATTEMPT_ID, "r9-0"), (REPLICA_SEAL, seal)];
--- a/tests/soak/schedule.rs
+++ b/tests/soak/schedule.rs
@@ -21,6 +21,8 @@
 const FAULTS: usize = 16;
 /// Replicas that break streams off or fall silent, besides.
 const BREAKS: usize = 10;
+/// Replicas that crash by themselves where a part of a prompt crashes others.
+const CRASHES: usize = 3;
 
 /// A change of one process or stand-in.
 #[derive(Debug, Clone, Copy)]
@@ -37,6 +39,8 @@
     Failing(usize, bool),
     /// Some of its streams break off.
     Breaking(usize, bool),
+    /// It crashes, and starts again under a new id some time later.
+    Crash(usize),
     /// It sends nothing for this long.
     Silent(usize, Duration),
     /// It starts again with another version, under a new id, and is listed.
@@ -56,6 +60,9 @@
 /// Returns the steps of a seed, in order.
 pub(crate) fn steps(seed: u64, plan: &Plan) -> Vec<Timed> {
     let mut rng = fastrand::Rng::with_seed(seed);
+    if plan.crashes {
+        return crashes(&mut rng, plan);
+    }
     let (replicas, routers) = (plan.replicas(), plan.routers);
     let mut steps = match plan.releases {
         true => releases(&mut rng, plan),
@@ -121,6 +128,23 @@
     steps
 }
 
+/// Replicas that crash by themselves, and routers that are killed, ended and stopped.
+fn crashes(rng: &mut fastrand::Rng, plan: &Plan) -> Vec<Timed> {
+    let mut steps = ended_routers(rng, plan);
+    for _ in 0..CRASHES {
+        let at = rng.u64(500..FAULTS_END);
+        let replica = rng.usize(..plan.services[0].replicas);
+        steps.push((at, Step::Crash(replica)));
+    }
+    for _ in 0..rng.u32(0..3) {
+        let (at, router) = (rng.u64(500..FAULTS_END), rng.usize(..plan.routers));
+        steps.push((at, Step::Stop(router)));
+        steps.push((at + rng.u64(100..1_000), Step::Cont(router)));
+    }
+    steps.sort_by_key(|(at, _)| *at);
+    steps
+}
+
 fn is_replaced(steps: &[Timed], replica: usize) -> bool {
     let of_replica = |step: &Step| matches!(step, Step::Replace(n, _) if *n == replica);
     steps.iter().any(|(_, step)| of_replica(step))
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -134,7 +134,7 @@
             state: Arc::default(),
         };
         let handle = store.clone();
-        serve(
+        let _ = serve(
             listener,
             Arc::new(move |req, conn| handle.handle(req, conn)),
         );
