gateway: an answer clears its suspects once its replica has gone on for a second

A part that crashes a replica some 100 ms after it begins to answer is cleared by its own answer where that is shorter: the answer is whole, the caller has it, and the replica crashes under it. One such answer in ten seconds was enough to keep a part from being held at all.

A complete answer now counts only once its replica has gone on for as long as a running one is suspected, a second after the first event. If the replica ends before, as this router or another one finds, or as it refuses a connection, the request is among those that it ended under. Answers that have run for longer clear at once, as before.

part_answered_before_the_crash (policy) and part_after_a_whole_answer (gateway) fail without the change: the part is never held.

--- a/crates/gateway/src/serve/outcome.rs
+++ b/crates/gateway/src/serve/outcome.rs
@@ -9,6 +9,7 @@
         http::ReadError,
         upstream::CallError, //
     },
+    std::io,
     thiserror::Error, //
 };
 
@@ -125,7 +126,12 @@
     pub(super) fn record(&self, permit: &SlotPermit) {
         match self {
             AttemptError::Call(CallError::Withdrawn) => {}
-            AttemptError::Call(CallError::Connect(_)) => permit.record_unreachable(),
+            AttemptError::Call(CallError::Connect(e)) => {
+                permit.record_unreachable();
+                if *e == io::ErrorKind::ConnectionRefused {
+                    permit.record_refused();
+                }
+            }
             AttemptError::Call(_) | AttemptError::Unsigned => permit.record_broken(),
         }
     }
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -187,6 +187,12 @@
             .is_none_or(|span| span < CRASH_SUSPECT_TIME)
     }
 
+    /// Returns for how long the replica may still crash under the request.
+    fn suspect_for(&self) -> Span {
+        let begun = self.since_first_event().unwrap_or_default();
+        CRASH_SUSPECT_TIME.saturating_sub(begun).into()
+    }
+
     /// Records that the replica sent something.
     pub(crate) fn record_output(&mut self) {
         let now = self.gw.now();
@@ -241,7 +247,11 @@
         tables.health.entry(self.key).or_default().answered(ok);
         tables.last_received.insert(self.key, now);
         if ok {
-            tables.clear_suspects(&self.suspects, now);
+            let suspects = self.suspects.clone();
+            let clears_at = now + self.suspect_for();
+            tables
+                .quarantine
+                .completed(suspects, self.key, clears_at, now);
         }
         if self.load.memory == 0 {
             tables.latencies.record(self.key, took);
@@ -294,9 +304,10 @@
             return;
         }
         let suspects = self.suspects.iter().copied();
-        let held: Vec<Suspect> = suspects
+        let mut held: Vec<Suspect> = suspects
             .filter(|s| tables.quarantine.ended(*s, self.key, now))
             .collect();
+        held.extend(tables.quarantine.replica_ended(self.key, now, now));
         drop(tables);
         log::info!(
             "event=replica outcome=ended replica={id} digest={} parts={} id={}",
@@ -304,7 +315,24 @@
             SharedParts(req),
             req.id
         );
-        log_held(&held, "own");
+        self.announce_held(&held);
+    }
+
+    /// Records that the replica refused a connection. If it takes work its process has ended, perhaps
+    /// under what it answered last.
+    pub(crate) fn record_refused(&self) {
+        let now = self.gw.now();
+        let mut tables = self.gw.tables();
+        if !tables.roster.takes_work(&self.replica.id) {
+            return;
+        }
+        let held = tables.quarantine.replica_ended(self.key, now, now);
+        drop(tables);
+        self.announce_held(&held);
+    }
+
+    fn announce_held(&self, held: &[Suspect]) {
+        log_held(held, "own");
         match held.is_empty() {
             true => self.gw.announce(),
             false => self.gw.announce_to_all(),
--- a/crates/gateway/tests/gateway/quarantine_parts.rs
+++ b/crates/gateway/tests/gateway/quarantine_parts.rs
@@ -11,6 +11,7 @@
             start_pair, //
         },
         harness::{
+            entry,
             wait_until,
             FakeStore,
             TestGateway, //
@@ -21,16 +22,19 @@
             event,
             ok_answer,
             stream_head,
+            Replica,
             SeenRequest,
             Step, //
         },
     },
     std::{
+        net::SocketAddr,
         sync::{
             Arc,
             Mutex, //
         },
-        time::Duration,
+        thread,
+        time::Duration, //
     },
 };
 
@@ -112,9 +116,13 @@
 
 /// Sends a request whose prompt has these shared parts, and a last part of its own.
 fn ask(gw: &TestGateway, path: &str, number: usize, shared: &[&str]) -> Answer {
+    ask_at(gw.settings.listen.callers, path, number, shared)
+}
+
+fn ask_at(addr: SocketAddr, path: &str, number: usize, shared: &[&str]) -> Answer {
     let own = format!("{:x}", 0x10_000 + number);
     let parts: Vec<&str> = shared.iter().copied().chain([own.as_str()]).collect();
-    let mut caller = Caller::open(gw.settings.listen.callers);
+    let mut caller = Caller::open(addr);
     let body = format!("body {number}");
     let text = format!(
         "POST {path}{number} HTTP/1.1\r\nHost: a.example\r\nX-Id: {number}\r\nX-Key: k1\r\n\
@@ -202,6 +210,38 @@
     check_quarantined(Crash::PlainUntilClose, "/again/", &shared, true);
 }
 
+/// Guards against an answer that is complete before its replica crashes and clears the part.
+#[test]
+fn part_after_a_whole_answer() {
+    let gw = TestGateway::start(&[]);
+    let addr = gw.settings.listen.callers;
+    for number in 0..ATTEMPTS {
+        let replica = Replica::start(|_, seen| {
+            let parts = seen.header("x-prompt").unwrap_or_default();
+            match (parts.contains(DEADLY), seen.body.is_empty()) {
+                (true, _) => vec![Step::Send(ok_answer(seen, "ok")), Step::Crash],
+                // Runs when the replica crashes, so that the router notices it.
+                (false, false) => vec![Step::UntilClosed],
+                (false, true) => vec![Step::Send(ok_answer(seen, "ok"))],
+            }
+        });
+        gw.store.lock().unwrap().replicas = vec![entry(&format!("i-{number}"), &replica)];
+        wait_until(|| {
+            // Each time another request, as a crash follows its answer too.
+            gw.get(&format!("/again/other{number}"), "o");
+            !replica.seen().is_empty()
+        });
+        let beside = thread::spawn(move || ask_at(addr, "/once/", 500 + number, &[]).status);
+        wait_until(|| replica.seen().iter().any(|seen| !seen.body.is_empty()));
+        let status = ask(&gw, "/once/", number, &[FIRST, DEADLY]).status;
+        if status == 503 {
+            return replica.crash();
+        }
+        assert_eq!((status, beside.join().unwrap()), (200, 502));
+    }
+    panic!("the part is not quarantined");
+}
+
 /// Guards against a part that crashes replicas anew after all routers have started again.
 #[test]
 fn part_known_to_new_router() {
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -65,6 +65,16 @@
     pub left: Span,
 }
 
+/// A complete answer that clears its suspects if its replica goes on for some time.
+#[derive(Debug, Clone)]
+struct Completed {
+    suspects: Vec<Suspect>,
+    replica: ReplicaKey,
+    at: Time,
+    /// A replica that goes on until then does not crash under it.
+    clears_at: Time,
+}
+
 /// Suspects whose requests are not sent to any replica, because replicas ended under them.
 ///
 /// # Examples
@@ -84,6 +94,8 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     records: HashMap<Suspect, Record>,
+    /// Answers whose replicas may still crash under them.
+    completed: Vec<Completed>,
     /// What was answered here recently, suspected or not.
     trusted: HashMap<Suspect, Time>,
     /// This router saw an event that it has not reported yet.
@@ -108,7 +120,8 @@
 
     /// Records that a replica answered a request with a suspect.
     pub fn answered(&mut self, suspect: Suspect, now: Time) {
-        self.trusted.insert(suspect, now);
+        let trusted = self.trusted.entry(suspect).or_insert(now);
+        *trusted = now.max(*trusted);
         let Some(record) = self.records.get_mut(&suspect) else {
             return;
         };
@@ -120,6 +133,50 @@
         self.unreported = true;
     }
 
+    /// Records that a replica completed its answer to a request with these suspects, which clears them
+    /// if the replica goes on until `clears_at`. A short answer may be complete before the replica
+    /// crashes under it.
+    pub fn completed(
+        &mut self,
+        suspects: Vec<Suspect>,
+        replica: ReplicaKey,
+        clears_at: Time,
+        now: Time,
+    ) {
+        self.completed.push(Completed {
+            suspects,
+            replica,
+            at: now,
+            clears_at,
+        });
+    }
+
+    /// Records that a replica ended, which may have crashed under what it answered last. Returns the
+    /// suspects that are held from now on.
+    pub fn replica_ended(&mut self, replica: ReplicaKey, at: Time, now: Time) -> Vec<Suspect> {
+        let of_replica = |c: &Completed| c.replica == replica && c.clears_at > at;
+        if !self.completed.iter().any(of_replica) {
+            return Vec::new();
+        }
+        let completed = std::mem::take(&mut self.completed).into_iter();
+        let (crashed, rest) = completed.partition::<Vec<_>, _>(of_replica);
+        self.completed = rest;
+        let suspects = crashed.into_iter().flat_map(|c| c.suspects);
+        let end = End {
+            replica,
+            at,
+            local: true,
+        };
+        let mut held = Vec::new();
+        for suspect in suspects {
+            self.unreported = true;
+            if self.take_end(suspect, end, now) {
+                held.push(suspect);
+            }
+        }
+        held
+    }
+
     /// Returns the remaining time of the hold of requests that have only this suspect.
     pub fn remaining(&self, suspect: Suspect, now: Time) -> Option<Span> {
         self.find_hold(&[suspect], now).map(|hold| hold.left)
@@ -159,6 +216,7 @@
                 at,
                 local: false,
             };
+            new_holds.extend(self.replica_ended(ended.replica, at, now));
             if self.take_end(ended.suspect, end, now) {
                 new_holds.push(ended.suspect);
             }
@@ -243,8 +301,16 @@
         self.held(now).filter(|(s, _)| s.kind() == kind).count()
     }
 
-    /// Drops records that are too old.
+    /// Drops records that are too old, and takes account of answers whose replicas went on.
     pub fn forget(&mut self, now: Time) {
+        let completed = std::mem::take(&mut self.completed).into_iter();
+        let (cleared, rest) = completed.partition::<Vec<_>, _>(|c| c.clears_at <= now);
+        self.completed = rest;
+        for answer in cleared {
+            for suspect in answer.suspects {
+                self.answered(suspect, answer.at);
+            }
+        }
         self.records
             .retain(|_, r| now.since(r.changed) < RECORD_RETENTION);
         self.trusted.retain(|_, at| now.since(*at) < TRUST_SPAN);
--- a/crates/policy/tests/quarantine/parts.rs
+++ b/crates/policy/tests/quarantine/parts.rs
@@ -139,6 +139,59 @@
     assert!(holds(&quarantine, &[first], at(5_000)));
 }
 
+/// Guards against ends under the deadly part that are cut from a report for newer ones of the requests
+/// around it, when the reports before it were lost.
+#[test]
+fn part_reported_once() {
+    let deadly = part(1);
+    let (mut router, mut other) = (Quarantine::default(), Quarantine::default());
+    for crash in 0..HELD_FROM - 1 {
+        let now = at(400 * u64::from(crash));
+        end(&mut router, &[deadly], crash, now);
+        for request in 0..12 {
+            let id = 1_000 * u64::from(crash) + request;
+            let suspects = [Suspect(id), part(10_000 + id), part(20_000 + id)];
+            end(&mut router, &suspects, crash, now);
+        }
+    }
+    other.apply_update(&router.full_update(at(900)), at(905));
+    end(&mut other, &[deadly], 50, at(1_200));
+    assert!(holds(&other, &[deadly], at(1_300)));
+}
+
+/// Guards against a short answer that is complete before its replica crashes, and clears the part
+/// under which it does.
+#[test]
+fn part_answered_before_the_crash() {
+    let deadly = part(1);
+    let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
+    for n in 0..HELD_FROM {
+        let (answered, crashed) = (400 * u64::from(n), 400 * u64::from(n) + 60);
+        let clears_at = at(answered + 1_000);
+        first.completed(vec![deadly], ReplicaKey(n), clears_at, at(answered));
+        first.forget(at(answered + 10));
+        // Another router sees the crash.
+        second.ended(part(100 + u64::from(n)), ReplicaKey(n), at(crashed));
+        first.apply_update(&second.full_update(at(crashed)), at(crashed + 5));
+    }
+    assert!(holds(&first, &[deadly], at(2_000)));
+    second.apply_update(&first.full_update(at(2_000)), at(2_005));
+    assert!(holds(&second, &[deadly], at(2_010)));
+}
+
+/// Guards against answers that clear nothing.
+#[test]
+fn part_answered_by_a_replica_that_goes_on() {
+    let sound = part(1);
+    let mut quarantine = after_ends(&[sound], HELD_FROM - 1);
+    quarantine.completed(vec![sound], ReplicaKey(20), at(2_000), at(1_000));
+    quarantine.forget(at(2_010));
+    // A crash later on is none of the answered request.
+    quarantine.replica_ended(ReplicaKey(20), at(2_020), at(2_020));
+    end(&mut quarantine, &[sound], 21, at(2_100));
+    assert!(!holds(&quarantine, &[sound], at(2_200)));
+}
+
 /// Guards against reports of the deadly part that get lost among those of the requests around it.
 #[test]
 fn part_reported_among_many() {
