--- a/crates/gateway/src/fleet/messages/tests.rs
+++ b/crates/gateway/src/fleet/messages/tests.rs
@@ -18,7 +18,11 @@
             Load,
             ReplicaKey, //
         },
-        quarantine::QuarantineUpdate,
+        quarantine::{
+            Quarantine,
+            QuarantineUpdate,
+            Suspect, //
+        },
         quota::{
             UsageCounts,
             WorkspaceKey, //
@@ -34,7 +38,8 @@
         EvacuationOrders,
         Incarnation,
         Revision,
-        Span, //
+        Span,
+        Time, //
     },
 };
 
@@ -185,6 +190,33 @@
     assert!(more <= 32, "{more}");
 }
 
+/// Guards against reports of many crashes that make a hello longer than a packet and a half.
+#[test]
+fn hello_message_with_crashes_is_bounded() {
+    let mut quarantine = Quarantine::default();
+    let empty = encode(PeerMessage::Hello(Box::new(hello()))).len();
+    let at = |seconds| Time(0) + Span::secs(seconds);
+    let report = |quarantine: &Quarantine, now| {
+        let mut hello = hello();
+        hello.quarantine = quarantine.full_update(now);
+        encode(PeerMessage::Hello(Box::new(hello))).len() - empty
+    };
+    for n in 0..8 {
+        let replica = ReplicaKey(u32::MAX - n);
+        quarantine.ended(Suspect(u64::MAX), replica, at(90 + u64::from(n)));
+    }
+    let one_held = report(&quarantine, at(110));
+    assert!(one_held <= 256, "{one_held}");
+    for n in 0..4_000 {
+        let suspect = Suspect(u64::MAX - n % 1_000);
+        quarantine.ended(suspect, ReplicaKey(n as u32), at(112 + n / 1_000));
+        quarantine.completed(vec![suspect], ReplicaKey(1), at(115), at(115));
+    }
+    quarantine.forget(at(115));
+    let many = report(&quarantine, at(115));
+    assert!(many <= 2_048, "{many}");
+}
+
 /// Guards against a router of an earlier version that reads nothing of a datagram which also has a
 /// message that it doesn't know.
 #[test]
