gateway: refused connections announce nothing by themselves

After a crash some twenty requests find the connection refused; each of them woke the task that sends reports, though most have nothing to tell. What a replica ended under its last answers goes out with the next message, or at once if it is held from now on.

--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -328,7 +328,10 @@
         }
         let held = tables.quarantine.replica_ended(self.key, now, now);
         drop(tables);
-        self.announce_held(&held);
+        // Many connections are refused after a crash. What it ended can wait for the next message.
+        if !held.is_empty() {
+            self.announce_held(&held);
+        }
     }
 
     fn announce_held(&self, held: &[Suspect]) {
