policy: an answer from before all ends no longer ends a hold

An answer is known a second late, or by the report of another router. One from before the first end that counts released a hold that rests on later ends only, until the next replica ended. It now ends the hold only if it clears an end. part_answered_before_all_ends fails without it.

--- a/crates/policy/src/quarantine/mod.rs
+++ b/crates/policy/src/quarantine/mod.rs
@@ -13,6 +13,7 @@
 //! rejected.
 
 mod record;
+mod report;
 mod suspect;
 mod table;
 mod update;
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -87,12 +87,16 @@
         likelier && !other.is_always_with(self)
     }
 
-    /// Records an answer, which clears the suspect of everything before.
+    /// Records an answer, which clears the suspect of everything before. A hold for later ends alone
+    /// goes on.
     pub(super) fn answer(&mut self, at: Time, local: bool) {
         self.answered = self.answered.max(Some(at));
         self.answer_is_local = local;
-        self.ends.retain(|e| e.at > at);
-        self.until = None;
+        let all_later = !self.ends.is_empty() && self.ends.iter().all(|e| e.at > at);
+        if !all_later {
+            self.ends.retain(|e| e.at > at);
+            self.until = None;
+        }
     }
 
     /// Counts the ends at which none of the other suspects was, with at most [`SIMULTANEOUS_MAX`]
--- a/crates/policy/tests/quarantine/parts.rs
+++ b/crates/policy/tests/quarantine/parts.rs
@@ -179,6 +179,23 @@
     assert!(holds(&second, &[deadly], at(2_010)));
 }
 
+/// Guards against a hold that ends for an answer from before the first end, which is known late.
+#[test]
+fn part_answered_before_all_ends() {
+    let deadly = part(1);
+    let mut quarantine = Quarantine::default();
+    quarantine.completed(vec![deadly], ReplicaKey(20), at(1_000), at(0));
+    for n in 0..HELD_FROM {
+        end(&mut quarantine, &[deadly], n, at(200 + 200 * u64::from(n)));
+    }
+    quarantine.forget(at(1_010));
+    assert!(holds(&quarantine, &[deadly], at(1_020)));
+    let update = quarantine.full_update(at(1_020));
+    let mut other = Quarantine::default();
+    other.apply_update(&update, at(1_025));
+    assert!(holds(&other, &[deadly], at(1_030)));
+}
+
 /// Guards against answers that clear nothing.
 #[test]
 fn part_answered_by_a_replica_that_goes_on() {
