policy: ends in quick succession no longer all count as simultaneous

Traced with a line for each check: all crashes were recognised (9 of 9 probes found the process gone) and no answer cleared any; they came 8 to 20 ms apart, and each end within 40 ms of the one before joined it, so that of any number two counted. Ruled out by that run: probes that time out, and answers. In a large fleet a suspect that crashes 25 replicas a second would never be held.

Simultaneous ends now span 64 ms at most. The tests of failures of racks (60 ms) stay as they are; quarantine_ends_in_quick_succession fails without.

--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -14,6 +14,9 @@
 /// harmless request on hold. A request that does crash replicas is retried, and is there at other
 /// times too.
 const SIMULTANEOUS_MAX: usize = 2;
+/// Longest time from the first to the last of simultaneous ends. A suspect that many requests have
+/// crashes one replica right after the other.
+const SIMULTANEOUS_MAX_SPAN: Span = Span::millis(64);
 /// Ends that are kept of one suspect, the newest.
 const ENDS_MAX: usize = 32;
 
@@ -102,13 +105,19 @@
     /// Counts the ends at which none of the other suspects was, with at most [`SIMULTANEOUS_MAX`]
     /// simultaneous ones.
     pub(super) fn count_without(&self, others: &[&Record]) -> usize {
+        let mut first = Time(0);
         let mut last: Option<Time> = None;
         let mut simultaneous = 0;
         let mut count = 0;
         let explained = |e: &End| others.iter().any(|other| other.has_end(e.replica));
         for end in self.ends.iter().filter(|e| !explained(e)) {
-            let same = last.is_some_and(|at| end.at.since(at) < SIMULTANEOUS_SPAN);
-            simultaneous = if same { simultaneous + 1 } else { 1 };
+            let close = last.is_some_and(|at| end.at.since(at) < SIMULTANEOUS_SPAN);
+            let same = close && end.at.since(first) < SIMULTANEOUS_MAX_SPAN;
+            if !same {
+                first = end.at;
+                simultaneous = 0;
+            }
+            simultaneous += 1;
             count += usize::from(simultaneous <= SIMULTANEOUS_MAX);
             last = Some(end.at);
         }
--- a/crates/policy/tests/quarantine/main.rs
+++ b/crates/policy/tests/quarantine/main.rs
@@ -75,6 +75,13 @@
     assert_eq!(quarantine.remaining(DEADLY, at(100)), None);
 }
 
+/// Guards against ends that follow each other so quickly that they all count as simultaneous.
+#[test]
+fn quarantine_ends_in_quick_succession() {
+    let quarantine = after_ends(&[0, 20, 40, 60, 80, 100]);
+    assert!(quarantine.remaining(DEADLY, at(120)).is_some());
+}
+
 #[test]
 fn quarantine_two_at_once() {
     // Two copies end a replica each within 20 ms, and a third one does so three seconds later, when
