gateway: an answer clears its whole request at once, also if the replica crashes

Each replica had answered it and crashed within a second under the deadly part, and since a complete answer counts only once its replica has gone on, it was at three ends and held.

A caller that has its answer does not repeat the request, so whole requests are cleared by their answers at once, as before; only parts, which other requests have too, wait. Ruled out: a slow list of replicas (the other nine tests with the same wait passed in that run).

part_beside_a_frequent_request fails without it.

--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -27,7 +27,10 @@
             Prompt,
             ReplicaKey, //
         },
-        quarantine::Suspect,
+        quarantine::{
+            Suspect,
+            SuspectKind, //
+        },
         quota::WorkspaceKey,
         AnswerState,
         Span,
@@ -247,11 +250,16 @@
         tables.health.entry(self.key).or_default().answered(ok);
         tables.last_received.insert(self.key, now);
         if ok {
-            let suspects = self.suspects.clone();
             let clears_at = now + self.suspect_for();
-            tables
-                .quarantine
-                .completed(suspects, self.key, clears_at, now);
+            let is_part = |s: &Suspect| s.kind() == SuspectKind::PromptPart;
+            let (parts, request) = self
+                .suspects
+                .iter()
+                .copied()
+                .partition::<Vec<_>, _>(is_part);
+            // A caller that has its answer does not repeat the request.
+            tables.clear_suspects(&request, now);
+            tables.quarantine.completed(parts, self.key, clears_at, now);
         }
         if self.load.memory == 0 {
             tables.latencies.record(self.key, took);
--- a/crates/gateway/tests/gateway/quarantine_parts.rs
+++ b/crates/gateway/tests/gateway/quarantine_parts.rs
@@ -242,6 +242,22 @@
     panic!("the part is not quarantined");
 }
 
+/// Guards against a frequent request that is held because each replica which answers it crashes right
+/// after, under another one.
+#[test]
+fn part_beside_a_frequent_request() {
+    let mut replicas = Replicas::start(crash_on_part(Crash::BeforeAnswer));
+    let gw = TestGateway::start(&[("i-1", &replicas.up[0].1)]);
+    for number in 0..ATTEMPTS {
+        replicas.list_running(&[&gw]);
+        // Any of the replicas may be the next that crashes.
+        for _ in 0..8 {
+            assert_eq!(gw.get("/again/frequent", "f").status, 200);
+        }
+        ask(&gw, "/once/", number, &[FIRST, DEADLY]);
+    }
+}
+
 /// Guards against a part that crashes replicas anew after all routers have started again.
 #[test]
 fn part_known_to_new_router() {
