--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -58,6 +58,25 @@
     })
 }
 
+/// Starts a gateway that knows of a first one only what that wrote into the store.
+pub(crate) fn start_after(first: &TestGateway) -> TestGateway {
+    let store = {
+        let store = first.store.lock().unwrap();
+        FakeStore {
+            config: store.config.clone(),
+            revision: 1,
+            replicas: store.replicas.clone(),
+            registered: store.registered.clone(),
+            ..FakeStore::default()
+        }
+    };
+    let second = TestGateway::start_with(Arc::new(Mutex::new(store)), "g2", |_| {});
+    second.wait_ready();
+    // It reads the entries of other routers half a second after its start.
+    wait_until(|| advertised_addresses(&second).len() == 2);
+    second
+}
+
 /// Returns the addresses that an instance lists for callers.
 pub(crate) fn advertised_addresses(gw: &TestGateway) -> Vec<String> {
     let mut caller = crate::caller::Caller::open(gw.settings.listen.addresses);
--- a/crates/gateway/tests/gateway/quarantine.rs
+++ b/crates/gateway/tests/gateway/quarantine.rs
@@ -7,7 +7,7 @@
             Caller, //
         },
         fleet::{
-            advertised_addresses,
+            start_after,
             start_pair, //
         },
         harness::{
@@ -116,20 +116,7 @@
     wait_until(|| entry(&first.store.lock().unwrap()) != before);
     replicas.list_running(&[&first]);
     let crashed = replicas.crashed();
-    let store = {
-        let store = first.store.lock().unwrap();
-        FakeStore {
-            config: store.config.clone(),
-            revision: 1,
-            replicas: store.replicas.clone(),
-            registered: store.registered.clone(),
-            ..FakeStore::default()
-        }
-    };
-    let second = TestGateway::start_with(Arc::new(Mutex::new(store)), "g2", |_| {});
-    second.wait_ready();
-    // It reads the entries of other routers half a second after its start.
-    wait_until(|| advertised_addresses(&second).len() == 2);
+    let second = start_after(&first);
     assert_eq!(post(&second, "k1", 91, "deadly").status, 503);
     assert_eq!(replicas.crashed(), crashed);
 }
--- a/crates/gateway/tests/gateway/quarantine_parts.rs
+++ b/crates/gateway/tests/gateway/quarantine_parts.rs
@@ -7,13 +7,12 @@
             Caller, //
         },
         fleet::{
-            advertised_addresses,
+            start_after,
             start_pair, //
         },
         harness::{
             entry,
             wait_until,
-            FakeStore,
             TestGateway, //
         },
         replacements::Replicas,
@@ -29,10 +28,6 @@
     },
     std::{
         net::SocketAddr,
-        sync::{
-            Arc,
-            Mutex, //
-        },
         thread,
         time::Duration, //
     },
@@ -275,20 +270,7 @@
     wait_until(|| written(&first) != before);
     replicas.list_running(&[&first]);
     let crashed = replicas.crashed();
-    let store = {
-        let store = first.store.lock().unwrap();
-        FakeStore {
-            config: store.config.clone(),
-            revision: 1,
-            replicas: store.replicas.clone(),
-            registered: store.registered.clone(),
-            ..FakeStore::default()
-        }
-    };
-    let second = TestGateway::start_with(Arc::new(Mutex::new(store)), "g2", |_| {});
-    second.wait_ready();
-    // It reads the entries of other routers half a second after its start.
-    wait_until(|| advertised_addresses(&second).len() == 2);
+    let second = start_after(&first);
     assert_eq!(ask(&second, "/once/", 90, &[FIRST, DEADLY]).status, 503);
     assert_eq!(replicas.crashed(), crashed);
     // The other part is not rejected, though no answer has cleared it.
