policy: ends of a retried request count although they follow at once

A request that was sent after the end before is no copy that ran at that time. A router now keeps when it sent the request, and such an end counts by itself. Peers' reports don't tell it and count as before: their message is unchanged, and the attempts of one request are at one router.

quarantine_retried_within_milliseconds fails without it. The tests of rack failures and the fleets in virtual time pass unchanged but for the new argument; the fleets pass the real times of sending.

--- a/crates/gateway/src/fleet/messages/tests.rs
+++ b/crates/gateway/src/fleet/messages/tests.rs
@@ -203,13 +203,13 @@
     };
     for n in 0..8 {
         let replica = ReplicaKey(u32::MAX - n);
-        quarantine.ended(Suspect(u64::MAX), replica, at(90 + u64::from(n)));
+        quarantine.ended(Suspect(u64::MAX), replica, Time(0), at(90 + u64::from(n)));
     }
     let one_held = report(&quarantine, at(110));
     assert!(one_held <= 256, "{one_held}");
     for n in 0..4_000 {
         let suspect = Suspect(u64::MAX - n % 1_000);
-        quarantine.ended(suspect, ReplicaKey(n as u32), at(112 + n / 1_000));
+        quarantine.ended(suspect, ReplicaKey(n as u32), Time(0), at(112 + n / 1_000));
         quarantine.completed(vec![suspect], ReplicaKey(1), at(115), at(115));
     }
     quarantine.forget(at(115));
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -313,7 +313,7 @@
         }
         let suspects = self.suspects.iter().copied();
         let mut held: Vec<Suspect> = suspects
-            .filter(|s| tables.quarantine.ended(*s, self.key, now))
+            .filter(|s| tables.quarantine.ended(*s, self.key, self.sent_at, now))
             .collect();
         held.extend(tables.quarantine.replica_ended(self.key, now, now));
         drop(tables);
--- a/crates/policy/src/quarantine/record.rs
+++ b/crates/policy/src/quarantine/record.rs
@@ -25,6 +25,8 @@
 pub(super) struct End {
     pub(super) replica: ReplicaKey,
     pub(super) at: Time,
+    /// When the request was sent that the replica ended under, if this router sent it.
+    pub(super) sent_at: Option<Time>,
     /// Whether this router saw it.
     pub(super) local: bool,
 }
@@ -112,7 +114,9 @@
         let explained = |e: &End| others.iter().any(|other| other.has_end(e.replica));
         for end in self.ends.iter().filter(|e| !explained(e)) {
             let close = last.is_some_and(|at| end.at.since(at) < SIMULTANEOUS_SPAN);
-            let same = close && end.at.since(first) < SIMULTANEOUS_MAX_SPAN;
+            // A request that was sent after the end before is no copy that ran at that time.
+            let repeated = last.is_some_and(|at| end.sent_at.is_some_and(|sent| sent > at));
+            let same = close && !repeated && end.at.since(first) < SIMULTANEOUS_MAX_SPAN;
             if !same {
                 first = end.at;
                 simultaneous = 0;
--- a/crates/policy/src/quarantine/report.rs
+++ b/crates/policy/src/quarantine/report.rs
@@ -43,6 +43,7 @@
             let end = End {
                 replica: ended.replica,
                 at,
+                sent_at: None,
                 local: false,
             };
             new_holds.extend(self.replica_ended(ended.replica, at, now));
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -67,7 +67,7 @@
 /// for n in 0..3 {
 ///     let now = Time(0) + Span::secs(n);
 ///     assert_eq!(quarantine.remaining(suspect, now), None);
-///     quarantine.ended(suspect, ReplicaKey(n as u32), now);
+///     quarantine.ended(suspect, ReplicaKey(n as u32), Time(0), now);
 /// }
 /// assert!(quarantine.remaining(suspect, Time(0) + Span::secs(3)).is_some());
 /// ```
@@ -88,10 +88,20 @@
 impl Quarantine {
     /// Records that a replica ended which had just started a request with a suspect, or was about to.
     /// Returns whether this starts a hold.
-    pub fn ended(&mut self, suspect: Suspect, replica: ReplicaKey, now: Time) -> bool {
+    ///
+    /// `sent_at` is when the request was sent. One that was sent after the end of another replica
+    /// didn't run there at the same time, however soon after it the replica ends.
+    pub fn ended(
+        &mut self,
+        suspect: Suspect,
+        replica: ReplicaKey,
+        sent_at: Time,
+        now: Time,
+    ) -> bool {
         let end = End {
             replica,
             at: now,
+            sent_at: Some(sent_at),
             local: true,
         };
         self.unreported = true;
@@ -145,6 +155,7 @@
         let end = End {
             replica,
             at,
+            sent_at: None,
             local: true,
         };
         let mut held = Vec::new();
--- a/crates/policy/tests/quarantine/fleet.rs
+++ b/crates/policy/tests/quarantine/fleet.rs
@@ -270,7 +270,7 @@
         let ended = std::mem::replace(&mut self.replicas[n], back);
         for run in ended.runs {
             let router = &mut self.routers[run.router];
-            router.ended(run.digest, ended.key, self.now);
+            router.ended(run.digest, ended.key, run.began, self.now);
             // A router that saw an end reports it at once.
             self.next_send[run.router] = self.now;
             if run.attempts < ATTEMPTS_MAX {
--- a/crates/policy/tests/quarantine/main.rs
+++ b/crates/policy/tests/quarantine/main.rs
@@ -32,7 +32,7 @@
 
 /// Records the end of a replica under the deadly request. Returns whether a hold starts.
 fn end(quarantine: &mut Quarantine, replica: u32, now: Time) -> bool {
-    quarantine.ended(DEADLY, ReplicaKey(replica), now)
+    quarantine.ended(DEADLY, ReplicaKey(replica), Time(0), now)
 }
 
 /// Returns a router at which replicas ended under the deadly request at these times, in
@@ -82,6 +82,18 @@
     assert!(quarantine.remaining(DEADLY, at(120)).is_some());
 }
 
+/// Guards against ends of a retried request that count as simultaneous, as its replicas crash within
+/// some milliseconds.
+#[test]
+fn quarantine_retried_within_milliseconds() {
+    let mut quarantine = Quarantine::default();
+    let ends = (0..3).map(|n| {
+        let sent = at(10 * n);
+        quarantine.ended(DEADLY, ReplicaKey(n as u32), sent, sent + Span::millis(8))
+    });
+    assert_eq!(ends.collect::<Vec<_>>(), [false, false, true]);
+}
+
 #[test]
 fn quarantine_two_at_once() {
     // Two copies end a replica each within 20 ms, and a third one does so three seconds later, when
@@ -225,7 +237,7 @@
     for n in 0..20_000 {
         let now = at(1_000 + n);
         let digest = Suspect(1_000_000 + n);
-        quarantine.ended(digest, ReplicaKey(n as u32), now);
+        quarantine.ended(digest, ReplicaKey(n as u32), Time(0), now);
     }
     assert!(quarantine.remaining(DEADLY, at(25_000)).is_some());
     assert!(quarantine.full_update(at(21_000)).ended.len() <= 32);
--- a/crates/policy/tests/quarantine/parts.rs
+++ b/crates/policy/tests/quarantine/parts.rs
@@ -32,7 +32,7 @@
 /// Records that a replica ended under requests with these suspects.
 fn end(quarantine: &mut Quarantine, suspects: &[Suspect], replica: u32, now: Time) {
     for suspect in suspects {
-        quarantine.ended(*suspect, ReplicaKey(replica), now);
+        quarantine.ended(*suspect, ReplicaKey(replica), Time(0), now);
     }
 }
 
@@ -171,7 +171,12 @@
         first.completed(vec![deadly], ReplicaKey(n), clears_at, at(answered));
         first.forget(at(answered + 10));
         // Another router sees the crash.
-        second.ended(part(100 + u64::from(n)), ReplicaKey(n), at(crashed));
+        second.ended(
+            part(100 + u64::from(n)),
+            ReplicaKey(n),
+            Time(0),
+            at(crashed),
+        );
         first.apply_update(&second.full_update(at(crashed)), at(crashed + 5));
     }
     assert!(holds(&first, &[deadly], at(2_000)));
@@ -256,7 +261,12 @@
     let mut quarantine = after_ends(&[deadly], HELD_FROM - 1);
     for n in 0..20_000 {
         let now = at(2_000 + n);
-        quarantine.ended(part(1_000 + n), ReplicaKey(100 + n as u32 % 50), now);
+        quarantine.ended(
+            part(1_000 + n),
+            ReplicaKey(100 + n as u32 % 50),
+            Time(0),
+            now,
+        );
     }
     end(&mut quarantine, &[deadly], 99, at(23_000));
     assert!(holds(&quarantine, &[deadly], at(23_001)));
--- a/crates/policy/tests/quarantine/parts_fleet.rs
+++ b/crates/policy/tests/quarantine/parts_fleet.rs
@@ -102,6 +102,8 @@
     deadly: bool,
     router: usize,
     attempts: u32,
+    /// When it was sent to the replica.
+    began: Time,
     /// When it is answered, or ends the replica.
     ends: Time,
 }
@@ -205,6 +207,7 @@
             deadly,
             router,
             attempts: 1,
+            began: Time(0),
             ends: Time(0),
         };
         let begun = self.send(run);
@@ -235,6 +238,7 @@
             true => Span::millis(self.rng.u64(50..130)),
             false => Span::millis(self.rng.u64(200..1_200)),
         };
+        run.began = self.now;
         run.ends = self.now + read + write;
         if run.deadly {
             let late = |fifth: Time| self.now >= fifth + LATE_AFTER;
@@ -312,7 +316,7 @@
         let ended = std::mem::replace(&mut self.replicas[n], back);
         for run in &ended.runs {
             for suspect in &run.suspects {
-                self.routers[run.router].ended(*suspect, ended.key, self.now);
+                self.routers[run.router].ended(*suspect, ended.key, run.began, self.now);
             }
             // A router that saw an end reports it at once.
             self.next_send[run.router] = self.now;
