gateway: a crash that closes connections before the listener is recognised

soak_of_crashes failed once in eleven runs on a busy machine: a stream without length that a crash cut at the end of an event was passed on as complete. The check whether the replica has ended opens one connection, and finds it accepted as long as the listener is open. In the soak two requests crash one replica at a time; the connection of the second is closed while the first still closes the listener.

The check after a lost connection is as it was: there the next attempt waits.

--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -16,7 +16,7 @@
             Tables, //
         },
         upstream::{
-            has_ended,
+            has_ended_or_ends,
             Reply, //
         },
     },
@@ -290,7 +290,7 @@
         if !reply.body.ends_with_connection() || !self.takes_work() {
             return Ok(());
         }
-        match has_ended(&self.replica, &self.gw.pool).await {
+        match has_ended_or_ends(&self.replica, &self.gw.pool).await {
             true => Err(ReadError::Closed),
             false => Ok(()),
         }
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -19,5 +19,8 @@
         EventSplitter, //
     },
     pool::Pool,
-    probe::has_ended,
+    probe::{
+        has_ended,
+        has_ended_or_ends, //
+    },
 };
--- a/crates/gateway/tests/gateway/quarantine_parts.rs
+++ b/crates/gateway/tests/gateway/quarantine_parts.rs
@@ -46,6 +46,8 @@
 const ATTEMPTS: usize = 16;
 /// Time until a replica crashes that has begun to answer.
 const CRASH_DELAY: Duration = Duration::from_millis(60);
+/// Time between the closing of a crashed process's connections and of its listener.
+const LISTENER_DELAY: Duration = Duration::from_millis(10);
 
 /// How a replica behaves that gets the deadly part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -205,6 +207,23 @@
     check_quarantined(Crash::PlainUntilClose, "/again/", &shared, true);
 }
 
+/// Guards against a stream that is cut by a crash and passes for a complete one, as the operating
+/// system closes its connection before the listener of the crashed process.
+#[test]
+fn part_connection_closed_before_listener() {
+    let replica = Replica::start(|_, seen| match seen.header("x-prompt").is_some() {
+        true => vec![
+            Step::Send(Crash::AfterEventUntilClose.output(seen)),
+            Step::Pause(CRASH_DELAY),
+            Step::CrashLate(LISTENER_DELAY),
+        ],
+        false => vec![Step::Send(ok_answer(seen, "ok"))],
+    });
+    let gw = TestGateway::start(&[("i-1", &replica)]);
+    let got = ask(&gw, "/stream/", 0, &[FIRST, DEADLY]);
+    assert!(got.status != 200 || !got.complete, "{got:?}");
+}
+
 /// Guards against an answer that is complete before its replica crashes and clears the part.
 #[test]
 fn part_after_a_whole_answer() {
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -48,6 +48,8 @@
     Close,
     /// The replica's process crashes: all connections are closed and new ones refused.
     Crash,
+    /// The same, but this connection is closed so much earlier than the listener.
+    CrashLate(Duration),
 }
 
 type Script = dyn Fn(usize, &SeenRequest) -> Vec<Step> + Send + Sync;
@@ -152,6 +154,11 @@
                     }
                     Step::Close => return,
                     Step::Crash => return self.crash(),
+                    Step::CrashLate(time) => {
+                        let _ = stream.shutdown(Shutdown::Both);
+                        thread::sleep(time);
+                        return self.crash();
+                    }
                 }
             }
             if self.early && !discard_body(&mut stream, &mut buf, seen.length()) {
