policy: a service is tolerant if its shortest latency target is 600 ms or more

What is to come for two new deployments trades some tens of milliseconds until the first event for locality, for a wait or for better estimates. Their shortest targets are 800 ms; those of the deployments so far are 250 to 400 ms, which leave no room for that. Nothing uses it yet.

--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -98,6 +98,10 @@
     pub retry_ms: f64,
     /// Fraction of an engine's memory that the fleet fills. The rest holds cached parts.
     pub memory: f64,
+    /// A service is tolerant if the shortest latency target among its streaming routes is at least
+    /// this long, in milliseconds. With shorter targets a decision that delays a request by some ten
+    /// milliseconds makes it late.
+    pub tolerant_ms: f64,
 }
 
 impl Default for Tuning {
@@ -124,11 +128,28 @@
             slots: 1.0,
             retry_ms: 50.0,
             memory: 0.85,
+            tolerant_ms: 600.0,
         }
     }
 }
 
 impl Tuning {
+    /// Returns whether a service is tolerant, given the shortest latency target among its streaming
+    /// routes.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use policy::{placement::Tuning, Span};
+    ///
+    /// let tuning = Tuning::default();
+    /// assert!(tuning.is_tolerant(Span::millis(800)));
+    /// assert!(!tuning.is_tolerant(Span::millis(400)));
+    /// ```
+    pub fn is_tolerant(&self, shortest_target: Span) -> bool {
+        shortest_target.as_secs() * 1e3 >= self.tolerant_ms
+    }
+
     /// Returns the fullness up to which engines other than the preferred replicas take requests of
     /// a workspace.
     pub fn spill_limit(&self, standing: UsageStanding, load_interval: Span) -> Fullness {
