policy: the fleet estimates the reading speeds of engines together

With engines of several speeds, a router that learns alone has less than two samples of an engine after 5 s, and assumes 90 tokens/ms until then.

FleetSpeeds weighs the first samples more, combines the means of all routers by their number of recent samples (weighted median, reports expire after 10 s), and counts an engine as slower while the oldest prompt of this router is overdue, which fades within 400 ms after it was read. A request that reads less than half of the unread tokens is no sample: an engine that reads in turns may not have read the others. Speeds is unchanged.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -3,11 +3,12 @@
 //! Each router decides by itself, from its own requests and the latest reports of its peers, so a
 //! decision needs no round trip. [`Board`] sums up the load, [`Health`] detects replicas that fail
 //! or are silent, [`Cooldowns`] knows those that asked for a pause, [`Speeds`] learns how fast engines
-//! read prompts, and [`pick`] and [`pick_plain`] choose.
+//! read prompts, [`FleetSpeeds`] combines that with the samples of its peers, and [`pick`] and [`pick_plain`] choose.
 
 mod board;
 mod cooldown;
 mod engine;
+mod fleet_speed;
 mod health;
 mod latency;
 mod pick;
@@ -34,6 +35,12 @@
         Part,
         Prompt, //
     },
+    fleet_speed::{
+        FleetSpeeds,
+        Reading,
+        SpeedRange,
+        SpeedReport, //
+    },
     health::Health,
     latency::Latencies,
     pick::{
--- a/crates/policy/src/placement/speed.rs
+++ b/crates/policy/src/placement/speed.rs
@@ -9,15 +9,15 @@
 };
 
 /// Assumed speed of an unknown engine, in tokens per millisecond. Idle engines read 82 to 157.
-const DEFAULT_SPEED: f64 = 90.0;
+pub(super) const DEFAULT_SPEED: f64 = 90.0;
 /// Lowest and highest plausible speed, in tokens per millisecond; samples are clamped to it.
-const SPEED_RANGE: (f64, f64) = (4.0, 400.0);
+pub(super) const SPEED_RANGE: (f64, f64) = (4.0, 400.0);
 /// Weight of a new sample in the mean.
 const SMOOTHING: f64 = 0.05;
 /// Samples with fewer unread tokens depend on the network and on generation more than on reading.
 const SAMPLE_MIN_TOKENS: u64 = 3_000;
 /// Time to the first event that is not spent on reading: network, one engine step and its token.
-const OVERHEAD_MS: f64 = 25.0;
+pub(super) const OVERHEAD_MS: f64 = 25.0;
 
 /// The reading speed of each engine.
 ///
