gateway: routers share the reading speeds of engines

Requests of tolerant services are placed with the estimate of the fleet. Samples are taken of their streams that need not wait for a slot. Active routers get them as ReplicaSpeeds, last in the datagram of a hello, while a service of the configuration in force is tolerant. Other services use and send what they did before. New: gauge chervilwind_engine_speed, speed= in the log line of placed requests.

Measured: a hello with the longest list (300 engines) is below 4 KB, as a test checks.

--- a/crates/gateway/src/fleet/messages.rs
+++ b/crates/gateway/src/fleet/messages.rs
@@ -5,7 +5,8 @@
         actives::RouterInfo,
         placement::{
             Load,
-            ReplicaKey, //
+            ReplicaKey,
+            SpeedReport, //
         },
         quarantine::QuarantineUpdate,
         quota::{
@@ -68,6 +69,8 @@
     StreamQuery(StreamQuery),
     /// Answers a query.
     StreamAnswer(StreamAnswer),
+    /// How fast engines read prompts; last in the datagram of a hello to active routers.
+    ReplicaSpeeds(SpeedsMessage),
 }
 
 /// The question what began a stream.
@@ -89,6 +92,14 @@
     pub(crate) knowledge: Knowledge,
 }
 
+/// Speeds that a router measured since its last report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct SpeedsMessage {
+    /// Short name of the sender's current start.
+    pub(crate) from: u32,
+    pub(crate) speeds: Vec<SpeedReport>,
+}
+
 /// Fields that all messages have in common.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub(crate) struct MessageHeader {
--- a/crates/gateway/src/fleet/messages/tests.rs
+++ b/crates/gateway/src/fleet/messages/tests.rs
@@ -8,6 +8,7 @@
         MessageHeader,
         PeerMessage,
         SenderState,
+        SpeedsMessage,
         StreamAnswer,
         StreamQuery,
         SummaryMessage, //
@@ -16,7 +17,8 @@
         actives::RouterInfo,
         placement::{
             Load,
-            ReplicaKey, //
+            ReplicaKey,
+            SpeedReport, //
         },
         quarantine::{
             Quarantine,
@@ -262,6 +264,51 @@
     assert_eq!(received, sent);
 }
 
+fn speeds(n: u32) -> PeerMessage {
+    let report = |n| SpeedReport {
+        replica: ReplicaKey(u32::MAX - n),
+        speed: u16::MAX,
+        samples: u8::MAX,
+    };
+    PeerMessage::ReplicaSpeeds(SpeedsMessage {
+        from: u32::MAX,
+        speeds: (0..n).map(report).collect(),
+    })
+}
+
+#[test]
+fn replica_speeds_are_small() {
+    // A few bytes for each engine, so that the longest list takes a quarter of the receiver's buffer.
+    let sent = Datagram(vec![PeerMessage::Hello(Box::new(hello())), speeds(300)]);
+    let bytes = sent.encode().unwrap();
+    assert!(bytes.len() <= 4 * 1024, "{}", bytes.len());
+    assert_eq!(Datagram::decode(&bytes).0, sent);
+}
+
+/// Guards against speeds because of which a router of an earlier version loses the messages before
+/// them.
+#[test]
+fn replica_speeds_keep_earlier_messages() {
+    /// The messages before the speeds, as a router without that variant knows them.
+    #[derive(Debug, PartialEq, serde::Deserialize)]
+    enum Earlier {
+        Hello(Box<HelloMessage>),
+        LeavingReplicas(Vec<ReplicaKey>),
+    }
+    let leaving = vec![ReplicaKey(7)];
+    let sent = Datagram(vec![
+        PeerMessage::Hello(Box::new(hello())),
+        PeerMessage::LeavingReplicas(leaving.clone()),
+        speeds(3),
+    ]);
+    let bytes = sent.encode().unwrap();
+    let mut rest = &bytes[..];
+    let mut read = || rmp_serde::from_read::<_, Earlier>(&mut rest);
+    assert_eq!(read().unwrap(), Earlier::Hello(Box::new(hello())));
+    assert_eq!(read().unwrap(), Earlier::LeavingReplicas(leaving));
+    assert!(read().is_err());
+}
+
 fn stream_record(key: u64) -> StreamRecord {
     StreamRecord {
         key: StreamKey(u64::MAX - key),
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod receiver;
 mod replica_list;
 mod sender;
+mod speeds;
 mod streams;
 
 pub(crate) use self::{
--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -128,6 +128,7 @@
             PeerMessage::StreamRecords(records) => self.apply_streams(&records),
             PeerMessage::StreamQuery(query) => streams::answer(&self.gw, query, from).await,
             PeerMessage::StreamAnswer(answer) => self.gw.lookups.receive(answer, from),
+            PeerMessage::ReplicaSpeeds(speeds) => self.gw.apply_speeds(&speeds),
         }
     }
 
--- a/crates/gateway/src/fleet/sender.rs
+++ b/crates/gateway/src/fleet/sender.rs
@@ -135,6 +135,7 @@
     let config = gw.config_version();
     let number = gw.next_message_number();
     let urgent = gw.take_urgent();
+    let shares_speeds = gw.shares_speeds();
     let mut tables = gw.tables();
     tables.fleet.set_ready(ready);
     let loads = tables.board.report();
@@ -159,7 +160,8 @@
     // next replica within about 100 ms.
     let unreported = tables.quarantine.take_unreported();
     if unreported || state.intervals % HELLO_EVERY == 1 {
-        datagrams.extend(tables.hellos(&header_state, &due, now));
+        tables.fleet_speeds.forget(now);
+        datagrams.extend(tables.hellos(&header_state, &due, shares_speeds, now));
     }
     datagrams.extend(tables.summaries(&header_state, &due, now));
     for (to, next) in [
@@ -205,7 +207,15 @@
     }
 
     /// Returns hello messages, with counts, for the active routers and the busy standbys.
-    fn hellos(&mut self, state: &SenderState, due: &Recipients, now: Time) -> Vec<Addressed> {
+    ///
+    /// Active routers also get the speeds of engines, if these are shared.
+    fn hellos(
+        &mut self,
+        state: &SenderState,
+        due: &Recipients,
+        shares_speeds: bool,
+        now: Time,
+    ) -> Vec<Addressed> {
         let active: Vec<SocketAddr> = due
             .active_peers
             .iter()
@@ -218,12 +228,21 @@
             return all;
         }
         let counts = self.quota.report(now);
-        for (to, next) in [(active, due.active_next), (busy, due.busy_next)] {
+        let mut speeds = None;
+        if shares_speeds && !active.is_empty() {
+            speeds = self.speeds_message(state.from, now);
+        }
+        for (to, next, speeds) in [
+            (active, due.active_next, speeds),
+            (busy, due.busy_next, None),
+        ] {
             if !to.is_empty() {
                 let mut hello = self.hello(state, next, now);
                 hello.quarantine = self.quarantine.full_update(now);
                 hello.counts = counts.clone();
-                all.push((self.datagram(hello, now), to));
+                let mut datagram = self.datagram(hello, now);
+                datagram.0.extend(speeds);
+                all.push((datagram, to));
             }
         }
         all
--- /dev/null
+++ b/crates/gateway/src/fleet/speeds.rs
@@ -0,0 +1,52 @@
+//! Exchange of the reading speeds of engines among routers.
+
+use {
+    super::messages::{
+        PeerMessage,
+        SpeedsMessage, //
+    },
+    crate::state::{
+        Shared,
+        Tables, //
+    },
+    policy::{
+        actives::router_key,
+        Time, //
+    },
+};
+
+/// How many engines a datagram names; it fits into the receiver's buffer with all that precedes it.
+const MAX_REPLICA_SPEEDS: usize = 300;
+
+impl Shared {
+    /// Returns whether a service of the configuration in force uses the speeds that are shared.
+    pub(super) fn shares_speeds(&self) -> bool {
+        self.current_config().is_some_and(|current| {
+            let config = &current.config;
+            let mut targets = config
+                .services
+                .keys()
+                .filter_map(|service| config.shortest_target(service));
+            targets.any(|target| self.settings.placement.is_tolerant(target.into()))
+        })
+    }
+
+    /// Applies the speeds that a peer reports.
+    pub(super) fn apply_speeds(&self, message: &SpeedsMessage) {
+        let now = self.now();
+        if message.from != router_key(&self.settings.name, self.incarnation) {
+            self.tables()
+                .fleet_speeds
+                .apply_peer(message.from, &message.speeds, now);
+        }
+    }
+}
+
+impl Tables {
+    /// Returns the message with the speeds that were measured since the last one, if there are any.
+    pub(super) fn speeds_message(&mut self, from: u32, now: Time) -> Option<PeerMessage> {
+        let speeds = self.fleet_speeds.take_reports(MAX_REPLICA_SPEEDS, now);
+        let message = SpeedsMessage { from, speeds };
+        (!message.speeds.is_empty()).then_some(PeerMessage::ReplicaSpeeds(message))
+    }
+}
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -168,6 +168,7 @@
     tables.observe_versions(now);
     let known: HashSet<ReplicaKey> = tables.roster.known().map(|(_, r)| r.key()).collect();
     tables.speeds.retain(|key| known.contains(&key));
+    tables.fleet_speeds.retain(|key| known.contains(&key));
     tables.latencies.retain(|key| known.contains(&key));
     tables.health.retain(|key, _| known.contains(key));
     tables.cooldowns.forget(now);
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -132,7 +132,7 @@
             }
             _ => (tables.choose_plain(self, req, selection, now), None),
         };
-        let inputs = basis.as_ref().map_or(String::new(), Basis::to_string);
+        let mut inputs = basis.as_ref().map_or(String::new(), Basis::to_string);
         let choice = match picked {
             None => return Err(tables.refuse_unavailable(req, selection.origin, now)),
             Some(Pick::Reject {
@@ -156,6 +156,10 @@
             }
             Some(Pick::Run(choice)) => choice,
         };
+        if basis.is_some() {
+            let speed = tables.reading_speed(self, req, choice.key, now);
+            inputs = format!("{inputs} speed={speed:.1}");
+        }
         let mut permit = tables.take_slot(self, req, choice, selection.answer, now);
         permit.inputs = inputs;
         Ok(permit)
@@ -210,7 +214,7 @@
                 slots: engine.slots,
                 can_copy: engine.copies_cache,
                 memory: engine.memory_tokens,
-                speed: self.speeds.of(key),
+                speed: self.reading_speed(gw, req, key, now),
                 load: self.board.load(key, now),
                 penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(baseline)),
                 room: rooms.get(&replica.version).copied().unwrap_or(0.0),
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -15,6 +15,7 @@
 mod permit;
 mod plain;
 mod progress;
+mod reading;
 mod request_log;
 mod resume;
 mod retry;
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -25,6 +25,7 @@
             Choice,
             Load,
             Prompt,
+            Reading,
             ReplicaKey, //
         },
         quarantine::{
@@ -71,6 +72,8 @@
     load: Load,
     /// Prompt tokens that the replica had to read before the first event when the request was sent.
     unread: u64,
+    /// Measures how fast the replica reads the prompt, until its first event.
+    reading: Option<Reading>,
     started: Instant,
     /// When the first event arrived.
     first_event_at: Option<Instant>,
@@ -127,6 +130,7 @@
         answer_state: AnswerState,
         now: Time,
     ) -> SlotPermit {
+        let reading = self.start_reading(gw, req, &choice, now);
         let prompt = req.prompt.as_ref();
         let load = Load {
             running: 1,
@@ -158,6 +162,7 @@
             key: choice.key,
             load,
             unread: choice.unread,
+            reading,
             started: Instant::now(),
             first_event_at: None,
             sent_at: now,
@@ -173,6 +178,9 @@
         let mut tables = self.gw.tables();
         tables.board.read(self.key, self.load.unread);
         tables.speeds.record(self.key, self.unread, took);
+        if let Some(reading) = self.reading.take() {
+            tables.fleet_speeds.record(self.key, reading, now);
+        }
         tables.last_received.insert(self.key, now);
         drop(tables);
         self.load.unread = 0;
@@ -358,7 +366,11 @@
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
+        let now = self.gw.now();
         let mut tables = self.gw.tables();
+        if let Some(reading) = self.reading.take() {
+            tables.fleet_speeds.end(self.key, reading, now);
+        }
         tables.board.end(self.key, self.load);
         tables.cooldowns.record_ended(self.key, self.sent_at);
     }
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -121,6 +121,7 @@
             tables.board.view(now),
         )
     };
+    record_speeds(gw);
     let rejected = gw.tables().overload.rejected();
     metrics::gauge!("chervilwind_overload").set(rejected);
     let values = [
@@ -150,3 +151,17 @@
         metrics::gauge!(name).set(value as f64);
     }
 }
+
+/// Records the reading speeds of engines, if any are known.
+fn record_speeds(gw: &Shared) {
+    let Some(range) = gw.tables().fleet_speeds.range() else {
+        return;
+    };
+    for (stat, speed) in [
+        ("lowest", range.lowest),
+        ("mean", range.mean),
+        ("highest", range.highest),
+    ] {
+        metrics::gauge!("chervilwind_engine_speed", "stat" => stat).set(speed);
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,7 @@
         placement::{
             Board,
             Cooldowns,
+            FleetSpeeds,
             Health,
             Latencies,
             ReplicaKey,
@@ -104,6 +105,8 @@
     /// Replicas that asked this router for a pause.
     pub(crate) cooldowns: Cooldowns,
     pub(crate) speeds: Speeds,
+    /// Speeds that are shared with the peers, for tolerant services.
+    pub(crate) fleet_speeds: FleetSpeeds,
     pub(crate) latencies: Latencies,
     /// When the shared part of a prompt was last sent to a replica.
     pub(crate) cached_prefixes: HashMap<(ReplicaKey, u64), Time, FxBuildHasher>,
@@ -198,6 +201,7 @@
                 health: ReplicaMap::default(),
                 cooldowns: Cooldowns::default(),
                 speeds: Speeds::default(),
+                fleet_speeds: FleetSpeeds::default(),
                 latencies: Latencies::default(),
                 cached_prefixes: HashMap::default(),
                 last_received: ReplicaMap::default(),
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -13,6 +13,7 @@
         AddressQuery,
         Config,
         Dialect,
+        Engine,
         Gateway,
         Headers,
         Lease,
@@ -212,10 +213,12 @@
         lasts: Duration::from_secs(3),
         requests,
     });
-    let service = Service {
-        warmup,
-        ..Service::default()
-    };
+    let engine = json["engine-slots"].as_u64().map(|slots| Engine {
+        slots: slots as u32,
+        memory_tokens: 100_000,
+        copies_cache: false,
+    });
+    let service = Service { warmup, engine };
     config.services.insert("s".parse().unwrap(), service);
     let keys = json["keys"].as_object().ok_or("no keys")?;
     let holders = keys.iter().map(|(key, name)| {
@@ -242,14 +245,16 @@
         .collect()
 }
 
-/// Parses the parts of a prompt: `X-Prompt: ID,ID`, in hexadecimal.
+/// Parses the parts of a prompt: `X-Prompt: ID,ID`, in hexadecimal. `X-Tokens` has its length.
 fn prompt(headers: &Headers) -> Option<Prompt> {
     let parts = headers.get("x-prompt")?.split(',').map(|id| Part {
         id: u64::from_str_radix(id, 16).unwrap(),
         tokens: 100,
     });
+    let total = headers.get("x-tokens").map_or(0, |n| n.parse().unwrap());
     Some(Prompt {
         parts: parts.collect(),
+        total,
         ..Prompt::default()
     })
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod replica;
 mod requests;
 mod resume;
+mod speeds;
 mod standby;
 mod store_restore;
 mod streams;
