policy: say which bias remains in samples of reading speeds

The doc comment claimed that all unread tokens are read by then. Prompts that were partly read when the request was sent count in full. No change of code.

--- a/crates/policy/src/placement/fleet_speed/engine.rs
+++ b/crates/policy/src/placement/fleet_speed/engine.rs
@@ -79,11 +79,12 @@
         (ms > 0.0).then(|| clamp(self.unread as f64 / ms))
     }
 
-    /// Returns whether it is known that everything unread was read by the first event.
+    /// Returns whether about everything unread was read between sending and the first event.
     ///
     /// An engine that reads several prompts in turns reads as much of each other prompt as of this
     /// one in the meantime. Unless the others are shorter in total, some of their tokens may be
-    /// left, and the speed would come out too high.
+    /// left, and the speed would come out too high. Prompts that were partly read before also count
+    /// in full, which matters less the shorter they are.
     fn is_complete(&self) -> bool {
         self.own.saturating_mul(2) >= self.unread
     }
