gateway: ignore reported speeds of unknown engines

A peer's report of an engine that is not listed counted in the mean that is assumed for engines without samples, and took memory until it expired. A report without samples decided the speed of an engine that nobody else had measured; these are ignored too. Two comments are reworded.

114 placement tests of the policy, 32 unit tests of the gateway and its two loopback tests of shared speeds pass. No test covers the filter by the list of engines.

--- a/crates/gateway/src/fleet/speeds.rs
+++ b/crates/gateway/src/fleet/speeds.rs
@@ -11,6 +11,10 @@
     },
     policy::{
         actives::router_key,
+        placement::{
+            ReplicaSet,
+            SpeedReport, //
+        },
         Time, //
     },
 };
@@ -32,13 +36,19 @@
     }
 
     /// Applies the speeds that a peer reports.
+    ///
+    /// Those of unknown engines are ignored: they would count in the mean that is assumed for
+    /// engines without samples, and each would take memory.
     pub(super) fn apply_speeds(&self, message: &SpeedsMessage) {
-        let now = self.now();
-        if message.from != router_key(&self.settings.name, self.incarnation) {
-            self.tables()
-                .fleet_speeds
-                .apply_peer(message.from, &message.speeds, now);
+        if message.from == router_key(&self.settings.name, self.incarnation) {
+            return;
         }
+        let now = self.now();
+        let mut tables = self.tables();
+        let known: ReplicaSet = tables.roster.known().map(|(_, r)| r.key()).collect();
+        let speeds = message.speeds.iter().copied();
+        let speeds: Vec<SpeedReport> = speeds.filter(|s| known.contains(&s.replica)).collect();
+        tables.fleet_speeds.apply_peer(message.from, &speeds, now);
     }
 }
 
--- a/crates/policy/src/placement/fleet_speed.rs
+++ b/crates/policy/src/placement/fleet_speed.rs
@@ -131,9 +131,9 @@
         reports.collect()
     }
 
-    /// Applies the reports of the peer with the short name `from`.
+    /// Applies the reports of the peer with the short name `from`. Those without samples are ignored.
     pub fn apply_peer(&mut self, from: u32, reports: &[SpeedReport], now: Time) {
-        for report in reports {
+        for report in reports.iter().filter(|r| r.samples > 0) {
             let speed = f64::from(report.speed) * SPEED_UNIT;
             let engine = self.engines.entry(report.replica).or_default();
             engine.apply_peer(from, speed, report.samples, now);
--- a/crates/policy/src/placement/fleet_speed/engine.rs
+++ b/crates/policy/src/placement/fleet_speed/engine.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Removes a prompt, and keeps in mind that it was late.
+    /// Removes a prompt, and records a slowdown if it was late.
     pub(super) fn end(&mut self, reading: Reading, base: f64, now: Time) {
         let Some(at) = self.readings.iter().position(|r| *r == reading) else {
             return;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -3,7 +3,8 @@
 //! Each router decides by itself, from its own requests and the latest reports of its peers, so a
 //! decision needs no round trip. [`Board`] sums up the load, [`Health`] detects replicas that fail
 //! or are silent, [`Cooldowns`] knows those that asked for a pause, [`Speeds`] learns how fast engines
-//! read prompts, [`FleetSpeeds`] combines that with the samples of its peers, and [`pick`] and [`pick_plain`] choose.
+//! read prompts, [`FleetSpeeds`] combines this router's samples with those of its peers, and [`pick`]
+//! and [`pick_plain`] choose.
 
 mod board;
 mod cooldown;
--- a/crates/policy/tests/placement/speeds.rs
+++ b/crates/policy/tests/placement/speeds.rs
@@ -196,6 +196,17 @@
     }
 }
 
+/// Guards against a report without samples that decides the speed of an engine that no other router
+/// has measured.
+#[test]
+fn fleet_speeds_ignore_reports_without_samples() {
+    let mut speeds = FleetSpeeds::default();
+    let unknown = speeds.of(ENGINE, at(0));
+    speeds.apply_peer(1, &report(0, 0), at(0));
+    assert_eq!(speeds.of(ENGINE, at(0)), unknown);
+    assert!(speeds.range().is_none());
+}
+
 /// Guards against a router that keeps using what routers reported from which it is cut off.
 #[test]
 fn fleet_speeds_of_a_cut_off_router() {
