placement: tolerant services prefer engines of the router's zone

Two thirds of the requests to engines cross zones, with their bodies and streams, although each zone has engines for them.

If the shared parts are at most a quarter of the prompt, or those in use fit into the zone's engines (WorkingSet), the preferred replicas are the best ranked ones of the zone and the first one of all. A request is rejected only where the choice without zones rejects it too. Other services are placed as before.

With a working set that is too large and 8 or 60 routers, each router sees only a part of it and takes it to fit; that is not covered here.

--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,7 +32,8 @@
             Latencies,
             ReplicaKey,
             ReplicaMap,
-            Speeds, //
+            Speeds,
+            WorkingSet, //
         },
         quarantine::Quarantine,
         quota::{
@@ -107,6 +108,8 @@
     pub(crate) latencies: Latencies,
     /// When the shared part of a prompt was last sent to a replica.
     pub(crate) cached_prefixes: HashMap<(ReplicaKey, u64), Time, FxBuildHasher>,
+    /// The shared parts in use at each tolerant service with engines.
+    pub(crate) working_sets: HashMap<ServiceId, WorkingSet>,
     /// When a replica last sent anything.
     pub(crate) last_received: ReplicaMap<Time>,
     pub(crate) quota: Quota,
@@ -200,6 +203,7 @@
                 speeds: Speeds::default(),
                 latencies: Latencies::default(),
                 cached_prefixes: HashMap::default(),
+                working_sets: HashMap::new(),
                 last_received: ReplicaMap::default(),
                 quota: Quota::new(window),
                 tally: Tally::default(),
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -13,6 +13,7 @@
         AddressQuery,
         Config,
         Dialect,
+        Engine,
         Gateway,
         Headers,
         Lease,
@@ -200,7 +201,7 @@
             prefix: prefix.to_owned(),
             kind,
             timeout: Duration::from_millis(json["timeout"].as_u64().unwrap()),
-            latency_target: Duration::from_millis(300),
+            latency_target: Duration::from_millis(json["target"].as_u64().unwrap_or(300)),
             split: split(prefix),
             max_attempts,
             public,
@@ -212,10 +213,12 @@
         lasts: Duration::from_secs(3),
         requests,
     });
-    let service = Service {
-        warmup,
-        ..Service::default()
-    };
+    let engine = json["memory"].as_u64().map(|memory_tokens| Engine {
+        slots: 96,
+        memory_tokens,
+        copies_cache: true,
+    });
+    let service = Service { warmup, engine };
     config.services.insert("s".parse().unwrap(), service);
     let keys = json["keys"].as_object().ok_or("no keys")?;
     let holders = keys.iter().map(|(key, name)| {
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,3 +19,4 @@
 mod streams;
 mod versions;
 mod warmup;
+mod zones;
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -3,7 +3,7 @@
 //! Each router decides by itself, from its own requests and the latest reports of its peers, so a
 //! decision needs no round trip. [`Board`] sums up the load, [`Health`] detects replicas that fail
 //! or are silent, [`Cooldowns`] knows those that asked for a pause, [`Speeds`] learns how fast engines
-//! read prompts, and [`pick`] and [`pick_plain`] choose.
+//! read prompts, [`WorkingSet`] which shared parts are in use, and [`pick`] and [`pick_plain`] choose.
 
 mod board;
 mod cooldown;
@@ -14,6 +14,7 @@
 mod plain;
 mod speed;
 mod tuning;
+mod working_set;
 
 pub use self::{
     board::{
@@ -52,4 +53,5 @@
         Fullness,
         Tuning, //
     },
+    working_set::WorkingSet,
 };
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -22,6 +22,9 @@
 const OVERHEAD_MS: f64 = 40.0;
 /// Longest retry delay of a rejected request, in milliseconds.
 const RETRY_MAX_MS: f64 = 2_000.0;
+/// Shared parts of at most one in this many tokens of a prompt are cheap to read again, so that each
+/// zone may have its own copies of them.
+const SHARED_DIVISOR: u64 = 4;
 
 /// A request that needs an engine.
 #[derive(Debug, Clone)]
@@ -38,6 +41,11 @@
     pub usage: UsageStanding,
     /// Time between two load reports of a peer.
     pub load_interval: Span,
+    /// Whether its service is tolerant; see [`Tuning::is_tolerant`].
+    pub tolerant: bool,
+    /// Whether the shared parts in use fit into the engines of this router's zone; see
+    /// [`WorkingSet::fits`](super::WorkingSet::fits).
+    pub working_set_fits: bool,
     /// The weights of the choice.
     pub tuning: &'a Tuning,
 }
@@ -103,8 +111,30 @@
     },
 }
 
+impl PlacementRequest<'_> {
+    /// Returns whether the preferred replicas are those of this router's zone.
+    ///
+    /// Each zone then keeps its own copies of the shared parts, which must fit into its engines or
+    /// be cheap to read again.
+    fn prefers_zone(&self) -> bool {
+        let shared = u64::from(self.prompt.shared_tokens());
+        let cheap = shared * SHARED_DIVISOR <= u64::from(self.prompt.total);
+        self.tolerant && (cheap || self.working_set_fits)
+    }
+
+    /// Returns the cost of the request at an engine in another zone, in milliseconds.
+    fn zone_cost_ms(&self) -> f64 {
+        match self.tolerant {
+            true => self.tuning.zone_cost * self.target.as_secs() * 1e3,
+            false => 0.0,
+        }
+    }
+}
+
 struct Rated<'a> {
     engine: &'a Candidate,
+    /// Its place by rendezvous hashing among all engines, from 0.
+    rank: usize,
     uncached: u32,
     /// Fullness of the engine with this request.
     fullness: Fullness,
@@ -126,12 +156,21 @@
 /// A stream that has started was admitted once, and rejecting it would waste what its caller
 /// already has. It goes to the engine with the shortest queue, and into the room that new requests
 /// leave there.
+///
+/// A request of a tolerant service stays in this router's zone where engines there can read it
+/// about as soon as others. Its preferred replicas are those of the zone and the first one of all.
+/// It is rejected only if it would also be rejected without regard to zones.
 pub fn pick(engines: &[Candidate], request: &PlacementRequest<'_>) -> Pick {
     let affinity_key = request.prompt.affinity_key().unwrap_or_default();
-    let rated: Vec<Rated<'_>> = rendezvous::rank_by_hash(affinity_key, engines, |e| e.id.as_str())
+    let ranked = rendezvous::rank_by_hash(affinity_key, engines, |e| e.id.as_str());
+    let zone_first = match request.prefers_zone() {
+        true => ranked.iter().position(|e| e.same_zone),
+        false => None,
+    };
+    let mut rated: Vec<Rated<'_>> = ranked
         .into_iter()
         .enumerate()
-        .map(|(rank, engine)| rate(engine, rank, request))
+        .map(|(rank, engine)| rate(engine, rank, zone_first, request))
         .collect();
     if request.answer != AnswerState::NotStarted {
         if let Some(best) = shortest_queue(&rated) {
@@ -140,7 +179,11 @@
     }
     let tuning = request.tuning;
     let limit = tuning.limit(request.usage, request.load_interval);
-    let (preferred, others) = rated.split_at(tuning.preferred_replicas.min(rated.len()));
+    let count = match zone_first {
+        Some(_) => move_zone_first(&mut rated, tuning.preferred_replicas),
+        None => tuning.preferred_replicas.min(rated.len()),
+    };
+    let (preferred, others) = rated.split_at(count);
     if let Some(best) = cheapest(&rated, preferred, limit) {
         return Pick::Run(best);
     }
@@ -151,6 +194,12 @@
     ) {
         return Pick::Run(best);
     }
+    if zone_first.is_some() {
+        let first = |r: &&Rated<'_>| r.rank < tuning.preferred_replicas;
+        if let Some(best) = cheapest(&rated, others.iter().filter(first), limit) {
+            return Pick::Run(best);
+        }
+    }
     let least = preferred
         .iter()
         .min_by(|a, b| a.fullness.highest().total_cmp(&b.fullness.highest()));
@@ -202,15 +251,41 @@
     let other = |r: &&Rated<'_>| r.engine.key != best.engine.key;
     let from = match last {
         Some(last) => Some(last).filter(other),
-        None => rated().find(other),
+        None => rated().filter(other).min_by_key(|r| r.rank),
     };
     from.filter(|_| best.engine.can_copy)
         .map(|r| r.engine.id.clone())
 }
 
-fn rate<'a>(engine: &'a Candidate, rank: usize, request: &PlacementRequest<'_>) -> Rated<'a> {
+/// Moves the preferred replicas of a request that prefers its zone to the front: the first one of
+/// all and the first `count` of the zone. Returns their number.
+fn move_zone_first(rated: &mut [Rated<'_>], count: usize) -> usize {
+    let mut of_zone = rated.iter().take(1).filter(|r| r.engine.same_zone).count();
+    let mut preferred = 1;
+    for at in 1..rated.len() {
+        if of_zone >= count {
+            break;
+        }
+        if rated[at].engine.same_zone {
+            rated.swap(preferred, at);
+            preferred += 1;
+            of_zone += 1;
+        }
+    }
+    preferred.min(rated.len())
+}
+
+/// Rates an engine by its rank among all, and the rank of the first one of this router's zone if the
+/// request prefers the zone.
+fn rate<'a>(
+    engine: &'a Candidate,
+    rank: usize,
+    zone_first: Option<usize>,
+    request: &PlacementRequest<'_>,
+) -> Rated<'a> {
     let (prompt, tuning) = (request.prompt, request.tuning);
-    let cached = rank == 0 || engine.cached_age_s.is_some_and(|s| s < tuning.cached_s);
+    let keeps = rank == 0 || zone_first == Some(rank);
+    let cached = keeps || engine.cached_age_s.is_some_and(|s| s < tuning.cached_s);
     let missing = if cached { 0 } else { prompt.shared_tokens() };
     // Shared parts that are copied from another engine take a fraction of the time.
     let reread = if engine.can_copy { 0 } else { missing };
@@ -238,9 +313,15 @@
         true => Bound::Slots,
         false => Bound::Memory,
     };
-    let cost = wait_ms + (tuning.reread_cost * f64::from(reread) + copied) / engine.speed;
+    let reading_cost = (tuning.reread_cost * f64::from(reread) + copied) / engine.speed;
+    let zone_cost = match engine.same_zone {
+        true => 0.0,
+        false => request.zone_cost_ms(),
+    };
+    let cost = wait_ms + reading_cost + zone_cost;
     Rated {
         engine,
+        rank,
         uncached,
         fullness,
         occupancy_bound,
@@ -249,8 +330,12 @@
     }
 }
 
-fn cheapest(all: &[Rated<'_>], among: &[Rated<'_>], limit: Fullness) -> Option<Choice> {
-    let fits = among.iter().filter(|r| r.fullness.within(limit));
+fn cheapest<'a, 'b: 'a>(
+    all: &[Rated<'_>],
+    among: impl IntoIterator<Item = &'a Rated<'b>>,
+    limit: Fullness,
+) -> Option<Choice> {
+    let fits = among.into_iter().filter(|r| r.fullness.within(limit));
     let best = fits.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
     Some(choice_of(all, best))
 }
--- a/crates/policy/tests/placement/main.rs
+++ b/crates/policy/tests/placement/main.rs
@@ -8,3 +8,4 @@
 mod plain;
 mod quota;
 mod roster;
+mod zones;
