placement: a test of a working set of which each router sees a part

With several routers in a zone, each sees only a part of the documents in use, and takes it to fit into the zone although all of them don't. The zone's engines then evict documents all the time.

The test with one router, which sees all documents, now also requires that no more requests cross zones than without the choice.

--- a/crates/policy/tests/placement/zones.rs
+++ b/crates/policy/tests/placement/zones.rs
@@ -341,9 +341,19 @@
 #[test]
 fn zones_working_set_that_does_not_fit() {
     let (zoned, plain) = too_large(1);
+    assert!(zoned.crossing() <= plain.crossing(), "{zoned:?}");
     assert!(zoned.rejected <= plain.rejected, "{zoned:?}");
 }
 
+/// Guards against rejections since each router sees only a part of the documents, which would fit.
+#[test]
+fn zones_working_set_seen_in_parts() {
+    let outcomes = [8, 60].map(too_large);
+    for (zoned, plain) in outcomes {
+        assert!(zoned.rejected <= plain.rejected, "{zoned:?}");
+    }
+}
+
 /// Guards against rejections by routers whose zone has no engines.
 #[test]
 fn zones_lost_zone() {
