--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -201,7 +201,7 @@
             prefix: prefix.to_owned(),
             kind,
             timeout: Duration::from_millis(json["timeout"].as_u64().unwrap()),
-            latency_target: Duration::from_millis(300),
+            latency_target: Duration::from_millis(json["target"].as_u64().unwrap_or(300)),
             split: split(prefix),
             max_attempts,
             public,
@@ -213,11 +213,14 @@
         lasts: Duration::from_secs(3),
         requests,
     });
-    let engine = json["engine-slots"].as_u64().map(|slots| Engine {
-        slots: slots as u32,
-        memory_tokens: 100_000,
-        copies_cache: false,
-    });
+    let engine = match (&json["engine-slots"], &json["memory"]) {
+        (Value::Null, Value::Null) => None,
+        (slots, memory) => Some(Engine {
+            slots: slots.as_u64().unwrap_or(96) as u32,
+            memory_tokens: memory.as_u64().unwrap_or(1_000_000),
+            copies_cache: !memory.is_null(),
+        }),
+    };
     let service = Service { warmup, engine };
     config.services.insert("s".parse().unwrap(), service);
     let keys = json["keys"].as_object().ok_or("no keys")?;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -20,3 +20,4 @@
 mod streams;
 mod versions;
 mod warmup;
+mod zones;
--- a/crates/policy/tests/placement/main.rs
+++ b/crates/policy/tests/placement/main.rs
@@ -9,3 +9,4 @@
 mod quota;
 mod roster;
 mod speeds;
+mod zones;
