gateway: requests wait for room at an engine for a part of their target

Cause: a request that finds its engines full is rejected at once. In a short surge its caller retries with part of the target used up, and may be rejected again although an engine has had room in between.

Change: policy::waiting has a bounded queue for each service, with the order, the latest start and the expected wait of its entries. serve() holds a new request of a tolerant service that is rejected because of slots, memory or backlog, and tries it again in rounds of four after each event that may give an engine room, at least every 25 ms. While requests wait, new ones beyond the max-min share are rejected, and new ones within it give way to those before them while a round is due. A request counts once in the demand and once in the tally. An attempt after a wait is placed with what is left of its target. Routes that run at most once don't wait, as their requests aren't cancelled when the caller disconnects.

The priority of a route or workspace is not in the gateway's configuration, so all requests have the same one.

--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod simple;
 mod stream;
 mod stream_source;
+mod waiting;
 
 pub(crate) use self::{
     addresses::serve_addresses,
@@ -32,4 +33,8 @@
         serve_metrics,
         serve_ready, //
     },
+    waiting::{
+        run_rounds,
+        WaitingQueue, //
+    },
 };
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -174,6 +174,7 @@
         tables.board.read(self.key, self.load.unread);
         tables.speeds.record(self.key, self.unread, took);
         tables.last_received.insert(self.key, now);
+        self.gw.record_room(&mut tables);
         drop(tables);
         self.load.unread = 0;
         self.first_event_at = Some(Instant::now());
@@ -361,5 +362,6 @@
         let mut tables = self.gw.tables();
         tables.board.end(self.key, self.load);
         tables.cooldowns.record_ended(self.key, self.sent_at);
+        self.gw.record_room(&mut tables);
     }
 }
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -27,7 +27,8 @@
             RequestProgress, //
         },
         stream::forward_stream,
-        stream_source::StreamSource, //
+        stream_source::StreamSource,
+        waiting::acquire_or_wait, //
     },
     crate::{
         http::Writer,
@@ -55,7 +56,7 @@
     record_request(gw, req);
     let mut backoff = Backoff::default();
     loop {
-        let permit = match gw.acquire_slot(req, progress.selection()) {
+        let permit = match acquire_or_wait(gw, req, progress).await {
             Ok(mut permit) => {
                 progress.inputs = std::mem::take(&mut permit.inputs);
                 permit
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -13,6 +13,7 @@
         AddressQuery,
         Config,
         Dialect,
+        Engine,
         Gateway,
         Headers,
         Lease,
@@ -200,7 +201,7 @@
             prefix: prefix.to_owned(),
             kind,
             timeout: Duration::from_millis(json["timeout"].as_u64().unwrap()),
-            latency_target: Duration::from_millis(300),
+            latency_target: latency_target(&json, kind),
             split: split(prefix),
             max_attempts,
             public,
@@ -212,10 +213,12 @@
         lasts: Duration::from_secs(3),
         requests,
     });
-    let service = Service {
-        warmup,
-        ..Service::default()
-    };
+    let engine = json["engine-slots"].as_u64().map(|slots| Engine {
+        slots: slots as u32,
+        memory_tokens: 1_000_000,
+        copies_cache: false,
+    });
+    let service = Service { warmup, engine };
     config.services.insert("s".parse().unwrap(), service);
     let keys = json["keys"].as_object().ok_or("no keys")?;
     let holders = keys.iter().map(|(key, name)| {
@@ -226,6 +229,15 @@
     Ok(config)
 }
 
+/// Returns the target of streams, or of other requests.
+fn latency_target(json: &Value, kind: RouteKind) -> Duration {
+    let key = match kind {
+        RouteKind::Stream { .. } => "stream-target",
+        _ => "target",
+    };
+    Duration::from_millis(json[key].as_u64().unwrap_or(300))
+}
+
 fn split(prefix: &str) -> Vec<(ServiceId, u32)> {
     let names: &[&str] = match prefix {
         "/split/" => &["s", "t"],
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 mod turn;
 mod units;
 mod validity;
+pub mod waiting;
 pub mod warmup;
 mod watch;
 
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -55,6 +55,8 @@
     pub unread: u64,
     /// The replica that it can copy the shared parts of the prompt from.
     pub source: Option<ReplicaId>,
+    /// Time to the first event if nothing is read before it.
+    pub reading: Span,
 }
 
 /// The limit because of which an engine doesn't take a request.
@@ -100,6 +102,8 @@
         fullness: f64,
         /// The limit because of which that replica doesn't take it.
         bound: Bound,
+        /// The shortest time to the first event at a preferred replica that reads nothing before it.
+        reading: Span,
     },
 }
 
@@ -158,10 +162,21 @@
         retry_after: retry_after(preferred, request),
         fullness: least.map_or(0.0, |r| r.fullness.highest()),
         bound: least.map_or(Bound::None, |r| r.exceeds(limit)),
+        reading: preferred
+            .iter()
+            .map(Rated::reading)
+            .min()
+            .unwrap_or_default(),
     }
 }
 
 impl Rated<'_> {
+    /// Returns the time to the first event if the engine reads nothing before this prompt.
+    fn reading(&self) -> Span {
+        let ms = f64::from(self.uncached) / self.engine.speed + OVERHEAD_MS;
+        Span((ms * 1e3) as u64)
+    }
+
     /// Returns the limit that the engine exceeds most, or [`Bound::Failures`] if it exceeds a limit
     /// only because of its penalty.
     fn exceeds(&self, limit: Fullness) -> Bound {
@@ -271,6 +286,7 @@
         uncached: best.uncached,
         unread: best.engine.load.unread + u64::from(best.uncached),
         source: copy_source(all, best),
+        reading: best.reading(),
     }
 }
 
--- /dev/null
+++ b/crates/policy/tests/waiting/main.rs
@@ -0,0 +1,4 @@
+//! The admission queue.
+
+mod load;
+mod queue;
