policy: the load test of the queue says where its margins come from

Cause: the design page states no margins, and the comment gave the thousandth as if it were measured.

Change: the comment names them as allowances.

--- a/crates/policy/tests/waiting/load.rs
+++ b/crates/policy/tests/waiting/load.rs
@@ -569,11 +569,12 @@
     (waiting, immediate)
 }
 
-/// Checks that callers are served better: not fewer in time, not more rejected twice, and not more
-/// late or fewer of the worst served workspaces by half a percent of the calls.
+/// Checks that callers are served better: not fewer in time and not more rejected twice. With uneven
+/// engines, more must be in time.
 ///
-/// The same calls take different engines in the two runs, which may change a call in a thousand
-/// where hardly any wait.
+/// The page of the design names no margins. These allow a thousandth of the calls as noise, as calls
+/// take other engines in the two runs, and half a percent for late calls and for the worst tenth of
+/// workspaces.
 fn assert_better(deployment: Deployment, routers: usize, excess: impl Fn(u32) -> f64 + Copy) {
     let (waiting, immediate) = compare(deployment, routers, excess);
     assert_eq!(waiting.calls, immediate.calls);
