--- a/crates/gateway/src/fleet/speeds.rs
+++ b/crates/gateway/src/fleet/speeds.rs
@@ -27,11 +27,8 @@
     pub(super) fn shares_speeds(&self) -> bool {
         self.current_config().is_some_and(|current| {
             let config = &current.config;
-            let mut targets = config
-                .services
-                .keys()
-                .filter_map(|service| config.shortest_target(service));
-            targets.any(|target| self.settings.placement.is_tolerant(target.into()))
+            let mut services = config.services.keys();
+            services.any(|service| self.is_tolerant(config.shortest_target(service)))
         })
     }
 
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -71,6 +71,8 @@
     pub(crate) service_info: Service,
     /// The shortest latency target among the streaming routes of this service.
     pub(crate) min_target: Duration,
+    /// Whether the service is tolerant; see [`policy::placement::Tuning::is_tolerant`].
+    pub(crate) tolerant: bool,
     pub(crate) workspace: Option<WorkspaceId>,
     pub(crate) prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
@@ -129,9 +131,10 @@
     }
 
     /// Sends the request to another service of its route.
-    pub(crate) fn set_service(&mut self, config: &Config, service: ServiceId) {
+    pub(crate) fn set_service(&mut self, gw: &Shared, config: &Config, service: ServiceId) {
         let info = config.services.get(&service).cloned();
         let target = config.shortest_target(&service);
+        self.tolerant = gw.is_tolerant(target);
         self.service_info = info.unwrap_or_default();
         self.min_target = target.unwrap_or(self.route.latency_target);
         self.service = service;
@@ -183,6 +186,7 @@
             NOT_READY_RETRY_DELAY,
         ));
     };
+    let stream_target = force.config.shortest_target(&service);
     let prompt = (dialect.parse_prompt)(&headers);
     let last_event = headers.get(dialect.last_event).and_then(|v| v.parse().ok());
     let resumes = headers.get(dialect.resumes).map(str::to_owned);
@@ -201,10 +205,8 @@
             .get(&service)
             .cloned()
             .unwrap_or_default(),
-        min_target: force
-            .config
-            .shortest_target(&service)
-            .unwrap_or(route.latency_target),
+        min_target: stream_target.unwrap_or(route.latency_target),
+        tolerant: gw.is_tolerant(stream_target),
         service,
         workspace,
         prompt,
--- a/crates/gateway/src/serve/bind.rs
+++ b/crates/gateway/src/serve/bind.rs
@@ -96,7 +96,7 @@
                 UNKNOWN_RETRY_DELAY,
             ));
         };
-        req.set_service(&current.config, origin.service.clone());
+        req.set_service(gw, &current.config, origin.service.clone());
     }
     req.origin = Some(origin);
     Ok(())
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) mod simple;
 mod stream;
 mod stream_source;
+mod waiting;
 
 pub(crate) use self::{
     addresses::serve_addresses,
@@ -33,4 +34,8 @@
         serve_metrics,
         serve_ready, //
     },
+    waiting::{
+        run_rounds,
+        WaitingQueue, //
+    },
 };
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -130,7 +130,7 @@
         answer_state: AnswerState,
         now: Time,
     ) -> SlotPermit {
-        let reading = self.start_reading(gw, req, &choice, now);
+        let reading = self.start_reading(req, &choice, now);
         let prompt = req.prompt.as_ref();
         let load = Load {
             running: 1,
@@ -178,10 +178,15 @@
         let mut tables = self.gw.tables();
         tables.board.read(self.key, self.load.unread);
         tables.speeds.record(self.key, self.unread, took);
-        if let Some(reading) = self.reading.take() {
-            tables.fleet_speeds.record(self.key, reading, now);
+        match self.reading.take() {
+            Some(reading) if tables.is_delayed() => {
+                tables.fleet_speeds.discard(self.key, reading);
+            }
+            Some(reading) => tables.fleet_speeds.record(self.key, reading, now),
+            None => {}
         }
         tables.last_received.insert(self.key, now);
+        self.gw.record_room(&mut tables);
         drop(tables);
         self.load.unread = 0;
         self.first_event_at = Some(Instant::now());
@@ -373,5 +378,6 @@
         }
         tables.board.end(self.key, self.load);
         tables.cooldowns.record_ended(self.key, self.sent_at);
+        self.gw.record_room(&mut tables);
     }
 }
--- a/crates/gateway/src/serve/reading.rs
+++ b/crates/gateway/src/serve/reading.rs
@@ -2,10 +2,7 @@
 
 use {
     super::admit::Request,
-    crate::state::{
-        Shared,
-        Tables, //
-    },
+    crate::state::Tables,
     policy::{
         placement::{
             Choice,
@@ -16,23 +13,17 @@
     },
 };
 
-impl Request {
-    /// Returns whether the speeds that the fleet shares apply to the request's service.
-    fn shares_speeds(&self, gw: &Shared) -> bool {
-        gw.settings.placement.is_tolerant(self.min_target.into())
+impl Tables {
+    /// Returns whether this instance is short of processor time, so that its own delays would pass
+    /// for those of engines.
+    pub(super) fn is_delayed(&self) -> bool {
+        self.overload.rejected() > 0.0
     }
-}
 
-impl Tables {
     /// Returns the reading speed of an engine, as the placement of a request uses it.
-    pub(super) fn reading_speed(
-        &self,
-        gw: &Shared,
-        req: &Request,
-        engine: ReplicaKey,
-        now: Time,
-    ) -> f64 {
-        match req.shares_speeds(gw) {
+    pub(super) fn reading_speed(&self, req: &Request, engine: ReplicaKey, now: Time) -> f64 {
+        match req.tolerant {
+            true if self.is_delayed() => self.fleet_speeds.steady(engine),
             true => self.fleet_speeds.of(engine, now),
             false => self.speeds.of(engine),
         }
@@ -44,14 +35,16 @@
     /// first event would come later than the prompt was read.
     pub(super) fn start_reading(
         &mut self,
-        gw: &Shared,
         req: &Request,
         choice: &Choice,
         now: Time,
     ) -> Option<Reading> {
         let engine = req.service_info.engine?;
-        let measured = req.prompt.is_some() && req.route.is_stream() && req.shares_speeds(gw);
-        if !measured || self.board.load(choice.key, now).running >= engine.slots {
+        let measured = req.prompt.is_some() && req.route.is_stream() && req.tolerant;
+        if !measured
+            || self.is_delayed()
+            || self.board.load(choice.key, now).running >= engine.slots
+        {
             return None;
         }
         let reading = Reading {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
             Replica,
             Store, //
         },
+        serve::WaitingQueue,
         upstream::Pool,
         Settings, //
     },
@@ -82,7 +83,10 @@
             MutexGuard,
             PoisonError, //
         },
-        time::Instant, //
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
@@ -134,6 +138,8 @@
     pub(crate) versions: VersionHistory,
     /// What began the streams that may be taken up again.
     pub(crate) streams: StreamTable,
+    /// Requests that wait for room at an engine.
+    pub(crate) waiting: WaitingQueue,
 }
 
 /// State that all tasks of one gateway share.
@@ -156,6 +162,9 @@
     /// Wakes the task that sends messages to peers, for an update before the next interval.
     wake: Sender<()>,
     pub(crate) woken: Receiver<()>,
+    /// Wakes the requests that wait for room.
+    pub(crate) room: Sender<()>,
+    pub(crate) room_changed: Receiver<()>,
     /// The update is for all routers, not only for the active ones.
     urgent: AtomicBool,
     /// Number of the last message to peers.
@@ -188,6 +197,7 @@
         peer_socket: Arc<UdpSocket>,
     ) -> Shared {
         let (wake, woken) = bounded(1);
+        let (room, room_changed) = bounded(1);
         let incarnation = Incarnation(fastrand::u64(..));
         let window = Span((settings.bounds.fair_window_s * 1e6) as u64);
         Shared {
@@ -220,10 +230,13 @@
                 overload: Overload::default(),
                 versions: VersionHistory::default(),
                 streams: StreamTable::default(),
+                waiting: WaitingQueue::default(),
             }),
             pool: Pool::default(),
             wake,
             woken,
+            room,
+            room_changed,
             urgent: AtomicBool::new(false),
             message_number: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
@@ -239,6 +252,13 @@
         }
     }
 
+    /// Returns whether a service is tolerant, given the shortest latency target among its streaming
+    /// routes, if it has any.
+    pub(crate) fn is_tolerant(&self, stream_target: Option<Duration>) -> bool {
+        let tuning = &self.settings.placement;
+        stream_target.is_some_and(|target| tuning.is_tolerant(target.into()))
+    }
+
     /// Returns the time on this process's monotonic clock.
     pub(crate) fn now(&self) -> Time {
         Time(self.started.elapsed().as_micros() as u64)
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -201,7 +201,7 @@
             prefix: prefix.to_owned(),
             kind,
             timeout: Duration::from_millis(json["timeout"].as_u64().unwrap()),
-            latency_target: Duration::from_millis(json["target"].as_u64().unwrap_or(300)),
+            latency_target: latency_target(&json, kind),
             split: split(prefix),
             max_attempts,
             public,
@@ -232,6 +232,15 @@
     Ok(config)
 }
 
+/// Returns the target of streams, or of other requests.
+fn latency_target(json: &Value, kind: RouteKind) -> Duration {
+    let key = match kind {
+        RouteKind::Stream { .. } => "stream-target",
+        _ => "target",
+    };
+    Duration::from_millis(json[key].as_u64().unwrap_or(300))
+}
+
 fn split(prefix: &str) -> Vec<(ServiceId, u32)> {
     let names: &[&str] = match prefix {
         "/split/" => &["s", "t"],
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -19,5 +19,6 @@
 mod store_restore;
 mod streams;
 mod versions;
+mod waiting;
 mod warmup;
 mod zones;
--- a/crates/gateway/tests/gateway/zones.rs
+++ b/crates/gateway/tests/gateway/zones.rs
@@ -21,7 +21,7 @@
 fn crossing(target: u32) -> usize {
     let (own, other) = (echo(), echo());
     let config = format!(
-        r#"{{"version":1,"keys":{{"k1":"w1"}},"timeout":60000,"target":{target},"memory":200000}}"#
+        r#"{{"version":1,"keys":{{"k1":"w1"}},"timeout":60000,"stream-target":{target},"memory":200000}}"#
     );
     let mut store = FakeStore {
         config: config.into_bytes(),
--- a/crates/policy/src/placement/fleet_speed.rs
+++ b/crates/policy/src/placement/fleet_speed.rs
@@ -94,7 +94,7 @@
     /// Records that a request ended, perhaps before its first event. Has no effect on a prompt that
     /// was recorded as read.
     pub fn end(&mut self, replica: ReplicaKey, reading: Reading, now: Time) {
-        let base = self.base(replica);
+        let base = self.steady(replica);
         if let Some(engine) = self.engines.get_mut(&replica) {
             engine.end(reading, base, now);
         }
@@ -102,13 +102,20 @@
 
     /// Returns the speed of an engine in tokens per millisecond.
     pub fn of(&self, replica: ReplicaKey, now: Time) -> f64 {
-        let base = self.base(replica);
+        let base = self.steady(replica);
         let engine = self.engines.get(&replica);
         engine.map_or(base, |e| e.current(base, now))
     }
 
-    /// Returns the speed of an engine apart from short slowdowns.
-    fn base(&self, replica: ReplicaKey) -> f64 {
+    /// Removes a prompt without learning from it.
+    pub fn discard(&mut self, replica: ReplicaKey, reading: Reading) {
+        if let Some(engine) = self.engines.get_mut(&replica) {
+            engine.discard(reading);
+        }
+    }
+
+    /// Returns the speed of an engine apart from short slowdowns, in tokens per millisecond.
+    pub fn steady(&self, replica: ReplicaKey) -> f64 {
         let engine = self.engines.get(&replica);
         let known = engine.and_then(|e| e.combined);
         known.or(self.mean).unwrap_or(DEFAULT_SPEED)
--- a/crates/policy/src/placement/fleet_speed/engine.rs
+++ b/crates/policy/src/placement/fleet_speed/engine.rs
@@ -25,6 +25,8 @@
 const PEER_MAX_WEIGHT: f64 = 10.0;
 /// Own samples weigh at most as much as the running mean covers.
 const OWN_MAX_WEIGHT: f64 = 1.0 / SMOOTHING;
+/// A router's own samples are dropped once they weigh less than this.
+const OWN_MIN_WEIGHT: f64 = 0.05;
 /// An engine counts as slowed down if a first event takes this many times as long as expected. The
 /// time also varies with prompts that arrive later and are read in turns with this one.
 const LATE_FACTOR: f64 = 1.5;
@@ -111,14 +113,20 @@
         }
     }
 
+    /// Removes a prompt. Returns whether it was known.
+    pub(super) fn discard(&mut self, reading: Reading) -> bool {
+        let at = self.readings.iter().position(|r| *r == reading);
+        at.map(|at| self.readings.remove(at)).is_some()
+    }
+
     /// Removes a prompt, and records a slowdown if it was late.
     pub(super) fn end(&mut self, reading: Reading, base: f64, now: Time) {
-        let Some(at) = self.readings.iter().position(|r| *r == reading) else {
+        let expected = self.with_later(reading);
+        if !self.discard(reading) {
             return;
-        };
-        let reading = self.readings.remove(at);
+        }
         let usual = self.faded(base, now);
-        let late = late_speed(&reading, base, now).filter(|speed| *speed <= usual);
+        let late = late_speed(&expected, base, now).filter(|speed| *speed <= usual);
         if let Some(speed) = late {
             self.slowdown = Some(Slowdown { speed, at: now });
         }
@@ -137,10 +145,21 @@
     /// Returns the speed, given the speed apart from slowdowns.
     pub(super) fn current(&self, base: f64, now: Time) -> f64 {
         let oldest = self.readings.first();
-        let late = oldest.and_then(|reading| late_speed(reading, base, now));
+        let late = oldest.and_then(|r| late_speed(&self.with_later(*r), base, now));
         self.faded(base, now).min(late.unwrap_or(base))
     }
 
+    /// Adds what this router sent after a prompt: an engine that reads prompts in turns reads as much
+    /// of each of these as of the first one.
+    fn with_later(&self, reading: Reading) -> Reading {
+        let later = self.readings.iter().filter(|r| r.sent_at > reading.sent_at);
+        let tokens: u64 = later.map(|r| r.own.min(reading.own)).sum();
+        Reading {
+            unread: reading.unread + tokens,
+            ..reading
+        }
+    }
+
     /// Returns the speed according to prompts that were read.
     fn faded(&self, base: f64, now: Time) -> f64 {
         let Some(slowdown) = self.slowdown else {
@@ -175,6 +194,10 @@
     pub(super) fn forget(&mut self, now: Time) {
         self.peers.retain(|p| now.since(p.at) < RECENT);
         self.slowdown.take_if(|s| now.since(s.at) >= FADE);
+        // Without samples for long, an engine that was slow once would stay so.
+        if self.own.recent(now) < OWN_MIN_WEIGHT {
+            self.own = OwnSpeed::default();
+        }
     }
 
     /// Returns whether nothing is known.
