gateway: instances of less than 0.1 cores close connections that they can't read in time

Each pass of `accept` at such an instance takes all connections from the accept queue (at most 256), keeps as many of the newest as `accept::Shedding` says, and closes the others: without registering them with the reactor, without socket options, and neither read nor written. It yields between passes, so that the connections of one pass are read before the next one. Other instances accept one connection at a time as before.

Each connection counts when its first request was read, which gives the rate. `chervilwind_connections_shed` counts the closed ones, and `event=accept outcome=shedding` tells when closing begins and ends.

The effect in a fleet was not measured.

--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -19,6 +19,7 @@
 mod resume;
 mod retry;
 mod server;
+mod shed;
 mod silence;
 pub(crate) mod simple;
 mod stream;
@@ -32,4 +33,5 @@
         serve_metrics,
         serve_ready, //
     },
+    shed::Shedder,
 };
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,6 +9,7 @@
             Replica,
             Store, //
         },
+        serve::Shedder,
         upstream::Pool,
         Settings, //
     },
@@ -172,6 +173,8 @@
     pub(crate) caller_connections: AtomicUsize,
     /// Bytes of request bodies in memory.
     pub(crate) held_body_bytes: AtomicUsize,
+    /// Sheds connections of callers, at an instance that has little processor time.
+    pub(crate) shedder: Option<Shedder>,
 }
 
 impl Shared {
@@ -227,6 +230,7 @@
             active_requests: AtomicUsize::new(0),
             caller_connections: AtomicUsize::new(0),
             held_body_bytes: AtomicUsize::new(0),
+            shedder: Shedder::new(settings.instance.processor),
             settings,
         }
     }
