--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -20,6 +20,7 @@
 mod resume;
 mod retry;
 mod server;
+mod shed;
 mod silence;
 pub(crate) mod simple;
 mod stream;
@@ -34,6 +35,7 @@
         serve_metrics,
         serve_ready, //
     },
+    shed::Shedder,
     waiting::{
         run_rounds,
         WaitingQueue, //
