actives: tolerant services report loads to other zones every third interval

With tolerant services, routers will send few requests to engines in other zones.

Change: while the services with engines are all tolerant, an active router reports to active routers of other zones only with the hello. A report that is due at once (woken, a quarantine update, or urgent) goes to all, as does the first one after the pace changes, since the one before announced the full pace. `next` is the time until the next hello. Busy standbys report at the full pace, so that their summaries do not stop. The pace stays full if three intervals take over 300 ms (more than 20 active routers, or a longer heartbeat): a receiver has to be able to miss two reports in a row before it considers the sender silent after 1 s. Penalties for excess requests still use the interval of the local zone. `chervilwind_peers_bytes_sent` has the label zone=own|other. The sender takes new quarantine updates before it determines the receivers, which now depend on them.

Tests: bytes, ages, announced intervals and detection at 8 to 370 routers, a partitioned zone, and routers that become active.

--- a/crates/gateway/src/fleet/sender.rs
+++ b/crates/gateway/src/fleet/sender.rs
@@ -24,6 +24,7 @@
             router_key,
             Actives,
             Recipients,
+            Urgency,
             HELLO_EVERY, //
         },
         RouterId,
@@ -47,14 +48,15 @@
 /// How many leaving replicas a datagram names. The list tells of others.
 const MAX_LEAVING_REPLICAS: usize = 300;
 
+/// Returns the label of an address in the count of sent bytes: `own` or `other`.
+pub(super) type ZoneLabels<'a> = dyn Fn(&SocketAddr) -> &'static str + Sync + 'a;
+
 /// A datagram and its receivers.
 type Addressed = (Datagram, Vec<SocketAddr>);
 
 /// What the sender remembers between two sends.
 #[derive(Debug, Clone, Copy)]
 struct SendState {
-    /// Number of gossip intervals so far.
-    intervals: u32,
     /// It reported running requests in its last messages, which the active routers still count.
     was_busy: bool,
     /// It was woken before its time, to send an update to the active routers.
@@ -80,16 +82,14 @@
 pub(crate) async fn send_messages(gw: Arc<Shared>) {
     let mut failed = false;
     let mut state = SendState {
-        intervals: 0,
         was_busy: false,
         woken: false,
         was_active: false,
     };
     loop {
-        state.intervals += 1;
         let (datagrams, pause) = due_datagrams(&gw, &mut state);
         for (datagram, to) in datagrams {
-            failed = send(&gw.peer_socket, &datagram, &to, failed).await;
+            failed = send(&gw.peer_socket, &datagram, &to, &gw.zone_labels(), failed).await;
         }
         state.woken = or(
             async {
@@ -108,6 +108,7 @@
     socket: &UdpSocket,
     datagram: &Datagram,
     to: &[SocketAddr],
+    zone_label: &ZoneLabels<'_>,
     mut failed: bool,
 ) -> bool {
     let bytes = match datagram.encode() {
@@ -123,7 +124,9 @@
             log::warn!("event=peers outcome=send-failed to={addr} cause={e:?}");
         }
         failed = sent.is_err();
-        metrics::counter!("chervilwind_peers_bytes_sent").increment(bytes.len() as u64);
+        let zone = zone_label(addr);
+        metrics::counter!("chervilwind_peers_bytes_sent", "zone" => zone)
+            .increment(bytes.len() as u64);
     }
     failed
 }
@@ -141,24 +144,30 @@
     let busy = tables.board.running() >= BUSY_REQUESTS;
     let reports = busy || state.was_busy || state.woken;
     state.was_busy = busy;
-    let due = tables.fleet.due(reports, urgent, now);
+    tables.quarantine.forget(now);
+    let unreported = tables.quarantine.take_unreported();
+    let urgency = match (urgent, state.woken || unreported) {
+        (true, _) => Urgency::All,
+        (false, true) => Urgency::Actives,
+        (false, false) => Urgency::Scheduled,
+    };
+    let due = tables.fleet.due(reports, urgency, now);
     state.record_active(&tables.fleet);
     tables.observe_active(now);
     let acts_active = tables.fleet.acts_active(now);
     let interval = tables.fleet.gossip_interval();
-    tables.board.set_report_interval(interval);
+    let report_interval = tables.fleet.report_interval();
+    tables.board.set_report_interval(report_interval);
     tables
         .quota
         .set_report_interval(interval * f64::from(HELLO_EVERY));
     tables.board.forget(now);
     tables.quota.forget(now);
-    tables.quarantine.forget(now);
     let header_state = tables.sender_state(gw, number, config);
     let mut datagrams = Vec::new();
     // The quarantine can't wait for the next hello: a request that ends replicas is sent to the
     // next replica within about 100 ms.
-    let unreported = tables.quarantine.take_unreported();
-    if unreported || state.intervals % HELLO_EVERY == 1 {
+    if unreported || due.with_hello {
         datagrams.extend(tables.hellos(&header_state, &due, now));
     }
     datagrams.extend(tables.summaries(&header_state, &due, now));
@@ -172,13 +181,15 @@
         }
     }
     drop(tables);
-    for (to, to_active) in [(due.active_peers, true), (due.addressed, false)] {
-        if !to.is_empty() {
-            let header = MessageHeader::new(&header_state, due.active_next);
-            let mut message = LoadMessage::new(header, &loads);
-            message.to_active = to_active;
-            message.from_active = acts_active;
-            datagrams.push((PeerMessage::Loads(message).into(), to));
+    for report in due.reports {
+        for (to, to_active) in [(report.active_peers, true), (report.addressed, false)] {
+            if !to.is_empty() {
+                let header = MessageHeader::new(&header_state, report.next);
+                let mut message = LoadMessage::new(header, &loads);
+                message.to_active = to_active;
+                message.from_active = acts_active;
+                datagrams.push((PeerMessage::Loads(message).into(), to));
+            }
         }
     }
     (datagrams, interval.into())
@@ -206,25 +217,21 @@
 
     /// Returns hello messages, with counts, for the active routers and the busy standbys.
     fn hellos(&mut self, state: &SenderState, due: &Recipients, now: Time) -> Vec<Addressed> {
-        let active: Vec<SocketAddr> = due
-            .active_peers
-            .iter()
-            .chain(&due.addressed)
-            .copied()
-            .collect();
-        let busy = due.busy_standbys.clone();
+        let active = due.reports.iter();
+        let active = active.map(|r| (r.all().copied().collect(), r.next));
+        let busy = (due.busy_standbys.clone(), due.busy_next);
+        let mut groups: Vec<(Vec<SocketAddr>, Span)> = active.chain([busy]).collect();
+        groups.retain(|(to, _)| !to.is_empty());
         let mut all = Vec::new();
-        if active.is_empty() && busy.is_empty() {
+        if groups.is_empty() {
             return all;
         }
         let counts = self.quota.report(now);
-        for (to, next) in [(active, due.active_next), (busy, due.busy_next)] {
-            if !to.is_empty() {
-                let mut hello = self.hello(state, next, now);
-                hello.quarantine = self.quarantine.full_update(now);
-                hello.counts = counts.clone();
-                all.push((self.datagram(hello, now), to));
-            }
+        for (to, next) in groups {
+            let mut hello = self.hello(state, next, now);
+            hello.quarantine = self.quarantine.full_update(now);
+            hello.counts = counts.clone();
+            all.push((self.datagram(hello, now), to));
         }
         all
     }
--- a/crates/policy/src/actives/mod.rs
+++ b/crates/policy/src/actives/mod.rs
@@ -33,6 +33,8 @@
     },
     recipients::{
         Recipients,
+        ReportRecipients,
+        Urgency,
         HELLO_EVERY, //
     },
     table::{
--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -1,5 +1,6 @@
 //! The active routers in fleets of 8 to 370.
 
+mod reports;
 mod world;
 
 use {
