--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -250,14 +250,7 @@
                 .sample_addresses(MAX_KNOWN_PEERS, fastrand::usize(..));
             tables.datagram(hello, now)
         };
-        send(
-            &self.gw.peer_socket,
-            &datagram,
-            &[to],
-            &self.gw.zone_labels(),
-            false,
-        )
-        .await;
+        send(&self.gw.peer_socket, &datagram, &[to], false).await;
     }
 
     /// Applies the header of a message, and fetches what the sender has in a newer version.
--- a/crates/gateway/src/fleet/sender.rs
+++ b/crates/gateway/src/fleet/sender.rs
@@ -24,7 +24,6 @@
             router_key,
             Actives,
             Recipients,
-            Urgency,
             HELLO_EVERY, //
         },
         RouterId,
@@ -48,15 +47,14 @@
 /// How many leaving replicas a datagram names. The list tells of others.
 const MAX_LEAVING_REPLICAS: usize = 300;
 
-/// Returns the label of an address in the count of sent bytes: `own` or `other`.
-pub(super) type ZoneLabels<'a> = dyn Fn(&SocketAddr) -> &'static str + Sync + 'a;
-
 /// A datagram and its receivers.
 type Addressed = (Datagram, Vec<SocketAddr>);
 
 /// What the sender remembers between two sends.
 #[derive(Debug, Clone, Copy)]
 struct SendState {
+    /// Number of gossip intervals so far.
+    intervals: u32,
     /// It reported running requests in its last messages, which the active routers still count.
     was_busy: bool,
     /// It was woken before its time, to send an update to the active routers.
@@ -82,14 +80,16 @@
 pub(crate) async fn send_messages(gw: Arc<Shared>) {
     let mut failed = false;
     let mut state = SendState {
+        intervals: 0,
         was_busy: false,
         woken: false,
         was_active: false,
     };
     loop {
+        state.intervals += 1;
         let (datagrams, pause) = due_datagrams(&gw, &mut state);
         for (datagram, to) in datagrams {
-            failed = send(&gw.peer_socket, &datagram, &to, &gw.zone_labels(), failed).await;
+            failed = send(&gw.peer_socket, &datagram, &to, failed).await;
         }
         state.woken = or(
             async {
@@ -108,7 +108,6 @@
     socket: &UdpSocket,
     datagram: &Datagram,
     to: &[SocketAddr],
-    zone_label: &ZoneLabels<'_>,
     mut failed: bool,
 ) -> bool {
     let bytes = match datagram.encode() {
@@ -124,9 +123,7 @@
             log::warn!("event=peers outcome=send-failed to={addr} cause={e:?}");
         }
         failed = sent.is_err();
-        let zone = zone_label(addr);
-        metrics::counter!("chervilwind_peers_bytes_sent", "zone" => zone)
-            .increment(bytes.len() as u64);
+        metrics::counter!("chervilwind_peers_bytes_sent").increment(bytes.len() as u64);
     }
     failed
 }
@@ -145,30 +142,24 @@
     let busy = tables.board.running() >= BUSY_REQUESTS;
     let reports = busy || state.was_busy || state.woken;
     state.was_busy = busy;
-    tables.quarantine.forget(now);
-    let unreported = tables.quarantine.take_unreported();
-    let urgency = match (urgent, state.woken || unreported) {
-        (true, _) => Urgency::All,
-        (false, true) => Urgency::Actives,
-        (false, false) => Urgency::Scheduled,
-    };
-    let due = tables.fleet.due(reports, urgency, now);
+    let due = tables.fleet.due(reports, urgent, now);
     state.record_active(&tables.fleet);
     tables.observe_active(now);
     let acts_active = tables.fleet.acts_active(now);
     let interval = tables.fleet.gossip_interval();
-    let report_interval = tables.fleet.report_interval();
-    tables.board.set_report_interval(report_interval);
+    tables.board.set_report_interval(interval);
     tables
         .quota
         .set_report_interval(interval * f64::from(HELLO_EVERY));
     tables.board.forget(now);
     tables.quota.forget(now);
+    tables.quarantine.forget(now);
     let header_state = tables.sender_state(gw, number, config);
     let mut datagrams = Vec::new();
     // The quarantine can't wait for the next hello: a request that ends replicas is sent to the
     // next replica within about 100 ms.
-    if unreported || due.with_hello {
+    let unreported = tables.quarantine.take_unreported();
+    if unreported || state.intervals % HELLO_EVERY == 1 {
         tables.fleet_speeds.forget(now);
         datagrams.extend(tables.hellos(&header_state, &due, shares_speeds, now));
     }
@@ -183,15 +174,13 @@
         }
     }
     drop(tables);
-    for report in due.reports {
-        for (to, to_active) in [(report.active_peers, true), (report.addressed, false)] {
-            if !to.is_empty() {
-                let header = MessageHeader::new(&header_state, report.next);
-                let mut message = LoadMessage::new(header, &loads);
-                message.to_active = to_active;
-                message.from_active = acts_active;
-                datagrams.push((PeerMessage::Loads(message).into(), to));
-            }
+    for (to, to_active) in [(due.active_peers, true), (due.addressed, false)] {
+        if !to.is_empty() {
+            let header = MessageHeader::new(&header_state, due.active_next);
+            let mut message = LoadMessage::new(header, &loads);
+            message.to_active = to_active;
+            message.from_active = acts_active;
+            datagrams.push((PeerMessage::Loads(message).into(), to));
         }
     }
     (datagrams, interval.into())
@@ -227,27 +216,34 @@
         shares_speeds: bool,
         now: Time,
     ) -> Vec<Addressed> {
-        let mut speeds = None;
-        if shares_speeds && !due.reports.is_empty() {
-            speeds = self.speeds_message(state.from, now);
-        }
-        let active = due.reports.iter();
-        let active = active.map(|r| (r.all().copied().collect(), r.next, speeds.clone()));
-        let busy = (due.busy_standbys.clone(), due.busy_next, None);
-        let mut groups: Vec<_> = active.chain([busy]).collect();
-        groups.retain(|(to, ..): &(Vec<SocketAddr>, _, _)| !to.is_empty());
+        let active: Vec<SocketAddr> = due
+            .active_peers
+            .iter()
+            .chain(&due.addressed)
+            .copied()
+            .collect();
+        let busy = due.busy_standbys.clone();
         let mut all = Vec::new();
-        if groups.is_empty() {
+        if active.is_empty() && busy.is_empty() {
             return all;
         }
         let counts = self.quota.report(now);
-        for (to, next, speeds) in groups {
-            let mut hello = self.hello(state, next, now);
-            hello.quarantine = self.quarantine.full_update(now);
-            hello.counts = counts.clone();
-            let mut datagram = self.datagram(hello, now);
-            datagram.0.extend(speeds);
-            all.push((datagram, to));
+        let mut speeds = None;
+        if shares_speeds && !active.is_empty() {
+            speeds = self.speeds_message(state.from, now);
+        }
+        for (to, next, speeds) in [
+            (active, due.active_next, speeds),
+            (busy, due.busy_next, None),
+        ] {
+            if !to.is_empty() {
+                let mut hello = self.hello(state, next, now);
+                hello.quarantine = self.quarantine.full_update(now);
+                hello.counts = counts.clone();
+                let mut datagram = self.datagram(hello, now);
+                datagram.0.extend(speeds);
+                all.push((datagram, to));
+            }
         }
         all
     }
--- a/crates/gateway/src/fleet/streams.rs
+++ b/crates/gateway/src/fleet/streams.rs
@@ -12,10 +12,7 @@
             StreamAnswer,
             StreamQuery, //
         },
-        sender::{
-            send,
-            ZoneLabels, //
-        },
+        sender::send,
     },
     crate::state::Shared,
     async_std::{
@@ -136,14 +133,7 @@
         metrics::counter!("chervilwind_stream_records_sent").increment(records.len() as u64);
         for part in records.chunks(MAX_RECORDS) {
             let message = PeerMessage::StreamRecords(part.to_vec());
-            send(
-                &gw.peer_socket,
-                &message.into(),
-                &[holder],
-                &gw.zone_labels(),
-                false,
-            )
-            .await;
+            send(&gw.peer_socket, &message.into(), &[holder], false).await;
         }
     }
 }
@@ -171,16 +161,7 @@
         key,
         services: services.to_vec(),
     };
-    let zone_labels = gw.zone_labels();
-    exchange(
-        &gw.peer_socket,
-        query,
-        &pending,
-        sources,
-        lookup,
-        &zone_labels,
-    )
-    .await
+    exchange(&gw.peer_socket, query, &pending, sources, lookup).await
 }
 
 /// Sends a query until the lookup is complete, or a few times.
@@ -190,14 +171,13 @@
     pending: &LookupGuard<'_>,
     mut unanswered: Vec<SocketAddr>,
     mut lookup: Lookup,
-    zone_labels: &ZoneLabels<'_>,
 ) -> Lookup {
     let query: Datagram = PeerMessage::StreamQuery(query).into();
     for span in ANSWER_TIMEOUTS {
         if lookup.is_complete() || unanswered.is_empty() {
             break;
         }
-        send(socket, &query, &unanswered, zone_labels, false).await;
+        send(socket, &query, &unanswered, false).await;
         let until = Instant::now() + span;
         receive_answers(pending, &mut unanswered, &mut lookup, until).await;
     }
@@ -237,14 +217,7 @@
         knowledge: gw.stream_knowledge(key, services),
     };
     let message = PeerMessage::StreamAnswer(answer);
-    send(
-        &gw.peer_socket,
-        &message.into(),
-        &[from],
-        &gw.zone_labels(),
-        false,
-    )
-    .await;
+    send(&gw.peer_socket, &message.into(), &[from], false).await;
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/fleet/streams/tests.rs
+++ b/crates/gateway/src/fleet/streams/tests.rs
@@ -120,7 +120,7 @@
             key: KEY,
             services: vec!["s".parse().unwrap()],
         };
-        let lookup = exchange(&socket, query, &pending, sources, lookup, &|_| "other").await;
+        let lookup = exchange(&socket, query, &pending, sources, lookup).await;
         drop(pending);
         assert!(lookups.lock().is_empty());
         receiving.cancel().await;
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -2,10 +2,8 @@
 
 use {
     policy::{
-        placement::Tuning,
         Region,
         ServiceId,
-        Span,
         WorkspaceId, //
     },
     std::{
@@ -195,25 +193,6 @@
     pub fn shortest_target(&self, service: &ServiceId) -> Option<Duration> {
         self.shortest_targets.get(service).copied()
     }
-
-    /// Returns whether there are services with engines and all of them are tolerant. A service
-    /// without a streaming route has no known target, and is not.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// let config = gateway::Config::default();
-    /// assert!(!config.is_tolerant(&policy::placement::Tuning::default()));
-    /// ```
-    pub fn is_tolerant(&self, tuning: &Tuning) -> bool {
-        let tolerant = |name| {
-            let target = self.shortest_target(name);
-            target.is_some_and(|target| tuning.is_tolerant(Span::from(target)))
-        };
-        let with_engines = self.services.iter().filter(|(_, s)| s.engine.is_some());
-        let mut with_engines = with_engines.map(|(name, _)| name).peekable();
-        with_engines.peek().is_some() && with_engines.all(tolerant)
-    }
 }
 
 impl Config {
@@ -262,6 +241,3 @@
         matches!(self.kind, RouteKind::Stream { .. })
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -74,7 +74,6 @@
     rustc_hash::FxBuildHasher,
     std::{
         collections::HashMap,
-        net::SocketAddr,
         sync::{
             atomic::{
                 AtomicBool,
@@ -312,14 +311,6 @@
         lock(&self.tables)
     }
 
-    /// Returns the function that labels the receivers of messages by zone.
-    pub(crate) fn zone_labels(&self) -> impl Fn(&SocketAddr) -> &'static str + '_ {
-        |addr| match self.tables().fleet.is_same_zone(addr) {
-            true => "own",
-            false => "other",
-        }
-    }
-
     /// Returns the maximum number of connections of callers.
     pub(crate) fn max_connections(&self) -> usize {
         let all = self.settings.instance.descriptors as usize;
@@ -368,11 +359,7 @@
             config.services.len()
         );
         metrics::gauge!("chervilwind_config_version").set(config.version as f64);
-        let tolerant = config.is_tolerant(&self.settings.placement);
-        let mut tables = self.tables();
-        tables.quota.set_capacity(config.limits.capacity);
-        tables.fleet.set_tolerant(tolerant);
-        drop(tables);
+        self.tables().quota.set_capacity(config.limits.capacity);
         *current = Some(Arc::new(CurrentConfig { config, document }));
         true
     }
--- a/crates/policy/src/actives/contacts.rs
+++ b/crates/policy/src/actives/contacts.rs
@@ -38,8 +38,6 @@
     promised: Span,
     /// Offset of its message within a round, from 0 to 1.
     phase: f64,
-    /// Whether the router there is known to be in the local zone.
-    same_zone: bool,
 }
 
 impl Contact {
@@ -72,22 +70,10 @@
             sent: None,
             promised: Span::ZERO,
             phase: self.phase(addr),
-            same_zone: false,
         };
         self.all.insert(addr, new);
     }
 
-    /// Records whether the router at an address is in the local zone.
-    pub(super) fn set_same_zone(&mut self, addr: SocketAddr, same_zone: bool) {
-        if let Some(contact) = self.all.get_mut(&addr) {
-            contact.same_zone = same_zone;
-        }
-    }
-
-    pub(super) fn is_same_zone(&self, addr: &SocketAddr) -> bool {
-        self.all.get(addr).is_some_and(|c| c.same_zone)
-    }
-
     pub(super) fn len(&self) -> usize {
         self.all.len()
     }
--- a/crates/policy/src/actives/mod.rs
+++ b/crates/policy/src/actives/mod.rs
@@ -33,8 +33,6 @@
     },
     recipients::{
         Recipients,
-        ReportRecipients,
-        Urgency,
         HELLO_EVERY, //
     },
     table::{
--- a/crates/policy/src/actives/recipients.rs
+++ b/crates/policy/src/actives/recipients.rs
@@ -3,15 +3,13 @@
 use {
     super::{
         Actives,
-        Peer,
-        RouterInfo, //
+        Peer, //
     },
     crate::{
         rendezvous,
         RouterId,
         Span,
-        Time,
-        Zone, //
+        Time, //
     },
     std::{
         collections::HashSet,
@@ -33,46 +31,21 @@
 const HELLO_INTERVAL_MIN: Span = Span::millis(300);
 /// Factor of the hello interval between two standbys: 10 messages per second in a fleet of 300.
 const STANDBY_FACTOR: f64 = 10.0;
-/// Longest interval between two reports to active routers in other zones. A receiver that loses two
-/// reports in a row still gets the next one before it considers the sender silent.
-const REDUCED_INTERVAL_MAX: Span = Span::millis(300);
 /// A router that was sent load messages as an active one within this time acts as an active one.
 const ADDRESSED_SPAN: Span = Span::millis(700);
 /// A router that knows fewer peers asks for more addresses.
 const KNOWN_PEERS_MIN: usize = 40;
 
-/// Which routers get a message now, although their next one is not due.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub enum Urgency {
-    /// None.
-    #[default]
-    Scheduled,
-    /// All active routers.
-    Actives,
-    /// All routers.
-    All,
-}
-
-/// Active routers that get load messages at the same pace.
-#[derive(Debug, Clone, PartialEq, Default)]
-pub struct ReportRecipients {
-    /// The active routers.
-    pub active_peers: Vec<SocketAddr>,
-    /// Routers that act as active ones, though this one considers them standbys.
-    pub addressed: Vec<SocketAddr>,
-    /// Time until the next message to these.
-    pub next: Span,
-}
-
 /// The receivers of a router's messages at one moment.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Recipients {
-    /// The receivers of load messages, by pace.
-    pub reports: Vec<ReportRecipients>,
-    /// Whether a hello accompanies the load messages.
-    pub with_hello: bool,
-    /// Time until the next summaries.
+    /// The active routers, and the time until the next message to them.
+    pub active_peers: Vec<SocketAddr>,
+    /// See [`Recipients::active_peers`].
     pub active_next: Span,
+    /// Routers that act as active ones, though this one considers them standbys. They get its load
+    /// messages.
+    pub addressed: Vec<SocketAddr>,
     /// Standbys with many requests, which get its hellos, and the time until the next of these.
     pub busy_standbys: Vec<SocketAddr>,
     /// See [`Recipients::busy_standbys`].
@@ -89,67 +62,13 @@
     pub standbys_next: Span,
 }
 
-impl ReportRecipients {
-    /// Returns all of them.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use policy::actives::ReportRecipients;
-    ///
-    /// assert_eq!(ReportRecipients::default().all().count(), 0);
-    /// ```
-    pub fn all(&self) -> impl Iterator<Item = &SocketAddr> {
-        self.active_peers.iter().chain(&self.addressed)
-    }
-}
-
 impl Actives {
-    /// Returns the interval between two messages to active routers of the local zone, and to all
-    /// active ones unless reports to other zones are reduced.
+    /// Returns the interval between two messages to active routers.
     pub fn gossip_interval(&self) -> Span {
         self.heartbeat
             .max(ACTIVE_INTERVAL_PER_ROUTER * self.active_count() as f64)
     }
 
-    /// Returns the longest interval between two reports of an active router.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use policy::{actives::{Actives, RouterInfo}, Incarnation, Span};
-    ///
-    /// let info = RouterInfo {
-    ///     incarnation: Incarnation(1),
-    ///     peers: ([127, 0, 0, 1], 7000).into(),
-    ///     callers: ([127, 0, 0, 1], 7001).into(),
-    ///     zone: "hall-a".parse().unwrap(),
-    ///     processor: 0.25,
-    ///     ready: true,
-    /// };
-    /// let mut fleet = Actives::new("r1".parse()?, info, 12, Span::millis(100));
-    /// assert_eq!(fleet.report_interval(), Span::millis(100));
-    /// fleet.set_tolerant(true);
-    /// assert_eq!(fleet.report_interval(), Span::millis(300));
-    /// # Ok::<(), policy::IdError>(())
-    /// ```
-    pub fn report_interval(&self) -> Span {
-        let interval = self.gossip_interval();
-        let reduced = interval * f64::from(HELLO_EVERY);
-        match self.tolerant && reduced <= REDUCED_INTERVAL_MAX {
-            true => reduced,
-            false => interval,
-        }
-    }
-
-    /// Returns whether active routers in other zones get only every third report.
-    ///
-    /// Busy standbys report at the full pace: few routers send to them, and the active ones send
-    /// them summaries only while their reports are recent.
-    fn reduces_reports(&self, now: Time) -> bool {
-        self.acts_active(now) && self.report_interval() > self.gossip_interval()
-    }
-
     /// Returns whether this router knows so few others that it asks for more addresses.
     pub fn needs_addresses(&self) -> bool {
         self.peers.len() < KNOWN_PEERS_MIN
@@ -202,116 +121,39 @@
         self.is_active() && before.take(RELAYS).count() < RELAYS
     }
 
-    /// Returns the receivers of messages that are due now, to be called once in each
-    /// [`Actives::gossip_interval`] and whenever an update is urgent. `busy` means that this router
-    /// has requests at replicas, which the active routers must know of.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use policy::{
-    ///     actives::{Actives, RouterInfo, Urgency},
-    ///     Incarnation, Span, Time,
-    /// };
-    ///
-    /// let info = |port, zone: &str| RouterInfo {
-    ///     incarnation: Incarnation(1),
-    ///     peers: ([127, 0, 0, 1], port).into(),
-    ///     callers: ([127, 0, 0, 1], port + 1).into(),
-    ///     zone: zone.parse().unwrap(),
-    ///     processor: 0.25,
-    ///     ready: true,
-    /// };
-    /// let mut fleet = Actives::new("r1".parse()?, info(7000, "a"), 12, Span::millis(100));
-    /// fleet.set_tolerant(true);
-    /// let (name, now) = ("r2".parse()?, Time(0));
-    /// fleet.receive_hello(&name, 1, info(7100, "b"), Span::millis(300), 0.0, now);
-    /// let reported = |due: policy::actives::Recipients| due.reports.iter().any(|r| r.all().count() > 0);
-    /// assert!(reported(fleet.due(false, Urgency::Scheduled, now)));
-    /// assert!(!reported(fleet.due(false, Urgency::Scheduled, now)));
-    /// assert!(reported(fleet.due(false, Urgency::Actives, now)));
-    /// # Ok::<(), policy::IdError>(())
-    /// ```
-    pub fn due(&mut self, busy: bool, urgency: Urgency, now: Time) -> Recipients {
+    /// Returns the receivers of messages that are due now. `busy` means that this router has
+    /// requests at replicas, which the active routers must know of, and `urgent` that all routers
+    /// get a message.
+    pub fn due(&mut self, busy: bool, urgent: bool, now: Time) -> Recipients {
         self.refresh(now);
-        let phase = self.intervals % HELLO_EVERY;
-        self.intervals = self.intervals.wrapping_add(1);
-        let reports = self.acts_active(now) || busy;
-        let mut recipients = match reports {
+        let mut recipients = match self.acts_active(now) || busy {
             true => self.frequent_recipients(now),
             false => Recipients::default(),
         };
-        recipients.with_hello = phase == 0;
         recipients.active_next = self.gossip_interval();
         recipients.busy_next = recipients.active_next * f64::from(HELLO_EVERY);
-        if reports {
-            let due = recipients.with_hello || urgency > Urgency::Scheduled;
-            let until_hello = recipients.active_next * f64::from(HELLO_EVERY - phase);
-            recipients.reports = self.report_recipients(due, until_hello, now);
-        } else {
-            self.reduced = false;
+        for addr in recipients.active_peers.iter().chain(&recipients.addressed) {
+            self.contacts
+                .record_sent(*addr, recipients.active_next, now);
         }
         for addr in &recipients.busy_standbys {
             self.contacts.record_sent(*addr, recipients.busy_next, now);
         }
-        self.add_hello_recipients(&mut recipients, urgency == Urgency::All, now);
+        self.add_hello_recipients(&mut recipients, urgent, now);
         recipients
     }
 
-    /// Returns the receivers of load messages. Those in other zones are included if `others_due`;
-    /// their next message after this interval comes after `until_hello` if reports are reduced.
-    fn report_recipients(
-        &mut self,
-        others_due: bool,
-        until_hello: Span,
-        now: Time,
-    ) -> Vec<ReportRecipients> {
-        let reduced = self.reduces_reports(now);
-        // The last reports at the full pace announced that another one follows after one interval.
-        let begins = reduced && !self.reduced;
-        self.reduced = reduced;
-        let own = self.in_zones(|zone| !reduced || *zone == self.local.zone, now);
-        let own = ReportRecipients {
-            next: self.gossip_interval(),
-            ..own
-        };
-        let others = self.in_zones(|zone| reduced && *zone != self.local.zone, now);
-        let others = ReportRecipients {
-            next: until_hello,
-            ..others
-        };
-        // Recorded also for those whose message is not due yet. Otherwise they would get a hello at
-        // the beginning of their round in between.
-        for recipients in [&own, &others] {
-            for addr in recipients.all() {
-                self.contacts.record_sent(*addr, recipients.next, now);
-            }
-        }
-        match reduced && (others_due || begins) {
-            true => vec![own, others],
-            false => vec![own],
-        }
-    }
-
-    /// Returns the receivers of load messages in some zones.
-    fn in_zones(&self, included: impl Fn(&Zone) -> bool, now: Time) -> ReportRecipients {
-        let active_peers = self.active().map(|(_, p)| &p.info);
-        let addressed = self.addressing(now).map(|p| &p.info);
-        let in_zones = |info: &&RouterInfo| included(&info.zone);
-        ReportRecipients {
-            active_peers: active_peers.filter(in_zones).map(|i| i.peers).collect(),
-            addressed: addressed.filter(in_zones).map(|i| i.peers).collect(),
-            next: Span::ZERO,
-        }
-    }
-
-    /// Returns the receivers of hellos and summaries among the busy standbys.
+    /// Returns the receivers of frequent messages.
     fn frequent_recipients(&self, now: Time) -> Recipients {
+        let active_peers = self.active().map(|(_, p)| p.info.peers);
+        let addressed = self.addressing(now).map(|p| p.info.peers);
         let busy_standbys = self.busy_standbys(now).map(|(_, p)| p.info.peers);
         let relayed = self
             .busy_standbys(now)
             .filter(|(name, _)| self.relays_to(name));
         Recipients {
+            active_peers: active_peers.collect(),
+            addressed: addressed.collect(),
             busy_standbys: busy_standbys.collect(),
             relayed: relayed
                 .map(|(name, p)| (name.clone(), p.info.peers))
--- a/crates/policy/src/actives/table.rs
+++ b/crates/policy/src/actives/table.rs
@@ -59,12 +59,6 @@
     pub(super) least: usize,
     /// Interval between two messages of active routers, if there are few of them.
     pub(super) heartbeat: Span,
-    /// See [`Actives::set_tolerant`].
-    pub(super) tolerant: bool,
-    /// The last reports to other zones were reduced.
-    pub(super) reduced: bool,
-    /// Number of times that messages were due.
-    pub(super) intervals: u32,
     pub(super) rate: Rate,
     pub(super) peers: BTreeMap<RouterId, Peer>,
     /// The peers by the keys of their incarnations.
@@ -101,9 +95,6 @@
             local,
             least,
             heartbeat,
-            tolerant: false,
-            reduced: false,
-            intervals: 0,
             rate: Rate::default(),
             peers: BTreeMap::new(),
             keys: HashMap::new(),
@@ -133,44 +124,6 @@
         }
     }
 
-    /// Sets whether all services with engines are tolerant. Routers then send few requests to
-    /// engines in other zones, and need the loads of routers there less often.
-    ///
-    /// # Examples
-    ///
-    /// See [`Actives::report_interval`].
-    pub fn set_tolerant(&mut self, tolerant: bool) {
-        self.tolerant = tolerant;
-    }
-
-    /// Returns whether the router at an address is known to be in the local zone.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use policy::{actives::{Actives, RouterInfo}, Incarnation, Span, Time};
-    ///
-    /// let info = |port, zone: &str| RouterInfo {
-    ///     incarnation: Incarnation(1),
-    ///     peers: ([127, 0, 0, 1], port).into(),
-    ///     callers: ([127, 0, 0, 1], port + 1).into(),
-    ///     zone: zone.parse().unwrap(),
-    ///     processor: 0.25,
-    ///     ready: true,
-    /// };
-    /// let mut fleet = Actives::new("r1".parse()?, info(7000, "a"), 12, Span::millis(100));
-    /// for (name, port, zone) in [("r2", 7100, "a"), ("r3", 7200, "b")] {
-    ///     fleet.receive_hello(&name.parse()?, 1, info(port, zone), Span::ZERO, 0.0, Time(0));
-    /// }
-    /// let in_zone = |port: u16| fleet.is_same_zone(&([127, 0, 0, 1], port).into());
-    /// assert!(in_zone(7100));
-    /// assert!(!in_zone(7200));
-    /// # Ok::<(), policy::IdError>(())
-    /// ```
-    pub fn is_same_zone(&self, addr: &SocketAddr) -> bool {
-        self.contacts.is_same_zone(addr)
-    }
-
     /// Counts a request to this router.
     pub fn count_request(&mut self) {
         self.rate.count();
@@ -226,8 +179,6 @@
         let key = router_key(name, peer.info.incarnation);
         self.keys.insert(key, name.clone());
         self.contacts.add(peer.info.peers, now);
-        let same_zone = peer.info.zone == self.local.zone;
-        self.contacts.set_same_zone(peer.info.peers, same_zone);
         self.peers.insert(name.clone(), peer);
         if changed {
             self.refreshed = None;
--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -1,6 +1,5 @@
 //! The active routers in fleets of 8 to 370.
 
-mod reports;
 mod world;
 
 use {
--- a/crates/policy/tests/actives/world.rs
+++ b/crates/policy/tests/actives/world.rs
@@ -8,7 +8,7 @@
             HelloKind,
             LoadFlags,
             RouterInfo,
-            Urgency, //
+            HELLO_EVERY, //
         },
         placement::{
             Board,
@@ -32,7 +32,6 @@
         },
         net::SocketAddr, //
     },
-    xxhash_rust::xxh3::xxh3_64_with_seed, //
 };
 
 /// Fraction of the messages that are lost.
@@ -71,16 +70,6 @@
     },
 }
 
-impl Payload {
-    fn next(&self) -> Span {
-        match self {
-            Payload::Hello { next, .. }
-            | Payload::Loads { next, .. }
-            | Payload::Summary { next, .. } => *next,
-        }
-    }
-}
-
 type Message = (
     Reverse<(Time, u64)>,
     usize,
@@ -105,17 +94,6 @@
     roster: Roster<()>,
 }
 
-/// The reports of one active router to another.
-#[derive(Debug)]
-pub(crate) struct Path {
-    /// When the last one arrived, or since when the sender considers the receiver active.
-    at: Time,
-    /// The time until the next one that it announced.
-    next: Span,
-    /// How many were lost since then.
-    lost: u32,
-}
-
 /// The fleet, and the network between its routers.
 #[derive(Debug)]
 pub(crate) struct World {
@@ -130,17 +108,9 @@
     pub(crate) sent: Vec<u64>,
     pub(crate) received: Vec<u64>,
     rng: fastrand::Rng,
-    /// Bytes of messages between active routers of different zones.
-    pub(crate) across_zones: u64,
-    /// Reports between active routers of different zones, while their ages are checked.
-    pub(crate) paths: Option<HashMap<(usize, usize), Path>>,
-    /// Hash of all messages that were sent, if that is wanted.
-    pub(crate) digest: Option<u64>,
 }
 
 const ZONES: usize = 5;
-/// Longest delay of a message, including the steps of the virtual time.
-const DELAY_MAX: Span = Span::millis(15);
 
 pub(crate) fn name(i: usize) -> RouterId {
     format!("r{i:03}").parse().unwrap()
@@ -174,9 +144,6 @@
             sent: vec![0; n],
             received: vec![0; n],
             rng: fastrand::Rng::with_seed(seed),
-            across_zones: 0,
-            paths: None,
-            digest: None,
         };
         for i in 0..n {
             let next_send = world.now + Span::millis(world.rng.u64(0..300));
@@ -296,66 +263,7 @@
                     self.send_due(i, false);
                 }
             }
-            self.check_views();
-        }
-    }
-
-    /// Sets whether all services with engines are tolerant, at all routers.
-    pub(crate) fn set_tolerant(&mut self, tolerant: bool) {
-        for router in &mut self.routers {
-            router.fleet.set_tolerant(tolerant);
-        }
-    }
-
-    /// Returns how many routers consider an active one silent.
-    pub(crate) fn count_observing_silence(&self) -> usize {
-        let up = self.routers.iter().filter(|r| r.up);
-        up.filter(|r| !r.fleet.silent().is_empty()).count()
-    }
-
-    /// Checks that reports of other zones come when they were announced, and that none is older than
-    /// three intervals and three more for each lost one.
-    fn check_views(&mut self) {
-        let Some(mut paths) = self.paths.take() else {
-            return;
-        };
-        let (at, current) = (self.now, self.paths_across_zones());
-        paths.retain(|path, _| current.contains(path));
-        for (from, to) in current {
-            let next = self.routers[from].fleet.gossip_interval() * 3.0;
-            let new = Path { at, next, lost: 0 };
-            let path = paths.entry((from, to)).or_insert(new);
-            let most = match path.lost {
-                0 => path.next,
-                lost => next * f64::from(lost + 1),
-            };
-            let age = at.since(path.at);
-            assert!(
-                age <= most + DELAY_MAX,
-                "report of {from} to {to} is {age:?} old, {path:?}"
-            );
         }
-        self.paths = Some(paths);
-    }
-
-    /// Returns the senders and receivers of reports across zones.
-    fn paths_across_zones(&self) -> HashSet<(usize, usize)> {
-        let senders = self.up().into_iter();
-        let senders = senders.filter(|i| self.routers[*i].fleet.is_active());
-        let paths = senders.flat_map(|from| {
-            let receivers = self.routers[from].fleet.active();
-            receivers.map(move |(_, p)| (from, self.at[&p.info.peers]))
-        });
-        let across = paths.filter(|(from, to)| from % ZONES != to % ZONES);
-        let reached = across.filter(|(from, to)| self.routers[*to].up && self.reaches(*from, *to));
-        reached.collect()
-    }
-
-    /// Returns the path of a report, if its age is checked.
-    fn path(&mut self, from: usize, to: usize, payload: &Payload) -> Option<&mut Path> {
-        let paths = self.paths.as_mut()?;
-        let is_report = matches!(payload, Payload::Loads { .. });
-        is_report.then(|| paths.get_mut(&(from, to))).flatten()
     }
 
     fn send_due(&mut self, i: usize, urgent: bool) {
@@ -364,12 +272,7 @@
         router.number += 1;
         let number = router.number;
         let running = router.board.running();
-        let urgency = if urgent {
-            Urgency::All
-        } else {
-            Urgency::Scheduled
-        };
-        let due = router.fleet.due(running >= BUSY, urgency, now);
+        let due = router.fleet.due(running >= BUSY, urgent, now);
         let flags = LoadFlags {
             busy: running >= BUSY,
             from_active: router.fleet.acts_active(now),
@@ -377,7 +280,7 @@
         };
         router
             .board
-            .set_report_interval(router.fleet.report_interval());
+            .set_report_interval(router.fleet.gossip_interval());
         let sharers = router.fleet.sharers(now);
         let summaries: Vec<(SocketAddr, u32)> = due
             .relayed
@@ -394,22 +297,26 @@
             next,
             known: Vec::new(),
         };
-        for (report, to_active) in due.reports.iter().flat_map(|r| [(r, true), (r, false)]) {
-            let to = if to_active {
-                &report.active_peers
-            } else {
-                &report.addressed
+        for to in &due.active_peers {
+            let next = due.active_next;
+            if number % HELLO_EVERY == 1 {
+                self.send(i, *to, number, hello(next));
+            }
+            let flags = LoadFlags {
+                to_active: true,
+                ..flags
             };
-            for to in to {
-                if due.with_hello {
-                    self.send(i, *to, number, hello(report.next));
-                }
-                let flags = LoadFlags { to_active, ..flags };
-                self.send(i, *to, number, loads(report.next, flags));
+            self.send(i, *to, number, loads(next, flags));
+        }
+        for to in &due.addressed {
+            let next = due.active_next;
+            if number % HELLO_EVERY == 1 {
+                self.send(i, *to, number, hello(next));
             }
+            self.send(i, *to, number, loads(next, flags));
         }
         for to in &due.busy_standbys {
-            if due.with_hello {
+            if number % HELLO_EVERY == 1 {
                 self.send(i, *to, number, hello(due.busy_next));
             }
         }
@@ -437,21 +344,10 @@
             Payload::Summary { .. } => SUMMARY_BYTES,
         };
         self.sent[from] += bytes;
-        if let Some(digest) = &mut self.digest {
-            let message = format!("{:?} {from} {to} {number} {payload:?};", self.now);
-            *digest = xxh3_64_with_seed(message.as_bytes(), *digest);
-        }
         let Some(to) = self.at.get(&to).copied() else {
             return;
         };
-        let is_active = |i: usize| self.routers[i].fleet.is_active();
-        if from % ZONES != to % ZONES && is_active(from) && is_active(to) {
-            self.across_zones += bytes;
-        }
         if self.rng.f64() < LOSS_RATE {
-            if let Some(path) = self.path(from, to, &payload) {
-                path.lost += 1;
-            }
             return;
         }
         let at = self.now + Span::millis(self.rng.u64(1..8));
@@ -486,11 +382,6 @@
             if !self.routers[to].up || !self.reaches(from, to) {
                 continue;
             }
-            let at = self.now;
-            if let Some(path) = self.path(from, to, &payload) {
-                let next = payload.next();
-                *path = Path { at, next, lost: 0 };
-            }
             let known = &mut self.routers[to].era;
             *known = era.max(*known);
             for key in leaving {
