--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -82,8 +82,6 @@
     pub(crate) stop: Receiver<()>,
     /// Whether the last answer announced that the connection is closed after it.
     pub(crate) closes: bool,
-    /// Whether a request was read.
-    pub(crate) read_any: bool,
 }
 
 /// Why no request could be read.
@@ -144,7 +142,6 @@
         let _active = CountGuard::add(&gw.active_requests, 1);
         let head = self.read_head(&limits).await?;
         let (body, arrived) = self.read_body(&head, &limits).await?;
-        self.record_read();
         let _held = CountGuard::add(&gw.held_body_bytes, body.len());
         let keep = head.keeps_alive();
         self.closes = !keep;
@@ -172,15 +169,6 @@
         Ok(self.serve(request).await && keep)
     }
 
-    /// Counts the first request.
-    fn record_read(&mut self) {
-        if !std::mem::replace(&mut self.read_any, true) {
-            if let Some(shedder) = &self.gw.shedder {
-                shedder.record_read();
-            }
-        }
-    }
-
     async fn wait_for_request(&mut self, idle: Duration) -> Result<(), ReadFailure> {
         if !self.conn.buffered().is_empty() {
             return Ok(());
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -20,7 +20,6 @@
 mod resume;
 mod retry;
 mod server;
-mod shed;
 mod silence;
 pub(crate) mod simple;
 mod stream;
@@ -35,7 +34,6 @@
         serve_metrics,
         serve_ready, //
     },
-    shed::Shedder,
     waiting::{
         run_rounds,
         WaitingQueue, //
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -15,7 +15,6 @@
         },
         state::Shared, //
     },
-    async_io::Async,
     async_std::{
         channel::Receiver,
         task, //
@@ -23,7 +22,6 @@
     metrics_exporter_prometheus::PrometheusHandle,
     policy::quarantine::SuspectKind,
     std::{
-        net::TcpStream,
         sync::{
             atomic::Ordering,
             Arc, //
@@ -37,55 +35,46 @@
 
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn accept(gw: Arc<Shared>, listener: Listener, stop: Receiver<()>) {
+    let most = gw.max_connections();
     let mut full = false;
     loop {
-        let serve = |stream| serve_stream(&gw, stream, &stop, &mut full);
-        let accepted = match &gw.shedder {
-            Some(shedder) => {
-                let streams = shedder.accept(&listener, || gw.now()).await;
-                streams.map(|streams| streams.into_iter().for_each(serve))
+        let stream = match listener.accept().await {
+            Ok(stream) => stream,
+            Err(e) => {
+                log::warn!("event=accept outcome=failed cause={e:?}");
+                task::sleep(ACCEPT_PAUSE).await;
+                continue;
             }
-            None => listener.accept().await.map(serve),
         };
-        if let Err(e) = accepted {
-            log::warn!("event=accept outcome=failed cause={e:?}");
-            task::sleep(ACCEPT_PAUSE).await;
+        let open = gw.caller_connections.load(Ordering::Relaxed);
+        if (open >= most) != full {
+            full = open >= most;
+            log::warn!("event=accept outcome=full full={full} open={open} most={most}");
         }
-    }
-}
-
-/// Starts to serve a connection, unless there are too many.
-fn serve_stream(gw: &Arc<Shared>, stream: Async<TcpStream>, stop: &Receiver<()>, full: &mut bool) {
-    let most = gw.max_connections();
-    let open = gw.caller_connections.load(Ordering::Relaxed);
-    if (open >= most) != *full {
-        *full = open >= most;
-        log::warn!("event=accept outcome=full full={full} open={open} most={most}");
-    }
-    if *full {
-        metrics::counter!("chervilwind_callers_turned_away").increment(1);
-        return;
-    }
-    let conn = match Conn::new(stream) {
-        Ok(conn) => conn,
-        Err(e) => {
-            log::debug!("event=accept outcome=broken cause={e:?}");
-            return;
+        if full {
+            metrics::counter!("chervilwind_callers_turned_away").increment(1);
+            continue;
         }
-    };
-    let connection = Connection {
-        gw: gw.clone(),
-        conn,
-        stop: stop.clone(),
-        closes: false,
-        read_any: false,
-    };
-    gw.caller_connections.fetch_add(1, Ordering::Relaxed);
-    let gw = gw.clone();
-    task::spawn(async move {
-        connection.run().await;
-        gw.caller_connections.fetch_sub(1, Ordering::Relaxed);
-    });
+        let conn = match Conn::new(stream) {
+            Ok(conn) => conn,
+            Err(e) => {
+                log::debug!("event=accept outcome=broken cause={e:?}");
+                continue;
+            }
+        };
+        let connection = Connection {
+            gw: gw.clone(),
+            conn,
+            stop: stop.clone(),
+            closes: false,
+        };
+        gw.caller_connections.fetch_add(1, Ordering::Relaxed);
+        let gw = gw.clone();
+        task::spawn(async move {
+            connection.run().await;
+            gw.caller_connections.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
 }
 
 /// Serves the readiness check.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -29,11 +29,7 @@
         PrometheusBuilder,
         PrometheusHandle, //
     },
-    policy::{
-        accept::DELAY_INTERVAL,
-        quota::Outcomes,
-        Span, //
-    },
+    policy::quota::Outcomes,
     std::{
         io,
         path::Path,
@@ -45,6 +41,8 @@
     },
 };
 
+/// How often it is measured how late tasks run.
+const DELAY_INTERVAL: Duration = Duration::from_millis(25);
 /// How often idle connections are closed and rejections are logged.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Rejections are logged for at most this many workspaces at a time.
@@ -156,15 +154,11 @@
 
 /// Measures how late tasks run.
 async fn measure_delay(gw: Arc<Shared>) {
-    let interval: Duration = DELAY_INTERVAL.into();
     loop {
         let begun = Instant::now();
-        task::sleep(interval).await;
-        let delay = Span::from(begun.elapsed().saturating_sub(interval));
-        gw.tables().overload.record_delay(delay);
-        if let Some(shedder) = &gw.shedder {
-            shedder.record_delay(delay, gw.now());
-        }
+        task::sleep(DELAY_INTERVAL).await;
+        let delay = begun.elapsed().saturating_sub(DELAY_INTERVAL);
+        gw.tables().overload.record_delay(delay.into());
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,10 +9,7 @@
             Replica,
             Store, //
         },
-        serve::{
-            Shedder,
-            WaitingQueue, //
-        },
+        serve::WaitingQueue,
         upstream::Pool,
         Settings, //
     },
@@ -190,8 +187,6 @@
     pub(crate) caller_connections: AtomicUsize,
     /// Bytes of request bodies in memory.
     pub(crate) held_body_bytes: AtomicUsize,
-    /// Sheds connections of callers, at an instance that has little processor time.
-    pub(crate) shedder: Option<Shedder>,
 }
 
 impl Shared {
@@ -253,7 +248,6 @@
             active_requests: AtomicUsize::new(0),
             caller_connections: AtomicUsize::new(0),
             held_body_bytes: AtomicUsize::new(0),
-            shedder: Shedder::new(settings.instance.processor),
             settings,
         }
     }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,5 @@
 //! Tests of gateways on loopback, with replicas that fail on request.
 
-mod accept;
 mod answers;
 mod caller;
 mod evacuation;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,7 +4,6 @@
 //! and a seed. So each decision can be fuzzed against an oracle, replayed from a golden file and
 //! benchmarked without a network.
 
-pub mod accept;
 pub mod actives;
 mod answer_state;
 mod dispatch;
