--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -171,7 +171,6 @@
             return;
         };
         tables.board.set_peer(&from, &loads, now);
-        self.gw.record_room(&mut tables);
         drop(tables);
         self.apply_header(header, &from, at);
     }
@@ -191,7 +190,6 @@
         let sharers = usize::from(summary.sharers);
         tables.fleet.set_sharers(sharers, now);
         tables.board.set_summary(&summary.loads(), now);
-        self.gw.record_room(&mut tables);
         tables.quota.set_summary(&summary.counts, now);
         drop(tables);
         self.apply_header(header, &from, at);
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -22,7 +22,6 @@
             pick_plain,
             retry_after_cooldown,
             stream_room,
-            Bound,
             Candidate,
             Pick,
             PlacementRequest,
@@ -67,10 +66,6 @@
     pub(crate) answer: AnswerState,
     /// What began the stream, if it goes on.
     pub(crate) origin: Option<&'a StreamOrigin>,
-    /// The request is already counted in its workspace's demand.
-    pub(crate) demand_counted: bool,
-    /// How long it has waited for room, which is no longer left until its latency target.
-    pub(crate) waited: Duration,
 }
 
 /// A request for which no replica was chosen.
@@ -80,19 +75,6 @@
     pub(crate) retry_delay: Duration,
     /// What the decision was based on, for the request log.
     pub(crate) inputs: String,
-    /// Set if the engines have no room.
-    pub(crate) rejection: Option<Rejection>,
-}
-
-/// Why the engines have no room for a request.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Rejection {
-    pub(crate) bound: Bound,
-    pub(crate) usage: UsageStanding,
-    /// Time to the first event at an idle engine.
-    pub(crate) reading: Span,
-    /// There was room, which is left to requests that wait.
-    pub(crate) gave_way: bool,
 }
 
 /// What the router knew when it chose among engines, for the request log.
@@ -134,19 +116,6 @@
         self: &Arc<Shared>,
         req: &Request,
         selection: Selection<'_>,
-    ) -> Result<SlotPermit, Refused> {
-        let tried = self.try_slot(req, selection);
-        if let Err(refused) = &tried {
-            self.record_rejected(req, refused);
-        }
-        tried
-    }
-
-    /// Does the same, but does not count a rejection in the outcomes of the request's workspace.
-    pub(super) fn try_slot(
-        self: &Arc<Shared>,
-        req: &Request,
-        selection: Selection<'_>,
     ) -> Result<SlotPermit, Refused> {
         let now = self.now();
         let mut tables = self.tables();
@@ -170,35 +139,23 @@
                 retry_after,
                 fullness,
                 bound,
-                reading,
             }) => {
-                let rejection = basis.map(|basis| Rejection {
-                    bound,
-                    usage: basis.usage,
-                    reading,
-                    gave_way: false,
-                });
+                if let (Some(prompt), Some(workspace), Some(basis)) =
+                    (prompt, &req.workspace, basis)
+                {
+                    let tokens = prompt.cost() as u64;
+                    tables
+                        .tally
+                        .record_rejected(workspace, tokens, basis.usage, bound);
+                }
                 return Err(Refused {
                     refusal: Refusal::Full,
                     retry_delay: retry_after.into(),
                     inputs: format!("full={fullness:.2} bound={bound} {inputs}"),
-                    rejection,
                 });
             }
             Some(Pick::Run(choice)) => choice,
         };
-        let found = basis.map(|basis| Rejection {
-            bound: Bound::None,
-            usage: basis.usage,
-            reading: choice.reading,
-            gave_way: false,
-        });
-        let refused =
-            found.and_then(|found| tables.refuse_before_waiting(self, req, &selection, found, now));
-        if let Some(mut refused) = refused {
-            refused.inputs = format!("{} {inputs}", refused.inputs);
-            return Err(refused);
-        }
         if basis.is_some() {
             let speed = tables.reading_speed(req, choice.key, now);
             inputs = format!("{inputs} speed={speed:.1}");
@@ -215,20 +172,6 @@
 }
 
 impl Shared {
-    /// Counts a rejected request in the outcomes of its workspace.
-    pub(super) fn record_rejected(&self, req: &Request, refused: &Refused) {
-        let Some(Rejection { bound, usage, .. }) = refused.rejection else {
-            return;
-        };
-        if let (Some(prompt), Some(workspace)) = (&req.prompt, &req.workspace) {
-            let tokens = prompt.cost() as u64;
-            let mut tables = self.tables();
-            tables
-                .tally
-                .record_rejected(workspace, tokens, usage, bound);
-        }
-    }
-
     /// Returns when the caller of a request that is given up should retry.
     pub(super) fn retry_delay(
         &self,
@@ -260,7 +203,7 @@
     ) -> (Option<Pick>, Basis) {
         let workspace = req.workspace.as_ref().map(WorkspaceKey::of);
         let usage = workspace.map_or(UsageStanding::default(), |key| {
-            if selection.tried.is_empty() && !selection.demand_counted {
+            if selection.tried.is_empty() {
                 self.quota.record_requested(key, prompt.cost(), now);
             }
             self.quota.standing(key, id_fraction(&req.id), now)
@@ -302,7 +245,7 @@
         let request = PlacementRequest {
             prompt,
             answer: selection.answer,
-            target: Span::from(req.route.latency_target.saturating_sub(selection.waited)),
+            target: Span::from(req.route.latency_target),
             shortest_target: Span::from(req.min_target),
             usage,
             load_interval: self.fleet.gossip_interval(),
@@ -446,7 +389,6 @@
             refusal,
             retry_delay,
             inputs: String::new(),
-            rejection: None,
         }
     }
 
@@ -506,7 +448,6 @@
         refusal: Refusal::Quarantined,
         retry_delay: hold.left.into(),
         inputs: format!("held={suspect} kind={kind}"),
-        rejection: None,
     }
 }
 
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -24,7 +24,6 @@
 pub(crate) mod simple;
 mod stream;
 mod stream_source;
-mod waiting;
 
 pub(crate) use self::{
     addresses::serve_addresses,
@@ -34,8 +33,4 @@
         serve_metrics,
         serve_ready, //
     },
-    waiting::{
-        run_rounds,
-        WaitingQueue, //
-    },
 };
--- a/crates/gateway/src/serve/permit.rs
+++ b/crates/gateway/src/serve/permit.rs
@@ -186,7 +186,6 @@
             None => {}
         }
         tables.last_received.insert(self.key, now);
-        self.gw.record_room(&mut tables);
         drop(tables);
         self.load.unread = 0;
         self.first_event_at = Some(Instant::now());
@@ -378,6 +377,5 @@
         }
         tables.board.end(self.key, self.load);
         tables.cooldowns.record_ended(self.key, self.sent_at);
-        self.gw.record_room(&mut tables);
     }
 }
--- a/crates/gateway/src/serve/progress.rs
+++ b/crates/gateway/src/serve/progress.rs
@@ -55,12 +55,6 @@
     pub(crate) sent: Arc<SendMarker>,
     /// Attempts that reached no replica.
     pub(crate) unreached: u32,
-    /// The request was counted in its workspace's demand before its first attempt.
-    pub(crate) demand_counted: bool,
-    /// When it began to wait for room.
-    pub(crate) wait_began: Option<Instant>,
-    /// How long it waited, once that has ended.
-    pub(crate) wait_took: Option<Duration>,
     /// An attempt may have run the request, and its answer is lost.
     pub(crate) may_have_run: bool,
     /// The caller was sent the head of an answer.
@@ -202,17 +196,9 @@
             tried: &self.tried,
             answer: self.answer_state(),
             origin: self.origin.as_ref(),
-            demand_counted: self.demand_counted,
-            waited: self.waited(),
         }
     }
 
-    /// Returns how long the request has waited for room.
-    pub(crate) fn waited(&self) -> Duration {
-        let so_far = || self.wait_began.map(|at| at.elapsed());
-        self.wait_took.or_else(so_far).unwrap_or_default()
-    }
-
     /// Returns whether the caller has the start of its answer; such requests come first.
     pub(crate) fn answer_state(&self) -> AnswerState {
         match (self.answer_started, self.resumed) {
--- a/crates/gateway/src/serve/request_log.rs
+++ b/crates/gateway/src/serve/request_log.rs
@@ -53,7 +53,7 @@
     };
     log::info!(
         "event=request outcome={outcome} id={} digest={} status={} route={} service={} workspace={} \
-         replica={} sends={} first-ms={} ms={} waited-ms={} version={} cause={:?} tokens={} {}",
+         replica={} sends={} first-ms={} ms={} version={} cause={:?} tokens={} {}",
         req.id,
         req.digest,
         progress.status,
@@ -64,7 +64,6 @@
         progress.sends,
         first.map_or(-1, |d| d.as_millis() as i64),
         req.arrived.elapsed().as_millis(),
-        progress.waited().as_millis(),
         req.version,
         progress.cause,
         req.prompt.as_ref().map_or(0, |p| p.total),
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -27,8 +27,7 @@
             RequestProgress, //
         },
         stream::forward_stream,
-        stream_source::StreamSource,
-        waiting::acquire_or_wait, //
+        stream_source::StreamSource, //
     },
     crate::{
         http::Writer,
@@ -56,7 +55,7 @@
     record_request(gw, req);
     let mut backoff = Backoff::default();
     loop {
-        let permit = match acquire_or_wait(gw, req, progress).await {
+        let permit = match gw.acquire_slot(req, progress.selection()) {
             Ok(mut permit) => {
                 progress.inputs = std::mem::take(&mut permit.inputs);
                 permit
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -136,7 +136,6 @@
     task::spawn(follow::follow_replicas(gw.clone()));
     task::spawn(follow::maintain_registration(gw.clone()));
     task::spawn(serve::accept(gw.clone(), callers, stopped));
-    task::spawn(serve::run_rounds(gw.clone()));
     task::spawn(run_maintenance(gw.clone()));
     task::spawn(measure_delay(gw.clone()));
     Ok(Gateway { shared: gw, stop })
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,6 @@
             Replica,
             Store, //
         },
-        serve::WaitingQueue,
         upstream::Pool,
         Settings, //
     },
@@ -138,8 +137,6 @@
     pub(crate) versions: VersionHistory,
     /// What began the streams that may be taken up again.
     pub(crate) streams: StreamTable,
-    /// Requests that wait for room at an engine.
-    pub(crate) waiting: WaitingQueue,
 }
 
 /// State that all tasks of one gateway share.
@@ -162,9 +159,6 @@
     /// Wakes the task that sends messages to peers, for an update before the next interval.
     wake: Sender<()>,
     pub(crate) woken: Receiver<()>,
-    /// Wakes the requests that wait for room.
-    pub(crate) room: Sender<()>,
-    pub(crate) room_changed: Receiver<()>,
     /// The update is for all routers, not only for the active ones.
     urgent: AtomicBool,
     /// Number of the last message to peers.
@@ -197,7 +191,6 @@
         peer_socket: Arc<UdpSocket>,
     ) -> Shared {
         let (wake, woken) = bounded(1);
-        let (room, room_changed) = bounded(1);
         let incarnation = Incarnation(fastrand::u64(..));
         let window = Span((settings.bounds.fair_window_s * 1e6) as u64);
         Shared {
@@ -230,13 +223,10 @@
                 overload: Overload::default(),
                 versions: VersionHistory::default(),
                 streams: StreamTable::default(),
-                waiting: WaitingQueue::default(),
             }),
             pool: Pool::default(),
             wake,
             woken,
-            room,
-            room_changed,
             urgent: AtomicBool::new(false),
             message_number: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,7 +32,6 @@
 mod turn;
 mod units;
 mod validity;
-pub mod waiting;
 pub mod warmup;
 mod watch;
 
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -22,9 +22,11 @@
 const OVERHEAD_MS: f64 = 40.0;
 /// Longest retry delay of a rejected request, in milliseconds.
 const RETRY_MAX_MS: f64 = 2_000.0;
-/// Shared parts of at most one in this many tokens of a prompt are cheap to read again, so that each
-/// zone may have its own copies of them.
-const SHARED_DIVISOR: u64 = 4;
+/// Shared parts are cheap to read again if they are at most one in this many of what is transferred.
+const SHARED_DIVISOR: u64 = 3;
+/// An output token is sent as part of an event, whose framing makes it some ten times as long as a
+/// token of a prompt.
+const BYTES_PER_OUTPUT_TOKEN: u64 = 10;
 
 /// A request that needs an engine.
 #[derive(Debug, Clone)]
@@ -63,8 +65,6 @@
     pub unread: u64,
     /// The replica that it can copy the shared parts of the prompt from.
     pub source: Option<ReplicaId>,
-    /// Time to the first event if nothing is read before it.
-    pub reading: Span,
 }
 
 /// The limit because of which an engine doesn't take a request.
@@ -110,25 +110,24 @@
         fullness: f64,
         /// The limit because of which that replica doesn't take it.
         bound: Bound,
-        /// The shortest time to the first event at a preferred replica that reads nothing before it.
-        reading: Span,
     },
 }
 
 impl PlacementRequest<'_> {
     /// Returns whether the preferred replicas are those of this router's zone.
     ///
-    /// Each zone then keeps its own copies of the shared parts, which must fit into its engines or
-    /// be cheap to read again.
+    /// Each zone then keeps its own copies of the shared parts. Where these are a large part of what
+    /// the request sends and gets, reading them again costs more than crossing zones.
     fn prefers_zone(&self) -> bool {
         let shared = u64::from(self.prompt.shared_tokens());
-        let cheap = shared * SHARED_DIVISOR <= u64::from(self.prompt.total);
-        self.tolerant && (cheap || self.working_set_fits)
+        let output = u64::from(self.prompt.output) * BYTES_PER_OUTPUT_TOKEN;
+        let transferred = u64::from(self.prompt.total) + output;
+        self.tolerant && self.working_set_fits && shared * SHARED_DIVISOR <= transferred
     }
 
     /// Returns the cost of the request at an engine in another zone, in milliseconds.
     fn zone_cost_ms(&self) -> f64 {
-        match self.tolerant {
+        match self.prefers_zone() {
             true => self.tuning.zone_cost * self.target.as_secs() * 1e3,
             false => 0.0,
         }
@@ -211,21 +210,10 @@
         retry_after: retry_after(preferred, request),
         fullness: least.map_or(0.0, |r| r.fullness.highest()),
         bound: least.map_or(Bound::None, |r| r.exceeds(limit)),
-        reading: preferred
-            .iter()
-            .map(Rated::reading)
-            .min()
-            .unwrap_or_default(),
     }
 }
 
 impl Rated<'_> {
-    /// Returns the time to the first event if the engine reads nothing before this prompt.
-    fn reading(&self) -> Span {
-        let ms = f64::from(self.uncached) / self.engine.speed + OVERHEAD_MS;
-        Span((ms * 1e3) as u64)
-    }
-
     /// Returns the limit that the engine exceeds most, or [`Bound::Failures`] if it exceeds a limit
     /// only because of its penalty.
     fn exceeds(&self, limit: Fullness) -> Bound {
@@ -371,7 +359,6 @@
         uncached: best.uncached,
         unread: best.engine.load.unread + u64::from(best.uncached),
         source: copy_source(all, best),
-        reading: best.reading(),
     }
 }
 
--- a/crates/policy/src/placement/plain.rs
+++ b/crates/policy/src/placement/plain.rs
@@ -75,13 +75,11 @@
             uncached: 0,
             unread: 0,
             source: None,
-            reading: Span::ZERO,
         }),
         None => Pick::Reject {
             retry_after: RETRY_DELAY,
             fullness: 1.0,
             bound: Bound::Slots,
-            reading: Span::ZERO,
         },
     }
 }
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -166,7 +166,6 @@
         retry_after,
         fullness,
         bound,
-        ..
     } = choose(&all, 0.0)
     else {
         panic!("no engine has a free slot");
