--- a/crates/gateway/benches/request_cost/placement.rs
+++ b/crates/gateway/benches/request_cost/placement.rs
@@ -47,8 +47,6 @@
             shortest_target: Span::millis(250),
             usage: UsageStanding::default(),
             load_interval: Span::millis(100),
-            tolerant: false,
-            working_set_fits: true,
             tuning: &Tuning::default(),
         };
         black_box(pick(black_box(&candidates), &request));
@@ -77,7 +75,6 @@
         room: 0.0,
         version: None,
         can_copy: true,
-        same_zone: true,
         cached_age_s: None,
     }
 }
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -161,12 +161,7 @@
             inputs = format!("{inputs} speed={speed:.1}");
         }
         let mut permit = tables.take_slot(self, req, choice, selection.answer, now);
-        if selection.tried.is_empty() && req.tolerant {
-            tables.record_working_set(req, now);
-        }
-        let zone = self.zone_label(&permit.replica);
-        metrics::counter!("chervilwind_placements", "zone" => zone).increment(1);
-        permit.inputs = format!("zone={zone} {inputs}");
+        permit.inputs = inputs;
         Ok(permit)
     }
 }
@@ -182,14 +177,6 @@
         let cooldown = self.tables().cooldown(req, origin, self.now());
         cooldown.map_or(default, spread_return)
     }
-
-    /// Returns whether a replica is in this router's zone, for logs and metrics.
-    fn zone_label(&self, replica: &Replica) -> &'static str {
-        match replica.zone == self.settings.zone {
-            true => "own",
-            false => "other",
-        }
-    }
 }
 
 impl Tables {
@@ -226,7 +213,6 @@
                 version: replica.version.clone(),
                 slots: engine.slots,
                 can_copy: engine.copies_cache,
-                same_zone: replica.zone == gw.settings.zone,
                 memory: engine.memory_tokens,
                 speed: self.reading_speed(req, key, now),
                 load: self.board.load(key, now),
@@ -241,7 +227,6 @@
         if candidates.is_empty() {
             return (None, basis);
         }
-        let working_set_fits = req.tolerant && self.working_set_fits(req, &candidates, now);
         let request = PlacementRequest {
             prompt,
             answer: selection.answer,
@@ -249,41 +234,11 @@
             shortest_target: Span::from(req.min_target),
             usage,
             load_interval: self.fleet.gossip_interval(),
-            tolerant: req.tolerant,
-            working_set_fits,
             tuning: &gw.settings.placement,
         };
         (Some(pick(&candidates, &request)), basis)
     }
 
-    /// Records that a request's shared parts are in use at the engines of its service.
-    fn record_working_set(&mut self, req: &Request, now: Time) {
-        let shared = req.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
-        if shared.is_empty() {
-            return;
-        }
-        let set = match self.working_sets.get_mut(&req.service) {
-            Some(set) => set,
-            None => self.working_sets.entry(req.service.clone()).or_default(),
-        };
-        set.record(shared, now);
-    }
-
-    /// Returns whether the shared parts in use at the request's service fit into those of its
-    /// engines that are in this router's zone.
-    fn working_set_fits(&mut self, req: &Request, candidates: &[Candidate], now: Time) -> bool {
-        let local = candidates.iter().filter(|c| c.same_zone);
-        let memory = local.map(|c| c.memory).sum();
-        let set = self.working_sets.get_mut(&req.service);
-        set.is_none_or(|set| set.fits(memory, now))
-    }
-
-    /// Returns the tokens of the shared parts that are in use.
-    pub(super) fn working_set_tokens(&mut self, now: Time) -> u64 {
-        let sets = self.working_sets.values_mut();
-        sets.map(|set| set.tokens(now)).sum()
-    }
-
     fn choose_plain(
         &mut self,
         gw: &Shared,
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -108,8 +108,8 @@
 
 fn update_gauges(gw: &Shared) {
     let now = gw.now();
-    let (peers, active, held, held_parts, cold, paused, streams, view, in_use) = {
-        let mut tables = gw.tables();
+    let (peers, active, held, held_parts, cold, paused, streams, view) = {
+        let tables = gw.tables();
         (
             tables.fleet.live(now).count(),
             tables.fleet.active_count(),
@@ -119,7 +119,6 @@
             tables.cooldowns.count(now),
             tables.streams.len(),
             tables.board.view(now),
-            tables.working_set_tokens(now),
         )
     };
     record_speeds(gw);
@@ -147,7 +146,6 @@
         ("chervilwind_streams", streams),
         ("chervilwind_known_requests", view.running as usize),
         ("chervilwind_known_peers", view.peers),
-        ("chervilwind_working_set_tokens", in_use as usize),
     ];
     for (name, value) in values {
         metrics::gauge!(name).set(value as f64);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,8 +33,7 @@
             Latencies,
             ReplicaKey,
             ReplicaMap,
-            Speeds,
-            WorkingSet, //
+            Speeds, //
         },
         quarantine::Quarantine,
         quota::{
@@ -114,8 +113,6 @@
     pub(crate) latencies: Latencies,
     /// When the shared part of a prompt was last sent to a replica.
     pub(crate) cached_prefixes: HashMap<(ReplicaKey, u64), Time, FxBuildHasher>,
-    /// The shared parts in use at each tolerant service with engines.
-    pub(crate) working_sets: HashMap<ServiceId, WorkingSet>,
     /// When a replica last sent anything.
     pub(crate) last_received: ReplicaMap<Time>,
     pub(crate) quota: Quota,
@@ -210,7 +207,6 @@
                 fleet_speeds: FleetSpeeds::default(),
                 latencies: Latencies::default(),
                 cached_prefixes: HashMap::default(),
-                working_sets: HashMap::new(),
                 last_received: ReplicaMap::default(),
                 quota: Quota::new(window),
                 tally: Tally::default(),
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -201,7 +201,7 @@
             prefix: prefix.to_owned(),
             kind,
             timeout: Duration::from_millis(json["timeout"].as_u64().unwrap()),
-            latency_target: latency_target(&json, kind),
+            latency_target: Duration::from_millis(300),
             split: split(prefix),
             max_attempts,
             public,
@@ -213,14 +213,11 @@
         lasts: Duration::from_secs(3),
         requests,
     });
-    let engine = match (&json["engine-slots"], &json["memory"]) {
-        (Value::Null, Value::Null) => None,
-        (slots, memory) => Some(Engine {
-            slots: slots.as_u64().unwrap_or(96) as u32,
-            memory_tokens: memory.as_u64().unwrap_or(1_000_000),
-            copies_cache: !memory.is_null(),
-        }),
-    };
+    let engine = json["engine-slots"].as_u64().map(|slots| Engine {
+        slots: slots as u32,
+        memory_tokens: 100_000,
+        copies_cache: false,
+    });
     let service = Service { warmup, engine };
     config.services.insert("s".parse().unwrap(), service);
     let keys = json["keys"].as_object().ok_or("no keys")?;
@@ -232,15 +229,6 @@
     Ok(config)
 }
 
-/// Returns the target of streams, or of other requests.
-fn latency_target(json: &Value, kind: RouteKind) -> Duration {
-    let key = match kind {
-        RouteKind::Stream { .. } => "stream-target",
-        _ => "target",
-    };
-    Duration::from_millis(json[key].as_u64().unwrap_or(300))
-}
-
 fn split(prefix: &str) -> Vec<(ServiceId, u32)> {
     let names: &[&str] = match prefix {
         "/split/" => &["s", "t"],
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -20,4 +20,3 @@
 mod streams;
 mod versions;
 mod warmup;
-mod zones;
--- a/crates/policy/src/placement/engine.rs
+++ b/crates/policy/src/placement/engine.rs
@@ -54,8 +54,6 @@
     pub room: f64,
     /// Whether it can copy cached parts from another engine.
     pub can_copy: bool,
-    /// Whether it is in this router's availability zone.
-    pub same_zone: bool,
     /// Seconds since this router last sent it a request with the same last shared part.
     pub cached_age_s: Option<f64>,
 }
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -3,8 +3,8 @@
 //! Each router decides by itself, from its own requests and the latest reports of its peers, so a
 //! decision needs no round trip. [`Board`] sums up the load, [`Health`] detects replicas that fail
 //! or are silent, [`Cooldowns`] knows those that asked for a pause, [`Speeds`] learns how fast engines
-//! read prompts, [`FleetSpeeds`] combines this router's samples with those of its peers, [`WorkingSet`]
-//! knows which shared parts are in use, and [`pick`] and [`pick_plain`] choose.
+//! read prompts, [`FleetSpeeds`] combines this router's samples with those of its peers, and [`pick`]
+//! and [`pick_plain`] choose.
 
 mod board;
 mod cooldown;
@@ -16,7 +16,6 @@
 mod plain;
 mod speed;
 mod tuning;
-mod working_set;
 
 pub use self::{
     board::{
@@ -61,5 +60,4 @@
         Fullness,
         Tuning, //
     },
-    working_set::WorkingSet,
 };
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -22,11 +22,6 @@
 const OVERHEAD_MS: f64 = 40.0;
 /// Longest retry delay of a rejected request, in milliseconds.
 const RETRY_MAX_MS: f64 = 2_000.0;
-/// Shared parts are cheap to read again if they are at most one in this many of what is transferred.
-const SHARED_DIVISOR: u64 = 3;
-/// An output token is sent as part of an event, whose framing makes it some ten times as long as a
-/// token of a prompt.
-const BYTES_PER_OUTPUT_TOKEN: u64 = 10;
 
 /// A request that needs an engine.
 #[derive(Debug, Clone)]
@@ -43,11 +38,6 @@
     pub usage: UsageStanding,
     /// Time between two load reports of a peer.
     pub load_interval: Span,
-    /// Whether its service is tolerant; see [`Tuning::is_tolerant`].
-    pub tolerant: bool,
-    /// Whether the shared parts in use fit into the engines of this router's zone; see
-    /// [`WorkingSet::fits`](super::WorkingSet::fits).
-    pub working_set_fits: bool,
     /// The weights of the choice.
     pub tuning: &'a Tuning,
 }
@@ -113,31 +103,8 @@
     },
 }
 
-impl PlacementRequest<'_> {
-    /// Returns whether the preferred replicas are those of this router's zone.
-    ///
-    /// Each zone then keeps its own copies of the shared parts. Where these are a large part of what
-    /// the request sends and gets, reading them again costs more than crossing zones.
-    fn prefers_zone(&self) -> bool {
-        let shared = u64::from(self.prompt.shared_tokens());
-        let output = u64::from(self.prompt.output) * BYTES_PER_OUTPUT_TOKEN;
-        let transferred = u64::from(self.prompt.total) + output;
-        self.tolerant && self.working_set_fits && shared * SHARED_DIVISOR <= transferred
-    }
-
-    /// Returns the cost of the request at an engine in another zone, in milliseconds.
-    fn zone_cost_ms(&self) -> f64 {
-        match self.prefers_zone() {
-            true => self.tuning.zone_cost * self.target.as_secs() * 1e3,
-            false => 0.0,
-        }
-    }
-}
-
 struct Rated<'a> {
     engine: &'a Candidate,
-    /// Its place by rendezvous hashing among all engines, from 0.
-    rank: usize,
     uncached: u32,
     /// Fullness of the engine with this request.
     fullness: Fullness,
@@ -159,21 +126,12 @@
 /// A stream that has started was admitted once, and rejecting it would waste what its caller
 /// already has. It goes to the engine with the shortest queue, and into the room that new requests
 /// leave there.
-///
-/// A request of a tolerant service stays in this router's zone where engines there can read it
-/// about as soon as others. Its preferred replicas are those of the zone and the first one of all.
-/// It is rejected only if it would also be rejected without regard to zones.
 pub fn pick(engines: &[Candidate], request: &PlacementRequest<'_>) -> Pick {
     let affinity_key = request.prompt.affinity_key().unwrap_or_default();
-    let ranked = rendezvous::rank_by_hash(affinity_key, engines, |e| e.id.as_str());
-    let zone_first = match request.prefers_zone() {
-        true => ranked.iter().position(|e| e.same_zone),
-        false => None,
-    };
-    let mut rated: Vec<Rated<'_>> = ranked
+    let rated: Vec<Rated<'_>> = rendezvous::rank_by_hash(affinity_key, engines, |e| e.id.as_str())
         .into_iter()
         .enumerate()
-        .map(|(rank, engine)| rate(engine, rank, zone_first, request))
+        .map(|(rank, engine)| rate(engine, rank, request))
         .collect();
     if request.answer != AnswerState::NotStarted {
         if let Some(best) = shortest_queue(&rated) {
@@ -182,11 +140,7 @@
     }
     let tuning = request.tuning;
     let limit = tuning.limit(request.usage, request.load_interval);
-    let count = match zone_first {
-        Some(_) => move_zone_first(&mut rated, tuning.preferred_replicas),
-        None => tuning.preferred_replicas.min(rated.len()),
-    };
-    let (preferred, others) = rated.split_at(count);
+    let (preferred, others) = rated.split_at(tuning.preferred_replicas.min(rated.len()));
     if let Some(best) = cheapest(&rated, preferred, limit) {
         return Pick::Run(best);
     }
@@ -197,12 +151,6 @@
     ) {
         return Pick::Run(best);
     }
-    if zone_first.is_some() {
-        let first = |r: &&Rated<'_>| r.rank < tuning.preferred_replicas;
-        if let Some(best) = cheapest(&rated, others.iter().filter(first), limit) {
-            return Pick::Run(best);
-        }
-    }
     let least = preferred
         .iter()
         .min_by(|a, b| a.fullness.highest().total_cmp(&b.fullness.highest()));
@@ -254,41 +202,15 @@
     let other = |r: &&Rated<'_>| r.engine.key != best.engine.key;
     let from = match last {
         Some(last) => Some(last).filter(other),
-        None => rated().filter(other).min_by_key(|r| r.rank),
+        None => rated().find(other),
     };
     from.filter(|_| best.engine.can_copy)
         .map(|r| r.engine.id.clone())
 }
 
-/// Moves the preferred replicas of a request that prefers its zone to the front: the first one of
-/// all and the first `count` of the zone. Returns their number.
-fn move_zone_first(rated: &mut [Rated<'_>], count: usize) -> usize {
-    let mut of_zone = rated.iter().take(1).filter(|r| r.engine.same_zone).count();
-    let mut preferred = 1;
-    for at in 1..rated.len() {
-        if of_zone >= count {
-            break;
-        }
-        if rated[at].engine.same_zone {
-            rated.swap(preferred, at);
-            preferred += 1;
-            of_zone += 1;
-        }
-    }
-    preferred.min(rated.len())
-}
-
-/// Rates an engine by its rank among all, and the rank of the first one of this router's zone if the
-/// request prefers the zone.
-fn rate<'a>(
-    engine: &'a Candidate,
-    rank: usize,
-    zone_first: Option<usize>,
-    request: &PlacementRequest<'_>,
-) -> Rated<'a> {
+fn rate<'a>(engine: &'a Candidate, rank: usize, request: &PlacementRequest<'_>) -> Rated<'a> {
     let (prompt, tuning) = (request.prompt, request.tuning);
-    let keeps = rank == 0 || zone_first == Some(rank);
-    let cached = keeps || engine.cached_age_s.is_some_and(|s| s < tuning.cached_s);
+    let cached = rank == 0 || engine.cached_age_s.is_some_and(|s| s < tuning.cached_s);
     let missing = if cached { 0 } else { prompt.shared_tokens() };
     // Shared parts that are copied from another engine take a fraction of the time.
     let reread = if engine.can_copy { 0 } else { missing };
@@ -316,15 +238,9 @@
         true => Bound::Slots,
         false => Bound::Memory,
     };
-    let reading_cost = (tuning.reread_cost * f64::from(reread) + copied) / engine.speed;
-    let zone_cost = match engine.same_zone {
-        true => 0.0,
-        false => request.zone_cost_ms(),
-    };
-    let cost = wait_ms + reading_cost + zone_cost;
+    let cost = wait_ms + (tuning.reread_cost * f64::from(reread) + copied) / engine.speed;
     Rated {
         engine,
-        rank,
         uncached,
         fullness,
         occupancy_bound,
@@ -333,12 +249,8 @@
     }
 }
 
-fn cheapest<'a, 'b: 'a>(
-    all: &[Rated<'_>],
-    among: impl IntoIterator<Item = &'a Rated<'b>>,
-    limit: Fullness,
-) -> Option<Choice> {
-    let fits = among.into_iter().filter(|r| r.fullness.within(limit));
+fn cheapest(all: &[Rated<'_>], among: &[Rated<'_>], limit: Fullness) -> Option<Choice> {
+    let fits = among.iter().filter(|r| r.fullness.within(limit));
     let best = fits.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
     Some(choice_of(all, best))
 }
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -102,9 +102,6 @@
     /// this long, in milliseconds. With shorter targets a decision that delays a request by some ten
     /// milliseconds makes it late.
     pub tolerant_ms: f64,
-    /// Cost of an engine in another availability zone for a tolerant service, as a fraction of the
-    /// request's latency target. A request crosses zones only where it is expected to gain more.
-    pub zone_cost: f64,
 }
 
 impl Default for Tuning {
@@ -132,7 +129,6 @@
             retry_ms: 50.0,
             memory: 0.85,
             tolerant_ms: 600.0,
-            zone_cost: 0.05,
         }
     }
 }
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -185,7 +185,6 @@
                 room: 0.0,
                 version: None,
                 can_copy: true,
-                same_zone: true,
                 cached_age_s: None,
             })
             .collect();
@@ -196,8 +195,6 @@
             shortest_target: Span::millis(250),
             usage,
             load_interval: self.fleet.report_interval,
-            tolerant: false,
-            working_set_fits: true,
             tuning: &Tuning::default(),
         };
         let Pick::Run(choice) = pick(&candidates, &request) else {
--- a/crates/policy/tests/placement/main.rs
+++ b/crates/policy/tests/placement/main.rs
@@ -9,4 +9,3 @@
 mod quota;
 mod roster;
 mod speeds;
-mod zones;
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -34,7 +34,6 @@
         room: 0.0,
         version: None,
         can_copy: true,
-        same_zone: true,
         cached_age_s: None,
     }
 }
@@ -67,8 +66,6 @@
             ..UsageStanding::default()
         },
         load_interval: Span::millis(100),
-        tolerant: false,
-        working_set_fits: true,
         tuning: &Tuning::default(),
     };
     pick(engines, &request)
@@ -263,8 +260,6 @@
                 shortest_target: Span::millis(250),
                 usage: UsageStanding::default(),
                 load_interval: Span::millis(100),
-                tolerant: false,
-                working_set_fits: true,
                 tuning: &Tuning::default(),
             };
             match pick(all, &request) {
@@ -327,8 +322,6 @@
             ..UsageStanding::default()
         },
         load_interval: Span::millis(100),
-        tolerant: false,
-        working_set_fits: true,
         tuning: &Tuning::default(),
     };
     let picked = pick(&all, &request);
