--- a/crates/policy/tests/placement/speeds.rs
+++ b/crates/policy/tests/placement/speeds.rs
@@ -274,3 +274,29 @@
     assert_eq!(speeds.take_reports(2, at(500)).len(), 1);
     assert!(speeds.take_reports(2, at(800)).is_empty());
 }
+
+/// Guards against an engine that is avoided forever because it was slow once and gets no more prompts
+/// that are long enough for a sample.
+#[test]
+fn fleet_speeds_own_samples_lapse() {
+    let mut speeds = FleetSpeeds::default();
+    sample(&mut speeds, ENGINE, 5.0, at(0));
+    for n in 2..10 {
+        sample(&mut speeds, ReplicaKey(n), 30.0, at(58_000));
+    }
+    speeds.forget(at(60_000));
+    assert!(is_close(speeds.of(ENGINE, at(60_000)), 30.0));
+}
+
+/// Guards against an engine that seems to be slow because this router has sent it more prompts, which
+/// it reads in turns with the first one.
+#[test]
+fn fleet_speeds_expect_later_prompts_to_be_read() {
+    let mut speeds = FleetSpeeds::default();
+    sample(&mut speeds, ENGINE, 30.0, at(0));
+    speeds.start(ENGINE, reading(at(1_000), 3_000));
+    for n in 1..4 {
+        speeds.start(ENGINE, reading(at(1_020 + n), 3_000));
+    }
+    assert!(is_close(speeds.of(ENGINE, at(1_190)), 30.0));
+}
