--- a/crates/gateway/benches/request_cost/gateway_side.rs
+++ b/crates/gateway/benches/request_cost/gateway_side.rs
@@ -16,6 +16,7 @@
         OperatorChanges,
         OperatorData,
         Replica,
+        ReplicaChanges,
         ReplicaList,
         Revision,
         Route,
@@ -172,6 +173,12 @@
                 revision,
             })
         }),
+        replica_changes: Box::new(move |revision| {
+            answer(ReplicaChanges {
+                changes: Vec::new(),
+                revision,
+            })
+        }),
         list_routers: Box::new(|| answer(Vec::new())),
         grant_lease: Box::new(|_| answer(Lease { era: Era(1), id: 1 })),
         renew_lease: Box::new(|_| answer(true)),
--- a/crates/gateway/src/fleet/documents.rs
+++ b/crates/gateway/src/fleet/documents.rs
@@ -4,10 +4,15 @@
 //! version from the messages of their peers, and fetch it from them.
 
 use {
-    super::replica_list,
+    super::replica_list::{
+        self,
+        ListAnswer,
+        UpdateDocument, //
+    },
     crate::{
         http::{
             exchange,
+            Answer,
             ClientRequest,
             Listener, //
         },
@@ -18,6 +23,11 @@
         state::Shared, //
     },
     async_std::task,
+    policy::{
+        Revision,
+        RevisionError,
+        Span, //
+    },
     serde::{
         de::DeserializeOwned,
         Deserialize,
@@ -32,8 +42,12 @@
 
 const CONFIG_PATH: &str = "/configuration";
 pub(super) const REPLICAS_PATH: &str = "/replicas";
+/// Changes of the list; followed by the era and number of a revision, or by nothing for all of it.
+const CHANGES_PATH: &str = "/replica-changes/";
 /// A megabyte takes 10 ms at the speed of the network.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// A whole list of 10,000 replicas takes a small instance, which sends several, a second.
+const LIST_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Peers delay their request for a new document by a random time up to this for each router that
 /// asks the same peer, so that they do not all connect in the same millisecond: up to 0.3 s in a
 /// fleet of 1,000, of the 2 s in which a change must take effect.
@@ -46,9 +60,22 @@
     bytes: Vec<u8>,
 }
 
+/// What came of a fetch.
+#[derive(Debug)]
+pub(super) enum Fetched<T> {
+    Document(T),
+    /// The peer knows no such document.
+    Missing,
+    /// The peer can't be reached, is busy, or has nothing to send.
+    Nothing,
+}
+
 /// Serves documents to peers.
 pub(crate) async fn serve_documents(gw: Arc<Shared>, listener: Listener) {
     serve_simple(listener, move |_, target| {
+        if let Some(revision) = target.strip_prefix(CHANGES_PATH) {
+            return list_response(&gw, revision);
+        }
         let encoded = match target {
             CONFIG_PATH => gw.current_config().map(|current| {
                 rmp_serde::to_vec_named(&ConfigDocument {
@@ -72,27 +99,80 @@
     .await;
 }
 
+/// Answers a peer that asks for changes of the list.
+fn list_response(gw: &Shared, revision: &str) -> SimpleResponse {
+    let Ok(revision) = parse_revision(revision) else {
+        return SimpleResponse::status(400);
+    };
+    match replica_list::answer(gw, revision) {
+        Ok(ListAnswer::Update(bytes, transfer)) => {
+            SimpleResponse::body("application/msgpack", bytes).holding(transfer)
+        }
+        Ok(ListAnswer::Busy) => SimpleResponse::status(503),
+        Ok(ListAnswer::None) => SimpleResponse::status(204),
+        Err(e) => {
+            log::error!("event=document outcome=not-encoded path={CHANGES_PATH} cause={e:?}");
+            SimpleResponse::status(500)
+        }
+    }
+}
+
+/// Parses a revision; an empty text is none.
+fn parse_revision(text: &str) -> Result<Option<Revision>, RevisionError> {
+    match text.is_empty() {
+        true => Ok(None),
+        false => text.parse().map(Some),
+    }
+}
+
 /// Fetches a document from a peer. A failure is logged and returns none.
 pub(super) async fn fetch_document<T: DeserializeOwned>(addr: SocketAddr, path: &str) -> Option<T> {
+    let answer = fetch(addr, path.to_owned(), FETCH_TIMEOUT).await?;
+    if answer.status != 200 {
+        let status = answer.status;
+        log::debug!("event=document outcome=not-had from={addr} status={status}");
+        return None;
+    }
+    rmp_serde::from_slice(&answer.body)
+        .map_err(|e| log::warn!("event=document outcome=not-understood from={addr} cause={e:?}"))
+        .ok()
+}
+
+/// Fetches what changed in the list of a peer after a revision, or the whole list.
+pub(super) async fn fetch_list_update(
+    addr: SocketAddr,
+    revision: Option<Revision>,
+) -> Fetched<(Span, UpdateDocument)> {
+    let revision = revision.map_or(String::new(), |r| r.to_string());
+    let path = format!("{CHANGES_PATH}{revision}");
+    let Some(answer) = fetch(addr, path, LIST_TIMEOUT).await else {
+        return Fetched::Nothing;
+    };
+    match answer.status {
+        200 => {}
+        404 => return Fetched::Missing,
+        _ => return Fetched::Nothing,
+    }
+    let mut bytes = answer.body.as_slice();
+    let decoded = rmp_serde::from_read(&mut bytes)
+        .and_then(|age| Ok((age, rmp_serde::from_read(&mut bytes)?)))
+        .map_err(|e| log::warn!("event=document outcome=not-understood from={addr} cause={e:?}"));
+    decoded.map_or(Fetched::Nothing, Fetched::Document)
+}
+
+/// Sends a request for a document to a peer. A failure is logged and returns none.
+async fn fetch(addr: SocketAddr, target: String, within: Duration) -> Option<Answer> {
     let request = ClientRequest {
         addr,
         method: "GET",
-        target: path.to_owned(),
+        target,
         body: None,
-        within: FETCH_TIMEOUT,
+        within,
         max_body_bytes: MAX_DOCUMENT_BYTES,
     };
-    let answer = exchange(&mut None, &request)
+    exchange(&mut None, &request)
         .await
         .map_err(|e| log::debug!("event=document outcome=not-had from={addr} cause={e:?}"))
-        .ok()?;
-    if answer.status != 200 {
-        let status = answer.status;
-        log::debug!("event=document outcome=not-had from={addr} status={status}");
-        return None;
-    }
-    rmp_serde::from_slice(&answer.body)
-        .map_err(|e| log::warn!("event=document outcome=not-understood from={addr} cause={e:?}"))
         .ok()
 }
 
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) use self::{
     documents::serve_documents,
     receiver::receive_messages,
+    replica_list::ListTransfers,
     sender::send_messages,
     streams::{
         ask,
--- a/crates/gateway/src/fleet/speeds.rs
+++ b/crates/gateway/src/fleet/speeds.rs
@@ -11,10 +11,7 @@
     },
     policy::{
         actives::router_key,
-        placement::{
-            ReplicaSet,
-            SpeedReport, //
-        },
+        placement::SpeedReport,
         Time, //
     },
 };
@@ -42,9 +39,9 @@
         }
         let now = self.now();
         let mut tables = self.tables();
-        let known: ReplicaSet = tables.roster.known().map(|(_, r)| r.key()).collect();
+        let is_known = |s: &SpeedReport| tables.roster.id_of(s.replica).is_some();
         let speeds = message.speeds.iter().copied();
-        let speeds: Vec<SpeedReport> = speeds.filter(|s| known.contains(&s.replica)).collect();
+        let speeds: Vec<SpeedReport> = speeds.filter(is_known).collect();
         tables.fleet_speeds.apply_peer(message.from, &speeds, now);
     }
 }
--- a/crates/gateway/src/follow/mod.rs
+++ b/crates/gateway/src/follow/mod.rs
@@ -3,12 +3,15 @@
 mod operators;
 mod registration;
 mod replicas;
+mod startup;
 
 pub(crate) use self::{
     operators::follow_operators,
     registration::maintain_registration,
     replicas::{
         apply_peer_list,
-        follow_replicas, //
+        apply_peer_update,
+        follow_replicas,
+        forget_replicas, //
     },
 };
--- a/crates/gateway/src/follow/operators.rs
+++ b/crates/gateway/src/follow/operators.rs
@@ -1,6 +1,7 @@
 //! Reads and watches what operators write to the store: the configuration, and zones to evacuate.
 
 use {
+    super::startup::Startup,
     crate::{
         state::Shared,
         OperatorData,
@@ -18,9 +19,14 @@
 /// Puts what operators write in force while this router watches the store. A few routers watch at a
 /// time, and the others get it from them.
 pub(crate) async fn follow_operators(gw: Arc<Shared>) {
-    // Read once at startup: peers may not know this router yet, or have no configuration.
-    if read(&gw).await.is_none() {
-        back_off(&gw).await;
+    let startup = Startup::new(&gw);
+    // Peers may not know this router yet, or have no configuration.
+    while gw.served_config().is_none() {
+        match startup.reads_store(&gw) {
+            true if read(&gw).await.is_some() => break,
+            true => back_off(&gw).await,
+            false => task::sleep(Watch::POLL_INTERVAL.into()).await,
+        }
     }
     loop {
         if !is_watch_due(&gw) {
--- a/crates/gateway/src/follow/registration.rs
+++ b/crates/gateway/src/follow/registration.rs
@@ -51,7 +51,8 @@
 /// active until it receives messages from others, so 295 routers that start together would all
 /// register.
 const MIN_ACTIVE_TIME: Span = Span::millis(2_000);
-/// When a router looks up others after its start. The seeds in its settings may be down.
+/// When a router that knows few others looks them up after its start. The seeds in its settings may
+/// be down.
 const STARTUP_LOOKUPS: [Duration; 3] = [
     Duration::from_millis(500),
     Duration::from_millis(3_000),
@@ -189,12 +190,14 @@
 
 impl Registration {
     fn is_lookup_due(&self, gw: &Shared) -> bool {
-        let due = |interval| self.last_lookup.is_none_or(|at| at.elapsed() >= interval);
-        if let Some(delay) = STARTUP_LOOKUPS.get(self.lookups) {
-            return self.started_at.elapsed() >= *delay;
-        }
+        let last = self.last_lookup.unwrap_or(self.started_at);
+        let due = |interval| last.elapsed() >= interval;
         let now = gw.now();
         let tables = gw.tables();
+        let delay = STARTUP_LOOKUPS.get(self.lookups);
+        if let Some(delay) = delay.filter(|_| tables.fleet.needs_addresses()) {
+            return self.started_at.elapsed() >= *delay;
+        }
         if tables.fleet.count(now) == 1 {
             return due(ISOLATED_LOOKUP_INTERVAL);
         }
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -1,30 +1,30 @@
 //! Reads the list of replicas from the store. The routers take turns.
 
 use {
+    super::startup::Startup,
     crate::{
         model::{
             Replica,
+            ReplicaChange,
+            ReplicaChanges,
             ReplicaList,
-            State, //
-        },
-        state::{
-            Shared,
-            Tables, //
+            State,
+            StoreError, //
         },
+        state::Shared, //
     },
     async_std::task,
     policy::{
-        placement::ReplicaKey,
-        streams::ListedVersion,
+        EntryChange,
         Era,
         Listed,
         ReplicaId,
         Roster,
         Span,
-        Time, //
+        Time,
+        Update, //
     },
     std::{
-        collections::HashSet,
         net::SocketAddr,
         sync::{
             atomic::Ordering,
@@ -41,18 +41,14 @@
 
 /// Reads the list whenever it is this router's turn.
 pub(crate) async fn follow_replicas(gw: Arc<Shared>) {
+    let startup = Startup::new(&gw);
     loop {
-        if !is_read_due(&gw) {
+        if !is_read_due(&gw, &startup) {
             task::sleep(Roster::<()>::POLL_INTERVAL.into()).await;
             continue;
         }
-        let read = (gw.store.list_replicas)().await;
-        gw.record_store_call("replicas", read.as_ref().err());
-        match read {
-            Ok(list) => {
-                apply_store_list(&gw, list);
-                gw.tell_untold_streams().await;
-            }
+        match read(&gw).await {
+            Ok(()) => gw.tell_untold_streams().await,
             Err(_) => {
                 gw.tables().roster.read_failed();
                 task::sleep(READ_RETRY_DELAY).await;
@@ -61,8 +57,11 @@
     }
 }
 
-/// Decides at random whether this router is to read the list from the store now.
-fn is_read_due(gw: &Shared) -> bool {
+/// Decides whether this router is to read the list from the store now.
+fn is_read_due(gw: &Shared, startup: &Startup) -> bool {
+    if !gw.tables().roster.has_list() {
+        return startup.reads_store(gw);
+    }
     let now = gw.now();
     let tables = gw.tables();
     let routers = tables.fleet.eligible_count();
@@ -70,6 +69,27 @@
     tables.roster.is_due(fastrand::f64(), routers, since)
 }
 
+/// Reads what changed since the revision of this router's list, or the whole list if that isn't
+/// known, and applies it.
+async fn read(gw: &Shared) -> Result<(), StoreError> {
+    let revision = gw.tables().roster.revision();
+    if let Some(revision) = revision {
+        match (gw.store.replica_changes)(revision).await {
+            // The changes since the revision are no longer available, so read everything.
+            Err(StoreError::Compacted) => gw.record_store_call("replica-changes", None),
+            read => {
+                gw.record_store_call("replica-changes", read.as_ref().err());
+                apply_store_changes(gw, read?);
+                return Ok(());
+            }
+        }
+    }
+    let read = (gw.store.list_replicas)().await;
+    gw.record_store_call("replicas", read.as_ref().err());
+    apply_store_list(gw, read?);
+    Ok(())
+}
+
 /// Applies a list that was read from the store.
 fn apply_store_list(gw: &Shared, list: ReplicaList) {
     let now = gw.now();
@@ -77,15 +97,42 @@
     let departed = {
         let roster = &mut gw.tables().roster;
         roster.set_revision(list.revision, now);
-        roster.apply_list(listed_replicas(list.replicas), now)
+        roster.apply_list(list.replicas.into_iter().map(listed), now)
     };
-    finish_update(gw, &departed, "store");
+    log::info!(
+        "event=replicas outcome=read-whole revision={}",
+        list.revision
+    );
+    finish_store_read(gw, &departed);
+}
+
+/// Applies changes that were read from the store.
+fn apply_store_changes(gw: &Shared, read: ReplicaChanges) {
+    let now = gw.now();
+    for change in &read.changes {
+        if let ReplicaChange::Listed(replica) = change {
+            observe_cold(gw, std::slice::from_ref(replica), now);
+        }
+    }
+    let changes = read.changes.into_iter().map(|change| match change {
+        ReplicaChange::Listed(replica) => EntryChange::Listed(listed(replica)),
+        ReplicaChange::Gone(id) => EntryChange::Gone(id),
+    });
+    let departed = gw
+        .tables()
+        .roster
+        .apply_changes(changes, read.revision, now);
+    finish_store_read(gw, &departed);
+}
+
+fn finish_store_read(gw: &Shared, departed: &[ReplicaId]) {
+    finish_update(gw, departed, "store");
     // Announce it at once. Until the peers know of this read, each may decide to read too: 85
     // routers with a gossip interval of 0.4 s read 13 times a second in place of 3.
     gw.announce();
 }
 
-/// Applies the list of a peer, which was read from the store `age` ago.
+/// Applies the list of a peer that reports no revisions, which was read from the store `age` ago.
 pub(crate) async fn apply_peer_list(
     gw: &Shared,
     mut list: Vec<Replica>,
@@ -104,12 +151,35 @@
         drop(tables);
         observe_cold(gw, &list, now - age);
         let roster = &mut gw.tables().roster;
-        roster.apply_peer_list(listed_replicas(list), age, now)
+        roster.apply_peer_list(list.into_iter().map(listed), age, now)
     };
     finish_update(gw, &departed, &from.to_string());
     gw.tell_untold_streams().await;
 }
 
+/// Applies what a peer sent of its list.
+pub(crate) async fn apply_peer_update(
+    gw: &Shared,
+    update: Update<Arc<Replica>>,
+    era: Era,
+    from: SocketAddr,
+) {
+    let now = gw.now();
+    if !gw.tables().roster.accepts_list_of(era, now) {
+        return;
+    }
+    for change in &update.changes {
+        if let EntryChange::Listed(l) | EntryChange::Kept(l, _) = change {
+            observe_cold(gw, std::slice::from_ref(&*l.value), now - update.age);
+        }
+    }
+    let (complete, count) = (update.complete, update.changes.len());
+    let departed = gw.tables().roster.apply_update(update, now);
+    log::debug!("event=replicas outcome=updated from={from} complete={complete} entries={count}");
+    finish_update(gw, &departed, &from.to_string());
+    gw.tell_untold_streams().await;
+}
+
 /// Adds the versions that are known to the list of a router whose build doesn't read them.
 fn add_known_versions(roster: &Roster<Arc<Replica>>, list: &mut [Replica]) {
     for replica in list.iter_mut().filter(|r| r.version.is_none()) {
@@ -136,51 +206,46 @@
     }
 }
 
-fn listed_replicas(list: Vec<Replica>) -> impl Iterator<Item = Listed<Arc<Replica>>> {
-    list.into_iter().map(|r| Listed {
-        id: r.id.clone(),
-        key: r.key(),
-        draining: r.state == State::Draining,
-        value: Arc::new(r),
-    })
-}
-
-impl Tables {
-    /// Records the software versions of the known replicas.
-    fn observe_versions(&mut self, now: Time) {
-        let listed = self
-            .roster
-            .all()
-            .map(|(_, replica, draining)| ListedVersion {
-                key: replica.key(),
-                origin: replica.origin(),
-                draining,
-            });
-        self.versions.observe(listed, now);
+/// Returns a replica as an entry of the roster. How cold it was when the list was made is left out,
+/// as it changes without any change of the replica.
+fn listed(replica: Replica) -> Listed<Arc<Replica>> {
+    Listed {
+        id: replica.id.clone(),
+        key: replica.key(),
+        draining: replica.state == State::Draining,
+        value: Arc::new(Replica {
+            cold: None,
+            ..replica
+        }),
     }
 }
 
-/// Finishes an update of the roster: drops all data on replicas that departed, logs them, and marks
-/// the list as present.
+/// Finishes an update of the roster: updates all that is kept by replica, logs the replicas that
+/// departed, and marks the list as present.
 fn finish_update(gw: &Shared, departed: &[ReplicaId], from: &str) {
-    let now = gw.now();
-    let mut tables = gw.tables();
-    tables.observe_versions(now);
-    let known: HashSet<ReplicaKey> = tables.roster.known().map(|(_, r)| r.key()).collect();
-    tables.speeds.retain(|key| known.contains(&key));
-    tables.fleet_speeds.retain(|key| known.contains(&key));
-    tables.latencies.retain(|key| known.contains(&key));
-    tables.health.retain(|key, _| known.contains(key));
-    tables.cooldowns.forget(now);
-    tables.last_received.retain(|key, _| known.contains(key));
-    tables.warmup.retain(|key| known.contains(&key), now);
-    tables
-        .cached_prefixes
-        .retain(|(key, _), at| known.contains(key) && now.since(*at).as_secs() < CACHE_RETENTION_S);
-    drop(tables);
+    gw.tables().apply_roster_changes(gw.now());
     for id in departed {
         gw.pool.forget(id);
         log::info!("event=replica outcome=left replica={id} from={from}");
     }
     gw.replicas_listed.store(true, Ordering::Relaxed);
 }
+
+/// Drops what has expired of the data on replicas.
+pub(crate) fn forget_replicas(gw: &Shared) {
+    let now = gw.now();
+    let departed = {
+        let mut tables = gw.tables();
+        tables.cooldowns.forget(now);
+        tables.warmup.forget(now);
+        let is_recent = |at: &Time| now.since(*at).as_secs() < CACHE_RETENTION_S;
+        tables.cached_prefixes.retain(|_, at| is_recent(at));
+        let departed = tables.roster.remove_lapsed(now);
+        tables.apply_roster_changes(now);
+        departed
+    };
+    for id in departed {
+        gw.pool.forget(&id);
+        log::info!("event=replica outcome=left replica={id} from=outage");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod follow;
 mod http;
+mod index;
 mod logs;
 mod model;
 mod serve;
@@ -41,6 +42,8 @@
         OperatorData,
         RegisteredRouter,
         Replica,
+        ReplicaChange,
+        ReplicaChanges,
         ReplicaList,
         Revision,
         Route,
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -30,6 +30,8 @@
         OperatorChanges,
         OperatorData,
         RegisteredRouter,
+        ReplicaChange,
+        ReplicaChanges,
         ReplicaList,
         Revision,
         Store,
--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -5,6 +5,7 @@
     policy::{
         Era,
         EvacuationOrders,
+        ReplicaId,
         ZoneChange, //
     },
     std::{
@@ -30,6 +31,8 @@
         Box<dyn Fn(Revision, Duration) -> StoreFuture<OperatorChanges> + Send + Sync>,
     /// Lists all replicas, up to date.
     pub list_replicas: Box<dyn Fn() -> StoreFuture<ReplicaList> + Send + Sync>,
+    /// Returns how the list of replicas changed after a revision, up to date.
+    pub replica_changes: Box<dyn Fn(Revision) -> StoreFuture<ReplicaChanges> + Send + Sync>,
     /// Lists the entries of routers, which may be outdated by seconds.
     pub list_routers: Box<dyn Fn() -> StoreFuture<Vec<RegisteredRouter>> + Send + Sync>,
     /// Takes out a lease of this duration.
@@ -63,6 +66,24 @@
     pub revision: Revision,
 }
 
+/// How the list of replicas changed.
+#[derive(Debug, Clone)]
+pub struct ReplicaChanges {
+    /// The changes, in order.
+    pub changes: Vec<ReplicaChange>,
+    /// The revision up to which these are all changes.
+    pub revision: Revision,
+}
+
+/// A change of the list of replicas.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ReplicaChange {
+    /// A replica is listed like this.
+    Listed(Replica),
+    /// A replica is no longer listed, or its entry can't be read.
+    Gone(ReplicaId),
+}
+
 /// The stored entry of a router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RegisteredRouter {
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -8,6 +8,7 @@
             Headers,
             StartLine, //
         },
+        index::Scope,
         model::{
             Config,
             Dialect,
@@ -91,6 +92,15 @@
 }
 
 impl Request {
+    /// Returns the replicas that the request may use.
+    pub(crate) fn scope<'a>(&'a self, origin: Option<&'a StreamOrigin>) -> Scope<'a> {
+        Scope {
+            service: &self.service,
+            origin,
+            width: 1,
+        }
+    }
+
     /// Returns the id of the attempt that brought the first event of the request's stream.
     pub(crate) fn first_attempt(&self) -> &str {
         let resumes = self
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -7,6 +7,10 @@
         permit::SlotPermit, //
     },
     crate::{
+        index::{
+            Scope,
+            Subset, //
+        },
         model::{
             Engine,
             Replica, //
@@ -201,32 +205,7 @@
             view: self.board.view(now),
             active: self.fleet.is_active(),
         };
-        let baseline = self.baseline_failures(req);
         let barred = self.barred(gw, req, now);
-        let rooms = self.stream_rooms(req, selection.answer, now);
-        let affinity_key = prompt.affinity_key().unwrap_or_default();
-        let candidates: Vec<Candidate> = self
-            .available(req, selection, &barred, now)
-            .map(|(key, replica)| Candidate {
-                id: replica.id.clone(),
-                key,
-                version: replica.version.clone(),
-                slots: engine.slots,
-                can_copy: engine.copies_cache,
-                memory: engine.memory_tokens,
-                speed: self.reading_speed(req, key, now),
-                load: self.board.load(key, now),
-                penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(baseline)),
-                room: rooms.get(&replica.version).copied().unwrap_or(0.0),
-                cached_age_s: self
-                    .cached_prefixes
-                    .get(&(key, affinity_key))
-                    .map(|at| now.since(*at).as_secs()),
-            })
-            .collect();
-        if candidates.is_empty() {
-            return (None, basis);
-        }
         let request = PlacementRequest {
             prompt,
             answer: selection.answer,
@@ -236,7 +215,49 @@
             load_interval: self.fleet.gossip_interval(),
             tuning: &gw.settings.placement,
         };
-        (Some(pick(&candidates, &request)), basis)
+        let mut scope = req.scope(selection.origin);
+        loop {
+            let subset = self.subset(scope, now);
+            let candidates = self.engines(req, engine, selection, (&subset, &barred), now);
+            let picked = (!candidates.is_empty()).then(|| pick(&candidates, &request));
+            let others_may = picked.as_ref().is_none_or(Pick::is_overload);
+            if !others_may || !scope.widen(&subset) {
+                return (picked, basis);
+            }
+        }
+    }
+
+    /// Returns the engines of a subset that may take a request.
+    fn engines(
+        &self,
+        req: &Request,
+        engine: Engine,
+        selection: Selection<'_>,
+        (subset, barred): (&Subset, &ReplicaSet),
+        now: Time,
+    ) -> Vec<Candidate> {
+        let affinity_key = req.prompt.as_ref().and_then(Prompt::affinity_key);
+        let affinity_key = affinity_key.unwrap_or_default();
+        let baseline = self.baseline_failures(subset);
+        let rooms = stream_rooms(subset, selection.answer);
+        let available = self.available(subset, selection.tried, barred, now);
+        let candidates = available.map(|(key, replica)| Candidate {
+            id: replica.id.clone(),
+            key,
+            version: replica.version.clone(),
+            slots: engine.slots,
+            can_copy: engine.copies_cache,
+            memory: engine.memory_tokens,
+            speed: self.reading_speed(req, key, now),
+            load: self.board.load(key, now),
+            penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(baseline)),
+            room: rooms.get(&replica.version).copied().unwrap_or(0.0),
+            cached_age_s: self
+                .cached_prefixes
+                .get(&(key, affinity_key))
+                .map(|at| now.since(*at).as_secs()),
+        });
+        candidates.collect()
     }
 
     fn choose_plain(
@@ -246,11 +267,13 @@
         selection: Selection<'_>,
         now: Time,
     ) -> Option<Pick> {
-        let baseline = self.baseline_failures(req);
         let barred = self.barred(gw, req, now);
-        let candidates: Vec<PlainCandidate> = self
-            .available(req, selection, &barred, now)
-            .map(|(key, replica)| PlainCandidate {
+        let mut scope = req.scope(selection.origin);
+        loop {
+            let subset = self.subset(scope, now);
+            let baseline = self.baseline_failures(&subset);
+            let available = self.available(&subset, selection.tried, &barred, now);
+            let candidates = available.map(|(key, replica)| PlainCandidate {
                 id: replica.id.clone(),
                 key,
                 slots: replica.slots,
@@ -258,10 +281,15 @@
                 mean_latency_s: self.latencies.of(key),
                 same_zone: replica.zone == gw.settings.zone,
                 penalty: self.health.get(&key).map_or(0.0, |h| h.penalty(baseline)),
-            })
-            .collect();
-        (!candidates.is_empty())
-            .then(|| pick_plain(&candidates, selection.answer, fastrand::u64(..)))
+            });
+            let candidates: Vec<PlainCandidate> = candidates.collect();
+            let picked = (!candidates.is_empty())
+                .then(|| pick_plain(&candidates, selection.answer, fastrand::u64(..)));
+            let others_may = picked.as_ref().is_none_or(Pick::is_overload);
+            if !others_may || !scope.widen(&subset) {
+                return picked;
+            }
+        }
     }
 
     /// Returns the cold replicas of the request's service that get no more requests from here now.
@@ -276,60 +304,26 @@
         }
     }
 
-    /// Returns the replicas of the request's service that take work and are in no evacuated zone,
-    /// and if a stream goes on, only those of its version.
-    fn ready<'a>(
-        &'a self,
-        req: &'a Request,
-        origin: Option<&'a StreamOrigin>,
-        now: Time,
-    ) -> impl Iterator<Item = (&'a ReplicaId, &'a Arc<Replica>)> {
-        let ready = self.roster.ready();
-        ready
-            .filter(|(_, r)| r.service == req.service)
-            .filter(move |(_, r)| origin.is_none_or(|o| o.version == r.version))
-            .filter(move |(_, r)| !self.evacuations.covers(&r.zone, now))
-    }
-
-    /// Returns what a new request leaves to streams that go on, by version; nothing if there is only
-    /// one version.
-    fn stream_rooms(
-        &self,
-        req: &Request,
-        answer: AnswerState,
-        now: Time,
-    ) -> BTreeMap<Option<SoftwareVersion>, f64> {
-        let replicas = || self.ready(req, None, now).map(|(_, r)| &r.version);
-        let first = replicas().next();
-        let several = first.is_some_and(|first| replicas().any(|v| v != first));
-        if !several || answer != AnswerState::NotStarted {
-            return BTreeMap::new();
-        }
-        let mut counts = BTreeMap::new();
-        for version in replicas() {
-            *counts.entry(version).or_insert(0) += 1;
-        }
-        let largest = counts.values().copied().max().unwrap_or(0);
-        let rooms = counts.into_iter();
-        rooms
-            .map(|(version, own)| (version.clone(), stream_room(own, largest)))
-            .collect()
-    }
-
     /// Returns whether the service goes on without the version that began a stream: none of its
     /// replicas takes work, none is expected back, and those of another version take work.
-    fn is_gone(&self, origin: &StreamOrigin, now: Time) -> bool {
-        let own = |r: &Replica| r.service == origin.service;
-        let mut ready = self.roster.ready().filter(|(_, r)| own(r)).peekable();
-        let replaced = ready.peek().is_some();
-        replaced
-            && ready.all(|(_, r)| r.version != origin.version)
+    fn is_gone(&mut self, origin: &StreamOrigin, now: Time) -> bool {
+        let service = Scope {
+            service: &origin.service,
+            origin: None,
+            width: 1,
+        };
+        let version = Scope {
+            origin: Some(origin),
+            ..service
+        };
+        self.has_ready(service, now)
+            && !self.has_ready(version, now)
             && !self.versions.is_expected(origin, now)
     }
 
     /// Rejects a request for which no replica is available.
     fn refuse_unavailable(
-        &self,
+        &mut self,
         req: &Request,
         origin: Option<&StreamOrigin>,
         now: Time,
@@ -347,40 +341,48 @@
         }
     }
 
-    /// Returns the time until the first replica of the request's service takes requests again, if
-    /// all of them asked for a pause.
-    fn cooldown(&self, req: &Request, origin: Option<&StreamOrigin>, now: Time) -> Option<Span> {
+    /// Returns the time until the first replica that the request chooses among takes requests again,
+    /// if all of them asked for a pause.
+    fn cooldown(
+        &mut self,
+        req: &Request,
+        origin: Option<&StreamOrigin>,
+        now: Time,
+    ) -> Option<Span> {
+        let mut scope = req.scope(origin);
+        let mut subset = self.subset(scope, now);
+        while scope.widen(&subset) {
+            subset = self.subset(scope, now);
+        }
         let mut first: Option<Span> = None;
-        for (_, replica) in self.ready(req, origin, now) {
-            let left = self.cooldowns.remaining(replica.key(), now)?;
+        for (key, _) in subset.members.iter() {
+            let left = self.cooldowns.remaining(*key, now)?;
             first = Some(first.map_or(left, |first| first.min(left)));
         }
         first
     }
 
-    /// Returns the replicas of the request's service that are ready and not avoided, because of
-    /// failures, because they asked for a pause or because they are cold.
+    /// Returns the replicas of a subset that were not tried and are not avoided, because of failures,
+    /// because they asked for a pause or because they are cold.
     fn available<'a>(
         &'a self,
-        req: &'a Request,
-        selection: Selection<'a>,
+        subset: &'a Subset,
+        tried: &'a [ReplicaId],
         barred: &'a ReplicaSet,
         now: Time,
     ) -> impl Iterator<Item = (ReplicaKey, &'a Arc<Replica>)> {
-        self.ready(req, selection.origin, now)
-            .filter(move |(id, _)| !selection.tried.contains(id))
-            .map(|(_, r)| (r.key(), r))
-            .filter(|(key, _)| !barred.contains(key))
+        let members = subset.members.iter().map(|(key, r)| (*key, r));
+        members
+            .filter(move |(_, r)| !tried.contains(&r.id))
+            .filter(move |(key, _)| !barred.contains(key))
             .filter(move |(key, _)| self.cooldowns.is_available(*key, now))
             .filter(move |(key, _)| self.health.get(key).is_none_or(|h| h.is_available(now)))
     }
 
     /// Returns the baseline failure rate of a service: the lowest among its replicas.
-    fn baseline_failures(&self, req: &Request) -> f64 {
-        let ready = self.roster.ready();
-        let of_service = ready.filter(|(_, r)| r.service == req.service);
-        let failures = of_service.map(|(_, r)| {
-            let health = self.health.get(&r.key());
+    fn baseline_failures(&self, subset: &Subset) -> f64 {
+        let failures = subset.members.iter().map(|(key, _)| {
+            let health = self.health.get(key);
             health.map_or(0.0, |h| h.failures())
         });
         let mut least = 1.0;
@@ -395,6 +397,26 @@
     }
 }
 
+/// Returns what a new request leaves to streams that go on, by version; nothing if there is only one
+/// version.
+fn stream_rooms(subset: &Subset, answer: AnswerState) -> BTreeMap<Option<SoftwareVersion>, f64> {
+    let versions = || subset.members.iter().map(|(_, r)| &r.version);
+    let first = versions().next();
+    let several = first.is_some_and(|first| versions().any(|v| v != first));
+    if !several || answer != AnswerState::NotStarted {
+        return BTreeMap::new();
+    }
+    let mut counts = BTreeMap::new();
+    for version in versions() {
+        *counts.entry(version).or_insert(0) += 1;
+    }
+    let largest = counts.values().copied().max().unwrap_or(0);
+    let rooms = counts.into_iter();
+    rooms
+        .map(|(version, own)| (version.clone(), stream_room(own, largest)))
+        .collect()
+}
+
 /// Rejects a request with a held suspect.
 fn refuse_held(hold: Hold) -> Refused {
     let (suspect, kind) = (hold.suspect, hold.suspect.kind());
--- a/crates/gateway/src/serve/simple.rs
+++ b/crates/gateway/src/serve/simple.rs
@@ -33,11 +33,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A complete response.
-#[derive(Debug)]
 pub(crate) struct SimpleResponse {
     status: u16,
     content_type: &'static str,
     body: Vec<u8>,
+    /// Dropped when the response was written.
+    held: Option<Box<dyn Send>>,
 }
 
 impl SimpleResponse {
@@ -46,6 +47,7 @@
             status,
             content_type: "text/plain",
             body: Vec::new(),
+            held: None,
         }
     }
 
@@ -54,8 +56,15 @@
             status: 200,
             content_type,
             body,
+            held: None,
         }
     }
+
+    /// Holds a value until the response was written.
+    pub(crate) fn holding<T: Send + 'static>(mut self, value: Option<T>) -> SimpleResponse {
+        self.held = value.map(|v| Box::new(v) as Box<dyn Send>);
+        self
+    }
 }
 
 /// Answers requests by method and target until the process ends.
@@ -108,6 +117,7 @@
         bytes.extend_from_slice(&answer.body);
         let written = timeout(IDLE_TIMEOUT, conn.write(&bytes)).await;
         written.map_err(|_| ReadError::Closed)?.map_err(io_error)?;
+        drop(answer.held);
         if !head.keeps_alive() {
             return Ok(());
         }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -147,6 +147,7 @@
         gw.pool.close_expired();
         gw.tables().streams.forget(gw.now());
         gw.forget_evacuations();
+        follow::forget_replicas(&gw);
         log_rejections(&gw);
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{
-        fleet::Lookups,
+        fleet::{
+            ListTransfers,
+            Lookups, //
+        },
+        index::ReplicaIndex,
         model::{
             Config,
             Dialect,
@@ -104,6 +108,8 @@
 #[derive(Debug)]
 pub(crate) struct Tables {
     pub(crate) roster: Roster<Arc<Replica>>,
+    /// The replicas of the roster, by service and version.
+    pub(crate) index: ReplicaIndex,
     pub(crate) board: Board,
     pub(crate) health: ReplicaMap<Health>,
     /// Replicas that asked this router for a pause.
@@ -149,6 +155,8 @@
     pub(crate) peer_socket: Arc<UdpSocket>,
     /// Questions to peers about streams.
     pub(crate) lookups: Lookups,
+    /// Lists of replicas that are being sent to peers.
+    pub(crate) transfers: ListTransfers,
     pub(crate) incarnation: Incarnation,
     started: Instant,
     current_config: Mutex<Option<Arc<CurrentConfig>>>,
@@ -196,11 +204,13 @@
             store,
             peer_socket,
             lookups: Lookups::default(),
+            transfers: ListTransfers::default(),
             incarnation,
             started: Instant::now(),
             current_config: Mutex::new(None),
             tables: Mutex::new(Tables {
                 roster: Roster::default(),
+                index: ReplicaIndex::default(),
                 board: Board::default(),
                 health: ReplicaMap::default(),
                 cooldowns: Cooldowns::default(),
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -22,6 +22,8 @@
         OperatorChanges,
         OperatorData,
         RegisteredRouter,
+        ReplicaChange,
+        ReplicaChanges,
         ReplicaList,
         Revision,
         Route,
@@ -93,6 +95,9 @@
     /// Changes of these, with their revisions.
     pub(crate) zone_changes: Vec<(u64, ZoneChange)>,
     pub(crate) replicas: Vec<gateway::Replica>,
+    /// The replicas at the last call, and all changes that calls have found since.
+    pub(crate) last_replicas: Vec<gateway::Replica>,
+    pub(crate) replica_log: Vec<ReplicaChange>,
     /// The way in which calls fail, if the store is down.
     pub(crate) fault: Option<StoreFault>,
     /// Calls that have failed.
@@ -417,14 +422,51 @@
     })
 }
 
-fn list_replicas(store: &FakeStore) -> ReplicaList {
-    ReplicaList {
+/// How far apart the numbers of the list's revisions are for one change of the store's revision.
+const LIST_REVISIONS: u64 = 10_000;
+
+impl FakeStore {
+    /// Records how the replicas changed since the last call, and returns the revision of the list.
+    fn log_replicas(&mut self) -> Revision {
+        let listed = self.replicas.iter();
+        let listed = listed.filter(|r| !self.last_replicas.contains(r)).cloned();
+        self.replica_log.extend(listed.map(ReplicaChange::Listed));
+        let is_listed = |id| self.replicas.iter().any(|r| r.id == id);
+        let gone = self.last_replicas.iter().map(|r| r.id.clone());
+        let gone = gone.filter(|id| !is_listed(id.clone()));
+        self.replica_log.extend(gone.map(ReplicaChange::Gone));
+        self.last_replicas = self.replicas.clone();
+        Revision {
+            era: Era(self.era),
+            number: self.revision * LIST_REVISIONS + self.replica_log.len() as u64,
+        }
+    }
+}
+
+async fn list_replicas(store: SharedStore) -> Result<ReplicaList, StoreError> {
+    respond(&store, |_| ()).await?;
+    let mut store = store.lock().unwrap();
+    Ok(ReplicaList {
+        revision: store.log_replicas(),
         replicas: store.replicas.clone(),
-        revision: Revision {
-            era: Era(store.era),
-            number: store.revision,
-        },
+    })
+}
+
+async fn replica_changes(
+    store: SharedStore,
+    after: Revision,
+) -> Result<ReplicaChanges, StoreError> {
+    respond(&store, |_| ()).await?;
+    let mut store = store.lock().unwrap();
+    let revision = store.log_replicas();
+    if after.era != revision.era || after.number > revision.number {
+        return Err(StoreError::Compacted);
     }
+    let known = (after.number % LIST_REVISIONS) as usize;
+    Ok(ReplicaChanges {
+        changes: store.replica_log[known..].to_vec(),
+        revision,
+    })
 }
 
 fn list_routers(store: &FakeStore) -> Vec<RegisteredRouter> {
@@ -443,7 +485,8 @@
 
 fn store_api(store: &SharedStore) -> Store {
     let handle = || store.clone();
-    let (a, b, c, d, e, f, g, h, i) = (
+    let (a, b, c, d, e, f, g, h, i, j) = (
+        handle(),
         handle(),
         handle(),
         handle(),
@@ -457,7 +500,8 @@
     Store {
         read_operators: Box::new(move || respond(&a, operator_data)),
         watch_operators: Box::new(move |after, wait| watch(&b, after, wait)),
-        list_replicas: Box::new(move || respond(&c, list_replicas)),
+        list_replicas: Box::new(move || Box::pin(list_replicas(c.clone()))),
+        replica_changes: Box::new(move |after| Box::pin(replica_changes(j.clone(), after))),
         list_routers: Box::new(move || respond(&d, list_routers)),
         grant_lease: Box::new(move |_| take_lease(&e)),
         renew_lease: Box::new(move |lease| respond(&f, move |w| renew(w, lease))),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod roster;
 mod service;
 mod shares;
+mod startup;
 pub mod streams;
 pub mod tickets;
 mod time;
@@ -93,16 +94,26 @@
         EntrySeen,
         EntryState, //
     },
-    revision::Revision,
+    revision::{
+        Revision,
+        RevisionError, //
+    },
     roster::{
+        EntryChange,
         Listed,
-        Roster, //
+        Roster,
+        RosterChange,
+        Update, //
     },
     shares::{
         gap_bound,
         GapTerms,
         UsageUpdates, //
     },
+    startup::{
+        reads_store_at_start,
+        StartView, //
+    },
     time::{
         Span,
         SpanError,
--- a/crates/policy/src/placement/fleet_speed.rs
+++ b/crates/policy/src/placement/fleet_speed.rs
@@ -159,6 +159,13 @@
         self.update_mean();
     }
 
+    /// Drops an engine that has ended.
+    pub fn remove(&mut self, replica: ReplicaKey) {
+        if self.engines.remove(&replica).is_some() {
+            self.update_mean();
+        }
+    }
+
     /// Drops the engines for which `live` is false.
     pub fn retain(&mut self, live: impl Fn(ReplicaKey) -> bool) {
         self.engines.retain(|key, _| live(*key));
--- a/crates/policy/src/placement/latency.rs
+++ b/crates/policy/src/placement/latency.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 pub struct Latencies {
     means: ReplicaMap<f64>,
+    /// The lowest of the means.
+    lowest: Option<f64>,
 }
 
 // A replica without samples counts as the fastest known one. If it counted as slower, it would get
@@ -36,19 +38,28 @@
     /// Records the time that a response took.
     pub fn record(&mut self, replica: ReplicaKey, took: Span) {
         let known = self.of(replica);
-        let mean = self.means.entry(replica).or_insert(known);
-        *mean += (took.as_secs() - *mean) * SMOOTHING;
+        let mean = known + (took.as_secs() - known) * SMOOTHING;
+        let before = self.means.insert(replica, mean);
+        match self.lowest {
+            Some(lowest) if mean > lowest && before == Some(lowest) => self.find_lowest(),
+            lowest => self.lowest = Some(lowest.map_or(mean, |lowest| lowest.min(mean))),
+        }
+    }
+
+    fn find_lowest(&mut self) {
+        self.lowest = self.means.values().copied().reduce(f64::min);
     }
 
     /// Returns the mean time in seconds.
     pub fn of(&self, replica: ReplicaKey) -> f64 {
         let known = self.means.get(&replica).copied();
-        let quickest = || self.means.values().copied().reduce(f64::min);
-        known.or_else(quickest).unwrap_or(DEFAULT_S)
+        known.or(self.lowest).unwrap_or(DEFAULT_S)
     }
 
-    /// Drops the replicas for which `live` is false.
-    pub fn retain(&mut self, live: impl Fn(ReplicaKey) -> bool) {
-        self.means.retain(|key, _| live(*key));
+    /// Drops a replica that has ended.
+    pub fn remove(&mut self, replica: ReplicaKey) {
+        if self.means.remove(&replica) == self.lowest {
+            self.find_lowest();
+        }
     }
 }
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -4,7 +4,7 @@
 //! decision needs no round trip. [`Board`] sums up the load, [`Health`] detects replicas that fail
 //! or are silent, [`Cooldowns`] knows those that asked for a pause, [`Speeds`] learns how fast engines
 //! read prompts, [`FleetSpeeds`] combines this router's samples with those of its peers, and [`pick`]
-//! and [`pick_plain`] choose.
+//! and [`pick_plain`] choose among a part of the replicas, by their [`Ranking`].
 
 mod board;
 mod cooldown;
@@ -15,6 +15,7 @@
 mod pick;
 mod plain;
 mod speed;
+mod subset;
 mod tuning;
 
 pub use self::{
@@ -56,6 +57,10 @@
         PlainCandidate, //
     },
     speed::Speeds,
+    subset::{
+        Ranking,
+        SubsetSize, //
+    },
     tuning::{
         Fullness,
         Tuning, //
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -103,6 +103,15 @@
     },
 }
 
+impl Pick {
+    /// Returns whether the request is rejected because of the load of the engines, so that others
+    /// may take it.
+    pub fn is_overload(&self) -> bool {
+        let load = [Bound::Slots, Bound::Memory, Bound::Backlog];
+        matches!(self, Pick::Reject { bound, .. } if load.contains(bound))
+    }
+}
+
 struct Rated<'a> {
     engine: &'a Candidate,
     uncached: u32,
--- a/crates/policy/src/placement/speed.rs
+++ b/crates/policy/src/placement/speed.rs
@@ -61,8 +61,8 @@
         known.or(self.mean).unwrap_or(DEFAULT_SPEED)
     }
 
-    /// Drops the engines for which `live` is false.
-    pub fn retain(&mut self, live: impl Fn(ReplicaKey) -> bool) {
-        self.speeds.retain(|key, _| live(*key));
+    /// Drops an engine that has ended.
+    pub fn remove(&mut self, replica: ReplicaKey) {
+        self.speeds.remove(&replica);
     }
 }
--- a/crates/policy/src/revision.rs
+++ b/crates/policy/src/revision.rs
@@ -6,7 +6,11 @@
         Deserialize,
         Serialize, //
     },
-    std::fmt, //
+    std::{
+        fmt,
+        str::FromStr, //
+    },
+    thiserror::Error, //
 };
 
 /// The number of changes to the store, in one of its eras.
@@ -41,6 +45,24 @@
     }
 }
 
+/// The text is no revision.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a revision is an era and a number with a dot between them, such as 1.40")]
+pub struct RevisionError;
+
+impl FromStr for Revision {
+    type Err = RevisionError;
+
+    fn from_str(text: &str) -> Result<Revision, RevisionError> {
+        let (era, number) = text.split_once('.').ok_or(RevisionError)?;
+        let parse = |part: &str| part.parse().map_err(|_| RevisionError);
+        Ok(Revision {
+            era: Era(parse(era)?),
+            number: parse(number)?,
+        })
+    }
+}
+
 impl fmt::Display for Revision {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}.{}", self.era, self.number)
--- a/crates/policy/src/roster/entry.rs
+++ b/crates/policy/src/roster/entry.rs
@@ -1,8 +1,12 @@
 //! Entries of the roster.
 
-use crate::{
-    placement::ReplicaKey,
-    ReplicaId, //
+use {
+    crate::{
+        placement::ReplicaKey,
+        ReplicaId,
+        Time, //
+    },
+    xxhash_rust::xxh3::xxh3_64_with_seed, //
 };
 
 /// A replica in a list.
@@ -34,8 +38,24 @@
 pub(super) struct Entry<T> {
     pub(super) key: ReplicaKey,
     pub(super) value: T,
+    /// It is leaving according to the list.
+    pub(super) leaving: bool,
     /// It takes no requests, according to the list, a peer or itself.
     pub(super) draining: bool,
+    /// The list lacks it, and until this time it may reappear there.
+    pub(super) kept: Option<Time>,
+}
+
+impl<T> Entry<T> {
+    /// Returns its part of the digest of the list, which is 0 if the list lacks it.
+    pub(super) fn fingerprint(&self) -> u32 {
+        match self.kept {
+            Some(_) => 0,
+            None => {
+                xxh3_64_with_seed(&self.key.0.to_le_bytes(), u64::from(self.leaving) + 1) as u32
+            }
+        }
+    }
 }
 
 /// The origin of a list.
--- a/crates/policy/src/roster/leaving.rs
+++ b/crates/policy/src/roster/leaving.rs
@@ -54,6 +54,11 @@
         self.marks.contains_key(&key)
     }
 
+    /// Returns all incarnations that are leaving.
+    pub(super) fn keys(&self) -> impl Iterator<Item = &ReplicaKey> {
+        self.marks.keys()
+    }
+
     /// Records which incarnations are listed, and forgets those that have not been for long.
     pub(super) fn observe_listed(&mut self, listed: impl Iterator<Item = ReplicaKey>, now: Time) {
         for key in listed {
--- a/crates/policy/src/roster/outage.rs
+++ b/crates/policy/src/roster/outage.rs
@@ -80,4 +80,14 @@
         }
         self.ongoing
     }
+
+    /// Returns until when an entry that a list lacks now is kept.
+    pub(super) fn keeps_until(&self, now: Time) -> Time {
+        self.reappearing_since.unwrap_or(now) + REAPPEAR_SPAN
+    }
+
+    /// Returns whether the list could not be read yet since the outage began.
+    pub(super) fn is_ongoing(&self) -> bool {
+        self.ongoing && self.reappearing_since.is_none()
+    }
 }
--- /dev/null
+++ b/crates/policy/src/startup.rs
@@ -0,0 +1,52 @@
+//! When a router that starts reads from the store what its peers may have.
+
+use crate::Span;
+
+/// How long a router waits for the answer of a peer. The seeds in its settings may be down.
+const ANSWER_WAIT: Span = Span::millis(1_000);
+/// How long it waits for what a peer that answers sends. A whole list takes some 0.2 s to send, and
+/// spreads through a fleet of a thousand routers in five steps.
+const TRANSFER_WAIT: Span = Span::secs(4);
+/// Part of the wait by which routers differ, so that those which wait in vain don't all read at once.
+const WAIT_SPREAD: f64 = 2.0;
+
+/// What a router that starts knows of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct StartView {
+    /// Time since it started.
+    pub waited: Span,
+    /// It is one of the routers that others contact first.
+    pub seed: bool,
+    /// Addresses of other routers that it knows.
+    pub contacts: usize,
+    /// Other routers that it has received messages from.
+    pub peers: usize,
+}
+
+/// Returns whether a router without configuration or list reads them from the store, rather than
+/// wait for its peers. `roll` is a random number from 0 to 1, drawn once.
+///
+/// If each router of a fleet read both at its start, the calls to the store would grow with the
+/// product of routers and replicas.
+///
+/// # Examples
+///
+/// ```
+/// use policy::{reads_store_at_start, Span, StartView};
+///
+/// let view = StartView { waited: Span::ZERO, seed: false, contacts: 3, peers: 0 };
+/// assert!(!reads_store_at_start(view, 0.5));
+/// assert!(reads_store_at_start(StartView { seed: true, ..view }, 0.5));
+/// assert!(reads_store_at_start(StartView { contacts: 0, ..view }, 0.5));
+/// assert!(reads_store_at_start(StartView { waited: Span::secs(3), ..view }, 0.5));
+/// ```
+pub fn reads_store_at_start(view: StartView, roll: f64) -> bool {
+    if view.seed || view.contacts == 0 {
+        return true;
+    }
+    let wait = match view.peers {
+        0 => ANSWER_WAIT,
+        _ => TRANSFER_WAIT,
+    };
+    view.waited >= wait * (1.0 + WAIT_SPREAD * roll)
+}
--- a/crates/policy/src/streams/history.rs
+++ b/crates/policy/src/streams/history.rs
@@ -49,7 +49,7 @@
     /// When the first list was observed.
     since: Option<Time>,
     versions: BTreeMap<StreamOrigin, Seen>,
-    /// The replicas of the last list.
+    /// The listed replicas.
     replicas: ReplicaMap<ListedVersion>,
 }
 
@@ -64,46 +64,65 @@
     pub draining: bool,
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 struct Seen {
-    /// Whether the last list has a replica of it.
-    current: bool,
-    /// When a list with a replica of it was last observed.
+    /// Listed replicas of it.
+    count: usize,
+    /// When it was last listed, if it no longer is.
     listed: Time,
     /// When one of its replicas last vanished without having announced that it leaves.
     lost: Option<Time>,
 }
 
 impl VersionHistory {
-    /// Records the replicas of a list.
+    /// Records the replicas of a complete list.
     pub fn observe(&mut self, list: impl IntoIterator<Item = ListedVersion>, now: Time) {
-        self.since.get_or_insert(now);
-        for seen in self.versions.values_mut().filter(|seen| seen.current) {
-            // The last list held until this one.
-            seen.listed = now;
-            seen.current = false;
+        let list: ReplicaMap<ListedVersion> = list.into_iter().map(|l| (l.key, l)).collect();
+        let before = self.replicas.keys();
+        let ended = before.filter(|key| !list.contains_key(key));
+        let ended: Vec<ReplicaKey> = ended.copied().collect();
+        for listed in list.into_values() {
+            self.listed(listed, now);
         }
-        let mut replicas = ReplicaMap::default();
-        for listed in list {
-            let new = Seen {
-                current: true,
-                listed: now,
-                lost: None,
-            };
-            let known = self.versions.entry(listed.origin.clone());
-            known.or_insert(new).current = true;
-            replicas.insert(listed.key, listed);
+        for key in ended {
+            self.removed(key, false, now);
+        }
+        self.finish(now);
+    }
+
+    /// Records a replica that is listed.
+    pub fn listed(&mut self, listed: ListedVersion, now: Time) {
+        let known = self.versions.entry(listed.origin.clone()).or_default();
+        known.count += 1;
+        if let Some(before) = self.replicas.insert(listed.key, listed) {
+            self.leave(&before.origin, now);
         }
-        let before = std::mem::replace(&mut self.replicas, replicas);
-        for (key, listed) in before {
-            let vanished = !listed.draining && !self.replicas.contains_key(&key);
-            let seen = self.versions.get_mut(&listed.origin);
-            if let Some(seen) = seen.filter(|_| vanished) {
-                seen.lost = Some(now);
-            }
+    }
+
+    /// Records a replica that is no longer listed. `draining` tells whether it was known to leave.
+    pub fn removed(&mut self, key: ReplicaKey, draining: bool, now: Time) {
+        let Some(listed) = self.replicas.remove(&key) else {
+            return;
+        };
+        self.leave(&listed.origin, now);
+        let seen = self.versions.get_mut(&listed.origin);
+        if let Some(seen) = seen.filter(|_| !draining && !listed.draining) {
+            seen.lost = Some(now);
         }
+    }
+
+    fn leave(&mut self, origin: &StreamOrigin, now: Time) {
+        if let Some(seen) = self.versions.get_mut(origin) {
+            seen.count -= 1;
+            seen.listed = now;
+        }
+    }
+
+    /// Finishes the records of one list, or of changes of it.
+    pub fn finish(&mut self, now: Time) {
+        self.since.get_or_insert(now);
         self.versions
-            .retain(|_, seen| seen.current || now.since(seen.listed) < RETENTION);
+            .retain(|_, seen| seen.count > 0 || now.since(seen.listed) < RETENTION);
     }
 
     /// Returns for how long this router has known the versions.
@@ -123,7 +142,7 @@
         now: Time,
     ) -> impl Iterator<Item = &'a StreamOrigin> {
         let own = self.versions.iter().filter(|(o, _)| o.service == *service);
-        let recent = own.filter(move |(_, seen)| seen.current || now.since(seen.listed) < span);
+        let recent = own.filter(move |(_, seen)| seen.count > 0 || now.since(seen.listed) < span);
         recent.map(|(origin, _)| origin)
     }
 
--- a/crates/policy/src/warmup/table.rs
+++ b/crates/policy/src/warmup/table.rs
@@ -216,9 +216,13 @@
         }
     }
 
-    /// Drops replicas that are no longer listed, and those that are no longer cold.
-    pub fn retain(&mut self, is_listed: impl Fn(ReplicaKey) -> bool, now: Time) {
-        self.reports.retain(|key, _| is_listed(*key));
+    /// Drops a replica that is no longer listed.
+    pub fn remove(&mut self, replica: ReplicaKey) {
+        self.reports.remove(&replica);
+    }
+
+    /// Drops the replicas that are no longer cold.
+    pub fn forget(&mut self, now: Time) {
         self.cold.retain(|_, c| now < c.until);
     }
 }
--- a/crates/policy/tests/placement/main.rs
+++ b/crates/policy/tests/placement/main.rs
@@ -9,3 +9,5 @@
 mod quota;
 mod roster;
 mod speeds;
+mod subset;
+mod updates;
--- a/tests/soak/store.rs
+++ b/tests/soak/store.rs
@@ -15,6 +15,7 @@
         transaction_answer,
         watch_answer,
         StoreCall,
+        StoredEvent,
         StoredItem,
         TransactionCall,
         STORE_ERA, //
@@ -66,6 +67,8 @@
 #[derive(Debug, Default)]
 struct State {
     items: BTreeMap<String, Item>,
+    /// Deleted keys, and the revisions of their removals.
+    removed: BTreeMap<String, u64>,
     revision: u64,
     leases: u64,
     fault: Option<StoreFault>,
@@ -87,11 +90,13 @@
             lease,
         };
         self.items.insert(key.to_owned(), item);
+        self.removed.remove(key);
     }
 
     fn remove(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
+            self.removed.insert(key.to_owned(), self.revision);
         }
     }
 
@@ -109,6 +114,25 @@
             .collect()
     }
 
+    /// Returns the changes of a prefix after a revision, in order.
+    fn events(&self, prefix: &str, after: u64) -> Vec<StoredEvent> {
+        let written = self.changed(prefix, after).into_iter();
+        let written = written.map(|item| (item.revision, StoredEvent::Put(item)));
+        let removed = self.removed.iter();
+        let removed = removed.filter(|(key, at)| key.starts_with(prefix) && **at > after);
+        let removed = removed.map(|(key, at)| {
+            let event = StoredEvent::Removed {
+                key: key.clone(),
+                revision: *at,
+                removed: true,
+            };
+            (*at, event)
+        });
+        let mut events: Vec<(u64, StoredEvent)> = written.chain(removed).collect();
+        events.sort_by_key(|(revision, _)| *revision);
+        events.into_iter().map(|(_, event)| event).collect()
+    }
+
     fn commit(&mut self, change: TransactionCall) -> (u16, Value) {
         for (key, revision) in &change.expected {
             let current = self.items.get(key).map_or(0, |item| item.revision);
@@ -202,7 +226,7 @@
         let until = Instant::now() + wait;
         loop {
             let state = self.state.lock().unwrap();
-            let events = state.changed(prefix, after);
+            let events = state.events(prefix, after);
             if !events.is_empty() || Instant::now() >= until || state.fault.is_some() {
                 return (200, watch_answer(&events, state.revision));
             }
