fleet: relays and first documents from the own zone

The active routers that keep a standby up to date are taken from its own zone if there are any, so that hellos, summaries and what is fetched on their word stay there. A router without list or configuration asks peers of its own zone only, for a random time of up to 3 s.

--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -30,7 +30,9 @@
         },
         placement::ReplicaKey,
         streams::StreamRecord,
-        RouterId, //
+        RouterId,
+        Span,
+        Time, //
     },
     std::{
         future::Future,
@@ -48,6 +50,9 @@
 
 /// How many peer addresses are sent to a router that has just started.
 const MAX_KNOWN_PEERS: usize = 64;
+/// How long after its start a router at most fetches its first documents only from peers of its own
+/// zone. Documents are large, and each zone needs only a few from another one.
+const OWN_ZONE_SPAN: Span = Span::secs(3);
 /// Delay after an error of the socket.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 pub(super) const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -77,6 +82,8 @@
     gw: Arc<Shared>,
     config_fetch: SingleFlight,
     list_fetch: SingleFlight,
+    /// When the first documents are fetched from other zones too.
+    other_zones: Time,
 }
 
 /// Receives messages from peers for as long as the process runs.
@@ -85,6 +92,7 @@
         gw,
         config_fetch: SingleFlight::default(),
         list_fetch: SingleFlight::default(),
+        other_zones: Time(0) + OWN_ZONE_SPAN * fastrand::f64(),
     };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -263,6 +271,9 @@
         let newer = tables
             .roster
             .peer_list(header.list_age(), header.list_digest, now);
+        let is_near = tables.fleet.is_in_zone(from, &gw.settings.zone);
+        let may_fetch = |has_one: bool| has_one || is_near || now >= self.other_zones;
+        let newer = newer && may_fetch(tables.roster.has_list());
         drop(tables);
         gw.record_peer_era(header.era, from);
         if newer {
@@ -270,7 +281,8 @@
             self.list_fetch
                 .spawn(async move { replica_list::fetch(&gw, at).await });
         }
-        if header.config_version > gw.config_version() {
+        let version = gw.config_version();
+        if header.config_version > version && may_fetch(version > 0) {
             let gw = gw.clone();
             self.config_fetch
                 .spawn(async move { documents::fetch_config(&gw, at).await });
--- a/crates/policy/src/actives/recipients.rs
+++ b/crates/policy/src/actives/recipients.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         Actives,
-        Peer, //
+        Peer,
+        RouterInfo, //
     },
     crate::{
         rendezvous,
@@ -156,21 +157,25 @@
         self.followers_known = Some(now);
         let has_followers = self.active_for(now) >= FOLLOWERS_AFTER;
         let peers = self.peers.iter().filter(|(_, p)| p.active.is_none());
-        let followers = peers.filter(|(name, _)| has_followers && self.relays_to(name));
+        let followers = peers.filter(|(name, p)| has_followers && self.relays_to(name, p));
         self.followers = followers.map(|(_, p)| p.info.peers).collect();
     }
 
-    /// Returns whether this router sends summaries to another one.
+    /// Returns whether this router keeps a standby up to date.
     ///
     /// Standbys don't exchange load messages among themselves, since the number of messages would
-    /// grow with the square of their number. Only active routers get the load of all.
-    fn relays_to(&self, other: &RouterId) -> bool {
+    /// grow with the square of their number. Only active routers get the load of all. Those in the
+    /// standby's zone come first, as most messages to standbys then stay within a zone.
+    fn relays_to(&self, name: &RouterId, standby: &Peer) -> bool {
         if !self.is_active() {
             return false;
         }
-        let score = |name: &RouterId| rendezvous::score(other.as_str(), name.as_str());
-        let local = score(&self.name);
-        let before = self.active.iter().filter(|name| score(name) > local);
+        let rank = |active: &RouterId, info: &RouterInfo| {
+            let near = info.zone == standby.info.zone;
+            (near, rendezvous::score(name.as_str(), active.as_str()))
+        };
+        let local = rank(&self.name, &self.local);
+        let before = self.active().filter(|(n, p)| rank(n, &p.info) > local);
         before.take(RELAYS).count() < RELAYS
     }
 
@@ -202,7 +207,7 @@
         let busy_standbys = self.busy_standbys(now).map(|(_, p)| p.info.peers);
         let relayed = self
             .busy_standbys(now)
-            .filter(|(name, _)| self.relays_to(name));
+            .filter(|(name, p)| self.relays_to(name, p));
         Recipients {
             active_peers: active_peers.collect(),
             addressed: addressed.collect(),
--- a/crates/policy/src/actives/set.rs
+++ b/crates/policy/src/actives/set.rs
@@ -19,7 +19,8 @@
     crate::{
         RouterId,
         Span,
-        Time, //
+        Time,
+        Zone, //
     },
     std::collections::HashSet,
 };
@@ -174,6 +175,11 @@
             .filter_map(|name| Some((name, self.peers.get(name)?)))
     }
 
+    /// Returns whether another router is known to be in a zone.
+    pub fn is_in_zone(&self, name: &RouterId, zone: &Zone) -> bool {
+        self.peers.get(name).is_some_and(|p| p.info.zone == *zone)
+    }
+
     /// Returns the live routers without this one.
     pub fn live(&self, now: Time) -> impl Iterator<Item = (&RouterId, &Peer)> {
         self.peers.iter().filter(move |(_, p)| p.is_live(now))
