gateway: standbys and idle instances wake up less often

An instance without requests woke up some 90 times a second: twice 20 times to check whether it is its turn at the store, 40 times to measure how late tasks run. A standby leaves the store to the active routers for 6 s anyway.

--- a/crates/gateway/src/follow/operators.rs
+++ b/crates/gateway/src/follow/operators.rs
@@ -1,7 +1,10 @@
 //! Reads and watches what operators write to the store: the configuration, and zones to evacuate.
 
 use {
-    super::startup::Startup,
+    super::{
+        check_interval,
+        startup::Startup, //
+    },
     crate::{
         state::Shared,
         OperatorData,
@@ -30,7 +33,7 @@
     }
     loop {
         if !is_watch_due(&gw) {
-            task::sleep(Watch::POLL_INTERVAL.into()).await;
+            task::sleep(check_interval(&gw, Watch::POLL_INTERVAL)).await;
             continue;
         }
         match read(&gw).await {
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -1,7 +1,10 @@
 //! Reads the list of replicas from the store. The routers take turns.
 
 use {
-    super::startup::Startup,
+    super::{
+        check_interval,
+        startup::Startup, //
+    },
     crate::{
         model::{
             Replica,
@@ -44,7 +47,7 @@
     let startup = Startup::new(&gw);
     loop {
         if !is_read_due(&gw, &startup) {
-            task::sleep(Roster::<()>::POLL_INTERVAL.into()).await;
+            task::sleep(check_interval(&gw, Roster::<()>::POLL_INTERVAL)).await;
             continue;
         }
         match read(&gw).await {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -33,7 +33,10 @@
     std::{
         io,
         path::Path,
-        sync::Arc,
+        sync::{
+            atomic::Ordering,
+            Arc, //
+        },
         time::{
             Duration,
             Instant, //
@@ -43,6 +46,8 @@
 
 /// How often it is measured how late tasks run.
 const DELAY_INTERVAL: Duration = Duration::from_millis(25);
+/// How many times as long the interval is while there are no requests.
+const IDLE_MEASUREMENTS: u32 = 8;
 /// How often idle connections are closed and rejections are logged.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
 /// Rejections are logged for at most this many workspaces at a time.
@@ -152,13 +157,20 @@
     }
 }
 
-/// Measures how late tasks run.
+/// Measures how late tasks run. An instance without requests measures less often, which counts for as
+/// many measurements.
 async fn measure_delay(gw: Arc<Shared>) {
     loop {
+        let idle = gw.active_requests.load(Ordering::Relaxed) == 0;
+        let measurements = if idle { IDLE_MEASUREMENTS } else { 1 };
+        let interval = DELAY_INTERVAL * measurements;
         let begun = Instant::now();
-        task::sleep(DELAY_INTERVAL).await;
-        let delay = begun.elapsed().saturating_sub(DELAY_INTERVAL);
-        gw.tables().overload.record_delay(delay.into());
+        task::sleep(interval).await;
+        let delay = begun.elapsed().saturating_sub(interval);
+        let overload = &mut gw.tables().overload;
+        for _ in 0..measurements {
+            overload.record_delay(delay.into());
+        }
     }
 }
 
