cli, conf, demo, measure: comments in the field's terms

Comments only; the command line's help, which is made from doc comments in cli/flags.rs, stays as it is. Not reworded yet: the rest of src/gauge, src/slopes and src/measure beyond these lines, and tests/ at the root.

--- a/src/cli/apply.rs
+++ b/src/cli/apply.rs
@@ -40,7 +40,7 @@
     },
 };
 
-/// How long `--wait` waits where nothing is said.
+/// Default time limit of `--wait`.
 const TIMEOUT: Span = Span::secs(30);
 /// Name of the configuration's parts on the platform.
 const PARTS: &str = "fleet";
--- a/src/cli/base_line.rs
+++ b/src/cli/base_line.rs
@@ -17,7 +17,7 @@
 const WRITE: &str = ", write ";
 const WRITER: &str = ", by ";
 
-/// Says which configuration a file was made on.
+/// Names the configuration that a file is based on.
 ///
 /// An operator who edits an old copy would undo what others changed since, unseen. The line
 /// goes with the file, so that `apply` writes only on the configuration that was copied.
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -56,7 +56,7 @@
 /// Exit code for arguments that can't be read.
 const USAGE: u8 = 2;
 
-/// Runs the program: reads the arguments, does what they say and prints any error.
+/// Runs the program: parses the arguments, runs the command and prints any error.
 pub fn run() -> ExitCode {
     let args: Vec<OsString> = env::args_os().skip(1).collect();
     let flags = match Chervilwind::from_vec(args.clone()) {
@@ -85,7 +85,7 @@
     }
 }
 
-/// Writes to the standard error stream; where nobody reads it, the exit code still tells.
+/// Writes to the standard error stream. A failure to write is ignored, as the exit code reports the error too.
 fn complain(text: &str) {
     let _ = io::stderr().write_all(text.as_bytes());
 }
--- a/src/cli/views.rs
+++ b/src/cli/views.rs
@@ -1,4 +1,4 @@
-//! Showing what a router tells operators.
+//! Shows what a router reports to operators.
 
 use {
     super::{
--- a/src/cli/wait.rs
+++ b/src/cli/wait.rs
@@ -104,7 +104,7 @@
         Ok(left)
     }
 
-    /// Says whether that router has the revision; another one behind its address doesn't count.
+    /// Whether that router has the revision; another one behind its address doesn't count.
     fn has(&self, name: &RouterId, answer: Result<InForce, QueryError>) -> bool {
         answer.is_ok_and(|a| a.name == *name && a.revision >= self.revision)
     }
--- a/src/conf/limits.rs
+++ b/src/conf/limits.rs
@@ -18,10 +18,10 @@
 const BODY_MAX: Bytes = Bytes(64 << 20);
 /// Most connections that may be allowed.
 const CONNECTIONS_MAX: u64 = 100_000;
-/// Largest head where nothing is said.
+/// Default size limit of a head.
 const HEAD: Bytes = Bytes(7 << 10);
 
-/// Returns the limits where nothing is said.
+/// Returns the default limits.
 pub(crate) fn default_limits() -> Limits {
     Limits {
         head_bytes: HEAD.0 as usize,
--- a/src/conf/listen.rs
+++ b/src/conf/listen.rs
@@ -13,12 +13,12 @@
     thiserror::Error, //
 };
 
-/// An address to listen at, and the one that others are told.
+/// An address to listen on, and the one that is announced to others.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Address {
     /// Where to listen. Port 0 takes any free port.
     pub listen: SocketAddr,
-    /// What others are told to connect to.
+    /// The address that others connect to.
     pub advertise: SocketAddr,
     /// The place of the setting, `FILE:LINE: `, for errors.
     pub(crate) place: String,
@@ -35,7 +35,7 @@
     pub operators: TcpListener,
 }
 
-/// An address that a router was told to listen at can't be had.
+/// An address that a router is to listen on can't be bound.
 #[derive(Debug, Error, Diagnostic)]
 pub enum ListenError {
     /// Another process has it.
@@ -72,7 +72,7 @@
         setting: &'static str,
         /// The address that was wanted.
         address: SocketAddr,
-        /// What the system said.
+        /// The error of the operating system.
         cause: io::Error,
     },
 }
--- a/src/demo/show.rs
+++ b/src/demo/show.rs
@@ -9,7 +9,7 @@
     serde_json::json,
 };
 
-/// Faults that are printed; the last line and the exit code tell of all.
+/// Maximum number of printed faults; the last line and the exit code cover all.
 const FAULTS: usize = 10;
 const HEADER: [&str; 8] = [
     "workspace",
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -1,4 +1,4 @@
-//! Why a command failed, and the exit code that says so.
+//! Errors of commands, and their exit codes.
 
 use {
     crate::conf::{
--- a/src/gauge/points.rs
+++ b/src/gauge/points.rs
@@ -1,4 +1,4 @@
-//! What routers' status tells of the workspaces and of the engines' use.
+//! Workspaces and utilization of engines in the status of routers.
 
 use {
     super::Point,
--- a/src/measure/fleet.rs
+++ b/src/measure/fleet.rs
@@ -133,7 +133,7 @@
     })
 }
 
-/// Does what the script says for the middle of the run.
+/// Runs the script's step in the middle of the run.
 async fn turn(stage: &mut Stage, script: &Script, mode: &str) -> Result<(), Error> {
     if let Some(folder) = &script.dumps {
         for (i, router) in stage.routers.iter().enumerate() {
--- a/src/measure/load.rs
+++ b/src/measure/load.rs
@@ -40,7 +40,7 @@
 
 /// A caller waits this long for an answer. Every request could be served within it.
 const DEADLINE: Duration = Duration::from_secs(30);
-/// How long a refused caller waits, where it is not told.
+/// How long a rejected caller waits if the answer names no time.
 const AGAIN: Duration = Duration::from_millis(200);
 /// The longest that it waits.
 const AGAIN_MAX: Duration = Duration::from_secs(2);
@@ -63,7 +63,7 @@
 /// Sums over the requests of one workspace.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Sums {
-    /// Tokens that came, also of answers that are under way.
+    /// Received tokens, including those of unfinished answers.
     pub(crate) tokens: i64,
     /// Requests answered whole and right.
     pub(crate) answered: u64,
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Lets all callers hang up.
+    /// Disconnects all callers.
     pub(crate) async fn stop(self) -> Vec<Sums> {
         for task in self.tasks {
             task.cancel().await;
@@ -158,7 +158,7 @@
         let mut sums = self.counts.get();
         sums.note(&answer, &expected, first.unwrap_or_else(|| begin.elapsed()));
         if answer.outcome == Outcome::Answered {
-            // A token whose event came in two pieces was not counted on its way.
+            // A token whose event arrived in two pieces was not counted when it arrived.
             sums.tokens += expected.split_whitespace().count() as i64 - tokens;
             return None;
         }
--- a/src/measure/plan.rs
+++ b/src/measure/plan.rs
@@ -7,7 +7,7 @@
     pub(crate) name: String,
     /// Its share.
     pub(crate) share: f64,
-    /// Requests that it has under way at once.
+    /// Requests that it sends concurrently.
     pub(crate) callers: usize,
     /// The routers that its callers use, by number.
     pub(crate) homes: Vec<usize>,
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -33,7 +33,7 @@
     },
 };
 
-/// How long each run lasts, where nothing is said.
+/// Default duration of each run.
 const SECONDS: u32 = 15;
 /// Tokens that could come in the time to the first one.
 const FIRST: u32 = 5;
@@ -57,7 +57,7 @@
     }
 }
 
-/// Measures until done, or until a signal tells to end; the router processes end with it.
+/// Measures until the end of the run or a signal; the router processes end with it.
 fn until_told(work: impl Future<Output = Result<(), Error>>) -> Result<(), Error> {
     let told = receive_signals().map_err(|e| Error::Io("signals can't be taken", e))?;
     task::block_on(or(work, async {
--- a/src/measure/setup.rs
+++ b/src/measure/setup.rs
@@ -1,4 +1,4 @@
-//! What a measured fleet is made of, and the files that say so to its routers.
+//! The configuration of a measured fleet, and the settings files of its routers.
 
 use {
     super::plan::Plan,
@@ -41,7 +41,7 @@
     pub(crate) first: Duration,
     /// Time between its tokens.
     pub(crate) gap: Duration,
-    /// One way between two zones, in microseconds.
+    /// One-way delay between two zones, in microseconds.
     pub(crate) zone_delay: u32,
     /// The workspaces.
     pub(crate) plans: Vec<Plan>,
--- a/src/measure/stage.rs
+++ b/src/measure/stage.rs
@@ -111,7 +111,7 @@
         Ok(())
     }
 
-    /// Lets one replica of the model leave, as the platform does it.
+    /// Removes one replica of the model in the same way as the platform.
     pub(crate) fn leave_engine(&self, i: usize) {
         let name = format!("{MODEL}-{}", i + 1);
         self.platform.set_state(&name, stand_in::State::Leaving);
--- a/src/slopes/model.rs
+++ b/src/slopes/model.rs
@@ -156,7 +156,7 @@
     }
 }
 
-/// Routers that hear each other a tick later.
+/// Routers that receive each other's messages a tick later.
 struct Fleet {
     size: Size,
     nodes: Vec<Dispatch>,
