startup: seeds read at once, and others soon if no peer has what they need

The routers waited 4 s for documents that no peer had: a router never took itself for a seed, as the list of seeds that it asks leaves out its own address, and the wait for a transfer began with the first message of any peer, whatever that had.

A seed is found by its address in the settings. A router that hears from peers without list or configuration waits 0.3 s and up to 5 ms for each router that it knows of; 4 s are for what a peer has said to have. How long the first documents come from the own zone only grows with the fleet too, 0.3 s at 88.

--- a/crates/gateway/src/fleet/messages.rs
+++ b/crates/gateway/src/fleet/messages.rs
@@ -223,6 +223,11 @@
         Span::millis(u64::from(self.next))
     }
 
+    /// Returns whether the sender has a list of replicas that is not minutes old.
+    pub(crate) fn has_list(&self) -> bool {
+        self.list_age < u16::MAX
+    }
+
     /// Returns the age of the sender's list of replicas, at most 65 seconds.
     pub(crate) fn list_age(&self) -> Span {
         Span::millis(u64::from(self.list_age))
--- a/crates/gateway/src/fleet/receiver.rs
+++ b/crates/gateway/src/fleet/receiver.rs
@@ -51,8 +51,8 @@
 /// How many peer addresses are sent to a router that has just started.
 const MAX_KNOWN_PEERS: usize = 64;
 /// How long after its start a router at most fetches its first documents only from peers of its own
-/// zone. Documents are large, and each zone needs only a few from another one.
-const OWN_ZONE_SPAN: Span = Span::secs(3);
+/// zone, for each other router. Documents are large, and each zone needs only a few from another one.
+const OWN_ZONE_SPAN_PER_ROUTER: Span = Span::millis(3);
 /// Delay after an error of the socket.
 const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 pub(super) const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -82,8 +82,8 @@
     gw: Arc<Shared>,
     config_fetch: SingleFlight,
     list_fetch: SingleFlight,
-    /// When the first documents are fetched from other zones too.
-    other_zones: Time,
+    /// A random number from 0 to 1.
+    roll: f64,
 }
 
 /// Receives messages from peers for as long as the process runs.
@@ -92,7 +92,7 @@
         gw,
         config_fetch: SingleFlight::default(),
         list_fetch: SingleFlight::default(),
-        other_zones: Time(0) + OWN_ZONE_SPAN * fastrand::f64(),
+        roll: fastrand::f64(),
     };
     let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -114,6 +114,18 @@
     }
 }
 
+impl Shared {
+    /// Records what a peer has, for a router that starts.
+    fn record_offers(&self, header: &MessageHeader) {
+        if header.has_list() {
+            self.list_offered.store(true, Ordering::Relaxed);
+        }
+        if header.config_version > 0 {
+            self.config_offered.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
 impl MessageReceiver {
     async fn apply(&self, message: PeerMessage, from: SocketAddr) {
         match message {
@@ -272,10 +284,13 @@
             .roster
             .peer_list(header.list_age(), header.list_digest, now);
         let is_near = tables.fleet.is_in_zone(from, &gw.settings.zone);
-        let may_fetch = |has_one: bool| has_one || is_near || now >= self.other_zones;
+        let own_zone_span = OWN_ZONE_SPAN_PER_ROUTER * tables.fleet.contact_count() as f64;
+        let any_zone = is_near || now.since(Time(0)) >= own_zone_span * self.roll;
+        let may_fetch = |has_one: bool| has_one || any_zone;
         let newer = newer && may_fetch(tables.roster.has_list());
         drop(tables);
         gw.record_peer_era(header.era, from);
+        gw.record_offers(header);
         if newer {
             let gw = gw.clone();
             self.list_fetch
--- a/crates/gateway/src/follow/operators.rs
+++ b/crates/gateway/src/follow/operators.rs
@@ -13,7 +13,10 @@
     },
     async_std::task,
     policy::Watch,
-    std::sync::Arc, //
+    std::sync::{
+        atomic::Ordering,
+        Arc, //
+    },
 };
 
 /// Source of the operators' data, in log lines.
@@ -25,7 +28,8 @@
     let startup = Startup::new(&gw);
     // Peers may not know this router yet, or have no configuration.
     while gw.served_config().is_none() {
-        match startup.reads_store(&gw) {
+        let offered = gw.config_offered.load(Ordering::Relaxed);
+        match startup.reads_store(&gw, offered) {
             true if read(&gw).await.is_some() => break,
             true => back_off(&gw).await,
             false => task::sleep(Watch::POLL_INTERVAL.into()).await,
--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -63,7 +63,7 @@
 /// Decides whether this router is to read the list from the store now.
 fn is_read_due(gw: &Shared, startup: &Startup) -> bool {
     if !gw.tables().roster.has_list() {
-        return startup.reads_store(gw);
+        return startup.reads_store(gw, gw.list_offered.load(Ordering::Relaxed));
     }
     let now = gw.now();
     let tables = gw.tables();
--- a/crates/gateway/src/follow/startup.rs
+++ b/crates/gateway/src/follow/startup.rs
@@ -21,16 +21,16 @@
 
 impl Startup {
     pub(super) fn new(gw: &Shared) -> Startup {
-        let local = gw.settings.listen.peers;
         Startup {
             begun: gw.now(),
             roll: fastrand::f64(),
-            seed: gw.settings.seeds().contains(&local),
+            seed: gw.settings.is_seed(),
         }
     }
 
-    /// Returns whether this router is to read from the store now.
-    pub(super) fn reads_store(&self, gw: &Shared) -> bool {
+    /// Returns whether this router is to read from the store now, where `offered` tells whether a peer
+    /// has what it needs.
+    pub(super) fn reads_store(&self, gw: &Shared, offered: bool) -> bool {
         let now = gw.now();
         let tables = gw.tables();
         let view = StartView {
@@ -38,6 +38,7 @@
             seed: self.seed,
             contacts: tables.fleet.contact_count(),
             peers: tables.fleet.count(now) - 1,
+            offered,
         };
         drop(tables);
         !gw.is_leaving() && reads_store_at_start(view, self.roll)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -186,6 +186,12 @@
 }
 
 impl Settings {
+    /// Returns whether other instances contact this one first.
+    pub(crate) fn is_seed(&self) -> bool {
+        let local = self.listen.peers.ip();
+        self.fleet.seeds.iter().any(|seed| seed.ip() == local)
+    }
+
     /// Returns the addresses on which the seeds listen for peers.
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         let port = self.listen.peers.port();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -175,6 +175,10 @@
     pub(crate) rejecting: AtomicBool,
     /// The list of replicas was received at least once.
     pub(crate) replicas_listed: AtomicBool,
+    /// A peer has a list of replicas.
+    pub(crate) list_offered: AtomicBool,
+    /// A peer has a configuration.
+    pub(crate) config_offered: AtomicBool,
     /// The zones to evacuate were received at least once.
     evacuations_known: AtomicBool,
     /// The last call to the store failed.
@@ -239,6 +243,8 @@
             leaving: AtomicBool::new(false),
             rejecting: AtomicBool::new(false),
             replicas_listed: AtomicBool::new(false),
+            list_offered: AtomicBool::new(false),
+            config_offered: AtomicBool::new(false),
             evacuations_known: AtomicBool::new(false),
             store_lost: AtomicBool::new(false),
             eras: Mutex::default(),
--- a/crates/policy/src/startup.rs
+++ b/crates/policy/src/startup.rs
@@ -2,12 +2,19 @@
 
 use crate::Span;
 
-/// How long a router waits for the answer of a peer. The seeds in its settings may be down.
+/// How long a router waits for any message of a peer. The seeds in its settings may be down.
 const ANSWER_WAIT: Span = Span::millis(1_000);
-/// How long it waits for what a peer that answers sends. A whole list takes some 0.2 s to send, and
-/// spreads through a fleet of a thousand routers in five steps.
+/// How long it waits until a peer that it hears from has what it needs, as all may have started at
+/// once and the seeds may be down.
+const OFFER_WAIT: Span = Span::millis(300);
+/// By how much routers differ in that, for each other router, so that the first ones have read before
+/// most others would.
+const OFFER_SPREAD_PER_ROUTER: Span = Span::millis(5);
+/// How long it waits for what a peer has. A whole list takes some 0.2 s to send, and spreads through a
+/// fleet of a thousand routers in five steps.
 const TRANSFER_WAIT: Span = Span::secs(4);
-/// Part of the wait by which routers differ, so that those which wait in vain don't all read at once.
+/// Part of the other waits by which routers differ, so that those which wait in vain don't all read at
+/// once.
 const WAIT_SPREAD: f64 = 2.0;
 
 /// What a router that starts knows of the fleet.
@@ -21,6 +28,8 @@
     pub contacts: usize,
     /// Other routers that it has received messages from.
     pub peers: usize,
+    /// Any of these has what it needs.
+    pub offered: bool,
 }
 
 /// Returns whether a router without configuration or list reads them from the store, rather than
@@ -34,7 +43,7 @@
 /// ```
 /// use policy::{reads_store_at_start, Span, StartView};
 ///
-/// let view = StartView { waited: Span::ZERO, seed: false, contacts: 3, peers: 0 };
+/// let view = StartView { waited: Span::ZERO, seed: false, contacts: 3, peers: 0, offered: false };
 /// assert!(!reads_store_at_start(view, 0.5));
 /// assert!(reads_store_at_start(StartView { seed: true, ..view }, 0.5));
 /// assert!(reads_store_at_start(StartView { contacts: 0, ..view }, 0.5));
@@ -44,9 +53,11 @@
     if view.seed || view.contacts == 0 {
         return true;
     }
-    let wait = match view.peers {
-        0 => ANSWER_WAIT,
-        _ => TRANSFER_WAIT,
+    let spread = 1.0 + WAIT_SPREAD * roll;
+    let wait = match (view.offered, view.peers) {
+        (true, _) => TRANSFER_WAIT * spread,
+        (false, 0) => ANSWER_WAIT * spread,
+        (false, _) => OFFER_WAIT + OFFER_SPREAD_PER_ROUTER * (view.contacts as f64 * roll),
     };
-    view.waited >= wait * (1.0 + WAIT_SPREAD * roll)
+    view.waited >= wait
 }
--- a/crates/policy/tests/startup.rs
+++ b/crates/policy/tests/startup.rs
@@ -25,8 +25,9 @@
     done: Span,
 }
 
-/// Starts routers at once, of which those before `down` never answer.
-fn start(routers: usize, down: usize) -> Start {
+/// Starts routers at once, of which those before `down` never answer. If `reached`, the others know
+/// each other all the same.
+fn start(routers: usize, down: usize, reached: bool) -> Start {
     let mut rng = fastrand::Rng::with_seed(5);
     let rolls: Vec<f64> = (0..routers).map(|_| rng.f64()).collect();
     let mut holders: BTreeSet<usize> = BTreeSet::new();
@@ -44,7 +45,7 @@
         let done: Vec<(Span, usize, usize)> = done;
         transfers = running;
         holders.extend(done.into_iter().map(|(_, _, to)| to));
-        for router in down..routers {
+        for (router, roll) in rolls.iter().enumerate().skip(down) {
             let waits = transfers.iter().any(|(_, _, to)| *to == router);
             if holders.contains(&router) || waits {
                 continue;
@@ -52,10 +53,11 @@
             let view = StartView {
                 waited: now,
                 seed: router < SEEDS,
-                contacts: SEEDS,
-                peers: if down < SEEDS { routers - 1 } else { 0 },
+                contacts: if reached { routers - 1 } else { SEEDS },
+                peers: if reached { routers - down - 1 } else { 0 },
+                offered: reached && !holders.is_empty(),
             };
-            if reads_store_at_start(view, rolls[router]) {
+            if reads_store_at_start(view, *roll) {
                 start.reads += 1;
                 holders.insert(router);
                 continue;
@@ -78,7 +80,7 @@
 #[test]
 fn start_of_a_fleet_reads_the_list_a_few_times() {
     for routers in [8, 30, 300, 985, 2_000] {
-        let Start { reads, done } = start(routers, 0);
+        let Start { reads, done } = start(routers, 0, true);
         assert!(reads <= SEEDS, "{reads} reads by {routers} routers");
         assert!(done <= Span::secs(6), "{routers} routers took {done}");
     }
@@ -88,7 +90,7 @@
 #[test]
 fn start_with_some_seeds_down() {
     for routers in [8, 300, 985] {
-        let Start { reads, done } = start(routers, 2);
+        let Start { reads, done } = start(routers, 2, true);
         assert!(reads <= SEEDS, "{reads} reads by {routers} routers");
         assert!(done <= Span::secs(6), "{routers} routers took {done}");
     }
@@ -97,7 +99,7 @@
 /// Guards against routers without peers that wait for long, or that all read at the same moment.
 #[test]
 fn start_with_all_seeds_down() {
-    let Start { done, .. } = start(300, SEEDS);
+    let Start { done, .. } = start(300, SEEDS, false);
     assert!(done <= Span::secs(4), "{done}");
     let at_once = (0..300).filter(|n| {
         let view = StartView {
@@ -105,8 +107,23 @@
             seed: false,
             contacts: SEEDS,
             peers: 0,
+            offered: false,
         };
         reads_store_at_start(view, f64::from(*n) / 300.0)
     });
     assert!(at_once.count() < 60);
 }
+
+/// Guards against a fleet that serves nothing for seconds after all of it lost power, as the routers wait
+/// for documents that no peer has.
+#[test]
+fn start_of_routers_that_all_lack_the_list() {
+    for routers in [8, 88, 300, 985] {
+        let Start { reads, done } = start(routers, SEEDS, true);
+        assert!(done <= Span::secs(6), "{routers} routers took {done}");
+        // Those that decide within one step, and the first step in which others have the list.
+        assert!(reads <= 40, "{reads} reads by {routers} routers");
+    }
+    let Start { done, .. } = start(8, SEEDS, true);
+    assert!(done <= Span::secs(1), "8 routers took {done}");
+}
