pick: engines to spare take long prompts and any workspace

The choice is told that there are engines to spare, and then has no bound on the time to read the request's own prompt. Slots, memory and earlier prompts stay bounds. Nothing changes where a service's subset is complete.

Tried beside it and not taken: limits of shares that rise while the engines are less than half loaded.

--- a/crates/gateway/benches/request_cost/placement.rs
+++ b/crates/gateway/benches/request_cost/placement.rs
@@ -47,6 +47,7 @@
             shortest_target: Span::millis(250),
             usage: UsageStanding::default(),
             load_interval: Span::millis(100),
+            spare: false,
             tuning: &Tuning::default(),
         };
         black_box(pick(black_box(&candidates), &request));
--- a/crates/gateway/src/serve/choose.rs
+++ b/crates/gateway/src/serve/choose.rs
@@ -207,6 +207,7 @@
         };
         let barred = self.barred(gw, req, now);
         let mut request = PlacementRequest {
+            spare: false,
             prompt,
             answer: selection.answer,
             target: Span::from(req.route.latency_target),
@@ -218,10 +219,7 @@
         let mut scope = req.scope(selection.origin);
         loop {
             let subset = self.subset(scope, now);
-            // While there are engines to spare, no workspace takes any from another one.
-            if !subset.complete {
-                request.usage = UsageStanding::default();
-            }
+            request.spare = !subset.complete;
             let candidates = self.engines(req, engine, selection, (&subset, &barred), now);
             let picked = (!candidates.is_empty()).then(|| pick(&candidates, &request));
             let others_may = picked.as_ref().is_none_or(Pick::is_overload);
--- a/crates/policy/src/placement/pick.rs
+++ b/crates/policy/src/placement/pick.rs
@@ -38,6 +38,8 @@
     pub usage: UsageStanding,
     /// Time between two load reports of a peer.
     pub load_interval: Span,
+    /// The service has engines that its requests don't need.
+    pub spare: bool,
     /// The weights of the choice.
     pub tuning: &'a Tuning,
 }
@@ -148,16 +150,12 @@
         }
     }
     let tuning = request.tuning;
-    let limit = tuning.limit(request.usage, request.load_interval);
+    let (limit, spill) = limits(request);
     let (preferred, others) = rated.split_at(tuning.preferred_replicas.min(rated.len()));
     if let Some(best) = cheapest(&rated, preferred, limit) {
         return Pick::Run(best);
     }
-    if let Some(best) = cheapest(
-        &rated,
-        others,
-        tuning.spill_limit(request.usage, request.load_interval),
-    ) {
+    if let Some(best) = cheapest(&rated, others, spill) {
         return Pick::Run(best);
     }
     let least = preferred
@@ -258,6 +256,16 @@
     }
 }
 
+/// Returns the fullness up to which the preferred replicas, and the others, take the request.
+fn limits(request: &PlacementRequest<'_>) -> (Fullness, Fullness) {
+    let (tuning, usage) = (request.tuning, request.usage);
+    if request.spare {
+        return tuning.spare_limits();
+    }
+    let limit = tuning.limit(usage, request.load_interval);
+    (limit, tuning.spill_limit(usage, request.load_interval))
+}
+
 fn cheapest(all: &[Rated<'_>], among: &[Rated<'_>], limit: Fullness) -> Option<Choice> {
     let fits = among.iter().filter(|r| r.fullness.within(limit));
     let best = fits.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
--- a/crates/policy/src/placement/tuning.rs
+++ b/crates/policy/src/placement/tuning.rs
@@ -175,6 +175,20 @@
         self.spill_limit + (self.spill_within - self.spill_limit) * timely
     }
 
+    /// Returns the fullness up to which the preferred replicas, and the others, take any request while
+    /// there are engines to spare.
+    ///
+    /// No workspace takes a slot from another one then, and a prompt that takes long to read delays
+    /// nobody else: its caller gets the answer late rather than not at all.
+    pub(super) fn spare_limits(&self) -> (Fullness, Fullness) {
+        let limit = |full| Fullness {
+            occupancy: full,
+            backlog: full,
+            reading: f64::INFINITY,
+        };
+        (limit(self.full), limit(self.spill_within))
+    }
+
     /// Returns the fullness up to which requests of a workspace are taken.
     ///
     /// A workspace that floods is rejected first, while those within their share still find slots.
--- a/crates/policy/tests/actives/main.rs
+++ b/crates/policy/tests/actives/main.rs
@@ -10,7 +10,8 @@
     world::{
         name,
         World,
-        ACTIVE_MIN, //
+        ACTIVE_MIN,
+        ZONES, //
     },
 };
 
@@ -322,7 +323,12 @@
                 "{} of {n}",
                 followers.len()
             );
-            followers.into_iter().for_each(|to| reached[to] += 1);
+            for to in followers {
+                reached[to] += 1;
+                // Most messages to standbys stay within a zone that has active routers of its own.
+                let near = active.iter().filter(|a| *a % ZONES == to % ZONES).count();
+                assert!(near < 2 || i % ZONES == to % ZONES, "{i} to {to} of {n}");
+            }
         }
         let standbys = (0..n).filter(|i| !active.contains(i));
         let without = standbys.filter(|i| reached[*i] == 0).count();
--- a/crates/policy/tests/actives/world.rs
+++ b/crates/policy/tests/actives/world.rs
@@ -111,7 +111,7 @@
     rng: fastrand::Rng,
 }
 
-const ZONES: usize = 5;
+pub(crate) const ZONES: usize = 5;
 
 pub(crate) fn name(i: usize) -> RouterId {
     format!("r{i:03}").parse().unwrap()
--- a/crates/policy/tests/placement/load.rs
+++ b/crates/policy/tests/placement/load.rs
@@ -195,6 +195,7 @@
             shortest_target: Span::millis(250),
             usage,
             load_interval: self.fleet.report_interval,
+            spare: false,
             tuning: &Tuning::default(),
         };
         let Pick::Run(choice) = pick(&candidates, &request) else {
--- a/crates/policy/tests/placement/pick.rs
+++ b/crates/policy/tests/placement/pick.rs
@@ -66,6 +66,7 @@
             ..UsageStanding::default()
         },
         load_interval: Span::millis(100),
+        spare: false,
         tuning: &Tuning::default(),
     };
     pick(engines, &request)
@@ -260,6 +261,7 @@
                 shortest_target: Span::millis(250),
                 usage: UsageStanding::default(),
                 load_interval: Span::millis(100),
+                spare: false,
                 tuning: &Tuning::default(),
             };
             match pick(all, &request) {
@@ -322,6 +324,7 @@
             ..UsageStanding::default()
         },
         load_interval: Span::millis(100),
+        spare: false,
         tuning: &Tuning::default(),
     };
     let picked = pick(&all, &request);
@@ -421,3 +424,39 @@
     }
     assert_eq!(run(&all, 0.0).source, Some(source));
 }
+
+/// Guards against rejections of long prompts, or of a workspace beyond its share, while the service has
+/// engines that no request needs.
+#[test]
+fn pick_with_engines_to_spare() {
+    let long = Prompt {
+        parts: prompt().parts,
+        total: 54_600,
+        output: 400,
+    };
+    let choose = |spare, running| {
+        let mut all = engines(12);
+        for engine in &mut all {
+            engine.load.running = running;
+        }
+        let request = PlacementRequest {
+            prompt: &long,
+            answer: AnswerState::NotStarted,
+            target: Span::millis(500),
+            shortest_target: Span::millis(300),
+            usage: UsageStanding {
+                share: 3.0,
+                max_min_ratio: 3.0,
+                ..UsageStanding::default()
+            },
+            load_interval: Span::millis(100),
+            spare,
+            tuning: &Tuning::default(),
+        };
+        pick(&all, &request)
+    };
+    assert!(matches!(choose(true, 4), Pick::Run(_)));
+    assert!(matches!(choose(false, 4), Pick::Reject { .. }));
+    // The slots of an engine stay its limit.
+    assert!(matches!(choose(true, 60), Pick::Reject { .. }));
+}
