index: versions count as known from the first list on

The maintenance of tables, each second, also applies the changes of the roster, and began to count how long the versions are known before there was any list. A router that waits for its first list could so take a service for settled by that time too early, and not tell other routers of its streams.

Nothing is applied before the first list, as before. Found by reading the change again; no test (the gateway's clock can't be moved).

--- a/crates/gateway/src/index.rs
+++ b/crates/gateway/src/index.rs
@@ -142,6 +142,10 @@
 impl Tables {
     /// Applies the changes of the roster to all that is kept by replica.
     pub(crate) fn apply_roster_changes(&mut self, now: Time) {
+        // Versions are known only from the first list on.
+        if !self.roster.has_list() {
+            return;
+        }
         for change in self.roster.take_changes() {
             match change {
                 RosterChange::Known { id, before } => {
