index: a subset is kept for each width of the scope

Only the subset that was used last was kept. While requests widen their scope, because the usual replicas are full, each request made the usual subset, the double and the fourfold one again: ranked, looked up and sorted, up to 1,792 replicas.

The last subset of each width is kept. How many replicas are needed is counted over the usual ones.

--- a/crates/gateway/src/index.rs
+++ b/crates/gateway/src/index.rs
@@ -24,6 +24,7 @@
     },
     std::{
         collections::{
+            BTreeMap,
             BTreeSet,
             HashMap, //
         },
@@ -52,7 +53,8 @@
     size: SubsetSize,
     /// When the size was last checked.
     sized: Option<Time>,
-    subset: Option<(SubsetState, Subset)>,
+    /// The subsets that were last used, by the width of their scopes.
+    subsets: BTreeMap<usize, (SubsetState, Subset)>,
 }
 
 /// What a subset was made from.
@@ -101,7 +103,8 @@
         let is_due = |at: Time| now.since(at) >= SIZE_INTERVAL;
         if self.sized.is_none_or(is_due) {
             self.sized = Some(now);
-            let members = self.subset.iter().flat_map(|(_, s)| s.members.iter());
+            let usual = self.subsets.get(&1).into_iter();
+            let members = usual.flat_map(|(_, subset)| subset.members.iter());
             let running = members.map(|(key, _)| board.load(*key, now).running);
             self.size.update(running.sum(), self.slots, now);
         }
@@ -210,7 +213,8 @@
             size,
             evacuated: evacuations.covered(now),
         };
-        if let Some((_, subset)) = group.subset.as_ref().filter(|(known, _)| *known == state) {
+        let known = group.subsets.get(&scope.width);
+        if let Some((_, subset)) = known.filter(|(known, _)| *known == state) {
             return subset.clone();
         }
         let first = group.ranking.first(
@@ -226,7 +230,7 @@
             members: Arc::new(members),
             complete,
         };
-        group.subset = Some((state, subset.clone()));
+        group.subsets.insert(scope.width, (state, subset.clone()));
         subset
     }
 
