roster: what changed after a revision is looked up once

A peer's question for changes went through the log twice, once to see whether it has them and once to send them, and the answer to a whole list had two conditions in two places. Roster::changes_since returns the changes or none, and both callers use it. Roster::fleet_read had no caller left, and place_of needed no hash.

--- a/crates/gateway/src/fleet/replica_list.rs
+++ b/crates/gateway/src/fleet/replica_list.rs
@@ -37,7 +37,6 @@
         Serialize, //
     },
     std::{
-        hash::Hash,
         net::SocketAddr,
         sync::{
             atomic::{
@@ -220,7 +219,7 @@
 }
 
 /// Returns the place of a name in a table, which is added if it is not there.
-fn place_of<T: Clone + Eq + Hash>(table: &mut Vec<T>, name: &T) -> u32 {
+fn place_of<T: Clone + Eq>(table: &mut Vec<T>, name: &T) -> u32 {
     let known = table.iter().position(|t| t == name);
     let place = known.unwrap_or_else(|| {
         table.push(name.clone());
@@ -269,11 +268,11 @@
     let Some(age) = tables.roster.age(now) else {
         return Ok(ListAnswer::None);
     };
+    if revision.is_some() && revision > tables.roster.revision() {
+        return Ok(ListAnswer::None);
+    }
     let mut bytes = rmp_serde::to_vec(&age)?;
-    if tables.roster.has_changes_since(revision) {
-        let Some(update) = tables.roster.update_since(revision, now) else {
-            return Ok(ListAnswer::None);
-        };
+    if let Some(update) = revision.and_then(|r| tables.roster.changes_since(r, now)) {
         let document = UpdateDocument::pack(&update, tables.roster.era());
         drop(tables);
         rmp_serde::encode::write(&mut bytes, &document)?;
--- a/crates/policy/src/roster/mod.rs
+++ b/crates/policy/src/roster/mod.rs
@@ -136,11 +136,6 @@
         self.turns.age(now)
     }
 
-    /// Returns when any router is known to have read the list last.
-    pub fn fleet_read(&self) -> Option<Time> {
-        self.turns.fleet_read()
-    }
-
     /// Returns the store's era of this router's list, to report it to the peers.
     pub fn era(&self) -> Era {
         self.eras.confirmed()
--- a/crates/policy/src/roster/reports.rs
+++ b/crates/policy/src/roster/reports.rs
@@ -166,10 +166,13 @@
         if !self.has_list() || revision.is_some() && revision > self.revision {
             return None;
         }
-        let changed = revision.and_then(|r| self.log.since(r));
-        let Some(ids) = changed else {
-            return Some(self.whole_update(now));
-        };
+        let changes = revision.and_then(|r| self.changes_since(r, now));
+        Some(changes.unwrap_or_else(|| self.whole_update(now)))
+    }
+
+    /// Returns what changed after a revision for a peer, unless some of it is unknown.
+    pub fn changes_since(&self, revision: Revision, now: Time) -> Option<Update<T>> {
+        let ids = self.log.since(revision)?;
         let changes = ids.into_iter().map(|id| self.change_of(id, now));
         Some(self.update(false, changes.collect(), now))
     }
@@ -180,11 +183,6 @@
         self.update(true, changes.collect(), now)
     }
 
-    /// Returns whether a peer whose list includes a revision needs less than the whole list.
-    pub fn has_changes_since(&self, revision: Option<Revision>) -> bool {
-        revision.is_some_and(|r| Some(r) > self.revision || self.log.since(r).is_some())
-    }
-
     fn update(&self, complete: bool, changes: Vec<EntryChange<T>>, now: Time) -> Update<T> {
         Update {
             complete,
