tests: versions_without_replicas_left waits until the list was applied

Cause, traced. The test gave the gateway 500 ms to read that all replicas of the version leave. So it was complete with the crashed replica's events alone.

The test waits until the gateway has made a further call for the list, which it does only after it applied the answer to the one before.

--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -98,6 +98,8 @@
     /// The replicas at the last call, and all changes that calls have found since.
     pub(crate) last_replicas: Vec<gateway::Replica>,
     pub(crate) replica_log: Vec<ReplicaChange>,
+    /// Calls for the list of replicas, or for changes of it.
+    pub(crate) list_calls: u64,
     /// The way in which calls fail, if the store is down.
     pub(crate) fault: Option<StoreFault>,
     /// Calls that have failed.
@@ -428,6 +430,7 @@
 impl FakeStore {
     /// Records how the replicas changed since the last call, and returns the revision of the list.
     fn log_replicas(&mut self) -> Revision {
+        self.list_calls += 1;
         let listed = self.replicas.iter();
         let listed = listed.filter(|r| !self.last_replicas.contains(r)).cloned();
         self.replica_log.extend(listed.map(ReplicaChange::Listed));
@@ -671,6 +674,14 @@
         wait_until(|| asked.elapsed() > Duration::from_millis(100));
     }
 
+    /// Waits until the gateway has applied the current list of replicas.
+    pub(crate) fn wait_listed(&self) {
+        let calls = || self.store.lock().unwrap().list_calls;
+        let before = calls();
+        // A gateway applies the answer to a call before it makes the next one.
+        wait_until(|| calls() >= before + 2);
+    }
+
     /// Starts the shutdown of the gateway; the thread returns when it has ended.
     pub(crate) fn end(&mut self) -> thread::JoinHandle<()> {
         let gateway = self.gateway.take().unwrap();
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -403,8 +403,7 @@
         (0..ATTEMPTS).for_each(|n| drop(release.gw.get("/again/a", &n.to_string())));
         release.same.seen().len() == before
     });
-    // All requests went to the other version, also if the list is read only now.
-    thread::sleep(Duration::from_millis(500));
+    release.gw.wait_listed();
     release.begun.crash();
     let at = Instant::now();
     let got = release.caller.answer();
