--- a/crates/gateway/src/fleet/documents.rs
+++ b/crates/gateway/src/fleet/documents.rs
@@ -46,7 +46,7 @@
 const CHANGES_PATH: &str = "/replica-changes/";
 /// A megabyte takes 10 ms at the speed of the network.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-/// A whole list of 10,000 replicas takes a small instance, which sends several, a second.
+/// A whole list is longer, and a small instance sends several at a time.
 const LIST_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Peers delay their request for a new document by a random time up to this for each router that
 /// asks the same peer, so that they do not all connect in the same millisecond: up to 0.3 s in a
--- a/crates/gateway/src/fleet/replica_list.rs
+++ b/crates/gateway/src/fleet/replica_list.rs
@@ -50,8 +50,8 @@
     },
 };
 
-/// Whole lists that are sent at a time. One takes a small instance some 50 ms of its processor; a
-/// peer that is turned away asks another router, of which there are more with each list sent.
+/// Whole lists that are sent at a time, so that each arrives within its time limit. A peer that is
+/// turned away asks another router, of which there are more with each list sent.
 const MAX_TRANSFERS: usize = 4;
 
 /// A router's list of replicas, as it is sent to a peer of an earlier version.
--- a/crates/policy/src/placement/subset.rs
+++ b/crates/policy/src/placement/subset.rs
@@ -24,8 +24,8 @@
 
 /// The key that orders the replicas of an availability zone.
 const RANKING_KEY: &str = "subset";
-/// The least number of replicas in use. A choice among so many takes some 30 us of a core, and with
-/// so many the failure of a tenth leaves room for their requests.
+/// The least number of replicas in use, so that the failure of a tenth leaves room for their requests.
+/// A choice looks at each of them.
 const SUBSET_MIN: usize = 256;
 /// Part of the slots in use up to which a subset is large enough: so much that the loss of a zone or
 /// of some replicas at once leaves it half idle.
--- a/crates/policy/src/startup.rs
+++ b/crates/policy/src/startup.rs
@@ -10,8 +10,8 @@
 /// By how much routers differ in that, for each other router, so that the first ones have read before
 /// most others would.
 const OFFER_SPREAD_PER_ROUTER: Span = Span::millis(5);
-/// How long it waits for what a peer has. A whole list takes some 0.2 s to send, and spreads through a
-/// fleet of a thousand routers in five steps.
+/// How long it waits for what a peer has. Each router that has a list sends it to a few others, so it
+/// spreads through a fleet of a thousand routers in five steps.
 const TRANSFER_WAIT: Span = Span::secs(4);
 /// Part of the other waits by which routers differ, so that those which wait in vain don't all read at
 /// once.
