review: a leaving server's truncated streams look complete

Cause: for an answer that ends with its connection, check_complete does not ask whether the server's process has ended if the server is leaving.

--- /dev/null
+++ b/review/standin/src/cases/mod.rs
@@ -0,0 +1,17 @@
+//! The cases.
+
+pub mod leaving_server;
+pub mod tenant_name;
+pub mod uploads;
+
+/// A small generator of numbers, seeded by the case.
+pub struct Rng(pub u64);
+
+impl Rng {
+    pub fn next(&mut self) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0
+    }
+}
