review: streams whose event ids go up by more than one are all cut

Cause: EventSplitter takes an id that is more than one above the last for missing events; the pages only say that ids increase.

--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,7 +1,7 @@
 //! The cases.
 
+pub mod event_ids;
 pub mod leaving_server;
-pub mod tenant_name;
 pub mod uploads;
 
 /// A small generator of numbers, seeded by the case.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -29,7 +29,7 @@
             let record = Path::new(&args[1]);
             let found = match case {
                 "leaving-server" => cases::leaving_server::run(trouble, record),
-                "tenant-name" => cases::tenant_name::run(trouble, record),
+                "event-ids" => cases::event_ids::run(trouble, record),
                 "uploads" => cases::uploads::run(trouble, record),
                 _ => Err("there is no such case".to_owned()),
             };
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -28,6 +28,10 @@
     /// Pieces of a stream, and the time between two of them.
     pieces: u64,
     gap: Duration,
+    /// By how much the ids of two events in a row differ.
+    id_step: u64,
+    /// Whether a stream is sent in chunks, or ends with its channel.
+    chunked: bool,
 }
 
 impl Options {
@@ -46,6 +50,8 @@
             work: Duration::from_millis(number("work-ms")),
             pieces: number("pieces"),
             gap: Duration::from_millis(number("gap-ms")),
+            id_step: number("id-step").max(1),
+            chunked: number("chunked") == 1,
         }
     }
 }
@@ -137,7 +143,8 @@
         Ok(true)
     }
 
-    /// A stream whose answer has no length and ends with its channel.
+    /// A stream, which ends with its channel unless it is sent in chunks. Returns whether the channel is
+    /// kept.
     fn stream(
         &self,
         request: &Message,
@@ -147,17 +154,28 @@
     ) -> io::Result<bool> {
         let mut headers = headers.to_vec();
         headers.push(("Content-Type", "text/event-stream"));
-        headers.push(("Connection", "close"));
+        headers.push(match self.options.chunked {
+            true => ("Transfer-Encoding", "chunked"),
+            false => ("Connection", "close"),
+        });
         channel.send(&head("HTTP/1.1 200 OK", &headers))?;
+        let step = self.options.id_step;
         let last = request.header("last-event-id");
-        let from = last.and_then(|n| n.parse().ok()).unwrap_or(0) + 1;
+        let last: u64 = last.and_then(|n| n.parse().ok()).unwrap_or(0);
         let pieces = self.options.pieces;
-        for n in from..=pieces {
+        for n in last / step + 1..=pieces {
             thread::sleep(self.options.gap);
-            let event = format!("id: {n}\ndata: piece {n} of {pieces} of {id}\n\n");
+            let event = format!("id: {}\ndata: piece {n} of {pieces} of {id}\n\n", n * step);
+            let event = match self.options.chunked {
+                true => format!("{:x}\r\n{event}\r\n", event.len()),
+                false => event,
+            };
             channel.send(event.as_bytes())?;
         }
+        if self.options.chunked {
+            channel.send(b"0\r\n\r\n")?;
+        }
         println!("end {id} {pieces}");
-        Ok(false)
+        Ok(self.options.chunked)
     }
 }
