--- a/review/standin-2/src/cases/head_answers.rs
+++ b/review/standin-2/src/cases/head_answers.rs
@@ -39,7 +39,6 @@
             addr: free_addr()?,
             events: 0,
             step: Duration::ZERO,
-            unframed: false,
             body_bytes: BODY_BYTES,
             delay: Duration::from_millis(15),
             slots: 6,
--- a/review/standin-2/src/cases/mod.rs
+++ b/review/standin-2/src/cases/mod.rs
@@ -1,7 +1,6 @@
 //! The cases, each a function that returns the breaches of its rule.
 
-pub mod cut_answers;
 pub mod head_answers;
 pub mod regions;
 pub mod slow_readers;
-pub mod uploads;
+pub mod tenant_name;
--- a/review/standin-2/src/cases/regions.rs
+++ b/review/standin-2/src/cases/regions.rs
@@ -56,7 +56,6 @@
             addr: free_addr()?,
             events: 0,
             step: Duration::ZERO,
-            unframed: false,
             body_bytes: 800,
             delay: Duration::from_millis(60),
             slots: 6,
--- a/review/standin-2/src/cases/slow_readers.rs
+++ b/review/standin-2/src/cases/slow_readers.rs
@@ -52,7 +52,6 @@
             addr: free_addr()?,
             events: EVENTS,
             step: STEP,
-            unframed: false,
             body_bytes: 0,
             delay: Duration::ZERO,
             slots: 64,
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -1,17 +1,16 @@
 //! A small deployment: the store, the servers and the routers, each router and server a process.
 
 use {
-    crate::{http::Conn, record::Record, replica::Work, socket::keep_to_core, store::Store},
+    crate::{http::Conn, record::Record, replica::Work, store::Store},
     std::{
         env, fs, io,
         io::{BufRead, BufReader},
         net::{SocketAddr, TcpListener, UdpSocket},
-        os::unix::process::CommandExt,
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
-            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
-            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+            Arc,
         },
         thread,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -26,8 +25,6 @@
 const CHECK_IN: Duration = Duration::from_millis(1_200);
 /// Longest time until all routers are ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
-/// Routers that were started so far.
-static STARTS: AtomicUsize = AtomicUsize::new(0);
 
 /// A zone and its region.
 #[derive(Debug, Clone, Copy)]
@@ -58,14 +55,12 @@
     pub name: String,
     pub callers: SocketAddr,
     ready: SocketAddr,
-    settings: PathBuf,
     child: Child,
 }
 
 /// A server, which runs as a process and checks in at the store.
 #[derive(Debug)]
 pub struct Replica {
-    pub id: String,
     child: Child,
     entry: Arc<Entry>,
 }
@@ -77,7 +72,6 @@
     addr: SocketAddr,
     zone: &'static str,
     slots: u32,
-    state: Mutex<&'static str>,
     seq: AtomicU64,
     born: u128,
     /// It checks in no more.
@@ -87,7 +81,6 @@
 impl Entry {
     fn check_in(&self, store: &Store) {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst);
-        let state = *self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let Entry {
             id,
             service,
@@ -99,7 +92,7 @@
         } = self;
         let document = format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
-             \"version\":\"1\",\"slots\":{slots},\"state\":\"{state}\",\"cold_remaining_ms\":0,\
+             \"version\":\"1\",\"slots\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\
              \"seq\":{seq},\"born\":{born}}}"
         );
         store.put(&format!("servers/{id}"), &document);
@@ -145,7 +138,6 @@
             addr: work.addr,
             zone: place.zone,
             slots: work.slots,
-            state: Mutex::new("ready"),
             seq: AtomicU64::new(1),
             born: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
@@ -159,21 +151,7 @@
                 thread::sleep(CHECK_IN);
             }
         });
-        Ok(Replica {
-            id: work.id.clone(),
-            child,
-            entry,
-        })
-    }
-
-    /// Reports that it is leaving.
-    pub fn drain(&self, store: &Store) {
-        *self
-            .entry
-            .state
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = "draining";
-        self.entry.check_in(store);
+        Ok(Replica { child, entry })
     }
 
     /// Ends its process with SIGKILL. It checks in no more.
@@ -200,43 +178,22 @@
         ask().is_ok_and(|status| status == 200)
     }
 
-    /// Returns the memory of its process in MB.
-    pub fn memory_mb(&self) -> Option<u64> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-        let kb: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-        Some(kb / 1_024)
-    }
-
     /// Ends its process with SIGKILL.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Starts a process again after it was killed.
-    pub fn restart(&mut self) -> io::Result<()> {
-        self.child = spawn(&self.settings)?;
-        Ok(())
-    }
 }
 
 /// Starts the program as the deploy file does, with its log beside its settings.
-///
-/// A machine shows its processes one core, so that the program has as few threads as there.
 fn spawn(settings: &Path) -> io::Result<Child> {
-    let log = fs::File::options()
-        .create(true)
-        .append(true)
-        .open(settings.with_extension("log"))?;
-    let cores = thread::available_parallelism().map_or(1, usize::from);
-    let core = STARTS.fetch_add(1, Ordering::SeqCst) % cores;
-    let mut command = Command::new("target/release/chervilwind");
-    command.args(["gateway", "--settings"]).arg(settings);
-    command.stdin(Stdio::null()).stdout(log);
-    // SAFETY: the call allocates nothing and takes no locks.
-    unsafe { command.pre_exec(move || keep_to_core(core)) };
-    command.spawn()
+    let log = fs::File::create(settings.with_extension("log"))?;
+    Command::new("target/release/chervilwind")
+        .args(["gateway", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .spawn()
 }
 
 impl Drop for Router {
@@ -330,7 +287,6 @@
             name,
             callers: addr(port + 1)?,
             ready: addr(port + 2)?,
-            settings: path,
             child,
         });
     }
@@ -365,7 +321,10 @@
     pub regions: &'static [&'static str],
 }
 
-/// Writes a configuration. The store's answer acknowledges it.
+/// A tenant of the configuration: its name and its keys.
+pub type Tenant<'a> = (&'a str, &'a [&'a str]);
+
+/// Writes a configuration with one tenant. The store's answer acknowledges it.
 pub fn configure(
     store: &Store,
     version: u64,
@@ -373,6 +332,33 @@
     services: &[&str],
     max_body_bytes: usize,
 ) {
+    configure_tenants(
+        store,
+        version,
+        routes,
+        services,
+        max_body_bytes,
+        &[(TENANT, &[KEY])],
+    );
+}
+
+/// Writes a configuration. The store's answer acknowledges it.
+pub fn configure_tenants(
+    store: &Store,
+    version: u64,
+    routes: &[Route],
+    services: &[&str],
+    max_body_bytes: usize,
+    tenants: &[Tenant<'_>],
+) {
+    let tenants: Vec<String> = tenants
+        .iter()
+        .map(|(name, keys)| {
+            let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+            let keys = keys.join(",");
+            format!("{{\"name\":\"{name}\",\"api_keys\":[{keys}],\"priority\":1}}")
+        })
+        .collect();
     let routes: Vec<String> = routes
         .iter()
         .map(|r| {
@@ -404,10 +390,10 @@
     let document = format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{}],\"limits\":{{\
          \"max_header_bytes\":16384,\"max_body_bytes\":{max_body_bytes},\
-         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{{\
-         \"name\":\"{TENANT}\",\"api_keys\":[\"{KEY}\"],\"priority\":1}}]}}",
+         \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[{}]}}",
         routes.join(","),
-        services.join(",")
+        services.join(","),
+        tenants.join(",")
     );
     store.put("op/config", &document);
 }
@@ -419,10 +405,22 @@
     attempt: &str,
     patience_ms: u64,
     body: &[u8],
+) -> Vec<u8> {
+    request_with_key(KEY, method, target, attempt, patience_ms, body)
+}
+
+/// Encodes the request of a client with a key.
+pub fn request_with_key(
+    key: &str,
+    method: &str,
+    target: &str,
+    attempt: &str,
+    patience_ms: u64,
+    body: &[u8],
 ) -> Vec<u8> {
     let mut text = format!(
         "{method} {target} HTTP/1.1\r\nHost: {HOST}\r\nChervilwind-Attempt-Id: {attempt}\r\n\
-         Chervilwind-Deadline-Ms: {patience_ms}\r\nChervilwind-Key: {KEY}\r\n"
+         Chervilwind-Deadline-Ms: {patience_ms}\r\nChervilwind-Key: {key}\r\n"
     );
     if method == "POST" {
         text.push_str(&format!("Content-Length: {}\r\n", body.len()));
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,7 +10,7 @@
 mod store;
 
 use {
-    cases::{cut_answers, head_answers, regions, slow_readers, uploads},
+    cases::{head_answers, regions, slow_readers, tenant_name},
     record::Record,
     replica::Work,
     std::{env, process::ExitCode},
@@ -34,11 +34,10 @@
     let record = Record::new();
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let seen = match name.as_str() {
-        "cut-answers" => cut_answers::run(trouble, &record),
         "head-answers" => head_answers::run(trouble, &record),
+        "tenant-name" => tenant_name::run(trouble, &record),
         "regions" => regions::run(trouble, &record),
         "slow-readers" => slow_readers::run(trouble, &record),
-        "uploads" => uploads::run(trouble, &record),
         _ => {
             eprintln!("{name} is no case");
             return ExitCode::from(NOT_RUN);
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -22,8 +22,6 @@
     /// Events of a stream, and the time between two of them.
     pub events: u32,
     pub step: Duration,
-    /// Answers have neither a length nor chunks and end with their connection.
-    pub unframed: bool,
     /// Bytes of an answer that is not a stream, and the time until it is sent.
     pub body_bytes: usize,
     pub delay: Duration,
@@ -39,7 +37,6 @@
             addr,
             events,
             step,
-            unframed,
             body_bytes,
             delay,
             slots,
@@ -50,7 +47,6 @@
             addr.to_string(),
             events.to_string(),
             step.as_millis().to_string(),
-            unframed.to_string(),
             body_bytes.to_string(),
             delay.as_millis().to_string(),
             slots.to_string(),
@@ -60,7 +56,7 @@
 
     /// Parses the arguments.
     pub fn parse(args: &[String]) -> Option<Work> {
-        let [id, addr, events, step, unframed, body_bytes, delay, slots] = args else {
+        let [id, addr, events, step, body_bytes, delay, slots] = args else {
             return None;
         };
         Some(Work {
@@ -68,7 +64,6 @@
             addr: addr.parse().ok()?,
             events: events.parse().ok()?,
             step: Duration::from_millis(step.parse().ok()?),
-            unframed: unframed.parse().ok()?,
             body_bytes: body_bytes.parse().ok()?,
             delay: Duration::from_millis(delay.parse().ok()?),
             slots: slots.parse().ok()?,
@@ -150,29 +145,20 @@
 }
 
 fn stream(work: &Work, attempt: &str, seal: &str, after: u32, conn: &mut Conn) -> io::Result<bool> {
-    let framing = match work.unframed {
-        true => "Connection: close",
-        false => "Transfer-Encoding: chunked",
-    };
     conn.send(
         format!(
             "HTTP/1.1 200 OK\r\nChervilwind-Attempt-Id: {attempt}\r\n\
-             Chervilwind-Replica-Seal: {seal}\r\nContent-Type: text/event-stream\r\n{framing}\r\n\r\n"
+             Chervilwind-Replica-Seal: {seal}\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         )
         .as_bytes(),
     )?;
     for number in after + 1..=work.events {
         thread::sleep(work.step);
         let event = event(number);
-        match work.unframed {
-            true => conn.send(event.as_bytes())?,
-            false => conn.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?,
-        }
-    }
-    if !work.unframed {
-        conn.send(b"0\r\n\r\n")?;
+        conn.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
     }
-    Ok(!work.unframed)
+    conn.send(b"0\r\n\r\n")?;
+    Ok(true)
 }
 
 fn plain(work: &Work, head: &Head, attempt: &str, seal: &str, conn: &mut Conn) -> io::Result<bool> {
--- a/review/standin-2/src/socket.rs
+++ b/review/standin-2/src/socket.rs
@@ -1,10 +1,9 @@
-//! What the standard library lacks: a connection with a small receive buffer, and a process that is
-//! kept to one core.
+//! Opens a connection with a small receive buffer, which the standard library can't.
 
 use std::{
     ffi::{c_int, c_void},
     io,
-    mem::{size_of, size_of_val},
+    mem::size_of,
     net::{SocketAddrV4, TcpStream},
     os::fd::{AsRawFd, FromRawFd},
 };
@@ -34,7 +33,6 @@
         length: u32,
     ) -> c_int;
     fn connect(socket: c_int, addr: *const PeerAddr, length: u32) -> c_int;
-    fn sched_setaffinity(process: c_int, length: usize, cores: *const u64) -> c_int;
 }
 
 fn check(result: c_int) -> io::Result<c_int> {
@@ -69,11 +67,3 @@
     }
     Ok(stream)
 }
-
-/// Keeps the calling process to one core.
-pub fn keep_to_core(core: usize) -> io::Result<()> {
-    let mut cores = [0u64; 16];
-    cores[core / 64 % 16] = 1 << (core % 64);
-    // SAFETY: the set lives until the call returns.
-    check(unsafe { sched_setaffinity(0, size_of_val(&cores), cores.as_ptr()) }).map(|_| ())
-}
