Review case 6: answers of a server with a long Keep-Alive time are lost

Cause: the time until which a server's connection is kept is added to an Instant without a check (Pool::put), and the sum overflows and panics before the answer is written.

--- a/review/standin-2/src/cases/head_answers.rs
+++ b/review/standin-2/src/cases/head_answers.rs
@@ -42,6 +42,7 @@
             body_bytes: BODY_BYTES,
             delay: Duration::from_millis(15),
             slots: 6,
+            keep_alive: 5,
         };
         servers.push(Replica::start("registry", &work, &store, record)?);
     }
--- a/review/standin-2/src/cases/regions.rs
+++ b/review/standin-2/src/cases/regions.rs
@@ -59,6 +59,7 @@
             body_bytes: 800,
             delay: Duration::from_millis(60),
             slots: 6,
+            keep_alive: 5,
         };
         regions.insert(work.id.clone(), place.region);
         servers.push(Replica::start_in(place, "board", &work, &store, record)?);
--- a/review/standin-2/src/cases/slow_readers.rs
+++ b/review/standin-2/src/cases/slow_readers.rs
@@ -55,6 +55,7 @@
             body_bytes: 0,
             delay: Duration::ZERO,
             slots: 64,
+            keep_alive: 5,
         };
         servers.push(Replica::start("model", &work, &store, record)?);
     }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -10,7 +10,7 @@
 mod store;
 
 use {
-    cases::{head_answers, regions, slow_readers, tenant_name},
+    cases::{head_answers, long_keep_alive, regions, slow_readers, tenant_name},
     record::Record,
     replica::Work,
     std::{env, process::ExitCode},
@@ -35,6 +35,7 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let seen = match name.as_str() {
         "head-answers" => head_answers::run(trouble, &record),
+        "long-keep-alive" => long_keep_alive::run(trouble, &record),
         "tenant-name" => tenant_name::run(trouble, &record),
         "regions" => regions::run(trouble, &record),
         "slow-readers" => slow_readers::run(trouble, &record),
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -27,6 +27,8 @@
     pub delay: Duration,
     /// Requests at once.
     pub slots: u32,
+    /// The idle timeout that it announces with answers that are not streams, in seconds.
+    pub keep_alive: u64,
 }
 
 impl Work {
@@ -40,6 +42,7 @@
             body_bytes,
             delay,
             slots,
+            keep_alive,
         } = self;
         let words = [
             "replica".to_owned(),
@@ -50,13 +53,14 @@
             body_bytes.to_string(),
             delay.as_millis().to_string(),
             slots.to_string(),
+            keep_alive.to_string(),
         ];
         words.to_vec()
     }
 
     /// Parses the arguments.
     pub fn parse(args: &[String]) -> Option<Work> {
-        let [id, addr, events, step, body_bytes, delay, slots] = args else {
+        let [id, addr, events, step, body_bytes, delay, slots, keep_alive] = args else {
             return None;
         };
         Some(Work {
@@ -67,6 +71,7 @@
             body_bytes: body_bytes.parse().ok()?,
             delay: Duration::from_millis(delay.parse().ok()?),
             slots: slots.parse().ok()?,
+            keep_alive: keep_alive.parse().ok()?,
         })
     }
 }
@@ -163,9 +168,11 @@
 
 fn plain(work: &Work, head: &Head, attempt: &str, seal: &str, conn: &mut Conn) -> io::Result<bool> {
     thread::sleep(work.delay);
+    let keep_alive = format!("timeout={}", work.keep_alive);
     let headers = [
         ("Chervilwind-Attempt-Id", attempt),
         ("Chervilwind-Replica-Seal", seal),
+        ("Keep-Alive", &keep_alive),
     ];
     let mut bytes = answer(200, &headers, &body(attempt, work.body_bytes));
     if head.method() == "HEAD" {
