config: one unusable entry no longer keeps a version out of force

Cause: names of the operators' configuration were parsed as the product's ids (letters, digits and `-_.:`, 64 at most), and the first that is none ended the parsing of the whole document: keys, routes and timeouts.

Change: `policy::plain_name` gives every text an id, itself where it is one, else its start and a hash. The operators' name is kept beside it (`HeaderText`) and is what replicas are told.

--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -10,6 +10,7 @@
 mod conn;
 mod exchange;
 mod head;
+mod header_text;
 mod listener;
 mod socket;
 mod write;
@@ -50,4 +51,8 @@
         Header,
         Headers, //
     },
+    header_text::{
+        HeaderText,
+        HeaderTextError, //
+    },
 };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,8 @@
         ClientRequest,
         ExchangeError,
         Header,
+        HeaderText,
+        HeaderTextError,
         Headers,
         IdleConnection, //
     },
@@ -35,6 +37,7 @@
         Config,
         Dialect,
         Engine,
+        EntryKind,
         Lease,
         Limits,
         Notice,
@@ -53,6 +56,7 @@
         Store,
         StoreError,
         StoreFuture,
+        UnusableEntry,
         WarmupRate, //
     },
     settings::{
--- a/crates/gateway/src/model/config.rs
+++ b/crates/gateway/src/model/config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration.
 
 use {
+    crate::http::HeaderText,
     policy::{
         Region,
         ServiceId,
@@ -8,6 +9,7 @@
     },
     std::{
         collections::HashMap,
+        fmt,
         sync::Arc,
         time::Duration, //
     },
@@ -31,6 +33,11 @@
     pub keys: Option<HashMap<String, WorkspaceId>>,
     /// The regions in which requests of a workspace may run; any if it is not listed.
     pub regions: HashMap<WorkspaceId, Vec<Region>>,
+    /// The operators' names of workspaces whose ids differ from them; none if no header can carry
+    /// the name to a replica.
+    pub display_names: HashMap<WorkspaceId, Option<HeaderText>>,
+    /// The entries that this router can't use. They don't keep the rest out of force.
+    pub unusable: Vec<UnusableEntry>,
     /// Limits on callers' requests.
     pub limits: Limits,
     /// The shortest_targets latency target among the streams that go to a service.
@@ -39,6 +46,30 @@
     longest_stream: Duration,
 }
 
+/// An entry of a configuration that this router can't use, or only a part of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UnusableEntry {
+    /// What it describes.
+    pub kind: EntryKind,
+    /// The beginning of its text, or its name.
+    pub text: String,
+    /// Why it can't be used.
+    pub cause: String,
+}
+
+/// The kinds of entries in a configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryKind {
+    /// A route, whose requests are rejected as not run.
+    Route,
+    /// A service, which is taken for a plain one.
+    Service,
+    /// A workspace, whose requests are rejected as not run.
+    Workspace,
+    /// The limits, for which the defaults apply.
+    Limits,
+}
+
 /// A route of requests with a certain host and path prefix.
 #[derive(Debug, Clone)]
 pub struct Route {
@@ -181,6 +212,14 @@
         allows(&route.regions) && of_workspace.is_none_or(allows)
     }
 
+    /// Returns the name of a workspace as replicas are told it; none if no header can carry it.
+    pub fn display_name<'a>(&'a self, workspace: &'a WorkspaceId) -> Option<&'a str> {
+        match self.display_names.get(workspace) {
+            None => Some(workspace.as_str()),
+            Some(name) => name.as_ref().map(HeaderText::as_str),
+        }
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
@@ -241,3 +280,14 @@
         matches!(self.kind, RouteKind::Stream { .. })
     }
 }
+
+impl fmt::Display for EntryKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(match self {
+            EntryKind::Route => "route",
+            EntryKind::Service => "service",
+            EntryKind::Workspace => "workspace",
+            EntryKind::Limits => "limits",
+        })
+    }
+}
--- a/crates/gateway/src/model/mod.rs
+++ b/crates/gateway/src/model/mod.rs
@@ -10,10 +10,12 @@
     config::{
         Config,
         Engine,
+        EntryKind,
         Limits,
         Route,
         RouteKind,
         Service,
+        UnusableEntry,
         WarmupRate, //
     },
     dialect::{
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -46,6 +46,9 @@
 const NOT_READY_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Mean retry delay for callers of an instance that is short of processor time.
 const OVERLOAD_RETRY_DELAY: Duration = Duration::from_millis(1_000);
+/// Retry delay for callers of a workspace that can't be named to replicas, until the next version of
+/// the configuration.
+const UNNAMEABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
 /// A request with less time left is rejected at once, as no replica could answer it.
 const MIN_REQUEST_TIME: Duration = Duration::from_millis(5);
 
@@ -75,6 +78,8 @@
     /// Whether the service is tolerant; see [`policy::placement::Tuning::is_tolerant`].
     pub(crate) tolerant: bool,
     pub(crate) workspace: Option<WorkspaceId>,
+    /// The name of the workspace as the replica is told it.
+    pub(crate) workspace_name: Option<String>,
     pub(crate) prompt: Option<Prompt>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub(crate) last_event: Option<u64>,
@@ -179,6 +184,10 @@
     };
     let workspace = find_workspace(&force, dialect, &headers, &route)?;
     check_region(gw, &force, &route, workspace.as_ref())?;
+    let workspace_name = workspace
+        .as_ref()
+        .map(|id| display_name(&force, id))
+        .transpose()?;
     let Some(id) = headers.get(dialect.id).map(str::to_owned) else {
         return Err(LocalAnswer::status(400, "the request has no id; send one"));
     };
@@ -219,6 +228,7 @@
         tolerant: gw.is_tolerant(stream_target),
         service,
         workspace,
+        workspace_name,
         prompt,
         last_event,
         resumes,
@@ -284,6 +294,19 @@
     }
 }
 
+/// Returns the name of a workspace as replicas are told it.
+///
+/// A replica that got another name, or none, would take the request for one of somebody else.
+fn display_name(force: &CurrentConfig, workspace: &WorkspaceId) -> Result<String, LocalAnswer> {
+    match force.config.display_name(workspace) {
+        Some(name) => Ok(name.to_owned()),
+        None => Err(LocalAnswer::not_run(
+            "no header can carry the name of its workspace",
+            UNNAMEABLE_RETRY_DELAY,
+        )),
+    }
+}
+
 /// Rejects a request that must not run in this instance's region, where its replicas are.
 fn check_region(
     gw: &Shared,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -55,7 +55,7 @@
         method: &req.method,
         target: &req.target,
         headers: &req.headers,
-        workspace: req.workspace.as_ref().map(|w| w.as_str()),
+        workspace: req.workspace_name.as_deref(),
         last_event: after,
         cache_source: permit.cache_source,
         body: &req.body,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -97,6 +97,9 @@
 /// connections to each of 12 replicas, and the same number again.
 const RESERVED_DESCRIPTORS: usize = 1_200;
 
+/// Unusable entries of one configuration that are logged.
+const MAX_LOGGED_ENTRIES: usize = 16;
+
 /// The configuration in force, and the document that it was parsed from, for peers.
 #[derive(Debug)]
 pub(crate) struct CurrentConfig {
@@ -361,6 +364,7 @@
         let config = match (self.dialect.parse_config)(&document) {
             Ok(config) => config,
             Err(e) => {
+                metrics::counter!("chervilwind_configs_rejected").increment(1);
                 log::error!("event=config outcome=rejected from={from} cause={e:?}");
                 return false;
             }
@@ -372,12 +376,15 @@
         }
         log::info!(
             "event=config outcome=in-force version={} before={before} from={from} routes={} \
-             services={}",
+             services={} unusable={}",
             config.version,
             config.route_count(),
-            config.services.len()
+            config.services.len(),
+            config.unusable.len()
         );
+        log_unusable(&config);
         metrics::gauge!("chervilwind_config_version").set(config.version as f64);
+        metrics::gauge!("chervilwind_config_unusable_entries").set(config.unusable.len() as f64);
         self.tables().quota.set_capacity(config.limits.capacity);
         *current = Some(Arc::new(CurrentConfig { config, document }));
         true
@@ -490,6 +497,18 @@
     }
 }
 
+fn log_unusable(config: &Config) {
+    for entry in config.unusable.iter().take(MAX_LOGGED_ENTRIES) {
+        log::warn!(
+            "event=config outcome=entry-unusable version={} kind={} entry={:?} cause={:?}",
+            config.version,
+            entry.kind,
+            entry.text,
+            entry.cause
+        );
+    }
+}
+
 fn log_restored_store(era: Era, before: Eras, from: &str) {
     let before = before.confirmed();
     log::warn!("event=store outcome=went-back era={era} before={before} from={from}");
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -45,6 +45,7 @@
         EvacuationOrders,
         Region,
         ServiceId,
+        WorkspaceId,
         Zone,
         ZoneChange, //
     },
@@ -228,11 +229,14 @@
     let service = Service { warmup, engine };
     config.services.insert("s".parse().unwrap(), service);
     let keys = json["keys"].as_object().ok_or("no keys")?;
-    let holders = keys.iter().map(|(key, name)| {
+    let mut holders = HashMap::new();
+    for (key, name) in keys {
         let name = name.as_str().unwrap();
-        (key.clone(), name.parse().unwrap())
-    });
-    config.keys = Some(holders.collect::<HashMap<_, _>>());
+        let id = WorkspaceId::from_text(name);
+        config.display_names.insert(id.clone(), name.parse().ok());
+        holders.insert(key.clone(), id);
+    }
+    config.keys = Some(holders);
     Ok(config)
 }
 
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -62,6 +62,34 @@
     assert!(left <= 3_000 && left > 2_000, "{left}");
 }
 
+/// Guards against a workspace that a replica is told by another name than the operators gave it, and
+/// against a name that becomes a header of its own.
+#[test]
+fn request_of_a_workspace_with_any_name() {
+    let replica = echo();
+    let gw = TestGateway::start(&[("i-1", &replica)]);
+    let config = r#"{"version":9,"timeout":3000,
+        "keys":{"k1":"North Shore Markets","k2":"w2\r\nX-Expect: i-9","k3":"Café"}}"#;
+    gw.put_config(config.as_bytes().to_vec());
+    let told = |key: &str| {
+        let before = replica.seen().len();
+        let request =
+            format!("GET /again/b HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nX-Key: {key}\r\n\r\n");
+        let mut caller = gw.caller();
+        caller.send(request.as_bytes());
+        let status = caller.answer().status;
+        let seen = replica.seen();
+        let name = seen
+            .get(before)
+            .map(|s| s.header("x-workspace").unwrap().to_owned());
+        (status, name)
+    };
+    let is_in_force = || told("k1") == (200, Some("North Shore Markets".to_owned()));
+    wait_until(is_in_force);
+    assert_eq!(told("k2"), (503, None));
+    assert_eq!(told("k3"), (200, Some("Café".to_owned())));
+}
+
 #[test]
 fn request_forged_headers() {
     // A caller sets the workspace and the replica itself. If its headers were forwarded along with
--- a/crates/policy/src/ids.rs
+++ b/crates/policy/src/ids.rs
@@ -11,11 +11,14 @@
         str::FromStr,
         sync::Arc, //
     },
-    thiserror::Error, //
+    thiserror::Error,
+    xxhash_rust::xxh3::xxh3_64, //
 };
 
 /// Maximum length of a name, in bytes.
 const NAME_MAX: usize = 64;
+/// Bytes of a text that remain readable in the name derived from it.
+const DERIVED_PREFIX_MAX: usize = 40;
 
 /// Why a name is invalid.
 #[derive(Debug, Error, PartialEq, Eq)]
@@ -38,15 +41,35 @@
     if s.len() > NAME_MAX {
         return Err(IdError::Long(s.len()));
     }
-    match s
-        .chars()
-        .find(|c| !(c.is_ascii_alphanumeric() || "-_.:".contains(*c)))
-    {
+    match s.chars().find(|c| !is_allowed(*c)) {
         Some(c) => Err(IdError::Character(c)),
         None => Ok(()),
     }
 }
 
+fn is_allowed(c: char) -> bool {
+    c.is_ascii_alphanumeric() || "-_.:".contains(c)
+}
+
+/// Returns a valid name for any text: the text itself if it is one, otherwise its start, with other
+/// characters replaced, and a hash of all of it, which keeps the names of similar texts apart.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(policy::plain_name("north-shore"), "north-shore");
+/// assert!(policy::plain_name("North Shore").starts_with("North-Shore:"));
+/// assert_ne!(policy::plain_name("North Shore"), policy::plain_name("North/Shore"));
+/// ```
+pub fn plain_name(text: &str) -> String {
+    if check(text).is_ok() {
+        return text.to_owned();
+    }
+    let allowed = |c| if is_allowed(c) { c } else { '-' };
+    let start: String = text.chars().map(allowed).take(DERIVED_PREFIX_MAX).collect();
+    format!("{start}:{:016x}", xxh3_64(text.as_bytes()))
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $type:ident) => {
         $(#[$doc])*
@@ -59,6 +82,11 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// Returns the name for any text, as [`plain_name`] does.
+            pub fn from_text(text: &str) -> Self {
+                Self(Arc::from(plain_name(text)))
+            }
         }
 
         impl fmt::Display for $type {
@@ -98,6 +126,15 @@
 }
 name! {
     /// Name of a workspace, whose callers share its part of the capacity.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use policy::WorkspaceId;
+    ///
+    /// assert!("North Shore".parse::<WorkspaceId>().is_err());
+    /// assert!(WorkspaceId::from_text("North Shore").as_str().starts_with("North-Shore:"));
+    /// ```
     WorkspaceId
 }
 name! {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -70,6 +70,7 @@
         ZoneChange, //
     },
     ids::{
+        plain_name,
         Era,
         IdError,
         Incarnation,
