streams: comments, repeated events and 1xx answers are no progress

What callers would see: a replica that sends comments, or events that the caller has, without end keeps a stream until its deadline, which ends with 504 though a sound replica is free. Interim answers keep a request that must not run twice as long.

Cause: each part of a stream was recorded as output of the replica, so it never looked silent and no backup was tried; `read_answer` skipped any number of interim answers.

Change: output is recorded for events that are forwarded. More than 16 interim answers end the attempt.

--- a/crates/gateway/src/serve/stream_source.rs
+++ b/crates/gateway/src/serve/stream_source.rs
@@ -118,7 +118,8 @@
         let split = self.split_available(part);
         if permit.since_first_event().is_none() && self.events.count() > 0 {
             permit.record_first_event();
-        } else {
+        } else if self.has_pending() {
+            // Comments, and events that the caller has, may come without end.
             permit.record_output();
         }
         match split {
@@ -153,6 +154,7 @@
                 },
             ));
         }
+        self.pending.extend(self.events.take_comments());
         self.ended = true;
         Ok(())
     }
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -43,7 +43,9 @@
 const JOIN_MAX_BYTES: usize = 64 * 1024;
 /// Answers to other requests that are skipped before the connection is closed.
 const EXTRA_ANSWERS_MAX: usize = 2;
-/// Longest such answer, in bytes.
+/// Interim answers (1xx) that are skipped. A replica that works on a request may send a few.
+const INTERIM_ANSWERS_MAX: usize = 16;
+/// Longest answer to another request that is skipped, in bytes.
 const EXTRA_ANSWER_MAX_BYTES: usize = 256 * 1024;
 /// Longest idle time of a connection that is reused for a request which must not run twice. If the
 /// replica closes an older connection at the same moment, or the connection is dead, it is unknown
@@ -108,6 +110,8 @@
     Read(#[from] ReadError),
     #[error("the answer belongs to another request")]
     Foreign,
+    #[error("more than {INTERIM_ANSWERS_MAX} interim answers")]
+    Interim,
     #[error("an answer without the request's id")]
     MissingId,
     #[error("the replica takes no more requests since it was chosen")]
@@ -231,10 +235,15 @@
     hooks: &CallHooks<'_>,
 ) -> Result<(Head, Body), CallError> {
     let mut extra = 0;
+    let mut interim = 0;
     loop {
         let head = conn.read_head(HEAD_MAX, Head::response).await?;
         (hooks.on_head)(&head);
         if (100..200).contains(&head.status()) {
+            interim += 1;
+            if interim > INTERIM_ANSWERS_MAX {
+                return Err(CallError::Interim);
+            }
             continue;
         }
         let framing = Framing::response(&head, request.method).map_err(ReadError::from)?;
--- a/crates/gateway/src/upstream/events.rs
+++ b/crates/gateway/src/upstream/events.rs
@@ -14,6 +14,8 @@
     buf: Vec<u8>,
     /// Position in `buf` up to which no end of an event was found.
     scanned: usize,
+    /// Length of the comments at the start of `buf`, which are forwarded with the next event.
+    comments: usize,
     /// Id of the last event that was returned.
     last: Option<u64>,
     /// Complete events received, duplicates included.
@@ -50,7 +52,14 @@
 
     /// Returns whether an incomplete event is buffered.
     pub(crate) fn is_mid_event(&self) -> bool {
-        !self.buf.is_empty()
+        self.buf.len() > self.comments
+    }
+
+    /// Takes the comments after the last event.
+    pub(crate) fn take_comments(&mut self) -> Vec<u8> {
+        let rest = self.buf.split_off(std::mem::take(&mut self.comments));
+        self.scanned = 0;
+        std::mem::replace(&mut self.buf, rest)
     }
 
     /// Takes received bytes, and returns the complete events to forward.
@@ -58,10 +67,17 @@
         self.buf.extend_from_slice(bytes);
         let mut out = Vec::new();
         let mut start = 0;
+        let mut block = self.comments;
         while let Some(end) = self.next_end() {
+            // Comments alone don't show that the replica works on the request.
+            if is_comment(&self.buf[block..end]) {
+                block = end;
+                continue;
+            }
             let event = &self.buf[start..end];
             let number = event_id(event);
             start = end;
+            block = end;
             self.count += 1;
             let duplicate = matches!((number, self.last), (Some(n), Some(last)) if n <= last);
             if duplicate {
@@ -77,6 +93,7 @@
         }
         self.buf.drain(..start);
         self.scanned -= start;
+        self.comments = block - start;
         if self.buf.len() > EVENT_MAX {
             return Err(EventError::TooLong);
         }
@@ -111,6 +128,12 @@
     }
 }
 
+/// Returns whether all lines of a block are comments, or empty.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|b| *b == b'\n');
+    lines.all(|l| matches!(l, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the id of an event.
 fn event_id(event: &[u8]) -> Option<u64> {
     let lines = event.split(|b| *b == b'\n');
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod endless;
 mod evacuation;
 mod fleet;
 mod harness;
--- a/crates/gateway/tests/gateway/streams.rs
+++ b/crates/gateway/tests/gateway/streams.rs
@@ -53,6 +53,27 @@
     wait_until(|| replica.closed().len() == 1);
 }
 
+/// Guards against comments that are lost, or taken for an incomplete event at the end of a stream.
+#[test]
+fn stream_with_comments() {
+    let text = format!(": one\n\n{}\n: two\r\n\r\n: three\n\n", event(1));
+    let sent = chunk(&text);
+    let replica = Replica::start(move |_, seen| {
+        vec![
+            Step::Send(stream_head(seen)),
+            Step::Send(sent[..9].to_vec()),
+            Step::Pause(Duration::from_millis(30)),
+            Step::Send(sent[9..].to_vec()),
+            Step::Send(b"0\r\n\r\n".to_vec()),
+        ]
+    });
+    let gw = TestGateway::start(&[("i-1", &replica)]);
+    for path in ["/stream/a", "/resume/a"] {
+        let got = gw.get(path, "1");
+        assert_eq!((got.body.as_str(), got.complete), (text.as_str(), true));
+    }
+}
+
 #[test]
 fn stream_complete() {
     let replica = Replica::start(|_, seen| complete_stream(seen));
