streams: unnamed streams are bound by the same lookup as named ones

What callers would see: after all routers were killed while a version was replaced, a stream that is taken up without naming its attempt is answered 200 and ends as complete, joined from two versions (ORDER).

Cause: `only_version` bound it to the single version of the own list, not asking for how long versions had been known nor how old the list was. The lookup of named streams has that guard.

Change: both go through `look_up`. `only_version` and the function that it used are removed.

Test: versions_of_an_unnamed_stream_with_one_version asserted that a router which has just started passes such a stream on. Nothing shows there that another version didn't begin it, so it is replaced: rejected at a fresh router, passed on once one version has been known for long enough. On the code before it fails: 200, with the events of the listed version.

--- a/crates/gateway/src/serve/bind.rs
+++ b/crates/gateway/src/serve/bind.rs
@@ -34,17 +34,15 @@
     if !req.goes_on() {
         return Ok(req);
     }
-    let origin = match req.resumes {
-        Some(_) => Some(look_up(gw, &req).await?),
-        None => only_version(gw, &req)?,
-    };
-    if let Some(origin) = origin {
-        bind(gw, &mut req, origin)?;
-    }
+    let origin = look_up(gw, &req).await?;
+    bind(gw, &mut req, origin)?;
     Ok(req)
 }
 
-/// Finds out what began the stream that the request names.
+/// Finds out what began the stream that the request takes up.
+///
+/// A caller may not name its stream. No router has a record then, and the stream goes on only if
+/// nothing but the one version can have begun it.
 async fn look_up(gw: &Shared, req: &Request) -> Result<StreamOrigin, LocalAnswer> {
     let key = req.stream_key();
     let services: Vec<ServiceId> = req.route.services().cloned().collect();
@@ -60,25 +58,16 @@
             "no router could be asked what began this stream",
             UNREACHED_RETRY_DELAY,
         )),
-        Err(Unknown::NotRecorded) => Err(reject(
+        Err(Unknown::NotRecorded) if req.resumes.is_none() => Err(reject(
             req,
-            "not-recorded",
-            "no router knows what began this stream; start a new one",
+            "unnamed",
+            "another version may have begun this stream; name the attempt that brought the first event",
             UNKNOWN_RETRY_DELAY,
         )),
-    }
-}
-
-/// Returns the only version of the request's service, for a caller that doesn't name its stream;
-/// none if there is no replica.
-fn only_version(gw: &Shared, req: &Request) -> Result<Option<StreamOrigin>, LocalAnswer> {
-    let recent = gw.recent_versions(&req.service);
-    match recent.len() {
-        0 | 1 => Ok(recent.into_iter().next()),
-        _ => Err(reject(
+        Err(Unknown::NotRecorded) => Err(reject(
             req,
-            "unnamed",
-            "several versions serve; name the attempt that brought the first event",
+            "not-recorded",
+            "no router knows what began this stream; start a new one",
             UNKNOWN_RETRY_DELAY,
         )),
     }
--- a/crates/gateway/src/streams.rs
+++ b/crates/gateway/src/streams.rs
@@ -41,13 +41,6 @@
         }
     }
 
-    /// Returns the versions of a service that may have begun a stream which still goes on.
-    pub(crate) fn recent_versions(&self, service: &ServiceId) -> Vec<StreamOrigin> {
-        let span = self.stream_span();
-        let now = self.now();
-        self.tables().versions.recent(service, span, now)
-    }
-
     /// Records what began a stream, before its first event is forwarded. Other routers are told of
     /// it unless its service has had one version only for longer than any stream lasts.
     pub(crate) async fn record_stream(&self, record: StreamRecord) {
--- a/crates/gateway/tests/gateway/versions.rs
+++ b/crates/gateway/tests/gateway/versions.rs
@@ -297,14 +297,22 @@
     assert_eq!(streams(&release.other), 0);
 }
 
-/// Guards against rejecting callers that name no attempt while there is one version.
+/// Guards against joining what two versions wrote: a router that has just started lists one version, and
+/// doesn't know that another one began the stream. Once it has known one version for longer than any
+/// stream lasts, callers that name no attempt are not rejected.
 #[test]
 fn versions_of_an_unnamed_stream_with_one_version() {
-    let replica = serves("v1", Duration::ZERO);
+    let replica = serves("v2", Duration::ZERO);
     let gw = TestGateway::start(&[]);
-    add(&[&gw], versioned("i-1", &replica, "v1"), &replica);
-    let got = gw.caller().get("/resume/a", "later", "X-Last: 2\r\n");
-    assert_goes_on(&got, "v1");
+    gw.put_config(br#"{"version":2,"keys":{"k1":"w1"},"timeout":5000}"#.to_vec());
+    add(&[&gw], versioned("i-1", &replica, "v2"), &replica);
+    let listed = Instant::now();
+    let take_up = || gw.caller().get("/resume/a", "later", "X-Last: 2\r\n");
+    let before = streams(&replica);
+    assert_rejected(&take_up());
+    assert_eq!(streams(&replica), before);
+    thread::sleep(SETTLED.saturating_sub(listed.elapsed()));
+    assert_goes_on(&take_up(), "v2");
 }
 
 /// Guards against mixing up streams of two workspaces that use the same id.
