streams: keep the event splitter as small as it was

The number of events was only compared with zero, so a flag and a 32-bit length take its place (comments are at most 1 MiB). The own interface uses the decoded method again where there is one.

--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -53,7 +53,7 @@
     pub(crate) peer: SocketAddr,
     /// Closed when the server stops.
     pub(crate) stop: Receiver<()>,
-    /// Method of the last request, as far as it could be read.
+    /// Method of the last request, as far as it decides whether a rejection has a body.
     pub(crate) method: Method,
 }
 
@@ -100,7 +100,7 @@
         let len = read?;
         let head = self.decode_head(len, started).await?;
         let keep_alive = can_keep_alive(&head);
-        let method = self.method;
+        let method = head.http.method();
         let (request, id) = self.read_request(head).await?;
         let disconnect = disconnect_signal_of(&request);
         let response = self.run_handler(request, &disconnect, id.as_ref()).await?;
--- a/crates/gateway/src/serve/stream_source.rs
+++ b/crates/gateway/src/serve/stream_source.rs
@@ -116,7 +116,7 @@
             return self.finish_events();
         };
         let split = self.split_available(part);
-        if permit.since_first_event().is_none() && self.events.count() > 0 {
+        if permit.since_first_event().is_none() && self.events.has_started() {
             permit.record_first_event();
         } else if self.has_pending() {
             // Comments, and events that the caller has, may come without end.
--- a/crates/gateway/src/upstream/events.rs
+++ b/crates/gateway/src/upstream/events.rs
@@ -15,11 +15,11 @@
     /// Position in `buf` up to which no end of an event was found.
     scanned: usize,
     /// Length of the comments at the start of `buf`, which are forwarded with the next event.
-    comments: usize,
+    comments: u32,
     /// Id of the last event that was returned.
     last: Option<u64>,
-    /// Complete events received, duplicates included.
-    count: u64,
+    /// Whether a complete event was received, duplicates included.
+    started: bool,
 }
 
 /// Why a stream can't be forwarded.
@@ -45,19 +45,21 @@
         self.last
     }
 
-    /// Returns how many complete events were received.
-    pub(crate) fn count(&self) -> u64 {
-        self.count
+    /// Returns whether a complete event was received.
+    pub(crate) fn has_started(&self) -> bool {
+        self.started
     }
 
     /// Returns whether an incomplete event is buffered.
     pub(crate) fn is_mid_event(&self) -> bool {
-        self.buf.len() > self.comments
+        self.buf.len() > self.comments as usize
     }
 
     /// Takes the comments after the last event.
     pub(crate) fn take_comments(&mut self) -> Vec<u8> {
-        let rest = self.buf.split_off(std::mem::take(&mut self.comments));
+        let rest = self
+            .buf
+            .split_off(std::mem::take(&mut self.comments) as usize);
         self.scanned = 0;
         std::mem::replace(&mut self.buf, rest)
     }
@@ -67,7 +69,7 @@
         self.buf.extend_from_slice(bytes);
         let mut out = Vec::new();
         let mut start = 0;
-        let mut block = self.comments;
+        let mut block = self.comments as usize;
         while let Some(end) = self.next_end() {
             // Comments alone don't show that the replica works on the request.
             if is_comment(&self.buf[block..end]) {
@@ -78,7 +80,7 @@
             let number = event_id(event);
             start = end;
             block = end;
-            self.count += 1;
+            self.started = true;
             let duplicate = matches!((number, self.last), (Some(n), Some(last)) if n <= last);
             if duplicate {
                 continue;
@@ -93,10 +95,10 @@
         }
         self.buf.drain(..start);
         self.scanned -= start;
-        self.comments = block - start;
         if self.buf.len() > EVENT_MAX {
             return Err(EventError::TooLong);
         }
+        self.comments = (block - start) as u32;
         Ok(out)
     }
 
