--- a/tests/apply.rs
+++ b/tests/apply.rs
@@ -184,9 +184,9 @@
     assert_eq!(stdout(&next), "revision 2 is written\n");
 }
 
+/// Guards against an invalid document that reaches the platform.
 #[test]
 fn apply_bad_document() {
-    // A typing error must not reach the platform, where every router would read it.
     let platform = platform_start();
     let bad = apply("[profile.a]\nshare = 0\n", platform.addr, &[]);
     assert_eq!(code(&bad), 2);
@@ -194,10 +194,9 @@
     assert_eq!(platform.counts().iter().map(|c| c.calls).sum::<u64>(), 0);
 }
 
+/// Guards against a change that overwrites another operator's.
 #[test]
 fn apply_conflict() {
-    // Two operators look at revision 1 and change it. The second to write must be told to look
-    // again, and not undo the first one's change.
     let platform = platform_start();
     apply(FLEET, platform.addr, &[]);
     let first = apply(&with("hove"), platform.addr, &["--base", "1"]);
@@ -207,10 +206,9 @@
     assert!(stderr(&second).contains("`ada` applied revision 2 since you looked"));
 }
 
+/// Guards against an edited copy that reverts a change made since it was printed.
 #[test]
 fn apply_old_copy() {
-    // An operator prints the configuration and edits it over lunch; another one applies a
-    // change meanwhile. Applying the copy would undo that change, and nobody would notice.
     let platform = platform_start();
     apply(FLEET, platform.addr, &[]);
     let copy = config(platform.addr);
@@ -227,10 +225,9 @@
     assert_eq!(now.split_once('\n').unwrap().1, text);
 }
 
+/// Guards against a repeated command that reports a conflict with its own earlier write.
 #[test]
 fn apply_again() {
-    // An operator does not see how `apply` ended, and runs it again with the same copy. It must
-    // not say that somebody else came first: the change is there.
     let platform = platform_start();
     apply(FLEET, platform.addr, &[]);
     let copy = format!("{}[workspace.deal]\n", config(platform.addr));
@@ -259,10 +256,9 @@
     assert!(stderr(&output).contains("nothing was changed"));
 }
 
+/// Guards against a write that took effect and is reported as failed, or as a conflict.
 #[test]
 fn apply_answer_lost() {
-    // The write takes effect and its answer is lost. The operator must not be told that it
-    // failed, nor may it count as another operator's change.
     let platform = platform_start();
     apply(FLEET, platform.addr, &[]);
     platform.lose_answers(1);
@@ -271,11 +267,10 @@
     assert_eq!(stdout(&output), "revision 2 is written\n");
 }
 
+/// Guards against a change made on the state of a restored platform, which would revert later
+/// revisions.
 #[test]
 fn apply_restored_platform() {
-    // The platform was restored to an older state, while routers run a later revision. A file
-    // made on what the platform shows would take back what was accepted since. One made on
-    // what the routers run must come above it, as they never go back.
     let platform = platform_start();
     apply(FLEET, platform.addr, &[]);
     let in_force = Config {
@@ -317,9 +312,9 @@
     assert_eq!(platform.calls("put"), 0);
 }
 
+/// Guards against `--wait` that returns before the slowest live router has the revision.
 #[test]
 fn apply_wait_all() {
-    // `--wait` must hold until the slowest live router has it; gone ones don't count.
     let platform = platform_start();
     let slow = router(alone("r2", 0, 5));
     let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
@@ -354,10 +349,9 @@
     assert!(stderr(&output).contains("is written, but not in force yet at r2"));
 }
 
+/// Guards against the revision of another process at a former router's address.
 #[test]
 fn apply_wait_other_process() {
-    // A router's address was given to another process. Its revision must not stand for that
-    // of the router that was there.
     let platform = platform_start();
     let other = router(alone("r9", 9, 9));
     let first = Told {
--- a/tests/call.rs
+++ b/tests/call.rs
@@ -131,9 +131,9 @@
     assert_eq!(stdout, "Grüße dock\n");
 }
 
+/// Guards against a rejection on the standard output, where scripts expect an answer.
 #[test]
 fn call_not_run() {
-    // A refusal stood in the output, where a script takes it for the answer.
     let (code, stdout, stderr) = call(&["--path", "/late"]);
     assert_eq!((code, stdout.as_str()), (Some(5), ""));
     assert_eq!(stderr, "  × not-run: allow more time\n");
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -99,9 +99,9 @@
     "#]].assert_eq(&all);
 }
 
+/// Guards against a panic when the reader of the output closes the pipe early.
 #[test]
 fn output_closed() {
-    // `chervilwind dump ROUTER | head` ended with a panic, as `head` closes the pipe early.
     let (ours, theirs) = UnixStream::pair().unwrap();
     drop(ours);
     let output = Command::new(env!("CARGO_BIN_EXE_chervilwind"))
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -87,10 +87,9 @@
     gateway(file).output().unwrap()
 }
 
+/// Guards against an instance that starts with invalid settings.
 #[test]
 fn gateway_wrong_settings() {
-    // An operator's typing error must not start half an instance: what is wrong is named, with
-    // the remedy, and the process ends.
     for (from, to, named) in [
         ("zone = \"hall-a\"\n", "", "missing field `zone`"),
         ("grace-s = 8", "grace-s = 0", "bounds.grace-s is 0"),
@@ -115,10 +114,9 @@
     wait("127.0.76.2:7604", "/metrics", "200 OK");
 }
 
+/// Guards against an instance without a store that shows no metrics and no state.
 #[test]
 fn gateway_metrics_and_dump() {
-    // After a complaint there is nothing but logs and metrics. An instance whose store is away
-    // must show just that, and count its calls.
     let file = write("127.0.76.3", &unreachable_store());
     let _process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
     let metrics = wait(
@@ -133,9 +131,9 @@
     wait("127.0.76.3:7601", "/v1/ready", "503");
 }
 
+/// Guards against an idle instance that takes its whole grace period to end.
 #[test]
 fn gateway_ends_by_itself() {
-    // SIGTERM with nothing to finish: it ends with success well before the grace period does.
     let file = write("127.0.76.4", &unreachable_store());
     let mut process = Process(gateway(&file).stdout(Stdio::null()).spawn().unwrap());
     wait("127.0.76.4:7604", "/metrics", "200 OK");
--- a/tests/proofs/answers.rs
+++ b/tests/proofs/answers.rs
@@ -74,8 +74,8 @@
     (ticket, reply.expect("it answers"))
 }
 
-// A broker's draft stops in the middle, a lookup hangs, or one caller reads another's
-// answer. Cause: connections break, go silent or carry an answer that is not theirs.
+/// Guards against answers that are truncated, delayed forever or delivered to another request after
+/// a connection fault.
 #[test]
 fn answer_spoilt_once() {
     let fleet = Fleet::start(Plan::default());
@@ -105,8 +105,7 @@
     assert!(work.is_right(&reply.body));
 }
 
-// Many callers at once, and answers come crossed, doubled, cut and late on the connections
-// that they share. Cause: a connection is used again while an answer is still owed on it.
+/// Guards against a connection that is used again while an answer on it is still outstanding.
 #[test]
 fn answer_crossed_under_load() {
     let fleet = Fleet::start(Plan::default());
@@ -147,8 +146,7 @@
     println!("{answered} of 300 answered among crossed and cut answers");
 }
 
-// A registrar is told "not run", sends a renewal once more, and it stands twice in the
-// registry. Cause: a call that failed was taken for one that never began.
+/// Guards against a failed call that is reported as not run although it had begun.
 #[test]
 fn refusal_not_run() {
     let fleet = Fleet::start(one_each());
@@ -180,8 +178,7 @@
     );
 }
 
-// An endpoint's process is gone and nothing listens at its address. Cause: a refused
-// connection carried no byte, so the request is not run, and may go elsewhere.
+/// Guards against a refused connection that counts as a request which may have run.
 #[test]
 fn refusal_connect_refused() {
     let mut fleet = Fleet::start(one_each());
@@ -194,8 +191,8 @@
     assert_eq!(again.outcome, Outcome::NotRun, "{:?}", again.why);
 }
 
-// Something between a caller and its router loses track of the open connections; new ones
-// work. The caller waits for good, or sends a renewal twice. Cause: silence is no error.
+/// Guards against a caller that waits forever, or repeats a write, on a connection that went
+/// silent.
 #[test]
 fn silent_callers_side() {
     let fleet = Fleet::start(Plan::default());
@@ -230,8 +227,7 @@
     block_on(Relay::start(to)).unwrap()
 }
 
-// Connections between a router and its endpoints go silent for good while new ones work,
-// and every request that is put on one of them hangs. Cause: a kept connection is trusted.
+/// Guards against requests that hang on kept connections to endpoints which went silent.
 #[test]
 fn silent_endpoints_side() {
     let fleet = Fleet::prepare(one_each());
@@ -262,8 +258,8 @@
     assert!(fleet.runs_of(&ticket) <= 1);
 }
 
-// Every connection between routers goes silent at once while new ones work; routers take
-// each other for dead, or wait for slots that never come. Cause: as above, among routers.
+/// Guards against routers that consider each other dead when the connections between them go
+/// silent.
 #[test]
 fn silent_between_routers() {
     let fleet = Fleet::start(Plan::default());
@@ -284,8 +280,7 @@
     }
 }
 
-// A plain service takes long over an audit report, and its callers get an error though it
-// answers well. Cause: a service that works is as silent as a connection that is lost.
+/// Guards against a slow plain service whose silence is mistaken for a lost connection.
 #[test]
 fn silent_while_it_works() {
     let fleet = Fleet::start(Plan {
@@ -300,8 +295,7 @@
     assert_eq!(fleet.runs_of(&ticket), 1);
 }
 
-// A broker closes the page while the model is between two tokens, and her request keeps its
-// slot until the next one, while others wait. Cause: a hang-up was noticed only on writing.
+/// Guards against a slot that stays taken after its caller has disconnected between two tokens.
 #[test]
 fn hang_up_between_tokens() {
     let fleet = Fleet::start(Plan {
--- a/tests/proofs/config.rs
+++ b/tests/proofs/config.rs
@@ -76,8 +76,7 @@
         .unwrap()
 }
 
-// Two operators apply at the same moment, and both believe that theirs is in force.
-// Cause: each read the old revision and wrote the next.
+/// Guards against two concurrent changes that both report success.
 #[test]
 fn apply_operators_race() {
     let fleet = Fleet::start(Plan::default());
@@ -100,8 +99,7 @@
     assert_eq!(eye.close(), Vec::<String>::new());
 }
 
-// An operator's write takes effect and its answer is lost; she is told that it failed, and
-// applies it once more over a colleague's change. Cause: no answer taken for no effect.
+/// Guards against a change that is applied twice because the answer to the first write was lost.
 #[test]
 fn apply_answer_lost() {
     let fleet = Fleet::start(Plan::default());
@@ -121,8 +119,8 @@
     assert_eq!(eye.close(), Vec::<String>::new());
 }
 
-// A router restarts empty while the platform is down and serves under the rules of last
-// week, or none. Cause: it knew of the configuration only from the platform.
+/// Guards against a router that restarts during an outage of the platform and serves an old
+/// configuration, or none.
 #[test]
 fn restart_platform_down() {
     let mut fleet = Fleet::prepare(Plan::default());
@@ -147,8 +145,7 @@
     }
 }
 
-// A router that nobody knows of starts while the platform is down: an instance was replaced.
-// It has neither rules nor endpoints. Cause: only the list leads it to its peers.
+/// Guards against a new instance that finds no peers while the platform is down.
 #[test]
 fn start_new_platform_down() {
     let mut fleet = Fleet::prepare(Plan {
@@ -174,8 +171,7 @@
     assert_eq!(answer.unwrap().outcome, Outcome::Answered);
 }
 
-// The platform answers slowly for long, and a change is in force here and not there.
-// Cause: each router waits for its own slow read.
+/// Guards against a change that takes effect late at routers whose reads of the platform are slow.
 #[test]
 fn change_platform_slow() {
     let fleet = Fleet::start(Plan::default());
@@ -187,8 +183,7 @@
     assert_eq!(eye.close(), Vec::<String>::new());
 }
 
-// A router is cut off from the platform and from all others, and comes back with its old
-// configuration. Cause: what it has looks as good as what the others have.
+/// Guards against an old configuration that returns with a router which was cut off.
 #[test]
 fn rejoin_old_config() {
     let fleet = Fleet::start(Plan::default());
@@ -204,8 +199,7 @@
     assert_eq!(eye.close(), Vec::<String>::new());
 }
 
-// The platform is restored from last night's backup, and every router falls back to last
-// night's rules. Cause: what the platform says is taken for the truth.
+/// Guards against a restored platform that makes routers return to an older configuration.
 #[test]
 fn restore_older_platform() {
     let mut fleet = Fleet::start(Plan::default());
@@ -237,8 +231,7 @@
     assert_eq!(eye.close(), Vec::<String>::new());
 }
 
-// A change is accepted, one router has it, and then the platform goes down for long. The
-// others serve by the old rules all that time. Cause: each waits for the platform.
+/// Guards against a change that one router received before an outage and that the others don't get.
 #[test]
 fn change_before_outage() {
     let fleet = Fleet::start(Plan::default());
@@ -268,9 +261,7 @@
     (watch.clone(), rest.collect())
 }
 
-// The three routers that watch for all others lose the platform, which the other routers
-// still reach. Changes are accepted and come into force nowhere. Cause: watchers are chosen
-// by their names alone, whether or not they can do it.
+/// Guards against watchers that keep their role although they can't reach the platform.
 #[test]
 fn change_watchers_cut() {
     let fleet = Fleet::start(Plan {
@@ -302,8 +293,8 @@
     assert_eq!(eye.close(), Vec::<String>::new());
 }
 
-// The three routers that poll the list of instances lose the platform. An endpoint that
-// leaves gets work until it ends, and a new one gets none. Cause: as above.
+/// Guards against a list of instances that is not updated because its pollers can't reach the
+/// platform.
 #[test]
 fn list_watchers_cut() {
     let fleet = Fleet::start(Plan {
@@ -328,9 +319,8 @@
     assert_eq!(rest.len(), 2);
 }
 
-// A thousand changes come one after another while routers pause, restart and are cut off,
-// and one of them goes back or stays behind. Cause: messages about revisions overtake each
-// other.
+/// Guards against a router that falls back or stays behind when messages about revisions arrive out
+/// of order.
 #[test]
 fn change_thousand() {
     let mut fleet = Fleet::start(Plan::default());
@@ -359,8 +349,7 @@
     changed.expect("nobody else writes").revision
 }
 
-// Operators change the configuration as often as on the busiest day, and some routers are
-// always behind. Cause: a change reaches most routers only when something asks for it.
+/// Guards against routers that lag behind while the configuration changes often.
 #[test]
 fn change_pace() {
     let fleet = Fleet::start(Plan {
--- a/tests/proofs/fuzz.rs
+++ b/tests/proofs/fuzz.rs
@@ -65,9 +65,7 @@
     told: Vec<Result<Reply, Loss>>,
 }
 
-// A renewal is sent, its answer is lost, it is sent again at another router, and at the
-// same time two things fail that have nothing to do with each other. The registry shows it
-// twice. Cause: each guard was made for one failure.
+/// Guards against a request that runs twice when its answer is lost while unrelated parts fail.
 #[test]
 fn ticket_two_failures() {
     let cases = number("CHERVILWIND_FUZZ_CASES").map_or(CASES, |n| n as usize);
--- a/tests/proofs/leaving.rs
+++ b/tests/proofs/leaving.rs
@@ -65,8 +65,7 @@
     fleet.plains[n].runs().values().sum()
 }
 
-// An endpoint is leaving and turns requests away, but the list will not say so for a day.
-// Callers see refusals and slow answers all that time. Cause: only the list was believed.
+/// Guards against requests that are sent to a leaving endpoint until the list says so.
 #[test]
 fn leave_list_lags() {
     let fleet = Fleet::start(Plan {
@@ -93,9 +92,8 @@
     assert_eq!(fleet.plains[0].turned_away(), met);
 }
 
-// An endpoint leaves by the list alone while the router that hands out its slots is down
-// or paused; the others go on with the slots that they were lent, and their requests are
-// cut when the endpoint ends. Cause: only the owner took slots back.
+/// Guards against slots of a leaving endpoint that stay granted while their owner is down or
+/// paused.
 #[test]
 fn leave_owner_away() {
     let mut fleet = Fleet::start(Plan {
@@ -130,8 +128,7 @@
     }
 }
 
-// An endpoint leaves while the platform is down, so no list will say it; the owner of its
-// slots is paused. Cause: its own word goes through the owner alone.
+/// Guards against a leaving endpoint that only the paused owner of its slots would announce.
 #[test]
 fn leave_platform_down() {
     let fleet = Fleet::start(Plan {
--- a/tests/proofs/members.rs
+++ b/tests/proofs/members.rs
@@ -121,8 +121,7 @@
     all_flows(fleet);
 }
 
-// A router dies, and callers are sent to it for minutes; the slots that it held idle.
-// Cause: the platform's list is the only sign of it.
+/// Guards against callers that are directed to a dead router, and its slots that stay idle.
 #[test]
 fn kill_noticed() {
     let mut fleet = fleet(4);
@@ -142,8 +141,7 @@
     converged(&fleet);
 }
 
-// A router is stopped for a while and goes on. It takes all the others for dead, as they
-// were silent all that time, and grabs every pool. Cause: its own pause is not seen as one.
+/// Guards against a router that considers all others dead after its own process was paused.
 #[test]
 fn freeze_noticed() {
     let fleet = fleet(4);
@@ -157,8 +155,7 @@
     assert_eq!(missed[1], 0, "others that it took for silent: {missed:?}");
 }
 
-// A partition leaves one router alone. It refuses its callers, or, once the way is back,
-// two routers go on handing out the same slots. Cause: each side believes its own view.
+/// Guards against a slot that two routers grant after a partition.
 #[test]
 fn part_and_rejoin() {
     let fleet = fleet(4);
@@ -172,9 +169,7 @@
     converged(&fleet);
 }
 
-// What one router sends another is lost, the way back works. The deaf one takes the other
-// for dead and tells everyone; the fleet turns it out and takes it back by turns.
-// Cause: the word of one router that hears nothing is believed by those that do hear.
+/// Guards against a router that receives nothing and makes the others evict its sound peer.
 #[test]
 fn cut_one_way() {
     let fleet = fleet(4);
@@ -193,9 +188,8 @@
     converged(&fleet);
 }
 
-// All routers are restarted at once, while the platform is down; nobody has a
-// configuration. They must refuse, and serve as soon as the platform is back.
-// Cause: each waits for another to have one.
+/// Guards against a fleet that stays without a configuration after all routers restarted during an
+/// outage.
 #[test]
 fn restart_all_at_once() {
     let mut fleet = fleet(4);
@@ -217,8 +211,7 @@
     converged(&fleet);
 }
 
-// A flood makes routers late with their heartbeats; others take them for dead, and work
-// goes to fewer and fewer. Cause: silence is measured against a fixed bound.
+/// Guards against routers that are considered dead because load delays their heartbeats.
 #[test]
 fn flood_suspects() {
     let fleet = fleet(8);
--- a/tests/proofs/once.rs
+++ b/tests/proofs/once.rs
@@ -51,9 +51,7 @@
     assert_eq!(reply.outcome, Outcome::MayHaveRun, "{:?}", reply.why);
 }
 
-// A registrar's renewal is on its way, the connection breaks, and she sends it again at
-// another router. It would stand twice in the registry. Cause: the second router does not
-// know of the first try.
+/// Guards against a second run when the caller repeats a request at another router.
 #[test]
 fn ticket_answer_lost() {
     let fleet = Fleet::start(Plan {
@@ -72,8 +70,7 @@
     }
 }
 
-// A router dies with a renewal that the endpoint has got, and the caller sends it again to
-// another. Cause: only the dead router knew that it had started it.
+/// Guards against a second run when the router that started the request dies.
 #[test]
 fn ticket_router_killed() {
     let mut fleet = Fleet::start(Plan::default());
@@ -106,8 +103,7 @@
     assert_eq!((fleet.runs_of(&used), fleet.runs_of(&unused)), (1, 0));
 }
 
-// The network parts one router from the others while a renewal is sent to both sides.
-// Cause: each side takes the other for gone and itself for the one that may start it.
+/// Guards against a second run when a partition separates the routers that receive the request.
 #[test]
 fn ticket_partition() {
     let fleet = Fleet::start(Plan::default());
@@ -135,8 +131,7 @@
     assert_eq!((fleet.runs_of(&kept), fleet.runs_of(&moved)), (1, 1));
 }
 
-// The platform is down, and a renewal's answer is lost. Cause: what may run twice were
-// decided by the platform, nothing could be decided now.
+/// Guards against a decision on what may run that depends on the platform.
 #[test]
 fn ticket_platform_down() {
     let fleet = Fleet::start(Plan::default());
@@ -151,9 +146,7 @@
     }
 }
 
-// A router's process is paused with a renewal in its hands, the caller turns to another
-// router, and the first wakes up and goes on. Cause: a paused process does not know that
-// it was given up.
+/// Guards against a second run by a router that was paused while its request was given to another.
 #[test]
 fn ticket_paused_wakes() {
     let fleet = Fleet::start(Plan::default());
@@ -172,8 +165,7 @@
     assert_eq!(fleet.runs_of(&ticket), 1);
 }
 
-// Two copies of a renewal arrive at two routers at the same moment. Cause: a caller's
-// library that sends again before the first answer is there.
+/// Guards against a second run when two copies arrive at two routers at the same time.
 #[test]
 fn ticket_sent_twice() {
     let fleet = Fleet::start(Plan {
@@ -211,8 +203,7 @@
     }
 }
 
-// A renewal comes without a ticket, as from an old client. Cause: nothing tells a second
-// copy of it from a first.
+/// Guards against a request without a ticket, whose copies can't be recognised.
 #[test]
 fn ticket_missing() {
     let fleet = Fleet::start(Plan::default());
--- a/tests/proofs/platform.rs
+++ b/tests/proofs/platform.rs
@@ -60,8 +60,7 @@
     calls
 }
 
-// A fleet that grows asks the platform ever more, until it is turned away and nobody can
-// change the configuration. Cause: every router watched and polled for itself.
+/// Guards against calls to the platform that grow with the fleet until it rejects them.
 #[test]
 fn calls_by_routers() {
     for routers in [1, 3, 8] {
@@ -94,8 +93,7 @@
     }
 }
 
-// The platform is down for a while, and callers are refused or lose requests that were
-// under way. Cause: a step on the way of a request asks the platform.
+/// Guards against requests that fail because a step of them needs the platform.
 #[test]
 fn outage_under_load() {
     let fleet = Fleet::start(Plan {
@@ -140,10 +138,8 @@
     took
 }
 
-// The platform comes back empty. The routers drop their rules and endpoints, or the next
-// router that starts finds no rules and refuses all. Then it lists the instances again,
-// numbered from 1, and most routers never hear of another change. Cause: what the platform
-// says is taken for the truth, and a lower number for an older list.
+/// Guards against routers that drop their configuration, or ignore later changes, after the
+/// platform lost its data.
 #[test]
 fn restart_empty_under_load() {
     let mut fleet = Fleet::start(Plan {
--- a/tests/proofs/rolling.rs
+++ b/tests/proofs/rolling.rs
@@ -24,8 +24,7 @@
 /// Requests that are under way at any time.
 const AT_ONCE: u32 = 24;
 
-// A broker's draft breaks off in the middle, or a claim gets no answer, whenever routers
-// are replaced. Cause: a process that ends closes the connections that it has.
+/// Guards against requests that are aborted when routers are replaced one after the other.
 #[test]
 fn restart_one_by_one() {
     let mut fleet = Fleet::start(Plan {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -215,10 +215,9 @@
     assert_eq!(settings.callers.advertise.port(), port);
 }
 
+/// Guards against a router that starts although one of its addresses is in use.
 #[test]
 fn bind_port_in_use() {
-    // An operator starts a router beside one that runs already. It must not take the first
-    // address and serve callers while the peers' address is missing.
     let other = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = other.local_addr().unwrap();
     // No other test uses this address, so that none can take its port meanwhile.
