--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod handover;
 mod history;
+#[path = "../common/http.rs"]
 mod http;
 mod plan;
 mod replica;
@@ -17,6 +18,7 @@
 mod settings;
 #[path = "../common/signal.rs"]
 mod signal;
+#[path = "../common/store.rs"]
 mod store;
 
 use {
