--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -1,15 +1,18 @@
 //! Message bodies, read in parts.
 
-use super::{
-    chunk::{
-        ChunkDecoder,
-        Decoded, //
+use {
+    super::{
+        chunk::{
+            ChunkDecoder,
+            Decoded, //
+        },
+        response::has_body,
+        Conn,
+        Head,
+        HeadError,
+        ReadError, //
     },
-    response::has_body,
-    Conn,
-    Head,
-    HeadError,
-    ReadError, //
+    resources::Segments,
 };
 
 /// How the end of a body is determined.
@@ -79,18 +82,27 @@
     }
 
     /// Reads the next part; none at the end of the body.
+    ///
+    /// Cancel safe: if the future is dropped, no bytes are lost.
     pub(crate) async fn read_part(
         &mut self,
         conn: &mut Conn,
     ) -> Result<Option<Vec<u8>>, ReadError> {
+        let n = self.buffer_part(conn).await?;
+        Ok(n.map(|n| conn.take_buffered(n)))
+    }
+
+    /// Reads until the next part is buffered, and returns its length; none at the end of the body. The
+    /// part is to be consumed before anything else is read.
+    async fn buffer_part(&mut self, conn: &mut Conn) -> Result<Option<usize>, ReadError> {
         if self.ended {
             return Ok(None);
         }
         let part = match self.framing {
             Framing::Empty => None,
             Framing::Chunked => self.chunks.read_part(conn).await?,
-            Framing::Length(_) => self.read_sized(conn).await?,
-            Framing::Close => read_until_close(conn).await?,
+            Framing::Length(_) => Some(self.buffer_sized(conn).await?),
+            Framing::Close => buffer_until_close(conn).await?,
         };
         self.ended |= part.is_none();
         Ok(part)
@@ -103,7 +115,7 @@
             return Ok(None);
         }
         match self.chunks.decode(conn)? {
-            Decoded::Part(part) => Ok(Some(part)),
+            Decoded::Part(n) => Ok(Some(conn.take_buffered(n))),
             Decoded::Incomplete => Ok(None),
             Decoded::Ended => {
                 self.ended = true;
@@ -117,11 +129,12 @@
         self.ended
     }
 
-    async fn read_sized(&mut self, conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadError> {
-        let part = conn.read_some(self.left).await?;
-        self.left -= part.len() as u64;
+    async fn buffer_sized(&mut self, conn: &mut Conn) -> Result<usize, ReadError> {
+        conn.read_some().await?;
+        let n = conn.buffered_up_to(self.left);
+        self.left -= n as u64;
         self.ended = self.left == 0;
-        Ok(Some(part))
+        Ok(n)
     }
 
     /// Reads the complete body.
@@ -143,12 +156,34 @@
         }
         Ok(all)
     }
+
+    /// Reads the complete body into segments.
+    ///
+    /// # Errors
+    ///
+    /// Also if it is longer than `max` bytes.
+    pub(crate) async fn read_into(
+        &mut self,
+        conn: &mut Conn,
+        all: &mut Segments,
+        max: usize,
+    ) -> Result<(), ReadError> {
+        while let Some(n) = self.buffer_part(conn).await? {
+            if all.len() + n > max {
+                return Err(ReadError::TooLong(max));
+            }
+            all.push(&conn.buffered()[..n]);
+            conn.consume(n);
+        }
+        Ok(())
+    }
 }
 
-/// Reads until the connection is closed. A reset is an error, as the body may be truncated.
-async fn read_until_close(conn: &mut Conn) -> Result<Option<Vec<u8>>, ReadError> {
-    match conn.read_some(u64::MAX).await {
-        Ok(part) => Ok(Some(part)),
+/// Reads until something is buffered; none if the connection is closed. A reset is an error, as the
+/// body may be truncated.
+async fn buffer_until_close(conn: &mut Conn) -> Result<Option<usize>, ReadError> {
+    match conn.read_some().await {
+        Ok(()) => Ok(Some(conn.buffered().len())),
         Err(ReadError::Closed) => Ok(None),
         Err(e) => Err(e),
     }
--- a/crates/gateway/src/http/chunk.rs
+++ b/crates/gateway/src/http/chunk.rs
@@ -25,10 +25,11 @@
 }
 
 /// What the buffered bytes hold of a body.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Decoded {
-    /// A part of the body.
-    Part(Vec<u8>),
+    /// This many bytes at the start of the buffer belong to the body. They are to be consumed before
+    /// anything else is decoded.
+    Part(usize),
     /// Nothing without more bytes.
     Incomplete,
     /// The end of the body.
@@ -36,16 +37,11 @@
 }
 
 impl ChunkDecoder {
-    /// Reads the next part of the body; none at its end.
-    ///
-    /// Cancel safe: if the future is dropped, no bytes are lost.
-    pub(crate) async fn read_part(
-        &mut self,
-        conn: &mut Conn,
-    ) -> Result<Option<Vec<u8>>, ReadError> {
+    /// Reads until the next part of the body is buffered, and returns its length; none at its end.
+    pub(crate) async fn read_part(&mut self, conn: &mut Conn) -> Result<Option<usize>, ReadError> {
         loop {
             match self.decode(conn)? {
-                Decoded::Part(part) => return Ok(Some(part)),
+                Decoded::Part(n) => return Ok(Some(n)),
                 Decoded::Incomplete => conn.read_more().await?,
                 Decoded::Ended => return Ok(None),
             }
@@ -59,12 +55,12 @@
                 ChunkDecoder::Length => decode_length(conn)?,
                 ChunkDecoder::Inside(_) if conn.buffered().is_empty() => None,
                 ChunkDecoder::Inside(left) => {
-                    let part = conn.take_buffered(left);
-                    *self = match left - part.len() as u64 {
+                    let n = conn.buffered_up_to(left);
+                    *self = match left - n as u64 {
                         0 => ChunkDecoder::LineEnd,
                         left => ChunkDecoder::Inside(left),
                     };
-                    return Ok(Decoded::Part(part));
+                    return Ok(Decoded::Part(n));
                 }
                 ChunkDecoder::LineEnd => decode_line_end(conn)?,
                 ChunkDecoder::Trailer(read) => decode_trailer(conn, read)?,
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -13,12 +13,18 @@
         future::poll_fn,
         ready, //
     },
+    resources::{
+        Account,
+        Evicted,
+        Phase, //
+    },
     socket2::{
         SockRef,
         TcpKeepalive, //
     },
     std::{
         io,
+        mem,
         net::{
             Shutdown,
             SocketAddr,
@@ -35,6 +41,8 @@
 
 /// Bytes per read.
 const READ_SIZE: usize = 16 * 1024;
+/// Bytes per read of a client's connection while memory is short.
+const READ_SIZE_WHEN_FULL: usize = 2 * 1024;
 /// An empty buffer with a larger capacity is freed, so that idle connections take no memory.
 const BUFFER_KEEP_BYTES: usize = 1024;
 /// Idle time before the first keepalive probe, and the interval between probes.
@@ -42,15 +50,31 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// How long the peer may take to read the last answer and to close.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Bytes that are discarded meanwhile.
+const LINGER_BYTES: usize = 8 << 20;
+/// Reads in a row after which a connection that always has data lets other tasks run.
+const READS_IN_A_ROW: u32 = 16;
+/// Bytes that are read ahead while a request is being served. More stay unread.
+const READ_AHEAD: usize = 4 * 1024;
 /// How long sent data may stay unacknowledged before the connection is considered dead.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Kinds of the errors of reading from an evicted connection.
+const EVICTED_FOR_MEMORY: io::ErrorKind = io::ErrorKind::OutOfMemory;
+const EVICTED_FOR_PLACE: io::ErrorKind = io::ErrorKind::QuotaExceeded;
+
 /// A connection, and bytes read from it that were not consumed yet.
 #[derive(Debug)]
 pub(crate) struct Conn {
     socket: Socket,
     buf: Vec<u8>,
     at: usize,
+    /// What a client's connection holds.
+    account: Option<Account>,
+    /// Bytes that were read and not recorded in the account yet.
+    received: usize,
+    /// Reads since the socket had nothing to read.
+    reads: u32,
 }
 
 /// Parses a head at the start of a buffer, and returns it with its length; none if it is
@@ -70,6 +94,18 @@
     TooLong(usize),
     #[error("the body is malformed: {0}")]
     Body(&'static str),
+    #[error("{0}")]
+    Evicted(#[from] Evicted),
+}
+
+impl From<io::Error> for ReadError {
+    fn from(e: io::Error) -> ReadError {
+        match e.kind() {
+            EVICTED_FOR_MEMORY => ReadError::Evicted(Evicted::Memory),
+            EVICTED_FOR_PLACE => ReadError::Evicted(Evicted::Place),
+            kind => ReadError::Broken(kind),
+        }
+    }
 }
 
 impl Conn {
@@ -90,9 +126,19 @@
             socket: Socket::new(stream),
             buf: Vec::new(),
             at: 0,
+            account: None,
+            received: 0,
+            reads: 0,
         })
     }
 
+    /// Wraps a client's connection.
+    pub(crate) fn accepted(stream: Async<TcpStream>, account: Account) -> io::Result<Conn> {
+        let mut conn = Conn::new(stream)?;
+        conn.account = Some(account);
+        Ok(conn)
+    }
+
     /// Opens a connection within a time limit.
     pub(crate) async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
         let stream = timeout(limit, Async::<TcpStream>::connect(addr)).await;
@@ -126,7 +172,7 @@
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         // On the stack, so that a waiting connection doesn't hold a buffer.
         let mut part = [0; READ_SIZE];
-        let n = ready!(self.socket.poll_read(cx, &mut part))?;
+        let n = ready!(self.poll_read(cx, &mut part))?;
         if self.at > 0 {
             self.buf.drain(..self.at);
             self.at = 0;
@@ -135,27 +181,80 @@
         Poll::Ready(Ok(n))
     }
 
+    /// Reads when a client's connection has room for more.
+    fn poll_read(&mut self, cx: &mut Context<'_>, part: &mut [u8]) -> Poll<io::Result<usize>> {
+        if self.reads >= READS_IN_A_ROW {
+            self.reads = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = match self.poll_room(cx) {
+            Poll::Ready(Ok(most)) => {
+                let most = most.min(part.len());
+                self.socket.poll_read(cx, &mut part[..most])
+            }
+            Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
+            Poll::Pending => Poll::Pending,
+        };
+        let Poll::Ready(read) = read else {
+            self.reads = 0;
+            return Poll::Pending;
+        };
+        self.reads += 1;
+        self.received += *read.as_ref().unwrap_or(&0);
+        Poll::Ready(read)
+    }
+
+    /// Waits until a client's connection may hold more. Returns how many bytes to read at most.
+    fn poll_room(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let Some(account) = &self.account else {
+            return Poll::Ready(Ok(READ_SIZE));
+        };
+        let evicted = |evicted| {
+            io::Error::from(match evicted {
+                Evicted::Memory => EVICTED_FOR_MEMORY,
+                Evicted::Place => EVICTED_FOR_PLACE,
+            })
+        };
+        let received = mem::take(&mut self.received);
+        account
+            .update(cx, self.buf.capacity(), received)
+            .map_err(evicted)?;
+        if !account.limiter().is_full() {
+            return Poll::Ready(Ok(READ_SIZE));
+        }
+        // Nothing is evicted for a connection that has nothing to read.
+        self.socket.expect_nothing();
+        ready!(self.socket.poll_ready(cx))?;
+        ready!(account.poll_room(cx)).map_err(evicted)?;
+        Poll::Ready(Ok(READ_SIZE_WHEN_FULL))
+    }
+
     /// Reads more bytes; the end of the stream is an error.
     pub(crate) async fn read_more(&mut self) -> Result<(), ReadError> {
         match self.fill().await {
             Ok(0) => Err(ReadError::Closed),
             Ok(_) => Ok(()),
-            Err(e) => Err(ReadError::Broken(e.kind())),
+            Err(e) => Err(e.into()),
         }
     }
 
-    /// Returns up to `max` buffered bytes, after a read if there are none.
-    pub(crate) async fn read_some(&mut self, max: u64) -> Result<Vec<u8>, ReadError> {
-        if self.buffered().is_empty() {
-            self.read_more().await?;
+    /// Reads until some bytes are buffered.
+    pub(crate) async fn read_some(&mut self) -> Result<(), ReadError> {
+        match self.buffered().is_empty() {
+            true => self.read_more().await,
+            false => Ok(()),
         }
-        Ok(self.take_buffered(max))
     }
 
-    /// Returns up to `max` buffered bytes.
-    pub(crate) fn take_buffered(&mut self, max: u64) -> Vec<u8> {
+    /// Returns how many bytes are buffered, at most `max`.
+    pub(crate) fn buffered_up_to(&self, max: u64) -> usize {
         let max = usize::try_from(max).unwrap_or(usize::MAX);
-        let n = self.buffered().len().min(max);
+        self.buffered().len().min(max)
+    }
+
+    /// Takes the first `n` buffered bytes.
+    pub(crate) fn take_buffered(&mut self, n: usize) -> Vec<u8> {
         let bytes = self.buffered()[..n].to_vec();
         self.consume(n);
         bytes
@@ -190,12 +289,35 @@
         if self.socket.get_ref().shutdown(Shutdown::Write).is_err() {
             return;
         }
-        let drained = async {
-            while let Ok(1..) = self.fill().await {
-                self.consume(self.buffered().len());
+        self.clear();
+        if let Some(account) = &self.account {
+            account.set_phase(Phase::Closing);
+        }
+        let discard = async {
+            let mut left = LINGER_BYTES;
+            while let Ok(n @ 1..) = self.discard().await {
+                left = left.saturating_sub(n);
+                if left == 0 {
+                    break;
+                }
             }
         };
-        let _ = timeout(LINGER_TIMEOUT, drained).await;
+        let _ = timeout(LINGER_TIMEOUT, discard).await;
+    }
+
+    /// Reads bytes that are not needed, and returns how many; 0 at the end of the stream.
+    async fn discard(&mut self) -> io::Result<usize> {
+        poll_fn(|cx| {
+            let mut part = [0; READ_SIZE];
+            self.poll_read(cx, &mut part)
+        })
+        .await
+    }
+
+    /// Forgets the buffered bytes.
+    pub(crate) fn clear(&mut self) {
+        self.buf = Vec::new();
+        self.at = 0;
     }
 
     /// Returns a second handle for writing, so that reading and writing can overlap.
@@ -208,7 +330,7 @@
     /// If the buffer fills up first, the future never completes, and closing is noticed only when
     /// the answer is written.
     pub(crate) async fn wait_closed(&mut self) {
-        while self.buffered().len() < READ_SIZE {
+        while self.buffered().len() < READ_AHEAD {
             match self.fill().await {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
@@ -217,9 +339,15 @@
         futures_lite::future::pending::<()>().await;
     }
 
+    /// Makes the next read ask the operating system at once.
+    fn recheck(&mut self) {
+        self.socket.recheck();
+        self.reads = 0;
+    }
+
     /// Returns whether the peer has closed the connection; bytes received before stay buffered.
     pub(crate) async fn is_closed(&mut self) -> bool {
-        self.socket.recheck();
+        self.recheck();
         futures_lite::future::poll_once(self.wait_closed())
             .await
             .is_some()
@@ -230,7 +358,7 @@
     /// Bytes on an idle connection belong to no pending request; the next request would take them
     /// for its answer.
     pub(crate) async fn is_idle(&mut self) -> bool {
-        self.socket.recheck();
+        self.recheck();
         self.buffered().is_empty() && futures_lite::future::poll_once(self.fill()).await.is_none()
     }
 }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -3,6 +3,7 @@
 use {
     std::{
         fmt,
+        mem,
         str, //
     },
     thiserror::Error, //
@@ -11,6 +12,9 @@
 /// Maximum number of headers in a head.
 const HEADERS_MAX: usize = 128;
 
+/// Memory of a header beside its texts, in bytes: its entry, and the allocator's bookkeeping.
+const HEADER_OVERHEAD: usize = mem::size_of::<Header>() + 32;
+
 /// Hop-by-hop headers, which are never forwarded.
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
@@ -160,6 +164,17 @@
         }
     }
 
+    /// Returns about how much memory the head takes, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        let line = match &self.line {
+            StartLine::Request { method, target } => method.capacity() + target.capacity(),
+            StartLine::Response { reason, .. } => reason.capacity(),
+        };
+        let headers = self.headers.0.iter();
+        let texts = headers.map(|h| h.name.capacity() + h.value.capacity() + HEADER_OVERHEAD);
+        line + texts.sum::<usize>()
+    }
+
     /// Returns the status of a response, 0 for a request.
     pub(crate) fn status(&self) -> u16 {
         match self.line {
--- a/crates/gateway/src/http/socket.rs
+++ b/crates/gateway/src/http/socket.rs
@@ -9,6 +9,7 @@
     std::{
         io::{
             self,
+            IoSlice,
             Read,
             Write, //
         },
@@ -21,6 +22,9 @@
     },
 };
 
+/// Slices that are written at once.
+const SLICES_PER_WRITE: usize = 64;
+
 /// The reading side of a connection.
 ///
 /// A read that finds nothing costs as much as one that finds data. So after a read that emptied the
@@ -57,6 +61,20 @@
         self.may_have_more = true;
     }
 
+    /// Waits until the operating system reports something to read, unless the last read may have left
+    /// data behind.
+    pub(crate) fn poll_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        match self.may_have_more {
+            true => Poll::Ready(Ok(())),
+            false => self.stream.poll_readable(cx),
+        }
+    }
+
+    /// Makes the next read wait for a report of the operating system.
+    pub(crate) fn expect_nothing(&mut self) {
+        self.may_have_more = false;
+    }
+
     /// Reads into a buffer; 0 bytes mean the end of the stream.
     pub(crate) fn poll_read(
         &mut self,
@@ -64,9 +82,7 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            if !self.may_have_more {
-                ready!(self.stream.poll_readable(cx))?;
-            }
+            ready!(self.poll_ready(cx))?;
             match self.stream.get_ref().read(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.may_have_more = false,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -90,9 +106,29 @@
         Ok(())
     }
 
+    /// Writes all bytes of several slices.
+    pub(crate) async fn write_all_vectored(&self, slices: &mut [IoSlice<'_>]) -> io::Result<()> {
+        for mut part in slices.chunks_mut(SLICES_PER_WRITE) {
+            while !part.is_empty() {
+                let n =
+                    poll_fn(|cx| self.poll_write_with(cx, |mut s| s.write_vectored(part))).await?;
+                IoSlice::advance_slices(&mut part, n);
+            }
+        }
+        Ok(())
+    }
+
     fn poll_write(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_with(cx, |mut stream| stream.write(bytes))
+    }
+
+    fn poll_write_with(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
         loop {
-            match self.0.get_ref().write(bytes) {
+            match write(self.0.get_ref()) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Ok(0) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -61,6 +61,7 @@
     },
     settings::{
         Bounds,
+        Clients,
         Fleet,
         Instance,
         Listen,
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -33,6 +33,7 @@
         ServiceId,
         WorkspaceId, //
     },
+    resources::Segments,
     std::{
         sync::Arc,
         time::{
@@ -69,7 +70,7 @@
     pub(crate) target: String,
     /// The headers that are forwarded to the replica.
     pub(crate) headers: Headers,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Segments,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) service_info: Service,
@@ -164,7 +165,7 @@
 pub(crate) fn admit(
     gw: &Shared,
     head: Head,
-    body: Vec<u8>,
+    body: Segments,
     arrived: Instant,
 ) -> Result<Request, LocalAnswer> {
     let Some(force) = gw.served_config() else {
@@ -213,7 +214,7 @@
     let digest_parts = [method.as_bytes(), host.as_bytes(), target.as_bytes()];
     Ok(Request {
         id,
-        digest: Suspect::request(workspace.as_ref(), &digest_parts, &body),
+        digest: Suspect::request(workspace.as_ref(), &digest_parts, body.slices()),
         method,
         target,
         headers,
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -44,6 +44,12 @@
         future::or,
         pin, //
     },
+    resources::{
+        Account,
+        Evicted,
+        Phase,
+        Segments, //
+    },
     std::{
         sync::{
             atomic::{
@@ -62,10 +68,8 @@
 /// Time limit for receiving a body. The request's own deadline only starts once the body is
 /// complete.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
-/// Bodies of requests may take the instance's memory divided by this.
-const BODY_MEMORY_DIVISOR: usize = 6;
-/// Retry delay for requests rejected because bodies take too much memory.
-const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Retry delay for requests whose connections were evicted.
+const EVICTED_RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Fraction of the instance's connection limit from which connections are closed after a rejection.
 /// Their callers retry over new connections, so a flood would leave thousands of idle ones.
 const CLOSE_REJECTED_FROM: f64 = 0.25;
@@ -78,6 +82,7 @@
 pub(crate) struct Connection {
     pub(crate) gw: Arc<Shared>,
     pub(crate) conn: Conn,
+    pub(crate) account: Account,
     /// Closed when idle connections are to be closed.
     pub(crate) stop: Receiver<()>,
     /// Whether the last answer announced that the connection is closed after it.
@@ -122,7 +127,12 @@
                 Ok(true) => {}
                 Ok(false) | Err(ReadFailure::Closed) => break,
                 Err(ReadFailure::Answer(answer)) => {
+                    let evicted = self.account.evicted();
+                    self.conn.clear();
+                    self.account.refuse();
                     self.write_local(&answer, None).await;
+                    // Another connection waits for this one's place.
+                    self.closes &= evicted != Some(Evicted::Place);
                     break;
                 }
             }
@@ -139,12 +149,17 @@
             true => limits.idle_timeout / 4,
             false => limits.idle_timeout,
         };
+        self.account.set_phase(Phase::Idle);
         self.wait_for_request(idle).await?;
+        self.account.set_phase(Phase::Receiving);
         let gw = self.gw.clone();
         let _active = CountGuard::add(&gw.active_requests, 1);
         let head = self.read_head(&limits).await?;
+        let mut head_charge = self.account.charge();
+        head_charge.resize(head.memory());
         let (body, arrived) = self.read_body(&head, &limits).await?;
-        let _held = CountGuard::add(&gw.held_body_bytes, body.len());
+        let evicted = |e| read_failure(&ReadError::Evicted(e));
+        self.account.serve().map_err(evicted)?;
         let keep = head.keeps_alive();
         self.closes = !keep;
         let id = head.headers.get(gw.dialect.id).map(str::to_owned);
@@ -182,6 +197,11 @@
         };
         match timeout(idle, or(self.conn.fill(), stopped)).await {
             Ok(Ok(n)) if n > 0 => Ok(()),
+            Ok(Err(e)) => match e.into() {
+                // A request has begun to arrive.
+                e @ ReadError::Evicted(Evicted::Memory) => Err(read_failure(&e)),
+                _ => Err(ReadFailure::Closed),
+            },
             _ => Err(ReadFailure::Closed),
         }
     }
@@ -210,35 +230,29 @@
         &mut self,
         head: &Head,
         limits: &Limits,
-    ) -> Result<(Vec<u8>, Instant), ReadFailure> {
+    ) -> Result<(Segments, Instant), ReadFailure> {
         let framing = Framing::request(head).map_err(|e| read_failure(&ReadError::Head(e)))?;
-        let memory = self.gw.settings.instance.memory_mb as usize * (1 << 20) / BODY_MEMORY_DIVISOR;
         let expected = match framing {
             Framing::Length(n) => usize::try_from(n).unwrap_or(usize::MAX),
             _ => 0,
         };
-        if expected > limits.body_bytes {
-            return Err(read_failure(&ReadError::TooLong(limits.body_bytes)));
+        let longest = limits
+            .body_bytes
+            .min(self.gw.limiter.limits().large.length());
+        if expected > longest {
+            return Err(read_failure(&ReadError::TooLong(longest)));
         }
-        if self
-            .gw
-            .held_body_bytes
-            .load(Ordering::Relaxed)
-            .saturating_add(expected)
-            > memory
-        {
-            return Err(ReadFailure::Answer(
-                LocalAnswer::not_run("this instance is short of memory", MEMORY_RETRY_DELAY)
-                    .closing(),
-            ));
+        if expected > 0 && !self.gw.limiter.admits(expected) {
+            return Err(read_failure(&ReadError::Evicted(Evicted::Memory)));
         }
         if head.headers.contains_token("expect", "100-continue") {
             let _ = self.conn.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
-        let mut body = Body::new(framing);
-        let read = body.read_all(&mut self.conn, limits.body_bytes);
+        let mut body = Segments::new(self.account.charge(), expected);
+        let mut reader = Body::new(framing);
+        let read = reader.read_into(&mut self.conn, &mut body, longest);
         match timeout(BODY_TIMEOUT, read).await {
-            Ok(Ok(body)) => Ok((body, Instant::now())),
+            Ok(Ok(())) => Ok((body, Instant::now())),
             Ok(Err(e)) => Err(read_failure(&e)),
             Err(_) => Err(ReadFailure::Answer(
                 LocalAnswer::status(408, "the body did not come in time").closing(),
@@ -312,7 +326,7 @@
     /// Returns the open connections of callers as a fraction of the limit.
     fn connection_load(&self) -> f64 {
         let open = self.gw.caller_connections.load(Ordering::Relaxed);
-        open as f64 / self.gw.max_connections().max(1) as f64
+        open as f64 / self.gw.settings.max_callers().max(1) as f64
     }
 
     /// Writes an answer generated by the gateway. Returns whether the connection can carry another
@@ -342,6 +356,13 @@
         ReadError::Head(_) | ReadError::Body(_) => {
             LocalAnswer::status(400, "this can't be read as one HTTP/1.1 request").closing()
         }
+        ReadError::Evicted(evicted) => {
+            let message = match evicted {
+                Evicted::Memory => "this instance is short of memory",
+                Evicted::Place => "this instance has too many connections",
+            };
+            LocalAnswer::not_run(message, EVICTED_RETRY_DELAY).closing()
+        }
         ReadError::TooLong(_) => LocalAnswer::status(413, "the request is too long").closing(),
     })
 }
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -35,7 +35,7 @@
 
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn accept(gw: Arc<Shared>, listener: Listener, stop: Receiver<()>) {
-    let most = gw.max_connections();
+    let most = gw.settings.max_callers();
     let mut full = false;
     loop {
         let stream = match listener.accept().await {
@@ -55,7 +55,11 @@
             metrics::counter!("chervilwind_callers_turned_away").increment(1);
             continue;
         }
-        let conn = match Conn::new(stream) {
+        let Some(account) = gw.limiter.open(gw.callers).await else {
+            metrics::counter!("chervilwind_callers_turned_away").increment(1);
+            continue;
+        };
+        let conn = match Conn::accepted(stream, account.clone()) {
             Ok(conn) => conn,
             Err(e) => {
                 log::debug!("event=accept outcome=broken cause={e:?}");
@@ -65,6 +69,7 @@
         let connection = Connection {
             gw: gw.clone(),
             conn,
+            account,
             stop: stop.clone(),
             closes: false,
             method: String::new(),
@@ -134,10 +139,7 @@
             "chervilwind_callers",
             gw.caller_connections.load(Ordering::Relaxed),
         ),
-        (
-            "chervilwind_body_bytes",
-            gw.held_body_bytes.load(Ordering::Relaxed),
-        ),
+        ("chervilwind_body_bytes", gw.limiter.stats().held),
         ("chervilwind_peers", peers),
         ("chervilwind_active_routers", active),
         ("chervilwind_requests_held", held),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -10,6 +10,10 @@
         RouterId,
         Zone, //
     },
+    resources::{
+        Bytes, //
+        MemoryLimits,
+    },
     serde::Deserialize,
     std::{
         fs,
@@ -20,6 +24,13 @@
     thiserror::Error, //
 };
 
+/// File descriptors reserved for replicas, peers, the store and files: 12 idle and 30 busy
+/// connections to each of 12 replicas, and the same number again.
+const RESERVED_DESCRIPTORS: usize = 1_200;
+/// Unless it is set, the memory for clients is the instance's divided by this. What connections take
+/// beside their requests and bytes that are not read yet take another part.
+const CLIENTS_MEMORY_DIVISOR: u64 = 4;
+
 /// The settings of one instance, from a TOML file. Unknown keys are ignored.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -41,6 +52,9 @@
     pub bounds: Bounds,
     /// Resources of the instance.
     pub instance: Instance,
+    /// Limits on all clients together.
+    #[serde(default)]
+    pub clients: Clients,
     /// Weights for the choice among replicas that differ from the defaults.
     #[serde(default)]
     pub placement: Tuning,
@@ -140,6 +154,14 @@
     0.12
 }
 
+/// Limits on all clients together.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Clients {
+    /// Memory for requests and buffered answers. A quarter of the instance's memory unless set.
+    pub memory_mb: Option<u64>,
+}
+
 /// Why settings were rejected.
 #[derive(Debug, Error, Diagnostic)]
 pub enum SettingsError {
@@ -181,6 +203,10 @@
         let invalid = |e: String| SettingsError::Wrong(name.to_owned(), e);
         let settings: Settings = toml::from_str(text).map_err(|e| invalid(e.to_string()))?;
         settings.bounds.check().map_err(invalid)?;
+        settings
+            .clients
+            .check(&settings.instance)
+            .map_err(invalid)?;
         Ok(settings)
     }
 }
@@ -192,6 +218,19 @@
         self.fleet.seeds.iter().any(|seed| seed.ip() == local)
     }
 
+    /// Returns how much memory clients may take.
+    pub(crate) fn memory_limits(&self) -> MemoryLimits {
+        let memory = Bytes::mib(self.instance.memory_mb);
+        let set = self.clients.memory_mb.map(Bytes::mib);
+        MemoryLimits::of(set.unwrap_or(Bytes(memory.0 / CLIENTS_MEMORY_DIVISOR)))
+    }
+
+    /// Returns the maximum number of connections of callers.
+    pub(crate) fn max_callers(&self) -> usize {
+        let all = self.instance.descriptors as usize;
+        all.saturating_sub(RESERVED_DESCRIPTORS).max(all / 2)
+    }
+
     /// Returns the addresses on which the seeds listen for peers.
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         let port = self.listen.peers.port();
@@ -203,6 +242,18 @@
     }
 }
 
+impl Clients {
+    fn check(&self, instance: &Instance) -> Result<(), String> {
+        let most = instance.memory_mb;
+        match self.memory_mb {
+            Some(n) if n == 0 || n > most => Err(format!(
+                "clients.memory-mb is {n}; give 1 to {most}, the instance's memory"
+            )),
+            _ => Ok(()),
+        }
+    }
+}
+
 impl Bounds {
     fn check(&self) -> Result<(), String> {
         let positive = [
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,6 +71,10 @@
         Zone,
         ZoneChange, //
     },
+    resources::{
+        Limiter,
+        ListenerId, //
+    },
     rustc_hash::FxBuildHasher,
     std::{
         collections::HashMap,
@@ -93,10 +97,6 @@
     },
 };
 
-/// File descriptors reserved for replicas, peers, the store and files: 12 idle and 30 busy
-/// connections to each of 12 replicas, and the same number again.
-const RESERVED_DESCRIPTORS: usize = 1_200;
-
 /// Unusable entries of one configuration that are logged.
 const MAX_LOGGED_ENTRIES: usize = 16;
 
@@ -192,8 +192,10 @@
     pub(crate) active_requests: AtomicUsize,
     /// Open connections of callers.
     pub(crate) caller_connections: AtomicUsize,
-    /// Bytes of request bodies in memory.
-    pub(crate) held_body_bytes: AtomicUsize,
+    /// What clients' connections hold.
+    pub(crate) limiter: Limiter,
+    /// The callers' listener in it.
+    pub(crate) callers: ListenerId,
 }
 
 impl Shared {
@@ -205,6 +207,7 @@
     ) -> Shared {
         let (wake, woken) = bounded(1);
         let incarnation = Incarnation(fastrand::u64(..));
+        let limiter = Limiter::new(settings.memory_limits());
         let window = Span((settings.bounds.fair_window_s * 1e6) as u64);
         Shared {
             dialect,
@@ -253,7 +256,8 @@
             eras: Mutex::default(),
             active_requests: AtomicUsize::new(0),
             caller_connections: AtomicUsize::new(0),
-            held_body_bytes: AtomicUsize::new(0),
+            callers: limiter.add_listener(settings.max_callers()),
+            limiter,
             settings,
         }
     }
@@ -333,12 +337,6 @@
         lock(&self.tables)
     }
 
-    /// Returns the maximum number of connections of callers.
-    pub(crate) fn max_connections(&self) -> usize {
-        let all = self.settings.instance.descriptors as usize;
-        all.saturating_sub(RESERVED_DESCRIPTORS).max(all / 2)
-    }
-
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -19,6 +19,7 @@
         upstream::Pool,
     },
     futures_lite::future::or,
+    resources::Segments,
     std::{
         io,
         net::SocketAddr,
@@ -70,7 +71,7 @@
     pub(crate) last_event: Option<u64>,
     /// Address of a replica that has parts of the prompt cached.
     pub(crate) cache_source: Option<SocketAddr>,
-    pub(crate) body: &'a [u8],
+    pub(crate) body: &'a Segments,
     pub(crate) until: Instant,
     /// Kind of the route, which tells whether the request may run twice.
     pub(crate) kind: RouteKind,
@@ -141,10 +142,13 @@
 ) -> Result<Reply, CallError> {
     let mut conn = open(pool, replica, request, hooks).await?;
     let mut start = request_head(dialect, replica, request);
-    let mut rest = request.body;
-    if rest.len() <= JOIN_MAX_BYTES {
-        start.extend_from_slice(rest);
-        rest = &[];
+    let mut rest = Vec::new();
+    match request.body.len() <= JOIN_MAX_BYTES {
+        true => request
+            .body
+            .slices()
+            .for_each(|s| start.extend_from_slice(s)),
+        false => rest.extend(request.body.io_slices()),
     }
     sent.mark_started();
     let mut request_written = false;
@@ -152,7 +156,8 @@
     let write = async {
         let written = async {
             writer.write_all(&start).await?;
-            writer.write_all(rest).await
+            drop(start);
+            writer.write_all_vectored(&mut rest).await
         };
         // A replica may answer early and not read the rest of the request. Its answer counts, so
         // write errors are ignored here; if the connection broke, the read fails too.
--- a/crates/gateway/src/upstream/call/tests.rs
+++ b/crates/gateway/src/upstream/call/tests.rs
@@ -21,6 +21,12 @@
         net::TcpListener,
         task, //
     },
+    resources::{
+        Bytes,
+        Limiter,
+        MemoryLimits,
+        Segments, //
+    },
     std::{
         net::SocketAddr,
         time::{
@@ -52,6 +58,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let replica = replica(listener.local_addr().unwrap());
         let headers = Headers::default();
+        let limiter = Limiter::new(MemoryLimits::of(Bytes::mib(1)));
         let request = UpstreamRequest {
             id: "1",
             method: "GET",
@@ -60,7 +67,7 @@
             workspace: None,
             last_event: None,
             cache_source: None,
-            body: &[],
+            body: &Segments::new(limiter.charge(), 0),
             until: Instant::now() + Duration::from_secs(60),
             kind: RouteKind::Single,
         };
--- a/crates/policy/src/quarantine/suspect.rs
+++ b/crates/policy/src/quarantine/suspect.rs
@@ -29,9 +29,10 @@
 ///
 /// let workspace = "harbour".parse()?;
 /// let head = [&b"POST"[..], b"a.example", b"/draft"];
-/// let first = Suspect::request(Some(&workspace), &head, b"a clause");
-/// assert_eq!(first, Suspect::request(Some(&workspace), &head, b"a clause"));
-/// assert_ne!(first, Suspect::request(None, &head, b"a clause"));
+/// let body = [&b"a "[..], b"clause"];
+/// let first = Suspect::request(Some(&workspace), &head, body);
+/// assert_eq!(first, Suspect::request(Some(&workspace), &head, [&b"a clause"[..]]));
+/// assert_ne!(first, Suspect::request(None, &head, body));
 /// assert_eq!(first.to_string().parse(), Ok(first));
 ///
 /// let part = Suspect::prompt_part(&"drafting".parse()?, 0x5c1e);
@@ -55,17 +56,25 @@
 const PROMPT_PART_BIT: u64 = 1 << 63;
 
 impl Suspect {
-    /// Returns the suspect for a workspace's request: the relevant parts of its head, and its body.
-    pub fn request(workspace: Option<&WorkspaceId>, head: &[&[u8]], body: &[u8]) -> Suspect {
+    /// Returns the suspect for a workspace's request: the relevant parts of its head, and the slices
+    /// of its body.
+    pub fn request<'a, B>(workspace: Option<&WorkspaceId>, head: &[&[u8]], body: B) -> Suspect
+    where
+        B: IntoIterator<Item = &'a [u8]> + Clone,
+    {
         let workspace = workspace.map_or("", |w| w.as_str()).as_bytes();
         let fields = [workspace].into_iter().chain(head.iter().copied());
-        Suspect(hash(fields.chain([body])) & !PROMPT_PART_BIT)
+        let mut hash = hash_fields(fields);
+        let length: usize = body.clone().into_iter().map(<[u8]>::len).sum();
+        hash.update(&(length as u64).to_le_bytes());
+        body.into_iter().for_each(|slice| hash.update(slice));
+        Suspect(hash.digest() & !PROMPT_PART_BIT)
     }
 
     /// Returns the suspect for a part of prompts at a service, whichever workspace sends it.
     pub fn prompt_part(service: &ServiceId, part: u64) -> Suspect {
         let fields = [service.as_str().as_bytes(), &part.to_le_bytes()];
-        Suspect(hash(fields) | PROMPT_PART_BIT)
+        Suspect(hash_fields(fields).digest() | PROMPT_PART_BIT)
     }
 
     /// Returns what kind of suspect it is.
@@ -79,13 +88,13 @@
 
 /// Hashes fields. The lengths are included so that moving a byte from one field to the next changes
 /// the hash.
-fn hash<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> u64 {
+fn hash_fields<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Xxh3 {
     let mut hash = Xxh3::new();
     for field in fields {
         hash.update(&(field.len() as u64).to_le_bytes());
         hash.update(field);
     }
-    hash.digest()
+    hash
 }
 
 impl fmt::Display for Suspect {
--- a/src/conf/bytes.rs
+++ b/crates/resources/src/bytes.rs
@@ -16,7 +16,7 @@
 /// # Examples
 ///
 /// ```
-/// use chervilwind::Bytes;
+/// use resources::Bytes;
 ///
 /// assert_eq!("16KiB".parse(), Ok(Bytes(16_384)));
 /// assert_eq!(Bytes(16_384).to_string(), "16KiB");
@@ -30,6 +30,18 @@
 #[error("`{0}` is not a size; write a whole number and a unit: `512B`, `16KiB` or `8MiB`")]
 pub struct BytesError(String);
 
+impl Bytes {
+    /// Returns a size in mebibytes.
+    pub fn mib(n: u64) -> Bytes {
+        Bytes(n.saturating_mul(MIB))
+    }
+
+    /// Returns the size as a length in memory.
+    pub fn length(self) -> usize {
+        usize::try_from(self.0).unwrap_or(usize::MAX)
+    }
+}
+
 impl FromStr for Bytes {
     type Err = BytesError;
 
--- /dev/null
+++ b/crates/resources/src/lib.rs
@@ -0,0 +1,41 @@
+//! Limits on the memory and the connections that a process's clients take.
+//!
+//! A [`Limiter`] counts what all connections of a process hold. Each connection has an [`Account`],
+//! which says what it does: only connections without a request in service are evicted. When memory
+//! runs out, those yield that hold much and have sent little of late; when a listener's connections
+//! run out, those that have sent nothing for longest.
+//!
+//! Bodies are kept in [`Segments`] of one size, which are used again, so that the memory of the
+//! process follows what is held: after blocks of many sizes were freed, the allocator would keep a
+//! part of them.
+
+mod account;
+mod activity;
+mod bytes;
+mod charge;
+mod eviction;
+mod limiter;
+mod segments;
+
+pub use self::{
+    account::{
+        Account,
+        Evicted,
+        Phase, //
+    },
+    bytes::{
+        Bytes,
+        BytesError, //
+    },
+    charge::Charge,
+    limiter::{
+        Limiter,
+        ListenerId, //
+        MemoryLimits,
+        UsageStats,
+    },
+    segments::{
+        Segments,
+        SEGMENT_SIZE, //
+    },
+};
--- /dev/null
+++ b/crates/resources/src/limiter.rs
@@ -0,0 +1,492 @@
+//! What all connections of a process hold.
+
+use {
+    crate::{
+        account::{
+            Account,
+            Evicted,
+            Phase, //
+        },
+        activity::Activity,
+        bytes::Bytes, //
+        charge::Charge,
+        eviction::{
+            Standing,
+            LARGE, //
+        },
+        segments::SEGMENT_SIZE,
+    },
+    slab::Slab,
+    std::{
+        future::poll_fn,
+        mem,
+        sync::{
+            atomic::{
+                AtomicBool,
+                Ordering, //
+            },
+            Arc,
+            Mutex,
+            MutexGuard,
+            PoisonError, //
+        },
+        task::{
+            Context,
+            Poll,
+            Waker, //
+        },
+        time::Instant,
+    },
+};
+
+/// Connections that yield at a time are the listener's limit divided by this.
+const PLACES_DIVISOR: usize = 128;
+/// Memory that is freed at a time, beyond what is missing, is the limit divided by this.
+const HEADROOM_DIVISOR: usize = 32;
+
+/// How much memory clients may take.
+#[derive(Debug, Clone, Copy)]
+pub struct MemoryLimits {
+    /// Memory that all connections may hold.
+    pub total: Bytes,
+    /// The part of it that connections may hold which hold more than 128 KiB each, so that there is
+    /// room left for short requests.
+    pub large: Bytes,
+}
+
+impl MemoryLimits {
+    /// Returns limits of which three quarters are for connections that hold much.
+    pub fn of(total: Bytes) -> MemoryLimits {
+        MemoryLimits {
+            total,
+            large: Bytes(total.0 / 4 * 3),
+        }
+    }
+}
+
+/// Names a listener of a limiter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenerId(usize);
+
+/// What a limiter counts, for metrics and logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct UsageStats {
+    /// Bytes that are held.
+    pub held: usize,
+    /// Bytes of connections whose requests have not arrived completely.
+    pub receiving: usize,
+    /// Open connections.
+    pub connections: usize,
+    /// Connections that were evicted to free memory, since the start.
+    pub evicted_memory: u64,
+    /// Connections that were evicted for new ones, since the start.
+    pub evicted_place: u64,
+}
+
+/// Counts what the connections of a process hold, and evicts some when it is too much.
+#[derive(Debug, Clone)]
+pub struct Limiter(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    limits: MemoryLimits,
+    state: Mutex<State>,
+    /// Whether some connections have to wait for room.
+    full: AtomicBool,
+    /// Segments that were used, for the next ones. They are never more than were in use at once.
+    segments: Mutex<Vec<Vec<u8>>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    entries: Slab<Entry>,
+    listeners: Vec<Listener>,
+    /// Bytes that are held by anything.
+    held: usize,
+    /// Bytes of the connections that hold much.
+    large: usize,
+    /// Connections that wait for room for more bytes.
+    waiting: Vec<usize>,
+    /// Woken when a connection was closed.
+    waiting_places: Vec<Waker>,
+    evicted_memory: u64,
+    evicted_place: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Listener {
+    limit: usize,
+    open: usize,
+}
+
+#[derive(Debug)]
+struct Entry {
+    listener: ListenerId,
+    standing: Standing,
+    /// Capacity of the connection's own buffer.
+    buffered: usize,
+    evicted: Option<Evicted>,
+    /// Whether it is among those that wait for room.
+    waiting: bool,
+    /// Woken when the connection is evicted, or when there is room.
+    waker: Option<Waker>,
+}
+
+impl Limiter {
+    /// Creates a limiter.
+    pub fn new(limits: MemoryLimits) -> Limiter {
+        Limiter(Arc::new(Shared {
+            limits,
+            state: Mutex::default(),
+            full: AtomicBool::new(false),
+            segments: Mutex::default(),
+        }))
+    }
+
+    /// Adds a listener, which may have this many connections open.
+    pub fn add_listener(&self, limit: usize) -> ListenerId {
+        let mut state = self.state();
+        state.listeners.push(Listener { limit, open: 0 });
+        ListenerId(state.listeners.len() - 1)
+    }
+
+    /// Returns the limits.
+    pub fn limits(&self) -> MemoryLimits {
+        self.0.limits
+    }
+
+    /// Returns whether some connections have to wait for room before they receive more.
+    pub fn is_full(&self) -> bool {
+        self.0.full.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether requests with bodies of this length could be received if all connections without
+    /// a request in service were closed.
+    pub fn admits(&self, bytes: usize) -> bool {
+        if bytes <= LARGE {
+            return true;
+        }
+        let state = self.state();
+        let entries = state.entries.iter().map(|(_, e)| e.standing);
+        let serving = entries.filter(|s| s.phase == Phase::Serving && s.is_large());
+        let serving: usize = serving.map(|s| s.held).sum();
+        serving.saturating_add(bytes) <= self.0.limits.large.length()
+    }
+
+    /// Opens the account of a new connection. If the listener has no place, it waits for
+    /// connections without a request in service to yield; none if all have one.
+    pub async fn open(&self, listener: ListenerId) -> Option<Account> {
+        poll_fn(|cx| self.poll_open(listener, cx, Instant::now())).await
+    }
+
+    /// Returns memory that is counted, and that no connection is evicted for.
+    pub fn charge(&self) -> Charge {
+        Charge::new(self.clone(), None)
+    }
+
+    /// Returns what is counted.
+    pub fn stats(&self) -> UsageStats {
+        let state = self.state();
+        let receiving = state.entries.iter().map(|(_, e)| e.standing);
+        let receiving = receiving.filter(|s| s.phase == Phase::Receiving);
+        UsageStats {
+            held: state.held,
+            receiving: receiving.map(|s| s.held).sum(),
+            connections: state.entries.len(),
+            evicted_memory: state.evicted_memory,
+            evicted_place: state.evicted_place,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // Each change of the state is complete before anything can panic.
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn poll_open(
+        &self,
+        listener: ListenerId,
+        cx: &mut Context<'_>,
+        now: Instant,
+    ) -> Poll<Option<Account>> {
+        let mut state = self.state();
+        let Listener { limit, open } = state.listeners[listener.0];
+        if open < limit {
+            state.listeners[listener.0].open += 1;
+            let key = state.entries.insert(Entry::new(listener, now));
+            drop(state);
+            return Poll::Ready(Some(Account::new(self.clone(), key)));
+        }
+        if !state.free_places(listener, (limit / PLACES_DIVISOR).max(1), now) {
+            return Poll::Ready(None);
+        }
+        state.waiting_places.push(cx.waker().clone());
+        Poll::Pending
+    }
+
+    pub(crate) fn close(&self, key: usize) {
+        let mut state = self.state();
+        let buffered = state.entries[key].buffered;
+        self.recount_in(&mut state, Some(key), buffered, 0);
+        let entry = state.entries.remove(key);
+        state.listeners[entry.listener.0].open -= 1;
+        state.waiting_places.drain(..).for_each(Waker::wake);
+    }
+
+    pub(crate) fn set_phase(&self, key: usize, phase: Phase, now: Instant) {
+        let mut state = self.state();
+        let standing = &mut state.entries[key].standing;
+        match (standing.phase, phase) {
+            (before, after) if before == after => return,
+            (_, Phase::Receiving) => standing.message = now,
+            // Nobody sends another request on it.
+            (_, Phase::Closing) => standing.served = false,
+            (Phase::Serving, _) => {
+                standing.served = true;
+                standing.since = now;
+            }
+            _ => {}
+        }
+        standing.phase = phase;
+    }
+
+    pub(crate) fn serve(&self, key: usize) -> Result<(), Evicted> {
+        let mut state = self.state();
+        let entry = &mut state.entries[key];
+        if let Some(evicted) = entry.evicted {
+            return Err(evicted);
+        }
+        entry.standing.phase = Phase::Serving;
+        Ok(())
+    }
+
+    pub(crate) fn refuse(&self, key: usize) {
+        let mut state = self.state();
+        let entry = &mut state.entries[key];
+        entry.evicted = None;
+        entry.standing.phase = Phase::Serving;
+    }
+
+    pub(crate) fn update(
+        &self,
+        key: usize,
+        cx: &mut Context<'_>,
+        buffered: usize,
+        received: usize,
+        now: Instant,
+    ) -> Result<(), Evicted> {
+        let mut state = self.state();
+        let entry = &mut state.entries[key];
+        if let Some(evicted) = entry.evicted {
+            return Err(evicted);
+        }
+        match &mut entry.waker {
+            Some(waker) => waker.clone_from(cx.waker()),
+            none => *none = Some(cx.waker().clone()),
+        }
+        if received > 0 {
+            entry.standing.activity.record(received, now);
+        }
+        let before = mem::replace(&mut entry.buffered, buffered);
+        if before != buffered {
+            self.recount_in(&mut state, Some(key), before, buffered);
+        }
+        Ok(())
+    }
+
+    pub(crate) fn evicted(&self, key: usize) -> Option<Evicted> {
+        self.state().entries[key].evicted
+    }
+
+    /// Counts bytes that something holds, in place of others.
+    pub(crate) fn recount(&self, key: Option<usize>, before: usize, after: usize) {
+        self.recount_in(&mut self.state(), key, before, after);
+    }
+
+    fn recount_in(&self, state: &mut State, key: Option<usize>, before: usize, after: usize) {
+        state.recount(key, before, after, &self.0.limits);
+        let full = !state.has_room(true, &self.0.limits);
+        self.0.full.store(full, Ordering::Relaxed);
+    }
+
+    /// Counts more bytes that no connection is evicted for. Returns whether there was room.
+    pub(crate) fn try_count(&self, key: Option<usize>, bytes: usize) -> bool {
+        let mut state = self.state();
+        let fits = state.held.saturating_add(bytes) <= self.0.limits.large.length();
+        if fits {
+            self.recount_in(&mut state, key, 0, bytes);
+        }
+        fits
+    }
+
+    pub(crate) fn poll_room(
+        &self,
+        key: usize,
+        cx: &mut Context<'_>,
+        now: Instant,
+    ) -> Poll<Result<(), Evicted>> {
+        let mut state = self.state();
+        let limits = &self.0.limits;
+        let Entry {
+            standing, evicted, ..
+        } = state.entries[key];
+        if let Some(evicted) = evicted {
+            return Poll::Ready(Err(evicted));
+        }
+        if state.has_room(standing.is_large(), limits) {
+            return Poll::Ready(Ok(()));
+        }
+        if matches!(standing.phase, Phase::Serving | Phase::Closing) {
+            return Poll::Ready(Ok(()));
+        }
+        if !state.free_memory(standing.is_large(), limits, now) {
+            state.evict(key, Evicted::Memory);
+        }
+        if let Some(evicted) = state.entries[key].evicted {
+            return Poll::Ready(Err(evicted));
+        }
+        let entry = &mut state.entries[key];
+        entry.waker = Some(cx.waker().clone());
+        if !mem::replace(&mut entry.waiting, true) {
+            state.waiting.push(key);
+        }
+        Poll::Pending
+    }
+
+    /// Returns a segment of full size.
+    pub(crate) fn take_segment(&self) -> Vec<u8> {
+        let free = self.segments().pop();
+        free.unwrap_or_else(|| Vec::with_capacity(SEGMENT_SIZE))
+    }
+
+    pub(crate) fn give_segment(&self, mut segment: Vec<u8>) {
+        segment.clear();
+        self.segments().push(segment);
+    }
+
+    fn segments(&self) -> MutexGuard<'_, Vec<Vec<u8>>> {
+        self.0
+            .segments
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn has_room(&self, large: bool, limits: &MemoryLimits) -> bool {
+        self.held < limits.total.length() && (!large || self.large < limits.large.length())
+    }
+
+    /// Counts bytes in place of others, of a connection or of nothing that can be evicted.
+    fn recount(&mut self, key: Option<usize>, before: usize, after: usize, limits: &MemoryLimits) {
+        self.held = self.held + after - before;
+        let mut yielded = false;
+        if let Some(key) = key {
+            let entry = &mut self.entries[key];
+            let large_before = entry.standing.large_bytes();
+            entry.standing.held = entry.standing.held + after - before;
+            yielded = entry.evicted.is_some() && entry.standing.held == 0;
+            self.large = self.large + entry.standing.large_bytes() - large_before;
+        }
+        if yielded || (after < before && self.has_room(false, limits)) {
+            self.wake_waiting();
+        }
+    }
+
+    fn wake_waiting(&mut self) {
+        for key in self.waiting.drain(..) {
+            // The key may be of a later connection, which is woken for nothing.
+            if let Some(entry) = self.entries.get_mut(key) {
+                entry.waiting = false;
+                entry.waker.iter().for_each(Waker::wake_by_ref);
+            }
+        }
+    }
+
+    /// Evicts connections until there is room for one that is large or not. Returns whether any memory
+    /// is being freed.
+    fn free_memory(&mut self, for_large: bool, limits: &MemoryLimits, now: Instant) -> bool {
+        let goal = |limit: Bytes| limit.length() - limit.length() / HEADROOM_DIVISOR;
+        let leaving = self.entries.iter().filter(|(_, e)| e.evicted.is_some());
+        let (mut leaving, mut large_leaving) = leaving.fold((0, 0), |(all, large), (_, e)| {
+            let held = e.standing.held;
+            (all + held, large + e.standing.large_bytes())
+        });
+        let mut ranked = self.ranked(|standing| standing.memory_rank(for_large, now));
+        ranked.reverse();
+        while self.held.saturating_sub(leaving) > goal(limits.total)
+            || (for_large && self.large.saturating_sub(large_leaving) > goal(limits.large))
+        {
+            let Some(key) = ranked.pop() else {
+                break;
+            };
+            let standing = self.entries[key].standing;
+            leaving += standing.held;
+            large_leaving += standing.large_bytes();
+            self.evict(key, Evicted::Memory);
+        }
+        leaving > 0
+    }
+
+    /// Evicts connections of a listener for new ones. Returns whether any is being closed.
+    fn free_places(&mut self, listener: ListenerId, count: usize, now: Instant) -> bool {
+        let leaving = |e: &Entry| e.listener == listener && e.evicted.is_some();
+        if self.entries.iter().any(|(_, e)| leaving(e)) {
+            return true;
+        }
+        let of_listener = |(_, e): &(usize, &Entry)| e.listener == listener;
+        let entries = self.entries.iter().filter(of_listener);
+        let ranked = entries.filter_map(|(key, e)| Some((e.standing.place_rank(now)?, key)));
+        let mut ranked: Vec<_> = ranked.collect();
+        let count = count.min(ranked.len());
+        if count == 0 {
+            return false;
+        }
+        ranked.select_nth_unstable(count - 1);
+        for (_, key) in &ranked[..count] {
+            self.evict(*key, Evicted::Place);
+        }
+        true
+    }
+
+    /// Returns the connections that are not being closed, by rank.
+    fn ranked<R: PartialOrd>(&self, rank: impl Fn(&Standing) -> Option<R>) -> Vec<usize> {
+        let entries = self.entries.iter().filter(|(_, e)| e.evicted.is_none());
+        let ranked = entries.filter_map(|(key, e)| Some((rank(&e.standing)?, key)));
+        let mut ranked: Vec<(R, usize)> = ranked.collect();
+        ranked.sort_by(|(a, _), (b, _)| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
+        ranked.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn evict(&mut self, key: usize, cause: Evicted) {
+        match cause {
+            Evicted::Memory => self.evicted_memory += 1,
+            Evicted::Place => self.evicted_place += 1,
+        }
+        let entry = &mut self.entries[key];
+        entry.evicted = Some(cause);
+        if let Some(waker) = entry.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+impl Entry {
+    fn new(listener: ListenerId, now: Instant) -> Entry {
+        Entry {
+            listener,
+            standing: Standing {
+                phase: Phase::Idle,
+                held: 0,
+                activity: Activity::new(now),
+                served: false,
+                since: now,
+                message: now,
+            },
+            buffered: 0,
+            evicted: None,
+            waiting: false,
+            waker: None,
+        }
+    }
+}
--- a/src/conf/limits.rs
+++ b/src/conf/limits.rs
@@ -1,13 +1,13 @@
 //! What callers may ask of a router before it turns them away.
 
 use {
-    super::bytes::Bytes,
     callers::Limits,
     operators::{
         integer,
         span,
         Section, //
     },
+    resources::Bytes,
     std::time::Duration,
     toml::de::DeValue, //
 };
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -1,6 +1,5 @@
 //! A router's settings, read once when it starts.
 
-mod bytes;
 mod limits;
 mod listen;
 mod logs;
@@ -8,10 +7,6 @@
 
 pub(crate) use self::logs::start_logs;
 pub use self::{
-    bytes::{
-        Bytes,
-        BytesError, //
-    },
     listen::{
         Address,
         ListenError,
@@ -22,6 +17,10 @@
         SettingsError, //
     },
 };
+pub use resources::{
+    Bytes,
+    BytesError, //
+};
 
 /// The commented settings file that is shipped as an example.
 pub const DEFAULT_SETTINGS: &str = include_str!("default.toml");
