Sockets keep less of what has not been read

Callers saw the same end with many bodies of ordinary length or pipelined requests: what the operating system has received for a process counts as its memory, and it keeps 121,344 bytes for a connection before the first read (trial on this machine), more as it adapts. Connections that are not accepted yet have as much.

The listeners set the size of their receive buffers, which connections inherit: an eighth of the instance's memory divided by the callers' connections, within 2 and 64 KiB (clients.unread-bytes).

--- a/crates/gateway/src/http/listener.rs
+++ b/crates/gateway/src/http/listener.rs
@@ -2,6 +2,8 @@
 
 use {
     async_io::Async,
+    resources::Bytes,
+    socket2::SockRef,
     std::{
         io,
         net::{
@@ -18,8 +20,13 @@
 
 impl Listener {
     /// Listens on an address.
-    pub(crate) fn bind(addr: SocketAddr) -> io::Result<Listener> {
-        Async::<TcpListener>::bind(addr).map(Listener)
+    ///
+    /// `unread` is about how much each connection may send before it is read. The operating system
+    /// would otherwise keep much more, and also for connections that are not accepted yet.
+    pub(crate) fn bind(addr: SocketAddr, unread: Bytes) -> io::Result<Listener> {
+        let listener = Async::<TcpListener>::bind(addr)?;
+        SockRef::from(listener.get_ref()).set_recv_buffer_size(unread.length())?;
+        Ok(Listener(listener))
     }
 
     /// Waits for the next connection.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -18,6 +18,7 @@
     std::{
         fs,
         net::SocketAddr,
+        ops::RangeInclusive,
         path::Path,
         time::Duration, //
     },
@@ -31,6 +32,11 @@
 /// beside their requests and bytes that are not read yet take another part.
 const CLIENTS_MEMORY_DIVISOR: u64 = 4;
 
+/// Unless it is set, the part of the instance's memory that unread bytes of all callers may take.
+const UNREAD_MEMORY_DIVISOR: u64 = 8;
+/// Unread bytes of a connection that may be set. The operating system keeps at least 2 KiB.
+const UNREAD_BYTES: RangeInclusive<u64> = 2_048..=65_536;
+
 /// The settings of one instance, from a TOML file. Unknown keys are ignored.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -160,6 +166,9 @@
 pub struct Clients {
     /// Memory for requests and buffered answers. A quarter of the instance's memory unless set.
     pub memory_mb: Option<u64>,
+    /// About how many bytes each connection may send before they are read. Unless set, an eighth of
+    /// the instance's memory for all of the callers' connections together.
+    pub unread_bytes: Option<u64>,
 }
 
 /// Why settings were rejected.
@@ -225,6 +234,14 @@
         MemoryLimits::of(set.unwrap_or(Bytes(memory.0 / CLIENTS_MEMORY_DIVISOR)))
     }
 
+    /// Returns about how much each connection may send before it is read.
+    pub(crate) fn unread_bytes(&self) -> Bytes {
+        let all = Bytes::mib(self.instance.memory_mb).0 / UNREAD_MEMORY_DIVISOR;
+        let each = all / self.max_callers().max(1) as u64;
+        let each = each.clamp(*UNREAD_BYTES.start(), *UNREAD_BYTES.end());
+        Bytes(self.clients.unread_bytes.unwrap_or(each))
+    }
+
     /// Returns the maximum number of connections of callers.
     pub(crate) fn max_callers(&self) -> usize {
         let all = self.instance.descriptors as usize;
@@ -250,6 +267,14 @@
                 "clients.memory-mb is {n}; give 1 to {most}, the instance's memory"
             )),
             _ => Ok(()),
+        }?;
+        match self.unread_bytes {
+            Some(n) if !UNREAD_BYTES.contains(&n) => Err(format!(
+                "clients.unread-bytes is {n}; give {} to {}",
+                UNREAD_BYTES.start(),
+                UNREAD_BYTES.end()
+            )),
+            _ => Ok(()),
         }
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -114,11 +114,12 @@
     handle: Option<PrometheusHandle>,
 ) -> io::Result<Gateway> {
     let listen = settings.listen.clone();
-    let callers = Listener::bind(listen.callers)?;
-    let ready = Listener::bind(listen.ready)?;
-    let addresses = Listener::bind(listen.addresses)?;
-    let documents = Listener::bind(listen.peers)?;
-    let metrics = Listener::bind(listen.metrics)?;
+    let unread = settings.unread_bytes();
+    let callers = Listener::bind(listen.callers, unread)?;
+    let ready = Listener::bind(listen.ready, unread)?;
+    let addresses = Listener::bind(listen.addresses, unread)?;
+    let documents = Listener::bind(listen.peers, unread)?;
+    let metrics = Listener::bind(listen.metrics, unread)?;
     let peers = Arc::new(UdpSocket::bind(listen.peers).await?);
     let seeds = settings.seeds();
     log::info!(
