A full table of connections gives way to new ones

Callers saw three of three ordinary calls reset while 600 clients had sent one byte each to an instance with room for 200 connections: whoever came next was rejected, however idle the open connections were.

The accept loop waits for a place in the table of crates/resources, which evicts connections without a request in service: first those that have sent nothing of late, of these those that never brought a request, the oldest first. A new connection is rejected only if all are being served. The evicted are closed without waiting for their last bytes, as another one waits for the place.

--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -35,8 +35,6 @@
 
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn accept(gw: Arc<Shared>, listener: Listener, stop: Receiver<()>) {
-    let most = gw.settings.max_callers();
-    let mut full = false;
     loop {
         let stream = match listener.accept().await {
             Ok(stream) => stream,
@@ -46,15 +44,6 @@
                 continue;
             }
         };
-        let open = gw.caller_connections.load(Ordering::Relaxed);
-        if (open >= most) != full {
-            full = open >= most;
-            log::warn!("event=accept outcome=full full={full} open={open} most={most}");
-        }
-        if full {
-            metrics::counter!("chervilwind_callers_turned_away").increment(1);
-            continue;
-        }
         let Some(account) = gw.limiter.open(gw.callers).await else {
             metrics::counter!("chervilwind_callers_turned_away").increment(1);
             continue;
