Buffered answers count, and are forwarded when memory is short

Callers saw the end of an instance with many clients that read no answers: up to 1 MiB of each answer was kept, without a limit over the process, and copied once more to be written.

Buffered answers lie in counted segments. Long answers are written from their segments.

--- a/crates/gateway/src/http/response.rs
+++ b/crates/gateway/src/http/response.rs
@@ -29,23 +29,41 @@
         }
     }
 
-    /// Encodes a response of known length; `headers` are without those that frame the body.
+    /// Returns whether the response has a body.
+    pub(crate) fn has_body(self) -> bool {
+        self.has_body
+    }
+
+    /// Encodes the head of a response whose body has this length; `headers` are without those that
+    /// frame the body.
     ///
     /// `stated` is the length that a response without a body states, of the body that it would have
     /// for another method.
-    pub(crate) fn encode(
+    pub(crate) fn encode_sized_head(
         self,
         line: &StartLine,
         mut headers: Headers,
-        body: &[u8],
+        length: usize,
         stated: Option<&str>,
     ) -> Vec<u8> {
         match stated {
-            _ if self.has_body => headers.push("Content-Length", body.len()),
+            _ if self.has_body => headers.push("Content-Length", length),
             Some(length) if self.states_length => headers.push("Content-Length", length),
             _ => {}
         }
-        let mut bytes = line.encode_head(&headers);
+        line.encode_head(&headers)
+    }
+
+    /// Encodes a response of known length, as [`encode_sized_head`](Self::encode_sized_head) does its
+    /// head.
+    pub(crate) fn encode(
+        self,
+        line: &StartLine,
+        headers: Headers,
+        body: &[u8],
+        stated: Option<&str>,
+    ) -> Vec<u8> {
+        let mut bytes = self.encode_sized_head(line, headers, body.len(), stated);
         if self.has_body {
             bytes.extend_from_slice(body);
         }
--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -135,7 +135,7 @@
 ) -> Result<Dispatched, AttemptOutcome> {
     let sent = progress.start_attempt(&permit.replica.id);
     let call = send(gw, req, &permit, None, &sent);
-    let attempt = async { Ok(buffer_reply(&permit, call.await?).await?) };
+    let attempt = async { Ok(buffer_reply(gw, &permit, call.await?).await?) };
     let hedge = Hedge::new(gw, req, &permit, None);
     let first = hedge
         .run(progress, wait_until_hedge_due(req), attempt, open_buffered)
@@ -210,7 +210,7 @@
         if status >= 500 {
             return Err(backup.record_error(status));
         }
-        match buffer_reply(&backup.permit, reply).await {
+        match buffer_reply(backup.gw, &backup.permit, reply).await {
             Ok(buffered) => Ok(BufferedAnswer {
                 permit: backup.permit,
                 buffered,
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -25,18 +25,25 @@
         state::Shared,
         upstream::Reply, //
     },
+    resources::Segments,
+    std::io::{
+        self,
+        IoSlice, //
+    },
 };
 
 /// Longest answer that is buffered, in bytes. If an attempt fails before its answer is complete,
 /// the caller doesn't notice the retry; a longer answer is forwarded as it arrives and aborted if
 /// it breaks off.
 const BUFFER_LIMIT_BYTES: usize = 1 << 20;
+/// Longest body that is written together with its head. A longer one is not copied.
+const JOIN_MAX_BYTES: usize = 64 * 1024;
 
 /// An answer read into memory.
 #[derive(Debug)]
 pub(super) struct BufferedReply {
     reply: Reply,
-    body: Vec<u8>,
+    body: Segments,
     /// Whether the body was read to its end.
     complete: bool,
 }
@@ -53,20 +60,22 @@
     }
 }
 
-/// Reads an answer until it is complete, or too long to be buffered.
+/// Reads an answer until it is complete, or until it is too long for the memory that may buffer it.
 ///
 /// # Errors
 ///
 /// The answer breaks off.
 pub(super) async fn buffer_reply(
+    gw: &Shared,
     permit: &SlotPermit,
     mut reply: Reply,
 ) -> Result<BufferedReply, ReadError> {
-    let mut body = Vec::new();
+    let mut body = Segments::new(gw.limiter.charge(), 0);
     let mut complete = true;
     while let Some(part) = read_more(permit, &mut reply).await? {
-        body.extend_from_slice(&part);
-        if body.len() > BUFFER_LIMIT_BYTES {
+        body.push(&part);
+        let lacks_room = !reply.body.ended() && !gw.limiter.has_spare();
+        if body.len() > BUFFER_LIMIT_BYTES || lacks_room {
             complete = false;
             break;
         }
@@ -112,14 +121,35 @@
     let stated = head.headers.get("content-length").map(str::to_owned);
     let headers = caller_headers(gw, head.headers, progress);
     let encoder = ResponseEncoder::new(&req.method, status);
-    let bytes = encoder.encode(&head.line, headers, &body, stated.as_deref());
+    let bytes = encoder.encode_sized_head(&head.line, headers, body.len(), stated.as_deref());
     progress.start_answer(status);
-    AttemptOutcome::Done(match writer.write_all(&bytes).await {
+    let written = write_answer(writer, encoder, bytes, &body).await;
+    AttemptOutcome::Done(match written {
         Ok(()) => Delivery::Complete,
         Err(_) => Delivery::Aborted(AbortCause::Caller),
     })
 }
 
+/// Writes a complete answer, in one piece if it is short.
+async fn write_answer(
+    writer: &Writer,
+    encoder: ResponseEncoder,
+    mut bytes: Vec<u8>,
+    body: &Segments,
+) -> io::Result<()> {
+    if !encoder.has_body() {
+        return writer.write_all(&bytes).await;
+    }
+    if body.len() <= JOIN_MAX_BYTES {
+        body.slices().for_each(|s| bytes.extend_from_slice(s));
+        return writer.write_all(&bytes).await;
+    }
+    writer.write_all(&bytes).await?;
+    drop(bytes);
+    let mut slices: Vec<IoSlice<'_>> = body.io_slices().collect();
+    writer.write_all_vectored(&mut slices).await
+}
+
 /// Reads more of an answer; none at its end.
 async fn read_more(permit: &SlotPermit, reply: &mut Reply) -> Result<Option<Vec<u8>>, ReadError> {
     let part = reply.body.read_part(&mut reply.conn).await?;
@@ -135,12 +165,18 @@
     req: &Request,
     permit: &SlotPermit,
     mut reply: Reply,
-    prefix: Vec<u8>,
+    prefix: Segments,
     writer: &Writer,
     progress: &mut RequestProgress,
 ) -> Delivery {
     let (encoder, mut bytes) = chunked_head(gw, req, &reply, progress);
-    encoder.append_chunk(&mut bytes, &prefix);
+    for slice in prefix.slices() {
+        encoder.append_chunk(&mut bytes, slice);
+        if writer.write_all(&bytes).await.is_err() {
+            return Delivery::Aborted(AbortCause::Caller);
+        }
+        bytes.clear();
+    }
     drop(prefix);
     loop {
         if writer.write_all(&bytes).await.is_err() {
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -113,7 +113,7 @@
         let source = StreamSource::new(permit, reply, req.last_event);
         return forward_stream(gw, req, source, writer, progress).await;
     }
-    match buffer_reply(&permit, reply).await {
+    match buffer_reply(gw, &permit, reply).await {
         Ok(buffered) => forward_plain(gw, req, &permit, buffered, writer, progress).await,
         Err(e) => {
             record_failure(gw, req, &permit, progress, "broken", &e.into()).await;
--- a/crates/resources/src/limiter.rs
+++ b/crates/resources/src/limiter.rs
@@ -160,6 +160,11 @@
         self.0.full.load(Ordering::Relaxed)
     }
 
+    /// Returns whether more may be held than requests need.
+    pub fn has_spare(&self) -> bool {
+        self.state().held < self.0.limits.large.length()
+    }
+
     /// Returns whether requests with bodies of this length could be received if all connections without
     /// a request in service were closed.
     pub fn admits(&self, bytes: usize) -> bool {
