All listeners share the limits on clients

Callers saw calls fail at every port once clients of the addresses' port, the readiness check, the peers' port or the metrics had taken all descriptors or the memory: these listeners accepted any number of connections, kept up to 64 KiB of bodies that they throw away, and gave them any time.

They open accounts at the same limiter as the callers' listener, with parts of the descriptors that callers leave: a sixth, an eighth and a 24th each for the readiness check and the metrics. Bodies are discarded as they arrive, within the time for the head. An answer counts until it is written, and its client is evicted like one that sends nothing.

--- a/crates/gateway/src/fleet/documents.rs
+++ b/crates/gateway/src/fleet/documents.rs
@@ -72,7 +72,8 @@
 
 /// Serves documents to peers.
 pub(crate) async fn serve_documents(gw: Arc<Shared>, listener: Listener) {
-    serve_simple(listener, move |_, target| {
+    let most = gw.settings.max_connections().peers;
+    serve_simple(gw.clone(), listener, most, move |_, target| {
         if let Some(revision) = target.strip_prefix(CHANGES_PATH) {
             return list_response(&gw, revision);
         }
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -177,6 +177,23 @@
         }
         Ok(())
     }
+
+    /// Reads the complete body and keeps nothing of it.
+    ///
+    /// # Errors
+    ///
+    /// Also if it is longer than `max` bytes.
+    pub(crate) async fn discard(&mut self, conn: &mut Conn, max: usize) -> Result<(), ReadError> {
+        let mut length = 0;
+        while let Some(n) = self.buffer_part(conn).await? {
+            length += n;
+            if length > max {
+                return Err(ReadError::TooLong(max));
+            }
+            conn.consume(n);
+        }
+        Ok(())
+    }
 }
 
 /// Reads until something is buffered; none if the connection is closed. A reset is an error, as the
--- a/crates/gateway/src/serve/addresses.rs
+++ b/crates/gateway/src/serve/addresses.rs
@@ -22,7 +22,8 @@
 
 /// Serves callers that ask which instances to connect to.
 pub(crate) async fn serve_addresses(gw: Arc<Shared>, listener: Listener) {
-    serve_simple(listener, move |method, target| {
+    let most = gw.settings.max_connections().addresses;
+    serve_simple(gw.clone(), listener, most, move |method, target| {
         let Some(query) = (gw.dialect.parse_address_query)(target) else {
             return SimpleResponse::status(404);
         };
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -74,7 +74,8 @@
 
 /// Serves the readiness check.
 pub(crate) async fn serve_ready(gw: Arc<Shared>, listener: Listener) {
-    serve_simple(listener, move |_, target| {
+    let most = gw.settings.max_connections().ready;
+    serve_simple(gw.clone(), listener, most, move |_, target| {
         if target != gw.dialect.ready_path {
             return SimpleResponse::status(404);
         }
@@ -89,16 +90,20 @@
     listener: Listener,
     handle: Option<PrometheusHandle>,
 ) {
-    serve_simple(listener, move |_, target| match (target, &handle) {
-        ("/metrics", Some(handle)) => {
-            update_gauges(&gw);
-            handle.run_upkeep();
-            SimpleResponse::body("text/plain; version=0.0.4", handle.render().into_bytes())
+    let most = gw.settings.max_connections().metrics;
+    let handler = {
+        let gw = gw.clone();
+        move |_: &str, target: &str| match (target, &handle) {
+            ("/metrics", Some(handle)) => {
+                update_gauges(&gw);
+                handle.run_upkeep();
+                SimpleResponse::body("text/plain; version=0.0.4", handle.render().into_bytes())
+            }
+            ("/state", _) => SimpleResponse::body("text/plain", format!("{gw:#?}\n").into_bytes()),
+            _ => SimpleResponse::status(404),
         }
-        ("/state", _) => SimpleResponse::body("text/plain", format!("{gw:#?}\n").into_bytes()),
-        _ => SimpleResponse::status(404),
-    })
-    .await;
+    };
+    serve_simple(gw, listener, most, handler).await;
 }
 
 fn update_gauges(gw: &Shared) {
--- a/crates/gateway/src/serve/simple.rs
+++ b/crates/gateway/src/serve/simple.rs
@@ -1,22 +1,32 @@
 //! A small HTTP server for requests without a body: readiness, addresses, documents, metrics.
 
 use {
-    crate::http::{
-        Body,
-        Conn,
-        Framing,
-        Head,
-        Headers,
-        Listener,
-        ReadError,
-        ResponseEncoder,
-        StartLine, //
+    crate::{
+        http::{
+            Body,
+            Conn,
+            Framing,
+            Head,
+            Headers,
+            Listener,
+            ReadError,
+            ResponseEncoder,
+            StartLine, //
+        },
+        state::Shared,
     },
     async_io::Async,
     async_std::{
         future::timeout,
         task, //
     },
+    futures_lite::future::or,
+    resources::{
+        Account,
+        Limiter,
+        ListenerId,
+        Phase, //
+    },
     std::{
         net::TcpStream,
         sync::Arc,
@@ -33,6 +43,14 @@
 /// Pause after a failed accept, for example when file descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Reads a request and discards its body.
+async fn read_request(conn: &mut Conn) -> Result<Head, ReadError> {
+    let head = conn.read_head(HEAD_MAX, Head::request).await?;
+    let mut body = Body::new(Framing::request(&head)?);
+    body.discard(conn, BODY_MAX).await?;
+    Ok(head)
+}
+
 /// A complete response.
 pub(crate) struct SimpleResponse {
     status: u16,
@@ -68,22 +86,40 @@
     }
 }
 
-/// Answers requests by method and target until the process ends.
-pub(crate) async fn serve_simple<F>(listener: Listener, handler: F)
-where
+/// Answers requests by method and target until the process ends, over at most `connections` at once.
+pub(crate) async fn serve_simple<F>(
+    gw: Arc<Shared>,
+    listener: Listener,
+    connections: usize,
+    handler: F,
+) where
     F: Fn(&str, &str) -> SimpleResponse + Send + Sync + 'static,
 {
     let handler = Arc::new(handler);
+    let id = gw.limiter.add_listener(connections);
     loop {
-        match listener.accept().await {
-            Ok(stream) => {
-                let handler = handler.clone();
-                task::spawn(async move {
-                    if let Err(e) = serve(stream, &*handler).await {
-                        log::debug!("event=small outcome=ended cause={e:?}");
-                    }
-                });
+        let Some((stream, account)) = accept(&gw.limiter, &listener, id).await else {
+            metrics::counter!("chervilwind_clients_turned_away").increment(1);
+            continue;
+        };
+        let handler = handler.clone();
+        task::spawn(async move {
+            if let Err(e) = serve(stream, account, &*handler).await {
+                log::debug!("event=small outcome=ended cause={e:?}");
             }
+        });
+    }
+}
+
+/// Accepts a connection and opens its account; none if the listener has no place for it.
+pub(super) async fn accept(
+    limiter: &Limiter,
+    listener: &Listener,
+    id: ListenerId,
+) -> Option<(Async<TcpStream>, Account)> {
+    loop {
+        match listener.accept().await {
+            Ok(stream) => return Some((stream, limiter.open(id).await?)),
             Err(e) => {
                 log::warn!("event=accept outcome=failed cause={e:?}");
                 task::sleep(ACCEPT_PAUSE).await;
@@ -92,21 +128,25 @@
     }
 }
 
-async fn serve<F>(stream: Async<TcpStream>, handler: &F) -> Result<(), ReadError>
+async fn serve<F>(stream: Async<TcpStream>, account: Account, handler: &F) -> Result<(), ReadError>
 where
     F: Fn(&str, &str) -> SimpleResponse,
 {
-    let io_error = |e: std::io::Error| ReadError::Broken(e.kind());
-    let mut conn = Conn::new(stream).map_err(io_error)?;
+    let mut conn = Conn::accepted(stream, account.clone())?;
     loop {
-        let read = timeout(IDLE_TIMEOUT, conn.read_head(HEAD_MAX, Head::request)).await;
+        account.set_phase(Phase::Idle);
+        account.set_phase(Phase::Receiving);
+        let read = timeout(IDLE_TIMEOUT, read_request(&mut conn)).await;
         let head = read.map_err(|_| ReadError::Closed)??;
-        let mut body = Body::new(Framing::request(&head)?);
-        body.read_all(&mut conn, BODY_MAX).await?;
         let StartLine::Request { method, target } = &head.line else {
             return Ok(());
         };
-        let answer = handler(method, target);
+        let mut answer = handler(method, target);
+        // A client that doesn't read its answer is evicted like one that sends none of its request.
+        let mut charge = account.charge();
+        if !charge.try_grow(answer.body.len()) {
+            answer = SimpleResponse::status(503);
+        }
         let mut headers = Headers::default();
         headers.push("Content-Type", answer.content_type);
         let line = StartLine::Response {
@@ -116,8 +156,10 @@
         let length = answer.body.len().to_string();
         let encoder = ResponseEncoder::new(method, answer.status);
         let bytes = encoder.encode(&line, headers, &answer.body, Some(&length));
-        let written = timeout(IDLE_TIMEOUT, conn.write(&bytes)).await;
-        written.map_err(|_| ReadError::Closed)?.map_err(io_error)?;
+        let evicted = async { Err(account.wait_evicted().await.into()) };
+        let write = async { conn.write(&bytes).await.map_err(ReadError::from) };
+        let written = timeout(IDLE_TIMEOUT, or(write, evicted)).await;
+        written.map_err(|_| ReadError::Closed)??;
         drop(answer.held);
         if !head.keeps_alive() {
             return Ok(());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -171,6 +171,15 @@
     pub unread_bytes: Option<u64>,
 }
 
+/// Connections that clients may have open at the listeners beside the callers'.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MaxConnections {
+    pub(crate) addresses: usize,
+    pub(crate) peers: usize,
+    pub(crate) ready: usize,
+    pub(crate) metrics: usize,
+}
+
 /// Why settings were rejected.
 #[derive(Debug, Error, Diagnostic)]
 pub enum SettingsError {
@@ -248,6 +257,18 @@
         all.saturating_sub(RESERVED_DESCRIPTORS).max(all / 2)
     }
 
+    /// Returns the maximum number of connections of the listeners beside the callers'. More than half
+    /// of the descriptors that callers leave remain for replicas, peers, the store and files.
+    pub(crate) fn max_connections(&self) -> MaxConnections {
+        let rest = (self.instance.descriptors as usize).saturating_sub(self.max_callers());
+        MaxConnections {
+            addresses: (rest / 6).max(1),
+            peers: (rest / 8).max(1),
+            ready: (rest / 24).max(1),
+            metrics: (rest / 24).max(1),
+        }
+    }
+
     /// Returns the addresses on which the seeds listen for peers.
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         let port = self.listen.peers.port();
