Evictions in metrics and logs; samples of histograms are not kept

Operators could not see that clients hold memory or connections. New: chervilwind_evictions by cause, chervilwind_receiving_bytes, chervilwind_client_connections, chervilwind_clients_turned_away, and one line event=evict a second at most.

The samples are folded into the histogram each second. No test of its own.

--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -7,6 +7,7 @@
 mod choose;
 mod connection;
 mod dispatch;
+mod evictions;
 mod hedge;
 mod local_answer;
 mod next_replica;
@@ -27,6 +28,7 @@
 
 pub(crate) use self::{
     addresses::serve_addresses,
+    evictions::report_evictions,
     request_log::log_held,
     server::{
         accept,
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -122,6 +122,7 @@
         )
     };
     record_speeds(gw);
+    let clients = gw.limiter.stats();
     let rejected = gw.tables().overload.rejected();
     metrics::gauge!("chervilwind_overload").set(rejected);
     let values = [
@@ -133,7 +134,9 @@
             "chervilwind_callers",
             gw.caller_connections.load(Ordering::Relaxed),
         ),
-        ("chervilwind_body_bytes", gw.limiter.stats().held),
+        ("chervilwind_body_bytes", clients.held),
+        ("chervilwind_receiving_bytes", clients.receiving),
+        ("chervilwind_client_connections", clients.connections),
         ("chervilwind_peers", peers),
         ("chervilwind_active_routers", active),
         ("chervilwind_requests_held", held),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -134,7 +134,7 @@
     let (stop, stopped) = bounded(1);
     task::spawn(serve::serve_ready(gw.clone(), ready));
     task::spawn(serve::serve_addresses(gw.clone(), addresses));
-    task::spawn(serve::serve_metrics(gw.clone(), metrics, handle));
+    task::spawn(serve::serve_metrics(gw.clone(), metrics, handle.clone()));
     task::spawn(fleet::serve_documents(gw.clone(), documents));
     task::spawn(fleet::receive_messages(gw.clone()));
     task::spawn(fleet::send_messages(gw.clone()));
@@ -142,12 +142,13 @@
     task::spawn(follow::follow_replicas(gw.clone()));
     task::spawn(follow::maintain_registration(gw.clone()));
     task::spawn(serve::accept(gw.clone(), callers, stopped));
-    task::spawn(run_maintenance(gw.clone()));
+    task::spawn(run_maintenance(gw.clone(), handle));
     task::spawn(measure_delay(gw.clone()));
     Ok(Gateway { shared: gw, stop })
 }
 
-async fn run_maintenance(gw: Arc<Shared>) {
+async fn run_maintenance(gw: Arc<Shared>, metrics: Option<PrometheusHandle>) {
+    let mut stats = gw.limiter.stats();
     loop {
         task::sleep(MAINTENANCE_INTERVAL).await;
         gw.pool.close_expired();
@@ -155,6 +156,9 @@
         gw.forget_evacuations();
         follow::forget_replicas(&gw);
         log_rejections(&gw);
+        // Samples of histograms are kept one by one until then.
+        metrics.iter().for_each(PrometheusHandle::run_upkeep);
+        serve::report_evictions(&gw, &mut stats);
     }
 }
 
