An instance runs as many threads as it has cores

Callers saw memory grow with the number of answers to pipelined requests, though what is held was 2.4 MB at 17 MB in the process: the runtime ran a thread for each core of the machine, and the allocator keeps an arena for each thread, of which the others can't use what was freed.

The gateway runs tasks on instance.processor threads, rounded up, unless ASYNC_STD_THREAD_COUNT is set.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -31,7 +31,7 @@
     },
     policy::quota::Outcomes,
     std::{
-        io,
+        env, io,
         path::Path,
         sync::{
             atomic::Ordering,
@@ -57,6 +57,9 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
 ];
 
+/// Environment variable of the runtime with the number of threads that run tasks.
+const THREADS_VARIABLE: &str = "ASYNC_STD_THREAD_COUNT";
+
 /// A running instance in this process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -70,6 +73,7 @@
 ///
 /// If an address can't be bound or signals can't be handled.
 pub fn run(settings: Settings, path: &Path, dialect: Dialect, store: Store) -> io::Result<()> {
+    limit_threads(settings.instance.processor);
     let signals = shutdown::receive_signals()?;
     let handle = start_metrics();
     let gateway = task::block_on(start_with(settings, dialect, store, handle))?;
@@ -82,6 +86,17 @@
     Ok(())
 }
 
+/// Runs tasks on as many threads as the instance has cores, unless the environment says otherwise.
+///
+/// The allocator keeps memory for each thread that it can't use for others, so threads beyond those
+/// take memory and bring nothing.
+fn limit_threads(cores: f32) {
+    if env::var_os(THREADS_VARIABLE).is_none() {
+        let threads = cores.ceil().max(1.0) as usize;
+        env::set_var(THREADS_VARIABLE, threads.to_string());
+    }
+}
+
 /// Starts an instance. Its tasks run until the process ends.
 ///
 /// # Errors
