The own interface limits the memory of requests

Callers would see a router end: its limits are on connections, 10,000 with bodies of up to 4 MiB each, and on one body, not on memory. Bodies were read into one buffer that grows by doubling.

The callers' server counts what its connections hold at a limiter of its own (limits.memory, 64MiB or twice limits.body) and evicts as the gateway does, with 503, not-run, short-of-memory and retry_ms. Bodies are read into segments and joined when complete. The listener limits unread bytes to half of that memory over all connections. Limits on connections stay as they are.

--- a/crates/callers/src/caller_socket.rs
+++ b/crates/callers/src/caller_socket.rs
@@ -17,6 +17,10 @@
         ready, //
     },
     http_types::Method,
+    resources::{
+        Account,
+        Evicted, //
+    },
     std::{
         convert::Infallible,
         future::{
@@ -24,6 +28,7 @@
             poll_fn, //
         },
         io,
+        mem,
         net::Shutdown,
         pin::Pin,
         sync::{
@@ -47,6 +52,11 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 const LINGER_BYTES: usize = 1024 * 1024;
 
+/// Bytes of a request that are read first while memory is short.
+const FIRST_READ_BYTES: usize = 512;
+/// Kind of the errors of reading from an evicted connection.
+pub(crate) const EVICTED: io::ErrorKind = io::ErrorKind::OutOfMemory;
+
 /// A socket and the bytes read ahead of the HTTP library.
 ///
 /// The HTTP library creates a buffered reader for each request and drops it together with its
@@ -57,6 +67,8 @@
 pub(crate) struct CallerSocket {
     socket: TcpStream,
     ahead: Arc<Mutex<ReadAhead>>,
+    /// What the connection holds, unless it is rejected at once.
+    account: Option<Account>,
 }
 
 #[derive(Debug, Default)]
@@ -64,6 +76,8 @@
     bytes: Vec<u8>,
     /// Number of bytes that the library may still read.
     read_limit: u64,
+    /// Number of bytes that were read and not recorded in the account yet.
+    received: usize,
 }
 
 impl CallerSocket {
@@ -71,6 +85,15 @@
         CallerSocket {
             socket,
             ahead: Arc::default(),
+            account: None,
+        }
+    }
+
+    /// Wraps a connection that was admitted.
+    pub(crate) fn accepted(socket: TcpStream, account: Account) -> CallerSocket {
+        CallerSocket {
+            account: Some(account),
+            ..CallerSocket::new(socket)
         }
     }
 
@@ -83,6 +106,11 @@
         self.ahead().bytes.len()
     }
 
+    /// Forgets the bytes read ahead.
+    pub(crate) fn forget_buffered(&self) {
+        self.ahead().bytes = Vec::new();
+    }
+
     /// Allows the library to read `n` more bytes.
     pub(crate) fn set_read_limit(&self, n: u64) {
         self.ahead().read_limit = n;
@@ -105,13 +133,46 @@
         // The buffer is on the stack of one poll, so an idle connection allocates none.
         poll_fn(|cx| {
             let mut buf = [0; READ_BYTES];
-            let n = ready!(Pin::new(&mut &self.socket).poll_read(cx, &mut buf))?;
-            self.ahead().bytes.extend_from_slice(&buf[..n]);
+            let mut ahead = self.ahead();
+            let n = match ahead.bytes.is_empty() && self.is_full() {
+                // Whether a request has begun to arrive shows only by reading.
+                true => {
+                    ready!(Pin::new(&mut &self.socket).poll_read(cx, &mut buf[..FIRST_READ_BYTES]))?
+                }
+                false => ready!(self.poll_socket(cx, &mut ahead, &mut buf))?,
+            };
+            ahead.bytes.extend_from_slice(&buf[..n]);
             Poll::Ready(Ok(n))
         })
         .await
     }
 
+    fn is_full(&self) -> bool {
+        let account = self.account.as_ref();
+        account.is_some_and(|account| account.limiter().is_full())
+    }
+
+    /// Reads from the socket when the connection may hold more.
+    fn poll_socket(
+        &self,
+        cx: &mut Context<'_>,
+        ahead: &mut ReadAhead,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if let Some(account) = &self.account {
+            let received = mem::take(&mut ahead.received);
+            account
+                .update(cx, ahead.bytes.capacity(), received)
+                .map_err(evicted)?;
+            if self.is_full() {
+                ready!(account.poll_room(cx)).map_err(evicted)?;
+            }
+        }
+        let n = ready!(Pin::new(&mut &self.socket).poll_read(cx, buf))?;
+        ahead.received += n;
+        Poll::Ready(Ok(n))
+    }
+
     /// Fires the signal when the caller disconnects. Never returns.
     pub(crate) async fn watch_disconnect(&self, disconnect: &DisconnectSignal) -> Infallible {
         // A write detects a disconnect only at the first response bytes, which may be minutes
@@ -167,6 +228,11 @@
     }
 }
 
+/// Returns the error of reading from an evicted connection.
+fn evicted(e: Evicted) -> io::Error {
+    io::Error::new(EVICTED, e)
+}
+
 impl AsyncRead for CallerSocket {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -178,7 +244,7 @@
         let n = if limit == 0 {
             0
         } else if ahead.bytes.is_empty() {
-            ready!(Pin::new(&mut &self.socket).poll_read(cx, &mut buf[..limit]))?
+            ready!(self.poll_socket(cx, &mut ahead, &mut buf[..limit]))?
         } else {
             let n = limit.min(ahead.bytes.len());
             buf[..n].copy_from_slice(&ahead.bytes[..n]);
--- a/crates/callers/src/client/attempts.rs
+++ b/crates/callers/src/client/attempts.rs
@@ -380,6 +380,7 @@
             Some(
                 Reason::QueueFull
                     | Reason::TooManyConnections
+                    | Reason::ShortOfMemory
                     | Reason::NoEndpoint
                     | Reason::Leaving
                     | Reason::NotReady
--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        caller_socket::CallerSocket,
+        caller_socket::{
+            CallerSocket,
+            EVICTED, //
+        },
         parse::{
             self,
             Framing,
@@ -28,10 +31,16 @@
             or,
             poll_once, //
         },
+        AsyncRead,
         AsyncReadExt,
         FutureExt, //
     },
     http_types::Method,
+    resources::{
+        Account,
+        Phase,
+        Segments, //
+    },
     std::{
         io,
         net::SocketAddr,
@@ -44,12 +53,16 @@
     },
 };
 
+const READ_BYTES: usize = 8 * 1024;
 const WRITE_BYTES: usize = 8 * 1024;
+/// Retry delay of requests whose connections were evicted.
+const EVICTED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A connection of a caller.
 pub(crate) struct Connection {
     pub(crate) shared: Arc<Shared>,
     pub(crate) socket: CallerSocket,
+    pub(crate) account: Account,
     pub(crate) peer: SocketAddr,
     /// Closed when the server stops.
     pub(crate) stop: Receiver<()>,
@@ -93,7 +106,9 @@
 
     /// Serves one request. Returns whether the connection stays open.
     async fn serve_request(&mut self) -> Result<bool, ConnectionEnd> {
+        self.account.set_phase(Phase::Idle);
         self.wait_for_request().await?;
+        self.account.set_phase(Phase::Receiving);
         let started = Instant::now();
         let read = self.read_head().await;
         self.method = self.buffered_method();
@@ -102,6 +117,9 @@
         let keep_alive = can_keep_alive(&head);
         let method = head.http.method();
         let (request, id) = self.read_request(head).await?;
+        self.account.serve().map_err(|_| short_of_memory())?;
+        let mut body_charge = self.account.charge();
+        body_charge.resize(body_length(&request));
         let disconnect = disconnect_signal_of(&request);
         let response = self.run_handler(request, &disconnect, id.as_ref()).await?;
         let sent = self
@@ -145,6 +163,7 @@
                 }
                 match self.socket.fill().await {
                     Ok(n) if n > 0 => {}
+                    Err(e) if e.kind() == EVICTED => return Err(short_of_memory().into()),
                     _ => return Err(ConnectionEnd::Closed),
                 }
             }
@@ -241,10 +260,14 @@
         let limits = &self.shared.limits;
         let time = limits.body_timeout.min(deadline.unwrap_or(Duration::MAX));
         let limit = limits.body_bytes as u64;
-        let mut body = Vec::new();
+        let expected = match head.framing {
+            Framing::Fixed(len) => len as usize,
+            Framing::Empty | Framing::Chunked => 0,
+        };
+        let mut body = Segments::new(self.account.charge(), expected);
         let mut reader = head.http.take_body().into_reader().take(limit + 1);
         // The library panics at a trailer that is not ASCII.
-        let read_all = AssertUnwindSafe(reader.read_to_end(&mut body)).catch_unwind();
+        let read_all = AssertUnwindSafe(read_to_end(&mut reader, &mut body)).catch_unwind();
         let read_all = async {
             read_all
                 .await
@@ -263,11 +286,12 @@
                 "the body's chunks are malformed; check what is sent",
             )
             .into()),
+            (Ok(Err(e)), _) if e.kind() == EVICTED => Err(short_of_memory().into()),
             (Ok(Err(_)), _) => Err(ConnectionEnd::Closed),
             (Ok(Ok(n)), _) if n as u64 > limit => Err(parse::body_too_large(limits).into()),
             // The library reports no error for a body that is shorter than its `content-length`.
             (Ok(Ok(n)), Framing::Fixed(len)) if (n as u64) < len => Err(ConnectionEnd::Closed),
-            _ => Ok(body),
+            _ => Ok(body.into_vec()),
         }
     }
 
@@ -343,6 +367,8 @@
 
     /// Writes a rejection and closes the connection.
     async fn refuse(&self, refused: Refused) {
+        self.socket.forget_buffered();
+        self.account.refuse();
         log::debug!("callers: rejected {}: {refused}", self.peer);
         let disconnect = DisconnectSignal::new();
         let sent = self.send(refused.into(), &disconnect, self.method, None, false);
@@ -352,6 +378,35 @@
     }
 }
 
+/// Reads a body into segments. Returns its length.
+async fn read_to_end(
+    reader: &mut (impl AsyncRead + Unpin),
+    body: &mut Segments,
+) -> io::Result<usize> {
+    let mut part = vec![0; READ_BYTES];
+    loop {
+        match reader.read(&mut part).await? {
+            0 => return Ok(body.len()),
+            n => body.push(&part[..n]),
+        }
+    }
+}
+
+fn body_length(request: &IncomingRequest) -> usize {
+    match request {
+        IncomingRequest::Request { request, .. } => request.body.len(),
+        IncomingRequest::Addresses { .. } => 0,
+    }
+}
+
+fn short_of_memory() -> Refused {
+    Refused::new(
+        Reason::ShortOfMemory,
+        "this router is short of memory for requests; come back after retry_ms",
+    )
+    .retry_after(EVICTED_RETRY_AFTER)
+}
+
 fn head_too_large(max_bytes: usize) -> Refused {
     Refused::new(
         Reason::HeadTooLarge,
--- a/crates/callers/src/limits.rs
+++ b/crates/callers/src/limits.rs
@@ -11,6 +11,8 @@
     pub head_count: usize,
     /// Maximum length of a body in bytes.
     pub body_bytes: usize,
+    /// Memory that the requests of all connections may take, in bytes.
+    pub memory_bytes: usize,
     /// Maximum time from the first byte of a head to its last.
     pub head_timeout: Duration,
     /// Maximum time from the end of the head to the end of the body.
@@ -44,6 +46,7 @@
             head_bytes: LIBRARY_HEAD_BYTES,
             head_count: 100,
             body_bytes: 4 * 1024 * 1024,
+            memory_bytes: 64 * 1024 * 1024,
             head_timeout: Duration::from_secs(5),
             body_timeout: Duration::from_secs(30),
             idle_timeout: Duration::from_secs(75),
--- a/crates/callers/src/refused.rs
+++ b/crates/callers/src/refused.rs
@@ -56,6 +56,8 @@
     QueueFull,
     /// Too many connections in total or from this IP address.
     TooManyConnections,
+    /// Requests that are arriving take too much memory.
+    ShortOfMemory,
     /// No endpoint of the service accepts requests.
     NoEndpoint,
     /// This router is shutting down.
@@ -179,6 +181,7 @@
             Reason::Internal => 500,
             Reason::AnswerLost | Reason::EndpointFailed => 502,
             Reason::TooManyConnections
+            | Reason::ShortOfMemory
             | Reason::NoEndpoint
             | Reason::Leaving
             | Reason::NotReady
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -28,6 +28,14 @@
         poll_once, //
     },
     http_types::Method,
+    resources::{
+        unread_per_connection,
+        Bytes,
+        Limiter,
+        ListenerId, //
+        MemoryLimits,
+    },
+    socket2::SockRef,
     std::{
         collections::HashMap,
         fmt,
@@ -55,6 +63,9 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Bytes that all connections may send before they are read are the memory for requests divided by
+/// this.
+const UNREAD_DIVISOR: usize = 2;
 /// Upper bound on connections that wait in the kernel's accept queue.
 const BACKLOG: usize = 1024;
 /// Limit on connections that are being sent a rejection at the same time.
@@ -80,6 +91,10 @@
 /// State shared by all connections.
 pub(crate) struct Shared {
     pub(crate) limits: Limits,
+    /// What all connections hold.
+    pub(crate) limiter: Limiter,
+    /// All listeners of this server; their connections are counted here.
+    listener: ListenerId,
     pub(crate) handler: Box<dyn Fn(IncomingRequest) -> ResponseFuture + Send + Sync>,
     open: Mutex<OpenConnections>,
     /// Number of connections that are being sent a rejection.
@@ -112,9 +127,13 @@
     {
         let (stop, stopped) = bounded(1);
         let (guard, all_closed) = bounded(1);
+        let limits = limits.clamp_to_library();
+        let limiter = Limiter::new(MemoryLimits::of(Bytes(limits.memory_bytes as u64)));
         Server {
             shared: Arc::new(Shared {
-                limits: limits.clamp_to_library(),
+                listener: limiter.add_listener(usize::MAX),
+                limiter,
+                limits,
                 handler: Box::new(move |request| Box::pin(handler(request))),
                 open: Mutex::default(),
                 rejecting: AtomicUsize::new(0),
@@ -131,13 +150,14 @@
         let Some(guard) = lock(&self.guard).clone() else {
             return;
         };
+        self.limit_unread(&listener);
         loop {
             let stopped = async {
                 let _ = self.stopped.recv().await;
                 Err(io::ErrorKind::Interrupted.into())
             };
             match or(stopped, listener.accept()).await {
-                Ok((socket, peer)) => self.start_connection(socket, peer, &guard),
+                Ok((socket, peer)) => self.start_connection(socket, peer, &guard).await,
                 Err(_) if self.stopped.is_closed() => break,
                 Err(e) => {
                     log::warn!("callers: accept failed, retrying: {e}");
@@ -149,7 +169,7 @@
         // listener would reset them, possibly during a request.
         for _ in 0..BACKLOG {
             match poll_once(listener.accept()).await {
-                Some(Ok((socket, peer))) => self.start_connection(socket, peer, &guard),
+                Some(Ok((socket, peer))) => self.start_connection(socket, peer, &guard).await,
                 _ => break,
             }
         }
@@ -167,7 +187,18 @@
         lock(&self.shared.open).total
     }
 
-    fn start_connection(&self, stream: TcpStream, peer: SocketAddr, guard: &Sender<()>) {
+    /// Limits what connections may send before it is read. The operating system would otherwise keep
+    /// much more, and also for connections that are not accepted yet.
+    fn limit_unread(&self, listener: &TcpListener) {
+        let limits = &self.shared.limits;
+        let all = Bytes((limits.memory_bytes / UNREAD_DIVISOR) as u64);
+        let size = unread_per_connection(all, limits.max_connections).length();
+        if let Err(e) = SockRef::from(listener).set_recv_buffer_size(size) {
+            log::warn!("callers: cannot set the receive buffer of a listener: {e}");
+        }
+    }
+
+    async fn start_connection(&self, stream: TcpStream, peer: SocketAddr, guard: &Sender<()>) {
         if let Err(e) = set_socket_options(&stream) {
             log::debug!("callers: cannot set socket options for {peer}: {e}");
             return;
@@ -175,9 +206,14 @@
         let Some(permit) = self.admit(peer.ip(), guard) else {
             return self.reject(stream, peer);
         };
+        // The listener's own limit is never reached: the permit has counted the connection.
+        let Some(account) = self.shared.limiter.open(self.shared.listener).await else {
+            return self.reject(stream, peer);
+        };
         let connection = Connection {
             shared: self.shared.clone(),
-            socket: CallerSocket::new(stream),
+            socket: CallerSocket::accepted(stream, account.clone()),
+            account,
             peer,
             stop: self.stopped.clone(),
             method: Method::Get,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,8 +11,9 @@
         Zone, //
     },
     resources::{
-        Bytes, //
-        MemoryLimits,
+        unread_per_connection,
+        Bytes,
+        MemoryLimits, //
     },
     serde::Deserialize,
     std::{
@@ -246,9 +247,8 @@
     /// Returns about how much each connection may send before it is read.
     pub(crate) fn unread_bytes(&self) -> Bytes {
         let all = Bytes::mib(self.instance.memory_mb).0 / UNREAD_MEMORY_DIVISOR;
-        let each = all / self.max_callers().max(1) as u64;
-        let each = each.clamp(*UNREAD_BYTES.start(), *UNREAD_BYTES.end());
-        Bytes(self.clients.unread_bytes.unwrap_or(each))
+        let each = unread_per_connection(Bytes(all), self.max_callers());
+        self.clients.unread_bytes.map_or(each, Bytes)
     }
 
     /// Returns the maximum number of connections of callers.
--- a/crates/resources/src/bytes.rs
+++ b/crates/resources/src/bytes.rs
@@ -60,6 +60,26 @@
     }
 }
 
+/// Sizes of receive buffers. The operating system keeps at least 2 KiB.
+const UNREAD_MIN: Bytes = Bytes(2 * KIB);
+const UNREAD_MAX: Bytes = Bytes(64 * KIB);
+
+/// Returns how much each connection may send before it is read, so that all of them together stay
+/// within a size if that is possible.
+///
+/// # Examples
+///
+/// ```
+/// use resources::{unread_per_connection, Bytes};
+///
+/// assert_eq!(unread_per_connection(Bytes::mib(10), 1_024), Bytes(10_240));
+/// assert_eq!(unread_per_connection(Bytes::mib(10), 100_000), Bytes(2_048));
+/// ```
+pub fn unread_per_connection(all: Bytes, connections: usize) -> Bytes {
+    let each = Bytes(all.0 / connections.max(1) as u64);
+    each.clamp(UNREAD_MIN, UNREAD_MAX)
+}
+
 impl fmt::Display for Bytes {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -24,6 +24,7 @@
         Phase, //
     },
     bytes::{
+        unread_per_connection,
         Bytes,
         BytesError, //
     },
--- a/src/conf/limits.rs
+++ b/src/conf/limits.rs
@@ -16,6 +16,8 @@
 const HEAD_MAX: Bytes = Bytes(8 * 1024 - 1);
 /// Largest body that may be allowed.
 const BODY_MAX: Bytes = Bytes(64 << 20);
+/// Most memory for requests that may be allowed.
+const MEMORY_MAX: Bytes = Bytes(16 << 30);
 /// Most connections that may be allowed.
 const CONNECTIONS_MAX: u64 = 100_000;
 /// Default size limit of a head.
@@ -32,9 +34,13 @@
 /// Reads the section `[limits]`.
 pub(crate) fn read_limits(mut s: Section<'_>) -> Limits {
     let d = default_limits();
+    let head_bytes = size(&mut s, "head", d.head_bytes, HEAD_MAX);
+    let body_bytes = size(&mut s, "body", d.body_bytes, BODY_MAX);
+    let memory_bytes = d.memory_bytes.max(2 * body_bytes);
     let limits = Limits {
-        head_bytes: size(&mut s, "head", d.head_bytes, HEAD_MAX),
-        body_bytes: size(&mut s, "body", d.body_bytes, BODY_MAX),
+        head_bytes,
+        body_bytes,
+        memory_bytes: size(&mut s, "memory", memory_bytes, MEMORY_MAX),
         head_timeout: time(&mut s, "head-time", d.head_timeout),
         body_timeout: time(&mut s, "body-time", d.body_timeout),
         idle_timeout: time(&mut s, "idle", d.idle_timeout),
@@ -43,6 +49,14 @@
         max_connections_per_ip: count(&mut s, "per-address", d.max_connections_per_ip),
         ..d
     };
+    // Three quarters of the memory are for long requests.
+    if limits.memory_bytes / 4 * 3 < limits.body_bytes {
+        s.wrong_at(
+            "memory",
+            "has `memory` for less than one body of the length that `body` allows",
+            "give `memory` at least twice as much as `body`",
+        );
+    }
     s.finish();
     limits
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -98,6 +98,16 @@
             "retry-ratio = -1",
             "bounds.retry-ratio is -1",
         ),
+        (
+            "[instance]",
+            "[clients]\nmemory-mb = 101\n[instance]",
+            "clients.memory-mb is 101; give 1 to 100",
+        ),
+        (
+            "[instance]",
+            "[clients]\nunread-bytes = 100\n[instance]",
+            "clients.unread-bytes is 100; give 2048 to 65536",
+        ),
     ] {
         let output = ended(&write("127.0.76.1", &unreachable_store().replace(from, to)));
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -89,7 +89,7 @@
         "[platfrom]\naddres = 1\n[limits]\nhaed = \"1KiB\"\n[platform]\n",
         expect![[r#"
             chervilwind.toml:9: the settings file has the unknown key `platfrom`; did you mean `platform`? known keys: `name`, `zone`, `region`, `log`, `callers`, `peers`, `operators`, `fleet`, `platform`, `limits`
-            chervilwind.toml:12: [limits] has the unknown key `haed`; did you mean `head`? known keys: `head`, `body`, `head-time`, `body-time`, `idle`, `stall`, `connections`, `per-address`"#]],
+            chervilwind.toml:12: [limits] has the unknown key `haed`; did you mean `head`? known keys: `head`, `body`, `memory`, `head-time`, `body-time`, `idle`, `stall`, `connections`, `per-address`"#]],
     );
 }
 
@@ -120,6 +120,16 @@
     );
 }
 
+/// Guards against a limit on memory that no body of the allowed length fits.
+#[test]
+fn parse_too_little_memory() {
+    check(
+        "[platform]\n",
+        "[limits]\nmemory = \"5MiB\"\n[platform]\n",
+        expect!["chervilwind.toml:10: [limits] has `memory` for less than one body of the length that `body` allows; give `memory` at least twice as much as `body`"],
+    );
+}
+
 #[test]
 fn parse_bad_address() {
     check(
