Small listeners: kept connections stay, and answers are never refused

Read, not seen: a connection of the readiness check that had been answered counted like one that never brought a request, so that a crowd would have evicted it first; and a peer's document was refused with 503 while callers' bodies held three quarters of the memory, which would have kept a new configuration from routers without the store.

A connection counts as one that brought a request once it was answered. Answers always count and are not refused; who doesn't read them is evicted by those that wait for room. Both accept loops are one.

--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -4,6 +4,7 @@
     super::{
         connection::Connection,
         simple::{
+            accept_client,
             serve_simple,
             SimpleResponse, //
         },
@@ -21,30 +22,17 @@
     },
     metrics_exporter_prometheus::PrometheusHandle,
     policy::quarantine::SuspectKind,
-    std::{
-        sync::{
-            atomic::Ordering,
-            Arc, //
-        },
-        time::Duration, //
+    std::sync::{
+        atomic::Ordering,
+        Arc, //
     },
 };
 
-/// Pause after a failed accept, for example when file descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts callers' connections until the process ends.
 pub(crate) async fn accept(gw: Arc<Shared>, listener: Listener, stop: Receiver<()>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok(stream) => stream,
-            Err(e) => {
-                log::warn!("event=accept outcome=failed cause={e:?}");
-                task::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        let Some(account) = gw.limiter.open(gw.callers).await else {
+        let accepted = accept_client(&gw.limiter, &listener, gw.callers).await;
+        let Some((stream, account)) = accepted else {
             metrics::counter!("chervilwind_callers_turned_away").increment(1);
             continue;
         };
--- a/crates/gateway/src/serve/simple.rs
+++ b/crates/gateway/src/serve/simple.rs
@@ -98,7 +98,7 @@
     let handler = Arc::new(handler);
     let id = gw.limiter.add_listener(connections);
     loop {
-        let Some((stream, account)) = accept(&gw.limiter, &listener, id).await else {
+        let Some((stream, account)) = accept_client(&gw.limiter, &listener, id).await else {
             metrics::counter!("chervilwind_clients_turned_away").increment(1);
             continue;
         };
@@ -112,7 +112,7 @@
 }
 
 /// Accepts a connection and opens its account; none if the listener has no place for it.
-pub(super) async fn accept(
+pub(super) async fn accept_client(
     limiter: &Limiter,
     listener: &Listener,
     id: ListenerId,
@@ -141,12 +141,7 @@
         let StartLine::Request { method, target } = &head.line else {
             return Ok(());
         };
-        let mut answer = handler(method, target);
-        // A client that doesn't read its answer is evicted like one that sends none of its request.
-        let mut charge = account.charge();
-        if !charge.try_grow(answer.body.len()) {
-            answer = SimpleResponse::status(503);
-        }
+        let answer = handler(method, target);
         let mut headers = Headers::default();
         headers.push("Content-Type", answer.content_type);
         let line = StartLine::Response {
@@ -156,11 +151,16 @@
         let length = answer.body.len().to_string();
         let encoder = ResponseEncoder::new(method, answer.status);
         let bytes = encoder.encode(&line, headers, &answer.body, Some(&length));
+        drop(answer.body);
+        // A client that doesn't read its answer is evicted like one that sends none of its request.
+        let mut charge = account.charge();
+        charge.resize(bytes.len());
         let evicted = async { Err(account.wait_evicted().await.into()) };
         let write = async { conn.write(&bytes).await.map_err(ReadError::from) };
         let written = timeout(IDLE_TIMEOUT, or(write, evicted)).await;
         written.map_err(|_| ReadError::Closed)??;
         drop(answer.held);
+        account.serve()?;
         if !head.keeps_alive() {
             return Ok(());
         }
--- a/crates/resources/src/charge.rs
+++ b/crates/resources/src/charge.rs
@@ -43,14 +43,6 @@
             self.limiter.recount(key, before, bytes);
         }
     }
-
-    /// Counts this many bytes more if there is room. Returns whether there was.
-    pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let key = self.account.as_ref().map(Account::key);
-        let grown = self.limiter.try_count(key, bytes);
-        self.bytes += if grown { bytes } else { 0 };
-        grown
-    }
 }
 
 impl Drop for Charge {
--- a/crates/resources/src/limiter.rs
+++ b/crates/resources/src/limiter.rs
@@ -314,16 +314,6 @@
         self.0.full.store(full, Ordering::Relaxed);
     }
 
-    /// Counts more bytes that no connection is evicted for. Returns whether there was room.
-    pub(crate) fn try_count(&self, key: Option<usize>, bytes: usize) -> bool {
-        let mut state = self.state();
-        let fits = state.held.saturating_add(bytes) <= self.0.limits.large.length();
-        if fits {
-            self.recount_in(&mut state, key, 0, bytes);
-        }
-        fits
-    }
-
     pub(crate) fn poll_room(
         &self,
         key: usize,
