A refused connection frees its buffer before its last answer

Read, not seen: the buffer of an evicted connection counted until the connection was read again, so that others waited for it, up to 5 s if the client took no answer. refuse_frees_the_buffer is new; it was not run without the change.

--- a/crates/resources/src/limiter.rs
+++ b/crates/resources/src/limiter.rs
@@ -267,6 +267,8 @@
 
     pub(crate) fn refuse(&self, key: usize) {
         let mut state = self.state();
+        let buffered = mem::take(&mut state.entries[key].buffered);
+        self.recount_in(&mut state, Some(key), buffered, 0);
         let entry = &mut state.entries[key];
         entry.evicted = None;
         entry.standing.phase = Phase::Serving;
--- a/crates/resources/tests/limiter.rs
+++ b/crates/resources/tests/limiter.rs
@@ -105,6 +105,19 @@
     assert!(served.0.evicted().is_none());
 }
 
+/// Guards against connections that wait for the buffer of one that writes its refusal.
+#[test]
+fn refuse_frees_the_buffer() {
+    let limiter = Limiter::new(LIMITS);
+    let listener = limiter.add_listener(1);
+    let account = open(&limiter, listener);
+    let update = poll_fn(|cx| Poll::Ready(account.update(cx, 10_000, 0)));
+    block_on(update).unwrap();
+    assert_eq!(limiter.stats().held, 10_000);
+    account.refuse();
+    assert_eq!(limiter.stats().held, 0);
+}
+
 /// Guards against a request that runs although its connection was evicted.
 #[test]
 fn serve_after_eviction() {
