One conversion for evicted connections; the limiter in two files

Read through the change. Both interfaces turned an eviction into an error of reading and back by kinds of their own, one of which the operating system may give too; Evicted converts itself now, and is found by its type. A connection that begins another request counts as served at once, so that the small listeners set one phase and not two. The check of what is admitted was asked twice for its lower bound.

New: the own interface counts evicted requests (chervilwind_callers_evicted) and logs them once a second, which it lacked; body_evicted_when_memory_is_short shows its answer; body_alone_at_the_limit_is_served sends 4,194,304 bytes with a length and in one-byte chunks at 24 MB. Both pass; bounds, crowds and checks of the other tests are untouched.

--- a/crates/callers/src/caller_socket.rs
+++ b/crates/callers/src/caller_socket.rs
@@ -17,10 +17,7 @@
         ready, //
     },
     http_types::Method,
-    resources::{
-        Account,
-        Evicted, //
-    },
+    resources::Account,
     std::{
         convert::Infallible,
         future::{
@@ -54,8 +51,6 @@
 
 /// Bytes of a request that are read first while memory is short.
 const FIRST_READ_BYTES: usize = 512;
-/// Kind of the errors of reading from an evicted connection.
-pub(crate) const EVICTED: io::ErrorKind = io::ErrorKind::OutOfMemory;
 
 /// A socket and the bytes read ahead of the HTTP library.
 ///
@@ -161,11 +156,9 @@
     ) -> Poll<io::Result<usize>> {
         if let Some(account) = &self.account {
             let received = mem::take(&mut ahead.received);
-            account
-                .update(cx, ahead.bytes.capacity(), received)
-                .map_err(evicted)?;
+            account.update(cx, ahead.bytes.capacity(), received)?;
             if self.is_full() {
-                ready!(account.poll_room(cx)).map_err(evicted)?;
+                ready!(account.poll_room(cx))?;
             }
         }
         let n = ready!(Pin::new(&mut &self.socket).poll_read(cx, buf))?;
@@ -228,11 +221,6 @@
     }
 }
 
-/// Returns the error of reading from an evicted connection.
-fn evicted(e: Evicted) -> io::Error {
-    io::Error::new(EVICTED, e)
-}
-
 impl AsyncRead for CallerSocket {
     fn poll_read(
         self: Pin<&mut Self>,
--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -2,10 +2,7 @@
 
 use {
     crate::{
-        caller_socket::{
-            CallerSocket,
-            EVICTED, //
-        },
+        caller_socket::CallerSocket,
         parse::{
             self,
             Framing,
@@ -38,6 +35,7 @@
     http_types::Method,
     resources::{
         Account,
+        Evicted,
         Phase,
         Segments, //
     },
@@ -163,7 +161,7 @@
                 }
                 match self.socket.fill().await {
                     Ok(n) if n > 0 => {}
-                    Err(e) if e.kind() == EVICTED => return Err(short_of_memory().into()),
+                    Err(e) if Evicted::of(&e).is_some() => return Err(short_of_memory().into()),
                     _ => return Err(ConnectionEnd::Closed),
                 }
             }
@@ -286,7 +284,7 @@
                 "the body's chunks are malformed; check what is sent",
             )
             .into()),
-            (Ok(Err(e)), _) if e.kind() == EVICTED => Err(short_of_memory().into()),
+            (Ok(Err(e)), _) if Evicted::of(&e).is_some() => Err(short_of_memory().into()),
             (Ok(Err(_)), _) => Err(ConnectionEnd::Closed),
             (Ok(Ok(n)), _) if n as u64 > limit => Err(parse::body_too_large(limits).into()),
             // The library reports no error for a body that is shorter than its `content-length`.
@@ -369,6 +367,9 @@
     async fn refuse(&self, refused: Refused) {
         self.socket.forget_buffered();
         self.account.refuse();
+        if refused.reason == Reason::ShortOfMemory {
+            self.shared.record_eviction();
+        }
         log::debug!("callers: rejected {}: {refused}", self.peer);
         let disconnect = DisconnectSignal::new();
         let sent = self.send(refused.into(), &disconnect, self.method, None, false);
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -32,8 +32,8 @@
         unread_per_connection,
         Bytes,
         Limiter,
-        ListenerId, //
-        MemoryLimits,
+        ListenerId,
+        MemoryLimits, //
     },
     socket2::SockRef,
     std::{
@@ -56,13 +56,18 @@
             MutexGuard,
             PoisonError, //
         },
-        time::Duration,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Evicted connections are logged once in this interval.
+const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 /// Bytes that all connections may send before they are read are the memory for requests divided by
 /// this.
 const UNREAD_DIVISOR: usize = 2;
@@ -99,6 +104,22 @@
     open: Mutex<OpenConnections>,
     /// Number of connections that are being sent a rejection.
     rejecting: AtomicUsize,
+    /// When evicted connections were last logged.
+    warned: Mutex<Option<Instant>>,
+}
+
+impl Shared {
+    /// Counts a request whose connection was evicted, and logs the first of them in each interval.
+    pub(crate) fn record_eviction(&self) {
+        metrics::counter!("chervilwind_callers_evicted").increment(1);
+        let mut warned = lock(&self.warned);
+        if warned.is_some_and(|at| at.elapsed() < WARNING_INTERVAL) {
+            return;
+        }
+        *warned = Some(Instant::now());
+        let held = self.limiter.stats().held;
+        log::warn!("callers: short of memory for requests ({held} bytes held), evicting some");
+    }
 }
 
 #[derive(Default)]
@@ -137,6 +158,7 @@
                 handler: Box::new(move |request| Box::pin(handler(request))),
                 open: Mutex::default(),
                 rejecting: AtomicUsize::new(0),
+                warned: Mutex::default(),
             }),
             stop,
             stopped,
--- a/crates/callers/tests/bad_input.rs
+++ b/crates/callers/tests/bad_input.rs
@@ -338,6 +338,28 @@
     });
 }
 
+/// Guards against bodies that are limited one by one only.
+#[test]
+fn body_evicted_when_memory_is_short() {
+    task::block_on(async {
+        let few = Limits {
+            body_bytes: 600_000,
+            memory_bytes: 1 << 20,
+            ..limits()
+        };
+        let (_server, address) = start(few, echo).await;
+        let head = format!("{HEAD}content-length: 600000\r\n\r\n");
+        let mut held = RawConnection::connect(address).await;
+        held.send(head.clone() + &"u".repeat(590_000)).await;
+        let text = send_raw(address, head + &"u".repeat(590_000)).await;
+        assert_rejected(&text, 503, "short-of-memory");
+        assert!(text.contains("chervilwind-retry-ms: 500"), "{text}");
+        assert_serves(address).await;
+        held.send("u".repeat(10_000)).await;
+        held.read_until("u").await;
+    });
+}
+
 #[test]
 fn expect_continue() {
     task::block_on(async {
--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -59,10 +59,6 @@
 /// How long sent data may stay unacknowledged before the connection is considered dead.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Kinds of the errors of reading from an evicted connection.
-const EVICTED_FOR_MEMORY: io::ErrorKind = io::ErrorKind::OutOfMemory;
-const EVICTED_FOR_PLACE: io::ErrorKind = io::ErrorKind::QuotaExceeded;
-
 /// A connection, and bytes read from it that were not consumed yet.
 #[derive(Debug)]
 pub(crate) struct Conn {
@@ -100,10 +96,9 @@
 
 impl From<io::Error> for ReadError {
     fn from(e: io::Error) -> ReadError {
-        match e.kind() {
-            EVICTED_FOR_MEMORY => ReadError::Evicted(Evicted::Memory),
-            EVICTED_FOR_PLACE => ReadError::Evicted(Evicted::Place),
-            kind => ReadError::Broken(kind),
+        match Evicted::of(&e) {
+            Some(evicted) => ReadError::Evicted(evicted),
+            None => ReadError::Broken(e.kind()),
         }
     }
 }
@@ -210,23 +205,15 @@
         let Some(account) = &self.account else {
             return Poll::Ready(Ok(READ_SIZE));
         };
-        let evicted = |evicted| {
-            io::Error::from(match evicted {
-                Evicted::Memory => EVICTED_FOR_MEMORY,
-                Evicted::Place => EVICTED_FOR_PLACE,
-            })
-        };
         let received = mem::take(&mut self.received);
-        account
-            .update(cx, self.buf.capacity(), received)
-            .map_err(evicted)?;
+        account.update(cx, self.buf.capacity(), received)?;
         if !account.limiter().is_full() {
             return Poll::Ready(Ok(READ_SIZE));
         }
         // Nothing is evicted for a connection that has nothing to read.
         self.socket.expect_nothing();
         ready!(self.socket.poll_ready(cx))?;
-        ready!(account.poll_room(cx)).map_err(evicted)?;
+        ready!(account.poll_room(cx))?;
         Poll::Ready(Ok(READ_SIZE_WHEN_FULL))
     }
 
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -242,7 +242,7 @@
         if expected > longest {
             return Err(read_failure(&ReadError::TooLong(longest)));
         }
-        if expected > 0 && !self.gw.limiter.admits(expected) {
+        if !self.gw.limiter.admits(expected) {
             return Err(read_failure(&ReadError::Evicted(Evicted::Memory)));
         }
         if head.headers.contains_token("expect", "100-continue") {
--- a/crates/gateway/src/serve/simple.rs
+++ b/crates/gateway/src/serve/simple.rs
@@ -134,7 +134,6 @@
 {
     let mut conn = Conn::accepted(stream, account.clone())?;
     loop {
-        account.set_phase(Phase::Idle);
         account.set_phase(Phase::Receiving);
         let read = timeout(IDLE_TIMEOUT, read_request(&mut conn)).await;
         let head = read.map_err(|_| ReadError::Closed)??;
--- a/crates/operators/src/metrics.rs
+++ b/crates/operators/src/metrics.rs
@@ -21,7 +21,7 @@
 
 static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
 
-const COUNTERS: [(&str, &str); 11] = [
+const COUNTERS: [(&str, &str); 12] = [
     (
         "chervilwind_callers_answers",
         "Answers to callers, by HTTP status.",
@@ -30,6 +30,10 @@
         "chervilwind_callers_turned_away",
         "Connections of callers beyond the limits.",
     ),
+    (
+        "chervilwind_callers_evicted",
+        "Requests cut off as they arrived, for lack of memory.",
+    ),
     (
         "chervilwind_router_requests",
         "Requests that ended, by outcome.",
--- a/crates/resources/src/account.rs
+++ b/crates/resources/src/account.rs
@@ -7,6 +7,7 @@
     },
     std::{
         future::poll_fn,
+        io,
         sync::Arc,
         task::{
             Context,
@@ -41,6 +42,19 @@
     Place,
 }
 
+impl Evicted {
+    /// Returns why a read failed, if its connection was evicted.
+    pub fn of(error: &io::Error) -> Option<Evicted> {
+        error.get_ref()?.downcast_ref().copied()
+    }
+}
+
+impl From<Evicted> for io::Error {
+    fn from(evicted: Evicted) -> io::Error {
+        io::Error::other(evicted)
+    }
+}
+
 /// A connection's part of a limiter. The connection counts as open until all clones are dropped.
 #[derive(Debug, Clone)]
 pub struct Account(Arc<Entry>);
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -16,6 +16,7 @@
 mod eviction;
 mod limiter;
 mod segments;
+mod state;
 
 pub use self::{
     account::{
@@ -31,9 +32,9 @@
     charge::Charge,
     limiter::{
         Limiter,
-        ListenerId, //
+        ListenerId,
         MemoryLimits,
-        UsageStats,
+        UsageStats, //
     },
     segments::{
         Segments,
--- a/crates/resources/src/limiter.rs
+++ b/crates/resources/src/limiter.rs
@@ -7,16 +7,16 @@
             Evicted,
             Phase, //
         },
-        activity::Activity,
-        bytes::Bytes, //
+        bytes::Bytes,
         charge::Charge,
-        eviction::{
-            Standing,
-            LARGE, //
-        },
+        eviction::LARGE,
         segments::SEGMENT_SIZE,
+        state::{
+            Entry,
+            Listener,
+            State, //
+        },
     },
-    slab::Slab,
     std::{
         future::poll_fn,
         mem,
@@ -41,8 +41,6 @@
 
 /// Connections that yield at a time are the listener's limit divided by this.
 const PLACES_DIVISOR: usize = 128;
-/// Memory that is freed at a time, beyond what is missing, is the limit divided by this.
-const HEADROOM_DIVISOR: usize = 32;
 
 /// How much memory clients may take.
 #[derive(Debug, Clone, Copy)]
@@ -66,7 +64,7 @@
 
 /// Names a listener of a limiter.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ListenerId(usize);
+pub struct ListenerId(pub(crate) usize);
 
 /// What a limiter counts, for metrics and logs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -97,41 +95,6 @@
     segments: Mutex<Vec<Vec<u8>>>,
 }
 
-#[derive(Debug, Default)]
-struct State {
-    entries: Slab<Entry>,
-    listeners: Vec<Listener>,
-    /// Bytes that are held by anything.
-    held: usize,
-    /// Bytes of the connections that hold much.
-    large: usize,
-    /// Connections that wait for room for more bytes.
-    waiting: Vec<usize>,
-    /// Woken when a connection was closed.
-    waiting_places: Vec<Waker>,
-    evicted_memory: u64,
-    evicted_place: u64,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Listener {
-    limit: usize,
-    open: usize,
-}
-
-#[derive(Debug)]
-struct Entry {
-    listener: ListenerId,
-    standing: Standing,
-    /// Capacity of the connection's own buffer.
-    buffered: usize,
-    evicted: Option<Evicted>,
-    /// Whether it is among those that wait for room.
-    waiting: bool,
-    /// Woken when the connection is evicted, or when there is room.
-    waker: Option<Waker>,
-}
-
 impl Limiter {
     /// Creates a limiter.
     pub fn new(limits: MemoryLimits) -> Limiter {
@@ -241,16 +204,15 @@
     pub(crate) fn set_phase(&self, key: usize, phase: Phase, now: Instant) {
         let mut state = self.state();
         let standing = &mut state.entries[key].standing;
-        match (standing.phase, phase) {
-            (before, after) if before == after => return,
-            (_, Phase::Receiving) => standing.message = now,
+        if standing.phase == Phase::Serving {
+            standing.served = true;
+            standing.since = now;
+        }
+        match phase {
+            Phase::Receiving => standing.message = now,
             // Nobody sends another request on it.
-            (_, Phase::Closing) => standing.served = false,
-            (Phase::Serving, _) => {
-                standing.served = true;
-                standing.since = now;
-            }
-            _ => {}
+            Phase::Closing => standing.served = false,
+            Phase::Idle | Phase::Serving => {}
         }
         standing.phase = phase;
     }
@@ -368,122 +330,3 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl State {
-    fn has_room(&self, large: bool, limits: &MemoryLimits) -> bool {
-        self.held < limits.total.length() && (!large || self.large < limits.large.length())
-    }
-
-    /// Counts bytes in place of others, of a connection or of nothing that can be evicted.
-    fn recount(&mut self, key: Option<usize>, before: usize, after: usize, limits: &MemoryLimits) {
-        self.held = self.held + after - before;
-        let mut yielded = false;
-        if let Some(key) = key {
-            let entry = &mut self.entries[key];
-            let large_before = entry.standing.large_bytes();
-            entry.standing.held = entry.standing.held + after - before;
-            yielded = entry.evicted.is_some() && entry.standing.held == 0;
-            self.large = self.large + entry.standing.large_bytes() - large_before;
-        }
-        if yielded || (after < before && self.has_room(false, limits)) {
-            self.wake_waiting();
-        }
-    }
-
-    fn wake_waiting(&mut self) {
-        for key in self.waiting.drain(..) {
-            // The key may be of a later connection, which is woken for nothing.
-            if let Some(entry) = self.entries.get_mut(key) {
-                entry.waiting = false;
-                entry.waker.iter().for_each(Waker::wake_by_ref);
-            }
-        }
-    }
-
-    /// Evicts connections until there is room for one that is large or not. Returns whether any memory
-    /// is being freed.
-    fn free_memory(&mut self, for_large: bool, limits: &MemoryLimits, now: Instant) -> bool {
-        let goal = |limit: Bytes| limit.length() - limit.length() / HEADROOM_DIVISOR;
-        let leaving = self.entries.iter().filter(|(_, e)| e.evicted.is_some());
-        let (mut leaving, mut large_leaving) = leaving.fold((0, 0), |(all, large), (_, e)| {
-            let held = e.standing.held;
-            (all + held, large + e.standing.large_bytes())
-        });
-        let mut ranked = self.ranked(|standing| standing.memory_rank(for_large, now));
-        ranked.reverse();
-        while self.held.saturating_sub(leaving) > goal(limits.total)
-            || (for_large && self.large.saturating_sub(large_leaving) > goal(limits.large))
-        {
-            let Some(key) = ranked.pop() else {
-                break;
-            };
-            let standing = self.entries[key].standing;
-            leaving += standing.held;
-            large_leaving += standing.large_bytes();
-            self.evict(key, Evicted::Memory);
-        }
-        leaving > 0
-    }
-
-    /// Evicts connections of a listener for new ones. Returns whether any is being closed.
-    fn free_places(&mut self, listener: ListenerId, count: usize, now: Instant) -> bool {
-        let leaving = |e: &Entry| e.listener == listener && e.evicted.is_some();
-        if self.entries.iter().any(|(_, e)| leaving(e)) {
-            return true;
-        }
-        let of_listener = |(_, e): &(usize, &Entry)| e.listener == listener;
-        let entries = self.entries.iter().filter(of_listener);
-        let ranked = entries.filter_map(|(key, e)| Some((e.standing.place_rank(now)?, key)));
-        let mut ranked: Vec<_> = ranked.collect();
-        let count = count.min(ranked.len());
-        if count == 0 {
-            return false;
-        }
-        ranked.select_nth_unstable(count - 1);
-        for (_, key) in &ranked[..count] {
-            self.evict(*key, Evicted::Place);
-        }
-        true
-    }
-
-    /// Returns the connections that are not being closed, by rank.
-    fn ranked<R: PartialOrd>(&self, rank: impl Fn(&Standing) -> Option<R>) -> Vec<usize> {
-        let entries = self.entries.iter().filter(|(_, e)| e.evicted.is_none());
-        let ranked = entries.filter_map(|(key, e)| Some((rank(&e.standing)?, key)));
-        let mut ranked: Vec<(R, usize)> = ranked.collect();
-        ranked.sort_by(|(a, _), (b, _)| a.partial_cmp(b).unwrap_or(std::cmp::Ordering::Equal));
-        ranked.into_iter().map(|(_, key)| key).collect()
-    }
-
-    fn evict(&mut self, key: usize, cause: Evicted) {
-        match cause {
-            Evicted::Memory => self.evicted_memory += 1,
-            Evicted::Place => self.evicted_place += 1,
-        }
-        let entry = &mut self.entries[key];
-        entry.evicted = Some(cause);
-        if let Some(waker) = entry.waker.take() {
-            waker.wake();
-        }
-    }
-}
-
-impl Entry {
-    fn new(listener: ListenerId, now: Instant) -> Entry {
-        Entry {
-            listener,
-            standing: Standing {
-                phase: Phase::Idle,
-                held: 0,
-                activity: Activity::new(now),
-                served: false,
-                since: now,
-                message: now,
-            },
-            buffered: 0,
-            evicted: None,
-            waiting: false,
-            waker: None,
-        }
-    }
-}
--- a/tests/crowds/requests.rs
+++ b/tests/crowds/requests.rs
@@ -21,6 +21,8 @@
 
 /// Less than the limit on bodies, 4 MiB.
 const LEGAL_BODY: usize = 4_000_000;
+/// The limit on bodies.
+const LONGEST_BODY: usize = 4 << 20;
 /// Longest body of ordinary callers.
 const ORDINARY_BODY: usize = 70_000;
 const SMALL: Bounds = Bounds {
@@ -216,6 +218,25 @@
     router.check();
 }
 
+/// Guards against a limit that a body of the longest length meets in calm, also in the smallest chunks.
+#[test]
+fn body_alone_at_the_limit_is_served() {
+    let _serial = serial();
+    let router = Router::start(SMALL);
+    let sized = [sized_head(LONGEST_BODY), vec![b'u'; LONGEST_BODY]].concat();
+    let chunks = chunk(1).repeat(LONGEST_BODY);
+    let chunked = [chunked_head(), chunks, b"0\r\n\r\n".to_vec()].concat();
+    for request in [sized, chunked] {
+        let answer = exchange(router.callers(), &request).unwrap();
+        let received = String::from_utf8(answer.body).unwrap();
+        assert_eq!(
+            (answer.status, received),
+            (200, format!("{LONGEST_BODY} bytes"))
+        );
+    }
+    router.check();
+}
+
 /// Guards against a refusal that is lost as its client still sends.
 #[test]
 fn refusal_reaches_a_client_that_sends_on() {
