tests: invalid settings are checked independently of the checkout's path

The message of the new case on `clients.unread-bytes` was wrapped between "2048 to" and "65536".

Cause: messages are wrapped at 80 columns and begin with the path of the settings file, so that the place of the break depends on the path's length.

Change: the gateway is given the file's name, and started in its directory. The check is as strict as before. The wrapping stays as it is.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -15,7 +15,10 @@
             SocketAddr,
             TcpStream, //
         },
-        path::PathBuf,
+        path::{
+            Path,
+            PathBuf, //
+        },
         process::{
             Child,
             Command,
@@ -53,7 +56,7 @@
     file
 }
 
-fn gateway(file: &PathBuf) -> Command {
+fn gateway(file: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_chervilwind"));
     command.arg("gateway").arg("--settings").arg(file);
     command
@@ -83,8 +86,11 @@
     panic!("no `{text}` at {addr}{path}: {last:?}");
 }
 
-fn ended(file: &PathBuf) -> Output {
-    gateway(file).output().unwrap()
+/// Runs a gateway that ends by itself. Its messages are wrapped at 80 columns, so that it is given a
+/// file name without directories, whose length would differ from one checkout to the next.
+fn ended(file: &Path) -> Output {
+    let (dir, name) = (file.parent().unwrap(), file.file_name().unwrap());
+    gateway(Path::new(name)).current_dir(dir).output().unwrap()
 }
 
 /// Guards against an instance that starts with invalid settings.
