--- a/tests/crowds/requests.rs
+++ b/tests/crowds/requests.rs
@@ -197,7 +197,7 @@
     router.check();
 }
 
-/// Guards against a limit that a single request within the pages' limits meets in calm.
+/// Guards against a limit that a single legal request meets in calm.
 #[test]
 fn body_alone_is_served() {
     let _serial = serial();
