Own interface: a full table of connections gives way to new ones

What callers saw: while as many connections were open as `limits.connections` allows, every new one was rejected, however long the open ones had been silent, up to 75 s.

Cause: the server counted connections before the limiter, which could have named one to close. An idle connection was not woken for an eviction either while memory was short, and one that had sent half a head was answered as if memory were short.

Change: the limiter's listener has the limit. A new connection waits until one without a running request has closed: first those that never brought one, then those idle for longest. An evicted connection with a part of a request, or whose request arrives at that moment, is answered with 503 as not run, and closed without waiting for its client. The limit for each address still rejects. Metrics and log lines name the cause.

This works because whoever sends whole requests is always ranked behind those that send none, and a request that runs is never ended.

--- a/crates/callers/src/caller_socket.rs
+++ b/crates/callers/src/caller_socket.rs
@@ -8,6 +8,7 @@
     async_h1::server::Encoder,
     async_std::net::TcpStream,
     futures_lite::{
+        future::poll_once,
         io::{
             AsyncRead,
             AsyncReadExt,
@@ -129,10 +130,12 @@
         poll_fn(|cx| {
             let mut buf = [0; READ_BYTES];
             let mut ahead = self.ahead();
+            // Whether a request has begun to arrive shows only by reading.
             let n = match ahead.bytes.is_empty() && self.is_full() {
-                // Whether a request has begun to arrive shows only by reading.
                 true => {
-                    ready!(Pin::new(&mut &self.socket).poll_read(cx, &mut buf[..FIRST_READ_BYTES]))?
+                    self.update_account(cx, &mut ahead)?;
+                    let first = &mut buf[..FIRST_READ_BYTES];
+                    ready!(self.poll_received(cx, &mut ahead, first))?
                 }
                 false => ready!(self.poll_socket(cx, &mut ahead, &mut buf))?,
             };
@@ -142,6 +145,12 @@
         .await
     }
 
+    /// Reads a byte, also if the connection is evicted. Returns whether there was one already.
+    pub(crate) async fn has_received(&self) -> bool {
+        let (mut socket, mut byte) = (&self.socket, [0; 1]);
+        matches!(poll_once(socket.read(&mut byte)).await, Some(Ok(1)))
+    }
+
     fn is_full(&self) -> bool {
         let account = self.account.as_ref();
         account.is_some_and(|account| account.limiter().is_full())
@@ -154,13 +163,28 @@
         ahead: &mut ReadAhead,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_account(cx, ahead)?;
+        if let Some(account) = self.account.as_ref().filter(|_| self.is_full()) {
+            ready!(account.poll_room(cx))?;
+        }
+        self.poll_received(cx, ahead, buf)
+    }
+
+    /// Records what was read. Fails if the connection is evicted, and lets its task be woken for that.
+    fn update_account(&self, cx: &mut Context<'_>, ahead: &mut ReadAhead) -> io::Result<()> {
         if let Some(account) = &self.account {
             let received = mem::take(&mut ahead.received);
             account.update(cx, ahead.bytes.capacity(), received)?;
-            if self.is_full() {
-                ready!(account.poll_room(cx))?;
-            }
         }
+        Ok(())
+    }
+
+    fn poll_received(
+        &self,
+        cx: &mut Context<'_>,
+        ahead: &mut ReadAhead,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
         let n = ready!(Pin::new(&mut &self.socket).poll_read(cx, buf))?;
         ahead.received += n;
         Poll::Ready(Ok(n))
--- a/crates/callers/src/connection.rs
+++ b/crates/callers/src/connection.rs
@@ -115,7 +115,7 @@
         let keep_alive = can_keep_alive(&head);
         let method = head.http.method();
         let (request, id) = self.read_request(head).await?;
-        self.account.serve().map_err(|_| short_of_memory())?;
+        self.account.serve().map_err(|e| self.evicted(e))?;
         let mut body_charge = self.account.charge();
         body_charge.resize(body_length(&request));
         let disconnect = disconnect_signal_of(&request);
@@ -145,6 +145,13 @@
         let idle = self.shared.limits.idle_timeout;
         match timeout(idle, or(self.socket.fill(), stopped)).await {
             Ok(Ok(n)) if n > 0 => Ok(()),
+            Ok(Err(e)) => match self.failed_read(&e) {
+                // Its caller has to know that a request which has just come does not run.
+                refused @ ConnectionEnd::Refused(_) if self.socket.has_received().await => {
+                    Err(refused)
+                }
+                _ => Err(ConnectionEnd::Closed),
+            },
             _ => Err(ConnectionEnd::Closed),
         }
     }
@@ -160,9 +167,9 @@
                     _ => return Err(head_too_large(limits.head_bytes).into()),
                 }
                 match self.socket.fill().await {
-                    Ok(n) if n > 0 => {}
-                    Err(e) if Evicted::of(&e).is_some() => return Err(short_of_memory().into()),
-                    _ => return Err(ConnectionEnd::Closed),
+                    Ok(0) => return Err(ConnectionEnd::Closed),
+                    Ok(_) => {}
+                    Err(e) => return Err(self.failed_read(&e)),
                 }
             }
         };
@@ -284,8 +291,7 @@
                 "the body's chunks are malformed; check what is sent",
             )
             .into()),
-            (Ok(Err(e)), _) if Evicted::of(&e).is_some() => Err(short_of_memory().into()),
-            (Ok(Err(_)), _) => Err(ConnectionEnd::Closed),
+            (Ok(Err(e)), _) => Err(self.failed_read(&e)),
             (Ok(Ok(n)), _) if n as u64 > limit => Err(parse::body_too_large(limits).into()),
             // The library reports no error for a body that is shorter than its `content-length`.
             (Ok(Ok(n)), Framing::Fixed(len)) if (n as u64) < len => Err(ConnectionEnd::Closed),
@@ -363,17 +369,41 @@
         }
     }
 
+    fn failed_read(&self, error: &io::Error) -> ConnectionEnd {
+        match Evicted::of(error) {
+            Some(evicted) => self.evicted(evicted),
+            None => ConnectionEnd::Closed,
+        }
+    }
+
+    /// Rejects a request whose connection was evicted before it arrived completely.
+    fn evicted(&self, evicted: Evicted) -> ConnectionEnd {
+        self.shared.record_eviction(evicted);
+        let (reason, text) = match evicted {
+            Evicted::Memory => (
+                Reason::ShortOfMemory,
+                "this router is short of memory for requests; come back after retry_ms",
+            ),
+            Evicted::Place => (
+                Reason::TooManyConnections,
+                "too many connections; send a request in one go, and come back after retry_ms",
+            ),
+        };
+        let refused = Refused::new(reason, text).retry_after(EVICTED_RETRY_AFTER);
+        ConnectionEnd::Refused(refused)
+    }
+
     /// Writes a rejection and closes the connection.
     async fn refuse(&self, refused: Refused) {
         self.socket.forget_buffered();
         self.account.refuse();
-        if refused.reason == Reason::ShortOfMemory {
-            self.shared.record_eviction();
-        }
         log::debug!("callers: rejected {}: {refused}", self.peer);
+        // Others wait for the place of this connection.
+        let closes_at_once = refused.reason == Reason::TooManyConnections;
         let disconnect = DisconnectSignal::new();
         let sent = self.send(refused.into(), &disconnect, self.method, None, false);
-        if sent.await.is_ok() {
+        if sent.await.is_ok() && !closes_at_once {
+            self.account.set_phase(Phase::Closing);
             self.socket.linger().await;
         }
     }
@@ -400,14 +430,6 @@
     }
 }
 
-fn short_of_memory() -> Refused {
-    Refused::new(
-        Reason::ShortOfMemory,
-        "this router is short of memory for requests; come back after retry_ms",
-    )
-    .retry_after(EVICTED_RETRY_AFTER)
-}
-
 fn head_too_large(max_bytes: usize) -> Refused {
     Refused::new(
         Reason::HeadTooLarge,
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -31,9 +31,12 @@
     resources::{
         unread_per_connection,
         Bytes,
+        Evicted,
         Limiter,
         ListenerId,
-        MemoryLimits, //
+        MemoryLimits,
+        UsageStats,
+        WarningInterval, //
     },
     socket2::SockRef,
     std::{
@@ -56,18 +59,13 @@
             MutexGuard,
             PoisonError, //
         },
-        time::{
-            Duration,
-            Instant, //
-        },
+        time::Duration,
     },
 };
 
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Evicted connections are logged once in this interval.
-const WARNING_INTERVAL: Duration = Duration::from_secs(1);
 /// Bytes that all connections may send before they are read are the memory for requests divided by
 /// this.
 const UNREAD_DIVISOR: usize = 2;
@@ -104,21 +102,19 @@
     open: Mutex<OpenConnections>,
     /// Number of connections that are being sent a rejection.
     rejecting: AtomicUsize,
-    /// When evicted connections were last logged.
-    warned: Mutex<Option<Instant>>,
+    warnings: WarningInterval,
 }
 
 impl Shared {
-    /// Counts a request whose connection was evicted, and logs the first of them in each interval.
-    pub(crate) fn record_eviction(&self) {
-        metrics::counter!("chervilwind_callers_evicted").increment(1);
-        let mut warned = lock(&self.warned);
-        if warned.is_some_and(|at| at.elapsed() < WARNING_INTERVAL) {
-            return;
+    /// Counts an evicted connection, and logs the first one in each interval.
+    pub(crate) fn record_eviction(&self, evicted: Evicted) {
+        metrics::counter!("chervilwind_callers_evicted", "cause" => evicted.cause()).increment(1);
+        if self.warnings.begin() {
+            let UsageStats {
+                held, connections, ..
+            } = self.limiter.stats();
+            log::warn!("callers: {evicted} ({held} bytes held, {connections} connections)");
         }
-        *warned = Some(Instant::now());
-        let held = self.limiter.stats().held;
-        log::warn!("callers: short of memory for requests ({held} bytes held), evicting some");
     }
 }
 
@@ -152,13 +148,13 @@
         let limiter = Limiter::new(MemoryLimits::of(Bytes(limits.memory_bytes as u64)));
         Server {
             shared: Arc::new(Shared {
-                listener: limiter.add_listener(usize::MAX),
+                listener: limiter.add_listener(limits.max_connections),
                 limiter,
                 limits,
                 handler: Box::new(move |request| Box::pin(handler(request))),
                 open: Mutex::default(),
                 rejecting: AtomicUsize::new(0),
-                warned: Mutex::default(),
+                warnings: WarningInterval::default(),
             }),
             stop,
             stopped,
@@ -228,7 +224,6 @@
         let Some(permit) = self.admit(peer.ip(), guard) else {
             return self.reject(stream, peer);
         };
-        // The listener's own limit is never reached: the permit has counted the connection.
         let Some(account) = self.shared.limiter.open(self.shared.listener).await else {
             return self.reject(stream, peer);
         };
@@ -271,7 +266,7 @@
         let limits = &self.shared.limits;
         let mut open = lock(&self.shared.open);
         let from_ip = open.per_ip.get(&ip).copied().unwrap_or(0);
-        if open.total >= limits.max_connections || from_ip >= limits.max_connections_per_ip {
+        if from_ip >= limits.max_connections_per_ip {
             return None;
         }
         open.total += 1;
--- a/crates/resources/src/account.rs
+++ b/crates/resources/src/account.rs
@@ -47,6 +47,14 @@
     pub fn of(error: &io::Error) -> Option<Evicted> {
         error.get_ref()?.downcast_ref().copied()
     }
+
+    /// Returns the cause, as metrics and logs name it.
+    pub fn cause(self) -> &'static str {
+        match self {
+            Evicted::Memory => "memory",
+            Evicted::Place => "place",
+        }
+    }
 }
 
 impl From<Evicted> for io::Error {
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -17,6 +17,7 @@
 mod limiter;
 mod segments;
 mod state;
+mod warnings;
 
 pub use self::{
     account::{
@@ -40,4 +41,5 @@
         Segments,
         SEGMENT_SIZE, //
     },
+    warnings::WarningInterval,
 };
