Connections of peers have limits

What callers saw: nothing yet; found in a review of the listeners. Whoever reaches the peers' address could take any number of descriptors of a router and any memory, and end it with all requests that it served.

Cause: the listener accepted any number of connections. A frame of up to 1 MiB was allocated when its length had arrived, a question grew by doubling, and answers were kept until they were read; nothing of it counted.

Change: the listener has a limiter of its own (`limits.peer-connections`, 1,024, and `limits.peer-memory`, 32MiB, at least 4MiB), so that a lack of memory for callers' requests does not cut the messages between routers. Frames and questions count as they arrive, answers until they are sent. At a limit, connections are closed that bring nothing, before those whose frames have been processed; a router opens its stream again. Bytes that are not read yet are limited too. `chervilwind_peers_evicted` by cause, one warning a second.

`messages_arrive_beside_stalled_connections`, new, holds.

This works because the limits hold before anything is read, and a stream that brings messages is ranked behind all that don't. A fleet of 300 routers needs about a third of the connections.

Not shown: long answers that nobody reads. Names of peers still grow a table (docs/design/router.md, "Not guarded").

--- a/crates/peers/src/frame.rs
+++ b/crates/peers/src/frame.rs
@@ -1,6 +1,7 @@
 //! Frames on a stream between two routers.
 
 use {
+    crate::limits::read_counted,
     futures_lite::io::{
         AsyncRead,
         AsyncReadExt, //
@@ -9,6 +10,10 @@
         Incarnation,
         RouterId, //
     },
+    resources::{
+        Account,
+        Phase, //
+    },
     serde::{
         de::DeserializeOwned,
         Deserialize,
@@ -51,8 +56,9 @@
     Ok(out)
 }
 
-/// Reads the next frame. Returns none at the end of the stream.
-pub(crate) async fn decode<T, R>(r: &mut R) -> io::Result<Option<Frame<T>>>
+/// Reads the next frame, which counts toward the connection's account as it arrives. Returns none at
+/// the end of the stream.
+pub(crate) async fn decode<T, R>(r: &mut R, account: &Account) -> io::Result<Option<Frame<T>>>
 where
     T: DeserializeOwned,
     R: AsyncRead + Unpin,
@@ -70,9 +76,12 @@
             format!("frame of {len} bytes exceeds the limit of {MAX_FRAME_BYTES}"),
         ));
     }
-    let mut body = vec![0; len];
-    r.read_exact(&mut body).await?;
-    rmp_serde::from_slice(&body)
+    account.set_phase(Phase::Receiving);
+    let body = read_counted(&mut r.take(len as u64), len, account).await?;
+    if body.len() < len {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    rmp_serde::from_slice(&body.into_vec())
         .map(Some)
         .map_err(io::Error::other)
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -9,6 +9,7 @@
 mod body_stream;
 mod errors;
 mod frame;
+mod limits;
 mod link;
 mod links;
 mod server;
@@ -17,6 +18,7 @@
 pub use self::{
     errors::AskError,
     frame::Incoming,
+    limits::PeerLimits,
     links::{
         LinkTiming,
         Links, //
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -6,6 +6,12 @@
             decode,
             Incoming, //
         },
+        limits::{
+            counted_body,
+            read_counted,
+            LimitedStream,
+            PeerLimits, //
+        },
         links::Links,
         traffic::CountedStream, //
     },
@@ -31,13 +37,26 @@
         Incarnation,
         RouterId, //
     },
+    resources::{
+        unread_per_connection,
+        Account,
+        Bytes,
+        Limiter,
+        ListenerId,
+        MemoryLimits,
+        Phase,
+        UsageStats,
+        WarningInterval, //
+    },
     serde::{
         de::DeserializeOwned,
         Serialize, //
     },
+    socket2::SockRef,
     std::{
         collections::HashMap,
         fmt,
+        future::poll_fn,
         net::Shutdown,
         sync::Arc,
         time::Duration, //
@@ -48,6 +67,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_QUESTION_BYTES: u64 = 64 * 1024;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Bytes that all connections may send before they are read are the memory for them divided by this.
+const UNREAD_DIVISOR: u64 = 2;
 
 /// Callbacks for messages and questions from peers.
 pub struct Handler<T, Q, A> {
@@ -68,6 +89,9 @@
     handler: Handler<T, Q, A>,
     /// The newest stream of each peer.
     newest: AsyncMutex<HashMap<RouterId, StreamId>>,
+    limiter: Limiter,
+    listener: ListenerId,
+    warnings: WarningInterval,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -77,21 +101,33 @@
 }
 
 /// Serves peers on `listener` for as long as the task runs.
-pub async fn serve<T, Q, A>(listener: TcpListener, links: Arc<Links<T>>, handler: Handler<T, Q, A>)
-where
+pub async fn serve<T, Q, A>(
+    listener: TcpListener,
+    links: Arc<Links<T>>,
+    handler: Handler<T, Q, A>,
+    limits: PeerLimits,
+) where
     T: Serialize + DeserializeOwned + Send + Sync + 'static,
     Q: DeserializeOwned + Send + 'static,
     A: Serialize + Send + 'static,
 {
+    limit_unread(&listener, &limits);
+    let limiter = Limiter::new(MemoryLimits::of(limits.memory));
     let server = Arc::new(Server {
         links,
         handler,
         newest: AsyncMutex::default(),
+        listener: limiter.add_listener(limits.max_connections),
+        limiter,
+        warnings: WarningInterval::default(),
     });
     loop {
         match listener.accept().await {
             Ok((socket, _)) => {
-                task::spawn(serve_connection(server.clone(), socket));
+                // There is none only while frames of all connections are being processed.
+                if let Some(account) = server.limiter.open(server.listener).await {
+                    task::spawn(serve_connection(server.clone(), socket, account));
+                }
             }
             Err(e) => {
                 log::warn!("peers: can't accept a connection: {e}");
@@ -101,29 +137,61 @@
     }
 }
 
-async fn serve_connection<T, Q, A>(server: Arc<Server<T, Q, A>>, socket: TcpStream)
-where
+/// Limits what connections may send before it is read.
+fn limit_unread(listener: &TcpListener, limits: &PeerLimits) {
+    let all = Bytes(limits.memory.0 / UNREAD_DIVISOR);
+    let size = unread_per_connection(all, limits.max_connections).length();
+    if let Err(e) = SockRef::from(listener).set_recv_buffer_size(size) {
+        log::warn!("peers: can't set the receive buffer of the listener: {e}");
+    }
+}
+
+async fn serve_connection<T, Q, A>(
+    server: Arc<Server<T, Q, A>>,
+    socket: TcpStream,
+    account: Account,
+) where
     T: Serialize + DeserializeOwned + Send + Sync + 'static,
     Q: DeserializeOwned + Send + 'static,
     A: Serialize + Send + 'static,
 {
     let _ = socket.set_nodelay(true);
     let counted = CountedStream::new(socket.clone(), server.links.traffic().clone());
-    let served = async_h1::accept(counted, |req| {
+    let limited = LimitedStream::new(counted, account.clone());
+    let served = async_h1::accept(limited, |req| {
         let server = server.clone();
         let socket = socket.clone();
-        async move { Ok(respond(&server, &socket, req).await) }
+        let account = account.clone();
+        async move { Ok(respond(&server, &socket, req, &account).await) }
     })
     .await;
     if let Err(e) = served {
         log::debug!("peers: a connection ended: {e}");
     }
+    server.record_eviction(&account);
+}
+
+impl<T, Q, A> Server<T, Q, A> {
+    /// Counts a connection if it was evicted, and logs the first one in each interval.
+    fn record_eviction(&self, account: &Account) {
+        let Some(evicted) = account.evicted() else {
+            return;
+        };
+        metrics::counter!("chervilwind_peers_evicted", "cause" => evicted.cause()).increment(1);
+        if self.warnings.begin() {
+            let UsageStats {
+                held, connections, ..
+            } = self.limiter.stats();
+            log::warn!("peers: {evicted} ({held} bytes held, {connections} connections)");
+        }
+    }
 }
 
 async fn respond<T, Q, A>(
     server: &Server<T, Q, A>,
     socket: &TcpStream,
     mut req: Request,
+    account: &Account,
 ) -> Response
 where
     T: Serialize + DeserializeOwned + Send + Sync + 'static,
@@ -135,13 +203,13 @@
     };
     match req.url().path() {
         "/p" => {
-            receive_stream(server, from, &mut req).await;
+            receive_stream(server, from, &mut req, account).await;
             // The HTTP library reads a request to its end before it closes the connection. A peer
             // that failed never ends its request, so the connection would stay open forever.
             let _ = socket.shutdown(Shutdown::Both);
             Response::new(StatusCode::Gone)
         }
-        "/a" => answer_question(server, from, &mut req).await,
+        "/a" => answer_question(server, from, &mut req, account).await,
         _ => Response::new(StatusCode::NotFound),
     }
 }
@@ -150,22 +218,28 @@
     server: &Server<T, Q, A>,
     from: RouterId,
     req: &mut Request,
+    account: &Account,
 ) -> Response
 where
     Q: DeserializeOwned,
     A: Serialize,
 {
-    let Some(body) = read_body(req).await else {
+    account.set_phase(Phase::Receiving);
+    let Some(body) = read_question(req, account).await else {
         return Response::new(StatusCode::BadRequest);
     };
     let Ok(question) = rmp_serde::from_slice(&body) else {
         return Response::new(StatusCode::BadRequest);
     };
+    // An answer may be much longer than its question.
+    if poll_fn(|cx| account.poll_room(cx)).await.is_err() {
+        return Response::new(StatusCode::ServiceUnavailable);
+    }
     let answer = (server.handler.answer)(from, question).await;
     match rmp_serde::to_vec(&answer) {
         Ok(bytes) => {
             let mut res = Response::new(StatusCode::Ok);
-            res.set_body(bytes);
+            res.set_body(counted_body(bytes, account));
             res
         }
         Err(_) => Response::new(StatusCode::InternalServerError),
@@ -173,18 +247,21 @@
 }
 
 /// Reads a question. Returns none if it is too long or does not arrive in time.
-async fn read_body(req: &mut Request) -> Option<Vec<u8>> {
-    let mut body = Vec::new();
+async fn read_question(req: &mut Request, account: &Account) -> Option<Vec<u8>> {
     let mut reader = req.take_body().into_reader().take(MAX_QUESTION_BYTES + 1);
-    let read = timeout(IDLE_TIMEOUT, reader.read_to_end(&mut body)).await;
+    let read = timeout(IDLE_TIMEOUT, read_counted(&mut reader, 0, account)).await;
     match read {
-        Ok(Ok(n)) if n as u64 <= MAX_QUESTION_BYTES => Some(body),
+        Ok(Ok(body)) if body.len() as u64 <= MAX_QUESTION_BYTES => Some(body.into_vec()),
         _ => None,
     }
 }
 
-async fn receive_stream<T, Q, A>(server: &Server<T, Q, A>, from: RouterId, req: &mut Request)
-where
+async fn receive_stream<T, Q, A>(
+    server: &Server<T, Q, A>,
+    from: RouterId,
+    req: &mut Request,
+    account: &Account,
+) where
     T: Serialize + DeserializeOwned + Send + Sync + 'static,
 {
     let id = StreamId {
@@ -192,7 +269,14 @@
         link: header(req, "chervilwind-link").unwrap_or_default(),
     };
     let acks = server.links.acks(&from);
-    while let Ok(Ok(Some(frame))) = timeout(IDLE_TIMEOUT, decode::<T, _>(req)).await {
+    loop {
+        account.set_phase(Phase::Idle);
+        let read = timeout(IDLE_TIMEOUT, decode::<T, _>(req, account)).await;
+        let Ok(Ok(Some(frame))) = read else {
+            break;
+        };
+        // A stream that brings frames is evicted after those that don't.
+        account.set_phase(Phase::Serving);
         // A replaced stream may still deliver delayed frames, which are older than those of the new
         // stream. Only the newest stream is accepted.
         if !is_newest(server, &from, id, &acks).await {
--- a/crates/peers/tests/links.rs
+++ b/crates/peers/tests/links.rs
@@ -22,12 +22,14 @@
         Handler,
         Incoming,
         LinkTiming,
-        Links, //
+        Links,
+        PeerLimits, //
     },
     policy::{
         Incarnation,
         RouterId, //
     },
+    resources::Bytes,
     standins::relay::Relay,
     std::{
         net::SocketAddr,
@@ -60,6 +62,15 @@
 }
 
 async fn router_with_timing(name: &str, incarnation: u64, timing: LinkTiming) -> Router {
+    router_with(name, incarnation, timing, PeerLimits::default()).await
+}
+
+async fn router_with(
+    name: &str,
+    incarnation: u64,
+    timing: LinkTiming,
+    limits: PeerLimits,
+) -> Router {
     let id: RouterId = name.parse().unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
@@ -71,7 +82,7 @@
         }),
         answer: Box::new(|_, q: u32| Box::pin(async move { q * 2 })),
     };
-    task::spawn(serve(listener, links.clone(), handler));
+    task::spawn(serve(listener, links.clone(), handler, limits));
     Router {
         id,
         addr,
@@ -301,3 +312,36 @@
     out.extend(b"\r\n");
     out
 }
+
+/// Opens a connection and sends bytes. The connection stays open until it is dropped.
+async fn stalled(addr: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let mut socket = TcpStream::connect(addr).await.unwrap();
+    let _ = socket.write_all(bytes).await;
+    socket
+}
+
+/// Guards against peers that take the memory or the connections of all others.
+#[async_std::test]
+async fn messages_arrive_beside_stalled_connections() {
+    const FRAME: u32 = 1_000_000;
+    let limits = PeerLimits {
+        max_connections: 20,
+        memory: Bytes::mib(4),
+    };
+    let a = router("a", 1).await;
+    let b = router_with("b", 1, short_timing(), limits).await;
+    a.links.set_route(&b.id, b.addr, Duration::ZERO);
+    send_until_received(&a, &b, 0).await;
+    let lines = "POST /p HTTP/1.1\r\nhost: b\r\nchervilwind-from: c\r\n";
+    let head = format!("{lines}content-length: {}\r\n\r\n", FRAME + 4);
+    let part = [head.as_bytes(), &FRAME.to_be_bytes(), &[7; 900_000]].concat();
+    let mut crowd = Vec::new();
+    for _ in 0..60 {
+        crowd.push(stalled(b.addr, &part).await);
+        crowd.push(stalled(b.addr, b"P").await);
+    }
+    let sent = send_until_received(&a, &b, 1000).await;
+    assert!(sent >= 1000);
+    let answer: u32 = a.links.ask(b.addr, &21u32, TIMEOUT).await.unwrap();
+    assert_eq!(answer, 42);
+}
--- a/src/conf/limits.rs
+++ b/src/conf/limits.rs
@@ -1,4 +1,4 @@
-//! What callers may ask of a router before it turns them away.
+//! What callers and peers may ask of a router before it turns them away.
 
 use {
     callers::Limits,
@@ -7,6 +7,7 @@
         span,
         Section, //
     },
+    peers::PeerLimits,
     resources::Bytes,
     std::time::Duration,
     toml::de::DeValue, //
@@ -18,6 +19,8 @@
 const BODY_MAX: Bytes = Bytes(64 << 20);
 /// Most memory for requests that may be allowed.
 const MEMORY_MAX: Bytes = Bytes(16 << 30);
+/// Least memory for peers that may be allowed: that of some long frames.
+const PEER_MEMORY_MIN: Bytes = Bytes(4 << 20);
 /// Most connections that may be allowed.
 const CONNECTIONS_MAX: u64 = 100_000;
 /// Default size limit of a head.
@@ -32,7 +35,7 @@
 }
 
 /// Reads the section `[limits]`.
-pub(crate) fn read_limits(mut s: Section<'_>) -> Limits {
+pub(crate) fn read_limits(mut s: Section<'_>) -> (Limits, PeerLimits) {
     let d = default_limits();
     let head_bytes = size(&mut s, "head", d.head_bytes, HEAD_MAX);
     let body_bytes = size(&mut s, "body", d.body_bytes, BODY_MAX);
@@ -57,8 +60,20 @@
             "give `memory` at least twice as much as `body`",
         );
     }
+    let d = PeerLimits::default();
+    let peer_limits = PeerLimits {
+        max_connections: count(&mut s, "peer-connections", d.max_connections),
+        memory: Bytes(size(&mut s, "peer-memory", d.memory.length(), MEMORY_MAX) as u64),
+    };
+    if peer_limits.memory < PEER_MEMORY_MIN {
+        s.wrong_at(
+            "peer-memory",
+            &format!("has `peer-memory` of {}", peer_limits.memory),
+            &format!("give at least `\"{PEER_MEMORY_MIN}\"`"),
+        );
+    }
     s.finish();
-    limits
+    (limits, peer_limits)
 }
 
 fn size(s: &mut Section<'_>, key: &'static str, default: usize, max: Bytes) -> usize {
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -25,6 +25,7 @@
         Section,
         Source, //
     },
+    peers::PeerLimits,
     policy::{
         RouterId,
         Span,
@@ -74,6 +75,8 @@
     pub platform: SocketAddr,
     /// What callers may ask.
     pub limits: Limits,
+    /// What connections of peers may take.
+    pub peer_limits: PeerLimits,
 }
 
 /// Why settings were not accepted.
@@ -134,6 +137,7 @@
             operators: Address::loopback(),
             platform,
             limits: default_limits(),
+            peer_limits: PeerLimits::default(),
         }
     }
 
@@ -171,7 +175,7 @@
     let example = "[platform]` with `address = \"10.0.0.2:7000\"";
     let platform = section.need("address", example, text(ADDRESS));
     section.finish();
-    let limits = read_limits(root.section("limits"));
+    let (limits, peer_limits) = read_limits(root.section("limits"));
     Some(Settings {
         name: id?,
         zone: zone?,
@@ -184,6 +188,7 @@
         operators: operators?,
         platform: platform?,
         limits,
+        peer_limits,
     })
 }
 
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -126,7 +126,7 @@
 
 /// Starts a router's tasks.
 pub(crate) fn start(settings: Settings, listeners: Listeners) -> RouterHandle {
-    let limits = settings.limits.clone();
+    let (limits, peer_limits) = (settings.limits.clone(), settings.peer_limits);
     let router = Arc::new(new_router(settings));
     let handler = router.clone();
     let server = Server::new(limits, move |ask| requests::handle(handler.clone(), ask));
@@ -137,6 +137,7 @@
         TcpListener::from(listeners.peers),
         router.links.clone(),
         inbox::handler(&router),
+        peer_limits,
     ));
     let views = report::views(&router);
     task::spawn(async move {
--- a/tests/crowds/own_interface.rs
+++ b/tests/crowds/own_interface.rs
@@ -1,4 +1,4 @@
-//! The callers' port of a router with the product's own interface.
+//! A router with the product's own interface: its callers' port and its peers' port.
 
 use {
     super::{
@@ -37,7 +37,10 @@
 /// Memory that a router is designed for.
 const MEMORY_MB: u64 = 256;
 const LEGAL_BODY: usize = 4_000_000;
+/// Length of a frame of messages that a peer may send.
+const LEGAL_FRAME: usize = 1_000_000;
 const CALLERS: u16 = 7400;
+const PEERS: u16 = 7401;
 
 /// What a router's settings allow it to take.
 #[derive(Debug, Clone, Copy)]
@@ -80,7 +83,7 @@
              [peers]\nlisten = \"{}\"\n[operators]\nlisten = \"{}\"\n\
              [platform]\naddress = \"{store}\"\n[limits]\n{limits}\n",
             at(CALLERS),
-            at(7401),
+            at(PEERS),
             at(7402),
         );
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crowds-own-{ip}.toml"));
@@ -106,6 +109,11 @@
             let answer = exchange(self.addr(CALLERS), &request);
             answer.is_ok_and(|a| String::from_utf8_lossy(&a.body).contains("configuration"))
         });
+        wait_until("a peer's question is answered", || {
+            let question = b"POST /a HTTP/1.1\r\nHost: a\r\nchervilwind-from: router-9\r\n\
+                Content-Length: 1\r\nConnection: close\r\n\r\n?";
+            exchange(self.addr(PEERS), question).is_ok_and(|answer| answer.status == 400)
+        });
     }
 }
 
@@ -208,3 +216,33 @@
     };
     check_crowd(allowed, CALLERS, 400, &script);
 }
+
+/// Guards against frames of peers without a limit on all of them.
+#[test]
+fn own_peers_frames_that_stop_short() {
+    let lengths = format!("Content-Length: {}\r\n\r\n", 4 + LEGAL_FRAME);
+    let line = "POST /p HTTP/1.1\r\nHost: a\r\nchervilwind-from: router-9\r\n";
+    let script = Script {
+        head: format!("{line}{lengths}").into_bytes(),
+        piece: [
+            &(LEGAL_FRAME as u32).to_be_bytes()[..],
+            &vec![b'u'; LEGAL_FRAME - 1],
+        ]
+        .concat(),
+        times: 1,
+        pause: Duration::ZERO,
+    };
+    check_crowd(BY_DEFAULT, PEERS, 400, &script);
+}
+
+/// Guards against any number of connections of peers.
+#[test]
+fn own_peers_connections_that_send_one_byte() {
+    let script = Script {
+        head: b"P".to_vec(),
+        piece: Vec::new(),
+        times: 0,
+        pause: Duration::ZERO,
+    };
+    check_crowd(BY_DEFAULT, PEERS, 2_000, &script);
+}
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -89,7 +89,7 @@
         "[platfrom]\naddres = 1\n[limits]\nhaed = \"1KiB\"\n[platform]\n",
         expect![[r#"
             chervilwind.toml:9: the settings file has the unknown key `platfrom`; did you mean `platform`? known keys: `name`, `zone`, `region`, `log`, `callers`, `peers`, `operators`, `fleet`, `platform`, `limits`
-            chervilwind.toml:12: [limits] has the unknown key `haed`; did you mean `head`? known keys: `head`, `body`, `memory`, `head-time`, `body-time`, `idle`, `stall`, `connections`, `per-address`"#]],
+            chervilwind.toml:12: [limits] has the unknown key `haed`; did you mean `head`? known keys: `head`, `body`, `memory`, `head-time`, `body-time`, `idle`, `stall`, `connections`, `per-address`, `peer-connections`, `peer-memory`"#]],
     );
 }
 
@@ -130,6 +130,18 @@
     );
 }
 
+/// Guards against a limit on memory that few frames of peers fit.
+#[test]
+fn parse_too_little_peer_memory() {
+    check(
+        "[platform]\n",
+        "[limits]\npeer-memory = \"3MiB\"\n[platform]\n",
+        expect![
+            "chervilwind.toml:10: [limits] has `peer-memory` of 3MiB; give at least `\"4MiB\"`"
+        ],
+    );
+}
+
 #[test]
 fn parse_bad_address() {
     check(
