tests: the body that is evicted no longer depends on what was read first

Cause, read from the trace and the code: the test's first client returned from sending while the server had not read all of it. If the second one had then sent more of late, the first one was evicted, as it should be, and the second one waited for the rest of its body, which the test never sends.

Change: the first body arrives completely, and its request runs until the second one was rejected, so that only the second one can yield. As strict as before: the rejection, its header, an ordinary request beside it, and the first request, which must be answered with its whole body.

Whether a second cause exists is open.

--- a/crates/callers/tests/bad_input.rs
+++ b/crates/callers/tests/bad_input.rs
@@ -416,19 +416,40 @@
             memory_bytes: 1 << 20,
             ..limits()
         };
-        let (_server, address) = start(few, echo).await;
+        let (begin, begun) = bounded(1);
+        let (go, going) = bounded::<()>(1);
+        let handler = move |incoming| {
+            let (begin, going) = (begin.clone(), going.clone());
+            async move {
+                if body_len(&incoming) > 0 {
+                    begin.send(()).await.unwrap();
+                    let _ = going.recv().await;
+                }
+                echo(incoming).await
+            }
+        };
+        let (_server, address) = start(few, handler).await;
         let head = format!("{HEAD}content-length: 600000\r\n\r\n");
-        let mut held = RawConnection::connect(address).await;
-        held.send(head.clone() + &"u".repeat(590_000)).await;
+        let mut running = RawConnection::connect(address).await;
+        running.send(head.clone() + &"u".repeat(600_000)).await;
+        begun.recv().await.unwrap();
+        // There is no room for another body of this length until that request ends.
         let text = send_raw(address, head + &"u".repeat(590_000)).await;
         assert_rejected(&text, 503, "short-of-memory");
         assert!(text.contains("chervilwind-retry-ms: 500"), "{text}");
         assert_serves(address).await;
-        held.send("u".repeat(10_000)).await;
-        held.read_until("u").await;
+        drop(go);
+        running.read_until(&"u".repeat(600_000)).await;
     });
 }
 
+fn body_len(incoming: &IncomingRequest) -> usize {
+    match incoming {
+        IncomingRequest::Request { request, .. } => request.body.len(),
+        IncomingRequest::Addresses { .. } => 0,
+    }
+}
+
 #[test]
 fn expect_continue() {
     task::block_on(async {
