Listeners limit unread bytes before they listen

What callers saw: nothing yet; a test hung. A body of 600,000 bytes, sent just after the server had started, had 120,967 bytes left after 25 s, so that it would have exceeded `body-time`.

Cause: the receive buffer was set on a listener that already listened: at the own interface once the server ran, at a gateway at once. A connection whose handshake was under way had been told of a window of 64 KiB and got a buffer of 4 KiB. Its sender keeps to segments of half the first window, none fits, and it sends a part at each run of its persist timer.

Evidence: `ss -ti` of a hanging run: window 4,096, segments of 32,741 bytes, 97.7% of the time limited by the window.

Change: `resources::listen` sets the buffer before the socket listens. Both interfaces use it in place of three copies; the operators' listener of the own interface gets the limit too.

--- a/crates/callers/src/limits.rs
+++ b/crates/callers/src/limits.rs
@@ -1,6 +1,16 @@
 //! Limits on the memory and time that callers may use.
 
-use std::time::Duration;
+use {
+    resources::{
+        unread_per_connection,
+        Bytes, //
+    },
+    std::time::Duration,
+};
+
+/// Bytes that all connections may send before they are read are the memory for requests divided by
+/// this.
+const UNREAD_DIVISOR: usize = 2;
 
 /// Limits on callers. A caller that reaches a limit has no effect on others.
 #[derive(Debug, Clone)]
@@ -32,6 +42,13 @@
 const LIBRARY_HEAD_COUNT: usize = 128;
 
 impl Limits {
+    /// Returns about how much each connection may send before it is read, for
+    /// [`listen`](resources::listen).
+    pub fn unread_per_connection(&self) -> Bytes {
+        let all = Bytes((self.memory_bytes / UNREAD_DIVISOR) as u64);
+        unread_per_connection(all, self.max_connections)
+    }
+
     /// Clamps to the limits of the HTTP library, so that rejections report the effective limits.
     pub(crate) fn clamp_to_library(mut self) -> Limits {
         self.head_bytes = self.head_bytes.min(LIBRARY_HEAD_BYTES);
--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -29,7 +29,6 @@
     },
     http_types::Method,
     resources::{
-        unread_per_connection,
         Bytes,
         Evicted,
         Limiter,
@@ -38,7 +37,6 @@
         UsageStats,
         WarningInterval, //
     },
-    socket2::SockRef,
     std::{
         collections::HashMap,
         fmt,
@@ -66,9 +64,6 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Bytes that all connections may send before they are read are the memory for requests divided by
-/// this.
-const UNREAD_DIVISOR: usize = 2;
 /// Upper bound on connections that wait in the kernel's accept queue.
 const BACKLOG: usize = 1024;
 /// Limit on connections that are being sent a rejection at the same time.
@@ -168,7 +163,6 @@
         let Some(guard) = lock(&self.guard).clone() else {
             return;
         };
-        self.limit_unread(&listener);
         loop {
             let stopped = async {
                 let _ = self.stopped.recv().await;
@@ -205,17 +199,6 @@
         lock(&self.shared.open).total
     }
 
-    /// Limits what connections may send before it is read. The operating system would otherwise keep
-    /// much more, and also for connections that are not accepted yet.
-    fn limit_unread(&self, listener: &TcpListener) {
-        let limits = &self.shared.limits;
-        let all = Bytes((limits.memory_bytes / UNREAD_DIVISOR) as u64);
-        let size = unread_per_connection(all, limits.max_connections).length();
-        if let Err(e) = SockRef::from(listener).set_recv_buffer_size(size) {
-            log::warn!("callers: cannot set the receive buffer of a listener: {e}");
-        }
-    }
-
     async fn start_connection(&self, stream: TcpStream, peer: SocketAddr, guard: &Sender<()>) {
         if let Err(e) = set_socket_options(&stream) {
             log::debug!("callers: cannot set socket options for {peer}: {e}");
--- a/crates/gateway/src/http/listener.rs
+++ b/crates/gateway/src/http/listener.rs
@@ -2,8 +2,10 @@
 
 use {
     async_io::Async,
-    resources::Bytes,
-    socket2::SockRef,
+    resources::{
+        listen,
+        Bytes, //
+    },
     std::{
         io,
         net::{
@@ -19,14 +21,9 @@
 pub(crate) struct Listener(Async<TcpListener>);
 
 impl Listener {
-    /// Listens on an address.
-    ///
-    /// `unread` is about how much each connection may send before it is read. The operating system
-    /// would otherwise keep much more, and also for connections that are not accepted yet.
+    /// Listens on an address, see [`listen`].
     pub(crate) fn bind(addr: SocketAddr, unread: Bytes) -> io::Result<Listener> {
-        let listener = Async::<TcpListener>::bind(addr)?;
-        SockRef::from(listener.get_ref()).set_recv_buffer_size(unread.length())?;
-        Ok(Listener(listener))
+        Ok(Listener(Async::new(listen(addr, unread)?)?))
     }
 
     /// Waits for the next connection.
--- a/crates/peers/src/limits.rs
+++ b/crates/peers/src/limits.rs
@@ -12,6 +12,7 @@
     },
     http_types::Body,
     resources::{
+        unread_per_connection,
         Account,
         Bytes,
         Charge,
@@ -29,6 +30,8 @@
 };
 
 const READ_BYTES: usize = 8 * 1024;
+/// Bytes that all connections may send before they are read are the memory for them divided by this.
+const UNREAD_DIVISOR: u64 = 2;
 
 /// Limits on what connections of peers may take.
 #[derive(Debug, Clone, Copy)]
@@ -39,6 +42,14 @@
     pub memory: Bytes,
 }
 
+impl PeerLimits {
+    /// Returns about how much each connection may send before it is read, for
+    /// [`listen`](resources::listen).
+    pub fn unread_per_connection(&self) -> Bytes {
+        unread_per_connection(Bytes(self.memory.0 / UNREAD_DIVISOR), self.max_connections)
+    }
+}
+
 impl Default for PeerLimits {
     fn default() -> PeerLimits {
         PeerLimits {
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -38,9 +38,7 @@
         RouterId, //
     },
     resources::{
-        unread_per_connection,
         Account,
-        Bytes,
         Limiter,
         ListenerId,
         MemoryLimits,
@@ -52,7 +50,6 @@
         de::DeserializeOwned,
         Serialize, //
     },
-    socket2::SockRef,
     std::{
         collections::HashMap,
         fmt,
@@ -67,8 +64,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_QUESTION_BYTES: u64 = 64 * 1024;
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Bytes that all connections may send before they are read are the memory for them divided by this.
-const UNREAD_DIVISOR: u64 = 2;
 
 /// Callbacks for messages and questions from peers.
 pub struct Handler<T, Q, A> {
@@ -111,7 +106,6 @@
     Q: DeserializeOwned + Send + 'static,
     A: Serialize + Send + 'static,
 {
-    limit_unread(&listener, &limits);
     let limiter = Limiter::new(MemoryLimits::of(limits.memory));
     let server = Arc::new(Server {
         links,
@@ -137,15 +131,6 @@
     }
 }
 
-/// Limits what connections may send before it is read.
-fn limit_unread(listener: &TcpListener, limits: &PeerLimits) {
-    let all = Bytes(limits.memory.0 / UNREAD_DIVISOR);
-    let size = unread_per_connection(all, limits.max_connections).length();
-    if let Err(e) = SockRef::from(listener).set_recv_buffer_size(size) {
-        log::warn!("peers: can't set the receive buffer of the listener: {e}");
-    }
-}
-
 async fn serve_connection<T, Q, A>(
     server: Arc<Server<T, Q, A>>,
     socket: TcpStream,
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -15,6 +15,7 @@
 mod charge;
 mod eviction;
 mod limiter;
+mod listen;
 mod segments;
 mod state;
 mod warnings;
@@ -37,6 +38,7 @@
         MemoryLimits,
         UsageStats, //
     },
+    listen::listen,
     segments::{
         Segments,
         SEGMENT_SIZE, //
--- a/src/conf/listen.rs
+++ b/src/conf/listen.rs
@@ -2,6 +2,7 @@
 
 use {
     miette::Diagnostic,
+    resources::Bytes,
     std::{
         io,
         net::{
@@ -89,9 +90,14 @@
     }
 
     /// Listens, and puts the port that was given in place of port 0.
-    pub(crate) fn bind(&mut self, setting: &'static str) -> Result<TcpListener, ListenError> {
+    /// `unread` is about how much each connection may send before it is read.
+    pub(crate) fn bind(
+        &mut self,
+        setting: &'static str,
+        unread: Bytes,
+    ) -> Result<TcpListener, ListenError> {
         let fail = |e| self.refused(setting, e);
-        let listener = TcpListener::bind(self.listen).map_err(fail)?;
+        let listener = resources::listen(self.listen, unread).map_err(fail)?;
         let port = listener.local_addr().map_err(fail)?.port();
         self.listen.set_port(port);
         if self.advertise.port() == 0 {
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -149,10 +149,12 @@
     ///
     /// Names the setting whose address can't be had.
     pub fn bind(&mut self) -> Result<Listeners, ListenError> {
+        let unread = self.limits.unread_per_connection();
+        let unread_of_peers = self.peer_limits.unread_per_connection();
         Ok(Listeners {
-            callers: self.callers.bind("callers.listen")?,
-            peers: self.peers.bind("peers.listen")?,
-            operators: self.operators.bind("operators.listen")?,
+            callers: self.callers.bind("callers.listen", unread)?,
+            peers: self.peers.bind("peers.listen", unread_of_peers)?,
+            operators: self.operators.bind("operators.listen", unread)?,
         })
     }
 }
