One log of evictions for callers and peers

Found in a review of the whole change: the servers of callers and of peers each had the same lines that log evictions once a second, and the gateway named the causes of evictions a second time. `resources::EvictionLog` has the lines now, and `Evicted::cause` the names. Two crowd tests share their settings; no crowd and no bound changes.

--- a/crates/callers/src/server.rs
+++ b/crates/callers/src/server.rs
@@ -31,11 +31,10 @@
     resources::{
         Bytes,
         Evicted,
+        EvictionLog,
         Limiter,
         ListenerId,
-        MemoryLimits,
-        UsageStats,
-        WarningInterval, //
+        MemoryLimits, //
     },
     std::{
         collections::HashMap,
@@ -97,19 +96,14 @@
     open: Mutex<OpenConnections>,
     /// Number of connections that are being sent a rejection.
     rejecting: AtomicUsize,
-    warnings: WarningInterval,
+    eviction_log: EvictionLog,
 }
 
 impl Shared {
     /// Counts an evicted connection, and logs the first one in each interval.
     pub(crate) fn record_eviction(&self, evicted: Evicted) {
         metrics::counter!("chervilwind_callers_evicted", "cause" => evicted.cause()).increment(1);
-        if self.warnings.begin() {
-            let UsageStats {
-                held, connections, ..
-            } = self.limiter.stats();
-            log::warn!("callers: {evicted} ({held} bytes held, {connections} connections)");
-        }
+        self.eviction_log.warn("callers", evicted, &self.limiter);
     }
 }
 
@@ -149,7 +143,7 @@
                 handler: Box::new(move |request| Box::pin(handler(request))),
                 open: Mutex::default(),
                 rejecting: AtomicUsize::new(0),
-                warnings: WarningInterval::default(),
+                eviction_log: EvictionLog::default(),
             }),
             stop,
             stopped,
--- a/crates/gateway/src/serve/evictions.rs
+++ b/crates/gateway/src/serve/evictions.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::state::Shared,
-    resources::UsageStats, //
+    resources::{
+        Evicted,
+        UsageStats, //
+    },
 };
 
 /// Counts the connections that were evicted since the last time, and logs them in one line.
@@ -14,8 +17,8 @@
     if memory + place == 0 {
         return;
     }
-    for (cause, count) in [("memory", memory), ("place", place)] {
-        metrics::counter!("chervilwind_evictions", "cause" => cause).increment(count);
+    for (evicted, count) in [(Evicted::Memory, memory), (Evicted::Place, place)] {
+        metrics::counter!("chervilwind_evictions", "cause" => evicted.cause()).increment(count);
     }
     let UsageStats {
         held,
--- a/crates/peers/src/server.rs
+++ b/crates/peers/src/server.rs
@@ -39,12 +39,11 @@
     },
     resources::{
         Account,
+        EvictionLog,
         Limiter,
         ListenerId,
         MemoryLimits,
-        Phase,
-        UsageStats,
-        WarningInterval, //
+        Phase, //
     },
     serde::{
         de::DeserializeOwned,
@@ -86,7 +85,7 @@
     newest: AsyncMutex<HashMap<RouterId, StreamId>>,
     limiter: Limiter,
     listener: ListenerId,
-    warnings: WarningInterval,
+    eviction_log: EvictionLog,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -113,7 +112,7 @@
         newest: AsyncMutex::default(),
         listener: limiter.add_listener(limits.max_connections),
         limiter,
-        warnings: WarningInterval::default(),
+        eviction_log: EvictionLog::default(),
     });
     loop {
         match listener.accept().await {
@@ -163,12 +162,7 @@
             return;
         };
         metrics::counter!("chervilwind_peers_evicted", "cause" => evicted.cause()).increment(1);
-        if self.warnings.begin() {
-            let UsageStats {
-                held, connections, ..
-            } = self.limiter.stats();
-            log::warn!("peers: {evicted} ({held} bytes held, {connections} connections)");
-        }
+        self.eviction_log.warn("peers", evicted, &self.limiter);
     }
 }
 
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -14,11 +14,11 @@
 mod bytes;
 mod charge;
 mod eviction;
+mod eviction_log;
 mod limiter;
 mod listen;
 mod segments;
 mod state;
-mod warnings;
 
 pub use self::{
     account::{
@@ -32,6 +32,7 @@
         BytesError, //
     },
     charge::Charge,
+    eviction_log::EvictionLog,
     limiter::{
         Limiter,
         ListenerId,
@@ -43,5 +44,4 @@
         Segments,
         SEGMENT_SIZE, //
     },
-    warnings::WarningInterval,
 };
--- a/tests/crowds/own_interface.rs
+++ b/tests/crowds/own_interface.rs
@@ -55,6 +55,11 @@
     descriptors: 1_200,
 };
 
+const FEW_CONNECTIONS: Allowed = Allowed {
+    limits: "connections = 200",
+    descriptors: 500,
+};
+
 /// A router and a stand-in of the platform.
 struct Router {
     process: Process,
@@ -194,11 +199,7 @@
         times: 0,
         pause: Duration::ZERO,
     };
-    let allowed = Allowed {
-        limits: "connections = 200",
-        descriptors: 500,
-    };
-    check_crowd(allowed, CALLERS, 400, &script);
+    check_crowd(FEW_CONNECTIONS, CALLERS, 400, &script);
 }
 
 /// Guards against the same for connections that have begun a request.
@@ -210,11 +211,7 @@
         times: 1,
         pause: Duration::ZERO,
     };
-    let allowed = Allowed {
-        limits: "connections = 200",
-        descriptors: 500,
-    };
-    check_crowd(allowed, CALLERS, 400, &script);
+    check_crowd(FEW_CONNECTIONS, CALLERS, 400, &script);
 }
 
 /// Guards against frames of peers without a limit on all of them.
