An answer with an undefined status is no answer

Callers of the users got a replica's answer with status 000. The parser takes any three digits. What followed took 000 for an answer that is neither a success nor a failure of the server: a 000 needs no signature (`is_signed` asks for one with 2xx only), counts as a success for the replica's health (`status < 500`), and has no body (`has_body` is false below 200).

The head of a response is now invalid if its status is not one of 100 to 599, or is 101: a gateway never asks for another protocol, so what follows a 101 is not HTTP. It is checked where heads are parsed, so it holds for answers of replicas, of the store and of peers, and an invalid status has the consequences of every other invalid head: the replica counts as one that broke its answer, the request goes on elsewhere if it may be repeated, and the caller gets 502 otherwise. Answers of the store and of peers now skip interim heads as those of replicas do; before, a 1xx passed as the answer and the real one stayed on the connection for the next request.

Before, `answer_with_invalid_status` failed at its first case: the caller got `HTTP/1.1 0 Odd` with the replica's signature. The other new tests held before: first lines of another form, names of headers with a blank or a control byte (17 forms, three statuses, four kinds of route), bodies whose end can be read in two ways, and a sound answer after interim ones.

--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -56,6 +56,8 @@
 const READS_IN_A_ROW: u32 = 16;
 /// Bytes that are read ahead while a request is being served. More stay unread.
 const READ_AHEAD: usize = 4 * 1024;
+/// Interim responses (1xx) that are skipped. A server that works on a request may send a few.
+const INTERIM_MAX: usize = 16;
 /// How long sent data may stay unacknowledged before the connection is considered dead.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -86,6 +88,8 @@
     Broken(io::ErrorKind),
     #[error("{0}")]
     Head(#[from] HeadError),
+    #[error("more than {INTERIM_MAX} interim answers")]
+    Interim,
     #[error("the message is longer than {0} bytes")]
     TooLong(usize),
     #[error("the body is malformed: {0}")]
@@ -264,6 +268,23 @@
         }
     }
 
+    /// Reads the head of a response of at most `max` bytes, and skips interim ones. `on_head` gets all
+    /// of them.
+    pub(crate) async fn read_response_head(
+        &mut self,
+        max: usize,
+        on_head: impl Fn(&Head),
+    ) -> Result<Head, ReadError> {
+        for _ in 0..=INTERIM_MAX {
+            let head = self.read_head(max, Head::response).await?;
+            on_head(&head);
+            if !head.is_interim() {
+                return Ok(head);
+            }
+        }
+        Err(ReadError::Interim)
+    }
+
     pub(crate) async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.socket.writer().write_all(bytes).await
     }
--- a/crates/gateway/src/http/exchange.rs
+++ b/crates/gateway/src/http/exchange.rs
@@ -5,7 +5,6 @@
         Body,
         Conn,
         Framing,
-        Head,
         Headers,
         ReadError,
         StartLine, //
@@ -125,7 +124,7 @@
     conn.write(&bytes)
         .await
         .map_err(|e| ReadError::Broken(e.kind()))?;
-    let head = conn.read_head(HEAD_MAX, Head::response).await?;
+    let head = conn.read_response_head(HEAD_MAX, |_| {}).await?;
     let mut body = Body::new(Framing::response(&head, request.method)?);
     let content = body.read_all(conn, request.max_body_bytes).await?;
     let keep = head.keeps_alive() && body.reusable();
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -4,6 +4,7 @@
     std::{
         fmt,
         mem,
+        ops::RangeInclusive,
         str, //
     },
     thiserror::Error, //
@@ -12,6 +13,12 @@
 /// Maximum number of headers in a head.
 const HEADERS_MAX: usize = 128;
 
+/// Statuses of responses.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
+/// The status of a response after which the connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// Memory of a header beside its texts, in bytes: its entry, and the allocator's bookkeeping.
 const HEADER_OVERHEAD: usize = mem::size_of::<Header>() + 32;
 
@@ -61,6 +68,8 @@
 pub(crate) enum HeadError {
     #[error("invalid HTTP/1.1 message: {0}")]
     Malformed(httparse::Error),
+    #[error("the status {0:03} is not one of an HTTP/1.1 answer")]
+    Status(u16),
     #[error("the head has more than {HEADERS_MAX} headers; send fewer")]
     TooMany,
     #[error("the end of the body can be read in two ways; send one of `content-length` and `transfer-encoding: chunked`, once")]
@@ -136,6 +145,10 @@
     }
 
     /// Parses the head of a response, as [`request`](Head::request) does.
+    ///
+    /// # Errors
+    ///
+    /// Also if its status is none that HTTP defines for a client that asks for no other protocol.
     pub(crate) fn response(bytes: &[u8]) -> Result<Option<(Head, usize)>, HeadError> {
         let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
         let mut parsed = httparse::Response::new(&mut slots);
@@ -144,8 +157,12 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(e) => return Err(e.into()),
         };
+        let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) || status == SWITCHING_PROTOCOLS {
+            return Err(HeadError::Status(status));
+        }
         let line = StartLine::Response {
-            status: parsed.code.unwrap_or_default(),
+            status,
             reason: parsed.reason.unwrap_or_default().to_owned(),
         };
         let http_1_0 = parsed.version == Some(0);
@@ -183,6 +200,11 @@
         }
     }
 
+    /// Returns whether another response to the same request follows.
+    pub(crate) fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status())
+    }
+
     /// Returns the method of a request, empty for a response.
     pub(crate) fn method(&self) -> &str {
         match &self.line {
--- a/crates/gateway/src/serve/connection.rs
+++ b/crates/gateway/src/serve/connection.rs
@@ -353,7 +353,7 @@
         ReadError::Head(HeadError::TooMany) => {
             LocalAnswer::status(431, "the head has too many headers").closing()
         }
-        ReadError::Head(_) | ReadError::Body(_) => {
+        ReadError::Head(_) | ReadError::Body(_) | ReadError::Interim => {
             LocalAnswer::status(400, "this can't be read as one HTTP/1.1 request").closing()
         }
         ReadError::Evicted(evicted) => {
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -44,8 +44,6 @@
 const JOIN_MAX_BYTES: usize = 64 * 1024;
 /// Answers to other requests that are skipped before the connection is closed.
 const EXTRA_ANSWERS_MAX: usize = 2;
-/// Interim answers (1xx) that are skipped. A replica that works on a request may send a few.
-const INTERIM_ANSWERS_MAX: usize = 16;
 /// Longest answer to another request that is skipped, in bytes.
 const EXTRA_ANSWER_MAX_BYTES: usize = 256 * 1024;
 /// Longest idle time of a connection that is reused for a request which must not run twice. If the
@@ -111,8 +109,6 @@
     Read(#[from] ReadError),
     #[error("the answer belongs to another request")]
     Foreign,
-    #[error("more than {INTERIM_ANSWERS_MAX} interim answers")]
-    Interim,
     #[error("an answer without the request's id")]
     MissingId,
     #[error("the replica takes no more requests since it was chosen")]
@@ -240,17 +236,8 @@
     hooks: &CallHooks<'_>,
 ) -> Result<(Head, Body), CallError> {
     let mut extra = 0;
-    let mut interim = 0;
     loop {
-        let head = conn.read_head(HEAD_MAX, Head::response).await?;
-        (hooks.on_head)(&head);
-        if (100..200).contains(&head.status()) {
-            interim += 1;
-            if interim > INTERIM_ANSWERS_MAX {
-                return Err(CallError::Interim);
-            }
-            continue;
-        }
+        let head = conn.read_response_head(HEAD_MAX, hooks.on_head).await?;
         let framing = Framing::response(&head, request.method).map_err(ReadError::from)?;
         let mut body = Body::new(framing);
         match head.headers.get(dialect.id) {
--- a/crates/gateway/tests/gateway/answers.rs
+++ b/crates/gateway/tests/gateway/answers.rs
@@ -172,7 +172,7 @@
 }
 
 /// Paths on routes of each kind.
-const PATHS: [&str; 4] = ["/once/a", "/again/a", "/stream/a", "/resume/a"];
+pub(crate) const PATHS: [&str; 4] = ["/once/a", "/again/a", "/stream/a", "/resume/a"];
 
 /// A replica that answers its first request, and closes within the head of its second answer, at a
 /// position that `cut` chooses from the length of the head.
--- /dev/null
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -0,0 +1,171 @@
+//! What is not a complete answer of HTTP/1.1 reaches no caller as one.
+
+use crate::{
+    answers::PATHS,
+    caller::Answer,
+    harness::TestGateway,
+    replica::{
+        answer,
+        ok_answer,
+        Replica,
+        Step, //
+    },
+};
+
+/// Requests after which a replica that answers all of them with garbage must have been tried.
+const TRIES_MAX: usize = 100;
+
+/// Checks that the caller got an error of the gateway itself, and no part of the replica's answer.
+fn assert_own_error(got: &Answer, case: &str) {
+    assert_eq!(got.status, 502, "{case}: {got:?}");
+    assert_eq!(got.header("x-signature"), None, "{case}: {got:?}");
+    assert!(!got.body.contains("odd"), "{case}: {got:?}");
+}
+
+/// Checks that callers on routes of each kind get an error of the gateway itself.
+fn assert_rejected(faulty: &Replica, case: &str) {
+    for path in PATHS {
+        // A new gateway has not left the replica out yet.
+        let gw = TestGateway::start(&[("i-1", faulty)]);
+        assert_own_error(&gw.get(path, "1"), &format!("{case} {path}"));
+    }
+}
+
+/// Checks that requests which may be repeated are answered by a sound replica beside the faulty one,
+/// and that the faulty one is left out after a few failures.
+fn assert_other_answers(faulty: &Replica, path: &str, case: &str) {
+    let sound = Replica::start(|_, seen| vec![Step::Send(ok_answer(seen, "whole"))]);
+    let gw = TestGateway::start(&[("i-1", faulty), ("i-2", &sound)]);
+    let before = faulty.seen().len();
+    for n in 0..TRIES_MAX {
+        let got = gw.get(path, &n.to_string());
+        assert_eq!((got.status, got.body.as_str()), (200, "whole"), "{case}");
+    }
+    let tried = faulty.seen().len() - before;
+    assert!((1..TRIES_MAX / 4).contains(&tried), "{case}: {tried}");
+}
+
+/// Guards against an answer with a status that HTTP doesn't define, or one that leaves HTTP/1.1, which
+/// reaches a caller.
+#[test]
+fn answer_with_invalid_status() {
+    let statuses = [
+        "000 Odd", "001 Odd", "099 Odd", "101 Odd", "600 Odd", "999 Odd",
+    ];
+    for status in statuses {
+        let faulty = Replica::start(move |_, seen| {
+            let id = seen.header("x-id").unwrap_or("-");
+            vec![Step::Send(answer(id, status, "odd")), Step::Close]
+        });
+        assert_rejected(&faulty, status);
+        for path in ["/again/a", "/resume/a"] {
+            assert_other_answers(&faulty, path, &format!("{status} {path}"));
+        }
+    }
+}
+
+/// Guards against a first line of another form that passes for an answer.
+#[test]
+fn answer_with_invalid_first_line() {
+    let lines = [
+        "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK",
+        "HTTP/1.1 +20 OK",
+        "HTTP/1.1 -20 OK",
+        "HTTP/1.1  200 OK",
+        "HTTP/2.0 200 OK",
+        "HTTP/1.2 200 OK",
+        "HTTP/1.1 200 O\x01K",
+        "http/1.1 200 OK",
+        "200 OK",
+    ];
+    for line in lines {
+        let faulty = Replica::start(move |_, seen| {
+            let id = seen.header("x-id").unwrap_or("-");
+            let rest = format!("X-Id: {id}\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nodd");
+            let bytes = format!("{line}\r\n{rest}").into_bytes();
+            vec![Step::Send(bytes), Step::Close]
+        });
+        assert_rejected(&faulty, line);
+    }
+}
+
+/// Guards against an answer that passes although a name in its head holds a blank or a control byte, or
+/// a value a control byte: the line may be forwarded, or the body be delimited by it.
+#[test]
+fn answer_with_invalid_header() {
+    let lines = [
+        "X Odd: 1",
+        "X-Odd : 1",
+        " X-Odd: 1",
+        "\tX-Odd: 1",
+        "X\x01Odd: 1",
+        "X\x7fOdd: 1",
+        "X-Odd\t: 1",
+        "X\0Odd: 1",
+        "X\rOdd: 1",
+        ": 1",
+        "X-Odd",
+        "X-Odd: a\x01b",
+        "X-Odd: a\0b",
+        "X-Odd: a\rb",
+        "Content-Length : 1",
+        "Content Length: 1",
+        "Transfer-Encoding : chunked",
+    ];
+    for line in lines {
+        for status in ["200 OK", "404 Not Found", "503 Busy"] {
+            let faulty = Replica::start(move |_, seen| {
+                let id = seen.header("x-id").unwrap_or("-");
+                let head = format!("HTTP/1.1 {status}\r\nX-Id: {id}\r\nX-Signature: s\r\n");
+                let bytes = format!("{head}{line}\r\nContent-Length: 3\r\n\r\nodd");
+                vec![Step::Send(bytes.into_bytes()), Step::Close]
+            });
+            assert_rejected(&faulty, &format!("{status} {line:?}"));
+        }
+    }
+}
+
+/// Guards against a body whose end can be read in two ways.
+#[test]
+fn answer_with_ambiguous_length() {
+    let cases = [
+        "Content-Length: +3",
+        "Content-Length: -3",
+        "Content-Length: 0x3",
+        "Content-Length: 3, 3",
+        "Content-Length: 3\r\nContent-Length: 2",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked",
+        "Content-Length: 99999999999999999999999",
+        "Content-Length:",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: xchunked",
+    ];
+    for lines in cases {
+        let faulty = Replica::start(move |_, seen| {
+            let id = seen.header("x-id").unwrap_or("-");
+            let head = format!("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\n");
+            let bytes = format!("{head}{lines}\r\n\r\nodd");
+            vec![Step::Send(bytes.into_bytes()), Step::Close]
+        });
+        assert_rejected(&faulty, lines);
+    }
+}
+
+/// Guards against the loss of a sound answer after interim ones.
+#[test]
+fn answer_after_interim_ones() {
+    for path in PATHS {
+        let replica = Replica::start(|_, seen| {
+            let mut bytes = b"HTTP/1.1 100 Continue\r\n\r\n".to_vec();
+            bytes.extend(b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+            bytes.extend(ok_answer(seen, "whole"));
+            vec![Step::Send(bytes)]
+        });
+        let gw = TestGateway::start(&[("i-1", &replica)]);
+        let got = gw.get(path, "1");
+        assert_eq!((got.status, got.body.as_str()), (200, "whole"), "{path}");
+    }
+}
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateways on loopback, with replicas that fail on request.
 
 mod answers;
+mod broken_answers;
 mod caller;
 mod endless;
 mod evacuation;
