An unmarked refusal of a replica is no promise to the caller

408, 421, 429 and 503 tell a caller that its request did not run, and it sends one that must run once at most again. A replica says so by its mark (or by 421). Its answers with these statuses and without the mark were forwarded as they came, so a replica in trouble that answered 503 after it had begun a request brought it to run twice. The other way round, a success with the mark was taken for "not run": the request was sent once more, and in the end its caller was told 503.

What an answer may be forwarded for is now decided in one place, for all kinds of routes (`Reply::check`): an unmarked 408, 429 or 503 is a failure of the replica, as a 500 is, and a success with the mark is broken. The request goes on elsewhere where it may be repeated; the caller gets 502 otherwise. Unmarked refusals count toward the replica's failure rate, but three of them in a row don't leave it out as broken answers do, as a caller can bring them about.

--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -101,10 +101,10 @@
             self.progress.record_not_run(&self.permit.replica.id);
             return Err(AttemptOutcome::Rejected);
         }
-        if !reply.is_signed(&self.gw.dialect) {
-            return Err(self.record_broken(&AttemptError::Unsigned).await);
+        match reply.check(&self.gw.dialect) {
+            Ok(()) => Ok(answer),
+            Err(e) => Err(self.record_broken(&e.into()).await),
         }
-        Ok(answer)
     }
 
     async fn record_lost(&mut self, e: &AttemptError) -> AttemptOutcome {
--- a/crates/gateway/src/serve/outcome.rs
+++ b/crates/gateway/src/serve/outcome.rs
@@ -7,7 +7,10 @@
     },
     crate::{
         http::ReadError,
-        upstream::CallError, //
+        upstream::{
+            CallError,
+            InvalidReply, //
+        },
     },
     std::io,
     thiserror::Error, //
@@ -111,8 +114,8 @@
 pub(super) enum AttemptError {
     #[error("{0}")]
     Call(#[from] CallError),
-    #[error("the answer is not signed")]
-    Unsigned,
+    #[error("{0}")]
+    Invalid(#[from] InvalidReply),
 }
 
 impl From<ReadError> for AttemptError {
@@ -132,7 +135,10 @@
                     permit.record_refused();
                 }
             }
-            AttemptError::Call(_) | AttemptError::Unsigned => permit.record_broken(),
+            // The replica works, and callers can bring about some of these answers. So it is not
+            // left out as after broken ones.
+            AttemptError::Invalid(InvalidReply::Unmarked(_)) => permit.record_answer(false),
+            AttemptError::Call(_) | AttemptError::Invalid(_) => permit.record_broken(),
         }
     }
 
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -46,6 +46,8 @@
 const EXTRA_ANSWERS_MAX: usize = 2;
 /// Longest answer to another request that is skipped, in bytes.
 const EXTRA_ANSWER_MAX_BYTES: usize = 256 * 1024;
+/// Statuses that tell a caller that its request was not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Longest idle time of a connection that is reused for a request which must not run twice. If the
 /// replica closes an older connection at the same moment, or the connection is dead, it is unknown
 /// whether the request ran.
@@ -115,6 +117,17 @@
     Withdrawn,
 }
 
+/// Why an answer can't be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub(crate) enum InvalidReply {
+    #[error("the answer is not signed")]
+    Unsigned,
+    #[error("a success with the mark of a request that was not run")]
+    SuccessNotRun,
+    #[error("status {0} without the mark of a request that was not run")]
+    Unmarked(u16),
+}
+
 /// What the caller of [`call`] decides and observes during it.
 pub(crate) struct CallHooks<'a> {
     /// Whether the request may still be sent, asked when there is a connection.
@@ -265,13 +278,35 @@
     /// If the replica's address was reassigned to another replica, that one rejects the request as
     /// misdirected (421), without running it.
     pub(crate) fn reports_not_run(&self, dialect: &Dialect) -> bool {
-        self.head.status() == 421 || self.head.headers.get(dialect.not_run).is_some()
+        let marked = self.head.headers.get(dialect.not_run).is_some();
+        self.head.status() == 421 || marked && !self.is_success()
+    }
+
+    /// Checks that an answer to a request which may have run can be forwarded.
+    ///
+    /// # Errors
+    ///
+    /// It is a success without the replica's signature or with the mark of a request that was not run,
+    /// or a status that tells the caller, without this mark, that the request was not run.
+    pub(crate) fn check(&self, dialect: &Dialect) -> Result<(), InvalidReply> {
+        let status = self.head.status();
+        if NOT_RUN_STATUSES.contains(&status) {
+            return Err(InvalidReply::Unmarked(status));
+        }
+        if !self.is_success() {
+            return Ok(());
+        }
+        if self.head.headers.get(dialect.not_run).is_some() {
+            return Err(InvalidReply::SuccessNotRun);
+        }
+        match self.head.headers.get(dialect.signature) {
+            Some(_) => Ok(()),
+            None => Err(InvalidReply::Unsigned),
+        }
     }
 
-    /// Returns whether the answer may be forwarded: a success needs the replica's signature.
-    pub(crate) fn is_signed(&self, dialect: &Dialect) -> bool {
-        let good = (200..300).contains(&self.head.status());
-        !good || self.head.headers.get(dialect.signature).is_some()
+    fn is_success(&self) -> bool {
+        (200..300).contains(&self.head.status())
     }
 
     /// Keeps the connection for reuse if neither side has anything left to send on it.
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -10,6 +10,7 @@
         call,
         CallError,
         CallHooks,
+        InvalidReply,
         Reply,
         SendMarker,
         UpstreamRequest, //
--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -169,3 +169,32 @@
         assert_eq!((got.status, got.body.as_str()), (200, "whole"), "{path}");
     }
 }
+
+/// Guards against a promise that the request did not run which its replica has not made, and which a
+/// caller would take as leave to send it once more.
+#[test]
+fn answer_that_promises_without_a_mark() {
+    for status in ["408 Late", "429 Many", "503 Busy"] {
+        let replica = Replica::start(move |_, seen| {
+            let id = seen.header("x-id").unwrap_or("-");
+            vec![Step::Send(answer(id, status, "odd"))]
+        });
+        assert_rejected(&replica, status);
+    }
+}
+
+/// Guards against a success that claims not to have run the request.
+#[test]
+fn success_that_is_marked_as_not_run() {
+    let replica = Replica::start(|_, seen| {
+        let id = seen.header("x-id").unwrap_or("-");
+        vec![Step::Send(
+            format!(
+                "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nX-Not-Run: 1\r\n\
+                 Content-Length: 3\r\n\r\nodd"
+            )
+            .into_bytes(),
+        )]
+    });
+    assert_rejected(&replica, "not run");
+}
