A reset that a write has got makes no complete answer

Callers of the users got a part of an answer as all of it: a replica answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

The operating system reports a reset once, to whichever call comes first. `call` writes the request and reads the answer in turns, and ignores errors of the write, as a replica may answer early and not read the rest. When the write got the report, the next read found what was left to find: 0 bytes, the end of a stream that was closed in order, and so of a body that ends with its connection.

The two sides of a connection now share the report: once a write found that the connection broke, a read that finds the end returns that error. It is done in the socket, so it holds for whatever reads by it: plain answers, streams without a length, hedges, kept connections, the store's answers, and requests of callers. A broken pipe is no such report: it means that the peer had ended its stream before (all of its bytes are there), or that the break was reported already. So an early answer that ends in order stays complete, also when the replica then closes with a part of the upload unread. A reset that no write got goes to the read itself, as before.

--- a/crates/gateway/src/http/socket.rs
+++ b/crates/gateway/src/http/socket.rs
@@ -14,7 +14,10 @@
             Write, //
         },
         net::TcpStream,
-        sync::Arc,
+        sync::{
+            Arc,
+            OnceLock, //
+        },
         task::{
             Context,
             Poll, //
@@ -25,35 +28,46 @@
 /// Slices that are written at once.
 const SLICES_PER_WRITE: usize = 64;
 
+/// A connection, as both of its sides use it.
+#[derive(Debug)]
+struct SharedStream {
+    stream: Async<TcpStream>,
+    /// How the connection broke, if the operating system reported that to a write.
+    broken: OnceLock<io::ErrorKind>,
+}
+
 /// The reading side of a connection.
 ///
 /// A read that finds nothing costs as much as one that finds data. So after a read that emptied the
 /// socket, the next one waits until the operating system reports more.
 #[derive(Debug)]
 pub(crate) struct Socket {
-    stream: Arc<Async<TcpStream>>,
+    shared: Arc<SharedStream>,
     /// The last read may have left data behind.
     may_have_more: bool,
 }
 
 /// The writing side of a connection, usable beside the reading side.
 #[derive(Debug, Clone)]
-pub(crate) struct Writer(Arc<Async<TcpStream>>);
+pub(crate) struct Writer(Arc<SharedStream>);
 
 impl Socket {
     pub(crate) fn new(stream: Async<TcpStream>) -> Socket {
         Socket {
-            stream: Arc::new(stream),
+            shared: Arc::new(SharedStream {
+                stream,
+                broken: OnceLock::new(),
+            }),
             may_have_more: true,
         }
     }
 
     pub(crate) fn get_ref(&self) -> &TcpStream {
-        self.stream.get_ref()
+        self.shared.stream.get_ref()
     }
 
     pub(crate) fn writer(&self) -> Writer {
-        Writer(self.stream.clone())
+        Writer(self.shared.clone())
     }
 
     /// Makes the next read ask the operating system, whatever it has reported so far.
@@ -66,7 +80,7 @@
     pub(crate) fn poll_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.may_have_more {
             true => Poll::Ready(Ok(())),
-            false => self.stream.poll_readable(cx),
+            false => self.shared.stream.poll_readable(cx),
         }
     }
 
@@ -75,7 +89,10 @@
         self.may_have_more = false;
     }
 
-    /// Reads into a buffer; 0 bytes mean the end of the stream.
+    /// Reads into a buffer; 0 bytes mean that the peer has ended the stream.
+    ///
+    /// The operating system reports once that a connection broke. If a write got the report, a read
+    /// finds an end like that of a complete stream.
     pub(crate) fn poll_read(
         &mut self,
         cx: &mut Context<'_>,
@@ -83,9 +100,15 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.poll_ready(cx))?;
-            match self.stream.get_ref().read(buf) {
+            match self.get_ref().read(buf) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.may_have_more = false,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Ok(0) if !buf.is_empty() => {
+                    return Poll::Ready(match self.shared.broken.get() {
+                        Some(kind) => Err((*kind).into()),
+                        None => Ok(0),
+                    });
+                }
                 Ok(n) => {
                     self.may_have_more = n == buf.len();
                     return Poll::Ready(Ok(n));
@@ -128,13 +151,21 @@
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
         loop {
-            match write(self.0.get_ref()) {
+            match write(self.0.stream.get_ref()) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
                 Ok(0) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
-                done => return Poll::Ready(done),
+                Ok(n) => return Poll::Ready(Ok(n)),
+                Err(e) => {
+                    // A broken pipe says that no more can be written: the peer had ended its stream
+                    // before, or the break was reported already.
+                    if e.kind() != io::ErrorKind::BrokenPipe {
+                        self.0.broken.get_or_init(|| e.kind());
+                    }
+                    return Poll::Ready(Err(e));
+                }
             }
-            ready!(self.0.poll_writable(cx))?;
+            ready!(self.0.stream.poll_writable(cx))?;
         }
     }
 }
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -169,7 +169,8 @@
             writer.write_all_vectored(&mut rest).await
         };
         // A replica may answer early and not read the rest of the request. Its answer counts, so
-        // write errors are ignored here; if the connection broke, the read fails too.
+        // write errors are ignored here; if the connection broke, the read fails too, even if only
+        // the write got the report.
         request_written = written.await.is_ok();
         futures_lite::future::pending().await
     };
--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -1,15 +1,19 @@
 //! What is not a complete answer of HTTP/1.1 reaches no caller as one.
 
-use crate::{
-    answers::PATHS,
-    caller::Answer,
-    harness::TestGateway,
-    replica::{
-        answer,
-        ok_answer,
-        Replica,
-        Step, //
+use {
+    crate::{
+        answers::PATHS,
+        caller::Answer,
+        harness::TestGateway,
+        replica::{
+            answer,
+            ok_answer,
+            Replica,
+            SeenRequest,
+            Step, //
+        },
     },
+    std::time::Duration,
 };
 
 /// Requests after which a replica that answers all of them with garbage must have been tried.
@@ -198,3 +202,106 @@
     });
     assert_rejected(&replica, "not run");
 }
+
+/// Sends an upload of this length, with additional header lines.
+fn upload(gw: &TestGateway, path: &str, length: usize, headers: &str) -> Answer {
+    let mut caller = gw.caller();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\nX-Key: k1\r\n{headers}\
+         Content-Length: {length}\r\n\r\n"
+    );
+    caller.send(head.as_bytes());
+    caller.send(&vec![b'y'; length]);
+    caller.answer()
+}
+
+/// The start of a successful answer without a length.
+fn open_answer(seen: &SeenRequest, version: &str, content_type: &str, body: &str) -> Vec<u8> {
+    let id = seen.header("x-id").unwrap_or("-");
+    format!(
+        "{version} 200 OK\r\nX-Id: {id}\r\nX-Signature: s-{id}\r\n\
+         Content-Type: {content_type}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+const TYPES: [(&str, &str); 2] = [
+    ("text/plain", "a part"),
+    ("text/event-stream", "id: 1\ndata: a\n\n"),
+];
+const VERSIONS: [&str; 2] = ["HTTP/1.1", "HTTP/1.0"];
+const UPLOADS: [usize; 2] = [600_000, 12_000_000];
+/// Bounds how long a stream waits for another replica at which it can go on.
+const SHORT_DEADLINE: &str = "X-Deadline: 1000\r\n";
+
+/// Guards against a part of an answer that passes for all of it because the reset that ended it was
+/// reported to the write of the request.
+#[test]
+fn answer_reset_during_an_upload() {
+    for (content_type, body) in TYPES {
+        for version in VERSIONS {
+            for pause in [0, 50] {
+                let replica = Replica::start_early(move |_, seen| {
+                    vec![
+                        Step::Send(open_answer(seen, version, content_type, body)),
+                        Step::Pause(Duration::from_millis(pause)),
+                        Step::Reset,
+                    ]
+                });
+                let gw = TestGateway::start(&[("i-1", &replica)]);
+                for path in PATHS {
+                    for length in UPLOADS {
+                        let got = upload(&gw, path, length, SHORT_DEADLINE);
+                        let case = format!("{content_type} {version} {pause} {path} {length}");
+                        assert!(got.status != 200 || !got.complete, "{case}: {got:?}");
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Guards against the same where another replica can answer.
+#[test]
+fn answer_reset_during_an_upload_beside_another_replica() {
+    for path in ["/again/a", "/resume/a"] {
+        let faulty = Replica::start_early(|_, seen| {
+            let part = open_answer(seen, "HTTP/1.1", "text/plain", "a part");
+            vec![Step::Send(part), Step::Reset]
+        });
+        let sound = Replica::start(|_, seen| vec![Step::Send(ok_answer(seen, "whole"))]);
+        let gw = TestGateway::start(&[("i-1", &faulty), ("i-2", &sound)]);
+        for _ in 0..10 {
+            let got = upload(&gw, path, UPLOADS[0], "");
+            assert_eq!((got.status, got.body.as_str()), (200, "whole"), "{path}");
+        }
+        assert!(!faulty.seen().is_empty());
+    }
+}
+
+/// Guards against the loss of an early answer to an upload that has no length and ends in order.
+#[test]
+fn answer_without_length_during_an_upload() {
+    for after in [Step::ReadBody, Step::Pause(Duration::ZERO)] {
+        for (content_type, body) in TYPES {
+            let after = after.clone();
+            let replica = Replica::start_early(move |_, seen| {
+                vec![
+                    Step::Send(open_answer(seen, "HTTP/1.1", content_type, body)),
+                    Step::EndWrites,
+                    after.clone(),
+                    Step::Close,
+                ]
+            });
+            let gw = TestGateway::start(&[("i-1", &replica)]);
+            for path in PATHS {
+                for length in UPLOADS {
+                    let got = upload(&gw, path, length, "");
+                    let case = format!("{content_type} {path} {length}");
+                    assert_eq!((got.status, got.complete), (200, true), "{case}");
+                    assert_eq!(got.body, body, "{case}");
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/tests/gateway/replica.rs
+++ b/crates/gateway/tests/gateway/replica.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::harness::wait_until,
+    socket2::SockRef,
     std::{
         collections::HashMap,
         io::{
@@ -46,6 +47,12 @@
     /// Waits until the caller closes the connection, and records when.
     UntilClosed,
     Close,
+    /// Ends the answer, but leaves the connection open for the caller.
+    EndWrites,
+    /// Reads the body of the request, if the replica has answered early.
+    ReadBody,
+    /// Resets the connection.
+    Reset,
     /// The replica's process crashes: all connections are closed and new ones refused.
     Crash,
     /// The same, but this connection is closed so much earlier than the listener.
@@ -138,6 +145,7 @@
                 all.push(seen.clone());
                 all.len() - 1
             };
+            let mut unread = self.early;
             for step in script(number, &seen) {
                 match step {
                     Step::Send(bytes) => {
@@ -153,6 +161,19 @@
                         return;
                     }
                     Step::Close => return,
+                    Step::EndWrites => stream.shutdown(Shutdown::Write).unwrap(),
+                    Step::ReadBody => {
+                        if !discard_body(&mut stream, &mut buf, seen.length()) {
+                            return;
+                        }
+                        unread = false;
+                    }
+                    Step::Reset => {
+                        // Without time to linger, closing resets.
+                        let socket = SockRef::from(&stream);
+                        socket.set_linger(Some(Duration::ZERO)).unwrap();
+                        return;
+                    }
                     Step::Crash => return self.crash(),
                     Step::CrashLate(time) => {
                         let _ = stream.shutdown(Shutdown::Both);
@@ -161,7 +182,7 @@
                     }
                 }
             }
-            if self.early && !discard_body(&mut stream, &mut buf, seen.length()) {
+            if unread && !discard_body(&mut stream, &mut buf, seen.length()) {
                 return;
             }
         }
