An upload goes on while its answer is read

A replica may answer before it has read a long request and read on while it answers. The gateway stopped writing the request at the end of the answer's head, so a replica that sent its head early, and the body once it had read the request, waited for the rest of the request, and the caller for the body, until the deadline.

The rest of the request is now a part of the reply (`Upload`), and is written whenever the reply is read. An answer that is complete before the request is written ends the upload as before, and its connection is not kept.

Before, `answer_begun_before_the_upload_was_read` hung at its first case (600 KB on a route that must run once).

--- a/crates/gateway/src/http/socket.rs
+++ b/crates/gateway/src/http/socket.rs
@@ -123,28 +123,35 @@
     /// Writes all bytes.
     pub(crate) async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
-            let n = poll_fn(|cx| self.poll_write(cx, bytes)).await?;
+            let n = self.write(bytes).await?;
             bytes = &bytes[n..];
         }
         Ok(())
     }
 
+    /// Writes some bytes, and returns how many.
+    ///
+    /// Cancel safe: if the future is dropped, nothing was written.
+    pub(crate) async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        poll_fn(|cx| self.poll_write_with(cx, |mut stream| stream.write(bytes))).await
+    }
+
+    /// Writes some bytes of several slices, as [`write`](Self::write) does.
+    pub(crate) async fn write_vectored(&self, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+        let slices = &slices[..slices.len().min(SLICES_PER_WRITE)];
+        poll_fn(|cx| self.poll_write_with(cx, |mut stream| stream.write_vectored(slices))).await
+    }
+
     /// Writes all bytes of several slices.
     pub(crate) async fn write_all_vectored(&self, slices: &mut [IoSlice<'_>]) -> io::Result<()> {
-        for mut part in slices.chunks_mut(SLICES_PER_WRITE) {
-            while !part.is_empty() {
-                let n =
-                    poll_fn(|cx| self.poll_write_with(cx, |mut s| s.write_vectored(part))).await?;
-                IoSlice::advance_slices(&mut part, n);
-            }
+        let mut left = slices;
+        while !left.is_empty() {
+            let n = self.write_vectored(left).await?;
+            IoSlice::advance_slices(&mut left, n);
         }
         Ok(())
     }
 
-    fn poll_write(&self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        self.poll_write_with(cx, |mut stream| stream.write(bytes))
-    }
-
     fn poll_write_with(
         &self,
         cx: &mut Context<'_>,
--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -70,7 +70,7 @@
     pub(crate) target: String,
     /// The headers that are forwarded to the replica.
     pub(crate) headers: Headers,
-    pub(crate) body: Segments,
+    pub(crate) body: Arc<Segments>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceId,
     pub(crate) service_info: Service,
@@ -218,7 +218,7 @@
         method,
         target,
         headers,
-        body,
+        body: Arc::new(body),
         service_info: force
             .config
             .services
--- a/crates/gateway/src/serve/plain.rs
+++ b/crates/gateway/src/serve/plain.rs
@@ -152,7 +152,7 @@
 
 /// Reads more of an answer; none at its end.
 async fn read_more(permit: &SlotPermit, reply: &mut Reply) -> Result<Option<Vec<u8>>, ReadError> {
-    let part = reply.body.read_part(&mut reply.conn).await?;
+    let part = reply.read_part().await?;
     if part.is_none() {
         permit.check_complete(reply).await?;
     }
--- a/crates/gateway/src/serve/stream_source.rs
+++ b/crates/gateway/src/serve/stream_source.rs
@@ -110,8 +110,7 @@
         if let Some(failure) = self.failure.take() {
             return Err(failure);
         }
-        let Reply { body, conn, .. } = &mut self.reply;
-        let Some(part) = body.read_part(conn).await? else {
+        let Some(part) = self.reply.read_part().await? else {
             permit.check_complete(&self.reply).await?;
             return self.finish_events();
         };
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -16,16 +16,21 @@
             Replica,
             RouteKind, //
         },
-        upstream::Pool,
+        upstream::{
+            upload::Upload,
+            Pool, //
+        },
     },
-    futures_lite::future::or,
     resources::Segments,
     std::{
         io,
         net::SocketAddr,
-        sync::atomic::{
-            AtomicBool,
-            Ordering, //
+        sync::{
+            atomic::{
+                AtomicBool,
+                Ordering, //
+            },
+            Arc,
         },
         time::{
             Duration,
@@ -40,8 +45,6 @@
 /// Time limit for opening a connection: a hundred round trips between zones. If that is not enough,
 /// the replica's accept queue is full, or the replica is unreachable.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Longest body that is sent together with its head. A longer one is not copied.
-const JOIN_MAX_BYTES: usize = 64 * 1024;
 /// Answers to other requests that are skipped before the connection is closed.
 const EXTRA_ANSWERS_MAX: usize = 2;
 /// Longest answer to another request that is skipped, in bytes.
@@ -71,7 +74,7 @@
     pub(crate) last_event: Option<u64>,
     /// Address of a replica that has parts of the prompt cached.
     pub(crate) cache_source: Option<SocketAddr>,
-    pub(crate) body: &'a Segments,
+    pub(crate) body: &'a Arc<Segments>,
     pub(crate) until: Instant,
     /// Kind of the route, which tells whether the request may run twice.
     pub(crate) kind: RouteKind,
@@ -98,8 +101,7 @@
     pub(crate) head: Head,
     pub(crate) body: Body,
     pub(crate) conn: Conn,
-    /// Whether the complete request was written.
-    request_written: bool,
+    upload: Upload,
 }
 
 /// Why there is no answer.
@@ -150,37 +152,16 @@
     hooks: &CallHooks<'_>,
 ) -> Result<Reply, CallError> {
     let mut conn = open(pool, replica, request, hooks).await?;
-    let mut start = request_head(dialect, replica, request);
-    let mut rest = Vec::new();
-    match request.body.len() <= JOIN_MAX_BYTES {
-        true => request
-            .body
-            .slices()
-            .for_each(|s| start.extend_from_slice(s)),
-        false => rest.extend(request.body.io_slices()),
-    }
+    let head = request_head(dialect, replica, request);
+    let mut upload = Upload::new(conn.writer(), head, request.body);
     sent.mark_started();
-    let mut request_written = false;
-    let writer = conn.writer();
-    let write = async {
-        let written = async {
-            writer.write_all(&start).await?;
-            drop(start);
-            writer.write_all_vectored(&mut rest).await
-        };
-        // A replica may answer early and not read the rest of the request. Its answer counts, so
-        // write errors are ignored here; if the connection broke, the read fails too, even if only
-        // the write got the report.
-        request_written = written.await.is_ok();
-        futures_lite::future::pending().await
-    };
-    let read = async { read_answer(&mut conn, dialect, request, hooks).await };
-    let (head, body) = or(read, write).await?;
+    let read = read_answer(&mut conn, dialect, request, hooks);
+    let (head, body) = upload.during(read).await?;
     Ok(Reply {
         head,
         body,
         conn,
-        request_written,
+        upload,
     })
 }
 
@@ -274,6 +255,13 @@
 }
 
 impl Reply {
+    /// Reads the next part of the body, and writes what is left of the request meanwhile; none at the
+    /// end of the body.
+    pub(crate) async fn read_part(&mut self) -> Result<Option<Vec<u8>>, ReadError> {
+        let read = self.body.read_part(&mut self.conn);
+        self.upload.during(read).await
+    }
+
     /// Returns whether the replica reports that it did not run the request.
     ///
     /// If the replica's address was reassigned to another replica, that one rejects the request as
@@ -313,7 +301,8 @@
     /// Keeps the connection for reuse if neither side has anything left to send on it.
     pub(crate) fn recycle(self, pool: &Pool, replica: &Replica) {
         let clean = self.conn.buffered().is_empty();
-        if !(self.request_written && clean && self.head.keeps_alive() && self.body.reusable()) {
+        if !(self.upload.is_complete() && clean && self.head.keeps_alive() && self.body.reusable())
+        {
             return;
         }
         let keep = self.head.headers.get("keep-alive").and_then(|v| {
--- a/crates/gateway/src/upstream/call/tests.rs
+++ b/crates/gateway/src/upstream/call/tests.rs
@@ -29,6 +29,7 @@
     },
     std::{
         net::SocketAddr,
+        sync::Arc,
         time::{
             Duration,
             Instant, //
@@ -67,7 +68,7 @@
             workspace: None,
             last_event: None,
             cache_source: None,
-            body: &Segments::new(limiter.charge(), 0),
+            body: &Arc::new(Segments::new(limiter.charge(), 0)),
             until: Instant::now() + Duration::from_secs(60),
             kind: RouteKind::Single,
         };
--- a/crates/gateway/src/upstream/mod.rs
+++ b/crates/gateway/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod events;
 mod pool;
 mod probe;
+mod upload;
 
 pub(crate) use self::{
     call::{
--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -305,3 +305,25 @@
         }
     }
 }
+
+/// Guards against a replica that waits for the rest of an upload after the head of its answer.
+#[test]
+fn answer_begun_before_the_upload_was_read() {
+    let replica = Replica::start_early(|_, seen| {
+        let whole = ok_answer(seen, "whole");
+        let (head, body) = whole.split_at(whole.len() - "whole".len());
+        vec![
+            Step::Send(head.to_vec()),
+            Step::ReadBody,
+            Step::Send(body.to_vec()),
+        ]
+    });
+    let gw = TestGateway::start(&[("i-1", &replica)]);
+    for path in PATHS {
+        for length in UPLOADS {
+            let got = upload(&gw, path, length, "");
+            let found = (got.status, got.body.as_str(), got.complete);
+            assert_eq!(found, (200, "whole", true), "{path} {length}");
+        }
+    }
+}
