Own interface: interim heads are parsed, and have a limit

The client of endpoints skipped whatever began with `HTTP/1.1 1`: statuses of one or two digits, and 101, after which no HTTP follows. It skipped them without a limit, so an endpoint that sent interim heads alone held the call until the silence timeout or its deadline.

Heads are parsed before they are skipped; 101 and more than 16 interim ones make the answer malformed. Other undefined statuses were rejected before, by the library.

Before, `answer_of_interim_responses` hung, and `answer_with_invalid_status` found a connection that broke in place of a malformed answer for 101.

--- a/crates/endpoints/src/conn.rs
+++ b/crates/endpoints/src/conn.rs
@@ -25,6 +25,12 @@
 /// Longest head of an answer, in bytes.
 const HEAD_MAX_BYTES: usize = 8 * 1024;
 
+/// Maximum number of headers in a head, the same as that of the library.
+const HEADERS_MAX: usize = 128;
+
+/// Interim (1xx) responses that are skipped. An endpoint that works on a call may send a few.
+const INTERIM_MAX: usize = 16;
+
 /// A connection to an endpoint, without a call in progress.
 #[derive(Debug)]
 pub(crate) struct Conn {
@@ -80,15 +86,17 @@
     /// Reads the head of the answer and skips interim (1xx) responses.
     pub(crate) async fn read_reply(mut self, bodiless: bool) -> Result<Reply, CallError> {
         let mut buf = Vec::new();
-        loop {
+        for _ in 0..=INTERIM_MAX {
             let end = self.read_head(&mut buf).await?;
             let rest = buf.split_off(end);
-            if buf.starts_with(b"HTTP/1.1 1") {
-                buf = rest;
-                continue;
+            if !is_interim(&buf)? {
+                return Reply::new(self, buf, rest, bodiless).await;
             }
-            return Reply::new(self, buf, rest, bodiless).await;
+            buf = rest;
         }
+        Err(CallError::Malformed(format!(
+            "more than {INTERIM_MAX} interim responses"
+        )))
     }
 
     /// Reads until `buf` holds a complete head, and returns its length.
@@ -111,6 +119,22 @@
     }
 }
 
+/// Returns whether a head is that of an interim (1xx) response.
+fn is_interim(head: &[u8]) -> Result<bool, CallError> {
+    let malformed = |cause: String| Err(CallError::Malformed(cause));
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut parsed = httparse::Response::new(&mut slots);
+    match parsed.parse(head) {
+        Ok(httparse::Status::Complete(_)) => {}
+        Ok(httparse::Status::Partial) => return malformed("its head is incomplete".to_owned()),
+        Err(e) => return malformed(e.to_string()),
+    }
+    match parsed.code {
+        Some(101) => malformed("it switches to another protocol".to_owned()),
+        code => Ok(code.is_some_and(|code| (100..200).contains(&code))),
+    }
+}
+
 fn find(buf: &[u8], pattern: &[u8]) -> Option<usize> {
     buf.windows(pattern.len()).position(|w| w == pattern)
 }
--- a/crates/endpoints/tests/odd_answers.rs
+++ b/crates/endpoints/tests/odd_answers.rs
@@ -255,6 +255,30 @@
     });
 }
 
+/// Guards against an answer with a status that HTTP doesn't define, or one that leaves HTTP/1.1, or a
+/// first line of another form.
+#[test]
+fn answer_with_invalid_status() {
+    block_on(async {
+        for line in [
+            "HTTP/1.1 000 Odd",
+            "HTTP/1.1 001 Odd",
+            "HTTP/1.1 099 Odd",
+            "HTTP/1.1 101 Odd",
+            "HTTP/1.1 600 Odd",
+            "HTTP/1.1 999 Odd",
+            "HTTP/1.1 1 Odd",
+            "HTTP/1.1 20 OK",
+            "HTTP/1.1 2000 OK",
+            "HTTP/1.1 +20 OK",
+            "HTTP/2.0 200 OK",
+            "200 OK",
+        ] {
+            assert_malformed(format!("{line}\r\nx-request-id: a\r\ncontent-length: 3")).await;
+        }
+    });
+}
+
 /// Guards against an answer that passes although a name in its head holds a blank or a control byte, or
 /// a value a control byte.
 #[test]
@@ -279,6 +303,17 @@
     });
 }
 
+/// Guards against a call that waits for the end of interim responses.
+#[test]
+fn answer_of_interim_responses() {
+    block_on(async {
+        let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(20);
+        let pieces = vec![&*interim.leak()].leak();
+        let received = call_with_answer(pieces).await;
+        assert!(matches!(received.end.cause, Some(CallError::Malformed(_))));
+    });
+}
+
 /// Guards against an empty or short answer that passes for complete when its head stops midway.
 #[test]
 fn answer_cut_within_its_head() {
