Own interface: an unmarked refusal of an endpoint is its failure

An endpoint says that it did not take a call by 503 with `x-leaving` or `x-not-admitted`. Its answers 408, 421, 429 and 503 without a mark were forwarded with their status; callers send a request again after 429 or 503 (docs/CALLERS.md), although it may have run.

Such an answer ends the call as failed before its head is forwarded, so the caller gets 502 `endpoint-failed`, as for the gateway's routes.

Before, `answer_that_promises_without_a_mark` failed with 408: `Answered`.

--- a/crates/endpoints/src/body.rs
+++ b/crates/endpoints/src/body.rs
@@ -30,6 +30,9 @@
 /// What the library decodes before a chunked body.
 const CHUNKED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
 
+/// Statuses that tell a caller that its call was not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
 /// Headers that frame a message or apply to a single connection.
 const FRAMING_HEADERS: [&str; 9] = [
     "connection",
@@ -176,6 +179,11 @@
         self.status == 503 && (leaving || not_admitted)
     }
 
+    /// Returns whether its status would tell a caller that the call was not run.
+    pub(crate) fn claims_not_run(&self) -> bool {
+        NOT_RUN_STATUSES.contains(&self.status)
+    }
+
     /// Returns whether the body is a stream of events.
     pub(crate) fn is_event_stream(&self) -> bool {
         let content_type = self.header("content-type").unwrap_or("");
--- a/crates/endpoints/src/run/call_task.rs
+++ b/crates/endpoints/src/run/call_task.rs
@@ -149,6 +149,9 @@
         if reply.is_rejection() && from.is_none() {
             return Ok(self.progress.end(Some(CallError::NotAdmitted)));
         }
+        if reply.claims_not_run() && from.is_none() {
+            return Ok(self.progress.end(Some(CallError::Status(reply.status))));
+        }
         self.progress.resumable |= reply.header(header_names::RESUMABLE).is_some();
         match (reply.is_event_stream(), from) {
             (true, _) => self.forward_stream(reply, from).await,
--- a/crates/endpoints/tests/odd_answers.rs
+++ b/crates/endpoints/tests/odd_answers.rs
@@ -314,6 +314,21 @@
     });
 }
 
+/// Guards against a promise that a call did not run which its endpoint has not made.
+#[test]
+fn answer_that_promises_without_a_mark() {
+    block_on(async {
+        for status in [408, 421, 429, 503] {
+            let answer =
+                format!("HTTP/1.1 {status} Odd\r\nx-request-id: a\r\ncontent-length: 3\r\n\r\nodd");
+            let pieces = vec![&*answer.leak()].leak();
+            let received = call_with_answer(pieces).await;
+            assert_eq!(received.end.outcome, Outcome::Failed, "{status}");
+            assert_eq!(received.status, 0, "{status}");
+        }
+    });
+}
+
 /// Guards against an empty or short answer that passes for complete when its head stops midway.
 #[test]
 fn answer_cut_within_its_head() {
