The store's client: an answer has one end, and is no interim one

The client of the key-value service lets the HTTP library choose where an answer ends. It takes the last of several lengths, `+3` for 3, and the body of an answer without a length or in an unknown coding for empty. The status alone decides for some calls (404: the key does not exist), and the rest of the body stayed on the kept connection, as the start of the answer to the next call. An interim head passed as the answer, and the real one stayed.

Statuses that HTTP doesn't define and malformed heads were rejected before, by the library.

--- a/crates/kvstore/tests/kvstore/odd_answers.rs
+++ b/crates/kvstore/tests/kvstore/odd_answers.rs
@@ -61,6 +61,34 @@
     }
 }
 
+/// Guards against an answer whose end can be read in two ways, or an interim one, of which the rest stays
+/// on the connection as the answer to the next call.
+#[test]
+fn calls_ambiguous_answers() {
+    let answers = [
+        "HTTP/1.1 404 Not Found\r\n\r\nodd",
+        "HTTP/1.1 404 Not Found\r\ncontent-length: +3\r\n\r\nodd",
+        "HTTP/1.1 404 Not Found\r\ncontent-length: 3\r\ncontent-length: 0\r\n\r\nodd",
+        "HTTP/1.1 404 Not Found\r\ntransfer-encoding: gzip\r\n\r\nodd",
+        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 101 Odd\r\n\r\n",
+        "HTTP/1.1 000 Odd\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 600 Odd\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\nx odd: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\nx\u{1}odd: 1\r\ncontent-length: 0\r\n\r\n",
+    ];
+    for answer in answers {
+        run(async {
+            let kv = answering(answer).await;
+            let err = kv.get("x").await.unwrap_err();
+            assert!(
+                matches!(err, KvError::Unavailable { .. }),
+                "{answer:?}: {err}"
+            );
+        });
+    }
+}
+
 #[test]
 fn calls_wrong_address() {
     run(async {
