Answers of the store and of peers have a limit in bytes

The HTTP library limits a head to 8 KiB, but looks at the limit at the end of each line: a line without end is kept until the call's time is over, 1 s and more at the speed of the network. Bodies of peers' answers had no limit either.

`resources::Capped` limits what is read from a connection, whatever it is part of: 8 MiB for an answer of the store (the limit of its body before), 16 MiB for one of a peer, 64 MiB for what an operator's command asks of a router.

--- a/crates/kvstore/src/http.rs
+++ b/crates/kvstore/src/http.rs
@@ -23,6 +23,10 @@
         Url, //
     },
     policy::Span,
+    resources::{
+        Bytes,
+        Capped, //
+    },
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -40,8 +44,8 @@
 
 /// Kept connections, at most.
 const KEPT_MAX: usize = 4;
-/// Largest answer read, in bytes: a value of 1 MB with every byte escaped.
-const ANSWER_MAX: u64 = 8 << 20;
+/// Largest answer read, with its head: a value of 1 MB with every byte escaped.
+const ANSWER_MAX: Bytes = Bytes(8 << 20);
 
 /// The platform's address, and time limits of calls.
 #[derive(Debug, Clone)]
@@ -290,6 +294,7 @@
 
 /// Sends a request and reads the whole answer. Also returns whether the connection ends with it.
 async fn ask(stream: TcpStream, req: Request) -> http_types::Result<(Answer, bool)> {
+    let stream = Capped::new(stream, ANSWER_MAX, "store");
     let mut res = async_h1::connect(stream, req).await?;
     check_framing(&res)?;
     let close = res
@@ -297,8 +302,8 @@
         .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
     let mut body = Vec::new();
     let size = res.len();
-    let reader = res.take_body();
-    reader.take(ANSWER_MAX).read_to_end(&mut body).await?;
+    let mut reader = res.take_body();
+    reader.read_to_end(&mut body).await?;
     // A connection that ends in the middle of a body shows as a short body, not as an error.
     if size.is_some_and(|n| n != body.len()) {
         return Err(http_types::format_err!("the answer was cut short"));
--- a/crates/kvstore/tests/kvstore/odd_answers.rs
+++ b/crates/kvstore/tests/kvstore/odd_answers.rs
@@ -16,6 +16,7 @@
         KvError,
         Options, //
     },
+    policy::Span,
 };
 
 /// A platform that gives one answer to whatever it is asked, and closes.
@@ -89,6 +90,62 @@
     }
 }
 
+/// Bytes that a client may take of an answer, with what the operating system holds on the way.
+const TAKEN_MAX: usize = 32 << 20;
+
+/// A platform that begins each answer in one way and sends another text without end. Returns how many
+/// bytes a call has taken when it has failed.
+async fn taken_of_endless(start: &'static str, piece: &'static str) -> usize {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let server = task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let _ = stream.read(&mut [0; 1024]).await;
+        let mut taken = 0;
+        let piece = piece.repeat(64 * 1024 / piece.len());
+        let mut next = start.as_bytes();
+        while taken < 4 * TAKEN_MAX {
+            match stream.write(next).await {
+                Ok(n) if n > 0 => taken += n,
+                _ => break,
+            }
+            next = piece.as_bytes();
+        }
+        taken
+    });
+    let mut opts = Options::new(addr, "a");
+    // Only the limit on bytes ends the call.
+    opts.answer = Span::secs(600);
+    let called = Kv::new(opts).get("x").await;
+    assert!(called.is_err(), "{start:?} {piece:?}");
+    server.await
+}
+
+/// Guards against an answer without end that is kept in memory until the call's time is over.
+#[test]
+fn calls_endless_answers() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let cases = [
+        ("HTTP/1.1 200 OK", "x"),
+        ("HTTP/1.1 200 OK\r\nx-odd: ", "x"),
+        ("HTTP/1.1 200 OK\r\n", "x-odd: 1\r\n"),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+            "x",
+        ),
+        (chunked, "4\r\nabcd\r\n"),
+        (chunked, "1"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            "x-odd: 1\r\n",
+        ),
+    ];
+    for (start, piece) in cases {
+        let taken = run(taken_of_endless(start, piece));
+        assert!(taken < TAKEN_MAX, "{start:?} {piece:?}: {taken} bytes");
+    }
+}
+
 #[test]
 fn calls_wrong_address() {
     run(async {
--- a/crates/operators/src/query.rs
+++ b/crates/operators/src/query.rs
@@ -11,6 +11,10 @@
         Request,
         Url, //
     },
+    resources::{
+        Bytes,
+        Capped, //
+    },
     std::{
         net::SocketAddr,
         time::Duration, //
@@ -18,6 +22,8 @@
     thiserror::Error, //
 };
 
+/// Longest answer, with its head.
+const ANSWER_MAX: Bytes = Bytes(64 << 20);
 /// Time limit for the complete answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -93,6 +99,7 @@
         request.set_content_type(mime::JSON);
     }
     request.insert_header("connection", "close");
+    let stream = Capped::new(stream, ANSWER_MAX, "router");
     let mut response = async_h1::connect(stream, request).await?;
     let status = response.status().into();
     let body = response.body_string().await?;
--- a/crates/peers/src/ask.rs
+++ b/crates/peers/src/ask.rs
@@ -19,6 +19,10 @@
         Url, //
     },
     policy::RouterId,
+    resources::{
+        Bytes,
+        Capped, //
+    },
     serde::{
         de::DeserializeOwned,
         Serialize, //
@@ -30,6 +34,8 @@
     },
 };
 
+/// Longest answer, with its head.
+const ANSWER_MAX: Bytes = Bytes(16 << 20);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Sends a question on a new connection, so that it never depends on one that may be dead.
@@ -46,7 +52,8 @@
 {
     let req = new_request(local, addr, question)?;
     let socket = connect(addr, max_wait.min(CONNECT_TIMEOUT)).await?;
-    let counted = CountedStream::new(socket, traffic);
+    let capped = Capped::new(socket, ANSWER_MAX, "peer");
+    let counted = CountedStream::new(capped, traffic);
     let answer = async {
         let mut res: Response = async_h1::connect(counted, req).await?;
         let body = res.body_bytes().await?;
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -36,6 +36,10 @@
         Incarnation,
         RouterId, //
     },
+    resources::{
+        Bytes,
+        Capped, //
+    },
     serde::Serialize,
     std::{
         io,
@@ -60,6 +64,8 @@
 const BUFFER_FRAMES: usize = 16;
 /// Limits the size of a frame, so that the receiver accepts it.
 const MAX_BATCH: usize = 256;
+/// Longest answer to a stream, which a peer sends when it ends the stream.
+const ANSWER_MAX: Bytes = Bytes(64 << 10);
 /// A pending acknowledgement is sent after `ack_timeout` divided by this, even without messages.
 const ACK_DELAY_DIVISOR: u32 = 4;
 
@@ -236,7 +242,8 @@
     let (chunks, rx) = bounded(BUFFER_FRAMES);
     let (end, ended) = bounded(1);
     let req = new_request(params, number, rx)?;
-    let counted = CountedStream::new(socket.clone(), traffic);
+    let capped = Capped::new(socket.clone(), ANSWER_MAX, "peer");
+    let counted = CountedStream::new(capped, traffic);
     task::spawn(async move {
         let _ = async_h1::connect(counted, req).await;
         let _ = end.send(()).await;
--- a/crates/peers/tests/links.rs
+++ b/crates/peers/tests/links.rs
@@ -143,6 +143,41 @@
     assert!(matches!(got, Err(peers::AskError::Connect(_))), "{got:?}");
 }
 
+/// Guards against an answer without end that is kept in memory until the time for it is over.
+#[async_std::test]
+async fn ask_endless_answer() {
+    const TAKEN_MAX: usize = 64 << 20;
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (start, piece) in [
+        ("HTTP/1.1 200 OK", "x"),
+        ("HTTP/1.1 200 OK\r\nx-odd: ", "x"),
+        (chunked, "4\r\nabcd\r\n"),
+    ] {
+        let a = router("a", 1).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let peer = task::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut taken = 0;
+            let piece = piece.repeat(64 * 1024 / piece.len());
+            let mut next = start.as_bytes();
+            while taken < 2 * TAKEN_MAX {
+                match stream.write(next).await {
+                    Ok(n) if n > 0 => taken += n,
+                    _ => break,
+                }
+                next = piece.as_bytes();
+            }
+            taken
+        });
+        // Only the limit on bytes ends it.
+        let asked: Result<u32, _> = a.links.ask(addr, &1u32, Duration::from_secs(600)).await;
+        assert!(matches!(asked, Err(peers::AskError::Lost(_))), "{asked:?}");
+        let taken = peer.await;
+        assert!(taken < TAKEN_MAX, "{start:?} {piece:?}: {taken} bytes");
+    }
+}
+
 #[async_std::test]
 async fn send_over_silently_dropped_connection() {
     // A network device lost its state of an open connection: writes to it succeed, but all data is
--- a/crates/resources/src/bytes.rs
+++ b/crates/resources/src/bytes.rs
@@ -31,6 +31,11 @@
 pub struct BytesError(String);
 
 impl Bytes {
+    /// Returns a size in kibibytes.
+    pub fn kib(n: u64) -> Bytes {
+        Bytes(n.saturating_mul(KIB))
+    }
+
     /// Returns a size in mebibytes.
     pub fn mib(n: u64) -> Bytes {
         Bytes(n.saturating_mul(MIB))
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -12,6 +12,7 @@
 mod account;
 mod activity;
 mod bytes;
+mod capped;
 mod charge;
 mod eviction;
 mod eviction_log;
@@ -31,6 +32,7 @@
         Bytes,
         BytesError, //
     },
+    capped::Capped,
     charge::Charge,
     eviction_log::EvictionLog,
     limiter::{
