The events that replicas don't finish count as memory

An event may have 1 MiB. What a stream holds of an event that its replica has not finished was bounded for each stream, and counted toward no limit of the process: a replica that began long events on many streams, without end, took 161 MB of a router that was allowed 24 MB (300 streams). The process would have ended with the requests of its other clients.

What a stream holds now counts toward the router's limiter, as buffered answers do. While memory is short, an event has 16 KiB at most; beyond it the stream breaks off and the replica counts as one that broke its answer. In calm the limit stays 1 MiB. A buffer that a long event needed is given back after it.

--- a/crates/gateway/src/serve/dispatch.rs
+++ b/crates/gateway/src/serve/dispatch.rs
@@ -122,7 +122,7 @@
     let reply = attempt.check_answer(called).await?;
     let permit = attempt.permit;
     Ok(match is_stream(req, &reply) {
-        true => StreamReply::Source(StreamSource::new(permit, reply, after)),
+        true => StreamReply::Source(StreamSource::new(gw, permit, reply, after)),
         false => StreamReply::Reply(permit, reply),
     })
 }
@@ -191,7 +191,7 @@
         if !is_stream(backup.req, &reply) {
             return Err(backup.record_error(reply.head.status()));
         }
-        let mut stream = EventStream::new(reply, backup.after);
+        let mut stream = EventStream::new(backup.gw, reply, backup.after);
         while !stream.ended() && !stream.has_pending() {
             if let Err(e) = stream.read(&mut backup.permit).await {
                 return Err(backup.record_broken(&e).await);
--- a/crates/gateway/src/serve/retry.rs
+++ b/crates/gateway/src/serve/retry.rs
@@ -110,7 +110,7 @@
         Err(outcome) => return outcome,
     };
     if is_stream(req, &reply) {
-        let source = StreamSource::new(permit, reply, req.last_event);
+        let source = StreamSource::new(gw, permit, reply, req.last_event);
         return forward_stream(gw, req, source, writer, progress).await;
     }
     match buffer_reply(gw, &permit, reply).await {
--- a/crates/gateway/src/serve/stream_source.rs
+++ b/crates/gateway/src/serve/stream_source.rs
@@ -39,8 +39,13 @@
 
 impl StreamSource {
     /// Wraps a stream that continues after the given event.
-    pub(super) fn new(permit: SlotPermit, reply: Reply, after: Option<u64>) -> StreamSource {
-        StreamSource::of_stream(permit, EventStream::new(reply, after))
+    pub(super) fn new(
+        gw: &Shared,
+        permit: SlotPermit,
+        reply: Reply,
+        after: Option<u64>,
+    ) -> StreamSource {
+        StreamSource::of_stream(permit, EventStream::new(gw, reply, after))
     }
 
     /// Wraps a stream of which a part was read already.
@@ -70,10 +75,10 @@
 
 impl EventStream {
     /// Wraps a stream that continues after the given event.
-    pub(super) fn new(reply: Reply, after: Option<u64>) -> EventStream {
+    pub(super) fn new(gw: &Shared, reply: Reply, after: Option<u64>) -> EventStream {
         EventStream {
             reply,
-            events: EventSplitter::after(after),
+            events: EventSplitter::new(&gw.limiter, after),
             pending: Vec::new(),
             ended: false,
             failure: None,
@@ -163,6 +168,7 @@
     log::debug!("event=stream outcome=broken cause={e:?}");
     AttemptError::from(ReadError::Body(match e {
         EventError::TooLong => "an event is too long",
+        EventError::NoMemory => "a long event while memory is short",
         EventError::Gap(..) => "events are missing",
     }))
 }
--- a/crates/gateway/src/upstream/events.rs
+++ b/crates/gateway/src/upstream/events.rs
@@ -1,17 +1,30 @@
 //! Splits a stream into events, each complete and forwarded once.
 
-use thiserror::Error;
+use {
+    resources::{
+        Charge,
+        Limiter, //
+    },
+    thiserror::Error, //
+};
 
 /// Longest event, in bytes.
 const EVENT_MAX: usize = 1 << 20;
+/// A buffer with a larger capacity is shrunk after a long event.
+const BUFFER_KEEP_BYTES: usize = 64 * 1024;
+/// Longest event that is received whether memory is short or not, in bytes.
+const EVENT_MAX_WHEN_FULL: usize = 16 * 1024;
 
 /// Splits a stream into complete events, and drops those that were forwarded before.
 ///
 /// A replica may stop in the middle of an event. If bytes were forwarded as they arrive, the first
 /// event of the next replica would be appended to the incomplete one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EventSplitter {
     buf: Vec<u8>,
+    /// Counts `buf`. A replica may begin events on many streams and end none.
+    charge: Charge,
+    limiter: Limiter,
     /// Position in `buf` up to which no end of an event was found.
     scanned: usize,
     /// Length of the comments at the start of `buf`, which are forwarded with the next event.
@@ -27,16 +40,23 @@
 pub(crate) enum EventError {
     #[error("an event is longer than {EVENT_MAX} bytes")]
     TooLong,
+    #[error("an event is longer than {EVENT_MAX_WHEN_FULL} bytes while memory is short")]
+    NoMemory,
     #[error("events {0} to {1} are missing")]
     Gap(u64, u64),
 }
 
 impl EventSplitter {
-    /// Starts to read a stream that continues after the given event.
-    pub(crate) fn after(last: Option<u64>) -> EventSplitter {
+    /// Starts to read a stream that continues after the given event; what it holds counts toward a limiter.
+    pub(crate) fn new(limiter: &Limiter, last: Option<u64>) -> EventSplitter {
         EventSplitter {
+            buf: Vec::new(),
+            charge: limiter.charge(),
+            limiter: limiter.clone(),
+            scanned: 0,
+            comments: 0,
             last,
-            ..EventSplitter::default()
+            started: false,
         }
     }
 
@@ -95,13 +115,26 @@
         }
         self.buf.drain(..start);
         self.scanned -= start;
-        if self.buf.len() > EVENT_MAX {
-            return Err(EventError::TooLong);
-        }
+        self.check_memory()?;
         self.comments = (block - start) as u32;
         Ok(out)
     }
 
+    /// Counts the buffer, and checks that the incomplete event in it may grow.
+    fn check_memory(&mut self) -> Result<(), EventError> {
+        // A buffer that a long event needed is not kept for the rest of the stream.
+        if self.buf.len() <= EVENT_MAX_WHEN_FULL && self.buf.capacity() > BUFFER_KEEP_BYTES {
+            self.buf.shrink_to(EVENT_MAX_WHEN_FULL);
+        }
+        self.charge.resize(self.buf.capacity());
+        match self.buf.len() {
+            0..=EVENT_MAX_WHEN_FULL => Ok(()),
+            n if n > EVENT_MAX => Err(EventError::TooLong),
+            _ if self.limiter.has_spare() => Ok(()),
+            _ => Err(EventError::NoMemory),
+        }
+    }
+
     /// Finds the end of the next complete event: an empty line.
     fn next_end(&mut self) -> Option<usize> {
         let mut at = self.scanned;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -5,6 +5,7 @@
 //! read) and its descriptors stay within its settings, and that it answers an ordinary request
 //! while the clients stay and after they left.
 
+mod answers;
 mod crowd;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../common/http.rs"]
--- a/tests/crowds/router.rs
+++ b/tests/crowds/router.rs
@@ -58,10 +58,14 @@
 /// Time limit that only a hang exceeds.
 pub(crate) const HANG_TIMEOUT: Duration = Duration::from_secs(60);
 const POLL: Duration = Duration::from_millis(50);
+/// How long an answer stops midway.
+const STALL: Duration = Duration::from_secs(4);
 /// Host of all routes.
 pub(crate) const HOST: &str = "a.example";
 /// Length of an answer to a request whose path ends with `long`.
 const LONG_ANSWER: usize = 900_000;
+/// Requests that the replica runs at the same time.
+const SLOTS: u32 = 64;
 /// How long the replica works on a request whose path ends with `hold`.
 const HOLD: Duration = Duration::from_secs(1);
 
@@ -186,6 +190,54 @@
     }
 }
 
+/// An answer that stops midway, below the limit on its part that stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Unfinished {
+    Head,
+    Body,
+    Event,
+    Trailer,
+}
+
+impl Unfinished {
+    pub(crate) const ALL: [Unfinished; 4] = [
+        Unfinished::Head,
+        Unfinished::Body,
+        Unfinished::Event,
+        Unfinished::Trailer,
+    ];
+
+    /// Returns the last part of the path to which the replica answers so.
+    pub(crate) fn path(self) -> String {
+        format!("unfinished-{self:?}")
+    }
+
+    fn of(target: &str) -> Option<Unfinished> {
+        let mut all = Unfinished::ALL.into_iter();
+        all.find(|answer| target.ends_with(&answer.path()))
+    }
+
+    fn encode(self, id: &str) -> Vec<u8> {
+        let head = |id, lines| {
+            format!("HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\n{REPLICA_SEAL}: seal\r\n{lines}\r\n")
+        };
+        let chunked = "Transfer-Encoding: chunked\r\n";
+        let (head, filler) = match self {
+            Unfinished::Head => (
+                format!("HTTP/1.1 200 OK\r\n{ATTEMPT_ID}: {id}\r\nX-Filler: "),
+                32_000,
+            ),
+            Unfinished::Body => (head(id, ""), 1_000_000),
+            Unfinished::Event => (
+                head(id, "Content-Type: text/event-stream\r\n") + "data: ",
+                1_000_000,
+            ),
+            Unfinished::Trailer => (head(id, chunked) + "3\r\nabc\r\n0\r\nX-Filler: ", 4_000),
+        };
+        [head.into_bytes(), vec![b'f'; filler]].concat()
+    }
+}
+
 /// Encodes the head of a request with an id and further lines.
 pub(crate) fn head(target: &str, lines: &[&str]) -> Vec<u8> {
     let lines: String = lines.iter().map(|line| format!("{line}\r\n")).collect();
@@ -221,6 +273,7 @@
     let routes = [
         route("single", "non_idempotent"),
         route("again", "idempotent"),
+        route("stream", "streaming"),
     ];
     config(1, &routes, &["desk"], &[], 64)
 }
@@ -235,7 +288,7 @@
         address: addr.to_string(),
         zone: "hall-a".to_owned(),
         version: "v1",
-        slots: 64,
+        slots: SLOTS,
         state: "ready",
         born: 1_700_000_000_000,
         seq: 1,
@@ -249,6 +302,11 @@
     if req.target.ends_with("hold") {
         thread::sleep(HOLD);
     }
+    if let Some(answer) = Unfinished::of(&req.target) {
+        conn.send(&answer.encode(id))?;
+        thread::sleep(STALL);
+        return Err(io::ErrorKind::BrokenPipe.into());
+    }
     let body = match req.target.ends_with("long") {
         true => "l".repeat(LONG_ANSWER),
         false => format!("{} bytes", req.body.len()),
