Answers to other requests are skipped, not kept

On a connection that is used again, up to two answers to earlier requests are skipped, of 256 KiB each. Their bodies were read into memory that counted toward no limit: 44 MB of 24 at a router with 300 requests whose replica sent most of such an answer and stopped.

They are discarded as they arrive. Before, `answers_that_replicas_stop_midway` failed with 44,172 KiB for this case.

--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -241,7 +241,7 @@
             Some(_) if extra < EXTRA_ANSWERS_MAX && framing != Framing::Close => {
                 extra += 1;
                 metrics::counter!("chervilwind_replica_extra_answers").increment(1);
-                body.read_all(conn, EXTRA_ANSWER_MAX_BYTES).await?;
+                body.discard(conn, EXTRA_ANSWER_MAX_BYTES).await?;
             }
             Some(_) => return Err(CallError::Foreign),
         }
--- a/tests/crowds/router.rs
+++ b/tests/crowds/router.rs
@@ -197,14 +197,16 @@
     Body,
     Event,
     Trailer,
+    OtherAnswer,
 }
 
 impl Unfinished {
-    pub(crate) const ALL: [Unfinished; 4] = [
+    pub(crate) const ALL: [Unfinished; 5] = [
         Unfinished::Head,
         Unfinished::Body,
         Unfinished::Event,
         Unfinished::Trailer,
+        Unfinished::OtherAnswer,
     ];
 
     /// Returns the last part of the path to which the replica answers so.
@@ -233,6 +235,7 @@
                 1_000_000,
             ),
             Unfinished::Trailer => (head(id, chunked) + "3\r\nabc\r\n0\r\nX-Filler: ", 4_000),
+            Unfinished::OtherAnswer => (head("other", "Content-Length: 262144\r\n"), 250_000),
         };
         [head.into_bytes(), vec![b'f'; filler]].concat()
     }
