Streams: what splits events is boxed, and its charge knows the limiter

The splitter grew by what it counts, so that the variants of `StreamReply` differed by more than the linter allows. The charge gives out its limiter, so the splitter keeps no second one. No change of behaviour.

--- a/crates/gateway/src/serve/stream_source.rs
+++ b/crates/gateway/src/serve/stream_source.rs
@@ -29,7 +29,7 @@
 #[derive(Debug)]
 pub(super) struct EventStream {
     pub(super) reply: Reply,
-    events: EventSplitter,
+    events: Box<EventSplitter>,
     /// Complete events that were not forwarded yet.
     pending: Vec<u8>,
     ended: bool,
@@ -78,7 +78,7 @@
     pub(super) fn new(gw: &Shared, reply: Reply, after: Option<u64>) -> EventStream {
         EventStream {
             reply,
-            events: EventSplitter::new(&gw.limiter, after),
+            events: Box::new(EventSplitter::new(&gw.limiter, after)),
             pending: Vec::new(),
             ended: false,
             failure: None,
--- a/crates/gateway/src/upstream/events.rs
+++ b/crates/gateway/src/upstream/events.rs
@@ -24,7 +24,6 @@
     buf: Vec<u8>,
     /// Counts `buf`. A replica may begin events on many streams and end none.
     charge: Charge,
-    limiter: Limiter,
     /// Position in `buf` up to which no end of an event was found.
     scanned: usize,
     /// Length of the comments at the start of `buf`, which are forwarded with the next event.
@@ -52,7 +51,6 @@
         EventSplitter {
             buf: Vec::new(),
             charge: limiter.charge(),
-            limiter: limiter.clone(),
             scanned: 0,
             comments: 0,
             last,
@@ -130,7 +128,7 @@
         match self.buf.len() {
             0..=EVENT_MAX_WHEN_FULL => Ok(()),
             n if n > EVENT_MAX => Err(EventError::TooLong),
-            _ if self.limiter.has_spare() => Ok(()),
+            _ if self.charge.limiter().has_spare() => Ok(()),
             _ => Err(EventError::NoMemory),
         }
     }
--- a/crates/resources/src/charge.rs
+++ b/crates/resources/src/charge.rs
@@ -26,7 +26,8 @@
         }
     }
 
-    pub(crate) fn limiter(&self) -> &Limiter {
+    /// Returns the limiter that it counts toward.
+    pub fn limiter(&self) -> &Limiter {
         &self.limiter
     }
 
