A stop answers what still runs at the end of the grace period

In a planned stop, requests that still ran near the end of the grace period ended with the process: their callers' connections closed without an answer, among them requests that must run once, and those that had been taken late in the grace period. With a grace period of 3 s requests were taken until 0.4 s before its end.

400 ms before the end (a quarter of a shorter grace period) all requests that a connection serves now end as at their deadline: with 504 if a replica may have run them, and with 503 if none was reached, which is true as nothing is sent afterwards; an answer that has started breaks off. This includes requests that wait, for a retry, another replica or what began their stream. The process waits for these answers for half of the margin. A request that arrives during a stop gets the end of the grace period as its deadline, so that its replica is told so too, and requests are taken for half of the grace period at most. Counted in `chervilwind_stop_expired`, logged as `event=stop outcome=expired`; streams that break off so have `event=cut cause=stop`.

--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -193,8 +193,9 @@
         return Err(LocalAnswer::status(400, "the request has no id; send one"));
     };
     let patience = deadline(dialect, &headers)?.unwrap_or(route.timeout);
-    let left = patience.min(route.timeout);
-    if left < MIN_REQUEST_TIME {
+    let until = arrived + patience.min(route.timeout);
+    let until = gw.stops_at.get().map_or(until, |at| until.min(*at));
+    if until.saturating_duration_since(arrived) < MIN_REQUEST_TIME {
         return Err(LocalAnswer::not_run(
             "its deadline has passed",
             Duration::ZERO,
@@ -235,7 +236,7 @@
         resumes,
         origin: None,
         arrived,
-        until: arrived + left,
+        until,
         caller_until: arrived + patience.min(PATIENCE_MAX),
         version: force.config.version,
         route,
--- a/crates/gateway/src/serve/outcome.rs
+++ b/crates/gateway/src/serve/outcome.rs
@@ -34,6 +34,8 @@
     Caller,
     /// The request's deadline passed.
     Time,
+    /// The instance stops.
+    Stop,
     /// The replica's answer broke off, and no other replica may be tried.
     NoRetry(NoRetry),
     /// The replica's answer broke off, and no other replica was available.
@@ -75,6 +77,7 @@
     pub(crate) fn label(self) -> &'static str {
         match self {
             AbortCause::Caller => "caller",
+            AbortCause::Stop => "stop",
             AbortCause::Time | AbortCause::NoRetry(NoRetry::Time) => "time",
             AbortCause::NoRetry(NoRetry::MayHaveRun) => "not-repeatable",
             AbortCause::NoRetry(NoRetry::Attempts) => "attempts",
--- a/crates/gateway/src/serve/server.rs
+++ b/crates/gateway/src/serve/server.rs
@@ -14,12 +14,10 @@
             Conn,
             Listener, //
         },
+        shutdown::StopSignal,
         state::Shared, //
     },
-    async_std::{
-        channel::Receiver,
-        task, //
-    },
+    async_std::task,
     metrics_exporter_prometheus::PrometheusHandle,
     policy::quarantine::SuspectKind,
     std::sync::{
@@ -29,7 +27,7 @@
 };
 
 /// Accepts callers' connections until the process ends.
-pub(crate) async fn accept(gw: Arc<Shared>, listener: Listener, stop: Receiver<()>) {
+pub(crate) async fn accept(gw: Arc<Shared>, listener: Listener, stop: StopSignal) {
     loop {
         let accepted = accept_client(&gw.limiter, &listener, gw.callers).await;
         let Some((stream, account)) = accepted else {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -12,16 +12,14 @@
         serve,
         shutdown::{
             self,
-            Signal, //
+            stop_signal,
+            Signal,
+            StopSender, //
         },
         state::Shared,
         Settings, //
     },
     async_std::{
-        channel::{
-            bounded,
-            Sender, //
-        },
         net::UdpSocket,
         task, //
     },
@@ -64,7 +62,7 @@
 #[derive(Debug)]
 pub struct Gateway {
     shared: Arc<Shared>,
-    stop: Sender<()>,
+    stop: StopSender,
 }
 
 /// Runs an instance until a signal ends it.
@@ -146,7 +144,7 @@
     for seed in seeds {
         gw.tables().fleet.add_address(seed, gw.now());
     }
-    let (stop, stopped) = bounded(1);
+    let (stop, stopped) = stop_signal();
     task::spawn(serve::serve_ready(gw.clone(), ready));
     task::spawn(serve::serve_addresses(gw.clone(), addresses));
     task::spawn(serve::serve_metrics(gw.clone(), metrics, handle.clone()));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -88,6 +88,7 @@
             Arc,
             Mutex,
             MutexGuard,
+            OnceLock,
             PoisonError, //
         },
         time::{
@@ -174,6 +175,8 @@
     message_number: AtomicU32,
     /// The instance is shutting down and wants no new callers.
     pub(crate) leaving: AtomicBool,
+    /// When requests that still run get their last answer, if the instance stops.
+    pub(crate) stops_at: OnceLock<Instant>,
     /// Requests are rejected, as they might not finish before the process ends.
     pub(crate) rejecting: AtomicBool,
     /// The list of replicas was received at least once.
@@ -247,6 +250,7 @@
             urgency: Mutex::default(),
             message_number: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
+            stops_at: OnceLock::new(),
             rejecting: AtomicBool::new(false),
             replicas_listed: AtomicBool::new(false),
             list_offered: AtomicBool::new(false),
--- a/crates/gateway/tests/gateway/leaving.rs
+++ b/crates/gateway/tests/gateway/leaving.rs
@@ -2,9 +2,11 @@
 
 use {
     crate::{
+        answers::PATHS,
         caller::get_request,
         harness::{
             wait_until,
+            FakeStore,
             StoreFault,
             TestGateway, //
         },
@@ -16,6 +18,10 @@
     },
     gateway::State,
     std::{
+        sync::{
+            Arc,
+            Mutex, //
+        },
         thread,
         time::Duration, //
     },
@@ -67,6 +73,73 @@
     ended.join().unwrap();
 }
 
+/// A gateway with this grace period.
+fn gateway_with_grace(seconds: f64, replica: &Replica) -> TestGateway {
+    let store = Arc::new(Mutex::new(FakeStore::with_replica(replica)));
+    let gw = TestGateway::start_with(store, "g1", |s| s.bounds.grace_s = seconds);
+    gw.wait_ready();
+    gw
+}
+
+/// Guards against requests that run when the grace period ends and get no answer, so that their callers
+/// can't know whether they ran.
+#[test]
+fn leaving_answers_what_runs_at_its_end() {
+    for path in PATHS {
+        let replica = Replica::start(|_, _| vec![Step::UntilClosed]);
+        let mut gw = gateway_with_grace(2.0, &replica);
+        let mut before = gw.caller();
+        before.send(get_request(path, "1", "").as_bytes());
+        wait_until(|| !replica.seen().is_empty());
+        let ended = gw.end();
+        wait_until(|| !gw.ready());
+        let mut during = gw.caller();
+        during.send(get_request(path, "2", "").as_bytes());
+        for caller in [&mut before, &mut during] {
+            let got = caller.answer();
+            assert_eq!(got.status, 504, "{path}: {got:?}");
+            assert_eq!(got.header("connection"), Some("close"));
+        }
+        ended.join().unwrap();
+    }
+}
+
+/// Guards against an answer that says "not run" too late, or not truly, when the grace period ends before
+/// late requests are rejected.
+#[test]
+fn leaving_with_a_short_grace_period() {
+    for seconds in [0.0, 0.2, 0.5, 1.0] {
+        let replica = Replica::start(|_, _| vec![Step::UntilClosed]);
+        let mut gw = gateway_with_grace(seconds, &replica);
+        let mut runs = gw.caller();
+        runs.send(get_request("/once/a", "1", "").as_bytes());
+        wait_until(|| replica.seen().len() == 1);
+        let ended = gw.end();
+        assert_eq!(runs.answer().status, 504, "{seconds} s");
+        ended.join().unwrap();
+        let late = gw.get("/once/a", "2");
+        assert!(matches!(late.status, 0 | 503), "{seconds} s: {late:?}");
+        assert_eq!(replica.seen().len(), 1);
+    }
+}
+
+/// Guards against a replica that works longer than its router lives.
+#[test]
+fn leaving_hands_on_no_more_time_than_is_left() {
+    let replica = slow_replica(10);
+    let mut gw = gateway_with_grace(4.0, &replica);
+    let ended = gw.end();
+    wait_until(|| !gw.ready());
+    assert_eq!(gw.get("/once/a", "1").status, 200);
+    let left: u64 = replica.seen()[0]
+        .header("x-deadline")
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(left < 4_000, "{left} ms");
+    ended.join().unwrap();
+}
+
 #[test]
 fn leaving_is_not_advertised() {
     let replica = slow_replica(10);
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -18,6 +18,10 @@
 #[path = "../common/settings.rs"]
 mod settings;
 #[allow(dead_code, reason = "the soak uses the rest")]
+#[path = "../common/signal.rs"]
+mod signal;
+mod stop;
+#[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../common/store.rs"]
 mod store;
 
--- a/tests/crowds/process.rs
+++ b/tests/crowds/process.rs
@@ -1,9 +1,13 @@
 //! A router's process, and what it takes.
 
+use super::signal::Signal;
 use std::{
     fs,
     net::Ipv4Addr,
-    process::Child,
+    process::{
+        Child,
+        ExitStatus, //
+    },
     sync::{
         atomic::{
             AtomicBool,
@@ -53,6 +57,15 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    pub(crate) fn terminate(&self) {
+        Signal::Term.send(&self.child);
+    }
+
+    /// Waits until the process has ended by itself.
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        self.child.wait().unwrap()
+    }
+
     pub(crate) fn monitor(&self) -> Monitor {
         let stop = Arc::new(AtomicBool::new(false));
         let (pid, ip, stopped) = (self.child.id(), self.ip, stop.clone());
--- a/tests/crowds/router.rs
+++ b/tests/crowds/router.rs
@@ -103,6 +103,11 @@
 impl Router {
     /// Starts a router and waits until it is ready.
     pub(crate) fn start(bounds: Bounds) -> Router {
+        Router::start_with_grace(bounds, 8)
+    }
+
+    /// Starts a router that has so many seconds to stop, and waits until it is ready.
+    pub(crate) fn start_with_grace(bounds: Bounds, grace_s: u64) -> Router {
         let store = FakeStore::start();
         start_replica(&store);
         store.put(CONFIG_KEY, &configuration());
@@ -122,6 +127,7 @@
             "descriptors = 4000",
             &format!("descriptors = {}", bounds.descriptors),
         );
+        let text = text.replace("grace-s = 8", &format!("grace-s = {grace_s}"));
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crowds-{ip}.toml"));
         fs::write(&file, text).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_chervilwind"))
@@ -167,6 +173,16 @@
         });
     }
 
+    /// Begins to stop the process.
+    pub(crate) fn terminate(&self) {
+        self.process.terminate();
+    }
+
+    /// Waits until the process has ended, and returns whether it did so by itself.
+    pub(crate) fn wait_ended(mut self) -> bool {
+        self.process.wait().success()
+    }
+
     /// Checks that the process runs and stayed within its bounds.
     pub(crate) fn check(mut self) {
         assert!(self.process.is_running(), "the process has ended");
