A stream without a record waits for a list while others are out of contact

During a release, streams of the new version were taken up at a router that was out of step and went on at a replica of the old one: what two versions wrote was joined.

A stream without a record goes on if only one version can have begun it. That was decided as soon as one of the routers that were asked had answered, however many had not, and of the routers that were still in contact only. Those that knew of the new version, and held the record, may have been just the others: on one side of a partition, or after they stood still, routers knew one version for long, from lists of up to 10 s. Besides, the youngest list of any router was joined with the longest knowledge of any other.

Now at most one router may be missing, among those that were asked and those that are known and silent: the one that began the stream may have ended, but not those that it told of it. If more are, the request waits up to 1 s for a list of replicas that was made after it arrived; such a list has the version. Without one it is rejected (503, `cause=out-of-contact`, back after 250 ms). Long knowledge counts only with a fresh list of the same router. In calm, and with one router gone, nothing changes. With two or more gone, a stream from before a release waits for the next list, half a second as a rule, and is rejected while the store is away too.

--- a/crates/gateway/src/fleet/streams.rs
+++ b/crates/gateway/src/fleet/streams.rs
@@ -146,15 +146,19 @@
     own: Knowledge,
 ) -> Lookup {
     if own.record.is_some() {
-        return Lookup::new(own, 0, gw.stream_span());
+        return Lookup::new(own, 0, 0, gw.stream_span());
     }
     let now = gw.now();
-    let (sources, isolated) = {
+    let (sources, silent, isolated) = {
         let fleet = &gw.tables().fleet;
-        (fleet.stream_sources(key, now), fleet.is_isolated(now))
+        (
+            fleet.stream_sources(key, now),
+            fleet.silent_count(now),
+            fleet.is_isolated(now),
+        )
     };
     let asked = if isolated { 1 } else { sources.len() };
-    let lookup = Lookup::new(own, asked, gw.stream_span());
+    let lookup = Lookup::new(own, asked, silent, gw.stream_span());
     let pending = gw.lookups.start(key);
     let query = StreamQuery {
         number: pending.number,
--- a/crates/gateway/src/fleet/streams/tests.rs
+++ b/crates/gateway/src/fleet/streams/tests.rs
@@ -113,7 +113,7 @@
                 }
             }
         });
-        let lookup = Lookup::new(Knowledge::default(), sources.len(), Span::secs(30));
+        let lookup = Lookup::new(Knowledge::default(), sources.len(), 0, Span::secs(30));
         let pending = lookups.start(KEY);
         let query = StreamQuery {
             number: pending.number,
@@ -141,6 +141,27 @@
     assert_eq!(ask(&[silent, knows]).unwrap().origin, origin());
 }
 
+/// Knows of one version, for longer than any stream lasts.
+fn knows_one_version(_: usize, query: StreamQuery) -> Vec<StreamAnswer> {
+    let knowledge = Knowledge {
+        record: None,
+        recent: vec![origin()],
+        known_for: Span::secs(60),
+        list_age: Some(Span::secs(1)),
+    };
+    vec![answer(&query, knowledge)]
+}
+
+/// Guards against a guess of the routers on one side of a partition while those that were told of the
+/// stream are on the other.
+#[test]
+fn exchange_with_most_routers_silent() {
+    let found = ask(&[knows_one_version, silent, silent]);
+    assert_eq!(found, Err(Unknown::OutOfContact));
+    let found = ask(&[knows_one_version, knows_one_version, silent]);
+    assert_eq!(found.unwrap().origin, origin());
+}
+
 /// Guards against giving a stream up because one datagram was lost.
 #[test]
 fn exchange_after_a_lost_query() {
--- a/crates/gateway/src/serve/bind.rs
+++ b/crates/gateway/src/serve/bind.rs
@@ -9,6 +9,7 @@
         fleet::ask,
         state::Shared, //
     },
+    async_std::task,
     policy::{
         streams::{
             Found,
@@ -17,7 +18,10 @@
         },
         ServiceId,
     },
-    std::time::Duration,
+    std::time::{
+        Duration,
+        Instant, //
+    },
 };
 
 /// Retry delay if no router could be asked for a stream.
@@ -25,6 +29,13 @@
 /// Retry delay if no router knows a stream, which hardly changes.
 const UNKNOWN_RETRY_DELAY: Duration = Duration::from_secs(2);
 
+/// How long a list of replicas is awaited that is newer than the request; more than twice the interval
+/// in which routers in contact with the store get one.
+const LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// A list counts as newer from this difference on, as reading it may have begun earlier.
+const LIST_MARGIN: Duration = Duration::from_millis(100);
+const LIST_POLL: Duration = Duration::from_millis(25);
+
 /// Binds a request to what began the stream that it takes up again.
 ///
 /// # Errors
@@ -47,7 +58,11 @@
     let key = req.stream_key();
     let services: Vec<ServiceId> = req.route.services().cloned().collect();
     let own = gw.stream_knowledge(key, &services);
-    match ask(gw, key, &services, own).await.finish() {
+    let mut lookup = ask(gw, key, &services, own).await;
+    if lookup.finish() == Err(Unknown::OutOfContact) && wait_for_list(gw, req).await {
+        lookup.confirm(gw.stream_knowledge(key, &services));
+    }
+    match lookup.finish() {
         Ok(found) => {
             log_found(req, &found);
             Ok(found.origin)
@@ -58,6 +73,12 @@
             "no router could be asked what began this stream",
             UNREACHED_RETRY_DELAY,
         )),
+        Err(Unknown::OutOfContact) => Err(reject(
+            req,
+            "out-of-contact",
+            "too many routers that may know what began this stream are out of contact",
+            UNREACHED_RETRY_DELAY,
+        )),
         Err(Unknown::NotRecorded) if req.resumes.is_none() => Err(reject(
             req,
             "unnamed",
@@ -73,6 +94,21 @@
     }
 }
 
+/// Waits for a list of replicas that was made after the request arrived. Returns whether there is one.
+async fn wait_for_list(gw: &Shared, req: &Request) -> bool {
+    let until = (req.arrived + LIST_TIMEOUT).min(req.until);
+    loop {
+        let age = gw.tables().roster.age(gw.now());
+        if age.is_some_and(|age| Duration::from(age) + LIST_MARGIN < req.arrived.elapsed()) {
+            return true;
+        }
+        if Instant::now() >= until {
+            return false;
+        }
+        task::sleep(LIST_POLL).await;
+    }
+}
+
 fn bind(gw: &Shared, req: &mut Request, origin: StreamOrigin) -> Result<(), LocalAnswer> {
     if origin.service != req.service {
         let current = gw.current_config();
--- a/crates/policy/src/actives/holders.rs
+++ b/crates/policy/src/actives/holders.rs
@@ -45,6 +45,11 @@
         self.contacts.len() > 0 && self.live(now).next().is_none()
     }
 
+    /// Returns the number of other routers that are out of contact: they have ended, or can't be reached.
+    pub fn silent_count(&self, now: Time) -> usize {
+        self.peers.len() - self.live(now).count()
+    }
+
     /// Ranks the other routers: the first one of each zone, and then the rest.
     ///
     /// All routers compute the same order, so that the few that a router tells are among those that
--- a/crates/policy/src/streams/lookup.rs
+++ b/crates/policy/src/streams/lookup.rs
@@ -18,6 +18,9 @@
 
 /// A list of replicas that was made longer ago may lack a version.
 const LIST_AGE_MAX: Span = Span::secs(10);
+/// Routers that may be out of contact while the others decide that there is one version only. The router
+/// that began a stream may have ended, but those that it told of the stream have not ended with it.
+const MISSING_MAX: usize = 1;
 
 /// What one router knows of a stream, and of the versions that may have begun it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -61,6 +64,8 @@
     Unreached,
     /// No router that answered has a record of it, and there may have been several versions.
     NotRecorded,
+    /// The same, and those that may have a record, or know of another version, are out of contact.
+    OutOfContact,
 }
 
 /// The answers to the question what began a stream.
@@ -76,7 +81,7 @@
 ///
 /// let origin = StreamOrigin { service: "drafting-llm".parse()?, version: None };
 /// let record = KnownStream { origin: origin.clone(), age: Span::secs(1) };
-/// let mut lookup = Lookup::new(Knowledge::default(), 2, Span::secs(30));
+/// let mut lookup = Lookup::new(Knowledge::default(), 2, 0, Span::secs(30));
 /// lookup.add(Knowledge { record: Some(record), ..Knowledge::default() });
 /// assert!(lookup.is_complete());
 /// let found = lookup.finish().unwrap();
@@ -87,43 +92,55 @@
 pub struct Lookup {
     found: Option<Found>,
     recent: BTreeSet<StreamOrigin>,
+    /// For how long a router with a fresh list has known the versions.
     known_for: Span,
-    list_age: Option<Span>,
     /// Routers that were asked, and those of them that answered.
     asked: usize,
     answered: usize,
+    /// Routers that are known and were not asked, as they are out of contact.
+    silent: usize,
     /// Longer than any stream lasts.
     span: Span,
 }
 
 impl Lookup {
     /// Starts with what this router knows. `asked` is the number of other routers that are asked,
-    /// and `span` longer than any stream lasts.
-    pub fn new(own: Knowledge, asked: usize, span: Span) -> Lookup {
-        Lookup {
-            found: own
-                .record
-                .map(|record| Found::of(record, OriginSource::Own)),
-            recent: own.recent.into_iter().collect(),
-            known_for: own.known_for,
-            list_age: own.list_age,
+    /// `silent` that of others that are out of contact, and `span` longer than any stream lasts.
+    pub fn new(own: Knowledge, asked: usize, silent: usize, span: Span) -> Lookup {
+        let mut lookup = Lookup {
+            found: None,
+            recent: BTreeSet::new(),
+            known_for: Span::ZERO,
             asked,
             answered: 0,
+            silent,
             span,
-        }
+        };
+        lookup.merge(own, OriginSource::Own);
+        lookup
     }
 
     /// Adds the answer of another router.
     pub fn add(&mut self, answer: Knowledge) {
         self.answered += 1;
-        let found = answer.record.map(|r| Found::of(r, OriginSource::Peer));
+        self.merge(answer, OriginSource::Peer);
+    }
+
+    /// Adds what this router knows from a list that was made after the stream was taken up. Such a list
+    /// has the version that began the stream, whoever is out of contact.
+    pub fn confirm(&mut self, own: Knowledge) {
+        self.silent = 0;
+        self.asked = self.answered;
+        self.merge(own, OriginSource::Own);
+    }
+
+    fn merge(&mut self, known: Knowledge, source: OriginSource) {
+        let found = known.record.map(|record| Found::of(record, source));
         self.found = self.found.take().or(found);
-        self.recent.extend(answer.recent);
-        self.known_for = self.known_for.max(answer.known_for);
-        self.list_age = match (self.list_age, answer.list_age) {
-            (Some(own), Some(other)) => Some(own.min(other)),
-            (own, other) => own.or(other),
-        };
+        self.recent.extend(known.recent);
+        if known.list_age.is_some_and(|age| age <= LIST_AGE_MAX) {
+            self.known_for = self.known_for.max(known.known_for);
+        }
     }
 
     /// Returns whether further answers would change nothing.
@@ -136,24 +153,29 @@
     /// # Errors
     ///
     /// Why it is not known.
-    pub fn finish(self) -> Result<Found, Unknown> {
-        if let Some(found) = self.found {
-            return Ok(found);
+    pub fn finish(&self) -> Result<Found, Unknown> {
+        if let Some(found) = &self.found {
+            return Ok(found.clone());
         }
         if self.asked > 0 && self.answered == 0 {
             return Err(Unknown::Unreached);
         }
-        let fresh = self.list_age.is_some_and(|age| age <= LIST_AGE_MAX);
-        let mut recent = self.recent.into_iter();
+        let mut recent = self.recent.iter();
         match (recent.next(), recent.next()) {
-            (Some(origin), None) if fresh && self.known_for >= self.span => Ok(Found {
-                origin,
+            (Some(_), None) if self.missing() > MISSING_MAX => Err(Unknown::OutOfContact),
+            (Some(origin), None) if self.known_for >= self.span => Ok(Found {
+                origin: origin.clone(),
                 source: OriginSource::OnlyVersion,
                 age: self.known_for,
             }),
             _ => Err(Unknown::NotRecorded),
         }
     }
+
+    /// Returns the number of routers that gave no answer.
+    fn missing(&self) -> usize {
+        self.asked.saturating_sub(self.answered) + self.silent
+    }
 }
 
 impl Found {
@@ -181,6 +203,7 @@
         f.pad(match self {
             Unknown::Unreached => "unreached",
             Unknown::NotRecorded => "not-recorded",
+            Unknown::OutOfContact => "out-of-contact",
         })
     }
 }
--- a/crates/policy/tests/streams/lookup.rs
+++ b/crates/policy/tests/streams/lookup.rs
@@ -47,7 +47,7 @@
     asked: usize,
     answers: &[Knowledge],
 ) -> Result<(StreamOrigin, OriginSource), Unknown> {
-    let mut lookup = Lookup::new(own, asked, SPAN);
+    let mut lookup = Lookup::new(own, asked, 0, SPAN);
     answers.iter().for_each(|a| lookup.add(a.clone()));
     lookup.finish().map(|found| (found.origin, found.source))
 }
@@ -62,7 +62,7 @@
 
 #[test]
 fn is_complete_with_a_record() {
-    let mut lookup = Lookup::new(knows(&["v1"]), 3, SPAN);
+    let mut lookup = Lookup::new(knows(&["v1"]), 3, 0, SPAN);
     assert!(!lookup.is_complete());
     lookup.add(knows(&["v1"]));
     assert!(!lookup.is_complete());
@@ -72,8 +72,8 @@
 
 #[test]
 fn is_complete_with_all_answers() {
-    assert!(Lookup::new(knows(&["v1"]), 0, SPAN).is_complete());
-    let mut lookup = Lookup::new(knows(&["v1"]), 1, SPAN);
+    assert!(Lookup::new(knows(&["v1"]), 0, 0, SPAN).is_complete());
+    let mut lookup = Lookup::new(knows(&["v1"]), 1, 0, SPAN);
     lookup.add(knows(&["v1"]));
     assert!(lookup.is_complete());
 }
@@ -134,3 +134,49 @@
         assert!(decide(own, 1, &[knows(&["v1"])]).is_ok());
     }
 }
+
+/// Guards against trusting the versions of the few routers that answer while those that were told of the
+/// stream don't.
+#[test]
+fn finish_with_few_answers() {
+    let few = decide(knows(&["v1"]), 8, &[knows(&["v1"])]);
+    assert_eq!(few, Err(Unknown::OutOfContact));
+    // The router that began the stream may have ended.
+    let all_but_one = decide(knows(&["v1"]), 2, &[knows(&["v1"])]);
+    assert_eq!(all_but_one, Ok((origin("v1"), OriginSource::OnlyVersion)));
+    // A record decides whoever is missing.
+    let record = decide(knows(&["v1"]), 8, &[recorded("v2")]);
+    assert_eq!(record, Ok((origin("v2"), OriginSource::Peer)));
+}
+
+/// Guards against the same where the others are not asked any more, as they have been silent for long.
+#[test]
+fn finish_while_others_are_silent() {
+    let decide = |silent| {
+        let mut lookup = Lookup::new(knows(&["v1"]), 1, silent, SPAN);
+        lookup.add(knows(&["v1"]));
+        lookup
+    };
+    assert!(decide(1).finish().is_ok());
+    let mut lookup = decide(5);
+    assert_eq!(lookup.finish(), Err(Unknown::OutOfContact));
+    lookup.confirm(knows(&["v1"]));
+    assert!(lookup.finish().is_ok());
+    lookup.confirm(knows(&["v1", "v2"]));
+    assert_eq!(lookup.finish(), Err(Unknown::NotRecorded));
+}
+
+/// Guards against joining the long knowledge of a router with an old list and the fresh list of one that
+/// was just started: a version may have come and gone between the two.
+#[test]
+fn finish_with_a_list_and_knowledge_of_two_routers() {
+    let old = Knowledge {
+        list_age: Some(Span::secs(11)),
+        ..knows(&["v1"])
+    };
+    let new = Knowledge {
+        known_for: Span::secs(1),
+        ..knows(&["v1"])
+    };
+    assert_eq!(decide(old, 1, &[new]), Err(Unknown::NotRecorded));
+}
--- a/tests/soak/handover.rs
+++ b/tests/soak/handover.rs
@@ -12,6 +12,8 @@
             Plan,
             StreamShape, //
         },
+        signal::Signal,
+        store::StoreFault,
         wait_until,
         Soak,
         CALM, //
@@ -22,6 +24,7 @@
     },
     std::{
         io,
+        ops::Range,
         thread,
         time::Duration, //
     },
@@ -51,7 +54,10 @@
 /// The routers' networks; none is that of another test.
 const NET_OF_KILL: u64 = 250;
 const NET_OF_RELEASE: u64 = 251;
+const NET_OUT_OF_STEP: u64 = 252;
 const STREAMS: usize = 16;
+/// Time after which the other routers take a router that stands still for silent.
+const SILENT: Duration = Duration::from_secs(4);
 /// Longer than any of these tests runs.
 const DEADLINE: Duration = Duration::from_secs(60);
 /// The replica that is replaced by one of the second version.
@@ -88,10 +94,15 @@
 
 /// Lists a replica of the second version, and waits until each router has used it.
 fn release(soak: &Soak) {
+    release_at(soak, 0..PLAN.routers);
+}
+
+/// The same for some of the routers.
+fn release_at(soak: &Soak, routers: Range<usize>) {
     soak.replicas[REPLACED].end();
     soak.replicas[REPLACED].replace(2);
     soak.replicas[REPLACED].register("ready");
-    for router in 0..PLAN.routers {
+    for router in routers {
         let mut number = 1_000;
         wait_until("a router uses the second version", || {
             // Documents have preferred replicas.
@@ -108,16 +119,16 @@
     }
 }
 
-/// Begins streams of the first version at the first router, and reads two events of each.
-fn begin(soak: &Soak) -> Vec<(Conn, RequestId)> {
+/// Begins streams of a version at the first router, and reads two events of each.
+fn begin(soak: &Soak, version: &str) -> Vec<(Conn, RequestId)> {
     let streams = (0..).map(|number| {
         let id = RequestId { router: 0, number };
         let (conn, answer) = request(soak, id, None, 2).unwrap();
         assert_eq!(answer.status, 200);
         (conn, id, written(&answer))
     });
-    let first = streams.filter(|(_, _, software)| software == "llm@v1");
-    first
+    let begun = streams.filter(|(_, _, software)| software == version);
+    begun
         .take(STREAMS)
         .map(|(conn, id, _)| (conn, id))
         .collect()
@@ -152,7 +163,7 @@
 fn handover_during_a_release() {
     let mut soak = Soak::start(&PLAN, NET_OF_KILL);
     release(&soak);
-    let streams = begin(&soak);
+    let streams = begin(&soak, "llm@v1");
     take_up(&mut soak, streams);
 }
 
@@ -162,7 +173,7 @@
 fn handover_of_streams_from_before_a_release() {
     let mut soak = Soak::start(&PLAN, NET_OF_RELEASE);
     thread::sleep(CALM);
-    let streams = begin(&soak);
+    let streams = begin(&soak, "llm@v1");
     for replica in &soak.replicas {
         replica.fall_silent(DEADLINE);
     }
@@ -172,3 +183,42 @@
     }
     take_up(&mut soak, streams);
 }
+
+/// Guards against a stream of a new version that goes on at an old one, at a router that stood still
+/// while the new one joined: it reaches only a router that stood still as well.
+#[test]
+fn handover_to_routers_that_stood_still() {
+    let mut soak = Soak::start(&PLAN, NET_OUT_OF_STEP);
+    thread::sleep(CALM);
+    let in_step = 0..2;
+    let out_of_step = 2..PLAN.routers;
+    for router in out_of_step.clone() {
+        soak.routers[router].signal(Signal::Stop);
+    }
+    // The others no longer tell them of streams.
+    thread::sleep(SILENT);
+    release_at(&soak, in_step);
+    let streams = begin(&soak, "llm@v2");
+    soak.store.set_fault(Some(StoreFault::Reset));
+    soak.routers[0].kill();
+    soak.routers[1].signal(Signal::Stop);
+    for router in out_of_step.clone() {
+        soak.routers[router].signal(Signal::Cont);
+    }
+    for (n, (conn, first)) in streams.into_iter().enumerate() {
+        drop(conn);
+        let id = RequestId {
+            router: out_of_step.start + n % out_of_step.len(),
+            number: 10_000 + first.number,
+        };
+        let answer = request(&soak, id, Some((first, 2)), usize::MAX);
+        if let Ok((_, answer)) = answer {
+            assert!(
+                answer.status != 200,
+                "{} goes on at {}",
+                first,
+                written(&answer)
+            );
+        }
+    }
+}
