Failed attempts are counted by cause

What is wrong with a replica's answer stood in the log of the attempt only (`event=try`), and the lines of a flood are dropped. The counter `chervilwind_failed_attempts` has the cause as a label: closed, broken (a reset), head (a status, a name, an ambiguous length), interim, too-long, body, foreign, missing-id, unsigned, success-not-run, unmarked, connect.

--- a/crates/gateway/src/http/conn.rs
+++ b/crates/gateway/src/http/conn.rs
@@ -98,6 +98,21 @@
     Evicted(#[from] Evicted),
 }
 
+impl ReadError {
+    /// Returns the label for metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            ReadError::Closed => "closed",
+            ReadError::Broken(_) => "broken",
+            ReadError::Head(_) => "head",
+            ReadError::Interim => "interim",
+            ReadError::TooLong(_) => "too-long",
+            ReadError::Body(_) => "body",
+            ReadError::Evicted(_) => "evicted",
+        }
+    }
+}
+
 impl From<io::Error> for ReadError {
     fn from(e: io::Error) -> ReadError {
         match Evicted::of(&e) {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -151,6 +151,7 @@
     e: &AttemptError,
 ) {
     e.record(permit);
+    metrics::counter!("chervilwind_failed_attempts", "cause" => e.label()).increment(1);
     log_attempt(req, permit, progress, outcome, &e.to_string());
     if !(e.lost_connection() && permit.is_early()) {
         return;
--- a/crates/gateway/src/serve/outcome.rs
+++ b/crates/gateway/src/serve/outcome.rs
@@ -145,6 +145,14 @@
         }
     }
 
+    /// Returns the label for metrics.
+    pub(super) fn label(&self) -> &'static str {
+        match self {
+            AttemptError::Call(e) => e.label(),
+            AttemptError::Invalid(e) => e.label(),
+        }
+    }
+
     /// Returns whether the connection was lost after the request had been sent on it.
     pub(super) fn lost_connection(&self) -> bool {
         let lost = |e: &ReadError| matches!(e, ReadError::Closed | ReadError::Broken(_));
--- a/crates/gateway/src/upstream/call.rs
+++ b/crates/gateway/src/upstream/call.rs
@@ -130,6 +130,30 @@
     Unmarked(u16),
 }
 
+impl CallError {
+    /// Returns the label for metrics.
+    pub(crate) fn label(&self) -> &'static str {
+        match self {
+            CallError::Connect(_) => "connect",
+            CallError::Read(e) => e.label(),
+            CallError::Foreign => "foreign",
+            CallError::MissingId => "missing-id",
+            CallError::Withdrawn => "withdrawn",
+        }
+    }
+}
+
+impl InvalidReply {
+    /// Returns the label for metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            InvalidReply::Unsigned => "unsigned",
+            InvalidReply::SuccessNotRun => "success-not-run",
+            InvalidReply::Unmarked(_) => "unmarked",
+        }
+    }
+}
+
 /// What the caller of [`call`] decides and observes during it.
 pub(crate) struct CallHooks<'a> {
     /// Whether the request may still be sent, asked when there is a connection.
