--- a/crates/gateway/tests/gateway/broken_answers.rs
+++ b/crates/gateway/tests/gateway/broken_answers.rs
@@ -19,6 +19,16 @@
 /// Requests after which a replica that answers all of them with garbage must have been tried.
 const TRIES_MAX: usize = 100;
 
+/// A replica whose answers have this first line, these lines among their headers and the body `odd`.
+fn odd_replica(first: &'static str, lines: &str) -> Replica {
+    let lines = lines.to_owned();
+    Replica::start(move |_, seen| {
+        let id = seen.header("x-id").unwrap_or("-");
+        let head = format!("{first}\r\nX-Id: {id}\r\nX-Signature: s\r\n{lines}\r\n\r\n");
+        vec![Step::Send((head + "odd").into_bytes()), Step::Close]
+    })
+}
+
 /// Checks that the caller got an error of the gateway itself, and no part of the replica's answer.
 fn assert_own_error(got: &Answer, case: &str) {
     assert_eq!(got.status, 502, "{case}: {got:?}");
@@ -84,13 +94,7 @@
         "200 OK",
     ];
     for line in lines {
-        let faulty = Replica::start(move |_, seen| {
-            let id = seen.header("x-id").unwrap_or("-");
-            let rest = format!("X-Id: {id}\r\nX-Signature: s\r\nContent-Length: 3\r\n\r\nodd");
-            let bytes = format!("{line}\r\n{rest}").into_bytes();
-            vec![Step::Send(bytes), Step::Close]
-        });
-        assert_rejected(&faulty, line);
+        assert_rejected(&odd_replica(line, "Content-Length: 3"), line);
     }
 }
 
@@ -118,14 +122,9 @@
         "Transfer-Encoding : chunked",
     ];
     for line in lines {
-        for status in ["200 OK", "404 Not Found", "503 Busy"] {
-            let faulty = Replica::start(move |_, seen| {
-                let id = seen.header("x-id").unwrap_or("-");
-                let head = format!("HTTP/1.1 {status}\r\nX-Id: {id}\r\nX-Signature: s\r\n");
-                let bytes = format!("{head}{line}\r\nContent-Length: 3\r\n\r\nodd");
-                vec![Step::Send(bytes.into_bytes()), Step::Close]
-            });
-            assert_rejected(&faulty, &format!("{status} {line:?}"));
+        for first in ["HTTP/1.1 200 OK", "HTTP/1.1 404 Odd", "HTTP/1.1 503 Busy"] {
+            let faulty = odd_replica(first, &format!("{line}\r\nContent-Length: 3"));
+            assert_rejected(&faulty, &format!("{first} {line:?}"));
         }
     }
 }
@@ -148,13 +147,7 @@
         "Transfer-Encoding: xchunked",
     ];
     for lines in cases {
-        let faulty = Replica::start(move |_, seen| {
-            let id = seen.header("x-id").unwrap_or("-");
-            let head = format!("HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\n");
-            let bytes = format!("{head}{lines}\r\n\r\nodd");
-            vec![Step::Send(bytes.into_bytes()), Step::Close]
-        });
-        assert_rejected(&faulty, lines);
+        assert_rejected(&odd_replica("HTTP/1.1 200 OK", lines), lines);
     }
 }
 
@@ -190,16 +183,7 @@
 /// Guards against a success that claims not to have run the request.
 #[test]
 fn success_that_is_marked_as_not_run() {
-    let replica = Replica::start(|_, seen| {
-        let id = seen.header("x-id").unwrap_or("-");
-        vec![Step::Send(
-            format!(
-                "HTTP/1.1 200 OK\r\nX-Id: {id}\r\nX-Signature: s\r\nX-Not-Run: 1\r\n\
-                 Content-Length: 3\r\n\r\nodd"
-            )
-            .into_bytes(),
-        )]
-    });
+    let replica = odd_replica("HTTP/1.1 200 OK", "X-Not-Run: 1\r\nContent-Length: 3");
     assert_rejected(&replica, "not run");
 }
 
