Callers' client: an answer has one end, and is no interim one

The client that callers use reads answers by the HTTP library too, and had the faults of the store's client: an answer without a length, with two lengths or in an unknown coding passed as complete with what the library made of it, and an interim one as the answer, with the real one left for the next request.

What the store's client checks moves to a crate of its own, `answers`, with the limit on bytes, and the callers' client uses it: such an answer is lost, and the request goes to another router where it may. Answers of the library to HEAD, and 204 and 304, need no length.

Before, `answer_ambiguous_is_lost` failed at its first case, a 200 without a length: the client took it for the answer and asked no other router.

--- a/crates/resources/src/capped.rs
+++ b/crates/answers/src/capped.rs
@@ -1,11 +1,11 @@
 //! A stream of which only so many bytes are read.
 
 use {
-    crate::Bytes,
     futures_lite::io::{
         AsyncRead,
         AsyncWrite, //
     },
+    resources::Bytes,
     std::{
         io,
         pin::Pin,
@@ -24,7 +24,8 @@
 ///
 /// ```
 /// use futures_lite::{future::block_on, io::{AsyncReadExt, Cursor}};
-/// use resources::{Bytes, Capped};
+/// use answers::Capped;
+/// use resources::Bytes;
 ///
 /// let read = |max| {
 ///     let mut stream = Capped::new(Cursor::new(vec![7; 2_000]), Bytes::kib(max), "store");
--- a/crates/callers/src/client/exchange.rs
+++ b/crates/callers/src/client/exchange.rs
@@ -19,6 +19,7 @@
         },
         Refused, //
     },
+    answers::check_framing,
     async_h1::client::{
         decode,
         Encoder, //
@@ -75,6 +76,7 @@
         http: http_types::Request,
         on_chunk: &mut OnChunk<'_>,
     ) -> AttemptResult {
+        let method = http.method();
         let Ok(mut socket) = self.pool.get(self.router).await else {
             return AttemptResult::Unsent;
         };
@@ -95,6 +97,10 @@
         let Ok(mut http) = self.with_timeout(read).await else {
             return AttemptResult::Lost;
         };
+        if let Err(e) = check_framing(&http, method) {
+            log::debug!("callers: the answer of {} is invalid: {e}", self.router);
+            return AttemptResult::Lost;
+        }
         let mut answer = parse_head(&http, self.router);
         let streaming = on_chunk.is_some() && http.len().is_none();
         let complete = self.read_body(&mut http, &mut answer, on_chunk).await;
--- a/crates/callers/tests/client.rs
+++ b/crates/callers/tests/client.rs
@@ -472,6 +472,31 @@
     });
 }
 
+/// Guards against an answer that passes for complete although its end can be read in two ways, or that
+/// is an interim one.
+#[test]
+fn answer_ambiguous_is_lost() {
+    let answers = [
+        "HTTP/1.1 200 OK\r\n\r\nodd",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 2\r\n\r\nodd",
+        "HTTP/1.1 200 OK\r\ncontent-length: +3\r\n\r\nodd",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nodd",
+        "HTTP/1.1 103 Odd\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nodd",
+        "HTTP/1.1 000 Odd\r\ncontent-length: 3\r\n\r\nodd",
+    ];
+    task::block_on(async {
+        for bytes in answers {
+            let log = Log::default();
+            let a = start_breaking_router(&log, "a", bytes).await;
+            let b = start_router("b", &log, answered).await;
+            let client = client(start_address_router(&log, &[a, b], 0).await);
+            let answer = with_timeout(client.call(&call())).await;
+            assert_eq!(answer.outcome, Outcome::Answered, "{bytes:?}");
+            assert_eq!(take_log(&log), ["guide", "a -", "b -"], "{bytes:?}");
+        }
+    });
+}
+
 #[test]
 fn stream_complete() {
     task::block_on(async {
--- a/crates/kvstore/src/http.rs
+++ b/crates/kvstore/src/http.rs
@@ -2,6 +2,10 @@
 
 use {
     super::circuit::Circuit,
+    answers::{
+        check_framing,
+        Capped, //
+    },
     async_std::{
         future::timeout,
         net::TcpStream, //
@@ -11,22 +15,13 @@
         FutureExt, //
     },
     http_types::{
-        headers::{
-            CONNECTION,
-            CONTENT_LENGTH,
-            TRANSFER_ENCODING, //
-        },
+        headers::CONNECTION,
         Method,
         Request,
-        Response,
-        StatusCode,
         Url, //
     },
     policy::Span,
-    resources::{
-        Bytes,
-        Capped, //
-    },
+    resources::Bytes,
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -294,9 +289,10 @@
 
 /// Sends a request and reads the whole answer. Also returns whether the connection ends with it.
 async fn ask(stream: TcpStream, req: Request) -> http_types::Result<(Answer, bool)> {
+    let method = req.method();
     let stream = Capped::new(stream, ANSWER_MAX, "store");
     let mut res = async_h1::connect(stream, req).await?;
-    check_framing(&res)?;
+    check_framing(&res, method)?;
     let close = res
         .header(CONNECTION)
         .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
@@ -311,35 +307,3 @@
     let status = res.status().into();
     Ok((Answer { status, body }, close))
 }
-
-/// Checks that the end of an answer's body can be read in one way.
-///
-/// The library takes the last of several lengths, and the body of an answer without one, or in an
-/// unknown coding, for empty. The rest would stay on the connection, for the next call.
-///
-/// # Errors
-///
-/// If it can't, or if the answer is an interim one, after which the real one follows.
-fn check_framing(res: &Response) -> http_types::Result<()> {
-    let status = res.status();
-    if status.is_informational() {
-        return Err(http_types::format_err!("an interim answer, {status}"));
-    }
-    let lengths = res.header(CONTENT_LENGTH).into_iter().flatten();
-    let codings = res.header(TRANSFER_ENCODING).into_iter().flatten();
-    let framing: Vec<(bool, &str)> = lengths
-        .map(|v| (true, v.as_str()))
-        .chain(codings.map(|v| (false, v.as_str())))
-        .collect();
-    let bodiless = matches!(status, StatusCode::NoContent | StatusCode::NotModified);
-    let clear = match framing[..] {
-        [] => bodiless,
-        [(true, length)] => length.bytes().all(|b| b.is_ascii_digit()),
-        [(false, coding)] => coding == "chunked",
-        _ => false,
-    };
-    match clear {
-        true => Ok(()),
-        false => Err(http_types::format_err!("the end of its body is ambiguous")),
-    }
-}
--- a/crates/kvstore/tests/kvstore/odd_answers.rs
+++ b/crates/kvstore/tests/kvstore/odd_answers.rs
@@ -34,6 +34,15 @@
     Kv::new(Options::new(addr, "a"))
 }
 
+/// Checks that a read that gets this answer has none.
+async fn assert_unavailable(answer: &'static str) {
+    let err = answering(answer).await.get("x").await.unwrap_err();
+    assert!(
+        matches!(err, KvError::Unavailable { .. }),
+        "{answer:?}: {err}"
+    );
+}
+
 // Something between router and platform answers in its place. The router must neither take
 // it for an answer, nor stop asking.
 #[test]
@@ -49,12 +58,7 @@
     ];
     for answer in answers {
         run(async {
-            let kv = answering(answer).await;
-            let err = kv.get("x").await.unwrap_err();
-            assert!(
-                matches!(err, KvError::Unavailable { .. }),
-                "{answer:?}: {err}"
-            );
+            assert_unavailable(answer).await;
             let kv = answering(answer).await;
             let put = kv.put("x", "1".into(), KeyRevision::NONE, None).await;
             assert!(put.unwrap_err().may_have_run(), "{answer:?}");
@@ -79,14 +83,7 @@
         "HTTP/1.1 404 Not Found\r\nx\u{1}odd: 1\r\ncontent-length: 0\r\n\r\n",
     ];
     for answer in answers {
-        run(async {
-            let kv = answering(answer).await;
-            let err = kv.get("x").await.unwrap_err();
-            assert!(
-                matches!(err, KvError::Unavailable { .. }),
-                "{answer:?}: {err}"
-            );
-        });
+        run(assert_unavailable(answer));
     }
 }
 
--- a/crates/operators/src/query.rs
+++ b/crates/operators/src/query.rs
@@ -1,6 +1,7 @@
 //! Requests to a router's operators' address.
 
 use {
+    answers::Capped,
     async_std::{
         future::timeout,
         net::TcpStream, //
@@ -11,10 +12,7 @@
         Request,
         Url, //
     },
-    resources::{
-        Bytes,
-        Capped, //
-    },
+    resources::Bytes,
     std::{
         net::SocketAddr,
         time::Duration, //
--- a/crates/peers/src/ask.rs
+++ b/crates/peers/src/ask.rs
@@ -8,6 +8,7 @@
             Traffic, //
         },
     },
+    answers::Capped,
     async_std::{
         future::timeout,
         net::TcpStream, //
@@ -19,10 +20,7 @@
         Url, //
     },
     policy::RouterId,
-    resources::{
-        Bytes,
-        Capped, //
-    },
+    resources::Bytes,
     serde::{
         de::DeserializeOwned,
         Serialize, //
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -16,6 +16,7 @@
             Traffic, //
         },
     },
+    answers::Capped,
     async_std::{
         channel::{
             bounded,
@@ -36,10 +37,7 @@
         Incarnation,
         RouterId, //
     },
-    resources::{
-        Bytes,
-        Capped, //
-    },
+    resources::Bytes,
     serde::Serialize,
     std::{
         io,
--- a/crates/resources/src/lib.rs
+++ b/crates/resources/src/lib.rs
@@ -12,7 +12,6 @@
 mod account;
 mod activity;
 mod bytes;
-mod capped;
 mod charge;
 mod eviction;
 mod eviction_log;
@@ -32,7 +31,6 @@
         Bytes,
         BytesError, //
     },
-    capped::Capped,
     charge::Charge,
     eviction_log::EvictionLog,
     limiter::{
