--- a/crates/gateway/src/http/exchange.rs
+++ b/crates/gateway/src/http/exchange.rs
@@ -30,7 +30,7 @@
     pub addr: SocketAddr,
     /// The method.
     pub method: &'static str,
-    /// Path and query.
+    /// Path and query, in visible ASCII characters.
     pub target: String,
     /// Content type and body, if there is a body.
     pub body: Option<(&'static str, Vec<u8>)>,
@@ -54,6 +54,9 @@
 /// Why there is no answer.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
+    /// The target can't be sent, as it would end in the middle of the request line.
+    #[error("the target {0:?} holds other than visible ASCII characters; encode it")]
+    Target(String),
     /// No connection could be opened, so the request was not run.
     #[error("{0} can't be reached: {1}")]
     Connect(SocketAddr, io::ErrorKind),
@@ -69,11 +72,14 @@
 ///
 /// # Errors
 ///
-/// If no complete answer arrives in time.
+/// If the target can't be sent, or no complete answer arrives in time.
 pub async fn exchange(
     kept: &mut Option<IdleConnection>,
     request: &ClientRequest,
 ) -> Result<Answer, ExchangeError> {
+    if !request.target.bytes().all(|b| b.is_ascii_graphic()) {
+        return Err(ExchangeError::Target(request.target.clone()));
+    }
     let mut conn = match reuse(kept).await {
         Some(conn) => conn,
         None => open(request).await?,
@@ -135,3 +141,6 @@
     };
     Ok((answer, keep))
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/common/store.rs
+++ b/tests/common/store.rs
@@ -1,4 +1,4 @@
-//! A stand-in of the platform's store, which can be unavailable.
+//! A stand-in of the platform's store, which lists in pages and can be unavailable.
 
 use {
     super::http::{
@@ -8,6 +8,7 @@
         Message, //
     },
     adapter::testing::{
+        encode_bytes,
         encode_value,
         lease_answer,
         range_answer,
@@ -45,6 +46,8 @@
 /// How long a silent store holds a call before it closes the connection.
 const SILENCE: Duration = Duration::from_secs(3);
 const LEASE_TTL: Duration = Duration::from_secs(10);
+/// Items of a page, unless a test sets another number.
+const PAGE_ITEMS: usize = 500;
 
 /// How calls fail while the store is unavailable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,7 +67,7 @@
     lease: u64,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     items: BTreeMap<String, Item>,
     /// Deleted keys, and the revisions of their removals.
@@ -72,6 +75,23 @@
     revision: u64,
     leases: u64,
     fault: Option<StoreFault>,
+    page_items: usize,
+    /// Pages that were asked for, by prefix.
+    pages: BTreeMap<String, usize>,
+}
+
+impl Default for State {
+    fn default() -> State {
+        State {
+            items: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            revision: 0,
+            leases: 0,
+            fault: None,
+            page_items: PAGE_ITEMS,
+            pages: BTreeMap::new(),
+        }
+    }
 }
 
 /// The store.
@@ -133,6 +153,16 @@
         events.into_iter().map(|(_, event)| event).collect()
     }
 
+    /// Returns the page of a prefix that begins after a key.
+    fn page(&mut self, prefix: &str, after: &str) -> Value {
+        *self.pages.entry(prefix.to_owned()).or_default() += 1;
+        let mut items = self.changed(prefix, 0);
+        items.retain(|item| item.key.as_str() > after);
+        let more = items.len() > self.page_items;
+        items.truncate(self.page_items);
+        range_answer(&items, more, self.revision)
+    }
+
     fn commit(&mut self, change: TransactionCall) -> (u16, Value) {
         for (key, revision) in &change.expected {
             let current = self.items.get(key).map_or(0, |item| item.revision);
@@ -179,6 +209,22 @@
         self.state.lock().unwrap().put(key, value, 0);
     }
 
+    /// Writes a key with any bytes, as another writer may.
+    pub(crate) fn put_bytes(&self, key: &str, value: &[u8]) {
+        let value = encode_bytes(value);
+        self.state.lock().unwrap().put(key, value, 0);
+    }
+
+    pub(crate) fn set_page_items(&self, count: usize) {
+        self.state.lock().unwrap().page_items = count;
+    }
+
+    /// Returns how many pages of a prefix were asked for since this was last called.
+    pub(crate) fn take_pages(&self, prefix: &str) -> usize {
+        let mut state = self.state.lock().unwrap();
+        state.pages.remove(prefix).unwrap_or_default()
+    }
+
     pub(crate) fn remove(&self, key: &str) {
         self.state.lock().unwrap().remove(key);
     }
@@ -201,10 +247,8 @@
 
     fn answer(&self, req: &Message) -> (u16, Value) {
         match StoreCall::parse(&req.target, &req.body) {
-            StoreCall::Range { prefix } => {
-                let state = self.state.lock().unwrap();
-                let items = state.changed(&prefix, 0);
-                (200, range_answer(&items, state.revision))
+            StoreCall::Range { prefix, after } => {
+                (200, self.state.lock().unwrap().page(&prefix, &after))
             }
             StoreCall::Watch {
                 prefix,
--- /dev/null
+++ b/tests/entries/fleet.rs
@@ -0,0 +1,203 @@
+//! Gateway processes that are restarted while an entry of another writer stands in the list.
+
+use {
+    super::{
+        http::{
+            answer,
+            serve,
+            Conn,
+            Message, //
+        },
+        replicas::{
+            entry,
+            id,
+            odd_key,
+            PAGE_ITEMS, //
+        },
+        settings::gateway_settings,
+        store::FakeStore, //
+    },
+    adapter::testing::{
+        config,
+        replica_key,
+        CallerRequest,
+        RouteEntry,
+        ATTEMPT_ID,
+        CONFIG_KEY,
+        READY_PATH,
+        REPLICAS_PREFIX,
+        REPLICA_SEAL, //
+    },
+    std::{
+        fs, io,
+        net::{
+            SocketAddr,
+            TcpListener, //
+        },
+        path::PathBuf,
+        process::{
+            Child,
+            Command,
+            Stdio, //
+        },
+        sync::Arc,
+        thread,
+        time::{
+            Duration,
+            Instant, //
+        },
+    },
+};
+
+/// Time limit that only a hang exceeds.
+const HANG_TIMEOUT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(50);
+const HOST: &str = "a.example";
+const ROUTERS: usize = 3;
+const REPLICAS: usize = 60;
+const REQUESTS: usize = 60;
+
+/// A router's process, which is killed when this is dropped.
+struct Router {
+    child: Child,
+    ip: String,
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Router {
+    /// Starts all routers of a fleet in a loopback network of their own.
+    fn start_all(net: &str, store: SocketAddr) -> Vec<Router> {
+        let ip = |n: usize| format!("{net}.{}", n + 1);
+        let seeds: Vec<String> = (0..ROUTERS).map(|n| format!("{}:7603", ip(n))).collect();
+        let routers = (0..ROUTERS).map(|n| {
+            let ip = ip(n);
+            let text =
+                gateway_settings(&format!("r{n}"), "hall-a", &ip, &seeds, &store.to_string());
+            let file =
+                PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("entries-{ip}.toml"));
+            fs::write(&file, text).unwrap();
+            let child = Command::new(env!("CARGO_BIN_EXE_chervilwind"))
+                .args(["gateway", "--settings"])
+                .arg(&file)
+                .stdin(Stdio::null())
+                .stdout(Stdio::null())
+                .spawn();
+            Router {
+                child: child.unwrap(),
+                ip,
+            }
+        });
+        routers.collect()
+    }
+
+    fn exchange(&self, port: u16, request: &str) -> io::Result<Message> {
+        let addr = format!("{}:{port}", self.ip).parse().unwrap();
+        let mut conn = Conn::open(addr)?;
+        conn.send(request.as_bytes())?;
+        conn.read_answer()
+    }
+
+    fn is_ready(&self) -> bool {
+        let request = format!("GET {READY_PATH} HTTP/1.1\r\nHost: a\r\n\r\n");
+        self.exchange(7601, &request).is_ok_and(|a| a.status == 200)
+    }
+
+    /// Sends a request and returns the replica that answered it with success.
+    fn ask(&self, id: &str) -> Option<String> {
+        let request = CallerRequest {
+            target: "POST /desk/a",
+            id,
+            deadline: Duration::from_secs(2),
+            shared: &[],
+            resumes: None,
+        };
+        let answer = self.exchange(7600, &request.encode(HOST)).ok()?;
+        (answer.status == 200).then(|| String::from_utf8(answer.body).unwrap())
+    }
+}
+
+/// Waits for an event, and returns whether it came before a time limit that only a hang exceeds.
+fn wait_until(mut done: impl FnMut() -> bool) -> bool {
+    let begun = Instant::now();
+    while !done() {
+        if begun.elapsed() > HANG_TIMEOUT {
+            return false;
+        }
+        thread::sleep(POLL);
+    }
+    true
+}
+
+/// Starts a store with a configuration and the entries of replicas that answer with their ids.
+fn start_store() -> FakeStore {
+    let store = FakeStore::start();
+    store.set_page_items(PAGE_ITEMS);
+    let route = RouteEntry {
+        name: "desk",
+        host: HOST,
+        route_type: "idempotent",
+        timeout_ms: 2_000,
+        max_attempts: 2,
+        split: vec![("desk", 1)],
+    };
+    store.put(CONFIG_KEY, &config(1, &[route], &["desk"], &[], 8));
+    for id in (0..REPLICAS).map(id) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let name = id.clone();
+        let server = serve(
+            listener,
+            Arc::new(move |req: &Message, conn: &mut Conn| {
+                let attempt = req.header(ATTEMPT_ID).unwrap_or_default();
+                let headers = [(ATTEMPT_ID, attempt), (REPLICA_SEAL, "seal")];
+                conn.send(&answer(200, &headers, &name))
+            }),
+        );
+        store.put(&replica_key(&id), &entry(server.addr));
+    }
+    store
+}
+
+/// Starts all routers at once and checks that they serve and how often they read the store.
+fn check_start(net: &str, store: &FakeStore, case: &str) {
+    store.take_pages(REPLICAS_PREFIX);
+    let routers = Router::start_all(net, store.addr);
+    let ready = wait_until(|| routers.iter().all(Router::is_ready));
+    let pages = store.take_pages(REPLICAS_PREFIX);
+    assert!(ready, "{case}: not ready after {pages} pages of the list");
+    // Each router reads the whole list once at the most, which has an entry more than full pages.
+    assert!(
+        pages <= ROUTERS * (REPLICAS / PAGE_ITEMS + 1),
+        "{case}: {pages} pages of the list were read"
+    );
+    for n in 0..REQUESTS {
+        let router = &routers[n % ROUTERS];
+        let id = format!("{n:016x}");
+        assert!(router.ask(&id).is_some(), "{case}: request {n} failed");
+    }
+}
+
+/// Guards against a list that can't be read to its end, so that no router is ever ready.
+#[test]
+fn restart_with_an_odd_key_last_on_a_page() {
+    let store = start_store();
+    check_start("127.78.1", &store, "without it");
+    for ending in [
+        " x",
+        "+x",
+        "&after=servers/r040",
+        "&prefix=op/",
+        "#x",
+        "%41",
+    ] {
+        let key = odd_key(ending);
+        store.put(&key, &entry(SocketAddr::from(([127, 0, 0, 1], 9))));
+        check_start("127.78.1", &store, ending);
+        store.remove(&key);
+    }
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -18,6 +18,7 @@
 mod settings;
 #[path = "../common/signal.rs"]
 mod signal;
+#[allow(dead_code, reason = "the tests of entries use the rest")]
 #[path = "../common/store.rs"]
 mod store;
 
