store: a list ends only where the store says so, and pages must advance

What callers would see: a router that asks for the same page without end keeps all that it reads and asks as fast as the store answers, until the process ends for lack of memory; or it takes a part of the list for all of it, and the replicas of the rest count as gone.

Cause: a page with `has_more` was followed by the next one whatever was on it, and one without items was taken for the end.

Evidence: `list_page_again`, `list_empty_page_before_the_end` and `list_pages_that_overlap` before stand-ins with such pages. Before the change the last two failed and the process of the first was aborted when an allocation of 2.3 GB failed, under a limit of 6 GB.

Fix: each page must bring a key that was on none before it, else the list fails and the one before it stays. The order of keys isn't checked, as it is the store's. A reader waits longer after each list that it can't read, up to 2.4 s, since all routers would otherwise repeat its calls seven times a second; after lost and refused calls it waits as before.

--- a/crates/gateway/src/follow/replicas.rs
+++ b/crates/gateway/src/follow/replicas.rs
@@ -41,20 +41,31 @@
 /// there. An engine's memory turns over in less.
 const CACHE_RETENTION_S: f64 = 30.0;
 const READ_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// The longest delay after lists that can't be read, which doubles each time. All routers read the
+/// list when they start together.
+const READ_RETRY_DELAY_MAX: Duration = Duration::from_millis(2_400);
 
 /// Reads the list whenever it is this router's turn.
 pub(crate) async fn follow_replicas(gw: Arc<Shared>) {
     let startup = Startup::new(&gw);
+    let mut delay = READ_RETRY_DELAY;
     loop {
         if !is_read_due(&gw, &startup) {
             task::sleep(check_interval(&gw, Roster::<()>::POLL_INTERVAL)).await;
             continue;
         }
         match read(&gw).await {
-            Ok(()) => gw.tell_untold_streams().await,
-            Err(_) => {
+            Ok(()) => {
+                delay = READ_RETRY_DELAY;
+                gw.tell_untold_streams().await;
+            }
+            Err(e) => {
                 gw.tables().roster.read_failed();
-                task::sleep(READ_RETRY_DELAY).await;
+                task::sleep(delay).await;
+                delay = match e.is_lasting() {
+                    true => (delay * 2).min(READ_RETRY_DELAY_MAX),
+                    false => READ_RETRY_DELAY,
+                };
             }
         }
     }
--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -131,11 +131,27 @@
     /// The requested history is no longer available.
     #[error("the store no longer has the history since that revision")]
     Compacted,
+    /// A page of a list had no other keys than those before it, although there are more.
+    #[error("the list has more than the {0} keys that its pages go on to return")]
+    Stuck(usize),
+    /// A list has more keys than any fleet.
+    #[error("the list has more than {0} keys")]
+    Endless(usize),
     /// The answer could not be decoded.
     #[error("the store's answer could not be decoded: {0}")]
     Form(String),
 }
 
+impl StoreError {
+    /// Returns whether the store answered, so that it is likely to answer the same again.
+    pub(crate) fn is_lasting(&self) -> bool {
+        match self {
+            StoreError::Stuck(_) | StoreError::Endless(_) | StoreError::Form(_) => true,
+            StoreError::Lost(_) | StoreError::Refused(_) | StoreError::Compacted => false,
+        }
+    }
+}
+
 impl fmt::Debug for Store {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Store").finish_non_exhaustive()
--- a/tests/entries/main.rs
+++ b/tests/entries/main.rs
@@ -5,6 +5,7 @@
 #[path = "../common/http.rs"]
 mod http;
 mod lists;
+mod pages;
 mod replicas;
 #[path = "../common/settings.rs"]
 mod settings;
