policy: spans of numbers that are out of range are the longest span

What callers would see: an entry of another writer with 1e17 ms until a replica is warm, or a router's entry with a quarantine until the end of time, ends the task that reads it in a build that checks arithmetic, so that the router no longer follows the store. A release build wraps the product: the time is arbitrary.

Cause: `Span::millis` and `Span::secs` multiplied without a check; all other arithmetic of spans and times saturates.

Fix: both saturate. A quarantine is limited to its usual length by the table, as before. A router's own entry adds its times without overflow too.

--- a/crates/gateway/src/follow/registration.rs
+++ b/crates/gateway/src/follow/registration.rs
@@ -102,7 +102,7 @@
         };
         let quarantined = update.held.iter().map(|h| QuarantinedUntil {
             suspect: h.suspect,
-            unix_ms: unix_ms + h.left.as_millis(),
+            unix_ms: unix_ms.saturating_add(h.left.as_millis()),
             ended: ended_under(h.suspect),
         });
         RouterEntry {
--- a/crates/gateway/src/follow/registration/tests.rs
+++ b/crates/gateway/src/follow/registration/tests.rs
@@ -12,7 +12,8 @@
             Held,
             Quarantine,
             QuarantineUpdate,
-            Suspect, //
+            Suspect,
+            HOLD_DURATION, //
         },
         Span,
         Time, //
@@ -99,3 +100,22 @@
         (earlier.peers, QuarantineUpdate::default())
     );
 }
+
+/// Guards against a task that ends, or a quarantine without end, by a time that is out of range.
+#[test]
+fn entry_of_a_time_out_of_range() {
+    let suspect = DIGEST;
+    let ended = vec![REPLICA];
+    let entry = RouterEntry {
+        quarantined: vec![QuarantinedUntil {
+            suspect,
+            unix_ms: u64::MAX,
+            ended,
+        }],
+        ..entry(Span::ZERO)
+    };
+    let update = entry.quarantined_at(WRITTEN_UNIX_MS);
+    let mut started = Quarantine::default();
+    assert_eq!(started.apply_update(&update, Time(0)), [DIGEST]);
+    assert_eq!(started.remaining(DIGEST, Time(0)), Some(HOLD_DURATION));
+}
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -36,14 +36,14 @@
     /// The empty span.
     pub const ZERO: Span = Span(0);
 
-    /// Returns a span of `n` milliseconds.
+    /// Returns a span of `n` milliseconds, or the longest span if that is longer.
     pub const fn millis(n: u64) -> Span {
-        Span(n * 1_000)
+        Span(n.saturating_mul(1_000))
     }
 
-    /// Returns a span of `n` seconds.
+    /// Returns a span of `n` seconds, or the longest span if that is longer.
     pub const fn secs(n: u64) -> Span {
-        Span(n * 1_000_000)
+        Span(n.saturating_mul(1_000_000))
     }
 
     /// Returns the span in seconds.
