platform: skip entries of replicas that can't be used

What callers would see: an entry of another writer that can be read gets a part of the requests, though nothing can be reached there, or makes the others' choice worse. One with slots is always the emptiest replica of a plain service and makes the part of a large service that is in use as small as it gets; one without slots makes it as large. A version of half a megabyte goes into records of streams, the lists of peers and the log.

Cause: only the types of the fields were checked.

Evidence: `parse_out_of_range` failed at its first case, 0 slots, on the code before. The other tests of the file held and are kept.

Fix: limits at the boundary, by which all routers that read the store skip the same entries; peers pass on what was read. Skipped entries are logged as unreadable ones are.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! benchmarked without a network.
 
 pub mod actives;
+mod address;
 mod answer_state;
 mod dispatch;
 mod eras;
@@ -37,6 +38,10 @@
 mod watch;
 
 pub use self::{
+    address::{
+        check_address,
+        AddressError, //
+    },
     answer_state::AnswerState,
     dispatch::{
         Action,
