--- a/tests/entries/pages.rs
+++ b/tests/entries/pages.rs
@@ -294,3 +294,26 @@
         assert_eq!(read.evacuations.zones, [Zone::from_text("hall-a")].into());
     }
 }
+
+/// Guards against a key that is taken for that of another replica, which it replaces or ends.
+#[test]
+fn replica_below_another_prefix() {
+    let value = encode_value(&entry(SocketAddr::from(([10, 0, 0, 9], 8080))));
+    let odd = |key: &str, value: &str| format!(r#"{{"key":"{key}","value":"{value}"}}"#);
+    for key in ["servers/servers/r000", "servers//r000", "r000", "op/r000"] {
+        let page = raw_page(&[odd(key, &value), sound_item(1)], false);
+        let (listed, _) = list_raw(move |_, _| page.clone());
+        let listed = listed.unwrap().replicas;
+        assert_eq!(listed.len(), 1, "{key}");
+        let removed = format!(r#"{{"key":"{key}","removed":true}}"#);
+        for event in [odd(key, &value), odd(key, "AA=="), removed] {
+            let store = serve_text(format!(r#"{{"events":[{event}],"store_revision":9}}"#));
+            let after = Revision {
+                era: Era::default(),
+                number: 5,
+            };
+            let read = block_on((store.replica_changes)(after)).unwrap();
+            assert_eq!(read.changes, [], "{event}");
+        }
+    }
+}
