gateway: restart tasks that panic

What callers would see: a panic in a task that follows the store ends only that task. The process goes on, answers its readiness check and serves by an old list and an old configuration for good, or is never ready.

Cause: the runtime catches the panic of a task on its thread. The tasks of a router of the own interface are restarted after one, those of the gateway were not.

Evidence: `fleet_tasks_that_panic`, whose store panics in the first calls of three tasks, hung on the code before: the gateway was never ready. No entry is known that makes a task panic; `Span::millis` did in builds that check arithmetic.

Fix: `gateway::supervise` restarts the tasks that follow the store and the peers, the maintenance and the measurement of delays, with a log line and the counter `chervilwind_task_panics`. The own interface's router uses the same function.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod start;
 mod state;
 mod streams;
+mod supervise;
 mod upstream;
 
 pub use self::{
@@ -76,4 +77,5 @@
         start,
         Gateway, //
     },
+    supervise::supervise,
 };
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -17,6 +17,7 @@
             StopSender, //
         },
         state::Shared,
+        supervise::supervise,
         Settings, //
     },
     async_std::{
@@ -29,7 +30,9 @@
     },
     policy::quota::Outcomes,
     std::{
-        env, io,
+        env,
+        future::Future,
+        io,
         path::Path,
         sync::{
             atomic::Ordering,
@@ -149,17 +152,37 @@
     task::spawn(serve::serve_addresses(gw.clone(), addresses));
     task::spawn(serve::serve_metrics(gw.clone(), metrics, handle.clone()));
     task::spawn(fleet::serve_documents(gw.clone(), documents));
-    task::spawn(fleet::receive_messages(gw.clone()));
-    task::spawn(fleet::send_messages(gw.clone()));
-    task::spawn(follow::follow_operators(gw.clone()));
-    task::spawn(follow::follow_replicas(gw.clone()));
-    task::spawn(follow::maintain_registration(gw.clone()));
     task::spawn(serve::accept(gw.clone(), callers, stopped));
-    task::spawn(run_maintenance(gw.clone(), handle));
-    task::spawn(measure_delay(gw.clone()));
+    keep_running("receive-messages", &gw, fleet::receive_messages);
+    keep_running("send-messages", &gw, fleet::send_messages);
+    keep_running("operators", &gw, follow::follow_operators);
+    keep_running("replicas", &gw, follow::follow_replicas);
+    keep_running("registration", &gw, follow::maintain_registration);
+    keep_running("maintenance", &gw, move |gw| {
+        run_maintenance(gw, handle.clone())
+    });
+    keep_running("delay", &gw, measure_delay);
     Ok(Gateway { shared: gw, stop })
 }
 
+/// Spawns a task and restarts it after a panic.
+fn keep_running<F>(
+    name: &'static str,
+    gw: &Arc<Shared>,
+    run: impl Fn(Arc<Shared>) -> F + Send + 'static,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let gw = gw.clone();
+    supervise(
+        move || run(gw.clone()),
+        move || {
+            metrics::counter!("chervilwind_task_panics", "task" => name).increment(1);
+            log::error!("event=task outcome=panicked task={name}");
+        },
+    );
+}
+
 async fn run_maintenance(gw: Arc<Shared>, metrics: Option<PrometheusHandle>) {
     let mut stats = gw.limiter.stats();
     loop {
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -157,3 +157,28 @@
     wait_until(|| advertised_addresses(&first).len() == 2);
     assert!(advertised_addresses(&first).contains(&second.settings.listen.callers.to_string()));
 }
+
+/// Guards against a router that serves by an old configuration and list for good, since a task that
+/// follows the store panicked.
+#[test]
+fn fleet_tasks_that_panic() {
+    let (a, b) = (echo(), echo());
+    let store = FakeStore {
+        config: crate::harness::config(1),
+        revision: 1,
+        replicas: vec![crate::harness::entry("i-1", &a)],
+        panics: 3,
+        ..FakeStore::default()
+    };
+    let gw = TestGateway::start_with(Arc::new(Mutex::new(store)), "g1", |_| {});
+    gw.wait_ready();
+    assert_eq!(gw.get("/again/a", "1").status, 200);
+    gw.store.lock().unwrap().panics = 3;
+    wait_until(|| gw.store.lock().unwrap().panics == 0);
+    gw.store.lock().unwrap().replicas = vec![crate::harness::entry("i-2", &b)];
+    gw.put_config(br#"{"version":9,"keys":{"k2":"w2"},"timeout":3000}"#.to_vec());
+    wait_until(|| gw.get("/again/a", "2").status == 401);
+    gw.put_config(crate::harness::config(10));
+    wait_until(|| gw.get("/again/a", "3").status == 200 && !b.seen().is_empty());
+    wait_until(|| !gw.store.lock().unwrap().registered.is_empty());
+}
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -104,6 +104,8 @@
     pub(crate) list_calls: u64,
     /// The way in which calls fail, if the store is down.
     pub(crate) fault: Option<StoreFault>,
+    /// So many of the next calls panic.
+    pub(crate) panics: u32,
     /// Calls that have failed.
     pub(crate) failed_calls: u64,
     /// The highest revision that a watch has reported.
@@ -327,7 +329,13 @@
 ) -> StoreFuture<T> {
     let store = store.clone();
     Box::pin(async move {
-        let fault = store.lock().unwrap().fault;
+        let (fault, panics) = {
+            let mut store = store.lock().unwrap();
+            let panics = store.panics;
+            store.panics = panics.saturating_sub(1);
+            (store.fault, panics)
+        };
+        assert!(panics == 0, "this call of the store panics");
         match fault {
             Some(how) => {
                 store.lock().unwrap().failed_calls += 1;
--- a/src/router/start.rs
+++ b/src/router/start.rs
@@ -38,7 +38,6 @@
         task, //
     },
     callers::Server,
-    futures_lite::FutureExt,
     operators::{
         Fleet,
         Loader, //
@@ -65,7 +64,6 @@
     },
     std::{
         future::Future,
-        panic::AssertUnwindSafe,
         sync::{
             atomic::{
                 AtomicBool,
@@ -82,8 +80,6 @@
 const BUSY_TICK: Duration = Duration::from_millis(10);
 /// How often the dispatch is ticked while the router is idle.
 const IDLE_TICK: Duration = Duration::from_millis(50);
-/// Delay before a task that panicked is restarted.
-const RESTART_DELAY: Duration = Duration::from_millis(100);
 /// How often expired tickets are removed.
 const TICKET_TICK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -165,16 +161,10 @@
     F: Future<Output = ()> + Send + 'static,
 {
     let of = of.clone();
-    task::spawn(async move {
-        while AssertUnwindSafe(task(of.clone()))
-            .catch_unwind()
-            .await
-            .is_err()
-        {
-            log::error!("router: {name} panicked and is restarted; see the lines above");
-            task::sleep(RESTART_DELAY).await;
-        }
-    });
+    gateway::supervise(
+        move || task(of.clone()),
+        move || log::error!("router: {name} panicked and is restarted; see the lines above"),
+    );
 }
 
 impl RouterHandle {
