kvstore: parse each instance of the list by itself, from its text

What callers would see: one entry on the list of instances that is nested very deeply, or has a number too large, and no router of the own interface learns of any instance, each second again.

Cause: the entries were parsed one by one, but the document into JSON values before, for which depth, numbers and surrogates fail as a whole.

Evidence: `poll_odd_instances` failed on the code before: "its answer can't be read: recursion limit exceeded". Values of other types, a port out of range and a field that comes twice held and are kept as cases.

Fix: entries are taken from the document as raw JSON. One whose address no process can listen at is left out too. What is left out takes one log line for each list in place of one for each entry.

--- a/crates/kvstore/src/instances.rs
+++ b/crates/kvstore/src/instances.rs
@@ -9,12 +9,13 @@
             Options, //
         },
         kv::{
-            parse,
-            unavailable, //
+            unavailable,
+            unreadable, //
         },
     },
     http_types::Method,
     policy::{
+        check_address,
         ServiceId,
         Span,
         Zone, //
@@ -23,9 +24,16 @@
         Deserialize,
         Serialize, //
     },
-    std::net::SocketAddr,
+    serde_json::value::RawValue,
+    std::{
+        iter,
+        net::SocketAddr, //
+    },
 };
 
+/// Longest cause that is logged, in characters. It may quote a value.
+const CAUSE_MAX: usize = 160;
+
 /// The purpose of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -85,10 +93,12 @@
     seen: Option<u64>,
 }
 
+/// A list whose entries are parsed one by one, as processes of any kind register themselves.
 #[derive(Debug, Deserialize)]
-struct Raw {
+struct RawList<'a> {
     revision: u64,
-    instances: Vec<serde_json::Value>,
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
 }
 
 impl Instances {
@@ -118,26 +128,44 @@
         match answer.status {
             304 => Ok(None),
             200 => {
-                let raw: Raw = parse(&answer)?;
-                self.seen = Some(raw.revision);
-                Ok(Some(readable(raw)))
+                let listed = parse_list(&answer.body).map_err(unreadable)?;
+                self.seen = Some(listed.revision);
+                Ok(Some(listed))
             }
             status => Err(KvError::Refused(status)),
         }
     }
 }
 
-/// Returns the readable entries, so that an unreadable one does not hide all others.
-fn readable(raw: Raw) -> Listed {
-    let read = |v| match serde_json::from_value(v) {
-        Ok(instance) => Some(instance),
-        Err(e) => {
-            log::warn!("platform: an instance on the list can't be read: {e}");
-            None
+/// Parses a list without the entries that can't be used, so that one of them does not hide all
+/// others.
+fn parse_list(body: &[u8]) -> Result<Listed, serde_json::Error> {
+    // Replaces bytes that are no text, which would make the whole list unreadable.
+    let text = String::from_utf8_lossy(body);
+    let list: RawList<'_> = serde_json::from_str(&text)?;
+    let mut instances = Vec::with_capacity(list.instances.len());
+    let mut cause = None;
+    for raw in &list.instances {
+        match parse_instance(raw.get()) {
+            Ok(instance) => instances.push(instance),
+            Err(e) => cause = cause.or(Some(e)),
         }
-    };
-    Listed {
-        revision: raw.revision,
-        instances: raw.instances.into_iter().filter_map(read).collect(),
     }
+    if let Some(e) = cause {
+        let count = list.instances.len() - instances.len();
+        let e: String = e.chars().take(CAUSE_MAX).collect();
+        log::warn!("platform: {count} instances on the list can't be used, the first since {e:?}");
+    }
+    Ok(Listed {
+        revision: list.revision,
+        instances,
+    })
+}
+
+fn parse_instance(text: &str) -> Result<Instance, String> {
+    let instance: Instance = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    for addr in iter::once(instance.addr).chain(instance.callers) {
+        check_address(addr).map_err(|e| e.to_string())?;
+    }
+    Ok(instance)
 }
--- a/crates/kvstore/src/kv.rs
+++ b/crates/kvstore/src/kv.rs
@@ -258,10 +258,14 @@
 }
 
 pub(crate) fn parse<T: DeserializeOwned>(answer: &Answer) -> Result<T, KvError> {
-    serde_json::from_slice(&answer.body).map_err(|e| KvError::Unavailable {
+    serde_json::from_slice(&answer.body).map_err(unreadable)
+}
+
+pub(crate) fn unreadable(e: serde_json::Error) -> KvError {
+    KvError::Unavailable {
         cause: format!("its answer can't be read: {e}"),
         retry: Span::ZERO,
-    })
+    }
 }
 
 fn parse_written(answer: &Answer) -> Result<KeyRevision, KvError> {
--- a/crates/kvstore/tests/kvstore/odd_answers.rs
+++ b/crates/kvstore/tests/kvstore/odd_answers.rs
@@ -11,16 +11,23 @@
         task,
     },
     kvstore::{
+        Instances,
         KeyRevision,
         Kv,
         KvError,
         Options, //
     },
     policy::Span,
+    std::net::SocketAddr,
 };
 
 /// A platform that gives one answer to whatever it is asked, and closes.
 async fn answering(answer: &'static str) -> Kv {
+    Kv::new(Options::new(address_answering(answer.into()).await, "a"))
+}
+
+/// Returns the address of a platform that gives one answer to whatever it is asked, and closes.
+async fn address_answering(answer: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap();
     task::spawn(async move {
@@ -28,10 +35,10 @@
             let (mut stream, _) = listener.accept().await.unwrap();
             let mut head = [0; 1024];
             let _ = stream.read(&mut head).await;
-            let _ = stream.write_all(answer.as_bytes()).await;
+            let _ = stream.write_all(&answer).await;
         }
     });
-    Kv::new(Options::new(addr, "a"))
+    addr
 }
 
 /// Checks that a read that gets this answer has none.
@@ -152,3 +159,47 @@
         assert!(err.to_string().contains("check its address"), "{err}");
     });
 }
+
+/// Guards against a router that learns of no instance any more because of one entry.
+#[test]
+fn poll_odd_instances() {
+    let sound = |name: &str| {
+        format!(
+            r#"{{"name":"{name}","role":"endpoint","service":"s","addr":"10.0.0.9:80","zone":"z"}}"#
+        )
+    };
+    let deep = |open: &str, close: &str| open.repeat(10_000) + "1" + &close.repeat(10_000);
+    let odd = [
+        "null".into(),
+        "7".into(),
+        "{}".into(),
+        deep("[", "]"),
+        deep("{\"a\":", "}"),
+        format!("{{\"name\":{}}}", deep("[", "]")),
+        sound("a").replace("\"a\"", "1e999"),
+        sound("a").replace("\"a\"", "\"\\ud800\""),
+        sound("a").replace(":80", ":65536"),
+        sound("a").replace(":80", ":0"),
+        sound("a").replace("10.0.0.9", "0.0.0.0"),
+        sound("a").replace("\"z\"", "\"z\",\"callers\":\"239.0.0.1:80\""),
+        sound("a").replace("\"z\"", "\"z\",\"zone\":\"z\""),
+        // The character is replaced by a byte that is no text.
+        "\"@\"".into(),
+    ];
+    for odd in odd {
+        let start: String = odd.chars().take(60).collect();
+        let list = [sound("i-1"), odd, sound("i-2")].join(",");
+        let mut body = format!(r#"{{"revision":3,"instances":[{list}]}}"#).into_bytes();
+        if let Some(at) = body.iter().position(|b| *b == b'@') {
+            body[at] = 0xff;
+        }
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        run(async {
+            let addr = address_answering([head.into_bytes(), body].concat()).await;
+            let polled = Instances::new(Options::new(addr, "a")).poll().await;
+            let listed = polled.unwrap_or_else(|e| panic!("{start}: {e}")).unwrap();
+            let names: Vec<_> = listed.instances.iter().map(|i| &*i.name).collect();
+            assert_eq!(names, ["i-1", "i-2"], "{start}");
+        });
+    }
+}
