gateway: the size of a subset follows the median of its replicas' slots

What callers would see: with one replica whose entry says 1 slot, or 65,535, the part of a large service that is in use is many times too large, or as small as it gets, so that requests are rejected while replicas idle.

Cause: the slots of the replica that was listed last stood for those of the whole group.

Evidence: `size_with_odd_slots`, 1,024 replicas half full: with 1 slot in the last entry the subset had 32,768 places on the code before, and has 2,048 without it and now.

--- a/crates/gateway/src/index.rs
+++ b/crates/gateway/src/index.rs
@@ -48,8 +48,6 @@
 #[derive(Debug, Default)]
 struct Group {
     ranking: Ranking,
-    /// Slots of one of the replicas.
-    slots: u32,
     size: SubsetSize,
     /// When the size was last checked.
     sized: Option<Time>,
@@ -95,7 +93,6 @@
 impl Group {
     fn insert(&mut self, replica: &Replica) {
         self.ranking.insert(&replica.id, &replica.zone);
-        self.slots = replica.slots;
     }
 
     /// Returns how many replicas are needed. All requests of the group run at those in use.
@@ -103,15 +100,28 @@
         let is_due = |at: Time| now.since(at) >= SIZE_INTERVAL;
         if self.sized.is_none_or(is_due) {
             self.sized = Some(now);
-            let usual = self.subsets.get(&1).into_iter();
-            let members = usual.flat_map(|(_, subset)| subset.members.iter());
-            let running = members.map(|(key, _)| board.load(*key, now).running);
-            self.size.update(running.sum(), self.slots, now);
+            let usual = self.subsets.get(&1).map(|(_, subset)| &subset.members[..]);
+            let members = usual.unwrap_or_default();
+            let running = members.iter();
+            let running = running.map(|(key, _)| board.load(*key, now).running);
+            let slots = members.iter().map(|(_, replica)| replica.slots);
+            self.size
+                .update(running.sum(), median(slots.collect()), now);
         }
         self.size.get()
     }
 }
 
+/// Returns the median, or 0 without any number. A few replicas that report other numbers than the
+/// rest have no influence on it.
+fn median(mut numbers: Vec<u32>) -> u32 {
+    if numbers.is_empty() {
+        return 0;
+    }
+    let middle = numbers.len() / 2;
+    *numbers.select_nth_unstable(middle).1
+}
+
 impl ReplicaIndex {
     fn insert(&mut self, replica: &Replica) {
         let service = self.services.entry(replica.service.clone()).or_default();
@@ -245,3 +255,6 @@
         !first.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests;
