gateway: skip entries of routers whose address no process can listen at

What callers would see: nothing at once; a router would send messages to port 0, to any or to many machines, and name those to others.

Cause: an entry under the routers' prefix was used if it could be decoded.

Evidence: `decode_entries_of_other_writers` found four such entries used on the code before. Other bytes, deep nesting, a map of 4 G entries and a cut entry were skipped already; those cases are kept.

Fix: the address is checked as that of a replica is.

--- a/crates/gateway/src/follow/registration.rs
+++ b/crates/gateway/src/follow/registration.rs
@@ -11,6 +11,7 @@
     },
     async_std::task,
     policy::{
+        check_address,
         entry_state,
         placement::ReplicaKey,
         quarantine::{
@@ -20,6 +21,7 @@
             Suspect,
             HOLD_DURATION, //
         },
+        AddressError,
         EntrySeen,
         EntryState,
         Era,
@@ -40,6 +42,7 @@
             Instant, //
         },
     },
+    thiserror::Error,
 };
 
 /// Lease of the entry. It need not be short, as routers detect failed peers by their silence;
@@ -77,6 +80,15 @@
     quarantined: Vec<QuarantinedUntil>,
 }
 
+/// Why an entry names no router.
+#[derive(Debug, Error)]
+enum EntryError {
+    #[error("it can't be decoded: {0}")]
+    Form(#[from] rmp_serde::decode::Error),
+    #[error(transparent)]
+    Address(#[from] AddressError),
+}
+
 /// A quarantined suspect and the wall-clock time at which its quarantine ends. Clocks of instances
 /// differ, and are adjusted, by seconds in ten minutes.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -349,7 +361,7 @@
 /// Decodes the entries, each with the number of its lease, and skips those that can't be
 /// decoded.
 fn decode_entries(listed: &[RegisteredRouter]) -> Vec<(RouterEntry, u64)> {
-    let decode = |r: &RegisteredRouter| match rmp_serde::from_slice::<RouterEntry>(&r.value) {
+    let decode = |r: &RegisteredRouter| match decode_entry(&r.value) {
         Ok(entry) => Some((entry, r.lease)),
         Err(e) => {
             log::warn!("event=register outcome=not-understood cause={e:?}");
@@ -359,6 +371,12 @@
     listed.iter().filter_map(decode).collect()
 }
 
+fn decode_entry(bytes: &[u8]) -> Result<RouterEntry, EntryError> {
+    let entry: RouterEntry = rmp_serde::from_slice(bytes)?;
+    check_address(entry.peers)?;
+    Ok(entry)
+}
+
 /// Takes over the address and the quarantined suspects of another router's entry.
 fn apply_entry(gw: &Shared, entry: &RouterEntry) {
     let now = gw.now();
--- a/crates/gateway/src/follow/registration/tests.rs
+++ b/crates/gateway/src/follow/registration/tests.rs
@@ -2,7 +2,9 @@
 
 use {
     super::{
+        decode_entries,
         QuarantinedUntil,
+        RegisteredRouter,
         RouterEntry, //
     },
     policy::{
@@ -119,3 +121,36 @@
     assert_eq!(started.apply_update(&update, Time(0)), [DIGEST]);
     assert_eq!(started.remaining(DIGEST, Time(0)), Some(HOLD_DURATION));
 }
+
+/// Guards against a lookup that ends at an entry of another writer, or sends messages to addresses
+/// that no router has.
+#[test]
+fn decode_entries_of_other_writers() {
+    let sound = rmp_serde::to_vec_named(&entry(Span::secs(1))).unwrap();
+    let at = |addr: &str| {
+        let entry = RouterEntry {
+            peers: addr.parse().unwrap(),
+            ..entry(Span::ZERO)
+        };
+        rmp_serde::to_vec_named(&entry).unwrap()
+    };
+    let listed: Vec<RegisteredRouter> = [
+        sound.clone(),
+        Vec::new(),
+        b"{}".to_vec(),
+        vec![0x91; 100_000],
+        vec![0xdf, 0xff, 0xff, 0xff, 0xff],
+        sound[..sound.len() - 1].to_vec(),
+        at("10.1.0.3:0"),
+        at("0.0.0.0:7400"),
+        at("239.1.2.3:7400"),
+        at("255.255.255.255:7400"),
+        sound,
+    ]
+    .into_iter()
+    .map(|value| RegisteredRouter { value, lease: 7 })
+    .collect();
+    let decoded = decode_entries(&listed);
+    let names: Vec<&str> = decoded.iter().map(|(e, _)| e.name.as_str()).collect();
+    assert_eq!(names, ["r1", "r1"]);
+}
