tests: the delays of a router whose list can't be read

Covers the part of "a list ends only where the store says so" that had no test: a fifth read of the list comes 2.25 s or more after the first, and the router is ready once the list can be read. The bound is a lower one, so that a slow machine doesn't break it.

--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -23,7 +23,10 @@
             Arc,
             Mutex, //
         },
-        time::Duration,
+        time::{
+            Duration,
+            Instant, //
+        },
     },
 };
 
@@ -182,3 +185,25 @@
     wait_until(|| gw.get("/again/a", "3").status == 200 && !b.seen().is_empty());
     wait_until(|| !gw.store.lock().unwrap().registered.is_empty());
 }
+
+/// Guards against routers that together exceed the rate of reads while a list can't be read.
+#[test]
+fn fleet_list_that_is_unreadable() {
+    let replica = echo();
+    let store = FakeStore {
+        config: crate::harness::config(1),
+        revision: 1,
+        replicas: vec![crate::harness::entry("i-1", &replica)],
+        unreadable_list: true,
+        ..FakeStore::default()
+    };
+    let begun = Instant::now();
+    let gw = TestGateway::start_with(Arc::new(Mutex::new(store)), "g1", |_| {});
+    wait_until(|| gw.store.lock().unwrap().list_calls >= 5);
+    let delays = Duration::from_millis(150 + 300 + 600 + 1_200);
+    assert!(begun.elapsed() >= delays, "{:?}", begun.elapsed());
+    assert!(!gw.ready());
+    gw.store.lock().unwrap().unreadable_list = false;
+    gw.wait_ready();
+    assert_eq!(gw.get("/again/a", "1").status, 200);
+}
