--- a/tests/entries/fleet.rs
+++ b/tests/entries/fleet.rs
@@ -56,6 +56,8 @@
 const ROUTERS: usize = 3;
 const REPLICAS: usize = 60;
 const REQUESTS: usize = 60;
+/// Memory of a router by its settings.
+const MEMORY_MB: u64 = 100;
 
 /// A router's process, which is killed when this is dropped.
 struct Router {
@@ -115,6 +117,14 @@
         String::from_utf8(answer.body).unwrap()
     }
 
+    /// Returns the most memory that the process had since its start, in KiB.
+    fn peak_memory_kib(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmHWM:"));
+        let size = line.and_then(|l| l.split_whitespace().nth(1));
+        size.and_then(|n| n.parse().ok()).unwrap()
+    }
+
     /// Sends a request and returns the replica that answered it with success.
     fn ask(&self, id: &str) -> Option<String> {
         let request = CallerRequest {
@@ -234,3 +244,24 @@
     store.put(&replica_key("r700"), &entry(addr));
     assert!(wait_until(|| shows(0)));
 }
+
+/// Guards against a router that needs more memory than it has for entries that it skips.
+#[test]
+fn restart_with_large_entries() {
+    const ENTRIES: usize = 150;
+    const VALUE_BYTES: usize = 700_000;
+    let store = start_store();
+    store.set_page_items(1);
+    for n in 0..ENTRIES {
+        let version = "v".repeat(VALUE_BYTES);
+        let mut large = entry(SocketAddr::from(([127, 0, 0, 1], 9)));
+        large["version"] = version.into();
+        store.put(&replica_key(&format!("x{n}")), &large);
+    }
+    let [router] = &Router::start_all(1, "127.78.3", store.addr)[..] else {
+        panic!("one router is started");
+    };
+    assert!(wait_until(|| router.is_ready()));
+    let most = router.peak_memory_kib();
+    assert!(most <= MEMORY_MB << 10, "{most} KiB were taken");
+}
