tests: processes that follow the list beside values that name no replica

The report of other operators: very deep nesting, numbers too large, a port out of range. Three gateway processes follow what comes after ten such values, and serve after a restart with the values in place.

--- a/tests/entries/fleet.rs
+++ b/tests/entries/fleet.rs
@@ -117,6 +117,10 @@
         String::from_utf8(answer.body).unwrap()
     }
 
+    fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Returns the most memory that the process had since its start, in KiB.
     fn peak_memory_kib(&self) -> u64 {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
@@ -165,21 +169,42 @@
     };
     store.put(CONFIG_KEY, &config(1, &[route], &["desk"], &[], 8));
     for id in (0..REPLICAS).map(id) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let name = id.clone();
-        let server = serve(
-            listener,
-            Arc::new(move |req: &Message, conn: &mut Conn| {
-                let attempt = req.header(ATTEMPT_ID).unwrap_or_default();
-                let headers = [(ATTEMPT_ID, attempt), (REPLICA_SEAL, "seal")];
-                conn.send(&answer(200, &headers, &name))
-            }),
-        );
-        store.put(&replica_key(&id), &entry(server.addr));
+        start_replica(&store, id);
     }
     store
 }
 
+/// Starts a replica that answers with its id, and writes its entry.
+fn start_replica(store: &FakeStore, id: String) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let key = replica_key(&id);
+    let handler = move |req: &Message, conn: &mut Conn| {
+        let attempt = req.header(ATTEMPT_ID).unwrap_or_default();
+        let headers = [(ATTEMPT_ID, attempt), (REPLICA_SEAL, "seal")];
+        conn.send(&answer(200, &headers, &id))
+    };
+    let server = serve(listener, Arc::new(handler));
+    store.put(&key, &entry(server.addr));
+}
+
+/// Returns values that name no replica.
+fn odd_values() -> Vec<Vec<u8>> {
+    let sound = entry(SocketAddr::from(([127, 0, 0, 1], 9))).to_string();
+    let changed = |from: &str, to: &str| sound.replace(from, to).into_bytes();
+    vec![
+        b"[".repeat(500_000),
+        b"{\"a\":".repeat(100_000),
+        changed(":9\"", ":65536\""),
+        changed("\"slots\":8", "\"slots\":1e999"),
+        changed("\"slots\":8", "\"slots\":99999999999999999999"),
+        changed("\"seq\":1", "\"seq\":1,\"cold_remaining_ms\":1e300"),
+        changed("\"seq\":1", "\"seq\":18446744073709551616"),
+        changed("\"born\":", "\"born\":-"),
+        b"\xff\xfe\x00".to_vec(),
+        Vec::new(),
+    ]
+}
+
 /// Starts all routers at once and checks that they serve and how often they read the store.
 fn check_start(net: &str, store: &FakeStore, case: &str) {
     store.take_pages(REPLICAS_PREFIX);
@@ -265,3 +290,27 @@
     let most = router.peak_memory_kib();
     assert!(most <= MEMORY_MB << 10, "{most} KiB were taken");
 }
+
+/// Guards against processes that end, or stop following the list, by the values of other writers.
+#[test]
+fn values_that_name_no_replica() {
+    let store = start_store();
+    let start = || Router::start_all(ROUTERS, "127.78.4", store.addr);
+    let mut routers = start();
+    assert!(wait_until(|| routers.iter().all(Router::is_ready)));
+    for (n, value) in odd_values().iter().enumerate() {
+        store.put_bytes(&replica_key(&format!("x{n}")), value);
+    }
+    // The routers follow what comes after the odd entries.
+    start_replica(&store, "r900".to_owned());
+    for id in (0..REPLICAS).map(id) {
+        store.remove(&replica_key(&id));
+    }
+    let from_last = |router: &Router| router.ask("1").as_deref() == Some("r900");
+    assert!(wait_until(|| routers.iter().all(from_last)));
+    assert!(routers.iter_mut().all(Router::is_running));
+    drop(routers);
+    let mut routers = start();
+    assert!(wait_until(|| routers.iter().all(from_last)));
+    assert!(routers.iter_mut().all(Router::is_running));
+}
