--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -41,20 +41,20 @@
     },
 };
 
-/// Requests of the workspaces that flood, and how many each sends at once.
+/// Requests of each workspace that floods, and how many it sends at a time.
 const FLOOD: Plan = Plan {
     requests: 1_200,
     at_once: 60,
 };
-/// The same of all others.
+/// The same for each other workspace.
 const USUAL: Plan = Plan {
     requests: 120,
     at_once: 10,
 };
 const FLOODING: [&str; 2] = ["manchester", "leeds"];
-/// Every so many requests of a workspace one is a renewal, which may not be repeated.
+/// One in this many requests of a workspace is a renewal, which must not be repeated.
 const RENEWAL: u32 = 4;
-/// The same for a request of the plain service.
+/// One in this many is a request to the plain service.
 const DESK: u32 = 5;
 const DEADLINE: Duration = Duration::from_secs(15);
 
@@ -64,7 +64,7 @@
     at_once: u32,
 }
 
-/// What one request came to.
+/// The outcome of one request.
 #[derive(Debug)]
 struct Result {
     outcome: Outcome,
@@ -73,7 +73,7 @@
     fault: Option<String>,
 }
 
-/// Sends everything and returns a row for each workspace, and what was wrong.
+/// Sends all requests. Returns a row for each workspace, and the errors.
 pub(crate) async fn run_load(stage: &Stage) -> (Vec<Row>, Vec<String>) {
     let source = Source::from_text("fleet.toml", operators::FLEET);
     let Ok(document) = Document::parse(&source) else {
@@ -149,7 +149,7 @@
     judge(&answer, &expected, took, n % DESK != 0)
 }
 
-/// Makes a request for the plain service and its right answer.
+/// Returns a request to the plain service, and the answer expected.
 fn desk(id: &WorkspaceId, n: u32) -> (Call, String) {
     let target = "/quote";
     let body = format!("{id} wants quote {n}").into_bytes();
@@ -157,7 +157,7 @@
     (call("broker-desk", id, "standard", target, body), expected)
 }
 
-/// Makes a request for the model and the text that its answer must have.
+/// Returns a request to the model, and the text expected in the answer.
 fn draft(id: &WorkspaceId, n: u32) -> (Call, String) {
     let body = serde_json::json!({
         "model": "drafting",
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -1,4 +1,4 @@
-//! A small fleet in one process, to see it work.
+//! A small fleet in one process, for demonstration.
 
 mod load;
 mod show;
@@ -20,16 +20,16 @@
     std::time::Instant, //
 };
 
-/// What came of a run.
+/// The result of a run.
 #[derive(Debug)]
 pub(crate) struct Report {
-    /// Each workspace, by name.
+    /// Results by workspace, ordered by name.
     pub(crate) rows: Vec<Row>,
     /// The widest fairness gap seen, in tokens divided by share.
     pub(crate) gap: f64,
-    /// The same, once the first callers' lead is paid back.
+    /// The same, without the time in which the first callers still have a lead.
     pub(crate) settled: f64,
-    /// Part of the engines' capacity that was busy while work waited.
+    /// Fraction of the engines' capacity in use while requests were queued.
     pub(crate) utilisation: f64,
     /// Control traffic of each router, sent and received.
     pub(crate) control: Vec<Control>,
@@ -39,7 +39,7 @@
     pub(crate) seconds: f64,
 }
 
-/// One workspace's requests.
+/// The requests of one workspace.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Row {
     /// The workspace.
@@ -48,22 +48,22 @@
     pub(crate) share: f64,
     /// Requests sent.
     pub(crate) asked: u32,
-    /// Requests answered whole and right.
+    /// Requests with a complete and correct answer.
     pub(crate) answered: u32,
-    /// Requests refused as not run.
+    /// Requests rejected as not run.
     pub(crate) refused: u32,
     /// Tokens received.
     pub(crate) service: f64,
-    /// Time to the last byte of half of its answers, in milliseconds.
+    /// Median time to the last byte of its answers, in milliseconds.
     pub(crate) median: f64,
 }
 
-/// One router's control traffic.
+/// The control traffic of one router.
 #[derive(Debug, Clone)]
 pub(crate) struct Control {
     /// The router.
     pub(crate) router: String,
-    /// Bytes a second, sent and received.
+    /// Bytes per second, sent and received.
     pub(crate) rate: f64,
 }
 
--- a/src/demo/show.rs
+++ b/src/demo/show.rs
@@ -1,4 +1,4 @@
-//! Printing what came of the demo.
+//! Prints the result of the demo.
 
 use {
     super::{
@@ -94,7 +94,7 @@
     r.rows.iter().map(|row| row.answered).sum()
 }
 
-/// Requests that were not refused as not run.
+/// Returns the requests that were not rejected as not run.
 fn admitted(r: &Report) -> u32 {
     r.rows.iter().map(|row| row.asked - row.refused).sum()
 }
--- a/src/demo/stage.rs
+++ b/src/demo/stage.rs
@@ -121,7 +121,7 @@
         })
     }
 
-    /// Returns where callers first ask.
+    /// Returns the addresses that callers ask first.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let routers = self.routers.iter();
         routers
@@ -129,7 +129,7 @@
             .collect()
     }
 
-    /// Returns the requests that ran more than once though they may not be repeated.
+    /// Returns the requests that must not be repeated and ran more than once.
     pub(crate) fn doubled(&self) -> Vec<String> {
         let engines = self.engines.iter().map(|e| e.runs());
         let plains = self.plains.iter().map(|p| p.runs());
--- a/src/demo/watch.rs
+++ b/src/demo/watch.rs
@@ -1,4 +1,4 @@
-//! Watching the demo's fleet while the load runs.
+//! Samples the demo's fleet while the load runs.
 
 use {
     super::stage::Stage,
@@ -32,10 +32,10 @@
 
 const SERVICE: &str = "drafting-llm";
 const EVERY: Duration = Duration::from_millis(20);
-/// Until then the first callers hold the slots that stood idle.
+/// Time until which the first callers hold the slots that were idle.
 const SETTLED: Duration = Duration::from_secs(2);
 
-/// What was seen while the load ran.
+/// The samples.
 #[derive(Debug, Default)]
 pub(crate) struct Seen {
     pub(crate) gap: f64,
--- a/src/measure/control.rs
+++ b/src/measure/control.rs
@@ -1,4 +1,4 @@
-//! How the traffic between routers grows with the fleet.
+//! Measures how the traffic between routers grows with the fleet.
 
 use {
     super::{
@@ -29,7 +29,7 @@
     std::time::Duration,
 };
 
-/// What varies, and its values; the others stay as in [`USUAL`].
+/// The parameters that vary, and their values; the others are as in [`USUAL`].
 const AXES: [(Axis, &[usize]); 4] = [
     (Axis::Routers, &[2, 4, 8, 16]),
     (Axis::Workspaces, &[4, 16, 48]),
@@ -42,7 +42,7 @@
     replicas: 10,
     gap: 40,
 };
-/// Callers for each slot, so that every workspace always has work waiting.
+/// Callers per slot, enough that every workspace always has queued requests.
 const PRESS: usize = 3;
 const HEADER: [&str; 10] = [
     "varies",
@@ -57,14 +57,14 @@
     "utilisation %",
 ];
 
-/// What varies.
+/// A parameter that varies.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 enum Axis {
     Routers,
     Workspaces,
     Replicas,
-    /// Time between tokens, which sets how many requests end a second.
+    /// Time between tokens, which determines how many requests end per second.
     Gap,
 }
 
@@ -78,16 +78,16 @@
     gap: usize,
 }
 
-/// One run.
+/// The result of one run.
 #[derive(Debug, Serialize)]
 struct Row {
     axis: Axis,
     size: Size,
-    /// Bytes a second of a router.
+    /// Bytes per second of a router.
     sent: Rate,
     received: Rate,
     both: Rate,
-    /// Part of a core.
+    /// Fraction of a core.
     cpu: Rate,
     answered: f64,
     utilisation: f64,
@@ -100,7 +100,7 @@
     max: f64,
 }
 
-/// How much one more of something adds, in bytes a second of a router.
+/// What one unit of a parameter adds, in bytes per second of a router.
 #[derive(Debug, Serialize)]
 struct Slope {
     axis: Axis,
--- a/src/measure/engines.rs
+++ b/src/measure/engines.rs
@@ -1,4 +1,4 @@
-//! The replicas of a measured fleet, of which some may come and leave.
+//! The replicas of a measured fleet, which may be added and removed.
 
 use {
     crate::gauge::Used,
@@ -19,7 +19,7 @@
 struct Replica {
     engine: engine::Handle,
     leaving: bool,
-    /// What it had been used when that was last taken.
+    /// Its use when that was last read.
     taken: Used,
 }
 
@@ -36,12 +36,12 @@
         self.lock().len()
     }
 
-    /// Notes that a replica leaves, so that its capacity no longer counts.
+    /// Records that a replica leaves, so that its capacity no longer counts.
     pub(crate) fn leave(&self, i: usize) {
         self.lock()[i].leaving = true;
     }
 
-    /// Makes a replica take longer by a factor.
+    /// Slows a replica down by a factor.
     pub(crate) fn slow(&self, i: usize, factor: f64) {
         self.lock()[i].engine.slow(factor);
     }
@@ -58,7 +58,7 @@
         each.map(|l| l.running + l.waiting).collect()
     }
 
-    /// Returns the use of the replicas that stay since the last time.
+    /// Returns the use of the remaining replicas since the last call.
     pub(crate) fn take_used(&self) -> Used {
         let mut sum = Used::default();
         for r in self.lock().iter_mut() {
--- a/src/measure/fleet.rs
+++ b/src/measure/fleet.rs
@@ -38,10 +38,10 @@
     },
 };
 
-/// The load settles for this long.
+/// Time for the load to settle.
 const WARM: Duration = Duration::from_secs(3);
 
-/// What happens in a run, apart from the load.
+/// The events of a run, apart from the load.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Script {
     /// How long it lasts once the load has settled.
@@ -54,7 +54,7 @@
     pub(crate) dumps: Option<PathBuf>,
 }
 
-/// What came of a run.
+/// The result of a run.
 #[derive(Debug, Serialize)]
 pub(crate) struct Run {
     /// The mode.
@@ -65,17 +65,17 @@
     /// service divided by share.
     pub(crate) gap: f64,
     pub(crate) gap_settled: f64,
-    /// Part of the engines' capacity that was busy while work waited.
+    /// Fraction of the engines' capacity in use while requests were queued.
     pub(crate) utilisation: f64,
     /// Requests that engines held, relative to their capacity.
     pub(crate) admitted: f64,
-    /// Answers and tokens a second, from the first request on.
+    /// Answers and tokens per second, from the first request on.
     pub(crate) answered: f64,
     pub(crate) tokens: f64,
     /// Time to the first byte of the answers of small and of flooding workspaces.
     pub(crate) first_small: Quantiles,
     pub(crate) first_floods: Quantiles,
-    /// Requests refused, by cause.
+    /// Rejected requests, by cause.
     pub(crate) refused: BTreeMap<String, u64>,
     /// Those of workspaces that don't flood: each could have been served in time.
     pub(crate) wrongly: u64,
@@ -97,7 +97,7 @@
     pub(crate) workspace: String,
     pub(crate) share: f64,
     pub(crate) callers: usize,
-    /// Part of the time in which it had work waiting.
+    /// Fraction of the time in which it had queued requests.
     pub(crate) backlogged: f64,
     pub(crate) answered: u64,
     pub(crate) refused: u64,
--- a/src/measure/latency.rs
+++ b/src/measure/latency.rs
@@ -1,4 +1,4 @@
-//! What one router adds to a call, and what it costs at rest.
+//! Measures what one router adds to a call, and what it costs while idle.
 
 use {
     super::{
@@ -36,7 +36,7 @@
 const STREAMS: usize = 500;
 /// Calls before counting starts.
 const FIRST: usize = 100;
-/// Connections that ask at once in the closed loop.
+/// Connections that send concurrently in the closed loop.
 const AT_ONCE: usize = 32;
 const DEADLINE: Duration = Duration::from_secs(10);
 const TOKENS: u32 = 4;
@@ -63,21 +63,21 @@
 #[derive(Debug, Serialize)]
 struct Loop {
     connections: usize,
-    /// Requests a second.
+    /// Requests per second.
     direct: f64,
     router: f64,
-    /// Part of a core that the router used.
+    /// Fraction of a core that the router used.
     cpu: f64,
     failed: u64,
 }
 
-/// Routers that have nothing to do.
+/// Idle routers.
 #[derive(Debug, Serialize)]
 struct Idle {
     routers: usize,
-    /// Part of a core that the mean router uses.
+    /// Mean fraction of a core per router.
     cpu: f64,
-    /// Resident memory of the mean router, in bytes.
+    /// Mean resident memory per router, in bytes.
     memory: f64,
 }
 
@@ -156,7 +156,7 @@
     pair(name, &direct, &router, &stream_call(), STREAMS, !whole).await
 }
 
-/// Calls directly and through the router by turns, so that both meet the same noise.
+/// Alternates direct calls and calls through the router, so that noise affects both alike.
 async fn pair(
     name: &'static str,
     direct: &Client,
--- a/src/measure/load.rs
+++ b/src/measure/load.rs
@@ -1,4 +1,4 @@
-//! The callers of a measured fleet: each keeps asking until the run ends.
+//! The callers of a measured fleet, which send requests until the run ends.
 
 use {
     super::{
@@ -45,10 +45,10 @@
 /// The longest that it waits.
 const AGAIN_MAX: Duration = Duration::from_secs(2);
 const PATH: &str = "/v1/chat/completions";
-/// Begins each token's event, and no other one.
+/// Start of the events that carry a token.
 const TOKEN: &[u8] = b"data: {";
 
-/// Callers that keep asking.
+/// The running callers.
 #[derive(Debug)]
 pub(crate) struct Load {
     /// What each workspace got, in the order of the plans.
@@ -65,9 +65,9 @@
 pub(crate) struct Sums {
     /// Received tokens, including those of unfinished answers.
     pub(crate) tokens: i64,
-    /// Requests answered whole and right.
+    /// Requests with a complete and correct answer.
     pub(crate) answered: u64,
-    /// Requests refused as not run, by cause.
+    /// Requests rejected as not run, by cause.
     pub(crate) refused: BTreeMap<String, u64>,
     /// Answers that were wrong or lost, with their causes.
     pub(crate) faults: Vec<String>,
@@ -212,7 +212,7 @@
     }
 }
 
-/// Makes a client that calls one router, and asks none which to use.
+/// Returns a client that calls one router and asks for no addresses.
 pub(crate) fn pinned(router: SocketAddr) -> Client {
     let mut settings = ClientSettings::new(vec![router]);
     settings.pinned = true;
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -1,4 +1,4 @@
-//! Measuring the fleet on one machine, with the routers as processes of this binary.
+//! Measures a fleet on one machine, whose routers are processes of this binary.
 
 mod control;
 mod engines;
--- a/src/measure/plan.rs
+++ b/src/measure/plan.rs
@@ -1,6 +1,6 @@
 //! The workspaces, and the routers that their callers keep to.
 
-/// What one workspace asks for.
+/// The requests of one workspace.
 #[derive(Debug, Clone)]
 pub(crate) struct Plan {
     /// Its name.
@@ -42,11 +42,11 @@
 ];
 /// Fewest tokens of one request.
 const LEAST: u32 = 16;
-/// Callers to each one that a calm load leaves.
+/// Factor by which a calm load has fewer callers.
 const CALM: usize = 12;
 const FLOODS: &str = "flood";
 
-/// Returns the uneven load of the issue.
+/// Returns an uneven load.
 pub(crate) fn uneven(routers: usize) -> Vec<Plan> {
     let rows = ROWS.iter();
     rows.map(|(name, share, callers, homes, most)| Plan {
--- a/src/measure/process.rs
+++ b/src/measure/process.rs
@@ -1,4 +1,4 @@
-//! A router that runs as a process of its own, and what it uses of the machine.
+//! A router in its own process, and the resources that it uses.
 
 use {
     super::setup::Ports,
@@ -45,7 +45,7 @@
     log: PathBuf,
 }
 
-/// What a process has used.
+/// The resources that a process has used.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Usage {
     /// Time on a core, in seconds.
@@ -55,7 +55,7 @@
 }
 
 impl RouterProcess {
-    /// Starts a router of this very binary.
+    /// Starts a router of the running binary.
     pub(crate) fn start(
         folder: &Path,
         name: &str,
@@ -78,7 +78,7 @@
         Ok(RouterProcess { ports, child, log })
     }
 
-    /// Asks how it is doing.
+    /// Queries its status.
     pub(crate) async fn status(&self) -> Result<Status, Error> {
         status_of(self.ports.operators).await
     }
@@ -104,7 +104,7 @@
     }
 }
 
-/// Asks a router how it is doing.
+/// Queries the status of a router.
 pub(crate) async fn status_of(operators: SocketAddr) -> Result<Status, Error> {
     let body = query(operators, "/status").await?;
     Ok(read_view(operators, &body)?)
--- a/src/measure/run.rs
+++ b/src/measure/run.rs
@@ -1,4 +1,4 @@
-//! Doing what `chervilwind measure` is asked for.
+//! Runs `chervilwind measure`.
 
 use {
     super::{
@@ -43,7 +43,7 @@
 const MODE_NAMES: [&str; 3] = ["fleet", "alone", "static"];
 const UNIT_NAMES: [&str; 2] = ["tokens", "requests"];
 
-/// Measures what the arguments name.
+/// Runs the measurement that the arguments name.
 pub(crate) fn run(flags: &Measure) -> Result<(), Error> {
     match flags.what.as_str() {
         "fleet" => until_told(run_fleet(flags)),
--- a/src/measure/setup.rs
+++ b/src/measure/setup.rs
@@ -24,7 +24,7 @@
 /// Time between its tokens.
 const GAP: Duration = Duration::from_millis(10);
 
-/// What a fleet is made of.
+/// The composition of a fleet.
 #[derive(Debug, Clone)]
 pub(crate) struct Setup {
     /// Who decides which request runs next: `fleet`, `alone` or `static`.
@@ -56,7 +56,7 @@
 }
 
 impl Setup {
-    /// Makes the fleet that the issue names: eight routers, ten replicas, three zones.
+    /// Returns a fleet of eight routers and ten replicas in three zones.
     pub(crate) fn new(mode: &str, plans: Vec<Plan>) -> Setup {
         Setup {
             mode: mode.to_owned(),
--- a/src/measure/show.rs
+++ b/src/measure/show.rs
@@ -1,4 +1,4 @@
-//! Printing runs of the fleet.
+//! Prints runs of the fleet.
 
 use {
     super::fleet::{
