gateway: keep-alive times of replicas are limited to an hour

Cause: a number from outside. The time until which the connection is kept was beyond what the clock can hold, the addition panicked, and the task that had the answer ended.

Evidence: `put_with_any_time` failed on the code before: "overflow when adding duration to instant".

Fix: the time is cut to an hour before anything is added to it.

--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -19,6 +19,9 @@
 /// Assumed keep-alive time of replicas that don't announce one. Most close idle connections after
 /// several seconds.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(3);
+/// Longest keep-alive time that is used. Replicas that never close idle connections may announce the
+/// largest number that they know.
+const KEEP_ALIVE_MAX: Duration = Duration::from_secs(3_600);
 /// A connection is not reused when less than this is left of the keep-alive time: two network round
 /// trips and a slow processor, so that no request crosses the close.
 const REUSE_MARGIN: Duration = Duration::from_millis(500);
@@ -72,6 +75,7 @@
         let since = Instant::now();
         let Some(until) = keep_alive
             .unwrap_or(DEFAULT_KEEP_ALIVE)
+            .min(KEEP_ALIVE_MAX)
             .checked_sub(REUSE_MARGIN)
         else {
             return;
--- a/crates/gateway/src/upstream/pool/tests.rs
+++ b/crates/gateway/src/upstream/pool/tests.rs
@@ -53,3 +53,21 @@
         assert!(pool.take(&replica, Duration::MAX).await.is_none());
     });
 }
+
+/// Guards against a request that is lost with its answer, since its task panics at a time that is too
+/// long for the clock.
+#[test]
+fn put_with_any_time() {
+    task::block_on(async {
+        let pool = Pool::default();
+        let replica = "i-1".parse().unwrap();
+        for secs in [u64::MAX, i64::MAX as u64, 86_400 * 365, 60] {
+            let (conn, _other) = connection().await;
+            pool.put(&replica, conn, Some(Duration::from_secs(secs)));
+            assert!(pool.take(&replica, Duration::MAX).await.is_some(), "{secs}");
+        }
+        let (conn, _other) = connection().await;
+        pool.put(&replica, conn, Some(Duration::ZERO));
+        assert!(pool.take(&replica, Duration::MAX).await.is_none());
+    });
+}
