--- a/crates/gateway/src/serve/admit.rs
+++ b/crates/gateway/src/serve/admit.rs
@@ -50,6 +50,8 @@
 /// Retry delay for callers of a workspace that can't be named to replicas, until the next version of
 /// the configuration.
 const UNNAMEABLE_RETRY_DELAY: Duration = Duration::from_secs(5);
+/// A deadline that is further away is taken for this one, a day.
+const DEADLINE_MAX_MS: f64 = 86_400_000.0;
 /// A request with less time left is rejected at once, as no replica could answer it.
 const MIN_REQUEST_TIME: Duration = Duration::from_millis(5);
 
@@ -331,7 +333,10 @@
         return Ok(None);
     };
     match text.parse::<f64>() {
-        Ok(ms) if ms.is_finite() => Ok(Some(Duration::from_secs_f64(ms.max(0.0) / 1e3))),
+        Ok(ms) if ms.is_finite() => {
+            let ms = ms.clamp(0.0, DEADLINE_MAX_MS);
+            Ok(Some(Duration::from_secs_f64(ms / 1e3)))
+        }
         _ => Err(LocalAnswer::status(
             400,
             "the deadline is no number of milliseconds",
--- a/crates/gateway/tests/gateway/requests.rs
+++ b/crates/gateway/tests/gateway/requests.rs
@@ -195,6 +195,29 @@
     assert_eq!(replica.seen().len(), 1);
 }
 
+/// Guards against a connection that ends without an answer, since its task panics at a deadline that
+/// is no time.
+#[test]
+fn request_with_any_deadline() {
+    let replica = echo();
+    let gw = TestGateway::start(&[("i-1", &replica)]);
+    for deadline in [
+        "1e19",
+        "1e300",
+        "18446744073709551615",
+        "99999999999999999999999",
+    ] {
+        let mut caller = gw.caller();
+        let header = format!("X-Deadline: {deadline}\r\n");
+        assert_eq!(caller.get("/once/a", deadline, &header).status, 200);
+    }
+    for deadline in ["1e400", "inf", "nan"] {
+        let mut caller = gw.caller();
+        let header = format!("X-Deadline: {deadline}\r\n");
+        assert_eq!(caller.get("/once/a", deadline, &header).status, 400);
+    }
+}
+
 #[test]
 fn request_with_revoked_key() {
     let replica = echo();
