tests: entries in the platform's words stand in its folder

The tests of the store's client wrote the platform's keys and fields in tests/ at the root. They move to platform/tests/entries as they are; the names and values that the process tests use move to `adapter::testing`. The process test plays all 19 endings of names now, in place of 6.

--- a/tests/entries/replicas.rs
+++ b/tests/common/replicas.rs
@@ -16,29 +16,6 @@
 /// Items of a page of the store.
 pub(crate) const PAGE_ITEMS: usize = 20;
 
-/// Endings of keys that mean something in a request line, in a query or in a JSON text.
-pub(crate) const ODD_ENDINGS: [&str; 19] = [
-    " x",
-    "+x",
-    "&x",
-    "&after=servers/r040",
-    "&prefix=op/",
-    "&serializable=1",
-    "#x",
-    "?x",
-    "=x",
-    "%x",
-    "%41",
-    "%2",
-    "/x",
-    "\\\"x",
-    "é",
-    "\u{1f600}",
-    "\0",
-    "\r\nX-Odd: 1",
-    "\u{ffff}",
-];
-
 /// Returns the id of a replica. Ids of numbers up to 999 are in the order of the numbers.
 pub(crate) fn id(number: usize) -> String {
     format!("r{number:03}")
--- a/tests/entries/fleet.rs
+++ b/tests/entries/fleet.rs
@@ -19,11 +19,13 @@
     },
     adapter::testing::{
         config,
+        odd_values,
         replica_key,
         CallerRequest,
         RouteEntry,
         ATTEMPT_ID,
         CONFIG_KEY,
+        ODD_ENDINGS,
         READY_PATH,
         REPLICAS_PREFIX,
         REPLICA_SEAL, //
@@ -187,24 +189,6 @@
     store.put(&key, &entry(server.addr));
 }
 
-/// Returns values that name no replica.
-fn odd_values() -> Vec<Vec<u8>> {
-    let sound = entry(SocketAddr::from(([127, 0, 0, 1], 9))).to_string();
-    let changed = |from: &str, to: &str| sound.replace(from, to).into_bytes();
-    vec![
-        b"[".repeat(500_000),
-        b"{\"a\":".repeat(100_000),
-        changed(":9\"", ":65536\""),
-        changed("\"slots\":8", "\"slots\":1e999"),
-        changed("\"slots\":8", "\"slots\":99999999999999999999"),
-        changed("\"seq\":1", "\"seq\":1,\"cold_remaining_ms\":1e300"),
-        changed("\"seq\":1", "\"seq\":18446744073709551616"),
-        changed("\"born\":", "\"born\":-"),
-        b"\xff\xfe\x00".to_vec(),
-        Vec::new(),
-    ]
-}
-
 /// Starts all routers at once and checks that they serve and how often they read the store.
 fn check_start(net: &str, store: &FakeStore, case: &str) {
     store.take_pages(REPLICAS_PREFIX);
@@ -229,14 +213,7 @@
 fn restart_with_an_odd_key_last_on_a_page() {
     let store = start_store();
     check_start("127.78.1", &store, "without it");
-    for ending in [
-        " x",
-        "+x",
-        "&after=servers/r040",
-        "&prefix=op/",
-        "#x",
-        "%41",
-    ] {
+    for ending in ODD_ENDINGS {
         let key = odd_key(ending);
         store.put(&key, &entry(SocketAddr::from(([127, 0, 0, 1], 9))));
         check_start("127.78.1", &store, ending);
@@ -298,7 +275,8 @@
     let start = || Router::start_all(ROUTERS, "127.78.4", store.addr);
     let mut routers = start();
     assert!(wait_until(|| routers.iter().all(Router::is_ready)));
-    for (n, value) in odd_values().iter().enumerate() {
+    let sound = entry(SocketAddr::from(([127, 0, 0, 1], 9)));
+    for (n, value) in odd_values(&sound).iter().enumerate() {
         store.put_bytes(&replica_key(&format!("x{n}")), value);
     }
     // The routers follow what comes after the odd entries.
--- a/tests/entries/main.rs
+++ b/tests/entries/main.rs
@@ -1,12 +1,11 @@
-//! Entries of other writers in the store: names and values of any text, and lists in pages.
+//! Gateway processes while entries of other writers stand in the store.
 
 mod fleet;
-mod fuzz;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../common/http.rs"]
 mod http;
-mod lists;
-mod pages;
+#[allow(dead_code, reason = "the tests of the store's client use the rest")]
+#[path = "../common/replicas.rs"]
 mod replicas;
 #[path = "../common/settings.rs"]
 mod settings;
