gateway: a refused call for the list is repeated less often too

The delay grew only after answers that can't be read.

Cause: refusals were all taken for passing ones, like 503 and 429.

Evidence: `fleet_list_that_is_unreadable` with a store that answers 400: five calls in 0.6 s on the code before, 2.25 s at least now.

Fix: a status of 400 to 499 but 429 says that the same call fails again.

--- a/crates/gateway/src/model/store.rs
+++ b/crates/gateway/src/model/store.rs
@@ -165,11 +165,13 @@
 }
 
 impl StoreError {
-    /// Returns whether the store answered, so that it is likely to answer the same again.
+    /// Returns whether the same call is likely to fail again, since the fault is in the call or in
+    /// what is stored.
     pub(crate) fn is_lasting(&self) -> bool {
         match self {
             StoreError::Stuck(_) | StoreError::Endless(_) | StoreError::Form(_) => true,
-            StoreError::Lost(_) | StoreError::Refused(_) | StoreError::Compacted => false,
+            StoreError::Refused(status) => (400..500).contains(status) && *status != 429,
+            StoreError::Lost(_) | StoreError::Compacted => false,
         }
     }
 }
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -16,7 +16,8 @@
     },
     gateway::{
         Settings,
-        State, //
+        State,
+        StoreError, //
     },
     std::{
         sync::{
@@ -189,21 +190,24 @@
 /// Guards against routers that together exceed the rate of reads while a list can't be read.
 #[test]
 fn fleet_list_that_is_unreadable() {
-    let replica = echo();
-    let store = FakeStore {
-        config: crate::harness::config(1),
-        revision: 1,
-        replicas: vec![crate::harness::entry("i-1", &replica)],
-        unreadable_list: true,
-        ..FakeStore::default()
-    };
-    let begun = Instant::now();
-    let gw = TestGateway::start_with(Arc::new(Mutex::new(store)), "g1", |_| {});
-    wait_until(|| gw.store.lock().unwrap().list_calls >= 5);
-    let delays = Duration::from_millis(150 + 300 + 600 + 1_200);
-    assert!(begun.elapsed() >= delays, "{:?}", begun.elapsed());
-    assert!(!gw.ready());
-    gw.store.lock().unwrap().unreadable_list = false;
-    gw.wait_ready();
-    assert_eq!(gw.get("/again/a", "1").status, 200);
+    let form = StoreError::Form("it is no list".to_owned());
+    for error in [form, StoreError::Refused(400)] {
+        let replica = echo();
+        let store = FakeStore {
+            config: crate::harness::config(1),
+            revision: 1,
+            replicas: vec![crate::harness::entry("i-1", &replica)],
+            list_error: Some(error.clone()),
+            ..FakeStore::default()
+        };
+        let begun = Instant::now();
+        let gw = TestGateway::start_with(Arc::new(Mutex::new(store)), "g1", |_| {});
+        wait_until(|| gw.store.lock().unwrap().list_calls >= 5);
+        let delays = Duration::from_millis(150 + 300 + 600 + 1_200);
+        assert!(begun.elapsed() >= delays, "{error}: {:?}", begun.elapsed());
+        assert!(!gw.ready());
+        gw.store.lock().unwrap().list_error = None;
+        gw.wait_ready();
+        assert_eq!(gw.get("/again/a", "1").status, 200);
+    }
 }
--- a/crates/gateway/tests/gateway/harness.rs
+++ b/crates/gateway/tests/gateway/harness.rs
@@ -104,8 +104,8 @@
     pub(crate) list_calls: u64,
     /// The way in which calls fail, if the store is down.
     pub(crate) fault: Option<StoreFault>,
-    /// Lists of replicas can't be read.
-    pub(crate) unreadable_list: bool,
+    /// What calls for the list of replicas fail with.
+    pub(crate) list_error: Option<StoreError>,
     /// So many of the next calls panic.
     pub(crate) panics: u32,
     /// Calls that have failed.
@@ -464,9 +464,9 @@
 async fn list_replicas(store: SharedStore) -> Result<ReplicaList, StoreError> {
     respond(&store, |_| ()).await?;
     let mut store = store.lock().unwrap();
-    if store.unreadable_list {
+    if let Some(e) = store.list_error.clone() {
         store.list_calls += 1;
-        return Err(StoreError::Form("it is no list".to_owned()));
+        return Err(e);
     }
     Ok(ReplicaList {
         revision: store.log_replicas(),
