--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -7,6 +7,8 @@
 
 mod answers;
 mod crowd;
+#[path = "../common/gateway.rs"]
+mod gateway;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../common/http.rs"]
 mod http;
--- a/tests/crowds/router.rs
+++ b/tests/crowds/router.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        gateway::spawn_gateway,
         http::{
             answer,
             serve,
@@ -27,18 +28,13 @@
     },
     serde_json::to_value,
     std::{
-        fs, io,
+        io,
         net::{
             Ipv4Addr,
             SocketAddr,
             TcpListener, //
         },
-        path::PathBuf,
-        process::{
-            self,
-            Command,
-            Stdio, //
-        },
+        process,
         sync::{
             atomic::{
                 AtomicU64,
@@ -128,15 +124,7 @@
             &format!("descriptors = {}", bounds.descriptors),
         );
         let text = text.replace("grace-s = 8", &format!("grace-s = {grace_s}"));
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crowds-{ip}.toml"));
-        fs::write(&file, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_chervilwind"))
-            .args(["gateway", "--settings"])
-            .arg(&file)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .spawn();
-        let process = Process::new(child.unwrap(), ip);
+        let process = Process::new(spawn_gateway(ip, &text), ip);
         let router = Router {
             monitor: process.monitor(),
             process,
--- a/tests/entries/fleet.rs
+++ b/tests/entries/fleet.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        gateway::spawn_gateway,
         http::{
             answer,
             serve,
@@ -36,12 +37,7 @@
             SocketAddr,
             TcpListener, //
         },
-        path::PathBuf,
-        process::{
-            Child,
-            Command,
-            Stdio, //
-        },
+        process::Child,
         sync::Arc,
         thread,
         time::{
@@ -83,19 +79,8 @@
             let ip = ip(n);
             let text =
                 gateway_settings(&format!("r{n}"), "hall-a", &ip, &seeds, &store.to_string());
-            let file =
-                PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("entries-{ip}.toml"));
-            fs::write(&file, text).unwrap();
-            let child = Command::new(env!("CARGO_BIN_EXE_chervilwind"))
-                .args(["gateway", "--settings"])
-                .arg(&file)
-                .stdin(Stdio::null())
-                .stdout(Stdio::null())
-                .spawn();
-            Router {
-                child: child.unwrap(),
-                ip,
-            }
+            let child = spawn_gateway(&ip, &text);
+            Router { child, ip }
         });
         routers.collect()
     }
--- a/tests/entries/main.rs
+++ b/tests/entries/main.rs
@@ -1,6 +1,8 @@
 //! Gateway processes while entries of other writers stand in the store.
 
 mod fleet;
+#[path = "../common/gateway.rs"]
+mod gateway;
 #[allow(dead_code, reason = "the soak uses the rest")]
 #[path = "../common/http.rs"]
 mod http;
